--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test lint format types
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+test: setup
+	$(BIN)/python -m tests
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+types: setup
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/src/wasabigw/codec/__init__.py
@@ -0,0 +1,1 @@
+"""Encodings of packets and messages."""
--- /dev/null
+++ b/src/wasabigw/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of wasabigw: pure code without input, output, clocks or threads."""
--- /dev/null
+++ b/src/wasabigw/core/buckets.py
@@ -0,0 +1,178 @@
+"""Bucket tables: which backend server takes the new flows of a bucket.
+
+Stable buckets with the backend servers that may still hold older flows, after
+Beamer (Olteanu et al., NSDI 2018). Scores are rendezvous hashes (Thaler and
+Ravishankar, 1998).
+"""
+
+from collections.abc import Container, Mapping, Sequence
+
+import xxhash
+
+from wasabigw.core.cluster import BucketTable, Candidate
+from wasabigw.core.ids import BackendServerId, BucketNumber, FlowKey, Revision
+from wasabigw.core.states import CandidateReason
+from wasabigw.core.timing import BUCKETS_PER_SERVICE
+
+
+def bucket_of(key: FlowKey) -> BucketNumber:
+    """Bucket of a flow, the same in every process."""
+    return BucketNumber(xxhash.xxh64_intdigest(key) % BUCKETS_PER_SERVICE)
+
+
+def score(bucket: BucketNumber, name: str) -> int:
+    """Rendezvous score of a name for a bucket."""
+    return xxhash.xxh64_intdigest(name.encode(), seed=bucket)
+
+
+def quotas(weights: Mapping[BackendServerId, float]) -> dict[BackendServerId, int]:
+    """Number of buckets for each backend server, by largest remainder.
+
+    :param weights: share of each backend server; zero or less means none.
+    """
+    positive = {name: weight for name, weight in weights.items() if weight > 0}
+    total = sum(positive.values())
+    if not positive:
+        return {}
+    exact = {name: BUCKETS_PER_SERVICE * w / total for name, w in positive.items()}
+    result = {name: int(share) for name, share in exact.items()}
+    missing = BUCKETS_PER_SERVICE - sum(result.values())
+    by_remainder = sorted(exact, key=lambda name: (result[name] - exact[name], name))
+    for name in by_remainder[:missing]:
+        result[name] += 1
+    return result
+
+
+def assign_buckets(
+    previous: Sequence[BackendServerId | None],
+    weights: Mapping[BackendServerId, float],
+) -> list[BackendServerId | None]:
+    """Assignment that meets the quotas and moves as few buckets as possible.
+
+    :param previous: the assignment before; ``None`` for a bucket without one.
+    :param weights: share of each backend server.
+    :returns: the backend server of each bucket, ``None`` if there is none at all.
+    """
+    room = quotas(weights)
+    result: list[BackendServerId | None] = [None] * BUCKETS_PER_SERVICE
+    for bucket in _in_keeping_order(previous):
+        owner = previous[bucket]
+        if owner is not None and room.get(owner, 0) > 0:
+            result[bucket] = owner
+            room[owner] -= 1
+    receivers = sorted(name for name, free in room.items() if free > 0)
+    for index, owner in enumerate(result):
+        if owner is not None or not receivers:
+            continue
+        best = _best_receiver(receivers, BucketNumber(index))
+        result[index] = best
+        room[best] -= 1
+        if room[best] == 0:
+            receivers.remove(best)
+    return result
+
+
+def _best_receiver(
+    names: Sequence[BackendServerId], bucket: BucketNumber
+) -> BackendServerId:
+    return max(names, key=lambda name: score(bucket, name))
+
+
+def _in_keeping_order(
+    previous: Sequence[BackendServerId | None],
+) -> list[BucketNumber]:
+    """Buckets, those first that fit their backend server best."""
+    numbers = [BucketNumber(bucket) for bucket in range(len(previous))]
+    return sorted(numbers, key=lambda bucket: -score(bucket, previous[bucket] or ""))
+
+
+def empty_table() -> BucketTable:
+    """A table without any backend server."""
+    return BucketTable(current=[None] * BUCKETS_PER_SERVICE)
+
+
+def move_buckets(
+    table: BucketTable,
+    assignment: Sequence[BackendServerId | None],
+    revision: Revision,
+    alive: Container[BackendServerId],
+) -> int:
+    """Install an assignment, keeping the former backend server as a candidate.
+
+    :param alive: backend servers that are registered and may still hold flows.
+    :returns: the number of buckets that moved.
+    """
+    moved = 0
+    for index, backend_server in enumerate(assignment):
+        former = table.current[index]
+        if former == backend_server:
+            continue
+        bucket = BucketNumber(index)
+        named_apart = (former, backend_server)
+        others = [
+            candidate
+            for candidate in table.others.get(bucket, [])
+            if candidate.backend_server not in named_apart
+        ]
+        if former is not None:
+            others.insert(0, Candidate(former, _reason(former, alive), revision))
+        _set_others(table, bucket, others)
+        table.current[index] = backend_server
+        table.moved_at[bucket] = revision
+        moved += 1
+    return moved
+
+
+def add_candidate(
+    table: BucketTable, bucket: BucketNumber, candidate: Candidate
+) -> None:
+    """Name a further backend server that may hold flows of a bucket."""
+    others = table.others.get(bucket, [])
+    if any(c.backend_server == candidate.backend_server for c in others):
+        return
+    table.others[bucket] = [candidate, *others]
+
+
+def release_candidates(
+    table: BucketTable,
+    backend_server: BackendServerId,
+    buckets: Sequence[BucketNumber],
+    up_to: Revision,
+) -> None:
+    """Forget a candidate that was named no later than a revision."""
+    for bucket in buckets:
+        kept = [
+            candidate
+            for candidate in table.others.get(bucket, [])
+            if candidate.backend_server != backend_server or candidate.revision > up_to
+        ]
+        _set_others(table, bucket, kept)
+
+
+def mark_departed(
+    table: BucketTable, backend_server: BackendServerId, revision: Revision
+) -> None:
+    """Record that a candidate is gone and its flows with it."""
+    departed = Candidate(backend_server, CandidateReason.DEPARTED, revision)
+    for bucket, others in table.others.items():
+        table.others[bucket] = [
+            departed if candidate.backend_server == backend_server else candidate
+            for candidate in others
+        ]
+
+
+def _reason(
+    former: BackendServerId, alive: Container[BackendServerId]
+) -> CandidateReason:
+    if former in alive:
+        return CandidateReason.FORMER
+    return CandidateReason.DEPARTED
+
+
+def _set_others(
+    table: BucketTable, bucket: BucketNumber, others: list[Candidate]
+) -> None:
+    if others:
+        table.others[bucket] = others
+    else:
+        table.others.pop(bucket, None)
--- /dev/null
+++ b/src/wasabigw/core/cluster.py
@@ -0,0 +1,184 @@
+"""Replicated state: services, failure domains, backend servers and balancers.
+
+The state changes only through :func:`wasabigw.core.apply.apply`, with the
+entries of the replicated log in order. Each task that needs it owns a copy.
+"""
+
+from dataclasses import dataclass, field
+
+from wasabigw.core.ids import (
+    BackendServerId,
+    BootId,
+    BucketNumber,
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    RegionId,
+    RequestId,
+    Revision,
+    ServiceId,
+)
+from wasabigw.core.states import (
+    BackendServerState,
+    CandidateReason,
+    FailureDomainState,
+    FlowLimit,
+    NodeState,
+    Protocol,
+    RefusalCode,
+)
+from wasabigw.core.timing import FULL_STEP
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """IPv4 address and port."""
+
+    address: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service address and what its flows need.
+
+    :param request_deadline: seconds that a request may take.
+    :param repeatable: whether its requests are idempotent and may be retried.
+    :param priority: services with a higher value are served first under limits.
+    """
+
+    id: ServiceId
+    endpoint: Endpoint
+    protocol: Protocol
+    failure_domains: tuple[FailureDomainId, ...]
+    limit_by: FlowLimit = FlowLimit.CONNECTIONS
+    request_deadline: float = 30.0
+    repeatable: bool = False
+    priority: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FailureDomain:
+    """A failure domain and whether operators let it serve."""
+
+    id: FailureDomainId
+    region: RegionId
+    state: FailureDomainState = FailureDomainState.IN_SERVICE
+
+
+@dataclass(frozen=True, slots=True)
+class BackendServer:
+    """A registered backend server.
+
+    :param index: number that is unique among all backend servers ever registered.
+    :param step: eighths of its capacity that it may use now.
+    """
+
+    id: BackendServerId
+    index: int
+    service: ServiceId
+    failure_domain: FailureDomainId
+    endpoint: Endpoint
+    boot_id: BootId
+    slots: int
+    connections: int
+    state: BackendServerState = BackendServerState.COLD
+    step: int = FULL_STEP
+    overloaded: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """A balancer that follows the log.
+
+    :param data: endpoint for Geneve frames.
+    :param api: endpoint of its HTTP server.
+    """
+
+    id: NodeId
+    failure_domain: FailureDomainId
+    data: Endpoint
+    api: Endpoint
+    incarnation: Incarnation
+    state: NodeState = NodeState.UP
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A backend server that may hold flows of a bucket besides the current one."""
+
+    backend_server: BackendServerId
+    reason: CandidateReason
+    revision: Revision
+
+
+@dataclass(slots=True)
+class BucketTable:
+    """Bucket assignment of one service.
+
+    :param current: backend server of each bucket, ``None`` without any.
+    :param others: further candidates of a bucket, newest first.
+    :param moved_at: revision of the last move of a bucket.
+    """
+
+    current: list[BackendServerId | None]
+    others: dict[BucketNumber, list[Candidate]] = field(default_factory=dict)
+    moved_at: dict[BucketNumber, Revision] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """A command took effect at a revision.
+
+    :param configuration_revision: revision that the next change must expect.
+    """
+
+    revision: Revision
+    configuration_revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A command was refused and changed nothing.
+
+    :param message: what was wrong, where, and what to do.
+    """
+
+    code: RefusalCode
+    message: str
+    configuration_revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Quarantine:
+    """An endpoint that must not yet serve another service."""
+
+    endpoint: Endpoint
+    service: ServiceId
+    since: Revision
+
+
+NO_REVISION = Revision(0)
+"""Revision of a state to which no entry has been applied."""
+
+
+@dataclass(slots=True)
+class ClusterState:
+    """Copy of the replicated state at one revision."""
+
+    revision: Revision = NO_REVISION
+    configuration_revision: Revision = NO_REVISION
+    services: dict[ServiceId, Service] = field(default_factory=dict)
+    failure_domains: dict[FailureDomainId, FailureDomain] = field(default_factory=dict)
+    backend_servers: dict[BackendServerId, BackendServer] = field(default_factory=dict)
+    nodes: dict[NodeId, Node] = field(default_factory=dict)
+    voters: dict[NodeId, Incarnation] = field(default_factory=dict)
+    buckets: dict[ServiceId, BucketTable] = field(default_factory=dict)
+    quarantine: dict[str, Quarantine] = field(default_factory=dict)
+    requests: dict[RequestId, Applied | Refusal] = field(default_factory=dict)
+    next_backend_index: int = 0
+
+
+def endpoint_key(endpoint: Endpoint) -> str:
+    """Key of an endpoint in maps: ``address:port``."""
+    return f"{endpoint.address}:{endpoint.port}"
--- /dev/null
+++ b/src/wasabigw/core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: messages and the state machine of a voter."""
--- /dev/null
+++ b/src/wasabigw/core/ids.py
@@ -0,0 +1,23 @@
+"""Identifier and unit types shared by the whole code base."""
+
+from typing import NewType
+
+ServiceId = NewType("ServiceId", str)
+FailureDomainId = NewType("FailureDomainId", str)
+RegionId = NewType("RegionId", str)
+BackendServerId = NewType("BackendServerId", str)
+NodeId = NewType("NodeId", str)
+"""A process of the system: a balancer or a control voter."""
+Incarnation = NewType("Incarnation", str)
+"""Random value that a process or a data folder draws when it is created."""
+BootId = NewType("BootId", str)
+"""Value that a backend server draws each time it starts."""
+RequestId = NewType("RequestId", str)
+FlowKey = NewType("FlowKey", bytes)
+"""Protocol, caller address and port, service address and port: 13 bytes."""
+BucketNumber = NewType("BucketNumber", int)
+Revision = NewType("Revision", int)
+"""Index of an entry of the replicated log; 0 is before the first entry."""
+Term = NewType("Term", int)
+Seconds = NewType("Seconds", float)
+"""Monotonic time of one process, or a duration."""
--- /dev/null
+++ b/src/wasabigw/core/states.py
@@ -0,0 +1,71 @@
+"""Enumerations of the states and kinds that decisions depend on."""
+
+from enum import Enum
+
+
+class Protocol(Enum):
+    """Transport protocol of a service, by its IPv4 protocol number."""
+
+    TCP = 6
+    UDP = 17
+
+
+class FlowLimit(Enum):
+    """Which announced limit bounds the open flows of a backend server."""
+
+    CONNECTIONS = "connections"
+    SLOTS = "slots"
+
+
+class FailureDomainState(Enum):
+    """Whether operators let a failure domain serve."""
+
+    IN_SERVICE = "in-service"
+    OUT_OF_SERVICE = "out-of-service"
+
+
+class BackendServerState(Enum):
+    """Life cycle of a backend server as it is registered in the log."""
+
+    COLD = "cold"
+    READY = "ready"
+    DRAINING = "draining"
+    LEAVING = "leaving"
+
+
+class NodeState(Enum):
+    """Membership state of a balancer."""
+
+    UP = "up"
+    SUSPECTED = "suspected"
+    DRAINING = "draining"
+
+
+class CandidateReason(Enum):
+    """Why a bucket has a candidate besides its current backend server."""
+
+    FORMER = "former"
+    OVERFLOW = "overflow"
+    DIVERTED = "diverted"
+    DEPARTED = "departed"
+
+
+class RefusalCode(Enum):
+    """Why the replicated state refused a change."""
+
+    CONFLICT = "conflict"
+    NOT_FOUND = "not-found"
+    ALREADY_EXISTS = "already-exists"
+    ENDPOINT_IN_USE = "endpoint-in-use"
+    ENDPOINT_IN_QUARANTINE = "endpoint-in-quarantine"
+    INVALID = "invalid"
+
+
+class VoterRole(Enum):
+    """Role of a voter in the current term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    AWAITING_ADMISSION = "awaiting-admission"
--- /dev/null
+++ b/src/wasabigw/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/src/wasabigw/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks, mailboxes and timers."""
--- /dev/null
+++ b/src/wasabigw/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks that own sockets, files and connections round the core."""
--- /dev/null
+++ b/src/wasabigw/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events, traces and metrics."""
--- /dev/null
+++ b/src/wasabigw_measure/__init__.py
@@ -0,0 +1,1 @@
+"""Repeatable measurements of decisions, speed and capacity."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of wasabigw."""
