--- /dev/null
+++ b/src/wasabigw/core/answer_checks.py
@@ -0,0 +1,219 @@
+"""Wrong or clashing answers of the questionnaire."""
+
+import ipaddress
+import math
+from collections.abc import Iterator
+
+from wasabigw.core.answers import (
+    Answers,
+    FailureDomainAnswer,
+    FlowPattern,
+    RequestAnswer,
+    ServiceAnswer,
+)
+from wasabigw.core.names import MAX_PORT, NAME_RULE, is_name
+from wasabigw.core.problems import Problem, Problems, shown, unknown_name
+
+NEW_FLOWS_PERIOD = 10.0
+"""Seconds in which the admission limit lets a backend server fill up."""
+
+MAX_DEADLINE = 86_400.0
+"""Longest deadline of a request, in seconds."""
+
+MILLISECONDS = 1_000.0
+
+
+def capacity(service: ServiceAnswer) -> int:
+    """Open flows that all backend servers of a service carry together."""
+    if service.flows is FlowPattern.LONG:
+        return service.backend_servers * service.connections
+    return service.backend_servers * service.slots
+
+
+def answer_problems(answers: Answers) -> Problems:
+    """Everything that is wrong with the answers."""
+    return tuple(_all_problems(answers))
+
+
+def _all_problems(answers: Answers) -> Iterator[Problem]:
+    yield from _caller_problems(answers)
+    if not answers.failure_domains:
+        yield Problem("failure_domains", "none", "at least one failure domain")
+    if not answers.services:
+        yield Problem("services", "none", "at least one service")
+    yield from _repeated(
+        "failure_domains", [domain.name for domain in answers.failure_domains]
+    )
+    yield from _repeated("services", [service.name for service in answers.services])
+    for index, domain in enumerate(answers.failure_domains):
+        yield from _failure_domain_problems(f"failure_domains[{index}]", domain)
+    for index, service in enumerate(answers.services):
+        yield from _service_problems(f"services[{index}]", service, answers)
+    yield from _endpoint_clashes(answers)
+
+
+def _caller_problems(answers: Answers) -> Iterator[Problem]:
+    if not answers.team.strip():
+        yield Problem("team", shown(answers.team), "the name of the team")
+    callers = answers.callers
+    latencies = (
+        ("latency_ms", callers.latency_ms),
+        (
+            "latency_between_failure_domains_ms",
+            callers.latency_between_failure_domains_ms,
+        ),
+    )
+    for name, value in latencies:
+        if not (math.isfinite(value) and value >= 0):
+            yield Problem(f"callers.{name}", shown(value), "milliseconds, 0 or more")
+
+
+def _repeated(where: str, names: list[str]) -> Iterator[Problem]:
+    for index, name in enumerate(names):
+        first = names.index(name)
+        if first < index:
+            yield Problem(
+                f"{where}[{index}].name",
+                shown(name),
+                f"a name other than that of {where}[{first}]",
+            )
+
+
+def _failure_domain_problems(
+    where: str, domain: FailureDomainAnswer
+) -> Iterator[Problem]:
+    for key, value in (("name", domain.name), ("region", domain.region)):
+        if not is_name(value):
+            yield Problem(f"{where}.{key}", shown(value), NAME_RULE)
+
+
+def _service_problems(
+    where: str, service: ServiceAnswer, answers: Answers
+) -> Iterator[Problem]:
+    if not is_name(service.name):
+        yield Problem(f"{where}.name", shown(service.name), NAME_RULE)
+    yield from _endpoint_problems(where, service)
+    yield from _domain_reference_problems(where, service, answers)
+    amounts = (
+        ("backend_servers", service.backend_servers),
+        ("slots", service.slots),
+        ("connections", service.connections),
+    )
+    wrong = [item for item in amounts if item[1] < 1]
+    for key, value in wrong:
+        yield Problem(f"{where}.{key}", shown(value), "a number of at least 1")
+    yield from _load_problems(where, service, check_capacity=not wrong)
+    if not service.requests:
+        yield Problem(f"{where}.requests", "none", "at least one kind of request")
+    yield from _repeated(f"{where}.requests", [item.name for item in service.requests])
+    shortest = _round_trip_seconds(answers)
+    for index, request in enumerate(service.requests):
+        yield from _request_problems(f"{where}.requests[{index}]", request, shortest)
+
+
+def _endpoint_problems(where: str, service: ServiceAnswer) -> Iterator[Problem]:
+    try:
+        address = ipaddress.IPv4Address(service.address)
+    except ValueError:
+        address = None
+    if address is None or address.is_multicast or address.is_unspecified:
+        yield Problem(
+            f"{where}.address", shown(service.address), "an IPv4 unicast address"
+        )
+    if not 1 <= service.port <= MAX_PORT:
+        yield Problem(
+            f"{where}.port", shown(service.port), f"a port from 1 to {MAX_PORT}"
+        )
+
+
+def _domain_reference_problems(
+    where: str, service: ServiceAnswer, answers: Answers
+) -> Iterator[Problem]:
+    known = {domain.name for domain in answers.failure_domains}
+    key = f"{where}.failure_domains"
+    if not service.failure_domains:
+        yield Problem(key, "none", "at least one of the failure domains")
+    for index, name in enumerate(service.failure_domains):
+        if name not in known:
+            expected = unknown_name(name, known)
+            yield Problem(f"{key}[{index}]", shown(name), expected)
+        elif service.failure_domains.index(name) < index:
+            expected = "each failure domain once"
+            yield Problem(f"{key}[{index}]", shown(name), expected)
+
+
+def _load_problems(
+    where: str, service: ServiceAnswer, check_capacity: bool
+) -> Iterator[Problem]:
+    rate = service.peak_new_flows_per_second
+    rate_is_valid = math.isfinite(rate) and rate >= 0
+    rate_key = f"{where}.peak_new_flows_per_second"
+    if not rate_is_valid:
+        yield Problem(rate_key, shown(rate), "flows per second, 0 or more")
+    open_key = f"{where}.peak_open_flows"
+    if service.peak_open_flows < 0:
+        yield Problem(open_key, shown(service.peak_open_flows), "0 or more flows")
+    if not check_capacity:
+        return
+    fits = capacity(service)
+    if service.peak_open_flows > fits:
+        yield Problem(open_key, shown(service.peak_open_flows), _fits(service, fits))
+    fits_per_second = service.backend_servers * service.connections / NEW_FLOWS_PERIOD
+    if rate_is_valid and rate > fits_per_second:
+        yield Problem(
+            rate_key,
+            shown(rate),
+            f"at most {fits_per_second:g}, because {service.backend_servers} backend "
+            f"servers accept {service.connections} connections in "
+            f"{NEW_FLOWS_PERIOD:g} s each",
+        )
+
+
+def _fits(service: ServiceAnswer, fits: int) -> str:
+    each = (
+        f"{service.connections} connections"
+        if service.flows is FlowPattern.LONG
+        else f"{service.slots} slots"
+    )
+    return (
+        f"at most {fits}, because {service.backend_servers} backend servers have "
+        f"{each} each"
+    )
+
+
+def _round_trip_seconds(answers: Answers) -> float:
+    callers = answers.callers
+    one_way = callers.latency_ms + callers.latency_between_failure_domains_ms
+    return 2 * one_way / MILLISECONDS
+
+
+def _request_problems(
+    where: str, request: RequestAnswer, shortest: float
+) -> Iterator[Problem]:
+    if not (request.name.strip() and request.name.isprintable()):
+        yield Problem(f"{where}.name", shown(request.name), "a printable name")
+    deadline = request.deadline_seconds
+    if not 0 < deadline <= MAX_DEADLINE:
+        yield Problem(
+            f"{where}.deadline_seconds",
+            shown(deadline),
+            f"seconds, more than 0 and at most {MAX_DEADLINE:g}",
+        )
+    elif deadline <= shortest:
+        yield Problem(
+            f"{where}.deadline_seconds",
+            shown(deadline),
+            f"more than {shortest:g}, the round trip that the answers to callers give",
+        )
+
+
+def _endpoint_clashes(answers: Answers) -> Iterator[Problem]:
+    endpoints = [(service.address, service.port) for service in answers.services]
+    for index, endpoint in enumerate(endpoints):
+        first = endpoints.index(endpoint)
+        if first < index:
+            yield Problem(
+                f"services[{index}].port",
+                f"{endpoint[0]}:{endpoint[1]}",
+                f"an address and port other than those of services[{first}]",
+            )
--- /dev/null
+++ b/src/wasabigw/settings_types.py
@@ -0,0 +1,60 @@
+"""Types of single values in settings files."""
+
+import ipaddress
+from typing import Annotated, Any
+
+from pydantic import BeforeValidator, PlainSerializer, WithJsonSchema
+
+from wasabigw.core.cluster import Endpoint, endpoint_key
+from wasabigw.core.names import MAX_PORT, NAME_PATTERN, NAME_RULE, is_name
+
+_ENDPOINT_RULE = "an IPv4 address and a port, such as '10.0.0.1:8080'"
+
+
+def parse_endpoint(value: Any) -> Endpoint:
+    """Endpoint from ``address:port``.
+
+    :raises ValueError: with the expected form, for pydantic to report.
+    """
+    if isinstance(value, Endpoint):
+        return value
+    if not isinstance(value, str):
+        raise ValueError(_ENDPOINT_RULE)
+    address, _, port_text = value.rpartition(":")
+    if not (port_text.isascii() and port_text.isdecimal()):
+        raise ValueError(_ENDPOINT_RULE)
+    try:
+        parsed = ipaddress.IPv4Address(address)
+        port = int(port_text)
+    except ValueError:
+        raise ValueError(_ENDPOINT_RULE) from None
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"a port from 1 to {MAX_PORT}")
+    return Endpoint(str(parsed), port)
+
+
+EndpointSetting = Annotated[
+    Endpoint,
+    BeforeValidator(parse_endpoint),
+    PlainSerializer(endpoint_key),
+    WithJsonSchema({"type": "string", "pattern": r"^[0-9.]+:[0-9]+$"}),
+]
+"""``address:port`` in a file, :class:`Endpoint` in the program."""
+
+
+def check_name(value: Any) -> str:
+    """Name of a node, service, failure domain or region.
+
+    :raises ValueError: with the rule, for pydantic to report.
+    """
+    if not isinstance(value, str) or not is_name(value):
+        raise ValueError(NAME_RULE)
+    return value
+
+
+Name = Annotated[
+    str,
+    BeforeValidator(check_name),
+    WithJsonSchema({"type": "string", "pattern": f"^{NAME_PATTERN}$"}),
+]
+"""Id of a node, service, failure domain or region."""
