Add the daemon's command line and the operators' tool

Cause: operators had no way to check settings, create the first files or send changes whose outcome they can rely on. Change: wasabigw with run, check, bootstrap and schema; wasabigwctl with the actions over the administration API, resending with the same request id, previews, and stable exit codes; tests against a stand-in.

--- a/src/wasabigw/bootstrap.py
+++ b/src/wasabigw/bootstrap.py
@@ -49,7 +49,7 @@
 
 
 def bootstrap(
-    settings: Settings, create_data_folder: CreateDataFolder
+    settings: Settings, create_folder: CreateDataFolder
 ) -> Result[Bootstrapped, BootstrapError]:
     """Create the data folder and, unless there is one, the operator token.
 
@@ -57,7 +57,7 @@
     """
     folder = settings.data_folder if settings.role is Role.CONTROL else None
     if folder is not None:
-        created = create_data_folder(folder, settings.node)
+        created = create_folder(folder, settings.node)
         if not isinstance(created, Success):
             return Failure(BootstrapError(str(created.failure())))
     return _create_token(settings.token_file).map(
@@ -65,14 +65,14 @@
     )
 
 
-def storage_function() -> Result[CreateDataFolder, BootstrapError]:
-    """Function of the storage module that creates a data folder."""
+def create_data_folder(folder: Path, node: NodeId) -> Result[Any, Any]:
+    """Create a data folder with the function of the storage module."""
     try:
         module = importlib.import_module(STORAGE_MODULE)
         function: CreateDataFolder = getattr(module, STORAGE_FUNCTION)
     except (ModuleNotFoundError, AttributeError) as error:
         return Failure(BootstrapError(f"storage is not available: {error}"))
-    return Success(function)
+    return function(folder, node)
 
 
 def _create_token(path: Path) -> Result[bool, BootstrapError]:
--- /dev/null
+++ b/src/wasabigw/ctl/api.py
@@ -0,0 +1,214 @@
+"""The administration API of section 3.3 of the design page, from the tool's side."""
+
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from wasabigw.codec import messages
+from wasabigw.core.cluster import (
+    Applied,
+    BackendServer,
+    Endpoint,
+    FailureDomain,
+    Node,
+    Refusal,
+    Service,
+    endpoint_key,
+)
+from wasabigw.core.commands import ChangeRequest, TakeFailureDomainOut
+from wasabigw.core.ids import (
+    BackendServerId,
+    FailureDomainId,
+    NodeId,
+    Revision,
+    Seconds,
+    ServiceId,
+)
+from wasabigw.core.log_messages import ChangeOutcome, InForce
+from wasabigw.core.preview import ConfigurationView
+from wasabigw.ctl.errors import (
+    ChangeRefused,
+    CtlError,
+    OutcomeUnknown,
+    Unauthorized,
+    Unavailable,
+    UnexpectedAnswer,
+)
+from wasabigw.ctl.link import ApiAnswer, ApiLink, ApiRequest, CallFailed
+
+CHANGES_PATH = "/v1/changes"
+STATE_PATH = "/v1/state"
+IN_FORCE_PATH = "/v1/in-force"
+LOCAL_OUT_PATH = "/v1/local/out"
+FLOWS_PATH = "/v1/flows"
+
+OK_STATUSES = range(200, 300)
+UNAUTHORIZED_STATUSES = (401, 403)
+MAX_DETAIL_LENGTH = 500
+
+_VIEW_PARTS: Mapping[str, Any] = {
+    "revision": Revision,
+    "configuration_revision": Revision,
+    "services": dict[ServiceId, Service],
+    "failure_domains": dict[FailureDomainId, FailureDomain],
+    "backend_servers": dict[BackendServerId, BackendServer],
+    "nodes": dict[NodeId, Node],
+}
+_REQUIRED_VIEW_PARTS = ("configuration_revision", "services", "failure_domains")
+
+
+class Api:
+    """Calls of one run of the tool.
+
+    :param control: API endpoints of the control VMs.
+    :param deadline: monotonic time at which every call gives up.
+    """
+
+    def __init__(
+        self, link: ApiLink, control: Sequence[Endpoint], deadline: Seconds
+    ) -> None:
+        self._link = link
+        self._control = control
+        self._deadline = deadline
+
+    @property
+    def deadline(self) -> Seconds:
+        """Monotonic time at which every call gives up."""
+        return self._deadline
+
+    def configuration(self) -> Result[ConfigurationView, CtlError]:
+        """Configuration and registered servers, as the leader has them."""
+        return self._get(STATE_PATH, {}).bind(_view)
+
+    def in_force(self, revision: Revision | None) -> Result[InForce, CtlError]:
+        """Whether a revision, by default the latest, is in force everywhere."""
+        query = {} if revision is None else {"revision": str(revision)}
+        return self._get(IN_FORCE_PATH, query).bind(_in_force)
+
+    def change(self, request: ChangeRequest) -> Result[Applied, CtlError]:
+        """Send a change until its outcome is known or the time is up."""
+        call = ApiRequest("POST", CHANGES_PATH, body=messages.encode(request))
+        outcome = self._link.call(call, self._control, self._deadline)
+        if isinstance(outcome, Success):
+            return _change_outcome(outcome.unwrap())
+        failed: CallFailed = outcome.failure()
+        if not failed.outcome_unknown:
+            return Failure(Unavailable(failed.reason))
+        return Failure(
+            OutcomeUnknown(failed.reason, request.request_id, request.expected_revision)
+        )
+
+    def take_out_locally(
+        self, balancer: Endpoint, failure_domain: FailureDomainId, deadline: Seconds
+    ) -> Result[None, CtlError]:
+        """Take the failure domain out of service at one balancer of it.
+
+        :param deadline: at which this balancer is given up.
+        """
+        body = messages.encode(TakeFailureDomainOut(failure_domain))
+        call = ApiRequest("POST", LOCAL_OUT_PATH, body=body)
+        outcome = self._link.call(call, (balancer,), min(deadline, self._deadline))
+        if not isinstance(outcome, Success):
+            return Failure(Unavailable(outcome.failure().reason))
+        return _accepted(outcome.unwrap()).map(lambda _: None)
+
+    def flow(
+        self, balancers: Sequence[Endpoint], query: Mapping[str, str]
+    ) -> Result[dict[str, Any], CtlError]:
+        """Path of one flow, from the first balancer that answers."""
+        call = ApiRequest("GET", FLOWS_PATH, query, needs_token=False)
+        return self._answer(call, balancers).bind(_json_object)
+
+    def _get(self, path: str, query: Mapping[str, str]) -> Result[ApiAnswer, CtlError]:
+        return self._answer(ApiRequest("GET", path, query), self._control)
+
+    def _answer(
+        self, call: ApiRequest, endpoints: Sequence[Endpoint]
+    ) -> Result[ApiAnswer, CtlError]:
+        outcome = self._link.call(call, endpoints, self._deadline)
+        if isinstance(outcome, Success):
+            return Success(outcome.unwrap())
+        return Failure(Unavailable(outcome.failure().reason))
+
+
+def flow_query(protocol: str, caller: Endpoint, service: Endpoint) -> dict[str, str]:
+    """Query of ``GET /v1/flows`` for one flow."""
+    return {
+        "protocol": protocol,
+        "caller": endpoint_key(caller),
+        "service": endpoint_key(service),
+    }
+
+
+def _change_outcome(answer: ApiAnswer) -> Result[Applied, CtlError]:
+    if answer.status in UNAUTHORIZED_STATUSES:
+        return Failure(Unauthorized(answer.status))
+    decoded = messages.decode(answer.body, ChangeOutcome)
+    outcome = decoded.value_or(None)
+    if isinstance(outcome, Applied):
+        return Success(outcome)
+    if isinstance(outcome, Refusal):
+        return Failure(ChangeRefused(outcome))
+    return Failure(_unexpected(answer))
+
+
+def _accepted(answer: ApiAnswer) -> Result[ApiAnswer, CtlError]:
+    if answer.status in UNAUTHORIZED_STATUSES:
+        return Failure(Unauthorized(answer.status))
+    if answer.status not in OK_STATUSES:
+        return Failure(_unexpected(answer))
+    return Success(answer)
+
+
+def _json_object(answer: ApiAnswer) -> Result[dict[str, Any], CtlError]:
+    accepted = _accepted(answer)
+    if not isinstance(accepted, Success):
+        return Failure(accepted.failure())
+    try:
+        value = json.loads(answer.body)
+    except (ValueError, RecursionError):
+        return Failure(_unexpected(answer))
+    if not isinstance(value, dict):
+        return Failure(_unexpected(answer))
+    return Success(value)
+
+
+def _in_force(answer: ApiAnswer) -> Result[InForce, CtlError]:
+    accepted = _accepted(answer)
+    if not isinstance(accepted, Success):
+        return Failure(accepted.failure())
+    decoded = messages.decode(answer.body, InForce)
+    if isinstance(decoded, Success):
+        return Success(decoded.unwrap())
+    return Failure(UnexpectedAnswer(answer.status, str(decoded.failure())))
+
+
+def _view(answer: ApiAnswer) -> Result[ConfigurationView, CtlError]:
+    """Known parts of the state; a newer server may send further ones."""
+    parsed = _json_object(answer)
+    if not isinstance(parsed, Success):
+        return Failure(parsed.failure())
+    value = parsed.unwrap()
+    missing = [key for key in _REQUIRED_VIEW_PARTS if key not in value]
+    if missing:
+        detail = f"the state lacks {', '.join(missing)}"
+        return Failure(UnexpectedAnswer(answer.status, detail))
+    parts: dict[str, Any] = {}
+    for key, expected in _VIEW_PARTS.items():
+        if key not in value:
+            continue
+        decoded = messages.from_json(value[key], expected)
+        if not isinstance(decoded, Success):
+            detail = f"{key}: {decoded.failure()}"
+            return Failure(UnexpectedAnswer(answer.status, detail))
+        parts[key] = decoded.unwrap()
+    return Success(ConfigurationView(**parts))
+
+
+def _unexpected(answer: ApiAnswer) -> UnexpectedAnswer:
+    text = answer.body.decode("utf-8", errors="replace")
+    place = endpoint_key(answer.endpoint)
+    detail = ascii(text[:MAX_DETAIL_LENGTH]) if text else "no body"
+    return UnexpectedAnswer(answer.status, f"{place}: {detail}")
--- /dev/null
+++ b/src/wasabigw/ctl/console.py
@@ -0,0 +1,93 @@
+"""What the tool prints: results on stdout, progress and errors on stderr.
+
+With ``--output json``, stdout holds exactly one JSON object for each command.
+"""
+
+import json
+import re
+import sys
+from collections.abc import Iterable, Iterator, Mapping
+from contextlib import contextmanager
+from enum import Enum
+from typing import Any, NoReturn
+
+import typer
+from rich.console import Console
+
+from wasabigw.core.ids import RequestId, Revision
+from wasabigw.core.log_messages import InForce
+from wasabigw.ctl.actions import ShowProgress
+from wasabigw.ctl.errors import CtlError, error_lines, exit_code
+
+_WORD_START = re.compile(r"(?<!^)(?=[A-Z])")
+
+
+class Output(Enum):
+    """Form of the result on stdout."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+def show_result(output: Output, lines: Iterable[str], value: Mapping[str, Any]) -> None:
+    """Print the result of a command.
+
+    :param lines: for people.
+    :param value: for programs.
+    """
+    if output is Output.JSON:
+        typer.echo(json.dumps(value))
+        return
+    for line in lines:
+        typer.echo(line)
+
+
+def fail(output: Output, error: CtlError) -> NoReturn:
+    """Print an error and end with its exit code."""
+    lines = error_lines(error)
+    code = exit_code(error)
+    if output is Output.JSON:
+        outcome = _WORD_START.sub("-", type(error).__name__).lower()
+        value = {"outcome": outcome, "exit_code": int(code), "messages": list(lines)}
+        typer.echo(json.dumps(value))
+    else:
+        for line in lines:
+            typer.echo(line, err=True)
+    raise typer.Exit(code)
+
+
+def show_request(request_id: RequestId, expected: Revision) -> None:
+    """Print what a repetition of the command needs, before anything is sent."""
+    typer.echo(f"request id {request_id}, expected revision {expected}", err=True)
+
+
+@contextmanager
+def progress() -> Iterator[ShowProgress]:
+    """Display of how many balancers have a change in force, on stderr.
+
+    A terminal shows one changing line; otherwise each change of the count is a line.
+    """
+    if not sys.stderr.isatty():
+        yield _ProgressLines().show
+        return
+    with Console(stderr=True).status("waiting for the balancers") as status:
+        yield lambda in_force: status.update(_progress_text(in_force))
+
+
+class _ProgressLines:
+    def __init__(self) -> None:
+        self._last = ""
+
+    def show(self, in_force: InForce) -> None:
+        text = _progress_text(in_force)
+        if text != self._last:
+            typer.echo(text, err=True)
+        self._last = text
+
+
+def _progress_text(in_force: InForce) -> str:
+    done = sum(node.in_force for node in in_force.nodes)
+    return (
+        f"revision {in_force.revision} in force on {done} of "
+        f"{len(in_force.nodes)} balancers"
+    )
--- /dev/null
+++ b/src/wasabigw/ctl/interview.py
@@ -0,0 +1,142 @@
+"""Asks the questions of the questionnaire one by one on a terminal."""
+
+from collections.abc import Callable
+from enum import Enum
+from types import UnionType
+from typing import Any, get_args, get_origin
+
+from pydantic import BaseModel
+from pydantic.fields import FieldInfo
+from pydantic_core import PydanticUndefined
+
+Ask = Callable[[str, str | None], str]
+"""Shows a question and a default answer, and returns the text of the answer."""
+Tell = Callable[[str], None]
+
+MAX_COUNT = 100
+_TRUE = ("y", "yes", "true")
+_FALSE = ("n", "no", "false")
+
+
+def interview(model: type[BaseModel], ask: Ask, tell: Tell) -> dict[str, Any]:
+    """Answers for each field of a model, as they would stand in an answer file.
+
+    An answer of the wrong type is asked again; clashes between answers are found by
+    the check of all answers.
+    """
+    return {
+        name: _ask_field(name, field, ask, tell)
+        for name, field in model.model_fields.items()
+    }
+
+
+def _ask_field(name: str, field: FieldInfo, ask: Ask, tell: Tell) -> Any:
+    question = field.description or name
+    nested = _nested(field.annotation)
+    if nested is None:
+        return _ask_value(question, field, ask, tell)
+    if get_origin(field.annotation) is not tuple:
+        tell(question)
+        return interview(nested, ask, tell)
+    count = _ask_parsed(f"{question} How many?", _parse_count, None, ask, tell)
+    answers = []
+    for number in range(1, count + 1):
+        tell(f"{name}, {number} of {count}")
+        answers.append(interview(nested, ask, tell))
+    return answers
+
+
+def _ask_value(question: str, field: FieldInfo, ask: Ask, tell: Tell) -> Any:
+    default = field.get_default()
+    if default is PydanticUndefined:
+        shown_default = None
+    elif isinstance(default, Enum):
+        shown_default = str(default.value)
+    else:
+        shown_default = "yes" if default else "no"
+    parse = _parser(field.annotation)
+    return _ask_parsed(question, parse, shown_default, ask, tell)
+
+
+def _ask_parsed(
+    question: str,
+    parse: Callable[[str], Any],
+    default: str | None,
+    ask: Ask,
+    tell: Tell,
+) -> Any:
+    while True:
+        text = ask(question, default).strip()
+        try:
+            return parse(text)
+        except ValueError as error:
+            tell(f"read {text!r}, expected {error}")
+
+
+def _nested(annotation: Any) -> type[BaseModel] | None:
+    if isinstance(annotation, type) and issubclass(annotation, BaseModel):
+        return annotation
+    for argument in get_args(annotation):
+        if isinstance(argument, type) and issubclass(argument, BaseModel):
+            return argument
+    return None
+
+
+def _parser(annotation: Any) -> Callable[[str], Any]:
+    if get_origin(annotation) is tuple:
+        return _parse_list
+    if isinstance(annotation, type) and issubclass(annotation, Enum):
+        return lambda text: _parse_choice(annotation, text)
+    parsers: dict[type | UnionType, Callable[[str], Any]] = {
+        bool: _parse_bool,
+        int: _parse_int,
+        float: _parse_float,
+    }
+    return parsers.get(annotation, _parse_text)
+
+
+def _parse_text(text: str) -> str:
+    if not text:
+        raise ValueError("an answer")
+    return text
+
+
+def _parse_list(text: str) -> list[str]:
+    items = [item.strip() for item in text.split(",") if item.strip()]
+    if not items:
+        raise ValueError("names, separated by commas")
+    return items
+
+
+def _parse_choice(choices: type[Enum], text: str) -> str:
+    values = [str(choice.value) for choice in choices]
+    if text.lower() not in values:
+        raise ValueError(f"one of {', '.join(values)}")
+    return text.lower()
+
+
+def _parse_bool(text: str) -> bool:
+    if text.lower() not in (*_TRUE, *_FALSE):
+        raise ValueError("yes or no")
+    return text.lower() in _TRUE
+
+
+def _parse_int(text: str) -> int:
+    try:
+        return int(text)
+    except ValueError:
+        raise ValueError("a whole number") from None
+
+
+def _parse_float(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        raise ValueError("a number") from None
+
+
+def _parse_count(text: str) -> int:
+    count = _parse_int(text)
+    if not 1 <= count <= MAX_COUNT:
+        raise ValueError(f"a number from 1 to {MAX_COUNT}")
+    return count
--- /dev/null
+++ b/src/wasabigw/ctl/operation_commands.py
@@ -0,0 +1,189 @@
+"""Commands ``failure-domain`` and ``drain``."""
+
+from typing import Annotated
+
+import typer
+from returns.result import Failure, Result, Success
+
+from wasabigw.core.cluster import Endpoint, endpoint_key
+from wasabigw.core.commands import (
+    BringFailureDomainBack,
+    DrainBackendServer,
+    DrainBalancer,
+    TakeFailureDomainOut,
+)
+from wasabigw.core.ids import BackendServerId, FailureDomainId, NodeId, Seconds
+from wasabigw.core.problems import Problem, Problems, shown
+from wasabigw.ctl.api import Api
+from wasabigw.ctl.change_command import fixed, send_change
+from wasabigw.ctl.connection import connect, tool_settings, value_or_fail
+from wasabigw.ctl.console import Output, fail, show_result
+from wasabigw.ctl.errors import CtlError, NotAllTold, error_lines, wrong_input
+from wasabigw.ctl.options import (
+    DryRunOption,
+    ExpectedRevisionOption,
+    OutputOption,
+    RequestIdOption,
+    change_options,
+)
+from wasabigw.runtime.timer import monotonic
+from wasabigw.settings_types import parse_endpoint
+
+LOCAL_TIME_LIMIT = Seconds(5.0)
+"""Longest time that one balancer may take, so that a dead one holds up no other."""
+
+failure_domain_app = typer.Typer(help="Failure domains.", no_args_is_help=True)
+drain_app = typer.Typer(help="Planned stops.", no_args_is_help=True)
+
+DomainArgument = Annotated[str, typer.Argument(help="Id of the failure domain.")]
+LocalOption = Annotated[
+    bool,
+    typer.Option(
+        "--local",
+        help="During a partition: tell each balancer of the failure domain itself.",
+    ),
+]
+BalancerOption = Annotated[
+    list[str] | None,
+    typer.Option(
+        "--balancer", help="API endpoint of a balancer (address:port); repeatable."
+    ),
+]
+
+
+@failure_domain_app.command()
+def out(
+    context: typer.Context,
+    failure_domain: DomainArgument,
+    local: LocalOption = False,
+    balancer: BalancerOption = None,
+    request_id: RequestIdOption = None,
+    expected_revision: ExpectedRevisionOption = None,
+    dry_run: DryRunOption = False,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Take a failure domain out of service; its flows are given up."""
+    options = change_options(request_id, expected_revision, dry_run, output)
+    if not local:
+        if balancer:
+            expected = "--local with it"
+            fail(output, wrong_input("--balancer", shown(balancer), expected))
+        change = TakeFailureDomainOut(FailureDomainId(failure_domain))
+        send_change(context, fixed(change), options, output)
+        return
+    if request_id is not None or expected_revision is not None:
+        expected = "no --request-id or --expected-revision; the log isn't used"
+        fail(output, wrong_input("--local", "these options", expected))
+    _out_locally(context, failure_domain, balancer or [], dry_run, output)
+
+
+@failure_domain_app.command()
+def back(
+    context: typer.Context,
+    failure_domain: DomainArgument,
+    request_id: RequestIdOption = None,
+    expected_revision: ExpectedRevisionOption = None,
+    dry_run: DryRunOption = False,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Bring a failure domain back; its backend servers ramp up again."""
+    options = change_options(request_id, expected_revision, dry_run, output)
+    change = BringFailureDomainBack(FailureDomainId(failure_domain))
+    send_change(context, fixed(change), options, output)
+
+
+@drain_app.command("backend-server")
+def drain_backend_server(
+    context: typer.Context,
+    backend_server: Annotated[str, typer.Argument(help="Id of the backend server.")],
+    request_id: RequestIdOption = None,
+    expected_revision: ExpectedRevisionOption = None,
+    dry_run: DryRunOption = False,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Send no new flows to a backend server; established flows stay."""
+    options = change_options(request_id, expected_revision, dry_run, output)
+    change = DrainBackendServer(BackendServerId(backend_server))
+    send_change(context, fixed(change), options, output)
+
+
+@drain_app.command("balancer")
+def drain_balancer(
+    context: typer.Context,
+    node: Annotated[str, typer.Argument(help="Node id of the balancer.")],
+    request_id: RequestIdOption = None,
+    expected_revision: ExpectedRevisionOption = None,
+    dry_run: DryRunOption = False,
+    output: OutputOption = Output.TEXT,
+) -> None:
+    """Move the homes of a balancer to others before it stops."""
+    options = change_options(request_id, expected_revision, dry_run, output)
+    send_change(context, fixed(DrainBalancer(NodeId(node))), options, output)
+
+
+def parse_balancers(texts: list[str]) -> Result[tuple[Endpoint, ...], Problems]:
+    """Endpoints of the option ``--balancer``."""
+    endpoints = []
+    problems = []
+    for text in texts:
+        try:
+            endpoints.append(parse_endpoint(text))
+        except ValueError as error:
+            problems.append(Problem("--balancer", shown(text), str(error)))
+    return Failure(tuple(problems)) if problems else Success(tuple(endpoints))
+
+
+def _out_locally(
+    context: typer.Context,
+    failure_domain: str,
+    texts: list[str],
+    dry_run: bool,
+    output: Output,
+) -> None:
+    balancers = value_or_fail(parse_balancers(texts), output)
+    if not balancers:
+        known = tool_settings(context, output).balancers
+        balancers = known.get(failure_domain, ())
+    if not balancers:
+        expected = f"--balancer, or balancers.{failure_domain} in the settings"
+        fail(output, wrong_input("--local", "no balancers", expected))
+    names = [endpoint_key(balancer) for balancer in balancers]
+    if dry_run:
+        lines = [f"{name}: {failure_domain} -> out-of-service" for name in names]
+        value = {"outcome": "dry-run", "exit_code": 0, "balancers": names}
+        show_result(output, lines, value)
+        return
+    with connect(context, output) as api:
+        errors = _tell_each(api, balancers, FailureDomainId(failure_domain))
+    _show_local(names, errors, failure_domain, output)
+
+
+def _tell_each(
+    api: Api, balancers: tuple[Endpoint, ...], failure_domain: FailureDomainId
+) -> list[CtlError | None]:
+    errors: list[CtlError | None] = []
+    for balancer in balancers:
+        deadline = Seconds(monotonic() + LOCAL_TIME_LIMIT)
+        told = api.take_out_locally(balancer, failure_domain, deadline)
+        errors.append(None if isinstance(told, Success) else told.failure())
+    return errors
+
+
+def _show_local(
+    names: list[str],
+    errors: list[CtlError | None],
+    failure_domain: str,
+    output: Output,
+) -> None:
+    outcomes = list(zip(names, errors, strict=True))
+    told = tuple(name for name, error in outcomes if error is None)
+    failed = tuple(
+        f"{name}: {error_lines(error)[0]}"
+        for name, error in outcomes
+        if error is not None
+    )
+    if failed:
+        fail(output, NotAllTold(told, failed))
+    value = {"outcome": "out-locally", "exit_code": 0, "balancers": names}
+    lines = [f"{failure_domain} is out of service at {', '.join(names)}"]
+    show_result(output, lines, value)
--- a/src/wasabigw/daemon.py
+++ b/src/wasabigw/daemon.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import sys
 from enum import Enum, IntEnum
 from pathlib import Path
 from typing import Annotated, NoReturn
@@ -16,7 +15,7 @@
 
 from wasabigw import __version__
 from wasabigw.answer_file import answers_schema
-from wasabigw.bootstrap import bootstrap, storage_function
+from wasabigw.bootstrap import bootstrap, create_data_folder
 from wasabigw.core.problems import Problems
 from wasabigw.ctl.settings import tool_settings_schema
 from wasabigw.roles import run_role
@@ -130,7 +129,7 @@
 def bootstrap_command(settings_file: SettingsFile) -> None:
     """Create the data folder of a voter, and a token unless there is one."""
     settings = _settings(settings_file)
-    outcome = storage_function().bind(lambda create: bootstrap(settings, create))
+    outcome = bootstrap(settings, create_data_folder)
     if not isinstance(outcome, Success):
         _fail(str(outcome.failure()), ExitCode.BOOTSTRAP)
     created = outcome.unwrap()
@@ -177,7 +176,8 @@
     outcome = load_settings(path)
     if not isinstance(outcome, Success):
         _fail_with_problems(path, outcome.failure())
-    return outcome.unwrap()
+    settings: Settings = outcome.unwrap()
+    return settings
 
 
 def _fail_with_problems(path: Path, problems: Problems) -> NoReturn:
@@ -192,4 +192,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,86 @@
+"""Command line of the daemon: exit codes, and files that bootstrap creates."""
+
+import json
+import stat
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+from typer.testing import CliRunner
+
+from tests.test_settings import balancer, control
+from wasabigw.bootstrap import bootstrap
+from wasabigw.core.ids import NodeId
+from wasabigw.daemon import ExitCode, app
+from wasabigw.settings import settings_from
+
+
+class CommandLine(unittest.TestCase):
+    """Guards against scripts that take a failure for a success."""
+
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.path = self.folder / "settings.json"
+
+    def invoke(self, *arguments: str) -> Any:
+        return CliRunner().invoke(app, arguments)
+
+    def write(self, value: dict[str, Any]) -> str:
+        self.path.write_text(json.dumps(value), encoding="utf-8")
+        return str(self.path)
+
+    def test_help_version_and_schema_need_no_settings(self) -> None:
+        for arguments in (["--help"], ["--version"], ["schema"], ["run", "--help"]):
+            with self.subTest(arguments=arguments):
+                self.assertEqual(self.invoke(*arguments).exit_code, ExitCode.SUCCESS)
+        self.assertIn("properties", json.loads(self.invoke("schema").stdout))
+
+    def test_wrong_settings_end_every_command_with_all_problems(self) -> None:
+        path = self.write({"role": "balancer", "roles": 1})
+        for command in ("check", "run", "bootstrap"):
+            with self.subTest(command=command):
+                result = self.invoke(command, path)
+                self.assertEqual(result.exit_code, ExitCode.SETTINGS)
+                self.assertIn("node_id", result.stderr)
+                self.assertIn("nearest is 'role'", result.stderr)
+
+    def test_right_settings_pass_the_check(self) -> None:
+        result = self.invoke("check", self.write(balancer()))
+        self.assertEqual(result.exit_code, ExitCode.SUCCESS)
+
+    def test_wrong_command_line(self) -> None:
+        self.assertEqual(self.invoke("run").exit_code, ExitCode.USAGE)
+        result = self.invoke("schema", "answers", "--format", "markdown")
+        self.assertEqual(result.exit_code, ExitCode.USAGE)
+
+
+class Bootstrap(unittest.TestCase):
+    """Guards against a replaced token, and a token that others can read."""
+
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.token = self.folder / "token"
+        value = {**control(), "token_file": str(self.token)}
+        self.settings = settings_from(value).unwrap()
+
+    def create(self, folder: Path, node: NodeId) -> Result[None, str]:
+        return Success(None)
+
+    def test_token_is_private_and_kept_by_a_second_run(self) -> None:
+        first = bootstrap(self.settings, self.create).unwrap()
+        text = self.token.read_text(encoding="ascii")
+        second = bootstrap(self.settings, self.create).unwrap()
+        self.assertEqual((first.token_created, second.token_created), (True, False))
+        self.assertEqual(self.token.read_text(encoding="ascii"), text)
+        self.assertEqual(stat.S_IMODE(self.token.stat().st_mode), 0o600)
+        self.assertGreaterEqual(len(text.strip()), 32)
+
+    def test_refused_data_folder_creates_no_token(self) -> None:
+        def refuse(folder: Path, node: NodeId) -> Result[None, str]:
+            return Failure("the folder holds the identity of another node")
+
+        outcome = bootstrap(self.settings, refuse)
+        self.assertIn("another node", str(outcome.failure()))
+        self.assertFalse(self.token.exists())
