Match bootstrap and the state view to the control API

Cause: the storage module takes the incarnation and whether the voter is the first one, and /v1/state lists services and servers.

--- a/src/wasabigw/answer_file.py
+++ b/src/wasabigw/answer_file.py
@@ -83,11 +83,11 @@
     connections: int = Field(strict=True)
     """How many open connections does one backend server carry?"""
     flows: FlowPattern
-    """Are connections long, or for one-request each?"""
+    """What is a connection used for (long, one-request)?"""
     peak_open_flows: int = Field(strict=True)
     """How many connections are open at the peak?"""
     peak_new_flows_per_second: float = Field(strict=True)
-    """How many new connections does a second at the peak bring?"""
+    """How many connections are opened per second at the peak?"""
     requests: tuple[RequestModel, ...] = Field(max_length=MAX_ITEMS)
     """Which kinds of requests are there?"""
 
--- a/src/wasabigw/bootstrap.py
+++ b/src/wasabigw/bootstrap.py
@@ -10,16 +10,20 @@
 
 from returns.result import Failure, Result, Success
 
-from wasabigw.core.ids import NodeId
+from wasabigw.core.ids import Incarnation, NodeId
 from wasabigw.settings import Role, Settings
 
 STORAGE_MODULE = "wasabigw.tasks.storage"
-STORAGE_FUNCTION = "create_data_folder"
+STORAGE_FUNCTION = "bootstrap"
 TOKEN_BYTES = 32
+INCARNATION_BYTES = 16
 TOKEN_FILE_MODE = 0o600
 
-CreateDataFolder = Callable[[Path, NodeId], Result[Any, Any]]
-"""Writes the identity and a random incarnation; refuses an existing identity."""
+CreateDataFolder = Callable[[Path, NodeId, Incarnation, bool], Result[Any, Any]]
+"""Writes the identity of a voter; refuses a folder that isn't empty.
+
+The last argument is whether it is the first voter of a new cluster.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,15 +53,18 @@
 
 
 def bootstrap(
-    settings: Settings, create_folder: CreateDataFolder
+    settings: Settings, first: bool, create_folder: CreateDataFolder
 ) -> Result[Bootstrapped, BootstrapError]:
     """Create the data folder and, unless there is one, the operator token.
 
     An existing token file is kept, because all processes need the same token.
+
+    :param first: whether it is the first voter of a new cluster; all others, and
+        one whose disk was replaced, are admitted by the leader.
     """
     folder = settings.data_folder if settings.role is Role.CONTROL else None
     if folder is not None:
-        created = create_folder(folder, settings.node)
+        created = create_folder(folder, settings.node, _new_incarnation(), first)
         if not isinstance(created, Success):
             return Failure(BootstrapError(str(created.failure())))
     return _create_token(settings.token_file).map(
@@ -65,14 +72,20 @@
     )
 
 
-def create_data_folder(folder: Path, node: NodeId) -> Result[Any, Any]:
+def create_data_folder(
+    folder: Path, node: NodeId, incarnation: Incarnation, first: bool
+) -> Result[Any, Any]:
     """Create a data folder with the function of the storage module."""
     try:
         module = importlib.import_module(STORAGE_MODULE)
         function: CreateDataFolder = getattr(module, STORAGE_FUNCTION)
     except (ModuleNotFoundError, AttributeError) as error:
         return Failure(BootstrapError(f"storage is not available: {error}"))
-    return function(folder, node)
+    return function(folder, node, incarnation, first)
+
+
+def _new_incarnation() -> Incarnation:
+    return Incarnation(secrets.token_hex(INCARNATION_BYTES))
 
 
 def _create_token(path: Path) -> Result[bool, BootstrapError]:
--- a/src/wasabigw/ctl/api.py
+++ b/src/wasabigw/ctl/api.py
@@ -18,14 +18,7 @@
     endpoint_key,
 )
 from wasabigw.core.commands import ChangeRequest, TakeFailureDomainOut
-from wasabigw.core.ids import (
-    BackendServerId,
-    FailureDomainId,
-    NodeId,
-    Revision,
-    Seconds,
-    ServiceId,
-)
+from wasabigw.core.ids import FailureDomainId, Revision, Seconds
 from wasabigw.core.log_messages import ChangeOutcome, InForce
 from wasabigw.core.preview import ConfigurationView
 from wasabigw.ctl.errors import (
@@ -48,15 +41,16 @@
 UNAUTHORIZED_STATUSES = (401, 403)
 MAX_DETAIL_LENGTH = 500
 
-_VIEW_PARTS: Mapping[str, Any] = {
+_REVISIONS: Mapping[str, Any] = {
     "revision": Revision,
     "configuration_revision": Revision,
-    "services": dict[ServiceId, Service],
-    "failure_domains": dict[FailureDomainId, FailureDomain],
-    "backend_servers": dict[BackendServerId, BackendServer],
-    "nodes": dict[NodeId, Node],
 }
-_REQUIRED_VIEW_PARTS = ("configuration_revision", "services", "failure_domains")
+_TABLES: Mapping[str, Any] = {
+    "services": list[Service],
+    "failure_domains": list[FailureDomain],
+    "backend_servers": list[BackendServer],
+    "nodes": list[Node],
+}
 
 
 class Api:
@@ -191,19 +185,15 @@
     if not isinstance(parsed, Success):
         return Failure(parsed.failure())
     value = parsed.unwrap()
-    missing = [key for key in _REQUIRED_VIEW_PARTS if key not in value]
-    if missing:
-        detail = f"the state lacks {', '.join(missing)}"
-        return Failure(UnexpectedAnswer(answer.status, detail))
     parts: dict[str, Any] = {}
-    for key, expected in _VIEW_PARTS.items():
-        if key not in value:
-            continue
-        decoded = messages.from_json(value[key], expected)
+    for key, expected in {**_REVISIONS, **_TABLES}.items():
+        decoded = messages.from_json(value.get(key), expected)
         if not isinstance(decoded, Success):
-            detail = f"{key}: {decoded.failure()}"
+            detail = f"state, {key}: {decoded.failure()}"
             return Failure(UnexpectedAnswer(answer.status, detail))
         parts[key] = decoded.unwrap()
+    for key in _TABLES:
+        parts[key] = {item.id: item for item in parts[key]}
     return Success(ConfigurationView(**parts))
 
 
--- a/src/wasabigw/ctl/main.py
+++ b/src/wasabigw/ctl/main.py
@@ -7,7 +7,7 @@
 from typing import Annotated
 
 import typer
-from absl import logging
+from absl import flags, logging
 
 from wasabigw import __version__
 from wasabigw.ctl.connection import ConnectionOptions
@@ -89,6 +89,8 @@
 def main() -> None:
     """Entry point of the console script."""
     logging.use_absl_handler()
+    # absl warns about each line that is logged before its own flags are parsed.
+    flags.FLAGS.mark_as_parsed()
     app()
 
 
--- a/src/wasabigw/ctl/questionnaire_commands.py
+++ b/src/wasabigw/ctl/questionnaire_commands.py
@@ -134,7 +134,7 @@
 
 
 def _ask(question: str, default: str | None) -> str:
-    return str(typer.prompt(question, default=default, err=True))
+    return str(typer.prompt(question, default=default, err=True, prompt_suffix=" "))
 
 
 def _tell(text: str) -> None:
--- a/src/wasabigw/daemon.py
+++ b/src/wasabigw/daemon.py
@@ -10,7 +10,7 @@
 from typing import Annotated, NoReturn
 
 import typer
-from absl import logging
+from absl import flags, logging
 from returns.result import Success
 
 from wasabigw import __version__
@@ -126,10 +126,20 @@
 
 
 @app.command("bootstrap")
-def bootstrap_command(settings_file: SettingsFile) -> None:
-    """Create the data folder of a voter, and a token unless there is one."""
+def bootstrap_command(
+    settings_file: SettingsFile,
+    first: Annotated[
+        bool,
+        typer.Option("--first", help="This is the first voter of a new cluster."),
+    ] = False,
+) -> None:
+    """Create the data folder of a voter, and a token unless there is one.
+
+    Give --first on one voter of a new cluster only. All others, and a voter whose
+    disk was replaced, are admitted by the leader.
+    """
     settings = _settings(settings_file)
-    outcome = bootstrap(settings, create_data_folder)
+    outcome = bootstrap(settings, first, create_data_folder)
     if not isinstance(outcome, Success):
         _fail(str(outcome.failure()), ExitCode.BOOTSTRAP)
     created = outcome.unwrap()
@@ -169,6 +179,8 @@
 def main() -> None:
     """Entry point of the console script."""
     logging.use_absl_handler()
+    # absl warns about each line that is logged before its own flags are parsed.
+    flags.FLAGS.mark_as_parsed()
     app()
 
 
@@ -181,8 +193,9 @@
 
 
 def _fail_with_problems(path: Path, problems: Problems) -> NoReturn:
+    typer.echo(f"{path}: {len(problems)} problems", err=True)
     for problem in problems:
-        typer.echo(f"{path}: {problem}", err=True)
+        typer.echo(f"  {problem}", err=True)
     raise typer.Exit(ExitCode.SETTINGS)
 
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -18,10 +18,10 @@
     {
         "revision": 9,
         "configuration_revision": 7,
-        "services": {},
-        "failure_domains": {
-            "recife": {"id": "recife", "region": "brazil", "state": "in-service"}
-        },
+        "services": [],
+        "failure_domains": [{"id": "recife", "region": "x", "state": "in-service"}],
+        "backend_servers": [],
+        "nodes": [],
         "further": "ignored",
     }
 )
@@ -166,7 +166,7 @@
         created = ("service", "create", "seats", "recife", "--endpoint", "10.0.0.1:80")
         self.run_tool(*created, "--priority", "5")
         service = self.changes()[0]["change"]["service"]
-        state = {**STATE.body, "services": {"seats": service}}
+        state = {**STATE.body, "services": [service]}
         self.leader.reply("/v1/state", Reply(state))
         self.run_tool("service", "update", "seats", "--repeatable")
         updated = self.changes()[1]["change"]
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -12,7 +12,7 @@
 
 from tests.test_settings import balancer, control
 from wasabigw.bootstrap import bootstrap
-from wasabigw.core.ids import NodeId
+from wasabigw.core.ids import Incarnation, NodeId
 from wasabigw.daemon import ExitCode, app
 from wasabigw.settings import settings_from
 
@@ -63,24 +63,29 @@
         self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         self.token = self.folder / "token"
         value = {**control(), "token_file": str(self.token)}
+        self.incarnations: list[Incarnation] = []
         self.settings = settings_from(value).unwrap()
 
-    def create(self, folder: Path, node: NodeId) -> Result[None, str]:
+    def create(
+        self, folder: Path, node: NodeId, incarnation: Incarnation, first: bool
+    ) -> Result[None, str]:
+        self.incarnations.append(incarnation)
         return Success(None)
 
     def test_token_is_private_and_kept_by_a_second_run(self) -> None:
-        first = bootstrap(self.settings, self.create).unwrap()
+        first = bootstrap(self.settings, True, self.create).unwrap()
         text = self.token.read_text(encoding="ascii")
-        second = bootstrap(self.settings, self.create).unwrap()
+        second = bootstrap(self.settings, False, self.create).unwrap()
         self.assertEqual((first.token_created, second.token_created), (True, False))
         self.assertEqual(self.token.read_text(encoding="ascii"), text)
         self.assertEqual(stat.S_IMODE(self.token.stat().st_mode), 0o600)
+        self.assertEqual(len(set(self.incarnations)), 2)
         self.assertGreaterEqual(len(text.strip()), 32)
 
     def test_refused_data_folder_creates_no_token(self) -> None:
-        def refuse(folder: Path, node: NodeId) -> Result[None, str]:
+        def refuse(*arguments: object) -> Result[None, str]:
             return Failure("the folder holds the identity of another node")
 
-        outcome = bootstrap(self.settings, refuse)
+        outcome = bootstrap(self.settings, False, refuse)
         self.assertIn("another node", str(outcome.failure()))
         self.assertFalse(self.token.exists())
