Preview a replaced configuration as the log applies it

Cause: the preview showed that a generated configuration brings failure domains back into service, which the log doesn't do; the daemon took its settings file as an argument while the tool has an option.

--- a/src/wasabigw/core/preview.py
+++ b/src/wasabigw/core/preview.py
@@ -193,7 +193,9 @@
     after = replace(
         view,
         services={service.id: service for service in change.services},
-        failure_domains={domain.id: domain for domain in change.failure_domains},
+        failure_domains={
+            domain.id: _keep_state(domain, view) for domain in change.failure_domains
+        },
     )
     problems = tuple(
         problem
@@ -218,6 +220,12 @@
     )
 
 
+def _keep_state(domain: FailureDomain, view: ConfigurationView) -> FailureDomain:
+    """Failure domain of a new configuration, which brings none back into service."""
+    current = view.failure_domains.get(domain.id)
+    return domain if current is None else replace(domain, state=current.state)
+
+
 def _endpoint_problems(service: Service, others: Iterable[Service]) -> Problems:
     return tuple(
         Problem(
--- a/src/wasabigw/ctl/console.py
+++ b/src/wasabigw/ctl/console.py
@@ -12,7 +12,6 @@
 from typing import Any, NoReturn
 
 import typer
-from rich.console import Console
 
 from wasabigw.core.ids import RequestId, Revision
 from wasabigw.core.log_messages import InForce
@@ -67,23 +66,32 @@
 
     A terminal shows one changing line; otherwise each change of the count is a line.
     """
-    if not sys.stderr.isatty():
-        yield _ProgressLines().show
-        return
-    with Console(stderr=True).status("waiting for the balancers") as status:
-        yield lambda in_force: status.update(_progress_text(in_force))
+    display = _Progress(sys.stderr.isatty())
+    try:
+        yield display.show
+    finally:
+        display.end()
 
 
-class _ProgressLines:
-    def __init__(self) -> None:
+class _Progress:
+    def __init__(self, is_terminal: bool) -> None:
+        self._is_terminal = is_terminal
         self._last = ""
 
     def show(self, in_force: InForce) -> None:
         text = _progress_text(in_force)
-        if text != self._last:
+        if text == self._last:
+            return
+        if self._is_terminal:
+            typer.echo(f"\r{text.ljust(len(self._last))}", nl=False, err=True)
+        else:
             typer.echo(text, err=True)
         self._last = text
 
+    def end(self) -> None:
+        if self._is_terminal and self._last:
+            typer.echo(err=True)
+
 
 def _progress_text(in_force: InForce) -> str:
     done = sum(node.in_force for node in in_force.nodes)
--- a/src/wasabigw/ctl/interview.py
+++ b/src/wasabigw/ctl/interview.py
@@ -7,7 +7,6 @@
 
 from pydantic import BaseModel
 from pydantic.fields import FieldInfo
-from pydantic_core import PydanticUndefined
 
 Ask = Callable[[str, str | None], str]
 """Shows a question and a default answer, and returns the text of the answer."""
@@ -48,7 +47,7 @@
 
 def _ask_value(question: str, field: FieldInfo, ask: Ask, tell: Tell) -> Any:
     default = field.get_default()
-    if default is PydanticUndefined:
+    if field.is_required():
         shown_default = None
     elif isinstance(default, Enum):
         shown_default = str(default.value)
--- a/src/wasabigw/ctl/questionnaire_commands.py
+++ b/src/wasabigw/ctl/questionnaire_commands.py
@@ -74,16 +74,32 @@
 def apply(
     context: typer.Context,
     configuration: Annotated[
-        Path, typer.Argument(help="Configuration file, as 'generate' writes it.")
-    ],
+        Path | None,
+        typer.Argument(help="Configuration file, as 'generate' writes it."),
+    ] = None,
+    answers: Annotated[
+        Path | None,
+        typer.Option("--answers", help="Answer file instead of a configuration."),
+    ] = None,
     request_id: RequestIdOption = None,
     expected_revision: ExpectedRevisionOption = None,
     dry_run: DryRunOption = False,
     output: OutputOption = Output.TEXT,
 ) -> None:
-    """Replace all services and failure domains by those of a file."""
+    """Replace all services and failure domains by those of a file.
+
+    A failure domain that is out of service stays out until it is brought back.
+    """
     options = change_options(request_id, expected_revision, dry_run, output)
-    change = _read_configuration(configuration, output)
+    if configuration is not None and answers is None:
+        change = _read_configuration(configuration, output)
+    elif answers is not None and configuration is None:
+        checked = value_or_fail(read_answers(answers), output)
+        change = value_or_fail(generate(checked), output).configuration
+    else:
+        read = "neither" if answers is None else "both"
+        expected = "either a configuration file or --answers"
+        fail(output, wrong_input("apply", read, expected))
     send_change(context, fixed(change), options, output)
 
 
--- a/src/wasabigw/daemon.py
+++ b/src/wasabigw/daemon.py
@@ -75,7 +75,10 @@
     pretty_exceptions_enable=False,
 )
 
-SettingsFile = Annotated[Path, typer.Argument(help="JSON settings file.")]
+SettingsFile = Annotated[
+    Path,
+    typer.Option("--settings", envvar="WASABIGW_SETTINGS", help="JSON settings file."),
+]
 
 
 def _print_version(requested: bool) -> None:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -237,6 +237,17 @@
         sent = self.changes()[0]["change"]
         self.assertEqual(sent, {"kind": "ReplaceConfiguration", **expected})
 
+    def test_preview_keeps_a_failure_domain_out_of_service(self) -> None:
+        domain = {"id": "vac", "region": "central-hungary", "state": "out-of-service"}
+        self.leader.reply(
+            "/v1/state", Reply({**STATE.body, "failure_domains": [domain]})
+        )
+        answers = str(EXAMPLES / "tanrend-answers.json")
+        result = self.run_tool("apply", "--answers", answers, "--dry-run")
+        self.assertEqual(result.exit_code, ExitCode.SUCCESS, result.output)
+        self.assertNotIn("failure_domains.vac", result.stdout)
+        self.assertIn("failure_domains.budapest.state: absent", result.stdout)
+
     def test_wrong_answers_generate_nothing(self) -> None:
         answers = self.folder / "answers.json"
         answers.write_text('{"team": ""}', encoding="utf-8")
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -41,13 +41,13 @@
         path = self.write({"role": "balancer", "roles": 1})
         for command in ("check", "run", "bootstrap"):
             with self.subTest(command=command):
-                result = self.invoke(command, path)
+                result = self.invoke(command, "--settings", path)
                 self.assertEqual(result.exit_code, ExitCode.SETTINGS)
                 self.assertIn("node_id", result.stderr)
                 self.assertIn("nearest is 'role'", result.stderr)
 
     def test_right_settings_pass_the_check(self) -> None:
-        result = self.invoke("check", self.write(balancer()))
+        result = self.invoke("check", "--settings", self.write(balancer()))
         self.assertEqual(result.exit_code, ExitCode.SUCCESS)
 
     def test_wrong_command_line(self) -> None:
