Test duplicate keys on their own and show the message of error answers

Cause: the test of a key that occurs twice passed without the check, because the key was also unknown; HTTP threads were fewer than the control API uses. Change: a stricter test; defaults of 64 threads and 256 waiting connections; the message of a typed error body is shown alone.

--- a/src/wasabigw/ctl/api.py
+++ b/src/wasabigw/ctl/api.py
@@ -198,7 +198,17 @@
 
 
 def _unexpected(answer: ApiAnswer) -> UnexpectedAnswer:
-    text = answer.body.decode("utf-8", errors="replace")
     place = endpoint_key(answer.endpoint)
-    detail = ascii(text[:MAX_DETAIL_LENGTH]) if text else "no body"
-    return UnexpectedAnswer(answer.status, f"{place}: {detail}")
+    return UnexpectedAnswer(answer.status, f"{place}: {_detail(answer.body)}")
+
+
+def _detail(body: bytes) -> str:
+    """Message of an error body, or its beginning if it has another form."""
+    text = body.decode("utf-8", errors="replace")
+    try:
+        value = json.loads(text)
+    except (ValueError, RecursionError):
+        value = None
+    if isinstance(value, dict) and isinstance(value.get("message"), str):
+        text = value["message"]
+    return ascii(text[:MAX_DETAIL_LENGTH]) if text else "no body"
--- a/src/wasabigw/settings.py
+++ b/src/wasabigw/settings.py
@@ -49,9 +49,9 @@
         default=1_048_576, strict=True, ge=1_024, le=67_108_864
     )
     """Largest body of an HTTP request (bytes); a larger one is refused with 413."""
-    http_threads: int = Field(default=16, strict=True, ge=2, le=256)
+    http_threads: int = Field(default=64, strict=True, ge=2, le=1_024)
     """Threads of the HTTP server (threads); further requests wait."""
-    http_queue: int = Field(default=64, strict=True, ge=1, le=4_096)
+    http_queue: int = Field(default=256, strict=True, ge=1, le=4_096)
     """Connections that wait for an HTTP thread (connections)."""
     trace_file_bytes: int = Field(
         default=67_108_864, strict=True, ge=4_096, le=17_179_869_184
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -124,7 +124,7 @@
             (CONFLICT, ExitCode.CONFLICT),
             (refused, ExitCode.REFUSED),
             (Reply({}, 401), ExitCode.UNAUTHORIZED),
-            (Reply({"kind": "Nonsense"}, 400), ExitCode.UNEXPECTED_ANSWER),
+            (Reply({"message": "bad"}, 400), ExitCode.UNEXPECTED_ANSWER),
         )
         for reply, code in cases:
             with self.subTest(code=code):
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -116,10 +116,17 @@
         self.assertIn("voters", problems({**control(), "voters": voters}))
 
     def test_text_that_is_no_plain_json_object(self) -> None:
-        for text in ("{", "[]", '{"a": 1, "a": 2}', '{"a": NaN}', "[" * 100_000):
+        for text in ("{", "[]", '{"a": NaN}', "[" * 100_000):
             with self.subTest(text=text[:10]):
                 self.assertIsInstance(parse_settings(text), Failure)
 
+    def test_key_that_occurs_twice_is_refused(self) -> None:
+        text = json.dumps(balancer())
+        self.assertIsInstance(parse_settings(text), Success)
+        twice = text.replace("{", '{"node_id": "other", ', 1)
+        (problem,) = parse_settings(twice).failure()
+        self.assertIn("'node_id' twice", problem.read)
+
     def test_unreadable_file(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder, "settings.json")
