Apply changes and reports to the replicated state

Homes, the leader and every balancer need one transition function, so that the same log gives the same state everywhere.

BackendServerDraining now carries the boot id, because a late one could hit a restarted backend server; EndpointReleased carries the start of the quarantine, because a late one could end a later quarantine.

--- /dev/null
+++ b/src/wasabigw/core/apply.py
@@ -0,0 +1,94 @@
+"""Transitions of the replicated state: the same log gives the same state."""
+
+from functools import singledispatch
+
+from returns.result import Failure, Result, Success
+
+from wasabigw.core.apply_changes import apply_change
+from wasabigw.core.apply_reports import apply_report
+from wasabigw.core.cluster import Applied, ClusterState, Refusal
+from wasabigw.core.commands import ChangeRequest, Command, LeaderElected, ReportBatch
+from wasabigw.core.endpoints import Problem
+from wasabigw.core.ids import Revision
+from wasabigw.core.states import RefusalCode
+from wasabigw.core.timing import REMEMBERED_REQUESTS
+from wasabigw.core.transition import Transition
+
+Outcome = Result[Applied, Refusal]
+
+
+def apply(command: Command, revision: Revision, state: ClusterState) -> Outcome:
+    """Apply the entry of the log at ``revision`` to ``state``, in place.
+
+    The revision of the state advances whatever the outcome is.
+
+    :returns: the outcome for whoever proposed the command; a repeated request
+        gets the outcome of the first one.
+    """
+    outcome = _apply(command, revision, state)
+    state.revision = revision
+    return outcome
+
+
+@singledispatch
+def _apply(command: Command, revision: Revision, state: ClusterState) -> Outcome:
+    raise TypeError(f"no rule for the command {type(command).__name__}")
+
+
+@_apply.register
+def _(command: LeaderElected, revision: Revision, state: ClusterState) -> Outcome:
+    return Success(Applied(revision, state.configuration_revision))
+
+
+@_apply.register
+def _(command: ReportBatch, revision: Revision, state: ClusterState) -> Outcome:
+    transition = Transition(state, revision)
+    for report in command.reports:
+        apply_report(report, transition)
+    transition.finish()
+    return Success(Applied(revision, state.configuration_revision))
+
+
+@_apply.register
+def _(command: ChangeRequest, revision: Revision, state: ClusterState) -> Outcome:
+    first = state.requests.get(command.request_id)
+    if first is not None:
+        return Success(first) if isinstance(first, Applied) else Failure(first)
+    outcome = _apply_change(command, revision, state)
+    _remember(command, outcome, state)
+    return outcome
+
+
+def _apply_change(
+    command: ChangeRequest, revision: Revision, state: ClusterState
+) -> Outcome:
+    if command.expected_revision != state.configuration_revision:
+        return Failure(_refusal(_conflict(command, state), state))
+    transition = Transition(state, revision)
+    outcome = apply_change(command.change, transition)
+    if not isinstance(outcome, Success):
+        return Failure(_refusal(outcome.failure(), state))
+    transition.finish()
+    state.configuration_revision = revision
+    return Success(Applied(revision, revision))
+
+
+def _conflict(command: ChangeRequest, state: ClusterState) -> Problem:
+    return (
+        RefusalCode.CONFLICT,
+        f"the change expects configuration revision {command.expected_revision}, "
+        f"but it is {state.configuration_revision}; read the current configuration, "
+        "check the change against it and send it with a new request id",
+    )
+
+
+def _refusal(problem: Problem, state: ClusterState) -> Refusal:
+    code, message = problem
+    return Refusal(code, message, state.configuration_revision)
+
+
+def _remember(command: ChangeRequest, outcome: Outcome, state: ClusterState) -> None:
+    while len(state.requests) >= REMEMBERED_REQUESTS:
+        del state.requests[next(iter(state.requests))]
+    answer = outcome.unwrap() if isinstance(outcome, Success) else outcome.failure()
+    state.requests[command.request_id] = answer
--- /dev/null
+++ b/src/wasabigw/core/apply_reports.py
@@ -0,0 +1,250 @@
+"""Effects of reports of homes and of the leader on the replicated state.
+
+Each report is idempotent; one that no longer applies changes nothing.
+"""
+
+from dataclasses import replace
+from functools import singledispatch
+
+from wasabigw.core import buckets, commands
+from wasabigw.core.cluster import BackendServer, BucketTable, Candidate, endpoint_key
+from wasabigw.core.endpoints import registration_problem
+from wasabigw.core.ids import BackendServerId, BootId, BucketNumber, Revision
+from wasabigw.core.states import BackendServerState, CandidateReason, NodeState
+from wasabigw.core.timing import BUCKETS_PER_SERVICE, RAMP_STEPS
+from wasabigw.core.transition import Transition, in_service
+
+_RANK = {
+    BackendServerState.COLD: 0,
+    BackendServerState.READY: 0,
+    BackendServerState.DRAINING: 1,
+    BackendServerState.LEAVING: 2,
+}
+
+
+@singledispatch
+def apply_report(report: commands.Report, transition: Transition) -> None:
+    """Carry out a report."""
+    raise TypeError(f"no rule for the report {type(report).__name__}")
+
+
+@apply_report.register
+def _(report: commands.BackendServerUp, transition: Transition) -> None:
+    known = transition.state.backend_servers.get(report.id)
+    if registration_problem(report, transition) is not None:
+        _give_up_former_service(report, known, transition)
+    elif known is None:
+        _add(report, transition)
+    elif known.boot_id == report.boot_id:
+        _renew(report, known, transition)
+    else:
+        _restart(report, known, transition)
+
+
+@apply_report.register
+def _(report: commands.BackendServerDown, transition: Transition) -> None:
+    known = _with_boot_id(report.id, report.boot_id, transition)
+    if known is not None:
+        transition.deregister(known)
+
+
+@apply_report.register
+def _(report: commands.BackendServerStep, transition: Transition) -> None:
+    known = _with_boot_id(report.id, report.boot_id, transition)
+    if known is None or report.step not in RAMP_STEPS or known.step == report.step:
+        return
+    transition.register(replace(known, step=report.step))
+
+
+@apply_report.register
+def _(report: commands.BackendServerDraining, transition: Transition) -> None:
+    known = _with_boot_id(report.id, report.boot_id, transition)
+    if known is not None and _RANK[report.state] > _RANK[known.state]:
+        transition.register(replace(known, state=report.state))
+
+
+@apply_report.register
+def _(report: commands.BackendServerOverloaded, transition: Transition) -> None:
+    known = transition.state.backend_servers.get(report.id)
+    if known is not None and known.overloaded is not report.overloaded:
+        transition.register(replace(known, overloaded=report.overloaded))
+
+
+@apply_report.register
+def _(report: commands.CandidatesReleased, transition: Transition) -> None:
+    table = transition.state.buckets.get(report.service)
+    if table is None:
+        return
+    released = [
+        bucket
+        for bucket in report.buckets
+        if not _overflow_in_use(table, bucket, report.backend_server, transition)
+    ]
+    buckets.release_candidates(table, report.backend_server, released, report.up_to)
+
+
+@apply_report.register
+def _(report: commands.CandidatesAdded, transition: Transition) -> None:
+    state = transition.state
+    table = state.buckets.get(report.service)
+    known = state.backend_servers.get(report.backend_server)
+    if table is None or known is None or known.service != report.service:
+        return
+    if not in_service(known.failure_domain, state):
+        return
+    candidate = Candidate(known.id, report.reason, transition.revision)
+    for bucket in report.buckets:
+        if 0 <= bucket < BUCKETS_PER_SERVICE and table.current[bucket] != known.id:
+            # It has flows again, so that an older departure no longer counts.
+            _drop_departed(table, bucket, known.id, transition.revision)
+            buckets.add_candidate(table, bucket, candidate)
+
+
+@apply_report.register
+def _(report: commands.NodeUp, transition: Transition) -> None:
+    nodes = transition.state.nodes
+    known = nodes.get(report.node.id)
+    node = report.node
+    if node.state is NodeState.SUSPECTED:
+        node = replace(node, state=NodeState.UP)
+    restarted = known is None or known.incarnation != node.incarnation
+    if known is not None and not restarted and known.state is NodeState.DRAINING:
+        node = replace(node, state=NodeState.DRAINING)
+    nodes[node.id] = node
+
+
+@apply_report.register
+def _(report: commands.NodeDown, transition: Transition) -> None:
+    known = transition.state.nodes.get(report.node)
+    if known is not None and known.incarnation == report.incarnation:
+        del transition.state.nodes[report.node]
+
+
+@apply_report.register
+def _(report: commands.NodeSuspected, transition: Transition) -> None:
+    nodes = transition.state.nodes
+    known = nodes.get(report.node)
+    if known is None or known.incarnation != report.incarnation:
+        return
+    if known.state is NodeState.UP:
+        nodes[known.id] = replace(known, state=NodeState.SUSPECTED)
+
+
+@apply_report.register
+def _(report: commands.VoterAdmitted, transition: Transition) -> None:
+    transition.state.voters[report.voter] = report.incarnation
+
+
+@apply_report.register
+def _(report: commands.EndpointReleased, transition: Transition) -> None:
+    key = endpoint_key(report.endpoint)
+    held = transition.state.quarantine.get(key)
+    if held is not None and held.since == report.since:
+        del transition.state.quarantine[key]
+
+
+def _registered(
+    report: commands.BackendServerUp, index: int, step: int
+) -> BackendServer:
+    return BackendServer(
+        id=report.id,
+        index=index,
+        service=report.service,
+        failure_domain=report.failure_domain,
+        endpoint=report.endpoint,
+        boot_id=report.boot_id,
+        slots=report.slots,
+        connections=report.connections,
+        state=report.state,
+        step=step,
+    )
+
+
+def _add(report: commands.BackendServerUp, transition: Transition) -> None:
+    index = transition.state.next_backend_index
+    transition.state.next_backend_index += 1
+    step = report.step if report.step in RAMP_STEPS else RAMP_STEPS[0]
+    transition.register(_registered(report, index, step))
+
+
+def _renew(
+    report: commands.BackendServerUp, known: BackendServer, transition: Transition
+) -> None:
+    """Same boot: limits may change; a drain and the ramp step stay."""
+    state = report.state if _RANK[report.state] >= _RANK[known.state] else known.state
+    renewed = replace(
+        known, slots=report.slots, connections=report.connections, state=state
+    )
+    if renewed != known:
+        transition.register(renewed)
+
+
+def _restart(
+    report: commands.BackendServerUp, known: BackendServer, transition: Transition
+) -> None:
+    """New boot: the earlier flows are gone and the ramp begins again."""
+    if known.service != report.service:
+        # A cached binding names the index, which must not lead to another service.
+        transition.deregister(known)
+        _add(replace(report, step=RAMP_STEPS[0]), transition)
+        return
+    if known.endpoint != report.endpoint:
+        transition.quarantine(known.endpoint, known.service)
+    transition.forget_flows(known)
+    transition.register(_registered(report, known.index, RAMP_STEPS[0]))
+
+
+def _give_up_former_service(
+    report: commands.BackendServerUp,
+    known: BackendServer | None,
+    transition: Transition,
+) -> None:
+    """An id that is announced for another service stops serving the former one.
+
+    The endpoint goes into quarantine; a repeated report registers it afterwards.
+    """
+    if known is None or report.service not in transition.state.services:
+        return
+    same_place = (known.failure_domain, known.endpoint) == (
+        report.failure_domain,
+        report.endpoint,
+    )
+    if same_place and known.service != report.service:
+        transition.deregister(known)
+
+
+def _with_boot_id(
+    name: BackendServerId, boot_id: BootId, transition: Transition
+) -> BackendServer | None:
+    known = transition.state.backend_servers.get(name)
+    return known if known is not None and known.boot_id == boot_id else None
+
+
+def _overflow_in_use(
+    table: BucketTable,
+    bucket: BucketNumber,
+    name: BackendServerId,
+    transition: Transition,
+) -> bool:
+    """Whether a candidate relieves an overloaded backend server at the moment."""
+    if not 0 <= bucket < BUCKETS_PER_SERVICE:
+        return False
+    current = transition.state.backend_servers.get(table.current[bucket] or name)
+    if current is None or not current.overloaded:
+        return False
+    return any(
+        candidate.backend_server == name
+        and candidate.reason is CandidateReason.OVERFLOW
+        for candidate in table.others.get(bucket, [])
+    )
+
+
+def _drop_departed(
+    table: BucketTable, bucket: BucketNumber, name: BackendServerId, up_to: Revision
+) -> None:
+    others = table.others.get(bucket, [])
+    if any(
+        c.backend_server == name and c.reason is CandidateReason.DEPARTED
+        for c in others
+    ):
+        buckets.release_candidates(table, name, [bucket], up_to)
--- a/src/wasabigw/core/commands.py
+++ b/src/wasabigw/core/commands.py
@@ -150,6 +150,7 @@
     """A backend server announced that it drains or leaves."""
 
     id: BackendServerId
+    boot_id: BootId
     state: BackendServerState
 
 
@@ -214,9 +215,13 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointReleased:
-    """The quarantine of an endpoint has ended."""
+    """The quarantine of an endpoint has ended.
+
+    :param since: start of that quarantine; a later one is not ended.
+    """
 
     endpoint: Endpoint
+    since: Revision
 
 
 Report = (
--- /dev/null
+++ b/src/wasabigw/core/endpoints.py
@@ -0,0 +1,131 @@
+"""Checks that keep services apart: one service for each address and port."""
+
+import ipaddress
+from collections.abc import Iterable
+
+from wasabigw.core.cluster import ClusterState, Endpoint, Service, endpoint_key
+from wasabigw.core.commands import BackendServerUp
+from wasabigw.core.ids import ServiceId
+from wasabigw.core.states import RefusalCode
+from wasabigw.core.transition import Transition
+
+MAX_PORT = 65_535
+Problem = tuple[RefusalCode, str]
+"""Code and text of a refusal."""
+
+
+def malformed(endpoint: Endpoint) -> str | None:
+    """What is wrong with an endpoint, or ``None``."""
+    try:
+        address = ipaddress.IPv4Address(endpoint.address)
+    except ValueError:
+        return f"{endpoint.address!r} is not an IPv4 address; write it as 10.0.0.1"
+    if address.is_unspecified or address.is_multicast or int(address) == 2**32 - 1:
+        return f"{address} can't be reached as a single host; use a unicast address"
+    if not 0 < endpoint.port <= MAX_PORT:
+        return f"port {endpoint.port} is out of range; use 1 to {MAX_PORT}"
+    return None
+
+
+def service_endpoint_problem(
+    service: Service, transition: Transition
+) -> Problem | None:
+    """Why a new service may not use its endpoint, or ``None``."""
+    key = endpoint_key(service.endpoint)
+    wrong = malformed(service.endpoint)
+    if wrong is not None:
+        return RefusalCode.INVALID, f"service {service.id}: {wrong}"
+    owner = transition.owner_of(service.endpoint)
+    if owner is not None:
+        return (
+            RefusalCode.ENDPOINT_IN_USE,
+            f"{key} is used by service {owner}; choose another address or port for "
+            f"service {service.id}",
+        )
+    held = transition.state.quarantine.get(key)
+    if held is not None:
+        return RefusalCode.ENDPOINT_IN_QUARANTINE, _quarantined(key, held.service)
+    return None
+
+
+def duplicate_endpoint(services: Iterable[Service]) -> str | None:
+    """First endpoint that two services of a configuration share, described."""
+    owners: dict[str, ServiceId] = {}
+    for service in services:
+        key = endpoint_key(service.endpoint)
+        if key in owners:
+            return (
+                f"services {owners[key]} and {service.id} both use {key}; "
+                "give each service its own address or port"
+            )
+        owners[key] = service.id
+    return None
+
+
+def backend_server_problem(report: BackendServerUp, state: ClusterState) -> str | None:
+    """Why a backend server may not register now, or ``None``.
+
+    Homes use it to answer announcements with the reason.
+    """
+    return registration_problem(report, Transition(state, state.revision))
+
+
+def registration_problem(report: BackendServerUp, transition: Transition) -> str | None:
+    """Same as :func:`backend_server_problem`, within a transition."""
+    state = transition.state
+    if report.service not in state.services:
+        return f"there is no service {report.service!r}; check the announced service"
+    if report.failure_domain not in state.failure_domains:
+        return (
+            f"there is no failure domain {report.failure_domain!r}; check the "
+            "announced failure domain"
+        )
+    if report.slots < 1 or report.connections < 1:
+        return "slots and connections must be at least 1"
+    wrong = malformed(report.endpoint)
+    if wrong is not None:
+        return wrong
+    known = state.backend_servers.get(report.id)
+    if known is not None and known.failure_domain != report.failure_domain:
+        return (
+            f"backend server {report.id} is registered in failure domain "
+            f"{known.failure_domain}; give each backend server its own id"
+        )
+    if known is not None and known.endpoint == report.endpoint:
+        return _crossing(report, known.service)
+    if known is not None and known.boot_id == report.boot_id:
+        return (
+            f"backend server {report.id} is registered at "
+            f"{endpoint_key(known.endpoint)} with the same boot id; draw a new boot "
+            "id at each start and give each backend server its own id"
+        )
+    return _free_endpoint_problem(report, transition)
+
+
+def _crossing(report: BackendServerUp, current: ServiceId) -> str | None:
+    if current == report.service:
+        return None
+    return _quarantined(endpoint_key(report.endpoint), current)
+
+
+def _free_endpoint_problem(
+    report: BackendServerUp, transition: Transition
+) -> str | None:
+    key = endpoint_key(report.endpoint)
+    owner = transition.owner_of(report.endpoint)
+    if owner is not None:
+        return (
+            f"{key} is used by service {owner}; announce another address or port, or "
+            "wait until the other backend server is removed"
+        )
+    held = transition.state.quarantine.get(key)
+    if held is not None and held.service != report.service:
+        return _quarantined(key, held.service)
+    return None
+
+
+def _quarantined(key: str, service: ServiceId) -> str:
+    return (
+        f"{key} belonged to service {service} until just now; try again when its "
+        "quarantine has ended"
+    )
--- /dev/null
+++ b/src/wasabigw/core/transition.py
@@ -0,0 +1,188 @@
+"""Working state of one application of a command: bucket tables and endpoints."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wasabigw.core import buckets
+from wasabigw.core.cluster import (
+    BackendServer,
+    BucketTable,
+    Candidate,
+    ClusterState,
+    Endpoint,
+    Quarantine,
+    endpoint_key,
+)
+from wasabigw.core.ids import (
+    BackendServerId,
+    BucketNumber,
+    FailureDomainId,
+    Revision,
+    ServiceId,
+)
+from wasabigw.core.states import (
+    BackendServerState,
+    CandidateReason,
+    FailureDomainState,
+    FlowLimit,
+)
+from wasabigw.core.timing import FULL_STEP
+
+_SERVING = (BackendServerState.COLD, BackendServerState.READY)
+
+
+@dataclass(slots=True)
+class Transition:
+    """A command while it takes effect.
+
+    :param touched: services whose bucket tables are computed again at the end.
+    """
+
+    state: ClusterState
+    revision: Revision
+    touched: set[ServiceId] = field(default_factory=set)
+    _owners: dict[str, ServiceId] | None = None
+
+    def owner_of(self, endpoint: Endpoint) -> ServiceId | None:
+        """Service that uses an endpoint, as its address or for a backend server."""
+        if self._owners is None:
+            self._owners = _owners(self.state)
+        return self._owners.get(endpoint_key(endpoint))
+
+    def register(self, backend_server: BackendServer) -> None:
+        """Add or replace a backend server whose endpoint has been checked."""
+        key = endpoint_key(backend_server.endpoint)
+        self.state.backend_servers[backend_server.id] = backend_server
+        self.state.quarantine.pop(key, None)
+        self.touched.add(backend_server.service)
+        if self._owners is not None:
+            self._owners[key] = backend_server.service
+
+    def deregister(self, backend_server: BackendServer) -> None:
+        """Remove a backend server; its flows end and its endpoint is quarantined."""
+        del self.state.backend_servers[backend_server.id]
+        self.quarantine(backend_server.endpoint, backend_server.service)
+        self.forget_flows(backend_server)
+        self.touched.add(backend_server.service)
+
+    def forget_flows(self, backend_server: BackendServer) -> None:
+        """Mark a backend server as departed wherever it is a further candidate."""
+        table = self.state.buckets.get(backend_server.service)
+        if table is not None:
+            buckets.mark_departed(table, backend_server.id, self.revision)
+
+    def quarantine(self, endpoint: Endpoint, service: ServiceId) -> None:
+        """Keep an endpoint that was just given up from other services."""
+        key = endpoint_key(endpoint)
+        self.state.quarantine[key] = Quarantine(endpoint, service, self.revision)
+        if self._owners is not None:
+            self._owners.pop(key, None)
+
+    def remove_service(self, service: ServiceId) -> None:
+        """Remove a service with its backend servers and its bucket table."""
+        for backend_server in list(self.state.backend_servers.values()):
+            if backend_server.service == service:
+                self.deregister(backend_server)
+        self.quarantine(self.state.services.pop(service).endpoint, service)
+        self.state.buckets.pop(service, None)
+
+    def touch_failure_domain(self, failure_domain: FailureDomainId) -> None:
+        """Compute the bucket tables of all services there again."""
+        self.touched.update(
+            backend_server.service
+            for backend_server in self.state.backend_servers.values()
+            if backend_server.failure_domain == failure_domain
+        )
+
+    def finish(self) -> None:
+        """Compute the bucket tables of the services that were touched."""
+        by_service: dict[ServiceId, list[BackendServer]] = {
+            service: [] for service in self.touched if service in self.state.services
+        }
+        if not by_service:
+            return
+        for backend_server in self.state.backend_servers.values():
+            if backend_server.service in by_service:
+                by_service[backend_server.service].append(backend_server)
+        for service in sorted(by_service):
+            self._assign(service, by_service[service])
+
+    def _assign(self, service: ServiceId, members: list[BackendServer]) -> None:
+        table = self.state.buckets.setdefault(service, buckets.empty_table())
+        weights = {member.id: weight(member, self.state) for member in members}
+        alive = {
+            member.id
+            for member in members
+            if in_service(member.failure_domain, self.state)
+        }
+        assignment = buckets.assign_buckets(table.current, weights)
+        buckets.move_buckets(table, assignment, self.revision, alive)
+        _add_overflow(table, members, weights, self.revision)
+
+
+def in_service(failure_domain: FailureDomainId, state: ClusterState) -> bool:
+    """Whether operators let a failure domain serve; an unknown one does not."""
+    known = state.failure_domains.get(failure_domain)
+    return known is not None and known.state is FailureDomainState.IN_SERVICE
+
+
+def weight(backend_server: BackendServer, state: ClusterState) -> float:
+    """Share of the new flows of its service that a backend server takes.
+
+    :returns: more than 0 for each backend server that serves, even at step 1 of
+        one slot, so that a service whose backend servers are all cold serves.
+    """
+    service = state.services.get(backend_server.service)
+    if service is None or backend_server.state not in _SERVING:
+        return 0.0
+    if backend_server.failure_domain not in service.failure_domains:
+        return 0.0
+    if not in_service(backend_server.failure_domain, state):
+        return 0.0
+    by_slots = service.limit_by is FlowLimit.SLOTS
+    limit = backend_server.slots if by_slots else backend_server.connections
+    return max(1, limit) * max(1, backend_server.step) / FULL_STEP
+
+
+def _owners(state: ClusterState) -> dict[str, ServiceId]:
+    owners = {
+        endpoint_key(service.endpoint): service.id
+        for service in state.services.values()
+    }
+    for backend_server in state.backend_servers.values():
+        owners[endpoint_key(backend_server.endpoint)] = backend_server.service
+    return owners
+
+
+def _add_overflow(
+    table: BucketTable,
+    members: Iterable[BackendServer],
+    weights: dict[BackendServerId, float],
+    revision: Revision,
+) -> None:
+    """Name an OVERFLOW candidate in each bucket of an overloaded backend server."""
+    overloaded = {member.id for member in members if member.overloaded}
+    if not overloaded:
+        return
+    receivers = [
+        name for name, share in weights.items() if share > 0 and name not in overloaded
+    ]
+    for index, current in enumerate(table.current):
+        if current not in overloaded:
+            continue
+        bucket = BucketNumber(index)
+        others = table.others.get(bucket, [])
+        if any(c.reason is CandidateReason.OVERFLOW for c in others):
+            continue
+        named = {candidate.backend_server for candidate in others}
+        # A FORMER candidate is not converted: its reason decides where new flows
+        # go during SETTLE_TIME.
+        free = [name for name in receivers if name not in named]
+        if free:
+            chosen = _best(free, bucket)
+            candidate = Candidate(chosen, CandidateReason.OVERFLOW, revision)
+            buckets.add_candidate(table, bucket, candidate)
+
+
+def _best(names: Iterable[BackendServerId], bucket: BucketNumber) -> BackendServerId:
+    return max(names, key=lambda name: (buckets.score(bucket, name), name))
--- /dev/null
+++ b/tests/test_apply.py
@@ -0,0 +1,405 @@
+"""Transitions of the replicated state keep services apart and never revert."""
+
+import copy
+import unittest
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from wasabigw.codec import messages
+from wasabigw.core import commands
+from wasabigw.core.apply import Outcome, apply
+from wasabigw.core.cluster import (
+    Applied,
+    ClusterState,
+    Endpoint,
+    FailureDomain,
+    Node,
+    Service,
+    endpoint_key,
+)
+from wasabigw.core.ids import (
+    BackendServerId,
+    BootId,
+    BucketNumber,
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    RegionId,
+    RequestId,
+    Revision,
+    ServiceId,
+)
+from wasabigw.core.states import (
+    BackendServerState,
+    CandidateReason,
+    FailureDomainState,
+    NodeState,
+    Protocol,
+    RefusalCode,
+)
+from wasabigw.core.timing import REMEMBERED_REQUESTS
+
+DOMAINS = [FailureDomainId(name) for name in ("recife", "fortaleza")]
+SERVICES = [ServiceId("seats"), ServiceId("documents")]
+ADDRESSES = [f"10.0.0.{number}" for number in range(1, 5)]
+SERVERS = [BackendServerId(f"b{number}") for number in range(4)]
+
+
+def service(name: ServiceId, address: str, *domains: FailureDomainId) -> Service:
+    """A TCP service at port 80 of an address."""
+    return Service(name, Endpoint(address, 80), Protocol.TCP, tuple(domains or DOMAINS))
+
+
+def up(
+    name: str,
+    address: str,
+    service_id: ServiceId = SERVICES[0],
+    boot: str = "x",
+    domain: FailureDomainId = DOMAINS[0],
+    step: int = 8,
+) -> commands.BackendServerUp:
+    """A backend server that is ready."""
+    return commands.BackendServerUp(
+        BackendServerId(name),
+        service_id,
+        domain,
+        Endpoint(address, 80),
+        BootId(boot),
+        4,
+        2000,
+        BackendServerState.READY,
+        step,
+    )
+
+
+class Log:
+    """A state and the log that led to it."""
+
+    def __init__(self) -> None:
+        self.state = ClusterState()
+        self.entries: list[commands.Command] = []
+        domains = tuple(FailureDomain(name, RegionId("ne")) for name in DOMAINS)
+        services = (service(SERVICES[0], "10.0.0.200"),)
+        self.change(commands.ReplaceConfiguration(services, domains))
+
+    def append(self, command: commands.Command) -> Outcome:
+        self.entries.append(command)
+        return apply(command, Revision(len(self.entries)), self.state)
+
+    def change(self, change: commands.Change, expected: int | None = None) -> Outcome:
+        revision = self.state.configuration_revision if expected is None else expected
+        request = RequestId(f"r{len(self.entries)}")
+        return self.append(commands.ChangeRequest(request, Revision(revision), change))
+
+    def report(self, *reports: commands.Report) -> None:
+        self.append(commands.ReportBatch(reports))
+
+    def owners(self, service_id: ServiceId = SERVICES[0]) -> set[Any]:
+        return set(self.state.buckets[service_id].current)
+
+
+def commands_strategy() -> st.SearchStrategy[Any]:
+    """Changes, reports and endpoints whose quarantine ends."""
+    services = st.builds(service, st.sampled_from(SERVICES), st.sampled_from(ADDRESSES))
+    ups = st.builds(
+        up,
+        st.sampled_from(SERVERS),
+        st.sampled_from(ADDRESSES),
+        st.sampled_from(SERVICES),
+        st.sampled_from("xy"),
+        st.sampled_from(DOMAINS),
+    )
+    domain = st.sampled_from(DOMAINS)
+    server = st.sampled_from(SERVERS)
+    boot = st.sampled_from([BootId("x"), BootId("y")])
+    some_buckets = st.just(tuple(BucketNumber(b) for b in range(0, 256, 3)))
+    return st.one_of(
+        st.builds(commands.CreateService, services),
+        st.builds(commands.UpdateService, services),
+        st.builds(commands.RemoveService, st.sampled_from(SERVICES)),
+        st.builds(commands.TakeFailureDomainOut, domain),
+        st.builds(commands.BringFailureDomainBack, domain),
+        st.builds(commands.DrainBackendServer, server),
+        ups,
+        ups,
+        st.builds(commands.BackendServerDown, server, boot),
+        st.builds(
+            commands.BackendServerStep, server, boot, st.sampled_from([1, 2, 4, 8, 3])
+        ),
+        st.builds(commands.BackendServerOverloaded, server, st.booleans()),
+        st.builds(
+            commands.CandidatesReleased,
+            st.sampled_from(SERVICES),
+            server,
+            some_buckets,
+            st.integers(0, 30).map(Revision),
+        ),
+        st.builds(
+            commands.CandidatesAdded,
+            st.sampled_from(SERVICES),
+            server,
+            some_buckets,
+            st.just(CandidateReason.DIVERTED),
+        ),
+        st.builds(lambda address: Endpoint(address, 80), st.sampled_from(ADDRESSES)),
+    )
+
+
+def run(steps: Sequence[Any]) -> Log:
+    """Log of the steps, each as an entry of its own."""
+    log = Log()
+    for step in steps:
+        if isinstance(step, Endpoint):
+            held = log.state.quarantine.get(endpoint_key(step))
+            since = held.since if held else Revision(0)
+            log.report(commands.EndpointReleased(step, since))
+        elif isinstance(step, commands.Change):
+            log.change(step)
+        else:
+            log.report(step)
+    return log
+
+
+class AnySequence(unittest.TestCase):
+    """Guards against services that cross and copies that differ."""
+
+    @given(st.lists(commands_strategy(), max_size=25))
+    def test_an_endpoint_serves_one_service_and_buckets_name_their_own(
+        self, steps: list[Any]
+    ) -> None:
+        log = run(steps)
+        state = log.state
+        used = [s.endpoint for s in state.services.values()]
+        used += [b.endpoint for b in state.backend_servers.values()]
+        self.assertEqual(len(used), len(set(used)))
+        self.assertFalse({endpoint_key(e) for e in used} & set(state.quarantine))
+        self.assertEqual(set(state.buckets), set(state.services))
+        for service_id, table in state.buckets.items():
+            for current in set(table.current) - {None}:
+                assert current is not None
+                self.assertEqual(state.backend_servers[current].service, service_id)
+            for bucket, others in table.others.items():
+                names = [c.backend_server for c in others]
+                self.assertEqual(len(names), len(set(names)))
+                self.assertNotIn(table.current[bucket], names)
+
+    @given(st.lists(commands_strategy(), max_size=25), st.integers(0, 25))
+    def test_same_log_gives_the_same_bytes_also_from_a_snapshot(
+        self, steps: list[Any], cut: int
+    ) -> None:
+        log = run(steps)
+        other = ClusterState()
+        for index, command in enumerate(log.entries):
+            if index == cut:
+                text = messages.encode(other)
+                other = messages.decode(text, ClusterState).unwrap()
+            apply(command, Revision(index + 1), other)
+        self.assertEqual(messages.encode(other), messages.encode(log.state))
+
+    @given(st.lists(commands_strategy(), max_size=15), commands_strategy())
+    def test_a_repeated_report_changes_nothing(
+        self, steps: list[Any], last: Any
+    ) -> None:
+        if isinstance(last, commands.Change | Endpoint):
+            return
+        log = run([*steps, last])
+        before = messages.to_json(log.state)
+        log.report(last)
+        after = messages.to_json(log.state)
+        self.assertEqual(after | {"revision": 0}, before | {"revision": 0})
+
+
+class Requests(unittest.TestCase):
+    """Guards against lost updates and changes that run twice."""
+
+    def test_racing_changes_with_equal_revisions_have_one_winner(self) -> None:
+        log = Log()
+        seen = log.state.configuration_revision
+        outcomes = [
+            log.change(commands.TakeFailureDomainOut(domain), seen)
+            for domain in DOMAINS
+        ]
+        self.assertIsInstance(outcomes[0], Success)
+        refusal = outcomes[1].failure()
+        self.assertIs(refusal.code, RefusalCode.CONFLICT)
+        self.assertEqual(refusal.configuration_revision, Revision(2))
+        out = log.state.failure_domains[DOMAINS[1]]
+        self.assertIs(out.state, FailureDomainState.IN_SERVICE)
+
+    def test_a_resent_change_gets_its_first_answer_and_does_not_run_again(
+        self,
+    ) -> None:
+        log = Log()
+        seen = log.state.configuration_revision
+        request = commands.ChangeRequest(
+            RequestId("again"), seen, commands.TakeFailureDomainOut(DOMAINS[0])
+        )
+        first = log.append(request)
+        log.change(commands.BringFailureDomainBack(DOMAINS[0]))
+        self.assertEqual(log.append(request), first)
+        self.assertEqual(first, Success(Applied(Revision(2), Revision(2))))
+        back = log.state.failure_domains[DOMAINS[0]]
+        self.assertIs(back.state, FailureDomainState.IN_SERVICE)
+        self.assertEqual(log.state.revision, Revision(4))
+
+    def test_oldest_request_ids_are_dropped_at_the_limit(self) -> None:
+        log = Log()
+        for number in range(REMEMBERED_REQUESTS + 5):
+            request = commands.ChangeRequest(
+                RequestId(f"n{number}"),
+                Revision(999_999),
+                commands.TakeFailureDomainOut(DOMAINS[0]),
+            )
+            log.append(request)
+        self.assertEqual(len(log.state.requests), REMEMBERED_REQUESTS)
+        self.assertNotIn("n4", log.state.requests)
+        self.assertIn("n5", log.state.requests)
+
+    def test_a_refused_configuration_changes_nothing(self) -> None:
+        log = Log()
+        log.report(up("b1", "10.0.0.1"))
+        domains = tuple(FailureDomain(name, RegionId("ne")) for name in DOMAINS)
+        seats = log.state.services[SERVICES[0]]
+        moved = replace(seats, endpoint=Endpoint("10.0.0.9", 80))
+        taken = service(SERVICES[1], "10.0.0.1")
+        shared = service(SERVICES[1], "10.0.0.200")
+        bad: list[commands.Change] = [
+            commands.ReplaceConfiguration((moved,), domains),
+            commands.ReplaceConfiguration((seats, taken), domains),
+            commands.ReplaceConfiguration((seats, shared), domains),
+            commands.ReplaceConfiguration((seats,), domains[1:]),
+            commands.ReplaceConfiguration((seats, seats), domains),
+            commands.CreateService(service(SERVICES[1], "10.0.0.999")),
+            commands.CreateService(
+                service(SERVICES[1], "10.0.0.4", FailureDomainId("?"))
+            ),
+        ]
+        for change in bad:
+            before = copy.deepcopy(log.state)
+            refusal = log.change(change).failure()
+            self.assertTrue(refusal.message)
+            before.requests = log.state.requests
+            before.revision = log.state.revision
+            self.assertEqual(log.state, before)
+
+
+class FailureDomains(unittest.TestCase):
+    """Guards against load on a failure domain that is out or has just returned."""
+
+    def test_out_and_back_moves_buckets_and_restarts_the_ramp(self) -> None:
+        log = Log()
+        log.report(up("b1", "10.0.0.1"), up("b2", "10.0.0.2", domain=DOMAINS[1]))
+        self.assertEqual(log.owners(), {"b1", "b2"})
+        log.change(commands.TakeFailureDomainOut(DOMAINS[0]))
+        self.assertEqual(log.owners(), {"b2"})
+        others = log.state.buckets[SERVICES[0]].others.values()
+        reasons = {c.reason for candidates in others for c in candidates}
+        self.assertEqual(reasons, {CandidateReason.DEPARTED})
+        log.change(commands.BringFailureDomainBack(DOMAINS[0]))
+        current = log.state.buckets[SERVICES[0]].current
+        self.assertEqual(current.count(BackendServerId("b1")), round(256 / 9))
+
+    def test_a_generated_configuration_does_not_bring_a_domain_back(self) -> None:
+        log = Log()
+        log.change(commands.TakeFailureDomainOut(DOMAINS[0]))
+        domains = tuple(FailureDomain(name, RegionId("ne")) for name in DOMAINS)
+        log.change(commands.ReplaceConfiguration((), domains))
+        out = log.state.failure_domains[DOMAINS[0]]
+        self.assertIs(out.state, FailureDomainState.OUT_OF_SERVICE)
+
+
+class BackendServers(unittest.TestCase):
+    """Guards against late reports, full load on cold servers and crossing."""
+
+    def test_all_cold_at_one_slot_still_serve(self) -> None:
+        log = Log()
+        log.report(up("b1", "10.0.0.1", step=1), up("b2", "10.0.0.2", step=1))
+        self.assertEqual(log.owners(), {"b1", "b2"})
+
+    def test_new_boot_id_keeps_the_index_and_restarts_the_ramp(self) -> None:
+        log = Log()
+        log.report(up("b1", "10.0.0.1"), up("b2", "10.0.0.2"))
+        log.report(up("b2", "10.0.0.2", boot="y"))
+        restarted = log.state.backend_servers[BackendServerId("b2")]
+        self.assertEqual((restarted.index, restarted.step), (1, 1))
+        name, old = restarted.id, BootId("x")
+        log.report(
+            commands.BackendServerDown(name, old),
+            commands.BackendServerStep(name, old, 8),
+            commands.BackendServerDraining(name, old, BackendServerState.LEAVING),
+        )
+        self.assertEqual(log.state.backend_servers[name], restarted)
+
+    def test_endpoint_of_another_service_waits_for_the_end_of_its_quarantine(
+        self,
+    ) -> None:
+        log = Log()
+        log.change(commands.CreateService(service(SERVICES[1], "10.0.0.201")))
+        log.report(up("b1", "10.0.0.1"))
+        move = up("b1", "10.0.0.1", SERVICES[1], boot="y")
+        log.report(move)
+        log.report(move)
+        self.assertEqual(log.state.backend_servers, {})
+        held = log.state.quarantine["10.0.0.1:80"]
+        late = commands.EndpointReleased(held.endpoint, Revision(held.since - 1))
+        log.report(late, move)
+        self.assertEqual(log.state.backend_servers, {})
+        log.report(commands.EndpointReleased(held.endpoint, held.since), move)
+        moved = log.state.backend_servers[BackendServerId("b1")]
+        self.assertEqual((moved.service, moved.index), (SERVICES[1], 1))
+
+    def test_overload_names_the_next_one_that_serves_until_it_ends(self) -> None:
+        log = Log()
+        log.report(
+            up("b1", "10.0.0.1"),
+            up("b2", "10.0.0.2"),
+            up("b3", "10.0.0.3", domain=DOMAINS[1]),
+        )
+        log.change(commands.TakeFailureDomainOut(DOMAINS[1]))
+        log.report(commands.BackendServerOverloaded(BackendServerId("b1"), True))
+        table = log.state.buckets[SERVICES[0]]
+        mine = [b for b in range(256) if table.current[b] == "b1"]
+        relief = [
+            [c for c in table.others[BucketNumber(b)] if c.backend_server == "b2"]
+            for b in mine
+        ]
+        self.assertEqual({c.reason for [c] in relief}, {CandidateReason.OVERFLOW})
+        release = commands.CandidatesReleased(
+            SERVICES[0],
+            BackendServerId("b2"),
+            tuple(BucketNumber(b) for b in mine),
+            log.state.revision,
+        )
+        log.report(release)
+        self.assertIn(relief[0][0], table.others[BucketNumber(mine[0])])
+        log.report(commands.BackendServerOverloaded(BackendServerId("b1"), False))
+        log.report(release)
+        names = {c.backend_server for cs in table.others.values() for c in cs}
+        self.assertEqual(names, {"b3"})
+
+
+class Nodes(unittest.TestCase):
+    """Guards against a drain or an eviction that hits a restarted balancer."""
+
+    def test_drain_lasts_until_a_new_incarnation_and_spares_the_last_one(self) -> None:
+        log = Log()
+        here = Endpoint("10.9.0.1", 6081)
+        nodes = [
+            Node(NodeId(name), DOMAINS[0], here, here, Incarnation("1"))
+            for name in ("n1", "n2")
+        ]
+        log.report(*(commands.NodeUp(node) for node in nodes))
+        log.change(commands.DrainBalancer(NodeId("n1")))
+        log.report(commands.NodeUp(nodes[0]))
+        self.assertIs(log.state.nodes[NodeId("n1")].state, NodeState.DRAINING)
+        refused = log.change(commands.DrainBalancer(NodeId("n2")))
+        self.assertIsInstance(refused, Failure)
+        again = replace(nodes[0], incarnation=Incarnation("2"))
+        log.report(commands.NodeUp(again))
+        log.report(commands.NodeDown(NodeId("n1"), Incarnation("1")))
+        self.assertEqual(log.state.nodes[NodeId("n1")], again)
