Admit flows at the home of each backend server

Limits on a backend server must hold in total, also while its home changes, while it is cold and while one of its endpoints misleads.

Homes are computed again only for what can be homed here.

--- a/src/wasabigw/core/apply_changes.py
+++ b/src/wasabigw/core/apply_changes.py
@@ -16,6 +16,7 @@
     service_endpoint_problem,
 )
 from wasabigw.core.ids import FailureDomainId, ServiceId
+from wasabigw.core.names import name_problem
 from wasabigw.core.states import (
     BackendServerState,
     FailureDomainState,
@@ -25,7 +26,6 @@
 from wasabigw.core.timing import RAMP_STEPS
 from wasabigw.core.transition import Transition
 
-MAX_ID_LENGTH = 63
 Outcome = Result[None, Problem]
 _DONE: Outcome = Success(None)
 
@@ -306,13 +306,8 @@
 
 
 def _id_problem(kind: str, name: str) -> Problem | None:
-    if 0 < len(name) <= MAX_ID_LENGTH and name.isprintable() and " " not in name:
-        return None
-    return (
-        RefusalCode.INVALID,
-        f"{kind} id {name[:MAX_ID_LENGTH]!r} must have 1 to {MAX_ID_LENGTH} printable "
-        "characters and no spaces",
-    )
+    wrong = name_problem(kind, name)
+    return None if wrong is None else (RefusalCode.INVALID, wrong)
 
 
 def _moved(current: Service, service: Service) -> Problem | None:
--- a/src/wasabigw/core/endpoints.py
+++ b/src/wasabigw/core/endpoints.py
@@ -6,6 +6,7 @@
 from wasabigw.core.cluster import ClusterState, Endpoint, Service, endpoint_key
 from wasabigw.core.commands import BackendServerUp
 from wasabigw.core.ids import ServiceId
+from wasabigw.core.names import name_problem
 from wasabigw.core.states import RefusalCode
 from wasabigw.core.transition import Transition
 
@@ -70,9 +71,23 @@
     return registration_problem(report, Transition(state, state.revision))
 
 
+def report_problem(report: BackendServerUp) -> str | None:
+    """What is wrong with a report in any state of the cluster, or ``None``."""
+    if report.slots < 1 or report.connections < 1:
+        return "slots and connections must be at least 1"
+    return (
+        name_problem("backend server", report.id)
+        or name_problem("boot", report.boot_id)
+        or malformed(report.endpoint)
+    )
+
+
 def registration_problem(report: BackendServerUp, transition: Transition) -> str | None:
     """Same as :func:`backend_server_problem`, within a transition."""
     state = transition.state
+    wrong = report_problem(report)
+    if wrong is not None:
+        return wrong
     if report.service not in state.services:
         return f"there is no service {report.service!r}; check the announced service"
     if report.failure_domain not in state.failure_domains:
@@ -80,11 +95,6 @@
             f"there is no failure domain {report.failure_domain!r}; check the "
             "announced failure domain"
         )
-    if report.slots < 1 or report.connections < 1:
-        return "slots and connections must be at least 1"
-    wrong = malformed(report.endpoint)
-    if wrong is not None:
-        return wrong
     known = state.backend_servers.get(report.id)
     if known is not None and known.failure_domain != report.failure_domain:
         return (
--- /dev/null
+++ b/src/wasabigw/core/home_records.py
@@ -0,0 +1,222 @@
+"""State of the backend servers homed at one node, and the reports that are due."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from wasabigw.core import leases
+from wasabigw.core.admission import Admission, Ramp
+from wasabigw.core.cluster import (
+    BackendServer,
+    ClusterState,
+    Endpoint,
+    Service,
+)
+from wasabigw.core.cold_start import ColdStartDetector
+from wasabigw.core.commands import (
+    BackendServerDown,
+    BackendServerDraining,
+    BackendServerOverloaded,
+    BackendServerStep,
+    BackendServerUp,
+    Report,
+)
+from wasabigw.core.ids import (
+    BackendServerId,
+    BootId,
+    FailureDomainId,
+    NodeId,
+    Seconds,
+    ServiceId,
+)
+from wasabigw.core.states import BackendServerState, FlowLimit
+from wasabigw.core.timing import ANNOUNCE_LEASE
+
+MAX_HOMED = 4096
+"""Backend servers that one node keeps; further ones are refused."""
+
+REPEAT_REPORT_AFTER = Seconds(2.0)
+"""Least time between two reports of a kind for one backend server.
+
+A report without visible effect is sent again after it.
+"""
+
+_NEVER = Seconds(float("-inf"))
+LEAVING_STATES = (BackendServerState.DRAINING, BackendServerState.LEAVING)
+_RUNNING_STATES = (BackendServerState.COLD, BackendServerState.READY)
+
+
+@dataclass(slots=True)
+class HomedServer:
+    """A backend server that is, or was, homed at this node.
+
+    :param homed_since: when this node became its home; ``None`` if it no longer is.
+    :param confirmed_step: ramp step in the replicated state when last seen.
+    :param announced: the backend server has announced itself since then.
+    :param overflow_flows: open flows that were passed to OVERFLOW candidates.
+    :param sent: when a report of each kind was last sent.
+    """
+
+    id: BackendServerId
+    service: ServiceId
+    failure_domain: FailureDomainId
+    endpoint: Endpoint
+    boot_id: BootId
+    slots: int
+    connections: int
+    state: BackendServerState
+    admission: Admission
+    homed_since: Seconds | None
+    confirmed_step: int = 0
+    announced: bool = False
+    lease: leases.Lease | None = None
+    overflow_flows: int = 0
+    detector: ColdStartDetector = field(default_factory=ColdStartDetector)
+    sent: dict[type[Report], Seconds] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class HomeState:
+    """Backend servers homed at this node; owned by its packet task.
+
+    :param cluster: the node's copy of the replicated state; ``None`` before the
+        first one has been received.
+    :param fresh_until: end of the view lease; ``None`` if it is not known.
+    :param seen: backend servers of the replicated state when it was last looked at.
+    :param membership: balancers at that time that decide what is homed here.
+    :param counted: open flows that were handed over before this node knew that it
+        is the home.
+    :param now: time of the latest tick.
+    """
+
+    node: NodeId
+    cluster: ClusterState | None = None
+    fresh_until: Seconds | None = None
+    servers: dict[BackendServerId, HomedServer] = field(default_factory=dict)
+    seen: dict[BackendServerId, BackendServer] = field(default_factory=dict)
+    membership: tuple[object, ...] = ()
+    counted: dict[BackendServerId, int] = field(default_factory=dict)
+    now: Seconds = _NEVER
+
+
+def flow_limit(
+    service: Service | None, slots: int, connections: int, step: int, now: Seconds
+) -> Admission:
+    """Admission of a backend server at a ramp step."""
+    return Admission(
+        limit=open_limit(service, slots, connections),
+        connections=connections,
+        ramp=Ramp(step, now),
+    )
+
+
+def open_limit(service: Service | None, slots: int, connections: int) -> int:
+    """Open flows that a backend server may hold at the full step."""
+    by_slots = service is not None and service.limit_by is FlowLimit.SLOTS
+    return slots if by_slots else connections
+
+
+def record_of_registered(
+    server: BackendServer, cluster: ClusterState, now: Seconds
+) -> HomedServer:
+    """Record of a backend server whose home this node has just become."""
+    return HomedServer(
+        id=server.id,
+        service=server.service,
+        failure_domain=server.failure_domain,
+        endpoint=server.endpoint,
+        boot_id=server.boot_id,
+        slots=server.slots,
+        connections=server.connections,
+        state=server.state,
+        admission=flow_limit(
+            cluster.services.get(server.service),
+            server.slots,
+            server.connections,
+            server.step,
+            now,
+        ),
+        homed_since=now,
+        confirmed_step=server.step,
+    )
+
+
+def due_reports(
+    record: HomedServer, registered: BackendServer | None, fresh: bool, now: Seconds
+) -> list[Report]:
+    """Reports of a backend server that the replicated state doesn't show yet.
+
+    :param registered: the backend server in the replicated state.
+    :param fresh: whether this node can still be sure that it is the home.
+    """
+    if record.homed_since is None:
+        return []
+    due = [
+        report
+        for report in _wanted(record, registered, record.homed_since, fresh, now)
+        if now - record.sent.get(type(report), _NEVER) >= REPEAT_REPORT_AFTER
+    ]
+    record.sent.update({type(report): now for report in due})
+    return due
+
+
+def _wanted(
+    record: HomedServer,
+    registered: BackendServer | None,
+    homed_since: Seconds,
+    fresh: bool,
+    now: Seconds,
+) -> Iterator[Report]:
+    if not leases.is_valid(record.lease, now):
+        if registered is not None and fresh and now - homed_since >= ANNOUNCE_LEASE:
+            yield BackendServerDown(registered.id, registered.boot_id)
+        return
+    if registered is None or not _same_registration(record, registered):
+        yield up_report(record)
+        return
+    step = record.admission.ramp.step
+    if step != registered.step:
+        yield BackendServerStep(record.id, record.boot_id, step)
+    if _leaves_later(record.state, registered.state):
+        yield BackendServerDraining(record.id, record.boot_id, record.state)
+    if record.admission.overloaded is not registered.overloaded:
+        yield BackendServerOverloaded(record.id, record.admission.overloaded)
+
+
+def up_report(record: HomedServer) -> BackendServerUp:
+    """Report that registers a backend server as it is now."""
+    return BackendServerUp(
+        id=record.id,
+        service=record.service,
+        failure_domain=record.failure_domain,
+        endpoint=record.endpoint,
+        boot_id=record.boot_id,
+        slots=record.slots,
+        connections=record.connections,
+        state=record.state,
+        step=record.admission.ramp.step,
+    )
+
+
+def _same_registration(record: HomedServer, registered: BackendServer) -> bool:
+    both_run = record.state in _RUNNING_STATES and registered.state in _RUNNING_STATES
+    if both_run and record.state is not registered.state:
+        return False
+    return (
+        record.service,
+        record.endpoint,
+        record.boot_id,
+        record.slots,
+        record.connections,
+    ) == (
+        registered.service,
+        registered.endpoint,
+        registered.boot_id,
+        registered.slots,
+        registered.connections,
+    )
+
+
+def _leaves_later(announced: BackendServerState, known: BackendServerState) -> bool:
+    if announced not in LEAVING_STATES or announced is known:
+        return False
+    return known is not BackendServerState.LEAVING
--- a/src/wasabigw/core/placement.py
+++ b/src/wasabigw/core/placement.py
@@ -1,6 +1,7 @@
 """Which balancer is the home of a backend server."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 import xxhash
 
@@ -39,3 +40,51 @@
     return home_among(
         backend_server.id, backend_server.failure_domain, state.nodes.values()
     )
+
+
+@dataclass(frozen=True, slots=True)
+class HomePlacement:
+    """What decides which backend servers are homed at this node.
+
+    :param usable: failure domains with a balancer that doesn't drain.
+    """
+
+    node: Node | None
+    local: tuple[Node, ...]
+    usable: frozenset[FailureDomainId]
+
+    @property
+    def membership(self) -> tuple[object, ...]:
+        """Value that changes whenever a home may change."""
+        return (self.local, self.usable)
+
+
+def placement_of(name: NodeId, cluster: ClusterState) -> HomePlacement:
+    """Placement rules of a node at the revision of ``cluster``."""
+    node = cluster.nodes.get(name)
+    usable = frozenset(
+        other.failure_domain
+        for other in cluster.nodes.values()
+        if other.state is not NodeState.DRAINING
+    )
+    local = tuple(
+        other
+        for other in cluster.nodes.values()
+        if node is not None and other.failure_domain == node.failure_domain
+    )
+    return HomePlacement(node, local, usable)
+
+
+def is_home(
+    server: BackendServer, placement: HomePlacement, cluster: ClusterState
+) -> bool:
+    """Whether this node is the home; hashes only the balancers that can be."""
+    node = placement.node
+    if node is None:
+        return False
+    if server.failure_domain == node.failure_domain:
+        home = home_among(server.id, server.failure_domain, placement.local)
+        return home == node.id and node.state is not NodeState.DRAINING
+    if server.failure_domain in placement.usable:
+        return False
+    return home_of(server, cluster) == node.id
