Decide on whole requests without packets or HTTP

Reservations must not run twice, and a caller must not be told that a request did not run when it may have.

--- /dev/null
+++ b/tests/test_requests.py
@@ -0,0 +1,233 @@
+"""Requests run at most once, and callers are told the truth about it."""
+
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wasabigw.core import request_events as ev
+from wasabigw.core import requests
+from wasabigw.core.ids import BackendServerId, RequestId, Seconds
+from wasabigw.core.retry_budget import RetryBudget, count_request, take_retry
+
+R1, R2 = RequestId("r1"), RequestId("r2")
+B1, B2 = BackendServerId("b1"), BackendServerId("b2")
+NOW = Seconds(0.0)
+DEADLINE = Seconds(30.0)
+
+
+def arrived(
+    name: RequestId = R1, idempotent: bool = False, repeatable: bool = False
+) -> ev.RequestArrived:
+    """Request that has 30 s."""
+    return ev.RequestArrived(name, idempotent, repeatable, DEADLINE, NOW)
+
+
+def events() -> st.SearchStrategy[Any]:
+    """Any event about two requests, in any order."""
+    names, attempts = st.sampled_from([R1, R2]), st.integers(1, 2)
+    times = st.sampled_from([0.0, 1.0, 31.0, 45.0]).map(Seconds)
+    flags = st.booleans()
+    parts = st.integers(0, 2)
+    return st.one_of(
+        st.builds(
+            ev.RequestArrived,
+            names,
+            st.just(False),
+            flags,
+            st.just(DEADLINE),
+            times,
+        ),
+        st.builds(
+            ev.RequestForwarded, names, attempts, st.sampled_from([B1, B2]), times
+        ),
+        st.builds(ev.AnswerPart, names, attempts, parts, st.just(b"x"), times),
+        st.builds(ev.AnswerComplete, names, attempts, parts, times),
+        st.builds(ev.RequestCancelled, names, times),
+        st.builds(ev.BackendRefused, names, attempts, times),
+        st.builds(ev.FlowClosed, names, attempts, flags, times),
+        st.builds(ev.Tick, times),
+        st.builds(ev.NodeRestarted, times),
+    )
+
+
+class Ledger:
+    """Rules with the decisions so far."""
+
+    def __init__(self) -> None:
+        self.state = requests.RequestLedger()
+
+    def do(self, *steps: Any) -> list[Any]:
+        """Decisions of the last step."""
+        decisions: list[Any] = []
+        for step in steps:
+            decisions = list(requests.handle(step, self.state))
+        return decisions
+
+
+class AnyOrder(unittest.TestCase):
+    """Guards against seats that are reserved twice or invoiced twice."""
+
+    @given(st.lists(events(), max_size=30), st.integers(0, 30))
+    def test_not_idempotent_is_forwarded_once_also_over_a_restart(
+        self, steps: list[Any], restart_at: int
+    ) -> None:
+        ledger = Ledger()
+        forwards: list[RequestId] = []
+        outcomes: list[RequestId] = []
+        for number, step in enumerate(steps):
+            if number == restart_at:
+                entries = requests.journal(ledger.state)
+                ledger = Ledger()
+                ledger.do(ev.RestoredFromDisk(entries, NOW))
+            for decision in ledger.do(step):
+                if isinstance(decision, ev.ForwardRequest):
+                    forwards.append(decision.id)
+                if isinstance(decision, ev.DeliverAnswer):
+                    outcomes.append(decision.id)
+        self.assertEqual(len(forwards), len(set(forwards)))
+        self.assertEqual(len(outcomes), len(set(outcomes)))
+
+    @settings(max_examples=500)
+    @given(st.lists(events(), max_size=30))
+    def test_not_run_is_said_only_if_nothing_was_forwarded_or_it_was_shed(
+        self, steps: list[Any]
+    ) -> None:
+        ledger = Ledger()
+        decided: set[RequestId] = set()
+        sent: set[RequestId] = set()
+        for step in steps:
+            shows_sent = isinstance(step, ev.RequestForwarded | ev.AnswerPart)
+            if shows_sent and step.id in decided:
+                sent.add(step.id)
+            for decision in ledger.do(step):
+                if isinstance(decision, ev.ForwardRequest):
+                    decided.add(decision.id)
+                if isinstance(decision, ev.RefuseRequest) and decision.not_run:
+                    unsent = isinstance(step, ev.FlowClosed) and not step.sent
+                    shed = isinstance(step, ev.BackendRefused)
+                    never = decision.id not in decided
+                    self.assertTrue(shed or never or unsent)
+                    self.assertFalse(unsent and decision.id in sent)
+
+
+class Answers(unittest.TestCase):
+    """Guards against responses that are mixed, torn or given to another caller."""
+
+    def test_parts_out_of_order_are_delivered_whole_and_in_order(self) -> None:
+        ledger = Ledger()
+        ledger.do(arrived(R1), arrived(R2))
+        ledger.do(
+            ev.AnswerPart(R1, 1, 2, b"c", NOW),
+            ev.AnswerPart(R2, 1, 0, b"other", NOW),
+            ev.AnswerComplete(R1, 1, 3, NOW),
+            ev.FlowClosed(R1, 1, True, NOW),
+            ev.AnswerPart(R1, 1, 0, b"a", NOW),
+            ev.AnswerPart(R1, 1, 0, b"a", NOW),
+        )
+        last = ledger.do(ev.AnswerPart(R1, 1, 1, b"b", NOW))
+        self.assertEqual(last, [ev.DeliverAnswer(R1, (b"a", b"b", b"c"))])
+        self.assertEqual(ledger.state.buffered, len(b"other"))
+
+    def test_late_answers_are_dropped_and_late_forwards_cancelled(self) -> None:
+        ledger = Ledger()
+        cancelled = ledger.do(arrived(), ev.RequestCancelled(R1, NOW))
+        self.assertEqual(cancelled, [ev.CancelAtBackend(R1, 1, None)])
+        late = ledger.do(ev.RequestForwarded(R1, 1, B1, NOW))
+        self.assertEqual(late, [ev.CancelAtBackend(R1, 1, B1)])
+        dropped = ledger.do(ev.AnswerPart(R1, 1, 0, b"x", NOW))
+        self.assertEqual(dropped, [ev.DropAnswer(R1, 1)])
+
+    def test_parts_that_contradict_or_exceed_limits_are_never_delivered(self) -> None:
+        big = bytes(requests.MAX_ANSWER_BYTES)
+        for wrong in (
+            ev.AnswerPart(R1, 1, 0, b"y", NOW),
+            ev.AnswerPart(R1, 1, requests.MAX_PARTS, b"x", NOW),
+            ev.AnswerPart(R1, 1, 1, big, NOW),
+            ev.AnswerComplete(R1, 1, 0, NOW),
+        ):
+            with self.subTest(type(wrong)):
+                ledger = Ledger()
+                ledger.do(arrived(), ev.AnswerPart(R1, 1, 0, b"x", NOW))
+                kinds = [type(decision) for decision in ledger.do(wrong)]
+                expected = [ev.CancelAtBackend, ev.ReportUnknownOutcome]
+                self.assertEqual(kinds, expected)
+                self.assertEqual(ledger.state.buffered, 0)
+
+
+class Retries(unittest.TestCase):
+    """Guards against retries that run twice, go elsewhere or pile up."""
+
+    def test_shed_idempotent_request_is_retried_at_the_same_backend_server(
+        self,
+    ) -> None:
+        ledger = Ledger()
+        ledger.do(arrived(idempotent=True), ev.RequestForwarded(R1, 1, B1, NOW))
+        [again] = ledger.do(ev.BackendRefused(R1, 1, Seconds(10.0)))
+        self.assertEqual(again, ev.ForwardRequest(R1, 2, B1, Seconds(20.0)))
+        self.assertEqual(ledger.do(ev.BackendRefused(R1, 1, NOW)), [])
+
+    def test_only_repeatable_requests_are_retried_after_they_may_have_run(self) -> None:
+        for repeatable, kind in (
+            (True, ev.ForwardRequest),
+            (False, ev.ReportUnknownOutcome),
+        ):
+            with self.subTest(repeatable=repeatable):
+                ledger = Ledger()
+                ledger.do(arrived(idempotent=True, repeatable=repeatable))
+                [decision] = ledger.do(ev.FlowClosed(R1, 1, True, NOW))
+                self.assertIsInstance(decision, kind)
+
+    def test_shed_retry_of_a_request_that_may_have_run_is_not_called_not_run(
+        self,
+    ) -> None:
+        ledger = Ledger()
+        ledger.do(arrived(idempotent=True, repeatable=True))
+        ledger.do(ev.FlowClosed(R1, 1, True, NOW))
+        shed = ledger.do(ev.BackendRefused(R1, 2, NOW))
+        self.assertEqual(shed, [ev.ReportUnknownOutcome(R1)])
+
+    def test_budget_is_a_tenth_of_the_recent_requests_and_at_least_one(self) -> None:
+        budget = RetryBudget()
+        self.assertTrue(take_retry(budget, NOW))
+        self.assertFalse(take_retry(budget, NOW))
+        for _ in range(50):
+            count_request(budget, Seconds(5.0))
+        taken = [take_retry(budget, Seconds(9.0)) for _ in range(10)]
+        self.assertEqual(taken.count(True), 4)
+        self.assertTrue(take_retry(budget, Seconds(30.0)))
+
+
+class Deadlines(unittest.TestCase):
+    """Guards against requests that run after nobody waits, and full tables."""
+
+    def test_passed_deadline_is_refused_as_not_run_or_reported_as_unknown(
+        self,
+    ) -> None:
+        ledger = Ledger()
+        late = ev.RequestArrived(R1, False, False, NOW, NOW)
+        reason = ev.RefusalReason.DEADLINE_PASSED
+        self.assertEqual(ledger.do(late), [ev.RefuseRequest(R1, True, reason)])
+        ledger.do(arrived(R2), ev.RequestForwarded(R2, 1, B1, NOW))
+        decisions = ledger.do(ev.Tick(DEADLINE))
+        expected = [ev.CancelAtBackend(R2, 1, B1), ev.ReportUnknownOutcome(R2)]
+        self.assertEqual(decisions, expected)
+
+    def test_full_table_refuses_as_not_run(self) -> None:
+        ledger = Ledger()
+        for number in range(requests.MAX_ACTIVE):
+            ledger.do(arrived(RequestId(str(number))))
+        reason = ev.RefusalReason.TABLE_FULL
+        refused = ledger.do(arrived(RequestId("one more")))
+        self.assertEqual(
+            refused, [ev.RefuseRequest(RequestId("one more"), True, reason)]
+        )
+
+    def test_after_a_restart_the_outcome_is_unknown_and_nothing_is_sent(self) -> None:
+        entry = ev.JournalEntry(R1, ev.RequestStage.MAY_BE_SENT)
+        ledger = Ledger()
+        decisions = ledger.do(ev.RestoredFromDisk((entry,), NOW))
+        self.assertEqual(decisions, [ev.ReportUnknownOutcome(R1)])
+        [refused] = ledger.do(arrived())
+        self.assertFalse(refused.not_run)
