--- /dev/null
+++ b/src/wasabigw/tasks/control_client.py
@@ -0,0 +1,193 @@
+"""HTTP client of the control leader: finds it and never waits without a limit."""
+
+import time
+from collections.abc import Callable, Sequence
+from contextlib import AbstractContextManager
+from dataclasses import dataclass, field
+from enum import Enum
+from http import HTTPStatus
+from types import TracebackType
+from typing import Any
+
+import requests
+from returns.result import Failure, Result, Success
+
+from wasabigw.codec.messages import decode
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.ids import Seconds
+from wasabigw.core.log_messages import NotLeader
+
+CONNECT_TIMEOUT = Seconds(0.5)
+READ_MARGIN = Seconds(1.0)
+"""Time for an answer beyond the wait that was asked for."""
+TRANSFER_TIMEOUT = Seconds(10.0)
+"""Longest time for the body of an answer; a snapshot is the largest one."""
+MAX_ANSWER_BYTES = 64 * 2**20
+_CHUNK_BYTES = 65_536
+
+
+class ProblemKind(Enum):
+    """Why there is no answer of the leader."""
+
+    UNREACHABLE = "unreachable"
+    TIMED_OUT = "timed-out"
+    NOT_LEADER = "not-leader"
+    BUSY = "busy"
+    REFUSED = "refused"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class CallProblem:
+    """A call without an answer of the leader.
+
+    :param leader: where the leader is said to be.
+    """
+
+    kind: ProblemKind
+    endpoint: Endpoint
+    detail: str
+    leader: Endpoint | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ControlCall:
+    """A request to the leader.
+
+    :param expected: type of the answer; a union that has :class:`NotLeader`.
+    :param wait: how long the leader may hold the request.
+    """
+
+    method: str
+    path: str
+    expected: Any
+    query: dict[str, str] = field(default_factory=dict)
+    body: bytes | None = None
+    wait: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
+
+
+class ControlClient(AbstractContextManager["ControlClient"]):
+    """Connection to the leader; owned by one task.
+
+    :param endpoints: control endpoints of the settings, at least one.
+    """
+
+    def __init__(self, endpoints: Sequence[Endpoint]) -> None:
+        self._endpoints = tuple(endpoints)
+        self._current = self._endpoints[0]
+        self._session: requests.Session | None = None
+
+    @property
+    def current(self) -> Endpoint:
+        """Where the next call goes."""
+        return self._current
+
+    @property
+    def calls_per_round(self) -> int:
+        """Calls after which each endpoint and one redirection were tried."""
+        return len(self._endpoints) + 1
+
+    def close(self) -> None:
+        """Close the connection; the next call opens a new one."""
+        if self._session is not None:
+            self._session.close()
+            self._session = None
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def call(self, call: ControlCall) -> Result[Any, CallProblem]:
+        """Answer of the current endpoint; after a problem, the next one is current.
+
+        A problem also closes the connection, because something between the two
+        ends may have lost its state.
+        """
+        outcome = self._exchange(call)
+        if isinstance(outcome, Failure):
+            problem = outcome.failure()
+            if problem.kind is not ProblemKind.REFUSED:
+                self.close()
+                self._current = self._next(problem)
+        return outcome
+
+    def _next(self, problem: CallProblem) -> Endpoint:
+        if problem.leader is not None and problem.leader != self._current:
+            return problem.leader
+        if self._current not in self._endpoints:
+            return self._endpoints[0]
+        index = self._endpoints.index(self._current) + 1
+        return self._endpoints[index % len(self._endpoints)]
+
+    def _exchange(self, call: ControlCall) -> Result[Any, CallProblem]:
+        try:
+            status, body = self._send(call)
+        except requests.Timeout as error:
+            return self._problem(ProblemKind.TIMED_OUT, str(error))
+        except (requests.RequestException, OSError) as error:
+            return self._problem(ProblemKind.UNREACHABLE, str(error))
+        if body is None:
+            detail = f"the answer exceeds {MAX_ANSWER_BYTES} bytes or was too slow"
+            return self._problem(ProblemKind.MALFORMED, detail)
+        return self._decode(call, status, body)
+
+    def _send(self, call: ControlCall) -> tuple[int, bytes | None]:
+        if self._session is None:
+            self._session = requests.Session()
+            # Proxies and credentials of the environment are not for this traffic.
+            self._session.trust_env = False
+        with self._session.request(
+            call.method,
+            f"http://{self._current.address}:{self._current.port}{call.path}",
+            params=call.query,
+            data=call.body,
+            headers={"Content-Type": "application/json"} if call.body else None,
+            timeout=(CONNECT_TIMEOUT, call.wait + READ_MARGIN),
+            allow_redirects=False,
+            stream=True,
+        ) as response:
+            return response.status_code, _read_bounded(response, time.monotonic)
+
+    def _decode(
+        self, call: ControlCall, status: int, body: bytes
+    ) -> Result[Any, CallProblem]:
+        decoded = decode(body, call.expected)
+        answer = decoded.unwrap() if isinstance(decoded, Success) else None
+        if isinstance(answer, NotLeader):
+            return self._problem(
+                ProblemKind.NOT_LEADER, "it is not the leader", answer.leader
+            )
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            return self._problem(ProblemKind.BUSY, _text(body))
+        if answer is not None:
+            return Success(answer)
+        if HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            return self._problem(ProblemKind.REFUSED, f"status {status}: {_text(body)}")
+        detail = f"status {status}: {decoded.failure()}"
+        return self._problem(ProblemKind.MALFORMED, detail)
+
+    def _problem(
+        self, kind: ProblemKind, detail: str, leader: Endpoint | None = None
+    ) -> Failure[CallProblem]:
+        return Failure(CallProblem(kind, self._current, detail, leader))
+
+
+def _read_bounded(
+    response: requests.Response, clock: Callable[[], float]
+) -> bytes | None:
+    """Body of a response; ``None`` if it is too large or takes too long."""
+    deadline = clock() + TRANSFER_TIMEOUT
+    data = bytearray()
+    for chunk in response.iter_content(_CHUNK_BYTES):
+        data += chunk
+        if len(data) > MAX_ANSWER_BYTES or clock() > deadline:
+            return None
+    return bytes(data)
+
+
+def _text(body: bytes) -> str:
+    return body[:500].decode(errors="replace")
--- /dev/null
+++ b/src/wasabigw/tasks/http_bodies.py
@@ -0,0 +1,90 @@
+"""Reading requests in a cherrypy handler, and the errors for bad ones."""
+
+import hmac
+from http import HTTPStatus
+from typing import Any
+
+import cherrypy
+from returns.result import Failure, Result, Success
+
+from wasabigw.codec.messages import MalformedMessage, decode
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.endpoints import MAX_PORT
+from wasabigw.tasks.http_server import error_response
+
+
+def read_message(expected: Any, limit: int) -> Result[Any, str]:
+    """Message in the body of the running request.
+
+    :param limit: largest body in bytes; a larger one ends the request with 413.
+    """
+    body = _read_body(limit)
+    if isinstance(body, Failure):
+        return body
+    decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected)
+    return decoded.alt(str)
+
+
+def has_token(expected: str) -> bool:
+    """Whether the running request carries a bearer token."""
+    header = cherrypy.request.headers.get("Authorization", "")
+    scheme, _, token = header.partition(" ")
+    matches = hmac.compare_digest(token.strip().encode(), expected.encode())
+    return scheme.lower() == "bearer" and bool(expected) and matches
+
+
+def unauthorized() -> bytes:
+    """Error for a request without the operators' token."""
+    cherrypy.response.headers["WWW-Authenticate"] = "Bearer"
+    return error_response(
+        HTTPStatus.UNAUTHORIZED,
+        "unauthorized",
+        "Send the operators' token as 'Authorization: Bearer TOKEN'.",
+    )
+
+
+def bad_request(problem: str) -> bytes:
+    """Error for a request that can't be understood."""
+    return error_response(HTTPStatus.BAD_REQUEST, "malformed", problem)
+
+
+def retry_later(error: str, message: str, seconds: float = 1.0) -> bytes:
+    """Error for a request that may succeed later."""
+    cherrypy.response.headers["Retry-After"] = f"{seconds:.0f}"
+    return error_response(HTTPStatus.SERVICE_UNAVAILABLE, error, message)
+
+
+def endpoint_from(text: Any) -> Endpoint | None:
+    """Endpoint from ``address:port``, or ``None``."""
+    if not isinstance(text, str):
+        return None
+    address, separator, port = text.rpartition(":")
+    if not separator or not address or not _is_number(port) or len(port) > 5:
+        return None
+    if not 0 < int(port) <= MAX_PORT:
+        return None
+    return Endpoint(address, int(port))
+
+
+def _read_body(limit: int) -> Result[bytes, str]:
+    text = cherrypy.request.headers.get("Content-Length", "")
+    if not _is_number(text):
+        return Failure("the header Content-Length must give the size of the body")
+    length = int(text)
+    if length > limit:
+        raise cherrypy.HTTPError(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            f"the body has {length} bytes; at most {limit} are accepted",
+        )
+    try:
+        data: bytes = cherrypy.request.rfile.read(length)
+    except TimeoutError:
+        cherrypy.response.headers["Connection"] = "close"
+        return Failure("the body did not arrive in time")
+    if len(data) != length:
+        return Failure(f"the body ended after {len(data)} of {length} bytes")
+    return Success(data)
+
+
+def _is_number(text: Any) -> bool:
+    return isinstance(text, str) and text.isascii() and text.isdecimal()
--- /dev/null
+++ b/src/wasabigw/tasks/http_server.py
@@ -0,0 +1,182 @@
+"""HTTP servers: a cherrypy application on a server of its own.
+
+The global engine, tree and server of cherrypy are not used, so that several
+servers fit in one process and none installs signal handlers or reloads code.
+"""
+
+import threading
+from collections.abc import Callable, Iterable
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any, Self
+
+import cherrypy
+from cheroot import wsgi
+from cheroot.server import HTTPConnection
+
+from wasabigw.codec.messages import encode
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.ids import Seconds
+from wasabigw.telemetry.events_http import HttpEvent
+from wasabigw.telemetry.log_events import log
+
+THREADS = 16
+"""Requests that one server handles at the same time."""
+WAITING_CONNECTIONS = 128
+"""Connections that wait for a thread; further ones get a 503."""
+IDLE_CONNECTIONS = 512
+"""Idle connections that are kept; beyond it a response closes its connection."""
+SESSION_IDLE = Seconds(30.0)
+"""An idle connection is closed after this time."""
+READ_TIMEOUT = Seconds(2.0)
+"""A connection that goes silent within a request is closed after this time."""
+MAX_HEADER_BYTES = 16_384
+JSON_TYPE = "application/json"
+
+WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
+
+
+@dataclass(frozen=True, slots=True)
+class ApiError:
+    """Body of an error response.
+
+    :param error: short code that programs can test.
+    :param message: what was wrong, where, and what to do.
+    """
+
+    error: str
+    message: str
+
+
+class _Connection(HTTPConnection):
+    """Connection that frees its thread when the client goes silent."""
+
+    def communicate(self) -> bool:
+        self.socket.settimeout(READ_TIMEOUT)
+        return bool(super().communicate())  # type: ignore[no-untyped-call]
+
+
+class HttpServer(AbstractContextManager["HttpServer"]):
+    """Server that runs while its context is open.
+
+    :param root: exposed object; its attributes are the path segments.
+    :param max_body: largest request body in bytes.
+    :param threads: requests handled at the same time.
+    """
+
+    def __init__(
+        self, name: str, bind: Endpoint, root: object, max_body: int, threads: int
+    ) -> None:
+        self._name = name
+        self._server = wsgi.Server(
+            (bind.address, bind.port),
+            _limited(_application(root), max_body),
+            numthreads=threads,
+            max=threads,
+            server_name=name,
+            request_queue_size=WAITING_CONNECTIONS,
+            timeout=int(SESSION_IDLE),
+            accepted_queue_size=WAITING_CONNECTIONS,
+            # The thread that accepts connections must not wait for a worker.
+            accepted_queue_timeout=0,
+        )
+        self._server.ConnectionClass = _Connection
+        self._server.keep_alive_conn_limit = IDLE_CONNECTIONS
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._thread = threading.Thread(
+            target=self._server.serve, name=f"http-{name}", daemon=True
+        )
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Address and port that the server listens on."""
+        address, port = self._server.bind_addr[:2]
+        return Endpoint(address, port)
+
+    def __enter__(self) -> Self:
+        self._server.prepare()
+        self._thread.start()
+        bound = self.endpoint
+        log(
+            HttpEvent.SERVER_STARTED,
+            name=self._name,
+            address=bound.address,
+            port=bound.port,
+        )
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._server.stop()
+        self._thread.join()
+
+
+def make_http_server(
+    name: str, bind: Endpoint, root: object, max_body: int, threads: int = THREADS
+) -> HttpServer:
+    """Server for an exposed object; port 0 takes a free one."""
+    return HttpServer(name, bind, root, max_body, threads)
+
+
+def json_response(status: int, message: Any, declared: Any = None) -> bytes:
+    """Set status and type of the running response; returns its body."""
+    cherrypy.response.status = int(status)
+    cherrypy.response.headers["Content-Type"] = JSON_TYPE
+    return encode(message, declared)
+
+
+def error_response(status: int, error: str, message: str) -> bytes:
+    """Error with a typed body."""
+    return json_response(status, ApiError(error, message))
+
+
+def _limited(application: WsgiApplication, max_body: int) -> WsgiApplication:
+    """Refuse larger bodies with a typed error; the server's own one is plain text.
+
+    The server closes the connection after a 413 without reading the body.
+    """
+
+    def respond(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
+        length = environ.get("CONTENT_LENGTH") or "0"
+        if not length.isdecimal() or int(length) <= max_body:
+            return application(environ, start_response)
+        text = f"the body has {length} bytes; at most {max_body} are accepted"
+        body = encode(ApiError("request-entity-too-large", text))
+        headers = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(body)))]
+        start_response("413 Request Entity Too Large", headers)
+        return [body]
+
+    return respond
+
+
+def _application(root: object) -> Any:
+    application = cherrypy.Application(
+        root,
+        "",
+        {
+            "/": {
+                "request.dispatch": cherrypy.dispatch.MethodDispatcher(),
+                "request.process_request_body": False,
+                "request.show_tracebacks": False,
+                "error_page.default": _error_page,
+            }
+        },
+    )
+    # Numbered events replace the logs of the framework.
+    for logger in (application.log.access_log, application.log.error_log):
+        logger.propagate = False
+        logger.disabled = True
+    return application
+
+
+def _error_page(status: str, message: str, traceback: str, version: str) -> bytes:
+    code, _, reason = status.partition(" ")
+    if int(code) >= 500:
+        log(HttpEvent.HANDLER_FAILED, traceback=cherrypy._cperror.format_exc())
+    cherrypy.response.headers["Content-Type"] = JSON_TYPE
+    return encode(ApiError(reason.lower().replace(" ", "-"), message))
