Split the home of backend servers into small modules

Announcements, changes of home and the records have modules of their own; the public interface is unchanged.

--- /dev/null
+++ b/src/wasabigw/core/home_announcements.py
@@ -0,0 +1,191 @@
+"""Announcements of backend servers at their home."""
+
+from wasabigw.core import cold_start, leases
+from wasabigw.core.commands import BackendServerUp
+from wasabigw.core.endpoints import backend_server_problem, report_problem
+from wasabigw.core.home_events import (
+    AnnouncementReceived,
+    HomeDecision,
+    ReplyToAnnouncement,
+    SendReports,
+)
+from wasabigw.core.home_records import (
+    MAX_HOMED,
+    HomedServer,
+    HomeState,
+    flow_limit,
+    return_to_first_step_if_cold,
+    send_due,
+    update_limit,
+)
+from wasabigw.core.ids import Seconds
+from wasabigw.core.log_messages import (
+    Announcement,
+    AnnouncementAccepted,
+    AnnouncementRedirected,
+    AnnouncementRefused,
+)
+from wasabigw.core.placement import home_among
+from wasabigw.core.states import BackendServerState, FlowLimit
+from wasabigw.core.timing import ANNOUNCE_LEASE, RAMP_STEPS
+
+REFUSED_RETRY = Seconds(5.0)
+"""When a refused backend server should try again; a quarantine lasts as long."""
+
+
+def answer_announcement(
+    event: AnnouncementReceived, state: HomeState
+) -> list[HomeDecision]:
+    """Grant or renew the lease of a backend server, or say where or why not."""
+    announcement, now = event.announcement, event.now
+    if state.cluster is None:
+        return [_refuse("this balancer has no view of the cluster yet", 1.0)]
+    report = _report_of(announcement)
+    malformed = report_problem(report)
+    if malformed is not None:
+        return [_refuse(malformed, None)]
+    nodes = state.cluster.nodes
+    home = home_among(announcement.id, announcement.failure_domain, nodes.values())
+    if home is None:
+        return [_refuse("no balancer is registered yet; try again", 1.0)]
+    if home != state.node:
+        redirected = AnnouncementRedirected(home, nodes[home].api)
+        return [ReplyToAnnouncement(redirected)]
+    problem = backend_server_problem(report, state.cluster)
+    if problem is not None:
+        return _refuse_registration(problem, report, state)
+    if announcement.id not in state.servers and len(state.servers) >= MAX_HOMED:
+        text = (
+            f"this balancer is the home of {MAX_HOMED} backend servers; add balancers"
+        )
+        return [_refuse(text, REFUSED_RETRY)]
+    record = _announced(announcement, state, now)
+    accepted = AnnouncementAccepted(ANNOUNCE_LEASE, state.node)
+    return [ReplyToAnnouncement(accepted), *send_due([record], state, now)]
+
+
+def _report_of(announcement: Announcement) -> BackendServerUp:
+    return BackendServerUp(
+        id=announcement.id,
+        service=announcement.service,
+        failure_domain=announcement.failure_domain,
+        endpoint=announcement.endpoint,
+        boot_id=announcement.boot_id,
+        slots=announcement.slots,
+        connections=announcement.connections,
+        state=announcement.state,
+        step=RAMP_STEPS[0],
+    )
+
+
+def _refuse(message: str, retry_after: float | None) -> ReplyToAnnouncement:
+    seconds = None if retry_after is None else Seconds(retry_after)
+    return ReplyToAnnouncement(AnnouncementRefused(message, seconds))
+
+
+def _refuse_registration(
+    problem: str, report: BackendServerUp, state: HomeState
+) -> list[HomeDecision]:
+    """Refuse, and stop to vouch for the service that was announced before."""
+    assert state.cluster is not None
+    decisions: list[HomeDecision] = [_refuse(problem, REFUSED_RETRY)]
+    known = state.cluster.backend_servers.get(report.id)
+    if known is None or known.service == report.service:
+        return decisions
+    if (known.failure_domain, known.endpoint) == (
+        report.failure_domain,
+        report.endpoint,
+    ):
+        record = state.servers.get(report.id)
+        if record is not None:
+            record.lease = None
+        decisions.append(SendReports((report,)))
+    return decisions
+
+
+def _announced(
+    announcement: Announcement, state: HomeState, now: Seconds
+) -> HomedServer:
+    record = state.servers.get(announcement.id)
+    if record is None or not _same_process(record, announcement):
+        record = _new_record(announcement, state, now)
+        state.servers[record.id] = record
+    record.homed_since = now if record.homed_since is None else record.homed_since
+    record.state = announcement.state
+    record.slots = announcement.slots
+    record.connections = announcement.connections
+    if not record.announced:
+        _take_over_count(record, announcement, state)
+    record.announced = True
+    record.lease = leases.renewed(record.lease, now)
+    cold_start.report_load(record.detector, _load_is_bad(announcement))
+    low = announcement.state is BackendServerState.COLD
+    cold_start.report_readiness(record.detector, low)
+    update_limit(record, state)
+    return_to_first_step_if_cold(record, now)
+    return record
+
+
+def _same_process(record: HomedServer, announcement: Announcement) -> bool:
+    return (record.boot_id, record.service, record.endpoint) == (
+        announcement.boot_id,
+        announcement.service,
+        announcement.endpoint,
+    )
+
+
+def _new_record(
+    announcement: Announcement, state: HomeState, now: Seconds
+) -> HomedServer:
+    """Record of a process that has just started, at the first ramp step."""
+    assert state.cluster is not None
+    former = state.servers.get(announcement.id)
+    ended = 0
+    if former is not None:
+        ended = former.admission.open_flows + former.admission.ended_flows
+    registered = state.cluster.backend_servers.get(announcement.id)
+    limits = flow_limit(
+        state.cluster.services.get(announcement.service),
+        announcement.slots,
+        announcement.connections,
+        RAMP_STEPS[0],
+        now,
+    )
+    limits.ended_flows = ended
+    return HomedServer(
+        id=announcement.id,
+        service=announcement.service,
+        failure_domain=announcement.failure_domain,
+        endpoint=announcement.endpoint,
+        boot_id=announcement.boot_id,
+        slots=announcement.slots,
+        connections=announcement.connections,
+        state=announcement.state,
+        admission=limits,
+        homed_since=now if former is None else former.homed_since,
+        confirmed_step=0 if registered is None else registered.step,
+    )
+
+
+def _take_over_count(
+    record: HomedServer, announcement: Announcement, state: HomeState
+) -> None:
+    """Take the larger of the counts of the last home and the backend server."""
+    assert state.cluster is not None
+    service = state.cluster.services.get(record.service)
+    by_slots = service is not None and service.limit_by is FlowLimit.SLOTS
+    load = announcement.load
+    reported = load.busy_slots if by_slots else load.open_connections
+    handed_over = state.counted.pop(record.id, 0)
+    record.admission.open_flows = max(
+        record.admission.open_flows, handed_over, reported
+    )
+
+
+def _load_is_bad(announcement: Announcement) -> bool:
+    load = announcement.load
+    return (
+        not load.healthy
+        or load.open_connections > announcement.connections
+        or load.busy_slots > announcement.slots
+    )
--- a/src/wasabigw/core/home_records.py
+++ b/src/wasabigw/core/home_records.py
@@ -1,9 +1,9 @@
 """State of the backend servers homed at one node, and the reports that are due."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from wasabigw.core import leases
+from wasabigw.core import admission, cold_start, leases
 from wasabigw.core.admission import Admission, Ramp
 from wasabigw.core.cluster import (
     BackendServer,
@@ -11,7 +11,7 @@
     Endpoint,
     Service,
 )
-from wasabigw.core.cold_start import ColdStartDetector
+from wasabigw.core.cold_start import ColdStartDetector, ColdVerdict
 from wasabigw.core.commands import (
     BackendServerDown,
     BackendServerDraining,
@@ -20,6 +20,7 @@
     BackendServerUp,
     Report,
 )
+from wasabigw.core.home_events import HomeDecision, SendReports
 from wasabigw.core.ids import (
     BackendServerId,
     BootId,
@@ -226,3 +227,34 @@
     if announced not in LEAVING_STATES or announced is known:
         return False
     return known is not BackendServerState.LEAVING
+
+
+def return_to_first_step_if_cold(record: HomedServer, now: Seconds) -> None:
+    """Restart the ramp if the signals together say that it is cold."""
+    if cold_start.verdict(record.detector, now) is ColdVerdict.COLD:
+        admission.restart_ramp(record.admission, now)
+        cold_start.forget_recent(record.detector)
+
+
+def _due_of(record: HomedServer, state: HomeState, now: Seconds) -> list[Report]:
+    if state.cluster is None:
+        return []
+    fresh = state.fresh_until is None or now < state.fresh_until
+    registered = state.cluster.backend_servers.get(record.id)
+    return due_reports(record, registered, fresh, now)
+
+
+def update_limit(record: HomedServer, state: HomeState) -> None:
+    """Follow the announced limits and the service's choice between them."""
+    assert state.cluster is not None
+    service = state.cluster.services.get(record.service)
+    record.admission.limit = open_limit(service, record.slots, record.connections)
+    record.admission.connections = record.connections
+
+
+def send_due(
+    records: Iterable[HomedServer], state: HomeState, now: Seconds
+) -> list[HomeDecision]:
+    """Decision that sends the due reports of some backend servers, if any."""
+    reports = [report for record in records for report in _due_of(record, state, now)]
+    return [SendReports(tuple(reports))] if reports else []
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from wasabigw.codec import messages
-from wasabigw.core import commands
+from wasabigw.core import commands, ids
 from wasabigw.core.apply import Outcome, apply
 from wasabigw.core.cluster import (
     Applied,
@@ -21,18 +21,6 @@
     Service,
     endpoint_key,
 )
-from wasabigw.core.ids import (
-    BackendServerId,
-    BootId,
-    BucketNumber,
-    FailureDomainId,
-    Incarnation,
-    NodeId,
-    RegionId,
-    RequestId,
-    Revision,
-    ServiceId,
-)
 from wasabigw.core.states import (
     BackendServerState,
     CandidateReason,
@@ -43,14 +31,16 @@
 )
 from wasabigw.core.timing import REMEMBERED_REQUESTS
 
-DOMAINS = [FailureDomainId(name) for name in ("recife", "fortaleza")]
-SERVICES = [ServiceId("seats"), ServiceId("documents")]
+DOMAINS = [ids.FailureDomainId(name) for name in ("recife", "fortaleza")]
+SERVICES = [ids.ServiceId("seats"), ids.ServiceId("documents")]
 ADDRESSES = [f"10.0.0.{number}" for number in range(1, 5)]
 SEEDS = range(60)
-SERVERS = [BackendServerId(f"b{number}") for number in range(4)]
+SERVERS = [ids.BackendServerId(f"b{number}") for number in range(4)]
 
 
-def service(name: ServiceId, address: str, *domains: FailureDomainId) -> Service:
+def service(
+    name: ids.ServiceId, address: str, *domains: ids.FailureDomainId
+) -> Service:
     """A TCP service at port 80 of an address."""
     return Service(name, Endpoint(address, 80), Protocol.TCP, tuple(domains or DOMAINS))
 
@@ -58,18 +48,18 @@
 def up(
     name: str,
     address: str,
-    service_id: ServiceId = SERVICES[0],
+    service_id: ids.ServiceId = SERVICES[0],
     boot: str = "x",
-    domain: FailureDomainId = DOMAINS[0],
+    domain: ids.FailureDomainId = DOMAINS[0],
     step: int = 8,
 ) -> commands.BackendServerUp:
     """A backend server that is ready."""
     return commands.BackendServerUp(
-        BackendServerId(name),
+        ids.BackendServerId(name),
         service_id,
         domain,
         Endpoint(address, 80),
-        BootId(boot),
+        ids.BootId(boot),
         4,
         2000,
         BackendServerState.READY,
@@ -83,23 +73,25 @@
     def __init__(self) -> None:
         self.state = ClusterState()
         self.entries: list[commands.Command] = []
-        domains = tuple(FailureDomain(name, RegionId("ne")) for name in DOMAINS)
+        domains = tuple(FailureDomain(name, ids.RegionId("ne")) for name in DOMAINS)
         services = (service(SERVICES[0], "10.0.0.200"),)
         self.change(commands.ReplaceConfiguration(services, domains))
 
     def append(self, command: commands.Command) -> Outcome:
         self.entries.append(command)
-        return apply(command, Revision(len(self.entries)), self.state)
+        return apply(command, ids.Revision(len(self.entries)), self.state)
 
     def change(self, change: commands.Change, expected: int | None = None) -> Outcome:
         revision = self.state.configuration_revision if expected is None else expected
-        request = RequestId(f"r{len(self.entries)}")
-        return self.append(commands.ChangeRequest(request, Revision(revision), change))
+        request = ids.RequestId(f"r{len(self.entries)}")
+        return self.append(
+            commands.ChangeRequest(request, ids.Revision(revision), change)
+        )
 
     def report(self, *reports: commands.Report) -> None:
         self.append(commands.ReportBatch(reports))
 
-    def owners(self, service_id: ServiceId = SERVICES[0]) -> set[Any]:
+    def owners(self, service_id: ids.ServiceId = SERVICES[0]) -> set[Any]:
         return set(self.state.buckets[service_id].current)
 
 
@@ -108,7 +100,7 @@
     server, domain = random.choice(SERVERS), random.choice(DOMAINS)
     service_id, address = random.choice(SERVICES), random.choice(ADDRESSES)
     boot = random.choice("xy")
-    some = tuple(BucketNumber(b) for b in range(0, 256, 3))
+    some = tuple(ids.BucketNumber(b) for b in range(0, 256, 3))
     reason = random.choice([CandidateReason.DIVERTED, CandidateReason.FORMER])
     steps: list[Any] = [
         commands.CreateService(service(service_id, address)),
@@ -117,10 +109,12 @@
         commands.TakeFailureDomainOut(domain),
         commands.BringFailureDomainBack(domain),
         commands.DrainBackendServer(server),
-        commands.BackendServerDown(server, BootId(boot)),
-        commands.BackendServerStep(server, BootId(boot), random.choice([1, 2, 8, 3])),
+        commands.BackendServerDown(server, ids.BootId(boot)),
+        commands.BackendServerStep(
+            server, ids.BootId(boot), random.choice([1, 2, 8, 3])
+        ),
         commands.BackendServerOverloaded(server, random.random() < 0.5),
-        commands.CandidatesReleased(service_id, server, some, Revision(20)),
+        commands.CandidatesReleased(service_id, server, some, ids.Revision(20)),
         commands.CandidatesAdded(service_id, server, some, reason),
         Endpoint(address, 80),
     ]
@@ -147,7 +141,7 @@
     """Append a step; an endpoint stands for the end of its quarantine."""
     if isinstance(step, Endpoint):
         held = log.state.quarantine.get(endpoint_key(step))
-        since = held.since if held else Revision(0)
+        since = held.since if held else ids.Revision(0)
         log.report(commands.EndpointReleased(step, since))
     elif isinstance(step, commands.Change):
         log.change(step)
@@ -187,7 +181,7 @@
     def test_an_endpoint_changes_its_service_only_through_quarantine(self) -> None:
         for seed in SEEDS:
             log = Log()
-            owners: dict[str, ServiceId] = {}
+            owners: dict[str, ids.ServiceId] = {}
             for step in random_steps(seed):
                 released = isinstance(step, Endpoint)
                 run_step(log, step)
@@ -208,7 +202,7 @@
                 if index == seed % 40:
                     text = messages.encode(other)
                     other = messages.decode(text, ClusterState).unwrap()
-                apply(command, Revision(index + 1), other)
+                apply(command, ids.Revision(index + 1), other)
             same = messages.encode(other) == messages.encode(log.state)
             self.assertTrue(same, seed)
 
@@ -238,7 +232,7 @@
         self.assertIsInstance(outcomes[0], Success)
         refusal = outcomes[1].failure()
         self.assertIs(refusal.code, RefusalCode.CONFLICT)
-        self.assertEqual(refusal.configuration_revision, Revision(2))
+        self.assertEqual(refusal.configuration_revision, ids.Revision(2))
         out = log.state.failure_domains[DOMAINS[1]]
         self.assertIs(out.state, FailureDomainState.IN_SERVICE)
 
@@ -248,22 +242,22 @@
         log = Log()
         seen = log.state.configuration_revision
         request = commands.ChangeRequest(
-            RequestId("again"), seen, commands.TakeFailureDomainOut(DOMAINS[0])
+            ids.RequestId("again"), seen, commands.TakeFailureDomainOut(DOMAINS[0])
         )
         first = log.append(request)
         log.change(commands.BringFailureDomainBack(DOMAINS[0]))
         self.assertEqual(log.append(request), first)
-        self.assertEqual(first, Success(Applied(Revision(2), Revision(2))))
+        self.assertEqual(first, Success(Applied(ids.Revision(2), ids.Revision(2))))
         back = log.state.failure_domains[DOMAINS[0]]
         self.assertIs(back.state, FailureDomainState.IN_SERVICE)
-        self.assertEqual(log.state.revision, Revision(4))
+        self.assertEqual(log.state.revision, ids.Revision(4))
 
     def test_oldest_request_ids_are_dropped_at_the_limit(self) -> None:
         log = Log()
         for number in range(REMEMBERED_REQUESTS + 5):
             request = commands.ChangeRequest(
-                RequestId(f"n{number}"),
-                Revision(999_999),
+                ids.RequestId(f"n{number}"),
+                ids.Revision(999_999),
                 commands.TakeFailureDomainOut(DOMAINS[0]),
             )
             log.append(request)
@@ -274,7 +268,7 @@
     def test_a_refused_configuration_changes_nothing(self) -> None:
         log = Log()
         log.report(up("b1", "10.0.0.1"))
-        domains = tuple(FailureDomain(name, RegionId("ne")) for name in DOMAINS)
+        domains = tuple(FailureDomain(name, ids.RegionId("ne")) for name in DOMAINS)
         seats = log.state.services[SERVICES[0]]
         moved = replace(seats, endpoint=Endpoint("10.0.0.9", 80))
         taken = service(SERVICES[1], "10.0.0.1")
@@ -287,7 +281,7 @@
             commands.ReplaceConfiguration((seats, seats), domains),
             commands.CreateService(service(SERVICES[1], "10.0.0.999")),
             commands.CreateService(
-                service(SERVICES[1], "10.0.0.4", FailureDomainId("?"))
+                service(SERVICES[1], "10.0.0.4", ids.FailureDomainId("?"))
             ),
         ]
         for change in bad:
@@ -313,12 +307,12 @@
         self.assertEqual(reasons, {CandidateReason.DEPARTED})
         log.change(commands.BringFailureDomainBack(DOMAINS[0]))
         current = log.state.buckets[SERVICES[0]].current
-        self.assertEqual(current.count(BackendServerId("b1")), round(256 / 9))
+        self.assertEqual(current.count(ids.BackendServerId("b1")), round(256 / 9))
 
     def test_a_generated_configuration_does_not_bring_a_domain_back(self) -> None:
         log = Log()
         log.change(commands.TakeFailureDomainOut(DOMAINS[0]))
-        domains = tuple(FailureDomain(name, RegionId("ne")) for name in DOMAINS)
+        domains = tuple(FailureDomain(name, ids.RegionId("ne")) for name in DOMAINS)
         log.change(commands.ReplaceConfiguration((), domains))
         out = log.state.failure_domains[DOMAINS[0]]
         self.assertIs(out.state, FailureDomainState.OUT_OF_SERVICE)
@@ -336,9 +330,9 @@
         log = Log()
         log.report(up("b1", "10.0.0.1"), up("b2", "10.0.0.2"))
         log.report(up("b2", "10.0.0.2", boot="y"))
-        restarted = log.state.backend_servers[BackendServerId("b2")]
+        restarted = log.state.backend_servers[ids.BackendServerId("b2")]
         self.assertEqual((restarted.index, restarted.step), (1, 1))
-        name, old = restarted.id, BootId("x")
+        name, old = restarted.id, ids.BootId("x")
         log.report(
             commands.BackendServerDown(name, old),
             commands.BackendServerStep(name, old, 8),
@@ -357,11 +351,11 @@
         log.report(move)
         self.assertEqual(log.state.backend_servers, {})
         held = log.state.quarantine["10.0.0.1:80"]
-        late = commands.EndpointReleased(held.endpoint, Revision(held.since - 1))
+        late = commands.EndpointReleased(held.endpoint, ids.Revision(held.since - 1))
         log.report(late, move)
         self.assertEqual(log.state.backend_servers, {})
         log.report(commands.EndpointReleased(held.endpoint, held.since), move)
-        moved = log.state.backend_servers[BackendServerId("b1")]
+        moved = log.state.backend_servers[ids.BackendServerId("b1")]
         self.assertEqual((moved.service, moved.index), (SERVICES[1], 1))
 
     def test_overload_names_the_next_one_that_serves_until_it_ends(self) -> None:
@@ -372,23 +366,23 @@
             up("b3", "10.0.0.3", domain=DOMAINS[1]),
         )
         log.change(commands.TakeFailureDomainOut(DOMAINS[1]))
-        log.report(commands.BackendServerOverloaded(BackendServerId("b1"), True))
+        log.report(commands.BackendServerOverloaded(ids.BackendServerId("b1"), True))
         table = log.state.buckets[SERVICES[0]]
         mine = [b for b in range(256) if table.current[b] == "b1"]
         relief = [
-            [c for c in table.others[BucketNumber(b)] if c.backend_server == "b2"]
+            [c for c in table.others[ids.BucketNumber(b)] if c.backend_server == "b2"]
             for b in mine
         ]
         self.assertEqual({c.reason for [c] in relief}, {CandidateReason.OVERFLOW})
         release = commands.CandidatesReleased(
             SERVICES[0],
-            BackendServerId("b2"),
-            tuple(BucketNumber(b) for b in mine),
+            ids.BackendServerId("b2"),
+            tuple(ids.BucketNumber(b) for b in mine),
             log.state.revision,
         )
         log.report(release)
-        self.assertIn(relief[0][0], table.others[BucketNumber(mine[0])])
-        log.report(commands.BackendServerOverloaded(BackendServerId("b1"), False))
+        self.assertIn(relief[0][0], table.others[ids.BucketNumber(mine[0])])
+        log.report(commands.BackendServerOverloaded(ids.BackendServerId("b1"), False))
         log.report(release)
         names = {c.backend_server for cs in table.others.values() for c in cs}
         self.assertEqual(names, {"b3"})
@@ -401,16 +395,16 @@
         log = Log()
         here = Endpoint("10.9.0.1", 6081)
         nodes = [
-            Node(NodeId(name), DOMAINS[0], here, here, Incarnation("1"))
+            Node(ids.NodeId(name), DOMAINS[0], here, here, ids.Incarnation("1"))
             for name in ("n1", "n2")
         ]
         log.report(*(commands.NodeUp(node) for node in nodes))
-        log.change(commands.DrainBalancer(NodeId("n1")))
+        log.change(commands.DrainBalancer(ids.NodeId("n1")))
         log.report(commands.NodeUp(nodes[0]))
-        self.assertIs(log.state.nodes[NodeId("n1")].state, NodeState.DRAINING)
-        refused = log.change(commands.DrainBalancer(NodeId("n2")))
+        self.assertIs(log.state.nodes[ids.NodeId("n1")].state, NodeState.DRAINING)
+        refused = log.change(commands.DrainBalancer(ids.NodeId("n2")))
         self.assertIsInstance(refused, Failure)
-        again = replace(nodes[0], incarnation=Incarnation("2"))
+        again = replace(nodes[0], incarnation=ids.Incarnation("2"))
         log.report(commands.NodeUp(again))
-        log.report(commands.NodeDown(NodeId("n1"), Incarnation("1")))
-        self.assertEqual(log.state.nodes[NodeId("n1")], again)
+        log.report(commands.NodeDown(ids.NodeId("n1"), ids.Incarnation("1")))
+        self.assertEqual(log.state.nodes[ids.NodeId("n1")], again)
--- a/tests/test_backend_home.py
+++ b/tests/test_backend_home.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from wasabigw.core import backend_home as home
-from wasabigw.core import cold_start, commands
+from wasabigw.core import cold_start, commands, ids
 from wasabigw.core.admission import allowed_flows
 from wasabigw.core.apply import apply
 from wasabigw.core.backend_home import AdmissionVerdict, OpeningResult, OpeningSignal
@@ -17,18 +17,6 @@
     Node,
     Service,
 )
-from wasabigw.core.ids import (
-    BackendServerId,
-    BootId,
-    FailureDomainId,
-    Incarnation,
-    NodeId,
-    RegionId,
-    RequestId,
-    Revision,
-    Seconds,
-    ServiceId,
-)
 from wasabigw.core.log_messages import (
     Announcement,
     AnnouncementAccepted,
@@ -38,12 +26,12 @@
 )
 from wasabigw.core.states import BackendServerState, FlowLimit, Protocol
 
-RECIFE = FailureDomainId("recife")
-SEATS = ServiceId("seats")
-DOCUMENTS = ServiceId("documents")
-B1 = BackendServerId("b1")
-NODES = [NodeId("n1"), NodeId("n2")]
-FOREVER = Seconds(1e9)
+RECIFE = ids.FailureDomainId("recife")
+SEATS = ids.ServiceId("seats")
+DOCUMENTS = ids.ServiceId("documents")
+B1 = ids.BackendServerId("b1")
+NODES = [ids.NodeId("n1"), ids.NodeId("n2")]
+FOREVER = ids.Seconds(1e9)
 
 
 def announcement(boot: str = "x", **changes: Any) -> Announcement:
@@ -53,7 +41,7 @@
         SEATS,
         RECIFE,
         Endpoint("10.0.0.1", 80),
-        BootId(boot),
+        ids.BootId(boot),
         BackendServerState.READY,
         4,
         2000,
@@ -64,7 +52,7 @@
 class Site:
     """A log whose reports are applied at once, and one home that follows it."""
 
-    def __init__(self, node: NodeId = NODES[0], nodes: int = 1) -> None:
+    def __init__(self, node: ids.NodeId = NODES[0], nodes: int = 1) -> None:
         self.cluster = ClusterState()
         self.state = home.make_home_state(node)
         self.dropped = False
@@ -79,23 +67,23 @@
             )
             for name, address in ((SEATS, "10.9.0.1"), (DOCUMENTS, "10.9.0.2"))
         ]
-        domains = (FailureDomain(RECIFE, RegionId("ne")),)
+        domains = (FailureDomain(RECIFE, ids.RegionId("ne")),)
         self.change(commands.ReplaceConfiguration(tuple(services), domains))
         self.join(*NODES[:nodes])
         home.confirm_view(self.state, FOREVER)
 
     def apply(self, command: commands.Command) -> None:
-        apply(command, Revision(self.cluster.revision + 1), self.cluster)
-        self.handle(home.HomesChanged(self.cluster, Seconds(self.now)))
+        apply(command, ids.Revision(self.cluster.revision + 1), self.cluster)
+        self.handle(home.HomesChanged(self.cluster, ids.Seconds(self.now)))
 
     def change(self, change: commands.Change) -> None:
-        request = RequestId(str(self.cluster.revision))
+        request = ids.RequestId(str(self.cluster.revision))
         expected = self.cluster.configuration_revision
         self.apply(commands.ChangeRequest(request, expected, change))
 
-    def join(self, *names: NodeId) -> None:
+    def join(self, *names: ids.NodeId) -> None:
         here = Endpoint("10.8.0.1", 6081)
-        nodes = [Node(name, RECIFE, here, here, Incarnation("1")) for name in names]
+        nodes = [Node(name, RECIFE, here, here, ids.Incarnation("1")) for name in names]
         self.apply(commands.ReportBatch(tuple(commands.NodeUp(n) for n in nodes)))
 
     def handle(self, event: Any) -> Any:
@@ -110,7 +98,7 @@
 
     def announce(self, boot: str = "x", **changes: Any) -> Any:
         message = announcement(boot, **changes)
-        return self.handle(home.AnnouncementReceived(message, Seconds(self.now)))
+        return self.handle(home.AnnouncementReceived(message, ids.Seconds(self.now)))
 
     def run(self, seconds: int, boot: str | None = "x", **changes: Any) -> None:
         """Pass time with one announcement (if ``boot`` is given) each second."""
@@ -118,10 +106,10 @@
             self.now += 1.0
             if boot is not None:
                 self.announce(boot, **changes)
-            self.handle(home.HomeTick(Seconds(self.now)))
+            self.handle(home.HomeTick(ids.Seconds(self.now)))
 
     def admit(self) -> AdmissionVerdict:
-        return home.admit(self.state, B1, Seconds(self.now))
+        return home.admit(self.state, B1, ids.Seconds(self.now))
 
     def admitted(self, tries: int = 20) -> int:
         return [self.admit() for _ in range(tries)].count(AdmissionVerdict.ADMITTED)
@@ -145,7 +133,7 @@
                 elif action < 0.65 and any(flows):
                     ended = random.choice([i for i, n in enumerate(flows) if n])
                     flows[ended] -= 1
-                    home.release(site.state, B1, Seconds(site.now))
+                    home.release(site.state, B1, ids.Seconds(site.now))
                 elif action < 0.98:
                     site.run(2, str(boots))
                 else:
@@ -172,7 +160,7 @@
         site.run(1)
         self.assertTrue(site.cluster.backend_servers[B1].overloaded)
         for _ in range(3):
-            home.release(site.state, B1, Seconds(site.now))
+            home.release(site.state, B1, ids.Seconds(site.now))
         site.run(5)
         self.assertTrue(site.cluster.backend_servers[B1].overloaded)
         site.run(10)
@@ -218,7 +206,7 @@
         self.assertEqual(site.step(), 8)
         refused = OpeningSignal(OpeningResult.REFUSED)
         for _ in range(6):
-            home.observe(site.state, B1, refused, Seconds(site.now))
+            home.observe(site.state, B1, refused, ids.Seconds(site.now))
         self.assertEqual(site.step(), 1)
 
     def test_a_misleading_endpoint_does_not_stop_the_ramp_for_ever(self) -> None:
@@ -233,26 +221,26 @@
     def detector(self, results: list[OpeningSignal]) -> cold_start.ColdStartDetector:
         detector = cold_start.ColdStartDetector()
         for signal in results:
-            cold_start.add_opening(detector, signal, Seconds(0.0))
+            cold_start.add_opening(detector, signal, ids.Seconds(0.0))
         return detector
 
     def test_slow_openings_turn_good_only_well_below_the_threshold(self) -> None:
-        usual = OpeningSignal(OpeningResult.ANSWERED, Seconds(0.01))
-        slow = OpeningSignal(OpeningResult.ANSWERED, Seconds(0.05))
-        better = OpeningSignal(OpeningResult.ANSWERED, Seconds(0.03))
+        usual = OpeningSignal(OpeningResult.ANSWERED, ids.Seconds(0.01))
+        slow = OpeningSignal(OpeningResult.ANSWERED, ids.Seconds(0.05))
+        better = OpeningSignal(OpeningResult.ANSWERED, ids.Seconds(0.03))
         detector = self.detector([usual] * 200 + [slow] * 20)
         doubtful, warm = cold_start.ColdVerdict.DOUBTFUL, cold_start.ColdVerdict.WARM
-        self.assertIs(cold_start.verdict(detector, Seconds(0.0)), doubtful)
+        self.assertIs(cold_start.verdict(detector, ids.Seconds(0.0)), doubtful)
         for signal, expected in ((better, doubtful), (usual, warm)):
             for _ in range(20):
-                cold_start.add_opening(detector, signal, Seconds(1.0))
-            self.assertIs(cold_start.verdict(detector, Seconds(1.0)), expected)
+                cold_start.add_opening(detector, signal, ids.Seconds(1.0))
+            self.assertIs(cold_start.verdict(detector, ids.Seconds(1.0)), expected)
 
     def test_old_and_few_openings_say_nothing(self) -> None:
         refused = OpeningSignal(OpeningResult.REFUSED)
         for count, age in ((4, 0.0), (20, 31.0)):
             detector = self.detector([refused] * count)
-            verdict = cold_start.verdict(detector, Seconds(age))
+            verdict = cold_start.verdict(detector, ids.Seconds(age))
             self.assertIs(verdict, cold_start.ColdVerdict.WARM)
 
 
@@ -271,7 +259,7 @@
         site.run(20)
         other = Site(NODES[1])
         other.cluster, other.now = site.cluster, site.now
-        down = commands.NodeDown(NODES[0], Incarnation("1"))
+        down = commands.NodeDown(NODES[0], ids.Incarnation("1"))
         other.join(NODES[1])
         other.apply(commands.ReportBatch((down,)))
         other.run(2, None)
@@ -292,16 +280,16 @@
         site.join(NODES[1])
         site.change(commands.DrainBalancer(NODES[0]))
         self.assertIs(site.admit(), AdmissionVerdict.NOT_ANNOUNCED)
-        now = Seconds(site.now)
+        now = ids.Seconds(site.now)
         self.assertTrue(home.may_send(site.state, B1, SEATS, now))
         self.assertFalse(home.may_send(site.state, B1, DOCUMENTS, now))
-        late = Seconds(site.now + 3.0)
+        late = ids.Seconds(site.now + 3.0)
         self.assertFalse(home.may_send(site.state, B1, SEATS, late))
 
     def test_stale_view_admits_only_shortly_after_a_renewal(self) -> None:
         site = Site()
         site.run(10)
-        home.confirm_view(site.state, Seconds(0.0))
+        home.confirm_view(site.state, ids.Seconds(0.0))
         self.assertIs(site.admit(), AdmissionVerdict.ADMITTED)
         site.now += 1.6
         self.assertIs(site.admit(), AdmissionVerdict.TAKEOVER_WAIT)
@@ -326,7 +314,7 @@
         site.dropped = True
         site.run(4, None)
         decisions = home.handle(
-            home.AnnouncementReceived(announcement(), Seconds(site.now)), site.state
+            home.AnnouncementReceived(announcement(), ids.Seconds(site.now)), site.state
         )
         sent = decisions[1]
         assert isinstance(sent, home.SendReports)
@@ -350,12 +338,12 @@
 
     def test_each_gets_a_reason_and_is_not_registered(self) -> None:
         cases: list[dict[str, Any]] = [
-            {"service": ServiceId("unknown")},
-            {"failure_domain": FailureDomainId("unknown")},
+            {"service": ids.ServiceId("unknown")},
+            {"failure_domain": ids.FailureDomainId("unknown")},
             {"endpoint": Endpoint("10.9.0.1", 80)},
             {"endpoint": Endpoint("::1", 80)},
             {"slots": 0},
-            {"id": BackendServerId("x" * 100)},
+            {"id": ids.BackendServerId("x" * 100)},
         ]
         for changes in cases:
             with self.subTest(changes):
@@ -370,7 +358,7 @@
         site.run(5)
         reply = site.announce("y", service=DOCUMENTS)
         self.assertIsInstance(reply, AnnouncementRefused)
-        now = Seconds(site.now)
+        now = ids.Seconds(site.now)
         self.assertFalse(home.may_send(site.state, B1, SEATS, now))
         self.assertEqual(site.cluster.backend_servers, {})
         self.assertIn("10.0.0.1:80", site.cluster.quarantine)
--- a/tests/test_control_clients.py
+++ b/tests/test_control_clients.py
@@ -8,18 +8,8 @@
 import cherrypy
 
 from wasabigw.codec.messages import decode
-from wasabigw.core import commands
+from wasabigw.core import commands, ids
 from wasabigw.core.cluster import Applied, Endpoint, Node, Refusal
-from wasabigw.core.ids import (
-    BackendServerId,
-    BootId,
-    FailureDomainId,
-    Incarnation,
-    NodeId,
-    Revision,
-    Seconds,
-    Term,
-)
 from wasabigw.core.log_messages import (
     ChangeOutcome,
     LogBatch,
@@ -35,15 +25,15 @@
 from wasabigw.tasks.report_sender import MAX_PENDING, make_report_sender
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
-SOON = Seconds(20.0)
+SOON = ids.Seconds(20.0)
 NODE = Node(
-    NodeId("n1"),
-    FailureDomainId("recife"),
+    ids.NodeId("n1"),
+    ids.FailureDomainId("recife"),
     Endpoint("10.0.0.1", 6081),
     Endpoint("10.0.0.1", 8080),
-    Incarnation("i1"),
+    ids.Incarnation("i1"),
 )
-DOWN = commands.BackendServerDown(BackendServerId("b1"), BootId("x"))
+DOWN = commands.BackendServerDown(ids.BackendServerId("b1"), ids.BootId("x"))
 
 
 class Voter:
@@ -82,9 +72,11 @@
 
 def batch(*revisions: int) -> LogBatch:
     """Batch with an entry for each revision."""
-    entry = commands.LeaderElected(NodeId("c1"))
-    entries = tuple(LogEntry(Revision(r), Term(1), entry) for r in revisions)
-    return LogBatch(Term(1), Revision(max(revisions, default=0)), Seconds(1.0), entries)
+    entry = commands.LeaderElected(ids.NodeId("c1"))
+    entries = tuple(LogEntry(ids.Revision(r), ids.Term(1), entry) for r in revisions)
+    return LogBatch(
+        ids.Term(1), ids.Revision(max(revisions, default=0)), ids.Seconds(1.0), entries
+    )
 
 
 class WithServers(unittest.TestCase):
@@ -129,7 +121,7 @@
         self.assertEqual((first["after"], first["incarnation"]), ("0", "i1"))
         self.assertEqual((first["data"], first["wait_ms"]), ("10.0.0.1:6081", "500"))
         self.assertEqual(self.received().batch, batch(1, 2))
-        follower.mailbox.post(AppliedRevision(Revision(2)))
+        follower.mailbox.post(AppliedRevision(ids.Revision(2)))
         self.assertEqual(voter.next()["after"], "2")
 
     def test_follows_a_redirection_and_passes_endpoints_without_a_leader(self) -> None:
@@ -162,22 +154,22 @@
         return sender
 
     def test_repeats_a_batch_with_the_same_id_until_it_is_accepted(self) -> None:
-        accepted = Applied(Revision(3), Revision(1))
+        accepted = Applied(ids.Revision(3), ids.Revision(1))
         voter = Voter((503, NotLeader(None)), (503, {"error": "busy"}), (200, accepted))
         sender = self.send(self.serve(voter), DOWN)
         requests = [voter.next() for _ in range(3)]
         self.assertEqual(requests[0], requests[1])
         self.assertEqual(requests[1], requests[2])
         self.assertEqual(requests[0].reports, (DOWN,))
-        step = commands.BackendServerStep(BackendServerId("b1"), BootId("x"), 2)
+        step = commands.BackendServerStep(ids.BackendServerId("b1"), ids.BootId("x"), 2)
         sender.mailbox.post(SendReports((step,)))
         following = voter.next()
         self.assertEqual(following.reports, (step,))
         self.assertNotEqual(following.report_id, requests[0].report_id)
 
     def test_a_refused_batch_does_not_block_the_next(self) -> None:
-        refusal = Refusal(RefusalCode.INVALID, "no", Revision(1))
-        accepted = Applied(Revision(1), Revision(1))
+        refusal = Refusal(RefusalCode.INVALID, "no", ids.Revision(1))
+        accepted = Applied(ids.Revision(1), ids.Revision(1))
         voter = Voter((422, refusal), (400, {}), (200, accepted))
         sender = self.send(self.serve(voter), DOWN)
         seen = [voter.next()]
@@ -188,13 +180,13 @@
 
     def test_newer_reports_replace_older_ones_and_the_queue_is_bounded(self) -> None:
         sender = make_report_sender(NODE.id, NODE.incarnation, [self.closed()])
-        name, boot = BackendServerId("b1"), BootId("x")
+        name, boot = ids.BackendServerId("b1"), ids.BootId("x")
         for step in (2, 4, 8):
             report = commands.BackendServerStep(name, boot, step)
             sender.receive(SendReports((report,)))
         self.assertEqual(list(sender._pending.values()), [report])
         many = tuple(
-            commands.BackendServerDown(BackendServerId(f"b{n}"), boot)
+            commands.BackendServerDown(ids.BackendServerId(f"b{n}"), boot)
             for n in range(MAX_PENDING + 5)
         )
         sender.receive(SendReports(many))
--- a/tests/test_http_balancer.py
+++ b/tests/test_http_balancer.py
@@ -12,15 +12,8 @@
 from returns.result import Success
 
 from wasabigw.codec.messages import encode
+from wasabigw.core import ids
 from wasabigw.core.cluster import Endpoint
-from wasabigw.core.ids import (
-    BackendServerId,
-    BootId,
-    FailureDomainId,
-    NodeId,
-    Seconds,
-    ServiceId,
-)
 from wasabigw.core.log_messages import (
     Announcement,
     AnnouncementAccepted,
@@ -40,11 +33,11 @@
 )
 
 ANNOUNCEMENT = Announcement(
-    BackendServerId("b1"),
-    ServiceId("seats"),
-    FailureDomainId("recife"),
+    ids.BackendServerId("b1"),
+    ids.ServiceId("seats"),
+    ids.FailureDomainId("recife"),
     Endpoint("10.0.0.1", 80),
-    BootId("x"),
+    ids.BootId("x"),
     BackendServerState.COLD,
     4,
     2000,
@@ -89,7 +82,7 @@
         seen: list[Any] = []
 
         def answer() -> None:
-            message = self.packets.get(Seconds(20.0)).unwrap()
+            message = self.packets.get(ids.Seconds(20.0)).unwrap()
             seen.append(message)
             message.reply.post(reply)
 
@@ -99,11 +92,11 @@
         return seen
 
     def test_announcement_outcomes_have_their_own_status(self) -> None:
-        node = NodeId("n2")
+        node = ids.NodeId("n2")
         cases: list[tuple[Any, int, str | None]] = [
-            (AnnouncementAccepted(Seconds(3.0), node), 200, None),
+            (AnnouncementAccepted(ids.Seconds(3.0), node), 200, None),
             (AnnouncementRedirected(node, OTHER_API), 307, "Location"),
-            (AnnouncementRefused("busy", Seconds(5.0)), 409, "Retry-After"),
+            (AnnouncementRefused("busy", ids.Seconds(5.0)), 409, "Retry-After"),
             (AnnouncementRefused("bad", None), 422, None),
         ]
         for outcome, status, header in cases:
@@ -120,7 +113,7 @@
                     self.assertIn(header, headers)
 
     def test_other_resources_reach_the_packet_task(self) -> None:
-        done = LocalOutDone(FailureDomainId("recife"))
+        done = LocalOutDone(ids.FailureDomainId("recife"))
         flow = "/v1/flows?protocol=tcp&caller=10.1.0.1:999&service=10.9.0.1:80"
         body = encode(Records(3))
         cases: list[tuple[str, str, bytes | None, type]] = [
@@ -169,7 +162,7 @@
         self.assertEqual(list(self.packets.drain()), [])
 
     def test_a_packet_task_that_does_not_answer_gives_503(self) -> None:
-        with mock.patch.object(http_balancer, "REPLY_TIMEOUT", Seconds(0.01)):
+        with mock.patch.object(http_balancer, "REPLY_TIMEOUT", ids.Seconds(0.01)):
             status, body, headers = self.ask("GET", "/v1/status")
         self.assertEqual((status, body["error"]), (503, "no-answer"))
         self.assertEqual(headers["Retry-After"], "1")
