Add the state machine of a voter

The checks fail, as they must, for three planted faults: acknowledging before the sync, no leader lease, and an emptied disk that passes for its predecessor.

--- /dev/null
+++ b/src/wasabigw/core/consensus/commit.py
@@ -0,0 +1,61 @@
+"""Advance of the commit index."""
+
+from dataclasses import replace
+
+from wasabigw.core.consensus.effects import ApplyEntries, Effect
+from wasabigw.core.consensus.lease import counted_voters
+from wasabigw.core.consensus.state import VoterState
+from wasabigw.core.consensus.voters import admissions
+from wasabigw.core.ids import Revision
+from wasabigw.core.states import VoterRole
+
+
+def commit_by_majority(state: VoterState) -> list[Effect]:
+    """Commit what a majority holds; only entries of the own term are counted."""
+    effects: list[Effect] = []
+    # The commit of an admission changes the majority, so look again after it.
+    while (revision := _held_by_majority(state)) > state.committed:
+        effects.extend(commit_up_to(state, revision))
+    return effects
+
+
+def commit_up_to(state: VoterState, revision: Revision) -> list[Effect]:
+    """Commit entries that are known to be committed."""
+    entries = tuple(state.log.after(state.committed, up_to=revision))
+    if not entries:
+        return []
+    state.committed = entries[-1].revision
+    for entry in entries:
+        for admission in admissions(entry.command):
+            state.members[admission.voter] = admission.incarnation
+    return [ApplyEntries(entries), *note_admission(state)]
+
+
+def note_admission(state: VoterState) -> list[Effect]:
+    """Record whether the committed voters include this incarnation.
+
+    A restarted voter commits its log anew and passes the admission of its
+    predecessor on the way; it stays admitted if a later entry admits it.
+    """
+    effects: list[Effect] = []
+    if state.members.get(state.node) == state.incarnation:
+        effects.extend(state.save(replace(state.record, admitted=True)))
+    elif state.electorate().members.get(state.node) != state.incarnation:
+        effects.extend(state.save(replace(state.record, admitted=False)))
+    if state.role in (VoterRole.FOLLOWER, VoterRole.AWAITING_ADMISSION):
+        effects.extend(state.change_role(state.idle_role(), state.leader))
+    return effects
+
+
+def _held_by_majority(state: VoterState) -> Revision:
+    voters = state.electorate()
+    candidates = {p.matched for p in state.progress.values()}
+    candidates.add(state.log.last_revision)
+    for revision in sorted(candidates, reverse=True):
+        if revision <= state.committed:
+            break
+        if state.log.term_at(revision) != state.term:
+            break
+        if voters.is_majority(counted_voters(state, revision)):
+            return revision
+    return state.committed
--- /dev/null
+++ b/src/wasabigw/core/consensus/election.py
@@ -0,0 +1,178 @@
+"""Pre-vote, election and the votes for others."""
+
+from dataclasses import replace
+
+from wasabigw.core.commands import LeaderElected
+from wasabigw.core.consensus.effects import (
+    AnswerMessage,
+    Effect,
+    SendMessage,
+    VoteRecord,
+)
+from wasabigw.core.consensus.messages import (
+    Body,
+    Envelope,
+    PreVoteRequest,
+    PreVoteResponse,
+    VoteRequest,
+    VoteResponse,
+)
+from wasabigw.core.consensus.replication import append_commands
+from wasabigw.core.consensus.state import Progress, VoterState
+from wasabigw.core.ids import Revision, Seconds, Term
+from wasabigw.core.states import VoterRole
+from wasabigw.core.timing import ELECTION_TIMEOUT_MIN
+
+
+def adopt_term(state: VoterState, term: Term) -> list[Effect]:
+    """Follow a higher term, without a vote in it."""
+    effects: list[Effect] = []
+    record = VoteRecord(term, admitted=state.record.admitted)
+    effects.extend(state.save(record))
+    effects.extend(step_down(state))
+    return effects
+
+
+def step_down(state: VoterState) -> list[Effect]:
+    """Stop leading or running; no leader is known."""
+    state.progress.clear()
+    state.votes.clear()
+    return [*state.change_role(state.idle_role(), None)]
+
+
+def start_pre_vote(state: VoterState, now: Seconds, draw: float) -> list[Effect]:
+    """Ask whether a majority would vote for this voter."""
+    state.draw_election(now, draw)
+    state.votes = {state.node}
+    effects: list[Effect] = [*state.change_role(VoterRole.PRE_CANDIDATE, None)]
+    if _has_won(state):
+        return effects + _start_election(state, now, draw)
+    request = PreVoteRequest(
+        Term(state.term + 1), state.log.last_revision, state.log.last_term
+    )
+    return effects + _to_all(state, request)
+
+
+def answer_pre_vote(
+    state: VoterState, request: PreVoteRequest, now: Seconds
+) -> list[Effect]:
+    """Grant a pre-vote only if a real vote would be granted."""
+    granted = (
+        request.candidate_term > state.term
+        and not _hears_leader(state, now)
+        and state.record.admitted
+        and _is_up_to_date(state, request.last_revision, request.last_term)
+    )
+    answer = PreVoteResponse(request.candidate_term, granted)
+    return [AnswerMessage(state.envelope(answer))]
+
+
+def count_pre_vote(
+    state: VoterState,
+    envelope: Envelope,
+    response: PreVoteResponse,
+    now: Seconds,
+    draw: float,
+) -> list[Effect]:
+    """Start the election once a majority would vote for this voter."""
+    if state.role is not VoterRole.PRE_CANDIDATE:
+        return []
+    if not response.granted or response.candidate_term != state.term + 1:
+        return []
+    _count(state, envelope)
+    return _start_election(state, now, draw) if _has_won(state) else []
+
+
+def ignores_vote_request(state: VoterState, now: Seconds) -> bool:
+    """Whether a vote request must not even change the term.
+
+    A leader lease may depend on this voter's last acknowledgement.
+    """
+    return _hears_leader(state, now)
+
+
+def answer_vote(
+    state: VoterState, envelope: Envelope, request: VoteRequest, now: Seconds
+) -> list[Effect]:
+    """Vote at most once in a term, durably."""
+    record = state.record
+    candidate = (envelope.sender, envelope.incarnation)
+    free = record.candidate is None
+    same = (record.candidate, record.candidate_incarnation) == candidate
+    granted = (
+        envelope.term == state.term
+        and not _hears_leader(state, now)
+        and record.admitted
+        and (free or same)
+        and _is_up_to_date(state, request.last_revision, request.last_term)
+    )
+    effects: list[Effect] = []
+    if granted:
+        vote = replace(
+            record, candidate=candidate[0], candidate_incarnation=candidate[1]
+        )
+        effects.extend(state.save(vote))
+        # Gives the candidate time to win before this voter runs itself.
+        state.election_at = max(state.election_at, Seconds(now + ELECTION_TIMEOUT_MIN))
+    effects.append(AnswerMessage(state.envelope(VoteResponse(granted))))
+    return effects
+
+
+def count_vote(
+    state: VoterState, envelope: Envelope, response: VoteResponse, now: Seconds
+) -> list[Effect]:
+    """Lead once a majority voted for this voter in its term."""
+    if state.role is not VoterRole.CANDIDATE:
+        return []
+    if not response.granted or envelope.term != state.term:
+        return []
+    _count(state, envelope)
+    return _start_to_lead(state, now) if _has_won(state) else []
+
+
+def _start_election(state: VoterState, now: Seconds, draw: float) -> list[Effect]:
+    state.draw_election(now, draw)
+    state.votes = {state.node}
+    term = Term(state.term + 1)
+    record = VoteRecord(term, state.node, state.incarnation, state.record.admitted)
+    effects: list[Effect] = [*state.save(record)]
+    effects.extend(state.change_role(VoterRole.CANDIDATE, None))
+    if _has_won(state):
+        return effects + _start_to_lead(state, now)
+    request = VoteRequest(state.log.last_revision, state.log.last_term)
+    return effects + _to_all(state, request)
+
+
+def _start_to_lead(state: VoterState, now: Seconds) -> list[Effect]:
+    state.leader_since = now
+    state.heartbeat_at = now
+    last = state.log.last_revision
+    state.progress = {peer: Progress(next_after=last) for peer in state.peers}
+    effects: list[Effect] = [*state.change_role(VoterRole.LEADER, state.node)]
+    effects.extend(append_commands(state, (LeaderElected(state.node),), now))
+    return effects
+
+
+def _count(state: VoterState, envelope: Envelope) -> None:
+    if state.electorate().members.get(envelope.sender) == envelope.incarnation:
+        state.votes.add(envelope.sender)
+
+
+def _has_won(state: VoterState) -> bool:
+    return state.electorate().is_majority(state.votes)
+
+
+def _hears_leader(state: VoterState, now: Seconds) -> bool:
+    if state.role is VoterRole.LEADER:
+        return True
+    return now - state.contact < ELECTION_TIMEOUT_MIN
+
+
+def _is_up_to_date(state: VoterState, revision: Revision, term: Term) -> bool:
+    own = (state.log.last_term, state.log.last_revision)
+    return (term, revision) >= own
+
+
+def _to_all(state: VoterState, body: Body) -> list[Effect]:
+    envelope = state.envelope(body)
+    return [SendMessage(peer, envelope) for peer in state.peers]
--- /dev/null
+++ b/src/wasabigw/core/consensus/lease.py
@@ -0,0 +1,57 @@
+"""What a leader may claim to be current, from the acknowledgements it has."""
+
+from wasabigw.core.cluster import NO_REVISION
+from wasabigw.core.consensus.state import NEVER, VoterState
+from wasabigw.core.ids import NodeId, Revision, Seconds
+from wasabigw.core.states import VoterRole
+from wasabigw.core.timing import LEADER_LEASE, VIEW_LEASE
+
+
+def counted_voters(state: VoterState, matched: Revision = NO_REVISION) -> set[NodeId]:
+    """Voters that count for the leader and hold the log up to ``matched``.
+
+    A voter counts only with the incarnation that the log names and once it
+    holds its own admission as committed.
+    """
+    members = state.electorate().members
+    found = {
+        peer
+        for peer, progress in state.progress.items()
+        if progress.admitted
+        and members.get(peer) == progress.incarnation
+        and progress.matched >= matched
+    }
+    if members.get(state.node) == state.incarnation:
+        found.add(state.node)
+    return found
+
+
+def majority_contact(state: VoterState, now: Seconds) -> Seconds:
+    """When the latest message was sent that a majority has acknowledged."""
+    voters = state.electorate()
+    counted = counted_voters(state)
+    contacts = {peer: state.progress[peer].contact for peer in counted - {state.node}}
+    if state.node in counted:
+        contacts[state.node] = now
+    for contact in sorted(contacts.values(), reverse=True):
+        if voters.is_majority({p for p, at in contacts.items() if at >= contact}):
+            return contact
+    return NEVER
+
+
+def is_current(state: VoterState, now: Seconds) -> bool:
+    """Whether this voter may answer as the leader.
+
+    It needs a committed entry of its own term, so that it knows of every
+    earlier commit, and a leader lease that has not expired.
+    """
+    if state.role is not VoterRole.LEADER:
+        return False
+    if state.log.term_at(state.committed) != state.term:
+        return False
+    return now - majority_contact(state, now) < LEADER_LEASE
+
+
+def fresh_for(state: VoterState, now: Seconds) -> Seconds:
+    """Rest of the view lease that a log poll gets; only of a current leader."""
+    return Seconds(max(0.0, VIEW_LEASE - (now - majority_contact(state, now))))
--- /dev/null
+++ b/src/wasabigw/core/consensus/messages.py
@@ -0,0 +1,138 @@
+"""Messages between voters.
+
+Every message travels in an :class:`Envelope`. A request is answered in the
+response of the same HTTP exchange, so a voter has at most one answer per request.
+"""
+
+from dataclasses import dataclass
+
+from wasabigw.core.cluster import ClusterState
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Term
+from wasabigw.core.log_messages import LogEntry
+
+NO_TERM = Term(0)
+"""Term before the first election."""
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Replicated state at one revision, in place of the entries up to it.
+
+    :param term: term of the entry at ``revision``.
+    :param state: never changed after the snapshot was taken.
+    """
+
+    revision: Revision
+    term: Term
+    state: ClusterState
+
+
+@dataclass(frozen=True, slots=True)
+class PreVoteRequest:
+    """Asks whether an election could succeed, without starting a term."""
+
+    candidate_term: Term
+    last_revision: Revision
+    last_term: Term
+
+
+@dataclass(frozen=True, slots=True)
+class PreVoteResponse:
+    """Answer to a pre-vote; binds nobody."""
+
+    candidate_term: Term
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class VoteRequest:
+    """Asks for the vote in the term of the envelope."""
+
+    last_revision: Revision
+    last_term: Term
+
+
+@dataclass(frozen=True, slots=True)
+class VoteResponse:
+    """Vote in the term of the envelope, durable if granted."""
+
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRequest:
+    """Entries that follow a revision; without entries, a heartbeat.
+
+    :param committed: commit index of the leader.
+    :param sent_at: leader's time, returned unchanged in the answer.
+    """
+
+    previous_revision: Revision
+    previous_term: Term
+    entries: tuple[LogEntry, ...]
+    committed: Revision
+    sent_at: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotRequest:
+    """Replaces the log of a follower that is too far behind."""
+
+    snapshot: Snapshot
+    sent_at: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class AppendResponse:
+    """Answer to :class:`AppendRequest` and :class:`SnapshotRequest`.
+
+    :param matched: the log is durable and equals the leader's up to here.
+    :param retry_after: without success, revision to continue after.
+    """
+
+    success: bool
+    matched: Revision
+    retry_after: Revision
+    sent_at: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionRequest:
+    """A voter with a new data directory asks to be admitted."""
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionResponse:
+    """Whether the admission is in the log of the leader."""
+
+    accepted: bool
+
+
+Body = (
+    PreVoteRequest
+    | PreVoteResponse
+    | VoteRequest
+    | VoteResponse
+    | AppendRequest
+    | SnapshotRequest
+    | AppendResponse
+    | AdmissionRequest
+    | AdmissionResponse
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A message with its sender.
+
+    :param incarnation: of the sender's data directory, so that a voter whose
+        disk was replaced is not taken for its predecessor.
+    :param admitted: whether the sender knows that its admission is committed.
+    :param term: current term of the sender.
+    """
+
+    sender: NodeId
+    incarnation: Incarnation
+    admitted: bool
+    term: Term
+    body: Body
--- /dev/null
+++ b/src/wasabigw/core/consensus/replication.py
@@ -0,0 +1,212 @@
+"""Replication from the leader to the other voters."""
+
+from collections.abc import Sequence
+
+from wasabigw.core.cluster import NO_REVISION
+from wasabigw.core.commands import Command, ReportBatch, VoterAdmitted
+from wasabigw.core.consensus.commit import (
+    commit_by_majority,
+    commit_up_to,
+    note_admission,
+)
+from wasabigw.core.consensus.effects import (
+    AnswerMessage,
+    AppendEntries,
+    Effect,
+    InstallSnapshot,
+    SendMessage,
+)
+from wasabigw.core.consensus.messages import (
+    AdmissionResponse,
+    AppendRequest,
+    AppendResponse,
+    Body,
+    Envelope,
+    SnapshotRequest,
+)
+from wasabigw.core.consensus.state import NEVER, Progress, VoterState
+from wasabigw.core.ids import NodeId, Revision, Seconds
+from wasabigw.core.log_messages import LogEntry
+from wasabigw.core.states import VoterRole
+from wasabigw.core.timing import HEARTBEAT_INTERVAL
+
+MAX_ENTRIES_PER_REQUEST = 64
+"""Bounds an append request to the body limit of the consensus endpoint."""
+
+RESEND_AFTER = Seconds(2 * HEARTBEAT_INTERVAL)
+"""A request that is not answered within this time counts as lost."""
+
+
+class CommittedEntryError(Exception):
+    """An entry that was committed would be replaced; the log cannot be trusted."""
+
+
+def append_commands(
+    state: VoterState, commands: Sequence[Command], now: Seconds
+) -> list[Effect]:
+    """Append commands at the leader and send them to the others."""
+    first = state.log.last_revision + 1
+    entries = tuple(
+        LogEntry(Revision(first + position), state.term, command)
+        for position, command in enumerate(commands)
+    )
+    state.log.append(entries)
+    effects: list[Effect] = [AppendEntries(entries)]
+    effects.extend(commit_by_majority(state))
+    for peer in state.peers:
+        effects.extend(send_next(state, peer, now))
+    return effects
+
+
+def send_next(state: VoterState, peer: NodeId, now: Seconds) -> list[Effect]:
+    """Send what a voter lacks, unless a request to it is under way."""
+    progress = state.progress[peer]
+    waiting = progress.awaiting_since
+    if waiting is not None and now - waiting < RESEND_AFTER:
+        return []
+    progress.awaiting_since = now
+    return [SendMessage(peer, state.envelope(_next_request(state, progress, now)))]
+
+
+def heartbeat(state: VoterState, now: Seconds) -> list[Effect]:
+    """Send to every voter that is not about to answer a request."""
+    state.heartbeat_at = Seconds(now + HEARTBEAT_INTERVAL)
+    return [effect for peer in state.peers for effect in send_next(state, peer, now)]
+
+
+def answer_append(
+    state: VoterState, envelope: Envelope, request: AppendRequest
+) -> list[Effect]:
+    """Append what follows the own log; the answer leaves after the sync."""
+    if envelope.term < state.term:
+        return [_append_answer(state, False, NO_REVISION, request.sent_at)]
+    if not _continues(state, request):
+        retry_after = state.log.conflict(request.previous_revision, state.committed)
+        return [_append_answer(state, False, retry_after, request.sent_at)]
+    effects = _append_new(state, request.entries)
+    matched = Revision(request.previous_revision + len(request.entries))
+    effects.extend(commit_up_to(state, Revision(min(request.committed, matched))))
+    effects.append(_append_answer(state, True, matched, request.sent_at))
+    return effects
+
+
+def answer_snapshot(
+    state: VoterState, envelope: Envelope, request: SnapshotRequest
+) -> list[Effect]:
+    """Continue after a snapshot of the leader."""
+    if envelope.term < state.term:
+        return [_append_answer(state, False, NO_REVISION, request.sent_at)]
+    snapshot = request.snapshot
+    effects: list[Effect] = []
+    if state.log.term_at(snapshot.revision) == snapshot.term:
+        effects.extend(commit_up_to(state, snapshot.revision))
+    elif snapshot.revision > state.committed:
+        state.log.reset(snapshot.revision, snapshot.term)
+        state.snapshot = snapshot
+        state.committed = snapshot.revision
+        state.members = dict(snapshot.state.voters)
+        effects.append(InstallSnapshot(snapshot))
+        effects.extend(note_admission(state))
+    effects.append(_append_answer(state, True, snapshot.revision, request.sent_at))
+    return effects
+
+
+def count_append(
+    state: VoterState, envelope: Envelope, response: AppendResponse, now: Seconds
+) -> list[Effect]:
+    """Note what a voter holds, commit, and send it what it still lacks."""
+    if state.role is not VoterRole.LEADER or envelope.term != state.term:
+        return []
+    progress = _progress_of(state, envelope)
+    if progress is None:
+        return []
+    progress.awaiting_since = None
+    progress.admitted = envelope.admitted
+    progress.contact = max(progress.contact, response.sent_at)
+    if response.success:
+        progress.matched = max(progress.matched, response.matched)
+        progress.next_after = max(progress.next_after, progress.matched)
+    else:
+        progress.next_after = max(response.retry_after, progress.matched)
+    effects = commit_by_majority(state)
+    if progress.next_after < state.log.last_revision or not response.success:
+        effects.extend(send_next(state, envelope.sender, now))
+    return effects
+
+
+def answer_admission(
+    state: VoterState, envelope: Envelope, now: Seconds
+) -> list[Effect]:
+    """Append the admission of a voter with a new data directory.
+
+    One admission at a time, and none before an entry of the own term is
+    committed: otherwise majorities before and after it need not overlap.
+    """
+    effects: list[Effect] = []
+    accepted = _may_admit(state, envelope)
+    if accepted:
+        _progress_of(state, envelope)
+        admission = VoterAdmitted(envelope.sender, envelope.incarnation)
+        effects.extend(append_commands(state, (ReportBatch((admission,)),), now))
+    effects.append(AnswerMessage(state.envelope(AdmissionResponse(accepted))))
+    return effects
+
+
+def _may_admit(state: VoterState, envelope: Envelope) -> bool:
+    voters = state.electorate()
+    return (
+        state.role is VoterRole.LEADER
+        and state.log.term_at(state.committed) == state.term
+        and envelope.sender in state.peers
+        and voters.pending is None
+        and voters.members.get(envelope.sender) != envelope.incarnation
+    )
+
+
+def _progress_of(state: VoterState, envelope: Envelope) -> Progress | None:
+    progress = state.progress.get(envelope.sender)
+    if progress is not None and progress.incarnation != envelope.incarnation:
+        # Another data directory: nothing that the predecessor held counts.
+        progress.incarnation = envelope.incarnation
+        progress.admitted = False
+        progress.matched = NO_REVISION
+        progress.contact = NEVER
+        progress.awaiting_since = None
+    return progress
+
+
+def _next_request(state: VoterState, progress: Progress, now: Seconds) -> Body:
+    after = progress.next_after
+    previous_term = state.log.term_at(after)
+    if after < state.log.available_after or previous_term is None:
+        return SnapshotRequest(state.snapshot, now)
+    entries = tuple(state.log.after(after, limit=MAX_ENTRIES_PER_REQUEST))
+    return AppendRequest(after, previous_term, entries, state.committed, now)
+
+
+def _continues(state: VoterState, request: AppendRequest) -> bool:
+    if request.previous_revision <= state.committed:
+        # Committed entries are the same at every voter.
+        return True
+    return state.log.term_at(request.previous_revision) == request.previous_term
+
+
+def _append_new(state: VoterState, entries: tuple[LogEntry, ...]) -> list[Effect]:
+    for position, entry in enumerate(entries):
+        if entry.revision <= state.committed:
+            known = state.log.term_at(entry.revision)
+            if known not in (None, entry.term):
+                raise CommittedEntryError(f"entry {entry.revision}")
+        elif state.log.term_at(entry.revision) != entry.term:
+            added = entries[position:]
+            state.log.append(added)
+            return [AppendEntries(added)]
+    return []
+
+
+def _append_answer(
+    state: VoterState, success: bool, revision: Revision, sent_at: Seconds
+) -> AnswerMessage:
+    matched = revision if success else NO_REVISION
+    response = AppendResponse(success, matched, revision, sent_at)
+    return AnswerMessage(state.envelope(response))
--- /dev/null
+++ b/src/wasabigw/core/consensus/state.py
@@ -0,0 +1,142 @@
+"""State of a voter, owned by its task."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from wasabigw.core.cluster import NO_REVISION
+from wasabigw.core.consensus.effects import RoleChanged, SaveVote, VoteRecord
+from wasabigw.core.consensus.log import ReplicatedLog
+from wasabigw.core.consensus.messages import Body, Envelope, Snapshot
+from wasabigw.core.consensus.voters import Electorate, electorate
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Term
+from wasabigw.core.log_messages import LogEntry
+from wasabigw.core.states import VoterRole
+from wasabigw.core.timing import ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN
+
+NEVER = Seconds(float("-inf"))
+
+
+@dataclass(slots=True)
+class Progress:
+    """What a leader knows of another voter.
+
+    :param incarnation: of its last answer; an answer with another one starts
+        anew.
+    :param next_after: revision after which the next entries are sent.
+    :param contact: when the last request that it acknowledged was sent.
+    :param awaiting_since: when the unanswered request was sent.
+    """
+
+    next_after: Revision
+    incarnation: Incarnation | None = None
+    admitted: bool = False
+    matched: Revision = NO_REVISION
+    contact: Seconds = NEVER
+    awaiting_since: Seconds | None = None
+
+
+@dataclass(slots=True)
+class VoterState:
+    """A voter of the replicated log.
+
+    :param peers: the other voters that the settings name.
+    :param log: entries that are durable once the effects were executed.
+    :param committed: revision up to which entries are known to be committed.
+    :param members: voters after the entry at ``committed``.
+    :param contact: when the voter last heard from a leader.
+    :param votes: voters that granted the running (pre-)election.
+    """
+
+    node: NodeId
+    incarnation: Incarnation
+    peers: tuple[NodeId, ...]
+    record: VoteRecord
+    log: ReplicatedLog
+    snapshot: Snapshot
+    committed: Revision
+    members: dict[NodeId, Incarnation]
+    role: VoterRole
+    contact: Seconds
+    election_at: Seconds
+    leader: NodeId | None = None
+    votes: set[NodeId] = field(default_factory=set)
+    progress: dict[NodeId, Progress] = field(default_factory=dict)
+    leader_since: Seconds = NEVER
+    heartbeat_at: Seconds = NEVER
+    admission_at: Seconds = NEVER
+
+    @property
+    def term(self) -> Term:
+        """Current term."""
+        return self.record.term
+
+    def electorate(self) -> Electorate:
+        """Voters as of the end of the log."""
+        return electorate(self.members, self.log.after(self.committed))
+
+    def envelope(self, body: Body) -> Envelope:
+        """Message of this voter."""
+        return Envelope(
+            self.node, self.incarnation, self.record.admitted, self.term, body
+        )
+
+    def save(self, record: VoteRecord) -> list[SaveVote]:
+        """Change the vote record; nothing if it stays as it is."""
+        if record == self.record:
+            return []
+        self.record = record
+        return [SaveVote(record)]
+
+    def change_role(self, role: VoterRole, leader: NodeId | None) -> list[RoleChanged]:
+        """Change the role; nothing if role and leader stay as they are."""
+        if (role, leader) == (self.role, self.leader):
+            return []
+        self.role = role
+        self.leader = leader
+        return [RoleChanged(role, self.term, leader)]
+
+    def idle_role(self) -> VoterRole:
+        """Role of a voter that neither leads nor runs for election."""
+        if self.record.admitted:
+            return VoterRole.FOLLOWER
+        return VoterRole.AWAITING_ADMISSION
+
+    def draw_election(self, now: Seconds, draw: float) -> None:
+        """Postpone the next election by a random timeout."""
+        spread = ELECTION_TIMEOUT_MAX - ELECTION_TIMEOUT_MIN
+        self.election_at = Seconds(now + ELECTION_TIMEOUT_MIN + spread * draw)
+
+
+def make_voter_state(
+    node: NodeId,
+    incarnation: Incarnation,
+    peers: tuple[NodeId, ...],
+    record: VoteRecord,
+    snapshot: Snapshot,
+    entries: Sequence[LogEntry],
+    now: Seconds,
+    draw: float,
+) -> VoterState:
+    """State of a voter that has just started, from what its disk holds.
+
+    The voter counts as if it had just heard from a leader, because it may have
+    acknowledged one immediately before it stopped.
+
+    :param snapshot: revision 0 and an empty state if there is none.
+    """
+    state = VoterState(
+        node=node,
+        incarnation=incarnation,
+        peers=peers,
+        record=record,
+        log=ReplicatedLog(snapshot.revision, snapshot.term, entries),
+        snapshot=snapshot,
+        committed=snapshot.revision,
+        members=dict(snapshot.state.voters),
+        role=VoterRole.FOLLOWER,
+        contact=now,
+        election_at=now,
+    )
+    state.role = state.idle_role()
+    state.draw_election(now, draw)
+    return state
--- /dev/null
+++ b/src/wasabigw/core/consensus/voter.py
@@ -0,0 +1,193 @@
+"""State machine of a voter: ``handle(event, state) -> effects``.
+
+Modelled on Raft (Ongaro and Ousterhout, USENIX ATC 2014) with pre-vote,
+check-quorum and a leader lease.
+"""
+
+from functools import singledispatch
+
+from wasabigw.core.consensus.effects import Effect, SaveSnapshot, SendMessage
+from wasabigw.core.consensus.election import (
+    adopt_term,
+    answer_pre_vote,
+    answer_vote,
+    count_pre_vote,
+    count_vote,
+    ignores_vote_request,
+    start_pre_vote,
+    step_down,
+)
+from wasabigw.core.consensus.events import (
+    ClockTick,
+    EnvelopeReceived,
+    Proposed,
+    SnapshotTaken,
+)
+from wasabigw.core.consensus.lease import majority_contact
+from wasabigw.core.consensus.messages import (
+    AdmissionRequest,
+    AdmissionResponse,
+    AppendRequest,
+    AppendResponse,
+    PreVoteRequest,
+    PreVoteResponse,
+    SnapshotRequest,
+    VoteRequest,
+    VoteResponse,
+)
+from wasabigw.core.consensus.replication import (
+    answer_admission,
+    answer_append,
+    answer_snapshot,
+    append_commands,
+    count_append,
+    heartbeat,
+)
+from wasabigw.core.consensus.state import VoterState
+from wasabigw.core.ids import Seconds
+from wasabigw.core.states import VoterRole
+from wasabigw.core.timing import ELECTION_TIMEOUT_MIN, LOG_KEPT_BEHIND_SNAPSHOT
+
+ADMISSION_RETRY = Seconds(1.0)
+"""How often a voter that is not admitted asks for it."""
+
+
+@singledispatch
+def handle(event: object, state: VoterState) -> list[Effect]:
+    """Decide on an event; the effects must be executed in order."""
+    raise TypeError(f"not a voter event: {event!r}")
+
+
+@handle.register
+def _(event: ClockTick, state: VoterState) -> list[Effect]:
+    if state.role is VoterRole.LEADER:
+        return _lead(state, event)
+    if not state.record.admitted:
+        return _ask_for_admission(state, event.now)
+    if event.now < state.election_at or _is_replaced(state):
+        return []
+    return start_pre_vote(state, event.now, event.draw)
+
+
+@handle.register
+def _(event: Proposed, state: VoterState) -> list[Effect]:
+    if state.role is not VoterRole.LEADER or not event.commands:
+        return []
+    return append_commands(state, event.commands, event.now)
+
+
+@handle.register
+def _(event: SnapshotTaken, state: VoterState) -> list[Effect]:
+    snapshot = event.snapshot
+    if not state.snapshot.revision < snapshot.revision <= state.committed:
+        return []
+    state.snapshot = snapshot
+    state.log.compact(snapshot.revision, snapshot.term, LOG_KEPT_BEHIND_SNAPSHOT)
+    return [SaveSnapshot(snapshot)]
+
+
+@handle.register
+def _(event: EnvelopeReceived, state: VoterState) -> list[Effect]:
+    effects: list[Effect] = []
+    if event.envelope.term > state.term and _changes_term(event, state):
+        effects.extend(adopt_term(state, event.envelope.term))
+    return effects + _receive(event.envelope.body, event, state)
+
+
+def _changes_term(event: EnvelopeReceived, state: VoterState) -> bool:
+    body = event.envelope.body
+    if isinstance(body, VoteRequest):
+        return not ignores_vote_request(state, event.now)
+    # A pre-vote must not disturb a leader; a voter that waits for its admission
+    # takes no part in terms.
+    return not isinstance(body, PreVoteRequest | AdmissionRequest)
+
+
+@singledispatch
+def _receive(body: object, event: EnvelopeReceived, state: VoterState) -> list[Effect]:
+    raise TypeError(f"not a consensus message: {body!r}")
+
+
+@_receive.register
+def _(body: PreVoteRequest, event: EnvelopeReceived, state: VoterState) -> list[Effect]:
+    return answer_pre_vote(state, body, event.now)
+
+
+@_receive.register
+def _(
+    body: PreVoteResponse, event: EnvelopeReceived, state: VoterState
+) -> list[Effect]:
+    return count_pre_vote(state, event.envelope, body, event.now, event.draw)
+
+
+@_receive.register
+def _(body: VoteRequest, event: EnvelopeReceived, state: VoterState) -> list[Effect]:
+    return answer_vote(state, event.envelope, body, event.now)
+
+
+@_receive.register
+def _(body: VoteResponse, event: EnvelopeReceived, state: VoterState) -> list[Effect]:
+    return count_vote(state, event.envelope, body, event.now)
+
+
+@_receive.register
+def _(body: AppendRequest, event: EnvelopeReceived, state: VoterState) -> list[Effect]:
+    effects = _follow(event, state)
+    return effects + answer_append(state, event.envelope, body)
+
+
+@_receive.register
+def _(
+    body: SnapshotRequest, event: EnvelopeReceived, state: VoterState
+) -> list[Effect]:
+    effects = _follow(event, state)
+    return effects + answer_snapshot(state, event.envelope, body)
+
+
+@_receive.register
+def _(body: AppendResponse, event: EnvelopeReceived, state: VoterState) -> list[Effect]:
+    return count_append(state, event.envelope, body, event.now)
+
+
+@_receive.register
+def _(
+    body: AdmissionRequest, event: EnvelopeReceived, state: VoterState
+) -> list[Effect]:
+    return answer_admission(state, event.envelope, event.now)
+
+
+@_receive.register
+def _(
+    body: AdmissionResponse, event: EnvelopeReceived, state: VoterState
+) -> list[Effect]:
+    return []
+
+
+def _follow(event: EnvelopeReceived, state: VoterState) -> list[Effect]:
+    if event.envelope.term < state.term:
+        return []
+    state.contact = event.now
+    state.draw_election(event.now, event.draw)
+    state.votes.clear()
+    return [*state.change_role(state.idle_role(), event.envelope.sender)]
+
+
+def _is_replaced(state: VoterState) -> bool:
+    return state.electorate().members.get(state.node) != state.incarnation
+
+
+def _lead(state: VoterState, event: ClockTick) -> list[Effect]:
+    now = event.now
+    since = max(majority_contact(state, now), state.leader_since)
+    if now - since >= ELECTION_TIMEOUT_MIN:
+        state.draw_election(now, event.draw)
+        return step_down(state)
+    return heartbeat(state, now) if now >= state.heartbeat_at else []
+
+
+def _ask_for_admission(state: VoterState, now: Seconds) -> list[Effect]:
+    if now < state.admission_at:
+        return []
+    state.admission_at = Seconds(now + ADMISSION_RETRY)
+    envelope = state.envelope(AdmissionRequest())
+    return [SendMessage(peer, envelope) for peer in state.peers]
--- /dev/null
+++ b/src/wasabigw/core/copying.py
@@ -0,0 +1,25 @@
+"""Copies of the replicated state that later commands do not change."""
+
+from wasabigw.core.cluster import BucketTable, ClusterState
+
+
+def copy_state(state: ClusterState) -> ClusterState:
+    """Independent copy; frozen values are shared."""
+    return ClusterState(
+        revision=state.revision,
+        configuration_revision=state.configuration_revision,
+        services=dict(state.services),
+        failure_domains=dict(state.failure_domains),
+        backend_servers=dict(state.backend_servers),
+        nodes=dict(state.nodes),
+        voters=dict(state.voters),
+        buckets={name: _copy_table(table) for name, table in state.buckets.items()},
+        quarantine=dict(state.quarantine),
+        requests=dict(state.requests),
+        next_backend_index=state.next_backend_index,
+    )
+
+
+def _copy_table(table: BucketTable) -> BucketTable:
+    others = {bucket: list(found) for bucket, found in table.others.items()}
+    return BucketTable(list(table.current), others, dict(table.moved_at))
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,253 @@
+"""Safety and availability of the replicated log under faults."""
+
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.voter_network import (
+    NODES,
+    Network,
+    SafetyError,
+    admitted_disks,
+    change,
+    empty_disk,
+    lose_disk_unnoticed,
+    run_with_faults,
+)
+from wasabigw.core.consensus import lease, voter
+from wasabigw.core.ids import Incarnation, Seconds
+from wasabigw.core.states import VoterRole
+from wasabigw.core.timing import LEADER_LEASE, VIEW_LEASE
+
+
+class RandomFaults(unittest.TestCase):
+    """Guards against accepted changes that are lost, replaced or read too late."""
+
+    @settings(max_examples=150)
+    @given(st.integers(0, 2**32))
+    def test_accepted_entries_never_change(self, seed: int) -> None:
+        run_with_faults(Network(seed))
+
+    @settings(max_examples=25)
+    @given(st.integers(0, 2**32))
+    def test_service_returns_when_the_faults_end(self, seed: int) -> None:
+        network = Network(seed)
+        run_with_faults(network)
+        network.cut_off.clear()
+        network.loss = 0.0
+        network.restart([node for node in NODES if node not in network.members])
+        leader = network.settle()
+        network.propose(leader)
+        network.run(3.0)
+        ends = {m.state.committed for m in network.members.values()}
+        self.assertEqual(len(ends), 1)
+        self.assertTrue(all(d.vote.admitted for d in network.disks.values()))
+
+
+class PlantedFaults(unittest.TestCase):
+    """Guards against safety checks that cannot fail."""
+
+    def assert_found(self, run: object) -> None:
+        assert callable(run)
+        for seed in range(200):
+            try:
+                run(seed)
+            except SafetyError:
+                return
+        self.fail("no seed found the planted fault")
+
+    def test_acknowledgement_before_sync_is_found(self) -> None:
+        self.assert_found(
+            lambda seed: run_with_faults(Network(seed, acknowledge_before_sync=True))
+        )
+
+    def test_leader_without_a_lease_is_found(self) -> None:
+        # The check of the quorum ends a leadership as well, so both are disabled.
+        with (
+            mock.patch.object(lease, "LEADER_LEASE", Seconds(60.0)),
+            mock.patch.object(voter, "ELECTION_TIMEOUT_MIN", Seconds(60.0)),
+        ):
+            self.assert_found(lambda seed: run_with_faults(Network(seed)))
+
+    def test_emptied_disk_that_is_counted_is_found(self) -> None:
+        def run(seed: int) -> None:
+            network = Network(seed)
+            leader = network.settle()
+            behind, other = (node for node in NODES if node != leader)
+            network.cut_off.add(behind)
+            network.propose(leader)
+            network.run(0.5)
+            lose_disk_unnoticed(network, other)
+            network.cut_off = {leader}
+            network.run(8.0)
+
+        self.assert_found(run)
+
+
+class Isolation(unittest.TestCase):
+    """Guards against an isolated leader that answers with old data."""
+
+    def test_isolated_leader_stops_answering_as_current(self) -> None:
+        network = Network(1)
+        leader = network.settle()
+        network.cut_off.add(leader)
+        network.run(LEADER_LEASE + 0.1)
+        self.assertFalse(network.is_current(leader))
+        successor = network.settle()
+        self.assertNotEqual(successor, leader)
+        network.propose(successor)
+        network.cut_off.clear()
+        network.run(2.0)
+        self.assertEqual(network.leader(), successor)
+
+    def test_view_lease_ends_after_the_last_contact_with_a_majority(self) -> None:
+        network = Network(2)
+        state = network.members[network.settle()].state
+        contact = lease.majority_contact(state, Seconds(network.now))
+        later = Seconds(contact + VIEW_LEASE / 2)
+        self.assertAlmostEqual(lease.fresh_for(state, later), VIEW_LEASE / 2)
+
+    def test_returning_voter_does_not_disturb_the_leader(self) -> None:
+        network = Network(3)
+        leader = network.settle()
+        other = next(node for node in NODES if node != leader)
+        network.cut_off.add(other)
+        network.run(20.0)
+        term = network.members[leader].state.term
+        network.cut_off.clear()
+        network.run(3.0)
+        self.assertEqual(network.leader(), leader)
+        self.assertEqual(network.members[leader].state.term, term)
+
+    def test_changes_of_a_cut_off_leader_are_replaced(self) -> None:
+        network = Network(4)
+        leader = network.settle()
+        network.cut_off.add(leader)
+        for _ in range(3):
+            network.propose(leader)
+        successor = network.settle()
+        while successor == leader:
+            network.run(0.5)
+            successor = network.settle()
+        network.propose(successor, [change(99)])
+        network.run(0.5)
+        network.cut_off.clear()
+        network.run(3.0)
+        commands = [entry.command for entry in network.committed.values()]
+        self.assertIn(change(99), commands)
+        self.assertNotIn(change(1), commands)
+
+
+class ReplacedDisk(unittest.TestCase):
+    """Guards against a voter that is counted although its disk was emptied."""
+
+    def test_voter_is_admitted_again_by_the_others(self) -> None:
+        network = Network(5)
+        leader = network.settle()
+        network.propose(leader)
+        other = next(node for node in NODES if node != leader)
+        network.replace_disk(other, empty_disk("new"))
+        self.assertIs(network.members[other].state.role, VoterRole.AWAITING_ADMISSION)
+        network.run(4.0)
+        self.assertTrue(network.disks[other].vote.admitted)
+        for member in network.members.values():
+            self.assertEqual(member.state.members[other], Incarnation("new"))
+
+    def test_voter_without_admission_gives_no_majority(self) -> None:
+        network = Network(6)
+        leader = network.settle()
+        other, third = (node for node in NODES if node != leader)
+        network.crash(third)
+        network.replace_disk(other, empty_disk("new"))
+        before = max(network.committed)
+        network.propose(leader)
+        network.run(10.0)
+        self.assertEqual(max(network.committed), before)
+        self.assertFalse(network.disks[other].vote.admitted)
+        network.restart([third])
+        network.settle()
+        network.run(5.0)
+        self.assertGreater(max(network.committed), before)
+        self.assertTrue(network.disks[other].vote.admitted)
+
+    def test_second_loss_right_after_a_repair_keeps_accepted_changes(self) -> None:
+        network = Network(7)
+        leader = network.settle()
+        other = next(node for node in NODES if node != leader)
+        network.propose(leader)
+        network.replace_disk(other, empty_disk("new"))
+        while Incarnation("new") not in network.members[leader].state.members.values():
+            network.step()
+        accepted = dict(network.committed)
+        network.crash(leader)
+        network.run(10.0)
+        network.restart([leader])
+        network.settle()
+        network.run(3.0)
+        for member in network.members.values():
+            self.assertGreaterEqual(member.state.committed, max(accepted))
+        self.assertTrue(network.disks[other].vote.admitted)
+
+    def test_first_voter_admits_the_others_one_by_one(self) -> None:
+        disks = {node: empty_disk(f"{node}1") for node in NODES}
+        first = admitted_disks()[NODES[0]]
+        first.snapshot.state.voters = {NODES[0]: Incarnation("a1")}
+        disks[NODES[0]] = first
+        network = Network(8, disks)
+        network.run(8.0)
+        self.assertTrue(all(disk.vote.admitted for disk in disks.values()))
+        network.crash(network.leader())
+        network.settle()
+
+    def test_restart_between_admission_and_its_commit(self) -> None:
+        disks = {node: empty_disk(f"{node}1") for node in NODES}
+        first = admitted_disks()[NODES[0]]
+        first.snapshot.state.voters = {NODES[0]: Incarnation("a1")}
+        disks[NODES[0]] = first
+        network = Network(9, disks)
+        while len(network.members[NODES[0]].state.electorate().members) < 2:
+            network.step()
+        network.crash(NODES[0])
+        network.restart([NODES[0]])
+        network.run(8.0)
+        self.assertTrue(all(disk.vote.admitted for disk in disks.values()))
+
+
+class CatchingUp(unittest.TestCase):
+    """Guards against a voter that stays behind after a long absence."""
+
+    def test_voter_that_was_away_for_hundreds_of_entries(self) -> None:
+        for entries in (300, 1500):
+            with self.subTest(entries=entries):
+                network = Network(10)
+                leader = network.settle()
+                other = next(node for node in NODES if node != leader)
+                network.crash(other)
+                for number in range(entries):
+                    network.propose(leader, [change(number)])
+                    if number % 20 == 0:
+                        network.step()
+                network.run(2.0)
+                network.restart([other])
+                network.run(8.0)
+                self.assertEqual(
+                    network.members[other].state.committed,
+                    network.members[leader].state.committed,
+                )
+
+    def test_whole_cluster_restarts(self) -> None:
+        network = Network(11)
+        leader = network.settle()
+        for _ in range(150):
+            network.propose(leader)
+        network.run(1.0)
+        accepted = max(network.committed)
+        for node in NODES:
+            network.crash(node)
+        network.restart(NODES)
+        network.settle()
+        network.run(1.0)
+        for member in network.members.values():
+            self.assertGreater(member.state.committed, accepted)
--- /dev/null
+++ b/tests/voter_network.py
@@ -0,0 +1,326 @@
+"""Three voters on an in-memory network that loses, repeats and reorders messages.
+
+The run is a function of the seed. Disks are objects that survive a crash.
+"""
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+from copy import deepcopy
+from dataclasses import dataclass, field
+
+from wasabigw.core.cluster import ClusterState
+from wasabigw.core.commands import (
+    BringFailureDomainBack,
+    ChangeRequest,
+    Command,
+)
+from wasabigw.core.consensus import lease
+from wasabigw.core.consensus.effects import (
+    AnswerMessage,
+    AppendEntries,
+    ApplyEntries,
+    Effect,
+    InstallSnapshot,
+    SaveSnapshot,
+    SaveVote,
+    SendMessage,
+    VoteRecord,
+)
+from wasabigw.core.consensus.events import (
+    ClockTick,
+    EnvelopeReceived,
+    Proposed,
+    SnapshotTaken,
+    VoterEvent,
+)
+from wasabigw.core.consensus.messages import NO_TERM, Envelope, Snapshot
+from wasabigw.core.consensus.replication import CommittedEntryError
+from wasabigw.core.consensus.state import VoterState, make_voter_state
+from wasabigw.core.consensus.voter import handle
+from wasabigw.core.consensus.voters import admissions
+from wasabigw.core.copying import copy_state
+from wasabigw.core.ids import (
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    RequestId,
+    Revision,
+    Seconds,
+    Term,
+)
+from wasabigw.core.log_messages import LogEntry
+from wasabigw.core.states import VoterRole
+
+NODES = tuple(NodeId(name) for name in "abc")
+STEP = 0.05
+
+
+class SafetyError(AssertionError):
+    """Two voters disagree on what was accepted."""
+
+
+@dataclass(slots=True)
+class Disk:
+    """What survives a crash of a voter."""
+
+    incarnation: Incarnation
+    vote: VoteRecord
+    snapshot: Snapshot
+    entries: list[LogEntry] = field(default_factory=list)
+
+    def append(self, entries: Sequence[LogEntry]) -> None:
+        """Replace the end of the log."""
+        first = entries[0].revision
+        self.entries = [e for e in self.entries if e.revision < first]
+        self.entries.extend(entries)
+
+
+def empty_disk(incarnation: str) -> Disk:
+    """Disk of a voter that was never admitted."""
+    empty = Snapshot(Revision(0), NO_TERM, ClusterState())
+    return Disk(Incarnation(incarnation), VoteRecord(), empty)
+
+
+def admitted_disks() -> dict[NodeId, Disk]:
+    """Disks of a cluster whose voters were all admitted."""
+    voters = {node: Incarnation(f"{node}1") for node in NODES}
+    state = ClusterState(revision=Revision(1), voters=voters)
+    snapshot = Snapshot(Revision(1), Term(1), state)
+    vote = VoteRecord(Term(1), admitted=True)
+    return {node: Disk(name, vote, snapshot) for node, name in voters.items()}
+
+
+def change(number: int) -> ChangeRequest:
+    """A command that differs for each number."""
+    domain = FailureDomainId(f"domain-{number}")
+    return ChangeRequest(
+        RequestId(f"r{number}"), Revision(0), BringFailureDomainBack(domain)
+    )
+
+
+@dataclass(slots=True)
+class Member:
+    """A running voter."""
+
+    disk: Disk
+    state: VoterState
+    cluster: ClusterState
+    unsynced: list[Callable[[], None]] = field(default_factory=list)
+
+
+class Network:
+    """Voters, the messages between them and the checks.
+
+    :param acknowledge_before_sync: plants the fault that log entries become
+        durable only some time after they were acknowledged.
+    """
+
+    def __init__(
+        self,
+        seed: int = 0,
+        disks: dict[NodeId, Disk] | None = None,
+        acknowledge_before_sync: bool = False,
+    ) -> None:
+        self.random = random.Random(seed)
+        self.now = 0.0
+        self.disks = disks if disks is not None else admitted_disks()
+        self.members: dict[NodeId, Member] = {}
+        self.messages: list[tuple[NodeId, Envelope]] = []
+        self.cut_off: set[NodeId] = set()
+        self.committed: dict[Revision, LogEntry] = {}
+        self.leaders: dict[Term, tuple[NodeId, Incarnation]] = {}
+        self.loss = 0.0
+        self.proposed = 0
+        self._acknowledge_before_sync = acknowledge_before_sync
+        self.restart(self.disks)
+
+    def restart(self, nodes: Iterable[NodeId]) -> None:
+        """Start voters from their disks."""
+        for node in nodes:
+            disk = self.disks[node]
+            state = make_voter_state(
+                node,
+                disk.incarnation,
+                tuple(other for other in NODES if other != node),
+                disk.vote,
+                disk.snapshot,
+                tuple(disk.entries),
+                Seconds(self.now),
+                self.random.random(),
+            )
+            cluster = copy_state(disk.snapshot.state)
+            self.members[node] = Member(disk, state, cluster)
+
+    def crash(self, node: NodeId) -> None:
+        """Stop a voter; what was not synced is lost."""
+        del self.members[node]
+
+    def replace_disk(self, node: NodeId, disk: Disk) -> None:
+        """Restart a voter with another disk."""
+        self.members.pop(node, None)
+        self.disks[node] = disk
+        self.restart([node])
+
+    def propose(self, node: NodeId, commands: Sequence[Command] = ()) -> None:
+        """Propose commands at a voter; a new one by default."""
+        if not commands:
+            self.proposed += 1
+            commands = (change(self.proposed),)
+        self._decide(node, Proposed(tuple(commands), Seconds(self.now)))
+
+    def step(self) -> None:
+        """Let time pass and deliver messages in a random order."""
+        self.now += STEP
+        for node in list(self.members):
+            tick = ClockTick(Seconds(self.now), self.random.random())
+            self._decide(node, tick)
+        for _ in range(self.random.randint(0, len(self.messages) * 2)):
+            if self.messages:
+                self._deliver()
+        self.check()
+
+    def run(self, seconds: float) -> None:
+        """Run without further faults."""
+        for _ in range(round(seconds / STEP)):
+            self.step()
+
+    def leader(self) -> NodeId:
+        """The voter that answers as current; fails if there is none."""
+        found = [node for node in self.members if self.is_current(node)]
+        if len(found) != 1:
+            raise AssertionError(f"current leaders: {found}")
+        return found[0]
+
+    def settle(self) -> NodeId:
+        """Run until a voter answers as current."""
+        for _ in range(400):
+            self.step()
+            found = [node for node in self.members if self.is_current(node)]
+            if found:
+                return found[0]
+        raise AssertionError("no leader was elected")
+
+    def is_current(self, node: NodeId) -> bool:
+        """Whether a voter answers as current."""
+        return lease.is_current(self.members[node].state, Seconds(self.now))
+
+    def check(self) -> None:
+        """Fail if accepted entries differ, terms share leaders or reads are old."""
+        for node, member in self.members.items():
+            state = member.state
+            if state.role is VoterRole.LEADER:
+                leader = (node, state.incarnation)
+                if self.leaders.setdefault(state.term, leader) != leader:
+                    raise SafetyError(f"term {state.term} has two leaders")
+            newest = max(self.committed, default=0)
+            if self.is_current(node) and state.committed < newest:
+                raise SafetyError(f"{node} answers as current but lacks {newest}")
+
+    def _deliver(self) -> None:
+        position = self.random.randrange(len(self.messages))
+        recipient, envelope = self.messages[position]
+        if self.random.random() >= self.loss / 2:
+            # Otherwise the message stays and is delivered again.
+            del self.messages[position]
+        lost = self.random.random() < self.loss
+        if lost or {recipient, envelope.sender} & self.cut_off:
+            return
+        if recipient in self.members:
+            draw = self.random.random()
+            event = EnvelopeReceived(envelope, Seconds(self.now), draw)
+            self._decide(recipient, event, envelope.sender)
+
+    def _decide(
+        self, node: NodeId, event: VoterEvent, sender: NodeId | None = None
+    ) -> None:
+        member = self.members[node]
+        try:
+            effects = handle(event, member.state)
+        except CommittedEntryError as error:
+            raise SafetyError(f"{node}: {error}") from error
+        for effect in effects:
+            self._execute(node, member, effect, sender)
+        if member.state.committed - member.state.snapshot.revision >= 20:
+            self._take_snapshot(node, member)
+
+    def _take_snapshot(self, node: NodeId, member: Member) -> None:
+        revision = member.state.committed
+        term = member.state.log.term_at(revision)
+        assert term is not None
+        member.cluster.revision = revision
+        taken = SnapshotTaken(Snapshot(revision, term, copy_state(member.cluster)))
+        for effect in handle(taken, member.state):
+            self._execute(node, member, effect, None)
+
+    def _execute(
+        self, node: NodeId, member: Member, effect: Effect, sender: NodeId | None
+    ) -> None:
+        disk = member.disk
+        match effect:
+            case SaveVote(record):
+                disk.vote = record
+            case AppendEntries(entries):
+                self._append(member, entries)
+            case SaveSnapshot(snapshot):
+                disk.snapshot = snapshot
+            case InstallSnapshot(snapshot):
+                disk.snapshot = snapshot
+                disk.entries.clear()
+                member.cluster = copy_state(snapshot.state)
+            case ApplyEntries(entries):
+                self._apply(member, entries)
+            case SendMessage(recipient, envelope):
+                self.messages.append((recipient, envelope))
+            case AnswerMessage(envelope):
+                assert sender is not None
+                self.messages.append((sender, envelope))
+
+    def _append(self, member: Member, entries: tuple[LogEntry, ...]) -> None:
+        member.unsynced.append(lambda: member.disk.append(entries))
+        if self._acknowledge_before_sync and self.random.random() < 0.9:
+            return
+        for write in member.unsynced:
+            write()
+        member.unsynced.clear()
+
+    def _apply(self, member: Member, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            if self.committed.setdefault(entry.revision, entry) != entry:
+                raise SafetyError(f"entry {entry.revision} was accepted twice")
+            for admission in admissions(entry.command):
+                member.cluster.voters[admission.voter] = admission.incarnation
+            member.cluster.revision = entry.revision
+
+
+def run_with_faults(network: Network, steps: int = 600) -> None:
+    """Crash, restart, cut off and replace voters while changes are proposed.
+
+    At most one voter at a time is without its disk.
+    """
+    draw = network.random
+    network.loss = draw.choice((0.0, 0.05, 0.2))
+    replaced = 0
+    for _ in range(steps):
+        node = draw.choice(NODES)
+        action = draw.random()
+        if action < 0.02 and node in network.members:
+            network.crash(node)
+        elif action < 0.15 and node not in network.members:
+            network.restart([node])
+        elif action < 0.03:
+            network.cut_off = {node}
+        elif action < 0.06:
+            network.cut_off.clear()
+        elif action < 0.07 and all(d.vote.admitted for d in network.disks.values()):
+            replaced += 1
+            network.replace_disk(node, empty_disk(f"{node}-new-{replaced}"))
+        elif action < 0.6 and node in network.members:
+            network.propose(node)
+        network.step()
+
+
+def lose_disk_unnoticed(network: Network, node: NodeId) -> None:
+    """Planted fault: an emptied disk that passes for its predecessor."""
+    disk = deepcopy(admitted_disks()[node])
+    disk.vote = network.disks[node].vote
+    network.replace_disk(node, disk)
