Keep the log of a voter on disk

A voter must not acknowledge or vote before that is durable, and must notice a disk that lost its end. Opening gives exactly what was acknowledged or an error that names file, record and remedy.

--- /dev/null
+++ b/src/wasabigw/tasks/storage.py
@@ -0,0 +1,387 @@
+"""Data directory of a voter: identity, vote, acknowledged revision, log, snapshot.
+
+Every method returns only after its data is durable. After a failed write or sync
+the state of the disk is unknown, so the storage refuses all further writes; the
+process must be restarted and reads what is really there.
+"""
+
+import fcntl
+import os
+from collections.abc import Callable, Sequence
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from wasabigw.core.cluster import NO_REVISION, ClusterState
+from wasabigw.core.consensus.effects import VoteRecord
+from wasabigw.core.consensus.messages import NO_TERM, Snapshot
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Term
+from wasabigw.core.log_messages import LogEntry
+from wasabigw.core.timing import LOG_KEPT_BEHIND_SNAPSHOT
+from wasabigw.tasks.storage_errors import (
+    StorageError,
+    StorageFailure,
+    StorageProblem,
+    damaged,
+)
+from wasabigw.tasks.storage_files import (
+    TEMPORARY_SUFFIX,
+    remove_files,
+    replace_file,
+    sync_directory,
+)
+from wasabigw.tasks.storage_records import read_document, write_record
+from wasabigw.tasks.storage_segments import SegmentedLog, read_segments
+
+IDENTITY_FILE = "identity.json"
+VOTE_FILE = "vote.json"
+ACKNOWLEDGED_FILE = "acknowledged.json"
+FIRST_REVISION = Revision(1)
+FIRST_TERM = Term(1)
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Whose data directory it is.
+
+    :param incarnation: random value drawn when the directory was created.
+    """
+
+    node: NodeId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledged:
+    """Last entry that was acknowledged to a leader, or counted by one."""
+
+    revision: Revision = NO_REVISION
+    term: Term = NO_TERM
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What the data directory held when it was opened.
+
+    :param snapshot: revision 0 and an empty state if there is none.
+    :param entries: contiguous; up to the acknowledged revision.
+    """
+
+    identity: Identity
+    vote: VoteRecord
+    snapshot: Snapshot
+    entries: tuple[LogEntry, ...]
+
+
+class Storage(AbstractContextManager["Storage"]):
+    """Open data directory; use :func:`open_storage`.
+
+    :param lock: descriptor of the directory that holds the lock on it.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        lock: int,
+        recovered: Recovered,
+        log: SegmentedLog,
+        acknowledged: Acknowledged,
+    ) -> None:
+        self._folder = folder
+        self._lock: int | None = lock
+        self._recovered = recovered
+        self._log = log
+        self._acknowledged = acknowledged
+        self._snapshot_at = (recovered.snapshot.revision, recovered.snapshot.term)
+        self._failed: StorageError | None = None
+
+    @property
+    def recovered(self) -> Recovered:
+        """What the data directory held when it was opened."""
+        return self._recovered
+
+    def save_vote(self, record: VoteRecord) -> Result[None, StorageError]:
+        """Persist the vote record."""
+        path = self._folder / VOTE_FILE
+        return self._write(lambda: replace_file(path, write_record(record)))
+
+    def append(self, entries: Sequence[LogEntry]) -> Result[None, StorageError]:
+        """Persist entries, after removal of all from the first one's revision on."""
+        return self._write(lambda: self._append(entries))
+
+    def save_snapshot(self, snapshot: Snapshot) -> Result[None, StorageError]:
+        """Persist a snapshot; removes older ones and log files long before it."""
+        return self._write(lambda: self._save_snapshot(snapshot))
+
+    def install_snapshot(self, snapshot: Snapshot) -> Result[None, StorageError]:
+        """Persist a snapshot that replaces the whole log."""
+        return self._write(lambda: self._install_snapshot(snapshot))
+
+    def close(self) -> None:
+        """Release the directory."""
+        if self._lock is not None:
+            os.close(self._lock)
+            self._lock = None
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def _append(self, entries: Sequence[LogEntry]) -> None:
+        if not entries:
+            return
+        first = entries[0].revision
+        if first <= self._acknowledged.revision:
+            # The lower acknowledgement comes first: a log that is shorter than
+            # it would look damaged.
+            before = Revision(first - 1)
+            self._acknowledge(Acknowledged(before, self._term_at(before)))
+            self._log.cut(first)
+        self._log.append(entries)
+        self._acknowledge(Acknowledged(entries[-1].revision, entries[-1].term))
+
+    def _save_snapshot(self, snapshot: Snapshot) -> None:
+        self._replace_snapshot(snapshot)
+        self._log.drop_before(
+            Revision(snapshot.revision - LOG_KEPT_BEHIND_SNAPSHOT + 1)
+        )
+
+    def _install_snapshot(self, snapshot: Snapshot) -> None:
+        # Opening recognises an interruption after each of these steps: the log
+        # then does not contain the entry of the snapshot.
+        self._replace_snapshot(snapshot)
+        self._acknowledge(Acknowledged(snapshot.revision, snapshot.term))
+        self._log.cut(NO_REVISION)
+
+    def _replace_snapshot(self, snapshot: Snapshot) -> None:
+        path = _snapshot_path(self._folder, snapshot.revision)
+        replace_file(path, write_record(snapshot))
+        _remove_old_snapshots(self._folder, path)
+        self._snapshot_at = (snapshot.revision, snapshot.term)
+
+    def _acknowledge(self, acknowledged: Acknowledged) -> None:
+        replace_file(self._folder / ACKNOWLEDGED_FILE, write_record(acknowledged))
+        self._acknowledged = acknowledged
+
+    def _term_at(self, revision: Revision) -> Term:
+        if revision == self._snapshot_at[0]:
+            return self._snapshot_at[1]
+        return self._log.term_at(revision) or NO_TERM
+
+    def _write(self, action: Callable[[], None]) -> Result[None, StorageError]:
+        if self._failed is not None:
+            return Failure(self._failed)
+        try:
+            action()
+        except OSError as error:
+            self._failed = _input_output(self._folder, error)
+            return Failure(self._failed)
+        return Success(None)
+
+
+def bootstrap(
+    folder: Path, node: NodeId, incarnation: Incarnation, first: bool
+) -> Result[Identity, StorageError]:
+    """Create the data directory of a voter.
+
+    :param incarnation: random; never used for another directory.
+    :param first: whether this is the first voter of a new cluster. Every other
+        voter, and one whose disk was replaced, is admitted by the leader.
+    """
+    try:
+        return Success(_bootstrap(folder, Identity(node, incarnation), first))
+    except StorageFailure as failure:
+        return Failure(failure.error)
+    except OSError as error:
+        return Failure(_input_output(folder, error))
+
+
+def open_storage(folder: Path, node: NodeId) -> Result[Storage, StorageError]:
+    """Open a data directory: exactly what was acknowledged, or an error."""
+    try:
+        lock = _lock(folder)
+    except StorageFailure as failure:
+        return Failure(failure.error)
+    except OSError as error:
+        return Failure(_input_output(folder, error))
+    try:
+        return Success(_open(folder, lock, node))
+    except StorageFailure as failure:
+        os.close(lock)
+        return Failure(failure.error)
+    except OSError as error:
+        os.close(lock)
+        return Failure(_input_output(folder, error))
+
+
+def _bootstrap(folder: Path, identity: Identity, first: bool) -> Identity:
+    created = not folder.exists()
+    folder.mkdir(parents=True, exist_ok=True)
+    if created:
+        sync_directory(folder.parent)
+    found = [p.name for p in folder.iterdir() if p.suffix != TEMPORARY_SUFFIX]
+    if found:
+        message = f"the directory already holds {', '.join(sorted(found)[:5])}"
+        raise StorageFailure(
+            StorageError(
+                StorageProblem.NOT_EMPTY,
+                str(folder),
+                "",
+                message,
+                "Start the voter with it, or choose an empty directory.",
+            )
+        )
+    vote = VoteRecord()
+    acknowledged = Acknowledged()
+    if first:
+        state = ClusterState(
+            revision=FIRST_REVISION, voters={identity.node: identity.incarnation}
+        )
+        snapshot = Snapshot(FIRST_REVISION, FIRST_TERM, state)
+        path = _snapshot_path(folder, FIRST_REVISION)
+        replace_file(path, write_record(snapshot))
+        vote = VoteRecord(FIRST_TERM, admitted=True)
+        acknowledged = Acknowledged(FIRST_REVISION, FIRST_TERM)
+    replace_file(folder / VOTE_FILE, write_record(vote))
+    replace_file(folder / ACKNOWLEDGED_FILE, write_record(acknowledged))
+    # Last, so that an interrupted bootstrap cannot be opened.
+    replace_file(folder / IDENTITY_FILE, write_record(identity))
+    return identity
+
+
+def _lock(folder: Path) -> int:
+    if not (folder / IDENTITY_FILE).exists():
+        raise StorageFailure(
+            StorageError(
+                StorageProblem.NOT_BOOTSTRAPPED,
+                str(folder / IDENTITY_FILE),
+                "",
+                "the file does not exist",
+                "Run 'wasabigw bootstrap' on an empty directory. If this voter had "
+                "a data directory before, its disk was lost or is not mounted.",
+            )
+        )
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError as error:
+        os.close(descriptor)
+        raise StorageFailure(
+            StorageError(
+                StorageProblem.IN_USE,
+                str(folder),
+                "",
+                "another process uses the directory",
+                "Stop that process, or give each voter its own directory.",
+            )
+        ) from error
+    return descriptor
+
+
+def _open(folder: Path, lock: int, node: NodeId) -> Storage:
+    remove_files(sorted(folder.glob(f"*{TEMPORARY_SUFFIX}")))
+    identity: Identity = _read(folder / IDENTITY_FILE, Identity)
+    if identity.node != node:
+        raise StorageFailure(
+            StorageError(
+                StorageProblem.WRONG_NODE,
+                str(folder / IDENTITY_FILE),
+                "",
+                f"the directory belongs to {identity.node}, not to {node}",
+                "Correct the node id or the data directory in the settings.",
+            )
+        )
+    vote: VoteRecord = _read(folder / VOTE_FILE, VoteRecord)
+    acknowledged: Acknowledged = _read(folder / ACKNOWLEDGED_FILE, Acknowledged)
+    snapshot = _read_snapshot(folder)
+    segments, entries = read_segments(folder, acknowledged.revision)
+    log = SegmentedLog(folder, segments)
+    if _install_was_interrupted(snapshot, acknowledged, entries):
+        acknowledged = Acknowledged(snapshot.revision, snapshot.term)
+        replace_file(folder / ACKNOWLEDGED_FILE, write_record(acknowledged))
+        log.cut(NO_REVISION)
+        entries = []
+    _check_complete(folder, snapshot, acknowledged, entries)
+    recovered = Recovered(identity, vote, snapshot, tuple(entries))
+    return Storage(folder, lock, recovered, log, acknowledged)
+
+
+def _install_was_interrupted(
+    snapshot: Snapshot, acknowledged: Acknowledged, entries: Sequence[LogEntry]
+) -> bool:
+    if acknowledged.revision < snapshot.revision:
+        return True
+    if not entries or entries[0].revision > snapshot.revision:
+        return False
+    if entries[-1].revision < snapshot.revision:
+        return acknowledged.revision == snapshot.revision
+    at_snapshot = entries[snapshot.revision - entries[0].revision]
+    return at_snapshot.term != snapshot.term
+
+
+def _check_complete(
+    folder: Path,
+    snapshot: Snapshot,
+    acknowledged: Acknowledged,
+    entries: Sequence[LogEntry],
+) -> None:
+    last = (snapshot.revision, snapshot.term)
+    if entries:
+        if entries[0].revision > snapshot.revision + 1:
+            missing = f"record {snapshot.revision + 1}"
+            raise damaged(folder, missing, "the log does not continue the snapshot")
+        last = (entries[-1].revision, entries[-1].term)
+    expected = (acknowledged.revision, acknowledged.term)
+    if last != expected:
+        message = (
+            f"revision {expected[0]} of term {expected[1]} was acknowledged, but the "
+            f"log ends at revision {last[0]} of term {last[1]}"
+        )
+        raise damaged(folder, f"record {last[0] + 1}", message)
+
+
+def _read(path: Path, expected: Any) -> Any:
+    if not path.exists():
+        raise damaged(path, "", "the file does not exist")
+    result = read_document(path.read_bytes(), expected)
+    if isinstance(result, Failure):
+        raise damaged(path, "record 1", result.failure())
+    return result.unwrap()
+
+
+def _read_snapshot(folder: Path) -> Snapshot:
+    found = sorted(folder.glob("snapshot-*.json"))
+    if not found:
+        return Snapshot(NO_REVISION, NO_TERM, ClusterState())
+    snapshot: Snapshot = _read(found[-1], Snapshot)
+    if found[-1] != _snapshot_path(folder, snapshot.revision):
+        raise damaged(found[-1], "record 1", f"holds revision {snapshot.revision}")
+    _remove_old_snapshots(folder, found[-1])
+    return snapshot
+
+
+def _remove_old_snapshots(folder: Path, newest: Path) -> None:
+    old = [p for p in folder.glob("snapshot-*.json") if p != newest]
+    remove_files(sorted(old))
+
+
+def _snapshot_path(folder: Path, revision: Revision) -> Path:
+    return folder / f"snapshot-{revision:020d}.json"
+
+
+def _input_output(folder: Path, error: OSError) -> StorageError:
+    return StorageError(
+        StorageProblem.INPUT_OUTPUT,
+        str(error.filename or folder),
+        "",
+        f"{type(error).__name__}: {error.strerror or error}",
+        "Check the disk, its free space and the permissions, then start again.",
+    )
--- /dev/null
+++ b/src/wasabigw/tasks/storage_errors.py
@@ -0,0 +1,57 @@
+"""Errors of the data directory of a voter."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class StorageProblem(Enum):
+    """Kind of a storage error."""
+
+    NOT_BOOTSTRAPPED = "not-bootstrapped"
+    NOT_EMPTY = "not-empty"
+    IN_USE = "in-use"
+    WRONG_NODE = "wrong-node"
+    DAMAGED = "damaged"
+    INPUT_OUTPUT = "input-output"
+
+
+READMIT = (
+    "Do not edit the file. Check the disk, move the directory away, run "
+    "'wasabigw bootstrap' without --first on an empty directory and start the "
+    "voter; it is admitted again once a majority of the other voters is up."
+)
+
+
+@dataclass(frozen=True, slots=True)
+class StorageError:
+    """The data directory could not be used.
+
+    :param file: path of the file or directory.
+    :param record: the record in the file; empty if the whole file is meant.
+    :param message: what was wrong.
+    :param advice: what to do.
+    """
+
+    problem: StorageProblem
+    file: str
+    record: str
+    message: str
+    advice: str
+
+    def __str__(self) -> str:
+        where = f"{self.file}, {self.record}" if self.record else self.file
+        return f"{where}: {self.message}. {self.advice}"
+
+
+class StorageFailure(Exception):  # noqa: N818 - carries a StorageError
+    """Carries an error to the border of the storage modules, never further."""
+
+    def __init__(self, error: StorageError) -> None:
+        super().__init__(str(error))
+        self.error = error
+
+
+def damaged(file: object, record: str, message: str) -> StorageFailure:
+    """Damage for which the voter must be admitted again."""
+    error = StorageError(StorageProblem.DAMAGED, str(file), record, message, READMIT)
+    return StorageFailure(error)
--- /dev/null
+++ b/src/wasabigw/tasks/storage_records.py
@@ -0,0 +1,40 @@
+"""Records with a checksum, one JSON object per line."""
+
+import zlib
+from typing import Any
+
+from returns.result import Failure, Result
+
+from wasabigw.codec.messages import decode, encode
+
+_PREFIX = b'{"crc32":"'
+_MIDDLE = b'","record":'
+_SUFFIX = b"}"
+_DIGITS = 8
+_PAYLOAD_AT = len(_PREFIX) + _DIGITS + len(_MIDDLE)
+
+
+def write_record(record: Any) -> bytes:
+    """Line of a record, with its line feed."""
+    payload = encode(record)
+    return b"".join((_PREFIX, _checksum(payload), _MIDDLE, payload, _SUFFIX, b"\n"))
+
+
+def read_record(line: bytes, expected: Any) -> Result[Any, str]:
+    """Record of a line without its line feed, or what is wrong with it."""
+    payload = line[_PAYLOAD_AT : -len(_SUFFIX)]
+    head = _PREFIX + _checksum(payload) + _MIDDLE
+    if line[:_PAYLOAD_AT] != head or line[-len(_SUFFIX) :] != _SUFFIX:
+        return Failure("the record is incomplete or its CRC-32 does not match")
+    return decode(payload, expected).alt(lambda problem: f"unexpected data: {problem}")
+
+
+def read_document(data: bytes, expected: Any) -> Result[Any, str]:
+    """Record of a file that holds exactly one."""
+    if not data.endswith(b"\n") or data.count(b"\n") != 1:
+        return Failure("the file is incomplete or has more than one record")
+    return read_record(data[:-1], expected)
+
+
+def _checksum(payload: bytes) -> bytes:
+    return b"%08x" % zlib.crc32(payload)
