Let the leader watch balancers, quarantines and departures

Dead balancers, ended quarantines and candidates of departed backend servers have to leave the replicated state without an operator, and a partition must not remove a third of a failure domain at once. EndpointReleased names the start of its quarantine, so that a late one does not end a newer quarantine.

--- a/src/wasabigw/core/commands.py
+++ b/src/wasabigw/core/commands.py
@@ -214,9 +214,13 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointReleased:
-    """The quarantine of an endpoint has ended."""
+    """The quarantine of an endpoint has ended.
+
+    :param since: start of that quarantine; a later one is not ended.
+    """
 
     endpoint: Endpoint
+    since: Revision
 
 
 Report = (
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,239 @@
+"""What the leader proposes about balancers, quarantines and departed candidates."""
+
+import unittest
+from dataclasses import replace
+
+from wasabigw.core.buckets import empty_table
+from wasabigw.core.cluster import (
+    BackendServer,
+    Candidate,
+    ClusterState,
+    Endpoint,
+    FailureDomain,
+    Node,
+    Quarantine,
+)
+from wasabigw.core.commands import (
+    CandidatesReleased,
+    EndpointReleased,
+    NodeDown,
+    NodeSuspected,
+    NodeUp,
+    Report,
+)
+from wasabigw.core.ids import (
+    BackendServerId,
+    BootId,
+    BucketNumber,
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    RegionId,
+    Revision,
+    Seconds,
+    ServiceId,
+)
+from wasabigw.core.membership import (
+    BalancerPolled,
+    LeadershipGained,
+    MembershipState,
+    MembershipTick,
+    handle,
+    node_progress,
+)
+from wasabigw.core.states import CandidateReason, FailureDomainState, NodeState
+from wasabigw.core.timing import (
+    FLOW_IDLE_TIMEOUT,
+    NODE_TIMEOUT,
+    QUARANTINE,
+    SUSPECT_TIME,
+    VIEW_LEASE,
+)
+
+RECIFE = FailureDomainId("recife")
+SEATS = ServiceId("seats")
+SERVER = BackendServerId("seats-1")
+
+
+def node(name: str, incarnation: str = "1") -> Node:
+    """A balancer in Recife."""
+    endpoint = Endpoint("127.0.0.1", 4000)
+    return Node(NodeId(name), RECIFE, endpoint, endpoint, Incarnation(incarnation))
+
+
+class MembershipCase(unittest.TestCase):
+    """Six registered balancers under a leader that starts at time 0."""
+
+    def setUp(self) -> None:
+        self.nodes = [node(f"n{number}") for number in range(6)]
+        self.cluster = ClusterState(
+            revision=Revision(10), nodes={n.id: n for n in self.nodes}
+        )
+        self.state = MembershipState()
+        handle(LeadershipGained(Seconds(0.0), self.cluster), self.state)
+
+    def poll(self, polling: list[Node], now: float, applied: int = 10) -> list[Report]:
+        """Polls of balancers and what the leader proposes then."""
+        reports: list[Report] = []
+        for each in polling:
+            event = BalancerPolled(each, Revision(applied), Seconds(now), self.cluster)
+            for decision in handle(event, self.state):
+                reports.extend(decision.reports)
+        return reports
+
+    def tick(self, now: float) -> list[Report]:
+        """What the leader proposes as time passes."""
+        event = MembershipTick(Seconds(now), self.cluster)
+        return [r for d in handle(event, self.state) for r in d.reports]
+
+    def run_until(self, polling: list[Node], start: float, end: float) -> list[Report]:
+        """Polls and ticks every half second; applies what is proposed."""
+        reports: list[Report] = []
+        now = start
+        while now <= end:
+            reports.extend(self.poll(polling, now))
+            for report in self.tick(now):
+                reports.append(report)
+                self.apply(report)
+            now += 0.5
+        return reports
+
+    def apply(self, report: Report) -> None:
+        """Effect of a report on the registered balancers."""
+        if isinstance(report, NodeDown):
+            del self.cluster.nodes[report.node]
+        if isinstance(report, NodeSuspected):
+            known = self.cluster.nodes[report.node]
+            suspected = replace(known, state=NodeState.SUSPECTED)
+            self.cluster.nodes[report.node] = suspected
+
+
+class Liveness(MembershipCase):
+    """Guards against dead balancers that stay and live ones that are removed."""
+
+    def test_single_silent_balancer_is_removed_after_the_timeout(self) -> None:
+        silent = self.nodes[0]
+        early = self.run_until(self.nodes[1:], 0.0, NODE_TIMEOUT - 0.5)
+        self.assertEqual(early, [])
+        late = self.run_until(self.nodes[1:], NODE_TIMEOUT, NODE_TIMEOUT + 5)
+        self.assertEqual(late, [NodeDown(silent.id, silent.incarnation)])
+
+    def test_balancers_silent_together_are_suspected_first(self) -> None:
+        polling = self.nodes[3:]
+        early = self.run_until(polling, 0.0, SUSPECT_TIME)
+        self.assertEqual(
+            early, [NodeSuspected(n.id, n.incarnation) for n in self.nodes[:3]]
+        )
+        late = self.run_until(polling, SUSPECT_TIME + 0.5, SUSPECT_TIME + 5)
+        self.assertEqual(late, [NodeDown(n.id, n.incarnation) for n in self.nodes[:3]])
+
+    def test_guard_sees_balancers_that_fall_silent_one_after_another(self) -> None:
+        for number, silent in enumerate(self.nodes[:3]):
+            self.poll([silent], 0.9 * number)
+        found = self.run_until(self.nodes[3:], 0.5, 10.0)
+        removed = [r for r in found if isinstance(r, NodeDown)]
+        self.assertLessEqual(len(removed), 1)
+
+    def test_later_single_silence_is_removed_beside_suspected_ones(self) -> None:
+        self.run_until(self.nodes[3:], 0.0, 10.0)
+        found = self.run_until(self.nodes[4:], 10.5, 20.0)
+        self.assertIn(NodeDown(self.nodes[3].id, Incarnation("1")), found)
+        self.assertEqual(sum(isinstance(r, NodeDown) for r in found), 1)
+
+    def test_suspected_balancer_that_polls_is_up_again(self) -> None:
+        self.run_until(self.nodes[3:], 0.0, 10.0)
+        self.assertEqual(self.poll([self.nodes[0]], 10.5), [NodeUp(self.nodes[0])])
+        self.apply(NodeUp(self.nodes[0]))
+        found = self.run_until([self.nodes[0], *self.nodes[3:]], 11.0, 20.0)
+        self.assertFalse([r for r in found if isinstance(r, NodeDown)])
+
+    def test_new_leader_waits_a_full_timeout(self) -> None:
+        handle(LeadershipGained(Seconds(100.0), self.cluster), self.state)
+        self.assertEqual(self.tick(100.0 + NODE_TIMEOUT - 0.1), [])
+
+    def test_new_incarnation_is_registered_once(self) -> None:
+        restarted = node("n0", "2")
+        self.assertEqual(self.poll([restarted], 1.0), [NodeUp(restarted)])
+        self.assertEqual(self.poll([restarted], 1.1), [])
+
+    def test_proposal_that_was_lost_is_repeated(self) -> None:
+        restarted = node("n0", "2")
+        self.poll([restarted], 1.0)
+        self.tick(2.5)
+        self.assertEqual(self.poll([restarted], 2.5), [NodeUp(restarted)])
+
+    def test_progress_names_the_nodes_that_lag(self) -> None:
+        now = 10.0
+        self.poll(self.nodes[:4], now, applied=10)
+        self.poll(self.nodes[4:5], now, applied=9)
+        found = node_progress(
+            self.state, self.cluster, Revision(10), Seconds(now + VIEW_LEASE)
+        )
+        lagging = [p.node for p in found if not p.in_force]
+        self.assertEqual(lagging, [self.nodes[4].id])
+
+
+class Timers(MembershipCase):
+    """Guards against an address or a bucket that is given away too early."""
+
+    def depart(self, reason: CandidateReason, revision: int) -> None:
+        """Name the backend server as a further candidate of one bucket."""
+        table = empty_table()
+        candidate = Candidate(SERVER, reason, Revision(revision))
+        table.others[BucketNumber(7)] = [candidate]
+        self.cluster.buckets[SEATS] = table
+        self.cluster.revision = Revision(revision)
+
+    def ticks(self, start: float, end: float) -> list[Report]:
+        """Proposals while all balancers poll."""
+        return self.run_until(self.nodes, start, end)
+
+    def test_departed_candidate_is_released_after_the_idle_timeout(self) -> None:
+        self.depart(CandidateReason.DEPARTED, 11)
+        self.assertEqual(self.ticks(1.0, FLOW_IDLE_TIMEOUT + 0.5), [])
+        released = CandidatesReleased(SEATS, SERVER, (BucketNumber(7),), Revision(11))
+        self.assertEqual(self.tick(FLOW_IDLE_TIMEOUT + 1.0), [released])
+
+    def test_newer_departure_starts_the_timer_again(self) -> None:
+        self.depart(CandidateReason.DEPARTED, 11)
+        self.ticks(1.0, 200.0)
+        self.depart(CandidateReason.DEPARTED, 12)
+        self.assertEqual(self.ticks(200.5, FLOW_IDLE_TIMEOUT + 100), [])
+
+    def test_candidate_out_of_service_counts_as_departed(self) -> None:
+        domain = FailureDomain(
+            RECIFE, RegionId("br"), FailureDomainState.OUT_OF_SERVICE
+        )
+        endpoint = Endpoint("10.1.0.1", 80)
+        self.cluster.failure_domains[RECIFE] = domain
+        self.cluster.backend_servers[SERVER] = BackendServer(
+            SERVER, 0, SEATS, RECIFE, endpoint, BootId("x"), 4, 2000
+        )
+        self.depart(CandidateReason.FORMER, 11)
+        self.ticks(1.0, FLOW_IDLE_TIMEOUT + 0.5)
+        self.assertEqual(len(self.tick(FLOW_IDLE_TIMEOUT + 1.0)), 1)
+        back = replace(domain, state=FailureDomainState.IN_SERVICE)
+        self.cluster.failure_domains[RECIFE] = back
+        self.cluster.revision = Revision(12)
+        end = FLOW_IDLE_TIMEOUT + 5.0
+        self.assertEqual(self.ticks(FLOW_IDLE_TIMEOUT + 1.5, end), [])
+
+    def test_endpoint_is_released_after_the_quarantine(self) -> None:
+        endpoint = Endpoint("10.0.0.1", 80)
+        self.cluster.quarantine["10.0.0.1:80"] = Quarantine(
+            endpoint, SEATS, Revision(11)
+        )
+        self.cluster.revision = Revision(11)
+        self.assertEqual(self.ticks(1.0, QUARANTINE + 0.5), [])
+        released = EndpointReleased(endpoint, Revision(11))
+        self.assertEqual(self.tick(QUARANTINE + 1.0), [released])
+
+    def test_endpoint_of_a_departed_candidate_stays_in_quarantine(self) -> None:
+        self.depart(CandidateReason.DEPARTED, 11)
+        endpoint = Endpoint("10.1.0.1", 80)
+        self.cluster.quarantine["10.1.0.1:80"] = Quarantine(
+            endpoint, SEATS, Revision(11)
+        )
+        self.assertEqual(self.ticks(1.0, 100.0), [])
+        del self.cluster.buckets[SEATS]
+        self.assertEqual(self.tick(101.0), [EndpointReleased(endpoint, Revision(11))])
