Serve the control API from a voter task

A control VM needs one owner of the log and the replicated state, links to the other voters and an HTTP API for operators and balancers. VoterTask batches proposals into one sync, holds log polls, and stops for good after a storage error. VoterLink keeps one request under way and replaces silent connections. The API runs cherrypy applications on servers of their own, with body limits, typed errors and a read timeout that frees threads of silent clients. The leader announces the commit of an admission at once: a cluster test that stopped the leader directly after a repair found no majority before the next heartbeat, so that test now also waits until the repaired voter counts.

--- /dev/null
+++ b/src/wasabigw/codec/log_poll.py
@@ -0,0 +1,92 @@
+"""Query parameters of a log poll."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from wasabigw.codec.messages import MalformedMessage
+from wasabigw.core.cluster import Endpoint, Node
+from wasabigw.core.ids import (
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    Revision,
+    Seconds,
+)
+from wasabigw.core.log_messages import LogPoll
+
+_NAMES = (
+    "node",
+    "incarnation",
+    "failure_domain",
+    "data",
+    "api",
+    "after",
+    "wait_ms",
+)
+_MAX_NAME = 200
+_MAX_NUMBER = 10**15
+
+
+def poll_to_query(poll: LogPoll) -> dict[str, str]:
+    """Query parameters of a poll."""
+    return {
+        "node": poll.node.id,
+        "incarnation": poll.node.incarnation,
+        "failure_domain": poll.node.failure_domain,
+        "data": f"{poll.node.data.address}:{poll.node.data.port}",
+        "api": f"{poll.node.api.address}:{poll.node.api.port}",
+        "after": str(poll.applied),
+        "wait_ms": str(round(poll.wait * 1000)),
+    }
+
+
+def poll_from_query(query: Mapping[str, Any]) -> Result[LogPoll, MalformedMessage]:
+    """Poll from query parameters."""
+    problems = _names_problems(query)
+    if problems:
+        return Failure(MalformedMessage(tuple(problems)))
+    data = _endpoint(query["data"])
+    api = _endpoint(query["api"])
+    after = _number(query["after"])
+    wait = _number(query["wait_ms"])
+    if data is None or api is None:
+        return _malformed("data and api must be address:port")
+    if after is None or wait is None:
+        return _malformed("after and wait_ms must be whole numbers, 0 or more")
+    node = Node(
+        NodeId(query["node"]),
+        FailureDomainId(query["failure_domain"]),
+        data,
+        api,
+        Incarnation(query["incarnation"]),
+    )
+    return Success(LogPoll(node, Revision(after), Seconds(wait / 1000)))
+
+
+def _names_problems(query: Mapping[str, Any]) -> list[str]:
+    problems = [f"unknown parameter {name}" for name in sorted(set(query) - {*_NAMES})]
+    for name in _NAMES:
+        value = query.get(name)
+        if not isinstance(value, str) or not 0 < len(value) <= _MAX_NAME:
+            problems.append(f"parameter {name} must be given once, not empty")
+    return problems
+
+
+def _malformed(problem: str) -> Failure[MalformedMessage]:
+    return Failure(MalformedMessage((problem,)))
+
+
+def _number(text: str) -> int | None:
+    if not (text.isascii() and text.isdecimal()) or len(text) > len(str(_MAX_NUMBER)):
+        return None
+    return int(text)
+
+
+def _endpoint(text: str) -> Endpoint | None:
+    address, separator, port_text = text.rpartition(":")
+    port = _number(port_text)
+    if not separator or not address or port is None or not 0 < port < 65_536:
+        return None
+    return Endpoint(address, port)
--- a/src/wasabigw/core/consensus/replication.py
+++ b/src/wasabigw/core/consensus/replication.py
@@ -128,9 +128,14 @@
         progress.next_after = max(progress.next_after, progress.matched)
     else:
         progress.next_after = max(response.retry_after, progress.matched)
+    admitting = state.electorate().pending
     effects = commit_by_majority(state)
     if progress.next_after < state.log.last_revision or not response.success:
         effects.extend(send_next(state, envelope.sender, now))
+    if admitting is not None and state.electorate().pending is None:
+        # Until the new voter knows of its admission, the loss of another one
+        # leaves no majority; the next heartbeat would be later.
+        effects.extend(heartbeat(state, now))
     return effects
 
 
--- /dev/null
+++ b/src/wasabigw/tasks/control_plane.py
@@ -0,0 +1,86 @@
+"""Everything that runs on a control VM, as one context."""
+
+from contextlib import AbstractContextManager, ExitStack
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Self
+
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.ids import NodeId
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.task import Stop
+from wasabigw.runtime.timer import TimerService
+from wasabigw.tasks.http_control import ControlApiSettings, make_control_server
+from wasabigw.tasks.http_server import HttpServer
+from wasabigw.tasks.storage import Storage
+from wasabigw.tasks.voter_calls import VoterMessage
+from wasabigw.tasks.voter_link import VoterLink, make_voter_link
+from wasabigw.tasks.voter_task import (
+    ApplyCommand,
+    VoterSettings,
+    VoterTask,
+    make_voter_task,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ControlPlane(AbstractContextManager["ControlPlane"]):
+    """A voter with its links and its HTTP server.
+
+    The server starts last and stops first, so that no request meets a voter
+    that does not run.
+    """
+
+    voter: VoterTask
+    server: HttpServer
+    _links: tuple[VoterLink, ...]
+    _stack: ExitStack
+
+    def __enter__(self) -> Self:
+        for link in self._links:
+            self._stack.enter_context(link)
+        self._stack.enter_context(self.voter)
+        self._stack.enter_context(self.server)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stack.__exit__(exc_type, exc_value, traceback)
+
+
+def make_control_plane(
+    settings: VoterSettings,
+    token: str,
+    storage: Storage,
+    apply_command: ApplyCommand,
+    timer: TimerService,
+    bind: Endpoint | None = None,
+) -> ControlPlane:
+    """Voter of a control VM, which takes over the opened data directory.
+
+    :param token: bearer token of operators.
+    :param timer: running timer service.
+    :param bind: where to listen, if not at the own endpoint of the settings.
+    """
+    mailbox: Mailbox[VoterMessage | Stop] = Mailbox(f"voter-{settings.node}")
+    links = {
+        peer: make_voter_link(peer, api, mailbox)
+        for peer, api in settings.voters.items()
+        if peer != settings.node
+    }
+    voter = make_voter_task(
+        settings,
+        mailbox,
+        storage,
+        {peer: link.mailbox for peer, link in links.items()},
+        apply_command,
+        timer,
+    )
+    own: Endpoint = bind or settings.voters[NodeId(settings.node)]
+    api = ControlApiSettings(own, token, tuple(links))
+    server = make_control_server(mailbox, api)
+    return ControlPlane(voter, server, tuple(links.values()), ExitStack())
--- /dev/null
+++ b/src/wasabigw/tasks/http_control.py
@@ -0,0 +1,365 @@
+"""Control API: changes, state, log polls, reports and consensus messages.
+
+The handlers own nothing: they post a message to the voter task and wait for its
+answer. Answers are typed; an error body is an ``ApiError`` or ``NotLeader``.
+"""
+
+import hmac
+from collections.abc import Collection
+from dataclasses import dataclass
+from functools import singledispatch
+from http import HTTPStatus
+from typing import Any
+
+import cherrypy
+from returns.result import Failure, Result, Success
+
+from wasabigw.codec.consensus import decode_envelope, encode_envelope
+from wasabigw.codec.log_poll import poll_from_query
+from wasabigw.codec.messages import MalformedMessage, decode
+from wasabigw.core.cluster import Applied, Endpoint, Refusal
+from wasabigw.core.commands import ChangeRequest
+from wasabigw.core.consensus.messages import SnapshotRequest
+from wasabigw.core.ids import NodeId, Revision, Seconds
+from wasabigw.core.log_messages import (
+    ChangeOutcome,
+    InForce,
+    LogBatch,
+    NotLeader,
+    ReportRequest,
+)
+from wasabigw.core.states import RefusalCode
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.http_server import (
+    JSON_TYPE,
+    HttpServer,
+    error_response,
+    json_response,
+    make_http_server,
+)
+from wasabigw.tasks.voter_calls import (
+    ChangeCall,
+    ConfigurationView,
+    InForceCall,
+    OutcomeUnknown,
+    Overloaded,
+    PeerMessage,
+    PollCall,
+    ReportCall,
+    StateCall,
+    reply_mailbox,
+)
+
+MAX_CHANGE_BYTES = 512 * 1024
+MAX_REPORT_BYTES = 512 * 1024
+MAX_CONSENSUS_BYTES = 64 * 1024 * 1024
+"""Holds a snapshot, or as many entries as one append request may carry."""
+MAX_REPORTS = 2_000
+"""Reports in one request."""
+MAX_ID_LENGTH = 200
+"""Longest request or report id in characters."""
+
+CALL_TIMEOUT = Seconds(3.0)
+"""Longest wait for the commit of a command."""
+READ_TIMEOUT = Seconds(1.0)
+"""Longest wait for an answer that needs no commit, beyond the wait of a poll."""
+SNAPSHOT_TIMEOUT = Seconds(30.0)
+RETRY_AFTER = Seconds(1.0)
+
+_REFUSAL_STATUS = {
+    RefusalCode.CONFLICT: HTTPStatus.CONFLICT,
+    RefusalCode.NOT_FOUND: HTTPStatus.NOT_FOUND,
+    RefusalCode.ALREADY_EXISTS: HTTPStatus.CONFLICT,
+    RefusalCode.ENDPOINT_IN_USE: HTTPStatus.CONFLICT,
+    RefusalCode.ENDPOINT_IN_QUARANTINE: HTTPStatus.CONFLICT,
+    RefusalCode.INVALID: HTTPStatus.UNPROCESSABLE_ENTITY,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ControlApiSettings:
+    """Settings of the control API.
+
+    :param token: bearer token of operators.
+    :param peers: the other voters, whose consensus messages are accepted.
+    """
+
+    bind: Endpoint
+    token: str
+    peers: Collection[NodeId]
+
+
+class _Resource:
+    """Base of the resources: access to the voter task."""
+
+    exposed = True
+
+    def __init__(self, voter: Mailbox[Any], settings: ControlApiSettings) -> None:
+        self._voter = voter
+        self._settings = settings
+
+    def _call(self, message: Any, timeout: Seconds) -> bytes:
+        """Post a message with a ``reply`` mailbox and encode the answer."""
+        if isinstance(self._voter.post(message), Failure):
+            return _retry_later("overloaded", "The voter is too far behind; retry.")
+        outcome = message.reply.get(timeout)
+        if isinstance(outcome, Success):
+            return _respond(outcome.unwrap())
+        return _respond(OutcomeUnknown())
+
+    def _is_operator(self) -> bool:
+        header = cherrypy.request.headers.get("Authorization", "")
+        scheme, _, token = header.partition(" ")
+        expected = self._settings.token.encode()
+        matches = hmac.compare_digest(token.strip().encode(), expected)
+        return scheme.lower() == "bearer" and bool(expected) and matches
+
+
+class _Changes(_Resource):
+    """``POST /v1/changes``."""
+
+    def POST(self) -> bytes:  # noqa: N802 - method names of cherrypy
+        """Accept an operator's change."""
+        if not self._is_operator():
+            return _unauthorized()
+        decoded = _read_body(ChangeRequest, MAX_CHANGE_BYTES)
+        if isinstance(decoded, Failure):
+            return _bad_request(decoded.failure())
+        request: ChangeRequest = decoded.unwrap()
+        problem = _id_problem("request_id", request.request_id)
+        if problem is not None:
+            return _bad_request(problem)
+        return self._call(ChangeCall(request, reply_mailbox("change")), CALL_TIMEOUT)
+
+
+class _State(_Resource):
+    """``GET /v1/state``."""
+
+    def GET(self) -> bytes:  # noqa: N802
+        """Current configuration."""
+        if not self._is_operator():
+            return _unauthorized()
+        return self._call(StateCall(reply_mailbox("state")), READ_TIMEOUT)
+
+
+class _InForce(_Resource):
+    """``GET /v1/in-force``."""
+
+    def GET(self, revision: Any = None) -> bytes:  # noqa: N802
+        """Which nodes have applied a revision; without one, the configuration's."""
+        if not self._is_operator():
+            return _unauthorized()
+        wanted: Revision | None = None
+        if revision is not None:
+            if not _is_number(revision):
+                return _bad_request("parameter revision must be a whole number")
+            wanted = Revision(int(revision))
+        return self._call(InForceCall(wanted, reply_mailbox("in-force")), READ_TIMEOUT)
+
+
+class _Log(_Resource):
+    """``GET /v1/log``."""
+
+    def GET(self, **query: Any) -> bytes:  # noqa: N802
+        """Log poll of a balancer."""
+        poll = poll_from_query(query)
+        if isinstance(poll, Failure):
+            return _bad_request(str(poll.failure()))
+        message = PollCall(poll.unwrap(), reply_mailbox("poll"))
+        timeout = Seconds(min(message.poll.wait, CALL_TIMEOUT) + READ_TIMEOUT)
+        return self._call(message, timeout)
+
+
+class _Reports(_Resource):
+    """``POST /v1/reports``."""
+
+    def POST(self) -> bytes:  # noqa: N802
+        """Accept reports of a balancer."""
+        decoded = _read_body(ReportRequest, MAX_REPORT_BYTES)
+        if isinstance(decoded, Failure):
+            return _bad_request(decoded.failure())
+        request: ReportRequest = decoded.unwrap()
+        problem = _id_problem("report_id", request.report_id)
+        if problem is not None:
+            return _bad_request(problem)
+        if not 0 < len(request.reports) <= MAX_REPORTS:
+            return _bad_request(f"reports must hold 1 to {MAX_REPORTS} reports")
+        return self._call(ReportCall(request, reply_mailbox("report")), CALL_TIMEOUT)
+
+
+class _Consensus(_Resource):
+    """``POST /v1/consensus``."""
+
+    def POST(self) -> bytes:  # noqa: N802
+        """Hand a message of another voter to the voter task."""
+        body = _body(MAX_CONSENSUS_BYTES)
+        if isinstance(body, Failure):
+            return _bad_request(body.failure())
+        decoded = decode_envelope(body.unwrap())
+        if isinstance(decoded, Failure):
+            return _bad_request(str(decoded.failure()))
+        envelope = decoded.unwrap()
+        if envelope.sender not in self._settings.peers:
+            return error_response(
+                HTTPStatus.FORBIDDEN,
+                "unknown-voter",
+                f"{envelope.sender} is not a voter of this cluster; add it to the "
+                "voters in the settings of each voter",
+            )
+        is_snapshot = isinstance(envelope.body, SnapshotRequest)
+        reply: Mailbox[Any] = reply_mailbox("consensus")
+        if isinstance(self._voter.post(PeerMessage(envelope, reply)), Failure):
+            return _retry_later("overloaded", "The voter is too far behind; retry.")
+        outcome = reply.get(SNAPSHOT_TIMEOUT if is_snapshot else READ_TIMEOUT)
+        if not isinstance(outcome, Success):
+            return _retry_later("no-answer", "The voter did not answer in time.")
+        cherrypy.response.headers["Content-Type"] = JSON_TYPE
+        return encode_envelope(outcome.unwrap())
+
+
+class _Version1:
+    """Resources of ``/v1``; a dash in a path is an underscore here."""
+
+    def __init__(self, voter: Mailbox[Any], settings: ControlApiSettings) -> None:
+        self.changes = _Changes(voter, settings)
+        self.state = _State(voter, settings)
+        self.in_force = _InForce(voter, settings)
+        self.log = _Log(voter, settings)
+        self.reports = _Reports(voter, settings)
+        self.consensus = _Consensus(voter, settings)
+
+
+class _Root:
+    """Root of the control API."""
+
+    def __init__(self, voter: Mailbox[Any], settings: ControlApiSettings) -> None:
+        self.v1 = _Version1(voter, settings)
+
+
+def make_control_server(
+    voter: Mailbox[Any], settings: ControlApiSettings
+) -> HttpServer:
+    """HTTP server of a voter.
+
+    :param voter: mailbox of the voter task.
+    """
+    root = _Root(voter, settings)
+    return make_http_server("control", settings.bind, root, MAX_CONSENSUS_BYTES)
+
+
+@singledispatch
+def _respond(answer: object) -> bytes:
+    raise TypeError(f"not an answer of the voter task: {answer!r}")
+
+
+@_respond.register
+def _(answer: Applied) -> bytes:
+    return json_response(HTTPStatus.OK, answer, ChangeOutcome)
+
+
+@_respond.register
+def _(answer: Refusal) -> bytes:
+    return json_response(_REFUSAL_STATUS[answer.code], answer, ChangeOutcome)
+
+
+@_respond.register
+def _(answer: LogBatch) -> bytes:
+    return json_response(HTTPStatus.OK, answer, LogBatch | NotLeader)
+
+
+@_respond.register
+def _(answer: ConfigurationView) -> bytes:
+    return json_response(HTTPStatus.OK, answer)
+
+
+@_respond.register
+def _(answer: InForce) -> bytes:
+    return json_response(HTTPStatus.OK, answer)
+
+
+@_respond.register
+def _(answer: NotLeader) -> bytes:
+    if answer.leader is None:
+        _set_retry_after()
+        return json_response(HTTPStatus.SERVICE_UNAVAILABLE, answer, ChangeOutcome)
+    request = cherrypy.request
+    query = f"?{request.query_string}" if request.query_string else ""
+    host = f"{answer.leader.address}:{answer.leader.port}"
+    location = f"http://{host}{request.path_info}{query}"
+    cherrypy.response.headers["Location"] = location
+    return json_response(HTTPStatus.TEMPORARY_REDIRECT, answer, ChangeOutcome)
+
+
+@_respond.register
+def _(answer: OutcomeUnknown) -> bytes:
+    return _retry_later(
+        "outcome-unknown",
+        "No majority confirmed the request in time; it may still take effect. "
+        "Repeat it with the same id.",
+    )
+
+
+@_respond.register
+def _(answer: Overloaded) -> bytes:
+    return _retry_later("overloaded", f"{answer.message}; nothing was done. Retry.")
+
+
+def _retry_later(error: str, message: str) -> bytes:
+    _set_retry_after()
+    return error_response(HTTPStatus.SERVICE_UNAVAILABLE, error, message)
+
+
+def _set_retry_after() -> None:
+    cherrypy.response.headers["Retry-After"] = f"{RETRY_AFTER:.0f}"
+
+
+def _unauthorized() -> bytes:
+    cherrypy.response.headers["WWW-Authenticate"] = "Bearer"
+    return error_response(
+        HTTPStatus.UNAUTHORIZED,
+        "unauthorized",
+        "Send the operators' token as 'Authorization: Bearer TOKEN'.",
+    )
+
+
+def _bad_request(problem: str) -> bytes:
+    return error_response(HTTPStatus.BAD_REQUEST, "malformed", problem)
+
+
+def _read_body(expected: Any, limit: int) -> Result[Any, str]:
+    body = _body(limit)
+    if isinstance(body, Failure):
+        return body
+    decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected)
+    return decoded.alt(str)
+
+
+def _body(limit: int) -> Result[bytes, str]:
+    """Whole body of the running request, which must give its length."""
+    text = cherrypy.request.headers.get("Content-Length", "")
+    if not _is_number(text):
+        return Failure("the header Content-Length must give the size of the body")
+    length = int(text)
+    if length > limit:
+        raise cherrypy.HTTPError(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            f"the body has {length} bytes; at most {limit} are accepted",
+        )
+    try:
+        data: bytes = cherrypy.request.rfile.read(length)
+    except TimeoutError:
+        cherrypy.response.headers["Connection"] = "close"
+        return Failure("the body did not arrive in time")
+    if len(data) != length:
+        return Failure(f"the body ended after {len(data)} of {length} bytes")
+    return Success(data)
+
+
+def _is_number(text: Any) -> bool:
+    return isinstance(text, str) and text.isascii() and text.isdecimal()
+
+
+def _id_problem(name: str, value: str) -> str | None:
+    if 0 < len(value) <= MAX_ID_LENGTH:
+        return None
+    return f"{name} must have 1 to {MAX_ID_LENGTH} characters"
--- /dev/null
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -0,0 +1,150 @@
+"""Messages that the voter task receives and its answers."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from wasabigw.core.cluster import (
+    Applied,
+    BackendServer,
+    ClusterState,
+    FailureDomain,
+    Node,
+    Refusal,
+    Service,
+)
+from wasabigw.core.commands import ChangeRequest
+from wasabigw.core.consensus.messages import Envelope
+from wasabigw.core.ids import Incarnation, NodeId, Revision
+from wasabigw.core.log_messages import (
+    InForce,
+    LogBatch,
+    LogPoll,
+    NotLeader,
+    ReportRequest,
+)
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.timer import Tick
+
+
+@dataclass(frozen=True, slots=True)
+class Overloaded:
+    """The voter has reached a limit; nothing was done.
+
+    :param message: which limit.
+    """
+
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeUnknown:
+    """The leadership ended before the command was committed.
+
+    The command may still take effect; a repetition with the same id is safe.
+    """
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationView:
+    """Current configuration and registrations, without the bucket tables."""
+
+    revision: Revision
+    configuration_revision: Revision
+    services: tuple[Service, ...]
+    failure_domains: tuple[FailureDomain, ...]
+    backend_servers: tuple[BackendServer, ...]
+    nodes: tuple[Node, ...]
+    voters: dict[NodeId, Incarnation]
+
+
+CommandAnswer = Applied | Refusal | NotLeader | OutcomeUnknown | Overloaded
+PollAnswer = LogBatch | NotLeader | Overloaded
+StateAnswer = ConfigurationView | NotLeader
+InForceAnswer = InForce | NotLeader
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A request of another voter; the answer is an envelope."""
+
+    envelope: Envelope
+    reply: Mailbox[Envelope]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkAnswer:
+    """Another voter answered a request of this one."""
+
+    envelope: Envelope
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeCall:
+    """An operator's change."""
+
+    request: ChangeRequest
+    reply: Mailbox[CommandAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class ReportCall:
+    """Reports of a balancer."""
+
+    request: ReportRequest
+    reply: Mailbox[CommandAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class PollCall:
+    """A log poll; the answer may come after the wait that the poll allows."""
+
+    poll: LogPoll
+    reply: Mailbox[PollAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class StateCall:
+    """Asks for the current configuration."""
+
+    reply: Mailbox[StateAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class InForceCall:
+    """Asks where a revision is in force.
+
+    :param revision: ``None`` for the current configuration revision.
+    """
+
+    revision: Revision | None
+    reply: Mailbox[InForceAnswer]
+
+
+VoterMessage = (
+    PeerMessage
+    | LinkAnswer
+    | ChangeCall
+    | ReportCall
+    | PollCall
+    | StateCall
+    | InForceCall
+    | Tick
+)
+
+
+def configuration_view(state: ClusterState) -> ConfigurationView:
+    """View of the replicated state at its current revision."""
+    return ConfigurationView(
+        state.revision,
+        state.configuration_revision,
+        tuple(state.services.values()),
+        tuple(state.failure_domains.values()),
+        tuple(state.backend_servers.values()),
+        tuple(state.nodes.values()),
+        dict(state.voters),
+    )
+
+
+def reply_mailbox(name: str) -> Mailbox[Any]:
+    """Mailbox for exactly one answer."""
+    return Mailbox(name, capacity=1)
--- /dev/null
+++ b/src/wasabigw/tasks/voter_link.py
@@ -0,0 +1,114 @@
+"""Link to another voter: sends one request at a time, newest first."""
+
+from typing import Any
+
+import requests
+from returns.result import Failure, Success
+
+from wasabigw.codec.consensus import decode_envelope, encode_envelope
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.consensus.messages import Envelope, SnapshotRequest
+from wasabigw.core.ids import NodeId, Seconds
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw.tasks.voter_calls import LinkAnswer
+from wasabigw.telemetry.events_control import ControlEvent
+from wasabigw.telemetry.log_events import log
+
+CONNECT_TIMEOUT = Seconds(0.5)
+READ_TIMEOUT = Seconds(1.0)
+SNAPSHOT_TIMEOUT = Seconds(30.0)
+"""Read timeout of a snapshot, which the other voter has to write and sync."""
+SESSION_IDLE = Seconds(30.0)
+"""An HTTP session without requests for this long is closed."""
+LINK_CAPACITY = 64
+"""Messages that wait for a slow link; the voter sends lost ones again."""
+CONSENSUS_PATH = "/v1/consensus"
+
+
+class VoterLink(Task[Envelope]):
+    """Task that owns the HTTP session to one other voter.
+
+    Of several messages that wait, only the newest is sent: each one replaces
+    those before it, and the voter repeats what is not answered.
+    """
+
+    def __init__(self, peer: NodeId, api: Endpoint, voter: Mailbox[Any]) -> None:
+        name = f"link-{peer}"
+        super().__init__(name, Mailbox(name, LINK_CAPACITY))
+        self._peer = peer
+        self._url = f"http://{api.address}:{api.port}{CONSENSUS_PATH}"
+        self._voter = voter
+        self._session: requests.Session | None = None
+        self._failing = False
+
+    def run(self) -> None:
+        """Send messages until :class:`Stop` arrives."""
+        while True:
+            outcome = self._mailbox.get(SESSION_IDLE)
+            if not isinstance(outcome, Success):
+                self.close()
+                continue
+            waiting = [outcome.unwrap(), *self._mailbox.drain()]
+            if any(isinstance(message, Stop) for message in waiting):
+                return
+            self.receive(waiting[-1])
+
+    def receive(self, message: Envelope) -> None:
+        """Send a message and post its answer to the voter."""
+        try:
+            response = self._send(message)
+        except requests.RequestException as error:
+            # The connection may be silent for good; the next attempt needs
+            # a new one.
+            self.close()
+            self._note_failure(type(error).__name__)
+            return
+        if response.status_code != requests.codes.ok:
+            self._note_failure(f"status {response.status_code}")
+            return
+        self._post_answer(response.content)
+
+    def close(self) -> None:
+        """Close the HTTP session."""
+        if self._session is not None:
+            self._session.close()
+            self._session = None
+
+    def _send(self, message: Envelope) -> requests.Response:
+        if self._session is None:
+            self._session = requests.Session()
+            self._session.trust_env = False
+        is_snapshot = isinstance(message.body, SnapshotRequest)
+        read_timeout = SNAPSHOT_TIMEOUT if is_snapshot else READ_TIMEOUT
+        return self._session.post(
+            self._url,
+            data=encode_envelope(message),
+            headers={"Content-Type": "application/json"},
+            timeout=(CONNECT_TIMEOUT, read_timeout),
+            allow_redirects=False,
+        )
+
+    def _post_answer(self, content: bytes) -> None:
+        decoded = decode_envelope(content)
+        if isinstance(decoded, Failure):
+            log(ControlEvent.LINK_MALFORMED, peer=self._peer, reason=decoded.failure())
+            return
+        if self._failing:
+            self._failing = False
+            log(ControlEvent.LINK_RECOVERED, peer=self._peer)
+        self._voter.post(LinkAnswer(decoded.unwrap()))
+
+    def _note_failure(self, reason: str) -> None:
+        if not self._failing:
+            self._failing = True
+            log(ControlEvent.LINK_FAILED, peer=self._peer, reason=reason)
+
+
+def make_voter_link(peer: NodeId, api: Endpoint, voter: Mailbox[Any]) -> VoterLink:
+    """Link to another voter.
+
+    :param api: endpoint of its control API.
+    :param voter: mailbox of the own voter task, for the answers.
+    """
+    return VoterLink(peer, api, voter)
--- /dev/null
+++ b/src/wasabigw/tasks/voter_task.py
@@ -0,0 +1,580 @@
+"""Task of a voter: owns the data directory, the log and the replicated state."""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from itertools import islice
+from typing import Any
+
+from returns.result import Failure, Result
+
+from wasabigw.core import membership
+from wasabigw.core.cluster import Applied, ClusterState, Endpoint, Refusal
+from wasabigw.core.commands import (
+    BackendServerDown,
+    BackendServerDraining,
+    BackendServerOverloaded,
+    BackendServerStep,
+    BackendServerUp,
+    CandidatesAdded,
+    CandidatesReleased,
+    Command,
+    ReportBatch,
+)
+from wasabigw.core.consensus import lease
+from wasabigw.core.consensus.effects import (
+    AnswerMessage,
+    AppendEntries,
+    ApplyEntries,
+    Effect,
+    InstallSnapshot,
+    RoleChanged,
+    SaveSnapshot,
+    SaveVote,
+    SendMessage,
+)
+from wasabigw.core.consensus.events import (
+    ClockTick,
+    EnvelopeReceived,
+    Proposed,
+    SnapshotTaken,
+)
+from wasabigw.core.consensus.messages import Envelope, Snapshot
+from wasabigw.core.consensus.replication import CommittedEntryError
+from wasabigw.core.consensus.state import VoterState, make_voter_state
+from wasabigw.core.consensus.voter import handle
+from wasabigw.core.consensus.voters import admissions
+from wasabigw.core.copying import copy_state
+from wasabigw.core.ids import NodeId, RequestId, Revision, Seconds, Term
+from wasabigw.core.log_messages import InForce, LogBatch, LogEntry, NotLeader
+from wasabigw.core.states import RefusalCode, VoterRole
+from wasabigw.core.timing import LOG_POLL_WAIT, SNAPSHOT_INTERVAL
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.timer import Tick, TimerService, monotonic
+from wasabigw.tasks.storage import Storage
+from wasabigw.tasks.storage_errors import StorageError
+from wasabigw.tasks.voter_calls import (
+    ChangeCall,
+    CommandAnswer,
+    InForceCall,
+    LinkAnswer,
+    OutcomeUnknown,
+    Overloaded,
+    PeerMessage,
+    PollCall,
+    ReportCall,
+    StateCall,
+    VoterMessage,
+    configuration_view,
+)
+from wasabigw.telemetry.events_control import ControlEvent
+from wasabigw.telemetry.log_events import log
+
+ApplyCommand = Callable[[Command, Revision, ClusterState], Result[Applied, Refusal]]
+"""Changes the replicated state by one command, as ``core.apply`` does."""
+
+TICK_PERIOD = Seconds(0.05)
+MEMBERSHIP_PERIOD = Seconds(0.5)
+MAX_MESSAGES_PER_BATCH = 256
+"""Messages that are handled before what they propose is appended together."""
+MAX_PENDING_COMMANDS = 1024
+"""Proposed commands that wait for their commit; more are refused."""
+MAX_HELD_POLLS = 4096
+"""Balancers whose polls are held at the same time; more are refused."""
+MAX_ENTRIES_PER_BATCH = 256
+"""Entries in one answer to a log poll."""
+REMEMBERED_REPORTS = 4096
+"""Report ids whose outcome the leader keeps for repeated reports."""
+
+_REPORTS_OF_HOMES = (
+    BackendServerUp
+    | BackendServerDown
+    | BackendServerStep
+    | BackendServerDraining
+    | BackendServerOverloaded
+    | CandidatesReleased
+    | CandidatesAdded
+)
+
+
+@dataclass(frozen=True, slots=True)
+class VoterSettings:
+    """Which voter this is and where the voters' control APIs are.
+
+    :param voters: endpoint of each voter, with the own one.
+    """
+
+    node: NodeId
+    voters: Mapping[NodeId, Endpoint]
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    """A proposed command whose outcome somebody waits for."""
+
+    command: Command
+    reply: Mailbox[CommandAnswer] | None = None
+    report_id: RequestId | None = None
+    term: Term = field(default=Term(0))
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldPoll:
+    call: PollCall
+    until: Seconds
+
+
+class VoterTask(Task[VoterMessage]):
+    """Drives the consensus state machine and answers the control API.
+
+    After a storage error it takes no further part and says so to every caller;
+    the process must be restarted.
+    """
+
+    def __init__(
+        self,
+        settings: VoterSettings,
+        mailbox: Mailbox[VoterMessage | Stop],
+        storage: Storage,
+        links: Mapping[NodeId, Mailbox[Any]],
+        apply_command: ApplyCommand,
+        timer: TimerService,
+        clock: Callable[[], Seconds],
+        draw: Callable[[], float],
+    ) -> None:
+        super().__init__(f"voter-{settings.node}", mailbox)
+        self._settings = settings
+        self._storage = storage
+        self._links = links
+        self._apply = apply_command
+        self._timer = timer
+        self._clock = clock
+        self._draw = draw
+        self._voter = self._recover()
+        self._cluster = copy_state(self._voter.snapshot.state)
+        self._membership = membership.MembershipState()
+        self._membership_at = Seconds(0.0)
+        self._collected: list[_Waiting] = []
+        self._pending: dict[Revision, _Waiting] = {}
+        self._held: dict[NodeId, _HeldPoll] = {}
+        self._reports: OrderedDict[RequestId, Applied | Refusal] = OrderedDict()
+        self._peer_reply: Mailbox[Envelope] | None = None
+        self._stopped = False
+
+    def open(self) -> None:
+        """Subscribe to the timer."""
+        recovered = self._storage.recovered
+        log(
+            ControlEvent.VOTER_OPENED,
+            node=self._settings.node,
+            revision=self._voter.log.last_revision,
+            term=recovered.vote.term,
+        )
+        self._timer.subscribe(self.mailbox, TICK_PERIOD, "voter")
+
+    def close(self) -> None:
+        """Release the data directory."""
+        self._storage.close()
+
+    def run(self) -> None:
+        """Handle messages in batches until :class:`Stop` arrives."""
+        while True:
+            first = self._mailbox.get().unwrap()
+            rest = islice(self._mailbox.drain(), MAX_MESSAGES_PER_BATCH - 1)
+            for message in (first, *rest):
+                if isinstance(message, Stop):
+                    return
+                self.receive(message)
+            self.flush()
+
+    def receive(self, message: VoterMessage) -> None:
+        """Handle one message; proposals wait for :meth:`flush`."""
+        self._receive(message)
+
+    def flush(self) -> None:
+        """Append all commands that were proposed since the last call."""
+        collected, self._collected = self._collected, []
+        if not collected:
+            return
+        if self._stopped or self._voter.role is not VoterRole.LEADER:
+            for waiting in collected:
+                _answer(waiting, self._not_leader())
+            return
+        first = self._voter.log.last_revision + 1
+        term = self._voter.term
+        for position, waiting in enumerate(collected):
+            self._pending[Revision(first + position)] = _Waiting(
+                waiting.command, waiting.reply, waiting.report_id, term
+            )
+        commands = tuple(waiting.command for waiting in collected)
+        self._decide(Proposed(commands, self._clock()))
+
+    # Messages
+
+    @singledispatchmethod
+    def _receive(self, message: object) -> None:
+        raise TypeError(f"not a voter message: {message!r}")
+
+    @_receive.register
+    def _(self, message: PeerMessage) -> None:
+        self._peer_reply = message.reply
+        self._receive_envelope(message.envelope)
+        self._peer_reply = None
+
+    @_receive.register
+    def _(self, message: LinkAnswer) -> None:
+        self._receive_envelope(message.envelope)
+
+    @_receive.register
+    def _(self, message: Tick) -> None:
+        now = self._clock()
+        self._decide(ClockTick(now, self._draw()))
+        self._answer_due_polls(now)
+        if now >= self._membership_at and self._is_current(now):
+            self._membership_at = Seconds(now + MEMBERSHIP_PERIOD)
+            self._propose_membership(membership.MembershipTick(now, self._cluster))
+
+    @_receive.register
+    def _(self, message: ChangeCall) -> None:
+        request = message.request
+        if not self._is_current(self._clock()):
+            message.reply.post(self._not_leader())
+            return
+        known = self._cluster.requests.get(request.request_id)
+        if known is not None:
+            message.reply.post(known)
+            return
+        self._propose(_Waiting(request, message.reply))
+
+    @_receive.register
+    def _(self, message: ReportCall) -> None:
+        request = message.request
+        if not self._is_current(self._clock()):
+            message.reply.post(self._not_leader())
+            return
+        known = self._reports.get(request.report_id) or self._refuse_report(message)
+        if known is not None:
+            message.reply.post(known)
+            return
+        batch = ReportBatch(request.reports)
+        self._propose(_Waiting(batch, message.reply, request.report_id))
+
+    @_receive.register
+    def _(self, message: PollCall) -> None:
+        now = self._clock()
+        if not self._is_current(now):
+            message.reply.post(self._not_leader())
+            return
+        poll = message.poll
+        if poll.node.id not in self._held and len(self._held) >= MAX_HELD_POLLS:
+            message.reply.post(Overloaded(f"{MAX_HELD_POLLS} log polls are held"))
+            return
+        self._propose_membership(
+            membership.BalancerPolled(poll.node, poll.applied, now, self._cluster)
+        )
+        replaced = self._held.pop(poll.node.id, None)
+        if replaced is not None:
+            self._answer_poll(replaced.call, now)
+        wait = min(poll.wait, LOG_POLL_WAIT)
+        if poll.applied != self._cluster.revision or wait <= 0:
+            self._answer_poll(message, now)
+            return
+        self._held[poll.node.id] = _HeldPoll(message, Seconds(now + wait))
+
+    @_receive.register
+    def _(self, message: StateCall) -> None:
+        if self._is_current(self._clock()):
+            message.reply.post(configuration_view(self._cluster))
+        else:
+            message.reply.post(self._not_leader())
+
+    @_receive.register
+    def _(self, message: InForceCall) -> None:
+        now = self._clock()
+        if not self._is_current(now):
+            message.reply.post(self._not_leader())
+            return
+        revision = message.revision
+        if revision is None:
+            revision = self._cluster.configuration_revision
+        nodes = membership.node_progress(self._membership, self._cluster, revision, now)
+        applied = revision <= self._cluster.revision
+        in_force = applied and all(node.in_force for node in nodes)
+        message.reply.post(InForce(revision, in_force, nodes))
+
+    # Effects
+
+    @singledispatchmethod
+    def _execute(self, effect: object) -> StorageError | None:
+        raise TypeError(f"not a voter effect: {effect!r}")
+
+    @_execute.register
+    def _(self, effect: SaveVote) -> StorageError | None:
+        return _error_of(self._storage.save_vote(effect.record))
+
+    @_execute.register
+    def _(self, effect: AppendEntries) -> StorageError | None:
+        return _error_of(self._storage.append(effect.entries))
+
+    @_execute.register
+    def _(self, effect: SaveSnapshot) -> StorageError | None:
+        log(ControlEvent.SNAPSHOT_TAKEN, revision=effect.snapshot.revision)
+        return _error_of(self._storage.save_snapshot(effect.snapshot))
+
+    @_execute.register
+    def _(self, effect: InstallSnapshot) -> StorageError | None:
+        error = _error_of(self._storage.install_snapshot(effect.snapshot))
+        if error is None:
+            log(ControlEvent.SNAPSHOT_INSTALLED, revision=effect.snapshot.revision)
+            self._cluster = copy_state(effect.snapshot.state)
+        return error
+
+    @_execute.register
+    def _(self, effect: ApplyEntries) -> StorageError | None:
+        for entry in effect.entries:
+            self._apply_entry(entry)
+        return None
+
+    @_execute.register
+    def _(self, effect: SendMessage) -> StorageError | None:
+        # A full link loses the message; the voter sends it again.
+        self._links[effect.recipient].post(effect.envelope)
+        return None
+
+    @_execute.register
+    def _(self, effect: AnswerMessage) -> StorageError | None:
+        if self._peer_reply is not None:
+            self._peer_reply.post(effect.envelope)
+        return None
+
+    @_execute.register
+    def _(self, effect: RoleChanged) -> StorageError | None:
+        log(
+            ControlEvent.ROLE_CHANGED,
+            node=self._settings.node,
+            role=effect.role.value,
+            term=effect.term,
+            leader=effect.leader,
+        )
+        if effect.role is VoterRole.LEADER:
+            gained = membership.LeadershipGained(self._clock(), self._cluster)
+            membership.handle(gained, self._membership)
+        else:
+            self._end_leadership()
+        return None
+
+    # Steps
+
+    def _recover(self) -> VoterState:
+        recovered = self._storage.recovered
+        node = self._settings.node
+        return make_voter_state(
+            node,
+            recovered.identity.incarnation,
+            tuple(voter for voter in self._settings.voters if voter != node),
+            recovered.vote,
+            recovered.snapshot,
+            recovered.entries,
+            self._clock(),
+            self._draw(),
+        )
+
+    def _receive_envelope(self, envelope: Envelope) -> None:
+        if envelope.sender in self._voter.peers:
+            self._decide(EnvelopeReceived(envelope, self._clock(), self._draw()))
+
+    def _decide(
+        self, event: ClockTick | EnvelopeReceived | Proposed | SnapshotTaken
+    ) -> None:
+        if self._stopped:
+            return
+        try:
+            effects = handle(event, self._voter)
+        except CommittedEntryError as error:
+            self._stop(str(error))
+            return
+        before = self._cluster.revision
+        self._execute_all(effects)
+        if self._cluster.revision != before:
+            self._answer_due_polls(self._clock())
+        if self._is_snapshot_due():
+            self._take_snapshot()
+
+    def _execute_all(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            error = self._execute(effect)
+            if error is not None:
+                # What follows depends on this effect being durable.
+                self._stop(str(error))
+                return
+
+    def _stop(self, reason: str) -> None:
+        self._stopped = True
+        log(ControlEvent.VOTER_STOPPED, node=self._settings.node, reason=reason)
+        self._end_leadership()
+
+    def _is_current(self, now: Seconds) -> bool:
+        return not self._stopped and lease.is_current(self._voter, now)
+
+    def _not_leader(self) -> NotLeader:
+        leader = self._voter.leader
+        if self._stopped or leader is None or leader == self._settings.node:
+            return NotLeader(None)
+        return NotLeader(self._settings.voters.get(leader))
+
+    def _propose(self, waiting: _Waiting) -> None:
+        if len(self._pending) + len(self._collected) >= MAX_PENDING_COMMANDS:
+            message = f"{MAX_PENDING_COMMANDS} commands wait for their commit"
+            _answer(waiting, Overloaded(message))
+            return
+        self._collected.append(waiting)
+
+    def _propose_membership(self, event: object) -> None:
+        for decision in membership.handle(event, self._membership):
+            kinds = ", ".join(str(report) for report in decision.reports)
+            log(ControlEvent.PROPOSED_REPORTS, reports=kinds)
+            self._propose(_Waiting(ReportBatch(decision.reports)))
+
+    def _refuse_report(self, call: ReportCall) -> Refusal | None:
+        request = call.request
+        revision = self._cluster.configuration_revision
+        wrong = [r for r in request.reports if not isinstance(r, _REPORTS_OF_HOMES)]
+        if wrong:
+            message = f"{type(wrong[0]).__name__} is proposed by the leader only"
+            return Refusal(RefusalCode.INVALID, message, revision)
+        known = self._cluster.nodes.get(request.node)
+        if known is None or known.incarnation != request.incarnation:
+            message = (
+                f"balancer {request.node} is not registered with this incarnation; "
+                "poll the log and send the reports again"
+            )
+            return Refusal(RefusalCode.CONFLICT, message, revision)
+        return None
+
+    def _apply_entry(self, entry: LogEntry) -> None:
+        outcome = self._apply(entry.command, entry.revision, self._cluster)
+        for admission in admissions(entry.command):
+            log(
+                ControlEvent.VOTER_ADMITTED,
+                voter=admission.voter,
+                incarnation=admission.incarnation,
+            )
+        waiting = self._pending.pop(entry.revision, None)
+        if waiting is None:
+            return
+        if waiting.term != entry.term:
+            _answer(waiting, OutcomeUnknown())
+            return
+        answer = _value_of(outcome)
+        if waiting.report_id is not None:
+            self._remember_report(waiting.report_id, answer)
+        _answer(waiting, answer)
+
+    def _remember_report(
+        self, report_id: RequestId, outcome: Applied | Refusal
+    ) -> None:
+        self._reports[report_id] = outcome
+        if len(self._reports) > REMEMBERED_REPORTS:
+            self._reports.popitem(last=False)
+
+    def _answer_due_polls(self, now: Seconds) -> None:
+        current = self._is_current(now)
+        due = [
+            node
+            for node, held in self._held.items()
+            if not current
+            or now >= held.until
+            or held.call.poll.applied != self._cluster.revision
+        ]
+        for node in due:
+            self._answer_poll(self._held.pop(node).call, now)
+
+    def _answer_poll(self, call: PollCall, now: Seconds) -> None:
+        applied = call.poll.applied
+        if not self._is_current(now):
+            call.reply.post(self._not_leader())
+            return
+        voter = self._voter
+        if applied > voter.committed:
+            log(
+                ControlEvent.NODE_AHEAD,
+                node=call.poll.node.id,
+                applied=applied,
+                committed=voter.committed,
+            )
+            call.reply.post(NotLeader(None))
+            return
+        snapshot: Snapshot | None = None
+        if applied < voter.log.available_after:
+            snapshot = voter.snapshot
+            applied = snapshot.revision
+        call.reply.post(
+            LogBatch(
+                voter.term,
+                voter.committed,
+                lease.fresh_for(voter, now),
+                tuple(voter.log.after(applied, voter.committed, MAX_ENTRIES_PER_BATCH)),
+                snapshot.state if snapshot else None,
+            )
+        )
+
+    def _end_leadership(self) -> None:
+        for waiting in self._pending.values():
+            _answer(waiting, OutcomeUnknown())
+        self._pending.clear()
+        self._reports.clear()
+        for held in self._held.values():
+            held.call.reply.post(self._not_leader())
+        self._held.clear()
+
+    def _is_snapshot_due(self) -> bool:
+        taken = self._voter.snapshot.revision
+        return not self._stopped and (
+            self._voter.committed - taken >= SNAPSHOT_INTERVAL
+        )
+
+    def _take_snapshot(self) -> None:
+        revision = self._voter.committed
+        term = self._voter.log.term_at(revision)
+        if term is None:
+            return
+        snapshot = Snapshot(revision, term, copy_state(self._cluster))
+        self._execute_all(handle(SnapshotTaken(snapshot), self._voter))
+
+
+def make_voter_task(
+    settings: VoterSettings,
+    mailbox: Mailbox[VoterMessage | Stop],
+    storage: Storage,
+    links: Mapping[NodeId, Mailbox[Any]],
+    apply_command: ApplyCommand,
+    timer: TimerService,
+    clock: Callable[[], Seconds] = monotonic,
+    draw: Callable[[], float] = random.random,
+) -> VoterTask:
+    """Task of a voter, which takes over the opened data directory.
+
+    :param links: mailbox of the link to each other voter.
+    """
+    return VoterTask(
+        settings, mailbox, storage, links, apply_command, timer, clock, draw
+    )
+
+
+def _answer(waiting: _Waiting, answer: CommandAnswer) -> None:
+    if waiting.reply is not None:
+        waiting.reply.post(answer)
+
+
+def _error_of(result: Result[None, StorageError]) -> StorageError | None:
+    return result.failure() if isinstance(result, Failure) else None
+
+
+def _value_of(outcome: Result[Applied, Refusal]) -> Applied | Refusal:
+    if isinstance(outcome, Failure):
+        refusal: Refusal = outcome.failure()
+        return refusal
+    return outcome.unwrap()
--- /dev/null
+++ b/tests/test_voter_link.py
@@ -0,0 +1,77 @@
+"""The link between voters leaves connections that have gone silent."""
+
+import socket
+import unittest
+from contextlib import ExitStack
+from typing import Any
+from unittest import mock
+
+from returns.result import Success
+
+from wasabigw.codec.consensus import encode_envelope
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.consensus import messages
+from wasabigw.core.ids import Incarnation, NodeId, Seconds, Term
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks import voter_link
+from wasabigw.tasks.voter_calls import LinkAnswer
+from wasabigw.tasks.voter_link import make_voter_link
+
+PATIENCE = Seconds(30.0)
+
+
+def envelope(body: messages.Body) -> messages.Envelope:
+    """A message of voter b."""
+    return messages.Envelope(NodeId("b"), Incarnation("b1"), True, Term(1), body)
+
+
+def http_answer(body: bytes) -> bytes:
+    """HTTP response with a body."""
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def read_request(connection: socket.socket) -> None:
+    """Read a whole request, head and body."""
+    data = b""
+    while b"AdmissionRequest" not in data or not data.endswith(b"}"):
+        data += connection.recv(65_536)
+
+
+class Silence(unittest.TestCase):
+    """Guards against a link that waits on a dead connection for ever."""
+
+    def setUp(self) -> None:
+        stack = ExitStack()
+        self.addCleanup(stack.close)
+        listener = stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+        listener.settimeout(PATIENCE)
+        self.listener = listener
+        for name, value in (("READ_TIMEOUT", 0.2), ("SESSION_IDLE", 0.3)):
+            stack.enter_context(mock.patch.object(voter_link, name, Seconds(value)))
+        self.voter: Mailbox[Any] = Mailbox("voter")
+        api = Endpoint(*listener.getsockname())
+        self.link = stack.enter_context(make_voter_link(NodeId("b"), api, self.voter))
+
+    def accept(self) -> socket.socket:
+        connection, _ = self.listener.accept()
+        self.addCleanup(connection.close)
+        connection.settimeout(PATIENCE)
+        read_request(connection)
+        return connection
+
+    def test_link_leaves_silent_idle_and_malformed_connections(self) -> None:
+        request = envelope(messages.AdmissionRequest())
+        answer = envelope(messages.AdmissionResponse(True))
+        self.link.mailbox.post(request)
+        silent = self.accept()
+        while silent.recv(65_536):
+            continue
+        self.link.mailbox.post(request)
+        connection = self.accept()
+        connection.sendall(http_answer(b"{"))
+        self.link.mailbox.post(request)
+        read_request(connection)
+        connection.sendall(http_answer(encode_envelope(answer)))
+        self.assertEqual(self.voter.get(PATIENCE), Success(LinkAnswer(answer)))
+        while connection.recv(65_536):
+            continue
