--- a/src/wasabigw/tasks/http_server.py
+++ b/src/wasabigw/tasks/http_server.py
@@ -57,6 +57,13 @@
         return bool(super().communicate())  # type: ignore[no-untyped-call]
 
 
+class _Server(wsgi.Server):
+    """Server that reports failed connections as events."""
+
+    def error_log(self, msg: str = "", level: int = 0, traceback: bool = False) -> None:
+        log(HttpEvent.CONNECTION_FAILED, name=self.server_name, reason=msg)
+
+
 class HttpServer(AbstractContextManager["HttpServer"]):
     """Server that runs while its context is open.
 
@@ -69,7 +76,7 @@
         self, name: str, bind: Endpoint, root: object, max_body: int, threads: int
     ) -> None:
         self._name = name
-        self._server = wsgi.Server(
+        self._server = _Server(
             (bind.address, bind.port),
             _limited(_application(root), max_body),
             numthreads=threads,
--- a/src/wasabigw/telemetry/events_http.py
+++ b/src/wasabigw/telemetry/events_http.py
@@ -26,6 +26,12 @@
         "a message for {mailbox} was dropped because its mailbox is full",
         "The balancer is overloaded; add balancers to its failure domain.",
     )
+    CONNECTION_FAILED = EventDefinition(
+        3003,
+        logging.INFO,
+        "a connection to the HTTP server {name} ended with an error: {reason}",
+        "Expected when clients go silent or disconnect within a request.",
+    )
     LEADER_FOUND = EventDefinition(
         3010,
         logging.INFO,
