--- /dev/null
+++ b/src/wasabigw/core/flows/forwarding.py
@@ -0,0 +1,81 @@
+"""What a balancer tells the next one about a packet that it forwards."""
+
+from dataclasses import dataclass, replace
+
+import xxhash
+
+from wasabigw.core.ids import NodeId
+
+NO_CANDIDATE = 0xFFFFFFFF
+"""Stands in place of a candidate for the balancer that wants the binding."""
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A balancer that carried a packet and does not know its flow.
+
+    :param node_tag: see :func:`tag_of`.
+    :param incomplete: whether it may lack records of the candidate's flows.
+    :param candidate: index of the backend server it was asked for.
+    """
+
+    node_tag: int
+    incomplete: bool
+    candidate: int
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarding:
+    """How a packet came here.
+
+    :param hops: balancers that have carried it before.
+    :param resolve: the first balancer wants to learn the backend server.
+    :param sample: sent through the home only to refresh its record.
+    :param deliver: the candidate of the last entry of ``asked`` was chosen.
+    """
+
+    hops: int
+    bucket: int
+    resolve: bool = False
+    sample: bool = False
+    deliver: bool = False
+    asked: tuple[Asked, ...] = ()
+
+    def origin(self) -> int | None:
+        """Tag of the balancer that wants the binding."""
+        if self.asked and self.asked[0].candidate == NO_CANDIDATE:
+            return self.asked[0].node_tag
+        return None
+
+    def chosen(self) -> int | None:
+        """Index of the candidate that was chosen, if one was."""
+        if not self.deliver or not self.asked:
+            return None
+        return self.asked[-1].candidate
+
+    def was_asked(self, node_tag: int, candidate: int) -> bool:
+        """Whether a balancer was asked for a candidate."""
+        return any(
+            a.node_tag == node_tag and a.candidate == candidate for a in self.asked
+        )
+
+    def lacks_records(self, candidate: int) -> bool:
+        """Whether each home that was asked for a candidate is incomplete."""
+        answers = [a.incomplete for a in self.asked if a.candidate == candidate]
+        return bool(answers) and all(answers)
+
+    def with_answers(self, answers: tuple[Asked, ...]) -> "Forwarding":
+        """With further homes that do not know the flow."""
+        new = tuple(a for a in answers if not self.was_asked(a.node_tag, a.candidate))
+        return replace(self, asked=self.asked + new)
+
+    def delivering(self, node_tag: int, candidate: int) -> "Forwarding":
+        """With a chosen candidate."""
+        chosen = Asked(node_tag, False, candidate)
+        kept = self.asked[:1] if self.origin() is not None else ()
+        return replace(self, deliver=True, asked=(*kept, chosen))
+
+
+def tag_of(node: NodeId) -> int:
+    """Two-byte tag of a balancer in a FORWARD option."""
+    return xxhash.xxh64_intdigest(node.encode()) & 0xFFFF
