--- a/src/wasabigw/codec/geneve.py
+++ b/src/wasabigw/codec/geneve.py
@@ -37,6 +37,7 @@
 _RESOLVE = 0x01
 _SAMPLE = 0x02
 _DELIVER = 0x04
+_COPY = 0x08
 _INCOMPLETE = 0x01
 MAX_ASKED = 9
 """Most homes that a FORWARD option names."""
@@ -165,6 +166,7 @@
         bool(flags & _RESOLVE),
         bool(flags & _SAMPLE),
         bool(flags & _DELIVER),
+        bool(flags & _COPY),
         tuple(asked),
     )
 
@@ -202,6 +204,7 @@
         (_RESOLVE if value.resolve else 0)
         | (_SAMPLE if value.sample else 0)
         | (_DELIVER if value.deliver else 0)
+        | (_COPY if value.copy else 0)
     )
     body = _FORWARD.pack(value.hops, flags, value.bucket)
     for asked in value.asked[-MAX_ASKED:]:
--- a/src/wasabigw/codec/ipv4.py
+++ b/src/wasabigw/codec/ipv4.py
@@ -275,8 +275,9 @@
 
 
 def rewrite_error_source(buffer: bytearray, segment: Segment, change: Rewrite) -> None:
-    """Replace the source of an ICMP error, if it is the old one, and the quoted
-    destination.
+    """Replace the quoted destination of an ICMP error and its source.
+
+    The source stays if it is not the old address but a router on the way.
     """
     if segment.source == change.old_address:
         _lower_ttl(buffer, segment, change.ip_delta)
--- /dev/null
+++ b/src/wasabigw/core/flows/decisions.py
@@ -0,0 +1,110 @@
+"""Decisions about flows, which a front end executes.
+
+Each event that stands for a packet yields exactly one disposition (``SendToBackend``,
+``ReturnToCaller``, ``ForwardToNode``, ``Refuse`` or ``Drop``) and may yield others.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from wasabigw.core.commands import Report
+from wasabigw.core.flows.forwarding import Forwarding
+from wasabigw.core.flows.handover import Handover
+from wasabigw.core.flows.targets import Target
+from wasabigw.core.ids import FlowKey, NodeId, Seconds
+
+
+class DropReason(Enum):
+    """Why a packet was dropped."""
+
+    NO_VIEW = "no-view"
+    STALE_VIEW = "stale-view"
+    AMBIGUOUS = "ambiguous"
+    HOP_LIMIT = "hop-limit"
+    NO_HOME = "no-home"
+    NOT_A_CANDIDATE = "not-a-candidate"
+    RELEASING = "releasing"
+    SETTLING = "settling"
+    OUT_OF_SERVICE = "out-of-service"
+    UNKNOWN_FLOW = "unknown-flow"
+    UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_BACKEND_SERVER = "unknown-backend-server"
+    NOT_ANNOUNCED = "not-announced"
+    TAKEOVER_WAIT = "takeover-wait"
+    RATE_LIMITED = "rate-limited"
+    REPLY_RATE_LIMITED = "reply-rate-limited"
+
+
+class RefusalReason(Enum):
+    """Why a caller gets a refusal."""
+
+    UNKNOWN_DESTINATION = "unknown-destination"
+    NO_BACKEND_SERVER = "no-backend-server"
+    AT_LIMIT = "at-limit"
+    TABLE_FULL = "table-full"
+    FLOW_GONE = "flow-gone"
+
+
+@dataclass(frozen=True, slots=True)
+class SendToBackend:
+    """Send the packet to a backend server."""
+
+    target: Target
+
+
+@dataclass(frozen=True, slots=True)
+class ReturnToCaller:
+    """Send the answer to the caller as the service."""
+
+    target: Target
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardToNode:
+    """Let another balancer decide."""
+
+    node: NodeId
+    forwarding: Forwarding
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Tell the caller that its packet was not forwarded."""
+
+    reason: RefusalReason
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Discard the packet."""
+
+    reason: DropReason
+
+
+@dataclass(frozen=True, slots=True)
+class SendBinding:
+    """Tell a balancer which backend server a flow belongs to."""
+
+    node: NodeId
+    flow: FlowKey
+    backend_index: int
+    lifetime: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class SendReports:
+    """Report to the leader."""
+
+    reports: tuple[Report, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SendHandover:
+    """Send records to the new home of a backend server."""
+
+    node: NodeId
+    handover: Handover
+
+
+Disposition = SendToBackend | ReturnToCaller | ForwardToNode | Refuse | Drop
+Decision = Disposition | SendBinding | SendReports | SendHandover
--- a/src/wasabigw/core/flows/forwarding.py
+++ b/src/wasabigw/core/flows/forwarding.py
@@ -32,6 +32,8 @@
     :param resolve: the first balancer wants to learn the backend server.
     :param sample: sent through the home only to refresh its record.
     :param deliver: the candidate of the last entry of ``asked`` was chosen.
+    :param copy: the home has recorded the flow there; the receiver is its backup,
+        keeps a copy of the record and sends the packet.
     """
 
     hops: int
@@ -39,6 +41,7 @@
     resolve: bool = False
     sample: bool = False
     deliver: bool = False
+    copy: bool = False
     asked: tuple[Asked, ...] = ()
 
     def origin(self) -> int | None:
--- /dev/null
+++ b/src/wasabigw/core/flows/home.py
@@ -0,0 +1,292 @@
+"""Decisions of a home: known flows, new flows, and flows that nobody recorded."""
+
+from functools import singledispatch
+
+from wasabigw.core.flows import records
+from wasabigw.core.flows.admission_port import AdmissionVerdict
+from wasabigw.core.flows.decisions import (
+    Decision,
+    Drop,
+    DropReason,
+    RefusalReason,
+    Refuse,
+)
+from wasabigw.core.flows.events import CallerEvent, FlowClosing, FlowData, FlowOpened
+from wasabigw.core.flows.forwarding import tag_of
+from wasabigw.core.flows.homes import home
+from wasabigw.core.flows.opening import opening_target, overflow_target
+from wasabigw.core.flows.records import CALLER_CLOSED, FlowRecord
+from wasabigw.core.flows.search import decide_owner, next_question, own_answers
+from wasabigw.core.flows.sending import (
+    Context,
+    asking,
+    bindings,
+    drop,
+    forward,
+    note_closing,
+    record_flow,
+    send,
+    send_recorded,
+)
+from wasabigw.core.flows.state import (
+    BalancerState,
+    PendingOpening,
+    has_restarted,
+    is_releasing,
+    may_send,
+)
+from wasabigw.core.flows.targets import Target
+from wasabigw.core.ids import Seconds
+from wasabigw.core.states import Protocol
+from wasabigw.core.timing import VIEW_LEASE
+from wasabigw.core.view import is_fresh
+
+OPENING_TIMEOUT = Seconds(3.0)
+"""A flow that its backend server has not accepted by then counts as timed out."""
+
+_VERDICT_DROPS = {
+    AdmissionVerdict.NOT_ANNOUNCED: DropReason.NOT_ANNOUNCED,
+    AdmissionVerdict.TAKEOVER_WAIT: DropReason.TAKEOVER_WAIT,
+    AdmissionVerdict.RATE_LIMITED: DropReason.RATE_LIMITED,
+}
+
+
+@singledispatch
+def at_home(
+    event: CallerEvent, context: Context, state: BalancerState
+) -> list[Decision]:
+    """Decide on a packet that this balancer can't send by its tables alone."""
+    raise TypeError(f"no rule for the event {type(event).__name__}")
+
+
+@at_home.register
+def _(event: FlowOpened, context: Context, state: BalancerState) -> list[Decision]:
+    if context.forwarding.copy:
+        return _keep_copy(event, context, state)
+    record = state.records.records.get(context.flow)
+    if record is not None and record.target.usable:
+        if record.closed != records.BOTH_CLOSED:
+            # The first opening packet may have been lost on its way through the
+            # backup, so that this one goes straight to the backend server.
+            record.copied = None
+            return send(state, record.target, context.now)
+        # Balancers may still hold a binding of the flow that has just ended.
+        if record.target is not context.candidates.current:
+            return drop(DropReason.SETTLING)
+        return open_at(record.target, context, state)
+    chosen = context.forwarding.chosen()
+    if chosen is not None:
+        return _take_chosen(chosen, event, context, state)
+    current = context.candidates.current
+    if current is None:
+        return _refuse_without_candidate(context, state)
+    owner = home(state.homes, current.id)
+    if owner != state.node:
+        return forward(owner, context.forwarding, state)
+    return _open_flow(current, event, context, state)
+
+
+@at_home.register(FlowData)
+@at_home.register(FlowClosing)
+def _(
+    event: FlowData | FlowClosing, context: Context, state: BalancerState
+) -> list[Decision]:
+    if context.forwarding.copy:
+        return _keep_copy(event, context, state)
+    record = state.records.records.get(context.flow)
+    if record is not None and record.target.usable:
+        return _known_flow(event, record, context, state)
+    chosen = context.forwarding.chosen()
+    if chosen is not None:
+        return _take_chosen(chosen, event, context, state)
+    return _search(event, context, state)
+
+
+def _known_flow(
+    event: FlowData | FlowClosing,
+    record: FlowRecord,
+    context: Context,
+    state: BalancerState,
+) -> list[Decision]:
+    closing = isinstance(event, FlowClosing)
+    sent = send_recorded(state, context, record, copy=closing)
+    if isinstance(sent[0], Drop):
+        return sent
+    _note_caller(event, record, context, state)
+    if closing:
+        return sent
+    return sent + bindings(state, context, record.target)
+
+
+def _note_caller(
+    event: CallerEvent, record: FlowRecord, context: Context, state: BalancerState
+) -> None:
+    """Update the record of a flow after a packet of its caller."""
+    if isinstance(event, FlowClosing):
+        note_closing(
+            state, context.flow, record, CALLER_CLOSED, event.reset, context.now
+        )
+        return
+    related = isinstance(event, FlowData) and event.related
+    if not related and record.closed != records.BOTH_CLOSED:
+        record.last_seen = context.now
+
+
+def _keep_copy(
+    event: CallerEvent, context: Context, state: BalancerState
+) -> list[Decision]:
+    """Keep what the home has recorded, as its backup, and send the packet."""
+    target = state.routes.by_index.get(context.forwarding.chosen() or 0)
+    if target is None or target.service != context.route.id:
+        return drop(DropReason.NOT_A_CANDIDATE)
+    sent = send(state, target, context.now)
+    if isinstance(sent[0], Drop):
+        return sent
+    record = state.records.records.get(context.flow)
+    opens = isinstance(event, FlowOpened)
+    if record is None or record.target is not target or opens:
+        record = record_flow(state, context, target, slot_held=False)
+    if record is not None:
+        record.answered = True
+        _note_caller(event, record, context, state)
+    return sent
+
+
+def _search(
+    event: FlowData | FlowClosing, context: Context, state: BalancerState
+) -> list[Decision]:
+    """Ask the homes that may know the flow, and decide when all were asked."""
+    asked = asking(state, context.forwarding)
+    asked = asked.with_answers(own_answers(context, state))
+    question = next_question(asked, context, state)
+    if question is not None:
+        return forward(question, asked, state)
+    found = decide_owner(event, asked, context, state)
+    if isinstance(found, DropReason):
+        return drop(found)
+    if isinstance(found, RefusalReason):
+        return [Refuse(found)]
+    return _hand_to(found, event, context, state)
+
+
+def _hand_to(
+    target: Target, event: CallerEvent, context: Context, state: BalancerState
+) -> list[Decision]:
+    """Let the home of a chosen backend server take the flow."""
+    owner = home(state.homes, target.id)
+    if owner == state.node:
+        return _take(target, event, context, state)
+    if owner is None:
+        return drop(DropReason.NO_HOME)
+    forwarding = context.forwarding
+    if not isinstance(event, FlowOpened):
+        forwarding = asking(state, forwarding)
+    return forward(owner, forwarding.delivering(tag_of(owner), target.index), state)
+
+
+def _take_chosen(
+    index: int, event: CallerEvent, context: Context, state: BalancerState
+) -> list[Decision]:
+    target = context.candidates.candidate(index)
+    if target is None:
+        return drop(DropReason.NOT_A_CANDIDATE)
+    owner = home(state.homes, target.id)
+    if owner != state.node:
+        return forward(owner, context.forwarding, state)
+    return _take(target, event, context, state)
+
+
+def _take(
+    target: Target, event: CallerEvent, context: Context, state: BalancerState
+) -> list[Decision]:
+    """Accept a flow for a backend server that is homed here."""
+    if is_releasing(state, context.bucket, target):
+        return drop(DropReason.RELEASING)
+    opens = context.route.protocol is Protocol.UDP and isinstance(event, FlowData)
+    if isinstance(event, FlowOpened) or opens:
+        return open_at(target, context, state)
+    if isinstance(event, FlowClosing) and event.reset:
+        return send(state, target, context.now)
+    if not may_send(state, target, context.now):
+        return drop(DropReason.STALE_VIEW)
+    record = record_flow(state, context, target, slot_held=False)
+    if record is None:
+        return send(state, target, context.now)
+    return _known_flow(event, record, context, state)
+
+
+def _open_flow(
+    current: Target, event: CallerEvent, context: Context, state: BalancerState
+) -> list[Decision]:
+    """Open a flow where the bucket was before moves that have not settled."""
+    chosen = opening_target(current, context)
+    if isinstance(chosen, DropReason):
+        return drop(chosen)
+    return _hand_to(chosen, event, context, state)
+
+
+def open_at(target: Target, context: Context, state: BalancerState) -> list[Decision]:
+    """Admit a flow at a backend server, or say why not."""
+    owner = home(state.homes, target.id)
+    if owner != state.node:
+        return forward(owner, context.forwarding, state)
+    known = context.flow in state.records.records
+    if records.is_full(state.records) and not known:
+        return [Refuse(RefusalReason.TABLE_FULL)]
+    if not may_send(state, target, context.now) or not _is_exclusive(
+        target, context, state
+    ):
+        return drop(DropReason.STALE_VIEW)
+    if has_restarted(state, target):
+        # A record made now would be deleted when the log shows the new boot.
+        return drop(DropReason.NOT_ANNOUNCED)
+    verdict = state.admission.admit(target.id, context.now)
+    if verdict is AdmissionVerdict.ADMITTED:
+        return _admitted(target, context, state)
+    overflow = overflow_target(target, context)
+    limited = verdict in (AdmissionVerdict.AT_LIMIT, AdmissionVerdict.RATE_LIMITED)
+    if limited and overflow is not None:
+        return _hand_to_overflow(overflow, context, state)
+    if verdict is AdmissionVerdict.AT_LIMIT:
+        return [Refuse(RefusalReason.AT_LIMIT)]
+    return drop(_VERDICT_DROPS[verdict])
+
+
+def _admitted(target: Target, context: Context, state: BalancerState) -> list[Decision]:
+    record = record_flow(state, context, target, slot_held=True)
+    if record is None:
+        return [Refuse(RefusalReason.TABLE_FULL)]
+    if context.route.protocol is Protocol.TCP:
+        deadline = Seconds(context.now + OPENING_TIMEOUT)
+        state.pending.append(PendingOpening(deadline, context.flow, record))
+    sent = send_recorded(state, context, record, copy=True)
+    return sent + bindings(state, context, target)
+
+
+def _is_exclusive(target: Target, context: Context, state: BalancerState) -> bool:
+    """Whether no other home can admit flows at the same time.
+
+    A new home waits for one view lease after the first announcement there.
+    """
+    if is_fresh(state.view, context.now):
+        return True
+    renewal = state.renewed.get(target.id)
+    return renewal is not None and context.now - renewal.at < VIEW_LEASE
+
+
+def _hand_to_overflow(
+    overflow: Target, context: Context, state: BalancerState
+) -> list[Decision]:
+    owner = home(state.homes, overflow.id)
+    if owner == state.node:
+        return open_at(overflow, context, state)
+    if owner is None:
+        return drop(DropReason.NO_HOME)
+    chosen = context.forwarding.delivering(tag_of(owner), overflow.index)
+    return forward(owner, chosen, state)
+
+
+def _refuse_without_candidate(context: Context, state: BalancerState) -> list[Decision]:
+    if not is_fresh(state.view, context.now):
+        return drop(DropReason.STALE_VIEW)
+    return [Refuse(RefusalReason.NO_BACKEND_SERVER)]
--- /dev/null
+++ b/src/wasabigw/core/flows/moves.py
@@ -0,0 +1,77 @@
+"""When the buckets of a service moved, by the clock of this node."""
+
+from dataclasses import dataclass, field
+
+from wasabigw.core.cluster import BucketTable
+from wasabigw.core.ids import BackendServerId, BucketNumber, Seconds
+from wasabigw.core.states import CandidateReason
+from wasabigw.core.timing import FLOW_IDLE_TIMEOUT
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A bucket left a backend server.
+
+    :param at: when this node applied the move.
+    :param in_doubt: the order of several earlier moves is unknown.
+    """
+
+    at: Seconds
+    former: BackendServerId | None
+    in_doubt: bool = False
+
+
+@dataclass(slots=True)
+class MoveHistory:
+    """Moves of each bucket within the last :data:`FLOW_IDLE_TIMEOUT`, oldest first."""
+
+    moves: dict[BucketNumber, list[Move]] = field(default_factory=dict)
+
+
+def record_move(
+    history: MoveHistory,
+    bucket: BucketNumber,
+    former: BackendServerId | None,
+    now: Seconds,
+) -> None:
+    """Note that a bucket left a backend server."""
+    recent = [
+        move
+        for move in history.moves.get(bucket, ())
+        if move.at > now - FLOW_IDLE_TIMEOUT
+    ]
+    recent.append(Move(now, former))
+    history.moves[bucket] = recent
+
+
+def start_from_snapshot(history: MoveHistory, table: BucketTable, now: Seconds) -> None:
+    """Assume that each bucket with former backend servers moved just now.
+
+    With several of them the order of the latest moves is unknown.
+    """
+    history.moves.clear()
+    for bucket, others in table.others.items():
+        former = [c for c in others if c.reason is CandidateReason.FORMER]
+        if former:
+            move = Move(now, former[0].backend_server, len(former) > 1)
+            history.moves[bucket] = [move]
+
+
+def owner_before(
+    history: MoveHistory, bucket: BucketNumber, since: Seconds
+) -> Move | None:
+    """The first move after ``since``; its ``former`` owned the bucket at ``since``.
+
+    :returns: ``None`` if the bucket has not moved after ``since``.
+    """
+    for move in history.moves.get(bucket, ()):
+        if move.at > since:
+            return move
+    return None
+
+
+def moves_after(
+    history: MoveHistory, bucket: BucketNumber, since: Seconds
+) -> tuple[Move, ...]:
+    """Moves after a time, oldest first."""
+    return tuple(m for m in history.moves.get(bucket, ()) if m.at > since)
--- /dev/null
+++ b/src/wasabigw/core/flows/release.py
@@ -0,0 +1,96 @@
+"""Release of candidates that hold no flows any more."""
+
+from wasabigw.core.commands import CandidatesReleased
+from wasabigw.core.flows.decisions import Decision, SendReports
+from wasabigw.core.flows.homes import home, is_complete
+from wasabigw.core.flows.records import has_flows
+from wasabigw.core.flows.routes import OtherCandidate, ServiceRoute, bucket_route
+from wasabigw.core.flows.state import BalancerState, Releasing
+from wasabigw.core.ids import BackendServerId, BucketNumber, Seconds, ServiceId
+from wasabigw.core.states import CandidateReason
+from wasabigw.core.timing import FLOW_IDLE_TIMEOUT
+from wasabigw.core.view import is_fresh
+
+RELEASE_DELAY = FLOW_IDLE_TIMEOUT
+"""How long a candidate is kept at least.
+
+While a bucket has a single candidate, a slow flow may have no record, because only
+a sample of its packets passes the home. Once the bucket has several candidates, each
+packet passes a home, so that after one idle timeout every flow is recorded.
+"""
+
+REPEAT_AFTER = Seconds(5.0)
+"""Time after which a release that is not in the log yet is proposed again."""
+
+
+def propose_releases(state: BalancerState, now: Seconds) -> list[Decision]:
+    """Reports of the candidates homed here that may be forgotten, in one batch."""
+    if not is_fresh(state.view, now):
+        return []
+    reports = tuple(
+        CandidatesReleased(service, name, tuple(buckets), state.cluster.revision)
+        for (service, name), buckets in sorted(_releasable(state, now).items())
+    )
+    return [SendReports(reports)] if reports else []
+
+
+def _releasable(
+    state: BalancerState, now: Seconds
+) -> dict[tuple[ServiceId, BackendServerId], list[BucketNumber]]:
+    found: dict[tuple[ServiceId, BackendServerId], list[BucketNumber]] = {}
+    for route in state.routes.services.values():
+        for bucket in sorted(route.others):
+            for other in bucket_route(state.routes, route, bucket).others:
+                if not _is_releasable(other, route, bucket, state, now):
+                    continue
+                slot = (route.id, bucket, other.backend_server)
+                state.releasing[slot] = Releasing(other.revision, now)
+                found.setdefault((route.id, other.backend_server), []).append(bucket)
+    return found
+
+
+def _is_releasable(
+    other: OtherCandidate,
+    route: ServiceRoute,
+    bucket: BucketNumber,
+    state: BalancerState,
+    now: Seconds,
+) -> bool:
+    name = other.backend_server
+    if other.target is None or home(state.homes, name) != state.node:
+        return False
+    seen = route.seen.get((bucket, name, other.revision), now)
+    if now - seen < RELEASE_DELAY or has_flows(state.records, name, bucket):
+        return False
+    if not is_complete(state.homes, name, bucket, now):
+        return False
+    proposed = state.releasing.get((route.id, bucket, name))
+    if proposed is not None and now - proposed.proposed < REPEAT_AFTER:
+        return False
+    return not _relieves_overload(other, route, bucket, state)
+
+
+def _relieves_overload(
+    other: OtherCandidate,
+    route: ServiceRoute,
+    bucket: BucketNumber,
+    state: BalancerState,
+) -> bool:
+    name = route.current[bucket]
+    if other.reason is not CandidateReason.OVERFLOW or name is None:
+        return False
+    current = state.cluster.backend_servers.get(name)
+    return current is not None and current.overloaded
+
+
+def forget_outdated(state: BalancerState) -> None:
+    """Accept flows again for candidates that were named anew or became current."""
+    for slot, releasing in list(state.releasing.items()):
+        service, bucket, name = slot
+        route = state.routes.services.get(service)
+        named = () if route is None else route.others.get(bucket, ())
+        still = any(
+            c.backend_server == name and c.revision == releasing.revision for c in named
+        )
+        if not still:
+            del state.releasing[slot]
--- /dev/null
+++ b/src/wasabigw/core/flows/routes.py
@@ -0,0 +1,288 @@
+"""Bucket tables of one revision, prepared for the packet path.
+
+The tables are brought up to date after each entry of the log. What the packet path
+reads is compiled when a service is first used after a change.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from wasabigw.core.cluster import BucketTable, Candidate, ClusterState, Service
+from wasabigw.core.flows.keys import endpoint_number, number_of
+from wasabigw.core.flows.moves import MoveHistory, record_move, start_from_snapshot
+from wasabigw.core.flows.targets import (
+    Prepare,
+    Target,
+    make_target,
+    prepare_nothing,
+    still_describes,
+)
+from wasabigw.core.ids import (
+    BackendServerId,
+    BucketNumber,
+    FailureDomainId,
+    Revision,
+    Seconds,
+    ServiceId,
+)
+from wasabigw.core.states import CandidateReason, FailureDomainState, Protocol
+from wasabigw.core.timing import BUCKETS_PER_SERVICE
+
+
+@dataclass(frozen=True, slots=True)
+class OtherCandidate:
+    """A candidate besides the current one.
+
+    :param target: ``None`` when its flows are gone with it.
+    """
+
+    backend_server: BackendServerId
+    target: Target | None
+    reason: CandidateReason
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class BucketRoute:
+    """Where packets of a bucket may belong.
+
+    :param current: backend server of new flows, if it can be used.
+    :param others: further candidates, newest first.
+    :param live: all candidates that can be used, the current one first.
+    """
+
+    current: Target | None
+    others: tuple[OtherCandidate, ...]
+    live: tuple[Target, ...]
+
+    @property
+    def has_departed(self) -> bool:
+        """Whether flows of the bucket ended with their backend server."""
+        return any(other.target is None for other in self.others)
+
+    def candidate(self, index: int) -> Target | None:
+        """Usable candidate with an index."""
+        for target in self.live:
+            if target.index == index:
+                return target
+        return None
+
+
+@dataclass(slots=True, eq=False)
+class ServiceRoute:
+    """Bucket table of a service.
+
+    :param direct: for each bucket its only candidate, ``None`` if there are several
+        or none; empty until compiled.
+    :param seen: when this node learned of each candidate besides the current one.
+    """
+
+    id: ServiceId
+    number: int
+    protocol: Protocol
+    current: list[BackendServerId | None]
+    others: dict[BucketNumber, list[Candidate]]
+    moves: MoveHistory
+    direct: list[Target | None] = field(default_factory=list)
+    buckets: dict[BucketNumber, BucketRoute] = field(default_factory=dict)
+    seen: dict[tuple[BucketNumber, BackendServerId, Revision], Seconds] = field(
+        default_factory=dict
+    )
+
+
+@dataclass(slots=True)
+class RoutingTable:
+    """Services and backend servers by address and by id."""
+
+    services: dict[ServiceId, ServiceRoute] = field(default_factory=dict)
+    by_endpoint: dict[int, ServiceRoute] = field(default_factory=dict)
+    targets: dict[BackendServerId, Target] = field(default_factory=dict)
+    by_index: dict[int, Target] = field(default_factory=dict)
+    by_backend_endpoint: dict[int, Target] = field(default_factory=dict)
+    prepare: Prepare = prepare_nothing
+
+
+def update_routes(
+    table: RoutingTable,
+    cluster: ClusterState,
+    out_locally: set[FailureDomainId],
+    now: Seconds,
+    snapshot: bool,
+) -> list[Target]:
+    """Bring the table to the revision of the replicated state.
+
+    :param snapshot: moves before this revision are unknown.
+    :returns: targets that are void from now on.
+    """
+    void = _update_targets(table, cluster, out_locally)
+    touched = {target.service for target in void}
+    for name in [name for name in table.services if name not in cluster.services]:
+        route = table.services.pop(name)
+        del table.by_endpoint[route.number]
+    for service in cluster.services.values():
+        _update_service(table, service, cluster.buckets, now, snapshot)
+    for name in touched & table.services.keys():
+        clear_compiled(table.services[name])
+    return void
+
+
+def _update_targets(
+    table: RoutingTable, cluster: ClusterState, out_locally: set[FailureDomainId]
+) -> list[Target]:
+    serving = {
+        domain.id
+        for domain in cluster.failure_domains.values()
+        if domain.state is FailureDomainState.IN_SERVICE
+    } - out_locally
+    void: list[Target] = []
+    for name in [n for n in table.targets if n not in cluster.backend_servers]:
+        void.append(_discard(table, name))
+    for backend_server in cluster.backend_servers.values():
+        service = cluster.services.get(backend_server.service)
+        known = table.targets.get(backend_server.id)
+        usable = backend_server.failure_domain in serving
+        if service is None:
+            if known is not None:
+                void.append(_discard(table, known.id))
+            continue
+        if known is not None:
+            if still_describes(known, backend_server, service, usable):
+                continue
+            void.append(_discard(table, known.id))
+        target = make_target(backend_server, service, usable, table.prepare)
+        _add(table, target)
+        route = table.services.get(target.service)
+        if route is not None:
+            clear_compiled(route)
+    return void
+
+
+def _add(table: RoutingTable, target: Target) -> None:
+    table.targets[target.id] = target
+    table.by_index[target.index] = target
+    number = endpoint_number(target.protocol, target.address, target.port)
+    table.by_backend_endpoint[number] = target
+
+
+def _discard(table: RoutingTable, name: BackendServerId) -> Target:
+    target = table.targets.pop(name)
+    target.usable = False
+    number = endpoint_number(target.protocol, target.address, target.port)
+    # Another backend server may have taken the address or the index in between.
+    if table.by_index.get(target.index) is target:
+        del table.by_index[target.index]
+    if table.by_backend_endpoint.get(number) is target:
+        del table.by_backend_endpoint[number]
+    return target
+
+
+def _update_service(
+    table: RoutingTable,
+    service: Service,
+    tables: dict[ServiceId, BucketTable],
+    now: Seconds,
+    snapshot: bool,
+) -> None:
+    number = number_of(service.endpoint, service.protocol)
+    route = table.services.get(service.id)
+    if route is not None and route.number != number:
+        del table.by_endpoint[route.number]
+        route = None
+    if route is None:
+        route = ServiceRoute(
+            service.id,
+            number,
+            service.protocol,
+            [None] * BUCKETS_PER_SERVICE,
+            {},
+            MoveHistory(),
+        )
+        table.services[service.id] = route
+    table.by_endpoint[number] = route
+    buckets = tables.get(service.id)
+    if buckets is not None:
+        _update_buckets(route, buckets, now, snapshot)
+
+
+def _update_buckets(
+    route: ServiceRoute, table: BucketTable, now: Seconds, snapshot: bool
+) -> None:
+    if snapshot:
+        start_from_snapshot(route.moves, table, now)
+    elif route.current != table.current:
+        for index, former in enumerate(route.current):
+            if former != table.current[index]:
+                record_move(route.moves, BucketNumber(index), former, now)
+    if route.current != table.current:
+        route.current = list(table.current)
+        clear_compiled(route)
+    if route.others != table.others:
+        route.others = {bucket: list(found) for bucket, found in table.others.items()}
+        _note_candidates(route, now)
+        clear_compiled(route)
+
+
+def _note_candidates(route: ServiceRoute, now: Seconds) -> None:
+    route.seen = {
+        key: route.seen.get(key, now)
+        for bucket, found in route.others.items()
+        for key in ((bucket, c.backend_server, c.revision) for c in found)
+    }
+
+
+def clear_compiled(route: ServiceRoute) -> None:
+    """Compile the table anew when it is next used."""
+    route.direct = []
+    route.buckets = {}
+
+
+def compile_direct(table: RoutingTable, route: ServiceRoute) -> Sequence[Target | None]:
+    """The only candidate of each bucket that has just one."""
+    direct: list[Target | None] = []
+    for index, name in enumerate(route.current):
+        target = table.targets.get(name) if name is not None else None
+        alone = BucketNumber(index) not in route.others
+        usable = target is not None and target.usable and target.service == route.id
+        direct.append(target if alone and usable else None)
+    route.direct = direct
+    return direct
+
+
+def bucket_route(
+    table: RoutingTable, route: ServiceRoute, bucket: BucketNumber
+) -> BucketRoute:
+    """All candidates of a bucket."""
+    compiled = route.buckets.get(bucket)
+    if compiled is None:
+        compiled = _compile_bucket(table, route, bucket)
+        route.buckets[bucket] = compiled
+    return compiled
+
+
+def _compile_bucket(
+    table: RoutingTable, route: ServiceRoute, bucket: BucketNumber
+) -> BucketRoute:
+    current = _usable(table, route, route.current[bucket])
+    others = tuple(
+        OtherCandidate(
+            candidate.backend_server,
+            None
+            if candidate.reason is CandidateReason.DEPARTED
+            else _usable(table, route, candidate.backend_server),
+            candidate.reason,
+            candidate.revision,
+        )
+        for candidate in route.others.get(bucket, ())
+    )
+    live = [] if current is None else [current]
+    live.extend(other.target for other in others if other.target is not None)
+    return BucketRoute(current, others, tuple(live))
+
+
+def _usable(
+    table: RoutingTable, route: ServiceRoute, name: BackendServerId | None
+) -> Target | None:
+    target = table.targets.get(name) if name is not None else None
+    if target is None or not target.usable or target.service != route.id:
+        return None
+    return target
--- /dev/null
+++ b/src/wasabigw/core/flows/routing.py
@@ -0,0 +1,258 @@
+"""Decisions of a balancer about each event (design page, sections 4.2 to 4.5)."""
+
+from functools import singledispatch
+
+from wasabigw.core.buckets import bucket_of
+from wasabigw.core.flows.answers import on_answer
+from wasabigw.core.flows.cache import forget, lookup, remember
+from wasabigw.core.flows.decisions import (
+    Decision,
+    DropReason,
+    RefusalReason,
+    Refuse,
+    SendToBackend,
+)
+from wasabigw.core.flows.events import (
+    AnswerClosing,
+    AnswerData,
+    AnswerOpened,
+    BackendServerRenewed,
+    BindingReceived,
+    CallerEvent,
+    FlowClosing,
+    FlowData,
+    FlowOpened,
+    Forwarded,
+    HandoverReceived,
+    LocalOut,
+    LogApplied,
+    TimerTick,
+    UnknownDestination,
+    ViewConfirmed,
+)
+from wasabigw.core.flows.forwarding import Forwarding
+from wasabigw.core.flows.home import at_home
+from wasabigw.core.flows.homes import home
+from wasabigw.core.flows.limits import take
+from wasabigw.core.flows.routes import ServiceRoute, bucket_route, compile_direct
+from wasabigw.core.flows.sending import (
+    Context,
+    drop,
+    first_forwarding,
+    forward,
+    record_flow,
+)
+from wasabigw.core.flows.state import BalancerState, is_releasing
+from wasabigw.core.flows.targets import Target
+from wasabigw.core.flows.transfer import take_over
+from wasabigw.core.flows.upkeep import (
+    apply_log,
+    note_renewal,
+    run_periodic_work,
+    take_out_locally,
+)
+from wasabigw.core.ids import BucketNumber, FlowKey, NodeId, Seconds
+from wasabigw.core.states import Protocol
+from wasabigw.core.timing import BINDING_LIFETIME, MAX_HOPS
+from wasabigw.core.view import confirm, is_fresh
+
+Event = (
+    CallerEvent
+    | AnswerOpened
+    | AnswerData
+    | AnswerClosing
+    | Forwarded
+    | UnknownDestination
+    | BindingReceived
+    | LogApplied
+    | ViewConfirmed
+    | BackendServerRenewed
+    | HandoverReceived
+    | LocalOut
+    | TimerTick
+)
+
+
+def direct_target(
+    state: BalancerState,
+    route: ServiceRoute,
+    flow: FlowKey,
+    bucket: BucketNumber,
+    now: Seconds,
+) -> Target | None:
+    """Backend server of a mid-flow packet by the tables of this balancer alone.
+
+    The packet path calls this under a fresh view only.
+
+    :returns: ``None`` if a home has to decide.
+    """
+    if route.protocol is Protocol.TCP:
+        direct = route.direct or compile_direct(state.routes, route)
+        target = direct[bucket]
+        if target is not None:
+            return target
+    return lookup(state.cache, flow, now)
+
+
+@singledispatch
+def handle(event: Event, state: BalancerState) -> list[Decision]:
+    """Decide what to do about an event and update the state."""
+    raise TypeError(f"no rule for the event {type(event).__name__}")
+
+
+@handle.register(FlowOpened)
+@handle.register(FlowData)
+@handle.register(FlowClosing)
+def _(event: CallerEvent, state: BalancerState) -> list[Decision]:
+    bucket = bucket_of(event.flow)
+    return _on_caller(event, state, first_forwarding(bucket), None)
+
+
+@handle.register(AnswerOpened)
+@handle.register(AnswerData)
+@handle.register(AnswerClosing)
+def _(
+    event: AnswerOpened | AnswerData | AnswerClosing, state: BalancerState
+) -> list[Decision]:
+    forwarding = first_forwarding(bucket_of(event.flow))
+    return on_answer(event, forwarding, state)
+
+
+@handle.register
+def _(event: Forwarded, state: BalancerState) -> list[Decision]:
+    inner = event.event
+    if event.forwarding.hops >= MAX_HOPS:
+        return drop(DropReason.HOP_LIMIT)
+    if isinstance(inner, (AnswerOpened, AnswerData, AnswerClosing)):
+        return on_answer(inner, event.forwarding, state)
+    return _on_caller(inner, state, event.forwarding, event.sender)
+
+
+@handle.register
+def _(event: UnknownDestination, state: BalancerState) -> list[Decision]:
+    if not is_fresh(state.view, event.now):
+        # The destination may be a service that this balancer does not know yet.
+        return drop(DropReason.STALE_VIEW)
+    if not take(state.refusals, event.now):
+        return drop(DropReason.REPLY_RATE_LIMITED)
+    return [Refuse(RefusalReason.UNKNOWN_DESTINATION)]
+
+
+@handle.register
+def _(event: BindingReceived, state: BalancerState) -> list[Decision]:
+    route = state.routes.services.get(event.service)
+    target = state.routes.by_index.get(event.backend_index)
+    if route is None or target is None or target.service != route.id:
+        return []
+    bucket = bucket_of(event.flow)
+    candidates = bucket_route(state.routes, route, bucket)
+    if target not in candidates.live or event.sender not in state.cluster.nodes:
+        return []
+    if home(state.homes, target.id) == state.node:
+        _record_binding(event, route, target, state)
+        return []
+    lifetime = min(event.lifetime, BINDING_LIFETIME)
+    remember(state.cache, event.flow, target, Seconds(event.now + lifetime))
+    return []
+
+
+def _record_binding(
+    event: BindingReceived, route: ServiceRoute, target: Target, state: BalancerState
+) -> None:
+    """A previous home knows a flow; this home has to know it as well."""
+    bucket = bucket_of(event.flow)
+    known = event.flow in state.records.records
+    if known or is_releasing(state, bucket, target):
+        return
+    context = _context(event.flow, route, first_forwarding(bucket), None, event, state)
+    record_flow(state, context, target, slot_held=False)
+
+
+@handle.register
+def _(event: ViewConfirmed, state: BalancerState) -> list[Decision]:
+    applied = state.cluster.revision
+    confirm(state.view, event.sent_at, event.fresh_for, event.committed, applied)
+    return []
+
+
+@handle.register
+def _(event: LogApplied, state: BalancerState) -> list[Decision]:
+    return apply_log(event, state)
+
+
+@handle.register
+def _(event: LocalOut, state: BalancerState) -> list[Decision]:
+    return take_out_locally(event, state)
+
+
+@handle.register
+def _(event: TimerTick, state: BalancerState) -> list[Decision]:
+    return run_periodic_work(event.now, state)
+
+
+@handle.register
+def _(event: HandoverReceived, state: BalancerState) -> list[Decision]:
+    take_over(event, state)
+    return []
+
+
+@handle.register
+def _(event: BackendServerRenewed, state: BalancerState) -> list[Decision]:
+    note_renewal(event, state)
+    return []
+
+
+def _on_caller(
+    event: CallerEvent,
+    state: BalancerState,
+    forwarding: Forwarding,
+    sender: NodeId | None,
+) -> list[Decision]:
+    if not state.view.confirmed:
+        return drop(DropReason.NO_VIEW)
+    route = state.routes.services.get(event.service)
+    if route is None:
+        return drop(DropReason.UNKNOWN_SERVICE)
+    context = _context(event.flow, route, forwarding, sender, event, state)
+    if sender is None and is_fresh(state.view, event.now):
+        decided = _by_tables(event, context, state)
+        if decided is not None:
+            return decided
+    if not isinstance(event, FlowData):
+        forget(state.cache, event.flow)
+    return at_home(event, context, state)
+
+
+def _by_tables(
+    event: CallerEvent, context: Context, state: BalancerState
+) -> list[Decision] | None:
+    """Decision without asking the home, or with the home of a known target."""
+    if isinstance(event, FlowOpened):
+        return None
+    target = direct_target(state, context.route, event.flow, context.bucket, event.now)
+    if target is None:
+        return None
+    if isinstance(event, FlowData) and not event.sampled:
+        return [SendToBackend(target)]
+    owner = home(state.homes, target.id)
+    if owner is None:
+        return [SendToBackend(target)]
+    if owner == state.node:
+        return None
+    if isinstance(event, FlowClosing):
+        forget(state.cache, event.flow)
+    sample = Forwarding(0, context.bucket, sample=True)
+    return forward(owner, sample, state)
+
+
+def _context(
+    flow: FlowKey,
+    route: ServiceRoute,
+    forwarding: Forwarding,
+    sender: NodeId | None,
+    event: CallerEvent | BindingReceived,
+    state: BalancerState,
+) -> Context:
+    bucket = bucket_of(flow)
+    candidates = bucket_route(state.routes, route, bucket)
+    return Context(flow, route, bucket, candidates, forwarding, sender, event.now)
--- /dev/null
+++ b/src/wasabigw/core/flows/search.py
@@ -0,0 +1,152 @@
+"""Search for the owner of a flow that this balancer has not recorded."""
+
+from wasabigw.core.flows.decisions import DropReason, RefusalReason
+from wasabigw.core.flows.events import FlowClosing, FlowData
+from wasabigw.core.flows.forwarding import Asked, Forwarding, tag_of
+from wasabigw.core.flows.homes import backup, has_role, home, is_complete, previous_home
+from wasabigw.core.flows.moves import owner_before
+from wasabigw.core.flows.opening import opening_target
+from wasabigw.core.flows.sending import Context
+from wasabigw.core.flows.state import BalancerState
+from wasabigw.core.flows.targets import Target
+from wasabigw.core.ids import NodeId, Seconds
+from wasabigw.core.states import CandidateReason, Protocol
+from wasabigw.core.timing import FLOW_IDLE_TIMEOUT
+from wasabigw.core.view import is_fresh
+
+Found = Target | DropReason | RefusalReason
+
+
+def own_answers(context: Context, state: BalancerState) -> tuple[Asked, ...]:
+    """Candidates for which this balancer says that it does not know the flow.
+
+    Under a stale view it may have been succeeded, so that it can't vouch for its
+    completeness.
+    """
+    fresh = is_fresh(state.view, context.now)
+    answers = []
+    for target in context.candidates.live:
+        former = previous_home(state.homes, target.id) == state.node
+        claimed = target.id in state.homes.claims
+        if not has_role(state.homes, target.id) and not former and not claimed:
+            continue
+        complete = fresh and is_complete(
+            state.homes, target.id, context.bucket, context.now
+        )
+        answers.append(Asked(state.tag, not complete, target.index))
+    return tuple(answers)
+
+
+def next_question(
+    forwarding: Forwarding, context: Context, state: BalancerState
+) -> NodeId | None:
+    """Balancer to ask next: homes, and on a lack of records those that may have them.
+
+    The current candidate comes first.
+    """
+    for target in context.candidates.live:
+        present = home(state.homes, target.id)
+        if present is None:
+            continue
+        if not forwarding.was_asked(tag_of(present), target.index):
+            return present
+        if not forwarding.lacks_records(target.index):
+            continue
+        for other in _other_holders(target, present, state):
+            if not forwarding.was_asked(tag_of(other), target.index):
+                return other
+    return None
+
+
+def _other_holders(
+    target: Target, present: NodeId, state: BalancerState
+) -> tuple[NodeId, ...]:
+    """Previous home and backup; they may hold records that the home lacks."""
+    former = previous_home(state.homes, target.id)
+    second = backup(state.homes, target.id)
+    return tuple(n for n in (former, second) if n is not None and n != present)
+
+
+def decide_owner(
+    event: FlowData | FlowClosing,
+    forwarding: Forwarding,
+    context: Context,
+    state: BalancerState,
+) -> Found:
+    """Backend server of a flow that no home knows.
+
+    The rules are those of the design page, section 4.3, in their order.
+    """
+    udp = context.route.protocol is Protocol.UDP
+    if not is_fresh(state.view, context.now):
+        return _owner_under_stale_view(event, forwarding, context, state)
+    if isinstance(event, FlowData) and event.related:
+        return DropReason.UNKNOWN_FLOW
+    lacking = [t for t in context.candidates.live if _may_hold(t, forwarding)]
+    if len(lacking) == 1:
+        return lacking[0]
+    if lacking:
+        return DropReason.AMBIGUOUS
+    if udp:
+        return _opening_place(context)
+    return _owner_by_age(event, context)
+
+
+def _may_hold(target: Target, forwarding: Forwarding) -> bool:
+    """Whether a flow may be at a candidate although no home knows it."""
+    answered = any(asked.candidate == target.index for asked in forwarding.asked)
+    return not answered or forwarding.lacks_records(target.index)
+
+
+def _owner_under_stale_view(
+    event: FlowData | FlowClosing,
+    forwarding: Forwarding,
+    context: Context,
+    state: BalancerState,
+) -> Found:
+    """Nothing is proven, but a lone home may open flows without connections."""
+    current = context.candidates.current
+    if context.route.protocol is not Protocol.UDP or current is None:
+        return DropReason.STALE_VIEW
+    if not isinstance(event, FlowData) or event.related:
+        return DropReason.STALE_VIEW
+    alone = context.candidates.live == (current,)
+    complete = is_complete(state.homes, current.id, context.bucket, context.now)
+    at_home = home(state.homes, current.id) == state.node
+    if alone and at_home and complete:
+        return current
+    return DropReason.STALE_VIEW
+
+
+def _opening_place(context: Context) -> Found:
+    """Where a flow without connections opens."""
+    current = context.candidates.current
+    if current is None:
+        return RefusalReason.NO_BACKEND_SERVER
+    return opening_target(current, context)
+
+
+def _owner_by_age(event: FlowData | FlowClosing, context: Context) -> Found:
+    """All homes are complete, so the flow is older than any record can be.
+
+    It belongs to the backend server that owned the bucket one idle timeout ago.
+    """
+    reset = isinstance(event, FlowClosing) and event.reset
+    gone: Found = DropReason.UNKNOWN_FLOW if reset else RefusalReason.FLOW_GONE
+    candidates = context.candidates
+    since = Seconds(context.now - FLOW_IDLE_TIMEOUT)
+    move = owner_before(context.route.moves, context.bucket, since)
+    if move is not None and not move.in_doubt:
+        if candidates.current is not None and candidates.current.id == move.former:
+            return candidates.current
+        for other in candidates.others:
+            if other.backend_server == move.former:
+                return other.target or gone
+    for other in candidates.others:
+        if other.reason is CandidateReason.FORMER and other.target is not None:
+            return other.target
+    if candidates.has_departed:
+        return gone
+    if candidates.current is not None:
+        return candidates.current
+    return DropReason.UNKNOWN_FLOW if reset else RefusalReason.NO_BACKEND_SERVER
--- /dev/null
+++ b/src/wasabigw/core/flows/sending.py
@@ -0,0 +1,182 @@
+"""Parts that all flow decisions share: forwarding, records, bindings."""
+
+from dataclasses import dataclass, replace
+
+from wasabigw.core.flows import records
+from wasabigw.core.flows.decisions import (
+    Decision,
+    Drop,
+    DropReason,
+    ForwardToNode,
+    SendBinding,
+    SendToBackend,
+)
+from wasabigw.core.flows.forwarding import NO_CANDIDATE, Asked, Forwarding, tag_of
+from wasabigw.core.flows.homes import backup, home
+from wasabigw.core.flows.limits import take
+from wasabigw.core.flows.records import FlowRecord
+from wasabigw.core.flows.routes import BucketRoute, ServiceRoute
+from wasabigw.core.flows.state import BalancerState, may_send
+from wasabigw.core.flows.targets import Target
+from wasabigw.core.ids import BucketNumber, FlowKey, NodeId, Seconds
+from wasabigw.core.timing import BINDING_LIFETIME, FLOW_IDLE_TIMEOUT, MAX_HOPS
+from wasabigw.core.view import is_fresh
+
+COPY_INTERVAL = Seconds(FLOW_IDLE_TIMEOUT / 3)
+"""Time after which a packet passes the backup again, to refresh its copy."""
+
+
+@dataclass(frozen=True, slots=True)
+class Context:
+    """A packet of a caller and how it came here.
+
+    :param sender: balancer that forwarded it, ``None`` if the fabric sent it.
+    """
+
+    flow: FlowKey
+    route: ServiceRoute
+    bucket: BucketNumber
+    candidates: BucketRoute
+    forwarding: Forwarding
+    sender: NodeId | None
+    now: Seconds
+
+
+def first_forwarding(bucket: BucketNumber) -> Forwarding:
+    """Of a packet that no balancer has carried before."""
+    return Forwarding(0, bucket)
+
+
+def asking(state: BalancerState, forwarding: Forwarding) -> Forwarding:
+    """With the wish to learn the backend server, if this is the first balancer."""
+    if forwarding.hops or forwarding.asked:
+        return forwarding
+    origin = Asked(state.tag, True, NO_CANDIDATE)
+    return replace(forwarding, resolve=True, asked=(origin,))
+
+
+def drop(reason: DropReason) -> list[Decision]:
+    """Discard the packet."""
+    return [Drop(reason)]
+
+
+def forward(
+    node: NodeId | None, forwarding: Forwarding, state: BalancerState
+) -> list[Decision]:
+    """Pass the packet on, within the hop limit."""
+    if node is None or node == state.node:
+        return drop(DropReason.NO_HOME)
+    if forwarding.hops + 1 >= MAX_HOPS:
+        return drop(DropReason.HOP_LIMIT)
+    return [ForwardToNode(node, replace(forwarding, hops=forwarding.hops + 1))]
+
+
+def send(state: BalancerState, target: Target, now: Seconds) -> list[Decision]:
+    """Send to a backend server if this balancer may."""
+    if not target.usable:
+        return drop(DropReason.OUT_OF_SERVICE)
+    if not may_send(state, target, now):
+        return drop(DropReason.STALE_VIEW)
+    return [SendToBackend(target)]
+
+
+def send_recorded(
+    state: BalancerState, context: Context, record: FlowRecord, *, copy: bool = False
+) -> list[Decision]:
+    """Send a packet of a recorded flow, at times through the backup.
+
+    :param copy: the packet changes the record, so that the backup has to see it.
+    """
+    sent = send(state, record.target, context.now)
+    if not isinstance(sent[0], SendToBackend) or not _copy_is_due(
+        state, context, record, copy
+    ):
+        return sent
+    receiver = backup(state.homes, record.target.id)
+    if receiver is None or context.forwarding.hops + 1 >= MAX_HOPS:
+        return sent
+    record.copied = context.now
+    copying = Forwarding(context.forwarding.hops, context.bucket, copy=True)
+    chosen = copying.delivering(tag_of(receiver), record.target.index)
+    return forward(receiver, chosen, state)
+
+
+def _copy_is_due(
+    state: BalancerState, context: Context, record: FlowRecord, changed: bool
+) -> bool:
+    """Whether the backup should see this packet.
+
+    Under a stale view the backup could not send it.
+    """
+    name = record.target.id
+    if home(state.homes, name) != state.node or not is_fresh(state.view, context.now):
+        return False
+    old = record.copied is None or context.now - record.copied >= COPY_INTERVAL
+    return changed or old
+
+
+def record_flow(
+    state: BalancerState, context: Context, target: Target, slot_held: bool
+) -> FlowRecord | None:
+    """Record a flow; without an admission, as one that a previous home counted.
+
+    :returns: ``None`` if the table is full.
+    """
+    present = context.flow in state.records.records
+    if records.is_full(state.records) and not present:
+        return None
+    inherited = state.inherited.get(target.id, 0)
+    if not slot_held and inherited:
+        state.inherited[target.id] = inherited - 1
+        slot_held = True
+    record = FlowRecord(target, context.bucket, context.now, context.now, slot_held)
+    records.insert(state.records, context.flow, record)
+    return record
+
+
+def release_slot(state: BalancerState, record: FlowRecord, now: Seconds) -> None:
+    """Stop counting a flow against the limit of its backend server."""
+    if record.slot_held:
+        record.slot_held = False
+        state.admission.release(record.target.id, now)
+
+
+def end_flow(
+    state: BalancerState, flow: FlowKey, record: FlowRecord, now: Seconds
+) -> None:
+    """A flow has ended; its record stays for a while."""
+    release_slot(state, record, now)
+    records.close(state.records, flow, record, now)
+
+
+def note_closing(
+    state: BalancerState,
+    flow: FlowKey,
+    record: FlowRecord,
+    side: int,
+    reset: bool,
+    now: Seconds,
+) -> None:
+    """One side closed, or the flow was reset."""
+    if record.closed == records.BOTH_CLOSED:
+        return
+    record.last_seen = now
+    record.closed |= side
+    if reset or record.closed == records.BOTH_CLOSED:
+        end_flow(state, flow, record, now)
+
+
+def bindings(state: BalancerState, context: Context, target: Target) -> list[Decision]:
+    """Bindings for those who asked, within the control budget."""
+    if not context.forwarding.resolve:
+        return []
+    origin = context.forwarding.origin()
+    wanted = {context.sender, home(state.homes, target.id)}
+    if origin is not None:
+        wanted.add(state.tags.get(origin))
+    nodes = sorted(node for node in wanted if node is not None and node != state.node)
+    return [
+        SendBinding(node, context.flow, target.index, BINDING_LIFETIME)
+        for node in nodes
+        if take(state.bindings, context.now)
+    ]
--- /dev/null
+++ b/src/wasabigw/core/flows/transfer.py
@@ -0,0 +1,146 @@
+"""Handover of records from a balancer that drains to the new homes."""
+
+from wasabigw.core.buckets import bucket_of
+from wasabigw.core.flows import records
+from wasabigw.core.flows.decisions import Decision, SendHandover
+from wasabigw.core.flows.events import HandoverReceived
+from wasabigw.core.flows.handover import HANDOVER_RECORDS, HandedRecord, Handover
+from wasabigw.core.flows.homes import home, take_handover
+from wasabigw.core.flows.keys import parse_flow
+from wasabigw.core.flows.records import FlowRecord
+from wasabigw.core.flows.state import BalancerState, Outgoing
+from wasabigw.core.ids import BackendServerId, BucketNumber, FlowKey, Seconds
+from wasabigw.core.states import NodeState
+
+
+def begin_handover(state: BalancerState, lost: list[BackendServerId]) -> None:
+    """Collect the records to hand over if this balancer drains.
+
+    Only buckets with several candidates need records: the packets of the others go
+    straight to their only candidate.
+    """
+    own = state.cluster.nodes.get(state.node)
+    if own is None or own.state is not NodeState.DRAINING:
+        state.outgoing.clear()
+        return
+    for name in lost:
+        target = state.routes.targets.get(name)
+        route = state.routes.services.get(target.service) if target else None
+        if route is None:
+            continue
+        several = frozenset(route.others)
+        flows = [
+            flow
+            for flow in records.flows_of(state.records, name)
+            if state.records.records[flow].bucket in several
+        ]
+        state.outgoing[name] = Outgoing(sorted(flows), several)
+
+
+def is_drained(state: BalancerState) -> bool:
+    """Whether this balancer drains and has nothing left to hand over."""
+    own = state.cluster.nodes.get(state.node)
+    draining = own is not None and own.state is NodeState.DRAINING
+    return draining and not state.outgoing
+
+
+def next_handovers(state: BalancerState, now: Seconds) -> list[Decision]:
+    """The next part for each backend server that moved away."""
+    sent: list[Decision] = []
+    for name in list(state.outgoing):
+        receiver = home(state.homes, name)
+        if receiver is None or receiver == state.node:
+            continue
+        sent.append(SendHandover(receiver, _next_part(state, name, now)))
+    return sent
+
+
+def _next_part(state: BalancerState, name: BackendServerId, now: Seconds) -> Handover:
+    outgoing = state.outgoing[name]
+    part = outgoing.flows[:HANDOVER_RECORDS]
+    del outgoing.flows[:HANDOVER_RECORDS]
+    last = not outgoing.flows
+    found = state.records.records
+    handed = tuple(
+        _handed(flow, found[flow], now)
+        for flow in part
+        if flow in found and found[flow].closed != records.BOTH_CLOSED
+    )
+    complete: tuple[BucketNumber, ...] = ()
+    if last:
+        del state.outgoing[name]
+        claim = state.homes.claims.get(name)
+        if claim is not None and claim.complete:
+            complete = tuple(sorted(outgoing.buckets))
+    return Handover(
+        state.node,
+        name,
+        state.routes.targets[name].boot_id,
+        handed,
+        last,
+        _open_flows(state, name) if last else 0,
+        complete,
+    )
+
+
+def _handed(flow: FlowKey, record: FlowRecord, now: Seconds) -> HandedRecord:
+    idle = Seconds(max(0.0, now - record.last_seen))
+    return HandedRecord(flow.hex(), record.bucket, idle, record.slot_held)
+
+
+def _open_flows(state: BalancerState, name: BackendServerId) -> int:
+    found = state.records.records
+    held = sum(found[flow].slot_held for flow in records.flows_of(state.records, name))
+    return held + state.inherited.get(name, 0)
+
+
+def take_over(event: HandoverReceived, state: BalancerState) -> None:
+    """Record the flows that a draining balancer hands over."""
+    handover = event.handover
+    name = handover.backend_server
+    target = state.routes.targets.get(name)
+    if target is None or target.boot_id != handover.boot_id:
+        return
+    if home(state.homes, name) != state.node or not target.usable:
+        return
+    for handed in handover.records:
+        flow = parse_flow(handed.flow)
+        if flow is not None:
+            _record(flow, handed, event, state)
+    if not handover.last:
+        return
+    take_handover(state.homes, name, frozenset(handover.complete_buckets))
+    recorded = _open_flows(state, name)
+    state.inherited[name] = max(0, handover.open_flows - recorded)
+    state.admission.count_open(name, handover.open_flows, event.now)
+
+
+def _record(
+    flow: FlowKey, handed: HandedRecord, event: HandoverReceived, state: BalancerState
+) -> None:
+    target = state.routes.targets[event.handover.backend_server]
+    if flow in state.records.records or records.is_full(state.records):
+        return
+    seen = Seconds(event.now - handed.idle)
+    bucket = bucket_of(flow)
+    record = FlowRecord(target, bucket, seen, seen, handed.slot_held, answered=True)
+    records.insert(state.records, flow, record)
+
+
+def count_copies(state: BalancerState, name: BackendServerId, now: Seconds) -> None:
+    """Count the flows known from the time as a backup, as the new home."""
+    found = state.records.records
+    for flow in records.flows_of(state.records, name):
+        if found[flow].closed != records.BOTH_CLOSED:
+            found[flow].slot_held = True
+    state.admission.count_open(name, _open_flows(state, name), now)
+
+
+def drop_inherited(state: BalancerState, now: Seconds) -> None:
+    """Stop counting inherited flows that no packet has shown in an idle timeout."""
+    for name, count in list(state.inherited.items()):
+        if now < state.homes.incomplete_until.get(name, Seconds(0.0)):
+            continue
+        del state.inherited[name]
+        for _ in range(count):
+            state.admission.release(name, now)
--- /dev/null
+++ b/src/wasabigw/core/flows/upkeep.py
@@ -0,0 +1,105 @@
+"""Work that packets do not cause: log entries, expiry, and periodic reports."""
+
+from wasabigw.core.flows import cache, records
+from wasabigw.core.flows.admission_port import OpeningResult
+from wasabigw.core.flows.decisions import Decision
+from wasabigw.core.flows.events import BackendServerRenewed, LocalOut, LogApplied
+from wasabigw.core.flows.forwarding import tag_of
+from wasabigw.core.flows.homes import update_homes
+from wasabigw.core.flows.release import forget_outdated, propose_releases
+from wasabigw.core.flows.routes import update_routes
+from wasabigw.core.flows.sending import release_slot
+from wasabigw.core.flows.state import BalancerState, Renewal, has_restarted
+from wasabigw.core.flows.transfer import (
+    begin_handover,
+    count_copies,
+    drop_inherited,
+    next_handovers,
+)
+from wasabigw.core.ids import BackendServerId, NodeId, Seconds
+
+
+def apply_log(event: LogApplied, state: BalancerState) -> list[Decision]:
+    """Follow the replicated state after an entry or a snapshot."""
+    state.cluster = event.cluster
+    # Until the first confirmation this process replays what happened before it
+    # started, so that it can't know which flows its homes have.
+    known = state.view.confirmed and not event.snapshot
+    void = update_routes(
+        state.routes, event.cluster, state.out_locally, event.now, event.snapshot
+    )
+    changes = update_homes(state.homes, event.cluster, event.now, known)
+    for target in void:
+        clear_backend_server(state, target.id, event.now)
+    state.tags = _tags(list(event.cluster.nodes))
+    forget_outdated(state)
+    state.gained.update(changes.gained)
+    state.gained.difference_update(changes.lost)
+    begin_handover(state, list(changes.lost))
+    return []
+
+
+def take_out_locally(event: LocalOut, state: BalancerState) -> list[Decision]:
+    """Stop sending to a failure domain before the log says so."""
+    state.out_locally.add(event.failure_domain)
+    void = update_routes(
+        state.routes, state.cluster, state.out_locally, event.now, snapshot=False
+    )
+    for target in void:
+        clear_backend_server(state, target.id, event.now)
+    return []
+
+
+def note_renewal(event: BackendServerRenewed, state: BalancerState) -> None:
+    """Note an announcement; after a restart the earlier flows are deleted."""
+    name = event.backend_server
+    before = state.renewed.get(name)
+    state.renewed[name] = Renewal(event.boot_id, event.now)
+    if before is not None and before.boot_id != event.boot_id:
+        clear_backend_server(state, name, event.now)
+    if name in state.gained:
+        state.gained.discard(name)
+        count_copies(state, name, event.now)
+
+
+def clear_backend_server(
+    state: BalancerState, backend_server: BackendServerId, now: Seconds
+) -> None:
+    """Delete the records of flows that ended with a boot of their backend server."""
+    for flow in records.flows_of(state.records, backend_server):
+        record = state.records.records[flow]
+        if record.target.usable and not has_restarted(state, record.target):
+            continue
+        records.remove(state.records, flow)
+        release_slot(state, record, now)
+    state.inherited.pop(backend_server, None)
+    state.outgoing.pop(backend_server, None)
+
+
+def run_periodic_work(now: Seconds, state: BalancerState) -> list[Decision]:
+    """Expire what has timed out and report what homes have to report."""
+    cache.expire(state.cache, now)
+    for record in records.remove_expired(state.records, now):
+        release_slot(state, record, now)
+    _time_out_openings(state, now)
+    drop_inherited(state, now)
+    return propose_releases(state, now) + next_handovers(state, now)
+
+
+def _time_out_openings(state: BalancerState, now: Seconds) -> None:
+    while state.pending and state.pending[0].deadline <= now:
+        pending = state.pending.popleft()
+        record = state.records.records.get(pending.flow)
+        if record is not pending.record or record.answered or record.closed:
+            continue
+        record.answered = True
+        latency = Seconds(now - record.opened)
+        state.admission.observe(record.target.id, OpeningResult.TIMED_OUT, latency, now)
+
+
+def _tags(nodes: list[NodeId]) -> dict[int, NodeId | None]:
+    tags: dict[int, NodeId | None] = {}
+    for node in nodes:
+        tag = tag_of(node)
+        tags[tag] = None if tag in tags else node
+    return tags
--- a/tests/test_packet_codec.py
+++ b/tests/test_packet_codec.py
@@ -142,6 +142,7 @@
     st.booleans(),
     st.booleans(),
     st.booleans(),
+    st.booleans(),
     st.lists(ASKED, max_size=geneve.MAX_ASKED).map(tuple),
 )
 
