Keep copies of flow records at a backup balancer

Cause: after the crash of one balancer that was the home of two candidates of a bucket, elimination cannot tell them apart and the flows break. Change: opening, closing and some other packets of a flow pass the balancer with the second highest score, which becomes the home if the home fails.

--- a/src/wasabigw/core/flows/records.py
+++ b/src/wasabigw/core/flows/records.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from wasabigw.core.flows.targets import Target
-from wasabigw.core.ids import BackendServerId, BucketNumber, FlowKey, Seconds
+from wasabigw.core.ids import BackendServerId, BucketNumber, FlowKey, NodeId, Seconds
 from wasabigw.core.timing import BINDING_LIFETIME, FLOW_IDLE_TIMEOUT
 
 RECORD_LIMIT = 400_000
@@ -30,7 +30,9 @@
     :param closed: sides that have closed, as flags.
     :param answered: whether the backend server accepted it.
     :param check_at: second in which its expiry is checked.
-    :param copied: when a packet last passed the backup, ``None`` if none did.
+    :param copied: when a packet last passed the other holder of the record: the
+        backup, or the home if this balancer is not the home.
+    :param copied_to: that balancer.
     """
 
     target: Target
@@ -42,6 +44,7 @@
     answered: bool = False
     check_at: int = 0
     copied: Seconds | None = None
+    copied_to: NodeId | None = None
 
 
 @dataclass(slots=True)
--- a/src/wasabigw/core/flows/sending.py
+++ b/src/wasabigw/core/flows/sending.py
@@ -83,36 +83,42 @@
 def send_recorded(
     state: BalancerState, context: Context, record: FlowRecord, *, copy: bool = False
 ) -> list[Decision]:
-    """Send a packet of a recorded flow, at times through the backup.
+    """Send a packet of a recorded flow, at times through the other holder.
 
-    :param copy: the packet changes the record, so that the backup has to see it.
+    The home lets some packets pass its backup, and a former home or a backup lets
+    some pass the home, so that each of them has all records without any messages.
+
+    :param copy: the packet changes the record, so that the other holder has to see it.
     """
     sent = send(state, record.target, context.now)
-    if not isinstance(sent[0], SendToBackend) or not _copy_is_due(
-        state, context, record, copy
-    ):
+    if not isinstance(sent[0], SendToBackend):
+        return sent
+    if not is_fresh(state.view, context.now):
+        # The other holder has no announcement lease and could not send it.
         return sent
-    receiver = backup(state.homes, record.target.id)
+    receiver = _other_holder(state, record.target)
     if receiver is None or context.forwarding.hops + 1 >= MAX_HOPS:
         return sent
+    if not copy and not _copy_is_due(record, receiver, context.now):
+        return sent
     record.copied = context.now
-    copying = Forwarding(context.forwarding.hops, context.bucket, copy=True)
-    chosen = copying.delivering(tag_of(receiver), record.target.index)
+    record.copied_to = receiver
+    forwarding = context.forwarding
+    if home(state.homes, record.target.id) == state.node:
+        forwarding = Forwarding(forwarding.hops, context.bucket, copy=True)
+    chosen = forwarding.delivering(tag_of(receiver), record.target.index)
     return forward(receiver, chosen, state)
 
 
-def _copy_is_due(
-    state: BalancerState, context: Context, record: FlowRecord, changed: bool
-) -> bool:
-    """Whether the backup should see this packet.
+def _other_holder(state: BalancerState, target: Target) -> NodeId | None:
+    owner = home(state.homes, target.id)
+    return backup(state.homes, target.id) if owner == state.node else owner
 
-    Under a stale view the backup could not send it.
-    """
-    name = record.target.id
-    if home(state.homes, name) != state.node or not is_fresh(state.view, context.now):
-        return False
-    old = record.copied is None or context.now - record.copied >= COPY_INTERVAL
-    return changed or old
+
+def _copy_is_due(record: FlowRecord, receiver: NodeId, now: Seconds) -> bool:
+    if record.copied is None or record.copied_to != receiver:
+        return True
+    return now - record.copied >= COPY_INTERVAL
 
 
 def record_flow(
