Use the admission of homes for new flows

Cause: limits, leases and the ramp of a backend server live in backend_home. Change: an adapter replaces the provisional types; open flows are counted from the records every 10 s.

--- a/src/wasabigw/core/flows/admission_port.py
+++ b/src/wasabigw/core/flows/admission_port.py
@@ -1,42 +1,64 @@
 """What the flow decisions need from the admission of flows at a home."""
 
-from enum import Enum
+from dataclasses import dataclass
 from typing import Protocol
 
+from wasabigw.core import backend_home
+from wasabigw.core.admission import AdmissionVerdict
+from wasabigw.core.backend_home import HomeState
+from wasabigw.core.cold_start import OpeningResult, OpeningSignal
+from wasabigw.core.home_events import FlowsCounted
 from wasabigw.core.ids import BackendServerId, Seconds, ServiceId
 
 
-class AdmissionVerdict(Enum):
-    """Whether a new flow may open at a backend server."""
+class AdmissionPort(Protocol):
+    """Limits and announcement leases of the backend servers homed here."""
+
+    def admit(self, backend_server: BackendServerId, now: Seconds) -> AdmissionVerdict:
+        """Admit a flow and count it as open, or say why not."""
+
+    def release(self, backend_server: BackendServerId, now: Seconds) -> None:
+        """A flow that was admitted has ended."""
 
-    ADMITTED = "admitted"
-    AT_LIMIT = "at-limit"
-    RATE_LIMITED = "rate-limited"
-    NOT_ANNOUNCED = "not-announced"
-    TAKEOVER_WAIT = "takeover-wait"
+    def may_send(
+        self, backend_server: BackendServerId, service: ServiceId, now: Seconds
+    ) -> bool:
+        """Whether the backend server holds an announcement lease for the service."""
 
+    def observe(
+        self,
+        backend_server: BackendServerId,
+        result: OpeningResult,
+        latency: Seconds,
+        now: Seconds,
+    ) -> None:
+        """How the opening of a flow went."""
 
-class OpeningResult(Enum):
-    """How a backend server responded to the opening of a flow."""
+    def count_open(
+        self, backend_server: BackendServerId, open_flows: int, overflow_flows: int
+    ) -> None:
+        """Open flows by the records, and those that were passed on."""
 
-    ANSWERED = "answered"
-    REFUSED = "refused"
-    TIMED_OUT = "timed-out"
 
+@dataclass(frozen=True, slots=True)
+class HomeAdmission:
+    """Admission by :mod:`wasabigw.core.backend_home`."""
 
-class AdmissionPort(Protocol):
-    """Limits and announcement leases of the backend servers homed here."""
+    state: HomeState
 
     def admit(self, backend_server: BackendServerId, now: Seconds) -> AdmissionVerdict:
         """Admit a flow and count it as open, or say why not."""
+        return backend_home.admit(self.state, backend_server, now)
 
     def release(self, backend_server: BackendServerId, now: Seconds) -> None:
         """A flow that was admitted has ended."""
+        backend_home.release(self.state, backend_server, now)
 
     def may_send(
         self, backend_server: BackendServerId, service: ServiceId, now: Seconds
     ) -> bool:
         """Whether the backend server holds an announcement lease for the service."""
+        return backend_home.may_send(self.state, backend_server, service, now)
 
     def observe(
         self,
@@ -46,8 +68,12 @@
         now: Seconds,
     ) -> None:
         """How the opening of a flow went."""
+        signal = OpeningSignal(result, latency)
+        backend_home.observe(self.state, backend_server, signal, now)
 
     def count_open(
-        self, backend_server: BackendServerId, open_flows: int, now: Seconds
+        self, backend_server: BackendServerId, open_flows: int, overflow_flows: int
     ) -> None:
-        """Take over a count of open flows from the previous home."""
+        """Open flows by the records, and those that were passed on."""
+        counted = FlowsCounted(backend_server, open_flows, overflow_flows)
+        backend_home.handle(counted, self.state)
--- a/src/wasabigw/core/flows/answers.py
+++ b/src/wasabigw/core/flows/answers.py
@@ -3,8 +3,8 @@
 from functools import singledispatch
 
 from wasabigw.core.buckets import bucket_of
+from wasabigw.core.cold_start import OpeningResult
 from wasabigw.core.flows import records
-from wasabigw.core.flows.admission_port import OpeningResult
 from wasabigw.core.flows.decisions import (
     Decision,
     DropReason,
--- a/src/wasabigw/core/flows/home.py
+++ b/src/wasabigw/core/flows/home.py
@@ -2,8 +2,8 @@
 
 from functools import singledispatch
 
+from wasabigw.core.admission import AdmissionVerdict
 from wasabigw.core.flows import records
-from wasabigw.core.flows.admission_port import AdmissionVerdict
 from wasabigw.core.flows.decisions import (
     Decision,
     Drop,
@@ -246,6 +246,7 @@
     overflow = overflow_target(target, context)
     limited = verdict in (AdmissionVerdict.AT_LIMIT, AdmissionVerdict.RATE_LIMITED)
     if limited and overflow is not None:
+        state.overflowed[target.id] = context.now
         return _hand_to_overflow(overflow, context, state)
     if verdict is AdmissionVerdict.AT_LIMIT:
         return [Refuse(RefusalReason.AT_LIMIT)]
--- a/src/wasabigw/core/flows/state.py
+++ b/src/wasabigw/core/flows/state.py
@@ -24,7 +24,7 @@
     ServiceId,
 )
 from wasabigw.core.reachability import Reachability
-from wasabigw.core.view import View, is_fresh
+from wasabigw.core.view import NEVER, View, is_fresh
 
 BINDING_RATE = 16.0
 """BINDING frames per second; at 96 bytes each they take half of the control budget.
@@ -81,6 +81,8 @@
 
     :param renewed: latest announcement of each backend server homed here.
     :param inherited: open flows counted by a previous home that have no record here.
+    :param overflowed: when a flow was last passed on for lack of room.
+    :param counted: when the open flows were last counted.
     :param gained: new homes whose backend servers have not announced themselves yet.
     :param tags: balancer of each tag, ``None`` if several have the same.
     """
@@ -101,6 +103,8 @@
     renewed: dict[BackendServerId, Renewal] = field(default_factory=dict)
     releasing: dict[CandidateSlot, Releasing] = field(default_factory=dict)
     inherited: dict[BackendServerId, int] = field(default_factory=dict)
+    overflowed: dict[BackendServerId, Seconds] = field(default_factory=dict)
+    counted: Seconds = NEVER
     gained: set[BackendServerId] = field(default_factory=set)
     outgoing: dict[BackendServerId, Outgoing] = field(default_factory=dict)
     bindings: RateLimit = field(
--- a/src/wasabigw/core/flows/transfer.py
+++ b/src/wasabigw/core/flows/transfer.py
@@ -11,6 +11,10 @@
 from wasabigw.core.flows.state import BalancerState, Outgoing
 from wasabigw.core.ids import BackendServerId, BucketNumber, FlowKey, Seconds
 from wasabigw.core.states import NodeState
+from wasabigw.core.view import NEVER
+
+COUNT_INTERVAL = Seconds(10.0)
+"""Time between two counts of the records; the counts in between are incremental."""
 
 
 def begin_handover(state: BalancerState, lost: list[BackendServerId]) -> None:
@@ -112,7 +116,7 @@
     take_handover(state.homes, name, frozenset(handover.complete_buckets))
     recorded = _open_flows(state, name)
     state.inherited[name] = max(0, handover.open_flows - recorded)
-    state.admission.count_open(name, handover.open_flows, event.now)
+    state.admission.count_open(name, handover.open_flows, 0)
 
 
 def _record(
@@ -127,20 +131,31 @@
     records.insert(state.records, flow, record)
 
 
-def count_copies(state: BalancerState, name: BackendServerId, now: Seconds) -> None:
+def count_copies(state: BalancerState, name: BackendServerId) -> None:
     """Count the flows known from the time as a backup, as the new home."""
     found = state.records.records
     for flow in records.flows_of(state.records, name):
         if found[flow].closed != records.BOTH_CLOSED:
             found[flow].slot_held = True
-    state.admission.count_open(name, _open_flows(state, name), now)
+    state.admission.count_open(name, _open_flows(state, name), 0)
+
+
+def count_flows(state: BalancerState, now: Seconds) -> None:
+    """Correct the counts of open flows by the records, from time to time."""
+    if now - state.counted < COUNT_INTERVAL:
+        return
+    state.counted = now
+    for name in list(state.renewed):
+        if home(state.homes, name) != state.node:
+            continue
+        passed_on = now - state.overflowed.get(name, NEVER) < COUNT_INTERVAL
+        open_flows = _open_flows(state, name)
+        state.admission.count_open(name, open_flows, int(passed_on))
 
 
 def drop_inherited(state: BalancerState, now: Seconds) -> None:
     """Stop counting inherited flows that no packet has shown in an idle timeout."""
-    for name, count in list(state.inherited.items()):
+    for name in list(state.inherited):
         if now < state.homes.incomplete_until.get(name, Seconds(0.0)):
             continue
         del state.inherited[name]
-        for _ in range(count):
-            state.admission.release(name, now)
--- a/src/wasabigw/core/flows/upkeep.py
+++ b/src/wasabigw/core/flows/upkeep.py
@@ -1,7 +1,7 @@
 """Work that packets do not cause: log entries, expiry, and periodic reports."""
 
+from wasabigw.core.cold_start import OpeningResult
 from wasabigw.core.flows import cache, records
-from wasabigw.core.flows.admission_port import OpeningResult
 from wasabigw.core.flows.decisions import Decision
 from wasabigw.core.flows.events import BackendServerRenewed, LocalOut, LogApplied
 from wasabigw.core.flows.forwarding import tag_of
@@ -13,6 +13,7 @@
 from wasabigw.core.flows.transfer import (
     begin_handover,
     count_copies,
+    count_flows,
     drop_inherited,
     next_handovers,
 )
@@ -59,7 +60,7 @@
         clear_backend_server(state, name, event.now)
     if name in state.gained:
         state.gained.discard(name)
-        count_copies(state, name, event.now)
+        count_copies(state, name)
 
 
 def clear_backend_server(
@@ -83,6 +84,7 @@
         release_slot(state, record, now)
     _time_out_openings(state, now)
     drop_inherited(state, now)
+    count_flows(state, now)
     return propose_releases(state, now) + next_handovers(state, now)
 
 
--- a/tests/flow_simulation.py
+++ b/tests/flow_simulation.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field, replace
 
 from wasabigw.core import buckets
+from wasabigw.core.admission import AdmissionVerdict
 from wasabigw.core.cluster import (
     BackendServer,
     Candidate,
@@ -15,10 +16,10 @@
     Node,
     Service,
 )
+from wasabigw.core.cold_start import OpeningResult
 from wasabigw.core.commands import CandidatesReleased
 from wasabigw.core.flows import decisions as d
 from wasabigw.core.flows import events as e
-from wasabigw.core.flows.admission_port import AdmissionVerdict, OpeningResult
 from wasabigw.core.flows.homes import home
 from wasabigw.core.flows.keys import address_number, flow_key
 from wasabigw.core.flows.routing import handle
@@ -98,7 +99,7 @@
         self.observed.append(result)
 
     def count_open(
-        self, backend_server: BackendServerId, open_flows: int, now: Seconds
+        self, backend_server: BackendServerId, open_flows: int, overflow_flows: int
     ) -> None:
         present = self.open.get(backend_server, 0)
         self.open[backend_server] = max(present, open_flows)
