Add the packet task with a fast path for plain packets

Cause: packets need a task that owns the socket and the state of a balancer. Change: receive loop with a rewrite in place for packets that the tables decide, events for all others, execution of decisions, log application, queries, spans.

--- a/src/wasabigw/codec/geneve.py
+++ b/src/wasabigw/codec/geneve.py
@@ -82,7 +82,7 @@
     reply: bool
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Frame:
     """A decoded Geneve header.
 
--- a/src/wasabigw/codec/ipv4.py
+++ b/src/wasabigw/codec/ipv4.py
@@ -51,7 +51,7 @@
 _LEAST_TRANSPORT = {PROTOCOL_TCP: 20, PROTOCOL_UDP: 8, PROTOCOL_ICMP: 8}
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Segment:
     """Fields of an IPv4 packet.
 
@@ -127,27 +127,14 @@
 
 def _parse_ports(buffer: Buffer, bare: Segment) -> Result[Segment, Malformed]:
     source_port, destination_port = _PORTS.unpack_from(buffer, bare.transport)
-    flags = 0
     if bare.protocol == PROTOCOL_TCP:
         offset = (buffer[bare.transport + 12] >> 4) * 4
         if offset < 20 or bare.transport + offset > bare.end:
             return _malformed(MalformedCause.TRANSPORT_LENGTH, bare.transport + 12)
-        flags = buffer[bare.transport + 13]
-    return Success(
-        Segment(
-            bare.start,
-            bare.transport,
-            bare.end,
-            bare.ttl,
-            bare.protocol,
-            bare.source,
-            bare.destination,
-            source_port,
-            destination_port,
-            flags,
-            bare.fragment,
-        )
-    )
+        bare.tcp_flags = buffer[bare.transport + 13]
+    bare.source_port = source_port
+    bare.destination_port = destination_port
+    return Success(bare)
 
 
 def _parse_icmp(buffer: Buffer, bare: Segment) -> Result[Segment, Malformed]:
@@ -159,20 +146,9 @@
             return _malformed(MalformedCause.QUOTED_PACKET, bare.transport + 8)
     elif kind not in (ICMP_ECHO, ICMP_ECHO_REPLY) and kind not in ICMP_ERRORS:
         return _malformed(MalformedCause.UNSUPPORTED_ICMP, bare.transport)
-    return Success(
-        Segment(
-            bare.start,
-            bare.transport,
-            bare.end,
-            bare.ttl,
-            bare.protocol,
-            bare.source,
-            bare.destination,
-            fragment=bare.fragment,
-            icmp_type=kind,
-            quoted=quoted,
-        )
-    )
+    bare.icmp_type = kind
+    bare.quoted = quoted
+    return Success(bare)
 
 
 def _parse_quoted(buffer: Buffer, start: int, end: int) -> Segment | None:
--- a/src/wasabigw/core/flows/decisions.py
+++ b/src/wasabigw/core/flows/decisions.py
@@ -7,12 +7,27 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wasabigw.core.commands import Report
 from wasabigw.core.flows.forwarding import Forwarding
 from wasabigw.core.flows.handover import Handover
 from wasabigw.core.flows.targets import Target
+from wasabigw.core.home_events import SendReports
 from wasabigw.core.ids import FlowKey, NodeId, Seconds
 
+__all__ = [
+    "Decision",
+    "Disposition",
+    "Drop",
+    "DropReason",
+    "ForwardToNode",
+    "RefusalReason",
+    "Refuse",
+    "ReturnToCaller",
+    "SendBinding",
+    "SendHandover",
+    "SendReports",
+    "SendToBackend",
+]
+
 
 class DropReason(Enum):
     """Why a packet was dropped."""
@@ -91,13 +106,6 @@
     lifetime: Seconds
 
 
-@dataclass(frozen=True, slots=True)
-class SendReports:
-    """Report to the leader."""
-
-    reports: tuple[Report, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class SendHandover:
     """Send records to the new home of a backend server."""
--- a/src/wasabigw/core/flows/forwarding.py
+++ b/src/wasabigw/core/flows/forwarding.py
@@ -1,6 +1,7 @@
 """What a balancer tells the next one about a packet that it forwards."""
 
 from dataclasses import dataclass, replace
+from functools import lru_cache
 
 import xxhash
 
@@ -70,8 +71,22 @@
     def with_answers(self, answers: tuple[Asked, ...]) -> "Forwarding":
         """With further homes that do not know the flow."""
         new = tuple(a for a in answers if not self.was_asked(a.node_tag, a.candidate))
+        if not new:
+            return self
         return replace(self, asked=self.asked + new)
 
+    def next_hop(self) -> "Forwarding":
+        """As the next balancer receives it."""
+        return Forwarding(
+            self.hops + 1,
+            self.bucket,
+            self.resolve,
+            self.sample,
+            self.deliver,
+            self.copy,
+            self.asked,
+        )
+
     def delivering(self, node_tag: int, candidate: int) -> "Forwarding":
         """With a chosen candidate."""
         chosen = Asked(node_tag, False, candidate)
@@ -79,6 +94,7 @@
         return replace(self, deliver=True, asked=(*kept, chosen))
 
 
+@lru_cache(maxsize=4096)
 def tag_of(node: NodeId) -> int:
     """Two-byte tag of a balancer in a FORWARD option."""
     return xxhash.xxh64_intdigest(node.encode()) & 0xFFFF
--- a/src/wasabigw/core/flows/home.py
+++ b/src/wasabigw/core/flows/home.py
@@ -156,6 +156,9 @@
     event: FlowData | FlowClosing, context: Context, state: BalancerState
 ) -> list[Decision]:
     """Ask the homes that may know the flow, and decide when all were asked."""
+    lone = _lone_candidate(context, state)
+    if lone is not None and not (isinstance(event, FlowData) and event.related):
+        return _take(lone, event, context, state)
     asked = asking(state, context.forwarding)
     asked = asked.with_answers(own_answers(context, state))
     question = next_question(asked, context, state)
@@ -169,6 +172,18 @@
     return _hand_to(found, event, context, state)
 
 
+def _lone_candidate(context: Context, state: BalancerState) -> Target | None:
+    """The only candidate of a bucket, if it is homed here: there is no doubt."""
+    current = context.candidates.current
+    if current is None or context.candidates.others:
+        return None
+    if context.route.protocol is not Protocol.TCP:
+        return None
+    if not is_fresh(state.view, context.now):
+        return None
+    return current if home(state.homes, current.id) == state.node else None
+
+
 def _hand_to(
     target: Target, event: CallerEvent, context: Context, state: BalancerState
 ) -> list[Decision]:
--- a/src/wasabigw/core/flows/sending.py
+++ b/src/wasabigw/core/flows/sending.py
@@ -26,7 +26,7 @@
 """Time after which a packet passes the backup again, to refresh its copy."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Context:
     """A packet of a caller and how it came here.
 
@@ -68,7 +68,7 @@
         return drop(DropReason.NO_HOME)
     if forwarding.hops + 1 >= MAX_HOPS:
         return drop(DropReason.HOP_LIMIT)
-    return [ForwardToNode(node, replace(forwarding, hops=forwarding.hops + 1))]
+    return [ForwardToNode(node, forwarding.next_hop())]
 
 
 def send(state: BalancerState, target: Target, now: Seconds) -> list[Decision]:
--- a/src/wasabigw/core/flows/state.py
+++ b/src/wasabigw/core/flows/state.py
@@ -79,6 +79,7 @@
 class BalancerState:
     """Everything that the flow decisions of one balancer depend on.
 
+    :param tag: tag of this balancer in FORWARD options.
     :param renewed: latest announcement of each backend server homed here.
     :param inherited: open flows counted by a previous home that have no record here.
     :param overflowed: when a flow was last passed on for lack of room.
@@ -88,6 +89,7 @@
     """
 
     node: NodeId
+    tag: int
     failure_domain: FailureDomainId
     admission: AdmissionPort
     homes: Homes
@@ -114,11 +116,6 @@
         default_factory=lambda: make_rate_limit(REFUSAL_RATE, REFUSAL_BURST)
     )
 
-    @property
-    def tag(self) -> int:
-        """Tag of this balancer in FORWARD options."""
-        return tag_of(self.node)
-
 
 def make_state(
     node: NodeId,
@@ -129,6 +126,7 @@
     """State of a balancer that has not yet received a view."""
     return BalancerState(
         node,
+        tag_of(node),
         failure_domain,
         admission,
         Homes(node),
--- /dev/null
+++ b/src/wasabigw/tasks/packet_task.py
@@ -0,0 +1,401 @@
+"""Task that owns the UDP socket and the state of a balancer."""
+
+import random
+import selectors
+import socket
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from types import TracebackType
+from typing import Any, Self
+
+from returns.result import Success
+
+from wasabigw.codec import geneve, ipv4
+from wasabigw.codec.geneve import Frame
+from wasabigw.codec.ipv4 import Segment
+from wasabigw.core import backend_home
+from wasabigw.core.cluster import Endpoint, Node
+from wasabigw.core.flows.admission_port import HomeAdmission
+from wasabigw.core.flows.decisions import Decision
+from wasabigw.core.flows.events import (
+    BackendServerRenewed,
+    BindingReceived,
+    FlowOpened,
+    Forwarded,
+    HandoverReceived,
+    LocalOut,
+    TimerTick,
+    UnknownDestination,
+)
+from wasabigw.core.flows.keys import endpoint_number, flow_key
+from wasabigw.core.flows.routing import handle
+from wasabigw.core.flows.state import BalancerState, make_state
+from wasabigw.core.home_events import (
+    AnnouncementReceived,
+    HomeDecision,
+    HomeTick,
+    ReplyToAnnouncement,
+)
+from wasabigw.core.ids import Seconds
+from wasabigw.core.log_messages import AnnouncementAccepted
+from wasabigw.core.view import is_fresh
+from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.timer import Tick, monotonic
+from wasabigw.tasks.balancer_queries import flow_path, status_of
+from wasabigw.tasks.fast_path import FastPath
+from wasabigw.tasks.hop_tracing import Hop, HopTracer
+from wasabigw.tasks.log_application import LogApplication
+from wasabigw.tasks.messages import (
+    AnnouncementRequest,
+    Done,
+    FlowRequest,
+    HandoverOut,
+    HandoverRequest,
+    HopSpan,
+    LocalOutRequest,
+    LogReceived,
+    PacketDropReason,
+    PacketTaskMessage,
+    StatusRequest,
+)
+from wasabigw.tasks.packet_events import (
+    FragmentOfService,
+    PacketEvent,
+    classify,
+    prepare_rewrites,
+)
+from wasabigw.tasks.packet_output import Address, Packet, PacketOutput, execute
+from wasabigw.tasks.ping_frames import ping_frame
+from wasabigw.telemetry.events_balancer import BalancerEvent
+from wasabigw.telemetry.log_events import log
+
+RECEIVE_BUFFER = 65_536
+"""Bytes of the largest datagram."""
+SOCKET_BUFFER = 4 * 1024 * 1024
+"""Bytes that the kernel may queue, about 100 ms of packets at full rate."""
+PACKETS_PER_WAKE_UP = 64
+"""Packets handled before the mailbox is looked at again."""
+
+
+@dataclass(frozen=True, slots=True)
+class PacketTaskSettings:
+    """What the packet task needs to know of its surroundings.
+
+    :param node: this balancer as it registers.
+    :param fabric: where frames for callers and backend servers go.
+    :param trace_sample_rate: share of flow openings that begin a trace, 0 to 1.
+    """
+
+    node: Node
+    fabric: Endpoint
+    trace_sample_rate: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class PacketTaskOutputs:
+    """Where the packet task posts what others have to do.
+
+    :param reports: receives ``SendReports``.
+    :param spans: ``None`` if spans are not exported.
+    """
+
+    reports: Mailbox[Any]
+    handovers: Mailbox[HandoverOut]
+    applied: Mailbox[Any]
+    spans: Mailbox[HopSpan] | None = None
+
+
+class PacketTask(Task[PacketTaskMessage]):
+    """Carries packets and is the home of backend servers.
+
+    It waits for its socket and its mailbox; :func:`make_packet_task` makes one.
+    """
+
+    def __init__(
+        self,
+        settings: PacketTaskSettings,
+        outputs: PacketTaskOutputs,
+        mailbox: SelectableMailbox[PacketTaskMessage | Stop],
+    ) -> None:
+        super().__init__("packets", mailbox)
+        node = settings.node
+        self._settings = settings
+        self._selectable = mailbox
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._home = backend_home.make_home_state(node.id)
+        admission = HomeAdmission(self._home)
+        self._state: BalancerState = make_state(
+            node.id, node.failure_domain, admission, prepare_rewrites
+        )
+        self._fast = FastPath(self._state)
+        self._output = PacketOutput(
+            self._socket, settings.fabric, outputs.reports, outputs.handovers
+        )
+        self._log = LogApplication(self._state, self._home, outputs.applied)
+        self._tracer = HopTracer(node.id, settings.trace_sample_rate, outputs.spans)
+        self._random = random.SystemRandom()
+        self._buffer = bytearray(RECEIVE_BUFFER)
+        self._view = memoryview(self._buffer)
+
+    @property
+    def address(self) -> Address:
+        """Where the task receives frames, once its context was entered."""
+        address: Address = self._socket.getsockname()
+        return address
+
+    def __enter__(self) -> Self:
+        """Bind the socket, so that a failure reaches the caller, and start.
+
+        :raises OSError: if the address of the node can't be bound.
+        """
+        data = self._settings.node.data
+        self._socket.setblocking(False)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER)
+        self._socket.bind((data.address, data.port))
+        granted = self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        address, port = self.address
+        log(
+            BalancerEvent.SOCKET_OPENED,
+            node=self._settings.node.id,
+            address=address,
+            port=port,
+            buffer=granted,
+        )
+        return super().__enter__()
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        super().__exit__(exc_type, exc_value, traceback)
+        self._output.__exit__(exc_type, exc_value, traceback)
+        self._selectable.__exit__(exc_type, exc_value, traceback)
+
+    def run(self) -> None:
+        """Wait for packets and messages until :class:`Stop` arrives."""
+        with selectors.DefaultSelector() as selector:
+            selector.register(self._socket, selectors.EVENT_READ)
+            selector.register(self._selectable, selectors.EVENT_READ)
+            while True:
+                for key, _ in selector.select():
+                    if key.fileobj is self._socket:
+                        self._receive_packets()
+                    elif self._receive_messages():
+                        return
+
+    def _receive_messages(self) -> bool:
+        """Handle the waiting messages; true if one of them is a stop."""
+        for message in self._selectable.drain():
+            if isinstance(message, Stop):
+                return True
+            self.receive(message)
+        return False
+
+    def _receive_packets(self) -> None:
+        now = monotonic()
+        fresh = is_fresh(self._state.view, now)
+        receive = self._socket.recvfrom_into
+        send = self._socket.sendto
+        buffer, view, fabric = self._buffer, self._view, self._output.fabric
+        fast = self._fast
+        fast.now = now
+        rewrite = fast.rewrite
+        received = direct = 0
+        for _ in range(PACKETS_PER_WAKE_UP):
+            try:
+                length, sender = receive(buffer)
+            except BlockingIOError:
+                break
+            except OSError:
+                # An ICMP error for a frame that was sent earlier.
+                continue
+            received += 1
+            if fresh and rewrite(buffer, length):
+                try:
+                    send(view[:length], fabric)
+                except OSError:
+                    self._output.counts.drop(PacketDropReason.SEND_FAILED)
+                else:
+                    direct += 1
+                continue
+            self._receive_frame(length, sender, now)
+        self._output.counts.received += received
+        self._output.counts.direct += direct
+
+    def _receive_frame(self, length: int, sender: Address, now: Seconds) -> None:
+        """Handle a frame that the fast path left alone."""
+        sampled = self._fast.sampled
+        self._fast.sampled = False
+        counts = self._output.counts
+        parsed = geneve.parse(self._buffer, length)
+        if not isinstance(parsed, Success):
+            counts.drop(parsed.failure().cause)
+            return
+        frame = parsed.unwrap()
+        if frame.ping is not None:
+            self._receive_ping(frame, sender, now)
+            return
+        inner = ipv4.parse(self._buffer, frame.inner, length)
+        if not isinstance(inner, Success):
+            counts.drop(inner.failure().cause)
+            return
+        if frame.binding is not None:
+            self._receive_binding(frame, inner.unwrap(), sender, now)
+            return
+        self._receive_packet(frame, inner.unwrap(), sampled, sender, now)
+
+    def _receive_packet(
+        self,
+        frame: Frame,
+        segment: Segment,
+        sampled: bool,
+        sender: Address,
+        now: Seconds,
+    ) -> None:
+        event = classify(segment, self._state.routes, sampled, now)
+        if isinstance(event, PacketDropReason):
+            self._output.counts.drop(event)
+            return
+        if isinstance(event, FragmentOfService):
+            self._output.counts.drop(PacketDropReason.FRAGMENT)
+            self._output.reply(ipv4.fragmentation_needed_for(self._buffer, segment))
+            return
+        decisions = self._decide(event, frame, sender)
+        hop = self._begin_hop(event, frame)
+        packet = Packet(self._buffer, frame, segment, hop)
+        self._execute(decisions, packet)
+        if hop is not None:
+            reason = getattr(decisions[0], "reason", None) if decisions else None
+            outcome = type(decisions[0]).__name__ if decisions else "none"
+            text = None if reason is None else str(reason.value)
+            self._tracer.end(hop, outcome, text)
+
+    def _decide(
+        self, event: PacketEvent, frame: Frame, sender: Address
+    ) -> Sequence[Decision]:
+        if frame.forwarding is None or isinstance(event, UnknownDestination):
+            return handle(event, self._state)
+        node = self._output.node_at(sender)
+        if node is None:
+            self._output.counts.drop(PacketDropReason.UNKNOWN_SENDER)
+            return ()
+        return handle(Forwarded(node, frame.forwarding, event), self._state)
+
+    def _begin_hop(self, event: PacketEvent, frame: Frame) -> Hop | None:
+        if frame.trace is not None:
+            return self._tracer.follow(frame.trace)
+        if isinstance(event, FlowOpened) and frame.forwarding is None:
+            return self._tracer.sample()
+        return None
+
+    def _receive_binding(
+        self, frame: Frame, segment: Segment, sender: Address, now: Seconds
+    ) -> None:
+        node = self._output.node_at(sender)
+        route = self._state.routes.by_endpoint.get(
+            endpoint_number(
+                segment.protocol, segment.destination, segment.destination_port
+            )
+        )
+        if node is None or route is None or frame.binding is None:
+            self._output.counts.drop(PacketDropReason.UNKNOWN_SENDER)
+            return
+        flow = flow_key(
+            segment.protocol,
+            segment.source,
+            segment.source_port,
+            segment.destination,
+            segment.destination_port,
+        )
+        lifetime = Seconds(frame.binding.lifetime)
+        index = frame.binding.backend_index
+        received = BindingReceived(node, flow, route.id, index, lifetime, now)
+        self._execute(handle(received, self._state), None)
+
+    def _receive_ping(self, frame: Frame, sender: Address, now: Seconds) -> None:
+        node = self._output.node_at(sender)
+        if node is None or frame.ping is None:
+            self._output.counts.drop(PacketDropReason.UNKNOWN_SENDER)
+            return
+        if not frame.ping.reply:
+            reply = ping_frame(frame.ping.sequence, frame.ping.sent_at, reply=True)
+            self._output.send_frame(reply, sender)
+
+    def _execute(self, decisions: Sequence[Decision], packet: Packet | None) -> None:
+        for decision in decisions:
+            execute(decision, self._output, packet)
+
+    def _execute_home(self, decisions: Sequence[HomeDecision]) -> None:
+        for decision in decisions:
+            if not isinstance(decision, ReplyToAnnouncement):
+                execute(decision, self._output, None)
+
+    @singledispatchmethod
+    def receive(self, message: PacketTaskMessage) -> None:
+        """Handle one message."""
+        raise TypeError(f"no rule for the message {type(message).__name__}")
+
+    @receive.register
+    def _(self, message: LogReceived) -> None:
+        decisions = self._log.apply(message, monotonic())
+        self._output.follow(self._state.cluster)
+        for decision in decisions:
+            if not isinstance(decision, ReplyToAnnouncement):
+                execute(decision, self._output, None)
+
+    @receive.register
+    def _(self, message: AnnouncementRequest) -> None:
+        now = monotonic()
+        announcement = message.announcement
+        received = AnnouncementReceived(announcement, now)
+        decisions = backend_home.handle(received, self._home)
+        for decision in decisions:
+            if not isinstance(decision, ReplyToAnnouncement):
+                continue
+            if isinstance(decision.outcome, AnnouncementAccepted):
+                name, boot_id = announcement.id, announcement.boot_id
+                renewed = BackendServerRenewed(name, boot_id, now)
+                self._execute(handle(renewed, self._state), None)
+            message.reply.post(decision.outcome)
+        self._execute_home(decisions)
+
+    @receive.register
+    def _(self, message: StatusRequest) -> None:
+        counts = self._output.counts.snapshot()
+        message.reply.post(status_of(self._state, counts, monotonic()))
+
+    @receive.register
+    def _(self, message: FlowRequest) -> None:
+        message.reply.post(flow_path(self._state, message, monotonic()))
+
+    @receive.register
+    def _(self, message: HandoverRequest) -> None:
+        received = HandoverReceived(message.handover, monotonic())
+        self._execute(handle(received, self._state), None)
+        message.reply.post(Done())
+
+    @receive.register
+    def _(self, message: LocalOutRequest) -> None:
+        domain = message.failure_domain
+        log(BalancerEvent.TAKEN_OUT_LOCALLY, failure_domain=domain)
+        self._execute(handle(LocalOut(domain, monotonic()), self._state), None)
+        message.reply.post(Done())
+
+    @receive.register
+    def _(self, message: Tick) -> None:
+        self._log.note_freshness(message.now)
+        self._execute_home(backend_home.handle(HomeTick(message.now), self._home))
+        self._execute(handle(TimerTick(message.now), self._state), None)
+
+
+def make_packet_task(
+    settings: PacketTaskSettings, outputs: PacketTaskOutputs
+) -> PacketTask:
+    """Packet task of a balancer; entering its context binds the socket."""
+    mailbox: SelectableMailbox[PacketTaskMessage | Stop] = SelectableMailbox("packets")
+    return PacketTask(settings, outputs, mailbox)
--- /dev/null
+++ b/src/wasabigw/tasks/ping_frames.py
@@ -0,0 +1,10 @@
+"""Frames of reachability checks between balancers."""
+
+from wasabigw.codec import geneve
+from wasabigw.codec.geneve import Ping
+
+
+def ping_frame(sequence: int, sent_at: int, *, reply: bool) -> bytes:
+    """Frame without an inner packet that carries a PING option."""
+    option = geneve.encode_ping(Ping(sequence, sent_at, reply))
+    return geneve.header((option,), oam=True)
