--- a/src/wasabigw/tasks/fast_path.py
+++ b/src/wasabigw/tasks/fast_path.py
@@ -15,9 +15,9 @@
 from wasabigw.core.ids import Seconds
 from wasabigw.core.timing import BUCKETS_PER_SERVICE, REFRESH_SAMPLE
 
-# Geneve word, version and length, total length, fragment, TTL, protocol, checksum,
+# Geneve header, version and length, total length, fragment, TTL, protocol, checksum,
 # source, destination, ports, TCP offset and flags, TCP checksum.
-_FIELDS = struct.Struct("!I4xBxHxxHBBHIIHH8xHxxH").unpack_from
+_FIELDS = struct.Struct("!QBxHxxHBBHIIHH8xHxxH").unpack_from
 _PATCH = struct.Struct("!BBHIIHH").pack_into
 _WORD = struct.Struct("!H")
 _UNPACK_WORD = _WORD.unpack_from
@@ -25,7 +25,7 @@
 _KEY = struct.Struct("!BIHIH").pack
 _hash = xxhash.xxh64_intdigest
 
-_PLAIN_FRAME = 0x00000800
+_PLAIN_FRAME = 0x0000080000000000
 _PLAIN_IP = 0x45
 _FRAGMENT = 0x3FFF
 _FIN_SYN_RST = 0x07
@@ -58,7 +58,7 @@
         """Rewrite the packet in place; true if it can go to the fabric as it is."""
         self.sampled = False
         (
-            word,
+            header,
             version,
             total,
             fragment,
@@ -73,7 +73,7 @@
             checksum,
         ) = _FIELDS(buffer)
         if (
-            word != _PLAIN_FRAME
+            header != _PLAIN_FRAME
             or version != _PLAIN_IP
             or total + 8 != length
             or ttl < 2
@@ -81,12 +81,12 @@
         ):
             return False
         if protocol == PROTOCOL_TCP:
-            header = offset_flags >> 10 & 0x3C
+            length = offset_flags >> 10 & 0x3C
             if (
                 offset_flags & _FIN_SYN_RST
                 or total < _LEAST_TCP
-                or header < 20
-                or header + 20 > total
+                or length < 20
+                or length + 20 > total
             ):
                 return False
         elif protocol != PROTOCOL_UDP or total < _LEAST_UDP:
