--- a/src/wasabigw/tasks/fast_path.py
+++ b/src/wasabigw/tasks/fast_path.py
@@ -81,12 +81,12 @@
         ):
             return False
         if protocol == PROTOCOL_TCP:
-            length = offset_flags >> 10 & 0x3C
+            tcp_header = offset_flags >> 10 & 0x3C
             if (
                 offset_flags & _FIN_SYN_RST
                 or total < _LEAST_TCP
-                or length < 20
-                or length + 20 > total
+                or tcp_header < 20
+                or tcp_header + 20 > total
             ):
                 return False
         elif protocol != PROTOCOL_UDP or total < _LEAST_UDP:
