Test doubt, stale views, limits and lost flows

Cause: single rules of the design had no test of their own. Change: scenario tests and runs with random faults; resets for flows that the home has not recorded are believed only when they repeat; a holder of a record with a stale view asks the home instead of dropping.

--- a/src/wasabigw/core/flows/answers.py
+++ b/src/wasabigw/core/flows/answers.py
@@ -20,6 +20,7 @@
 from wasabigw.core.flows.forwarding import Forwarding
 from wasabigw.core.flows.homes import backup, home
 from wasabigw.core.flows.records import BACKEND_CLOSED, FlowRecord
+from wasabigw.core.flows.resets import is_in_doubt
 from wasabigw.core.flows.sending import drop, forward, note_closing
 from wasabigw.core.flows.state import BalancerState, may_send
 from wasabigw.core.ids import NodeId, Seconds
@@ -44,13 +45,20 @@
     record = state.records.records.get(event.flow)
     if record is not None and record.target is target:
         note_answer(event, record, state)
+    elif (
+        isinstance(event, AnswerClosing)
+        and event.reset
+        and not forwarding.copy
+        and is_in_doubt(state, event.flow, target, event.now)
+    ):
+        return drop(DropReason.RESET_IN_DOUBT)
     if not may_send(state, target, event.now):
         return drop(DropReason.STALE_VIEW)
     copy = backup(state.homes, target.id)
     closes = owner == state.node and isinstance(event, AnswerClosing)
     if closes and copy is not None and is_fresh(state.view, event.now):
         bucket = bucket_of(event.flow)
-        return forward(copy, Forwarding(forwarding.hops, bucket, sample=True), state)
+        return forward(copy, Forwarding(forwarding.hops, bucket, copy=True), state)
     return [ReturnToCaller(target)]
 
 
--- a/src/wasabigw/core/flows/decisions.py
+++ b/src/wasabigw/core/flows/decisions.py
@@ -47,6 +47,7 @@
     NOT_ANNOUNCED = "not-announced"
     TAKEOVER_WAIT = "takeover-wait"
     RATE_LIMITED = "rate-limited"
+    RESET_IN_DOUBT = "reset-in-doubt"
     REPLY_RATE_LIMITED = "reply-rate-limited"
 
 
--- a/src/wasabigw/core/flows/home.py
+++ b/src/wasabigw/core/flows/home.py
@@ -26,6 +26,7 @@
     note_closing,
     record_flow,
     send,
+    send_or_ask_home,
     send_recorded,
 )
 from wasabigw.core.flows.state import (
@@ -69,7 +70,7 @@
             # The first opening packet may have been lost on its way through the
             # backup, so that this one goes straight to the backend server.
             record.copied = None
-            return send(state, record.target, context.now)
+            return send_or_ask_home(state, context, record.target)
         # Balancers may still hold a binding of the flow that has just ended.
         if record.target is not context.candidates.current:
             return drop(DropReason.SETTLING)
--- a/src/wasabigw/core/flows/sending.py
+++ b/src/wasabigw/core/flows/sending.py
@@ -80,6 +80,18 @@
     return [SendToBackend(target)]
 
 
+def send_or_ask_home(
+    state: BalancerState, context: Context, target: Target
+) -> list[Decision]:
+    """Send a packet of a known flow, or let the home do so under a stale view."""
+    owner = home(state.homes, target.id)
+    if may_send(state, target, context.now) or owner == state.node:
+        return send(state, target, context.now)
+    if not target.usable:
+        return drop(DropReason.OUT_OF_SERVICE)
+    return forward(owner, context.forwarding, state)
+
+
 def send_recorded(
     state: BalancerState, context: Context, record: FlowRecord, *, copy: bool = False
 ) -> list[Decision]:
@@ -90,7 +102,7 @@
 
     :param copy: the packet changes the record, so that the other holder has to see it.
     """
-    sent = send(state, record.target, context.now)
+    sent = send_or_ask_home(state, context, record.target)
     if not isinstance(sent[0], SendToBackend):
         return sent
     if not is_fresh(state.view, context.now):
--- a/src/wasabigw/core/flows/upkeep.py
+++ b/src/wasabigw/core/flows/upkeep.py
@@ -7,6 +7,7 @@
 from wasabigw.core.flows.forwarding import tag_of
 from wasabigw.core.flows.homes import update_homes
 from wasabigw.core.flows.release import forget_outdated, propose_releases
+from wasabigw.core.flows.resets import forget_old_doubts
 from wasabigw.core.flows.routes import update_routes
 from wasabigw.core.flows.sending import release_slot
 from wasabigw.core.flows.state import BalancerState, Renewal, has_restarted
@@ -31,7 +32,11 @@
     )
     changes = update_homes(state.homes, event.cluster, event.now, known)
     for target in void:
+        present = state.routes.targets.get(target.id)
+        if present is not None and present.boot_id != target.boot_id:
+            state.restarts[target.id] = event.now
         clear_backend_server(state, target.id, event.now)
+    _forget_unregistered(state)
     state.tags = _tags(list(event.cluster.nodes))
     forget_outdated(state)
     state.gained.update(changes.gained)
@@ -40,6 +45,14 @@
     return []
 
 
+def _forget_unregistered(state: BalancerState) -> None:
+    """Drop what is kept by backend server for those that are gone."""
+    registered = state.cluster.backend_servers
+    for kept in (state.restarts, state.renewed, state.overflowed):
+        for name in [name for name in kept if name not in registered]:
+            del kept[name]
+
+
 def take_out_locally(event: LocalOut, state: BalancerState) -> list[Decision]:
     """Stop sending to a failure domain before the log says so."""
     state.out_locally.add(event.failure_domain)
@@ -57,6 +70,7 @@
     before = state.renewed.get(name)
     state.renewed[name] = Renewal(event.boot_id, event.now)
     if before is not None and before.boot_id != event.boot_id:
+        state.restarts[name] = event.now
         clear_backend_server(state, name, event.now)
     if name in state.gained:
         state.gained.discard(name)
@@ -84,6 +98,7 @@
         release_slot(state, record, now)
     _time_out_openings(state, now)
     drop_inherited(state, now)
+    forget_old_doubts(state, now)
     count_flows(state, now)
     return propose_releases(state, now) + next_handovers(state, now)
 
--- /dev/null
+++ b/tests/test_flow_decisions.py
@@ -0,0 +1,379 @@
+"""Single decisions about flows: doubt, stale views, limits, and lost flows."""
+
+import unittest
+
+from tests.flow_simulation import (
+    COURSES,
+    DOMAINS,
+    SEATS,
+    Balancer,
+    Flow,
+    Simulation,
+    add_backend,
+    add_candidate,
+    drain_backend,
+    make_simulation,
+    remove_backend,
+    remove_node,
+    set_domain,
+)
+from wasabigw.core.buckets import bucket_of
+from wasabigw.core.flows import decisions as d
+from wasabigw.core.flows import events as e
+from wasabigw.core.flows.decisions import DropReason, RefusalReason
+from wasabigw.core.flows.homes import backup, home
+from wasabigw.core.flows.routing import handle
+from wasabigw.core.ids import BackendServerId, BootId, FlowKey, NodeId, Seconds
+from wasabigw.core.states import CandidateReason, FailureDomainState, Protocol
+from wasabigw.core.timing import VIEW_LEASE
+
+
+def opened(sim: Simulation, at: str | None = None) -> Flow:
+    """An open flow, at a certain backend server if one is named."""
+    for _ in range(1000):
+        flow = sim.make_flow(SEATS)
+        current = sim.any_balancer().cluster.buckets[SEATS].current
+        if at is not None and current[bucket_of(flow.key)] != at:
+            continue
+        if sim.open(flow):
+            return flow
+    raise AssertionError(f"no flow opened: {sim.drops}, {sim.refusals}")
+
+
+def home_of(sim: Simulation, name: str) -> Balancer:
+    """Balancer that is the home of a backend server."""
+    state = sim.any_balancer().state
+    owner = home(state.homes, BackendServerId(name))
+    assert owner is not None
+    return sim.balancers[owner]
+
+
+def not_home_of(sim: Simulation, name: str) -> Balancer:
+    """Balancer that is neither home nor backup of a backend server."""
+    backend = BackendServerId(name)
+    for node, balancer in sim.balancers.items():
+        homes = balancer.state.homes
+        if node not in (home(homes, backend), backup(homes, backend)):
+            return balancer
+    raise AssertionError("no such balancer")
+
+
+class StaleViews(unittest.TestCase):
+    """Guards against packets that old tables send to the wrong place."""
+
+    def test_a_balancer_with_a_stale_view_sends_nothing_itself(self) -> None:
+        sim = make_simulation(1)
+        flow = opened(sim, "b1")
+        cut = not_home_of(sim, "b1")
+        cut.cut_off = True
+        for _ in range(3):
+            sim.step(1.0)
+        event = e.FlowData(flow.key, SEATS, sim.time())
+        [decision] = handle(event, cut.state)
+        assert isinstance(decision, d.ForwardToNode)
+        self.assertEqual(decision.node, home_of(sim, "b1").state.node)
+        answer = e.AnswerData(flow.key, BackendServerId("b1"), sim.time())
+        self.assertIsInstance(handle(answer, cut.state)[0], d.ForwardToNode)
+
+    def test_a_stale_home_sends_only_under_an_announcement_lease(self) -> None:
+        sim = make_simulation(2)
+        flow = opened(sim, "b1")
+        owner = home_of(sim, "b1")
+        owner.cut_off = True
+        for _ in range(3):
+            sim.step(1.0)
+        event = e.FlowData(flow.key, SEATS, sim.time())
+        self.assertIsInstance(handle(event, owner.state)[0], d.SendToBackend)
+        opening = e.FlowOpened(opened_key(sim, "b1"), SEATS, sim.time())
+        self.assertIsInstance(handle(opening, owner.state)[0], d.SendToBackend)
+        sim.now += VIEW_LEASE
+        opening = e.FlowOpened(opened_key(sim, "b1"), SEATS, sim.time())
+        refused = handle(opening, owner.state)
+        self.assertEqual(refused, [d.Drop(DropReason.STALE_VIEW)])
+        sim.now += 3.0
+        late = e.FlowData(flow.key, SEATS, sim.time())
+        dropped = handle(late, owner.state)
+        self.assertEqual(dropped, [d.Drop(DropReason.STALE_VIEW)])
+
+    def test_a_partitioned_failure_domain_serves_its_own_flows(self) -> None:
+        sim = make_simulation(3)
+        flow = opened(sim, "b3")
+        domain = home_of(sim, "b3").state.failure_domain
+        for balancer in list(sim.balancers.values()):
+            if balancer.state.failure_domain == domain:
+                balancer.cut_off = True
+            else:
+                del sim.balancers[balancer.state.node]
+        for _ in range(10):
+            sim.step(1.0)
+        self.assertIsInstance(sim.send(flow), d.SendToBackend)
+        self.assertEqual(opened(sim, "b3").at, "b3")
+
+    def test_nothing_is_served_before_the_first_view(self) -> None:
+        sim = make_simulation(4)
+        sim.max_lag = 0.0
+        balancer = sim.any_balancer()
+        balancer.state.view.confirmed = False
+        event = e.FlowOpened(sim.make_flow(SEATS).key, SEATS, sim.time())
+        dropped = handle(event, balancer.state)
+        self.assertEqual(dropped, [d.Drop(DropReason.NO_VIEW)])
+
+
+def opened_key(sim: Simulation, at: str) -> FlowKey:
+    """Key of a flow that is not open and whose bucket is at a backend server."""
+    while True:
+        flow = sim.make_flow(SEATS)
+        current = sim.any_balancer().cluster.buckets[SEATS].current
+        if current[bucket_of(flow.key)] == at:
+            return flow.key
+
+
+class Doubt(unittest.TestCase):
+    """Guards against a packet that is tried on two backend servers."""
+
+    def test_a_flow_that_two_incomplete_homes_may_hold_is_dropped(self) -> None:
+        sim = make_simulation(5)
+        flow = opened(sim, "b1")
+        sim.commit(drain_backend("b1"))
+        for _ in range(4):
+            sim.step(1.0)
+        for balancer in sim.balancers.values():
+            balancer.state.records.records.clear()
+            balancer.state.cache.entries.clear()
+            for name in balancer.state.homes.incomplete_until:
+                until = Seconds(sim.now + 100)
+                balancer.state.homes.incomplete_until[name] = until
+        sim.send(flow)
+        self.assertEqual(sim.drops, {DropReason.AMBIGUOUS: 1})
+        self.assertEqual(sim.faults, [])
+
+    def test_one_incomplete_home_gets_the_flow_and_records_it(self) -> None:
+        sim = make_simulation(6)
+        flow = opened(sim, "b1")
+        sim.commit(drain_backend("b1"))
+        for _ in range(4):
+            sim.step(1.0)
+        for balancer in sim.balancers.values():
+            balancer.state.records.records.clear()
+            balancer.state.cache.entries.clear()
+            until = Seconds(sim.now + 100)
+            if BackendServerId("b1") in balancer.state.homes.incomplete_until:
+                balancer.state.homes.incomplete_until[BackendServerId("b1")] = until
+        for _ in range(5):
+            self.assertIsInstance(sim.send(flow), d.SendToBackend)
+        self.assertEqual(sim.faults, [])
+        self.assertIn(flow.key, home_of(sim, "b1").state.records.records)
+
+    def test_new_flows_follow_a_move_only_after_the_settle_time(self) -> None:
+        sim = make_simulation(7)
+        sim.max_lag = 0.0
+        key = opened_key(sim, "b1")
+        sim.commit(drain_backend("b1"))
+        sim.step(0.5)
+        before = sim.carry(e.FlowOpened(key, SEATS, sim.time()))
+        assert isinstance(before, d.SendToBackend)
+        self.assertEqual(before.target.id, "b1")
+        for _ in range(3):
+            sim.step(1.0)
+        flow = sim.make_flow(SEATS)
+        while bucket_of(flow.key) != bucket_of(key) or flow.key == key:
+            flow = sim.make_flow(SEATS)
+        self.assertTrue(sim.open(flow))
+        self.assertNotEqual(flow.at, "b1")
+
+    def test_openings_wait_after_a_snapshot_with_several_former_owners(self) -> None:
+        sim = make_simulation(8)
+        sim.max_lag = 0.0
+        key = opened_key(sim, "b1")
+        sim.commit(drain_backend("b1"))
+        sim.step(0.1)
+        after = sim.any_balancer().cluster.buckets[SEATS].current[bucket_of(key)]
+        assert after is not None
+        sim.commit(drain_backend(after))
+        sim.step(0.1)
+        source = sim.any_balancer()
+        last = source.cluster.buckets[SEATS].current[bucket_of(key)]
+        assert last is not None
+        owner = home_of(sim, last)
+        other = next(b for b in sim.balancers.values() if b is not owner)
+        sim.load_snapshot(owner, other)
+        event = e.FlowOpened(key, SEATS, sim.time())
+        dropped = handle(event, owner.state)
+        self.assertEqual(dropped, [d.Drop(DropReason.SETTLING)])
+
+    def test_a_reset_for_an_unrecorded_flow_is_believed_the_second_time(self) -> None:
+        sim = make_simulation(9)
+        key = opened_key(sim, "b1")
+        reset = e.AnswerClosing(key, BackendServerId("b1"), sim.time(), reset=True)
+        self.assertEqual(sim.carry(reset), d.Drop(DropReason.RESET_IN_DOUBT))
+        sim.step(2.5)
+        reset = e.AnswerClosing(key, BackendServerId("b1"), sim.time(), reset=True)
+        self.assertIsInstance(sim.carry(reset), d.ReturnToCaller)
+
+
+class EndedFlows(unittest.TestCase):
+    """Guards against flows that hang, or go to another backend server."""
+
+    def test_the_caller_gets_a_reset_when_its_backend_server_is_gone(self) -> None:
+        sim = make_simulation(10)
+        flow = opened(sim, "b1")
+        sim.commit(remove_backend("b1"))
+        for _ in range(3):
+            sim.step(1.0)
+        self.assertEqual(sim.send(flow), d.Refuse(RefusalReason.FLOW_GONE))
+
+    def test_a_failure_domain_out_of_service_gets_nothing(self) -> None:
+        sim = make_simulation(11)
+        domain = home_of(sim, "b1").state.failure_domain
+        flows = [opened(sim, "b1") for _ in range(5)]
+        sim.commit(set_domain(domain, FailureDomainState.OUT_OF_SERVICE))
+        for _ in range(4):
+            sim.step(1.0)
+        for flow in flows:
+            self.assertEqual(sim.send(flow), d.Refuse(RefusalReason.FLOW_GONE))
+        for balancer in sim.balancers.values():
+            for record in balancer.state.records.records.values():
+                self.assertNotEqual(record.target.failure_domain, domain)
+        answer = e.AnswerData(flows[0].key, BackendServerId("b1"), sim.time())
+        self.assertEqual(sim.carry(answer), d.Drop(DropReason.OUT_OF_SERVICE))
+        for _ in range(20):
+            at = opened(sim).at
+            assert at is not None
+            server = sim.any_balancer().cluster.backend_servers[at]
+            self.assertNotEqual(server.failure_domain, domain)
+
+    def test_a_local_removal_works_without_the_log(self) -> None:
+        sim = make_simulation(12)
+        flow = opened(sim, "b1")
+        balancer = home_of(sim, "b1")
+        domain = balancer.state.failure_domain
+        handle(e.LocalOut(domain, sim.time()), balancer.state)
+        event = e.FlowData(flow.key, SEATS, sim.time())
+        self.assertNotIsInstance(handle(event, balancer.state)[0], d.SendToBackend)
+
+    def test_a_new_boot_clears_records_and_frees_their_slots(self) -> None:
+        sim = make_simulation(13)
+        opened(sim, "b1")
+        owner = home_of(sim, "b1")
+        backend = BackendServerId("b1")
+        self.assertEqual(owner.admission.open[backend], 1)
+        event = e.BackendServerRenewed(backend, BootId("later"), sim.time())
+        handle(event, owner.state)
+        self.assertEqual(owner.admission.open[backend], 0)
+        self.assertNotIn(backend, owner.state.records.by_backend)
+        opening = e.FlowOpened(opened_key(sim, "b1"), SEATS, sim.time())
+        dropped = handle(opening, owner.state)
+        self.assertEqual(dropped, [d.Drop(DropReason.NOT_ANNOUNCED)])
+
+    def test_closing_from_both_sides_frees_the_slot(self) -> None:
+        sim = make_simulation(14)
+        flow = opened(sim, "b1")
+        backend = BackendServerId("b1")
+        owner = home_of(sim, "b1")
+        sim.carry(e.FlowClosing(flow.key, SEATS, sim.time()))
+        self.assertEqual(owner.admission.open[backend], 1)
+        sim.carry(e.AnswerClosing(flow.key, backend, sim.time()))
+        self.assertEqual(owner.admission.open[backend], 0)
+        sim.now += 40
+        handle(e.TimerTick(sim.time()), owner.state)
+        sim.now += 2
+        handle(e.TimerTick(sim.time()), owner.state)
+        self.assertNotIn(flow.key, owner.state.records.records)
+
+
+class Limits(unittest.TestCase):
+    """Guards against overload, and against refusals while there is room."""
+
+    def test_a_full_backend_server_refuses_and_then_overflows(self) -> None:
+        sim = make_simulation(15)
+        sim.max_lag = 0.0
+        for balancer in sim.balancers.values():
+            balancer.admission.limit = 3
+        for _ in range(3):
+            opened(sim, "b1")
+        event = e.FlowOpened(opened_key(sim, "b1"), SEATS, sim.time())
+        self.assertEqual(sim.carry(event), d.Refuse(RefusalReason.AT_LIMIT))
+        sim.commit(add_candidate(SEATS, "b2", CandidateReason.OVERFLOW))
+        sim.step(1.0)
+        event = e.FlowOpened(opened_key(sim, "b1"), SEATS, sim.time())
+        self.assertEqual(sim.carry(event), d.Refuse(RefusalReason.AT_LIMIT))
+        for _ in range(2):
+            sim.step(1.0)
+        flow = opened(sim, "b1")
+        self.assertEqual(flow.at, "b2")
+        for _ in range(10):
+            self.assertIsInstance(sim.send(flow), d.SendToBackend)
+        self.assertEqual(sim.faults, [])
+
+    def test_tables_refuse_at_their_limits(self) -> None:
+        sim = make_simulation(16)
+        for balancer in sim.balancers.values():
+            balancer.state.records.limit = 1
+        opened(sim, "b1")
+        event = e.FlowOpened(opened_key(sim, "b1"), SEATS, sim.time())
+        self.assertEqual(sim.carry(event), d.Refuse(RefusalReason.TABLE_FULL))
+
+    def test_unknown_destinations_are_refused_at_a_limited_rate(self) -> None:
+        sim = make_simulation(17)
+        state = sim.any_balancer().state
+        seen = [handle(e.UnknownDestination(sim.time()), state)[0] for _ in range(101)]
+        self.assertEqual(seen[0], d.Refuse(RefusalReason.UNKNOWN_DESTINATION))
+        self.assertEqual(seen[-1], d.Drop(DropReason.REPLY_RATE_LIMITED))
+
+
+class UdpFlows(unittest.TestCase):
+    """Guards against datagrams of one flow that reach several backend servers."""
+
+    def test_datagrams_stay_together_while_buckets_move(self) -> None:
+        sim = make_simulation(18, protocol=Protocol.UDP)
+        flows = [sim.make_flow(SEATS) for _ in range(60)]
+        places: dict[FlowKey, set[str]] = {flow.key: set() for flow in flows}
+        for second in range(60):
+            if second == 10:
+                sim.commit(add_backend("b30", 30, SEATS))
+            if second == 30:
+                sim.commit(drain_backend("b2"))
+            sim.step(1.0)
+            for flow in flows:
+                decided = sim.carry(e.FlowData(flow.key, SEATS, sim.time()))
+                if isinstance(decided, d.SendToBackend):
+                    places[flow.key].add(decided.target.id)
+        self.assertEqual({len(found) for found in places.values()}, {1})
+
+
+class Chaos(unittest.TestCase):
+    """Guards against packets of one service that reach another, whatever happens."""
+
+    def test_random_faults_never_cross_services_or_flows(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                self.run_faults(seed)
+
+    def run_faults(self, seed: int) -> None:
+        sim = make_simulation(100 + seed)
+        flows = [sim.make_flow(SEATS if n % 2 else COURSES) for n in range(120)]
+        flows = [flow for flow in flows if sim.open(flow)]
+        index = 40
+        for second in range(150):
+            action = sim.draws.randrange(14) if second % 4 == 0 else -1
+            index += 1
+            if action == 0:
+                service = sim.draws.choice((SEATS, COURSES))
+                sim.commit(add_backend(f"b{index}", index, service))
+            elif action == 1:
+                sim.commit(drain_backend(sim.draws.choice(("b1", "b2", "b8"))))
+            elif action == 2:
+                sim.start_balancer(f"n{index}", DOMAINS[index % 3])
+            elif action == 3 and len(sim.balancers) > 4:
+                gone = sim.draws.choice(list(sim.balancers))
+                del sim.balancers[NodeId(gone)]
+                sim.commit(remove_node(gone))
+            elif action == 4:
+                sim.any_balancer().cut_off = True
+            elif action == 5:
+                for balancer in sim.balancers.values():
+                    balancer.cut_off = False
+            sim.step(1.0)
+            for flow in flows:
+                sim.send(flow)
+        self.assertEqual(sim.faults[:3], [])
