Divert new flows from failure domains that do not answer pings

Cause: during a partition new flows of buckets on the other side would fail. Change: pings between failure domains, DIVERTED openings, reports of diverted candidates, and a healing time in which flows that no home knows wait.

--- a/src/wasabigw/core/flows/decisions.py
+++ b/src/wasabigw/core/flows/decisions.py
@@ -47,6 +47,8 @@
     NOT_ANNOUNCED = "not-announced"
     TAKEOVER_WAIT = "takeover-wait"
     RATE_LIMITED = "rate-limited"
+    UNREACHABLE = "unreachable"
+    HEALING = "healing"
     RESET_IN_DOUBT = "reset-in-doubt"
     REPLY_RATE_LIMITED = "reply-rate-limited"
 
--- a/src/wasabigw/core/flows/home.py
+++ b/src/wasabigw/core/flows/home.py
@@ -40,7 +40,7 @@
 from wasabigw.core.ids import Seconds
 from wasabigw.core.states import Protocol
 from wasabigw.core.timing import VIEW_LEASE
-from wasabigw.core.view import is_fresh
+from wasabigw.core.view import NEVER, is_fresh
 
 OPENING_TIMEOUT = Seconds(3.0)
 """A flow that its backend server has not accepted by then counts as timed out."""
@@ -81,6 +81,8 @@
     current = context.candidates.current
     if current is None:
         return _refuse_without_candidate(context, state)
+    if current.failure_domain in state.routes.unreachable:
+        return _divert(event, context, state)
     owner = home(state.homes, current.id)
     if owner != state.node:
         return forward(owner, context.forwarding, state)
@@ -178,7 +180,7 @@
     current = context.candidates.current
     if current is None or context.candidates.others:
         return None
-    if context.route.protocol is not Protocol.TCP:
+    if context.route.protocol is not Protocol.TCP or state.routes.healing:
         return None
     if not is_fresh(state.view, context.now):
         return None
@@ -273,6 +275,7 @@
     record = record_flow(state, context, target, slot_held=True)
     if record is None:
         return [Refuse(RefusalReason.TABLE_FULL)]
+    _claim_if_diverted(target, context, state)
     if context.route.protocol is Protocol.TCP:
         deadline = Seconds(context.now + OPENING_TIMEOUT)
         state.pending.append(PendingOpening(deadline, context.flow, record))
@@ -280,6 +283,14 @@
     return sent + bindings(state, context, target)
 
 
+def _claim_if_diverted(target: Target, context: Context, state: BalancerState) -> None:
+    """Note that the log has to name this backend server as a candidate."""
+    named = {c.backend_server for c in context.route.others.get(context.bucket, ())}
+    if target.id not in named | {context.route.current[context.bucket]}:
+        slot = (target.service, context.bucket, target.id)
+        state.diverted.setdefault(slot, NEVER)
+
+
 def _is_exclusive(target: Target, context: Context, state: BalancerState) -> bool:
     """Whether no other home can admit flows at the same time.
 
@@ -303,6 +314,16 @@
     return forward(owner, chosen, state)
 
 
+def _divert(
+    event: FlowOpened, context: Context, state: BalancerState
+) -> list[Decision]:
+    """Open a flow elsewhere while the failure domain of its bucket is cut off."""
+    target = context.candidates.diverted
+    if target is None:
+        return drop(DropReason.UNREACHABLE)
+    return _hand_to(target, event, context, state)
+
+
 def _refuse_without_candidate(context: Context, state: BalancerState) -> list[Decision]:
     if not is_fresh(state.view, context.now):
         return drop(DropReason.STALE_VIEW)
--- a/src/wasabigw/core/flows/release.py
+++ b/src/wasabigw/core/flows/release.py
@@ -1,5 +1,6 @@
 """Release of candidates that hold no flows any more."""
 
+from wasabigw.core.cluster import NO_REVISION
 from wasabigw.core.commands import CandidatesReleased
 from wasabigw.core.flows.decisions import Decision, SendReports
 from wasabigw.core.flows.homes import home, is_complete
@@ -59,6 +60,8 @@
     name = other.backend_server
     if other.target is None or home(state.homes, name) != state.node:
         return False
+    if other.revision == NO_REVISION:
+        return False
     seen = route.seen.get((bucket, name, other.revision), now)
     if now - seen < RELEASE_DELAY or has_flows(state.records, name, bucket):
         return False
--- a/src/wasabigw/core/flows/routes.py
+++ b/src/wasabigw/core/flows/routes.py
@@ -7,7 +7,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from wasabigw.core.cluster import BucketTable, Candidate, ClusterState, Service
+from wasabigw.core.buckets import score
+from wasabigw.core.cluster import (
+    NO_REVISION,
+    BackendServer,
+    BucketTable,
+    Candidate,
+    ClusterState,
+    Service,
+)
 from wasabigw.core.flows.keys import endpoint_number, number_of
 from wasabigw.core.flows.moves import MoveHistory, record_move, start_from_snapshot
 from wasabigw.core.flows.targets import (
@@ -25,7 +33,12 @@
     Seconds,
     ServiceId,
 )
-from wasabigw.core.states import CandidateReason, FailureDomainState, Protocol
+from wasabigw.core.states import (
+    BackendServerState,
+    CandidateReason,
+    FailureDomainState,
+    Protocol,
+)
 from wasabigw.core.timing import BUCKETS_PER_SERVICE
 
 
@@ -49,11 +62,13 @@
     :param current: backend server of new flows, if it can be used.
     :param others: further candidates, newest first.
     :param live: all candidates that can be used, the current one first.
+    :param diverted: takes new flows while the failure domain of ``current`` is cut off.
     """
 
     current: Target | None
     others: tuple[OtherCandidate, ...]
     live: tuple[Target, ...]
+    diverted: Target | None = None
 
     @property
     def has_departed(self) -> bool:
@@ -92,14 +107,24 @@
 
 @dataclass(slots=True)
 class RoutingTable:
-    """Services and backend servers by address and by id."""
+    """Services and backend servers by address and by id.
+
+    :param unreachable: failure domains that do not answer pings.
+    :param healing: failure domains that answer again since a short time, so that
+        diverted flows may not yet be in the log.
+    """
 
     services: dict[ServiceId, ServiceRoute] = field(default_factory=dict)
     by_endpoint: dict[int, ServiceRoute] = field(default_factory=dict)
     targets: dict[BackendServerId, Target] = field(default_factory=dict)
+    by_service: dict[ServiceId, dict[BackendServerId, Target]] = field(
+        default_factory=dict
+    )
     by_index: dict[int, Target] = field(default_factory=dict)
     by_backend_endpoint: dict[int, Target] = field(default_factory=dict)
     prepare: Prepare = prepare_nothing
+    unreachable: frozenset[FailureDomainId] = frozenset()
+    healing: frozenset[FailureDomainId] = frozenset()
 
 
 def update_routes(
@@ -147,9 +172,11 @@
             continue
         if known is not None:
             if still_describes(known, backend_server, service, usable):
+                _update_serving(table, known, backend_server, service)
                 continue
             void.append(_discard(table, known.id))
         target = make_target(backend_server, service, usable, table.prepare)
+        target.serving = _serves(backend_server, service)
         _add(table, target)
         route = table.services.get(target.service)
         if route is not None:
@@ -157,8 +184,40 @@
     return void
 
 
+def _serves(backend_server: BackendServer, service: Service) -> bool:
+    states = (BackendServerState.COLD, BackendServerState.READY)
+    allowed = backend_server.failure_domain in service.failure_domains
+    return allowed and backend_server.state in states
+
+
+def _update_serving(
+    table: RoutingTable, target: Target, backend_server: BackendServer, service: Service
+) -> None:
+    serving = _serves(backend_server, service)
+    if serving != target.serving:
+        target.serving = serving
+        route = table.services.get(service.id)
+        if route is not None:
+            clear_compiled(route)
+
+
+def set_reachability(
+    table: RoutingTable,
+    unreachable: frozenset[FailureDomainId],
+    healing: frozenset[FailureDomainId],
+) -> None:
+    """Follow the pings; the tables of all services may change."""
+    if (unreachable, healing) == (table.unreachable, table.healing):
+        return
+    table.unreachable = unreachable
+    table.healing = healing
+    for route in table.services.values():
+        clear_compiled(route)
+
+
 def _add(table: RoutingTable, target: Target) -> None:
     table.targets[target.id] = target
+    table.by_service.setdefault(target.service, {})[target.id] = target
     table.by_index[target.index] = target
     number = endpoint_number(target.protocol, target.address, target.port)
     table.by_backend_endpoint[number] = target
@@ -167,6 +226,10 @@
 def _discard(table: RoutingTable, name: BackendServerId) -> Target:
     target = table.targets.pop(name)
     target.usable = False
+    members = table.by_service[target.service]
+    del members[name]
+    if not members:
+        del table.by_service[target.service]
     number = endpoint_number(target.protocol, target.address, target.port)
     # Another backend server may have taken the address or the index in between.
     if table.by_index.get(target.index) is target:
@@ -243,11 +306,19 @@
         target = table.targets.get(name) if name is not None else None
         alone = BucketNumber(index) not in route.others
         usable = target is not None and target.usable and target.service == route.id
-        direct.append(target if alone and usable else None)
+        sure = usable and not _may_be_diverted(table, target)
+        direct.append(target if alone and sure else None)
     route.direct = direct
     return direct
 
 
+def _may_be_diverted(table: RoutingTable, target: Target | None) -> bool:
+    """Whether another failure domain may hold flows that the log does not show."""
+    if table.healing:
+        return True
+    return target is not None and target.failure_domain in table.unreachable
+
+
 def bucket_route(
     table: RoutingTable, route: ServiceRoute, bucket: BucketNumber
 ) -> BucketRoute:
@@ -274,9 +345,32 @@
         )
         for candidate in route.others.get(bucket, ())
     )
+    diverted = None
+    cut_off = table.unreachable | table.healing
+    if current is not None and current.failure_domain in cut_off:
+        diverted = _diverted(table, route, bucket)
+    if diverted is not None and diverted.id not in {o.backend_server for o in others}:
+        reason = CandidateReason.DIVERTED
+        others += (OtherCandidate(diverted.id, diverted, reason, NO_REVISION),)
     live = [] if current is None else [current]
     live.extend(other.target for other in others if other.target is not None)
-    return BucketRoute(current, others, tuple(live))
+    return BucketRoute(current, others, tuple(live), diverted)
+
+
+def _diverted(
+    table: RoutingTable, route: ServiceRoute, bucket: BucketNumber
+) -> Target | None:
+    """The next reachable backend server in the rendezvous order of the bucket."""
+    choices = [
+        target
+        for target in table.by_service.get(route.id, {}).values()
+        if target.usable
+        and target.serving
+        and target.failure_domain not in table.unreachable | table.healing
+    ]
+    if not choices:
+        return None
+    return max(choices, key=lambda target: (score(bucket, target.id), target.id))
 
 
 def _usable(
--- a/src/wasabigw/core/flows/search.py
+++ b/src/wasabigw/core/flows/search.py
@@ -46,7 +46,7 @@
     """
     for target in context.candidates.live:
         present = home(state.homes, target.id)
-        if present is None:
+        if present is None or _is_cut_off(present, state):
             continue
         if not forwarding.was_asked(tag_of(present), target.index):
             return present
@@ -58,6 +58,11 @@
     return None
 
 
+def _is_cut_off(node: NodeId, state: BalancerState) -> bool:
+    known = state.cluster.nodes.get(node)
+    return known is not None and known.failure_domain in state.routes.unreachable
+
+
 def _other_holders(
     target: Target, present: NodeId, state: BalancerState
 ) -> tuple[NodeId, ...]:
@@ -82,6 +87,9 @@
         return _owner_under_stale_view(event, forwarding, context, state)
     if isinstance(event, FlowData) and event.related:
         return DropReason.UNKNOWN_FLOW
+    if state.routes.healing:
+        # Another side of the partition may hold the flow and not have said so yet.
+        return DropReason.HEALING
     lacking = [t for t in context.candidates.live if _may_hold(t, forwarding)]
     if len(lacking) == 1:
         return lacking[0]
--- a/src/wasabigw/core/flows/state.py
+++ b/src/wasabigw/core/flows/state.py
@@ -82,6 +82,8 @@
     :param tag: tag of this balancer in FORWARD options.
     :param renewed: latest announcement of each backend server homed here.
     :param inherited: open flows counted by a previous home that have no record here.
+    :param diverted: candidates that the log does not name yet and when they were last
+        reported.
     :param doubtful_resets: see :func:`wasabigw.core.flows.resets.is_in_doubt`.
     :param restarts: when the flows of a backend server ended with its last boot.
     :param overflowed: when a flow was last passed on for lack of room.
@@ -107,6 +109,7 @@
     renewed: dict[BackendServerId, Renewal] = field(default_factory=dict)
     releasing: dict[CandidateSlot, Releasing] = field(default_factory=dict)
     inherited: dict[BackendServerId, int] = field(default_factory=dict)
+    diverted: dict[CandidateSlot, Seconds] = field(default_factory=dict)
     doubtful_resets: dict[FlowKey, Seconds] = field(default_factory=dict)
     restarts: dict[BackendServerId, Seconds] = field(default_factory=dict)
     overflowed: dict[BackendServerId, Seconds] = field(default_factory=dict)
--- a/src/wasabigw/core/flows/targets.py
+++ b/src/wasabigw/core/flows/targets.py
@@ -15,6 +15,7 @@
 
     :param usable: becomes false when it is removed, restarts, or its failure
         domain is taken out of service; bindings to it are void from then on.
+    :param serving: whether it takes new flows; a backend server that drains does not.
     :param to_backend: what the front end prepared for packets to it.
     :param to_caller: what the front end prepared for its answers.
     """
@@ -30,6 +31,7 @@
     protocol: int
     boot_id: BootId
     usable: bool
+    serving: bool = True
     to_backend: Any = None
     to_caller: Any = None
 
--- a/src/wasabigw/core/flows/upkeep.py
+++ b/src/wasabigw/core/flows/upkeep.py
@@ -3,6 +3,7 @@
 from wasabigw.core.cold_start import OpeningResult
 from wasabigw.core.flows import cache, records
 from wasabigw.core.flows.decisions import Decision
+from wasabigw.core.flows.diversion import follow_reachability, report_diverted
 from wasabigw.core.flows.events import BackendServerRenewed, LocalOut, LogApplied
 from wasabigw.core.flows.forwarding import tag_of
 from wasabigw.core.flows.homes import update_homes
@@ -100,7 +101,12 @@
     drop_inherited(state, now)
     forget_old_doubts(state, now)
     count_flows(state, now)
-    return propose_releases(state, now) + next_handovers(state, now)
+    follow_reachability(state, now)
+    return (
+        propose_releases(state, now)
+        + next_handovers(state, now)
+        + report_diverted(state, now)
+    )
 
 
 def _time_out_openings(state: BalancerState, now: Seconds) -> None:
--- a/src/wasabigw/tasks/packet_task.py
+++ b/src/wasabigw/tasks/packet_task.py
@@ -14,10 +14,11 @@
 from wasabigw.codec import geneve, ipv4
 from wasabigw.codec.geneve import Frame
 from wasabigw.codec.ipv4 import Segment
-from wasabigw.core import backend_home
+from wasabigw.core import backend_home, reachability
 from wasabigw.core.cluster import Endpoint, Node
 from wasabigw.core.flows.admission_port import HomeAdmission
 from wasabigw.core.flows.decisions import Decision
+from wasabigw.core.flows.diversion import follow_reachability
 from wasabigw.core.flows.events import (
     BackendServerRenewed,
     BindingReceived,
@@ -37,8 +38,9 @@
     HomeTick,
     ReplyToAnnouncement,
 )
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import FailureDomainId, Seconds
 from wasabigw.core.log_messages import AnnouncementAccepted
+from wasabigw.core.reachability import PingAnswered, PingDue
 from wasabigw.core.view import is_fresh
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
 from wasabigw.runtime.task import Stop, Task
@@ -322,9 +324,34 @@
         if node is None or frame.ping is None:
             self._output.counts.drop(PacketDropReason.UNKNOWN_SENDER)
             return
-        if not frame.ping.reply:
-            reply = ping_frame(frame.ping.sequence, frame.ping.sent_at, reply=True)
-            self._output.send_frame(reply, sender)
+        if frame.ping.reply:
+            self._receive_pong(frame.ping.sequence, now)
+            return
+        reply = ping_frame(frame.ping.sequence, frame.ping.sent_at, reply=True)
+        self._output.send_frame(reply, sender)
+
+    def _receive_pong(self, sequence: int, now: Seconds) -> None:
+        before = reachability.unreachable(self._state.reachability)
+        answered = PingAnswered(sequence, now)
+        reachability.handle(answered, self._state.reachability)
+        for domain in before - reachability.unreachable(self._state.reachability):
+            log(BalancerEvent.FAILURE_DOMAIN_REACHABLE, failure_domain=domain)
+            follow_reachability(self._state, now)
+
+    def _send_pings(self, now: Seconds) -> None:
+        nodes = tuple(self._state.cluster.nodes.values())
+        due = PingDue(nodes, self._random.random(), now)
+        sent_at = int(now * 1_000_000)
+        before = reachability.unreachable(self._state.reachability)
+        for ping in reachability.handle(due, self._state.reachability):
+            frame = ping_frame(ping.sequence, sent_at, reply=False)
+            self._output.send_to_node(ping.node, frame)
+        self._log_reachability(before)
+
+    def _log_reachability(self, before: frozenset[FailureDomainId]) -> None:
+        after = reachability.unreachable(self._state.reachability)
+        for domain in sorted(after - before):
+            log(BalancerEvent.FAILURE_DOMAIN_UNREACHABLE, failure_domain=domain)
 
     def _execute(self, decisions: Sequence[Decision], packet: Packet | None) -> None:
         for decision in decisions:
@@ -390,6 +417,7 @@
     def _(self, message: Tick) -> None:
         self._log.note_freshness(message.now)
         self._execute_home(backend_home.handle(HomeTick(message.now), self._home))
+        self._send_pings(message.now)
         self._execute(handle(TimerTick(message.now), self._state), None)
 
 
--- a/tests/flow_simulation.py
+++ b/tests/flow_simulation.py
@@ -5,7 +5,7 @@
 from copy import deepcopy
 from dataclasses import dataclass, field, replace
 
-from wasabigw.core import buckets
+from wasabigw.core import buckets, reachability
 from wasabigw.core.admission import AdmissionVerdict
 from wasabigw.core.cluster import (
     BackendServer,
@@ -17,7 +17,7 @@
     Service,
 )
 from wasabigw.core.cold_start import OpeningResult
-from wasabigw.core.commands import CandidatesReleased
+from wasabigw.core.commands import CandidatesAdded, CandidatesReleased
 from wasabigw.core.flows import decisions as d
 from wasabigw.core.flows import events as e
 from wasabigw.core.flows.homes import home
@@ -241,6 +241,17 @@
     return mutate
 
 
+def added(report: CandidatesAdded) -> Mutation:
+    """A home holds flows of buckets that are not its own."""
+
+    def mutate(state: ClusterState, revision: Revision) -> None:
+        candidate = Candidate(report.backend_server, report.reason, revision)
+        for bucket in report.buckets:
+            buckets.add_candidate(state.buckets[report.service], bucket, candidate)
+
+    return mutate
+
+
 def add_candidate(service: ServiceId, name: str, reason: CandidateReason) -> Mutation:
     """A backend server becomes a candidate of each bucket."""
 
@@ -296,6 +307,8 @@
     hops: int = 0
     limit: int = 10_000
     max_lag: float = 1.5
+    partitioned: set[NodeId] = field(default_factory=set)
+    callers_inside: bool = False
     draws: random.Random = field(init=False)
 
     def __post_init__(self) -> None:
@@ -344,6 +357,7 @@
     def step(self, seconds: float) -> None:
         """Advance the time; balancers poll with differing delays and tick."""
         self.now += seconds
+        self.ping()
         for balancer in list(self.balancers.values()):
             self.poll(balancer, self.draws.uniform(0, self.max_lag))
             for decision in handle(e.TimerTick(self.time()), balancer.state):
@@ -364,8 +378,11 @@
         if isinstance(decision, d.SendReports):
             self.reports += len(decision.reports)
             for report in decision.reports:
-                assert isinstance(report, CandidatesReleased)
-                self.commit(released(report))
+                if isinstance(report, CandidatesAdded):
+                    self.commit(added(report))
+                else:
+                    assert isinstance(report, CandidatesReleased)
+                    self.commit(released(report))
         elif isinstance(decision, d.SendHandover):
             receiver = self.balancers.get(decision.node)
             if receiver is not None:
@@ -373,7 +390,38 @@
                 handle(event, receiver.state)
 
     def any_balancer(self) -> Balancer:
-        return self.draws.choice(list(self.balancers.values()))
+        return self.draws.choice(
+            [
+                balancer
+                for node, balancer in self.balancers.items()
+                if not self.partitioned
+                or (node in self.partitioned) == self.callers_inside
+            ]
+        )
+
+    def partition(self, domain: FailureDomainId) -> None:
+        """Cut a failure domain off; callers reach only the other side."""
+        for node, balancer in self.balancers.items():
+            if balancer.state.failure_domain == domain:
+                self.partitioned.add(node)
+                balancer.cut_off = True
+
+    def heal(self) -> None:
+        """End the partition."""
+        for node in self.partitioned:
+            self.balancers[node].cut_off = False
+        self.partitioned.clear()
+
+    def ping(self) -> None:
+        """Each balancer pings the other failure domains; pings do not cross a cut."""
+        for node, balancer in self.balancers.items():
+            nodes = tuple(balancer.cluster.nodes.values())
+            due = reachability.PingDue(nodes, self.draws.random(), self.time())
+            state = balancer.state.reachability
+            for ping in reachability.handle(due, state):
+                if (ping.node in self.partitioned) == (node in self.partitioned):
+                    answered = reachability.PingAnswered(ping.sequence, self.time())
+                    reachability.handle(answered, state)
 
     def carry(self, event: e.CallerEvent | e.AnswerEvent) -> d.Disposition | None:
         """Let the fabric give an event to some balancer, and follow it."""
@@ -392,7 +440,10 @@
         if isinstance(first, d.ForwardToNode):
             following = self.balancers.get(first.node)
             inner = event.event if isinstance(event, e.Forwarded) else event
-            if following is None:
+            cut = (first.node in self.partitioned) != (
+                balancer.state.node in self.partitioned
+            )
+            if following is None or cut:
                 return None
             sender = balancer.state.node
             return self.follow(following, e.Forwarded(sender, first.forwarding, inner))
