--- a/src/wasabigw/tasks/log_application.py
+++ b/src/wasabigw/tasks/log_application.py
@@ -44,14 +44,12 @@
         before = self._state.cluster.revision
         decisions: list[Decision | HomeDecision] = []
         decisions += self._install_snapshot(batch, now)
-        gap = False
         for entry in batch.entries:
             revision = self._state.cluster.revision
             if entry.revision <= revision:
                 continue
             if entry.revision != revision + 1:
                 log(BalancerEvent.LOG_GAP, found=entry.revision, applied=revision)
-                gap = True
                 break
             apply(entry.command, entry.revision, self._state.cluster)
             decisions += handle(LogApplied(self._state.cluster, now), self._state)
@@ -59,7 +57,7 @@
         if self._state.cluster.revision != before:
             changed = HomesChanged(self._state.cluster, now)
             decisions += backend_home.handle(changed, self._home)
-        self._applied.post(AppliedRevision(self._state.cluster.revision, gap))
+        self._applied.post(AppliedRevision(self._state.cluster.revision))
         return decisions
 
     def _install_snapshot(self, batch: LogBatch, now: Seconds) -> Sequence[Decision]:
--- a/src/wasabigw/tasks/messages.py
+++ b/src/wasabigw/tasks/messages.py
@@ -1,11 +1,11 @@
-"""Messages that the packet task receives and posts."""
+"""Messages between the tasks of a balancer."""
 
 from dataclasses import dataclass
 from enum import Enum
 
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.flows.handover import Handover
-from wasabigw.core.home_events import SendReports
+from wasabigw.core.home_events import SendReports as SendReports
 from wasabigw.core.ids import (
     BackendServerId,
     BucketNumber,
@@ -34,13 +34,9 @@
 
 @dataclass(frozen=True, slots=True)
 class AppliedRevision:
-    """The packet task has applied the log up to a revision.
-
-    :param gap: entries before the received ones are missing; a snapshot is needed.
-    """
+    """The packet task has handled a log batch and is at this revision."""
 
     revision: Revision
-    gap: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,20 +69,28 @@
     """A draining balancer hands over records."""
 
     handover: Handover
-    reply: Mailbox["Done"]
+    reply: Mailbox["HandoverTaken"]
+
+
+@dataclass(frozen=True, slots=True)
+class HandoverTaken:
+    """The records were taken over, as far as this balancer is their new home."""
+
+    backend_server: BackendServerId
 
 
 @dataclass(frozen=True, slots=True)
 class LocalOutRequest:
-    """An operator takes a failure domain out of service at this balancer."""
+    """Takes the failure domain of this balancer out of service here."""
 
-    failure_domain: FailureDomainId
-    reply: Mailbox["Done"]
+    reply: Mailbox["LocalOutDone"]
 
 
 @dataclass(frozen=True, slots=True)
-class Done:
-    """A request was carried out."""
+class LocalOutDone:
+    """The balancer sends nothing more to its failure domain."""
+
+    failure_domain: FailureDomainId
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,5 +212,3 @@
     | LocalOutRequest
     | Tick
 )
-
-ReportMessage = SendReports
--- a/src/wasabigw/tasks/packet_task.py
+++ b/src/wasabigw/tasks/packet_task.py
@@ -51,11 +51,12 @@
 from wasabigw.tasks.log_application import LogApplication
 from wasabigw.tasks.messages import (
     AnnouncementRequest,
-    Done,
     FlowRequest,
     HandoverOut,
     HandoverRequest,
+    HandoverTaken,
     HopSpan,
+    LocalOutDone,
     LocalOutRequest,
     LogReceived,
     PacketDropReason,
@@ -404,14 +405,14 @@
     def _(self, message: HandoverRequest) -> None:
         received = HandoverReceived(message.handover, monotonic())
         self._execute(handle(received, self._state), None)
-        message.reply.post(Done())
+        message.reply.post(HandoverTaken(message.handover.backend_server))
 
     @receive.register
     def _(self, message: LocalOutRequest) -> None:
-        domain = message.failure_domain
+        domain = self._state.failure_domain
         log(BalancerEvent.TAKEN_OUT_LOCALLY, failure_domain=domain)
         self._execute(handle(LocalOut(domain, monotonic()), self._state), None)
-        message.reply.post(Done())
+        message.reply.post(LocalOutDone(domain))
 
     @receive.register
     def _(self, message: Tick) -> None:
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -36,7 +36,7 @@
         2004,
         logging.ERROR,
         "entry {found} of the log was received after revision {applied}",
-        "The balancer asks for a snapshot; if this repeats, restart it.",
+        "The balancer polls again from its revision; if this repeats, restart it.",
     )
     SNAPSHOT_INSTALLED = EventDefinition(
         2005,
