Count each recorded flow at its home

Cause: flows that a new home learned from their packets did not count against the limit: after crashes and joins 152 of 333 open flows were counted. Change: a record at the home holds a slot whether or not it was admitted there.

--- a/src/wasabigw/core/flows/home.py
+++ b/src/wasabigw/core/flows/home.py
@@ -148,7 +148,7 @@
     record = state.records.records.get(context.flow)
     opens = isinstance(event, FlowOpened)
     if record is None or record.target is not target or opens:
-        record = record_flow(state, context, target, slot_held=False)
+        record = record_flow(state, context, target)
     if record is not None:
         record.answered = True
         _note_caller(event, record, context, state)
@@ -227,7 +227,7 @@
         return send(state, target, context.now)
     if not may_send(state, target, context.now):
         return drop(DropReason.STALE_VIEW)
-    record = record_flow(state, context, target, slot_held=False)
+    record = record_flow(state, context, target)
     if record is None:
         return send(state, target, context.now)
     return _known_flow(event, record, context, state)
@@ -272,7 +272,7 @@
 
 
 def _admitted(target: Target, context: Context, state: BalancerState) -> list[Decision]:
-    record = record_flow(state, context, target, slot_held=True)
+    record = record_flow(state, context, target, admitted=True)
     if record is None:
         return [Refuse(RefusalReason.TABLE_FULL)]
     _claim_if_diverted(target, context, state)
--- a/src/wasabigw/core/flows/routing.py
+++ b/src/wasabigw/core/flows/routing.py
@@ -165,7 +165,7 @@
     if known or is_releasing(state, bucket, target):
         return
     context = _context(event.flow, route, first_forwarding(bucket), None, event, state)
-    record_flow(state, context, target, slot_held=False)
+    record_flow(state, context, target)
 
 
 @handle.register
--- a/src/wasabigw/core/flows/sending.py
+++ b/src/wasabigw/core/flows/sending.py
@@ -134,9 +134,12 @@
 
 
 def record_flow(
-    state: BalancerState, context: Context, target: Target, slot_held: bool
+    state: BalancerState, context: Context, target: Target, *, admitted: bool = False
 ) -> FlowRecord | None:
-    """Record a flow; without an admission, as one that a previous home counted.
+    """Record a flow; at the home it counts against the limit of the backend server.
+
+    A flow that was not admitted here was counted by a previous home, or enters the
+    next count of the records.
 
     :returns: ``None`` if the table is full.
     """
@@ -144,10 +147,10 @@
     if records.is_full(state.records) and not present:
         return None
     inherited = state.inherited.get(target.id, 0)
-    if not slot_held and inherited:
+    if inherited and not admitted:
         state.inherited[target.id] = inherited - 1
-        slot_held = True
-    record = FlowRecord(target, context.bucket, context.now, context.now, slot_held)
+    counts = admitted or home(state.homes, target.id) == state.node
+    record = FlowRecord(target, context.bucket, context.now, context.now, counts)
     records.insert(state.records, context.flow, record)
     return record
 
