Run balancer and control processes from their settings

Cause: the parts existed, but no process ran them. Change: roles, the tasks of a balancer as one context, handover over HTTP, spans of hops in the trace file, and a planned stop that registers the balancer as draining and waits until its homes have moved.

--- a/src/wasabigw/bootstrap.py
+++ b/src/wasabigw/bootstrap.py
@@ -1,6 +1,5 @@
 """First files of a process: the data folder of a voter and the operator token."""
 
-import importlib
 import os
 import secrets
 from collections.abc import Callable
@@ -13,8 +12,6 @@
 from wasabigw.core.ids import Incarnation, NodeId
 from wasabigw.settings import Role, Settings
 
-STORAGE_MODULE = "wasabigw.tasks.storage"
-STORAGE_FUNCTION = "bootstrap"
 TOKEN_BYTES = 32
 INCARNATION_BYTES = 16
 TOKEN_FILE_MODE = 0o600
@@ -72,18 +69,6 @@
     )
 
 
-def create_data_folder(
-    folder: Path, node: NodeId, incarnation: Incarnation, first: bool
-) -> Result[Any, Any]:
-    """Create a data folder with the function of the storage module."""
-    try:
-        module = importlib.import_module(STORAGE_MODULE)
-        function: CreateDataFolder = getattr(module, STORAGE_FUNCTION)
-    except (ModuleNotFoundError, AttributeError) as error:
-        return Failure(BootstrapError(f"storage is not available: {error}"))
-    return function(folder, node, incarnation, first)
-
-
 def _new_incarnation() -> Incarnation:
     return Incarnation(secrets.token_hex(INCARNATION_BYTES))
 
--- a/src/wasabigw/codec/log_poll.py
+++ b/src/wasabigw/codec/log_poll.py
@@ -15,16 +15,19 @@
     Seconds,
 )
 from wasabigw.core.log_messages import LogPoll
+from wasabigw.core.states import NodeState
 
 _NAMES = (
     "node",
     "incarnation",
     "failure_domain",
+    "state",
     "data",
     "api",
     "after",
     "wait_ms",
 )
+_STATES = {state.value: state for state in (NodeState.UP, NodeState.DRAINING)}
 _MAX_NAME = 200
 _MAX_NUMBER = 10**15
 
@@ -35,6 +38,7 @@
         "node": poll.node.id,
         "incarnation": poll.node.incarnation,
         "failure_domain": poll.node.failure_domain,
+        "state": poll.node.state.value,
         "data": f"{poll.node.data.address}:{poll.node.data.port}",
         "api": f"{poll.node.api.address}:{poll.node.api.port}",
         "after": str(poll.applied),
@@ -55,12 +59,16 @@
         return _malformed("data and api must be address:port")
     if after is None or wait is None:
         return _malformed("after and wait_ms must be whole numbers, 0 or more")
+    state = _STATES.get(query["state"])
+    if state is None:
+        return _malformed(f"state must be one of: {', '.join(_STATES)}")
     node = Node(
         NodeId(query["node"]),
         FailureDomainId(query["failure_domain"]),
         data,
         api,
         Incarnation(query["incarnation"]),
+        state,
     )
     return Success(LogPoll(node, Revision(after), Seconds(wait / 1000)))
 
--- a/src/wasabigw/core/membership.py
+++ b/src/wasabigw/core/membership.py
@@ -212,6 +212,8 @@
     known = cluster.nodes.get(node.id)
     if known is None or known.state is NodeState.SUSPECTED:
         return True
+    if node.state is NodeState.DRAINING and known.state is not NodeState.DRAINING:
+        return True
     return (known.incarnation, known.failure_domain, known.data, known.api) != (
         node.incarnation,
         node.failure_domain,
--- a/src/wasabigw/daemon.py
+++ b/src/wasabigw/daemon.py
@@ -15,12 +15,13 @@
 
 from wasabigw import __version__
 from wasabigw.answer_file import answers_schema
-from wasabigw.bootstrap import bootstrap, create_data_folder
+from wasabigw.bootstrap import bootstrap
 from wasabigw.core.problems import Problems
 from wasabigw.ctl.settings import tool_settings_schema
 from wasabigw.roles import run_role
 from wasabigw.settings import LogLevel, Settings, load_settings, settings_schema
 from wasabigw.settings_page import settings_page
+from wasabigw.tasks import storage
 from wasabigw.telemetry.events_daemon import DaemonEvent
 from wasabigw.telemetry.log_events import log
 
@@ -142,7 +143,7 @@
     disk was replaced, are admitted by the leader.
     """
     settings = _settings(settings_file)
-    outcome = bootstrap(settings, first, create_data_folder)
+    outcome = bootstrap(settings, first, storage.bootstrap)
     if not isinstance(outcome, Success):
         _fail(str(outcome.failure()), ExitCode.BOOTSTRAP)
     created = outcome.unwrap()
--- /dev/null
+++ b/src/wasabigw/tasks/balancer.py
@@ -0,0 +1,153 @@
+"""Everything that runs in a balancer process, as one context."""
+
+from collections.abc import Sequence
+from contextlib import AbstractContextManager, ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+from returns.result import Success
+
+from wasabigw.core.cluster import Endpoint, Node
+from wasabigw.core.flows.handover import Handover
+from wasabigw.core.ids import Seconds
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.timer import TimerService, monotonic
+from wasabigw.tasks.handover_sender import make_handover_sender
+from wasabigw.tasks.http_balancer import BalancerApiSettings, make_balancer_server
+from wasabigw.tasks.log_follower import (
+    LogFollower,
+    make_follower_mailbox,
+    make_log_follower,
+)
+from wasabigw.tasks.messages import BalancerStatus, BeginDrain, StatusRequest
+from wasabigw.tasks.packet_task import (
+    PING_PERIOD,
+    PING_TICK,
+    UPKEEP_PERIOD,
+    UPKEEP_TICK,
+    PacketTask,
+    PacketTaskOutputs,
+    PacketTaskSettings,
+    make_packet_task,
+)
+from wasabigw.tasks.report_sender import make_report_sender
+from wasabigw.tasks.span_export import make_span_export
+from wasabigw.telemetry.events_balancer import BalancerEvent
+from wasabigw.telemetry.log_events import log
+from wasabigw.telemetry.trace_file import TraceFileTask
+
+DRAIN_TIMEOUT = Seconds(30.0)
+"""Longest time for which a planned stop waits for the handover of records."""
+DRAIN_CHECK = Seconds(0.25)
+DRAIN_LINGER = Seconds(2.0)
+"""How long a drained balancer still carries packets.
+
+The other balancers learn of the move within the view lease.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerSettings:
+    """What a balancer process needs to know.
+
+    :param node: this balancer as it registers.
+    :param control: API endpoints of the control VMs.
+    :param token: bearer token of operators.
+    """
+
+    node: Node
+    fabric: Endpoint
+    control: Sequence[Endpoint]
+    token: str
+    trace_file: Path | None = None
+    trace_file_bytes: int = 64 * 2**20
+    trace_sample_rate: float = 0.0
+
+
+class Balancer(AbstractContextManager["Balancer"]):
+    """Tasks of a balancer; its HTTP server starts last and stops first."""
+
+    def __init__(self, settings: BalancerSettings) -> None:
+        self._settings = settings
+        self._stack = ExitStack()
+        self._packets: PacketTask | None = None
+        self._follower: LogFollower | None = None
+
+    def __enter__(self) -> Self:
+        """Start all tasks.
+
+        :raises OSError: if an endpoint of the settings can't be bound.
+        """
+        with ExitStack() as stack:
+            self._start(stack)
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stack.__exit__(exc_type, exc_value, traceback)
+
+    def drain(self) -> None:
+        """Hand over the homes and wait until the others know of it."""
+        assert self._follower is not None
+        node = self._settings.node.id
+        self._follower.mailbox.post(BeginDrain())
+        deadline = monotonic() + DRAIN_TIMEOUT
+        log(BalancerEvent.DRAINING, node=node, seconds=DRAIN_TIMEOUT)
+        pause: Mailbox[None] = Mailbox("drain pause")
+        while monotonic() < deadline:
+            pause.get(DRAIN_CHECK)
+            if self._is_drained():
+                pause.get(DRAIN_LINGER)
+                return
+        log(BalancerEvent.DRAIN_TIMED_OUT, node=node, seconds=DRAIN_TIMEOUT)
+
+    def _is_drained(self) -> bool:
+        assert self._packets is not None
+        reply: Mailbox[BalancerStatus] = Mailbox("status", capacity=1)
+        self._packets.mailbox.post(StatusRequest(reply))
+        outcome = reply.get(DRAIN_CHECK)
+        return isinstance(outcome, Success) and outcome.unwrap().drained
+
+    def _start(self, stack: ExitStack) -> None:
+        settings = self._settings
+        node = settings.node
+        timer = stack.enter_context(TimerService())
+        reports = stack.enter_context(
+            make_report_sender(node.id, node.incarnation, settings.control)
+        )
+        handovers = stack.enter_context(make_handover_sender())
+        applied = make_follower_mailbox()
+        outputs = PacketTaskOutputs(
+            reports.mailbox, handovers.mailbox, applied, self._start_traces(stack)
+        )
+        packet_settings = PacketTaskSettings(
+            node, settings.fabric, settings.trace_sample_rate
+        )
+        packets = stack.enter_context(make_packet_task(packet_settings, outputs))
+        timer.subscribe(packets.mailbox, UPKEEP_PERIOD, UPKEEP_TICK)
+        timer.subscribe(packets.mailbox, PING_PERIOD, PING_TICK)
+        api = BalancerApiSettings(node.api, settings.token)
+        stack.enter_context(make_balancer_server(packets.mailbox, api, Handover))
+        follower = make_log_follower(node, settings.control, packets.mailbox, applied)
+        self._follower = stack.enter_context(follower)
+        self._packets = packets
+
+    def _start_traces(self, stack: ExitStack) -> Mailbox[Any] | None:
+        settings = self._settings
+        if settings.trace_file is None:
+            return None
+        file = TraceFileTask(settings.trace_file, settings.trace_file_bytes)
+        spans = stack.enter_context(file)
+        return stack.enter_context(make_span_export(spans.mailbox)).mailbox
+
+
+def make_balancer(settings: BalancerSettings) -> Balancer:
+    """Balancer that runs while its context is open."""
+    return Balancer(settings)
--- a/src/wasabigw/tasks/log_follower.py
+++ b/src/wasabigw/tasks/log_follower.py
@@ -1,6 +1,8 @@
 """Task that follows the replicated log with long polls of the leader."""
 
 from collections.abc import Sequence
+from dataclasses import replace
+from functools import singledispatchmethod
 from typing import Any
 
 from returns.result import Failure, Success
@@ -9,6 +11,7 @@
 from wasabigw.core.cluster import Endpoint, Node
 from wasabigw.core.ids import Revision, Seconds
 from wasabigw.core.log_messages import LogBatch, LogPoll, NotLeader
+from wasabigw.core.states import NodeState
 from wasabigw.core.timing import LOG_POLL_WAIT
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
@@ -18,7 +21,7 @@
     ControlCall,
     ControlClient,
 )
-from wasabigw.tasks.messages import AppliedRevision, LogReceived
+from wasabigw.tasks.messages import AppliedRevision, BeginDrain, LogReceived
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
 
@@ -30,7 +33,10 @@
 """How long the follower waits until the packet task has applied a batch."""
 
 
-class LogFollower(Task[AppliedRevision]):
+FollowerMessage = AppliedRevision | BeginDrain
+
+
+class LogFollower(Task[FollowerMessage]):
     """Polls the leader, posts what it answers, and polls again once it is applied.
 
     :param node: registration of this balancer, sent with each poll.
@@ -38,9 +44,13 @@
     """
 
     def __init__(
-        self, node: Node, endpoints: Sequence[Endpoint], packets: Mailbox[Any]
+        self,
+        node: Node,
+        endpoints: Sequence[Endpoint],
+        packets: Mailbox[Any],
+        mailbox: Mailbox[FollowerMessage | Stop],
     ) -> None:
-        super().__init__("log-follower", Mailbox("log-follower", capacity=1024))
+        super().__init__("log-follower", mailbox)
         self._node = node
         self._packets = packets
         self._client = ControlClient(endpoints)
@@ -53,10 +63,19 @@
         """Close the connection to the leader."""
         self._client.close()
 
-    def receive(self, message: AppliedRevision) -> None:
-        """Poll from this revision on."""
+    @singledispatchmethod
+    def receive(self, message: FollowerMessage) -> None:
+        """Handle one message."""
+        raise TypeError(f"no rule for the message {type(message).__name__}")
+
+    @receive.register
+    def _(self, message: AppliedRevision) -> None:
         self._applied = message.revision
 
+    @receive.register
+    def _(self, message: BeginDrain) -> None:
+        self._node = replace(self._node, state=NodeState.DRAINING)
+
     def run(self) -> None:
         """Poll until :class:`Stop` arrives; each step waits for a limited time."""
         while True:
@@ -132,18 +151,27 @@
                 return False
         return True
 
-    def _accept(self, message: AppliedRevision | Stop) -> bool:
+    def _accept(self, message: FollowerMessage | Stop) -> bool:
         if isinstance(message, Stop):
             return False
         self.receive(message)
         return True
 
 
+def make_follower_mailbox() -> Mailbox[FollowerMessage | Stop]:
+    """Mailbox of a log follower, made first because the packet task posts there."""
+    return Mailbox("log-follower", capacity=1024)
+
+
 def make_log_follower(
-    node: Node, endpoints: Sequence[Endpoint], packets: Mailbox[Any]
+    node: Node,
+    endpoints: Sequence[Endpoint],
+    packets: Mailbox[Any],
+    mailbox: Mailbox[FollowerMessage | Stop] | None = None,
 ) -> LogFollower:
     """Task that follows the log for a balancer.
 
     :param endpoints: control endpoints of the settings, at least one.
+    :param mailbox: where the packet task reports what it has applied.
     """
-    return LogFollower(node, endpoints, packets)
+    return LogFollower(node, endpoints, packets, mailbox or make_follower_mailbox())
--- a/src/wasabigw/tasks/messages.py
+++ b/src/wasabigw/tasks/messages.py
@@ -39,6 +39,11 @@
     revision: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class BeginDrain:
+    """The process is to stop: register as draining with the next poll."""
+
+
 @dataclass(frozen=True, slots=True)
 class AnnouncementRequest:
     """A backend server announces itself through the HTTP server."""
--- a/src/wasabigw/tasks/packet_task.py
+++ b/src/wasabigw/tasks/packet_task.py
@@ -81,6 +81,12 @@
 PACKETS_PER_WAKE_UP = 64
 """Packets handled before the mailbox is looked at again."""
 
+UPKEEP_TICK = "upkeep"
+UPKEEP_PERIOD = Seconds(0.25)
+"""Period of :data:`UPKEEP_TICK`, which drives leases, ramps, expiry and handover."""
+PING_TICK = "ping"
+PING_PERIOD = Seconds(1.0)
+
 
 @dataclass(frozen=True, slots=True)
 class PacketTaskSettings:
@@ -105,7 +111,7 @@
     """
 
     reports: Mailbox[Any]
-    handovers: Mailbox[HandoverOut]
+    handovers: Mailbox[Any]
     applied: Mailbox[Any]
     spans: Mailbox[HopSpan] | None = None
 
@@ -416,9 +422,11 @@
 
     @receive.register
     def _(self, message: Tick) -> None:
+        if message.token == PING_TICK:
+            self._send_pings(message.now)
+            return
         self._log.note_freshness(message.now)
         self._execute_home(backend_home.handle(HomeTick(message.now), self._home))
-        self._send_pings(message.now)
         self._execute(handle(TimerTick(message.now), self._state), None)
 
 
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -50,6 +50,18 @@
         "failure domain {failure_domain} was taken out of service at this balancer",
         "Confirm it through the control API once the partition has healed.",
     )
+    DRAINING = EventDefinition(
+        2020,
+        logging.INFO,
+        "{node} stops; it waits up to {seconds:.0f} s until its homes have moved",
+        "None needed; flows continue through the other balancers.",
+    )
+    DRAIN_TIMED_OUT = EventDefinition(
+        2021,
+        logging.WARNING,
+        "{node} stops without having handed over all records within {seconds:.0f} s",
+        "Check the control VMs; the new homes find flows by elimination.",
+    )
     DRAINED = EventDefinition(
         2007,
         logging.INFO,
--- a/src/wasabigw/telemetry/events_http.py
+++ b/src/wasabigw/telemetry/events_http.py
@@ -32,6 +32,13 @@
         "a connection to the HTTP server {name} ended with an error: {reason}",
         "Expected when clients go silent or disconnect within a request.",
     )
+    HANDOVER_FAILED = EventDefinition(
+        3021,
+        logging.WARNING,
+        "the records of {backend_server} were not handed over to {address}:{port}: "
+        "{reason}",
+        "Check the balancer at this address; its flows are found by elimination.",
+    )
     LEADER_FOUND = EventDefinition(
         3010,
         logging.INFO,
