Send the records of a draining balancer to the new homes

Cause: the packet task posted handovers that nobody sent. Change: a task that posts them to the API of the new home, and a rule that a forwarded packet for an unknown destination is dropped instead of refused.

--- a/src/wasabigw/tasks/packet_task.py
+++ b/src/wasabigw/tasks/packet_task.py
@@ -17,7 +17,7 @@
 from wasabigw.core import backend_home, reachability
 from wasabigw.core.cluster import Endpoint, Node
 from wasabigw.core.flows.admission_port import HomeAdmission
-from wasabigw.core.flows.decisions import Decision
+from wasabigw.core.flows.decisions import Decision, DropReason
 from wasabigw.core.flows.diversion import follow_reachability
 from wasabigw.core.flows.events import (
     BackendServerRenewed,
@@ -281,12 +281,16 @@
     def _decide(
         self, event: PacketEvent, frame: Frame, sender: Address
     ) -> Sequence[Decision]:
-        if frame.forwarding is None or isinstance(event, UnknownDestination):
+        if frame.forwarding is None:
             return handle(event, self._state)
         node = self._output.node_at(sender)
         if node is None:
             self._output.counts.drop(PacketDropReason.UNKNOWN_SENDER)
             return ()
+        if isinstance(event, UnknownDestination):
+            # The sender knows the destination; this balancer does not know it yet.
+            self._output.counts.drop(DropReason.UNKNOWN_SERVICE)
+            return ()
         return handle(Forwarded(node, frame.forwarding, event), self._state)
 
     def _begin_hop(self, event: PacketEvent, frame: Frame) -> Hop | None:
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -68,3 +68,10 @@
         "failure domain {failure_domain} answers pings again",
         "None needed.",
     )
+    HANDOVER_LOST = EventDefinition(
+        2010,
+        logging.WARNING,
+        "records of {backend_server} could not be handed over to {address}:{port}: "
+        "{problem}",
+        "Leave the draining balancer running for 300 s if the other one is alive.",
+    )
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,41 @@
+"""A draining balancer hands its records over through the API of the new home."""
+
+import threading
+import unittest
+
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.flows.handover import HandedRecord, Handover
+from wasabigw.core.ids import BackendServerId, BootId, BucketNumber, NodeId, Seconds
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.handover_sender import make_handover_sender
+from wasabigw.tasks.http_balancer import BalancerApiSettings, make_balancer_server
+from wasabigw.tasks.messages import HandoverOut, HandoverRequest, HandoverTaken
+
+BACKEND = BackendServerId("b1")
+
+
+class Sending(unittest.TestCase):
+    """Guards against records that are changed, or that stop the sender."""
+
+    def test_records_arrive_after_a_receiver_that_does_not_answer(self) -> None:
+        record = HandedRecord("06" * 13, BucketNumber(3), Seconds(1.5), True)
+        handover = Handover(
+            NodeId("n1"), BACKEND, BootId("x"), (record,), True, 7, (BucketNumber(3),)
+        )
+        packets: Mailbox[HandoverRequest] = Mailbox("packets")
+        received: list[Handover] = []
+
+        def take() -> None:
+            message = packets.get(Seconds(20.0)).unwrap()
+            received.append(message.handover)
+            message.reply.post(HandoverTaken(BACKEND))
+
+        thread = threading.Thread(target=take)
+        thread.start()
+        settings = BalancerApiSettings(Endpoint("127.0.0.1", 0), "secret")
+        server = make_balancer_server(packets, settings, Handover)
+        with server, make_handover_sender() as sender:
+            sender.mailbox.post(HandoverOut(Endpoint("127.0.0.1", 1), handover))
+            sender.mailbox.post(HandoverOut(server.endpoint, handover))
+            thread.join(20.0)
+        self.assertEqual(received, [handover])
--- a/tests/test_packet_task.py
+++ b/tests/test_packet_task.py
@@ -20,6 +20,7 @@
     ReplaceConfiguration,
     ReportBatch,
 )
+from wasabigw.core.flows.forwarding import Forwarding
 from wasabigw.core.ids import (
     BackendServerId,
     BootId,
@@ -240,6 +241,16 @@
         self.assertTrue(segment.tcp_flags & ipv4.RST)
         self.assertEqual((segment.source, segment.source_port), (SERVICE, 81))
 
+    def test_forwarded_packets_are_taken_from_balancers_only(self) -> None:
+        option = geneve.encode_forward(Forwarding(1, 0))
+        packet = tcp((CALLER, 1), (SERVICE, 81), ipv4.SYN)
+        self.send(self.tasks[0], geneve.header((option,)) + packet)
+        while self.status(self.tasks[0]).packets.received < 1:
+            time.sleep(0.01)
+        counts = self.status(self.tasks[0]).packets
+        self.assertEqual(counts.dropped, {"unknown-sender": 1})
+        self.assertEqual(counts.refused, {})
+
     def test_garbage_stops_nothing(self) -> None:
         task = self.tasks[0]
         draws = random.Random(1)
