Let only the home decide on repeated opening packets

Cause: a copy of an ended flow at a backup would have sent a new flow with the same key past admission. Change: a record counts for opening packets only at the home of its backend server.

--- a/src/wasabigw/core/flows/home.py
+++ b/src/wasabigw/core/flows/home.py
@@ -26,7 +26,6 @@
     note_closing,
     record_flow,
     send,
-    send_or_ask_home,
     send_recorded,
 )
 from wasabigw.core.flows.state import (
@@ -65,16 +64,9 @@
     if context.forwarding.copy:
         return _keep_copy(event, context, state)
     record = state.records.records.get(context.flow)
-    if record is not None and record.target.usable:
-        if record.closed != records.BOTH_CLOSED:
-            # The first opening packet may have been lost on its way through the
-            # backup, so that this one goes straight to the backend server.
-            record.copied = None
-            return send_or_ask_home(state, context, record.target)
-        # Balancers may still hold a binding of the flow that has just ended.
-        if record.target is not context.candidates.current:
-            return drop(DropReason.SETTLING)
-        return open_at(record.target, context, state)
+    # Only the home decides on openings: a copy elsewhere may be of an ended flow.
+    if record is not None and home(state.homes, record.target.id) == state.node:
+        return _open_again(record, context, state)
     chosen = context.forwarding.chosen()
     if chosen is not None:
         return _take_chosen(chosen, event, context, state)
@@ -89,6 +81,21 @@
     return _open_flow(current, event, context, state)
 
 
+def _open_again(
+    record: FlowRecord, context: Context, state: BalancerState
+) -> list[Decision]:
+    """An opening packet was repeated, or a flow opens with the key of an ended one."""
+    if record.closed != records.BOTH_CLOSED:
+        # The first opening packet may have been lost on its way through the
+        # backup, so that this one goes straight to the backend server.
+        record.copied = None
+        return send(state, record.target, context.now)
+    # Balancers may still hold a binding of the flow that has just ended.
+    if record.target is not context.candidates.current:
+        return drop(DropReason.SETTLING)
+    return open_at(record.target, context, state)
+
+
 @at_home.register(FlowData)
 @at_home.register(FlowClosing)
 def _(
