--- /dev/null
+++ b/src/wasabigw_demo/addresses.py
@@ -0,0 +1,75 @@
+"""Endpoints and address ranges in arguments of the stand-ins."""
+
+import ipaddress
+import socket
+from dataclasses import dataclass
+
+import typer
+
+from wasabigw.core.cluster import Endpoint
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Endpoint from ``address:port``.
+
+    :raises typer.BadParameter: if the text is not one.
+    """
+    address, separator, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(address)
+        number = int(port)
+    except ValueError as error:
+        message = f"{text!r} is not an endpoint; write it as 127.0.0.1:8080"
+        raise typer.BadParameter(message) from error
+    if not separator or not 0 <= number <= 65535:
+        raise typer.BadParameter(f"the port in {text!r} must be 0 to 65535")
+    return Endpoint(address, number)
+
+
+def parse_named_endpoint(text: str) -> tuple[str, Endpoint]:
+    """Name and endpoint from ``name=address:port``.
+
+    :raises typer.BadParameter: if the text is not of that form.
+    """
+    name, separator, endpoint = text.partition("=")
+    if not separator or not name:
+        raise typer.BadParameter(f"{text!r} must be written as name=address:port")
+    return name, parse_endpoint(endpoint)
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Packets to inner addresses in ``network`` go to ``endpoint``."""
+
+    network: ipaddress.IPv4Network
+    endpoint: Endpoint
+
+
+def parse_network(text: str) -> ipaddress.IPv4Network:
+    """Network from ``address`` or ``address/prefix``.
+
+    :raises typer.BadParameter: if the text is not one.
+    """
+    try:
+        return ipaddress.IPv4Network(text)
+    except ValueError as error:
+        message = f"{text!r} is not an IPv4 range; write it as 10.1.0.0/24"
+        raise typer.BadParameter(message) from error
+
+
+def parse_route(text: str) -> Route:
+    """Route from ``range=address:port``."""
+    network, endpoint = parse_named_endpoint(text)
+    return Route(parse_network(network), endpoint)
+
+
+def as_pair(endpoint: Endpoint) -> tuple[str, int]:
+    """Endpoint as the socket functions expect it."""
+    return endpoint.address, endpoint.port
+
+
+def free_endpoint(kind: socket.SocketKind, address: str = "127.0.0.1") -> Endpoint:
+    """Endpoint with a port that is free now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((address, 0))
+        return Endpoint(address, probe.getsockname()[1])
--- /dev/null
+++ b/src/wasabigw_demo/fabric.py
@@ -0,0 +1,243 @@
+"""Fabric stand-in: ``python -m wasabigw_demo.fabric``."""
+
+import random
+import selectors
+import signal
+import socket
+import threading
+from collections.abc import Iterator
+from contextlib import ExitStack, suppress
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from pathlib import Path
+from types import FrameType
+from typing import Annotated, Any
+
+import typer
+from returns.result import Success
+
+from wasabigw.core.cluster import Endpoint, endpoint_key
+from wasabigw.core.ids import NodeId, Seconds
+from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.timer import monotonic
+from wasabigw_demo import control_http, fabric_core, wire
+from wasabigw_demo.addresses import (
+    as_pair,
+    parse_endpoint,
+    parse_named_endpoint,
+    parse_network,
+    parse_route,
+)
+from wasabigw_demo.fabric_core import DeliveryQueue, FabricState, Faults
+from wasabigw_demo.records import RecordKind, RecordWriter
+from wasabigw_demo.spans import SpanName, child_of, record_span
+
+BATCH = 64
+REPLY_TIMEOUT = Seconds(2.0)
+SOCKET_BUFFER = 8 * 1024 * 1024
+
+application = typer.Typer(add_completion=False)
+
+
+@dataclass(frozen=True, slots=True)
+class BalancerGone:
+    """A balancer is gone; the fabric notices after its health delay.
+
+    :param reply: gets whether the balancer was known.
+    """
+
+    balancer: NodeId
+    reply: Mailbox[bool]
+
+
+@dataclass(frozen=True, slots=True)
+class FlowsQuery:
+    """Asks for the record of each flow."""
+
+    reply: Mailbox[list[dict[str, Any]]]
+
+
+class FabricTask(Task[Any]):
+    """Owns the UDP socket of the fabric and its state."""
+
+    def __init__(
+        self, listen: Endpoint, state: FabricState, records: RecordWriter
+    ) -> None:
+        self._inbox: SelectableMailbox[Any] = SelectableMailbox("fabric")
+        super().__init__("fabric", self._inbox)
+        self._state = state
+        self._records = records
+        self._queue = DeliveryQueue()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER)
+        self._socket.setblocking(False)
+        self._socket.bind(as_pair(listen))
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Endpoint of the UDP socket."""
+        return Endpoint(*self._socket.getsockname())
+
+    def run(self) -> None:
+        """Move frames until :class:`Stop` arrives."""
+        with selectors.DefaultSelector() as selector:
+            selector.register(self._socket, selectors.EVENT_READ)
+            selector.register(self._inbox, selectors.EVENT_READ)
+            while True:
+                selector.select(self._time_to_next())
+                self._read_frames()
+                for message in self._inbox.drain():
+                    if isinstance(message, Stop):
+                        return
+                    self.receive(message)
+                self._send_due()
+
+    @singledispatchmethod
+    def receive(self, message: Any) -> None:
+        """Handle a message of the control endpoint."""
+        raise TypeError(f"no message for the fabric: {message!r}")
+
+    @receive.register
+    def _(self, message: BalancerGone) -> None:
+        known = fabric_core.balancer_gone(self._state, message.balancer, monotonic())
+        message.reply.post(known)
+
+    @receive.register
+    def _(self, message: FlowsQuery) -> None:
+        message.reply.post(list(flow_records(self._state)))
+
+    def close(self) -> None:
+        """Write the record of each flow, and close the socket."""
+        for record in flow_records(self._state):
+            self._records.write(RecordKind.FLOW, **record)
+        self._records.write(RecordKind.SUMMARY, dropped=dict(self._state.dropped))
+        self._socket.close()
+        self._inbox.__exit__(None, None, None)
+
+    def _time_to_next(self) -> float | None:
+        at = self._queue.next_at()
+        return None if at is None else max(0.0, at - monotonic())
+
+    def _read_frames(self) -> None:
+        for _ in range(BATCH):
+            try:
+                data, pair = self._socket.recvfrom(wire.MAX_FRAME)
+            except (BlockingIOError, ConnectionRefusedError):
+                return
+            source = Endpoint(*pair)
+            traced = self._trace(data, source)
+            for delivery in fabric_core.route(traced, source, self._state, monotonic()):
+                self._queue.add(delivery)
+            self._send_due()
+
+    def _trace(self, data: bytes, source: Endpoint) -> bytes:
+        decoded = wire.decapsulate(data)
+        if not isinstance(decoded, Success) or decoded.unwrap().trace is None:
+            return data
+        parent = decoded.unwrap().trace
+        context = child_of(parent, self._state.generator)
+        from_balancer = source in self._state.names
+        operation = "deliver" if from_balancer else "spray"
+        record_span(self._records, SpanName("fabric", operation), parent, context)
+        return wire.with_trace(data, context)
+
+    def _send_due(self) -> None:
+        for delivery in self._queue.take_due(monotonic()):
+            # Sending to a process that is gone or too slow loses the packet.
+            with suppress(BlockingIOError, ConnectionRefusedError):
+                self._socket.sendto(delivery.frame, as_pair(delivery.to))
+
+
+def flow_records(state: FabricState) -> Iterator[dict[str, Any]]:
+    """Record of each flow: packets for each balancer, and backend servers."""
+    for name, use in state.flows.items():
+        servers = state.servers[(name.protocol, name.caller)]
+        yield {
+            "protocol": name.protocol,
+            "caller": endpoint_key(name.caller),
+            "service": endpoint_key(name.service),
+            "forward": dict(use.forward),
+            "back": dict(use.back),
+            "backend_servers": sorted(endpoint_key(server) for server in servers),
+        }
+
+
+class ControlEndpoint:
+    """HTTP handlers of the fabric."""
+
+    def __init__(self, fabric: Mailbox[Any]) -> None:
+        self._fabric = fabric
+
+    @control_http.exposed("POST")
+    def gone(self, balancer: str = "") -> Any:
+        """``POST /gone?balancer=NAME``: the balancer fails its health check."""
+        reply: Mailbox[bool] = Mailbox("gone")
+        self._fabric.post(BalancerGone(NodeId(balancer), reply))
+        if not reply.get(REPLY_TIMEOUT).value_or(False):
+            control_http.refuse(f"unknown balancer {balancer!r}")
+        return {"accepted": balancer}
+
+    @control_http.exposed("GET")
+    def flows(self) -> Any:
+        """``GET /flows``: the record of each flow."""
+        reply: Mailbox[list[dict[str, Any]]] = Mailbox("flows")
+        self._fabric.post(FlowsQuery(reply))
+        return reply.get(REPLY_TIMEOUT).value_or([])
+
+
+@application.command()
+def main(
+    listen: Annotated[str, typer.Option(help="UDP endpoint to bind.")],
+    control: Annotated[str, typer.Option(help="HTTP control endpoint to bind.")],
+    balancer: Annotated[
+        list[str], typer.Option(help="name=address:port of a balancer; repeat it.")
+    ],
+    host: Annotated[
+        list[str], typer.Option(help="inner range=address:port of a host; repeat it.")
+    ],
+    service: Annotated[list[str], typer.Option(help="Service address or range.")],
+    backend_server: Annotated[
+        list[str], typer.Option(help="Inner address or range of backend servers.")
+    ],
+    record: Annotated[Path, typer.Option(help="File for its own record.")],
+    drop: Annotated[float, typer.Option(min=0, max=1)] = 0.0,
+    duplicate: Annotated[float, typer.Option(min=0, max=1)] = 0.0,
+    delay: Annotated[float, typer.Option(min=0, help="Most seconds.")] = 0.0,
+    health_delay: Annotated[
+        float, typer.Option(min=0, help="Seconds until a gone balancer is noticed.")
+    ] = 1.0,
+    seed: Annotated[int, typer.Option(help="Seed of its random numbers.")] = 1,
+) -> None:
+    """Carry Geneve frames between hosts and balancers until SIGTERM or SIGINT."""
+    named = [parse_named_endpoint(text) for text in balancer]
+    state = FabricState(
+        balancers={NodeId(name): endpoint for name, endpoint in named},
+        hosts=tuple(parse_route(text) for text in host),
+        services=tuple(parse_network(text) for text in service),
+        backend_servers=tuple(parse_network(text) for text in backend_server),
+        generator=random.Random(seed),
+        faults=Faults(drop, duplicate, Seconds(delay)),
+        health_delay=Seconds(health_delay),
+    )
+    end = threading.Event()
+    _install_signals(end)
+    with ExitStack() as stack:
+        records = stack.enter_context(RecordWriter(record))
+        task = stack.enter_context(FabricTask(parse_endpoint(listen), state, records))
+        endpoint = ControlEndpoint(task.mailbox)
+        stack.enter_context(control_http.serve(endpoint, parse_endpoint(control)))
+        end.wait()
+
+
+def _install_signals(end: threading.Event) -> None:
+    def stop(number: int, frame: FrameType | None) -> None:
+        end.set()
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+
+
+if __name__ == "__main__":
+    application()
--- /dev/null
+++ b/src/wasabigw_demo/fabric_core.py
@@ -0,0 +1,202 @@
+"""Decisions of the fabric stand-in: which balancer or host gets a frame."""
+
+import heapq
+import itertools
+import random
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from ipaddress import IPv4Address, IPv4Network
+
+from returns.result import Success
+
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.ids import NodeId, Seconds
+from wasabigw_demo import wire
+from wasabigw_demo.addresses import Route
+
+NO_DELAY = Seconds(0.0)
+HEALTH_DELAY = Seconds(1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """How the fabric treats packets on their way.
+
+    :param drop: probability that a packet is lost.
+    :param duplicate: probability that a packet arrives twice.
+    :param delay: most seconds by which a packet is delayed; less reorders.
+    """
+
+    drop: float = 0.0
+    duplicate: float = 0.0
+    delay: Seconds = NO_DELAY
+
+
+@dataclass(frozen=True, slots=True)
+class Delivery:
+    """A frame that has to be sent to an endpoint at a time."""
+
+    at: Seconds
+    frame: bytes
+    to: Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class FlowName:
+    """Protocol, caller and service endpoint of a flow."""
+
+    protocol: int
+    caller: Endpoint
+    service: Endpoint
+
+
+@dataclass(slots=True)
+class FlowUse:
+    """Which balancers carried the packets of a flow, and to which servers."""
+
+    forward: Counter[NodeId] = field(default_factory=Counter)
+    back: Counter[NodeId] = field(default_factory=Counter)
+
+
+@dataclass(slots=True)
+class FabricState:
+    """State of the fabric.
+
+    :param balancers: data endpoint of each balancer that gets packets.
+    :param hosts: where inner addresses are.
+    :param services: ranges of the service addresses.
+    :param backend_servers: ranges whose packets go through a balancer.
+    :param health_delay: time in which a balancer that is gone still gets packets.
+    """
+
+    balancers: dict[NodeId, Endpoint]
+    hosts: tuple[Route, ...]
+    services: tuple[IPv4Network, ...]
+    backend_servers: tuple[IPv4Network, ...]
+    generator: random.Random
+    faults: Faults = Faults()
+    health_delay: Seconds = HEALTH_DELAY
+    leaving: dict[NodeId, Seconds] = field(default_factory=dict)
+    names: dict[Endpoint, NodeId] = field(default_factory=dict)
+    flows: defaultdict[FlowName, FlowUse] = field(
+        default_factory=lambda: defaultdict(FlowUse)
+    )
+    servers: defaultdict[tuple[int, Endpoint], set[Endpoint]] = field(
+        default_factory=lambda: defaultdict(set)
+    )
+    dropped: Counter[str] = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        """Index the balancers by endpoint; one that is gone stays known."""
+        self.names = {endpoint: name for name, endpoint in self.balancers.items()}
+
+
+def balancer_gone(state: FabricState, balancer: NodeId, now: Seconds) -> bool:
+    """Stop sending to a balancer after the health delay.
+
+    :returns: whether the balancer was known.
+    """
+    if balancer not in state.balancers:
+        return False
+    state.leaving.setdefault(balancer, Seconds(now + state.health_delay))
+    return True
+
+
+def route(
+    data: bytes, source: Endpoint, state: FabricState, now: Seconds
+) -> list[Delivery]:
+    """Where a frame goes; an empty list if it is dropped."""
+    _remove_gone(state, now)
+    target = _target(data, source, state)
+    if target is None:
+        return []
+    faults = state.faults
+    if state.generator.random() < faults.drop:
+        state.dropped["loss"] += 1
+        return []
+    copies = 2 if state.generator.random() < faults.duplicate else 1
+    delays = [state.generator.uniform(0.0, faults.delay) for _ in range(copies)]
+    return [Delivery(Seconds(now + delay), data, target) for delay in delays]
+
+
+def _remove_gone(state: FabricState, now: Seconds) -> None:
+    for balancer, until in list(state.leaving.items()):
+        if until <= now:
+            state.balancers.pop(balancer, None)
+            del state.leaving[balancer]
+
+
+def _target(data: bytes, source: Endpoint, state: FabricState) -> Endpoint | None:
+    decoded = wire.decapsulate(data).bind(lambda frame: wire.addresses_of(frame.inner))
+    if not isinstance(decoded, Success):
+        state.dropped["malformed"] += 1
+        return None
+    addresses = decoded.unwrap()
+    if source in state.names:
+        return _from_balancer(addresses, state.names[source], state)
+    to_service = _within(addresses.destination, state.services)
+    if to_service or _within(addresses.source, state.backend_servers):
+        return _spray(addresses, to_service, state)
+    return _host_of(addresses.destination, state)
+
+
+def _spray(
+    addresses: wire.PacketAddresses, to_service: bool, state: FabricState
+) -> Endpoint | None:
+    if not state.balancers:
+        state.dropped["no balancer"] += 1
+        return None
+    balancer = state.generator.choice(list(state.balancers))
+    if to_service:
+        name = FlowName(addresses.protocol, addresses.source, addresses.destination)
+        state.flows[name].forward[balancer] += 1
+    return state.balancers[balancer]
+
+
+def _from_balancer(
+    addresses: wire.PacketAddresses, balancer: NodeId, state: FabricState
+) -> Endpoint | None:
+    if _within(addresses.source, state.services):
+        name = FlowName(addresses.protocol, addresses.destination, addresses.source)
+        state.flows[name].back[balancer] += 1
+    elif _within(addresses.destination, state.backend_servers):
+        flow = (addresses.protocol, addresses.source)
+        state.servers[flow].add(addresses.destination)
+    return _host_of(addresses.destination, state)
+
+
+def _host_of(endpoint: Endpoint, state: FabricState) -> Endpoint | None:
+    address = IPv4Address(endpoint.address)
+    for candidate in state.hosts:
+        if address in candidate.network:
+            return candidate.endpoint
+    state.dropped["no host"] += 1
+    return None
+
+
+def _within(endpoint: Endpoint, networks: tuple[IPv4Network, ...]) -> bool:
+    address = IPv4Address(endpoint.address)
+    return any(address in network for network in networks)
+
+
+class DeliveryQueue:
+    """Deliveries ordered by time."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[Seconds, int, Delivery]] = []
+        self._order = itertools.count()
+
+    def add(self, delivery: Delivery) -> None:
+        """Add a delivery."""
+        heapq.heappush(self._heap, (delivery.at, next(self._order), delivery))
+
+    def next_at(self) -> Seconds | None:
+        """Time of the first delivery."""
+        return self._heap[0][0] if self._heap else None
+
+    def take_due(self, now: Seconds) -> list[Delivery]:
+        """Remove the deliveries that are due, in order."""
+        due = []
+        while self._heap and self._heap[0][0] <= now:
+            due.append(heapq.heappop(self._heap)[2])
+        return due
--- /dev/null
+++ b/src/wasabigw_demo/host.py
@@ -0,0 +1,315 @@
+"""Task of a host behind the fabric: TCP and UDP over Geneve on one UDP socket."""
+
+import random
+import selectors
+import socket
+from abc import ABC, abstractmethod
+from contextlib import suppress
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any
+
+from absl import logging
+from returns.result import Failure, Success
+
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.ids import Seconds
+from wasabigw.runtime.mailbox import SelectableMailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.timer import monotonic
+from wasabigw_demo import tcp, wire
+from wasabigw_demo.addresses import as_pair
+from wasabigw_demo.records import RecordWriter
+from wasabigw_demo.spans import SpanName, child_of, record_span
+from wasabigw_demo.wire import TraceContext
+
+TICK = Seconds(0.05)
+"""Period of :meth:`Application.ticked`."""
+LINGER = Seconds(3.0)
+"""How long a closed connection still acknowledges repeated segments."""
+BATCH = 64
+"""Frames that are read before the mailbox is looked at."""
+MAX_CONNECTIONS = 10_000
+TRACED_PACKETS = 3
+"""Packets of a traced flow that carry the trace context."""
+RECEIVE_BUFFER = 4 * 1024 * 1024
+_OPENING_MASK = wire.TcpFlag.SYN | wire.TcpFlag.ACK | wire.TcpFlag.RST
+
+
+@dataclass(frozen=True, slots=True)
+class FlowId:
+    """Local and remote endpoint of a flow."""
+
+    local: Endpoint
+    remote: Endpoint
+
+
+@dataclass(slots=True)
+class _Trace:
+    context: TraceContext
+    packets_left: int = TRACED_PACKETS
+
+
+class Application(ABC):
+    """What runs on a host; all calls come from the host's thread."""
+
+    @abstractmethod
+    def opened(self, host: "Host", flow: FlowId) -> None:
+        """A TCP connection is established."""
+
+    @abstractmethod
+    def received(self, host: "Host", flow: FlowId, data: bytes) -> None:
+        """Bytes arrived in order on a TCP connection."""
+
+    @abstractmethod
+    def peer_finished(self, host: "Host", flow: FlowId) -> None:
+        """The peer sends nothing more."""
+
+    @abstractmethod
+    def closed(self, host: "Host", flow: FlowId, reason: tcp.CloseReason) -> None:
+        """A TCP connection ended."""
+
+    @abstractmethod
+    def datagram(self, host: "Host", flow: FlowId, payload: bytes) -> None:
+        """A UDP datagram arrived."""
+
+    @abstractmethod
+    def ticked(self, host: "Host", now: Seconds) -> None:
+        """:data:`TICK` has passed."""
+
+    def accepts(self, flow: FlowId) -> bool:
+        """Whether a connection that a peer opens is accepted."""
+        return False
+
+    @abstractmethod
+    def unreachable(self, host: "Host", flow: FlowId) -> None:
+        """An ICMP error says that datagrams of a flow are not delivered."""
+
+    @abstractmethod
+    def message(self, host: "Host", message: Any) -> None:
+        """A message was posted to the mailbox of the host."""
+
+
+class Host(Task[Any]):
+    """Owns the UDP socket, the connections and the application.
+
+    :param listen: endpoint of the Geneve socket.
+    :param fabric: where all frames are sent.
+    :param seed: seed of initial sequence numbers and span ids.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        listen: Endpoint,
+        fabric: Endpoint,
+        application: Application,
+        records: RecordWriter,
+        seed: int,
+    ) -> None:
+        self._inbox: SelectableMailbox[Any] = SelectableMailbox(name)
+        super().__init__(name, self._inbox)
+        self._fabric = fabric
+        self._application = application
+        self._records = records
+        self._random = random.Random(seed)
+        self._connections: dict[FlowId, tcp.Connection] = {}
+        self._lingering: dict[FlowId, Seconds] = {}
+        self._traces: dict[FlowId, _Trace] = {}
+        self._next_tick = Seconds(0.0)
+        self._malformed = 0
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        self._socket.setblocking(False)
+        self._socket.bind(as_pair(listen))
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Endpoint of the Geneve socket."""
+        return Endpoint(*self._socket.getsockname())
+
+    @property
+    def malformed(self) -> int:
+        """Frames that were dropped because they could not be decoded."""
+        return self._malformed
+
+    def connect(self, flow: FlowId) -> None:
+        """Open a TCP connection."""
+        initial = self._random.getrandbits(32)
+        self._connections[flow] = tcp.Connection(flow.local, flow.remote, initial)
+        self._advance(flow, tcp.Connect(monotonic()))
+
+    def send(self, flow: FlowId, data: bytes) -> None:
+        """Append bytes to a TCP connection."""
+        self._advance(flow, tcp.SendData(data, monotonic()))
+
+    def finish(self, flow: FlowId) -> None:
+        """Close the sending side of a TCP connection."""
+        self._advance(flow, tcp.Finish(monotonic()))
+
+    def send_datagram(self, flow: FlowId, payload: bytes) -> None:
+        """Send a UDP datagram."""
+        datagram = wire.Datagram(flow.local, flow.remote, payload)
+        self._transmit(flow, wire.build_datagram(datagram))
+
+    def trace(self, flow: FlowId, context: TraceContext) -> None:
+        """Let the next packets of a flow carry a trace context."""
+        self._traces[flow] = _Trace(context)
+
+    def receive(self, message: Any) -> None:
+        """Pass a message on to the application."""
+        self._application.message(self, message)
+
+    def run(self) -> None:
+        """Handle frames, messages and timers until :class:`Stop` arrives."""
+        with selectors.DefaultSelector() as selector:
+            selector.register(self._socket, selectors.EVENT_READ)
+            selector.register(self._inbox, selectors.EVENT_READ)
+            while True:
+                selector.select(self._time_to_next())
+                self._read_frames()
+                for message in self._inbox.drain():
+                    if isinstance(message, Stop):
+                        return
+                    self.receive(message)
+                self._run_timers(monotonic())
+
+    def close(self) -> None:
+        """Close the socket and the mailbox."""
+        self._socket.close()
+        self._inbox.__exit__(None, None, None)
+
+    def _time_to_next(self) -> float:
+        deadlines = [
+            connection.deadline
+            for connection in self._connections.values()
+            if connection.deadline is not None
+        ]
+        return max(0.0, min([self._next_tick, *deadlines]) - monotonic())
+
+    def _run_timers(self, now: Seconds) -> None:
+        for flow, connection in list(self._connections.items()):
+            if connection.deadline is not None and connection.deadline <= now:
+                self._advance(flow, tcp.TimePassed(now))
+        if now < self._next_tick:
+            return
+        self._next_tick = Seconds(now + TICK)
+        for flow, until in list(self._lingering.items()):
+            if until <= now:
+                del self._lingering[flow]
+                self._connections.pop(flow, None)
+                self._traces.pop(flow, None)
+        self._application.ticked(self, now)
+
+    def _read_frames(self) -> None:
+        for _ in range(BATCH):
+            try:
+                data = self._socket.recv(wire.MAX_FRAME)
+            except (BlockingIOError, ConnectionRefusedError):
+                return
+            match wire.decapsulate(data):
+                case Success(frame):
+                    self._frame_arrived(frame)
+                case Failure(problem):
+                    self._drop(problem)
+
+    def _frame_arrived(self, frame: wire.Frame) -> None:
+        match wire.parse_packet(frame.inner):
+            case Success(packet):
+                self._packet_arrived(packet, frame.trace)
+            case Failure(problem):
+                self._drop(problem)
+
+    def _drop(self, problem: wire.MalformedPacket) -> None:
+        self._malformed += 1
+        logging.warning("%s dropped a frame: %s", self.name, problem.problem)
+
+    @singledispatchmethod
+    def _packet_arrived(self, packet: object, trace: TraceContext | None) -> None:
+        raise TypeError(f"no packet: {packet!r}")
+
+    @_packet_arrived.register
+    def _(self, packet: wire.Segment, trace: TraceContext | None) -> None:
+        flow = FlowId(packet.destination, packet.source)
+        self._continue_trace(flow, trace)
+        now = monotonic()
+        if flow in self._connections:
+            self._advance(flow, tcp.SegmentArrived(packet, now))
+        elif packet.flags & wire.TcpFlag.RST:
+            return
+        elif self._may_accept(packet, flow):
+            initial = self._random.getrandbits(32)
+            connection, decisions = tcp.accept(packet, initial, now)
+            self._connections[flow] = connection
+            self._execute_all(flow, decisions)
+        else:
+            self._transmit(flow, wire.build_segment(tcp.reset_for(packet)))
+
+    @_packet_arrived.register
+    def _(self, packet: wire.Datagram, trace: TraceContext | None) -> None:
+        flow = FlowId(packet.destination, packet.source)
+        self._continue_trace(flow, trace)
+        self._application.datagram(self, flow, packet.payload)
+
+    @_packet_arrived.register
+    def _(self, packet: wire.IcmpError, trace: TraceContext | None) -> None:
+        flow = FlowId(packet.quoted_source, packet.quoted_destination)
+        self._application.unreachable(self, flow)
+
+    def _may_accept(self, packet: wire.Segment, flow: FlowId) -> bool:
+        opening = packet.flags & _OPENING_MASK == wire.TcpFlag.SYN
+        has_room = len(self._connections) < MAX_CONNECTIONS
+        return opening and has_room and self._application.accepts(flow)
+
+    def _continue_trace(self, flow: FlowId, trace: TraceContext | None) -> None:
+        if trace is None:
+            return
+        context = child_of(trace, self._random)
+        record_span(self._records, SpanName(self.name, "receive"), trace, context)
+        if flow not in self._traces:
+            self._traces[flow] = _Trace(context)
+
+    def _advance(self, flow: FlowId, event: object) -> None:
+        connection = self._connections.get(flow)
+        if connection is not None:
+            self._execute_all(flow, tcp.handle(event, connection))
+
+    def _execute_all(self, flow: FlowId, decisions: list[tcp.Decision]) -> None:
+        for decision in decisions:
+            self._execute(decision, flow)
+
+    @singledispatchmethod
+    def _execute(self, decision: object, flow: FlowId) -> None:
+        raise TypeError(f"no TCP decision: {decision!r}")
+
+    @_execute.register
+    def _(self, decision: tcp.Transmit, flow: FlowId) -> None:
+        self._transmit(flow, wire.build_segment(decision.segment))
+
+    @_execute.register
+    def _(self, decision: tcp.Opened, flow: FlowId) -> None:
+        self._application.opened(self, flow)
+
+    @_execute.register
+    def _(self, decision: tcp.Received, flow: FlowId) -> None:
+        self._application.received(self, flow, decision.data)
+
+    @_execute.register
+    def _(self, decision: tcp.PeerFinished, flow: FlowId) -> None:
+        self._application.peer_finished(self, flow)
+
+    @_execute.register
+    def _(self, decision: tcp.Closed, flow: FlowId) -> None:
+        self._lingering[flow] = Seconds(monotonic() + LINGER)
+        self._application.closed(self, flow, decision.reason)
+
+    def _transmit(self, flow: FlowId, inner: bytes) -> None:
+        trace = self._traces.get(flow)
+        context = None
+        if trace is not None and trace.packets_left > 0:
+            trace.packets_left -= 1
+            context = trace.context
+        frame = wire.encapsulate(wire.Frame(inner, context))
+        # A full socket buffer is a lost packet; TCP and the callers repeat it.
+        with suppress(BlockingIOError, ConnectionRefusedError):
+            self._socket.sendto(frame, as_pair(self._fabric))
--- /dev/null
+++ b/tests/test_demo_fabric.py
@@ -0,0 +1,122 @@
+"""The fabric stand-in sprays packets and treats them as its arguments say."""
+
+import random
+import unittest
+from ipaddress import IPv4Network
+
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.ids import NodeId, Seconds
+from wasabigw_demo import fabric_core, wire
+from wasabigw_demo.addresses import Route
+from wasabigw_demo.fabric_core import DeliveryQueue, FabricState, Faults, FlowName
+
+CALLER = Endpoint("10.1.0.7", 4000)
+SERVICE = Endpoint("198.51.100.1", 53)
+BACKEND = Endpoint("10.2.0.1", 5300)
+CALLER_HOST = Endpoint("127.0.0.1", 9001)
+BACKEND_HOST = Endpoint("127.0.0.1", 9002)
+BALANCERS = {
+    NodeId(f"balancer-{number}"): Endpoint("127.0.0.1", 9100 + number)
+    for number in range(3)
+}
+NOW = Seconds(0.0)
+NO_FAULTS = Faults()
+
+
+def make_state(faults: Faults = NO_FAULTS) -> FabricState:
+    """Fabric with three balancers and two hosts."""
+    return FabricState(
+        balancers=dict(BALANCERS),
+        hosts=(
+            Route(IPv4Network("10.1.0.0/24"), CALLER_HOST),
+            Route(IPv4Network("10.2.0.1"), BACKEND_HOST),
+        ),
+        services=(IPv4Network("198.51.100.0/24"),),
+        backend_servers=(IPv4Network("10.2.0.0/24"),),
+        generator=random.Random(3),
+        faults=faults,
+    )
+
+
+def frame(source: Endpoint, destination: Endpoint) -> bytes:
+    """Encoded frame with a datagram."""
+    datagram = wire.Datagram(source, destination, b"data")
+    return wire.encapsulate(wire.Frame(wire.build_datagram(datagram)))
+
+
+class Spray(unittest.TestCase):
+    def test_packets_of_one_flow_use_every_balancer(self) -> None:
+        """Guards against a demonstration in which one balancer sees a whole flow."""
+        state = make_state()
+        to_service = frame(CALLER, SERVICE)
+        for _ in range(60):
+            fabric_core.route(to_service, CALLER_HOST, state, NOW)
+        use = state.flows[FlowName(17, CALLER, SERVICE)]
+        self.assertEqual(set(use.forward), set(BALANCERS))
+
+    def test_packets_of_backend_servers_are_sprayed_on_the_way_back(self) -> None:
+        """Guards against answers that reach the caller without a balancer."""
+        state = make_state()
+        back = frame(BACKEND, CALLER)
+        targets = {
+            delivery.to
+            for _ in range(60)
+            for delivery in fabric_core.route(back, BACKEND_HOST, state, NOW)
+        }
+        self.assertEqual(targets, set(BALANCERS.values()))
+
+    def test_packets_of_balancers_go_to_the_inner_destination(self) -> None:
+        state = make_state()
+        source = BALANCERS[NodeId("balancer-1")]
+        forward = fabric_core.route(frame(CALLER, BACKEND), source, state, NOW)
+        back = fabric_core.route(frame(SERVICE, CALLER), source, state, NOW)
+        self.assertEqual([d.to for d in forward], [BACKEND_HOST])
+        self.assertEqual([d.to for d in back], [CALLER_HOST])
+        self.assertEqual(state.servers[(17, CALLER)], {BACKEND})
+
+    def test_gone_balancer_gets_packets_until_the_health_delay_has_passed(self) -> None:
+        """Guards against a fabric that hides a crash from the callers."""
+        state = make_state()
+        gone = NodeId("balancer-0")
+        self.assertTrue(fabric_core.balancer_gone(state, gone, Seconds(10.0)))
+        for now, expected in ((10.9, True), (11.1, False)):
+            targets = {
+                delivery.to
+                for _ in range(60)
+                for delivery in fabric_core.route(
+                    frame(CALLER, SERVICE), CALLER_HOST, state, Seconds(now)
+                )
+            }
+            self.assertEqual(BALANCERS[gone] in targets, expected)
+
+    def test_unknown_addresses_and_malformed_frames_are_counted(self) -> None:
+        state = make_state()
+        unknown = frame(CALLER, Endpoint("192.0.2.1", 1))
+        self.assertEqual(fabric_core.route(unknown, CALLER_HOST, state, NOW), [])
+        self.assertEqual(fabric_core.route(b"\x00", CALLER_HOST, state, NOW), [])
+        self.assertEqual(state.dropped, {"no host": 1, "malformed": 1})
+
+
+class Disturbance(unittest.TestCase):
+    """Guards against faults that are configured and never happen."""
+
+    def test_loses_and_duplicates_the_given_shares(self) -> None:
+        state = make_state(Faults(drop=0.3, duplicate=0.5))
+        data = frame(CALLER, SERVICE)
+        copies = [
+            len(fabric_core.route(data, CALLER_HOST, state, NOW)) for _ in range(1000)
+        ]
+        self.assertAlmostEqual(copies.count(0) / 1000, 0.3, delta=0.05)
+        self.assertAlmostEqual(copies.count(2) / 1000, 0.35, delta=0.05)
+
+    def test_delay_reorders_packets(self) -> None:
+        state = make_state(Faults(delay=Seconds(1.0)))
+        queue = DeliveryQueue()
+        sent = [frame(CALLER, Endpoint(SERVICE.address, port)) for port in range(20)]
+        for data in sent:
+            for delivery in fabric_core.route(data, CALLER_HOST, state, NOW):
+                queue.add(delivery)
+        self.assertEqual(queue.take_due(Seconds(-0.1)), [])
+        arrived = [delivery.frame for delivery in queue.take_due(Seconds(1.0))]
+        self.assertCountEqual(arrived, sent)
+        self.assertNotEqual(arrived, sent)
