Add the development launcher

Cause: there was no way to see callers, fabric, balancers and backend servers together. Change: python -m wasabigw_demo starts all processes on loopback, puts the configuration in, kills a balancer, drains a backend server, tries invalid input and judges the records of the stand-ins. What depends on the daemon and on wasabigwctl is in one module.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format types
+.PHONY: setup test lint format types demo compare-mapping
 
 setup: $(VENV)/.installed
 
@@ -25,3 +25,9 @@
 format: setup
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+demo: setup
+	$(BIN)/python -m wasabigw_demo
+
+compare-mapping: setup
+	$(BIN)/python -m wasabigw_measure.compare_mapping
--- /dev/null
+++ b/src/wasabigw_demo/_processes.py
@@ -0,0 +1,183 @@
+"""Everything in the launcher that depends on the daemon and on wasabigwctl.
+
+Settings files, command lines, HTTP paths and the format of trace files are
+known here and nowhere else in the launcher.
+"""
+
+import json
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from wasabigw.core.cluster import endpoint_key
+from wasabigw.core.states import Protocol
+from wasabigw_demo._layout import (
+    CONNECTIONS,
+    REGION,
+    SLOTS,
+    ZONES,
+    BalancerPlace,
+    DemoService,
+    Layout,
+    VoterPlace,
+)
+
+TOKEN = "token-of-the-demonstration-0123456789"
+ANNOUNCEMENTS_PATH = "/v1/announcements"
+CHANGES_PATH = "/v1/changes"
+STATUS_PATH = "/v1/status"
+UNKNOWN_SERVICE = "no-such-service"
+
+
+def daemon_command(verb: str, settings: Path) -> list[str]:
+    """Command line of the daemon: ``run`` or ``bootstrap``."""
+    module = "wasabigw.daemon"
+    return [sys.executable, "-m", module, verb, "--settings", str(settings)]
+
+
+def tool_command(layout: Layout, *arguments: str) -> list[str]:
+    """Command line of wasabigwctl."""
+    settings = str(_tool_settings(layout))
+    module = "wasabigw.ctl.main"
+    return [sys.executable, "-m", module, "--settings", settings, *arguments]
+
+
+def apply_configuration(layout: Layout) -> list[str]:
+    """Command that generates the configuration from answers and installs it."""
+    return tool_command(layout, "apply", str(_answers(layout)), "--yes")
+
+
+def wait_in_force(layout: Layout) -> list[str]:
+    """Command that succeeds once the configuration is in force everywhere."""
+    return tool_command(layout, "in-force", "--wait")
+
+
+def remove_unknown_service(layout: Layout) -> list[str]:
+    """Command that must fail with a clear error."""
+    return tool_command(layout, "remove-service", UNKNOWN_SERVICE, "--yes")
+
+
+def settings_path(layout: Layout, name: str) -> Path:
+    """Settings file of a process."""
+    return layout.folder / f"{name}.json"
+
+
+def write_settings(layout: Layout) -> None:
+    """Write the settings of all daemons, of the tool, and the answers."""
+    _token(layout).write_text(TOKEN + "\n", encoding="utf-8")
+    _token(layout).chmod(0o600)
+    for voter in layout.voters:
+        _write(settings_path(layout, voter.id), _voter_settings(layout, voter))
+    for balancer in layout.balancers:
+        path = settings_path(layout, balancer.id)
+        _write(path, _balancer_settings(layout, balancer))
+    tool = {
+        "control_endpoints": _control_endpoints(layout),
+        "token_file": str(_token(layout)),
+    }
+    _write(_tool_settings(layout), tool)
+    _write(_answers(layout), _answers_of(layout))
+
+
+def write_bad_settings(layout: Layout) -> Path:
+    """Settings with a wrong port and an unknown key."""
+    balancer = layout.balancers[0]
+    bad = _balancer_settings(layout, balancer)
+    bad |= {"data_endpoint": "127.0.0.1:99999", "flow_tabel": 1}
+    path = settings_path(layout, "bad-settings")
+    _write(path, bad)
+    return path
+
+
+def read_spans(layout: Layout) -> Iterator[dict[str, Any]]:
+    """Spans of all balancers."""
+    for balancer in layout.balancers:
+        path = _trace_file(layout, balancer)
+        if not path.exists():
+            continue
+        with path.open(encoding="utf-8") as lines:
+            yield from (json.loads(line) for line in lines if line.endswith("\n"))
+
+
+def _voter_settings(layout: Layout, voter: VoterPlace) -> dict[str, Any]:
+    return {
+        "role": "control",
+        "node_id": voter.id,
+        "failure_domain": voter.failure_domain,
+        "region": REGION,
+        "api_endpoint": endpoint_key(voter.api),
+        "voters": {other.id: endpoint_key(other.api) for other in layout.voters},
+        "data_folder": str(layout.folder / f"{voter.id}.data"),
+        "token_file": str(_token(layout)),
+    }
+
+
+def _balancer_settings(layout: Layout, balancer: BalancerPlace) -> dict[str, Any]:
+    return {
+        "role": "balancer",
+        "node_id": balancer.id,
+        "failure_domain": balancer.failure_domain,
+        "region": REGION,
+        "api_endpoint": endpoint_key(balancer.api),
+        "data_endpoint": endpoint_key(balancer.data),
+        "fabric_endpoint": endpoint_key(layout.fabric),
+        "control_endpoints": _control_endpoints(layout),
+        "token_file": str(_token(layout)),
+        "trace_file": str(_trace_file(layout, balancer)),
+    }
+
+
+def _answers_of(layout: Layout) -> dict[str, Any]:
+    return {
+        "team": "Demonstration",
+        "failure_domains": [{"name": zone, "region": REGION} for zone in ZONES],
+        "callers": {"latency_ms": 1, "latency_between_failure_domains_ms": 1},
+        "services": [_service_answer(layout, service) for service in layout.services],
+    }
+
+
+def _service_answer(layout: Layout, service: DemoService) -> dict[str, Any]:
+    backends = [place for place in layout.backends if place.service == service]
+    is_tcp = service.protocol is Protocol.TCP
+    return {
+        "name": service.id,
+        "address": service.endpoint.address,
+        "port": service.endpoint.port,
+        "transport": "tcp" if is_tcp else "udp",
+        "failure_domains": list(ZONES),
+        "backend_servers": len(backends),
+        "slots": SLOTS,
+        "connections": CONNECTIONS,
+        "flows": "long",
+        "peak_open_flows": 500,
+        "peak_new_flows_per_second": 50,
+        "requests": [
+            {"name": "download", "repeatable": True, "deadline_seconds": 60},
+            {"name": "reservation", "repeatable": False, "deadline_seconds": 30},
+        ],
+    }
+
+
+def _control_endpoints(layout: Layout) -> list[str]:
+    return [endpoint_key(voter.api) for voter in layout.voters]
+
+
+def _token(layout: Layout) -> Path:
+    return layout.folder / "operator.token"
+
+
+def _tool_settings(layout: Layout) -> Path:
+    return settings_path(layout, "wasabigwctl")
+
+
+def _answers(layout: Layout) -> Path:
+    return settings_path(layout, "answers")
+
+
+def _trace_file(layout: Layout, balancer: BalancerPlace) -> Path:
+    return layout.folder / f"{balancer.id}.spans.jsonl"
+
+
+def _write(path: Path, value: dict[str, Any]) -> None:
+    path.write_text(json.dumps(value, indent=2) + "\n", encoding="utf-8")
--- a/src/wasabigw_demo/caller_app.py
+++ b/src/wasabigw_demo/caller_app.py
@@ -180,6 +180,7 @@
         raise TypeError(f"no message for a caller: {message!r}")
 
     def _open(self, host: Host, due: _Due) -> None:
+        self._now = host.now
         local = Endpoint(self._address, self._next_port)
         self._next_port += 1
         flow = FlowId(local, due.plan.target.endpoint)
@@ -250,6 +251,7 @@
         if header is not None and header.status is AnswerStatus.SHED:
             self._end(host, flow, state, FlowOutcome.SHED)
             return
+        self._now = host.now
         request = state.requests.pop(0)
         right = header is not None and is_right(request, header, body)
         outcome = RequestOutcome.ANSWERED if right else RequestOutcome.WRONG_ANSWER
@@ -277,6 +279,7 @@
     def _end(
         self, host: Host, flow: FlowId, state: _Flow, outcome: FlowOutcome
     ) -> None:
+        self._now = host.now
         state.ended = True
         self._flows.pop(flow, None)
         if state.plan.target.protocol is Protocol.TCP and state.established:
@@ -303,6 +306,7 @@
         self._records.write(
             RecordKind.REQUEST,
             id=request.id,
+            flow=state.plan.name,
             flow_kind=state.plan.kind.value,
             size=request.size,
             idempotent=request.idempotent,
@@ -317,8 +321,10 @@
             self._failures += 1
         self._records.write(
             RecordKind.FLOW,
+            flow=state.plan.name,
             caller=endpoint_key(flow.local),
-            service=endpoint_key(flow.remote),
+            service=state.plan.target.name,
+            requests=len(state.plan.requests),
             flow_kind=state.plan.kind.value,
             outcome=outcome.value,
             established=state.established,
--- a/src/wasabigw_demo/host.py
+++ b/src/wasabigw_demo/host.py
@@ -128,6 +128,11 @@
         """Endpoint of the Geneve socket."""
         return Endpoint(*self._socket.getsockname())
 
+    @property
+    def now(self) -> Seconds:
+        """Monotonic time of the process."""
+        return monotonic()
+
     @property
     def malformed(self) -> int:
         """Frames that were dropped because they could not be decoded."""
--- a/src/wasabigw_demo/plan.py
+++ b/src/wasabigw_demo/plan.py
@@ -41,6 +41,7 @@
     :param start: seconds after the start of the caller.
     """
 
+    name: str
     start: Seconds
     kind: FlowKind
     target: Target
@@ -86,23 +87,28 @@
     name: str, targets: list[Target], workload: Workload, generator: random.Random
 ) -> Iterator[FlowPlan]:
     for number in range(workload.long_flows):
+        flow = f"{name}-long-{number}"
         request = Request(
-            RequestId(f"{name}-long-{number}"), LONG_SIZE, True, workload.long_seconds
+            RequestId(f"{flow}-0"), LONG_SIZE, True, workload.long_seconds
         )
         start = Seconds(generator.uniform(0.0, 1.0))
         target = targets[number % len(targets)]
-        yield FlowPlan(start, FlowKind.LONG, target, (request,), traced=number == 0)
+        yield FlowPlan(
+            flow, start, FlowKind.LONG, target, (request,), traced=number == 0
+        )
 
 
 def _short_flows(
     name: str, targets: list[Target], workload: Workload, generator: random.Random
 ) -> Iterator[FlowPlan]:
     for number, start in enumerate(_starts(workload, workload.short_rate, generator)):
+        flow = f"{name}-short-{number}"
         requests = tuple(
-            _request(f"{name}-short-{number}-{part}", SHORT_SIZES, generator)
+            _request(f"{flow}-{part}", SHORT_SIZES, generator)
             for part in range(generator.randint(1, MAX_REQUESTS_PER_FLOW))
         )
-        yield FlowPlan(start, FlowKind.SHORT, generator.choice(targets), requests)
+        target = generator.choice(targets)
+        yield FlowPlan(flow, start, FlowKind.SHORT, target, requests)
 
 
 def _datagram_flows(
@@ -110,9 +116,10 @@
 ) -> Iterator[FlowPlan]:
     starts = _starts(workload, workload.datagram_rate, generator)
     for number, start in enumerate(starts):
-        request = _request(f"{name}-udp-{number}", DATAGRAM_SIZES, generator)
+        flow = f"{name}-udp-{number}"
+        request = _request(f"{flow}-0", DATAGRAM_SIZES, generator)
         target = generator.choice(targets)
-        yield FlowPlan(start, FlowKind.DATAGRAM, target, (request,))
+        yield FlowPlan(flow, start, FlowKind.DATAGRAM, target, (request,))
 
 
 def _starts(
--- a/tests/test_demo_hosts.py
+++ b/tests/test_demo_hosts.py
@@ -57,7 +57,7 @@
     """Plan of one flow with one request."""
     request = Request(RequestId("only"), size, idempotent=True)
     start = Seconds(0.0)
-    return [FlowPlan(start, FlowKind.SHORT, target(Protocol.TCP), (request,))]
+    return [FlowPlan("only", start, FlowKind.SHORT, target(Protocol.TCP), (request,))]
 
 
 class Traffic(unittest.TestCase):
