Compare ways to map flows under the same changes

Change: an event-driven, seeded comparison of seven schemes over the same flows, backend changes, balancer crashes and joins, printed as a table.

--- /dev/null
+++ b/src/wasabigw_measure/compare_mapping.py
@@ -0,0 +1,198 @@
+"""Compare ways to map flows: ``python -m wasabigw_measure.compare_mapping``.
+
+Prints the table of docs/measurements.md; nothing is asserted.
+"""
+
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Annotated
+
+import requests
+import typer
+
+from wasabigw.codec import messages
+from wasabigw.core.cluster import Endpoint, Node
+from wasabigw.core.commands import BackendServerUp, NodeUp, Report, ReportBatch
+from wasabigw.core.ids import (
+    BackendServerId,
+    BootId,
+    BucketNumber,
+    FailureDomainId,
+    FlowKey,
+    Incarnation,
+    NodeId,
+    Revision,
+    Seconds,
+    ServiceId,
+    Term,
+)
+from wasabigw.core.log_messages import (
+    Announcement,
+    AnnouncementAccepted,
+    LogBatch,
+    LogEntry,
+    LogPoll,
+)
+from wasabigw.core.states import BackendServerState
+from wasabigw.core.timing import ANNOUNCE_INTERVAL, ANNOUNCE_LEASE, LOG_POLL_WAIT
+from wasabigw_measure._mapping_buckets import FlowRecord, StableBuckets
+from wasabigw_measure._mapping_owner import FlowOwner
+from wasabigw_measure._mapping_run import Measured, Run
+from wasabigw_measure._mapping_scheme import Scheme
+from wasabigw_measure._mapping_stateless import HashModulo, Rendezvous
+from wasabigw_measure._mapping_tables import Maglev, TrackUnstable
+from wasabigw_measure._mapping_world import (
+    BACKEND_SERVERS,
+    BALANCERS,
+    HORIZON,
+)
+
+RESPONSE_HEADER_BYTES = 160
+"""Status line and headers of an HTTP response."""
+MEASURED_ENTRIES = 10_000
+
+SCHEMES: tuple[Callable[[], Scheme], ...] = (
+    lambda: HashModulo("hash modulo live servers"),
+    lambda: Rendezvous("rendezvous without state"),
+    lambda: Maglev("Maglev, table per balancer"),
+    lambda: TrackUnstable("JET style, table per balancer"),
+    lambda: FlowOwner("owner without backup"),
+    lambda: FlowOwner("owner, former choices on a miss", former_choices=True),
+    lambda: StableBuckets("stable buckets, home, view lease"),
+)
+
+_COLUMNS = (
+    "scheme",
+    "seed",
+    "broken %",
+    "misdirected",
+    "reset",
+    "timed out",
+    "not opened",
+    "imbalance",
+    "forwarded %",
+    "queries/1000",
+    "control B/s/node",
+    "entries/flow",
+    "B/flow",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class SharedCosts:
+    """Control traffic that each scheme needs, in bytes.
+
+    :param per_second: log polls of a balancer, and its share of announcements.
+    """
+
+    per_second: float
+    server_entry: int
+    node_entry: int
+
+
+def shared_costs() -> SharedCosts:
+    """Costs from the encoded messages of the project."""
+    endpoint = Endpoint("10.20.30.40", 8080)
+    zone = FailureDomainId("zone-a")
+    node = Node(NodeId("balancer-1"), zone, endpoint, endpoint, Incarnation("0" * 16))
+    server = BackendServerId("server-1")
+    service = ServiceId("service")
+    boot = BootId("0" * 16)
+    state = BackendServerState.READY
+    announcement = Announcement(server, service, zone, endpoint, boot, state, 4, 2000)
+    accepted = AnnouncementAccepted(ANNOUNCE_LEASE, node.id)
+    announcing = _http_bytes(announcement, accepted) / ANNOUNCE_INTERVAL
+    poll = LogPoll(node, Revision(1000), LOG_POLL_WAIT)
+    batch = LogBatch(Term(1), Revision(1000), Seconds(1.4))
+    polling = _http_bytes(poll, batch) / LOG_POLL_WAIT
+    up = BackendServerUp(server, service, zone, endpoint, boot, 4, 2000, state, 8)
+    share = BACKEND_SERVERS / BALANCERS
+    return SharedCosts(
+        polling + announcing * share, _entry_bytes(up), _entry_bytes(NodeUp(node))
+    )
+
+
+def _entry_bytes(report: Report) -> int:
+    entry = LogEntry(Revision(1000), Term(1), ReportBatch((report,)))
+    return len(messages.encode(entry))
+
+
+def _http_bytes(request: object, response: object) -> int:
+    """Bytes of a POST with an encoded message and of its response."""
+    call = requests.Request(
+        "POST", "http://10.20.30.40:8080/v1/messages", data=messages.encode(request)
+    )
+    prepared = requests.Session().prepare_request(call)
+    headers = sum(len(k) + len(v) + 4 for k, v in prepared.headers.items())
+    first_line = len(f"POST {prepared.path_url} HTTP/1.1\r\n\r\n")
+    sent = first_line + headers + len(prepared.body or b"")
+    return sent + RESPONSE_HEADER_BYTES + len(messages.encode(response))
+
+
+def bytes_per_entry() -> float:
+    """Memory of one flow entry: key, record and its place in a dictionary."""
+    tracemalloc.start()
+    table = {
+        FlowKey(number.to_bytes(13)): FlowRecord(
+            BackendServerId("server"), BucketNumber(number % 256), Seconds(number * 0.5)
+        )
+        for number in range(MEASURED_ENTRIES)
+    }
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used / len(table)
+
+
+def control_rate(measured: Measured, costs: SharedCosts) -> float:
+    """Control bytes per second and node."""
+    entries = measured.server_changes * costs.server_entry
+    entries += measured.node_changes * costs.node_entry
+    entries += measured.update_bytes
+    own = entries + measured.control_bytes / BALANCERS
+    return costs.per_second + own / HORIZON
+
+
+def _row(
+    name: str, seed: int, measured: Measured, costs: SharedCosts, entry: float
+) -> tuple[str, ...]:
+    return (
+        name,
+        str(seed),
+        f"{100 * measured.broken / measured.opened:.2f}",
+        str(measured.misdirected),
+        str(measured.reset),
+        str(measured.timed_out),
+        str(measured.never_opened),
+        f"{measured.mean_imbalance:.2f}",
+        f"{100 * measured.forwards / measured.packets:.1f}",
+        f"{1000 * measured.queries / measured.packets:.2f}",
+        f"{control_rate(measured, costs):.0f}",
+        f"{measured.mean_entries:.2f}",
+        f"{measured.mean_entries * entry:.0f}",
+    )
+
+
+def _print_row(cells: Sequence[str]) -> None:
+    print("| " + " | ".join(cells) + " |", flush=True)
+
+
+def main(
+    seed: Annotated[list[int] | None, typer.Option(help="Seed; repeat it.")] = None,
+) -> None:
+    """Run each scheme under the same workload and changes, and print a table."""
+    costs = shared_costs()
+    entry = bytes_per_entry()
+    print(f"shared control traffic: {costs.per_second:.0f} B/s per node")
+    print(f"memory of one flow entry: {entry:.0f} B\n")
+    _print_row(_COLUMNS)
+    _print_row(["---"] * len(_COLUMNS))
+    for make_scheme in SCHEMES:
+        for number in seed or [1, 2]:
+            scheme = make_scheme()
+            measured = Run(scheme, number).run()
+            _print_row(_row(scheme.name, number, measured, costs, entry))
+
+
+if __name__ == "__main__":
+    typer.run(main)
