--- a/src/wasabigw_demo/_probes.py
+++ b/src/wasabigw_demo/_probes.py
@@ -50,7 +50,7 @@
 
 def _bad_settings(layout: Layout, children: Children) -> ProbeResult:
     path = _processes.write_bad_settings(layout)
-    command = _processes.daemon_command("run", path)
+    command = _processes.run_command(path)
     done = children.run(command, COMMAND_LIMIT)
     return _failed_clearly("bad settings", done, "data_endpoint")
 
--- a/src/wasabigw_demo/_processes.py
+++ b/src/wasabigw_demo/_processes.py
@@ -30,22 +30,32 @@
 UNKNOWN_SERVICE = "no-such-service"
 
 
-def daemon_command(verb: str, settings: Path) -> list[str]:
-    """Command line of the daemon: ``run`` or ``bootstrap``."""
+def run_command(settings: Path) -> list[str]:
+    """Command line that runs a daemon."""
+    return _daemon_command("run", settings)
+
+
+def bootstrap_command(layout: Layout, voter: VoterPlace) -> list[str]:
+    """Command line that creates the data folder of a voter."""
+    command = _daemon_command("bootstrap", settings_path(layout, voter.id))
+    return [*command, "--first"] if voter == layout.voters[0] else command
+
+
+def _daemon_command(verb: str, settings: Path) -> list[str]:
     module = "wasabigw.daemon"
     return [sys.executable, "-m", module, verb, "--settings", str(settings)]
 
 
 def tool_command(layout: Layout, *arguments: str) -> list[str]:
     """Command line of wasabigwctl."""
-    settings = str(_tool_settings(layout))
+    settings = str(tool_settings_path(layout))
     module = "wasabigw.ctl.main"
     return [sys.executable, "-m", module, "--settings", settings, *arguments]
 
 
 def apply_configuration(layout: Layout) -> list[str]:
     """Command that generates the configuration from answers and installs it."""
-    return tool_command(layout, "apply", str(_answers(layout)), "--yes")
+    return tool_command(layout, "apply", "--answers", str(answers_path(layout)))
 
 
 def wait_in_force(layout: Layout) -> list[str]:
@@ -55,7 +65,7 @@
 
 def remove_unknown_service(layout: Layout) -> list[str]:
     """Command that must fail with a clear error."""
-    return tool_command(layout, "remove-service", UNKNOWN_SERVICE, "--yes")
+    return tool_command(layout, "service", "remove", UNKNOWN_SERVICE)
 
 
 def settings_path(layout: Layout, name: str) -> Path:
@@ -63,6 +73,16 @@
     return layout.folder / f"{name}.json"
 
 
+def tool_settings_path(layout: Layout) -> Path:
+    """Settings file of wasabigwctl."""
+    return settings_path(layout, "wasabigwctl")
+
+
+def answers_path(layout: Layout) -> Path:
+    """File with the answers to the questionnaire."""
+    return settings_path(layout, "answers")
+
+
 def write_settings(layout: Layout) -> None:
     """Write the settings of all daemons, of the tool, and the answers."""
     _token(layout).write_text(TOKEN + "\n", encoding="utf-8")
@@ -76,8 +96,8 @@
         "control_endpoints": _control_endpoints(layout),
         "token_file": str(_token(layout)),
     }
-    _write(_tool_settings(layout), tool)
-    _write(_answers(layout), _answers_of(layout))
+    _write(tool_settings_path(layout), tool)
+    _write(answers_path(layout), _answers_of(layout))
 
 
 def write_bad_settings(layout: Layout) -> Path:
@@ -167,14 +187,6 @@
     return layout.folder / "operator.token"
 
 
-def _tool_settings(layout: Layout) -> Path:
-    return settings_path(layout, "wasabigwctl")
-
-
-def _answers(layout: Layout) -> Path:
-    return settings_path(layout, "answers")
-
-
 def _trace_file(layout: Layout, balancer: BalancerPlace) -> Path:
     return layout.folder / f"{balancer.id}.spans.jsonl"
 
--- a/src/wasabigw_demo/launcher.py
+++ b/src/wasabigw_demo/launcher.py
@@ -106,8 +106,7 @@
 def _start_system(layout: Layout, children: Children, options: DemoOptions) -> None:
     _say("creating the data folders of the voters")
     for voter in layout.voters:
-        path = _processes.settings_path(layout, voter.id)
-        command = _processes.daemon_command("bootstrap", path)
+        command = _processes.bootstrap_command(layout, voter)
         children.start(f"bootstrap {voter.id}", command, layout.log(voter.id))
     for voter in layout.voters:
         if children.wait(f"bootstrap {voter.id}", COMMAND_LIMIT) != 0:
@@ -117,7 +116,7 @@
     nodes: list[NodePlace] = [*layout.voters, *layout.balancers]
     for node in nodes:
         path = _processes.settings_path(layout, node.id)
-        command = _processes.daemon_command("run", path)
+        command = _processes.run_command(path)
         children.start(node.id, command, layout.log(node.id))
     for node in nodes:
         _wait_for_port(layout, children, node.id, node.api)
--- a/tests/test_demo_launcher.py
+++ b/tests/test_demo_launcher.py
@@ -10,8 +10,16 @@
 from pathlib import Path
 from typing import Any
 
-from wasabigw.core.ids import Seconds
+from returns.result import Success
+
+from wasabigw.answer_file import read_answers
+from wasabigw.core.ids import NodeId, Seconds
+from wasabigw.core.questionnaire import generate
+from wasabigw.ctl.settings import load_tool_settings
+from wasabigw.settings import load_settings
+from wasabigw_demo import _processes
 from wasabigw_demo._children import Children
+from wasabigw_demo._layout import make_layout
 from wasabigw_demo._outcome import FlowSummary, Observed, Outcome, check_outcome
 from wasabigw_demo._probes import ProbeResult
 
@@ -41,6 +49,24 @@
             self.assertIsNone(children.run(command, Seconds(0.5)).code)
 
 
+class Files(unittest.TestCase):
+    """Guards against generated files that daemon and tool no longer accept."""
+
+    def test_daemon_and_tool_accept_the_generated_files(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            layout = make_layout(Path(name))
+            _processes.write_settings(layout)
+            for node in (*layout.voters, *layout.balancers):
+                path = _processes.settings_path(layout, NodeId(node.id))
+                self.assertIsInstance(load_settings(path), Success)
+            tool = load_tool_settings(_processes.tool_settings_path(layout), {})
+            self.assertIsInstance(tool, Success)
+            answers = read_answers(_processes.answers_path(layout))
+            self.assertIsInstance(answers.bind(generate), Success)
+            bad = load_settings(_processes.write_bad_settings(layout))
+            self.assertEqual(len(bad.failure()), 2)
+
+
 def clean_outcome() -> Outcome:
     """Outcome of a run without any fault."""
     flow = FlowSummary(
