--- /dev/null
+++ b/src/wasabigw/core/flows/sending.py
@@ -0,0 +1,203 @@
+"""Parts that all flow decisions share: forwarding, records, bindings."""
+
+from dataclasses import dataclass, replace
+
+from wasabigw.core.flows import records
+from wasabigw.core.flows.decisions import (
+    Decision,
+    Drop,
+    DropReason,
+    ForwardToNode,
+    SendBinding,
+    SendToBackend,
+)
+from wasabigw.core.flows.forwarding import NO_CANDIDATE, Asked, Forwarding, tag_of
+from wasabigw.core.flows.homes import backup, home
+from wasabigw.core.flows.limits import take
+from wasabigw.core.flows.records import FlowRecord
+from wasabigw.core.flows.routes import BucketRoute, ServiceRoute
+from wasabigw.core.flows.state import BalancerState, may_send
+from wasabigw.core.flows.targets import Target
+from wasabigw.core.ids import BucketNumber, FlowKey, NodeId, Seconds
+from wasabigw.core.timing import BINDING_LIFETIME, FLOW_IDLE_TIMEOUT, MAX_HOPS
+from wasabigw.core.view import is_fresh
+
+COPY_INTERVAL = Seconds(FLOW_IDLE_TIMEOUT / 3)
+"""Time after which a packet passes the backup again, to refresh its copy."""
+
+
+@dataclass(slots=True)
+class Context:
+    """A packet of a caller and how it came here.
+
+    :param sender: balancer that forwarded it, ``None`` if the fabric sent it.
+    """
+
+    flow: FlowKey
+    route: ServiceRoute
+    bucket: BucketNumber
+    candidates: BucketRoute
+    forwarding: Forwarding
+    sender: NodeId | None
+    now: Seconds
+
+
+def first_forwarding(bucket: BucketNumber) -> Forwarding:
+    """Of a packet that no balancer has carried before."""
+    return Forwarding(0, bucket)
+
+
+def asking(state: BalancerState, forwarding: Forwarding) -> Forwarding:
+    """With the wish to learn the backend server, if this is the first balancer."""
+    if forwarding.hops or forwarding.asked:
+        return forwarding
+    origin = Asked(state.tag, True, NO_CANDIDATE)
+    return replace(forwarding, resolve=True, asked=(origin,))
+
+
+def drop(reason: DropReason) -> list[Decision]:
+    """Discard the packet."""
+    return [Drop(reason)]
+
+
+def forward(
+    node: NodeId | None, forwarding: Forwarding, state: BalancerState
+) -> list[Decision]:
+    """Pass the packet on, within the hop limit."""
+    if node is None or node == state.node:
+        return drop(DropReason.NO_HOME)
+    if forwarding.hops + 1 >= MAX_HOPS:
+        return drop(DropReason.HOP_LIMIT)
+    return [ForwardToNode(node, forwarding.next_hop())]
+
+
+def send(state: BalancerState, target: Target, now: Seconds) -> list[Decision]:
+    """Send to a backend server if this balancer may."""
+    if not target.usable:
+        return drop(DropReason.OUT_OF_SERVICE)
+    if not may_send(state, target, now):
+        return drop(DropReason.STALE_VIEW)
+    return [SendToBackend(target)]
+
+
+def send_or_ask_home(
+    state: BalancerState, context: Context, target: Target
+) -> list[Decision]:
+    """Send a packet of a known flow, or let the home do so under a stale view."""
+    owner = home(state.homes, target.id)
+    if may_send(state, target, context.now) or owner == state.node:
+        return send(state, target, context.now)
+    if not target.usable:
+        return drop(DropReason.OUT_OF_SERVICE)
+    return forward(owner, context.forwarding, state)
+
+
+def send_recorded(
+    state: BalancerState, context: Context, record: FlowRecord, *, copy: bool = False
+) -> list[Decision]:
+    """Send a packet of a recorded flow, at times through the other holder.
+
+    The home lets some packets pass its backup, and a former home or a backup lets
+    some pass the home, so that each of them has all records without any messages.
+
+    :param copy: the packet changes the record, so that the other holder has to see it.
+    """
+    sent = send_or_ask_home(state, context, record.target)
+    if not isinstance(sent[0], SendToBackend):
+        return sent
+    if not is_fresh(state.view, context.now):
+        # The other holder has no announcement lease and could not send it.
+        return sent
+    receiver = _other_holder(state, record.target)
+    if receiver is None or context.forwarding.hops + 1 >= MAX_HOPS:
+        return sent
+    if not copy and not _copy_is_due(record, receiver, context.now):
+        return sent
+    record.copied = context.now
+    record.copied_to = receiver
+    forwarding = context.forwarding
+    if home(state.homes, record.target.id) == state.node:
+        forwarding = Forwarding(forwarding.hops, context.bucket, copy=True)
+    chosen = forwarding.delivering(tag_of(receiver), record.target.index)
+    return forward(receiver, chosen, state)
+
+
+def _other_holder(state: BalancerState, target: Target) -> NodeId | None:
+    owner = home(state.homes, target.id)
+    return backup(state.homes, target.id) if owner == state.node else owner
+
+
+def _copy_is_due(record: FlowRecord, receiver: NodeId, now: Seconds) -> bool:
+    if record.copied is None or record.copied_to != receiver:
+        return True
+    return now - record.copied >= COPY_INTERVAL
+
+
+def record_flow(
+    state: BalancerState, context: Context, target: Target, *, admitted: bool = False
+) -> FlowRecord | None:
+    """Record a flow; at the home it counts against the limit of the backend server.
+
+    A flow that was not admitted here was counted by a previous home, or enters the
+    next count of the records.
+
+    :returns: ``None`` if the table is full.
+    """
+    present = context.flow in state.records.records
+    if records.is_full(state.records) and not present:
+        return None
+    inherited = state.inherited.get(target.id, 0)
+    if inherited and not admitted:
+        state.inherited[target.id] = inherited - 1
+    counts = admitted or home(state.homes, target.id) == state.node
+    record = FlowRecord(target, context.bucket, context.now, context.now, counts)
+    records.insert(state.records, context.flow, record)
+    return record
+
+
+def release_slot(state: BalancerState, record: FlowRecord, now: Seconds) -> None:
+    """Stop counting a flow against the limit of its backend server."""
+    if record.slot_held:
+        record.slot_held = False
+        state.admission.release(record.target.id, now)
+
+
+def end_flow(
+    state: BalancerState, flow: FlowKey, record: FlowRecord, now: Seconds
+) -> None:
+    """A flow has ended; its record stays for a while."""
+    release_slot(state, record, now)
+    records.close(state.records, flow, record, now)
+
+
+def note_closing(
+    state: BalancerState,
+    flow: FlowKey,
+    record: FlowRecord,
+    side: int,
+    reset: bool,
+    now: Seconds,
+) -> None:
+    """One side closed, or the flow was reset."""
+    if record.closed == records.BOTH_CLOSED:
+        return
+    record.last_seen = now
+    record.closed |= side
+    if reset or record.closed == records.BOTH_CLOSED:
+        end_flow(state, flow, record, now)
+
+
+def bindings(state: BalancerState, context: Context, target: Target) -> list[Decision]:
+    """Bindings for those who asked, within the control budget."""
+    if not context.forwarding.resolve:
+        return []
+    origin = context.forwarding.origin()
+    wanted = {context.sender, home(state.homes, target.id)}
+    if origin is not None:
+        wanted.add(state.tags.get(origin))
+    nodes = sorted(node for node in wanted if node is not None and node != state.node)
+    return [
+        SendBinding(node, context.flow, target.index, BINDING_LIFETIME)
+        for node in nodes
+        if take(state.bindings, context.now)
+    ]
