--- a/src/wasabigw/tasks/packet_task.py
+++ b/src/wasabigw/tasks/packet_task.py
@@ -52,7 +52,6 @@
 from wasabigw.tasks.messages import (
     AnnouncementRequest,
     FlowRequest,
-    HandoverOut,
     HandoverRequest,
     HandoverTaken,
     HopSpan,
