Cause faults of real processes with traffic running

'python -m wasabigw_demo faults [NAME...]' starts the system of the launcher, causes one fault of each scenario, and checks the records of callers, backend servers and fabric. The backend server stand-in records when packets arrived and connections opened, the caller which requests of a flow were not answered.

--- a/src/wasabigw_demo/__main__.py
+++ b/src/wasabigw_demo/__main__.py
@@ -1,13 +1,18 @@
-"""``python -m wasabigw_demo``: run the demonstration on loopback."""
+"""``python -m wasabigw_demo``: run the demonstration, or faults, on loopback."""
 
 from typing import Annotated
 
 import typer
 
+from wasabigw_demo.faults import run_faults, scenario_names
 from wasabigw_demo.launcher import DemoOptions, run_demo
 
+application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
-def main(
+
+@application.callback(invoke_without_command=True)
+def demo(
+    context: typer.Context,
     seed: Annotated[int, typer.Option(help="Seed of the stand-ins.")] = 1,
     drop: Annotated[float, typer.Option(help="Share of lost packets.")] = 0.0,
     duplicate: Annotated[float, typer.Option(help="Share of doubled packets.")] = 0.0,
@@ -15,8 +20,26 @@
     keep: Annotated[bool, typer.Option(help="Keep the temporary folder.")] = False,
 ) -> None:
     """Start every process, disturb them, and print what callers saw."""
-    raise typer.Exit(run_demo(DemoOptions(seed, drop, duplicate, delay, keep)))
+    if context.invoked_subcommand is None:
+        options = DemoOptions(seed, drop, duplicate, delay, keep)
+        raise typer.Exit(run_demo(options))
+
+
+@application.command()
+def faults(
+    names: Annotated[
+        list[str] | None, typer.Argument(help="Scenarios; all if none is named.")
+    ] = None,
+    seed: Annotated[int, typer.Option(help="Seed of the stand-ins.")] = 1,
+    keep: Annotated[bool, typer.Option(help="Keep the temporary folders.")] = False,
+) -> None:
+    """Cause faults while traffic is running, and check what the records say."""
+    unknown = sorted({*(names or ())} - {*scenario_names()})
+    if unknown:
+        known = ", ".join(scenario_names())
+        raise typer.BadParameter(f"unknown {', '.join(unknown)}; use any of {known}")
+    raise typer.Exit(run_faults(names or (), seed, keep))
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    application()
--- a/src/wasabigw_demo/_children.py
+++ b/src/wasabigw_demo/_children.py
@@ -74,6 +74,11 @@
         except subprocess.TimeoutExpired:
             return None
 
+    def is_running(self, name: str) -> bool:
+        """Whether a process was started and has not ended."""
+        process = self._processes.get(name)
+        return process is not None and process.poll() is None
+
     def ended(self) -> dict[str, int]:
         """Exit codes of the processes that have ended."""
         codes = {name: process.poll() for name, process in self._processes.items()}
--- a/src/wasabigw_demo/_layout.py
+++ b/src/wasabigw_demo/_layout.py
@@ -75,6 +75,9 @@
     """All processes of the demonstration.
 
     :param folder: temporary folder for settings, data, records and logs.
+    :param relays: one for each voter, through which its API is reached; empty if
+        it is reached directly.
+    :param connections: that each backend server announces.
     """
 
     folder: Path
@@ -86,6 +89,9 @@
     fabric: Endpoint
     fabric_control: Endpoint
     probe: Endpoint
+    relays: tuple[Endpoint, ...] = ()
+    relay_control: Endpoint | None = None
+    connections: int = CONNECTIONS
 
     def record(self, name: str) -> Path:
         """File in which a stand-in keeps its record."""
@@ -96,8 +102,13 @@
         return self.folder / f"{name}.log"
 
 
-def make_layout(folder: Path) -> Layout:
-    """Three voters, three balancers in two failure domains, and the stand-ins."""
+def make_layout(
+    folder: Path, relayed: bool = False, connections: int = CONNECTIONS
+) -> Layout:
+    """Three voters, three balancers in two failure domains, and the stand-ins.
+
+    :param relayed: whether the APIs of the voters are reached through relays.
+    """
     documents = DemoService(
         ServiceId("documents"), Protocol.TCP, Endpoint("198.51.100.1", 443)
     )
@@ -140,6 +151,9 @@
         fabric=_udp(),
         fabric_control=_tcp(),
         probe=_udp(),
+        relays=tuple(_tcp() for _ in voter_zones) if relayed else (),
+        relay_control=_tcp() if relayed else None,
+        connections=connections,
     )
 
 
--- a/src/wasabigw_demo/_processes.py
+++ b/src/wasabigw_demo/_processes.py
@@ -10,10 +10,9 @@
 from pathlib import Path
 from typing import Any
 
-from wasabigw.core.cluster import endpoint_key
+from wasabigw.core.cluster import Endpoint, endpoint_key
 from wasabigw.core.states import Protocol
 from wasabigw_demo._layout import (
-    CONNECTIONS,
     REGION,
     SLOTS,
     ZONES,
@@ -35,10 +34,13 @@
     return _daemon_command("run", settings)
 
 
-def bootstrap_command(layout: Layout, voter: VoterPlace) -> list[str]:
+def bootstrap_command(
+    layout: Layout, voter: VoterPlace, is_new_cluster: bool = True
+) -> list[str]:
     """Command line that creates the data folder of a voter."""
+    is_first = is_new_cluster and voter == layout.voters[0]
     command = _daemon_command("bootstrap", settings_path(layout, voter.id))
-    return [*command, "--first"] if voter == layout.voters[0] else command
+    return [*command, "--first"] if is_first else command
 
 
 def _daemon_command(verb: str, settings: Path) -> list[str]:
@@ -73,6 +75,11 @@
     return layout.folder / f"{name}.json"
 
 
+def data_folder(layout: Layout, voter: VoterPlace) -> Path:
+    """Folder of the log, vote and snapshots of a voter."""
+    return layout.folder / f"{voter.id}.data"
+
+
 def tool_settings_path(layout: Layout) -> Path:
     """Settings file of wasabigwctl."""
     return settings_path(layout, "wasabigwctl")
@@ -93,7 +100,7 @@
         path = settings_path(layout, balancer.id)
         _write(path, _balancer_settings(layout, balancer))
     tool = {
-        "control_endpoints": _control_endpoints(layout),
+        "control_endpoints": [endpoint_key(voter.api) for voter in layout.voters],
         "token_file": str(_token(layout)),
     }
     _write(tool_settings_path(layout), tool)
@@ -127,8 +134,13 @@
         "failure_domain": voter.failure_domain,
         "region": REGION,
         "api_endpoint": endpoint_key(voter.api),
-        "voters": {other.id: endpoint_key(other.api) for other in layout.voters},
-        "data_folder": str(layout.folder / f"{voter.id}.data"),
+        "voters": {
+            other.id: endpoint_key(other.api if other == voter else endpoint)
+            for other, endpoint in zip(
+                layout.voters, _public_endpoints(layout), strict=True
+            )
+        },
+        "data_folder": str(data_folder(layout, voter)),
         "token_file": str(_token(layout)),
     }
 
@@ -168,7 +180,7 @@
         "failure_domains": list(ZONES),
         "backend_servers": len(backends),
         "slots": SLOTS,
-        "connections": CONNECTIONS,
+        "connections": layout.connections,
         "flows": "long",
         "peak_open_flows": 500,
         "peak_new_flows_per_second": 50,
@@ -180,7 +192,12 @@
 
 
 def _control_endpoints(layout: Layout) -> list[str]:
-    return [endpoint_key(voter.api) for voter in layout.voters]
+    return [endpoint_key(endpoint) for endpoint in _public_endpoints(layout)]
+
+
+def _public_endpoints(layout: Layout) -> tuple[Endpoint, ...]:
+    """Where others reach the API of each voter."""
+    return layout.relays or tuple(voter.api for voter in layout.voters)
 
 
 def _token(layout: Layout) -> Path:
--- a/src/wasabigw_demo/backend_server.py
+++ b/src/wasabigw_demo/backend_server.py
@@ -91,10 +91,11 @@
     ] = COLD_CONNECTIONS,
     shed: Annotated[bool, typer.Option(help="Refuse requests without a run.")] = False,
     lie: Annotated[bool, typer.Option(help="Announce a wrong load.")] = False,
+    boot: Annotated[int, typer.Option(help="Number of its start.")] = 1,
     seed: Annotated[int, typer.Option(help="Seed of its random numbers.")] = 1,
 ) -> None:
     """Serve requests behind the balancers until SIGTERM (drain) or SIGINT (stop)."""
-    generator = random.Random(f"{seed}:{name}")
+    generator = random.Random(f"{seed}:{name}:{boot}")
     identity = ServerIdentity(
         id=BackendServerId(name),
         service=ServiceId(service),
--- a/src/wasabigw_demo/caller_app.py
+++ b/src/wasabigw_demo/caller_app.py
@@ -329,6 +329,8 @@
             outcome=outcome.value,
             established=state.established,
             attempt=state.attempt,
+            unanswered=[request.id for request in state.requests],
+            opened_at=state.began,
             began=round(state.began - (self._started or 0.0), 3),
             seconds=round(self._now - state.began, 3),
         )
--- a/src/wasabigw_demo/fabric.py
+++ b/src/wasabigw_demo/fabric.py
@@ -51,6 +51,17 @@
     reply: Mailbox[bool]
 
 
+@dataclass(frozen=True, slots=True)
+class BalancerBack:
+    """A balancer passes its health check again.
+
+    :param reply: gets whether the balancer was known.
+    """
+
+    balancer: NodeId
+    reply: Mailbox[bool]
+
+
 @dataclass(frozen=True, slots=True)
 class FlowsQuery:
     """Asks for the record of each flow."""
@@ -104,6 +115,11 @@
         known = fabric_core.balancer_gone(self._state, message.balancer, monotonic())
         message.reply.post(known)
 
+    @receive.register
+    def _(self, message: BalancerBack) -> None:
+        known = fabric_core.balancer_back(self._state, message.balancer)
+        message.reply.post(known)
+
     @receive.register
     def _(self, message: FlowsQuery) -> None:
         message.reply.post(list(flow_records(self._state)))
@@ -179,6 +195,15 @@
             control_http.refuse(f"unknown balancer {balancer!r}")
         return {"accepted": balancer}
 
+    @control_http.exposed("POST")
+    def back(self, balancer: str = "") -> Any:
+        """``POST /back?balancer=NAME``: the balancer gets packets again."""
+        reply: Mailbox[bool] = Mailbox("back")
+        self._fabric.post(BalancerBack(NodeId(balancer), reply))
+        if not reply.get(REPLY_TIMEOUT).value_or(False):
+            control_http.refuse(f"unknown balancer {balancer!r}")
+        return {"accepted": balancer}
+
     @control_http.exposed("GET")
     def flows(self) -> Any:
         """``GET /flows``: the record of each flow."""
--- a/src/wasabigw_demo/fabric_core.py
+++ b/src/wasabigw_demo/fabric_core.py
@@ -102,6 +102,19 @@
     return True
 
 
+def balancer_back(state: FabricState, balancer: NodeId) -> bool:
+    """Send to a balancer again.
+
+    :returns: whether the balancer was known.
+    """
+    known = {name: endpoint for endpoint, name in state.names.items()}
+    if balancer not in known:
+        return False
+    state.leaving.pop(balancer, None)
+    state.balancers[balancer] = known[balancer]
+    return True
+
+
 def route(
     data: bytes, source: Endpoint, state: FabricState, now: Seconds
 ) -> list[Delivery]:
--- a/src/wasabigw_demo/host.py
+++ b/src/wasabigw_demo/host.py
@@ -118,6 +118,7 @@
         self._traces: dict[FlowId, _Trace] = {}
         self._next_tick = Seconds(0.0)
         self._malformed = 0
+        self._packets = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         self._socket.setblocking(False)
@@ -133,6 +134,11 @@
         """Monotonic time of the process."""
         return monotonic()
 
+    @property
+    def packets(self) -> int:
+        """Packets that have arrived."""
+        return self._packets
+
     @property
     def malformed(self) -> int:
         """Frames that were dropped because they could not be decoded."""
@@ -221,6 +227,7 @@
     def _frame_arrived(self, frame: wire.Frame) -> None:
         match wire.parse_packet(frame.inner):
             case Success(packet):
+                self._packets += 1
                 self._packet_arrived(packet, frame.trace)
             case Failure(problem):
                 self._drop(problem)
--- a/src/wasabigw_demo/records.py
+++ b/src/wasabigw_demo/records.py
@@ -17,6 +17,8 @@
     SPAN = "span"
     ANNOUNCEMENT = "announcement"
     SUMMARY = "summary"
+    OPENED = "opened"
+    PACKETS = "packets"
 
 
 class RecordWriter(AbstractContextManager["RecordWriter"]):
--- a/src/wasabigw_demo/server_app.py
+++ b/src/wasabigw_demo/server_app.py
@@ -157,6 +157,7 @@
         self._peak = 0
         self._requests = 0
         self._repeated = 0
+        self._packets = 0
 
     def accepts(self, flow: FlowId) -> bool:
         """Refuse connections above the load that a cold server can handle."""
@@ -169,6 +170,12 @@
         """Start to serve a connection."""
         self._flows[flow] = _ServedFlow()
         self._peak = max(self._peak, len(self._flows))
+        self._records.write(
+            RecordKind.OPENED,
+            at=host.now,
+            caller=_text(flow.remote),
+            open_connections=len(self._flows),
+        )
 
     def received(self, host: Host, flow: FlowId, data: bytes) -> None:
         """Run the requests that are complete."""
@@ -216,6 +223,11 @@
     def ticked(self, host: Host, now: Seconds) -> None:
         """Send pieces that are due, and announce each second."""
         self._now = now
+        if host.packets != self._packets:
+            # The time of the record is at most one period of the tick too late.
+            count = host.packets - self._packets
+            self._records.write(RecordKind.PACKETS, at=now, count=count)
+            self._packets = host.packets
         for flow, served in list(self._flows.items()):
             self._send_due(host, flow, served)
         for flow, last in list(self._datagram_flows.items()):
@@ -238,6 +250,7 @@
         if message.accepted != self._accepted:
             self._records.write(
                 RecordKind.ANNOUNCEMENT,
+                at=self._now,
                 accepted=message.accepted,
                 message=message.message,
             )
@@ -363,6 +376,7 @@
             server=self._identity.id,
             caller=_text(flow.remote),
             open_connections=len(self._flows),
+            at=self._now,
         )
         return exchange.expected_body(request)
 
