Record segments at a backend server that does not have their flow

One backend server for each flow is now checked by the records of the backend servers. Ports are taken below the range of outgoing connections: two runs at the same time gave 'Address already in use' for a backend server.

--- a/src/wasabigw_demo/_processes.py
+++ b/src/wasabigw_demo/_processes.py
@@ -182,8 +182,8 @@
         "slots": SLOTS,
         "connections": layout.connections,
         "flows": "long",
-        "peak_open_flows": 500,
-        "peak_new_flows_per_second": 50,
+        "peak_open_flows": layout.connections // 4,
+        "peak_new_flows_per_second": layout.connections // 40,
         "requests": [
             {"name": "download", "repeatable": True, "deadline_seconds": 60},
             {"name": "reservation", "repeatable": False, "deadline_seconds": 30},
--- a/src/wasabigw_demo/_record_checks.py
+++ b/src/wasabigw_demo/_record_checks.py
@@ -3,7 +3,7 @@
 The conditions hold after every fault; only which flows may break depends on it.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -27,6 +27,9 @@
     :param planned: requests that the callers planned.
     :param runs: record of each request that a backend server ran.
     :param uses: record of each flow that the fabric carried.
+    :param opened: record of each connection that a backend server accepted.
+    :param strays: record of each segment of a flow that a backend server, or its
+        predecessor on the same address, never had.
     """
 
     attempts: list[dict[str, Any]]
@@ -34,6 +37,8 @@
     planned: int
     runs: list[dict[str, Any]]
     uses: list[dict[str, Any]]
+    opened: list[dict[str, Any]]
+    strays: list[dict[str, Any]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +55,13 @@
     """Records of a run that has ended."""
     callers = [caller.name for caller in layout.callers]
     backends = [str(backend.id) for backend in layout.backends]
+    opened = _with_server(layout, RecordKind.OPENED, "caller")
+    own = {(record["server"], record["flow"]) for record in opened}
+    strays = [
+        record
+        for record in _with_server(layout, RecordKind.STRAY, "remote")
+        if not record["opening"] and (record["server"], record["flow"]) not in own
+    ]
     summaries = _read(layout, callers, RecordKind.SUMMARY)
     return TrafficRecords(
         _read(layout, callers, RecordKind.FLOW),
@@ -57,6 +69,8 @@
         sum(summary["planned_requests"] for summary in summaries),
         _read(layout, backends, RecordKind.REQUEST),
         _read(layout, ["fabric"], RecordKind.FLOW),
+        opened,
+        strays,
     )
 
 
@@ -135,9 +149,22 @@
 
 
 def _one_backend_server(records: TrafficRecords) -> Check:
-    several = [u["caller"] for u in records.uses if len(u["backend_servers"]) > 1]
-    detail = f"{len(records.uses)} flows, {len(several)} on several{_shown(several)}"
-    passed = bool(records.uses) and not several
+    """By the records of the backend servers.
+
+    A SYN that got no answer may be sent to another one; nothing else may.
+    """
+    servers: defaultdict[str, set[str]] = defaultdict(set)
+    for record in records.opened:
+        servers[record["flow"]].add(record["server"])
+    for run in records.runs:
+        servers[run["caller"]].add(run["server"])
+    several = sorted(flow for flow, names in servers.items() if len(names) > 1)
+    strays = sorted({record["flow"] for record in records.strays})
+    detail = (
+        f"{len(servers)} flows, {len(several)} served by several{_shown(several)}, "
+        f"{len(strays)} with packets at another{_shown(strays)}"
+    )
+    passed = bool(servers) and not several and not strays
     return Check("one backend server for each flow", passed, detail)
 
 
@@ -174,6 +201,15 @@
     return {a["flow"] for a in records.attempts if a["caller"] in callers}
 
 
+def _with_server(layout: Layout, kind: RecordKind, flow: str) -> list[dict[str, Any]]:
+    """Records of all backend servers, with the server and the caller's endpoint."""
+    return [
+        {**record, "server": place.id, "flow": record[flow]}
+        for place in layout.backends
+        for record in _read(layout, [place.id], kind)
+    ]
+
+
 def _read(
     layout: Layout, names: Sequence[str], kind: RecordKind
 ) -> list[dict[str, Any]]:
--- a/src/wasabigw_demo/addresses.py
+++ b/src/wasabigw_demo/addresses.py
@@ -1,13 +1,19 @@
 """Endpoints and address ranges in arguments of the stand-ins."""
 
 import ipaddress
+import itertools
+import random
 import socket
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import typer
 
 from wasabigw.core.cluster import Endpoint
 
+FIRST_PORT = 10_000
+LAST_PORT = 29_999
+
 
 def parse_endpoint(text: str) -> Endpoint:
     """Endpoint from ``address:port``.
@@ -69,7 +75,27 @@
 
 
 def free_endpoint(kind: socket.SocketKind, address: str = "127.0.0.1") -> Endpoint:
-    """Endpoint with a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((address, 0))
-        return Endpoint(address, probe.getsockname()[1])
+    """Endpoint with a port that is free now.
+
+    Ports below the range from which the system takes those of outgoing connections
+    stay free until the process that gets the endpoint binds it. The first one is
+    random, so that several launchers at the same time do not share ports.
+    """
+    while True:
+        port = next(_PORTS)
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((address, port))
+            except OSError:
+                continue
+            return Endpoint(address, port)
+
+
+def _ports() -> Iterator[int]:
+    count = LAST_PORT - FIRST_PORT + 1
+    start = random.SystemRandom().randrange(count)
+    for offset in itertools.count(start):
+        yield FIRST_PORT + offset % count
+
+
+_PORTS = _ports()
--- a/src/wasabigw_demo/host.py
+++ b/src/wasabigw_demo/host.py
@@ -12,14 +12,14 @@
 from absl import logging
 from returns.result import Failure, Success
 
-from wasabigw.core.cluster import Endpoint
+from wasabigw.core.cluster import Endpoint, endpoint_key
 from wasabigw.core.ids import Seconds
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import monotonic
 from wasabigw_demo import tcp, wire
 from wasabigw_demo.addresses import as_pair
-from wasabigw_demo.records import RecordWriter
+from wasabigw_demo.records import RecordKind, RecordWriter
 from wasabigw_demo.spans import SpanName, child_of, record_span
 from wasabigw_demo.wire import TraceContext
 
@@ -255,6 +255,7 @@
             self._connections[flow] = connection
             self._execute_all(flow, decisions)
         else:
+            self._record_stray(packet, now)
             self._transmit(flow, wire.build_segment(tcp.reset_for(packet)))
 
     @_packet_arrived.register
@@ -268,6 +269,17 @@
         flow = FlowId(packet.quoted_source, packet.quoted_destination)
         self._application.unreachable(self, flow)
 
+    def _record_stray(self, packet: wire.Segment, now: Seconds) -> None:
+        """Record a segment of a flow that this host does not have."""
+        self._records.write(
+            RecordKind.STRAY,
+            at=now,
+            remote=endpoint_key(packet.source),
+            opening=packet.flags & _OPENING_MASK == wire.TcpFlag.SYN,
+            flags=int(packet.flags),
+            size=len(packet.payload),
+        )
+
     def _may_accept(self, packet: wire.Segment, flow: FlowId) -> bool:
         opening = packet.flags & _OPENING_MASK == wire.TcpFlag.SYN
         has_room = len(self._connections) < MAX_CONNECTIONS
--- a/src/wasabigw_demo/records.py
+++ b/src/wasabigw_demo/records.py
@@ -19,6 +19,7 @@
     SUMMARY = "summary"
     OPENED = "opened"
     PACKETS = "packets"
+    STRAY = "stray"
 
 
 class RecordWriter(AbstractContextManager["RecordWriter"]):
