--- a/src/wasabigw/core/consensus/commit.py
+++ b/src/wasabigw/core/consensus/commit.py
@@ -5,7 +5,7 @@
 from wasabigw.core.consensus.effects import ApplyEntries, Effect
 from wasabigw.core.consensus.lease import counted_voters
 from wasabigw.core.consensus.state import VoterState
-from wasabigw.core.consensus.voters import added_by, admissions
+from wasabigw.core.consensus.voters import admissions
 from wasabigw.core.ids import Revision
 from wasabigw.core.states import VoterRole
 
@@ -27,7 +27,6 @@
     state.committed = entries[-1].revision
     for entry in entries:
         for admission in admissions(entry.command):
-            state.added = added_by(admission, state.members)
             state.members[admission.voter] = admission.incarnation
     return [ApplyEntries(entries), *note_admission(state)]
 
--- a/src/wasabigw/core/consensus/replication.py
+++ b/src/wasabigw/core/consensus/replication.py
@@ -16,7 +16,6 @@
     InstallSnapshot,
     SendMessage,
 )
-from wasabigw.core.consensus.lease import counted_voters
 from wasabigw.core.consensus.messages import (
     AdmissionResponse,
     AppendRequest,
@@ -106,7 +105,6 @@
         state.snapshot = snapshot
         state.committed = snapshot.revision
         state.members = dict(snapshot.state.voters)
-        state.added = None
         effects.append(InstallSnapshot(snapshot))
         effects.extend(note_admission(state))
     effects.append(_append_answer(state, True, snapshot.revision, request.sent_at))
@@ -147,8 +145,7 @@
     """Append the admission of a voter with a new data directory.
 
     One admission at a time, and none before an entry of the own term is
-    committed: otherwise majorities before and after it need not overlap. The
-    voter that was added last must count if the majority needs it.
+    committed: otherwise majorities before and after it need not overlap.
     """
     effects: list[Effect] = []
     accepted = _may_admit(state, envelope)
@@ -167,7 +164,6 @@
         and state.log.term_at(state.committed) == state.term
         and envelope.sender in state.peers
         and voters.pending is None
-        and voters.is_strict_majority(counted_voters(state))
         and voters.members.get(envelope.sender) != envelope.incarnation
     )
 
--- a/src/wasabigw/core/consensus/state.py
+++ b/src/wasabigw/core/consensus/state.py
@@ -44,7 +44,6 @@
     :param committed: revision up to which entries are known to be committed.
     :param members: voters after the entry at ``committed``.
     :param contact: when the voter last heard from a leader.
-    :param added: voter that the last committed admission added.
     :param votes: voters that granted the running (pre-)election.
     """
 
@@ -59,7 +58,6 @@
     role: VoterRole
     contact: Seconds
     election_at: Seconds
-    added: NodeId | None = None
     leader: NodeId | None = None
     votes: set[NodeId] = field(default_factory=set)
     progress: dict[NodeId, Progress] = field(default_factory=dict)
@@ -74,7 +72,7 @@
 
     def electorate(self) -> Electorate:
         """Voters as of the end of the log."""
-        return electorate(self.members, self.added, self.log.after(self.committed))
+        return electorate(self.members, self.log.after(self.committed))
 
     def envelope(self, body: Body) -> Envelope:
         """Message of this voter."""
--- a/src/wasabigw/core/consensus/voters.py
+++ b/src/wasabigw/core/consensus/voters.py
@@ -19,51 +19,42 @@
 
     :param members: incarnation that counts, for each voter.
     :param pending: voter whose admission is not yet known to be committed.
-    :param added: voter that the last admission added, committed or not; ``None``
-        if the last admission replaced a data directory.
+    :param grows: whether the pending voter is an additional one.
     """
 
     members: Mapping[NodeId, Incarnation]
     pending: NodeId | None = None
-    added: NodeId | None = None
+    grows: bool = False
 
     def is_majority(self, voters: set[NodeId]) -> bool:
         """Whether voters, each with its counted incarnation, are a majority.
 
-        Until the next admission, a majority without the voter that was added
-        last is enough too: it learns of its admission only after the commit and
-        takes no part before, so a first voter that lost its leadership in
-        between could never be elected again. Both majorities overlap.
+        While an additional voter is pending, a majority of the others is
+        enough: otherwise a leader that restarts between the two could neither
+        commit the admission nor be elected.
         """
-        if self.is_strict_majority(voters):
+        if len(voters) >= _majority(len(self.members)):
             return True
-        if self.added is None:
-            return False
-        return len(voters - {self.added}) >= _majority(len(self.members) - 1)
-
-    def is_strict_majority(self, voters: set[NodeId]) -> bool:
-        """Whether voters are a majority of all, with the one that was added last."""
-        return len(voters) >= _majority(len(self.members))
+        others = voters - {self.pending} if self.pending else voters
+        return self.grows and len(others) >= _majority(len(self.members) - 1)
 
 
 def electorate(
-    committed: Mapping[NodeId, Incarnation],
-    added: NodeId | None,
-    uncommitted: Iterable[LogEntry],
+    committed: Mapping[NodeId, Incarnation], uncommitted: Iterable[LogEntry]
 ) -> Electorate:
     """Voters after the uncommitted end of a log.
 
     :param committed: voters after the last entry known to be committed.
-    :param added: voter that the last committed admission added.
     """
     members = dict(committed)
     pending: NodeId | None = None
+    grows = False
     for entry in uncommitted:
         for admission in admissions(entry.command):
             pending = admission.voter
-            added = added_by(admission, members)
+            grows = admission.voter not in members
             members[admission.voter] = admission.incarnation
-    return Electorate(members, pending, added)
+    return Electorate(members, pending, grows)
 
 
 def admissions(command: Command) -> list[VoterAdmitted]:
@@ -73,12 +64,5 @@
     return [r for r in command.reports if isinstance(r, VoterAdmitted)]
 
 
-def added_by(
-    admission: VoterAdmitted, members: Mapping[NodeId, Incarnation]
-) -> NodeId | None:
-    """Voter that an admission adds; ``None`` if it replaces a data directory."""
-    return None if admission.voter in members else admission.voter
-
-
 def _majority(count: int) -> int:
     return count // 2 + 1
