--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from unittest import mock
 
 from hypothesis import given, settings
@@ -16,8 +17,9 @@
     empty_disk,
     run_with_faults,
 )
-from wasabigw.core.consensus import lease, voter
-from wasabigw.core.ids import Incarnation, Seconds
+from wasabigw.core.consensus import events, lease, messages, voter
+from wasabigw.core.ids import Incarnation, Revision, Seconds, Term
+from wasabigw.core.log_messages import LogEntry
 from wasabigw.core.states import VoterRole
 from wasabigw.core.timing import LEADER_LEASE, VIEW_LEASE
 
@@ -141,6 +143,39 @@
         self.assertNotIn(change(1), commands)
 
 
+class EarlierTerms(unittest.TestCase):
+    """Guards against the loss of an entry that a later leader may still replace.
+
+    A majority that holds an entry of an earlier term does not commit it (Raft,
+    section 5.4.2).
+    """
+
+    def test_only_entries_of_the_own_term_are_counted(self) -> None:
+        network = Network(12)
+        network.cut_off.update(NODES)
+        disk = network.disks[NODES[0]]
+        disk.append([LogEntry(Revision(2), Term(1), change(1))])
+        network.restart(NODES[:1])
+        state = network.members[NODES[0]].state
+        peer = network.members[NODES[1]].state
+        late = Seconds(100.0)
+        voter.handle(events.ClockTick(late, 0.0), state)
+        term = Term(2)
+        for body in (
+            messages.PreVoteResponse(term, True),
+            messages.VoteResponse(True),
+            messages.AppendResponse(True, Revision(2), Revision(2), late),
+        ):
+            envelope = replace(peer.envelope(body), term=state.term)
+            voter.handle(events.EnvelopeReceived(envelope, late, 0.0), state)
+        self.assertIs(state.role, VoterRole.LEADER)
+        self.assertEqual((state.term, state.committed), (term, 1))
+        own = messages.AppendResponse(True, Revision(3), Revision(3), late)
+        envelope = replace(peer.envelope(own), term=term)
+        voter.handle(events.EnvelopeReceived(envelope, late, 0.0), state)
+        self.assertEqual(state.committed, 3)
+
+
 class ReplacedDisk(unittest.TestCase):
     """Guards against a voter that is counted although its disk was emptied."""
 
