--- /dev/null
+++ b/src/wasabigw/core/backend_home.py
@@ -0,0 +1,210 @@
+"""Home of backend servers: announcements, admission, ramp and reports.
+
+Only the home of a backend server admits flows for it, so that a limit on the
+total holds by construction.
+"""
+
+from functools import singledispatch
+
+from wasabigw.core import admission, cold_start, leases
+from wasabigw.core.admission import AdmissionVerdict
+from wasabigw.core.cold_start import (
+    OpeningResult,
+    OpeningSignal,
+)
+from wasabigw.core.home_announcements import answer_announcement
+from wasabigw.core.home_changes import follow_cluster
+from wasabigw.core.home_events import (
+    AnnouncementReceived,
+    FlowsCounted,
+    HomeDecision,
+    HomeEvent,
+    HomesChanged,
+    HomeTick,
+    ReplyToAnnouncement,
+    SendReports,
+)
+from wasabigw.core.home_records import (
+    MAX_HOMED,
+    HomedServer,
+    HomeState,
+    return_to_first_step_if_cold,
+    send_due,
+)
+from wasabigw.core.ids import (
+    BackendServerId,
+    NodeId,
+    Seconds,
+    ServiceId,
+)
+from wasabigw.core.timing import (
+    ANNOUNCE_LEASE,
+    FLOW_IDLE_TIMEOUT,
+)
+from wasabigw.core.transition import in_service
+
+__all__ = [
+    "AdmissionVerdict",
+    "AnnouncementReceived",
+    "FlowsCounted",
+    "HomeDecision",
+    "HomeState",
+    "HomeTick",
+    "HomesChanged",
+    "OpeningResult",
+    "OpeningSignal",
+    "ReplyToAnnouncement",
+    "SendReports",
+    "admit",
+    "confirm_view",
+    "handle",
+    "make_home_state",
+    "may_send",
+    "observe",
+    "observe_shed",
+    "release",
+]
+
+
+def make_home_state(node: NodeId) -> HomeState:
+    """State of a node that has not yet received the replicated state."""
+    return HomeState(node)
+
+
+def confirm_view(state: HomeState, fresh_until: Seconds) -> None:
+    """Record how long the node may use its copy of the replicated state.
+
+    Without it, flows are admitted as with a stale view.
+    """
+    state.fresh_until = fresh_until
+
+
+def admit(
+    state: HomeState, backend_server: BackendServerId, now: Seconds
+) -> AdmissionVerdict:
+    """Whether a new flow may open; ``ADMITTED`` counts it as open.
+
+    ``TAKEOVER_WAIT`` means that the caller's retransmission may succeed, because
+    another home may still admit flows or this one is about to.
+    """
+    record = state.servers.get(backend_server)
+    if record is None or state.cluster is None or record.homed_since is None:
+        return AdmissionVerdict.NOT_ANNOUNCED
+    if not in_service(record.failure_domain, state.cluster):
+        return AdmissionVerdict.NOT_ANNOUNCED
+    if record.lease is None or not leases.is_valid(record.lease, now):
+        waiting = not record.announced and now - record.homed_since < ANNOUNCE_LEASE
+        if waiting:
+            return AdmissionVerdict.TAKEOVER_WAIT
+        return AdmissionVerdict.NOT_ANNOUNCED
+    if not leases.may_admit_after_takeover(record.lease, now):
+        return AdmissionVerdict.TAKEOVER_WAIT
+    fresh = state.fresh_until is not None and now < state.fresh_until
+    if not fresh and not leases.may_admit_with_stale_view(record.lease, now):
+        return AdmissionVerdict.TAKEOVER_WAIT
+    return admission.admit_flow(record.admission, now)
+
+
+def release(state: HomeState, backend_server: BackendServerId, now: Seconds) -> None:
+    """Count a flow of a backend server as ended."""
+    record = state.servers.get(backend_server)
+    if record is not None:
+        admission.release_flow(record.admission)
+
+
+def may_send(
+    state: HomeState, backend_server: BackendServerId, service: ServiceId, now: Seconds
+) -> bool:
+    """Whether the backend server itself vouches for its service at this node."""
+    record = state.servers.get(backend_server)
+    if record is None or record.service != service:
+        return False
+    return leases.is_valid(record.lease, now)
+
+
+def observe(
+    state: HomeState,
+    backend_server: BackendServerId,
+    signal: OpeningSignal,
+    now: Seconds,
+) -> None:
+    """Record how a backend server responded to the opening of a flow."""
+    record = state.servers.get(backend_server)
+    if record is not None:
+        cold_start.add_opening(record.detector, signal, now)
+        return_to_first_step_if_cold(record, now)
+
+
+def observe_shed(
+    state: HomeState, backend_server: BackendServerId, now: Seconds
+) -> None:
+    """Record that a backend server shed a request."""
+    record = state.servers.get(backend_server)
+    if record is not None:
+        cold_start.add_shed(record.detector, now)
+        return_to_first_step_if_cold(record, now)
+
+
+@singledispatch
+def handle(event: HomeEvent, state: HomeState) -> list[HomeDecision]:
+    """Decisions that follow from an event."""
+    raise TypeError(f"no rule for the event {type(event).__name__}")
+
+
+@handle.register
+def _(event: AnnouncementReceived, state: HomeState) -> list[HomeDecision]:
+    return answer_announcement(event, state)
+
+
+@handle.register
+def _(event: HomeTick, state: HomeState) -> list[HomeDecision]:
+    state.now = event.now
+    for record in state.servers.values():
+        _advance(record, state, event.now)
+    decisions = send_due(state.servers.values(), state, event.now)
+    for record in list(state.servers.values()):
+        _forget_if_gone(record, state, event.now)
+    return decisions
+
+
+@handle.register
+def _(event: HomesChanged, state: HomeState) -> list[HomeDecision]:
+    follow_cluster(event.cluster, state, event.now)
+    return send_due(state.servers.values(), state, event.now)
+
+
+@handle.register
+def _(event: FlowsCounted, state: HomeState) -> list[HomeDecision]:
+    record = state.servers.get(event.backend_server)
+    if record is None or record.homed_since is None:
+        if len(state.counted) < MAX_HOMED:
+            state.counted[event.backend_server] = event.open_flows
+        return []
+    record.overflow_flows = event.overflow_flows
+    counted = record.admission.open_flows
+    # Until all records are here, the count of another source may be the right one.
+    if state.now - record.homed_since < FLOW_IDLE_TIMEOUT:
+        record.admission.open_flows = max(counted, event.open_flows)
+    else:
+        record.admission.open_flows = event.open_flows
+        record.admission.ended_flows = 0
+    return []
+
+
+def _advance(record: HomedServer, state: HomeState, now: Seconds) -> None:
+    if state.cluster is None or record.homed_since is None:
+        return
+    if not in_service(record.failure_domain, state.cluster):
+        # It loses its caches while it has no load.
+        admission.restart_ramp(record.admission, now)
+    elif leases.is_valid(record.lease, now):
+        verdict = cold_start.verdict(record.detector, now)
+        admission.advance_ramp(record.admission, verdict, now)
+    admission.update_overload(record.admission, record.overflow_flows, now)
+
+
+def _forget_if_gone(record: HomedServer, state: HomeState, now: Seconds) -> None:
+    assert state.cluster is not None
+    registered = record.id in state.cluster.backend_servers
+    if not registered and not leases.is_valid(record.lease, now):
+        del state.servers[record.id]
--- a/src/wasabigw/core/commands.py
+++ b/src/wasabigw/core/commands.py
@@ -150,6 +150,7 @@
     """A backend server announced that it drains or leaves."""
 
     id: BackendServerId
+    boot_id: BootId
     state: BackendServerState
 
 
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationView:
+class StateView:
     """Current configuration and registrations, without the bucket tables."""
 
     revision: Revision
@@ -59,7 +59,7 @@
 
 CommandAnswer = Applied | Refusal | NotLeader | OutcomeUnknown | Overloaded
 PollAnswer = LogBatch | NotLeader | Overloaded
-StateAnswer = ConfigurationView | NotLeader
+StateAnswer = StateView | NotLeader
 InForceAnswer = InForce | NotLeader
 
 
@@ -132,9 +132,9 @@
 )
 
 
-def configuration_view(state: ClusterState) -> ConfigurationView:
+def state_view(state: ClusterState) -> StateView:
     """View of the replicated state at its current revision."""
-    return ConfigurationView(
+    return StateView(
         state.revision,
         state.configuration_revision,
         tuple(state.services.values()),
--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -6,7 +6,7 @@
 
 
 class ControlEvent(LogEvent):
-    """Events of voters and of the control API."""
+    """Events of voters and of the links between them."""
 
     VOTER_OPENED = EventDefinition(
         1000,
@@ -75,21 +75,3 @@
         "voter {peer} sent an answer that cannot be read: {reason}",
         "Run the same version on all voters.",
     )
-    HTTP_STARTED = EventDefinition(
-        1200,
-        logging.INFO,
-        "HTTP server listens on {address}:{port}",
-        "None needed.",
-    )
-    HTTP_FAILED = EventDefinition(
-        1201,
-        logging.ERROR,
-        "an HTTP handler failed: {traceback}",
-        "Report the traceback; the request got status 500.",
-    )
-    HTTP_CONNECTION_FAILED = EventDefinition(
-        1202,
-        logging.INFO,
-        "an HTTP connection ended with an error: {reason}",
-        "Expected when clients go silent or disconnect within a request.",
-    )
