Let a voter learn of its admission without a leader

Cause: a leader that stepped down right after it committed an admission could not be elected again if it needed the new voter, and the new voter did not vote because only a leader told it that it was admitted. The first two voters of a cluster then waited for ever. Change: any voter answers the request of an admitted voter with the committed log, which is the same everywhere.

--- a/src/wasabigw/core/consensus/messages.py
+++ b/src/wasabigw/core/consensus/messages.py
@@ -98,14 +98,25 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionRequest:
-    """A voter with a new data directory asks to be admitted."""
+    """A voter with a new data directory asks to be admitted.
+
+    :param committed: revision up to which it knows the committed log.
+    """
+
+    committed: Revision
 
 
 @dataclass(frozen=True, slots=True)
 class AdmissionResponse:
-    """Whether the admission is in the log of the leader."""
+    """Whether an admission was appended, or what proves that one is committed.
+
+    :param snapshot: present if the entries do not reach back far enough.
+    :param entries: committed entries that follow.
+    """
 
     accepted: bool
+    snapshot: Snapshot | None = None
+    entries: tuple[LogEntry, ...] = ()
 
 
 Body = (
--- a/src/wasabigw/core/consensus/replication.py
+++ b/src/wasabigw/core/consensus/replication.py
@@ -17,11 +17,13 @@
     SendMessage,
 )
 from wasabigw.core.consensus.messages import (
+    AdmissionRequest,
     AdmissionResponse,
     AppendRequest,
     AppendResponse,
     Body,
     Envelope,
+    Snapshot,
     SnapshotRequest,
 )
 from wasabigw.core.consensus.state import NEVER, Progress, VoterState
@@ -96,18 +98,9 @@
     """Continue after a snapshot of the leader."""
     if envelope.term < state.term:
         return [_append_answer(state, False, NO_REVISION, request.sent_at)]
-    snapshot = request.snapshot
-    effects: list[Effect] = []
-    if state.log.term_at(snapshot.revision) == snapshot.term:
-        effects.extend(commit_up_to(state, snapshot.revision))
-    elif snapshot.revision > state.committed:
-        state.log.reset(snapshot.revision, snapshot.term)
-        state.snapshot = snapshot
-        state.committed = snapshot.revision
-        state.members = dict(snapshot.state.voters)
-        effects.append(InstallSnapshot(snapshot))
-        effects.extend(note_admission(state))
-    effects.append(_append_answer(state, True, snapshot.revision, request.sent_at))
+    effects = _take_snapshot(state, request.snapshot)
+    matched = request.snapshot.revision
+    effects.append(_append_answer(state, True, matched, request.sent_at))
     return effects
 
 
@@ -140,13 +133,20 @@
 
 
 def answer_admission(
-    state: VoterState, envelope: Envelope, now: Seconds
+    state: VoterState, envelope: Envelope, request: AdmissionRequest, now: Seconds
 ) -> list[Effect]:
     """Append the admission of a voter with a new data directory.
 
     One admission at a time, and none before an entry of the own term is
     committed: otherwise majorities before and after it need not overlap.
+
+    A voter that does not know that its admission is committed gets the committed
+    log from any voter. It may be needed for the majority that elects a leader,
+    so it must not depend on a leader to learn of it.
     """
+    if state.members.get(envelope.sender) == envelope.incarnation:
+        answer = _committed_log(state, request)
+        return [AnswerMessage(state.envelope(answer))]
     effects: list[Effect] = []
     accepted = _may_admit(state, envelope)
     if accepted:
@@ -157,6 +157,45 @@
     return effects
 
 
+def accept_committed(state: VoterState, response: AdmissionResponse) -> list[Effect]:
+    """Take over committed entries; they are the same at every voter."""
+    if state.record.admitted:
+        return []
+    effects: list[Effect] = []
+    if response.snapshot is not None:
+        effects.extend(_take_snapshot(state, response.snapshot))
+    entries = response.entries
+    if entries and entries[0].revision <= state.committed + 1:
+        effects.extend(_append_new(state, entries))
+        effects.extend(commit_up_to(state, entries[-1].revision))
+    if effects:
+        # There may be more of the log to fetch.
+        state.admission_at = NEVER
+    return effects
+
+
+def _committed_log(state: VoterState, request: AdmissionRequest) -> AdmissionResponse:
+    after = request.committed
+    snapshot = None
+    if after < state.log.available_after:
+        snapshot = state.snapshot
+        after = snapshot.revision
+    entries = state.log.after(after, state.committed, MAX_ENTRIES_PER_REQUEST)
+    return AdmissionResponse(False, snapshot, tuple(entries))
+
+
+def _take_snapshot(state: VoterState, snapshot: Snapshot) -> list[Effect]:
+    if state.log.term_at(snapshot.revision) == snapshot.term:
+        return commit_up_to(state, snapshot.revision)
+    if snapshot.revision <= state.committed:
+        return []
+    state.log.reset(snapshot.revision, snapshot.term)
+    state.snapshot = snapshot
+    state.committed = snapshot.revision
+    state.members = dict(snapshot.state.voters)
+    return [InstallSnapshot(snapshot), *note_admission(state)]
+
+
 def _may_admit(state: VoterState, envelope: Envelope) -> bool:
     voters = state.electorate()
     return (
--- a/src/wasabigw/core/consensus/voter.py
+++ b/src/wasabigw/core/consensus/voter.py
@@ -36,6 +36,7 @@
     VoteResponse,
 )
 from wasabigw.core.consensus.replication import (
+    accept_committed,
     answer_admission,
     answer_append,
     answer_snapshot,
@@ -153,14 +154,14 @@
 def _(
     body: AdmissionRequest, event: EnvelopeReceived, state: VoterState
 ) -> list[Effect]:
-    return answer_admission(state, event.envelope, event.now)
+    return answer_admission(state, event.envelope, body, event.now)
 
 
 @_receive.register
 def _(
     body: AdmissionResponse, event: EnvelopeReceived, state: VoterState
 ) -> list[Effect]:
-    return []
+    return accept_committed(state, body)
 
 
 def _follow(event: EnvelopeReceived, state: VoterState) -> list[Effect]:
@@ -189,5 +190,5 @@
     if now < state.admission_at:
         return []
     state.admission_at = Seconds(now + ADMISSION_RETRY)
-    envelope = state.envelope(AdmissionRequest())
+    envelope = state.envelope(AdmissionRequest(state.committed))
     return [SendMessage(peer, envelope) for peer in state.peers]
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -226,6 +226,18 @@
             self.assertGreaterEqual(member.state.committed, max(accepted))
         self.assertTrue(network.disks[other].vote.admitted)
 
+    def test_voter_learns_of_its_admission_without_a_leader(self) -> None:
+        for seed in range(20):
+            network = Network(seed, founders=NODES[:1])
+            first = network.members[NODES[0]].state
+            while len(first.members) < 2:
+                network.step()
+            network.cut_off.update(NODES)
+            network.run(3.0)
+            network.cut_off.clear()
+            network.run(8.0)
+            self.assertTrue(all(d.vote.admitted for d in network.disks.values()))
+
     def test_first_voter_admits_the_others_one_by_one(self) -> None:
         network = Network(8, founders=NODES[:1])
         network.run(8.0)
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -159,7 +159,7 @@
             ids.Incarnation("1"),
             True,
             ids.Term(1),
-            AdmissionRequest(),
+            AdmissionRequest(ids.Revision(0)),
         )
         body = encode_envelope(envelope)
         self.assert_error(self.call("POST", "/v1/consensus", data=body), 403)
--- a/tests/test_voter_link.py
+++ b/tests/test_voter_link.py
@@ -11,7 +11,7 @@
 from wasabigw.codec.consensus import encode_envelope
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.consensus import messages
-from wasabigw.core.ids import Incarnation, NodeId, Seconds, Term
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Term
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.tasks import voter_link
 from wasabigw.tasks.voter_calls import LinkAnswer
@@ -60,7 +60,7 @@
         return connection
 
     def test_link_leaves_silent_idle_and_malformed_connections(self) -> None:
-        request = envelope(messages.AdmissionRequest())
+        request = envelope(messages.AdmissionRequest(Revision(0)))
         answer = envelope(messages.AdmissionResponse(True))
         self.link.mailbox.post(request)
         silent = self.accept()
