--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -68,7 +68,7 @@
     ReportCall,
     StateCall,
     VoterMessage,
-    configuration_view,
+    state_view,
 )
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw.telemetry.log_events import log
@@ -287,7 +287,7 @@
     @_receive.register
     def _(self, message: StateCall) -> None:
         if self._is_current(self._clock()):
-            message.reply.post(configuration_view(self._cluster))
+            message.reply.post(state_view(self._cluster))
         else:
             message.reply.post(self._not_leader())
 
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -155,7 +155,11 @@
         self.assert_error(self.call("GET", "/v1/nothing"), 404)
         self.assert_error(self.call("DELETE", "/v1/state"), 405)
         envelope = Envelope(
-            ids.NodeId("z"), ids.Incarnation("1"), True, ids.Term(1), AdmissionRequest()
+            ids.NodeId("z"),
+            ids.Incarnation("1"),
+            True,
+            ids.Term(1),
+            AdmissionRequest(ids.Revision(0)),
         )
         body = encode_envelope(envelope)
         self.assert_error(self.call("POST", "/v1/consensus", data=body), 403)
@@ -175,9 +179,8 @@
     def test_silent_client_frees_its_thread(self) -> None:
         with ExitStack() as stack:
             stack.enter_context(mock.patch.object(http_server, "READ_TIMEOUT", 0.2))
-            stack.enter_context(mock.patch.object(http_server, "THREADS", 1))
             voter = stack.enter_context(FixedVoter(NotLeader(None)))
-            settings = ControlApiSettings(LOOPBACK, TOKEN, NODES)
+            settings = ControlApiSettings(LOOPBACK, TOKEN, NODES, threads=1)
             server = stack.enter_context(make_control_server(voter.mailbox, settings))
             address = (server.endpoint.address, server.endpoint.port)
             head = b"POST /v1/changes HTTP/1.1\r\nHost: x\r\n"
