Need an observed signal for the verdict that a backend server is cold

Load and readiness counted as two signals although both arrive in one announcement, so one misleading endpoint was enough for the verdict. It now needs two signals of which the balancer observed at least one. The new test of the detector failed before the change.

--- a/src/wasabigw/core/cold_start.py
+++ b/src/wasabigw/core/cold_start.py
@@ -1,6 +1,8 @@
 """Whether a backend server has become cold without saying so.
 
-At least two independent signals must be bad: a single endpoint can lag or mislead.
+At least two signals must be bad, and the balancer itself must have observed one of
+them. A single endpoint can lag or mislead, and load and readiness arrive together in
+one announcement.
 """
 
 import statistics
@@ -52,7 +54,7 @@
 
 
 class ColdSignal(Enum):
-    """Independent hints that a backend server is cold."""
+    """Hints that a backend server is cold."""
 
     OPENINGS_FAIL = "openings-fail"
     OPENINGS_SLOW = "openings-slow"
@@ -61,14 +63,20 @@
     READINESS_LOW = "readiness-low"
 
 
+_OBSERVED = frozenset(
+    {ColdSignal.OPENINGS_FAIL, ColdSignal.OPENINGS_SLOW, ColdSignal.SHEDS}
+)
+"""Signals that the balancer observes; the others are what the announcement says."""
+
+
 class ColdVerdict(Enum):
     """What the signals say together."""
 
     WARM = "warm"
     DOUBTFUL = "doubtful"
-    """One signal is bad."""
+    """Signals are bad, but not enough of them, or none that was observed."""
     COLD = "cold"
-    """At least two signals are bad."""
+    """At least two signals are bad, and one of them was observed."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +134,7 @@
     """What the signals say at a time."""
     _judge_openings(detector, now)
     _judge_sheds(detector, now)
-    if len(detector.bad) > 1:
+    if len(detector.bad) > 1 and not detector.bad.isdisjoint(_OBSERVED):
         return ColdVerdict.COLD
     return ColdVerdict.DOUBTFUL if detector.bad else ColdVerdict.WARM
 
--- a/tests/test_backend_home.py
+++ b/tests/test_backend_home.py
@@ -218,6 +218,17 @@
 class ColdSignals(unittest.TestCase):
     """Guards against verdicts from one cause, and against verdicts that flap."""
 
+    def test_two_signals_of_the_announcement_alone_are_not_decisive(self) -> None:
+        # Load and readiness arrive in one message: one endpoint can get both wrong.
+        detector = cold_start.ColdStartDetector()
+        cold_start.report_load(detector, bad=True)
+        cold_start.report_readiness(detector, low=True)
+        doubtful, cold = cold_start.ColdVerdict.DOUBTFUL, cold_start.ColdVerdict.COLD
+        self.assertIs(cold_start.verdict(detector, ids.Seconds(0.0)), doubtful)
+        for _ in range(cold_start.SHED_IN_RECENT):
+            cold_start.add_shed(detector, ids.Seconds(0.0))
+        self.assertIs(cold_start.verdict(detector, ids.Seconds(0.0)), cold)
+
     def detector(self, results: list[OpeningSignal]) -> cold_start.ColdStartDetector:
         detector = cold_start.ColdStartDetector()
         for signal in results:
