Refuse numbers and repeated keys that JSON does not have

Message decoding accepted NaN, Infinity, numbers that overflow to infinity, and repeated keys, of which the last one won. Settings files already refused most of them; both now use one parser.

--- a/src/wasabigw/codec/messages.py
+++ b/src/wasabigw/codec/messages.py
@@ -14,6 +14,7 @@
 from cattrs.strategies import configure_tagged_union
 from returns.result import Failure, Result, Success
 
+from wasabigw.codec import strict_json
 from wasabigw.core import cluster, commands, log_messages
 
 KIND = "kind"
@@ -122,7 +123,7 @@
 def decode(data: bytes, expected: Any) -> Result[Any, MalformedMessage]:
     """Message of type ``expected`` from JSON text."""
     try:
-        value = json.loads(data)
+        value = strict_json.loads(data)
     except (ValueError, RecursionError) as error:
         return Failure(MalformedMessage((f"not valid JSON: {error}",)))
     return from_json(value, expected)
--- a/src/wasabigw/json_input.py
+++ b/src/wasabigw/json_input.py
@@ -3,11 +3,12 @@
 import json
 from collections.abc import Mapping, Sequence
 from pathlib import Path
-from typing import Any, NoReturn
+from typing import Any
 
 from pydantic import BaseModel, ValidationError
 from returns.result import Failure, Result, Success
 
+from wasabigw.codec import strict_json
 from wasabigw.core.problems import Problem, Problems, shown, unknown_name
 
 MAX_FILE_BYTES = 1024 * 1024
@@ -53,9 +54,7 @@
     :param name: file name for messages.
     """
     try:
-        value = json.loads(
-            text, object_pairs_hook=_unique_keys, parse_constant=_no_constant
-        )
+        value = strict_json.loads(text)
     except json.JSONDecodeError as error:
         place = f"{name} line {error.lineno} column {error.colno}"
         return _one(place, error.msg, "valid JSON")
@@ -151,18 +150,5 @@
     return (field.description if field else None) or "see the schema"
 
 
-def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
-    found: dict[str, Any] = {}
-    for key, value in pairs:
-        if key in found:
-            raise ValueError(f"the key {key!a} twice in one object")
-        found[key] = value
-    return found
-
-
-def _no_constant(name: str) -> NoReturn:
-    raise ValueError(f"the number {name}")
-
-
 def _one(where: str, read: str, expected: str) -> Failure[Problems]:
     return Failure((Problem(where, read, expected),))
--- a/tests/test_message_codec.py
+++ b/tests/test_message_codec.py
@@ -19,7 +19,7 @@
     ServiceId,
     Term,
 )
-from wasabigw.core.log_messages import LogBatch, LogEntry
+from wasabigw.core.log_messages import AnnouncementOutcome, LogBatch, LogEntry
 from wasabigw.core.states import BackendServerState, Protocol
 
 
@@ -101,3 +101,21 @@
     def test_text_that_is_not_json(self) -> None:
         result = messages.decode(b"{", commands.ChangeRequest)
         self.assertIn("not valid JSON", str(result.failure()))
+
+
+class StrictJson(unittest.TestCase):
+    """Guards against values that JSON does not have and keys that hide others."""
+
+    def refused(self, text: str, expected: Any) -> None:
+        self.assertIsInstance(messages.decode(text.encode(), expected), Failure)
+
+    def test_numbers_that_json_does_not_have_are_refused(self) -> None:
+        # NaN compares false with each limit and would pass every check.
+        for number in ("NaN", "Infinity", "-Infinity", "1e999"):
+            with self.subTest(number=number):
+                text = f'{{"lease":{number},"home":"b","kind":"AnnouncementAccepted"}}'
+                self.refused(text, AnnouncementOutcome)
+
+    def test_repeated_key_is_refused(self) -> None:
+        text = '{"address":"10.0.0.1","port":1,"port":2}'
+        self.refused(text, Endpoint)
