--- a/src/wasabigw/core/answer_checks.py
+++ b/src/wasabigw/core/answer_checks.py
@@ -11,7 +11,8 @@
     RequestAnswer,
     ServiceAnswer,
 )
-from wasabigw.core.name_rule import MAX_PORT, NAME_RULE, is_name
+from wasabigw.core.endpoints import MAX_PORT
+from wasabigw.core.names import NAME_RULE, is_name
 from wasabigw.core.problems import Problem, Problems, shown, unknown_name
 
 NEW_FLOWS_PERIOD = 10.0
--- a/src/wasabigw/core/endpoints.py
+++ b/src/wasabigw/core/endpoints.py
@@ -6,7 +6,7 @@
 from wasabigw.core.cluster import ClusterState, Endpoint, Service, endpoint_key
 from wasabigw.core.commands import BackendServerUp
 from wasabigw.core.ids import ServiceId
-from wasabigw.core.names import name_problem
+from wasabigw.core.names import announced_id_problem
 from wasabigw.core.states import RefusalCode
 from wasabigw.core.transition import Transition
 
@@ -76,8 +76,8 @@
     if report.slots < 1 or report.connections < 1:
         return "slots and connections must be at least 1"
     return (
-        name_problem("backend server", report.id)
-        or name_problem("boot", report.boot_id)
+        announced_id_problem("backend server", report.id)
+        or announced_id_problem("boot", report.boot_id)
         or malformed(report.endpoint)
     )
 
--- a/src/wasabigw/ctl/service_commands.py
+++ b/src/wasabigw/ctl/service_commands.py
@@ -17,7 +17,7 @@
     UpdateService,
 )
 from wasabigw.core.ids import FailureDomainId, ServiceId
-from wasabigw.core.name_rule import NAME_RULE, is_name
+from wasabigw.core.names import NAME_RULE, is_name
 from wasabigw.core.preview import ConfigurationView
 from wasabigw.core.problems import Problem, Problems, shown, unknown_name
 from wasabigw.core.states import FlowLimit, Protocol
--- a/src/wasabigw/settings_types.py
+++ b/src/wasabigw/settings_types.py
@@ -6,7 +6,8 @@
 from pydantic import BeforeValidator, PlainSerializer, WithJsonSchema
 
 from wasabigw.core.cluster import Endpoint, endpoint_key
-from wasabigw.core.name_rule import MAX_PORT, NAME_PATTERN, NAME_RULE, is_name
+from wasabigw.core.endpoints import MAX_PORT
+from wasabigw.core.names import NAME_PATTERN, NAME_RULE, is_name
 
 _ENDPOINT_RULE = "an IPv4 address and a port, such as '10.0.0.1:8080'"
 
--- a/tests/test_apply.py
+++ b/tests/test_apply.py
@@ -21,6 +21,7 @@
     Service,
     endpoint_key,
 )
+from wasabigw.core.endpoints import report_problem
 from wasabigw.core.states import (
     BackendServerState,
     CandidateReason,
@@ -292,6 +293,19 @@
             before.revision = log.state.revision
             self.assertEqual(log.state, before)
 
+    def test_names_follow_the_rule_of_settings_and_questionnaire(self) -> None:
+        # A service that the API accepts must be one that the tool can name.
+        log = Log()
+        for name in ("Seats", "seats.v2", "-seats", "s" * 64, ""):
+            wrong = replace(service(SERVICES[1], "10.0.0.4"), id=ids.ServiceId(name))
+            refusal = log.change(commands.CreateService(wrong)).failure()
+            self.assertIn("lowercase letters", refusal.message)
+
+    def test_ids_that_backend_servers_announce_are_opaque(self) -> None:
+        self.assertIsNone(report_problem(up("VM_7.recife.example", "10.0.0.1")))
+        for name in ("", "a b", "a\n", "x" * 64):
+            self.assertIsNotNone(report_problem(up(name, "10.0.0.1")))
+
 
 class FailureDomains(unittest.TestCase):
     """Guards against load on a failure domain that is out or has just returned."""
