Run test modules in a few processes

The tests ran one after the other and mostly waited for timers. Each module now runs in a process of its own, four at the same time; a process that ends without a result counts as failed. KNOWN-RED.txt and the last line are as before.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -1,57 +1,117 @@
 """Run all tests and print the counts: ``python -m tests [PATTERN]``.
 
-Tests that KNOWN-RED.txt names are run and printed, but a failure of one of them
-does not fail the run.
+Each test module runs in a process of its own, a few at the same time. Tests that
+KNOWN-RED.txt names are run and printed, but a failure of one of them does not fail
+the run.
 """
 
+import json
+import os
+import subprocess
 import sys
-import unittest
-from collections.abc import Iterator
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent
-KNOWN_RED = ROOT / "KNOWN-RED.txt"
-TEST_PREFIX = "test: "
+from tests.worker import KNOWN_RED, ModuleResult, known_red
 
+TESTS = Path(__file__).resolve().parent
+MAX_WORKERS = 4
+"""Modules that run at the same time, so that tests with timers get their share."""
+MODULE_TIME_LIMIT = 600.0
+"""Seconds after which a module is ended and counts as failed."""
 
-def known_red() -> frozenset[str]:
-    """Dotted names of the tests that may fail."""
-    if not KNOWN_RED.exists():
-        return frozenset()
-    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
-    return frozenset(
-        line.removeprefix(TEST_PREFIX).strip()
-        for line in lines
-        if line.startswith(TEST_PREFIX)
-    )
 
+@dataclass(frozen=True, slots=True)
+class ModuleRun:
+    """A module that has run.
 
-def flatten(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
-    """Single tests of a suite."""
-    for item in suite:
-        if isinstance(item, unittest.TestSuite):
-            yield from flatten(item)
-        else:
-            yield item
+    :param output: what its process printed, empty if it was printed directly.
+    """
+
+    file: str
+    result: ModuleResult
+    output: str
+    seconds: float
+
+
+def run_modules(folder: Path, pattern: str) -> tuple[int, int]:
+    """Run the matching modules of a folder and print what they say.
+
+    :return: passed and failed tests.
+    """
+    files = sorted(path.name for path in folder.glob(pattern))
+    # The output of a single module is shown while it runs.
+    captured = len(files) > 1
+    runs: list[ModuleRun] = []
+    with ThreadPoolExecutor(min(MAX_WORKERS, os.cpu_count() or 1)) as pool:
+        for run in pool.map(lambda file: _run(folder, file, captured), files):
+            runs.append(run)
+            _print_run(run)
+    _print_known_red(folder.parent, runs)
+    return sum(r.result.passed for r in runs), sum(r.result.failed for r in runs)
+
+
+def _run(folder: Path, file: str, captured: bool) -> ModuleRun:
+    began = time.monotonic()
+    with tempfile.TemporaryDirectory(prefix="wasabigw-tests-") as name:
+        path = Path(name) / "result.json"
+        command = [sys.executable, "-m", "tests.worker", str(folder), file, str(path)]
+        output = _run_process(command, captured)
+        result = _read_result(path)
+    if result is None:
+        output += f"\nthe process of {file} ended without a result\n"
+        result = ModuleResult(0, 1, "")
+    return ModuleRun(file, result, output, time.monotonic() - began)
+
+
+def _run_process(command: list[str], captured: bool) -> str:
+    pipe = subprocess.PIPE if captured else None
+    errors = subprocess.STDOUT if captured else None
+    try:
+        done = subprocess.run(
+            command,
+            cwd=TESTS.parent,
+            stdin=subprocess.DEVNULL,
+            stdout=pipe,
+            stderr=errors,
+            timeout=MODULE_TIME_LIMIT,
+            check=False,
+        )
+    except subprocess.TimeoutExpired as error:
+        text = (error.output or b"").decode(errors="replace")
+        return f"{text}\nended after {MODULE_TIME_LIMIT:.0f} s\n"
+    return (done.stdout or b"").decode(errors="replace")
+
+
+def _read_result(path: Path) -> ModuleResult | None:
+    if not path.exists():
+        return None
+    return ModuleResult(**json.loads(path.read_text(encoding="utf-8")))
+
+
+def _print_run(run: ModuleRun) -> None:
+    counts = f"{run.result.passed} passed, {run.result.failed} failed"
+    print(f"{run.file:32} {counts} in {run.seconds:.1f} s", flush=True)
+    if run.result.failed:
+        print(run.output, flush=True)
+
+
+def _print_known_red(root: Path, runs: list[ModuleRun]) -> None:
+    texts = [run.result.known_red for run in runs if run.result.known_red]
+    if texts:
+        print(f"known red, listed in {KNOWN_RED}:")
+        print("\n".join(texts))
+    for name in sorted(known_red(root)):
+        print(f"known red: {name}")
 
 
 def main() -> int:
     """Run the tests; the exit code is 0 only if none failed unexpectedly."""
     pattern = sys.argv[1] if len(sys.argv) > 1 else "test_*.py"
-    found = unittest.TestLoader().discover(str(ROOT / "tests"), pattern, str(ROOT))
-    tests = list(flatten(found))
-    allowed = known_red()
-    expected = unittest.TestSuite(t for t in tests if t.id() not in allowed)
-    red = unittest.TestSuite(t for t in tests if t.id() in allowed)
-    runner = unittest.TextTestRunner(verbosity=1)
-    result = runner.run(expected)
-    if red.countTestCases():
-        print(f"known red, listed in {KNOWN_RED.name}:")
-        runner.run(red)
-    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    passed = result.testsRun - failed - len(result.skipped)
-    for name in sorted(allowed):
-        print(f"known red: {name}")
+    passed, failed = run_modules(TESTS, pattern)
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
 
