--- a/src/wasabigw_measure/compare_mapping.py
+++ b/src/wasabigw_measure/compare_mapping.py
@@ -6,14 +6,17 @@
 import tracemalloc
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from functools import singledispatch
 from typing import Annotated
 
 import requests
 import typer
 
 from wasabigw.codec import messages
-from wasabigw.core.cluster import Endpoint, Node
+from wasabigw.core.cluster import BackendServer, Endpoint, Node, Service
 from wasabigw.core.commands import BackendServerUp, NodeUp, Report, ReportBatch
+from wasabigw.core.flows import records
+from wasabigw.core.flows.targets import make_target, prepare_nothing
 from wasabigw.core.ids import (
     BackendServerId,
     BootId,
@@ -34,10 +37,11 @@
     LogEntry,
     LogPoll,
 )
-from wasabigw.core.states import BackendServerState
+from wasabigw.core.states import BackendServerState, Protocol
 from wasabigw.core.timing import ANNOUNCE_INTERVAL, ANNOUNCE_LEASE, LOG_POLL_WAIT
 from wasabigw_measure._mapping_buckets import FlowRecord, StableBuckets
 from wasabigw_measure._mapping_owner import FlowOwner
+from wasabigw_measure._mapping_project import ProjectDecisions
 from wasabigw_measure._mapping_run import Measured, Run
 from wasabigw_measure._mapping_scheme import Scheme
 from wasabigw_measure._mapping_stateless import HashModulo, Rendezvous
@@ -51,6 +55,7 @@
 RESPONSE_HEADER_BYTES = 160
 """Status line and headers of an HTTP response."""
 MEASURED_ENTRIES = 10_000
+_ENDPOINT = Endpoint("10.20.30.40", 8080)
 
 SCHEMES: tuple[Callable[[], Scheme], ...] = (
     lambda: HashModulo("hash modulo live servers"),
@@ -59,7 +64,8 @@
     lambda: TrackUnstable("JET style, table per balancer"),
     lambda: FlowOwner("owner without backup"),
     lambda: FlowOwner("owner, former choices on a miss", former_choices=True),
-    lambda: StableBuckets("stable buckets, home, view lease"),
+    lambda: StableBuckets("stable buckets, home, view lease, without backup"),
+    lambda: ProjectDecisions("the project's decisions"),
 )
 
 _COLUMNS = (
@@ -93,7 +99,7 @@
 
 def shared_costs() -> SharedCosts:
     """Costs from the encoded messages of the project."""
-    endpoint = Endpoint("10.20.30.40", 8080)
+    endpoint = _ENDPOINT
     zone = FailureDomainId("zone-a")
     node = Node(NodeId("balancer-1"), zone, endpoint, endpoint, Incarnation("0" * 16))
     server = BackendServerId("server-1")
@@ -130,18 +136,52 @@
     return sent + RESPONSE_HEADER_BYTES + len(messages.encode(response))
 
 
-def bytes_per_entry() -> float:
-    """Memory of one flow entry: key, record and its place in a dictionary."""
-    tracemalloc.start()
-    table = {
+@singledispatch
+def fill_entries(scheme: Scheme) -> object:
+    """Table with :data:`MEASURED_ENTRIES` flow entries: key and small record."""
+    return {
         FlowKey(number.to_bytes(13)): FlowRecord(
             BackendServerId("server"), BucketNumber(number % 256), Seconds(number * 0.5)
         )
         for number in range(MEASURED_ENTRIES)
     }
+
+
+@fill_entries.register
+def _(scheme: ProjectDecisions) -> object:
+    """The table of a home; a cached binding is smaller than a record."""
+    backend_server = BackendServer(
+        BackendServerId("server"),
+        0,
+        ServiceId("service"),
+        FailureDomainId("zone-a"),
+        _ENDPOINT,
+        BootId("boot"),
+        4,
+        2000,
+    )
+    service = Service(
+        ServiceId("service"), _ENDPOINT, Protocol.TCP, (FailureDomainId("zone-a"),)
+    )
+    target = make_target(backend_server, service, True, prepare_nothing)
+    table = records.FlowTable()
+    for number in range(MEASURED_ENTRIES):
+        now = Seconds(number * 0.5)
+        record = records.FlowRecord(
+            target, BucketNumber(number % 256), now, now, slot_held=True
+        )
+        records.insert(table, FlowKey(number.to_bytes(13)), record)
+    return table
+
+
+def bytes_per_entry(scheme: Scheme) -> float:
+    """Memory of one flow entry with its share of the table."""
+    tracemalloc.start()
+    table = fill_entries(scheme)
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    return used / len(table)
+    del table
+    return used / MEASURED_ENTRIES
 
 
 def control_rate(measured: Measured, costs: SharedCosts) -> float:
@@ -182,14 +222,13 @@
 ) -> None:
     """Run each scheme under the same workload and changes, and print a table."""
     costs = shared_costs()
-    entry = bytes_per_entry()
-    print(f"shared control traffic: {costs.per_second:.0f} B/s per node")
-    print(f"memory of one flow entry: {entry:.0f} B\n")
+    print(f"shared control traffic: {costs.per_second:.0f} B/s per node\n")
     _print_row(_COLUMNS)
     _print_row(["---"] * len(_COLUMNS))
     for make_scheme in SCHEMES:
         for number in seed or [1, 2]:
             scheme = make_scheme()
+            entry = bytes_per_entry(scheme)
             measured = Run(scheme, number).run()
             _print_row(_row(scheme.name, number, measured, costs, entry))
 
