--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -4,7 +4,6 @@
 answer. Answers are typed; an error body is an ``ApiError`` or ``NotLeader``.
 """
 
-import hmac
 from collections.abc import Collection
 from dataclasses import dataclass
 from functools import singledispatch
@@ -12,14 +11,13 @@
 from typing import Any
 
 import cherrypy
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
-from wasabigw.codec.consensus import decode_envelope, encode_envelope
+from wasabigw.codec.consensus import encode_envelope
 from wasabigw.codec.log_poll import poll_from_query
-from wasabigw.codec.messages import MalformedMessage, decode
 from wasabigw.core.cluster import Applied, Endpoint, Refusal
 from wasabigw.core.commands import ChangeRequest
-from wasabigw.core.consensus.messages import SnapshotRequest
+from wasabigw.core.consensus.messages import Envelope, SnapshotRequest
 from wasabigw.core.ids import NodeId, Revision, Seconds
 from wasabigw.core.log_messages import (
     ChangeOutcome,
@@ -30,6 +28,13 @@
 )
 from wasabigw.core.states import RefusalCode
 from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.http_bodies import (
+    bad_request,
+    has_token,
+    read_message,
+    retry_later,
+    unauthorized,
+)
 from wasabigw.tasks.http_server import (
     JSON_TYPE,
     HttpServer,
@@ -39,7 +44,6 @@
 )
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
-    ConfigurationView,
     InForceCall,
     OutcomeUnknown,
     Overloaded,
@@ -47,9 +51,12 @@
     PollCall,
     ReportCall,
     StateCall,
+    StateView,
     reply_mailbox,
 )
 
+THREADS = 64
+"""Each held log poll occupies one thread."""
 MAX_CHANGE_BYTES = 512 * 1024
 MAX_REPORT_BYTES = 512 * 1024
 MAX_CONSENSUS_BYTES = 64 * 1024 * 1024
@@ -64,9 +71,6 @@
 READ_TIMEOUT = Seconds(1.0)
 """Longest wait for an answer that needs no commit, beyond the wait of a poll."""
 SNAPSHOT_TIMEOUT = Seconds(30.0)
-RETRY_AFTER = Seconds(1.0)
-HTTP_THREADS = 64
-"""Requests handled at the same time, most of them log polls that wait."""
 
 _REFUSAL_STATUS = {
     RefusalCode.CONFLICT: HTTPStatus.CONFLICT,
@@ -84,11 +88,13 @@
 
     :param token: bearer token of operators.
     :param peers: the other voters, whose consensus messages are accepted.
+    :param threads: requests handled at the same time, most of them waiting polls.
     """
 
     bind: Endpoint
     token: str
     peers: Collection[NodeId]
+    threads: int = THREADS
 
 
 class _Resource:
@@ -103,34 +109,27 @@
     def _call(self, message: Any, timeout: Seconds) -> bytes:
         """Post a message with a ``reply`` mailbox and encode the answer."""
         if isinstance(self._voter.post(message), Failure):
-            return _retry_later("overloaded", "The voter is too far behind; retry.")
+            return retry_later("overloaded", "The voter is too far behind; retry.")
         outcome = message.reply.get(timeout)
         if isinstance(outcome, Success):
             return _respond(outcome.unwrap())
         return _respond(OutcomeUnknown())
 
-    def _is_operator(self) -> bool:
-        header = cherrypy.request.headers.get("Authorization", "")
-        scheme, _, token = header.partition(" ")
-        expected = self._settings.token.encode()
-        matches = hmac.compare_digest(token.strip().encode(), expected)
-        return scheme.lower() == "bearer" and bool(expected) and matches
-
 
 class _Changes(_Resource):
     """``POST /v1/changes``."""
 
     def POST(self) -> bytes:  # noqa: N802 - method names of cherrypy
         """Accept an operator's change."""
-        if not self._is_operator():
-            return _unauthorized()
-        decoded = _read_body(ChangeRequest, MAX_CHANGE_BYTES)
+        if not has_token(self._settings.token):
+            return unauthorized()
+        decoded = read_message(ChangeRequest, MAX_CHANGE_BYTES)
         if isinstance(decoded, Failure):
-            return _bad_request(decoded.failure())
+            return bad_request(decoded.failure())
         request: ChangeRequest = decoded.unwrap()
         problem = _id_problem("request_id", request.request_id)
         if problem is not None:
-            return _bad_request(problem)
+            return bad_request(problem)
         return self._call(ChangeCall(request, reply_mailbox("change")), CALL_TIMEOUT)
 
 
@@ -139,8 +138,8 @@
 
     def GET(self) -> bytes:  # noqa: N802
         """Current configuration."""
-        if not self._is_operator():
-            return _unauthorized()
+        if not has_token(self._settings.token):
+            return unauthorized()
         return self._call(StateCall(reply_mailbox("state")), READ_TIMEOUT)
 
 
@@ -149,12 +148,12 @@
 
     def GET(self, revision: Any = None) -> bytes:  # noqa: N802
         """Which nodes have applied a revision; without one, the configuration's."""
-        if not self._is_operator():
-            return _unauthorized()
+        if not has_token(self._settings.token):
+            return unauthorized()
         wanted: Revision | None = None
         if revision is not None:
             if not _is_number(revision):
-                return _bad_request("parameter revision must be a whole number")
+                return bad_request("parameter revision must be a whole number")
             wanted = Revision(int(revision))
         return self._call(InForceCall(wanted, reply_mailbox("in-force")), READ_TIMEOUT)
 
@@ -166,7 +165,7 @@
         """Log poll of a balancer."""
         poll = poll_from_query(query)
         if isinstance(poll, Failure):
-            return _bad_request(str(poll.failure()))
+            return bad_request(str(poll.failure()))
         message = PollCall(poll.unwrap(), reply_mailbox("poll"))
         timeout = Seconds(min(message.poll.wait, CALL_TIMEOUT) + READ_TIMEOUT)
         return self._call(message, timeout)
@@ -177,15 +176,15 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Accept reports of a balancer."""
-        decoded = _read_body(ReportRequest, MAX_REPORT_BYTES)
+        decoded = read_message(ReportRequest, MAX_REPORT_BYTES)
         if isinstance(decoded, Failure):
-            return _bad_request(decoded.failure())
+            return bad_request(decoded.failure())
         request: ReportRequest = decoded.unwrap()
         problem = _id_problem("report_id", request.report_id)
         if problem is not None:
-            return _bad_request(problem)
+            return bad_request(problem)
         if not 0 < len(request.reports) <= MAX_REPORTS:
-            return _bad_request(f"reports must hold 1 to {MAX_REPORTS} reports")
+            return bad_request(f"reports must hold 1 to {MAX_REPORTS} reports")
         return self._call(ReportCall(request, reply_mailbox("report")), CALL_TIMEOUT)
 
 
@@ -194,12 +193,9 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Hand a message of another voter to the voter task."""
-        body = _body(MAX_CONSENSUS_BYTES)
-        if isinstance(body, Failure):
-            return _bad_request(body.failure())
-        decoded = decode_envelope(body.unwrap())
+        decoded = read_message(Envelope, MAX_CONSENSUS_BYTES)
         if isinstance(decoded, Failure):
-            return _bad_request(str(decoded.failure()))
+            return bad_request(decoded.failure())
         envelope = decoded.unwrap()
         if envelope.sender not in self._settings.peers:
             return error_response(
@@ -211,10 +207,10 @@
         is_snapshot = isinstance(envelope.body, SnapshotRequest)
         reply: Mailbox[Any] = reply_mailbox("consensus")
         if isinstance(self._voter.post(PeerMessage(envelope, reply)), Failure):
-            return _retry_later("overloaded", "The voter is too far behind; retry.")
+            return retry_later("overloaded", "The voter is too far behind; retry.")
         outcome = reply.get(SNAPSHOT_TIMEOUT if is_snapshot else READ_TIMEOUT)
         if not isinstance(outcome, Success):
-            return _retry_later("no-answer", "The voter did not answer in time.")
+            return retry_later("no-answer", "The voter did not answer in time.")
         cherrypy.response.headers["Content-Type"] = JSON_TYPE
         return encode_envelope(outcome.unwrap())
 
@@ -247,7 +243,7 @@
     """
     root = _Root(voter, settings)
     return make_http_server(
-        "control", settings.bind, root, MAX_CONSENSUS_BYTES, HTTP_THREADS
+        "control", settings.bind, root, MAX_CONSENSUS_BYTES, settings.threads
     )
 
 
@@ -272,7 +268,7 @@
 
 
 @_respond.register
-def _(answer: ConfigurationView) -> bytes:
+def _(answer: StateView) -> bytes:
     return json_response(HTTPStatus.OK, answer)
 
 
@@ -284,7 +280,7 @@
 @_respond.register
 def _(answer: NotLeader) -> bytes:
     if answer.leader is None:
-        _set_retry_after()
+        cherrypy.response.headers["Retry-After"] = "1"
         return json_response(HTTPStatus.SERVICE_UNAVAILABLE, answer, ChangeOutcome)
     request = cherrypy.request
     query = f"?{request.query_string}" if request.query_string else ""
@@ -296,7 +292,7 @@
 
 @_respond.register
 def _(answer: OutcomeUnknown) -> bytes:
-    return _retry_later(
+    return retry_later(
         "outcome-unknown",
         "No majority confirmed the request in time; it may still take effect. "
         "Repeat it with the same id.",
@@ -305,58 +301,7 @@
 
 @_respond.register
 def _(answer: Overloaded) -> bytes:
-    return _retry_later("overloaded", f"{answer.message}; nothing was done. Retry.")
-
-
-def _retry_later(error: str, message: str) -> bytes:
-    _set_retry_after()
-    return error_response(HTTPStatus.SERVICE_UNAVAILABLE, error, message)
-
-
-def _set_retry_after() -> None:
-    cherrypy.response.headers["Retry-After"] = f"{RETRY_AFTER:.0f}"
-
-
-def _unauthorized() -> bytes:
-    cherrypy.response.headers["WWW-Authenticate"] = "Bearer"
-    return error_response(
-        HTTPStatus.UNAUTHORIZED,
-        "unauthorized",
-        "Send the operators' token as 'Authorization: Bearer TOKEN'.",
-    )
-
-
-def _bad_request(problem: str) -> bytes:
-    return error_response(HTTPStatus.BAD_REQUEST, "malformed", problem)
-
-
-def _read_body(expected: Any, limit: int) -> Result[Any, str]:
-    body = _body(limit)
-    if isinstance(body, Failure):
-        return body
-    decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected)
-    return decoded.alt(str)
-
-
-def _body(limit: int) -> Result[bytes, str]:
-    """Whole body of the running request, which must give its length."""
-    text = cherrypy.request.headers.get("Content-Length", "")
-    if not _is_number(text):
-        return Failure("the header Content-Length must give the size of the body")
-    length = int(text)
-    if length > limit:
-        raise cherrypy.HTTPError(
-            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            f"the body has {length} bytes; at most {limit} are accepted",
-        )
-    try:
-        data: bytes = cherrypy.request.rfile.read(length)
-    except TimeoutError:
-        cherrypy.response.headers["Connection"] = "close"
-        return Failure("the body did not arrive in time")
-    if len(data) != length:
-        return Failure(f"the body ended after {len(data)} of {length} bytes")
-    return Success(data)
+    return retry_later("overloaded", f"{answer.message}; nothing was done. Retry.")
 
 
 def _is_number(text: Any) -> bool:
