--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -245,6 +245,26 @@
         del network.members[network.settle()]
         network.settle()
 
+    def test_first_voter_that_steps_down_during_an_admission_leads_again(self) -> None:
+        """The commit needs no other voter, and the other one may learn of it late."""
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                network = Network(seed, founders=NODES[:1])
+                first = network.members[NODES[0]].state
+                network.run(1.5 + seed / 20)
+                while len(first.members) < 2:
+                    network.step()
+                network.cut_off.add(NODES[0])
+                network.run(3.0)
+                network.cut_off.clear()
+                network.run(12.0)
+                disks = network.disks.values()
+                self.assertTrue(all(disk.vote.admitted for disk in disks))
+
+    def test_accepted_entries_never_change_while_voters_are_added(self) -> None:
+        for seed in range(150):
+            run_with_faults(Network(seed, founders=NODES[:1]))
+
     def test_restart_between_admission_and_its_commit(self) -> None:
         network = Network(9, founders=NODES[:1])
         while len(network.members[NODES[0]].state.electorate().members) < 2:
