Bring the backup a record with the answer to an opening packet

Cause: a backup with a stale view dropped the copy of an opening packet, the repeated opening packet went to the backend server without a copy, and the home crashed before another copy. Ruled out: a wrong bucket table; both balancers were at the same revision. Change: the answer to a repeated opening packet passes the backup, which records the flow from it.

--- a/src/wasabigw/core/flows/answers.py
+++ b/src/wasabigw/core/flows/answers.py
@@ -23,6 +23,7 @@
 from wasabigw.core.flows.resets import is_in_doubt
 from wasabigw.core.flows.sending import drop, forward, note_closing
 from wasabigw.core.flows.state import BalancerState, may_send
+from wasabigw.core.flows.targets import Target
 from wasabigw.core.ids import NodeId, Seconds
 from wasabigw.core.view import is_fresh
 
@@ -42,6 +43,8 @@
     first = forwarding.hops == 0
     if first and owner not in (None, state.node) and _needs_home(event, state):
         return _through_home(owner, event, state)
+    if forwarding.copy:
+        _take_copy(event, target, state)
     record = state.records.records.get(event.flow)
     if record is not None and record.target is target:
         note_answer(event, record, state)
@@ -55,11 +58,38 @@
     if not may_send(state, target, event.now):
         return drop(DropReason.STALE_VIEW)
     copy = backup(state.homes, target.id)
-    closes = owner == state.node and isinstance(event, AnswerClosing)
-    if closes and copy is not None and is_fresh(state.view, event.now):
-        bucket = bucket_of(event.flow)
-        return forward(copy, Forwarding(forwarding.hops, bucket, copy=True), state)
-    return [ReturnToCaller(target)]
+    if copy is None or owner != state.node or not is_fresh(state.view, event.now):
+        return [ReturnToCaller(target)]
+    if not _changes_copy(event, record):
+        return [ReturnToCaller(target)]
+    if record is not None:
+        record.copied = event.now
+        record.copied_to = copy
+    bucket = bucket_of(event.flow)
+    return forward(copy, Forwarding(forwarding.hops, bucket, copy=True), state)
+
+
+def _changes_copy(event: AnswerEvent, record: FlowRecord | None) -> bool:
+    """Whether the backup has to see an answer.
+
+    A repeated opening packet goes straight to the backend server, so that the
+    answer to it is the next chance to bring the backup the record.
+    """
+    if isinstance(event, AnswerClosing):
+        return True
+    opens = isinstance(event, AnswerOpened)
+    return opens and record is not None and record.copied is None
+
+
+def _take_copy(event: AnswerEvent, target: Target, state: BalancerState) -> None:
+    """Record a flow whose opening packet did not bring a copy."""
+    if not isinstance(event, AnswerOpened) or event.flow in state.records.records:
+        return
+    if records.is_full(state.records):
+        return
+    bucket = bucket_of(event.flow)
+    record = FlowRecord(target, bucket, event.now, event.now, False, answered=True)
+    records.insert(state.records, event.flow, record)
 
 
 def _needs_home(event: AnswerEvent, state: BalancerState) -> bool:
--- a/tests/test_flow_decisions.py
+++ b/tests/test_flow_decisions.py
@@ -377,3 +377,27 @@
             for flow in flows:
                 sim.send(flow)
         self.assertEqual(sim.faults[:3], [])
+
+
+class LostCopies(unittest.TestCase):
+    """Guards against a backup that counts as complete without having a flow."""
+
+    def test_opening_answer_brings_the_record_that_the_opening_did_not(self) -> None:
+        sim = make_simulation(21)
+        name = BackendServerId("b1")
+        owner = home_of(sim, "b1").state
+        key = opened_key(sim, "b1")
+        opening = e.FlowOpened(key, SEATS, sim.time())
+        [copied] = handle(opening, owner)
+        assert isinstance(copied, d.ForwardToNode)
+        # The backup drops the copy; the caller repeats the opening packet.
+        self.assertIsInstance(handle(opening, owner)[0], d.SendToBackend)
+        answer = e.AnswerOpened(key, name, sim.time())
+        [passed] = handle(answer, owner)
+        assert isinstance(passed, d.ForwardToNode)
+        second = sim.balancers[passed.node].state
+        forwarded = e.Forwarded(owner.node, passed.forwarding, answer)
+        self.assertIsInstance(handle(forwarded, second)[0], d.ReturnToCaller)
+        self.assertEqual(second.records.records[key].target.id, name)
+        # A flow whose copy arrived needs no second one.
+        self.assertIsInstance(handle(answer, owner)[0], d.ReturnToCaller)
