--- a/src/wasabigw_demo/records.py
+++ b/src/wasabigw_demo/records.py
@@ -17,6 +17,9 @@
     SPAN = "span"
     ANNOUNCEMENT = "announcement"
     SUMMARY = "summary"
+    OPENED = "opened"
+    PACKETS = "packets"
+    STRAY = "stray"
 
 
 class RecordWriter(AbstractContextManager["RecordWriter"]):
