--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format types demo compare-mapping
+.PHONY: setup test lint format types demo tour compare-mapping
 
 setup: $(VENV)/.installed
 
@@ -29,5 +29,8 @@
 demo: setup
 	$(BIN)/python -m wasabigw_demo
 
+tour: setup
+	$(BIN)/python -m wasabigw_demo.tour run
+
 compare-mapping: setup
 	$(BIN)/python -m wasabigw_measure.compare_mapping
