Put the limits of the settings into force

limits.* could be set and changed nothing, and the HTTP server had figures of its own. Flow cache, flow records, mailboxes of the packet and voter tasks, request bodies, HTTP threads and queue now follow the settings of both roles.

The test of silent clients patched a constant that was bound before, so it ran with 64 threads and proved nothing; it now has one thread.

--- a/src/wasabigw/roles.py
+++ b/src/wasabigw/roles.py
@@ -18,6 +18,7 @@
 from wasabigw.settings import Role, Settings
 from wasabigw.tasks.balancer import BalancerSettings, make_balancer
 from wasabigw.tasks.control_plane import make_control_plane
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.storage import open_storage
 from wasabigw.tasks.voter_task import VoterSettings
 
@@ -49,6 +50,7 @@
     settings: VoterSettings
     data_folder: Path
     token: str
+    limits: ProcessLimits = DEFAULT_LIMITS
 
 
 def run_role(settings: Settings) -> Result[None, RoleError]:
@@ -96,7 +98,12 @@
             timer = stack.enter_context(TimerService())
             stack.enter_context(
                 make_control_plane(
-                    process.settings, process.token, storage, apply, timer
+                    process.settings,
+                    process.token,
+                    storage,
+                    apply,
+                    timer,
+                    limits=process.limits,
                 )
             )
             stop.wait()
@@ -118,7 +125,10 @@
     assert settings.data_folder is not None
     voters = {NodeId(name): endpoint for name, endpoint in settings.voters.items()}
     return ControlProcess(
-        VoterSettings(settings.node, voters), settings.data_folder, token
+        VoterSettings(settings.node, voters),
+        settings.data_folder,
+        token,
+        _limits(settings),
     )
 
 
@@ -140,12 +150,16 @@
             settings.control_endpoints,
             token,
             settings.trace_file,
-            settings.limits.trace_file_bytes,
             settings.trace_sample_rate,
+            _limits(settings),
         )
     )
 
 
+def _limits(settings: Settings) -> ProcessLimits:
+    return ProcessLimits(**settings.limits.model_dump())
+
+
 def _read_token(path: Path) -> Result[str, RoleError]:
     try:
         token = path.read_text(encoding="ascii").strip()
--- a/src/wasabigw/settings.py
+++ b/src/wasabigw/settings.py
@@ -44,15 +44,18 @@
     flow_records: int = Field(default=400_000, strict=True, ge=1, le=4_000_000)
     """Flows that a home records (entries); at the limit new flows are refused."""
     mailbox_messages: int = Field(default=65_536, strict=True, ge=16, le=1_000_000)
-    """Messages that wait for one task (messages); at the limit more are refused."""
+    """Messages that wait for the packet task of a balancer or the voter task
+    (messages); at the limit HTTP requests get 503, and what repeats itself is lost."""
     request_body_bytes: int = Field(
-        default=1_048_576, strict=True, ge=1_024, le=67_108_864
+        default=1_048_576, strict=True, ge=65_536, le=67_108_864
     )
-    """Largest body of an HTTP request (bytes); a larger one is refused with 413."""
+    """Largest body of an HTTP request (bytes), but for messages between voters, which
+    may have 64 MiB; a larger one is refused with 413."""
     http_threads: int = Field(default=64, strict=True, ge=2, le=1_024)
-    """Threads of the HTTP server (threads); further requests wait."""
+    """Requests that the HTTP server handles at the same time (threads); on a control
+    VM each balancer holds one with its log poll."""
     http_queue: int = Field(default=256, strict=True, ge=1, le=4_096)
-    """Connections that wait for an HTTP thread (connections)."""
+    """Connections that wait for an HTTP thread (connections); further ones get 503."""
     trace_file_bytes: int = Field(
         default=67_108_864, strict=True, ge=4_096, le=17_179_869_184
     )
--- a/src/wasabigw/tasks/balancer.py
+++ b/src/wasabigw/tasks/balancer.py
@@ -16,6 +16,7 @@
 from wasabigw.runtime.timer import TimerService, monotonic
 from wasabigw.tasks.handover_sender import make_handover_sender
 from wasabigw.tasks.http_balancer import BalancerApiSettings, make_balancer_server
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.log_follower import (
     LogFollower,
     make_follower_mailbox,
@@ -62,8 +63,8 @@
     control: Sequence[Endpoint]
     token: str
     trace_file: Path | None = None
-    trace_file_bytes: int = 64 * 2**20
     trace_sample_rate: float = 0.0
+    limits: ProcessLimits = DEFAULT_LIMITS
 
 
 class Balancer(AbstractContextManager["Balancer"]):
@@ -128,12 +129,12 @@
             reports.mailbox, handovers.mailbox, applied, self._start_traces(stack)
         )
         packet_settings = PacketTaskSettings(
-            node, settings.fabric, settings.trace_sample_rate
+            node, settings.fabric, settings.trace_sample_rate, settings.limits
         )
         packets = stack.enter_context(make_packet_task(packet_settings, outputs))
         timer.subscribe(packets.mailbox, UPKEEP_PERIOD, UPKEEP_TICK)
         timer.subscribe(packets.mailbox, PING_PERIOD, PING_TICK)
-        api = BalancerApiSettings(node.api, settings.token)
+        api = BalancerApiSettings(node.api, settings.token, settings.limits)
         stack.enter_context(make_balancer_server(packets.mailbox, api, Handover))
         follower = make_log_follower(node, settings.control, packets.mailbox, applied)
         self._follower = stack.enter_context(follower)
@@ -143,7 +144,7 @@
         settings = self._settings
         if settings.trace_file is None:
             return None
-        file = TraceFileTask(settings.trace_file, settings.trace_file_bytes)
+        file = TraceFileTask(settings.trace_file, settings.limits.trace_file_bytes)
         spans = stack.enter_context(file)
         return stack.enter_context(make_span_export(spans.mailbox)).mailbox
 
--- a/src/wasabigw/tasks/control_plane.py
+++ b/src/wasabigw/tasks/control_plane.py
@@ -12,6 +12,7 @@
 from wasabigw.runtime.timer import TimerService
 from wasabigw.tasks.http_control import ControlApiSettings, make_control_server
 from wasabigw.tasks.http_server import HttpServer
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.voter_calls import VoterMessage
 from wasabigw.tasks.voter_link import VoterLink, make_voter_link
@@ -59,6 +60,7 @@
     apply_command: ApplyCommand,
     timer: TimerService,
     bind: Endpoint | None = None,
+    limits: ProcessLimits = DEFAULT_LIMITS,
 ) -> ControlPlane:
     """Voter of a control VM, which takes over the opened data directory.
 
@@ -66,7 +68,9 @@
     :param timer: running timer service.
     :param bind: where to listen, if not at the own endpoint of the settings.
     """
-    mailbox: Mailbox[VoterMessage | Stop] = Mailbox(f"voter-{settings.node}")
+    mailbox: Mailbox[VoterMessage | Stop] = Mailbox(
+        f"voter-{settings.node}", limits.mailbox_messages
+    )
     links = {
         peer: make_voter_link(peer, api, mailbox)
         for peer, api in settings.voters.items()
@@ -81,6 +85,6 @@
         timer,
     )
     own: Endpoint = bind or settings.voters[NodeId(settings.node)]
-    api = ControlApiSettings(own, token, tuple(links))
+    api = ControlApiSettings(own, token, tuple(links), limits)
     server = make_control_server(mailbox, api)
     return ControlPlane(voter, server, tuple(links.values()), ExitStack())
--- a/src/wasabigw/tasks/http_balancer.py
+++ b/src/wasabigw/tasks/http_balancer.py
@@ -33,6 +33,7 @@
     unauthorized,
 )
 from wasabigw.tasks.http_server import HttpServer, json_response, make_http_server
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.messages import (
     AnnouncementRequest,
     FlowRequest,
@@ -41,7 +42,6 @@
     StatusRequest,
 )
 
-MAX_BODY_BYTES = 64 * 1024
 REPLY_TIMEOUT = Seconds(2.0)
 """Longest wait for the packet task."""
 
@@ -55,6 +55,7 @@
 
     bind: Endpoint
     token: str
+    limits: ProcessLimits = DEFAULT_LIMITS
 
 
 class _Resource:
@@ -81,7 +82,7 @@
 
     def POST(self) -> bytes:  # noqa: N802 - method names of cherrypy
         """Hand the announcement of a backend server to its home."""
-        decoded = read_message(Announcement, MAX_BODY_BYTES)
+        decoded = read_message(Announcement, self._settings.limits.request_body_bytes)
         if isinstance(decoded, Failure):
             return bad_request(decoded.failure())
         return self._call(AnnouncementRequest(decoded.unwrap(), _reply_mailbox()))
@@ -125,7 +126,7 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Take records over from a balancer that drains."""
-        decoded = read_message(self._body, MAX_BODY_BYTES)
+        decoded = read_message(self._body, self._settings.limits.request_body_bytes)
         if isinstance(decoded, Failure):
             return bad_request(decoded.failure())
         return self._call(HandoverRequest(decoded.unwrap(), _reply_mailbox()))
@@ -177,7 +178,10 @@
     :param handover: message type of the body of ``POST /v1/handover``.
     """
     root = _Root(_Version1(packets, settings, handover))
-    return make_http_server("balancer", settings.bind, root, MAX_BODY_BYTES)
+    limits = settings.limits
+    return make_http_server(
+        "balancer", settings.bind, root, limits.request_body_bytes, limits
+    )
 
 
 @singledispatch
--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -37,6 +37,7 @@
     json_response,
     make_http_server,
 )
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
     ConfigurationView,
@@ -50,8 +51,6 @@
     reply_mailbox,
 )
 
-MAX_CHANGE_BYTES = 512 * 1024
-MAX_REPORT_BYTES = 512 * 1024
 MAX_CONSENSUS_BYTES = 64 * 1024 * 1024
 """Holds a snapshot, or as many entries as one append request may carry."""
 MAX_REPORTS = 2_000
@@ -65,8 +64,6 @@
 """Longest wait for an answer that needs no commit, beyond the wait of a poll."""
 SNAPSHOT_TIMEOUT = Seconds(30.0)
 RETRY_AFTER = Seconds(1.0)
-HTTP_THREADS = 64
-"""Requests handled at the same time, most of them log polls that wait."""
 
 _REFUSAL_STATUS = {
     RefusalCode.CONFLICT: HTTPStatus.CONFLICT,
@@ -89,6 +86,7 @@
     bind: Endpoint
     token: str
     peers: Collection[NodeId]
+    limits: ProcessLimits = DEFAULT_LIMITS
 
 
 class _Resource:
@@ -124,7 +122,7 @@
         """Accept an operator's change."""
         if not self._is_operator():
             return _unauthorized()
-        decoded = _read_body(ChangeRequest, MAX_CHANGE_BYTES)
+        decoded = _read_body(ChangeRequest, self._settings.limits.request_body_bytes)
         if isinstance(decoded, Failure):
             return _bad_request(decoded.failure())
         request: ChangeRequest = decoded.unwrap()
@@ -177,7 +175,7 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Accept reports of a balancer."""
-        decoded = _read_body(ReportRequest, MAX_REPORT_BYTES)
+        decoded = _read_body(ReportRequest, self._settings.limits.request_body_bytes)
         if isinstance(decoded, Failure):
             return _bad_request(decoded.failure())
         request: ReportRequest = decoded.unwrap()
@@ -247,7 +245,7 @@
     """
     root = _Root(voter, settings)
     return make_http_server(
-        "control", settings.bind, root, MAX_CONSENSUS_BYTES, HTTP_THREADS
+        "control", settings.bind, root, MAX_CONSENSUS_BYTES, settings.limits
     )
 
 
--- a/src/wasabigw/tasks/http_server.py
+++ b/src/wasabigw/tasks/http_server.py
@@ -18,13 +18,10 @@
 from wasabigw.codec.messages import encode
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
 
-THREADS = 16
-"""Requests that one server handles at the same time."""
-WAITING_CONNECTIONS = 128
-"""Connections that wait for a thread; further ones get a 503."""
 IDLE_CONNECTIONS = 512
 """Idle connections that are kept; beyond it a response closes its connection."""
 SESSION_IDLE = Seconds(30.0)
@@ -69,22 +66,28 @@
 
     :param root: exposed object; its attributes are the path segments.
     :param max_body: largest request body in bytes.
-    :param threads: requests handled at the same time.
+    :param limits: its ``http_threads`` are the requests handled at the same time;
+        ``http_queue`` further connections wait, and those beyond it get a 503.
     """
 
     def __init__(
-        self, name: str, bind: Endpoint, root: object, max_body: int, threads: int
+        self,
+        name: str,
+        bind: Endpoint,
+        root: object,
+        max_body: int,
+        limits: ProcessLimits,
     ) -> None:
         self._name = name
         self._server = _Server(
             (bind.address, bind.port),
             _limited(_application(root), max_body),
-            numthreads=threads,
-            max=threads,
+            numthreads=limits.http_threads,
+            max=limits.http_threads,
             server_name=name,
-            request_queue_size=WAITING_CONNECTIONS,
+            request_queue_size=limits.http_queue,
             timeout=int(SESSION_IDLE),
-            accepted_queue_size=WAITING_CONNECTIONS,
+            accepted_queue_size=limits.http_queue,
             # The thread that accepts connections must not wait for a worker.
             accepted_queue_timeout=0,
         )
@@ -124,10 +127,14 @@
 
 
 def make_http_server(
-    name: str, bind: Endpoint, root: object, max_body: int, threads: int = THREADS
+    name: str,
+    bind: Endpoint,
+    root: object,
+    max_body: int,
+    limits: ProcessLimits = DEFAULT_LIMITS,
 ) -> HttpServer:
     """Server for an exposed object; port 0 takes a free one."""
-    return HttpServer(name, bind, root, max_body, threads)
+    return HttpServer(name, bind, root, max_body, limits)
 
 
 def json_response(status: int, message: Any, declared: Any = None) -> bytes:
--- a/src/wasabigw/tasks/packet_task.py
+++ b/src/wasabigw/tasks/packet_task.py
@@ -48,6 +48,7 @@
 from wasabigw.tasks.balancer_queries import flow_path, status_of
 from wasabigw.tasks.fast_path import FastPath
 from wasabigw.tasks.hop_tracing import Hop, HopTracer
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.log_application import LogApplication
 from wasabigw.tasks.messages import (
     AnnouncementRequest,
@@ -99,6 +100,7 @@
     node: Node
     fabric: Endpoint
     trace_sample_rate: float = 0.0
+    limits: ProcessLimits = DEFAULT_LIMITS
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +139,8 @@
         self._state: BalancerState = make_state(
             node.id, node.failure_domain, admission, prepare_rewrites
         )
+        self._state.cache.limit = settings.limits.flow_cache_entries
+        self._state.records.limit = settings.limits.flow_records
         self._fast = FastPath(self._state)
         self._output = PacketOutput(
             self._socket, settings.fabric, outputs.reports, outputs.handovers
@@ -437,5 +441,7 @@
     settings: PacketTaskSettings, outputs: PacketTaskOutputs
 ) -> PacketTask:
     """Packet task of a balancer; entering its context binds the socket."""
-    mailbox: SelectableMailbox[PacketTaskMessage | Stop] = SelectableMailbox("packets")
+    mailbox: SelectableMailbox[PacketTaskMessage | Stop] = SelectableMailbox(
+        "packets", settings.limits.mailbox_messages
+    )
     return PacketTask(settings, outputs, mailbox)
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -30,11 +30,11 @@
 from wasabigw.tasks import http_server
 from wasabigw.tasks.control_plane import ControlPlane, make_control_plane
 from wasabigw.tasks.http_control import (
-    MAX_CHANGE_BYTES,
     ControlApiSettings,
     make_control_server,
 )
 from wasabigw.tasks.http_server import ApiError, HttpServer
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.storage import bootstrap, open_storage
 from wasabigw.tasks.voter_calls import Overloaded
 from wasabigw.tasks.voter_task import VoterSettings
@@ -161,7 +161,7 @@
         self.assert_error(self.call("POST", "/v1/consensus", data=body), 403)
 
     def test_body_over_the_limit(self) -> None:
-        body = b" " * (MAX_CHANGE_BYTES + 1)
+        body = b" " * (DEFAULT_LIMITS.request_body_bytes + 1)
         self.assert_error(self.call("POST", "/v1/changes", data=body), 413)
 
     def test_body_of_unknown_length(self) -> None:
@@ -175,9 +175,9 @@
     def test_silent_client_frees_its_thread(self) -> None:
         with ExitStack() as stack:
             stack.enter_context(mock.patch.object(http_server, "READ_TIMEOUT", 0.2))
-            stack.enter_context(mock.patch.object(http_server, "THREADS", 1))
             voter = stack.enter_context(FixedVoter(NotLeader(None)))
-            settings = ControlApiSettings(LOOPBACK, TOKEN, NODES)
+            one_thread = ProcessLimits(http_threads=1)
+            settings = ControlApiSettings(LOOPBACK, TOKEN, NODES, one_thread)
             server = stack.enter_context(make_control_server(voter.mailbox, settings))
             address = (server.endpoint.address, server.endpoint.port)
             head = b"POST /v1/changes HTTP/1.1\r\nHost: x\r\n"
--- a/tests/test_http_balancer.py
+++ b/tests/test_http_balancer.py
@@ -23,6 +23,7 @@
 from wasabigw.core.states import BackendServerState, Protocol
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.tasks import http_balancer
+from wasabigw.tasks.limits import DEFAULT_LIMITS
 from wasabigw.tasks.messages import (
     AnnouncementRequest,
     FlowRequest,
@@ -137,7 +138,7 @@
         self.assertEqual(messages[2].handover, Records(3))
 
     def test_bad_requests_get_a_typed_error_and_reach_nobody(self) -> None:
-        large = bytes(http_balancer.MAX_BODY_BYTES + 1)
+        large = bytes(DEFAULT_LIMITS.request_body_bytes + 1)
         no_port = "/v1/flows?protocol=tcp&caller=10.1.0.1&service=10.9.0.1:80"
         no_protocol = "/v1/flows?caller=10.1.0.1:1&service=10.9.0.1:80"
         cases: list[tuple[str, str, bytes | None, int]] = [
