Ignore unknown keys between processes of different versions

A newer process that added a field to a message was refused by older ones, so an upgrade would have cost leases and log polls. Keys that the receiver does not know are now ignored and logged once in messages between processes, in announcements and in records on disk. What operators write is still refused.

--- a/src/wasabigw/codec/consensus.py
+++ b/src/wasabigw/codec/consensus.py
@@ -2,7 +2,13 @@
 
 from returns.result import Result
 
-from wasabigw.codec.messages import MalformedMessage, decode, encode, register_union
+from wasabigw.codec.messages import (
+    MalformedMessage,
+    UnknownKeys,
+    decode,
+    encode,
+    register_union,
+)
 from wasabigw.core.consensus.messages import Body, Envelope
 
 register_union(Body)
@@ -15,4 +21,4 @@
 
 def decode_envelope(data: bytes) -> Result[Envelope, MalformedMessage]:
     """Message from JSON text."""
-    return decode(data, Envelope)
+    return decode(data, Envelope, UnknownKeys.IGNORE)
--- a/src/wasabigw/codec/log_poll.py
+++ b/src/wasabigw/codec/log_poll.py
@@ -47,7 +47,7 @@
 
 
 def poll_from_query(query: Mapping[str, Any]) -> Result[LogPoll, MalformedMessage]:
-    """Poll from query parameters."""
+    """Poll from query parameters; those of a newer version are ignored."""
     problems = _names_problems(query)
     if problems:
         return Failure(MalformedMessage(tuple(problems)))
@@ -74,7 +74,7 @@
 
 
 def _names_problems(query: Mapping[str, Any]) -> list[str]:
-    problems = [f"unknown parameter {name}" for name in sorted(set(query) - {*_NAMES})]
+    problems = []
     for name in _NAMES:
         value = query.get(name)
         if not isinstance(value, str) or not 0 < len(value) <= _MAX_NAME:
--- a/src/wasabigw/codec/messages.py
+++ b/src/wasabigw/codec/messages.py
@@ -1,11 +1,15 @@
 """JSON encoding of the typed messages between processes and files.
 
 Dataclasses become objects; a member of a union carries its class name under
-``kind``. Unknown keys, missing keys and wrong types are errors.
+``kind``. Missing keys, wrong types and unknown kinds are errors. Unknown keys are
+errors in what people write, and are left out of what processes of different versions
+send each other; docs/operations/upgrade.md has the rule.
 """
 
 import json
+from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import Enum
 from functools import cache
 from typing import Any, TypeVar
 
@@ -16,8 +20,13 @@
 
 from wasabigw.codec import strict_json
 from wasabigw.core import cluster, commands, log_messages
+from wasabigw.telemetry.events_daemon import DaemonEvent
+from wasabigw.telemetry.log_events import log
 
 KIND = "kind"
+MAX_LOGGED_KEYS = 256
+"""Ignored keys that are logged; a sender that makes keys up can't fill the log."""
+MAX_KEY_LENGTH = 80
 Message = TypeVar("Message")
 
 _UNIONS: tuple[Any, ...] = (
@@ -30,6 +39,8 @@
     log_messages.LogBatch | log_messages.NotLeader,
 )
 
+_logged_keys: set[tuple[str, str]] = set()
+
 
 @dataclass(frozen=True, slots=True)
 class MalformedMessage:
@@ -44,6 +55,13 @@
         return "; ".join(self.problems)
 
 
+class UnknownKeys(Enum):
+    """What happens to keys that the expected message does not have."""
+
+    REFUSE = "refuse"
+    IGNORE = "ignore"
+
+
 def _strict(expected: type) -> Any:
     def structure(value: Any, _: Any) -> Any:
         if type(value) is not expected:
@@ -60,24 +78,25 @@
 
 
 def _bucket_table_to_json(table: cluster.BucketTable) -> dict[str, Any]:
+    convert = _converter(UnknownKeys.REFUSE).unstructure
     return {
         "current": table.current,
-        "others": [[b, _converter().unstructure(c)] for b, c in table.others.items()],
+        "others": [[bucket, convert(c)] for bucket, c in table.others.items()],
         "moved_at": [[bucket, at] for bucket, at in table.moved_at.items()],
     }
 
 
-def _bucket_table_from_json(value: Any, _: Any) -> cluster.BucketTable:
+def _bucket_table_from_json(value: Any, unknown: UnknownKeys) -> cluster.BucketTable:
     others = {
-        bucket: _converter().structure(candidates, list[cluster.Candidate])
+        bucket: _converter(unknown).structure(candidates, list[cluster.Candidate])
         for bucket, candidates in value["others"]
     }
     return cluster.BucketTable(value["current"], others, dict(value["moved_at"]))
 
 
 @cache
-def _converter() -> cattrs.Converter:
-    converter = make_converter(forbid_extra_keys=True)
+def _converter(unknown: UnknownKeys) -> cattrs.Converter:
+    converter = make_converter(forbid_extra_keys=unknown is UnknownKeys.REFUSE)
     converter.register_structure_hook(int, _strict(int))
     converter.register_structure_hook(bool, _strict(bool))
     converter.register_structure_hook(str, _strict(str))
@@ -85,7 +104,9 @@
     for union in _UNIONS:
         configure_tagged_union(union, converter, tag_name=KIND)
     converter.register_unstructure_hook(cluster.BucketTable, _bucket_table_to_json)
-    converter.register_structure_hook(cluster.BucketTable, _bucket_table_from_json)
+    converter.register_structure_hook(
+        cluster.BucketTable, lambda value, _: _bucket_table_from_json(value, unknown)
+    )
     return converter
 
 
@@ -95,7 +116,8 @@
     Modules that declare messages of their own call it once at import, before any
     message that contains the union is encoded.
     """
-    configure_tagged_union(union, _converter(), tag_name=KIND)
+    for unknown in UnknownKeys:
+        configure_tagged_union(union, _converter(unknown), tag_name=KIND)
 
 
 def to_json(message: Any, declared: Any = None) -> Any:
@@ -103,16 +125,31 @@
 
     :param declared: the union, where the receiver expects one.
     """
-    return _converter().unstructure(message, unstructure_as=declared)
+    converter = _converter(UnknownKeys.REFUSE)
+    return converter.unstructure(message, unstructure_as=declared)
+
 
+def from_json(
+    value: Any, expected: Any, unknown: UnknownKeys = UnknownKeys.REFUSE
+) -> Result[Any, MalformedMessage]:
+    """Message of type ``expected`` (a dataclass or a union) from a JSON value.
 
-def from_json(value: Any, expected: Any) -> Result[Any, MalformedMessage]:
-    """Message of type ``expected`` (a dataclass or a union) from a JSON value."""
+    :param unknown: ignored keys are logged once for each type of message.
+    """
     try:
-        return Success(_converter().structure(value, expected))
+        return Success(_converter(UnknownKeys.REFUSE).structure(value, expected))
     except Exception as error:
         # cattrs raises groups, KeyError, TypeError and ValueError for bad input.
+        found = frozenset(_unknown_keys(error))
+        if unknown is UnknownKeys.REFUSE or not found:
+            return Failure(MalformedMessage(tuple(_problems(error, expected))))
+    try:
+        message = _converter(UnknownKeys.IGNORE).structure(value, expected)
+    except Exception as error:
         return Failure(MalformedMessage(tuple(_problems(error, expected))))
+    for name, key in sorted(found):
+        _log_once(name, key)
+    return Success(message)
 
 
 def encode(message: Any, declared: Any = None) -> bytes:
@@ -120,13 +157,32 @@
     return json.dumps(to_json(message, declared), separators=(",", ":")).encode()
 
 
-def decode(data: bytes, expected: Any) -> Result[Any, MalformedMessage]:
-    """Message of type ``expected`` from JSON text."""
+def decode(
+    data: bytes, expected: Any, unknown: UnknownKeys = UnknownKeys.REFUSE
+) -> Result[Any, MalformedMessage]:
+    """Message of type ``expected`` from JSON text; see :func:`from_json`."""
     try:
         value = strict_json.loads(data)
     except (ValueError, RecursionError) as error:
         return Failure(MalformedMessage((f"not valid JSON: {error}",)))
-    return from_json(value, expected)
+    return from_json(value, expected, unknown)
+
+
+def _unknown_keys(error: BaseException) -> Iterator[tuple[str, str]]:
+    """Type of message and key for each key that it does not have."""
+    if isinstance(error, cattrs.ForbiddenExtraKeysError):
+        for key in error.extra_fields:
+            yield getattr(error.cl, "__name__", str(error.cl)), str(key)
+    elif isinstance(error, BaseExceptionGroup):
+        for inner in error.exceptions:
+            yield from _unknown_keys(inner)
+
+
+def _log_once(name: str, key: str) -> None:
+    if (name, key) in _logged_keys or len(_logged_keys) >= MAX_LOGGED_KEYS:
+        return
+    _logged_keys.add((name, key))
+    log(DaemonEvent.KEY_IGNORED, key=ascii(key[:MAX_KEY_LENGTH]), message=name)
 
 
 def _problems(error: Exception, expected: Any) -> list[str]:
--- a/src/wasabigw/ctl/api.py
+++ b/src/wasabigw/ctl/api.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from wasabigw.codec import messages
+from wasabigw.codec.messages import UnknownKeys
 from wasabigw.core.cluster import (
     Applied,
     BackendServer,
@@ -139,7 +140,7 @@
 def _change_outcome(answer: ApiAnswer) -> Result[Applied, CtlError]:
     if answer.status in UNAUTHORIZED_STATUSES:
         return Failure(Unauthorized(answer.status))
-    decoded = messages.decode(answer.body, ChangeOutcome)
+    decoded = messages.decode(answer.body, ChangeOutcome, UnknownKeys.IGNORE)
     outcome = decoded.value_or(None)
     if isinstance(outcome, Applied):
         return Success(outcome)
@@ -173,7 +174,7 @@
     accepted = _accepted(answer)
     if not isinstance(accepted, Success):
         return Failure(accepted.failure())
-    decoded = messages.decode(answer.body, InForce)
+    decoded = messages.decode(answer.body, InForce, UnknownKeys.IGNORE)
     if isinstance(decoded, Success):
         return Success(decoded.unwrap())
     return Failure(UnexpectedAnswer(answer.status, str(decoded.failure())))
@@ -187,7 +188,7 @@
     value = parsed.unwrap()
     parts: dict[str, Any] = {}
     for key, expected in {**_REVISIONS, **_TABLES}.items():
-        decoded = messages.from_json(value.get(key), expected)
+        decoded = messages.from_json(value.get(key), expected, UnknownKeys.IGNORE)
         if not isinstance(decoded, Success):
             detail = f"state, {key}: {decoded.failure()}"
             return Failure(UnexpectedAnswer(answer.status, detail))
--- a/src/wasabigw/tasks/control_client.py
+++ b/src/wasabigw/tasks/control_client.py
@@ -12,7 +12,7 @@
 import requests
 from returns.result import Failure, Result, Success
 
-from wasabigw.codec.messages import decode
+from wasabigw.codec.messages import UnknownKeys, decode
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.log_messages import NotLeader
@@ -155,7 +155,7 @@
     def _decode(
         self, call: ControlCall, status: int, body: bytes
     ) -> Result[Any, CallProblem]:
-        decoded = decode(body, call.expected)
+        decoded = decode(body, call.expected, UnknownKeys.IGNORE)
         answer = decoded.unwrap() if isinstance(decoded, Success) else None
         if isinstance(answer, NotLeader):
             return self._problem(
--- a/src/wasabigw/tasks/http_bodies.py
+++ b/src/wasabigw/tasks/http_bodies.py
@@ -7,7 +7,7 @@
 import cherrypy
 from returns.result import Failure, Result, Success
 
-from wasabigw.codec.messages import MalformedMessage, decode
+from wasabigw.codec.messages import MalformedMessage, UnknownKeys, decode
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.endpoints import MAX_PORT
 from wasabigw.tasks.http_server import error_response
@@ -21,7 +21,9 @@
     body = _read_body(limit)
     if isinstance(body, Failure):
         return body
-    decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected)
+    decoded: Result[Any, MalformedMessage] = decode(
+        body.unwrap(), expected, UnknownKeys.IGNORE
+    )
     return decoded.alt(str)
 
 
--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -16,7 +16,7 @@
 
 from wasabigw.codec.consensus import decode_envelope, encode_envelope
 from wasabigw.codec.log_poll import poll_from_query
-from wasabigw.codec.messages import MalformedMessage, decode
+from wasabigw.codec.messages import MalformedMessage, UnknownKeys, decode
 from wasabigw.core.cluster import Applied, Endpoint, Refusal
 from wasabigw.core.commands import ChangeRequest
 from wasabigw.core.consensus.messages import SnapshotRequest
@@ -175,7 +175,9 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Accept reports of a balancer."""
-        decoded = _read_body(ReportRequest, self._settings.limits.request_body_bytes)
+        decoded = _read_body(
+            ReportRequest, self._settings.limits.request_body_bytes, UnknownKeys.IGNORE
+        )
         if isinstance(decoded, Failure):
             return _bad_request(decoded.failure())
         request: ReportRequest = decoded.unwrap()
@@ -328,11 +330,13 @@
     return error_response(HTTPStatus.BAD_REQUEST, "malformed", problem)
 
 
-def _read_body(expected: Any, limit: int) -> Result[Any, str]:
+def _read_body(
+    expected: Any, limit: int, unknown: UnknownKeys = UnknownKeys.REFUSE
+) -> Result[Any, str]:
     body = _body(limit)
     if isinstance(body, Failure):
         return body
-    decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected)
+    decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected, unknown)
     return decoded.alt(str)
 
 
--- a/src/wasabigw/tasks/storage_records.py
+++ b/src/wasabigw/tasks/storage_records.py
@@ -5,7 +5,7 @@
 
 from returns.result import Failure, Result
 
-from wasabigw.codec.messages import decode, encode
+from wasabigw.codec.messages import UnknownKeys, decode, encode
 
 _PREFIX = b'{"crc32":"'
 _MIDDLE = b'","record":'
@@ -26,7 +26,9 @@
     head = _PREFIX + _checksum(payload) + _MIDDLE
     if line[:_PAYLOAD_AT] != head or line[-len(_SUFFIX) :] != _SUFFIX:
         return Failure("the record is incomplete or its CRC-32 does not match")
-    return decode(payload, expected).alt(lambda problem: f"unexpected data: {problem}")
+    # A newer version may have written the record before the VM went back to this one.
+    decoded = decode(payload, expected, UnknownKeys.IGNORE)
+    return decoded.alt(lambda problem: f"unexpected data: {problem}")
 
 
 def read_document(data: bytes, expected: Any) -> Result[Any, str]:
--- a/src/wasabigw/telemetry/events_daemon.py
+++ b/src/wasabigw/telemetry/events_daemon.py
@@ -33,6 +33,13 @@
         "created the operator token file {path}",
         "Copy the file to the other VMs; all processes need the same token.",
     )
+    KEY_IGNORED = EventDefinition(
+        4020,
+        logging.WARNING,
+        "ignored the unknown key {key} in a message of type {message}",
+        "Expected while processes of two versions run; otherwise look for a sender "
+        "that misspells a key. Each key is logged once.",
+    )
     TRACE_FILE_FAILED = EventDefinition(
         4100,
         logging.WARNING,
--- a/tests/test_message_codec.py
+++ b/tests/test_message_codec.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Success
 
 from wasabigw.codec import messages
+from wasabigw.codec.messages import UnknownKeys
 from wasabigw.core import commands
 from wasabigw.core.buckets import assign_buckets, empty_table, move_buckets
 from wasabigw.core.cluster import Applied, ClusterState, Endpoint, Service
@@ -119,3 +120,35 @@
     def test_repeated_key_is_refused(self) -> None:
         text = '{"address":"10.0.0.1","port":1,"port":2}'
         self.refused(text, Endpoint)
+
+
+class MixedVersions(unittest.TestCase):
+    """Guards against an upgrade in which old processes refuse what new ones send."""
+
+    def batch(self) -> tuple[LogBatch, Any]:
+        entry = LogEntry(Revision(1), Term(1), change(1))
+        message = LogBatch(Term(1), Revision(1), Seconds(1.0), (entry,))
+        value = messages.to_json(message)
+        value["from_a_newer_version"] = [1]
+        value["entries"][0]["command"]["change"]["also_new"] = {"a": 1}
+        return message, value
+
+    def test_added_keys_are_left_out_at_any_depth_and_logged_once(self) -> None:
+        message, value = self.batch()
+        with self.assertLogs(level="WARNING") as logged:
+            for _ in range(2):
+                read = messages.from_json(value, LogBatch, UnknownKeys.IGNORE)
+                self.assertEqual(read, Success(message))
+        text = "\n".join(logged.output)
+        for key in ("from_a_newer_version", "also_new"):
+            self.assertEqual(text.count(key), 1)
+
+    def test_what_people_write_may_not_have_them(self) -> None:
+        _, value = self.batch()
+        self.assertIsInstance(messages.from_json(value, LogBatch), Failure)
+
+    def test_other_damage_is_still_refused(self) -> None:
+        _, value = self.batch()
+        del value["term"]
+        read = messages.from_json(value, LogBatch, UnknownKeys.IGNORE)
+        self.assertIn("term", str(read.failure()))
