--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -15,6 +15,7 @@
 
 from wasabigw.codec.consensus import encode_envelope
 from wasabigw.codec.log_poll import poll_from_query
+from wasabigw.codec.messages import UnknownKeys
 from wasabigw.core.cluster import Applied, Endpoint, Refusal
 from wasabigw.core.commands import ChangeRequest
 from wasabigw.core.consensus.messages import Envelope, SnapshotRequest
@@ -42,6 +43,7 @@
     json_response,
     make_http_server,
 )
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
     InForceCall,
@@ -55,10 +57,6 @@
     reply_mailbox,
 )
 
-THREADS = 64
-"""Each held log poll occupies one thread."""
-MAX_CHANGE_BYTES = 512 * 1024
-MAX_REPORT_BYTES = 512 * 1024
 MAX_CONSENSUS_BYTES = 64 * 1024 * 1024
 """Holds a snapshot, or as many entries as one append request may carry."""
 MAX_REPORTS = 2_000
@@ -88,13 +86,12 @@
 
     :param token: bearer token of operators.
     :param peers: the other voters, whose consensus messages are accepted.
-    :param threads: requests handled at the same time, most of them waiting polls.
     """
 
     bind: Endpoint
     token: str
     peers: Collection[NodeId]
-    threads: int = THREADS
+    limits: ProcessLimits = DEFAULT_LIMITS
 
 
 class _Resource:
@@ -123,7 +120,9 @@
         """Accept an operator's change."""
         if not has_token(self._settings.token):
             return unauthorized()
-        decoded = read_message(ChangeRequest, MAX_CHANGE_BYTES)
+        decoded = read_message(
+            ChangeRequest, self._settings.limits.request_body_bytes, UnknownKeys.REFUSE
+        )
         if isinstance(decoded, Failure):
             return bad_request(decoded.failure())
         request: ChangeRequest = decoded.unwrap()
@@ -176,7 +175,7 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Accept reports of a balancer."""
-        decoded = read_message(ReportRequest, MAX_REPORT_BYTES)
+        decoded = read_message(ReportRequest, self._settings.limits.request_body_bytes)
         if isinstance(decoded, Failure):
             return bad_request(decoded.failure())
         request: ReportRequest = decoded.unwrap()
@@ -243,7 +242,7 @@
     """
     root = _Root(voter, settings)
     return make_http_server(
-        "control", settings.bind, root, MAX_CONSENSUS_BYTES, settings.threads
+        "control", settings.bind, root, MAX_CONSENSUS_BYTES, settings.limits
     )
 
 
--- a/src/wasabigw/tasks/http_server.py
+++ b/src/wasabigw/tasks/http_server.py
@@ -6,7 +6,7 @@
 
 import threading
 from collections.abc import Callable, Iterable
-from contextlib import AbstractContextManager
+from contextlib import AbstractContextManager, suppress
 from dataclasses import dataclass
 from types import TracebackType
 from typing import Any, Self
@@ -18,13 +18,10 @@
 from wasabigw.codec.messages import encode
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
 
-THREADS = 16
-"""Requests that one server handles at the same time."""
-WAITING_CONNECTIONS = 128
-"""Connections that wait for a thread; further ones get a 503."""
 IDLE_CONNECTIONS = 512
 """Idle connections that are kept; beyond it a response closes its connection."""
 SESSION_IDLE = Seconds(30.0)
@@ -32,6 +29,8 @@
 READ_TIMEOUT = Seconds(2.0)
 """A connection that goes silent within a request is closed after this time."""
 MAX_HEADER_BYTES = 16_384
+DISCARDED_BYTES = 4 * 2**20
+"""Largest body that is read although it is refused for its size."""
 JSON_TYPE = "application/json"
 
 WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
@@ -69,22 +68,28 @@
 
     :param root: exposed object; its attributes are the path segments.
     :param max_body: largest request body in bytes.
-    :param threads: requests handled at the same time.
+    :param limits: its ``http_threads`` are the requests handled at the same time;
+        ``http_queue`` further connections wait, and those beyond it get a 503.
     """
 
     def __init__(
-        self, name: str, bind: Endpoint, root: object, max_body: int, threads: int
+        self,
+        name: str,
+        bind: Endpoint,
+        root: object,
+        max_body: int,
+        limits: ProcessLimits,
     ) -> None:
         self._name = name
         self._server = _Server(
             (bind.address, bind.port),
             _limited(_application(root), max_body),
-            numthreads=threads,
-            max=threads,
+            numthreads=limits.http_threads,
+            max=limits.http_threads,
             server_name=name,
-            request_queue_size=WAITING_CONNECTIONS,
+            request_queue_size=limits.http_queue,
             timeout=int(SESSION_IDLE),
-            accepted_queue_size=WAITING_CONNECTIONS,
+            accepted_queue_size=limits.http_queue,
             # The thread that accepts connections must not wait for a worker.
             accepted_queue_timeout=0,
         )
@@ -124,10 +129,14 @@
 
 
 def make_http_server(
-    name: str, bind: Endpoint, root: object, max_body: int, threads: int = THREADS
+    name: str,
+    bind: Endpoint,
+    root: object,
+    max_body: int,
+    limits: ProcessLimits = DEFAULT_LIMITS,
 ) -> HttpServer:
     """Server for an exposed object; port 0 takes a free one."""
-    return HttpServer(name, bind, root, max_body, threads)
+    return HttpServer(name, bind, root, max_body, limits)
 
 
 def json_response(status: int, message: Any, declared: Any = None) -> bytes:
@@ -145,13 +154,15 @@
 def _limited(application: WsgiApplication, max_body: int) -> WsgiApplication:
     """Refuse larger bodies with a typed error; the server's own one is plain text.
 
-    The server closes the connection after a 413 without reading the body.
+    The body is read up to :data:`DISCARDED_BYTES`: a client that still sends when
+    the connection is closed gets a reset and never sees the error.
     """
 
     def respond(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         length = environ.get("CONTENT_LENGTH") or "0"
         if not length.isdecimal() or int(length) <= max_body:
             return application(environ, start_response)
+        _discard(environ, int(length))
         text = f"the body has {length} bytes; at most {max_body} are accepted"
         body = encode(ApiError("request-entity-too-large", text))
         headers = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(body)))]
@@ -161,6 +172,16 @@
     return respond
 
 
+def _discard(environ: dict[str, Any], length: int) -> None:
+    remaining = length if length <= DISCARDED_BYTES else 0
+    with suppress(OSError):
+        while remaining > 0:
+            chunk = environ["wsgi.input"].read(min(remaining, 65_536))
+            if not chunk:
+                return
+            remaining -= len(chunk)
+
+
 def _application(root: object) -> Any:
     application = cherrypy.Application(
         root,
