Draw the ports of the demonstration below the ephemeral range

Change: ports are drawn from 10,000 to 29,999 and held together until all are drawn; stand-ins print short tracebacks.

--- a/src/wasabigw_demo/__main__.py
+++ b/src/wasabigw_demo/__main__.py
@@ -6,7 +6,10 @@
 
 from wasabigw_demo.launcher import DemoOptions, run_demo
 
+application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
+
+@application.command()
 def main(
     seed: Annotated[int, typer.Option(help="Seed of the stand-ins.")] = 1,
     drop: Annotated[float, typer.Option(help="Share of lost packets.")] = 0.0,
@@ -19,4 +22,4 @@
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    application()
--- a/src/wasabigw_demo/_layout.py
+++ b/src/wasabigw_demo/_layout.py
@@ -7,7 +7,7 @@
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import BackendServerId, FailureDomainId, NodeId, ServiceId
 from wasabigw.core.states import Protocol
-from wasabigw_demo.addresses import free_endpoint
+from wasabigw_demo.addresses import free_endpoints
 
 REGION = "demo-region"
 ZONES = (FailureDomainId("zone-a"), FailureDomainId("zone-b"))
@@ -17,6 +17,8 @@
 SERVICE_RANGE = "198.51.100.0/24"
 CONNECTIONS = 2000
 SLOTS = 4
+MAX_ENDPOINTS = 32
+"""Endpoints of each protocol that the layout may use."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +100,8 @@
 
 def make_layout(folder: Path) -> Layout:
     """Three voters, three balancers in two failure domains, and the stand-ins."""
+    tcp = iter(free_endpoints(socket.SOCK_STREAM, MAX_ENDPOINTS))
+    udp = iter(free_endpoints(socket.SOCK_DGRAM, MAX_ENDPOINTS))
     documents = DemoService(
         ServiceId("documents"), Protocol.TCP, Endpoint("198.51.100.1", 443)
     )
@@ -115,11 +119,11 @@
         folder=folder,
         services=(documents, feed),
         voters=tuple(
-            VoterPlace(NodeId(f"control-{number}"), zone, _tcp())
+            VoterPlace(NodeId(f"control-{number}"), zone, next(tcp))
             for number, zone in enumerate(voter_zones, 1)
         ),
         balancers=tuple(
-            BalancerPlace(NodeId(f"balancer-{number}"), zone, _tcp(), _udp())
+            BalancerPlace(NodeId(f"balancer-{number}"), zone, next(tcp), next(udp))
             for number, zone in enumerate((zone_a, zone_a, zone_b), 1)
         ),
         backends=tuple(
@@ -128,24 +132,16 @@
                 service,
                 zone,
                 Endpoint(f"10.2.0.{number}", 8080),
-                _udp(),
-                _tcp(),
+                next(udp),
+                next(tcp),
             )
             for number, (name, service, zone) in enumerate(backends, 1)
         ),
         callers=tuple(
-            CallerPlace(f"caller-{number}", address, _udp())
+            CallerPlace(f"caller-{number}", address, next(udp))
             for number, address in enumerate(CALLER_ADDRESSES, 1)
         ),
-        fabric=_udp(),
-        fabric_control=_tcp(),
-        probe=_udp(),
+        fabric=next(udp),
+        fabric_control=next(tcp),
+        probe=next(udp),
     )
-
-
-def _tcp() -> Endpoint:
-    return free_endpoint(socket.SOCK_STREAM)
-
-
-def _udp() -> Endpoint:
-    return free_endpoint(socket.SOCK_DGRAM)
--- a/src/wasabigw_demo/addresses.py
+++ b/src/wasabigw_demo/addresses.py
@@ -1,13 +1,18 @@
 """Endpoints and address ranges in arguments of the stand-ins."""
 
 import ipaddress
+import random
 import socket
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass
 
 import typer
 
 from wasabigw.core.cluster import Endpoint
 
+LOOPBACK = "127.0.0.1"
+_PORTS = range(10_000, 30_000)
+
 
 def parse_endpoint(text: str) -> Endpoint:
     """Endpoint from ``address:port``.
@@ -68,8 +73,22 @@
     return endpoint.address, endpoint.port
 
 
-def free_endpoint(kind: socket.SocketKind, address: str = "127.0.0.1") -> Endpoint:
-    """Endpoint with a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((address, 0))
-        return Endpoint(address, probe.getsockname()[1])
+def free_endpoints(kind: socket.SocketKind, count: int) -> list[Endpoint]:
+    """Different endpoints on loopback whose ports are free now.
+
+    The ports are below those that systems give to outgoing connections, which
+    could take one of them before its process binds it.
+
+    :raises OSError: if there are too few.
+    """
+    ports = random.sample(_PORTS, len(_PORTS))
+    with ExitStack() as stack:
+        found: list[Endpoint] = []
+        for port in ports:
+            if len(found) == count:
+                return found
+            probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+            with suppress(OSError):
+                probe.bind((LOOPBACK, port))
+                found.append(Endpoint(LOOPBACK, port))
+    raise OSError(f"only {len(found)} of {count} ports are free on {LOOPBACK}")
--- a/src/wasabigw_demo/backend_server.py
+++ b/src/wasabigw_demo/backend_server.py
@@ -38,7 +38,7 @@
 
 REPLY_TIMEOUT = Seconds(2.0)
 
-application = typer.Typer(add_completion=False)
+application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
 class ControlEndpoint:
--- a/src/wasabigw_demo/caller.py
+++ b/src/wasabigw_demo/caller.py
@@ -18,7 +18,7 @@
 from wasabigw_demo.plan import Target, Workload, plan_flows
 from wasabigw_demo.records import RecordKind, RecordWriter
 
-application = typer.Typer(add_completion=False)
+application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
 def parse_target(text: str) -> Target:
--- a/src/wasabigw_demo/fabric.py
+++ b/src/wasabigw_demo/fabric.py
@@ -37,7 +37,7 @@
 REPLY_TIMEOUT = Seconds(2.0)
 SOCKET_BUFFER = 8 * 1024 * 1024
 
-application = typer.Typer(add_completion=False)
+application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw_measure/compare_mapping.py
+++ b/src/wasabigw_measure/compare_mapping.py
@@ -217,6 +217,10 @@
     print("| " + " | ".join(cells) + " |", flush=True)
 
 
+application = typer.Typer(add_completion=False, pretty_exceptions_enable=False)
+
+
+@application.command()
 def main(
     seed: Annotated[list[int] | None, typer.Option(help="Seed; repeat it.")] = None,
 ) -> None:
@@ -234,4 +238,4 @@
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    application()
