Say in the logs why no leader answers, and only what is new

Cause: during the faults of real processes the logs of the daemon misled. Its text quoted the whole request (330 characters).

Result: three new tests failed before and pass.

--- a/src/wasabigw/tasks/control_client.py
+++ b/src/wasabigw/tasks/control_client.py
@@ -11,6 +11,7 @@
 
 import requests
 from returns.result import Failure, Result, Success
+from urllib3.exceptions import MaxRetryError
 
 from wasabigw.codec.messages import decode
 from wasabigw.core.cluster import Endpoint
@@ -127,9 +128,9 @@
         try:
             status, body = self._send(call)
         except requests.Timeout as error:
-            return self._problem(ProblemKind.TIMED_OUT, str(error))
+            return self._problem(ProblemKind.TIMED_OUT, _reason(error))
         except (requests.RequestException, OSError) as error:
-            return self._problem(ProblemKind.UNREACHABLE, str(error))
+            return self._problem(ProblemKind.UNREACHABLE, _reason(error))
         if body is None:
             detail = f"the answer exceeds {MAX_ANSWER_BYTES} bytes or was too slow"
             return self._problem(ProblemKind.MALFORMED, detail)
@@ -176,6 +177,22 @@
         return Failure(CallProblem(kind, self._current, detail, leader))
 
 
+def _reason(error: Exception) -> str:
+    """The first cause; the text of the library quotes the whole request."""
+    cause: BaseException = error
+    while (inner := _inner(cause)) is not None:
+        cause = inner
+    text = cause.strerror if isinstance(cause, OSError) and cause.strerror else ""
+    return text or type(cause).__name__
+
+
+def _inner(error: BaseException) -> BaseException | None:
+    if isinstance(error, MaxRetryError):
+        return error.reason
+    wrapped = [arg for arg in error.args if isinstance(arg, BaseException)]
+    return wrapped[0] if wrapped else error.__cause__
+
+
 def _read_bounded(
     response: requests.Response, clock: Callable[[], float]
 ) -> bytes | None:
--- a/src/wasabigw/tasks/log_follower.py
+++ b/src/wasabigw/tasks/log_follower.py
@@ -20,6 +20,7 @@
     CallProblem,
     ControlCall,
     ControlClient,
+    ProblemKind,
 )
 from wasabigw.tasks.messages import AppliedRevision, BeginDrain, LogReceived
 from wasabigw.telemetry.events_http import HttpEvent
@@ -36,6 +37,21 @@
 FollowerMessage = AppliedRevision | BeginDrain
 
 
+_TELLING = (
+    ProblemKind.NOT_LEADER,
+    ProblemKind.UNREACHABLE,
+    ProblemKind.TIMED_OUT,
+    ProblemKind.BUSY,
+    ProblemKind.REFUSED,
+    ProblemKind.MALFORMED,
+)
+"""Kinds of problems; a later one says more about why there is no leader."""
+
+
+def _telling(problem: CallProblem) -> int:
+    return _TELLING.index(problem.kind)
+
+
 class LogFollower(Task[FollowerMessage]):
     """Polls the leader, posts what it answers, and polls again once it is applied.
 
@@ -57,7 +73,8 @@
         self._applied = Revision(0)
         self._leader: Endpoint | None = None
         self._failed = 0
-        self._reported_lost = False
+        self._most_telling: CallProblem | None = None
+        self._reported: set[ProblemKind] = set()
 
     def close(self) -> None:
         """Close the connection to the leader."""
@@ -110,23 +127,28 @@
 
     def _handle_problem(self, problem: CallProblem) -> bool:
         self._failed += 1
+        worst = self._most_telling
+        if worst is None or _telling(problem) > _telling(worst):
+            self._most_telling = worst = problem
         if self._failed < self._client.calls_per_round:
             return self._wait_until(monotonic())
         self._failed = 0
         self._leader = None
-        if not self._reported_lost:
-            self._reported_lost = True
+        self._most_telling = None
+        if worst.kind not in self._reported:
+            self._reported.add(worst.kind)
             log(
                 HttpEvent.LEADER_LOST,
-                address=problem.endpoint.address,
-                port=problem.endpoint.port,
-                problem=f"{problem.kind.value}: {problem.detail}",
+                address=worst.endpoint.address,
+                port=worst.endpoint.port,
+                problem=f"{worst.kind.value}: {worst.detail}",
             )
         return self._wait_until(Seconds(monotonic() + ROUND_PAUSE))
 
     def _note_leader(self) -> None:
         self._failed = 0
-        self._reported_lost = False
+        self._reported.clear()
+        self._most_telling = None
         current = self._client.current
         if self._leader != current:
             self._leader = current
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -49,6 +49,7 @@
 from wasabigw.core.copying import copy_state
 from wasabigw.core.ids import NodeId, RequestId, Revision, Seconds, Term
 from wasabigw.core.log_messages import InForce, LogBatch, LogEntry, NotLeader
+from wasabigw.core.report_summary import summary
 from wasabigw.core.states import RefusalCode, VoterRole
 from wasabigw.core.timing import LOG_POLL_WAIT, SNAPSHOT_INTERVAL
 from wasabigw.runtime.mailbox import Mailbox
@@ -163,6 +164,7 @@
         self._reports: OrderedDict[RequestId, Applied | Refusal] = OrderedDict()
         self._peer_reply: Mailbox[Envelope] | None = None
         self._stopped = False
+        self._replayed_until = self._voter.log.last_revision
 
     def open(self) -> None:
         """Subscribe to the timer."""
@@ -434,7 +436,7 @@
 
     def _propose_membership(self, event: object) -> None:
         for decision in membership.handle(event, self._membership):
-            kinds = ", ".join(str(report) for report in decision.reports)
+            kinds = ", ".join(summary(report) for report in decision.reports)
             log(ControlEvent.PROPOSED_REPORTS, reports=kinds)
             self._propose(_Waiting(ReportBatch(decision.reports)))
 
@@ -456,7 +458,9 @@
 
     def _apply_entry(self, entry: LogEntry) -> None:
         outcome = self._apply(entry.command, entry.revision, self._cluster)
-        for admission in admissions(entry.command):
+        # A restarted voter passes admissions of long ago once more.
+        is_new = entry.revision > self._replayed_until
+        for admission in admissions(entry.command) if is_new else ():
             log(
                 ControlEvent.VOTER_ADMITTED,
                 voter=admission.voter,
--- a/src/wasabigw/telemetry/events_http.py
+++ b/src/wasabigw/telemetry/events_http.py
@@ -41,8 +41,7 @@
     LEADER_LOST = EventDefinition(
         3011,
         logging.WARNING,
-        "no control endpoint answers as leader; the last one was {address}:{port}: "
-        "{problem}",
+        "no control endpoint answers as leader; {address}:{port}: {problem}",
         "Check the control VMs and the network to them; flows continue through homes.",
     )
     LOG_NOT_APPLIED = EventDefinition(
--- a/tests/test_control_clients.py
+++ b/tests/test_control_clients.py
@@ -19,6 +19,7 @@
 )
 from wasabigw.core.states import RefusalCode
 from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.control_client import ControlCall, ControlClient
 from wasabigw.tasks.http_server import json_response, make_http_server
 from wasabigw.tasks.log_follower import make_log_follower
 from wasabigw.tasks.messages import AppliedRevision, LogReceived, SendReports
@@ -136,6 +137,23 @@
         self.follow(self.silent(), leader)
         self.assertEqual(self.received().batch, batch(7))
 
+    def test_unreadable_answer_is_logged_although_others_do_not_lead(self) -> None:
+        """Only the last endpoint was named, so that the cause stayed unknown."""
+        broken = self.serve(Voter((200, {"kind": "LogBatch"})))
+        other = Voter((503, NotLeader(None)))
+        with self.assertLogs("absl", "WARNING") as logs:
+            self.follow(self.serve(other), broken)
+            for _ in range(4):
+                other.next()
+        (line,) = logs.output
+        self.assertIn(f":{broken.port}: malformed", line)
+
+    def test_reason_of_a_lost_connection_is_short(self) -> None:
+        """The text of the library repeats the whole request."""
+        with ControlClient((self.closed(),)) as client:
+            problem = client.call(ControlCall("GET", "/v1/log", LogBatch)).failure()
+        self.assertEqual(problem.detail, "Connection refused")
+
     def test_answers_that_are_not_a_batch_are_not_passed_on(self) -> None:
         broken = self.serve(Voter((200, {"kind": "LogBatch"})))
         unknown = self.serve(Voter((404, {})))
--- a/tests/test_voter_task.py
+++ b/tests/test_voter_task.py
@@ -17,6 +17,7 @@
 from wasabigw.core.log_messages import (
     InForce,
     LogBatch,
+    LogEntry,
     LogPoll,
     NotLeader,
     ReportRequest,
@@ -37,6 +38,7 @@
     reply_mailbox,
 )
 from wasabigw.tasks.voter_task import VoterSettings, VoterTask, make_voter_task
+from wasabigw.telemetry.events_control import ControlEvent
 
 NODE = NodeId("a")
 BALANCER = node("n1")
@@ -172,6 +174,25 @@
         self.assertEqual(repeated, outcome)
 
 
+class Restart(VoterTaskCase):
+    """Guards against logs that report what happened long ago as new."""
+
+    def test_known_admission_is_not_logged_again(self) -> None:
+        self.storage.close()
+        stored = open_storage(self.folder, NODE).unwrap()
+        last = stored.recovered.entries[-1]
+        admitted = commands.VoterAdmitted(NODE, Incarnation("a1"))
+        command = commands.ReportBatch((admitted,))
+        entry = LogEntry(Revision(last.revision + 1), last.term, command)
+        stored.append((entry,)).unwrap()
+        stored.close()
+        with mock.patch("wasabigw.tasks.voter_task.log") as written:
+            self.start()
+        events = [call.args[0] for call in written.call_args_list]
+        self.assertIn(ControlEvent.ROLE_CHANGED, events)
+        self.assertNotIn(ControlEvent.VOTER_ADMITTED, events)
+
+
 class Polls(VoterTaskCase):
     """Guards against balancers that miss entries or hold the voter up."""
 
