Bound and speed up the scenarios of faults

Traffic starts after the settle time, so that flows spread over all backend servers. The cold backend server is checked against the rate of its ramp too.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format types demo compare-mapping
+.PHONY: setup test lint format types demo process-faults compare-mapping
 
 setup: $(VENV)/.installed
 
@@ -29,5 +29,8 @@
 demo: setup
 	$(BIN)/python -m wasabigw_demo
 
+process-faults: setup
+	$(BIN)/python -m wasabigw_demo faults
+
 compare-mapping: setup
 	$(BIN)/python -m wasabigw_measure.compare_mapping
--- a/src/wasabigw_demo/_commands.py
+++ b/src/wasabigw_demo/_commands.py
@@ -13,6 +13,7 @@
     CallerPlace,
     Layout,
 )
+from wasabigw_demo.caller_app import REQUEST_TIMEOUT
 from wasabigw_demo.server_app import COLD_CONNECTIONS
 
 
@@ -23,6 +24,7 @@
     :param traffic_seconds: time in which callers open flows.
     :param long_seconds: duration of each long flow.
     :param short_rate: short TCP flows per second of each caller.
+    :param request_timeout: seconds that a caller waits for an answer.
     """
 
     seed: int = 1
@@ -32,6 +34,7 @@
     traffic_seconds: float = 22.0
     long_seconds: float = 19.0
     short_rate: float = 5.0
+    request_timeout: float = REQUEST_TIMEOUT
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +128,7 @@
         *("--duration", str(options.traffic_seconds)),
         *("--long-seconds", str(options.long_seconds)),
         *("--short-rate", str(options.short_rate)),
+        *("--request-timeout", str(options.request_timeout)),
         *("--seed", str(options.seed)),
     ]
 
--- a/src/wasabigw_demo/_faults_backends.py
+++ b/src/wasabigw_demo/_faults_backends.py
@@ -3,6 +3,7 @@
 import math
 import signal
 import time
+from dataclasses import replace
 
 import requests
 
@@ -13,19 +14,21 @@
     RAMP_STEP_TIME,
     RAMP_STEPS,
 )
-from wasabigw_demo._commands import BackendOptions, TrafficOptions
+from wasabigw_demo._commands import BackendOptions
 from wasabigw_demo._layout import ZONES, BackendPlace
 from wasabigw_demo._outcome import Check
 from wasabigw_demo._record_checks import backend_records, read_traffic
-from wasabigw_demo._scenario import FaultRun, Scenario
+from wasabigw_demo._scenario import TRAFFIC, FaultRun, Scenario
 from wasabigw_demo._system import HTTP_TIMEOUT
 from wasabigw_demo.records import RecordKind
 from wasabigw_demo.server_app import ServerCommand
 
 KILLED = 1
 FEED = 3
-SMALL_LIMIT = 64
+SMALL_LIMIT = 40
 """Announced connections, so few that the ramp bounds the load of the callers."""
+OPENING_WINDOW = 10.0
+"""Seconds in which as many flows may open as a backend server may hold."""
 STEP_1_CONNECTIONS = math.ceil(SMALL_LIMIT / FULL_STEP)
 OUT = ZONES[1]
 
@@ -38,7 +41,7 @@
     run.system.tool("failure-domain", "out", OUT)
     accepted_by = time.monotonic()
     run.say(f"{OUT} is out of service, in force after {accepted_by - out_at:.1f} s")
-    run.at(9.0)
+    run.at(8.5)
     back_at = time.monotonic()
     run.system.tool("failure-domain", "back", OUT)
     run.say(f"{OUT} is back")
@@ -104,6 +107,7 @@
     run.at(11.0)
     _command(place, ServerCommand.TURN_READY)
     run.check_later(lambda: _within_step(run, place, started_at))
+    run.check_later(lambda: _within_rate(run, place, started_at))
 
 
 def _within_step(run: FaultRun, place: BackendPlace, started_at: float) -> Check:
@@ -116,6 +120,29 @@
     return Check("load within the step of the ramp", bool(later) and not over, detail)
 
 
+def _within_rate(run: FaultRun, place: BackendPlace, started_at: float) -> Check:
+    """New flows, against the token bucket of each step."""
+    opened = backend_records(run.layout, place.id, RecordKind.OPENED)
+    times = [r["at"] - started_at for r in opened if r["at"] > started_at]
+    over = [n for n, at in enumerate(times, 1) if n > _most_opened(at)]
+    early = sum(at < RAMP_STEP_TIME for at in times)
+    detail = f"{early} in the first {RAMP_STEP_TIME:.0f} s, {len(over)} too early"
+    return Check("new flows within the rate of the ramp", not over, detail)
+
+
+def _most_opened(seconds: float) -> float:
+    """Flows that all steps up to a time may have opened, with one second's burst."""
+    total = 0.0
+    for number, step in enumerate(RAMP_STEPS):
+        rate = SMALL_LIMIT * step / FULL_STEP / OPENING_WINDOW
+        within = min(max(0.0, seconds - number * RAMP_STEP_TIME), RAMP_STEP_TIME)
+        if step == RAMP_STEPS[-1]:
+            within = max(0.0, seconds - number * RAMP_STEP_TIME)
+        if within > 0:
+            total += rate * within + max(1.0, rate)
+    return total
+
+
 def _most_open(at: float, started_at: float) -> int:
     held = int((at - started_at) / RAMP_STEP_TIME)
     step = RAMP_STEPS[min(held, len(RAMP_STEPS) - 1)]
@@ -140,7 +167,10 @@
 
 SCENARIOS = (
     Scenario(
-        "domain-out", "a failure domain out of service and back", _take_domain_out
+        "domain-out",
+        "a failure domain out of service and back",
+        _take_domain_out,
+        traffic=replace(TRAFFIC, traffic_seconds=18.0, long_seconds=15.0),
     ),
     Scenario("backend-kill", "SIGKILL of two backend servers", _kill),
     Scenario(
@@ -148,7 +178,7 @@
         "a backend server killed and restarted cold",
         _restart_cold,
         connections=SMALL_LIMIT,
-        traffic=TrafficOptions(traffic_seconds=16.0, long_seconds=10.0),
+        traffic=replace(TRAFFIC, traffic_seconds=16.0, short_rate=3.0),
     ),
     Scenario("backend-lie", "a cold backend server that lies about its load", _lie),
 )
--- a/src/wasabigw_demo/_scenario.py
+++ b/src/wasabigw_demo/_scenario.py
@@ -3,10 +3,11 @@
 import re
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from wasabigw.core.ids import Seconds
+from wasabigw.core.timing import SETTLE_TIME
 from wasabigw_demo._commands import TrafficOptions
 from wasabigw_demo._control import Control
 from wasabigw_demo._layout import Layout, make_layout
@@ -14,7 +15,9 @@
 from wasabigw_demo._record_checks import Expectation, check_traffic
 from wasabigw_demo._system import DemoFailedError, System
 
-TRAFFIC = TrafficOptions(traffic_seconds=14.0, long_seconds=12.0)
+TRAFFIC = TrafficOptions(traffic_seconds=14.0, long_seconds=12.0, request_timeout=8.0)
+SETTLE_MARGIN = Seconds(0.3)
+"""Beyond the settle time, so that flows spread over all backend servers."""
 CALLER_LIMIT = Seconds(40.0)
 _EVENT = re.compile(r"^[WEF]\d{4} .*?(WGW-\d+)")
 
@@ -123,6 +126,7 @@
     try:
         with System(layout, options, say) as system:
             system.start_everything()
+            time.sleep(SETTLE_TIME + SETTLE_MARGIN)
             run = FaultRun(system, say)
             system.start_callers()
             scenario.cause(run)
@@ -144,12 +148,7 @@
 
 
 def _with_seed(options: TrafficOptions, seed: int) -> TrafficOptions:
-    return TrafficOptions(
-        seed=seed,
-        traffic_seconds=options.traffic_seconds,
-        long_seconds=options.long_seconds,
-        short_rate=options.short_rate,
-    )
+    return replace(options, seed=seed)
 
 
 def _nothing_stopped(ends: dict[str, int]) -> Check:
--- a/src/wasabigw_demo/caller.py
+++ b/src/wasabigw_demo/caller.py
@@ -13,7 +13,7 @@
 from wasabigw.core.ids import Seconds
 from wasabigw.core.states import Protocol
 from wasabigw_demo.addresses import parse_endpoint
-from wasabigw_demo.caller_app import CallerApplication
+from wasabigw_demo.caller_app import REQUEST_TIMEOUT, CallerApplication
 from wasabigw_demo.host import Host
 from wasabigw_demo.plan import Target, Workload, plan_flows
 from wasabigw_demo.records import RecordKind, RecordWriter
@@ -49,6 +49,9 @@
     datagram_rate: Annotated[float, typer.Option(help="UDP flows per second.")] = 2.0,
     long_flows: Annotated[int, typer.Option(help="Long downloads.")] = 6,
     long_seconds: Annotated[float, typer.Option(help="Duration of each.")] = 22.0,
+    request_timeout: Annotated[
+        float, typer.Option(help="Seconds to wait for an answer, beyond its spread.")
+    ] = REQUEST_TIMEOUT,
     seed: Annotated[int, typer.Option(help="Seed of its random numbers.")] = 1,
 ) -> None:
     """Open flows, check each answer; the exit code is 1 if one was not right."""
@@ -65,7 +68,9 @@
             planned_flows=len(plans),
             planned_requests=sum(len(plan.requests) for plan in plans),
         )
-        caller = CallerApplication(name, address, plans, records, seed, done)
+        caller = CallerApplication(
+            name, address, plans, records, seed, done, Seconds(request_timeout)
+        )
         host_seed = random.Random(f"{seed}:{name}:host").getrandbits(32)
         host = Host(
             name,
--- a/src/wasabigw_demo/caller_app.py
+++ b/src/wasabigw_demo/caller_app.py
@@ -80,6 +80,7 @@
     """Opens the flows of a plan and writes a record for each request and flow.
 
     :param address: inner address of the caller.
+    :param request_timeout: time for an answer beyond that over which it is spread.
     :param done: set when every request has an outcome.
     """
 
@@ -91,11 +92,13 @@
         records: RecordWriter,
         seed: int,
         done: threading.Event,
+        request_timeout: Seconds = REQUEST_TIMEOUT,
     ) -> None:
         self._name = name
         self._address = address
         self._records = records
         self._done = done
+        self._request_timeout = request_timeout
         self._generator = random.Random(f"{seed}:{name}:trace")
         self._plans = list(plans)
         self._started: Seconds | None = None
@@ -272,7 +275,7 @@
             else:
                 self._end(host, flow, state, FlowOutcome.FAILED)
             return
-        limit = REQUEST_TIMEOUT + state.requests[0].spread
+        limit = self._request_timeout + state.requests[0].spread
         if state.established and self._now - state.asked_at > limit:
             self._end(host, flow, state, FlowOutcome.FAILED)
 
