--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 
 .PHONY: setup test lint format types demo tour compare-mapping
+.PHONY: setup test lint format types demo process-faults compare-mapping
 
 setup: $(VENV)/.installed
 
@@ -31,6 +32,8 @@
 
 tour: setup
 	$(BIN)/python -m wasabigw_demo.tour run
+process-faults: setup
+	$(BIN)/python -m wasabigw_demo faults
 
 compare-mapping: setup
 	$(BIN)/python -m wasabigw_measure.compare_mapping
