Measure the capacity at the target size and the speed of the data path

Cause: the target size had no calculation from measured slopes, and the data path no figure against a plain loop. Change: make capacity and make bench, docs/CAPACITY.md, tests of the formulas.

--- /dev/null
+++ b/src/wasabigw_measure/_bench_worker.py
@@ -0,0 +1,293 @@
+"""Processes of the benchmark: ``python -m wasabigw_measure._bench_worker ROLE``.
+
+Each reads commands from standard input, one JSON list a line, and answers with one
+line of JSON.
+"""
+
+import json
+import resource
+import selectors
+import socket
+import sys
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from absl import logging
+
+from wasabigw.core import commands as c
+from wasabigw.core.cluster import Endpoint, FailureDomain, Node, Service
+from wasabigw.core.ids import (
+    BackendServerId,
+    BootId,
+    BucketNumber,
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    RegionId,
+    RequestId,
+    Revision,
+    Seconds,
+    ServiceId,
+    Term,
+)
+from wasabigw.core.log_messages import Announcement, LogBatch, LogEntry
+from wasabigw.core.states import BackendServerState, CandidateReason, Protocol
+from wasabigw.core.timing import BUCKETS_PER_SERVICE
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.timer import TimerService, monotonic
+from wasabigw.tasks.messages import AnnouncementRequest, LogReceived, StatusRequest
+from wasabigw.tasks.packet_task import (
+    UPKEEP_PERIOD,
+    UPKEEP_TICK,
+    PacketTask,
+    PacketTaskOutputs,
+    PacketTaskSettings,
+    make_packet_task,
+)
+from wasabigw_measure._bench_frames import (
+    BACKEND_PORT,
+    answer_frames,
+    backend_address,
+    data_frames,
+    opening_frame,
+    set_caller,
+)
+
+BACKEND_SERVERS = 10
+CALLERS = 1_000
+CAPACITY = 10_000_000
+"""Connections of each backend server, so that no limit is reached."""
+SOCKET_BUFFER = 4 * 1024 * 1024
+BURST = 64
+"""Packets between two looks at the clock, and in one wake-up of the loop."""
+RENEWAL = Seconds(0.5)
+WAIT = Seconds(20.0)
+DOMAIN = FailureDomainId("domain-0")
+SERVICE_ID = ServiceId("service")
+LOOPBACK = "127.0.0.1"
+
+
+def main() -> None:
+    """Run the role that the command line names."""
+    logging.set_verbosity(logging.ERROR)
+    role, *arguments = sys.argv[1:]
+    {"loop": run_loop, "balancer": run_balancer, "sender": run_sender}[role](*arguments)
+
+
+def serve(handlers: dict[str, Callable[..., Any]]) -> None:
+    """Answer commands until standard input ends."""
+    for line in sys.stdin:
+        name, *arguments = json.loads(line)
+        print(json.dumps(handlers[name](*arguments)), flush=True)
+
+
+def resident_bytes() -> int:
+    """Resident memory of this process."""
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+
+def thread_clock(name: str) -> int:
+    """Clock of the processor time of a thread."""
+    thread = next(t for t in threading.enumerate() if t.name == name)
+    assert thread.ident is not None
+    return time.pthread_getcpuclockid(thread.ident)
+
+
+def run_loop(sink_port: str) -> None:
+    """Receive and send the same bytes, with the socket options of a balancer."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setblocking(False)
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER)
+    sock.bind((LOOPBACK, 0))
+    count = [0]
+    arguments = (sock, (LOOPBACK, int(sink_port)), count)
+    threading.Thread(target=_forward, args=arguments, name="loop", daemon=True).start()
+    clock = thread_clock("loop")
+    serve(
+        {
+            "address": lambda: sock.getsockname(),
+            "status": lambda: {
+                "received": count[0],
+                "cpu": time.clock_gettime(clock),
+            },
+        }
+    )
+
+
+def _forward(sock: socket.socket, sink: tuple[str, int], count: list[int]) -> None:
+    buffer = bytearray(65_536)
+    view = memoryview(buffer)
+    with selectors.DefaultSelector() as selector:
+        selector.register(sock, selectors.EVENT_READ)
+        while True:
+            selector.select()
+            received = 0
+            for _ in range(BURST):
+                try:
+                    length, _ = sock.recvfrom_into(buffer)
+                except BlockingIOError:
+                    break
+                sock.sendto(view[:length], sink)
+                received += 1
+            count[0] += received
+
+
+def run_balancer(sink_port: str, peer_port: str) -> None:
+    """Run a real packet task that is the home of all backend servers."""
+    own, peer = _node("n0", 0), _node("n1", int(peer_port))
+    applied: Mailbox[Any] = Mailbox("applied")
+    outputs = PacketTaskOutputs(Mailbox("reports", 16), Mailbox("handovers"), applied)
+    settings = PacketTaskSettings(own, Endpoint(LOOPBACK, int(sink_port)))
+    with TimerService() as timer, make_packet_task(settings, outputs) as task:
+        timer.subscribe(task.mailbox, UPKEEP_PERIOD, UPKEEP_TICK)
+        clock = thread_clock("packets")
+        revision = 0
+
+        def feed(*commands: c.Command) -> None:
+            nonlocal revision
+            entries = tuple(
+                LogEntry(Revision(revision + n), Term(1), command)
+                for n, command in enumerate(commands, 1)
+            )
+            revision += len(entries)
+            batch = LogBatch(Term(1), Revision(revision), Seconds(3_600.0), entries)
+            task.mailbox.post(LogReceived(batch, monotonic()))
+            applied.get(WAIT).unwrap()
+
+        def several_candidates() -> bool:
+            feed(c.ReportBatch((c.NodeUp(peer),)), c.ReportBatch(_candidates()))
+            return True
+
+        def status() -> dict[str, Any]:
+            reply: Mailbox[Any] = Mailbox("reply")
+            task.mailbox.post(StatusRequest(reply))
+            found = reply.get(WAIT).unwrap()
+            return {
+                "received": found.packets.received,
+                "direct": found.packets.direct,
+                "to_backend": found.packets.to_backend,
+                "records": found.records,
+                "dropped": found.packets.dropped,
+                "refused": found.packets.refused,
+                "cpu": time.clock_gettime(clock),
+                "resident": resident_bytes(),
+            }
+
+        # An empty view first: what follows is then known to be complete.
+        feed()
+        feed(*_founding(own))
+        threading.Thread(target=_announce, args=(task,), daemon=True).start()
+        serve(
+            {
+                "address": lambda: task.address,
+                "status": status,
+                "several-candidates": several_candidates,
+            }
+        )
+
+
+def _node(name: str, port: int) -> Node:
+    endpoint = Endpoint(LOOPBACK, port)
+    return Node(NodeId(name), DOMAIN, endpoint, endpoint, Incarnation(name))
+
+
+def _server(number: int) -> c.BackendServerUp:
+    address = backend_address(number)
+    text = ".".join(str(part) for part in address.to_bytes(4))
+    return c.BackendServerUp(
+        BackendServerId(f"b{number}"),
+        SERVICE_ID,
+        DOMAIN,
+        Endpoint(text, BACKEND_PORT),
+        BootId(f"boot{number}"),
+        CAPACITY,
+        CAPACITY,
+        BackendServerState.READY,
+        8,
+    )
+
+
+def _founding(own: Node) -> tuple[c.Command, ...]:
+    service = Service(SERVICE_ID, Endpoint("10.0.0.1", 443), Protocol.TCP, (DOMAIN,))
+    domains = (FailureDomain(DOMAIN, RegionId("region")),)
+    configuration = c.ReplaceConfiguration((service,), domains)
+    servers = tuple(_server(number) for number in range(BACKEND_SERVERS))
+    return (
+        c.ReportBatch((c.NodeUp(own),)),
+        c.ChangeRequest(RequestId("r1"), Revision(0), configuration),
+        c.ReportBatch(servers),
+    )
+
+
+def _candidates() -> tuple[c.CandidatesAdded, ...]:
+    buckets = tuple(BucketNumber(number) for number in range(BUCKETS_PER_SERVICE))
+    return tuple(
+        c.CandidatesAdded(
+            SERVICE_ID,
+            BackendServerId(f"b{number}"),
+            buckets,
+            CandidateReason.DIVERTED,
+        )
+        for number in (0, 1)
+    )
+
+
+def _announce(task: PacketTask) -> None:
+    """Renew the announcement of each backend server as long as the process runs."""
+    while True:
+        for number in range(BACKEND_SERVERS):
+            up = _server(number)
+            reply: Mailbox[Any] = Mailbox("reply")
+            announcement = Announcement(
+                up.id,
+                up.service,
+                up.failure_domain,
+                up.endpoint,
+                up.boot_id,
+                up.state,
+                up.slots,
+                up.connections,
+            )
+            task.mailbox.post(AnnouncementRequest(announcement, reply))
+        time.sleep(RENEWAL)
+
+
+def run_sender() -> None:
+    """Send frames as fast as possible, or open a number of flows."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER)
+    kinds = {
+        "data": data_frames(CALLERS),
+        "answers": answer_frames(CALLERS, BACKEND_SERVERS),
+    }
+
+    def saturate(port: int, kind: str, seconds: float) -> int:
+        frames = kinds[kind]
+        sent = 0
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            for _ in range(BURST):
+                sock.sendto(frames[sent % CALLERS], (LOOPBACK, port))
+                sent += 1
+        return sent
+
+    def open_flows(port: int, first: int, count: int, seconds: float) -> int:
+        frame = opening_frame()
+        until = time.monotonic() + seconds
+        sent = 0
+        while sent < count and time.monotonic() < until:
+            for _ in range(min(BURST, count - sent)):
+                set_caller(frame, first + sent)
+                sock.sendto(frame, (LOOPBACK, port))
+                sent += 1
+        return sent
+
+    serve({"saturate": saturate, "open": open_flows, "ready": lambda: True})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,73 @@
+"""The capacity page follows from its measurements, and its command runs."""
+
+import tempfile
+import unittest
+from contextlib import redirect_stdout
+from io import StringIO
+from pathlib import Path
+
+from wasabigw_measure import _capacity_page as page
+from wasabigw_measure import capacity
+from wasabigw_measure._capacity_model import (
+    DAY,
+    Role,
+    Row,
+    Target,
+    Verdict,
+    fit,
+    ordinary_day,
+    seconds_to_send,
+)
+
+
+class Arithmetic(unittest.TestCase):
+    """Guards against figures that do not follow from the measured slopes."""
+
+    def test_a_line_is_found_again(self) -> None:
+        line = fit([(size, 2.0 + 0.5 * size) for size in (1.0, 2.0, 4.0)])
+        self.assertAlmostEqual(line.at(100.0), 52.0)
+
+    def test_shares_of_the_target(self) -> None:
+        target = Target()
+        self.assertEqual(target.servers_per_domain, 1334)
+        self.assertEqual(target.nodes_per_domain, 156)
+        self.assertAlmostEqual(target.servers_per_node, 8.571, places=3)
+        half = target.scaled(0.5)
+        self.assertEqual((half.nodes, half.services), (700, 1650))
+
+    def test_each_start_of_a_backend_server_is_counted_once(self) -> None:
+        target = Target(
+            nodes=1, backend_servers=1, services=1, lost_vms=0, restarted_vms=2
+        )
+        rates = ordinary_day(target)
+        self.assertAlmostEqual(rates.up * DAY, 1.0)
+        self.assertAlmostEqual(rates.step * DAY, 3.0)
+        self.assertAlmostEqual(rates.node * DAY, 2.0)
+
+    def test_a_row_is_over_only_beyond_its_budget(self) -> None:
+        def verdict(value: float, limit: float | None) -> Verdict:
+            return Row(Role.WHOLE, "", "", "", "", value, "s", limit).verdict
+
+        self.assertIs(verdict(4.0, 4.0), Verdict.OK)
+        self.assertIs(verdict(4.1, 4.0), Verdict.OVER)
+        self.assertIs(verdict(4.1, None), Verdict.NONE)
+        self.assertEqual(seconds_to_send(6_000, 3_000), 2.0)
+
+
+class Command(unittest.TestCase):
+    """Guards against a command that fails, or that damages the rest of the page."""
+
+    def test_tiny_run_replaces_only_the_generated_section(self) -> None:
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            path = folder / page.PAGE
+            path.write_text(f"before\n{page.BEGIN}\nold\n{page.END}\nafter\n")
+            with redirect_stdout(StringIO()):
+                capacity.main(largest=0.02, flows=100, calls=2, unit=20, docs=folder)
+            text = path.read_text()
+            self.assertTrue(text.startswith(f"before\n{page.BEGIN}\n"))
+            self.assertTrue(text.endswith(f"{page.END}\nafter\n"))
+            self.assertNotIn("old", text)
+            for role in Role:
+                self.assertIn(f"### {role.value}\n", text)
+            self.assertGreater((folder / page.RESULTS).stat().st_size, 1_000)
