--- a/src/wasabigw_measure/_bench_frames.py
+++ b/src/wasabigw_measure/_bench_frames.py
@@ -10,6 +10,8 @@
 BACKEND_PORT = 8080
 FIRST_CALLER = address_number("172.16.0.0")
 CALLER_PORT = 40_000
+CALLERS = 1_000
+"""Callers of the mid-flow packets."""
 BODY = bytes(500)
 """Payload, so that an inner packet has 540 bytes."""
 
--- a/src/wasabigw_measure/_bench_run.py
+++ b/src/wasabigw_measure/_bench_run.py
@@ -14,7 +14,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from wasabigw_measure._bench_frames import binding_frame, data_frames
+from wasabigw_measure._bench_frames import CALLERS, binding_frame, data_frames
 
 LOOPBACK = "127.0.0.1"
 SENDERS = 2
@@ -225,10 +225,11 @@
     def _bind(self) -> None:
         """Give each bucket several candidates and each flow a binding."""
         for name in self._balancers():
-            self.subjects[name].call("several-candidates")
+            indexes = self.subjects[name].call("several-candidates")
             address = (LOOPBACK, self._port(name))
-            for number in range(len(data_frames(1)) * 1_000):
-                self.peer.sendto(binding_frame(number, number % 2), address)
+            for number in range(CALLERS):
+                index = indexes[number % len(indexes)]
+                self.peer.sendto(binding_frame(number, index), address)
                 if number % 100 == 0:
                     time.sleep(0.01)
 
--- a/src/wasabigw_measure/_bench_worker.py
+++ b/src/wasabigw_measure/_bench_worker.py
@@ -33,6 +33,7 @@
     Term,
 )
 from wasabigw.core.log_messages import Announcement, LogBatch, LogEntry
+from wasabigw.core.placement import home_among
 from wasabigw.core.states import BackendServerState, CandidateReason, Protocol
 from wasabigw.core.timing import BUCKETS_PER_SERVICE
 from wasabigw.runtime.mailbox import Mailbox
@@ -48,6 +49,7 @@
 )
 from wasabigw_measure._bench_frames import (
     BACKEND_PORT,
+    CALLERS,
     answer_frames,
     backend_address,
     data_frames,
@@ -56,7 +58,6 @@
 )
 
 BACKEND_SERVERS = 10
-CALLERS = 1_000
 CAPACITY = 10_000_000
 """Connections of each backend server, so that no limit is reached."""
 SOCKET_BUFFER = 4 * 1024 * 1024
@@ -73,7 +74,12 @@
     """Run the role that the command line names."""
     logging.set_verbosity(logging.ERROR)
     role, *arguments = sys.argv[1:]
-    {"loop": run_loop, "balancer": run_balancer, "sender": run_sender}[role](*arguments)
+    roles: dict[str, Callable[..., None]] = {
+        "loop": run_loop,
+        "balancer": run_balancer,
+        "sender": run_sender,
+    }
+    roles[role](*arguments)
 
 
 def serve(handlers: dict[str, Callable[..., Any]]) -> None:
@@ -158,9 +164,10 @@
             task.mailbox.post(LogReceived(batch, monotonic()))
             applied.get(WAIT).unwrap()
 
-        def several_candidates() -> bool:
-            feed(c.ReportBatch((c.NodeUp(peer),)), c.ReportBatch(_candidates()))
-            return True
+        def several_candidates() -> list[int]:
+            homed = _homed_at(peer, own)
+            feed(c.ReportBatch((c.NodeUp(peer),)), c.ReportBatch(_candidates(homed)))
+            return homed
 
         def status() -> dict[str, Any]:
             reply: Mailbox[Any] = Mailbox("reply")
@@ -223,7 +230,17 @@
     )
 
 
-def _candidates() -> tuple[c.CandidatesAdded, ...]:
+def _homed_at(peer: Node, own: Node) -> list[int]:
+    """Backend servers whose home is ``peer`` once it has registered."""
+    return [
+        number
+        for number in range(BACKEND_SERVERS)
+        if home_among(BackendServerId(f"b{number}"), DOMAIN, (own, peer)) == peer.id
+    ]
+
+
+def _candidates(numbers: list[int]) -> tuple[c.CandidatesAdded, ...]:
+    """Some backend servers become candidates of each bucket."""
     buckets = tuple(BucketNumber(number) for number in range(BUCKETS_PER_SERVICE))
     return tuple(
         c.CandidatesAdded(
@@ -232,7 +249,7 @@
             buckets,
             CandidateReason.DIVERTED,
         )
-        for number in (0, 1)
+        for number in numbers
     )
 
 
