--- a/src/wasabigw/codec/messages.py
+++ b/src/wasabigw/codec/messages.py
@@ -62,7 +62,6 @@
     return {
         "current": table.current,
         "others": [[b, _converter().unstructure(c)] for b, c in table.others.items()],
-        "moved_at": [[bucket, at] for bucket, at in table.moved_at.items()],
     }
 
 
@@ -71,7 +70,7 @@
         bucket: _converter().structure(candidates, list[cluster.Candidate])
         for bucket, candidates in value["others"]
     }
-    return cluster.BucketTable(value["current"], others, dict(value["moved_at"]))
+    return cluster.BucketTable(value["current"], others)
 
 
 @cache
--- a/src/wasabigw/core/buckets.py
+++ b/src/wasabigw/core/buckets.py
@@ -118,7 +118,6 @@
             others.insert(0, Candidate(former, _reason(former, alive), revision))
         _set_others(table, bucket, others)
         table.current[index] = backend_server
-        table.moved_at[bucket] = revision
         moved += 1
     return moved
 
--- a/src/wasabigw/core/cluster.py
+++ b/src/wasabigw/core/cluster.py
@@ -118,12 +118,10 @@
 
     :param current: backend server of each bucket, ``None`` without any.
     :param others: further candidates of a bucket, newest first.
-    :param moved_at: revision of the last move of a bucket.
     """
 
     current: list[BackendServerId | None]
     others: dict[BucketNumber, list[Candidate]] = field(default_factory=dict)
-    moved_at: dict[BucketNumber, Revision] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/copying.py
+++ b/src/wasabigw/core/copying.py
@@ -22,4 +22,4 @@
 
 def _copy_table(table: BucketTable) -> BucketTable:
     others = {bucket: list(found) for bucket, found in table.others.items()}
-    return BucketTable(list(table.current), others, dict(table.moved_at))
+    return BucketTable(list(table.current), others)
--- a/src/wasabigw_measure/_mapping_buckets.py
+++ b/src/wasabigw_measure/_mapping_buckets.py
@@ -86,6 +86,17 @@
     packets: int = 0
 
 
+@dataclass(slots=True)
+class TimedTable(BucketTable):
+    """Bucket table with the revision of the last move of each bucket."""
+
+    moved_at: dict[BucketNumber, Revision] = field(default_factory=dict)
+
+
+def _empty_table() -> TimedTable:
+    return TimedTable(buckets.empty_table().current)
+
+
 @dataclass(slots=True)
 class StableBuckets(Scheme):
     """State of all balancers.
@@ -94,7 +105,7 @@
     :param releases: candidates that the next commit releases.
     """
 
-    tables: list[BucketTable] = field(default_factory=list)
+    tables: list[TimedTable] = field(default_factory=list)
     homes: defaultdict[NodeId, Home] = field(default_factory=lambda: defaultdict(Home))
     releases: list[CandidatesReleased] = field(default_factory=list)
     known_homes: dict[tuple[BackendServerId, tuple[NodeId, ...]], NodeId] = field(
@@ -139,11 +150,15 @@
 @view_committed.register
 def _(scheme: StableBuckets, view: View, world: World) -> None:
     revision = Revision(view.revision)
-    table = deepcopy(scheme.tables[-1]) if scheme.tables else buckets.empty_table()
+    table = deepcopy(scheme.tables[-1]) if scheme.tables else _empty_table()
+    before = list(table.current)
     weights = dict.fromkeys(view.accepting, 1.0)
     assignment = buckets.assign_buckets(table.current, weights)
     alive = {server for other in world.views for server in other.accepting}
     buckets.move_buckets(table, assignment, revision, alive)
+    for number, server in enumerate(table.current):
+        if server != before[number]:
+            table.moved_at[BucketNumber(number)] = revision
     for release in scheme.releases:
         buckets.release_candidates(
             table, release.backend_server, release.buckets, release.up_to
@@ -459,7 +474,7 @@
 
 
 def _has_settled(
-    table: BucketTable, bucket: BucketNumber, home: Balancer, world: World
+    table: TimedTable, bucket: BucketNumber, home: Balancer, world: World
 ) -> bool:
     """Whether new flows no longer go to the former backend server."""
     moved = home.applied.get(table.moved_at.get(bucket, Revision(0)), Seconds(0.0))
