--- a/src/wasabigw/tasks/control_plane.py
+++ b/src/wasabigw/tasks/control_plane.py
@@ -10,7 +10,11 @@
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import TimerService
-from wasabigw.tasks.http_control import ControlApiSettings, make_control_server
+from wasabigw.tasks.http_control import (
+    THREADS,
+    ControlApiSettings,
+    make_control_server,
+)
 from wasabigw.tasks.http_server import HttpServer
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.voter_calls import VoterMessage
@@ -59,11 +63,13 @@
     apply_command: ApplyCommand,
     timer: TimerService,
     bind: Endpoint | None = None,
+    threads: int = THREADS,
 ) -> ControlPlane:
     """Voter of a control VM, which takes over the opened data directory.
 
     :param token: bearer token of operators.
     :param timer: running timer service.
+    :param threads: of the HTTP server.
     :param bind: where to listen, if not at the own endpoint of the settings.
     """
     mailbox: Mailbox[VoterMessage | Stop] = Mailbox(f"voter-{settings.node}")
@@ -81,6 +87,6 @@
         timer,
     )
     own: Endpoint = bind or settings.voters[NodeId(settings.node)]
-    api = ControlApiSettings(own, token, tuple(links))
+    api = ControlApiSettings(own, token, tuple(links), threads)
     server = make_control_server(mailbox, api)
     return ControlPlane(voter, server, tuple(links.values()), ExitStack())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -22,6 +22,7 @@
     NODE_TIMEOUT,
     QUARANTINE,
     SUSPECT_TIME,
+    VIEW_LEASE,
 )
 
 RECIFE = ids.FailureDomainId("recife")
@@ -134,6 +135,16 @@
         self.tick(2.5)
         self.assertEqual(self.poll([restarted], 2.5), [NodeUp(restarted)])
 
+    def test_progress_names_the_nodes_that_lag(self) -> None:
+        now = 10.0
+        self.poll(self.nodes[:4], now, applied=10)
+        self.poll(self.nodes[4:5], now, applied=9)
+        found = membership.node_progress(
+            self.state, self.cluster, Revision(10), Seconds(now + VIEW_LEASE)
+        )
+        lagging = [p.node for p in found if not p.in_force]
+        self.assertEqual(lagging, [self.nodes[4].id])
+
 
 class Timers(MembershipCase):
     """Guards against an address or a bucket that is given away too early."""
