Refer to backend servers by place in encoded bucket tables

Change: an encoded table lists its backend servers once; places out of range and of another type are refused.

--- a/src/wasabigw/codec/messages.py
+++ b/src/wasabigw/codec/messages.py
@@ -7,6 +7,7 @@
 import json
 from dataclasses import dataclass
 from functools import cache
+from types import NoneType
 from typing import Any, TypeVar
 
 import cattrs
@@ -60,8 +61,12 @@
 
 
 def _bucket_table_to_json(table: cluster.BucketTable) -> dict[str, Any]:
+    """Buckets refer to backend servers by place, which shortens a snapshot."""
+    servers = [name for name in dict.fromkeys(table.current) if name is not None]
+    places = {name: place for place, name in enumerate(servers)}
     return {
-        "current": table.current,
+        "servers": servers,
+        "current": [places.get(name) if name else None for name in table.current],
         "others": [[b, _converter().unstructure(c)] for b, c in table.others.items()],
     }
 
@@ -71,7 +76,12 @@
         bucket: _converter().structure(candidates, list[cluster.Candidate])
         for bucket, candidates in value["others"]
     }
-    return cluster.BucketTable(value["current"], others)
+    servers = _converter().structure(value["servers"], list[str])
+    names: dict[int | None, Any] = {None: None, **dict(enumerate(servers))}
+    current = value["current"]
+    if not set(map(type, current)) <= {int, NoneType}:
+        raise TypeError("current must hold places in servers, or null")
+    return cluster.BucketTable([names[place] for place in current], others)
 
 
 @cache
--- a/src/wasabigw_measure/_capacity_rows.py
+++ b/src/wasabigw_measure/_capacity_rows.py
@@ -13,7 +13,7 @@
     REMEMBERED_REQUESTS,
     SNAPSHOT_INTERVAL,
 )
-from wasabigw.tasks.http_control import HTTP_THREADS
+from wasabigw.tasks.http_control import THREADS as HTTP_THREADS
 from wasabigw.tasks.log_follower import MIN_POLL_INTERVAL
 from wasabigw.tasks.packet_task import PING_PERIOD, UPKEEP_PERIOD
 from wasabigw.tasks.voter_task import MEMBERSHIP_PERIOD
@@ -129,7 +129,7 @@
     yield Row(
         role,
         "process without any state",
-        "imports of `tasks/balancer.py`",
+        "imports of `daemon.py`",
         f"{measured.process / 1e6:.0f} MB resident",
         "measured",
         measured.process / 1e6,
--- a/src/wasabigw_measure/_capacity_run.py
+++ b/src/wasabigw_measure/_capacity_run.py
@@ -100,7 +100,7 @@
         append=measure_append(),
         state=measure_state(extent.unit),
         flows=measure_flows(extent.flows),
-        process=process_bytes("wasabigw.tasks.balancer"),
+        process=process_bytes("wasabigw.daemon"),
         sizes=tuple(measure_size(size) for size in sizes),
         snapshots=tuple(measure_snapshot(size) for size in sizes),
         storms=tuple(measure_storms(sizes[-1])),
--- a/tests/test_message_codec.py
+++ b/tests/test_message_codec.py
@@ -119,3 +119,13 @@
     def test_repeated_key_is_refused(self) -> None:
         text = '{"address":"10.0.0.1","port":1,"port":2}'
         self.refused(text, Endpoint)
+
+    def test_bucket_that_names_no_backend_server(self) -> None:
+        state = ClusterState(buckets={ServiceId("seats"): empty_table()})
+        good = messages.to_json(state)
+        for place in (0, -1, True, 1.0, "b1"):
+            with self.subTest(place=place):
+                bad = messages.to_json(state)
+                bad["buckets"]["seats"]["current"][7] = place
+                self.assertIsInstance(messages.from_json(bad, ClusterState), Failure)
+        self.assertEqual(messages.from_json(good, ClusterState), Success(state))
