--- a/src/wasabigw/codec/messages.py
+++ b/src/wasabigw/codec/messages.py
@@ -91,10 +91,11 @@
     converter.register_structure_hook(bool, _strict(bool))
     converter.register_structure_hook(str, _strict(str))
     converter.register_structure_hook(float, _structure_float)
-    for union in _UNIONS:
-        configure_tagged_union(union, converter, tag_name=KIND)
+    # Before the unions, whose members take over the hooks that exist by then.
     converter.register_unstructure_hook(cluster.BucketTable, _bucket_table_to_json)
     converter.register_structure_hook(cluster.BucketTable, _bucket_table_from_json)
+    for union in _UNIONS:
+        configure_tagged_union(union, converter, tag_name=KIND)
     return converter
 
 
--- a/tests/test_message_codec.py
+++ b/tests/test_message_codec.py
@@ -19,7 +19,12 @@
     ServiceId,
     Term,
 )
-from wasabigw.core.log_messages import AnnouncementOutcome, LogBatch, LogEntry
+from wasabigw.core.log_messages import (
+    AnnouncementOutcome,
+    LogBatch,
+    LogEntry,
+    NotLeader,
+)
 from wasabigw.core.states import BackendServerState, Protocol
 
 
@@ -78,6 +83,7 @@
         )
         batch = LogBatch(Term(1), Revision(3), Seconds(1.5), entries, state)
         self.assert_round_trip(batch, LogBatch)
+        self.assert_round_trip(batch, LogBatch | NotLeader)
 
 
 class BadInput(unittest.TestCase):
