Look only at what an entry of the log has replaced

Cause: after each entry a balancer compared the bucket tables of all services and stepped through all backend servers three times. Change: bucket tables carry a version; replaced and removed entries are found without a step of the interpreter for each.

--- a/src/wasabigw/core/buckets.py
+++ b/src/wasabigw/core/buckets.py
@@ -118,6 +118,7 @@
             others.insert(0, Candidate(former, _reason(former, alive), revision))
         _set_others(table, bucket, others)
         table.current[index] = backend_server
+        table.version += 1
         moved += 1
     return moved
 
@@ -129,7 +130,7 @@
     others = table.others.get(bucket, [])
     if any(c.backend_server == candidate.backend_server for c in others):
         return
-    table.others[bucket] = [candidate, *others]
+    _set_others(table, bucket, [candidate, *others])
 
 
 def release_candidates(
@@ -154,10 +155,13 @@
     """Record that a candidate is gone and its flows with it."""
     departed = Candidate(backend_server, CandidateReason.DEPARTED, revision)
     for bucket, others in table.others.items():
+        if not any(c.backend_server == backend_server for c in others):
+            continue
         table.others[bucket] = [
             departed if candidate.backend_server == backend_server else candidate
             for candidate in others
         ]
+        table.version += 1
 
 
 def _reason(
@@ -171,6 +175,7 @@
 def _set_others(
     table: BucketTable, bucket: BucketNumber, others: list[Candidate]
 ) -> None:
+    table.version += 1
     if others:
         table.others[bucket] = others
     else:
--- a/src/wasabigw/core/cluster.py
+++ b/src/wasabigw/core/cluster.py
@@ -118,10 +118,13 @@
 
     :param current: backend server of each bucket, ``None`` without any.
     :param others: further candidates of a bucket, newest first.
+    :param version: changes of this object, so that a reader sees cheaply whether it
+        has changed; not part of the replicated state.
     """
 
     current: list[BackendServerId | None]
     others: dict[BucketNumber, list[Candidate]] = field(default_factory=dict)
+    version: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/flows/homes.py
+++ b/src/wasabigw/core/flows/homes.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from wasabigw.core.cluster import BackendServer, ClusterState
+from wasabigw.core.differences import removed, replaced
 from wasabigw.core.ids import (
     BackendServerId,
     BootId,
@@ -146,20 +147,21 @@
         if node.state is not NodeState.DRAINING
     }
     homes.incarnations = {node.id: node.incarnation for node in cluster.nodes.values()}
-    _remove_unregistered(homes, cluster)
+    changed = replaced(cluster.backend_servers, homes.seen)
+    for name in removed(cluster.backend_servers, homes.seen, changed):
+        _remove_unregistered(homes, name)
     changes = _follow_nodes(homes, before, cluster, now)
-    _follow_backend_servers(homes, cluster, now, history_known)
+    _follow_backend_servers(homes, cluster, changed, now, history_known)
     if not history_known:
         _assume_nothing(homes, cluster, now)
     _check_claims(homes)
     return changes
 
 
-def _remove_unregistered(homes: Homes, cluster: ClusterState) -> None:
-    for name in sorted(homes.homes.keys() - cluster.backend_servers.keys()):
-        domain = homes.homes.pop(name).failure_domain
-        homes.by_domain[domain].discard(name)
-        _forget_own(homes, name)
+def _remove_unregistered(homes: Homes, name: BackendServerId) -> None:
+    domain = homes.homes.pop(name).failure_domain
+    homes.by_domain[domain].discard(name)
+    _forget_own(homes, name)
 
 
 def _forget_own(homes: Homes, name: BackendServerId) -> None:
@@ -249,12 +251,14 @@
 
 
 def _follow_backend_servers(
-    homes: Homes, cluster: ClusterState, now: Seconds, history_known: bool
+    homes: Homes,
+    cluster: ClusterState,
+    changed: list[BackendServerId],
+    now: Seconds,
+    history_known: bool,
 ) -> None:
-    registered, seen = cluster.backend_servers, homes.seen
-    replaced = [b for name, b in registered.items() if seen.get(name) is not b]
-    homes.seen = dict(registered)
-    for backend_server in replaced:
+    homes.seen = dict(cluster.backend_servers)
+    for backend_server in map(homes.seen.__getitem__, changed):
         known = homes.homes.get(backend_server.id)
         if known is None or known.failure_domain != backend_server.failure_domain:
             _add_backend_server(homes, backend_server, cluster, now)
--- a/src/wasabigw/core/flows/routes.py
+++ b/src/wasabigw/core/flows/routes.py
@@ -16,6 +16,7 @@
     ClusterState,
     Service,
 )
+from wasabigw.core.differences import removed, replaced
 from wasabigw.core.flows.keys import endpoint_number, number_of
 from wasabigw.core.flows.moves import MoveHistory, record_move, start_from_snapshot
 from wasabigw.core.flows.targets import (
@@ -90,6 +91,8 @@
     :param direct: for each bucket its only candidate, ``None`` if there are several
         or none; empty until compiled.
     :param seen: when this node learned of each candidate besides the current one.
+    :param source: table of the replicated state that ``current`` and ``others`` show.
+    :param source_version: its version then.
     """
 
     id: ServiceId
@@ -103,6 +106,8 @@
     seen: dict[tuple[BucketNumber, BackendServerId, Revision], Seconds] = field(
         default_factory=dict
     )
+    source: BucketTable | None = None
+    source_version: int = 0
 
 
 @dataclass(slots=True)
@@ -147,15 +152,12 @@
     """
     void = _update_targets(table, cluster, out_locally)
     touched = {target.service for target in void}
-    for name in [name for name in table.services if name not in cluster.services]:
-        route = table.services.pop(name)
-        del table.by_endpoint[route.number]
-    for service in cluster.services.values():
-        if table.seen_services.get(service.id) is not service:
-            _update_service(table, service)
-        buckets = cluster.buckets.get(service.id)
-        if buckets is not None:
-            _update_buckets(table.services[service.id], buckets, now, snapshot)
+    for name in table.services.keys() - cluster.services.keys():
+        del table.by_endpoint[table.services.pop(name).number]
+    for name in replaced(cluster.services, table.seen_services):
+        _update_service(table, cluster.services[name])
+    for route, buckets in _outdated(table, cluster, snapshot):
+        _update_buckets(route, buckets, now, snapshot)
     table.seen_services = dict(cluster.services)
     for name in touched & table.services.keys():
         clear_compiled(table.services[name])
@@ -171,26 +173,18 @@
         if domain.state is FailureDomainState.IN_SERVICE
     ).difference(out_locally)
     registered = cluster.backend_servers
-    removed = sorted(table.targets.keys() - registered.keys())
-    void = [_discard(table, name) for name in removed]
-    for backend_server in _replaced(table, cluster, in_service):
+    changed = replaced(registered, table.seen)
+    gone = removed(registered, table.seen, changed)
+    void = [_discard(table, name) for name in gone if name in table.targets]
+    if in_service != table.in_service or cluster.services != table.seen_services:
+        changed = list(registered)
+    for backend_server in map(registered.__getitem__, changed):
         void += _update_target(table, backend_server, cluster, in_service)
     table.seen = dict(registered)
     table.in_service = in_service
     return void
 
 
-def _replaced(
-    table: RoutingTable, cluster: ClusterState, in_service: frozenset[FailureDomainId]
-) -> list[BackendServer]:
-    """Backend servers whose target may be out of date."""
-    registered = cluster.backend_servers
-    if in_service != table.in_service or cluster.services != table.seen_services:
-        return list(registered.values())
-    seen = table.seen
-    return [b for name, b in registered.items() if seen.get(name) is not b]
-
-
 def _update_target(
     table: RoutingTable,
     backend_server: BackendServer,
@@ -290,9 +284,28 @@
     table.by_endpoint[number] = route
 
 
+def _outdated(
+    table: RoutingTable, cluster: ClusterState, snapshot: bool
+) -> list[tuple[ServiceRoute, BucketTable]]:
+    """Routes whose table has changed since they took it over; all in a snapshot."""
+    routes = table.services
+    return [
+        (route, buckets)
+        for name, buckets in cluster.buckets.items()
+        if (route := routes.get(name)) is not None
+        and (
+            snapshot
+            or route.source is not buckets
+            or route.source_version != buckets.version
+        )
+    ]
+
+
 def _update_buckets(
     route: ServiceRoute, table: BucketTable, now: Seconds, snapshot: bool
 ) -> None:
+    route.source = table
+    route.source_version = table.version
     if snapshot:
         start_from_snapshot(route.moves, table, now)
     elif route.current != table.current:
--- a/src/wasabigw/core/home_changes.py
+++ b/src/wasabigw/core/home_changes.py
@@ -2,6 +2,7 @@
 
 from wasabigw.core import admission
 from wasabigw.core.cluster import BackendServer, ClusterState
+from wasabigw.core.differences import removed, replaced
 from wasabigw.core.home_records import (
     HomedServer,
     HomeState,
@@ -17,10 +18,11 @@
     state.cluster = cluster
     placement = placement_of(state.node, cluster)
     moved = placement.membership != state.membership
-    for server in cluster.backend_servers.values():
-        if moved or state.seen.get(server.id) is not server:
-            _update_home(server, placement, state, now)
-    for name in state.seen.keys() - cluster.backend_servers.keys():
+    registered = cluster.backend_servers
+    changed = replaced(registered, state.seen)
+    for name in registered if moved else changed:
+        _update_home(registered[name], placement, state, now)
+    for name in removed(registered, state.seen, changed):
         _deregistered(name, state)
     state.membership = placement.membership
     state.seen = dict(cluster.backend_servers)
