Look only at backend servers of changed services

Cause: a change of one service compared the targets of all backend servers and parsed 24,000 addresses. Change: only backend servers of services that changed are looked at, and the numbers of addresses are kept.

--- a/src/wasabigw/core/flows/keys.py
+++ b/src/wasabigw/core/flows/keys.py
@@ -1,12 +1,16 @@
 """Flow keys and endpoint keys as numbers, for fast lookups."""
 
 import struct
+from functools import lru_cache
 from ipaddress import IPv4Address
 
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import FlowKey
 from wasabigw.core.states import Protocol
 
+KNOWN_ADDRESSES = 32_768
+"""Addresses whose numbers are kept, because parsing dominated large changes."""
+
 _KEY = struct.Struct("!BIHIH")
 
 
@@ -32,6 +36,7 @@
     return fields
 
 
+@lru_cache(KNOWN_ADDRESSES)
 def address_number(address: str) -> int:
     """IPv4 address as a number."""
     return int(IPv4Address(address))
--- a/src/wasabigw/core/flows/routes.py
+++ b/src/wasabigw/core/flows/routes.py
@@ -176,8 +176,10 @@
     changed = replaced(registered, table.seen)
     gone = removed(registered, table.seen, changed)
     void = [_discard(table, name) for name in gone if name in table.targets]
-    if in_service != table.in_service or cluster.services != table.seen_services:
+    if in_service != table.in_service:
         changed = list(registered)
+    else:
+        changed += _served_by_changed(table, cluster)
     for backend_server in map(registered.__getitem__, changed):
         void += _update_target(table, backend_server, cluster, in_service)
     table.seen = dict(registered)
@@ -185,6 +187,18 @@
     return void
 
 
+def _served_by_changed(
+    table: RoutingTable, cluster: ClusterState
+) -> list[BackendServerId]:
+    """Backend servers of services that were added, changed or removed."""
+    seen, services = table.seen_services, cluster.services
+    changed = set(replaced(services, seen)) | (seen.keys() - services.keys())
+    if not changed:
+        return []
+    servers = cluster.backend_servers.values()
+    return [server.id for server in servers if server.service in changed]
+
+
 def _update_target(
     table: RoutingTable,
     backend_server: BackendServer,
