--- /dev/null
+++ b/src/wasabigw_verify/harness/callers.py
@@ -0,0 +1,284 @@
+"""Callers, and the front end that applies the request rules for them.
+
+Each caller uses one flow for several requests in turn. The front end drives
+``core/requests.py``; it can't choose the backend server of a new flow.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from wasabigw.core import request_events as q
+from wasabigw.core import requests
+from wasabigw.core.flows import events as e
+from wasabigw.core.flows.keys import address_number, flow_key
+from wasabigw.core.ids import BackendServerId, FlowKey, RequestId, Seconds, ServiceId
+from wasabigw.core.states import Protocol
+from wasabigw_verify import record as r
+from wasabigw_verify.harness.packets import ANSWER_PARTS, Ask, Packet, Part
+
+if TYPE_CHECKING:
+    from wasabigw_verify.harness.world import World
+
+RETRANSMIT = 1.0
+GIVE_UP = 15.0
+"""Seconds without an answer after which a caller takes its flow for lost."""
+DEADLINE = 10.0
+TICK = 0.5
+
+
+class SessionState(Enum):
+    """How far the flow of a caller is."""
+
+    OPENING = "opening"
+    OPEN = "open"
+    CLOSING = "closing"
+    ENDED = "ended"
+
+
+@dataclass(slots=True)
+class Session:
+    """A flow of a caller.
+
+    :param gaps: pauses before the requests that are still to come.
+    :param waiting: packet without an answer, and when it was first sent.
+    """
+
+    caller: str
+    place: str
+    service: ServiceId
+    flow: FlowKey
+    gaps: list[float]
+    started: float
+    state: SessionState = SessionState.OPENING
+    established: bool = False
+    backend_server: BackendServerId | None = None
+    answered: int = 0
+    sent: int = 0
+    current: tuple[RequestId, int] | None = None
+    waiting: tuple[Packet, float] | None = None
+    got: set[int] = field(default_factory=set)
+
+
+class Callers:
+    """All callers and their front end."""
+
+    alive = True
+    closing = False
+    """Whether no further requests are made."""
+
+    def __init__(self, world: "World") -> None:
+        self.world = world
+        self.sessions: dict[FlowKey, Session] = {}
+        self.all: list[Session] = []
+        self._ledger = requests.RequestLedger()
+        self._of_request: dict[RequestId, Session] = {}
+        world.network.every("callers", self, TICK, self._tick)
+
+    def start(self, place: str, service: ServiceId, gaps: list[float]) -> Session:
+        """Open a flow with a first request; further ones follow after the gaps."""
+        caller = f"caller-{self.world.next_number()}"
+        flow = self._new_flow(service)
+        session = Session(caller, place, service, flow, gaps, self._now())
+        self.sessions[session.flow] = session
+        self.all.append(session)
+        self._ask(session)
+        return session
+
+    def receive(self, packet: Packet) -> None:
+        """Handle an answer of a backend server."""
+        event = packet.event
+        session = self.sessions.get(event.flow)
+        if session is None or session.state is SessionState.ENDED:
+            return
+        match event:
+            case e.AnswerOpened(flow, backend_server):
+                self._opened(session, flow, backend_server)
+            case e.AnswerData() if isinstance(packet.content, Part):
+                self._take_part(session, packet.content)
+            case e.AnswerClosing(reset=True):
+                self.lose(session)
+            case e.AnswerClosing() if session.state is SessionState.CLOSING:
+                self._end(session)
+                self.world.add(r.FlowClosed(self._now(), session.flow))
+
+    def lose(self, session: Session) -> None:
+        """The flow was reset or timed out."""
+        if session.state is SessionState.ENDED:
+            return
+        closing = session.state is SessionState.CLOSING
+        self._end(session)
+        if session.established and not closing:
+            self.world.add(r.FlowLost(self._now(), session.flow))
+        if session.current is not None:
+            request, attempt = session.current
+            sent = session.established
+            event = q.FlowClosed(request, attempt, sent, self._now())
+            self._decide(event)
+
+    def _now(self) -> Seconds:
+        return self.world.network.now
+
+    def _new_flow(self, service: ServiceId) -> FlowKey:
+        number = self.world.next_number()
+        endpoint = self.world.services[service].endpoint
+        port = 1024 + number % 60_000
+        address = address_number(endpoint.address)
+        draw = self.world.network.random.randrange(1 << 16)
+        caller = 0x0A090000 + draw
+        return flow_key(Protocol.TCP.value, caller, port, address, endpoint.port)
+
+    def _opened(self, session: Session, flow: FlowKey, backend_server: Any) -> None:
+        if session.state is not SessionState.OPENING:
+            return
+        session.state = SessionState.OPEN
+        session.established = True
+        session.backend_server = backend_server
+        session.waiting = None
+        self.world.add(r.FlowEstablished(self._now(), flow, backend_server))
+        self._send_request(session)
+
+    # Requests
+
+    def _ask(self, session: Session) -> None:
+        number = self.world.next_number()
+        request = RequestId(f"request-{number}")
+        idempotent = number % 2 == 0
+        now = self._now()
+        self._of_request[request] = session
+        sent = r.RequestSent(now, request, session.caller, idempotent, session.flow)
+        self.world.add(sent)
+        deadline = Seconds(now + DEADLINE)
+        self._decide(q.RequestArrived(request, idempotent, idempotent, deadline, now))
+
+    def _decide(self, event: Any) -> None:
+        for decision in requests.handle(event, self._ledger):
+            self._execute(decision)
+
+    def _execute(self, decision: q.RequestDecision) -> None:
+        now = self._now()
+        match decision:
+            case q.ForwardRequest(request, attempt, backend_server):
+                self._forward(request, attempt, backend_server is not None)
+            case q.RefuseRequest(request, not_run):
+                self.world.add(r.RequestRefused(now, request, not_run))
+                self._finish(request)
+            case q.ReportUnknownOutcome(request):
+                self.world.add(r.RequestRefused(now, request, False))
+                self._finish(request)
+            case q.DeliverAnswer(request, parts):
+                ask = Ask(0, request, 0)
+                exact = parts == tuple(Part(ask, i).data for i in range(ANSWER_PARTS))
+                caller = self._of_request[request].caller
+                self.world.add(r.AnswerDelivered(now, request, caller, exact))
+                self._of_request[request].answered += 1
+                self._finish(request)
+            case _:
+                pass
+
+    def _forward(self, request: RequestId, attempt: int, bound: bool) -> None:
+        session = self._of_request[request]
+        session.current = (request, attempt)
+        if session.state is SessionState.OPEN:
+            self._send_request(session)
+        elif session.state is SessionState.OPENING:
+            event = e.FlowOpened(session.flow, session.service, Seconds(0.0))
+            self._send(session, Packet(event))
+        elif bound:
+            # A new flow may reach another backend server.
+            session.current = None
+            self._decide(q.FlowClosed(request, attempt, False, self._now()))
+        else:
+            self._open_again(session)
+
+    def _open_again(self, session: Session) -> None:
+        session.flow = self._new_flow(session.service)
+        self.sessions[session.flow] = session
+        session.state = SessionState.OPENING
+        session.established = False
+        event = e.FlowOpened(session.flow, session.service, Seconds(0.0))
+        self._send(session, Packet(event))
+
+    def _send_request(self, session: Session) -> None:
+        if session.current is None:
+            self._close(session)
+            return
+        request, attempt = session.current
+        session.sent += 1
+        session.got.clear()
+        ask = Ask(session.sent, request, attempt)
+        backend_server = session.backend_server
+        assert backend_server is not None
+        self._decide(q.RequestForwarded(request, attempt, backend_server, self._now()))
+        event = e.FlowData(session.flow, session.service, Seconds(0.0))
+        self._send(session, Packet(event, ask))
+
+    def _take_part(self, session: Session, part: Part) -> None:
+        now = self._now()
+        ask = part.ask
+        if session.waiting is not None and session.waiting[0].content == ask:
+            session.got.add(part.index)
+            session.waiting = (session.waiting[0], now)
+            if len(session.got) == ANSWER_PARTS:
+                session.waiting = None
+        self._decide(q.AnswerPart(ask.request, ask.attempt, part.index, part.data, now))
+        if part.index == ANSWER_PARTS - 1:
+            done = q.AnswerComplete(ask.request, ask.attempt, ANSWER_PARTS, now)
+            self._decide(done)
+
+    def _finish(self, request: RequestId) -> None:
+        session = self._of_request[request]
+        if session.current is None or session.current[0] != request:
+            return
+        session.current = None
+        if session.state is not SessionState.OPEN:
+            return
+        if session.waiting is not None:
+            # The answer is still on the way; nothing more is asked on this flow.
+            session.gaps.clear()
+        elif session.gaps and not self.closing:
+            pause = session.gaps.pop(0)
+            self.world.network.later(pause, lambda: self._ask_again(session))
+        else:
+            self._close(session)
+
+    def _ask_again(self, session: Session) -> None:
+        if session.state is not SessionState.OPEN or session.current is not None:
+            return
+        if self.closing:
+            self._close(session)
+        else:
+            self._ask(session)
+
+    # Packets
+
+    def _close(self, session: Session) -> None:
+        session.state = SessionState.CLOSING
+        event = e.FlowClosing(session.flow, session.service, Seconds(0.0))
+        self._send(session, Packet(event))
+
+    def _end(self, session: Session) -> None:
+        session.state = SessionState.ENDED
+        session.waiting = None
+
+    def _send(self, session: Session, packet: Packet) -> None:
+        session.waiting = (packet, self._now())
+        self._transmit(session, packet)
+
+    def _transmit(self, session: Session, packet: Packet) -> None:
+        if session.waiting is None or session.waiting[0] is not packet:
+            if session.state is SessionState.OPEN and session.current is None:
+                self._close_if_idle(session)
+            return
+        if self._now() - session.waiting[1] > GIVE_UP:
+            self.lose(session)
+            return
+        self.world.spray(session.place, packet)
+        self.world.network.later(RETRANSMIT, lambda: self._transmit(session, packet))
+
+    def _close_if_idle(self, session: Session) -> None:
+        if not session.gaps and session.waiting is None:
+            self._close(session)
+
+    def _tick(self) -> None:
+        self._decide(q.Tick(self._now()))
--- /dev/null
+++ b/src/wasabigw_verify/harness/faults.py
@@ -0,0 +1,277 @@
+"""The faults of docs/design.md, section 1.6, as they strike a run."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from wasabigw.core.cluster import Applied, Refusal
+from wasabigw.core.commands import (
+    BringFailureDomainBack,
+    Change,
+    TakeFailureDomainOut,
+)
+from wasabigw.core.ids import FailureDomainId, NodeId
+from wasabigw_verify import record as r
+from wasabigw_verify.harness.backend_servers import BackendServer
+from wasabigw_verify.harness.balancers import Balancer
+from wasabigw_verify.harness.operators import Operator
+from wasabigw_verify.harness.run import Run, Strike
+from wasabigw_verify.harness.steps import Focus
+from wasabigw_verify.harness.voters import WriteFault
+from wasabigw_verify.harness.world import DOMAINS, VOTERS
+
+DOWN_TIME = 4.0
+"""Seconds until a process that ended is started again."""
+LONG_CUT = 8.0
+UNEVEN_TIME = 6.0
+UNEVEN_DELAY = 1.2
+FREEZE = 2.5
+BEHIND = 200
+"""Changes that a process misses."""
+ADMISSION_CHECK = 0.1
+
+
+class Fault(Enum):
+    """What goes wrong."""
+
+    BALANCER_DIES = "a balancer dies"
+    BALANCER_JOINS = "a balancer joins"
+    BACKEND_SERVER_DRAINS = "a backend server drains"
+    BACKEND_SERVER_COLD = "a backend server turns cold without warning"
+    UNEVEN_UPDATES = "updates reach VMs unevenly"
+    VOTER_ISOLATED = "a control VM is isolated silently and long"
+    OPERATORS_RACE = "operators race with equal revisions"
+    CHANGE_RESENT = "a change is resent after a lost answer"
+    SECOND_VM_LOST = "a second VM is lost just after a repair"
+    DISK_EMPTIED = "a disk is lost or emptied"
+    WRITE_TORN = "a write is torn or only partly synced"
+    RESTART_BEHIND = "a restart hundreds of changes behind"
+    SILENT_CONNECTIONS = "connections go silent while new ones work"
+    DOMAIN_CUT_OFF = "a failure domain is cut off"
+    DOMAIN_OUT_AND_BACK = "a failure domain is taken out and brought back"
+
+
+STRIKES: dict[Fault, Strike] = {}
+
+
+def strikes(fault: Fault) -> Callable[[Strike], Strike]:
+    """Register the function that lets a fault strike."""
+
+    def register(strike: Strike) -> Strike:
+        STRIKES[fault] = strike
+        return strike
+
+    return register
+
+
+def _balancer(run: Run, focus: Focus) -> Balancer | None:
+    """The balancer of the step, or any that is not new."""
+    found = run.world.balancers
+    if focus.balancer in found:
+        return found[focus.balancer]
+    names = sorted(found)
+    return found[run.world.network.random.choice(names)] if names else None
+
+
+def _voter(run: Run, focus: Focus) -> NodeId:
+    """The voter of the step, or the leader."""
+    return focus.voter or run.world.leader() or VOTERS[0]
+
+
+def _backend_server(run: Run, focus: Focus) -> BackendServer:
+    """The backend server of the step, or any."""
+    found = run.world.backend_servers
+    if focus.backend_server in found:
+        return found[focus.backend_server]
+    return found[run.world.network.random.choice(sorted(found))]
+
+
+def _domain(run: Run, focus: Focus) -> FailureDomainId:
+    """Failure domain of the step, or any."""
+    place = focus.backend_server or focus.voter or focus.balancer
+    known = run.world.domain_of.get(place or "")
+    return known or run.world.network.random.choice(DOMAINS)
+
+
+@strikes(Fault.BALANCER_DIES)
+def _(run: Run, focus: Focus) -> None:
+    balancer = _balancer(run, focus)
+    if balancer is None:
+        return
+    name, domain = balancer.name, balancer.node.failure_domain
+    run.world.stop_balancer(name, planned=False)
+    run.world.network.later(DOWN_TIME, lambda: run.world.start_balancer(name, domain))
+
+
+@strikes(Fault.BALANCER_JOINS)
+def _(run: Run, focus: Focus) -> None:
+    run.join(_domain(run, focus))
+
+
+@strikes(Fault.BACKEND_SERVER_DRAINS)
+def _(run: Run, focus: Focus) -> None:
+    _backend_server(run, focus).drain()
+
+
+@strikes(Fault.BACKEND_SERVER_COLD)
+def _(run: Run, focus: Focus) -> None:
+    _backend_server(run, focus).restart()
+
+
+@strikes(Fault.UNEVEN_UPDATES)
+def _(run: Run, focus: Focus) -> None:
+    network = run.world.network
+    for name in list(run.world.balancers):
+        network.slow[name] = network.random.uniform(0.0, UNEVEN_DELAY)
+    balancer = _balancer(run, focus)
+    if balancer is not None:
+        network.frozen[balancer.name] = network.now + FREEZE
+    run.change()
+    network.later(UNEVEN_TIME, network.slow.clear)
+
+
+@strikes(Fault.VOTER_ISOLATED)
+def _(run: Run, focus: Focus) -> None:
+    network = run.world.network
+    alone = frozenset({str(_voter(run, focus))})
+    network.isolated.append(alone)
+    run.change()
+    network.later(LONG_CUT, lambda: network.isolated.remove(alone))
+
+
+@strikes(Fault.OPERATORS_RACE)
+def _(run: Run, focus: Focus) -> None:
+    leader = run.world.leader()
+    if leader is None:
+        run.world.network.later(0.5, lambda: STRIKES[Fault.OPERATORS_RACE](run, focus))
+        return
+    seen = run.world.voters[leader].task._cluster.configuration_revision
+    outcomes: list[Applied | Refusal] = []
+
+    def done(answer: Applied | Refusal) -> None:
+        outcomes.append(answer)
+        if sum(isinstance(o, Applied) for o in outcomes) > 1:
+            run.problems.append("two changes for one revision were accepted")
+
+    for _ in range(3):
+        Operator(run.world, run.next_change(), seen, done=done)
+
+
+@strikes(Fault.CHANGE_RESENT)
+def _(run: Run, focus: Focus) -> None:
+    change = run.next_change()
+    run.change(change, lost=2)
+    run.change()
+
+
+@strikes(Fault.SECOND_VM_LOST)
+def _(run: Run, focus: Focus) -> None:
+    world = run.world
+    first = _voter(run, focus)
+    second = next(name for name in VOTERS if name != first)
+    _lose_disk(run, first, 1.0)
+
+    def watch() -> None:
+        repaired = world.disks[first].vote.admitted
+        if repaired and first in world.voters:
+            world.crash_voter(second)
+            run.change()
+            world.network.later(DOWN_TIME, lambda: world.start_voter(second))
+        else:
+            world.network.later(ADMISSION_CHECK, watch)
+
+    watch()
+
+
+@strikes(Fault.DISK_EMPTIED)
+def _(run: Run, focus: Focus) -> None:
+    _lose_disk(run, _voter(run, focus), DOWN_TIME)
+    run.change()
+
+
+def _lose_disk(run: Run, node: NodeId, down: float) -> None:
+    run.world.crash_voter(node)
+    run.world.empty_disk(node)
+    run.world.network.later(down, lambda: run.world.start_voter(node))
+
+
+@strikes(Fault.WRITE_TORN)
+def _(run: Run, focus: Focus) -> None:
+    world = run.world
+    node = _voter(run, focus)
+    faults = list(WriteFault)
+    world.disks[node].fault = faults[world.network.random.randrange(len(faults))]
+    run.change()
+
+    def restart() -> None:
+        world.disks[node].fault = None
+        world.start_voter(node)
+
+    world.network.later(DOWN_TIME, restart)
+
+
+@strikes(Fault.RESTART_BEHIND)
+def _(run: Run, focus: Focus) -> None:
+    world = run.world
+    node = _voter(run, focus)
+    world.crash_voter(node)
+    balancer = _balancer(run, focus)
+    if balancer is not None:
+        world.stop_balancer(balancer.name, planned=False)
+    left = BEHIND
+
+    def send() -> None:
+        nonlocal left
+        left -= 1
+        change: Change = BringFailureDomainBack(DOMAINS[left % len(DOMAINS)])
+        Operator(world, change, done=following)
+
+    def following(_: Applied | Refusal) -> None:
+        if left:
+            send()
+            return
+        world.start_voter(node)
+        if balancer is not None:
+            world.start_balancer(balancer.name, balancer.node.failure_domain)
+
+    send()
+
+
+@strikes(Fault.SILENT_CONNECTIONS)
+def _(run: Run, focus: Focus) -> None:
+    world = run.world
+    voter = str(_voter(run, focus))
+    balancer = _balancer(run, focus)
+    places = [*world.voters, *world.balancers, *world.backend_servers]
+    ends = {voter} if balancer is None else {voter, str(balancer.name)}
+    for end in ends:
+        for place in places:
+            world.network.silent |= {(end, place), (place, end)}
+    run.change()
+
+
+@strikes(Fault.DOMAIN_CUT_OFF)
+def _(run: Run, focus: Focus) -> None:
+    world = run.world
+    domain = _domain(run, focus)
+    cut = world.places(domain)
+    world.network.isolated.append(cut)
+    nodes = [b.name for b in world.balancers.values() if b.name in cut]
+    for node in nodes:
+        world.add(r.NodeCutOff(world.network.now, node))
+
+    def heal() -> None:
+        world.network.isolated.remove(cut)
+        for node in nodes:
+            if node in world.balancers:
+                world.add(r.NodeReconnected(world.network.now, node))
+
+    run.change()
+    world.network.later(LONG_CUT, heal)
+
+
+@strikes(Fault.DOMAIN_OUT_AND_BACK)
+def _(run: Run, focus: Focus) -> None:
+    domain = _domain(run, focus)
+    run.change(TakeFailureDomainOut(domain))
+    back = BringFailureDomainBack(domain)
+    run.world.network.later(LONG_CUT, lambda: run.change(back))
--- /dev/null
+++ b/src/wasabigw_verify/harness/network.py
@@ -0,0 +1,102 @@
+"""Event queue and network of a run; everything follows from the seed."""
+
+import heapq
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from wasabigw.core.ids import Seconds
+
+MIN_DELAY = 0.001
+MAX_DELAY = 0.003
+"""Seconds that a message travels."""
+
+Action = Callable[[], None]
+
+
+class Process(Protocol):
+    """Anything that can stop."""
+
+    alive: bool
+
+
+class Network:
+    """Ordered events, and messages between named places.
+
+    :param isolated: groups of places that reach only each other.
+    :param silent: connections whose messages vanish until they are opened anew.
+    :param frozen: places that handle nothing before a time.
+    :param slow: most seconds that messages to a place travel in addition.
+    :param loss: share of messages that vanish.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.now = Seconds(0.0)
+        self.isolated: list[frozenset[str]] = []
+        self.silent: set[tuple[str, str]] = set()
+        self.frozen: dict[str, float] = {}
+        self.slow: dict[str, float] = {}
+        self.loss = 0.0
+        self._queue: list[tuple[float, int, Action]] = []
+        self._count = 0
+
+    def later(self, seconds: float, action: Action) -> None:
+        """Run an action after some time."""
+        self._count += 1
+        heapq.heappush(self._queue, (self.now + seconds, self._count, action))
+
+    def every(
+        self, place: str, process: Process, period: float, action: Action
+    ) -> None:
+        """Run an action of a process again and again until it stops."""
+
+        def tick() -> None:
+            if process.alive:
+                action()
+                self.later(period, lambda: self.arrive(place, tick))
+
+        self.later(self.random.uniform(0, period), lambda: self.arrive(place, tick))
+
+    def run(self, until: float) -> None:
+        """Handle all events up to a time."""
+        while self._queue and self._queue[0][0] <= until:
+            at, _, action = heapq.heappop(self._queue)
+            self.now = Seconds(at)
+            action()
+        self.now = Seconds(until)
+
+    def arrive(self, place: str, action: Action) -> None:
+        """Handle something at a place, once it is not frozen."""
+        until = self.frozen.get(place, 0.0)
+        if until > self.now:
+            self.later(until - self.now, lambda: self.arrive(place, action))
+        else:
+            action()
+
+    def is_cut(self, source: str, destination: str) -> bool:
+        """Whether no message passes between two places."""
+        return any((source in g) != (destination in g) for g in self.isolated)
+
+    def send(
+        self, source: str, destination: str, action: Action, connected: bool = False
+    ) -> None:
+        """Deliver a message, unless it is lost or cut off on the way.
+
+        :param connected: it uses a connection, which can have gone silent.
+        """
+        lost = self.random.random() < self.loss
+        delay = self.random.uniform(MIN_DELAY, MAX_DELAY)
+        delay += self.random.uniform(0, self.slow.get(destination, 0.0))
+        silent = connected and (source, destination) in self.silent
+        if lost or silent or self.is_cut(source, destination):
+            return
+        self.later(delay, lambda: self._deliver(source, destination, action))
+
+    def _deliver(self, source: str, destination: str, action: Action) -> None:
+        if not self.is_cut(source, destination):
+            self.arrive(destination, action)
+
+    def reopen(self, one: str, other: str) -> None:
+        """Replace the connections between two places."""
+        self.silent -= {(one, other), (other, one)}
--- /dev/null
+++ b/src/wasabigw_verify/harness/operators.py
@@ -0,0 +1,101 @@
+"""Operators, who send changes, race with each other and repeat lost ones."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from wasabigw.core.cluster import Applied, Refusal
+from wasabigw.core.commands import Change, ChangeRequest
+from wasabigw.core.ids import RequestId, Revision
+from wasabigw.core.states import RefusalCode
+from wasabigw.tasks.voter_calls import ChangeCall, ConfigurationView, StateCall
+from wasabigw_verify import record as r
+from wasabigw_verify.harness.followers import ControlCaller
+
+if TYPE_CHECKING:
+    from wasabigw_verify.harness.world import World
+
+RETRY = 0.3
+PLACE = "operators"
+
+
+class Operator:
+    """Sends one change until its outcome is known.
+
+    :param expected: revision that the operator saw; read from the leader if ``None``.
+    :param answers_lost: first answers that never arrive.
+    :param done: gets the outcome.
+    """
+
+    def __init__(
+        self,
+        world: "World",
+        change: Change,
+        expected: Revision | None = None,
+        answers_lost: int = 0,
+        done: Callable[[Applied | Refusal], None] | None = None,
+    ) -> None:
+        self._world = world
+        self._change = change
+        self._request: ChangeRequest | None = None
+        self._answers_lost = answers_lost
+        self._done = done
+        self._control = ControlCaller(world, PLACE)
+        self._may_read = expected is None
+        if expected is None:
+            self._read()
+        else:
+            self._prepare(expected)
+
+    def _read(self, pause: float = 0.0) -> None:
+        self._later(
+            pause, lambda: self._control.call(StateCall, self._seen, self._read)
+        )
+
+    def _later(self, pause: float, action: Callable[[], None]) -> None:
+        self._world.network.later(max(pause, 0.001), action)
+
+    def _seen(self, answer: Any) -> None:
+        if isinstance(answer, ConfigurationView):
+            self._prepare(answer.configuration_revision)
+        else:
+            self._read(RETRY)
+
+    def _prepare(self, expected: Revision) -> None:
+        name = RequestId(f"change-{self._world.next_number()}")
+        self._request = ChangeRequest(name, expected, self._change)
+        self._send()
+
+    def _send(self, pause: float = 0.0) -> None:
+        request = self._request
+        assert request is not None
+
+        def make(reply: Any) -> ChangeCall:
+            self._world.reached_proposal()
+            return ChangeCall(request, reply)
+
+        self._later(pause, lambda: self._control.call(make, self._answered, self._send))
+
+    def _answered(self, answer: Any) -> None:
+        if self._answers_lost:
+            self._answers_lost -= 1
+            self._send(RETRY)
+            return
+        if not isinstance(answer, Applied | Refusal):
+            self._send(RETRY)
+            return
+        assert self._request is not None
+        conflict = isinstance(answer, Refusal) and answer.code is RefusalCode.CONFLICT
+        if conflict and self._may_read:
+            self._read(RETRY)
+            return
+        if isinstance(answer, Applied):
+            accepted = r.ChangeAccepted(
+                self._world.network.now,
+                answer.revision,
+                self._change,
+                self._request.request_id,
+                self._request.expected_revision,
+            )
+            self._world.add(accepted)
+        if self._done is not None:
+            self._done(answer)
--- /dev/null
+++ b/src/wasabigw_verify/harness/packets.py
@@ -0,0 +1,59 @@
+"""Packets of a run: what a balancer decides on, and what the ends see."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from wasabigw.core.flows.events import (
+    AnswerClosing,
+    AnswerData,
+    AnswerEvent,
+    AnswerOpened,
+    CallerEvent,
+    FlowOpened,
+)
+from wasabigw.core.ids import RequestId
+
+ANSWER_PARTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request on a flow.
+
+    :param number: position on the flow, by which repetitions are recognised.
+    """
+
+    number: int
+    request: RequestId
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """One of :data:`ANSWER_PARTS` parts of an answer."""
+
+    ask: Ask
+    index: int
+
+    @property
+    def data(self) -> bytes:
+        """Content that only this part has."""
+        return f"{self.ask.request}:{self.index};".encode()
+
+
+@dataclass(frozen=True, slots=True)
+class Packet:
+    """A packet on its way; the time of the event is set where it arrives."""
+
+    event: CallerEvent | AnswerEvent
+    content: Any = None
+
+    @property
+    def is_answer(self) -> bool:
+        """Whether a backend server sent it."""
+        return isinstance(self.event, AnswerOpened | AnswerData | AnswerClosing)
+
+    @property
+    def opens(self) -> bool:
+        """Whether it is the opening packet of a caller."""
+        return isinstance(self.event, FlowOpened)
--- /dev/null
+++ b/src/wasabigw_verify/harness/run.py
@@ -0,0 +1,206 @@
+"""One run: traffic before and after a fault, the fault itself, and the verdict."""
+
+from collections.abc import Callable, Sequence
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from unittest import mock
+
+from wasabigw.core.cluster import Applied, Refusal
+from wasabigw.core.commands import (
+    Change,
+    DrainBalancer,
+    ReplaceConfiguration,
+    UpdateService,
+)
+from wasabigw.core.consensus import voter as consensus_voter
+from wasabigw.core.ids import FailureDomainId, NodeId
+from wasabigw.tasks import voter_task
+from wasabigw_verify import promises
+from wasabigw_verify.harness.callers import Session
+from wasabigw_verify.harness.operators import Operator
+from wasabigw_verify.harness.steps import Focus, Step
+from wasabigw_verify.harness.world import (
+    COURSES,
+    DOMAINS,
+    SEATS,
+    VOTERS,
+    World,
+    failure_domains,
+)
+
+SNAPSHOT_INTERVAL = 24
+LOG_KEPT = 16
+"""Small values, so that runs take snapshots and followers need them."""
+
+ARMED_AT = 9.0
+STIMULUS_AT = 9.5
+PROBES_FROM = 27.0
+TRAFFIC_ENDS = 31.0
+END = 44.0
+SESSION_INTERVAL = 0.4
+PROBE_SHARE = 0.8
+"""Least share of the flows opened after the fault that must be served."""
+
+Strike = Callable[["Run", Focus], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Blow:
+    """A fault that strikes the first time that a step is reached.
+
+    :param after: seconds after the run is armed.
+    """
+
+    strike: Strike
+    step: Step
+    after: float = 0.0
+
+
+@dataclass(slots=True)
+class Run:
+    """A run with faults.
+
+    :param struck: steps at which faults struck.
+    :param problems: what went wrong apart from the promises.
+    """
+
+    seed: int
+    blows: Sequence[Blow]
+    struck: list[Step] = field(default_factory=list)
+    problems: list[str] = field(default_factory=list)
+    world: World = field(init=False)
+    _waiting: list[Blow] = field(init=False)
+    _probes: list[Session] = field(default_factory=list)
+    _accepted: bool = False
+    _changes: int = 0
+
+    def __post_init__(self) -> None:
+        self.world = World(self.seed, self._on_step)
+        self._waiting = list(self.blows)
+
+    def execute(self) -> list[str]:
+        """Run to the end; what went wrong, nothing if all is well."""
+        with ExitStack() as stack:
+            for module, name, value in (
+                (voter_task, "SNAPSHOT_INTERVAL", SNAPSHOT_INTERVAL),
+                (consensus_voter, "LOG_KEPT_BEHIND_SNAPSHOT", LOG_KEPT),
+            ):
+                stack.enter_context(mock.patch.object(module, name, value))
+            self._start()
+            self.world.network.run(END)
+        return self._verdict()
+
+    def change(self, change: Change | None = None, lost: int = 0) -> None:
+        """An operator sends a change."""
+        Operator(self.world, change or self.next_change(), answers_lost=lost)
+
+    def next_change(self) -> Change:
+        """A change that differs from all before."""
+        self._changes += 1
+        service = self.world.services[COURSES]
+        deadline = 30.0 + self._changes
+        changed = type(service)(
+            service.id,
+            service.endpoint,
+            service.protocol,
+            service.failure_domains,
+            service.limit_by,
+            deadline,
+        )
+        return UpdateService(changed)
+
+    # Course of a run
+
+    def _start(self) -> None:
+        world = self.world
+        for node in VOTERS:
+            world.start_voter(node)
+        for number in range(2 * len(DOMAINS)):
+            domain = DOMAINS[number % len(DOMAINS)]
+            world.start_balancer(NodeId(f"balancer-{number}"), domain)
+        services = tuple(world.services.values())
+        self.change(ReplaceConfiguration(services, failure_domains()))
+        for number in range(6):
+            domain = DOMAINS[number % len(DOMAINS)]
+            world.add_backend_server(f"seats-{number}", SEATS, domain, 16)
+        for number in range(3):
+            world.add_backend_server(f"courses-{number}", COURSES, DOMAINS[number], 40)
+        later = world.network.later
+        later(4.5, self._traffic)
+        later(STIMULUS_AT, self._stimulate)
+        later(PROBES_FROM, lambda: self._last_change())
+        later(7.0, self.change)
+
+    def _traffic(self) -> None:
+        network = self.world.network
+        if network.now >= TRAFFIC_ENDS:
+            self.world.callers.closing = True
+            return
+        draw = network.random
+        inside = [f"callers-{domain}" for domain in DOMAINS]
+        place = draw.choice(["callers", *inside])
+        service = draw.choice((SEATS, SEATS, COURSES))
+        long = service == COURSES
+        gaps = [
+            draw.uniform(0.1, 3.0 if long else 0.5)
+            for _ in range(draw.randrange(8 if long else 3))
+        ]
+        if network.now >= PROBES_FROM:
+            gaps = gaps[:2]
+        session = self.world.callers.start(place, service, gaps)
+        if network.now >= PROBES_FROM:
+            self._probes.append(session)
+        network.later(draw.expovariate(1 / SESSION_INTERVAL), self._traffic)
+
+    def _stimulate(self) -> None:
+        steps = {blow.step for blow in self.blows}
+        self.change()
+        if steps & {Step.HANDOVER_BEGUN, Step.HANDOVER_ENDED}:
+            self.change(DrainBalancer(NodeId("balancer-0")))
+        if Step.SNAPSHOT_WRITTEN in steps:
+            for number in range(SNAPSHOT_INTERVAL):
+                self.world.network.later(0.05 * number, self.change)
+        if Step.START_UP in steps:
+            self.join(DOMAINS[1])
+
+    def join(self, domain: FailureDomainId) -> None:
+        """A new balancer starts."""
+        name = NodeId(f"balancer-new-{self.world.next_number()}")
+        self.world.start_balancer(name, domain)
+        self.world.reached(Step.START_UP, Focus(balancer=name))
+
+    def _last_change(self) -> None:
+        def done(answer: Applied | Refusal) -> None:
+            self._accepted = isinstance(answer, Applied)
+
+        Operator(self.world, self.next_change(), done=done)
+
+    def _on_step(self, step: Step, focus: Focus) -> None:
+        now = self.world.network.now
+        for blow in list(self._waiting):
+            if blow.step is step and now >= ARMED_AT + blow.after:
+                self._waiting.remove(blow)
+                self.struck.append(step)
+                blow.strike(self, focus)
+
+    # Verdict
+
+    def _verdict(self) -> list[str]:
+        found = [
+            f"{v.promise} at {v.at:.2f} s: {v.message}"
+            for v in promises.check(self.world.record)
+        ]
+        found += self.problems
+        found += [f"the step '{b.step.value}' was not reached" for b in self._waiting]
+        if not self._accepted:
+            found.append("no change is accepted after the fault")
+        served = [s for s in self._probes if s.answered]
+        for service in (SEATS, COURSES):
+            asked = [s for s in self._probes if s.service == service]
+            answered = [s for s in served if s.service == service]
+            if len(answered) < PROBE_SHARE * len(asked):
+                found.append(
+                    f"{len(answered)} of {len(asked)} flows to {service} were served "
+                    "after the fault"
+                )
+        return found
--- /dev/null
+++ b/src/wasabigw_verify/harness/steps.py
@@ -0,0 +1,32 @@
+"""Steps of a run at which a fault can strike."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from wasabigw.core.ids import BackendServerId, NodeId
+
+
+class Step(Enum):
+    """What happens when the fault strikes."""
+
+    FLOW_OPENING = "flow opening"
+    REQUEST_SENT = "request sent"
+    ANSWER_UNDER_WAY = "answer under way"
+    FLOW_CLOSING = "flow closing"
+    CHANGE_PROPOSED = "change proposed"
+    CHANGE_STORED = "change stored"
+    CHANGE_COMMITTED = "change committed"
+    CHANGE_APPLIED = "change applied"
+    HANDOVER_BEGUN = "hand-over begun"
+    HANDOVER_ENDED = "hand-over ended"
+    SNAPSHOT_WRITTEN = "snapshot being written"
+    START_UP = "start-up"
+
+
+@dataclass(frozen=True, slots=True)
+class Focus:
+    """Who takes part in a step, as far as the step has one of a kind."""
+
+    balancer: NodeId | None = None
+    voter: NodeId | None = None
+    backend_server: BackendServerId | None = None
--- /dev/null
+++ b/src/wasabigw_verify/harness/voters.py
@@ -0,0 +1,217 @@
+"""Control voters: the task of the product over a disk in memory."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Any, cast
+
+from returns.result import Result, Success
+
+from wasabigw.core.apply import apply
+from wasabigw.core.cluster import Applied, ClusterState, Endpoint, Refusal
+from wasabigw.core.commands import ChangeRequest, Command
+from wasabigw.core.consensus.effects import VoteRecord
+from wasabigw.core.consensus.messages import NO_TERM, Envelope, Snapshot
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Term
+from wasabigw.core.log_messages import LogEntry
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.timer import Tick
+from wasabigw.tasks.storage import Identity, Recovered, Storage
+from wasabigw.tasks.voter_calls import LinkAnswer, PeerMessage, VoterMessage
+from wasabigw.tasks.voter_task import TICK_PERIOD, VoterSettings, VoterTask
+from wasabigw_verify.harness.steps import Focus, Step
+
+if TYPE_CHECKING:
+    from wasabigw_verify.harness.world import World
+
+LINK_TIMEOUT = 1.5
+"""Seconds after which an unanswered request makes a link open a new connection."""
+
+
+class ProcessCrashError(Exception):
+    """The process ended in the middle of a write."""
+
+
+class WriteFault(Enum):
+    """What becomes of the next write; the process ends with it."""
+
+    TORN = "torn"
+    NOT_SYNCED = "not-synced"
+
+
+@dataclass(slots=True)
+class Disk:
+    """What survives the end of a voter."""
+
+    incarnation: Incarnation
+    vote: VoteRecord = field(default_factory=VoteRecord)
+    snapshot: Snapshot = field(
+        default_factory=lambda: Snapshot(Revision(0), NO_TERM, ClusterState())
+    )
+    entries: list[LogEntry] = field(default_factory=list)
+    fault: WriteFault | None = None
+
+
+def founding_disks(names: Sequence[NodeId]) -> dict[NodeId, Disk]:
+    """Disks of voters that are all admitted to an empty log."""
+    incarnations = {name: Incarnation(f"{name}-disk-1") for name in names}
+    state = ClusterState(revision=Revision(1), voters=incarnations)
+    snapshot = Snapshot(Revision(1), Term(1), state)
+    vote = VoteRecord(Term(1), admitted=True)
+    return {
+        n: Disk(incarnation, vote, snapshot) for n, incarnation in incarnations.items()
+    }
+
+
+class MemoryStorage:
+    """Data directory on a :class:`Disk`; writes may fail as the disk says."""
+
+    def __init__(self, voter: "Voter") -> None:
+        self._voter = voter
+        disk = voter.disk
+        identity = Identity(voter.node, disk.incarnation)
+        entries = tuple(disk.entries)
+        self.recovered = Recovered(identity, disk.vote, disk.snapshot, entries)
+
+    def close(self) -> None:
+        """Nothing is held."""
+
+    def save_vote(self, record: VoteRecord) -> Result[None, Any]:
+        """Replace the vote; a torn write leaves the old one."""
+        self._end_if_faulty()
+        self._voter.disk.vote = record
+        return Success(None)
+
+    def append(self, entries: Sequence[LogEntry]) -> Result[None, Any]:
+        """Cut and append; of a torn write the last record is missing."""
+        if any(isinstance(entry.command, ChangeRequest) for entry in entries):
+            self._voter.reached(Step.CHANGE_STORED)
+        disk = self._voter.disk
+        kept = list(entries)
+        if disk.fault is WriteFault.TORN:
+            kept.pop()
+        if disk.fault is not WriteFault.NOT_SYNCED:
+            first = entries[0].revision
+            disk.entries = [e for e in disk.entries if e.revision < first] + kept
+        self._end_if_faulty()
+        return Success(None)
+
+    def save_snapshot(self, snapshot: Snapshot) -> Result[None, Any]:
+        """Replace the snapshot and drop old entries."""
+        self._voter.reached(Step.SNAPSHOT_WRITTEN)
+        self._end_if_faulty()
+        self._voter.disk.snapshot = snapshot
+        return Success(None)
+
+    def install_snapshot(self, snapshot: Snapshot) -> Result[None, Any]:
+        """Replace the snapshot and drop the log."""
+        self._end_if_faulty()
+        self._voter.disk.snapshot = snapshot
+        self._voter.disk.entries = []
+        return Success(None)
+
+    def _end_if_faulty(self) -> None:
+        disk = self._voter.disk
+        if disk.fault is not None or not self._voter.alive:
+            disk.fault = None
+            raise ProcessCrashError
+
+
+class _Post:
+    """Mailbox whose messages go somewhere else."""
+
+    def __init__(self, action: Any) -> None:
+        self.post = action
+
+
+class Voter:
+    """A running control voter."""
+
+    def __init__(self, world: "World", node: NodeId, disk: Disk) -> None:
+        self.world = world
+        self.node = node
+        self.disk = disk
+        self.alive = True
+        self._start = world.next_number()
+        network = world.network
+        endpoints = {name: Endpoint(name, 1) for name in world.disks}
+        links = {name: self._link(name) for name in endpoints if name != node}
+        self.task = VoterTask(
+            VoterSettings(node, endpoints),
+            Mailbox(node),
+            cast(Storage, MemoryStorage(self)),
+            cast(Any, links),
+            self._apply,
+            cast(Any, None),
+            lambda: Seconds(network.now),
+            network.random.random,
+        )
+        network.every(node, self, TICK_PERIOD, self._tick)
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether it may answer as the leader."""
+        return self.alive and self.task._is_current(Seconds(self.world.network.now))
+
+    def reached(self, step: Step) -> None:
+        """Report a step of this voter."""
+        self.world.reached(step, Focus(voter=self.node))
+
+    def receive(self, message: VoterMessage) -> None:
+        """Handle a message as the thread of the task does."""
+        if not self.alive:
+            return
+        try:
+            self.task.receive(message)
+            self.task.flush()
+        except ProcessCrashError:
+            self.world.crash_voter(self.node)
+
+    def _tick(self) -> None:
+        self.receive(Tick("voter", self.world.network.now))
+
+    def _apply(
+        self, command: Command, revision: Revision, state: ClusterState
+    ) -> Result[Applied, Refusal]:
+        if isinstance(command, ChangeRequest) and self.is_leader:
+            self.reached(Step.CHANGE_COMMITTED)
+        outcome = apply(command, revision, state)
+        name = NodeId(f"{self.node}#{self._start}")
+        self.world.note_applied(name, revision, state)
+        return outcome
+
+    def _link(self, peer: NodeId) -> _Post:
+        network = self.world.network
+        waiting: set[int] = set()
+
+        def answer(number: int, envelope: Envelope) -> None:
+            waiting.discard(number)
+            self.receive(LinkAnswer(envelope))
+
+        def post(envelope: Envelope) -> None:
+            number = self.world.next_number()
+            waiting.add(number)
+
+            def reply(found: Envelope) -> None:
+                network.send(peer, self.node, lambda: answer(number, found), True)
+
+            def deliver() -> None:
+                other = self.world.voters.get(peer)
+                if other is not None:
+                    message = PeerMessage(envelope, cast(Any, _Post(reply)))
+                    other.receive(message)
+
+            def expire() -> None:
+                if number in waiting:
+                    waiting.discard(number)
+                    network.reopen(self.node, peer)
+
+            network.send(self.node, peer, deliver, True)
+            network.later(LINK_TIMEOUT, expire)
+
+        return _Post(post)
+
+
+def reply_to(action: Any) -> Any:
+    """Reply mailbox that calls a function."""
+    return cast(Any, _Post(action))
--- /dev/null
+++ b/src/wasabigw_verify/harness/world.py
@@ -0,0 +1,268 @@
+"""All processes of a run, what happens between them, and the record."""
+
+import zlib
+from collections.abc import Callable
+from typing import Any
+
+from wasabigw.core.cluster import ClusterState, Endpoint, FailureDomain, Service
+from wasabigw.core.flows import events as e
+from wasabigw.core.flows.targets import Target
+from wasabigw.core.ids import (
+    BackendServerId,
+    FailureDomainId,
+    FlowKey,
+    Incarnation,
+    NodeId,
+    RegionId,
+    Revision,
+    ServiceId,
+)
+from wasabigw.core.states import FlowLimit, Protocol
+from wasabigw_verify import record as r
+from wasabigw_verify.harness.backend_servers import BackendServer
+from wasabigw_verify.harness.balancers import Balancer
+from wasabigw_verify.harness.callers import Callers
+from wasabigw_verify.harness.network import Network
+from wasabigw_verify.harness.packets import Packet
+from wasabigw_verify.harness.steps import Focus, Step
+from wasabigw_verify.harness.voters import Disk, Voter, founding_disks
+
+DOMAINS = tuple(FailureDomainId(name) for name in ("recife", "fortaleza", "salvador"))
+SEATS, COURSES = ServiceId("seats"), ServiceId("courses")
+VOTERS = tuple(NodeId(f"voter-{letter}") for letter in "abc")
+FABRIC_LAG = 1.0
+"""Seconds for which the fabric still sends packets to a balancer that is gone."""
+DIGEST_INTERVAL = 8
+"""Each so many revisions, and at changes, the copies of all nodes are compared."""
+
+StepHandler = Callable[[Step, Focus], None]
+
+
+def make_services() -> dict[ServiceId, Service]:
+    """One service of short requests with slots, one of long flows."""
+    limits = {SEATS: FlowLimit.SLOTS, COURSES: FlowLimit.CONNECTIONS}
+    return {
+        name: Service(
+            name, Endpoint(f"10.0.0.{number}", 80), Protocol.TCP, DOMAINS, limits[name]
+        )
+        for number, name in enumerate(limits, 1)
+    }
+
+
+class World:
+    """State of a run outside the processes.
+
+    :param on_step: told of each step before it takes effect.
+    """
+
+    def __init__(self, seed: int, on_step: StepHandler) -> None:
+        self.network = Network(seed)
+        self.record: list[r.Entry] = []
+        self.services = make_services()
+        self.disks: dict[NodeId, Disk] = founding_disks(VOTERS)
+        self.voters: dict[NodeId, Voter] = {}
+        self.balancers: dict[NodeId, Balancer] = {}
+        self.backend_servers: dict[BackendServerId, BackendServer] = {}
+        self.drops: dict[Any, int] = {}
+        self.domain_of: dict[str, FailureDomainId] = dict(
+            zip(VOTERS, DOMAINS, strict=True)
+        )
+        self._on_step = on_step
+        self._number = 0
+        self.callers = Callers(self)
+        self._gone: list[Balancer] = []
+        for domain in DOMAINS:
+            self.domain_of[f"callers-{domain}"] = domain
+
+    def next_number(self) -> int:
+        """Number that no other thing of the run has."""
+        self._number += 1
+        return self._number
+
+    def add(self, entry: r.Entry) -> None:
+        """Add to the record."""
+        self.record.append(entry)
+
+    def places(self, domain: FailureDomainId) -> frozenset[str]:
+        """Everything in a failure domain."""
+        return frozenset(p for p, where in self.domain_of.items() if where == domain)
+
+    # Steps
+
+    def reached(self, step: Step, focus: Focus) -> None:
+        """A process reached a step."""
+        self._on_step(step, focus)
+
+    def reached_proposal(self) -> None:
+        """A change reached a voter."""
+        leader = self.leader()
+        self.reached(Step.CHANGE_PROPOSED, Focus(voter=leader))
+
+    def note_packet_step(self, packet: Packet, balancer: Balancer) -> None:
+        """A packet reached its first balancer."""
+        event = packet.event
+        backend_server = getattr(event, "backend_server", None)
+        if backend_server is None:
+            session = self.callers.sessions.get(event.flow)
+            backend_server = session.backend_server if session else None
+        focus = Focus(
+            balancer.name, None, backend_server or balancer.current_of(packet)
+        )
+        match event:
+            case e.FlowOpened():
+                self.reached(Step.FLOW_OPENING, focus)
+            case e.FlowData():
+                self.reached(Step.REQUEST_SENT, focus)
+            case e.AnswerData():
+                self.reached(Step.ANSWER_UNDER_WAY, focus)
+            case e.FlowClosing():
+                self.reached(Step.FLOW_CLOSING, focus)
+
+    def note_applied(
+        self, node: NodeId, revision: Revision, state: ClusterState
+    ) -> None:
+        """Record what a node has applied."""
+        digest = 0
+        at_change = state.configuration_revision == revision
+        if at_change or revision % DIGEST_INTERVAL == 0:
+            digest = zlib.crc32(repr(state).encode())
+        applied = r.RevisionApplied(self.network.now, node, revision, digest)
+        self.add(applied)
+
+    # Voters
+
+    def start_voter(self, node: NodeId) -> None:
+        """Start a voter from its disk."""
+        if node not in self.voters:
+            self.voters[node] = Voter(self, node, self.disks[node])
+
+    def crash_voter(self, node: NodeId) -> None:
+        """End a voter at once."""
+        voter = self.voters.pop(node, None)
+        if voter is not None:
+            voter.alive = False
+
+    def empty_disk(self, node: NodeId) -> None:
+        """Replace the disk of a voter by an empty one."""
+        name = Incarnation(f"{node}-disk-{self.next_number()}")
+        self.disks[node] = Disk(name)
+
+    def leader(self) -> NodeId | None:
+        """Voter that may answer as the leader."""
+        found = [name for name, voter in self.voters.items() if voter.is_leader]
+        return found[0] if found else None
+
+    # Balancers
+
+    def start_balancer(self, name: NodeId, domain: FailureDomainId) -> None:
+        """Start a balancer, for the first time or again."""
+        self.domain_of[name] = domain
+        self.add(r.NodeStarted(self.network.now, name, domain))
+        self.balancers[name] = Balancer(self, name, domain)
+
+    def stop_balancer(self, name: NodeId, planned: bool) -> None:
+        """End a balancer."""
+        balancer = self.balancers.pop(name, None)
+        if balancer is None:
+            return
+        balancer.alive = False
+        balancer.died_at = self.network.now
+        self._gone.append(balancer)
+        self.add(r.NodeStopped(self.network.now, name, planned))
+
+    def stop_drained(self, balancer: Balancer) -> None:
+        """Stop a balancer that has handed everything over."""
+
+        def stop() -> None:
+            if self.balancers.get(balancer.name) is balancer:
+                self.stop_balancer(balancer.name, True)
+
+        self.network.later(1.0, stop)
+
+    # Fabric
+
+    def fabric_of(self, place: str, domain: FailureDomainId | None = None) -> list[Any]:
+        """Balancers to which the fabric sends what comes from a place."""
+        now = self.network.now
+        gone = [b for b in self._gone if now - b.died_at < FABRIC_LAG]
+        return [
+            balancer
+            for balancer in (*self.balancers.values(), *gone)
+            if not self.network.is_cut(place, balancer.name)
+            and domain in (None, balancer.node.failure_domain)
+        ]
+
+    def spray(self, place: str, packet: Packet) -> None:
+        """Send a packet to any balancer."""
+        found = self.fabric_of(place)
+        if found:
+            balancer = self.network.random.choice(found)
+            self.network.send(
+                place, balancer.name, lambda: self._arrive(balancer, packet)
+            )
+
+    def _arrive(self, balancer: Balancer, packet: Packet) -> None:
+        if balancer.alive:
+            balancer.receive(packet)
+
+    def to_backend_server(self, via: Balancer, target: Target, packet: Packet) -> None:
+        """Send a packet to the backend server at an address."""
+        service = self.service_of(packet.event.flow)
+        for server in self.backend_servers.values():
+            address = f"{server.endpoint.address}"
+            if _number(address) == target.address and server.alive:
+                self.network.send(
+                    via.name, server.name, _receive(server, packet, via, service)
+                )
+
+    def to_caller(self, via: Balancer, packet: Packet) -> None:
+        """Send an answer to its caller."""
+        session = self.callers.sessions.get(packet.event.flow)
+        if session is not None:
+            self.network.send(
+                via.name, session.place, lambda: self.callers.receive(packet)
+            )
+
+    def refuse(self, via: Balancer, packet: Packet) -> None:
+        """Send a reset to the sender of a packet."""
+        flow = packet.event.flow
+        session = self.callers.sessions.get(flow)
+        backend_server = getattr(packet.event, "backend_server", None)
+        if backend_server is not None:
+            server = self.backend_servers[backend_server]
+            self.network.send(via.name, server.name, lambda: server.reset(flow))
+        elif session is not None:
+            self.network.send(
+                via.name, session.place, lambda: self.callers.lose(session)
+            )
+
+    def service_of(self, flow: FlowKey) -> ServiceId:
+        """Service that a flow was opened to."""
+        return SEATS if flow[10] == 1 else COURSES
+
+    def add_backend_server(
+        self, name: str, service: ServiceId, domain: FailureDomainId, slots: int
+    ) -> None:
+        """Start a backend server."""
+        number = len(self.backend_servers) + 1
+        backend = BackendServerId(name)
+        self.domain_of[name] = domain
+        self.backend_servers[backend] = BackendServer(
+            self, backend, service, domain, number, slots
+        )
+
+
+def failure_domains() -> tuple[FailureDomain, ...]:
+    """The failure domains of a run."""
+    return tuple(FailureDomain(name, RegionId("br")) for name in DOMAINS)
+
+
+def _number(address: str) -> int:
+    parts = [int(part) for part in address.split(".")]
+    return parts[0] << 24 | parts[1] << 16 | parts[2] << 8 | parts[3]
+
+
+def _receive(
+    server: BackendServer, packet: Packet, via: Balancer, service: ServiceId
+) -> Callable[[], None]:
+    return lambda: server.receive(packet, via, service) if server.alive else None
--- a/src/wasabigw_verify/record.py
+++ b/src/wasabigw_verify/record.py
@@ -106,10 +106,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeAccepted(Entry):
-    """An operator got a positive answer for a change."""
+    """An operator got a positive answer for a change.
+
+    :param expected: configuration revision that the change was made for.
+    """
 
     revision: Revision
     change: Change
+    request: RequestId | None = None
+    expected: Revision | None = None
 
 
 @dataclass(frozen=True, slots=True)
