Let only an accepted opening bind a flow at its home

A home that had admitted an opening packet treated its record as proof, even if the packet was lost on its way through a dead backup and the repetition was admitted by another home. Packets that reached the first home then went to a backend server that did not know the flow, and the caller got a reset. The home now asks the other candidates' homes until it has seen an answer of the backend server.

--- a/src/wasabigw/core/flows/answers.py
+++ b/src/wasabigw/core/flows/answers.py
@@ -44,6 +44,7 @@
         return _through_home(owner, event, state)
     record = state.records.records.get(event.flow)
     if record is not None and record.target is target:
+        record.opening = False
         note_answer(event, record, state)
     elif (
         isinstance(event, AnswerClosing)
--- a/src/wasabigw/core/flows/home.py
+++ b/src/wasabigw/core/flows/home.py
@@ -104,7 +104,7 @@
     if context.forwarding.copy:
         return _keep_copy(event, context, state)
     record = state.records.records.get(context.flow)
-    if record is not None and record.target.usable:
+    if record is not None and record.target.usable and not record.opening:
         return _known_flow(event, record, context, state)
     chosen = context.forwarding.chosen()
     if chosen is not None:
@@ -284,6 +284,7 @@
         return [Refuse(RefusalReason.TABLE_FULL)]
     _claim_if_diverted(target, context, state)
     if context.route.protocol is Protocol.TCP:
+        record.opening = True
         deadline = Seconds(context.now + OPENING_TIMEOUT)
         state.pending.append(PendingOpening(deadline, context.flow, record))
     sent = send_recorded(state, context, record, copy=True)
--- a/src/wasabigw/core/flows/records.py
+++ b/src/wasabigw/core/flows/records.py
@@ -28,7 +28,9 @@
 
     :param slot_held: whether it counts against the limit of the backend server.
     :param closed: sides that have closed, as flags.
-    :param answered: whether the backend server accepted it.
+    :param answered: whether the backend server accepted it, or took too long to.
+    :param opening: admitted here, and no answer was seen yet. The opening packet may
+        have been lost and its repetition admitted by another home.
     :param check_at: second in which its expiry is checked.
     :param copied: when a packet last passed the other holder of the record: the
         backup, or the home if this balancer is not the home.
@@ -42,6 +44,7 @@
     slot_held: bool
     closed: int = 0
     answered: bool = False
+    opening: bool = False
     check_at: int = 0
     copied: Seconds | None = None
     copied_to: NodeId | None = None
--- a/src/wasabigw/core/flows/search.py
+++ b/src/wasabigw/core/flows/search.py
@@ -21,16 +21,19 @@
     """Candidates for which this balancer says that it does not know the flow.
 
     Under a stale view it may have been succeeded, so that it can't vouch for its
-    completeness.
+    completeness. Neither can it for a backend server that has not yet answered.
     """
     fresh = is_fresh(state.view, context.now)
+    record = state.records.records.get(context.flow)
+    opening = record.target if record is not None and record.opening else None
     answers = []
     for target in context.candidates.live:
         former = previous_home(state.homes, target.id) == state.node
         claimed = target.id in state.homes.claims
         if not has_role(state.homes, target.id) and not former and not claimed:
             continue
-        complete = fresh and is_complete(
+        certain = fresh and target is not opening
+        complete = certain and is_complete(
             state.homes, target.id, context.bucket, context.now
         )
         answers.append(Asked(state.tag, not complete, target.index))
