--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format types demo tour process-faults compare-mapping
-.PHONY: capacity bench
+.PHONY: setup test lint format types demo
+.PHONY: tour process-faults compare-mapping capacity bench fault-matrix
 
 setup: $(VENV)/.installed
 
@@ -44,3 +44,6 @@
 
 bench: setup
 	$(BIN)/python -m wasabigw_measure.bench
+
+fault-matrix: setup
+	$(BIN)/python -m wasabigw_verify.matrix
