--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -6,7 +6,7 @@
 
 
 class ControlEvent(LogEvent):
-    """Events of voters and of the control API."""
+    """Events of voters and of the links between them."""
 
     VOTER_OPENED = EventDefinition(
         1000,
