Read the state view in the harness operators

Cause: StateCall is answered with a StateView since the voter task serves the whole state; the harness still imported the former name and did not start. Change: use StateView.

--- a/src/wasabigw_verify/harness/operators.py
+++ b/src/wasabigw_verify/harness/operators.py
@@ -7,7 +7,7 @@
 from wasabigw.core.commands import Change, ChangeRequest
 from wasabigw.core.ids import RequestId, Revision
 from wasabigw.core.states import RefusalCode
-from wasabigw.tasks.voter_calls import ChangeCall, ConfigurationView, StateCall
+from wasabigw.tasks.voter_calls import ChangeCall, StateView, StateCall
 from wasabigw_verify import record as r
 from wasabigw_verify.harness.followers import ControlCaller
 
@@ -55,7 +55,7 @@
         self._world.network.later(max(pause, 0.001), action)
 
     def _seen(self, answer: Any) -> None:
-        if isinstance(answer, ConfigurationView):
+        if isinstance(answer, StateView):
             self._prepare(answer.configuration_revision)
         else:
             self._read(RETRY)
