Count a flow that a home records without admission

Cause: a mid-flow packet that the search brings to a home makes a record that holds a slot, but the open flows were only counted again up to 10 s later. Change: the home counts its records when it makes such a record.

--- a/src/wasabigw/core/flows/sending.py
+++ b/src/wasabigw/core/flows/sending.py
@@ -18,6 +18,7 @@
 from wasabigw.core.flows.routes import BucketRoute, ServiceRoute
 from wasabigw.core.flows.state import BalancerState, may_send
 from wasabigw.core.flows.targets import Target
+from wasabigw.core.flows.transfer import count_flows_of
 from wasabigw.core.ids import BucketNumber, FlowKey, NodeId, Seconds
 from wasabigw.core.timing import BINDING_LIFETIME, FLOW_IDLE_TIMEOUT, MAX_HOPS
 from wasabigw.core.view import is_fresh
@@ -138,8 +139,8 @@
 ) -> FlowRecord | None:
     """Record a flow; at the home it counts against the limit of the backend server.
 
-    A flow that was not admitted here was counted by a previous home, or enters the
-    next count of the records.
+    A flow that was not admitted here was counted by a previous home, or is counted
+    now: its end would otherwise free a place that another flow takes.
 
     :returns: ``None`` if the table is full.
     """
@@ -152,6 +153,8 @@
     counts = admitted or home(state.homes, target.id) == state.node
     record = FlowRecord(target, context.bucket, context.now, context.now, counts)
     records.insert(state.records, context.flow, record)
+    if counts and not admitted and not inherited:
+        count_flows_of(state, target.id, context.now)
     return record
 
 
--- a/src/wasabigw/core/flows/transfer.py
+++ b/src/wasabigw/core/flows/transfer.py
@@ -146,11 +146,14 @@
         return
     state.counted = now
     for name in list(state.renewed):
-        if home(state.homes, name) != state.node:
-            continue
-        passed_on = now - state.overflowed.get(name, NEVER) < COUNT_INTERVAL
-        open_flows = _open_flows(state, name)
-        state.admission.count_open(name, open_flows, int(passed_on))
+        if home(state.homes, name) == state.node:
+            count_flows_of(state, name, now)
+
+
+def count_flows_of(state: BalancerState, name: BackendServerId, now: Seconds) -> None:
+    """Correct the count of one backend server homed here by the records."""
+    passed_on = now - state.overflowed.get(name, NEVER) < COUNT_INTERVAL
+    state.admission.count_open(name, _open_flows(state, name), int(passed_on))
 
 
 def drop_inherited(state: BalancerState, now: Seconds) -> None:
--- a/tests/test_flow_decisions.py
+++ b/tests/test_flow_decisions.py
@@ -401,3 +401,21 @@
         self.assertEqual(second.records.records[key].target.id, name)
         # A flow whose copy arrived needs no second one.
         self.assertIsInstance(handle(answer, owner)[0], d.ReturnToCaller)
+
+
+class FlowsOfOthers(unittest.TestCase):
+    """Guards against more open flows than a backend server can bear."""
+
+    def test_a_flow_that_was_not_admitted_is_counted_when_it_is_recorded(self) -> None:
+        sim = make_simulation(17)
+        opened(sim, "b1")
+        owner = home_of(sim, "b1")
+        backend = BackendServerId("b1")
+        sim.commit(add_candidate(SEATS, "b2", CandidateReason.OVERFLOW))
+        sim.step(1.0)
+        unknown = opened_key(sim, "b1")
+        sim.carry(e.FlowData(unknown, SEATS, sim.time()))
+        self.assertIn(unknown, owner.state.records.records)
+        reset = e.AnswerClosing(unknown, backend, sim.time(), reset=True)
+        sim.carry(reset)
+        self.assertEqual(owner.admission.open[backend], 1)
