Add golden files of whole sessions

Change: five sessions for each of the two deployments over the harness, written by make golden and compared by a test; the harness takes the services, failure domains and latencies of a deployment, and its backend servers report no more busy slots than they have when their flows wait for a slot.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format types demo compare-mapping
+.PHONY: setup test lint format types demo compare-mapping golden measure
 
 setup: $(VENV)/.installed
 
@@ -31,3 +31,9 @@
 
 compare-mapping: setup
 	$(BIN)/python -m wasabigw_measure.compare_mapping
+
+golden: setup
+	$(BIN)/python -m wasabigw_verify.golden
+
+measure: setup
+	$(BIN)/python -m wasabigw_measure.decisions
--- /dev/null
+++ b/src/wasabigw_verify/golden.py
@@ -0,0 +1,42 @@
+"""Write the golden files of all sessions: ``python -m wasabigw_verify.golden``."""
+
+import sys
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from wasabigw_verify.sessions.account import account
+from wasabigw_verify.sessions.deployments import DEPLOYMENTS
+from wasabigw_verify.sessions.scenarios import SCENARIOS
+
+FOLDER = Path("tests/golden")
+WORKERS = 3
+
+
+def names() -> Iterator[str]:
+    """Name of each golden file."""
+    for deployment in DEPLOYMENTS:
+        for scenario in SCENARIOS:
+            yield f"{deployment.key}-{scenario.key}.txt"
+
+
+def content(name: str) -> str:
+    """What a golden file has to contain, from a fresh run."""
+    for deployment in DEPLOYMENTS:
+        for scenario in SCENARIOS:
+            if name == f"{deployment.key}-{scenario.key}.txt":
+                return account(deployment, scenario)
+    raise ValueError(f"no session has the golden file {name}")
+
+
+def main(folder: Path = FOLDER) -> int:
+    """Write all golden files."""
+    folder.mkdir(parents=True, exist_ok=True)
+    with ProcessPoolExecutor(WORKERS) as pool:
+        for name, text in zip(names(), pool.map(content, names()), strict=True):
+            (folder / name).write_text(text, encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/wasabigw_verify/harness/backend_servers.py
+++ b/src/wasabigw_verify/harness/backend_servers.py
@@ -51,7 +51,11 @@
 
 
 class BackendServer:
-    """A backend server of one service."""
+    """A backend server of one service.
+
+    :ivar capacity: open flows that it can carry once its caches are full; more than
+        ``slots`` if its flows wait for a slot.
+    """
 
     def __init__(
         self,
@@ -68,6 +72,7 @@
         self.domain = domain
         self.endpoint = Endpoint(f"10.1.0.{number}", 8080)
         self.slots = slots
+        self.capacity = slots
         self.alive = True
         self.state = BackendServerState.READY
         self.flows: dict[FlowKey, _Flow] = {}
@@ -98,12 +103,25 @@
             self.world.add(r.BackendServerLeaving(self.world.network.now, self.name))
             self._announce()
 
+    def rejoin(self) -> None:
+        """Start again after a drain, with cold caches."""
+        self.state = BackendServerState.READY
+        self._boot_up()
+        self.world.add(r.BackendServerReturned(self.world.network.now, self.name))
+        self._announce()
+
     @property
     def bearable(self) -> int:
         """Open flows that it can carry while its caches fill."""
         age = self.world.network.now - self._started
         passed = min(int(age / RAMP_STEP_TIME), len(RAMP_STEPS) - 1)
-        return math.ceil(self.slots * RAMP_STEPS[passed] / FULL_STEP)
+        return math.ceil(self.capacity * RAMP_STEPS[passed] / FULL_STEP)
+
+    @property
+    def _busy_slots(self) -> int:
+        open_flows = len(self.flows)
+        waits = self.capacity > self.slots
+        return min(open_flows, self.slots) if waits else open_flows
 
     # Announcements
 
@@ -130,7 +148,7 @@
             self.state,
             self.slots,
             2000,
-            LoadReport(open_connections=len(self.flows), busy_slots=len(self.flows)),
+            LoadReport(open_connections=len(self.flows), busy_slots=self._busy_slots),
         )
 
         def deliver() -> None:
--- a/src/wasabigw_verify/harness/network.py
+++ b/src/wasabigw_verify/harness/network.py
@@ -27,6 +27,8 @@
     :param silent: connections whose messages vanish until they are opened anew.
     :param frozen: places that handle nothing before a time.
     :param slow: most seconds that messages to a place travel in addition.
+    :param latency: seconds between two places, in place of a draw from
+        :data:`MIN_DELAY` to :data:`MAX_DELAY`.
     :param loss: share of messages that vanish.
     """
 
@@ -38,6 +40,7 @@
         self.frozen: dict[str, float] = {}
         self.slow: dict[str, float] = {}
         self.loss = 0.0
+        self.latency: Callable[[str, str], float] | None = None
         self._queue: list[tuple[float, int, Action]] = []
         self._count = 0
 
@@ -86,13 +89,18 @@
         :param connected: it uses a connection, which can have gone silent.
         """
         lost = self.random.random() < self.loss
-        delay = self.random.uniform(MIN_DELAY, MAX_DELAY)
+        delay = self._travel_time(source, destination)
         delay += self.random.uniform(0, self.slow.get(destination, 0.0))
         silent = connected and (source, destination) in self.silent
         if lost or silent or self.is_cut(source, destination):
             return
         self.later(delay, lambda: self._deliver(source, destination, action))
 
+    def _travel_time(self, source: str, destination: str) -> float:
+        if self.latency is None:
+            return self.random.uniform(MIN_DELAY, MAX_DELAY)
+        return self.latency(source, destination)
+
     def _deliver(self, source: str, destination: str, action: Action) -> None:
         if not self.is_cut(source, destination):
             self.arrive(destination, action)
--- a/src/wasabigw_verify/harness/operators.py
+++ b/src/wasabigw_verify/harness/operators.py
@@ -7,7 +7,7 @@
 from wasabigw.core.commands import Change, ChangeRequest
 from wasabigw.core.ids import RequestId, Revision
 from wasabigw.core.states import RefusalCode
-from wasabigw.tasks.voter_calls import ChangeCall, StateView, StateCall
+from wasabigw.tasks.voter_calls import ChangeCall, StateCall, StateView
 from wasabigw_verify import record as r
 from wasabigw_verify.harness.followers import ControlCaller
 
--- a/src/wasabigw_verify/harness/world.py
+++ b/src/wasabigw_verify/harness/world.py
@@ -6,6 +6,7 @@
 
 from wasabigw.core.cluster import ClusterState, Endpoint, FailureDomain, Service
 from wasabigw.core.flows import events as e
+from wasabigw.core.flows.keys import address_number, key_fields
 from wasabigw.core.flows.targets import Target
 from wasabigw.core.ids import (
     BackendServerId,
@@ -53,25 +54,36 @@
     """State of a run outside the processes.
 
     :param on_step: told of each step before it takes effect.
+    :param services: served ones; those of :func:`make_services` if ``None``.
     """
 
-    def __init__(self, seed: int, on_step: StepHandler) -> None:
+    def __init__(
+        self,
+        seed: int,
+        on_step: StepHandler,
+        services: dict[ServiceId, Service] | None = None,
+        domains: tuple[FailureDomainId, ...] = DOMAINS,
+    ) -> None:
         self.network = Network(seed)
         self.record: list[r.Entry] = []
-        self.services = make_services()
+        self.services = services or make_services()
+        self._service_at = {
+            address_number(service.endpoint.address): name
+            for name, service in self.services.items()
+        }
         self.disks: dict[NodeId, Disk] = founding_disks(VOTERS)
         self.voters: dict[NodeId, Voter] = {}
         self.balancers: dict[NodeId, Balancer] = {}
         self.backend_servers: dict[BackendServerId, BackendServer] = {}
         self.drops: dict[Any, int] = {}
         self.domain_of: dict[str, FailureDomainId] = dict(
-            zip(VOTERS, DOMAINS, strict=True)
+            zip(VOTERS, domains, strict=True)
         )
         self._on_step = on_step
         self._number = 0
         self.callers = Callers(self)
         self._gone: list[Balancer] = []
-        for domain in DOMAINS:
+        for domain in domains:
             self.domain_of[f"callers-{domain}"] = domain
 
     def next_number(self) -> int:
@@ -210,7 +222,7 @@
         service = self.service_of(packet.event.flow)
         for server in self.backend_servers.values():
             address = f"{server.endpoint.address}"
-            if _number(address) == target.address and server.alive:
+            if address_number(address) == target.address and server.alive:
                 self.network.send(
                     via.name, server.name, _receive(server, packet, via, service)
                 )
@@ -238,11 +250,11 @@
 
     def service_of(self, flow: FlowKey) -> ServiceId:
         """Service that a flow was opened to."""
-        return SEATS if flow[10] == 1 else COURSES
+        return self._service_at[key_fields(flow)[3]]
 
     def add_backend_server(
         self, name: str, service: ServiceId, domain: FailureDomainId, slots: int
-    ) -> None:
+    ) -> BackendServer:
         """Start a backend server."""
         number = len(self.backend_servers) + 1
         backend = BackendServerId(name)
@@ -250,6 +262,7 @@
         self.backend_servers[backend] = BackendServer(
             self, backend, service, domain, number, slots
         )
+        return self.backend_servers[backend]
 
 
 def failure_domains() -> tuple[FailureDomain, ...]:
@@ -257,11 +270,6 @@
     return tuple(FailureDomain(name, RegionId("br")) for name in DOMAINS)
 
 
-def _number(address: str) -> int:
-    parts = [int(part) for part in address.split(".")]
-    return parts[0] << 24 | parts[1] << 16 | parts[2] << 8 | parts[3]
-
-
 def _receive(
     server: BackendServer, packet: Packet, via: Balancer, service: ServiceId
 ) -> Callable[[], None]:
--- /dev/null
+++ b/src/wasabigw_verify/sessions/account.py
@@ -0,0 +1,117 @@
+"""One session from the start to its account."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from absl import logging
+
+from wasabigw.core.ids import Revision
+from wasabigw_verify import promises
+from wasabigw_verify import record as r
+from wasabigw_verify.sessions.deployed import DeployedWorld, small_snapshots
+from wasabigw_verify.sessions.deployments import Deployment
+from wasabigw_verify.sessions.narrator import Narrator, describe
+from wasabigw_verify.sessions.scenarios import DRAIN_OF_CALLERS, Scenario
+
+SEED = 1
+MAX_VIOLATIONS = 5
+"""Violations of one promise that are written out."""
+
+
+def account(deployment: Deployment, scenario: Scenario, seed: int = SEED) -> str:
+    """Run a session and give its account."""
+    world = DeployedWorld(deployment, seed)
+    narrator = Narrator(world)
+    narrator.watch()
+    world.begin()
+    narrator.tell("operator-1", f"sends {describe(deployment.configuration())}")
+    scenario.play(narrator)
+    # Log lines of the product would mix with the output of the caller.
+    verbosity = logging.get_verbosity()
+    logging.set_verbosity(logging.FATAL)
+    try:
+        with small_snapshots():
+            world.network.run(world.traffic_ends + DRAIN_OF_CALLERS)
+    finally:
+        logging.set_verbosity(verbosity)
+    _tell_in_force(narrator)
+    lines = [*_heading(deployment, scenario, seed), ""]
+    lines += [str(line) for line in sorted(narrator.lines)]
+    lines += ["", *_counts(world), "", *_verdicts(world)]
+    return "\n".join(lines) + "\n"
+
+
+def _heading(deployment: Deployment, scenario: Scenario, seed: int) -> Iterator[str]:
+    yield f"{deployment.team}: {scenario.title} (seed {seed})"
+    yield (
+        f"{deployment.balancers} balancers in {', '.join(deployment.domains)}; one-way "
+        f"{deployment.between * 1000:g} ms between failure domains, "
+        f"{deployment.to_callers * 1000:g} ms to callers"
+    )
+    yield (
+        f"{deployment.first}: 7 backend servers with {deployment.slots} slots; "
+        f"{deployment.second}: 3 with 2000 connections"
+    )
+    yield "Each line: time in seconds, who, what."
+
+
+def in_force_times(narrator: Narrator) -> Iterator[tuple[Revision, float, int]]:
+    """Revision of each change, time when it was in force, and at how many balancers.
+
+    The balancers are those that ran from the commit of the change to the end.
+    """
+    world = narrator.world
+    started: dict[str, float] = {}
+    for entry in world.record:
+        if isinstance(entry, r.NodeStarted):
+            started[entry.node] = entry.at
+    for change in (e for e in world.record if isinstance(e, r.ChangeAccepted)):
+        committed = narrator.committed[change.revision]
+        running = {n for n in world.balancers if started[n] <= committed}
+        applied: dict[str, float] = {}
+        for entry in world.record:
+            if not isinstance(entry, r.RevisionApplied):
+                continue
+            if entry.node in running and entry.revision >= change.revision:
+                applied.setdefault(entry.node, entry.at)
+        if running and len(applied) == len(running):
+            yield change.revision, max(applied.values()), len(running)
+
+
+def _tell_in_force(narrator: Narrator) -> None:
+    for revision, at, count in in_force_times(narrator):
+        took = at - narrator.committed[revision]
+        what = f"revision {revision} in force at {count}, {took:.3f} s after its commit"
+        narrator.tell("balancers", what, at)
+
+
+def _counts(world: DeployedWorld) -> Iterator[str]:
+    kinds = Counter(type(entry) for entry in world.record)
+    yield "Counts"
+    for title, kind in (
+        ("flows opened", r.FlowEstablished),
+        ("flows closed", r.FlowClosed),
+        ("flows lost", r.FlowLost),
+        ("packets to backend servers", r.PacketDelivered),
+        ("requests sent", r.RequestSent),
+        ("requests run", r.RequestRun),
+        ("requests answered", r.AnswerDelivered),
+        ("requests refused", r.RequestRefused),
+        ("changes accepted", r.ChangeAccepted),
+    ):
+        yield f"  {title:<28}{kinds[kind]:>7}"
+    for service, count in sorted(world.refusals.items()):
+        yield f"  {'openings refused, ' + service:<28}{count:>7}"
+    for reason, count in sorted(world.drops.items(), key=lambda item: item[0].value):
+        yield f"  {'dropped, ' + reason.value:<28}{count:>7}"
+
+
+def _verdicts(world: DeployedWorld) -> Iterator[str]:
+    yield "Promises"
+    for name, promise in promises.PROMISES.items():
+        found = list(promises.violations(promise, world.record))
+        title = (type(promise).__doc__ or "").split(": ", 1)[1].rstrip(".")
+        verdict = "holds" if not found else f"BROKEN {len(found)} times"
+        yield f"  {name:<4}{verdict:<18}{title}"
+        for at, message in found[:MAX_VIOLATIONS]:
+            yield f"      {at:8.3f}  {message}"
--- /dev/null
+++ b/src/wasabigw_verify/sessions/deployed.py
@@ -0,0 +1,139 @@
+"""A deployment with its processes, traffic and operators."""
+
+from collections import Counter
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from typing import Any
+from unittest import mock
+
+from wasabigw.core.cluster import Applied, ClusterState, Refusal
+from wasabigw.core.commands import Change
+from wasabigw.core.ids import NodeId, Revision, ServiceId
+from wasabigw.tasks import voter_task
+from wasabigw_verify.harness.balancers import Balancer
+from wasabigw_verify.harness.callers import Session
+from wasabigw_verify.harness.operators import Operator
+from wasabigw_verify.harness.packets import Packet
+from wasabigw_verify.harness.steps import Focus, Step
+from wasabigw_verify.harness.world import VOTERS, World
+from wasabigw_verify.sessions.deployments import (
+    BACKEND_SERVERS,
+    CONNECTIONS,
+    Deployment,
+)
+
+LOCAL_LATENCY = 0.0003
+JITTER = 0.2
+"""Share by which a one-way latency varies."""
+SNAPSHOT_INTERVAL = 64
+Outcome = Applied | Refusal
+
+
+def _ignore(step: Step, focus: Focus) -> None:
+    """Nothing strikes at a step."""
+
+
+class DeployedWorld(World):
+    """A run of one deployment.
+
+    :param on_applied: told of each revision that a process applied.
+    """
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        super().__init__(seed, _ignore, deployment.services(), deployment.domains)
+        self.deployment = deployment
+        self.refusals: Counter[ServiceId] = Counter()
+        self.on_applied: Callable[[NodeId, Revision, ClusterState], None] | None = None
+        self.offered: list[Session] = []
+        self.traffic_ends = 0.0
+        self.network.latency = self._latency
+
+    def begin(self) -> None:
+        """Start all processes and send the first configuration."""
+        deployment = self.deployment
+        domains = deployment.domains
+        for node in VOTERS:
+            self.start_voter(node)
+        for number in range(deployment.balancers):
+            domain = domains[number % len(domains)]
+            self.start_balancer(NodeId(f"{domain}-lb-{number // 3 + 1}"), domain)
+        Operator(self, deployment.configuration())
+        services = (deployment.first, deployment.second)
+        for service, count in zip(services, BACKEND_SERVERS, strict=True):
+            for number in range(count):
+                domain = domains[number % len(domains)]
+                name = f"{service}-{number + 1}"
+                server = self.add_backend_server(
+                    name, service, domain, deployment.slots
+                )
+                if service == deployment.second:
+                    server.capacity = CONNECTIONS
+
+    def callers_come(
+        self, service: ServiceId, per_second: float, start: float, end: float
+    ) -> None:
+        """Open flows from a start to an end.
+
+        :param per_second: flows that are opened, exponentially distributed.
+        """
+        draw = self.network.random
+
+        def come() -> None:
+            if self.network.now >= end:
+                return
+            long = service == self.deployment.second
+            count = draw.randrange(1, 8) if long else draw.randrange(2)
+            gaps = [draw.uniform(0.2, 3.0 if long else 0.4) for _ in range(count)]
+            self.offered.append(self.callers.start("callers", service, gaps))
+            self.network.later(draw.expovariate(per_second), come)
+
+        self.network.later(start - self.network.now, come)
+        self.traffic_ends = max(self.traffic_ends, end)
+
+    def at(self, time: float, action: Callable[[], Any]) -> None:
+        """Run an action at a time of the run."""
+        self.network.later(time - self.network.now, action)
+
+    def operate(
+        self,
+        change: Change,
+        expected: Revision | None = None,
+        lost: int = 0,
+        done: Callable[[Outcome], None] | None = None,
+    ) -> None:
+        """An operator sends a change."""
+        Operator(self, change, expected, lost, done)
+
+    def configuration_revision(self) -> Revision:
+        """Configuration revision that an operator would read now."""
+        states = [v.task._cluster for v in self.voters.values()]
+        return max(state.configuration_revision for state in states)
+
+    def note_applied(
+        self, node: NodeId, revision: Revision, state: ClusterState
+    ) -> None:
+        """Record what a node has applied."""
+        super().note_applied(node, revision, state)
+        if self.on_applied is not None:
+            self.on_applied(node, revision, state)
+
+    def refuse(self, via: Balancer, packet: Packet) -> None:
+        """Send a reset to the sender of a packet."""
+        if packet.opens:
+            self.refusals[self.service_of(packet.event.flow)] += 1
+        super().refuse(via, packet)
+
+    def _latency(self, source: str, destination: str) -> float:
+        one = self.domain_of.get(source)
+        other = self.domain_of.get(destination)
+        base = self.deployment.between
+        if one is None or other is None:
+            base = self.deployment.to_callers
+        elif one == other:
+            base = LOCAL_LATENCY
+        return base * self.network.random.uniform(1 - JITTER, 1 + JITTER)
+
+
+def small_snapshots() -> AbstractContextManager[Any]:
+    """Let voters take snapshots often enough for a session."""
+    return mock.patch.object(voter_task, "SNAPSHOT_INTERVAL", SNAPSHOT_INTERVAL)
--- /dev/null
+++ b/src/wasabigw_verify/sessions/log_changes.py
@@ -0,0 +1,131 @@
+"""What an entry of the replicated log changed, in words."""
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from wasabigw.core.cluster import BackendServer, BucketTable, ClusterState, Node
+from wasabigw.core.ids import (
+    BackendServerId,
+    BucketNumber,
+    FailureDomainId,
+    NodeId,
+    ServiceId,
+)
+from wasabigw.core.placement import home_of
+from wasabigw.core.states import CandidateReason, FailureDomainState
+
+Named = set[tuple[BucketNumber, BackendServerId, CandidateReason]]
+
+
+@dataclass(slots=True)
+class Seen:
+    """The parts of the replicated state whose changes are told."""
+
+    domains: dict[FailureDomainId, FailureDomainState] = field(default_factory=dict)
+    nodes: dict[NodeId, Node] = field(default_factory=dict)
+    servers: dict[BackendServerId, BackendServer] = field(default_factory=dict)
+    homes: dict[BackendServerId, NodeId | None] = field(default_factory=dict)
+    current: dict[ServiceId, list[BackendServerId | None]] = field(default_factory=dict)
+    candidates: dict[ServiceId, Named] = field(default_factory=dict)
+
+
+def see(state: ClusterState) -> Seen:
+    """Copy of what :func:`differences` compares."""
+    servers = state.backend_servers
+    return Seen(
+        {name: domain.state for name, domain in state.failure_domains.items()},
+        dict(state.nodes),
+        dict(servers),
+        {name: home_of(server, state) for name, server in servers.items()},
+        {service: list(table.current) for service, table in state.buckets.items()},
+        {service: _named(table) for service, table in state.buckets.items()},
+    )
+
+
+def _named(table: BucketTable) -> Named:
+    return {
+        (bucket, candidate.backend_server, candidate.reason)
+        for bucket, others in table.others.items()
+        for candidate in others
+    }
+
+
+def differences(before: Seen, after: Seen) -> Iterator[str]:
+    """Lines on everything that changed."""
+    for domain, state in after.domains.items():
+        if before.domains.get(domain, state) is not state:
+            yield f"{domain} is {state.value}"
+    yield from _nodes(before, after)
+    yield from _servers(before, after)
+    yield from _homes(before, after)
+    for service in after.current:
+        yield from _buckets(service, before, after)
+
+
+def _nodes(before: Seen, after: Seen) -> Iterator[str]:
+    for name, node in after.nodes.items():
+        old = before.nodes.get(name)
+        if old is None:
+            yield f"balancer {name} is registered"
+        elif old.incarnation != node.incarnation:
+            yield f"balancer {name} is registered with a new incarnation"
+        elif old.state is not node.state:
+            yield f"balancer {name} is {node.state.value}"
+    for name in sorted(before.nodes.keys() - after.nodes.keys()):
+        yield f"balancer {name} is removed"
+
+
+def _servers(before: Seen, after: Seen) -> Iterator[str]:
+    for name, server in after.servers.items():
+        old = before.servers.get(name)
+        if old is None:
+            yield f"{name} is up in {server.failure_domain} at step {server.step} of 8"
+            continue
+        if old.boot_id != server.boot_id:
+            yield f"{name} has restarted, step {server.step} of 8"
+        elif old.step != server.step:
+            yield f"{name} goes from step {old.step} to {server.step} of 8"
+        if old.state is not server.state:
+            yield f"{name} is {server.state.value}"
+    for name in sorted(before.servers.keys() - after.servers.keys()):
+        yield f"{name} is removed"
+
+
+def _homes(before: Seen, after: Seen) -> Iterator[str]:
+    moved = [
+        f"{server} {old} -> {after.homes[server]}"
+        for server, old in before.homes.items()
+        if server in after.homes and after.homes[server] != old
+    ]
+    if moved:
+        yield f"homes move: {', '.join(moved)}"
+
+
+def _buckets(service: ServiceId, before: Seen, after: Seen) -> Iterator[str]:
+    new = after.current[service]
+    old = before.current.get(service, [None] * len(new))
+    gained: Counter[BackendServerId | None] = Counter()
+    pairs = [(a, b) for a, b in zip(old, new, strict=True) if a != b]
+    for source, destination in pairs:
+        gained[source] -= 1
+        gained[destination] += 1
+    texts = []
+    if pairs:
+        shares = ", ".join(
+            f"{name or 'none'} {count:+d}"
+            for name, count in sorted(gained.items(), key=lambda item: str(item[0]))
+        )
+        texts.append(f"{len(pairs)} buckets move ({shares})")
+    named = before.candidates.get(service, set())
+    now_named = after.candidates[service]
+    changes = [*_count("+", now_named - named), *_count("-", named - now_named)]
+    if changes:
+        texts.append(f"candidates {', '.join(changes)}")
+    if texts:
+        yield f"{service}: {'; '.join(texts)}"
+
+
+def _count(sign: str, found: Named) -> list[str]:
+    counts = Counter(reason.value for _, _, reason in found)
+    return [f"{sign}{count} {name}" for name, count in sorted(counts.items())]
--- /dev/null
+++ b/src/wasabigw_verify/sessions/narrator.py
@@ -0,0 +1,161 @@
+"""Account of a session in lines of time, who and what."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from wasabigw.core import commands as c
+from wasabigw.core.cluster import NO_REVISION, Applied, ClusterState
+from wasabigw.core.commands import Change
+from wasabigw.core.ids import NodeId, Revision
+from wasabigw.core.view import is_fresh
+from wasabigw_verify import record as r
+from wasabigw_verify.sessions.deployed import DeployedWorld, Outcome
+from wasabigw_verify.sessions.log_changes import Seen, differences, see
+
+SAMPLE_PERIOD = 0.1
+SUMMARY_PERIOD = 5.0
+WARM_UP = 4.0
+"""Seconds after the start before views and leaders are told."""
+
+
+@dataclass(order=True, frozen=True, slots=True)
+class Line:
+    """One line; the order is that of the time, then that of telling."""
+
+    at: float
+    number: int
+    who: str
+    what: str
+
+    def __str__(self) -> str:
+        return f"{self.at:8.3f}  {self.who:<14} {self.what}"
+
+
+@dataclass(slots=True)
+class Narrator:
+    """Watches a world and writes lines."""
+
+    world: DeployedWorld
+    lines: list[Line] = field(default_factory=list)
+    committed: dict[Revision, float] = field(default_factory=dict)
+    _seen: Seen = field(default_factory=Seen)
+    _highest: Revision = NO_REVISION
+    _leader: NodeId | None = None
+    _stale: int = 0
+    _told: int = 0
+    _refused: Counter[str] = field(default_factory=Counter)
+    _dropped: Counter[str] = field(default_factory=Counter)
+
+    def watch(self) -> None:
+        """Begin; to be called before the world runs."""
+        self.world.on_applied = self._applied
+        self.world.at(SAMPLE_PERIOD, self._sample)
+        self.world.at(SUMMARY_PERIOD, self._summarise)
+
+    def tell(self, who: str, what: str, at: float | None = None) -> None:
+        """Add a line."""
+        time = self.world.network.now if at is None else at
+        self.lines.append(Line(time, len(self.lines), who, what))
+
+    def operate(
+        self,
+        who: str,
+        change: Change,
+        expected: Revision | None = None,
+        lost: int = 0,
+    ) -> None:
+        """An operator sends a change; the outcome is told."""
+        given = "" if expected is None else f", expecting revision {expected}"
+        answers = "answer is" if lost == 1 else f"{lost} answers are"
+        repeated = f"; the first {answers} lost and it is resent" if lost else ""
+        self.tell(who, f"sends {describe(change)}{given}{repeated}")
+
+        def done(outcome: Outcome) -> None:
+            if isinstance(outcome, Applied):
+                self.tell(who, f"accepted at revision {outcome.revision}")
+            else:
+                self.tell(who, f"refused, {outcome.code.value}: {outcome.message}")
+
+        self.world.operate(change, expected, lost, done)
+
+    def _applied(self, node: NodeId, revision: Revision, state: ClusterState) -> None:
+        if revision <= self._highest:
+            return
+        self._highest = revision
+        now = self.world.network.now
+        self.committed[revision] = now
+        after = see(state)
+        for what in differences(self._seen, after):
+            self.tell(f"log r{revision}", what)
+        self._seen = after
+
+    def _sample(self) -> None:
+        world = self.world
+        now = world.network.now
+        if now >= WARM_UP:
+            leader = world.leader()
+            if leader != self._leader:
+                text = f"{leader} leads" if leader else "no voter leads"
+                self.tell("control", text)
+                self._leader = leader
+            views = [b.state.view for b in world.balancers.values()]
+            stale = sum(not is_fresh(view, now) for view in views)
+            if stale != self._stale:
+                text = f"{stale} of {len(views)} have a stale view"
+                self.tell("balancers", text)
+                self._stale = stale
+        world.network.later(SAMPLE_PERIOD, self._sample)
+
+    def _summarise(self) -> None:
+        world = self.world
+        new = world.record[self._told :]
+        self._told = len(world.record)
+        kinds = Counter(type(entry) for entry in new)
+        refused = Counter({str(k): n for k, n in world.refusals.items()})
+        dropped = Counter({k.value: n for k, n in world.drops.items()})
+        text = (
+            f"{kinds[r.FlowEstablished]} opened, {kinds[r.FlowClosed]} closed, "
+            f"{kinds[r.FlowLost]} lost; requests: {kinds[r.RequestSent]} sent, "
+            f"{kinds[r.AnswerDelivered]} answered, {kinds[r.RequestRefused]} refused"
+        )
+        if any(kinds[k] for k in (r.RequestSent, r.FlowClosed, r.FlowLost)):
+            self.tell("flows", text)
+            self._tell_counts("openings refused", refused - self._refused)
+            self._tell_counts("packets dropped", dropped - self._dropped)
+            self.tell("load", self._loads())
+        self._refused, self._dropped = refused, dropped
+        world.network.later(SUMMARY_PERIOD, self._summarise)
+
+    def _tell_counts(self, what: str, counts: Counter[str]) -> None:
+        if counts:
+            texts = ", ".join(f"{name} {n}" for name, n in sorted(counts.items()))
+            self.tell("flows", f"{what}: {texts}")
+
+    def _loads(self) -> str:
+        deployment = self.world.deployment
+        texts = []
+        for service in (deployment.first, deployment.second):
+            servers = [
+                s for s in self.world.backend_servers.values() if s.service == service
+            ]
+            loads = " ".join(f"{len(s.flows)}/{s.bearable}" for s in servers)
+            texts.append(f"{service} {loads}")
+        return "open flows / bearable: " + "; ".join(texts)
+
+
+def describe(change: Change) -> str:
+    """A change in one line."""
+    name = type(change).__name__
+    match change:
+        case c.CreateService(service) | c.UpdateService(service):
+            return f"{name}({service.id}, deadline {service.request_deadline:g} s)"
+        case c.SetServiceFailureDomains(served, domains):
+            return f"{name}({served}: {', '.join(domains)})"
+        case c.RemoveService(subject):
+            return f"{name}({subject})"
+        case c.TakeFailureDomainOut(subject) | c.BringFailureDomainBack(subject):
+            return f"{name}({subject})"
+        case c.DrainBackendServer(subject) | c.DrainBalancer(subject):
+            return f"{name}({subject})"
+        case c.ReplaceConfiguration(services, domains):
+            return f"{name}({len(services)} services, {len(domains)} failure domains)"
--- /dev/null
+++ b/tests/test_golden.py
@@ -0,0 +1,83 @@
+"""Whole sessions: their accounts are as stored, and the promises hold in them."""
+
+import os
+import subprocess
+import sys
+import unittest
+from concurrent.futures import ProcessPoolExecutor
+from functools import cache
+from pathlib import Path
+
+from wasabigw_verify import golden
+from wasabigw_verify.promises import PROMISES
+
+FOLDER = Path(__file__).resolve().parent / "golden"
+
+
+@cache
+def fresh_accounts() -> dict[str, str]:
+    """Account of each session by the name of its golden file."""
+    names = list(golden.names())
+    with ProcessPoolExecutor(golden.WORKERS) as pool:
+        return dict(zip(names, pool.map(golden.content, names), strict=True))
+
+
+class Accounts(unittest.TestCase):
+    """Guards against changed behaviour that nobody looked at."""
+
+    def setUp(self) -> None:
+        self.fresh = fresh_accounts()
+
+    def test_each_session_gives_its_golden_file(self) -> None:
+        for name, text in self.fresh.items():
+            with self.subTest(name):
+                stored = (FOLDER / name).read_text(encoding="utf-8")
+                self.assertEqual(text, stored, "run `make golden` and look at the diff")
+
+    def test_no_golden_file_is_without_a_session(self) -> None:
+        stored = {path.name for path in FOLDER.iterdir()}
+        self.assertEqual(stored, set(self.fresh))
+
+    def check_promises(self, name: str) -> None:
+        verdicts = self.fresh[f"{name}.txt"].partition("\nPromises\n")[2]
+        lines = verdicts.splitlines()
+        self.assertEqual([line for line in lines if "holds" not in line], [])
+        self.assertEqual(len(lines), len(PROMISES))
+
+    def test_promises_hold_on_an_ordinary_day(self) -> None:
+        self.check_promises("cavalcanti-ordinary-day")
+        self.check_promises("tanrend-ordinary-day")
+
+    def test_promises_hold_while_a_domain_returns_at_cavalcanti(self) -> None:
+        self.check_promises("cavalcanti-domain-returns")
+
+    def test_promises_hold_while_a_domain_returns_at_tanrend(self) -> None:
+        self.check_promises("tanrend-domain-returns")
+
+    def test_promises_hold_in_an_enrolment_rush(self) -> None:
+        self.check_promises("cavalcanti-enrolment-rush")
+        self.check_promises("tanrend-enrolment-rush")
+
+    def test_promises_hold_while_operators_race(self) -> None:
+        self.check_promises("cavalcanti-racing-operators")
+        self.check_promises("tanrend-racing-operators")
+
+    def test_promises_hold_while_a_control_vm_is_isolated(self) -> None:
+        self.check_promises("cavalcanti-control-vm-isolated")
+        self.check_promises("tanrend-control-vm-isolated")
+
+    def test_bytes_do_not_depend_on_the_hash_seed(self) -> None:
+        """Guards against an order that differs from process to process."""
+        name = "tanrend-control-vm-isolated.txt"
+        program = (
+            "import sys; from wasabigw_verify import golden; "
+            f"sys.stdout.buffer.write(golden.content({name!r}).encode())"
+        )
+        for seed in ("1", "2"):
+            done = subprocess.run(
+                [sys.executable, "-c", program],
+                env={**os.environ, "PYTHONHASHSEED": seed},
+                stdout=subprocess.PIPE,
+                check=True,
+            )
+            self.assertEqual(done.stdout.decode(), self.fresh[name])
