Let a backup vouch only for flows that were copied to it

A home with a stale view opens flows without a copy at its backup. The backup nevertheless took itself for complete: when a balancer joined or the home crashed after the leader was back, its answer made others give the flow to another backend server. A backup whose own view had ended now counts as incomplete for FLOW_IDLE_TIMEOUT.

--- a/src/wasabigw/core/flows/homes.py
+++ b/src/wasabigw/core/flows/homes.py
@@ -131,6 +131,16 @@
         homes.handed_over[backend_server] = buckets
 
 
+def doubt_copies(homes: Homes, now: Seconds) -> None:
+    """Note that homes may have opened flows without a copy at this backup.
+
+    They do so under a stale view, and lose their view when this balancer does.
+    """
+    for name in homes.incomplete_until:
+        if backup(homes, name) == homes.node:
+            homes.incomplete_until[name] = Seconds(now + FLOW_IDLE_TIMEOUT)
+
+
 def update_homes(
     homes: Homes, cluster: ClusterState, now: Seconds, history_known: bool
 ) -> HomeChanges:
--- a/src/wasabigw/core/flows/routing.py
+++ b/src/wasabigw/core/flows/routing.py
@@ -32,7 +32,7 @@
 )
 from wasabigw.core.flows.forwarding import Forwarding
 from wasabigw.core.flows.home import at_home
-from wasabigw.core.flows.homes import home
+from wasabigw.core.flows.homes import doubt_copies, home
 from wasabigw.core.flows.limits import take
 from wasabigw.core.flows.routes import ServiceRoute, bucket_route, compile_direct
 from wasabigw.core.flows.sending import (
@@ -171,6 +171,8 @@
 @handle.register
 def _(event: ViewConfirmed, state: BalancerState) -> list[Decision]:
     applied = state.cluster.revision
+    if state.view.confirmed and not is_fresh(state.view, event.now):
+        doubt_copies(state.homes, event.now)
     confirm(state.view, event.sent_at, event.fresh_for, event.committed, applied)
     return []
 
--- a/src/wasabigw/core/flows/upkeep.py
+++ b/src/wasabigw/core/flows/upkeep.py
@@ -8,7 +8,7 @@
 from wasabigw.core.flows.diversion import follow_reachability, report_diverted
 from wasabigw.core.flows.events import BackendServerRenewed, LocalOut, LogApplied
 from wasabigw.core.flows.forwarding import tag_of
-from wasabigw.core.flows.homes import update_homes
+from wasabigw.core.flows.homes import doubt_copies, update_homes
 from wasabigw.core.flows.release import forget_outdated, propose_releases
 from wasabigw.core.flows.resets import forget_old_doubts
 from wasabigw.core.flows.routes import update_routes
@@ -22,11 +22,14 @@
     next_handovers,
 )
 from wasabigw.core.ids import BackendServerId, NodeId, Seconds
+from wasabigw.core.view import is_fresh
 
 
 def apply_log(event: LogApplied, state: BalancerState) -> list[Decision]:
     """Follow the replicated state after an entry or a snapshot."""
     state.cluster = event.cluster
+    if state.view.confirmed and not is_fresh(state.view, event.now):
+        doubt_copies(state.homes, event.now)
     # Until the first confirmation this process replays what happened before it
     # started, so that it can't know which flows its homes have.
     known = state.view.confirmed and not event.snapshot
