Reset flows of a departed backend server before guessing an older owner

Cause: a mid-flow packet that no home knows went to the backend server that owned its bucket one idle timeout ago, or to a FORMER one, even if the bucket had a DEPARTED candidate. No home can be asked about the flows of that one, so that its flows look like flows without a record.

A flow that was idle for more than 300 s, in a bucket with a departed candidate, now gets a RST as well; its record had expired.

--- a/src/wasabigw/core/flows/search.py
+++ b/src/wasabigw/core/flows/search.py
@@ -137,11 +137,15 @@
 def _owner_by_age(event: FlowData | FlowClosing, context: Context) -> Found:
     """All homes are complete, so the flow is older than any record can be.
 
-    It belongs to the backend server that owned the bucket one idle timeout ago.
+    It belongs to the backend server that owned the bucket one idle timeout ago, or
+    to one that has departed since.
     """
     reset = isinstance(event, FlowClosing) and event.reset
     gone: Found = DropReason.UNKNOWN_FLOW if reset else RefusalReason.FLOW_GONE
     candidates = context.candidates
+    if candidates.has_departed:
+        # Nobody could be asked about its flows, whose records are younger.
+        return gone
     since = Seconds(context.now - FLOW_IDLE_TIMEOUT)
     move = owner_before(context.route.moves, context.bucket, since)
     if move is not None and not move.in_doubt:
@@ -153,8 +157,6 @@
     for other in candidates.others:
         if other.reason is CandidateReason.FORMER and other.target is not None:
             return other.target
-    if candidates.has_departed:
-        return gone
     if candidates.current is not None:
         return candidates.current
     return DropReason.UNKNOWN_FLOW if reset else RefusalReason.NO_BACKEND_SERVER
--- a/tests/test_flow_decisions.py
+++ b/tests/test_flow_decisions.py
@@ -222,6 +222,21 @@
             sim.step(1.0)
         self.assertEqual(sim.send(flow), d.Refuse(RefusalReason.FLOW_GONE))
 
+    def test_no_former_owner_gets_packets_of_a_backend_server_that_is_gone(
+        self,
+    ) -> None:
+        """The bucket moved to the one that is gone within the idle timeout."""
+        sim = make_simulation(16)
+        sim.commit(add_backend("late", 9, SEATS))
+        for _ in range(6):
+            sim.step(1.0)
+        flows = [opened(sim, "late") for _ in range(5)]
+        sim.commit(remove_backend("late"))
+        for _ in range(3):
+            sim.step(1.0)
+        for flow in flows:
+            self.assertEqual(sim.send(flow), d.Refuse(RefusalReason.FLOW_GONE))
+
     def test_a_failure_domain_out_of_service_gets_nothing(self) -> None:
         sim = make_simulation(11)
         domain = home_of(sim, "b1").state.failure_domain
