--- a/src/wasabigw_measure/_bench_run.py
+++ b/src/wasabigw_measure/_bench_run.py
@@ -61,11 +61,13 @@
     :param rates: by kind and subject.
     :param latencies: p50 and p99 in seconds of each round, by subject.
     :param memory: bytes for each open flow, by subject.
+    :param collections: longest stop by the garbage collector in seconds, by subject.
     """
 
     rates: dict[str, dict[str, list[Rate]]] = field(default_factory=dict)
     latencies: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     memory: dict[str, float] = field(default_factory=dict)
+    collections: dict[str, float] = field(default_factory=dict)
     flows: int = 0
 
 
@@ -220,6 +222,7 @@
             if opened:
                 grown = full["resident"] - empty["resident"]
                 self.results.memory[name] = grown / opened
+            self.results.collections[name] = full["longest_collection"]
             self.results.flows = full["records"]
 
     def _bind(self) -> None:
--- a/src/wasabigw_measure/_bench_worker.py
+++ b/src/wasabigw_measure/_bench_worker.py
@@ -4,6 +4,7 @@
 line of JSON.
 """
 
+import gc
 import json
 import resource
 import selectors
@@ -36,6 +37,7 @@
 from wasabigw.core.placement import home_among
 from wasabigw.core.states import BackendServerState, CandidateReason, Protocol
 from wasabigw.core.timing import BUCKETS_PER_SERVICE
+from wasabigw.runtime.collector import make_full_collections_rare
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import TimerService, monotonic
 from wasabigw.tasks.messages import AnnouncementRequest, LogReceived, StatusRequest
@@ -95,6 +97,21 @@
         return int(file.read().split()[1]) * resource.getpagesize()
 
 
+class CollectionTimer:
+    """Longest stop of this process by the garbage collector, in seconds."""
+
+    def __init__(self) -> None:
+        self.longest = 0.0
+        self._began = 0.0
+        gc.callbacks.append(self._note)
+
+    def _note(self, phase: str, _: dict[str, int]) -> None:
+        if phase == "start":
+            self._began = time.perf_counter()
+        else:
+            self.longest = max(self.longest, time.perf_counter() - self._began)
+
+
 def thread_clock(name: str) -> int:
     """Clock of the processor time of a thread."""
     thread = next(t for t in threading.enumerate() if t.name == name)
@@ -144,6 +161,8 @@
 
 def run_balancer(sink_port: str, peer_port: str) -> None:
     """Run a real packet task that is the home of all backend servers."""
+    make_full_collections_rare()
+    collections = CollectionTimer()
     own, peer = _node("n0", 0), _node("n1", int(peer_port))
     applied: Mailbox[Any] = Mailbox("applied")
     outputs = PacketTaskOutputs(Mailbox("reports", 16), Mailbox("handovers"), applied)
@@ -182,6 +201,7 @@
                 "refused": found.packets.refused,
                 "cpu": time.clock_gettime(clock),
                 "resident": resident_bytes(),
+                "longest_collection": collections.longest,
             }
 
         # An empty view first: what follows is then known to be complete.
--- a/src/wasabigw_measure/bench.py
+++ b/src/wasabigw_measure/bench.py
@@ -69,6 +69,10 @@
                     )
                 )
             )
+    for subject, longest in results.collections.items():
+        if subject in ("balancer", base):
+            title = f"longest stop by the garbage collector, ms ({subject})"
+            lines.append(_line((title, "", f"{1e3 * longest:.1f}", "")))
     return lines
 
 
