--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format types demo compare-mapping capacity bench
+.PHONY: setup test lint format types demo
+.PHONY: tour process-faults compare-mapping capacity bench fault-matrix
 
 setup: $(VENV)/.installed
 
@@ -29,6 +30,12 @@
 demo: setup
 	$(BIN)/python -m wasabigw_demo
 
+tour: setup
+	$(BIN)/python -m wasabigw_demo.tour run
+
+process-faults: setup
+	$(BIN)/python -m wasabigw_demo faults
+
 compare-mapping: setup
 	$(BIN)/python -m wasabigw_measure.compare_mapping
 
@@ -37,3 +44,6 @@
 
 bench: setup
 	$(BIN)/python -m wasabigw_measure.bench
+
+fault-matrix: setup
+	$(BIN)/python -m wasabigw_verify.matrix
--- a/src/wasabigw/core/flows/answers.py
+++ b/src/wasabigw/core/flows/answers.py
@@ -47,6 +47,7 @@
         _take_copy(event, target, state)
     record = state.records.records.get(event.flow)
     if record is not None and record.target is target:
+        record.opening = False
         note_answer(event, record, state)
     elif (
         isinstance(event, AnswerClosing)
--- a/src/wasabigw/roles.py
+++ b/src/wasabigw/roles.py
@@ -19,6 +19,7 @@
 from wasabigw.settings import Role, Settings
 from wasabigw.tasks.balancer import BalancerSettings, make_balancer
 from wasabigw.tasks.control_plane import make_control_plane
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.storage import open_storage
 from wasabigw.tasks.voter_task import VoterSettings
 
@@ -50,6 +51,7 @@
     settings: VoterSettings
     data_folder: Path
     token: str
+    limits: ProcessLimits = DEFAULT_LIMITS
 
 
 def run_role(settings: Settings) -> Result[None, RoleError]:
@@ -98,7 +100,12 @@
             timer = stack.enter_context(TimerService())
             stack.enter_context(
                 make_control_plane(
-                    process.settings, process.token, storage, apply, timer
+                    process.settings,
+                    process.token,
+                    storage,
+                    apply,
+                    timer,
+                    limits=process.limits,
                 )
             )
             stop.wait()
@@ -120,7 +127,10 @@
     assert settings.data_folder is not None
     voters = {NodeId(name): endpoint for name, endpoint in settings.voters.items()}
     return ControlProcess(
-        VoterSettings(settings.node, voters), settings.data_folder, token
+        VoterSettings(settings.node, voters),
+        settings.data_folder,
+        token,
+        _limits(settings),
     )
 
 
@@ -142,12 +152,16 @@
             settings.control_endpoints,
             token,
             settings.trace_file,
-            settings.limits.trace_file_bytes,
             settings.trace_sample_rate,
+            _limits(settings),
         )
     )
 
 
+def _limits(settings: Settings) -> ProcessLimits:
+    return ProcessLimits(**settings.limits.model_dump())
+
+
 def _read_token(path: Path) -> Result[str, RoleError]:
     try:
         token = path.read_text(encoding="ascii").strip()
--- a/src/wasabigw_measure/_capacity_rows.py
+++ b/src/wasabigw_measure/_capacity_rows.py
@@ -13,7 +13,7 @@
     REMEMBERED_REQUESTS,
     SNAPSHOT_INTERVAL,
 )
-from wasabigw.tasks.http_control import THREADS as HTTP_THREADS
+from wasabigw.tasks.limits import DEFAULT_LIMITS
 from wasabigw.tasks.log_follower import MIN_POLL_INTERVAL
 from wasabigw.tasks.packet_task import PING_PERIOD, UPKEEP_PERIOD
 from wasabigw.tasks.voter_task import MEMBERSHIP_PERIOD
@@ -424,11 +424,11 @@
         role,
         "polls held at the same time (as built)",
         "`tasks/http_control.py`, a thread for each held poll",
-        f"{HTTP_THREADS} threads",
+        f"{DEFAULT_LIMITS.http_threads} threads",
         f"{size.nodes} balancers",
         float(size.nodes),
         "polls",
-        float(HTTP_THREADS),
+        float(DEFAULT_LIMITS.http_threads),
         "relays, and polls that are held without a thread",
     )
     rates = ordinary_day(size)
@@ -558,11 +558,11 @@
         role,
         "polls held at the same time",
         "a thread for each held poll, as in `tasks/http_control.py`",
-        f"{HTTP_THREADS} threads",
+        f"{DEFAULT_LIMITS.http_threads} threads",
         f"{size.nodes_per_domain} balancers",
         float(size.nodes_per_domain),
         "polls",
-        float(HTTP_THREADS),
+        float(DEFAULT_LIMITS.http_threads),
         "polls that are held without a thread",
     )
     yield Row(
