Wait for a packet task by a question of constant cost in the capacity run

Cause: the wait ended with a status, which counts all backend servers, and its 1 ms at the target size was taken for a cost of each entry and tick. Change: the wait asks for the flow of an unknown service.

--- a/src/wasabigw_measure/_capacity_follower.py
+++ b/src/wasabigw_measure/_capacity_follower.py
@@ -11,9 +11,10 @@
 from wasabigw.core.commands import Command
 from wasabigw.core.ids import Revision, Seconds, Term
 from wasabigw.core.log_messages import LogBatch, LogEntry
+from wasabigw.core.states import Protocol
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick, monotonic
-from wasabigw.tasks.messages import AppliedRevision, LogReceived, StatusRequest
+from wasabigw.tasks.messages import AppliedRevision, FlowRequest, LogReceived
 from wasabigw.tasks.packet_task import (
     PacketTask,
     PacketTaskOutputs,
@@ -81,9 +82,14 @@
         return self.clock.read() - before
 
     def _settle(self) -> None:
-        """Wait until the task has also done what follows the answer."""
+        """Wait until the task has also done what follows the answer.
+
+        The question is about an unknown service, so that it costs the same at any
+        size; a status counts all backend servers.
+        """
         reply: Mailbox[Any] = Mailbox("reply")
-        self.task.mailbox.post(StatusRequest(reply))
+        question = FlowRequest(Protocol.TCP, LOOPBACK, LOOPBACK, reply)
+        self.task.mailbox.post(question)
         reply.get(REPLY_TIMEOUT).unwrap()
 
 
