--- a/src/wasabigw_measure/_bench_run.py
+++ b/src/wasabigw_measure/_bench_run.py
@@ -175,7 +175,7 @@
         for sender in self.senders:
             sender.result()
         time.sleep(SETTLE)
-        done = after["received"] - before["received"]
+        done = max(1, after["received"] - before["received"])
         return Rate(done / (ended - began), (after["cpu"] - before["cpu"]) / done)
 
     def _balancers(self) -> list[str]:
--- a/src/wasabigw_measure/_capacity_page.py
+++ b/src/wasabigw_measure/_capacity_page.py
@@ -24,8 +24,9 @@
 def section(measured: Measurements, rows: Sequence[Row]) -> str:
     """Markdown of all rows, by role."""
     lines = [
-        f"Machine: {measured.cores} cores, Python {measured.python}. The sweep and the "
-        f"storms end at {measured.largest:.4g} of the target size.",
+        f"Machine: {measured.cores} cores, Python {measured.python}; load average "
+        f"{measured.load:.1f} when the run began, which raises processor times. The "
+        f"sweep and the storms end at {measured.largest:.4g} of the target size.",
         "",
     ]
     for role in Role:
--- a/src/wasabigw_measure/_capacity_rows.py
+++ b/src/wasabigw_measure/_capacity_rows.py
@@ -247,7 +247,7 @@
         100 * (polls + announced + entries + ticks),
         "% of a core",
         limit,
-        "see the rows above",
+        "announcements over a cheaper front end than cherrypy",
     )
     load = measured.line(lambda s: s.load).at(servers)
     decode = measured.snapshot_line(lambda s: s.decode).at(size.services)
@@ -604,7 +604,11 @@
     change = entry_cost(measured, ENTRY_KINDS["change"])
     commit = 2 * measured.append.one + ROUND_TRIP
     for name, polls, carrier in (
-        ("change in force (as built, all balancers at the leader)", size.nodes, ""),
+        (
+            "change in force (as built, all balancers at the leader)",
+            size.nodes,
+            "relays",
+        ),
         ("change in force through relays", size.nodes_per_domain, ""),
     ):
         relayed = polls != size.nodes
--- a/src/wasabigw_measure/_capacity_run.py
+++ b/src/wasabigw_measure/_capacity_run.py
@@ -52,12 +52,14 @@
 
     :param largest: share of the target at the end of the sweep.
     :param cores: of the machine.
+    :param load: runnable processes on it when the run began, mean of a minute.
     :param storms: at the largest size of the sweep.
     """
 
     target: Target
     largest: float
     cores: int
+    load: float
     python: str
     poll: Exchange
     report: Exchange
@@ -91,6 +93,7 @@
         target=target,
         largest=extent.largest,
         cores=os.cpu_count() or 1,
+        load=os.getloadavg()[0],
         python=platform.python_version(),
         poll=measure_poll(extent.calls),
         report=measure_report(extent.calls),
