--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 
 .PHONY: setup test lint format types demo
 .PHONY: tour process-faults compare-mapping capacity bench fault-matrix
+.PHONY: golden measure
 
 setup: $(VENV)/.installed
 
@@ -47,3 +48,9 @@
 
 fault-matrix: setup
 	$(BIN)/python -m wasabigw_verify.matrix
+
+golden: setup
+	$(BIN)/python -m wasabigw_verify.golden
+
+measure: setup
+	$(BIN)/python -m wasabigw_measure.decisions
--- a/src/wasabigw/core/cluster.py
+++ b/src/wasabigw/core/cluster.py
@@ -124,7 +124,7 @@
 
     current: list[BackendServerId | None]
     others: dict[BucketNumber, list[Candidate]] = field(default_factory=dict)
-    version: int = field(default=0, compare=False)
+    version: int = field(default=0, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
