Record metrics in both roles and serve them as JSON

The metrics were defined and nothing recorded them. A metrics task owns them; the packet task posts its totals once a second, and bytes of control traffic are counted where requests are sent and answered. GET /v1/metrics serves them on both APIs: broken flows counted at the home that holds the slot, imbalance among the backend servers homed here, service during failure domain moves, control bytes, processor share, memory, and at the leader the time from commit until in force.

Changes are traced from the tool over the leader to commit and in force, where each balancer that applied the change is an event of the span.

--- a/src/wasabigw/core/flows/home.py
+++ b/src/wasabigw/core/flows/home.py
@@ -14,6 +14,7 @@
 from wasabigw.core.flows.events import CallerEvent, FlowClosing, FlowData, FlowOpened
 from wasabigw.core.flows.forwarding import tag_of
 from wasabigw.core.flows.homes import home
+from wasabigw.core.flows.measures import count_admitted, count_refused
 from wasabigw.core.flows.opening import opening_target, overflow_target
 from wasabigw.core.flows.records import CALLER_CLOSED, FlowRecord
 from wasabigw.core.flows.search import decide_owner, next_question, own_answers
@@ -257,7 +258,7 @@
         return forward(owner, context.forwarding, state)
     known = context.flow in state.records.records
     if records.is_full(state.records) and not known:
-        return [Refuse(RefusalReason.TABLE_FULL)]
+        return _refuse(RefusalReason.TABLE_FULL, context, state)
     if not may_send(state, target, context.now) or not _is_exclusive(
         target, context, state
     ):
@@ -274,14 +275,15 @@
         state.overflowed[target.id] = context.now
         return _hand_to_overflow(overflow, context, state)
     if verdict is AdmissionVerdict.AT_LIMIT:
-        return [Refuse(RefusalReason.AT_LIMIT)]
+        return _refuse(RefusalReason.AT_LIMIT, context, state)
     return drop(_VERDICT_DROPS[verdict])
 
 
 def _admitted(target: Target, context: Context, state: BalancerState) -> list[Decision]:
     record = record_flow(state, context, target, admitted=True)
     if record is None:
-        return [Refuse(RefusalReason.TABLE_FULL)]
+        return _refuse(RefusalReason.TABLE_FULL, context, state)
+    count_admitted(state.measures, context.route.id)
     _claim_if_diverted(target, context, state)
     if context.route.protocol is Protocol.TCP:
         deadline = Seconds(context.now + OPENING_TIMEOUT)
@@ -334,4 +336,12 @@
 def _refuse_without_candidate(context: Context, state: BalancerState) -> list[Decision]:
     if not is_fresh(state.view, context.now):
         return drop(DropReason.STALE_VIEW)
-    return [Refuse(RefusalReason.NO_BACKEND_SERVER)]
+    return _refuse(RefusalReason.NO_BACKEND_SERVER, context, state)
+
+
+def _refuse(
+    reason: RefusalReason, context: Context, state: BalancerState
+) -> list[Decision]:
+    """Refuse a new flow."""
+    count_refused(state.measures, context.route.id)
+    return [Refuse(reason)]
--- a/src/wasabigw/core/flows/upkeep.py
+++ b/src/wasabigw/core/flows/upkeep.py
@@ -9,6 +9,11 @@
 from wasabigw.core.flows.events import BackendServerRenewed, LocalOut, LogApplied
 from wasabigw.core.flows.forwarding import tag_of
 from wasabigw.core.flows.homes import update_homes
+from wasabigw.core.flows.measures import (
+    broken_reason,
+    count_broken,
+    note_moves,
+)
 from wasabigw.core.flows.release import forget_outdated, propose_releases
 from wasabigw.core.flows.resets import forget_old_doubts
 from wasabigw.core.flows.routes import update_routes
@@ -27,6 +32,7 @@
 def apply_log(event: LogApplied, state: BalancerState) -> list[Decision]:
     """Follow the replicated state after an entry or a snapshot."""
     state.cluster = event.cluster
+    note_moves(state.measures, event.cluster, event.now)
     # Until the first confirmation this process replays what happened before it
     # started, so that it can't know which flows its homes have.
     known = state.view.confirmed and not event.snapshot
@@ -84,11 +90,13 @@
     state: BalancerState, backend_server: BackendServerId, now: Seconds
 ) -> None:
     """Delete the records of flows that ended with a boot of their backend server."""
+    reason = broken_reason(state.cluster, state.out_locally, backend_server)
     for flow in records.flows_of(state.records, backend_server):
         record = state.records.records[flow]
         if record.target.usable and not has_restarted(state, record.target):
             continue
         records.remove(state.records, flow)
+        count_broken(state.measures, record, reason)
         release_slot(state, record, now)
     state.inherited.pop(backend_server, None)
     state.outgoing.pop(backend_server, None)
--- a/src/wasabigw/roles.py
+++ b/src/wasabigw/roles.py
@@ -17,7 +17,7 @@
 from wasabigw.runtime.timer import TimerService
 from wasabigw.settings import Role, Settings
 from wasabigw.tasks.balancer import BalancerSettings, make_balancer
-from wasabigw.tasks.control_plane import make_control_plane
+from wasabigw.tasks.control_plane import TraceSettings, make_control_plane
 from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.storage import open_storage
 from wasabigw.tasks.voter_task import VoterSettings
@@ -51,6 +51,7 @@
     data_folder: Path
     token: str
     limits: ProcessLimits = DEFAULT_LIMITS
+    traces: TraceSettings | None = None
 
 
 def run_role(settings: Settings) -> Result[None, RoleError]:
@@ -104,6 +105,7 @@
                     apply,
                     timer,
                     limits=process.limits,
+                    traces=process.traces,
                 )
             )
             stop.wait()
@@ -129,6 +131,7 @@
         settings.data_folder,
         token,
         _limits(settings),
+        _traces(settings),
     )
 
 
@@ -160,6 +163,12 @@
     return ProcessLimits(**settings.limits.model_dump())
 
 
+def _traces(settings: Settings) -> TraceSettings | None:
+    if settings.trace_file is None:
+        return None
+    return TraceSettings(settings.trace_file, settings.trace_sample_rate)
+
+
 def _read_token(path: Path) -> Result[str, RoleError]:
     try:
         token = path.read_text(encoding="ascii").strip()
--- a/src/wasabigw/tasks/balancer.py
+++ b/src/wasabigw/tasks/balancer.py
@@ -23,7 +23,14 @@
     make_log_follower,
 )
 from wasabigw.tasks.messages import BalancerStatus, BeginDrain, StatusRequest
+from wasabigw.tasks.metrics_task import (
+    BUDGET_PERIOD,
+    BUDGET_TICK,
+    make_metrics_task,
+)
 from wasabigw.tasks.packet_task import (
+    MEASURE_PERIOD,
+    MEASURE_TICK,
     PING_PERIOD,
     PING_TICK,
     UPKEEP_PERIOD,
@@ -120,13 +127,19 @@
         settings = self._settings
         node = settings.node
         timer = stack.enter_context(TimerService())
+        metrics = stack.enter_context(make_metrics_task(node.id)).mailbox
+        timer.subscribe(metrics, BUDGET_PERIOD, BUDGET_TICK)
         reports = stack.enter_context(
-            make_report_sender(node.id, node.incarnation, settings.control)
+            make_report_sender(node.id, node.incarnation, settings.control, metrics)
         )
-        handovers = stack.enter_context(make_handover_sender())
+        handovers = stack.enter_context(make_handover_sender(metrics))
         applied = make_follower_mailbox()
         outputs = PacketTaskOutputs(
-            reports.mailbox, handovers.mailbox, applied, self._start_traces(stack)
+            reports.mailbox,
+            handovers.mailbox,
+            applied,
+            self._start_traces(stack),
+            metrics,
         )
         packet_settings = PacketTaskSettings(
             node, settings.fabric, settings.trace_sample_rate, settings.limits
@@ -134,9 +147,13 @@
         packets = stack.enter_context(make_packet_task(packet_settings, outputs))
         timer.subscribe(packets.mailbox, UPKEEP_PERIOD, UPKEEP_TICK)
         timer.subscribe(packets.mailbox, PING_PERIOD, PING_TICK)
+        timer.subscribe(packets.mailbox, MEASURE_PERIOD, MEASURE_TICK)
         api = BalancerApiSettings(node.api, settings.token, settings.limits)
-        stack.enter_context(make_balancer_server(packets.mailbox, api, Handover))
-        follower = make_log_follower(node, settings.control, packets.mailbox, applied)
+        server = make_balancer_server(packets.mailbox, api, Handover, metrics)
+        stack.enter_context(server)
+        follower = make_log_follower(
+            node, settings.control, packets.mailbox, applied, metrics
+        )
         self._follower = stack.enter_context(follower)
         self._packets = packets
 
--- a/src/wasabigw/tasks/control_client.py
+++ b/src/wasabigw/tasks/control_client.py
@@ -16,6 +16,7 @@
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.log_messages import NotLeader
+from wasabigw.tasks.traffic import TrafficMailbox, report_exchange
 
 CONNECT_TIMEOUT = Seconds(0.5)
 READ_MARGIN = Seconds(1.0)
@@ -70,10 +71,14 @@
     """Connection to the leader; owned by one task.
 
     :param endpoints: control endpoints of the settings, at least one.
+    :param traffic: receives the bytes of each exchange.
     """
 
-    def __init__(self, endpoints: Sequence[Endpoint]) -> None:
+    def __init__(
+        self, endpoints: Sequence[Endpoint], traffic: TrafficMailbox = None
+    ) -> None:
         self._endpoints = tuple(endpoints)
+        self._traffic = traffic
         self._current = self._endpoints[0]
         self._session: requests.Session | None = None
 
@@ -150,7 +155,9 @@
             allow_redirects=False,
             stream=True,
         ) as response:
-            return response.status_code, _read_bounded(response, time.monotonic)
+            body = _read_bounded(response, time.monotonic)
+            report_exchange(self._traffic, response, len(body or b""))
+            return response.status_code, body
 
     def _decode(
         self, call: ControlCall, status: int, body: bytes
--- a/src/wasabigw/tasks/control_plane.py
+++ b/src/wasabigw/tasks/control_plane.py
@@ -2,8 +2,9 @@
 
 from contextlib import AbstractContextManager, ExitStack
 from dataclasses import dataclass
+from pathlib import Path
 from types import TracebackType
-from typing import Self
+from typing import Any, Self
 
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import NodeId
@@ -13,15 +14,30 @@
 from wasabigw.tasks.http_control import ControlApiSettings, make_control_server
 from wasabigw.tasks.http_server import HttpServer
 from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
+from wasabigw.tasks.metrics_task import (
+    BUDGET_PERIOD,
+    BUDGET_TICK,
+    make_metrics_task,
+)
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.voter_calls import VoterMessage
-from wasabigw.tasks.voter_link import VoterLink, make_voter_link
+from wasabigw.tasks.voter_link import make_voter_link
 from wasabigw.tasks.voter_task import (
     ApplyCommand,
     VoterSettings,
     VoterTask,
     make_voter_task,
 )
+from wasabigw.telemetry.trace_file import TraceFileTask
+from wasabigw.telemetry.tracing import make_disabled_tracer, make_tracer
+
+
+@dataclass(frozen=True, slots=True)
+class TraceSettings:
+    """Where spans go, and the share of the traces begun here that is recorded."""
+
+    file: Path
+    sample_rate: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,12 +50,12 @@
 
     voter: VoterTask
     server: HttpServer
-    _links: tuple[VoterLink, ...]
+    _background: tuple[AbstractContextManager[Any], ...]
     _stack: ExitStack
 
     def __enter__(self) -> Self:
-        for link in self._links:
-            self._stack.enter_context(link)
+        for task in self._background:
+            self._stack.enter_context(task)
         self._stack.enter_context(self.voter)
         self._stack.enter_context(self.server)
         return self
@@ -61,18 +77,28 @@
     timer: TimerService,
     bind: Endpoint | None = None,
     limits: ProcessLimits = DEFAULT_LIMITS,
+    traces: TraceSettings | None = None,
 ) -> ControlPlane:
     """Voter of a control VM, which takes over the opened data directory.
 
     :param token: bearer token of operators.
     :param timer: running timer service.
     :param bind: where to listen, if not at the own endpoint of the settings.
+    :param traces: ``None`` if spans are not written.
     """
     mailbox: Mailbox[VoterMessage | Stop] = Mailbox(
         f"voter-{settings.node}", limits.mailbox_messages
     )
+    metrics = make_metrics_task(settings.node)
+    timer.subscribe(metrics.mailbox, BUDGET_PERIOD, BUDGET_TICK)
+    background: list[AbstractContextManager[Any]] = [metrics]
+    tracer = make_disabled_tracer()
+    if traces is not None:
+        spans = TraceFileTask(traces.file, limits.trace_file_bytes)
+        background.append(spans)
+        tracer = make_tracer(settings.node, traces.sample_rate, spans.mailbox)
     links = {
-        peer: make_voter_link(peer, api, mailbox)
+        peer: make_voter_link(peer, api, mailbox, metrics.mailbox)
         for peer, api in settings.voters.items()
         if peer != settings.node
     }
@@ -83,8 +109,10 @@
         {peer: link.mailbox for peer, link in links.items()},
         apply_command,
         timer,
+        metrics=metrics.mailbox,
+        tracer=tracer,
     )
     own: Endpoint = bind or settings.voters[NodeId(settings.node)]
-    api = ControlApiSettings(own, token, tuple(links), limits)
-    server = make_control_server(mailbox, api)
-    return ControlPlane(voter, server, tuple(links.values()), ExitStack())
+    api = ControlApiSettings(own, token, tuple(links), limits, tracer)
+    server = make_control_server(mailbox, api, metrics.mailbox)
+    return ControlPlane(voter, server, (*background, *links.values()), ExitStack())
--- a/src/wasabigw/tasks/handover_sender.py
+++ b/src/wasabigw/tasks/handover_sender.py
@@ -8,6 +8,7 @@
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.tasks.control_client import CallProblem, ControlCall, ControlClient
 from wasabigw.tasks.messages import HandoverOut, HandoverTaken
+from wasabigw.tasks.traffic import TrafficMailbox
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.log_events import log
 
@@ -23,13 +24,19 @@
 class HandoverSender(Task[HandoverOut]):
     """Sends each handover with a connection of its own."""
 
+    def __init__(
+        self, mailbox: Mailbox[HandoverOut | Stop], traffic: TrafficMailbox
+    ) -> None:
+        super().__init__("handover-sender", mailbox)
+        self._traffic = traffic
+
     def receive(self, message: HandoverOut) -> None:
         """Send a handover, again if the receiver did not take it."""
         body = encode(message.handover, Handover)
         call = ControlCall("POST", "/v1/handover", HandoverTaken, body=body)
         problem: CallProblem | None = None
         for _ in range(ATTEMPTS):
-            with ControlClient((message.to,)) as client:
+            with ControlClient((message.to,), self._traffic) as client:
                 outcome = client.call(call)
             if isinstance(outcome, Success):
                 return
@@ -45,7 +52,7 @@
         )
 
 
-def make_handover_sender() -> HandoverSender:
+def make_handover_sender(traffic: TrafficMailbox = None) -> HandoverSender:
     """Task whose mailbox is given to the packet task for its handovers."""
     mailbox: Mailbox[HandoverOut | Stop] = Mailbox("handovers", WAITING_HANDOVERS)
-    return HandoverSender("handover-sender", mailbox)
+    return HandoverSender(mailbox, traffic)
--- a/src/wasabigw/tasks/http_balancer.py
+++ b/src/wasabigw/tasks/http_balancer.py
@@ -41,6 +41,7 @@
     LocalOutRequest,
     StatusRequest,
 )
+from wasabigw.tasks.metrics_task import MetricsRequest
 
 REPLY_TIMEOUT = Seconds(2.0)
 """Longest wait for the packet task."""
@@ -142,6 +143,14 @@
         return self._call(LocalOutRequest(_reply_mailbox()))
 
 
+class _Metrics(_Resource):
+    """``GET /v1/metrics``; its mailbox is that of the metrics task."""
+
+    def GET(self) -> bytes:  # noqa: N802
+        """All metrics of this process."""
+        return self._call(MetricsRequest(_reply_mailbox()))
+
+
 class _Local:
     """Resources of ``/v1/local``."""
 
@@ -153,8 +162,14 @@
     """Resources of ``/v1``."""
 
     def __init__(
-        self, packets: Mailbox[Any], settings: BalancerApiSettings, handover: type
+        self,
+        packets: Mailbox[Any],
+        settings: BalancerApiSettings,
+        handover: type,
+        metrics: Mailbox[Any] | None,
     ) -> None:
+        if metrics is not None:
+            self.metrics = _Metrics(metrics, settings)
         self.announcements = _Announcements(packets, settings)
         self.status = _Status(packets, settings)
         self.flows = _Flows(packets, settings)
@@ -170,17 +185,21 @@
 
 
 def make_balancer_server(
-    packets: Mailbox[Any], settings: BalancerApiSettings, handover: type
+    packets: Mailbox[Any],
+    settings: BalancerApiSettings,
+    handover: type,
+    metrics: Mailbox[Any] | None = None,
 ) -> HttpServer:
     """HTTP server of a balancer.
 
     :param packets: mailbox of the packet task.
     :param handover: message type of the body of ``POST /v1/handover``.
+    :param metrics: mailbox of the metrics task.
     """
-    root = _Root(_Version1(packets, settings, handover))
+    root = _Root(_Version1(packets, settings, handover, metrics))
     limits = settings.limits
     return make_http_server(
-        "balancer", settings.bind, root, limits.request_body_bytes, limits
+        "balancer", settings.bind, root, limits.request_body_bytes, limits, metrics
     )
 
 
--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -6,12 +6,13 @@
 
 import hmac
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import singledispatch
 from http import HTTPStatus
 from typing import Any
 
 import cherrypy
+from opentelemetry import trace
 from returns.result import Failure, Result, Success
 
 from wasabigw.codec.consensus import decode_envelope, encode_envelope
@@ -38,6 +39,7 @@
     make_http_server,
 )
 from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
+from wasabigw.tasks.metrics_task import MetricsRequest, MetricsSnapshot
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
     ConfigurationView,
@@ -50,6 +52,8 @@
     StateCall,
     reply_mailbox,
 )
+from wasabigw.telemetry.trace_context import TraceParent, parse_traceparent
+from wasabigw.telemetry.tracing import hop_span, make_disabled_tracer
 
 MAX_CONSENSUS_BYTES = 64 * 1024 * 1024
 """Holds a snapshot, or as many entries as one append request may carry."""
@@ -87,6 +91,7 @@
     token: str
     peers: Collection[NodeId]
     limits: ProcessLimits = DEFAULT_LIMITS
+    tracer: trace.Tracer = field(default_factory=make_disabled_tracer)
 
 
 class _Resource:
@@ -129,7 +134,9 @@
         problem = _id_problem("request_id", request.request_id)
         if problem is not None:
             return _bad_request(problem)
-        return self._call(ChangeCall(request, reply_mailbox("change")), CALL_TIMEOUT)
+        with hop_span(self._settings.tracer, "control.change", _parent()) as hop:
+            call = ChangeCall(request, reply_mailbox("change"), hop)
+            return self._call(call, CALL_TIMEOUT)
 
 
 class _State(_Resource):
@@ -219,10 +226,25 @@
         return encode_envelope(outcome.unwrap())
 
 
+class _Metrics(_Resource):
+    """``GET /v1/metrics``; its mailbox is that of the metrics task."""
+
+    def GET(self) -> bytes:  # noqa: N802
+        """All metrics of this process."""
+        return self._call(MetricsRequest(reply_mailbox("metrics")), READ_TIMEOUT)
+
+
 class _Version1:
     """Resources of ``/v1``; a dash in a path is an underscore here."""
 
-    def __init__(self, voter: Mailbox[Any], settings: ControlApiSettings) -> None:
+    def __init__(
+        self,
+        voter: Mailbox[Any],
+        settings: ControlApiSettings,
+        metrics: Mailbox[Any] | None,
+    ) -> None:
+        if metrics is not None:
+            self.metrics = _Metrics(metrics, settings)
         self.changes = _Changes(voter, settings)
         self.state = _State(voter, settings)
         self.in_force = _InForce(voter, settings)
@@ -234,20 +256,23 @@
 class _Root:
     """Root of the control API."""
 
-    def __init__(self, voter: Mailbox[Any], settings: ControlApiSettings) -> None:
-        self.v1 = _Version1(voter, settings)
+    def __init__(self, version1: _Version1) -> None:
+        self.v1 = version1
 
 
 def make_control_server(
-    voter: Mailbox[Any], settings: ControlApiSettings
+    voter: Mailbox[Any],
+    settings: ControlApiSettings,
+    metrics: Mailbox[Any] | None = None,
 ) -> HttpServer:
     """HTTP server of a voter.
 
     :param voter: mailbox of the voter task.
+    :param metrics: mailbox of the metrics task.
     """
-    root = _Root(voter, settings)
+    root = _Root(_Version1(voter, settings, metrics))
     return make_http_server(
-        "control", settings.bind, root, MAX_CONSENSUS_BYTES, settings.limits
+        "control", settings.bind, root, MAX_CONSENSUS_BYTES, settings.limits, metrics
     )
 
 
@@ -281,6 +306,11 @@
     return json_response(HTTPStatus.OK, answer)
 
 
+@_respond.register
+def _(answer: MetricsSnapshot) -> bytes:
+    return json_response(HTTPStatus.OK, answer)
+
+
 @_respond.register
 def _(answer: NotLeader) -> bytes:
     if answer.leader is None:
@@ -361,6 +391,12 @@
     return Success(data)
 
 
+def _parent() -> TraceParent | None:
+    """Span of the client, from the header of W3C Trace Context."""
+    text = cherrypy.request.headers.get("traceparent", "")
+    return parse_traceparent(text).value_or(None)
+
+
 def _is_number(text: Any) -> bool:
     return isinstance(text, str) and text.isascii() and text.isdecimal()
 
--- a/src/wasabigw/tasks/http_server.py
+++ b/src/wasabigw/tasks/http_server.py
@@ -5,7 +5,7 @@
 """
 
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
 from types import TracebackType
@@ -19,6 +19,7 @@
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
+from wasabigw.tasks.traffic import TrafficMailbox, WsgiApplication, counted
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
 
@@ -31,8 +32,6 @@
 MAX_HEADER_BYTES = 16_384
 JSON_TYPE = "application/json"
 
-WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
-
 
 @dataclass(frozen=True, slots=True)
 class ApiError:
@@ -68,6 +67,7 @@
     :param max_body: largest request body in bytes.
     :param limits: its ``http_threads`` are the requests handled at the same time;
         ``http_queue`` further connections wait, and those beyond it get a 503.
+    :param traffic: receives the bytes of each request and its answer.
     """
 
     def __init__(
@@ -77,11 +77,12 @@
         root: object,
         max_body: int,
         limits: ProcessLimits,
+        traffic: TrafficMailbox,
     ) -> None:
         self._name = name
         self._server = _Server(
             (bind.address, bind.port),
-            _limited(_application(root), max_body),
+            counted(_limited(_application(root), max_body), traffic),
             numthreads=limits.http_threads,
             max=limits.http_threads,
             server_name=name,
@@ -132,9 +133,10 @@
     root: object,
     max_body: int,
     limits: ProcessLimits = DEFAULT_LIMITS,
+    traffic: TrafficMailbox = None,
 ) -> HttpServer:
     """Server for an exposed object; port 0 takes a free one."""
-    return HttpServer(name, bind, root, max_body, limits)
+    return HttpServer(name, bind, root, max_body, limits, traffic)
 
 
 def json_response(status: int, message: Any, declared: Any = None) -> bytes:
--- a/src/wasabigw/tasks/log_follower.py
+++ b/src/wasabigw/tasks/log_follower.py
@@ -22,6 +22,7 @@
     ControlClient,
 )
 from wasabigw.tasks.messages import AppliedRevision, BeginDrain, LogReceived
+from wasabigw.tasks.traffic import TrafficMailbox
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
 
@@ -49,11 +50,12 @@
         endpoints: Sequence[Endpoint],
         packets: Mailbox[Any],
         mailbox: Mailbox[FollowerMessage | Stop],
+        traffic: TrafficMailbox,
     ) -> None:
         super().__init__("log-follower", mailbox)
         self._node = node
         self._packets = packets
-        self._client = ControlClient(endpoints)
+        self._client = ControlClient(endpoints, traffic)
         self._applied = Revision(0)
         self._leader: Endpoint | None = None
         self._failed = 0
@@ -168,10 +170,13 @@
     endpoints: Sequence[Endpoint],
     packets: Mailbox[Any],
     mailbox: Mailbox[FollowerMessage | Stop] | None = None,
+    traffic: TrafficMailbox = None,
 ) -> LogFollower:
     """Task that follows the log for a balancer.
 
     :param endpoints: control endpoints of the settings, at least one.
     :param mailbox: where the packet task reports what it has applied.
+    :param traffic: receives the bytes of each poll.
     """
-    return LogFollower(node, endpoints, packets, mailbox or make_follower_mailbox())
+    own = mailbox or make_follower_mailbox()
+    return LogFollower(node, endpoints, packets, own, traffic)
--- /dev/null
+++ b/src/wasabigw/tasks/metrics_task.py
@@ -0,0 +1,215 @@
+"""Task that owns the metrics of a process and answers ``GET /v1/metrics``."""
+
+import os
+import resource
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from pathlib import Path
+from typing import Any
+
+from wasabigw.core.flows.measures import BrokenReason, ServedDuringMove
+from wasabigw.core.home_use import ServerUse, imbalance
+from wasabigw.core.ids import NodeId, Seconds, ServiceId
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.task import Task
+from wasabigw.runtime.timer import Tick, monotonic
+from wasabigw.tasks.messages import PacketCounts
+from wasabigw.tasks.traffic import ControlTraffic
+from wasabigw.telemetry.metrics import MetricName, make_metrics
+
+CAPACITY = 4_096
+"""Messages that wait; at the limit further measurements are lost."""
+BUDGET_TICK = "budget"
+BUDGET_PERIOD = Seconds(5.0)
+"""Period over which rates of control traffic and processor time are formed."""
+_MEMORY_FILE = Path("/proc/self/statm")
+
+
+@dataclass(frozen=True, slots=True)
+class PacketMeasures:
+    """What the packet task has counted since it started.
+
+    :param processor: processor time of the packet task.
+    :param control_received: bytes of control frames.
+    """
+
+    packets: PacketCounts
+    broken: Mapping[tuple[ServiceId, BrokenReason], int]
+    uses: tuple[ServerUse, ...]
+    moves: tuple[ServedDuringMove, ...]
+    processor: Seconds
+    control_received: int
+    control_sent: int
+
+
+@dataclass(frozen=True, slots=True)
+class InForceMeasured:
+    """A change is in force everywhere.
+
+    :param delay: time since its commit.
+    """
+
+    delay: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsSnapshot:
+    """All metrics of a process by name."""
+
+    node: NodeId
+    metrics: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsRequest:
+    """Asks for a snapshot of all metrics."""
+
+    reply: Mailbox[MetricsSnapshot]
+
+
+MetricsMessage = (
+    PacketMeasures | InForceMeasured | ControlTraffic | MetricsRequest | Tick
+)
+
+
+class MetricsTask(Task[MetricsMessage]):
+    """Turns what other tasks have counted into metrics."""
+
+    def __init__(self, node: NodeId) -> None:
+        super().__init__("metrics", Mailbox("metrics", CAPACITY))
+        self._node = node
+        self._metrics = make_metrics(node)
+        self._totals: dict[tuple[MetricName, str], int] = {}
+        self._control_bytes = 0
+        self._packet_processor = Seconds(0.0)
+        self._budget = _Budget(monotonic(), time.process_time(), 0.0, 0)
+
+    @singledispatchmethod
+    def receive(self, message: MetricsMessage) -> None:
+        """Record measurements, or answer with all of them."""
+        raise TypeError(f"no rule for the message {type(message).__name__}")
+
+    @receive.register
+    def _(self, message: PacketMeasures) -> None:
+        counts = message.packets
+        for direction, count in (
+            ("received", counts.received),
+            ("direct", counts.direct),
+            ("to-backend", counts.to_backend),
+            ("to-caller", counts.to_caller),
+            ("forwarded", counts.forwarded),
+        ):
+            self._advance(MetricName.PACKETS, count, {"direction": direction})
+        for reason, count in counts.dropped.items():
+            self._advance(MetricName.PACKETS_DROPPED, count, {"reason": reason})
+        for reason, count in counts.refused.items():
+            self._advance(MetricName.PACKETS_REFUSED, count, {"reason": reason})
+        for (service, why), count in message.broken.items():
+            attributes = {"service": str(service), "reason": why.value}
+            self._advance(MetricName.BROKEN_FLOWS, count, attributes)
+        self._record_homes(message)
+        self._packet_processor = message.processor
+        self._count_control("received", message.control_received)
+        self._count_control("sent", message.control_sent)
+
+    @receive.register
+    def _(self, message: ControlTraffic) -> None:
+        self._add_control("received", message.received)
+        self._add_control("sent", message.sent)
+
+    @receive.register
+    def _(self, message: InForceMeasured) -> None:
+        self._metrics.record(MetricName.IN_FORCE_DELAY, message.delay)
+
+    @receive.register
+    def _(self, message: Tick) -> None:
+        self._metrics.record(MetricName.MEMORY, _memory())
+        now = _Budget(
+            message.now,
+            time.process_time(),
+            self._packet_processor,
+            self._control_bytes,
+        )
+        passed = now.at - self._budget.at
+        if passed <= 0:
+            return
+        packets = (now.packets - self._budget.packets) / passed
+        control = (now.process - self._budget.process) / passed - packets
+        rate = (now.control_bytes - self._budget.control_bytes) / passed
+        self._budget = now
+        self._metrics.record(MetricName.PROCESSOR, packets, {"part": "packets"})
+        # The packet task posts its time earlier than this tick.
+        self._metrics.record(
+            MetricName.PROCESSOR, max(0.0, control), {"part": "control"}
+        )
+        self._metrics.record(MetricName.CONTROL_RATE, rate)
+
+    @receive.register
+    def _(self, message: MetricsRequest) -> None:
+        message.reply.post(MetricsSnapshot(self._node, self._metrics.snapshot()))
+
+    def _record_homes(self, message: PacketMeasures) -> None:
+        for use in message.uses:
+            attributes = {
+                "service": str(use.service),
+                "backend_server": str(use.backend_server),
+            }
+            self._metrics.record(MetricName.OPEN_FLOWS, use.open_flows, attributes)
+        for service, ratio in imbalance(message.uses).items():
+            self._metrics.record(
+                MetricName.LOAD_IMBALANCE, ratio, {"service": str(service)}
+            )
+        for move in message.moves:
+            attributes = {
+                "service": str(move.service),
+                "failure_domain": str(move.failure_domain),
+            }
+            self._metrics.record(MetricName.SERVED_DURING_MOVE, move.share, attributes)
+
+    def _advance(
+        self, metric: MetricName, total: int, attributes: dict[str, str]
+    ) -> None:
+        """Add what a total has grown by since the last message."""
+        key = (metric, ",".join(attributes.values()))
+        grown = total - self._totals.get(key, 0)
+        self._totals[key] = total
+        if grown:
+            self._metrics.record(metric, grown, attributes)
+
+    def _count_control(self, direction: str, total: int) -> None:
+        key = (MetricName.CONTROL_BYTES, direction)
+        grown = total - self._totals.get(key, 0)
+        self._totals[key] = total
+        self._add_control(direction, grown)
+
+    def _add_control(self, direction: str, count: int) -> None:
+        self._control_bytes += count
+        if count:
+            attributes = {"direction": direction}
+            self._metrics.record(MetricName.CONTROL_BYTES, count, attributes)
+
+
+@dataclass(frozen=True, slots=True)
+class _Budget:
+    """Totals at the beginning of a period."""
+
+    at: float
+    process: float
+    packets: float
+    control_bytes: int
+
+
+def _memory() -> int:
+    """Resident memory of this process in bytes; its peak where only that is known."""
+    try:
+        pages = int(_MEMORY_FILE.read_text(encoding="ascii").split()[1])
+    except (OSError, ValueError, IndexError):
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def make_metrics_task(node: NodeId) -> MetricsTask:
+    """Task that owns the metrics; subscribe it to :data:`BUDGET_TICK`."""
+    return MetricsTask(node)
--- a/src/wasabigw/tasks/packet_output.py
+++ b/src/wasabigw/tasks/packet_output.py
@@ -52,6 +52,8 @@
     to_caller: int = 0
     forwarded: int = 0
     bindings_sent: int = 0
+    control_received: int = 0
+    control_sent: int = 0
     refused: Counter[str] = field(default_factory=Counter)
     dropped: Counter[str] = field(default_factory=Counter)
 
@@ -227,8 +229,9 @@
     lifetime = int(decision.lifetime)
     binding = Binding(output.revision, decision.backend_index, lifetime)
     header = geneve.header((geneve.encode_binding(binding),), oam=True)
-    body = ipv4.flow_headers(*key_fields(decision.flow))
-    output.counts.bindings_sent += output.send_to_node(decision.node, header + body)
+    frame = header + ipv4.flow_headers(*key_fields(decision.flow))
+    output.counts.control_sent += len(frame)
+    output.counts.bindings_sent += output.send_to_node(decision.node, frame)
 
 
 @execute.register
--- a/src/wasabigw/tasks/packet_task.py
+++ b/src/wasabigw/tasks/packet_task.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from functools import singledispatchmethod
+from time import thread_time
 from types import TracebackType
 from typing import Any, Self
 
@@ -30,6 +31,7 @@
     UnknownDestination,
 )
 from wasabigw.core.flows.keys import endpoint_number, flow_key
+from wasabigw.core.flows.measures import served_during_moves
 from wasabigw.core.flows.routing import handle
 from wasabigw.core.flows.state import BalancerState, make_state
 from wasabigw.core.home_events import (
@@ -38,6 +40,7 @@
     HomeTick,
     ReplyToAnnouncement,
 )
+from wasabigw.core.home_use import server_uses
 from wasabigw.core.ids import FailureDomainId, Seconds
 from wasabigw.core.log_messages import AnnouncementAccepted
 from wasabigw.core.reachability import PingAnswered, PingDue
@@ -63,6 +66,7 @@
     PacketTaskMessage,
     StatusRequest,
 )
+from wasabigw.tasks.metrics_task import PacketMeasures
 from wasabigw.tasks.packet_events import (
     FragmentOfService,
     PacketEvent,
@@ -86,6 +90,9 @@
 """Period of :data:`UPKEEP_TICK`, which drives leases, ramps, expiry and handover."""
 PING_TICK = "ping"
 PING_PERIOD = Seconds(1.0)
+MEASURE_TICK = "measure"
+MEASURE_PERIOD = Seconds(1.0)
+"""Period of :data:`MEASURE_TICK`, with which counts go to the metrics task."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,12 +116,14 @@
 
     :param reports: receives ``SendReports``.
     :param spans: ``None`` if spans are not exported.
+    :param metrics: receives ``PacketMeasures``; ``None`` if nobody counts.
     """
 
     reports: Mailbox[Any]
     handovers: Mailbox[Any]
     applied: Mailbox[Any]
     spans: Mailbox[HopSpan] | None = None
+    metrics: Mailbox[Any] | None = None
 
 
 class PacketTask(Task[PacketTaskMessage]):
@@ -147,6 +156,7 @@
         )
         self._log = LogApplication(self._state, self._home, outputs.applied)
         self._tracer = HopTracer(node.id, settings.trace_sample_rate, outputs.spans)
+        self._metrics = outputs.metrics
         self._random = random.SystemRandom()
         self._buffer = bytearray(RECEIVE_BUFFER)
         self._view = memoryview(self._buffer)
@@ -250,6 +260,7 @@
             return
         frame = parsed.unwrap()
         if frame.ping is not None:
+            counts.control_received += length
             self._receive_ping(frame, sender, now)
             return
         inner = ipv4.parse(self._buffer, frame.inner, length)
@@ -257,6 +268,7 @@
             counts.drop(inner.failure().cause)
             return
         if frame.binding is not None:
+            counts.control_received += length
             self._receive_binding(frame, inner.unwrap(), sender, now)
             return
         self._receive_packet(frame, inner.unwrap(), sampled, sender, now)
@@ -342,6 +354,7 @@
             self._receive_pong(frame.ping.sequence, now)
             return
         reply = ping_frame(frame.ping.sequence, frame.ping.sent_at, reply=True)
+        self._output.counts.control_sent += len(reply)
         self._output.send_frame(reply, sender)
 
     def _receive_pong(self, sequence: int, now: Seconds) -> None:
@@ -359,9 +372,26 @@
         before = reachability.unreachable(self._state.reachability)
         for ping in reachability.handle(due, self._state.reachability):
             frame = ping_frame(ping.sequence, sent_at, reply=False)
+            self._output.counts.control_sent += len(frame)
             self._output.send_to_node(ping.node, frame)
         self._log_reachability(before)
 
+    def _post_measures(self, now: Seconds) -> None:
+        if self._metrics is None:
+            return
+        counts, measures = self._output.counts, self._state.measures
+        self._metrics.post(
+            PacketMeasures(
+                counts.snapshot(),
+                dict(measures.broken),
+                server_uses(self._home),
+                tuple(served_during_moves(measures, now)),
+                Seconds(thread_time()),
+                counts.control_received,
+                counts.control_sent,
+            )
+        )
+
     def _log_reachability(self, before: frozenset[FailureDomainId]) -> None:
         after = reachability.unreachable(self._state.reachability)
         for domain in sorted(after - before):
@@ -432,6 +462,9 @@
         if message.token == PING_TICK:
             self._send_pings(message.now)
             return
+        if message.token == MEASURE_TICK:
+            self._post_measures(message.now)
+            return
         self._log.note_freshness(message.now)
         self._execute_home(backend_home.handle(HomeTick(message.now), self._home))
         self._execute(handle(TimerTick(message.now), self._state), None)
--- a/src/wasabigw/tasks/report_sender.py
+++ b/src/wasabigw/tasks/report_sender.py
@@ -29,6 +29,7 @@
     ProblemKind,
 )
 from wasabigw.tasks.messages import SendReports
+from wasabigw.tasks.traffic import TrafficMailbox
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
 
@@ -59,12 +60,16 @@
     """Sends each batch with one report id until the leader has accepted it."""
 
     def __init__(
-        self, node: NodeId, incarnation: Incarnation, endpoints: Sequence[Endpoint]
+        self,
+        node: NodeId,
+        incarnation: Incarnation,
+        endpoints: Sequence[Endpoint],
+        traffic: TrafficMailbox,
     ) -> None:
         super().__init__("report-sender", Mailbox("report-sender", capacity=4096))
         self._node = node
         self._incarnation = incarnation
-        self._client = ControlClient(endpoints)
+        self._client = ControlClient(endpoints, traffic)
         self._pending: dict[Hashable, Report] = {}
         self._batch: _Batch | None = None
         self._failed = 0
@@ -208,10 +213,13 @@
 
 
 def make_report_sender(
-    node: NodeId, incarnation: Incarnation, endpoints: Sequence[Endpoint]
+    node: NodeId,
+    incarnation: Incarnation,
+    endpoints: Sequence[Endpoint],
+    traffic: TrafficMailbox = None,
 ) -> ReportSender:
     """Task that sends the reports of a balancer.
 
     :param endpoints: control endpoints of the settings, at least one.
     """
-    return ReportSender(node, incarnation, endpoints)
+    return ReportSender(node, incarnation, endpoints, traffic)
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -24,6 +24,7 @@
 )
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick
+from wasabigw.telemetry.trace_context import TraceParent
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,10 +81,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeCall:
-    """An operator's change."""
+    """An operator's change.
+
+    :param parent: span of the HTTP request, if it is traced.
+    """
 
     request: ChangeRequest
     reply: Mailbox[CommandAnswer]
+    parent: TraceParent | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/tasks/voter_link.py
+++ b/src/wasabigw/tasks/voter_link.py
@@ -11,6 +11,7 @@
 from wasabigw.core.ids import NodeId, Seconds
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
+from wasabigw.tasks.traffic import TrafficMailbox, report_exchange
 from wasabigw.tasks.voter_calls import LinkAnswer
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw.telemetry.log_events import log
@@ -33,12 +34,19 @@
     those before it, and the voter repeats what is not answered.
     """
 
-    def __init__(self, peer: NodeId, api: Endpoint, voter: Mailbox[Any]) -> None:
+    def __init__(
+        self,
+        peer: NodeId,
+        api: Endpoint,
+        voter: Mailbox[Any],
+        traffic: TrafficMailbox,
+    ) -> None:
         name = f"link-{peer}"
         super().__init__(name, Mailbox(name, LINK_CAPACITY))
         self._peer = peer
         self._url = f"http://{api.address}:{api.port}{CONSENSUS_PATH}"
         self._voter = voter
+        self._traffic = traffic
         self._session: requests.Session | None = None
         self._failing = False
 
@@ -64,6 +72,7 @@
             self.close()
             self._note_failure(type(error).__name__)
             return
+        report_exchange(self._traffic, response, len(response.content))
         if response.status_code != requests.codes.ok:
             self._note_failure(f"status {response.status_code}")
             return
@@ -105,10 +114,13 @@
             log(ControlEvent.LINK_FAILED, peer=self._peer, reason=reason)
 
 
-def make_voter_link(peer: NodeId, api: Endpoint, voter: Mailbox[Any]) -> VoterLink:
+def make_voter_link(
+    peer: NodeId, api: Endpoint, voter: Mailbox[Any], traffic: TrafficMailbox = None
+) -> VoterLink:
     """Link to another voter.
 
     :param api: endpoint of its control API.
     :param voter: mailbox of the own voter task, for the answers.
+    :param traffic: receives the bytes of each exchange.
     """
-    return VoterLink(peer, api, voter)
+    return VoterLink(peer, api, voter, traffic)
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -3,11 +3,12 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import singledispatchmethod
 from itertools import islice
 from typing import Any
 
+from opentelemetry import trace
 from returns.result import Failure, Result
 
 from wasabigw.core import membership
@@ -20,6 +21,7 @@
     BackendServerUp,
     CandidatesAdded,
     CandidatesReleased,
+    ChangeRequest,
     Command,
     ReportBatch,
 )
@@ -48,12 +50,19 @@
 from wasabigw.core.consensus.voters import admissions
 from wasabigw.core.copying import copy_state
 from wasabigw.core.ids import NodeId, RequestId, Revision, Seconds, Term
-from wasabigw.core.log_messages import InForce, LogBatch, LogEntry, NotLeader
+from wasabigw.core.log_messages import (
+    InForce,
+    LogBatch,
+    LogEntry,
+    NodeProgress,
+    NotLeader,
+)
 from wasabigw.core.states import RefusalCode, VoterRole
 from wasabigw.core.timing import LOG_POLL_WAIT, SNAPSHOT_INTERVAL
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, TimerService, monotonic
+from wasabigw.tasks.in_force_watch import InForceWatch
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.storage_errors import StorageError
 from wasabigw.tasks.voter_calls import (
@@ -72,6 +81,8 @@
 )
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw.telemetry.log_events import log
+from wasabigw.telemetry.trace_context import TraceParent
+from wasabigw.telemetry.tracing import begin_span, make_disabled_tracer
 
 ApplyCommand = Callable[[Command, Revision, ClusterState], Result[Applied, Refusal]]
 """Changes the replicated state by one command, as ``core.apply`` does."""
@@ -118,6 +129,8 @@
     command: Command
     reply: Mailbox[CommandAnswer] | None = None
     report_id: RequestId | None = None
+    parent: TraceParent | None = None
+    span: trace.Span = trace.INVALID_SPAN
     term: Term = field(default=Term(0))
 
 
@@ -144,6 +157,8 @@
         timer: TimerService,
         clock: Callable[[], Seconds],
         draw: Callable[[], float],
+        metrics: Mailbox[Any] | None,
+        tracer: trace.Tracer,
     ) -> None:
         super().__init__(f"voter-{settings.node}", mailbox)
         self._settings = settings
@@ -153,6 +168,8 @@
         self._timer = timer
         self._clock = clock
         self._draw = draw
+        self._tracer = tracer
+        self._watch = InForceWatch(metrics, tracer)
         self._voter = self._recover()
         self._cluster = copy_state(self._voter.snapshot.state)
         self._membership = membership.MembershipState()
@@ -206,9 +223,7 @@
         first = self._voter.log.last_revision + 1
         term = self._voter.term
         for position, waiting in enumerate(collected):
-            self._pending[Revision(first + position)] = _Waiting(
-                waiting.command, waiting.reply, waiting.report_id, term
-            )
+            self._pending[Revision(first + position)] = replace(waiting, term=term)
         commands = tuple(waiting.command for waiting in collected)
         self._decide(Proposed(commands, self._clock()))
 
@@ -233,6 +248,7 @@
         now = self._clock()
         self._decide(ClockTick(now, self._draw()))
         self._answer_due_polls(now)
+        self._watch.check(lambda revision: self._progress(revision, now), now)
         if now >= self._membership_at and self._is_current(now):
             self._membership_at = Seconds(now + MEMBERSHIP_PERIOD)
             self._propose_membership(membership.MembershipTick(now, self._cluster))
@@ -247,7 +263,9 @@
         if known is not None:
             message.reply.post(known)
             return
-        self._propose(_Waiting(request, message.reply))
+        span = begin_span(self._tracer, "control.commit", message.parent)
+        waiting = _Waiting(request, message.reply, parent=message.parent, span=span)
+        self._propose(waiting)
 
     @_receive.register
     def _(self, message: ReportCall) -> None:
@@ -300,7 +318,7 @@
         revision = message.revision
         if revision is None:
             revision = self._cluster.configuration_revision
-        nodes = membership.node_progress(self._membership, self._cluster, revision, now)
+        nodes = self._progress(revision, now)
         applied = revision <= self._cluster.revision
         in_force = applied and all(node.in_force for node in nodes)
         message.reply.post(InForce(revision, in_force, nodes))
@@ -469,6 +487,9 @@
             _answer(waiting, OutcomeUnknown())
             return
         answer = _value_of(outcome)
+        waiting.span.end()
+        if isinstance(entry.command, ChangeRequest) and isinstance(answer, Applied):
+            self._watch.committed(entry.revision, waiting.parent, self._clock())
         if waiting.report_id is not None:
             self._remember_report(waiting.report_id, answer)
         _answer(waiting, answer)
@@ -521,7 +542,11 @@
             )
         )
 
+    def _progress(self, revision: Revision, now: Seconds) -> tuple[NodeProgress, ...]:
+        return membership.node_progress(self._membership, self._cluster, revision, now)
+
     def _end_leadership(self) -> None:
+        self._watch.clear()
         for waiting in self._pending.values():
             _answer(waiting, OutcomeUnknown())
         self._pending.clear()
@@ -554,13 +579,26 @@
     timer: TimerService,
     clock: Callable[[], Seconds] = monotonic,
     draw: Callable[[], float] = random.random,
+    metrics: Mailbox[Any] | None = None,
+    tracer: trace.Tracer | None = None,
 ) -> VoterTask:
     """Task of a voter, which takes over the opened data directory.
 
     :param links: mailbox of the link to each other voter.
+    :param metrics: mailbox of the metrics task.
+    :param tracer: records the commit of traced changes.
     """
     return VoterTask(
-        settings, mailbox, storage, links, apply_command, timer, clock, draw
+        settings,
+        mailbox,
+        storage,
+        links,
+        apply_command,
+        timer,
+        clock,
+        draw,
+        metrics,
+        tracer or make_disabled_tracer(),
     )
 
 
--- a/src/wasabigw/telemetry/metrics.py
+++ b/src/wasabigw/telemetry/metrics.py
@@ -86,9 +86,28 @@
         "wasabigw.control.io",
         MetricKind.COUNTER,
         "By",
-        "Control traffic of this process",
+        "Control traffic of this process, without what TCP, UDP and IP add",
         ("direction",),
     )
+    CONTROL_RATE = MetricDefinition(
+        "wasabigw.control.io.rate",
+        MetricKind.GAUGE,
+        "By/s",
+        "Control traffic of this process in both directions over the last 5 s",
+    )
+    PROCESSOR = MetricDefinition(
+        "process.cpu.utilization",
+        MetricKind.GAUGE,
+        "1",
+        "Share of one core over the last 5 s, of the packet task and of all others",
+        ("part",),
+    )
+    MEMORY = MetricDefinition(
+        "process.memory.usage",
+        MetricKind.GAUGE,
+        "By",
+        "Resident memory of this process",
+    )
     PACKETS = MetricDefinition(
         "wasabigw.packets",
         MetricKind.COUNTER,
@@ -103,6 +122,13 @@
         "Packets that this balancer dropped",
         ("reason",),
     )
+    PACKETS_REFUSED = MetricDefinition(
+        "wasabigw.packets.refused",
+        MetricKind.COUNTER,
+        "{packet}",
+        "Packets that this balancer answered with a refusal",
+        ("reason",),
+    )
     IN_FORCE_DELAY = MetricDefinition(
         "wasabigw.change.in_force.duration",
         MetricKind.HISTOGRAM,
--- a/src/wasabigw/telemetry/trace_file.py
+++ b/src/wasabigw/telemetry/trace_file.py
@@ -21,6 +21,18 @@
 AttributeValue = str | bool | int | float
 
 
+@dataclass(frozen=True, slots=True)
+class SpanEvent:
+    """Something that happened within a span.
+
+    :param at: nanoseconds since 1970.
+    """
+
+    name: str
+    at: int
+    attributes: Mapping[str, AttributeValue] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class SpanRecord:
     """A finished span.
@@ -40,6 +52,7 @@
     end: int
     attributes: Mapping[str, AttributeValue] = field(default_factory=dict)
     error: str | None = None
+    events: tuple[SpanEvent, ...] = ()
 
 
 class TraceFileTask(Task[SpanRecord]):
--- a/src/wasabigw/telemetry/tracing.py
+++ b/src/wasabigw/telemetry/tracing.py
@@ -25,7 +25,7 @@
     TraceParent,
     parent_from_span,
 )
-from wasabigw.telemetry.trace_file import AttributeValue, SpanRecord
+from wasabigw.telemetry.trace_file import AttributeValue, SpanEvent, SpanRecord
 
 SpanMailbox = Mailbox[SpanRecord | Stop]
 INSTRUMENTATION = "wasabigw"
@@ -87,6 +87,19 @@
         yield parent_from_span(span)
 
 
+def begin_span(
+    tracer: trace.Tracer, name: str, parent: TraceParent | None = None
+) -> trace.Span:
+    """Span that its owner ends, for work that outlasts one call.
+
+    A span whose parent was not recorded, or that has none, is not recorded either.
+    """
+    if parent is None:
+        return trace.INVALID_SPAN
+    context = trace.set_span_in_context(trace.NonRecordingSpan(_context(parent)))
+    return tracer.start_span(name, context)
+
+
 def _context(parent: TraceParent | None) -> trace.SpanContext:
     if parent is None:
         return trace.INVALID_SPAN_CONTEXT
@@ -111,10 +124,18 @@
         node=node,
         start=span.start_time or 0,
         end=span.end_time or 0,
-        attributes={
-            key: value
-            for key, value in (span.attributes or {}).items()
-            if isinstance(value, AttributeValue)
-        },
+        attributes=_attributes(span.attributes),
         error=(span.status.description or "error") if failed else None,
+        events=tuple(
+            SpanEvent(event.name, event.timestamp, _attributes(event.attributes))
+            for event in span.events
+        ),
     )
+
+
+def _attributes(attributes: Mapping[str, object] | None) -> dict[str, AttributeValue]:
+    return {
+        key: value
+        for key, value in (attributes or {}).items()
+        if isinstance(value, AttributeValue)
+    }
