--- a/src/wasabigw/ctl/link.py
+++ b/src/wasabigw/ctl/link.py
@@ -110,6 +110,17 @@
         self, request: ApiRequest, endpoints: Sequence[Endpoint], deadline: Seconds
     ) -> Result[ApiAnswer, CallFailed]:
         """Send a request until an endpoint gives a final answer."""
+        attributes = {"http.request.method": request.method, "url.path": request.path}
+        with hop_span(self._tracer, "ctl.request", attributes=attributes) as parent:
+            return self._call(request, endpoints, deadline, parent)
+
+    def _call(
+        self,
+        request: ApiRequest,
+        endpoints: Sequence[Endpoint],
+        deadline: Seconds,
+        parent: TraceParent | None,
+    ) -> Result[ApiAnswer, CallFailed]:
         state = CallState(endpoints, deadline)
         attempt = _Attempt(CallStarted(monotonic()), "not sent")
         while True:
@@ -118,14 +129,18 @@
                 return Failure(CallFailed(decision.outcome_unknown, attempt.reason))
             if isinstance(decision, SendTo):
                 time.sleep(decision.after)
-                attempt = self._send(request, decision.endpoint, deadline)
+                attempt = self._send(request, decision.endpoint, deadline, parent)
                 continue
             if attempt.answer is None:
                 raise AssertionError("an answer is delivered only after one arrived")
             return Success(attempt.answer)
 
     def _send(
-        self, request: ApiRequest, endpoint: Endpoint, deadline: Seconds
+        self,
+        request: ApiRequest,
+        endpoint: Endpoint,
+        deadline: Seconds,
+        parent: TraceParent | None,
     ) -> _Attempt:
         place = endpoint_key(endpoint)
         attributes: dict[str, str | bool | int | float] = {
@@ -134,9 +149,9 @@
             "server.address": endpoint.address,
             "server.port": endpoint.port,
         }
-        with hop_span(self._tracer, "ctl.call", attributes=attributes) as parent:
+        with hop_span(self._tracer, "ctl.call", parent, attributes) as hop:
             try:
-                return self._exchange(request, endpoint, deadline, parent)
+                return self._exchange(request, endpoint, deadline, hop)
             except requests.RequestException as error:
                 # The connection may be silent for good, so the next try uses another.
                 self._session.close()
--- a/src/wasabigw/tasks/metrics_task.py
+++ b/src/wasabigw/tasks/metrics_task.py
@@ -24,6 +24,8 @@
 BUDGET_TICK = "budget"
 BUDGET_PERIOD = Seconds(5.0)
 """Period over which rates of control traffic and processor time are formed."""
+BALANCED = 1.0
+"""Imbalance of services of which this node no longer knows one."""
 _MEMORY_FILE = Path("/proc/self/statm")
 
 
@@ -83,6 +85,8 @@
         self._metrics = make_metrics(node)
         self._totals: dict[tuple[MetricName, str], int] = {}
         self._control_bytes = 0
+        # A gauge keeps its last value, so what is no longer homed here is reset.
+        self._uses: tuple[ServerUse, ...] = ()
         self._packet_processor = Seconds(0.0)
         self._budget = _Budget(monotonic(), time.process_time(), 0.0, 0)
 
@@ -151,16 +155,15 @@
         message.reply.post(MetricsSnapshot(self._node, self._metrics.snapshot()))
 
     def _record_homes(self, message: PacketMeasures) -> None:
-        for use in message.uses:
-            attributes = {
-                "service": str(use.service),
-                "backend_server": str(use.backend_server),
-            }
-            self._metrics.record(MetricName.OPEN_FLOWS, use.open_flows, attributes)
-        for service, ratio in imbalance(message.uses).items():
-            self._metrics.record(
-                MetricName.LOAD_IMBALANCE, ratio, {"service": str(service)}
-            )
+        flows = {(use.service, use.backend_server): 0 for use in self._uses}
+        flows |= {(u.service, u.backend_server): u.open_flows for u in message.uses}
+        for (service, backend_server), count in flows.items():
+            attributes = {"service": service, "backend_server": backend_server}
+            self._metrics.record(MetricName.OPEN_FLOWS, count, attributes)
+        ratios = dict.fromkeys(imbalance(self._uses), BALANCED)
+        for service, ratio in (ratios | imbalance(message.uses)).items():
+            self._metrics.record(MetricName.LOAD_IMBALANCE, ratio, {"service": service})
+        self._uses = message.uses
         for move in message.moves:
             attributes = {
                 "service": str(move.service),
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -5,6 +5,7 @@
 import unittest
 import urllib.request
 from contextlib import ExitStack
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -147,6 +148,14 @@
         }
         self.assertEqual(parts, {"packets", "control"})
 
+    def test_backend_servers_that_moved_away_are_no_longer_shown_as_used(self) -> None:
+        self.task.mailbox.post(packets(1))
+        self.task.mailbox.post(replace(packets(1), uses=()))
+        _, found = self.read()
+        flows = {p["value"] for p in found["wasabigw.flows.open"]["points"]}
+        (ratio,) = found["wasabigw.load.imbalance"]["points"]
+        self.assertEqual((flows, ratio["value"]), ({0}, 1.0))
+
     def test_http_requests_count_as_control_traffic(self) -> None:
         self.read()
         _, found = self.read()
