--- a/src/wasabigw/tasks/control_plane.py
+++ b/src/wasabigw/tasks/control_plane.py
@@ -11,7 +11,10 @@
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import TimerService
-from wasabigw.tasks.http_control import ControlApiSettings, make_control_server
+from wasabigw.tasks.http_control import (
+    ControlApiSettings,
+    make_control_server,
+)
 from wasabigw.tasks.http_server import HttpServer
 from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.metrics_task import (
--- a/src/wasabigw/tasks/http_balancer.py
+++ b/src/wasabigw/tasks/http_balancer.py
@@ -13,6 +13,7 @@
 import cherrypy
 from returns.result import Failure, Success
 
+from wasabigw.codec.messages import UnknownKeys
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.log_messages import (
@@ -83,7 +84,8 @@
 
     def POST(self) -> bytes:  # noqa: N802 - method names of cherrypy
         """Hand the announcement of a backend server to its home."""
-        decoded = read_message(Announcement, self._settings.limits.request_body_bytes)
+        limit = self._settings.limits.request_body_bytes
+        decoded = read_message(Announcement, limit, UnknownKeys.IGNORE)
         if isinstance(decoded, Failure):
             return bad_request(decoded.failure())
         return self._call(AnnouncementRequest(decoded.unwrap(), _reply_mailbox()))
@@ -127,7 +129,8 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Take records over from a balancer that drains."""
-        decoded = read_message(self._body, self._settings.limits.request_body_bytes)
+        limit = self._settings.limits.request_body_bytes
+        decoded = read_message(self._body, limit, UnknownKeys.IGNORE)
         if isinstance(decoded, Failure):
             return bad_request(decoded.failure())
         return self._call(HandoverRequest(decoded.unwrap(), _reply_mailbox()))
--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -4,7 +4,6 @@
 answer. Answers are typed; an error body is an ``ApiError`` or ``NotLeader``.
 """
 
-import hmac
 from collections.abc import Collection
 from dataclasses import dataclass, field
 from functools import singledispatch
@@ -13,14 +12,14 @@
 
 import cherrypy
 from opentelemetry import trace
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
-from wasabigw.codec.consensus import decode_envelope, encode_envelope
+from wasabigw.codec.consensus import encode_envelope
 from wasabigw.codec.log_poll import poll_from_query
-from wasabigw.codec.messages import MalformedMessage, UnknownKeys, decode
+from wasabigw.codec.messages import UnknownKeys
 from wasabigw.core.cluster import Applied, Endpoint, Refusal
 from wasabigw.core.commands import ChangeRequest
-from wasabigw.core.consensus.messages import SnapshotRequest
+from wasabigw.core.consensus.messages import Envelope, SnapshotRequest
 from wasabigw.core.ids import NodeId, Revision, Seconds
 from wasabigw.core.log_messages import (
     ChangeOutcome,
@@ -31,6 +30,13 @@
 )
 from wasabigw.core.states import RefusalCode
 from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.http_bodies import (
+    bad_request,
+    has_token,
+    read_message,
+    retry_later,
+    unauthorized,
+)
 from wasabigw.tasks.http_server import (
     JSON_TYPE,
     HttpServer,
@@ -42,7 +48,6 @@
 from wasabigw.tasks.metrics_task import MetricsRequest, MetricsSnapshot
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
-    ConfigurationView,
     InForceCall,
     OutcomeUnknown,
     Overloaded,
@@ -50,6 +55,7 @@
     PollCall,
     ReportCall,
     StateCall,
+    StateView,
     reply_mailbox,
 )
 from wasabigw.telemetry.trace_context import TraceParent, parse_traceparent
@@ -67,7 +73,6 @@
 READ_TIMEOUT = Seconds(1.0)
 """Longest wait for an answer that needs no commit, beyond the wait of a poll."""
 SNAPSHOT_TIMEOUT = Seconds(30.0)
-RETRY_AFTER = Seconds(1.0)
 
 _REFUSAL_STATUS = {
     RefusalCode.CONFLICT: HTTPStatus.CONFLICT,
@@ -106,34 +111,27 @@
     def _call(self, message: Any, timeout: Seconds) -> bytes:
         """Post a message with a ``reply`` mailbox and encode the answer."""
         if isinstance(self._voter.post(message), Failure):
-            return _retry_later("overloaded", "The voter is too far behind; retry.")
+            return retry_later("overloaded", "The voter is too far behind; retry.")
         outcome = message.reply.get(timeout)
         if isinstance(outcome, Success):
             return _respond(outcome.unwrap())
         return _respond(OutcomeUnknown())
 
-    def _is_operator(self) -> bool:
-        header = cherrypy.request.headers.get("Authorization", "")
-        scheme, _, token = header.partition(" ")
-        expected = self._settings.token.encode()
-        matches = hmac.compare_digest(token.strip().encode(), expected)
-        return scheme.lower() == "bearer" and bool(expected) and matches
-
 
 class _Changes(_Resource):
     """``POST /v1/changes``."""
 
     def POST(self) -> bytes:  # noqa: N802 - method names of cherrypy
         """Accept an operator's change."""
-        if not self._is_operator():
-            return _unauthorized()
-        decoded = _read_body(ChangeRequest, self._settings.limits.request_body_bytes)
+        if not has_token(self._settings.token):
+            return unauthorized()
+        decoded = read_message(ChangeRequest, self._settings.limits.request_body_bytes)
         if isinstance(decoded, Failure):
-            return _bad_request(decoded.failure())
+            return bad_request(decoded.failure())
         request: ChangeRequest = decoded.unwrap()
         problem = _id_problem("request_id", request.request_id)
         if problem is not None:
-            return _bad_request(problem)
+            return bad_request(problem)
         with hop_span(self._settings.tracer, "control.change", _parent()) as hop:
             call = ChangeCall(request, reply_mailbox("change"), hop)
             return self._call(call, CALL_TIMEOUT)
@@ -144,8 +142,8 @@
 
     def GET(self) -> bytes:  # noqa: N802
         """Current configuration."""
-        if not self._is_operator():
-            return _unauthorized()
+        if not has_token(self._settings.token):
+            return unauthorized()
         return self._call(StateCall(reply_mailbox("state")), READ_TIMEOUT)
 
 
@@ -154,12 +152,12 @@
 
     def GET(self, revision: Any = None) -> bytes:  # noqa: N802
         """Which nodes have applied a revision; without one, the configuration's."""
-        if not self._is_operator():
-            return _unauthorized()
+        if not has_token(self._settings.token):
+            return unauthorized()
         wanted: Revision | None = None
         if revision is not None:
             if not _is_number(revision):
-                return _bad_request("parameter revision must be a whole number")
+                return bad_request("parameter revision must be a whole number")
             wanted = Revision(int(revision))
         return self._call(InForceCall(wanted, reply_mailbox("in-force")), READ_TIMEOUT)
 
@@ -171,7 +169,7 @@
         """Log poll of a balancer."""
         poll = poll_from_query(query)
         if isinstance(poll, Failure):
-            return _bad_request(str(poll.failure()))
+            return bad_request(str(poll.failure()))
         message = PollCall(poll.unwrap(), reply_mailbox("poll"))
         timeout = Seconds(min(message.poll.wait, CALL_TIMEOUT) + READ_TIMEOUT)
         return self._call(message, timeout)
@@ -182,17 +180,16 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Accept reports of a balancer."""
-        decoded = _read_body(
-            ReportRequest, self._settings.limits.request_body_bytes, UnknownKeys.IGNORE
-        )
+        limit = self._settings.limits.request_body_bytes
+        decoded = read_message(ReportRequest, limit, UnknownKeys.IGNORE)
         if isinstance(decoded, Failure):
-            return _bad_request(decoded.failure())
+            return bad_request(decoded.failure())
         request: ReportRequest = decoded.unwrap()
         problem = _id_problem("report_id", request.report_id)
         if problem is not None:
-            return _bad_request(problem)
+            return bad_request(problem)
         if not 0 < len(request.reports) <= MAX_REPORTS:
-            return _bad_request(f"reports must hold 1 to {MAX_REPORTS} reports")
+            return bad_request(f"reports must hold 1 to {MAX_REPORTS} reports")
         return self._call(ReportCall(request, reply_mailbox("report")), CALL_TIMEOUT)
 
 
@@ -201,12 +198,9 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Hand a message of another voter to the voter task."""
-        body = _body(MAX_CONSENSUS_BYTES)
-        if isinstance(body, Failure):
-            return _bad_request(body.failure())
-        decoded = decode_envelope(body.unwrap())
+        decoded = read_message(Envelope, MAX_CONSENSUS_BYTES, UnknownKeys.IGNORE)
         if isinstance(decoded, Failure):
-            return _bad_request(str(decoded.failure()))
+            return bad_request(decoded.failure())
         envelope = decoded.unwrap()
         if envelope.sender not in self._settings.peers:
             return error_response(
@@ -218,10 +212,10 @@
         is_snapshot = isinstance(envelope.body, SnapshotRequest)
         reply: Mailbox[Any] = reply_mailbox("consensus")
         if isinstance(self._voter.post(PeerMessage(envelope, reply)), Failure):
-            return _retry_later("overloaded", "The voter is too far behind; retry.")
+            return retry_later("overloaded", "The voter is too far behind; retry.")
         outcome = reply.get(SNAPSHOT_TIMEOUT if is_snapshot else READ_TIMEOUT)
         if not isinstance(outcome, Success):
-            return _retry_later("no-answer", "The voter did not answer in time.")
+            return retry_later("no-answer", "The voter did not answer in time.")
         cherrypy.response.headers["Content-Type"] = JSON_TYPE
         return encode_envelope(outcome.unwrap())
 
@@ -297,7 +291,7 @@
 
 
 @_respond.register
-def _(answer: ConfigurationView) -> bytes:
+def _(answer: StateView) -> bytes:
     return json_response(HTTPStatus.OK, answer)
 
 
@@ -314,7 +308,7 @@
 @_respond.register
 def _(answer: NotLeader) -> bytes:
     if answer.leader is None:
-        _set_retry_after()
+        cherrypy.response.headers["Retry-After"] = "1"
         return json_response(HTTPStatus.SERVICE_UNAVAILABLE, answer, ChangeOutcome)
     request = cherrypy.request
     query = f"?{request.query_string}" if request.query_string else ""
@@ -326,7 +320,7 @@
 
 @_respond.register
 def _(answer: OutcomeUnknown) -> bytes:
-    return _retry_later(
+    return retry_later(
         "outcome-unknown",
         "No majority confirmed the request in time; it may still take effect. "
         "Repeat it with the same id.",
@@ -335,60 +329,7 @@
 
 @_respond.register
 def _(answer: Overloaded) -> bytes:
-    return _retry_later("overloaded", f"{answer.message}; nothing was done. Retry.")
-
-
-def _retry_later(error: str, message: str) -> bytes:
-    _set_retry_after()
-    return error_response(HTTPStatus.SERVICE_UNAVAILABLE, error, message)
-
-
-def _set_retry_after() -> None:
-    cherrypy.response.headers["Retry-After"] = f"{RETRY_AFTER:.0f}"
-
-
-def _unauthorized() -> bytes:
-    cherrypy.response.headers["WWW-Authenticate"] = "Bearer"
-    return error_response(
-        HTTPStatus.UNAUTHORIZED,
-        "unauthorized",
-        "Send the operators' token as 'Authorization: Bearer TOKEN'.",
-    )
-
-
-def _bad_request(problem: str) -> bytes:
-    return error_response(HTTPStatus.BAD_REQUEST, "malformed", problem)
-
-
-def _read_body(
-    expected: Any, limit: int, unknown: UnknownKeys = UnknownKeys.REFUSE
-) -> Result[Any, str]:
-    body = _body(limit)
-    if isinstance(body, Failure):
-        return body
-    decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected, unknown)
-    return decoded.alt(str)
-
-
-def _body(limit: int) -> Result[bytes, str]:
-    """Whole body of the running request, which must give its length."""
-    text = cherrypy.request.headers.get("Content-Length", "")
-    if not _is_number(text):
-        return Failure("the header Content-Length must give the size of the body")
-    length = int(text)
-    if length > limit:
-        raise cherrypy.HTTPError(
-            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            f"the body has {length} bytes; at most {limit} are accepted",
-        )
-    try:
-        data: bytes = cherrypy.request.rfile.read(length)
-    except TimeoutError:
-        cherrypy.response.headers["Connection"] = "close"
-        return Failure("the body did not arrive in time")
-    if len(data) != length:
-        return Failure(f"the body ended after {len(data)} of {length} bytes")
-    return Success(data)
+    return retry_later("overloaded", f"{answer.message}; nothing was done. Retry.")
 
 
 def _parent() -> TraceParent | None:
--- a/src/wasabigw_demo/host.py
+++ b/src/wasabigw_demo/host.py
@@ -12,14 +12,14 @@
 from absl import logging
 from returns.result import Failure, Success
 
-from wasabigw.core.cluster import Endpoint
+from wasabigw.core.cluster import Endpoint, endpoint_key
 from wasabigw.core.ids import Seconds
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import monotonic
 from wasabigw_demo import tcp, wire
 from wasabigw_demo.addresses import as_pair
-from wasabigw_demo.records import RecordWriter
+from wasabigw_demo.records import RecordKind, RecordWriter
 from wasabigw_demo.spans import SpanName, child_of, record_span
 from wasabigw_demo.wire import TraceContext
 
@@ -118,6 +118,7 @@
         self._traces: dict[FlowId, _Trace] = {}
         self._next_tick = Seconds(0.0)
         self._malformed = 0
+        self._packets = 0
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
         self._socket.setblocking(False)
@@ -133,6 +134,11 @@
         """Monotonic time of the process."""
         return monotonic()
 
+    @property
+    def packets(self) -> int:
+        """Packets that have arrived."""
+        return self._packets
+
     @property
     def malformed(self) -> int:
         """Frames that were dropped because they could not be decoded."""
@@ -221,6 +227,7 @@
     def _frame_arrived(self, frame: wire.Frame) -> None:
         match wire.parse_packet(frame.inner):
             case Success(packet):
+                self._packets += 1
                 self._packet_arrived(packet, frame.trace)
             case Failure(problem):
                 self._drop(problem)
@@ -248,6 +255,7 @@
             self._connections[flow] = connection
             self._execute_all(flow, decisions)
         else:
+            self._record_stray(packet, now)
             self._transmit(flow, wire.build_segment(tcp.reset_for(packet)))
 
     @_packet_arrived.register
@@ -261,6 +269,17 @@
         flow = FlowId(packet.quoted_source, packet.quoted_destination)
         self._application.unreachable(self, flow)
 
+    def _record_stray(self, packet: wire.Segment, now: Seconds) -> None:
+        """Record a segment of a flow that this host does not have."""
+        self._records.write(
+            RecordKind.STRAY,
+            at=now,
+            remote=endpoint_key(packet.source),
+            opening=packet.flags & _OPENING_MASK == wire.TcpFlag.SYN,
+            flags=int(packet.flags),
+            size=len(packet.payload),
+        )
+
     def _may_accept(self, packet: wire.Segment, flow: FlowId) -> bool:
         opening = packet.flags & _OPENING_MASK == wire.TcpFlag.SYN
         has_room = len(self._connections) < MAX_CONNECTIONS
--- a/src/wasabigw_demo/tour.py
+++ b/src/wasabigw_demo/tour.py
@@ -18,8 +18,8 @@
 
 from wasabigw.core.cluster import Endpoint, endpoint_key
 from wasabigw.core.ids import BackendServerId
-from wasabigw_demo import _processes, backend_server, launcher
-from wasabigw_demo._children import Children
+from wasabigw_demo import _processes, backend_server
+from wasabigw_demo._commands import TrafficOptions
 from wasabigw_demo._layout import (
     CONNECTIONS,
     SLOTS,
@@ -28,6 +28,7 @@
     Layout,
     make_layout,
 )
+from wasabigw_demo._system import DemoFailedError, System
 from wasabigw_demo._tour_caller import call_service
 from wasabigw_demo._tour_places import (
     FILE,
@@ -39,6 +40,7 @@
     write_places,
 )
 from wasabigw_demo.addresses import free_endpoint, parse_endpoint
+from wasabigw_demo.launcher import say
 
 SERVER_PLACES = 8
 CALLER_PLACES = 4
@@ -60,14 +62,14 @@
     _empty(folder)
     layout = _tour_layout(folder)
     stopped = threading.Event()
-    environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
     try:
-        with Children(environment) as children:
-            _start(layout, children)
+        with System(layout, TrafficOptions(), say) as system:
+            _write_files(layout)
+            system.start_nodes()
             _print_guide(layout)
             signal.signal(signal.SIGTERM, lambda *_: stopped.set())
             stopped.wait()
-    except launcher.DemoFailedError as error:
+    except DemoFailedError as error:
         _fail(f"the tour could not start: {error}")
     except KeyboardInterrupt:
         pass
@@ -147,13 +149,12 @@
     return replace(layout, services=(documents,), backends=backends, callers=callers)
 
 
-def _start(layout: Layout, children: Children) -> None:
+def _write_files(layout: Layout) -> None:
     _processes.write_settings(
         replace(layout, backends=layout.backends[:PLANNED_SERVERS])
     )
     write_places(places_of(layout), layout.folder)
     _write_environment(layout)
-    launcher._start_system(layout, children, launcher.DemoOptions())
 
 
 def _write_environment(layout: Layout) -> None:
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -155,7 +155,11 @@
         self.assert_error(self.call("GET", "/v1/nothing"), 404)
         self.assert_error(self.call("DELETE", "/v1/state"), 405)
         envelope = Envelope(
-            ids.NodeId("z"), ids.Incarnation("1"), True, ids.Term(1), AdmissionRequest()
+            ids.NodeId("z"),
+            ids.Incarnation("1"),
+            True,
+            ids.Term(1),
+            AdmissionRequest(ids.Revision(0)),
         )
         body = encode_envelope(envelope)
         self.assert_error(self.call("POST", "/v1/consensus", data=body), 403)
--- a/tests/test_voter_task.py
+++ b/tests/test_voter_task.py
@@ -29,11 +29,11 @@
 from wasabigw.tasks.storage_errors import StorageError, StorageProblem
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
-    ConfigurationView,
     InForceCall,
     PollCall,
     ReportCall,
     StateCall,
+    StateView,
     reply_mailbox,
 )
 from wasabigw.tasks.voter_task import VoterSettings, VoterTask, make_voter_task
@@ -165,7 +165,7 @@
         self.storage.close()
         self.start()
         after = self.ask(StateCall)
-        self.assertIsInstance(after, ConfigurationView)
+        self.assertIsInstance(after, StateView)
         self.assertEqual(after.configuration_revision, before.configuration_revision)
         self.assertGreater(after.revision, before.revision)
         repeated = self.ask(ChangeCall, self.change("r699"))
