--- a/src/wasabigw/ctl/view_commands.py
+++ b/src/wasabigw/ctl/view_commands.py
@@ -38,7 +38,9 @@
     context: typer.Context,
     revision: Annotated[
         int | None,
-        typer.Argument(min=0, help="Revision of the log; the latest if missing."),
+        typer.Argument(
+            min=0, help="Revision of the log; that of the configuration if missing."
+        ),
     ] = None,
     wait: Annotated[
         bool, typer.Option("--wait", help="Wait until it is in force.")
