--- a/src/wasabigw/tasks/http_server.py
+++ b/src/wasabigw/tasks/http_server.py
@@ -6,7 +6,7 @@
 
 import threading
 from collections.abc import Iterable
-from contextlib import AbstractContextManager
+from contextlib import AbstractContextManager, suppress
 from dataclasses import dataclass
 from types import TracebackType
 from typing import Any, Self
@@ -30,6 +30,8 @@
 READ_TIMEOUT = Seconds(2.0)
 """A connection that goes silent within a request is closed after this time."""
 MAX_HEADER_BYTES = 16_384
+DISCARDED_BYTES = 4 * 2**20
+"""Largest body that is read although it is refused for its size."""
 JSON_TYPE = "application/json"
 
 
@@ -154,13 +156,15 @@
 def _limited(application: WsgiApplication, max_body: int) -> WsgiApplication:
     """Refuse larger bodies with a typed error; the server's own one is plain text.
 
-    The server closes the connection after a 413 without reading the body.
+    The body is read up to :data:`DISCARDED_BYTES`: a client that still sends when
+    the connection is closed gets a reset and never sees the error.
     """
 
     def respond(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         length = environ.get("CONTENT_LENGTH") or "0"
         if not length.isdecimal() or int(length) <= max_body:
             return application(environ, start_response)
+        _discard(environ, int(length))
         text = f"the body has {length} bytes; at most {max_body} are accepted"
         body = encode(ApiError("request-entity-too-large", text))
         headers = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(body)))]
@@ -170,6 +174,16 @@
     return respond
 
 
+def _discard(environ: dict[str, Any], length: int) -> None:
+    remaining = length if length <= DISCARDED_BYTES else 0
+    with suppress(OSError):
+        while remaining > 0:
+            chunk = environ["wsgi.input"].read(min(remaining, 65_536))
+            if not chunk:
+                return
+            remaining -= len(chunk)
+
+
 def _application(root: object) -> Any:
     application = cherrypy.Application(
         root,
--- a/src/wasabigw_demo/_system.py
+++ b/src/wasabigw_demo/_system.py
@@ -206,7 +206,7 @@
                 self.fail(f"bootstrap of {voter.id} failed", voter.id)
 
     def start_nodes(self) -> None:
-        """Start fabric, voters and balancers, without a configuration."""
+        """Start the fabric, the voters and the balancers."""
         layout = self._layout
         self._say("creating the data folders of the voters")
         self.bootstrap(layout.voters, is_new_cluster=True)
--- a/src/wasabigw_demo/tour.py
+++ b/src/wasabigw_demo/tour.py
@@ -64,7 +64,7 @@
     stopped = threading.Event()
     try:
         with System(layout, TrafficOptions(), say) as system:
-            _write_files(layout)
+            _prepare(layout)
             system.start_nodes()
             _print_guide(layout)
             signal.signal(signal.SIGTERM, lambda *_: stopped.set())
@@ -149,7 +149,7 @@
     return replace(layout, services=(documents,), backends=backends, callers=callers)
 
 
-def _write_files(layout: Layout) -> None:
+def _prepare(layout: Layout) -> None:
     _processes.write_settings(
         replace(layout, backends=layout.backends[:PLANNED_SERVERS])
     )
