--- a/src/wasabigw/settings.py
+++ b/src/wasabigw/settings.py
@@ -47,7 +47,7 @@
     """Messages that wait for the packet task of a balancer or the voter task
     (messages); at the limit HTTP requests get 503, and what repeats itself is lost."""
     request_body_bytes: int = Field(
-        default=1_048_576, strict=True, ge=65_536, le=67_108_864
+        default=1_048_576, strict=True, ge=524_288, le=67_108_864
     )
     """Largest body of an HTTP request (bytes), but for messages between voters, which
     may have 64 MiB; a larger one is refused with 413."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,7 +8,19 @@
 
 from tests.test_packet_task import node
 from tests.test_settings import balancer, control
+from wasabigw.codec.messages import encode
 from wasabigw.core.cluster import Endpoint
+from wasabigw.core.commands import CandidatesReleased
+from wasabigw.core.ids import (
+    BackendServerId,
+    BucketNumber,
+    Incarnation,
+    NodeId,
+    RequestId,
+    Revision,
+    ServiceId,
+)
+from wasabigw.core.log_messages import ReportRequest
 from wasabigw.roles import BalancerProcess, ControlProcess, make_process
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.settings import settings_from
@@ -24,7 +36,7 @@
     "flow_cache_entries": 11,
     "flow_records": 12,
     "mailbox_messages": 16,
-    "request_body_bytes": 70_000,
+    "request_body_bytes": 600_000,
     "http_threads": 2,
     "http_queue": 3,
     "trace_file_bytes": 4_096,
@@ -63,11 +75,26 @@
         self.assertIsInstance(posts.pop(), Failure)
         self.assertFalse([post for post in posts if isinstance(post, Failure)])
 
+    def test_no_limit_is_too_small_for_the_largest_batch_of_reports(self) -> None:
+        # A batch that is refused for its size would be sent again for ever.
+        name, buckets = "n" * 63, tuple(BucketNumber(n) for n in range(256))
+        report = CandidatesReleased(
+            ServiceId(name), BackendServerId(name), buckets, Revision(10**9)
+        )
+        request = ReportRequest(
+            RequestId("r" * 32), NodeId(name), Incarnation("i" * 32), (report,) * 256
+        )
+        smallest = settings_from(
+            {**control(), "limits": {"request_body_bytes": len(encode(request))}}
+        )
+        self.assertIn("524288", str(smallest.failure()))
+        self.assertLess(len(encode(request)), 524_288)
+
     def test_larger_bodies_are_refused_and_the_server_goes_on(self) -> None:
         packets: Mailbox[Any] = Mailbox("packets")
         settings = BalancerApiSettings(LOOPBACK, "secret", ProcessLimits(**CHOSEN))
         with make_balancer_server(packets, settings, dict) as server:
-            for size, status in ((70_001, 413), (70_000, 400)):
+            for size, status in ((600_001, 413), (600_000, 400)):
                 address = (server.endpoint.address, server.endpoint.port)
                 connection = http.client.HTTPConnection(*address, timeout=20)
                 connection.request("POST", "/v1/announcements", b" " * size)
