--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format types demo tour compare-mapping
-.PHONY: setup test lint format types demo process-faults compare-mapping
+.PHONY: setup test lint format types demo
+.PHONY: tour process-faults compare-mapping capacity bench fault-matrix
 
 setup: $(VENV)/.installed
 
@@ -32,8 +32,18 @@
 
 tour: setup
 	$(BIN)/python -m wasabigw_demo.tour run
+
 process-faults: setup
 	$(BIN)/python -m wasabigw_demo faults
 
 compare-mapping: setup
 	$(BIN)/python -m wasabigw_measure.compare_mapping
+
+capacity: setup
+	$(BIN)/python -m wasabigw_measure.capacity --docs docs
+
+bench: setup
+	$(BIN)/python -m wasabigw_measure.bench
+
+fault-matrix: setup
+	$(BIN)/python -m wasabigw_verify.matrix
--- a/src/wasabigw/codec/messages.py
+++ b/src/wasabigw/codec/messages.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from functools import cache
+from types import NoneType
 from typing import Any, TypeVar
 
 import cattrs
@@ -78,11 +79,14 @@
 
 
 def _bucket_table_to_json(table: cluster.BucketTable) -> dict[str, Any]:
+    """Buckets refer to backend servers by place, which shortens a snapshot."""
     convert = _converter(UnknownKeys.REFUSE).unstructure
+    servers = [name for name in dict.fromkeys(table.current) if name is not None]
+    places = {name: place for place, name in enumerate(servers)}
     return {
-        "current": table.current,
+        "servers": servers,
+        "current": [places.get(name) if name else None for name in table.current],
         "others": [[bucket, convert(c)] for bucket, c in table.others.items()],
-        "moved_at": [[bucket, at] for bucket, at in table.moved_at.items()],
     }
 
 
@@ -91,7 +95,12 @@
         bucket: _converter(unknown).structure(candidates, list[cluster.Candidate])
         for bucket, candidates in value["others"]
     }
-    return cluster.BucketTable(value["current"], others, dict(value["moved_at"]))
+    servers = _converter(unknown).structure(value["servers"], list[str])
+    names: dict[int | None, Any] = {None: None, **dict(enumerate(servers))}
+    current = value["current"]
+    if not set(map(type, current)) <= {int, NoneType}:
+        raise TypeError("current must hold places in servers, or null")
+    return cluster.BucketTable([names[place] for place in current], others)
 
 
 @cache
