--- a/src/wasabigw/tasks/http_bodies.py
+++ b/src/wasabigw/tasks/http_bodies.py
@@ -14,13 +14,12 @@
 
 
 def read_message(
-    expected: Any, limit: int, unknown: UnknownKeys = UnknownKeys.IGNORE
+    expected: Any, limit: int, unknown: UnknownKeys = UnknownKeys.REFUSE
 ) -> Result[Any, str]:
     """Message in the body of the running request.
 
     :param limit: largest body in bytes; a larger one ends the request with 413.
-    :param unknown: operators' input is refused with an unknown key, messages of
-        processes may come from a newer version.
+    :param unknown: what happens to keys of other versions.
     """
     body = _read_body(limit)
     if isinstance(body, Failure):
--- a/src/wasabigw/tasks/http_server.py
+++ b/src/wasabigw/tasks/http_server.py
@@ -6,7 +6,7 @@
 
 import gzip
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from contextlib import AbstractContextManager, suppress
 from dataclasses import dataclass
 from types import TracebackType
@@ -20,6 +20,7 @@
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
+from wasabigw.tasks.traffic import TrafficMailbox, WsgiApplication, counted
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
 
@@ -37,8 +38,6 @@
 """Largest body that is read although it is refused for its size."""
 JSON_TYPE = "application/json"
 
-WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
-
 
 @dataclass(frozen=True, slots=True)
 class ApiError:
@@ -74,6 +73,7 @@
     :param max_body: largest request body in bytes.
     :param limits: its ``http_threads`` are the requests handled at the same time;
         ``http_queue`` further connections wait, and those beyond it get a 503.
+    :param traffic: receives the bytes of each request and its answer.
     """
 
     def __init__(
@@ -83,11 +83,12 @@
         root: object,
         max_body: int,
         limits: ProcessLimits,
+        traffic: TrafficMailbox,
     ) -> None:
         self._name = name
         self._server = _Server(
             (bind.address, bind.port),
-            _limited(_application(root), max_body),
+            counted(_limited(_application(root), max_body), traffic),
             numthreads=limits.http_threads,
             max=limits.http_threads,
             server_name=name,
@@ -138,9 +139,10 @@
     root: object,
     max_body: int,
     limits: ProcessLimits = DEFAULT_LIMITS,
+    traffic: TrafficMailbox = None,
 ) -> HttpServer:
     """Server for an exposed object; port 0 takes a free one."""
-    return HttpServer(name, bind, root, max_body, limits)
+    return HttpServer(name, bind, root, max_body, limits, traffic)
 
 
 def json_response(status: int, message: Any, declared: Any = None) -> bytes:
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -8,6 +8,7 @@
 from itertools import islice
 from typing import Any
 
+from opentelemetry import trace
 from returns.result import Failure, Result
 
 from wasabigw.core import membership
@@ -20,6 +21,7 @@
     BackendServerUp,
     CandidatesAdded,
     CandidatesReleased,
+    ChangeRequest,
     Command,
     Report,
     ReportBatch,
@@ -49,13 +51,20 @@
 from wasabigw.core.consensus.voters import admissions
 from wasabigw.core.copying import copy_state
 from wasabigw.core.ids import NodeId, RequestId, Revision, Seconds, Term
-from wasabigw.core.log_messages import InForce, LogBatch, LogEntry, NotLeader
+from wasabigw.core.log_messages import (
+    InForce,
+    LogBatch,
+    LogEntry,
+    NodeProgress,
+    NotLeader,
+)
 from wasabigw.core.report_summary import summary
 from wasabigw.core.states import RefusalCode, VoterRole
 from wasabigw.core.timing import LOG_POLL_WAIT, SNAPSHOT_INTERVAL
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, TimerService, monotonic
+from wasabigw.tasks.in_force_watch import InForceWatch
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.storage_errors import StorageError
 from wasabigw.tasks.voter_calls import (
@@ -74,6 +83,8 @@
 )
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw.telemetry.log_events import log
+from wasabigw.telemetry.trace_context import TraceParent
+from wasabigw.telemetry.tracing import begin_span, make_disabled_tracer
 
 ApplyCommand = Callable[[Command, Revision, ClusterState], Result[Applied, Refusal]]
 """Changes the replicated state by one command, as ``core.apply`` does."""
@@ -122,6 +133,8 @@
     command: Command
     reply: Mailbox[CommandAnswer] | None = None
     report_id: RequestId | None = None
+    parent: TraceParent | None = None
+    span: trace.Span = trace.INVALID_SPAN
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +168,8 @@
         timer: TimerService,
         clock: Callable[[], Seconds],
         draw: Callable[[], float],
+        metrics: Mailbox[Any] | None = None,
+        tracer: trace.Tracer | None = None,
     ) -> None:
         super().__init__(f"voter-{settings.node}", mailbox)
         self._settings = settings
@@ -164,6 +179,8 @@
         self._timer = timer
         self._clock = clock
         self._draw = draw
+        self._tracer = tracer or make_disabled_tracer()
+        self._watch = InForceWatch(metrics, self._tracer)
         self._voter = self._recover()
         self._cluster = copy_state(self._voter.snapshot.state)
         self._membership = membership.MembershipState()
@@ -245,6 +262,7 @@
         now = self._clock()
         self._decide(ClockTick(now, self._draw()))
         self._answer_due_polls(now)
+        self._watch.check(lambda revision: self._progress(revision, now), now)
         if now >= self._membership_at and self._is_current(now):
             self._membership_at = Seconds(now + MEMBERSHIP_PERIOD)
             self._propose_membership(membership.MembershipTick(now, self._cluster))
@@ -259,7 +277,9 @@
         if known is not None:
             message.reply.post(known)
             return
-        self._propose(_Waiting(request, message.reply))
+        span = begin_span(self._tracer, "control.commit", message.parent)
+        waiting = _Waiting(request, message.reply, parent=message.parent, span=span)
+        self._propose(waiting)
 
     @_receive.register
     def _(self, message: ReportCall) -> None:
@@ -312,7 +332,7 @@
         revision = message.revision
         if revision is None:
             revision = self._cluster.configuration_revision
-        nodes = membership.node_progress(self._membership, self._cluster, revision, now)
+        nodes = self._progress(revision, now)
         applied = revision <= self._cluster.revision
         in_force = applied and all(node.in_force for node in nodes)
         message.reply.post(InForce(revision, in_force, nodes))
@@ -481,13 +501,26 @@
         if appended is None:
             return
         for waiting in appended.callers:
-            if appended.term != entry.term:
-                _answer(waiting, OutcomeUnknown())
-                continue
-            answer = _value_of(outcome)
-            if waiting.report_id is not None:
-                self._remember_report(waiting.report_id, answer)
-            _answer(waiting, answer)
+            self._finish(waiting, appended.term, entry, outcome)
+
+    def _finish(
+        self,
+        waiting: _Waiting,
+        term: Term,
+        entry: LogEntry,
+        outcome: Result[Applied, Refusal],
+    ) -> None:
+        """Answer a command whose entry, or another one in its place, was applied."""
+        if term != entry.term:
+            _answer(waiting, OutcomeUnknown())
+            return
+        waiting.span.end()
+        answer = _value_of(outcome)
+        if isinstance(waiting.command, ChangeRequest) and isinstance(answer, Applied):
+            self._watch.committed(entry.revision, waiting.parent, self._clock())
+        if waiting.report_id is not None:
+            self._remember_report(waiting.report_id, answer)
+        _answer(waiting, answer)
 
     def _remember_report(
         self, report_id: RequestId, outcome: Applied | Refusal
@@ -537,7 +570,11 @@
             )
         )
 
+    def _progress(self, revision: Revision, now: Seconds) -> tuple[NodeProgress, ...]:
+        return membership.node_progress(self._membership, self._cluster, revision, now)
+
     def _end_leadership(self) -> None:
+        self._watch.clear()
         for appended in self._pending.values():
             for waiting in appended.callers:
                 _answer(waiting, OutcomeUnknown())
@@ -571,13 +608,26 @@
     timer: TimerService,
     clock: Callable[[], Seconds] = monotonic,
     draw: Callable[[], float] = random.random,
+    metrics: Mailbox[Any] | None = None,
+    tracer: trace.Tracer | None = None,
 ) -> VoterTask:
     """Task of a voter, which takes over the opened data directory.
 
     :param links: mailbox of the link to each other voter.
+    :param metrics: mailbox of the metrics task.
+    :param tracer: records the commit of traced changes.
     """
     return VoterTask(
-        settings, mailbox, storage, links, apply_command, timer, clock, draw
+        settings,
+        mailbox,
+        storage,
+        links,
+        apply_command,
+        timer,
+        clock,
+        draw,
+        metrics,
+        tracer,
     )
 
 
