Count flows given up with a failure domain on its return

Cause: closing packets of flows that were given up are not sent to a failure domain that is out of service, so the backend server holds the flows open. Ruled out: flows admitted twice; the record shows the flows as opened before the failure domain was taken out. Change: while the failure domain is out, the home takes over how many flows the backend server reports beyond its records; afterwards the number only falls.

--- a/src/wasabigw/core/admission.py
+++ b/src/wasabigw/core/admission.py
@@ -71,6 +71,7 @@
     :param limit: open flows at the full step.
     :param connections: connections at the full step; new flows are bounded by
         their share in :data:`OPENING_WINDOW`.
+    :param unrecorded_flows: flows that only the backend server knows of.
     :param ended_flows: flows of an earlier process of the backend server, which
         may still be released.
     :param relieved_since: when an overloaded backend server fell below the share.
@@ -80,6 +81,7 @@
     connections: int
     ramp: Ramp
     open_flows: int = 0
+    unrecorded_flows: int = 0
     ended_flows: int = 0
     overloaded: bool = False
     relieved_since: Seconds | None = None
@@ -99,7 +101,7 @@
 
 def admit_flow(admission: Admission, now: Seconds) -> AdmissionVerdict:
     """Count a new flow as open unless a limit forbids it."""
-    if admission.open_flows >= allowed_flows(admission):
+    if admission.open_flows + admission.unrecorded_flows >= allowed_flows(admission):
         return AdmissionVerdict.AT_LIMIT
     if not _take_token(admission, now):
         return AdmissionVerdict.RATE_LIMITED
--- a/src/wasabigw/core/home_announcements.py
+++ b/src/wasabigw/core/home_announcements.py
@@ -28,6 +28,7 @@
 from wasabigw.core.placement import home_among
 from wasabigw.core.states import BackendServerState, FlowLimit
 from wasabigw.core.timing import ANNOUNCE_LEASE, RAMP_STEPS
+from wasabigw.core.transition import in_service
 
 REFUSED_RETRY = Seconds(5.0)
 """When a refused backend server should try again; a quarantine lasts as long."""
@@ -117,6 +118,7 @@
     if not record.announced:
         _take_over_count(record, announcement, state)
     record.announced = True
+    _count_unrecorded(record, announcement, state)
     record.lease = leases.renewed(record.lease, now)
     cold_start.report_load(record.detector, _load_is_bad(announcement))
     low = announcement.state is BackendServerState.COLD
@@ -171,17 +173,40 @@
     record: HomedServer, announcement: Announcement, state: HomeState
 ) -> None:
     """Take the larger of the counts of the last home and the backend server."""
-    assert state.cluster is not None
-    service = state.cluster.services.get(record.service)
-    by_slots = service is not None and service.limit_by is FlowLimit.SLOTS
-    load = announcement.load
-    reported = load.busy_slots if by_slots else load.open_connections
+    reported = _reported_flows(record, announcement, state)
     handed_over = state.counted.pop(record.id, 0)
     record.admission.open_flows = max(
         record.admission.open_flows, handed_over, reported
     )
 
 
+def _count_unrecorded(
+    record: HomedServer, announcement: Announcement, state: HomeState
+) -> None:
+    """Count flows that were given up with a failure domain out of service.
+
+    Their closing packets were not sent there, so the backend server may hold them
+    when the failure domain is back. From then on the number only falls, because a
+    load report alone does not show that flows are open.
+    """
+    assert state.cluster is not None
+    reported = _reported_flows(record, announcement, state)
+    beyond = max(0, reported - record.admission.open_flows)
+    if in_service(record.failure_domain, state.cluster):
+        beyond = min(beyond, record.admission.unrecorded_flows)
+    record.admission.unrecorded_flows = beyond
+
+
+def _reported_flows(
+    record: HomedServer, announcement: Announcement, state: HomeState
+) -> int:
+    assert state.cluster is not None
+    service = state.cluster.services.get(record.service)
+    by_slots = service is not None and service.limit_by is FlowLimit.SLOTS
+    load = announcement.load
+    return load.busy_slots if by_slots else load.open_connections
+
+
 def _load_is_bad(announcement: Announcement) -> bool:
     load = announcement.load
     return (
--- a/tests/test_backend_home.py
+++ b/tests/test_backend_home.py
@@ -121,6 +121,28 @@
 class Limits(unittest.TestCase):
     """Guards against more flows than a backend server can hold."""
 
+    def test_flows_given_up_with_a_failure_domain_are_counted_on_its_return(
+        self,
+    ) -> None:
+        """Their closing packets were not sent, so the backend server holds them."""
+        site = Site()
+        site.run(60)
+        site.change(commands.TakeFailureDomainOut(RECIFE))
+        site.run(5, load=LoadReport(busy_slots=3))
+        site.change(commands.BringFailureDomainBack(RECIFE))
+        site.run(2, load=LoadReport(busy_slots=3))
+        self.assertEqual(site.admitted(), 0)
+        site.run(60, load=LoadReport(busy_slots=3))
+        self.assertEqual(site.admitted(), 1)
+        site.run(5, load=LoadReport(busy_slots=2))
+        self.assertEqual(site.admitted(), 2)
+
+    def test_a_load_report_that_rises_later_takes_no_slots(self) -> None:
+        site = Site()
+        site.run(60)
+        site.run(5, load=LoadReport(busy_slots=3))
+        self.assertEqual(site.admitted(), 4)
+
     def test_open_flows_never_exceed_the_limit_of_the_step(self) -> None:
         full = 0
         for seed in range(60):
