--- a/src/wasabigw_measure/_decisions_runs.py
+++ b/src/wasabigw_measure/_decisions_runs.py
@@ -18,6 +18,7 @@
 from wasabigw_measure._decisions_world import SCHEMES, MeasuredWorld
 from wasabigw_verify import record as r
 from wasabigw_verify.harness.backend_servers import BackendServer
+from wasabigw_verify.harness.callers import SessionState
 from wasabigw_verify.promises import PROMISES, violations
 from wasabigw_verify.sessions.deployed import small_snapshots
 from wasabigw_verify.sessions.deployments import DEPLOYMENTS, Deployment
@@ -102,7 +103,7 @@
     for number in range(1, 5):
         server = _server(world, number)
         world.at(10.0 + 12.0 * number, server.drain)
-        world.at(19.0 + 12.0 * number, server.rejoin)
+        world.at(19.0 + 12.0 * number, partial(_rejoin, world, server))
     for number, domain in enumerate(domains[:2]):
         joining = NodeId(f"{domain}-lb-9")
         leaving = DrainBalancer(NodeId(f"{domain}-lb-1"))
@@ -114,6 +115,16 @@
         world.at(25.0 + 6.3 * number, partial(world.operate, change))
 
 
+def _rejoin(world: MeasuredWorld, server: BackendServer) -> None:
+    """Restart a drained backend server once no caller uses a flow of it."""
+    sessions = world.callers.sessions
+    states = [sessions[flow].state for flow in server.flows]
+    if any(state is not SessionState.ENDED for state in states):
+        world.network.later(0.5, partial(_rejoin, world, server))
+    else:
+        server.rejoin()
+
+
 def _crashes(world: MeasuredWorld) -> None:
     """Balancers crash and restart; the leading control VM is isolated for 10 s."""
     for number, domain in enumerate(world.deployment.domains):
