--- a/src/wasabigw_verify/harness/faults.py
+++ b/src/wasabigw_verify/harness/faults.py
@@ -197,7 +197,7 @@
 @strikes(Fault.WRITE_TORN)
 def _(run: Run, focus: Focus) -> None:
     world = run.world
-    node = _voter(run, focus)
+    node = focus.voter or world.network.random.choice(VOTERS)
     faults = list(WriteFault)
     world.disks[node].fault = faults[world.network.random.randrange(len(faults))]
     run.change()
--- a/src/wasabigw_verify/harness/operators.py
+++ b/src/wasabigw_verify/harness/operators.py
@@ -38,6 +38,7 @@
         self._change = change
         self._request: ChangeRequest | None = None
         self._answers_lost = answers_lost
+        self._lost: Applied | Refusal | None = None
         self._done = done
         self._control = ControlCaller(world, PLACE)
         self._may_read = expected is None
@@ -78,12 +79,16 @@
     def _answered(self, answer: Any) -> None:
         if self._answers_lost:
             self._answers_lost -= 1
+            if isinstance(answer, Applied | Refusal):
+                self._lost = self._lost or answer
             self._send(RETRY)
             return
         if not isinstance(answer, Applied | Refusal):
             self._send(RETRY)
             return
         assert self._request is not None
+        if self._lost not in (None, answer):
+            self._world.problems.append("a repeated change got another outcome")
         conflict = isinstance(answer, Refusal) and answer.code is RefusalCode.CONFLICT
         if conflict and self._may_read:
             self._read(RETRY)
--- a/src/wasabigw_verify/harness/run.py
+++ b/src/wasabigw_verify/harness/run.py
@@ -201,7 +201,7 @@
             f"{v.promise} at {v.at:.2f} s: {v.message}"
             for v in promises.check(self.world.record)
         ]
-        found += self.problems
+        found += self.problems + self.world.problems
         found += [f"the step '{b.step.value}' was not reached" for b in self._waiting]
         # Without two disks that were admitted no majority can ever form again.
         if not self._accepted and self.world.admitted_disks() > 1:
--- a/src/wasabigw_verify/harness/voters.py
+++ b/src/wasabigw_verify/harness/voters.py
@@ -11,7 +11,13 @@
 from wasabigw.core.cluster import Applied, ClusterState, Endpoint, Refusal
 from wasabigw.core.commands import ChangeRequest, Command
 from wasabigw.core.consensus.effects import VoteRecord
-from wasabigw.core.consensus.messages import NO_TERM, Envelope, Snapshot
+from wasabigw.core.consensus.messages import (
+    NO_TERM,
+    AppendResponse,
+    Envelope,
+    Snapshot,
+    VoteResponse,
+)
 from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Term
 from wasabigw.core.log_messages import LogEntry
 from wasabigw.runtime.mailbox import Mailbox
@@ -180,6 +186,16 @@
         self.world.note_applied(name, revision, state)
         return outcome
 
+    def _check_durable(self, peer: NodeId, answer: Envelope) -> None:
+        """Note an acknowledgement or a vote that is not on the disk of its sender."""
+        disk = self.world.disks[peer]
+        last = max([disk.snapshot.revision, *(e.revision for e in disk.entries[-1:])])
+        match answer.body:
+            case AppendResponse(success=True, matched=matched) if matched > last:
+                self.world.problems.append(f"{peer} acknowledged {matched} too early")
+            case VoteResponse(granted=True) if disk.vote.term < answer.term:
+                self.world.problems.append(f"{peer} voted before its vote was durable")
+
     def _link(self, peer: NodeId) -> _Post:
         network = self.world.network
         waiting: set[int] = set()
@@ -193,6 +209,7 @@
             waiting.add(number)
 
             def reply(found: Envelope) -> None:
+                self._check_durable(peer, found)
                 network.send(peer, self.node, lambda: answer(number, found), True)
 
             def deliver() -> None:
