--- a/src/wasabigw_verify/harness/backend_servers.py
+++ b/src/wasabigw_verify/harness/backend_servers.py
@@ -37,6 +37,8 @@
 
 PART_INTERVAL = 0.15
 ANNOUNCE_TIMEOUT = 0.5
+CONNECTIONS = 400
+"""Connections that each backend server announces; slots may be fewer."""
 
 
 @dataclass(slots=True)
@@ -129,7 +131,7 @@
             BootId(f"{self.name}-{self._boot}"),
             self.state,
             self.slots,
-            2000,
+            CONNECTIONS,
             LoadReport(open_connections=len(self.flows), busy_slots=len(self.flows)),
         )
 
--- a/src/wasabigw_verify/harness/network.py
+++ b/src/wasabigw_verify/harness/network.py
@@ -28,6 +28,7 @@
     :param silent: connections whose messages vanish until they are opened anew.
     :param frozen: places that handle nothing before a time.
     :param slow: most seconds that messages on a connection to a place are late.
+    :param late: places that get nothing on connections before a time.
     :param loss: share of the messages outside connections that vanish.
     """
 
@@ -39,6 +40,7 @@
         self.silent: set[tuple[str, str]] = set()
         self.frozen: dict[str, float] = {}
         self.slow: dict[str, float] = {}
+        self.late: dict[str, float] = {}
         self.loss = 0.0
         self._queue: list[tuple[float, int, Action]] = []
         self._count = 0
@@ -92,6 +94,7 @@
         if connected:
             self.connections |= {(source, destination), (destination, source)}
             delay += self.random.uniform(0, self.slow.get(destination, 0.0))
+            delay += max(0.0, self.late.get(destination, 0.0) - self.now)
         silent = connected and (source, destination) in self.silent
         if lost or silent or self.is_cut(source, destination):
             return
