--- a/src/wasabigw_verify/harness/network.py
+++ b/src/wasabigw_verify/harness/network.py
@@ -30,6 +30,7 @@
     :param slow: most seconds that messages on a connection to a place are late.
     :param latency: seconds between two places, in place of a draw from
         :data:`MIN_DELAY` to :data:`MAX_DELAY`.
+    :param late: places that get nothing on connections before a time.
     :param loss: share of the messages outside connections that vanish.
     """
 
@@ -41,6 +42,7 @@
         self.silent: set[tuple[str, str]] = set()
         self.frozen: dict[str, float] = {}
         self.slow: dict[str, float] = {}
+        self.late: dict[str, float] = {}
         self.loss = 0.0
         self.latency: Callable[[str, str], float] | None = None
         self._queue: list[tuple[float, int, Action]] = []
@@ -95,6 +97,7 @@
         if connected:
             self.connections |= {(source, destination), (destination, source)}
             delay += self.random.uniform(0, self.slow.get(destination, 0.0))
+            delay += max(0.0, self.late.get(destination, 0.0) - self.now)
         silent = connected and (source, destination) in self.silent
         if lost or silent or self.is_cut(source, destination):
             return
