Reset flows of an earlier boot instead of guessing an older owner

Cause: a backend server that restarts within its lease leaves no DEPARTED candidate, but its home deletes the records of the earlier boot. A packet of such a flow, in a bucket that had moved within 300 s, went to the owner of the bucket 300 s before.

Change: a candidate that restarted within the idle timeout counts like a departed one when no home knows the flow.

The new test failed before.

--- a/src/wasabigw/core/flows/search.py
+++ b/src/wasabigw/core/flows/search.py
@@ -97,7 +97,7 @@
         return DropReason.AMBIGUOUS
     if udp:
         return _opening_place(context)
-    return _owner_by_age(event, context)
+    return _owner_by_age(event, context, state)
 
 
 def _may_hold(target: Target, forwarding: Forwarding) -> bool:
@@ -134,16 +134,24 @@
     return opening_target(current, context)
 
 
-def _owner_by_age(event: FlowData | FlowClosing, context: Context) -> Found:
+def _has_restarted_candidate(context: Context, state: BalancerState) -> bool:
+    since = Seconds(context.now - FLOW_IDLE_TIMEOUT)
+    live = {target.id for target in context.candidates.live}
+    return any(state.restarts[name] > since for name in live & state.restarts.keys())
+
+
+def _owner_by_age(
+    event: FlowData | FlowClosing, context: Context, state: BalancerState
+) -> Found:
     """All homes are complete, so the flow is older than any record can be.
 
     It belongs to the backend server that owned the bucket one idle timeout ago, or
-    to one that has departed since.
+    to one that has departed or restarted since.
     """
     reset = isinstance(event, FlowClosing) and event.reset
     gone: Found = DropReason.UNKNOWN_FLOW if reset else RefusalReason.FLOW_GONE
     candidates = context.candidates
-    if candidates.has_departed:
+    if candidates.has_departed or _has_restarted_candidate(context, state):
         # Nobody could be asked about its flows, whose records are younger.
         return gone
     since = Seconds(context.now - FLOW_IDLE_TIMEOUT)
--- a/tests/flow_simulation.py
+++ b/tests/flow_simulation.py
@@ -195,6 +195,20 @@
     return mutate
 
 
+def restart_backend(name: str) -> Mutation:
+    """A backend server announces a new boot and starts its ramp again."""
+
+    def mutate(state: ClusterState, revision: Revision) -> None:
+        backend = BackendServerId(name)
+        known = state.backend_servers[backend]
+        state.backend_servers[backend] = replace(
+            known, boot_id=BootId(f"{known.boot_id}-again"), step=1
+        )
+        reassign(state, revision)
+
+    return mutate
+
+
 def set_domain(domain: FailureDomainId, to: FailureDomainState) -> Mutation:
     """A failure domain is taken out of service or brought back."""
 
--- a/tests/test_flow_decisions.py
+++ b/tests/test_flow_decisions.py
@@ -15,6 +15,7 @@
     make_simulation,
     remove_backend,
     remove_node,
+    restart_backend,
     set_domain,
 )
 from wasabigw.core.buckets import bucket_of
@@ -237,6 +238,23 @@
         for flow in flows:
             self.assertEqual(sim.send(flow), d.Refuse(RefusalReason.FLOW_GONE))
 
+    def test_no_former_owner_gets_packets_of_an_earlier_boot(self) -> None:
+        """A restart within the lease leaves no departed candidate."""
+        sim = make_simulation(17)
+        sim.commit(add_backend("late", 9, SEATS))
+        for _ in range(6):
+            sim.step(1.0)
+        flows = [opened(sim, "late") for _ in range(20)]
+        sim.commit(restart_backend("late"))
+        for _ in range(3):
+            sim.step(1.0)
+        for flow in flows:
+            server = sim.send(flow)
+            if isinstance(server, d.SendToBackend):
+                self.assertEqual(server.target.id, "late")
+            else:
+                self.assertEqual(server, d.Refuse(RefusalReason.FLOW_GONE))
+
     def test_a_failure_domain_out_of_service_gets_nothing(self) -> None:
         sim = make_simulation(11)
         domain = home_of(sim, "b1").state.failure_domain
