--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test lint format types demo process-faults compare-mapping
+.PHONY: setup test lint format types demo
+.PHONY: tour process-faults compare-mapping capacity bench fault-matrix
+.PHONY: golden measure
 
 setup: $(VENV)/.installed
 
@@ -29,8 +31,26 @@
 demo: setup
 	$(BIN)/python -m wasabigw_demo
 
+tour: setup
+	$(BIN)/python -m wasabigw_demo.tour run
+
 process-faults: setup
 	$(BIN)/python -m wasabigw_demo faults
 
 compare-mapping: setup
 	$(BIN)/python -m wasabigw_measure.compare_mapping
+
+capacity: setup
+	$(BIN)/python -m wasabigw_measure.capacity --docs docs
+
+bench: setup
+	$(BIN)/python -m wasabigw_measure.bench
+
+fault-matrix: setup
+	$(BIN)/python -m wasabigw_verify.matrix
+
+golden: setup
+	$(BIN)/python -m wasabigw_verify.golden
+
+measure: setup
+	$(BIN)/python -m wasabigw_measure.decisions
--- a/src/wasabigw/roles.py
+++ b/src/wasabigw/roles.py
@@ -14,10 +14,12 @@
 from wasabigw.core.apply import apply
 from wasabigw.core.cluster import Endpoint, Node
 from wasabigw.core.ids import Incarnation, NodeId
+from wasabigw.runtime.collector import make_full_collections_rare
 from wasabigw.runtime.timer import TimerService
 from wasabigw.settings import Role, Settings
 from wasabigw.tasks.balancer import BalancerSettings, make_balancer
-from wasabigw.tasks.control_plane import make_control_plane
+from wasabigw.tasks.control_plane import TraceSettings, make_control_plane
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.storage import open_storage
 from wasabigw.tasks.voter_task import VoterSettings
 
@@ -49,10 +51,13 @@
     settings: VoterSettings
     data_folder: Path
     token: str
+    limits: ProcessLimits = DEFAULT_LIMITS
+    traces: TraceSettings | None = None
 
 
 def run_role(settings: Settings) -> Result[None, RoleError]:
     """Run the role of the settings until the process gets SIGTERM or SIGINT."""
+    make_full_collections_rare()
     stop = threading.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.set())
@@ -96,7 +101,13 @@
             timer = stack.enter_context(TimerService())
             stack.enter_context(
                 make_control_plane(
-                    process.settings, process.token, storage, apply, timer
+                    process.settings,
+                    process.token,
+                    storage,
+                    apply,
+                    timer,
+                    limits=process.limits,
+                    traces=process.traces,
                 )
             )
             stop.wait()
@@ -118,7 +129,11 @@
     assert settings.data_folder is not None
     voters = {NodeId(name): endpoint for name, endpoint in settings.voters.items()}
     return ControlProcess(
-        VoterSettings(settings.node, voters), settings.data_folder, token
+        VoterSettings(settings.node, voters),
+        settings.data_folder,
+        token,
+        _limits(settings),
+        _traces(settings),
     )
 
 
@@ -140,12 +155,22 @@
             settings.control_endpoints,
             token,
             settings.trace_file,
-            settings.limits.trace_file_bytes,
             settings.trace_sample_rate,
+            _limits(settings),
         )
     )
 
 
+def _limits(settings: Settings) -> ProcessLimits:
+    return ProcessLimits(**settings.limits.model_dump())
+
+
+def _traces(settings: Settings) -> TraceSettings | None:
+    if settings.trace_file is None:
+        return None
+    return TraceSettings(settings.trace_file, settings.trace_sample_rate)
+
+
 def _read_token(path: Path) -> Result[str, RoleError]:
     try:
         token = path.read_text(encoding="ascii").strip()
--- a/src/wasabigw/tasks/balancer.py
+++ b/src/wasabigw/tasks/balancer.py
@@ -16,13 +16,21 @@
 from wasabigw.runtime.timer import TimerService, monotonic
 from wasabigw.tasks.handover_sender import make_handover_sender
 from wasabigw.tasks.http_balancer import BalancerApiSettings, make_balancer_server
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.log_follower import (
     LogFollower,
     make_follower_mailbox,
     make_log_follower,
 )
 from wasabigw.tasks.messages import BalancerStatus, BeginDrain, StatusRequest
+from wasabigw.tasks.metrics_task import (
+    BUDGET_PERIOD,
+    BUDGET_TICK,
+    make_metrics_task,
+)
 from wasabigw.tasks.packet_task import (
+    MEASURE_PERIOD,
+    MEASURE_TICK,
     PING_PERIOD,
     PING_TICK,
     UPKEEP_PERIOD,
@@ -62,8 +70,8 @@
     control: Sequence[Endpoint]
     token: str
     trace_file: Path | None = None
-    trace_file_bytes: int = 64 * 2**20
     trace_sample_rate: float = 0.0
+    limits: ProcessLimits = DEFAULT_LIMITS
 
 
 class Balancer(AbstractContextManager["Balancer"]):
@@ -119,23 +127,33 @@
         settings = self._settings
         node = settings.node
         timer = stack.enter_context(TimerService())
+        metrics = stack.enter_context(make_metrics_task(node.id)).mailbox
+        timer.subscribe(metrics, BUDGET_PERIOD, BUDGET_TICK)
         reports = stack.enter_context(
-            make_report_sender(node.id, node.incarnation, settings.control)
+            make_report_sender(node.id, node.incarnation, settings.control, metrics)
         )
-        handovers = stack.enter_context(make_handover_sender())
+        handovers = stack.enter_context(make_handover_sender(metrics))
         applied = make_follower_mailbox()
         outputs = PacketTaskOutputs(
-            reports.mailbox, handovers.mailbox, applied, self._start_traces(stack)
+            reports.mailbox,
+            handovers.mailbox,
+            applied,
+            self._start_traces(stack),
+            metrics,
         )
         packet_settings = PacketTaskSettings(
-            node, settings.fabric, settings.trace_sample_rate
+            node, settings.fabric, settings.trace_sample_rate, settings.limits
         )
         packets = stack.enter_context(make_packet_task(packet_settings, outputs))
         timer.subscribe(packets.mailbox, UPKEEP_PERIOD, UPKEEP_TICK)
         timer.subscribe(packets.mailbox, PING_PERIOD, PING_TICK)
-        api = BalancerApiSettings(node.api, settings.token)
-        stack.enter_context(make_balancer_server(packets.mailbox, api, Handover))
-        follower = make_log_follower(node, settings.control, packets.mailbox, applied)
+        timer.subscribe(packets.mailbox, MEASURE_PERIOD, MEASURE_TICK)
+        api = BalancerApiSettings(node.api, settings.token, settings.limits)
+        server = make_balancer_server(packets.mailbox, api, Handover, metrics)
+        stack.enter_context(server)
+        follower = make_log_follower(
+            node, settings.control, packets.mailbox, applied, metrics
+        )
         self._follower = stack.enter_context(follower)
         self._packets = packets
 
@@ -143,7 +161,7 @@
         settings = self._settings
         if settings.trace_file is None:
             return None
-        file = TraceFileTask(settings.trace_file, settings.trace_file_bytes)
+        file = TraceFileTask(settings.trace_file, settings.limits.trace_file_bytes)
         spans = stack.enter_context(file)
         return stack.enter_context(make_span_export(spans.mailbox)).mailbox
 
--- a/src/wasabigw/tasks/http_balancer.py
+++ b/src/wasabigw/tasks/http_balancer.py
@@ -13,6 +13,7 @@
 import cherrypy
 from returns.result import Failure, Success
 
+from wasabigw.codec.messages import UnknownKeys
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.log_messages import (
@@ -33,6 +34,7 @@
     unauthorized,
 )
 from wasabigw.tasks.http_server import HttpServer, json_response, make_http_server
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.messages import (
     AnnouncementRequest,
     FlowRequest,
@@ -40,8 +42,8 @@
     LocalOutRequest,
     StatusRequest,
 )
+from wasabigw.tasks.metrics_task import MetricsRequest
 
-MAX_BODY_BYTES = 64 * 1024
 REPLY_TIMEOUT = Seconds(2.0)
 """Longest wait for the packet task."""
 
@@ -55,6 +57,7 @@
 
     bind: Endpoint
     token: str
+    limits: ProcessLimits = DEFAULT_LIMITS
 
 
 class _Resource:
@@ -81,7 +84,8 @@
 
     def POST(self) -> bytes:  # noqa: N802 - method names of cherrypy
         """Hand the announcement of a backend server to its home."""
-        decoded = read_message(Announcement, MAX_BODY_BYTES)
+        limit = self._settings.limits.request_body_bytes
+        decoded = read_message(Announcement, limit, UnknownKeys.IGNORE)
         if isinstance(decoded, Failure):
             return bad_request(decoded.failure())
         return self._call(AnnouncementRequest(decoded.unwrap(), _reply_mailbox()))
@@ -125,7 +129,8 @@
 
     def POST(self) -> bytes:  # noqa: N802
         """Take records over from a balancer that drains."""
-        decoded = read_message(self._body, MAX_BODY_BYTES)
+        limit = self._settings.limits.request_body_bytes
+        decoded = read_message(self._body, limit, UnknownKeys.IGNORE)
         if isinstance(decoded, Failure):
             return bad_request(decoded.failure())
         return self._call(HandoverRequest(decoded.unwrap(), _reply_mailbox()))
@@ -141,6 +146,14 @@
         return self._call(LocalOutRequest(_reply_mailbox()))
 
 
+class _Metrics(_Resource):
+    """``GET /v1/metrics``; its mailbox is that of the metrics task."""
+
+    def GET(self) -> bytes:  # noqa: N802
+        """All metrics of this process."""
+        return self._call(MetricsRequest(_reply_mailbox()))
+
+
 class _Local:
     """Resources of ``/v1/local``."""
 
@@ -152,8 +165,14 @@
     """Resources of ``/v1``."""
 
     def __init__(
-        self, packets: Mailbox[Any], settings: BalancerApiSettings, handover: type
+        self,
+        packets: Mailbox[Any],
+        settings: BalancerApiSettings,
+        handover: type,
+        metrics: Mailbox[Any] | None,
     ) -> None:
+        if metrics is not None:
+            self.metrics = _Metrics(metrics, settings)
         self.announcements = _Announcements(packets, settings)
         self.status = _Status(packets, settings)
         self.flows = _Flows(packets, settings)
@@ -169,15 +188,22 @@
 
 
 def make_balancer_server(
-    packets: Mailbox[Any], settings: BalancerApiSettings, handover: type
+    packets: Mailbox[Any],
+    settings: BalancerApiSettings,
+    handover: type,
+    metrics: Mailbox[Any] | None = None,
 ) -> HttpServer:
     """HTTP server of a balancer.
 
     :param packets: mailbox of the packet task.
     :param handover: message type of the body of ``POST /v1/handover``.
+    :param metrics: mailbox of the metrics task.
     """
-    root = _Root(_Version1(packets, settings, handover))
-    return make_http_server("balancer", settings.bind, root, MAX_BODY_BYTES)
+    root = _Root(_Version1(packets, settings, handover, metrics))
+    limits = settings.limits
+    return make_http_server(
+        "balancer", settings.bind, root, limits.request_body_bytes, limits, metrics
+    )
 
 
 @singledispatch
--- a/src/wasabigw/tasks/http_bodies.py
+++ b/src/wasabigw/tasks/http_bodies.py
@@ -7,21 +7,24 @@
 import cherrypy
 from returns.result import Failure, Result, Success
 
-from wasabigw.codec.messages import MalformedMessage, decode
+from wasabigw.codec.messages import MalformedMessage, UnknownKeys, decode
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.endpoints import MAX_PORT
 from wasabigw.tasks.http_server import error_response
 
 
-def read_message(expected: Any, limit: int) -> Result[Any, str]:
+def read_message(
+    expected: Any, limit: int, unknown: UnknownKeys = UnknownKeys.REFUSE
+) -> Result[Any, str]:
     """Message in the body of the running request.
 
     :param limit: largest body in bytes; a larger one ends the request with 413.
+    :param unknown: what happens to keys of other versions.
     """
     body = _read_body(limit)
     if isinstance(body, Failure):
         return body
-    decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected)
+    decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected, unknown)
     return decoded.alt(str)
 
 
--- a/src/wasabigw/tasks/http_server.py
+++ b/src/wasabigw/tasks/http_server.py
@@ -4,9 +4,10 @@
 servers fit in one process and none installs signal handlers or reloads code.
 """
 
+import gzip
 import threading
-from collections.abc import Callable, Iterable
-from contextlib import AbstractContextManager
+from collections.abc import Iterable
+from contextlib import AbstractContextManager, suppress
 from dataclasses import dataclass
 from types import TracebackType
 from typing import Any, Self
@@ -18,13 +19,11 @@
 from wasabigw.codec.messages import encode
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
+from wasabigw.tasks.traffic import TrafficMailbox, WsgiApplication, counted
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
 
-THREADS = 16
-"""Requests that one server handles at the same time."""
-WAITING_CONNECTIONS = 128
-"""Connections that wait for a thread; further ones get a 503."""
 IDLE_CONNECTIONS = 512
 """Idle connections that are kept; beyond it a response closes its connection."""
 SESSION_IDLE = Seconds(30.0)
@@ -32,10 +31,13 @@
 READ_TIMEOUT = Seconds(2.0)
 """A connection that goes silent within a request is closed after this time."""
 MAX_HEADER_BYTES = 16_384
+COMPRESSED_FROM = 2_048
+"""Bytes of a body from which on it is compressed; smaller ones fill few packets."""
+COMPRESSION_LEVEL = 6
+DISCARDED_BYTES = 4 * 2**20
+"""Largest body that is read although it is refused for its size."""
 JSON_TYPE = "application/json"
 
-WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
-
 
 @dataclass(frozen=True, slots=True)
 class ApiError:
@@ -69,22 +71,30 @@
 
     :param root: exposed object; its attributes are the path segments.
     :param max_body: largest request body in bytes.
-    :param threads: requests handled at the same time.
+    :param limits: its ``http_threads`` are the requests handled at the same time;
+        ``http_queue`` further connections wait, and those beyond it get a 503.
+    :param traffic: receives the bytes of each request and its answer.
     """
 
     def __init__(
-        self, name: str, bind: Endpoint, root: object, max_body: int, threads: int
+        self,
+        name: str,
+        bind: Endpoint,
+        root: object,
+        max_body: int,
+        limits: ProcessLimits,
+        traffic: TrafficMailbox,
     ) -> None:
         self._name = name
         self._server = _Server(
             (bind.address, bind.port),
-            _limited(_application(root), max_body),
-            numthreads=threads,
-            max=threads,
+            counted(_limited(_application(root), max_body), traffic),
+            numthreads=limits.http_threads,
+            max=limits.http_threads,
             server_name=name,
-            request_queue_size=WAITING_CONNECTIONS,
+            request_queue_size=limits.http_queue,
             timeout=int(SESSION_IDLE),
-            accepted_queue_size=WAITING_CONNECTIONS,
+            accepted_queue_size=limits.http_queue,
             # The thread that accepts connections must not wait for a worker.
             accepted_queue_timeout=0,
         )
@@ -124,17 +134,39 @@
 
 
 def make_http_server(
-    name: str, bind: Endpoint, root: object, max_body: int, threads: int = THREADS
+    name: str,
+    bind: Endpoint,
+    root: object,
+    max_body: int,
+    limits: ProcessLimits = DEFAULT_LIMITS,
+    traffic: TrafficMailbox = None,
 ) -> HttpServer:
     """Server for an exposed object; port 0 takes a free one."""
-    return HttpServer(name, bind, root, max_body, threads)
+    return HttpServer(name, bind, root, max_body, limits, traffic)
 
 
 def json_response(status: int, message: Any, declared: Any = None) -> bytes:
-    """Set status and type of the running response; returns its body."""
+    """Set status and type of the running response; returns its body.
+
+    A large body is compressed if the client accepts that.
+    """
     cherrypy.response.status = int(status)
     cherrypy.response.headers["Content-Type"] = JSON_TYPE
-    return encode(message, declared)
+    body = encode(message, declared)
+    if len(body) < COMPRESSED_FROM or not _accepts_gzip():
+        return body
+    cherrypy.response.headers["Content-Encoding"] = "gzip"
+    return compressed(body)
+
+
+def compressed(body: bytes) -> bytes:
+    """Body with the content encoding ``gzip`` (RFC 9110); the same for equal bodies."""
+    return gzip.compress(body, COMPRESSION_LEVEL, mtime=0)
+
+
+def _accepts_gzip() -> bool:
+    accepted = cherrypy.request.headers.elements("Accept-Encoding")
+    return any(entry.value == "gzip" and entry.qvalue > 0 for entry in accepted)
 
 
 def error_response(status: int, error: str, message: str) -> bytes:
@@ -145,13 +177,15 @@
 def _limited(application: WsgiApplication, max_body: int) -> WsgiApplication:
     """Refuse larger bodies with a typed error; the server's own one is plain text.
 
-    The server closes the connection after a 413 without reading the body.
+    The body is read up to :data:`DISCARDED_BYTES`: a client that still sends when
+    the connection is closed gets a reset and never sees the error.
     """
 
     def respond(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         length = environ.get("CONTENT_LENGTH") or "0"
         if not length.isdecimal() or int(length) <= max_body:
             return application(environ, start_response)
+        _discard(environ, int(length))
         text = f"the body has {length} bytes; at most {max_body} are accepted"
         body = encode(ApiError("request-entity-too-large", text))
         headers = [("Content-Type", JSON_TYPE), ("Content-Length", str(len(body)))]
@@ -161,6 +195,16 @@
     return respond
 
 
+def _discard(environ: dict[str, Any], length: int) -> None:
+    remaining = length if length <= DISCARDED_BYTES else 0
+    with suppress(OSError):
+        while remaining > 0:
+            chunk = environ["wsgi.input"].read(min(remaining, 65_536))
+            if not chunk:
+                return
+            remaining -= len(chunk)
+
+
 def _application(root: object) -> Any:
     application = cherrypy.Application(
         root,
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -3,11 +3,12 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from itertools import islice
 from typing import Any
 
+from opentelemetry import trace
 from returns.result import Failure, Result
 
 from wasabigw.core import membership
@@ -20,7 +21,9 @@
     BackendServerUp,
     CandidatesAdded,
     CandidatesReleased,
+    ChangeRequest,
     Command,
+    Report,
     ReportBatch,
 )
 from wasabigw.core.consensus import lease
@@ -48,13 +51,20 @@
 from wasabigw.core.consensus.voters import admissions
 from wasabigw.core.copying import copy_state
 from wasabigw.core.ids import NodeId, RequestId, Revision, Seconds, Term
-from wasabigw.core.log_messages import InForce, LogBatch, LogEntry, NotLeader
+from wasabigw.core.log_messages import (
+    InForce,
+    LogBatch,
+    LogEntry,
+    NodeProgress,
+    NotLeader,
+)
 from wasabigw.core.report_summary import summary
 from wasabigw.core.states import RefusalCode, VoterRole
 from wasabigw.core.timing import LOG_POLL_WAIT, SNAPSHOT_INTERVAL
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, TimerService, monotonic
+from wasabigw.tasks.in_force_watch import InForceWatch
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.storage_errors import StorageError
 from wasabigw.tasks.voter_calls import (
@@ -73,6 +83,8 @@
 )
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw.telemetry.log_events import log
+from wasabigw.telemetry.trace_context import TraceParent
+from wasabigw.telemetry.tracing import begin_span, make_disabled_tracer
 
 ApplyCommand = Callable[[Command, Revision, ClusterState], Result[Applied, Refusal]]
 """Changes the replicated state by one command, as ``core.apply`` does."""
@@ -87,6 +99,8 @@
 """Balancers whose polls are held at the same time; more are refused."""
 MAX_ENTRIES_PER_BATCH = 256
 """Entries in one answer to a log poll."""
+MAX_REPORTS_PER_ENTRY = 2048
+"""Reports of several homes that share an entry of the log."""
 REMEMBERED_REPORTS = 4096
 """Report ids whose outcome the leader keeps for repeated reports."""
 
@@ -119,7 +133,16 @@
     command: Command
     reply: Mailbox[CommandAnswer] | None = None
     report_id: RequestId | None = None
-    term: Term = field(default=Term(0))
+    parent: TraceParent | None = None
+    span: trace.Span = trace.INVALID_SPAN
+
+
+@dataclass(frozen=True, slots=True)
+class _Appended:
+    """Who waits for the entry at a revision, and the term that it was proposed in."""
+
+    callers: tuple[_Waiting, ...]
+    term: Term
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +168,8 @@
         timer: TimerService,
         clock: Callable[[], Seconds],
         draw: Callable[[], float],
+        metrics: Mailbox[Any] | None = None,
+        tracer: trace.Tracer | None = None,
     ) -> None:
         super().__init__(f"voter-{settings.node}", mailbox)
         self._settings = settings
@@ -154,12 +179,14 @@
         self._timer = timer
         self._clock = clock
         self._draw = draw
+        self._tracer = tracer or make_disabled_tracer()
+        self._watch = InForceWatch(metrics, self._tracer)
         self._voter = self._recover()
         self._cluster = copy_state(self._voter.snapshot.state)
         self._membership = membership.MembershipState()
         self._membership_at = Seconds(0.0)
         self._collected: list[_Waiting] = []
-        self._pending: dict[Revision, _Waiting] = {}
+        self._pending: dict[Revision, _Appended] = {}
         self._held: dict[NodeId, _HeldPoll] = {}
         self._reports: OrderedDict[RequestId, Applied | Refusal] = OrderedDict()
         self._peer_reply: Mailbox[Envelope] | None = None
@@ -207,11 +234,11 @@
             return
         first = self._voter.log.last_revision + 1
         term = self._voter.term
-        for position, waiting in enumerate(collected):
-            self._pending[Revision(first + position)] = _Waiting(
-                waiting.command, waiting.reply, waiting.report_id, term
-            )
-        commands = tuple(waiting.command for waiting in collected)
+        groups = _grouped(collected)
+        for position, group in enumerate(groups):
+            appended = _Appended(tuple(group), term)
+            self._pending[Revision(first + position)] = appended
+        commands = tuple(_command_of(group) for group in groups)
         self._decide(Proposed(commands, self._clock()))
 
     # Messages
@@ -235,6 +262,7 @@
         now = self._clock()
         self._decide(ClockTick(now, self._draw()))
         self._answer_due_polls(now)
+        self._watch.check(lambda revision: self._progress(revision, now), now)
         if now >= self._membership_at and self._is_current(now):
             self._membership_at = Seconds(now + MEMBERSHIP_PERIOD)
             self._propose_membership(membership.MembershipTick(now, self._cluster))
@@ -249,7 +277,9 @@
         if known is not None:
             message.reply.post(known)
             return
-        self._propose(_Waiting(request, message.reply))
+        span = begin_span(self._tracer, "control.commit", message.parent)
+        waiting = _Waiting(request, message.reply, parent=message.parent, span=span)
+        self._propose(waiting)
 
     @_receive.register
     def _(self, message: ReportCall) -> None:
@@ -302,7 +332,7 @@
         revision = message.revision
         if revision is None:
             revision = self._cluster.configuration_revision
-        nodes = membership.node_progress(self._membership, self._cluster, revision, now)
+        nodes = self._progress(revision, now)
         applied = revision <= self._cluster.revision
         in_force = applied and all(node.in_force for node in nodes)
         message.reply.post(InForce(revision, in_force, nodes))
@@ -428,7 +458,8 @@
         return NotLeader(self._settings.voters.get(leader))
 
     def _propose(self, waiting: _Waiting) -> None:
-        if len(self._pending) + len(self._collected) >= MAX_PENDING_COMMANDS:
+        pending = sum(len(appended.callers) for appended in self._pending.values())
+        if pending + len(self._collected) >= MAX_PENDING_COMMANDS:
             message = f"{MAX_PENDING_COMMANDS} commands wait for their commit"
             _answer(waiting, Overloaded(message))
             return
@@ -466,13 +497,27 @@
                 voter=admission.voter,
                 incarnation=admission.incarnation,
             )
-        waiting = self._pending.pop(entry.revision, None)
-        if waiting is None:
+        appended = self._pending.pop(entry.revision, None)
+        if appended is None:
             return
-        if waiting.term != entry.term:
+        for waiting in appended.callers:
+            self._finish(waiting, appended.term, entry, outcome)
+
+    def _finish(
+        self,
+        waiting: _Waiting,
+        term: Term,
+        entry: LogEntry,
+        outcome: Result[Applied, Refusal],
+    ) -> None:
+        """Answer a command whose entry, or another one in its place, was applied."""
+        if term != entry.term:
             _answer(waiting, OutcomeUnknown())
             return
+        waiting.span.end()
         answer = _value_of(outcome)
+        if isinstance(waiting.command, ChangeRequest) and isinstance(answer, Applied):
+            self._watch.committed(entry.revision, waiting.parent, self._clock())
         if waiting.report_id is not None:
             self._remember_report(waiting.report_id, answer)
         _answer(waiting, answer)
@@ -525,9 +570,14 @@
             )
         )
 
+    def _progress(self, revision: Revision, now: Seconds) -> tuple[NodeProgress, ...]:
+        return membership.node_progress(self._membership, self._cluster, revision, now)
+
     def _end_leadership(self) -> None:
-        for waiting in self._pending.values():
-            _answer(waiting, OutcomeUnknown())
+        self._watch.clear()
+        for appended in self._pending.values():
+            for waiting in appended.callers:
+                _answer(waiting, OutcomeUnknown())
         self._pending.clear()
         self._reports.clear()
         for held in self._held.values():
@@ -558,16 +608,64 @@
     timer: TimerService,
     clock: Callable[[], Seconds] = monotonic,
     draw: Callable[[], float] = random.random,
+    metrics: Mailbox[Any] | None = None,
+    tracer: trace.Tracer | None = None,
 ) -> VoterTask:
     """Task of a voter, which takes over the opened data directory.
 
     :param links: mailbox of the link to each other voter.
+    :param metrics: mailbox of the metrics task.
+    :param tracer: records the commit of traced changes.
     """
     return VoterTask(
-        settings, mailbox, storage, links, apply_command, timer, clock, draw
+        settings,
+        mailbox,
+        storage,
+        links,
+        apply_command,
+        timer,
+        clock,
+        draw,
+        metrics,
+        tracer,
     )
 
 
+def _grouped(collected: Sequence[_Waiting]) -> list[list[_Waiting]]:
+    """Proposals by entry: reports of homes that follow each other share one.
+
+    After the loss of a failure domain many homes report at the same time, and each
+    entry costs every balancer a look at its tables.
+    """
+    groups: list[list[_Waiting]] = []
+    room = 0
+    for waiting in collected:
+        shared = waiting.report_id is not None
+        size = _report_count(waiting) if shared else 0
+        if shared and size <= room:
+            groups[-1].append(waiting)
+            room -= size
+        else:
+            groups.append([waiting])
+            room = MAX_REPORTS_PER_ENTRY - size if shared else 0
+    return groups
+
+
+def _report_count(waiting: _Waiting) -> int:
+    command = waiting.command
+    return len(command.reports) if isinstance(command, ReportBatch) else 0
+
+
+def _command_of(group: Sequence[_Waiting]) -> Command:
+    if len(group) == 1:
+        return group[0].command
+    reports: list[Report] = []
+    for waiting in group:
+        assert isinstance(waiting.command, ReportBatch)
+        reports.extend(waiting.command.reports)
+    return ReportBatch(tuple(reports))
+
+
 def _answer(waiting: _Waiting, answer: CommandAnswer) -> None:
     if waiting.reply is not None:
         waiting.reply.post(answer)
--- a/src/wasabigw_demo/_system.py
+++ b/src/wasabigw_demo/_system.py
@@ -84,7 +84,7 @@
     def start_everything(self) -> None:
         """Start all processes but the callers, and put the configuration in force."""
         _processes.write_settings(self._layout)
-        self._start_nodes()
+        self.start_nodes()
         self._configure()
         self._start_backends()
 
@@ -205,7 +205,8 @@
             if self._children.wait(f"bootstrap {voter.id}", COMMAND_LIMIT) != 0:
                 self.fail(f"bootstrap of {voter.id} failed", voter.id)
 
-    def _start_nodes(self) -> None:
+    def start_nodes(self) -> None:
+        """Start the fabric, the voters and the balancers."""
         layout = self._layout
         self._say("creating the data folders of the voters")
         self.bootstrap(layout.voters, is_new_cluster=True)
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -22,7 +22,13 @@
 from wasabigw.core.cluster import Applied, Endpoint, Refusal
 from wasabigw.core.commands import ChangeRequest
 from wasabigw.core.consensus.messages import AdmissionRequest, Envelope
-from wasabigw.core.log_messages import ChangeOutcome, LogPoll, NotLeader
+from wasabigw.core.log_messages import (
+    ChangeOutcome,
+    LogBatch,
+    LogEntry,
+    LogPoll,
+    NotLeader,
+)
 from wasabigw.core.states import RefusalCode
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Task
@@ -30,11 +36,11 @@
 from wasabigw.tasks import http_server
 from wasabigw.tasks.control_plane import ControlPlane, make_control_plane
 from wasabigw.tasks.http_control import (
-    MAX_CHANGE_BYTES,
     ControlApiSettings,
     make_control_server,
 )
 from wasabigw.tasks.http_server import ApiError, HttpServer
+from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.storage import bootstrap, open_storage
 from wasabigw.tasks.voter_calls import Overloaded
 from wasabigw.tasks.voter_task import VoterSettings
@@ -119,6 +125,35 @@
             self.assertEqual(response.headers["Retry-After"], "1")
 
 
+class LargeAnswers(ApiCase):
+    """Guards against compressed bodies that a client did not ask for or cannot read."""
+
+    def poll(self, accepted: str) -> requests.Response:
+        poll = LogPoll(node("n1"), ids.Revision(0), ids.Seconds(0.0))
+        headers = {"Accept-Encoding": accepted}
+        return self.call("GET", "/v1/log", params=poll_to_query(poll), headers=headers)
+
+    def test_compressed_only_if_large_and_accepted(self) -> None:
+        entries = tuple(
+            LogEntry(ids.Revision(n), ids.Term(1), change(n)) for n in range(1, 200)
+        )
+        for kept, accepted, encoding in (
+            (entries, "gzip, deflate", "gzip"),
+            (entries, "identity", None),
+            (entries, "gzip;q=0", None),
+            (entries, "", None),
+            (entries[:1], "gzip", None),
+        ):
+            with self.subTest(entries=len(kept), accepted=accepted):
+                revision = ids.Revision(len(kept))
+                batch = LogBatch(ids.Term(1), revision, ids.Seconds(1.0), kept)
+                self.voter.answer = batch
+                response = self.poll(accepted)
+                self.assertEqual(response.headers.get("Content-Encoding"), encoding)
+                decoded = from_json(response.json(), LogBatch | NotLeader)
+                self.assertEqual(decoded.unwrap(), batch)
+
+
 class BadInput(ApiCase):
     """Guards against bad requests that are accepted or stop the server."""
 
@@ -165,7 +200,7 @@
         self.assert_error(self.call("POST", "/v1/consensus", data=body), 403)
 
     def test_body_over_the_limit(self) -> None:
-        body = b" " * (MAX_CHANGE_BYTES + 1)
+        body = b" " * (DEFAULT_LIMITS.request_body_bytes + 1)
         self.assert_error(self.call("POST", "/v1/changes", data=body), 413)
 
     def test_body_of_unknown_length(self) -> None:
@@ -180,7 +215,8 @@
         with ExitStack() as stack:
             stack.enter_context(mock.patch.object(http_server, "READ_TIMEOUT", 0.2))
             voter = stack.enter_context(FixedVoter(NotLeader(None)))
-            settings = ControlApiSettings(LOOPBACK, TOKEN, NODES, threads=1)
+            one_thread = ProcessLimits(http_threads=1)
+            settings = ControlApiSettings(LOOPBACK, TOKEN, NODES, one_thread)
             server = stack.enter_context(make_control_server(voter.mailbox, settings))
             address = (server.endpoint.address, server.endpoint.port)
             head = b"POST /v1/changes HTTP/1.1\r\nHost: x\r\n"
