--- a/src/wasabigw_measure/_bench_run.py
+++ b/src/wasabigw_measure/_bench_run.py
@@ -217,6 +217,7 @@
                 count = min(missing, 5_000)
                 sent = self.senders[0].call("open", port, self._next(name), count, 1.0)
                 self.opened[name] = self._next(name) + sent
+            self._await_silence(subject)
             full = subject.call("status")
             opened = full["records"] - empty["records"]
             if opened:
@@ -225,6 +226,16 @@
             self.results.collections[name] = full["longest_collection"]
             self.results.flows = full["records"]
 
+    def _await_silence(self, subject: Worker) -> None:
+        """Wait until a subject has handled what waits in its socket."""
+        deadline, before = time.monotonic() + WAIT, -1
+        while time.monotonic() < deadline:
+            received = subject.call("status")["received"]
+            if received == before:
+                return
+            before = received
+            time.sleep(SETTLE)
+
     def _bind(self) -> None:
         """Give each bucket several candidates and each flow a binding."""
         for name in self._balancers():
