--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -3,7 +3,7 @@
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from itertools import islice
 from typing import Any
@@ -21,7 +21,6 @@
     CandidatesAdded,
     CandidatesReleased,
     Command,
-    Report,
     ReportBatch,
 )
 from wasabigw.core.consensus import lease
@@ -88,8 +87,6 @@
 """Balancers whose polls are held at the same time; more are refused."""
 MAX_ENTRIES_PER_BATCH = 256
 """Entries in one answer to a log poll."""
-MAX_REPORTS_PER_ENTRY = 2048
-"""Reports of several homes that share an entry of the log."""
 REMEMBERED_REPORTS = 4096
 """Report ids whose outcome the leader keeps for repeated reports."""
 
@@ -122,14 +119,7 @@
     command: Command
     reply: Mailbox[CommandAnswer] | None = None
     report_id: RequestId | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class _Appended:
-    """Who waits for the entry at a revision, and the term that it was proposed in."""
-
-    callers: tuple[_Waiting, ...]
-    term: Term
+    term: Term = field(default=Term(0))
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,7 +159,7 @@
         self._membership = membership.MembershipState()
         self._membership_at = Seconds(0.0)
         self._collected: list[_Waiting] = []
-        self._pending: dict[Revision, _Appended] = {}
+        self._pending: dict[Revision, _Waiting] = {}
         self._held: dict[NodeId, _HeldPoll] = {}
         self._reports: OrderedDict[RequestId, Applied | Refusal] = OrderedDict()
         self._peer_reply: Mailbox[Envelope] | None = None
@@ -217,11 +207,11 @@
             return
         first = self._voter.log.last_revision + 1
         term = self._voter.term
-        groups = _grouped(collected)
-        for position, group in enumerate(groups):
-            appended = _Appended(tuple(group), term)
-            self._pending[Revision(first + position)] = appended
-        commands = tuple(_command_of(group) for group in groups)
+        for position, waiting in enumerate(collected):
+            self._pending[Revision(first + position)] = _Waiting(
+                waiting.command, waiting.reply, waiting.report_id, term
+            )
+        commands = tuple(waiting.command for waiting in collected)
         self._decide(Proposed(commands, self._clock()))
 
     # Messages
@@ -438,8 +428,7 @@
         return NotLeader(self._settings.voters.get(leader))
 
     def _propose(self, waiting: _Waiting) -> None:
-        pending = sum(len(appended.callers) for appended in self._pending.values())
-        if pending + len(self._collected) >= MAX_PENDING_COMMANDS:
+        if len(self._pending) + len(self._collected) >= MAX_PENDING_COMMANDS:
             message = f"{MAX_PENDING_COMMANDS} commands wait for their commit"
             _answer(waiting, Overloaded(message))
             return
@@ -477,17 +466,16 @@
                 voter=admission.voter,
                 incarnation=admission.incarnation,
             )
-        appended = self._pending.pop(entry.revision, None)
-        if appended is None:
+        waiting = self._pending.pop(entry.revision, None)
+        if waiting is None:
+            return
+        if waiting.term != entry.term:
+            _answer(waiting, OutcomeUnknown())
             return
-        for waiting in appended.callers:
-            if appended.term != entry.term:
-                _answer(waiting, OutcomeUnknown())
-                continue
-            answer = _value_of(outcome)
-            if waiting.report_id is not None:
-                self._remember_report(waiting.report_id, answer)
-            _answer(waiting, answer)
+        answer = _value_of(outcome)
+        if waiting.report_id is not None:
+            self._remember_report(waiting.report_id, answer)
+        _answer(waiting, answer)
 
     def _remember_report(
         self, report_id: RequestId, outcome: Applied | Refusal
@@ -538,9 +526,8 @@
         )
 
     def _end_leadership(self) -> None:
-        for appended in self._pending.values():
-            for waiting in appended.callers:
-                _answer(waiting, OutcomeUnknown())
+        for waiting in self._pending.values():
+            _answer(waiting, OutcomeUnknown())
         self._pending.clear()
         self._reports.clear()
         for held in self._held.values():
@@ -581,41 +568,6 @@
     )
 
 
-def _grouped(collected: Sequence[_Waiting]) -> list[list[_Waiting]]:
-    """Proposals by entry: reports of homes that follow each other share one.
-
-    After the loss of a failure domain many homes report at the same time, and each
-    entry costs every balancer a look at its tables.
-    """
-    groups: list[list[_Waiting]] = []
-    room = 0
-    for waiting in collected:
-        shared = waiting.report_id is not None
-        size = _report_count(waiting) if shared else 0
-        if shared and size <= room:
-            groups[-1].append(waiting)
-            room -= size
-        else:
-            groups.append([waiting])
-            room = MAX_REPORTS_PER_ENTRY - size if shared else 0
-    return groups
-
-
-def _report_count(waiting: _Waiting) -> int:
-    command = waiting.command
-    return len(command.reports) if isinstance(command, ReportBatch) else 0
-
-
-def _command_of(group: Sequence[_Waiting]) -> Command:
-    if len(group) == 1:
-        return group[0].command
-    reports: list[Report] = []
-    for waiting in group:
-        assert isinstance(waiting.command, ReportBatch)
-        reports.extend(waiting.command.reports)
-    return ReportBatch(tuple(reports))
-
-
 def _answer(waiting: _Waiting, answer: CommandAnswer) -> None:
     if waiting.reply is not None:
         waiting.reply.post(answer)
--- a/tests/test_voter_task.py
+++ b/tests/test_voter_task.py
@@ -26,7 +26,6 @@
 from wasabigw.core.timing import LOG_POLL_WAIT, VIEW_LEASE
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick, TimerService
-from wasabigw.tasks import voter_task
 from wasabigw.tasks.storage import Storage, bootstrap, open_storage
 from wasabigw.tasks.storage_errors import StorageError, StorageProblem
 from wasabigw.tasks.voter_calls import (
@@ -275,33 +274,6 @@
         self.assertIsInstance(first, Applied)
         self.assertEqual(self.ask(ReportCall, self.request("p1", self.down)), first)
 
-    def test_reports_of_several_homes_share_an_entry(self) -> None:
-        self.register()
-        before = self.voter._voter.log.last_revision
-        posted = [
-            self.post(ReportCall, self.request(f"p{n}", self.down)) for n in range(3)
-        ]
-        changed = self.post(ChangeCall, self.change("r1"))
-        posted.append(self.post(ReportCall, self.request("p3", self.down)))
-        self.voter.flush()
-        revisions = [self.answer(reply).revision - before for reply in posted]
-        self.assertEqual(revisions, [1, 1, 1, 3])
-        self.assertEqual(self.answer(changed).revision - before, 2)
-        [shared, *_] = self.voter._voter.log.after(before)
-        self.assertEqual(shared.command, commands.ReportBatch((self.down,) * 3))
-
-    def test_entry_of_shared_reports_is_bounded(self) -> None:
-        self.register()
-        before = self.voter._voter.log.last_revision
-        with mock.patch.object(voter_task, "MAX_REPORTS_PER_ENTRY", 4):
-            posted = [
-                self.post(ReportCall, self.request(f"p{n}", self.down, self.down))
-                for n in range(5)
-            ]
-            self.voter.flush()
-        revisions = [self.answer(reply).revision - before for reply in posted]
-        self.assertEqual(revisions, [1, 1, 2, 2, 3])
-
     def test_reports_of_the_leader_are_refused(self) -> None:
         self.ask(
             PollCall,
