--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -22,6 +22,7 @@
 """Modules that run at the same time, so that tests with timers get their share."""
 STARTED_FIRST = (
     "test_process_faults.py",
+    "test_process_resend.py",
     "test_capacity.py",
     "test_control_api.py",
 )
