--- a/src/wasabigw_verify/harness/operators.py
+++ b/src/wasabigw_verify/harness/operators.py
@@ -62,6 +62,7 @@
             self._read(RETRY)
 
     def _prepare(self, expected: Revision) -> None:
+        self._lost = None
         name = RequestId(f"change-{self._world.next_number()}")
         self._request = ChangeRequest(name, expected, self._change)
         self._send()
