Send no new flows to an overflow candidate that drains

Ruled out: the settle time; the buckets of catalogue-4 itself had moved. Change: a candidate that does not serve takes no overflow, and does not keep a bucket from getting another candidate.

--- a/src/wasabigw/core/flows/opening.py
+++ b/src/wasabigw/core/flows/opening.py
@@ -35,6 +35,8 @@
             continue
         if other.target is target:
             return None
+        if not other.target.serving:
+            continue
         key = (context.bucket, other.backend_server, other.revision)
         if context.route.seen.get(key, context.now) <= context.now - SETTLE_TIME:
             return other.target
--- a/src/wasabigw/core/transition.py
+++ b/src/wasabigw/core/transition.py
@@ -172,7 +172,7 @@
             continue
         bucket = BucketNumber(index)
         others = table.others.get(bucket, [])
-        if any(c.reason is CandidateReason.OVERFLOW for c in others):
+        if any(_relieves(candidate, receivers) for candidate in others):
             continue
         named = {candidate.backend_server for candidate in others}
         # A FORMER candidate is not converted: its reason decides where new flows
@@ -184,5 +184,11 @@
             buckets.add_candidate(table, bucket, candidate)
 
 
+def _relieves(candidate: Candidate, receivers: list[BackendServerId]) -> bool:
+    """Whether new flows can go to a candidate; one that drains takes none."""
+    overflow = candidate.reason is CandidateReason.OVERFLOW
+    return overflow and candidate.backend_server in receivers
+
+
 def _best(names: Iterable[BackendServerId], bucket: BucketNumber) -> BackendServerId:
     return max(names, key=lambda name: (buckets.score(bucket, name), name))
--- a/tests/test_flow_decisions.py
+++ b/tests/test_flow_decisions.py
@@ -338,6 +338,20 @@
             self.assertIsInstance(sim.send(flow), d.SendToBackend)
         self.assertEqual(sim.faults, [])
 
+    def test_a_draining_backend_server_takes_no_overflow(self) -> None:
+        sim = make_simulation(15)
+        sim.max_lag = 0.0
+        for balancer in sim.balancers.values():
+            balancer.admission.limit = 3
+        for _ in range(3):
+            opened(sim, "b1")
+        sim.commit(add_candidate(SEATS, "b2", CandidateReason.OVERFLOW))
+        sim.commit(drain_backend("b2"))
+        for _ in range(4):
+            sim.step(1.0)
+        event = e.FlowOpened(opened_key(sim, "b1"), SEATS, sim.time())
+        self.assertEqual(sim.carry(event), d.Refuse(RefusalReason.AT_LIMIT))
+
     def test_tables_refuse_at_their_limits(self) -> None:
         sim = make_simulation(16)
         for balancer in sim.balancers.values():
