Let moves that every fresh view includes take effect at once

Ruled out: the overflow candidates, which had been mended before. Change: a log batch names the last revision that the leader has known to be committed for SETTLE_TIME; its moves need no further delay.

--- /dev/null
+++ b/src/wasabigw/core/commit_times.py
@@ -0,0 +1,34 @@
+"""When a voter learned that entries of the log were committed."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from wasabigw.core.cluster import NO_REVISION
+from wasabigw.core.ids import Revision, Seconds
+from wasabigw.core.timing import SETTLE_TIME
+
+
+@dataclass(slots=True)
+class CommitTimes:
+    """Times of the commits within the last :data:`SETTLE_TIME`.
+
+    :param settled: last revision that has been committed for longer.
+    """
+
+    settled: Revision = NO_REVISION
+    recent: deque[tuple[Revision, Seconds]] = field(default_factory=deque)
+
+
+def note_commit(times: CommitTimes, revision: Revision, now: Seconds) -> None:
+    """Record that a revision is known to be committed."""
+    times.recent.append((revision, now))
+
+
+def settled_revision(times: CommitTimes, now: Seconds) -> Revision:
+    """Last revision known to be committed for at least :data:`SETTLE_TIME`.
+
+    Each fresh view includes it, so that its bucket moves need no further delay.
+    """
+    while times.recent and now - times.recent[0][1] >= SETTLE_TIME:
+        times.settled = times.recent.popleft()[0]
+    return times.settled
--- a/src/wasabigw/core/flows/events.py
+++ b/src/wasabigw/core/flows/events.py
@@ -121,11 +121,13 @@
     """An entry or a snapshot was applied to the replicated state.
 
     :param snapshot: the entries between the old and the new state are unknown.
+    :param settled: it was committed at least ``SETTLE_TIME`` ago.
     """
 
     cluster: ClusterState
     now: Seconds
     snapshot: bool = False
+    settled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/flows/moves.py
+++ b/src/wasabigw/core/flows/moves.py
@@ -1,6 +1,6 @@
 """When the buckets of a service moved, by the clock of this node."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from wasabigw.core.cluster import BucketTable
 from wasabigw.core.ids import BackendServerId, BucketNumber, Seconds
@@ -12,7 +12,8 @@
 class Move:
     """A bucket left a backend server.
 
-    :param at: when this node applied the move.
+    :param at: when this node applied the move, or one ``SETTLE_TIME`` earlier if it
+        was settled by then.
     :param in_doubt: the order of several earlier moves is unknown.
     """
 
@@ -34,9 +35,13 @@
     former: BackendServerId | None,
     now: Seconds,
 ) -> None:
-    """Note that a bucket left a backend server."""
+    """Note that a bucket left a backend server.
+
+    Earlier moves are no later than this one, even if they were applied later than
+    it was committed.
+    """
     recent = [
-        move
+        replace(move, at=min(move.at, now))
         for move in history.moves.get(bucket, ())
         if move.at > now - FLOW_IDLE_TIMEOUT
     ]
--- a/src/wasabigw/core/flows/routes.py
+++ b/src/wasabigw/core/flows/routes.py
@@ -144,10 +144,12 @@
     out_locally: set[FailureDomainId],
     now: Seconds,
     snapshot: bool,
+    moved_at: Seconds | None = None,
 ) -> list[Target]:
     """Bring the table to the revision of the replicated state.
 
     :param snapshot: moves before this revision are unknown.
+    :param moved_at: when the buckets moved, at the latest; ``now`` by default.
     :returns: targets that are void from now on.
     """
     void = _update_targets(table, cluster, out_locally)
@@ -157,7 +159,8 @@
     for name in replaced(cluster.services, table.seen_services):
         _update_service(table, cluster.services[name])
     for route, buckets in _outdated(table, cluster, snapshot):
-        _update_buckets(route, buckets, now, snapshot)
+        moved = now if moved_at is None else moved_at
+        _update_buckets(route, buckets, now, snapshot, moved)
     table.seen_services = dict(cluster.services)
     for name in touched & table.services.keys():
         clear_compiled(table.services[name])
@@ -316,16 +319,20 @@
 
 
 def _update_buckets(
-    route: ServiceRoute, table: BucketTable, now: Seconds, snapshot: bool
+    route: ServiceRoute,
+    table: BucketTable,
+    now: Seconds,
+    snapshot: bool,
+    moved_at: Seconds,
 ) -> None:
     route.source = table
     route.source_version = table.version
     if snapshot:
-        start_from_snapshot(route.moves, table, now)
+        start_from_snapshot(route.moves, table, moved_at)
     elif route.current != table.current:
         for index, former in enumerate(route.current):
             if former != table.current[index]:
-                record_move(route.moves, BucketNumber(index), former, now)
+                record_move(route.moves, BucketNumber(index), former, moved_at)
     if route.current != table.current:
         route.current = list(table.current)
         clear_compiled(route)
--- a/src/wasabigw/core/flows/upkeep.py
+++ b/src/wasabigw/core/flows/upkeep.py
@@ -27,6 +27,7 @@
     next_handovers,
 )
 from wasabigw.core.ids import BackendServerId, NodeId, Seconds
+from wasabigw.core.timing import SETTLE_TIME
 from wasabigw.core.view import is_fresh
 
 
@@ -39,8 +40,17 @@
     # Until the first confirmation this process replays what happened before it
     # started, so that it can't know which flows its homes have.
     known = state.view.confirmed and not event.snapshot
+    moved_at = event.now
+    if event.settled:
+        # All fresh views include the moves already.
+        moved_at = Seconds(event.now - SETTLE_TIME)
     void = update_routes(
-        state.routes, event.cluster, state.out_locally, event.now, event.snapshot
+        state.routes,
+        event.cluster,
+        state.out_locally,
+        event.now,
+        event.snapshot,
+        moved_at,
     )
     changes = update_homes(state.homes, event.cluster, event.now, known)
     for target in void:
--- a/src/wasabigw/core/log_messages.py
+++ b/src/wasabigw/core/log_messages.py
@@ -2,7 +2,14 @@
 
 from dataclasses import dataclass
 
-from wasabigw.core.cluster import Applied, ClusterState, Endpoint, Node, Refusal
+from wasabigw.core.cluster import (
+    NO_REVISION,
+    Applied,
+    ClusterState,
+    Endpoint,
+    Node,
+    Refusal,
+)
 from wasabigw.core.commands import Command, Report
 from wasabigw.core.ids import (
     BackendServerId,
@@ -48,6 +55,8 @@
     :param fresh_for: rest of the view lease at the time of the answer, counted
         from the leader's last contact with a majority.
     :param committed: last committed revision that the leader knows.
+    :param settled: last revision that the leader has known to be committed for
+        ``SETTLE_TIME``.
     """
 
     term: Term
@@ -55,6 +64,7 @@
     fresh_for: Seconds
     entries: tuple[LogEntry, ...] = ()
     snapshot: ClusterState | None = None
+    settled: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/tasks/log_application.py
+++ b/src/wasabigw/tasks/log_application.py
@@ -52,7 +52,9 @@
                 log(BalancerEvent.LOG_GAP, found=entry.revision, applied=revision)
                 break
             apply(entry.command, entry.revision, self._state.cluster)
-            decisions += handle(LogApplied(self._state.cluster, now), self._state)
+            settled = entry.revision <= batch.settled
+            applied = LogApplied(self._state.cluster, now, settled=settled)
+            decisions += handle(applied, self._state)
         self._confirm(message, now)
         if self._state.cluster.revision != before:
             changed = HomesChanged(self._state.cluster, now)
@@ -69,7 +71,9 @@
             node=self._state.node,
             revision=snapshot.revision,
         )
-        return handle(LogApplied(snapshot, now, snapshot=True), self._state)
+        settled = snapshot.revision <= batch.settled
+        applied = LogApplied(snapshot, now, snapshot=True, settled=settled)
+        return handle(applied, self._state)
 
     def _confirm(self, message: LogReceived, now: Seconds) -> None:
         batch = message.batch
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -25,6 +25,7 @@
     Command,
     ReportBatch,
 )
+from wasabigw.core.commit_times import CommitTimes, note_commit, settled_revision
 from wasabigw.core.consensus import lease
 from wasabigw.core.consensus.effects import (
     AnswerMessage,
@@ -175,6 +176,7 @@
         self._cluster = copy_state(self._voter.snapshot.state)
         self._membership = membership.MembershipState()
         self._membership_at = Seconds(0.0)
+        self._commit_times = CommitTimes()
         self._collected: list[_Waiting] = []
         self._pending: dict[Revision, _Waiting] = {}
         self._held: dict[NodeId, _HeldPoll] = {}
@@ -350,6 +352,7 @@
         if error is None:
             log(ControlEvent.SNAPSHOT_INSTALLED, revision=effect.snapshot.revision)
             self._cluster = copy_state(effect.snapshot.state)
+            note_commit(self._commit_times, effect.snapshot.revision, self._clock())
         return error
 
     @_execute.register
@@ -475,6 +478,7 @@
         return None
 
     def _apply_entry(self, entry: LogEntry) -> None:
+        note_commit(self._commit_times, entry.revision, self._clock())
         outcome = self._apply(entry.command, entry.revision, self._cluster)
         # A restarted voter passes admissions of long ago once more.
         is_new = entry.revision > self._replayed_until
@@ -543,6 +547,7 @@
                 lease.fresh_for(voter, now),
                 tuple(voter.log.after(applied, voter.committed, MAX_ENTRIES_PER_BATCH)),
                 snapshot.state if snapshot else None,
+                settled_revision(self._commit_times, now),
             )
         )
 
