Treat a silent failure domain as one that may have diverted flows

Cause: right after a partition, packets of flows that the other side had diverted reached balancers before the first answer to a ping. Ruled out: the state after the first answer, which was treated so already. Change: while a failure domain does not answer pings, mid-flow packets pass the homes, and a TCP packet that no home knows is dropped. The cost is one more hop during a partition; it is not measured. The new test failed before.

--- a/src/wasabigw/core/flows/home.py
+++ b/src/wasabigw/core/flows/home.py
@@ -188,7 +188,9 @@
     current = context.candidates.current
     if current is None or context.candidates.others:
         return None
-    if context.route.protocol is not Protocol.TCP or state.routes.healing:
+    if context.route.protocol is not Protocol.TCP:
+        return None
+    if state.routes.healing or state.routes.unreachable:
         return None
     if not is_fresh(state.view, context.now):
         return None
--- a/src/wasabigw/core/flows/routes.py
+++ b/src/wasabigw/core/flows/routes.py
@@ -370,10 +370,12 @@
 
 
 def _may_be_diverted(table: RoutingTable, target: Target | None) -> bool:
-    """Whether another failure domain may hold flows that the log does not show."""
-    if table.healing:
-        return True
-    return target is not None and target.failure_domain in table.unreachable
+    """Whether another failure domain may hold flows that the log does not show.
+
+    A failure domain that does not answer pings may have diverted flows of any
+    bucket, and their packets arrive before its first answer.
+    """
+    return target is not None and bool(table.healing or table.unreachable)
 
 
 def bucket_route(
--- a/src/wasabigw/core/flows/search.py
+++ b/src/wasabigw/core/flows/search.py
@@ -100,6 +100,9 @@
         return DropReason.AMBIGUOUS
     if udp:
         return _opening_place(context)
+    if state.routes.unreachable:
+        # It may have been diverted there, and the partition may just have ended.
+        return DropReason.HEALING
     return _owner_by_age(event, context, state)
 
 
--- a/tests/test_flow_decisions.py
+++ b/tests/test_flow_decisions.py
@@ -23,6 +23,7 @@
 from wasabigw.core.flows import events as e
 from wasabigw.core.flows.decisions import DropReason, RefusalReason
 from wasabigw.core.flows.homes import backup, home
+from wasabigw.core.flows.routes import set_reachability
 from wasabigw.core.flows.routing import handle
 from wasabigw.core.ids import BackendServerId, BootId, FlowKey, NodeId, Seconds
 from wasabigw.core.states import CandidateReason, FailureDomainState, Protocol
@@ -466,3 +467,28 @@
         reset = e.AnswerClosing(unknown, backend, sim.time(), reset=True)
         sim.carry(reset)
         self.assertEqual(owner.admission.open[backend], 1)
+
+
+class EndOfPartition(unittest.TestCase):
+    """Guards against a flow diverted by another side that gets a second server.
+
+    Its packets may arrive before the other side has answered a ping.
+    """
+
+    def test_unknown_packets_are_dropped_while_a_failure_domain_is_silent(self) -> None:
+        sim = make_simulation(22)
+        flow = opened(sim, "b1")
+        owner, other = home_of(sim, "b1"), not_home_of(sim, "b1")
+        domain = sim.any_balancer().cluster.backend_servers[BackendServerId("b1")]
+        silent = frozenset(d for d in DOMAINS if d != domain.failure_domain)
+        stranger = e.FlowData(opened_key(sim, "b1"), SEATS, sim.time())
+        known = e.FlowData(flow.key, SEATS, sim.time())
+        for balancer in (owner, other):
+            set_reachability(balancer.state.routes, silent, frozenset())
+        [passed] = handle(stranger, other.state)
+        assert isinstance(passed, d.ForwardToNode)
+        self.assertEqual(passed.node, owner.state.node)
+        forwarded = e.Forwarded(other.state.node, passed.forwarding, stranger)
+        dropped = handle(forwarded, owner.state)
+        self.assertEqual(dropped, [d.Drop(DropReason.HEALING)])
+        self.assertIsInstance(handle(known, owner.state)[0], d.SendToBackend)
