--- a/src/wasabigw_verify/harness/faults.py
+++ b/src/wasabigw_verify/harness/faults.py
@@ -1,4 +1,4 @@
-"""The faults of docs/design.md, section 1.6, as they strike a run."""
+"""The faults of docs/design.md, section 1.6, as they are injected into a run."""
 
 from collections.abc import Callable
 from enum import Enum
@@ -15,7 +15,7 @@
 from wasabigw_verify.harness.backend_servers import BackendServer
 from wasabigw_verify.harness.balancers import Balancer
 from wasabigw_verify.harness.operators import Operator
-from wasabigw_verify.harness.run import Run, Strike
+from wasabigw_verify.harness.run import Injector, Run
 from wasabigw_verify.harness.steps import Focus
 from wasabigw_verify.harness.voters import WriteFault
 from wasabigw_verify.harness.world import COURSES, DOMAINS, VOTERS
@@ -53,15 +53,15 @@
     DOMAIN_OUT_AND_BACK = "a failure domain is taken out and brought back"
 
 
-STRIKES: dict[Fault, Strike] = {}
+INJECTORS: dict[Fault, Injector] = {}
 
 
-def strikes(fault: Fault) -> Callable[[Strike], Strike]:
-    """Register the function that lets a fault strike."""
+def injector(fault: Fault) -> Callable[[Injector], Injector]:
+    """Register the function that injects a fault."""
 
-    def register(strike: Strike) -> Strike:
-        STRIKES[fault] = strike
-        return strike
+    def register(inject: Injector) -> Injector:
+        INJECTORS[fault] = inject
+        return inject
 
     return register
 
@@ -95,7 +95,7 @@
     return known or run.world.network.random.choice(DOMAINS)
 
 
-@strikes(Fault.BALANCER_DIES)
+@injector(Fault.BALANCER_DIES)
 def _(run: Run, focus: Focus) -> None:
     balancer = _balancer(run, focus)
     if balancer is None:
@@ -105,22 +105,22 @@
     run.world.network.later(DOWN_TIME, lambda: run.world.start_balancer(name, domain))
 
 
-@strikes(Fault.BALANCER_JOINS)
+@injector(Fault.BALANCER_JOINS)
 def _(run: Run, focus: Focus) -> None:
     run.join(_domain(run, focus))
 
 
-@strikes(Fault.BACKEND_SERVER_DRAINS)
+@injector(Fault.BACKEND_SERVER_DRAINS)
 def _(run: Run, focus: Focus) -> None:
     _backend_server(run, focus).drain()
 
 
-@strikes(Fault.BACKEND_SERVER_COLD)
+@injector(Fault.BACKEND_SERVER_COLD)
 def _(run: Run, focus: Focus) -> None:
     _backend_server(run, focus).restart()
 
 
-@strikes(Fault.UNEVEN_UPDATES)
+@injector(Fault.UNEVEN_UPDATES)
 def _(run: Run, focus: Focus) -> None:
     world = run.world
     network = world.network
@@ -142,7 +142,7 @@
     network.later(UNEVEN_TIME, network.slow.clear)
 
 
-@strikes(Fault.VOTER_ISOLATED)
+@injector(Fault.VOTER_ISOLATED)
 def _(run: Run, focus: Focus) -> None:
     network = run.world.network
     alone = frozenset({str(_voter(run, focus))})
@@ -151,11 +151,13 @@
     network.later(LONG_CUT, lambda: network.isolated.remove(alone))
 
 
-@strikes(Fault.OPERATORS_RACE)
+@injector(Fault.OPERATORS_RACE)
 def _(run: Run, focus: Focus) -> None:
     leader = run.world.leader()
     if leader is None:
-        run.world.network.later(0.5, lambda: STRIKES[Fault.OPERATORS_RACE](run, focus))
+        run.world.network.later(
+            0.5, lambda: INJECTORS[Fault.OPERATORS_RACE](run, focus)
+        )
         return
     seen = run.world.voters[leader].task._cluster.configuration_revision
     outcomes: list[Applied | Refusal] = []
@@ -169,14 +171,14 @@
         Operator(run.world, run.next_change(), seen, done=done)
 
 
-@strikes(Fault.CHANGE_RESENT)
+@injector(Fault.CHANGE_RESENT)
 def _(run: Run, focus: Focus) -> None:
     change = run.next_change()
     run.change(change, lost=2)
     run.change()
 
 
-@strikes(Fault.SECOND_VM_LOST)
+@injector(Fault.SECOND_VM_LOST)
 def _(run: Run, focus: Focus) -> None:
     world = run.world
     first = _voter(run, focus)
@@ -195,7 +197,7 @@
     watch()
 
 
-@strikes(Fault.DISK_EMPTIED)
+@injector(Fault.DISK_EMPTIED)
 def _(run: Run, focus: Focus) -> None:
     _lose_disk(run, _voter(run, focus), DOWN_TIME)
     run.change()
@@ -207,7 +209,7 @@
     run.world.network.later(down, lambda: run.world.start_voter(node))
 
 
-@strikes(Fault.WRITE_TORN)
+@injector(Fault.WRITE_TORN)
 def _(run: Run, focus: Focus) -> None:
     world = run.world
     node = focus.voter or world.network.random.choice(VOTERS)
@@ -222,7 +224,7 @@
     world.network.later(DOWN_TIME, restart)
 
 
-@strikes(Fault.RESTART_BEHIND)
+@injector(Fault.RESTART_BEHIND)
 def _(run: Run, focus: Focus) -> None:
     world = run.world
     node = _voter(run, focus)
@@ -253,7 +255,7 @@
     world.network.later(LONGEST_DOWN, restart)
 
 
-@strikes(Fault.SILENT_CONNECTIONS)
+@injector(Fault.SILENT_CONNECTIONS)
 def _(run: Run, focus: Focus) -> None:
     balancer = _balancer(run, focus)
     run.world.network.silence(_voter(run, focus))
@@ -262,7 +264,7 @@
     run.change()
 
 
-@strikes(Fault.DOMAIN_CUT_OFF)
+@injector(Fault.DOMAIN_CUT_OFF)
 def _(run: Run, focus: Focus) -> None:
     world = run.world
     domain = _domain(run, focus)
@@ -272,7 +274,7 @@
     world.network.later(LONG_CUT, lambda: world.network.isolated.remove(cut))
 
 
-@strikes(Fault.DOMAIN_OUT_AND_BACK)
+@injector(Fault.DOMAIN_OUT_AND_BACK)
 def _(run: Run, focus: Focus) -> None:
     domain = _domain(run, focus)
     run.change(TakeFailureDomainOut(domain))
--- a/src/wasabigw_verify/harness/run.py
+++ b/src/wasabigw_verify/harness/run.py
@@ -42,17 +42,17 @@
 PROBE_SHARE = 0.8
 """Least share of the flows opened after the fault that must be served."""
 
-Strike = Callable[["Run", Focus], None]
+Injector = Callable[["Run", Focus], None]
 
 
 @dataclass(frozen=True, slots=True)
-class Blow:
-    """A fault that strikes the first time that a step is reached.
+class Injection:
+    """A fault that is injected the first time that a step is reached.
 
     :param after: seconds after the run is armed.
     """
 
-    strike: Strike
+    inject: Injector
     step: Step
     after: float = 0.0
 
@@ -61,23 +61,23 @@
 class Run:
     """A run with faults.
 
-    :param struck: steps at which faults struck.
+    :param injected: steps at which faults were injected.
     :param problems: what went wrong apart from the promises.
     """
 
     seed: int
-    blows: Sequence[Blow]
-    struck: list[Step] = field(default_factory=list)
+    injections: Sequence[Injection]
+    injected: list[Step] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
     world: World = field(init=False)
-    _waiting: list[Blow] = field(init=False)
+    _waiting: list[Injection] = field(init=False)
     _probes: list[Session] = field(default_factory=list)
     _accepted: bool = False
     _changes: int = 0
 
     def __post_init__(self) -> None:
         self.world = World(self.seed, self._on_step)
-        self._waiting = list(self.blows)
+        self._waiting = list(self.injections)
 
     def execute(self) -> list[str]:
         """Run to the end; what went wrong, nothing if all is well."""
@@ -134,8 +134,8 @@
         later = world.network.later
         later(4.5, self._traffic)
         later(STIMULUS_AT, self.change)
-        for blow in self.blows:
-            later(STIMULUS_AT + blow.after, self._stimulate(blow))
+        for injection in self.injections:
+            later(STIMULUS_AT + injection.after, self._stimulate(injection))
         later(PROBES_FROM, self._last_change)
         later(7.0, self.change)
 
@@ -160,7 +160,7 @@
             self._probes.append(session)
         network.later(draw.expovariate(1 / SESSION_INTERVAL), self._traffic)
 
-    def _stimulate(self, blow: Blow) -> Callable[[], None]:
+    def _stimulate(self, injection: Injection) -> Callable[[], None]:
         """Action that leads to the step of a fault, if it does not come anyway."""
 
         def drain() -> None:
@@ -170,11 +170,11 @@
             for number in range(SNAPSHOT_INTERVAL):
                 self.world.network.later(0.05 * number, self.change)
 
-        if blow.step in (Step.HANDOVER_BEGUN, Step.HANDOVER_ENDED):
+        if injection.step in (Step.HANDOVER_BEGUN, Step.HANDOVER_ENDED):
             return drain
-        if blow.step is Step.SNAPSHOT_WRITTEN:
+        if injection.step is Step.SNAPSHOT_WRITTEN:
             return send_changes
-        if blow.step is Step.START_UP:
+        if injection.step is Step.START_UP:
             return lambda: self.join(DOMAINS[1])
         return self.change
 
@@ -192,11 +192,11 @@
 
     def _on_step(self, step: Step, focus: Focus) -> None:
         now = self.world.network.now
-        for blow in list(self._waiting):
-            if blow.step is step and now >= ARMED_AT + blow.after:
-                self._waiting.remove(blow)
-                self.struck.append(step)
-                blow.strike(self, focus)
+        for injection in list(self._waiting):
+            if injection.step is step and now >= ARMED_AT + injection.after:
+                self._waiting.remove(injection)
+                self.injected.append(step)
+                injection.inject(self, focus)
 
     # Verdict
 
--- a/src/wasabigw_verify/harness/steps.py
+++ b/src/wasabigw_verify/harness/steps.py
@@ -1,4 +1,4 @@
-"""Steps of a run at which a fault can strike."""
+"""Steps of a run at which a fault can be injected."""
 
 from dataclasses import dataclass
 from enum import Enum
@@ -7,7 +7,7 @@
 
 
 class Step(Enum):
-    """What happens when the fault strikes."""
+    """What happens when the fault is injected."""
 
     FLOW_OPENING = "flow opening"
     REQUEST_SENT = "request sent"
--- a/src/wasabigw_verify/matrix.py
+++ b/src/wasabigw_verify/matrix.py
@@ -17,8 +17,8 @@
 
 from absl import logging
 
-from wasabigw_verify.harness.faults import STRIKES, Fault
-from wasabigw_verify.harness.run import Blow, Run
+from wasabigw_verify.harness.faults import INJECTORS, Fault
+from wasabigw_verify.harness.run import Injection, Run
 from wasabigw_verify.harness.steps import Step
 from wasabigw_verify.matrix_page import render
 
@@ -30,11 +30,11 @@
 SEED = 1
 PAIR_SEED = 7
 SECOND_AFTER = 1.5
-"""Seconds after which the second fault of a pair may strike."""
+"""Seconds after which the second fault of a pair may be injected."""
 PROCESSES = 4
 
 CANNOT_OCCUR: dict[tuple[Fault, Step], str] = {}
-"""Why a fault can't strike at a step, in one sentence."""
+"""Why a fault can't be injected at a step, in one sentence."""
 
 
 class Outcome(Enum):
@@ -48,16 +48,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Cell:
-    """Faults and the steps at which they strike, in this order."""
+    """Faults and the steps at which they are injected, in this order."""
 
-    blows: tuple[tuple[Fault, Step], ...]
+    injections: tuple[tuple[Fault, Step], ...]
     seed: int
 
     @property
     def name(self) -> str:
         """Name in the page and in KNOWN-RED.txt."""
-        blows = ", then ".join(f"{f.value} at {s.value}" for f, s in self.blows)
-        return f"{blows} (seed {self.seed})"
+        injections = ", then ".join(
+            f"{f.value} at {s.value}" for f, s in self.injections
+        )
+        return f"{injections} (seed {self.seed})"
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,22 +87,26 @@
     steps = list(Step)
     cells = []
     for first, second in combinations_with_replacement(Fault, 2):
-        blows = ((first, draw.choice(steps)), (second, draw.choice(steps)))
-        cells.append(Cell(blows, draw.randrange(1, 1000)))
+        injections = ((first, draw.choice(steps)), (second, draw.choice(steps)))
+        cells.append(Cell(injections, draw.randrange(1, 1000)))
     return cells
 
 
 def run_cell(cell: Cell) -> Verdict:
     """Run a cell to its end."""
-    reasons = [CANNOT_OCCUR[blow] for blow in cell.blows if blow in CANNOT_OCCUR]
+    reasons = [
+        CANNOT_OCCUR[injection]
+        for injection in cell.injections
+        if injection in CANNOT_OCCUR
+    ]
     if reasons:
         return Verdict(cell, Outcome.CANNOT_OCCUR, reasons[0])
     logging.set_verbosity(logging.FATAL)
-    blows = [
-        Blow(STRIKES[fault], step, position * SECOND_AFTER)
-        for position, (fault, step) in enumerate(cell.blows)
+    injections = [
+        Injection(INJECTORS[fault], step, position * SECOND_AFTER)
+        for position, (fault, step) in enumerate(cell.injections)
     ]
-    run = Run(cell.seed, blows)
+    run = Run(cell.seed, injections)
     problems = run.execute()
     digest = zlib.crc32(repr(run.world.record).encode())
     if problems:
--- a/src/wasabigw_verify/matrix_page.py
+++ b/src/wasabigw_verify/matrix_page.py
@@ -13,11 +13,11 @@
 # Fault matrix
 
 Written by `make fault-matrix`; do not edit. Each row is a fault of section 1.6 of
-[the design page](design.md), each column a step. The fault strikes the processes that
-take part in the step, when the step is first reached after the warm-up. Every cell runs
-with a fixed seed and with traffic before, during and after the fault. It passes if all
-ten promises hold in the record of the run, a change is accepted after the fault, and at
-least 80% of the flows to each service that open after it are served.
+[the design page](design.md), each column a step. The fault is injected into the
+processes that take part in the step, when the step is first reached after the warm-up.
+Every cell runs with a fixed seed and with traffic before, during and after the fault. It
+passes if all ten promises hold in the record of the run, a change is accepted after the
+fault, and at least 80% of the flows to each service that open after it are served.
 """
 
 LIMITS = """\
@@ -31,7 +31,8 @@
 - All flows are TCP. Balancers and callers have one clock.
 - A backend server that turns cold announces a new boot id; one that loses its caches
   without a restart is not part of the runs.
-- A second fault strikes from 1.5 s after the first; more than two never occur together.
+- A second fault is injected from 1.5 s after the first; more than two never occur
+  together.
 - Idle timeouts (300 s) do not elapse within a run of 44 s.
 """
 
@@ -59,7 +60,7 @@
 
 
 def _table(singles: Sequence["Verdict"]) -> str:
-    found = {verdict.cell.blows[0]: verdict.outcome.value for verdict in singles}
+    found = {verdict.cell.injections[0]: verdict.outcome.value for verdict in singles}
     lines = [
         "| fault | " + " | ".join(step.value for step in Step) + " |",
         "|---|" + "---|" * len(Step),
--- a/src/wasabigw_verify/sessions/deployed.py
+++ b/src/wasabigw_verify/sessions/deployed.py
@@ -30,7 +30,7 @@
 
 
 def _ignore(step: Step, focus: Focus) -> None:
-    """Nothing strikes at a step."""
+    """No fault is injected at a step."""
 
 
 class DeployedWorld(World):
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -19,6 +19,6 @@
         self.assertEqual(matrix.PAGE.read_text(encoding="utf-8"), page)
 
     def test_the_same_cell_gives_the_same_record(self) -> None:
-        blow = (Fault.BALANCER_DIES, Step.REQUEST_SENT)
-        cell = matrix.Cell((blow,), 3)
+        injection = (Fault.BALANCER_DIES, Step.REQUEST_SENT)
+        cell = matrix.Cell((injection,), 3)
         self.assertEqual(matrix.run_cell(cell), matrix.run_cell(cell))
