Spread the packets of each flow of the demonstration over balancers

Cause: short flows could use one balancer only by chance, and the balancer that got an answer from the fabric was not counted if another one passed it on. Change: the fabric of the demonstration never sends two packets in a row of one caller's endpoint to the same balancer; balancers count where the fabric sends.

--- a/src/wasabigw_demo/_commands.py
+++ b/src/wasabigw_demo/_commands.py
@@ -21,6 +21,7 @@
 class TrafficOptions:
     """What the stand-ins do to packets, and which flows the callers open.
 
+    :param spread: whether no two packets of a flow in a row go to one balancer.
     :param traffic_seconds: time in which callers open flows.
     :param long_seconds: duration of each long flow.
     :param short_rate: short TCP flows per second of each caller.
@@ -31,6 +32,7 @@
     drop: float = 0.0
     duplicate: float = 0.0
     delay: float = 0.0
+    spread: bool = False
     traffic_seconds: float = 22.0
     long_seconds: float = 19.0
     short_rate: float = 5.0
@@ -74,6 +76,7 @@
         *("--duplicate", str(options.duplicate)),
         *("--delay", str(options.delay)),
         *("--seed", str(options.seed)),
+        *(("--spread",) if options.spread else ()),
     ]
 
 
--- a/src/wasabigw_demo/_outcome.py
+++ b/src/wasabigw_demo/_outcome.py
@@ -134,7 +134,8 @@
 def _sprayed(outcome: Outcome) -> Check:
     several = sum(len(flow.balancers) > 1 for flow in outcome.flows)
     detail = f"{several} of {len(outcome.flows)} flows used more than one balancer"
-    return Check("packets sprayed over balancers", several > 0, detail)
+    passed = several == len(outcome.flows) > 0
+    return Check("packets sprayed over balancers", passed, detail)
 
 
 def _one_backend_server(outcome: Outcome) -> Check:
--- a/src/wasabigw_demo/fabric.py
+++ b/src/wasabigw_demo/fabric.py
@@ -234,6 +234,9 @@
         float, typer.Option(min=0, help="Seconds until a gone balancer is noticed.")
     ] = 1.0,
     seed: Annotated[int, typer.Option(help="Seed of its random numbers.")] = 1,
+    spread: Annotated[
+        bool, typer.Option("--spread", help="Each packet of a flow to a new balancer.")
+    ] = False,
 ) -> None:
     """Carry Geneve frames between hosts and balancers until SIGTERM or SIGINT."""
     named = [parse_named_endpoint(text) for text in balancer]
@@ -245,6 +248,7 @@
         generator=random.Random(seed),
         faults=Faults(drop, duplicate, Seconds(delay)),
         health_delay=Seconds(health_delay),
+        spread=spread,
     )
     end = threading.Event()
     _install_signals(end)
--- a/src/wasabigw_demo/fabric_core.py
+++ b/src/wasabigw_demo/fabric_core.py
@@ -52,7 +52,7 @@
 
 @dataclass(slots=True)
 class FlowUse:
-    """Which balancers carried the packets of a flow, and to which servers."""
+    """Which balancers got the packets of a flow from the fabric, by direction."""
 
     forward: Counter[NodeId] = field(default_factory=Counter)
     back: Counter[NodeId] = field(default_factory=Counter)
@@ -67,6 +67,9 @@
     :param services: ranges of the service addresses.
     :param backend_servers: ranges whose packets go through a balancer.
     :param health_delay: time in which a balancer that is gone still gets packets.
+    :param spread: two packets in a row of one caller's endpoint never go to the same
+        balancer, so that each flow is seen to use several.
+    :param last: balancer that got the last packet of a caller's endpoint.
     """
 
     balancers: dict[NodeId, Endpoint]
@@ -76,6 +79,9 @@
     generator: random.Random
     faults: Faults = Faults()
     health_delay: Seconds = HEALTH_DELAY
+    spread: bool = False
+    last: dict[tuple[int, Endpoint], NodeId] = field(default_factory=dict)
+    names_of_callers: dict[tuple[int, Endpoint], FlowName] = field(default_factory=dict)
     leaving: dict[NodeId, Seconds] = field(default_factory=dict)
     names: dict[Endpoint, NodeId] = field(default_factory=dict)
     flows: defaultdict[FlowName, FlowUse] = field(
@@ -146,7 +152,7 @@
         return None
     addresses = decoded.unwrap()
     if source in state.names:
-        return _from_balancer(addresses, state.names[source], state)
+        return _from_balancer(addresses, state)
     to_service = _within(addresses.destination, state.services)
     if to_service or _within(addresses.source, state.backend_servers):
         return _spray(addresses, to_service, state)
@@ -159,20 +165,33 @@
     if not state.balancers:
         state.dropped["no balancer"] += 1
         return None
-    balancer = state.generator.choice(list(state.balancers))
+    caller = addresses.source if to_service else addresses.destination
+    balancer = _choose((addresses.protocol, caller), state)
+    flow = (addresses.protocol, caller)
     if to_service:
         name = FlowName(addresses.protocol, addresses.source, addresses.destination)
         state.flows[name].forward[balancer] += 1
+        state.names_of_callers[flow] = name
+    elif flow in state.names_of_callers:
+        state.flows[state.names_of_callers[flow]].back[balancer] += 1
     return state.balancers[balancer]
 
 
+def _choose(caller: tuple[int, Endpoint], state: FabricState) -> NodeId:
+    choices = list(state.balancers)
+    if state.spread and len(choices) > 1:
+        last = state.last.get(caller)
+        choices = [balancer for balancer in choices if balancer != last]
+    chosen = state.generator.choice(choices)
+    if state.spread:
+        state.last[caller] = chosen
+    return chosen
+
+
 def _from_balancer(
-    addresses: wire.PacketAddresses, balancer: NodeId, state: FabricState
+    addresses: wire.PacketAddresses, state: FabricState
 ) -> Endpoint | None:
-    if _within(addresses.source, state.services):
-        name = FlowName(addresses.protocol, addresses.destination, addresses.source)
-        state.flows[name].back[balancer] += 1
-    elif _within(addresses.destination, state.backend_servers):
+    if _within(addresses.destination, state.backend_servers):
         flow = (addresses.protocol, addresses.source)
         state.servers[flow].add(addresses.destination)
     return _host_of(addresses.destination, state)
--- a/src/wasabigw_demo/launcher.py
+++ b/src/wasabigw_demo/launcher.py
@@ -68,7 +68,7 @@
 
 def _run(layout: Layout, options: DemoOptions, deadline: Seconds) -> Observed:
     traffic = TrafficOptions(
-        options.seed, options.drop, options.duplicate, options.delay
+        options.seed, options.drop, options.duplicate, options.delay, spread=True
     )
     with System(layout, traffic, say) as system:
         system.start_everything()
--- a/tests/test_demo_fabric.py
+++ b/tests/test_demo_fabric.py
@@ -65,6 +65,18 @@
         }
         self.assertEqual(targets, set(BALANCERS.values()))
 
+    def test_spread_sends_the_answer_to_another_balancer_than_the_request(
+        self,
+    ) -> None:
+        """Guards against a short flow that is seen to use one balancer only."""
+        state = make_state()
+        state.spread = True
+        for _ in range(60):
+            [sent] = fabric_core.route(frame(CALLER, SERVICE), CALLER_HOST, state, NOW)
+            back = frame(BACKEND, CALLER)
+            [answer] = fabric_core.route(back, BACKEND_HOST, state, NOW)
+            self.assertNotEqual(sent.to, answer.to)
+
     def test_packets_of_balancers_go_to_the_inner_destination(self) -> None:
         state = make_state()
         source = BALANCERS[NodeId("balancer-1")]
