--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from tests.worker import KNOWN_RED, ModuleResult, known_red
+from tests.worker import CELL_PREFIX, KNOWN_RED, ModuleResult, known_red
 
 TESTS = Path(__file__).resolve().parent
 MAX_WORKERS = 4
@@ -115,6 +115,8 @@
         print("\n".join(texts))
     for name in sorted(known_red(root)):
         print(f"known red: {name}")
+    for name in sorted(known_red(root, CELL_PREFIX)):
+        print(f"known red cell of the fault matrix: {name}")
 
 
 def main() -> int:
--- a/tests/worker.py
+++ b/tests/worker.py
@@ -14,6 +14,7 @@
 
 KNOWN_RED = "KNOWN-RED.txt"
 TEST_PREFIX = "test: "
+CELL_PREFIX = "cell: "
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,16 +29,14 @@
     known_red: str
 
 
-def known_red(root: Path) -> frozenset[str]:
-    """Dotted names of the tests that may fail."""
+def known_red(root: Path, prefix: str = TEST_PREFIX) -> frozenset[str]:
+    """Names of the tests, or of the cells of the fault matrix, that may fail."""
     path = root / KNOWN_RED
     if not path.exists():
         return frozenset()
     lines = path.read_text(encoding="utf-8").splitlines()
     return frozenset(
-        line.removeprefix(TEST_PREFIX).strip()
-        for line in lines
-        if line.startswith(TEST_PREFIX)
+        line.removeprefix(prefix).strip() for line in lines if line.startswith(prefix)
     )
 
 
