--- a/src/wasabigw/tasks/http_bodies.py
+++ b/src/wasabigw/tasks/http_bodies.py
@@ -62,7 +62,7 @@
     if not isinstance(text, str):
         return None
     address, separator, port = text.rpartition(":")
-    if not separator or not address or not _is_number(port) or len(port) > 5:
+    if not separator or not address or not is_number(port) or len(port) > 5:
         return None
     if not 0 < int(port) <= MAX_PORT:
         return None
@@ -71,7 +71,7 @@
 
 def _read_body(limit: int) -> Result[bytes, str]:
     text = cherrypy.request.headers.get("Content-Length", "")
-    if not _is_number(text):
+    if not is_number(text):
         return Failure("the header Content-Length must give the size of the body")
     length = int(text)
     if length > limit:
@@ -89,5 +89,6 @@
     return Success(data)
 
 
-def _is_number(text: Any) -> bool:
+def is_number(text: Any) -> bool:
+    """Whether a text of a request is a whole number in ASCII digits."""
     return isinstance(text, str) and text.isascii() and text.isdecimal()
--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -33,6 +33,7 @@
 from wasabigw.tasks.http_bodies import (
     bad_request,
     has_token,
+    is_number,
     read_message,
     retry_later,
     unauthorized,
@@ -156,7 +157,7 @@
             return unauthorized()
         wanted: Revision | None = None
         if revision is not None:
-            if not _is_number(revision):
+            if not is_number(revision):
                 return bad_request("parameter revision must be a whole number")
             wanted = Revision(int(revision))
         return self._call(InForceCall(wanted, reply_mailbox("in-force")), READ_TIMEOUT)
@@ -338,10 +339,6 @@
     return parse_traceparent(text).value_or(None)
 
 
-def _is_number(text: Any) -> bool:
-    return isinstance(text, str) and text.isascii() and text.isdecimal()
-
-
 def _id_problem(name: str, value: str) -> str | None:
     if 0 < len(value) <= MAX_ID_LENGTH:
         return None
