Add declared configurations and registrations of boots to the replicated state

Cause: on the users' platform, operators declare a whole configuration under a version, and backend servers are reached by a number in each packet, which must name one boot and never lead to another.

Change: orders that hold whatever the configuration was before; a declared document, kept as it was written; registrations with a tag for each boot, and the leases that a leader keeps of them.

--- a/src/wasabigw/codec/messages.py
+++ b/src/wasabigw/codec/messages.py
@@ -32,6 +32,7 @@
 
 _UNIONS: tuple[Any, ...] = (
     commands.Change,
+    commands.OrderedChange,
     commands.Report,
     commands.Command,
     cluster.Applied | cluster.Refusal,
--- a/src/wasabigw/core/apply.py
+++ b/src/wasabigw/core/apply.py
@@ -7,7 +7,15 @@
 from wasabigw.core.apply_changes import apply_change
 from wasabigw.core.apply_reports import apply_report
 from wasabigw.core.cluster import Applied, ClusterState, Refusal
-from wasabigw.core.commands import ChangeRequest, Command, LeaderElected, ReportBatch
+from wasabigw.core.commands import (
+    Change,
+    ChangeRequest,
+    Command,
+    LeaderElected,
+    Order,
+    OrderedChange,
+    ReportBatch,
+)
 from wasabigw.core.endpoints import Problem
 from wasabigw.core.ids import Revision
 from wasabigw.core.states import RefusalCode
@@ -59,13 +67,24 @@
     return outcome
 
 
+@_apply.register
+def _(command: Order, revision: Revision, state: ClusterState) -> Outcome:
+    return _carry_out(command.change, revision, state)
+
+
 def _apply_change(
     command: ChangeRequest, revision: Revision, state: ClusterState
 ) -> Outcome:
     if command.expected_revision != state.configuration_revision:
         return Failure(_refusal(_conflict(command, state), state))
+    return _carry_out(command.change, revision, state)
+
+
+def _carry_out(
+    change: Change | OrderedChange, revision: Revision, state: ClusterState
+) -> Outcome:
     transition = Transition(state, revision)
-    outcome = apply_change(command.change, transition)
+    outcome = apply_change(change, transition)
     if not isinstance(outcome, Success):
         return Failure(_refusal(outcome.failure(), state))
     transition.finish()
--- a/src/wasabigw/core/apply_changes.py
+++ b/src/wasabigw/core/apply_changes.py
@@ -31,7 +31,9 @@
 
 
 @singledispatch
-def apply_change(change: commands.Change, transition: Transition) -> Outcome:
+def apply_change(
+    change: commands.Change | commands.OrderedChange, transition: Transition
+) -> Outcome:
     """Check a change and, if nothing is wrong, carry it out."""
     raise TypeError(f"no rule for the change {type(change).__name__}")
 
@@ -124,6 +126,14 @@
     return _DONE
 
 
+@apply_change.register
+def _(change: commands.DeclareConfiguration, transition: Transition) -> Outcome:
+    state = transition.state
+    if state.declared is None or change.document.version > state.declared.version:
+        state.declared = change.document
+    return _DONE
+
+
 @apply_change.register
 def _(change: commands.DrainBackendServer, transition: Transition) -> Outcome:
     state = transition.state
--- a/src/wasabigw/core/apply_reports.py
+++ b/src/wasabigw/core/apply_reports.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from functools import singledispatch
 
-from wasabigw.core import buckets, commands
+from wasabigw.core import buckets, commands, registrations
 from wasabigw.core.cluster import BackendServer, BucketTable, Candidate, endpoint_key
 from wasabigw.core.endpoints import registration_problem
 from wasabigw.core.ids import BackendServerId, BootId, BucketNumber, Revision
@@ -143,6 +143,21 @@
         del transition.state.quarantine[key]
 
 
+@apply_report.register
+def _(report: commands.BootAnnounced, transition: Transition) -> None:
+    registrations.register_boot(report, transition.state.registry)
+
+
+@apply_report.register
+def _(report: commands.BootSilent, transition: Transition) -> None:
+    registrations.silence_boot(report.id, report.tag, transition.state.registry)
+
+
+@apply_report.register
+def _(report: commands.BootsForgotten, transition: Transition) -> None:
+    registrations.forget_boots(report.tags, transition.state.registry)
+
+
 def _registered(
     report: commands.BackendServerUp, index: int, step: int
 ) -> BackendServer:
--- a/src/wasabigw/core/cluster.py
+++ b/src/wasabigw/core/cluster.py
@@ -10,13 +10,16 @@
     BackendServerId,
     BootId,
     BucketNumber,
+    CompressedText,
     FailureDomainId,
     Incarnation,
     NodeId,
     RegionId,
     RequestId,
     Revision,
+    Seconds,
     ServiceId,
+    Tag,
 )
 from wasabigw.core.states import (
     BackendServerState,
@@ -26,6 +29,7 @@
     NodeState,
     Protocol,
     RefusalCode,
+    RegistrationState,
 )
 from wasabigw.core.timing import FULL_STEP
 
@@ -127,6 +131,57 @@
     version: int = field(default=0, compare=False, repr=False)
 
 
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """One boot of a backend server that is reached by its tag.
+
+    :param started_at: when the boot started, in Unix milliseconds of its own clock;
+        of two boots of one id or at one endpoint, the later one is alive.
+    :param silent: it has not announced itself for a lease; its flows go on, but it
+        gets no new ones.
+    :param cold_for: how long after its last change it bears only a few new flows.
+    """
+
+    tag: Tag
+    id: BackendServerId
+    service: ServiceId
+    failure_domain: FailureDomainId
+    endpoint: Endpoint
+    started_at: int
+    slots: int
+    state: RegistrationState = RegistrationState.SERVING
+    silent: bool = False
+    cold_for: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
+
+
+@dataclass(slots=True)
+class Registry:
+    """Registered boots of backend servers that are reached by tags.
+
+    :param current: latest boot of each backend server, unless it has ended.
+    :param ended: boots whose flows may not have been given up by their callers yet.
+    :param owners: backend server whose current boot uses an endpoint.
+    :param next_tag: tag of the next boot; no tag is used twice.
+    """
+
+    current: dict[BackendServerId, Registration] = field(default_factory=dict)
+    ended: list[Registration] = field(default_factory=list)
+    owners: dict[str, BackendServerId] = field(default_factory=dict)
+    next_tag: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class DeclaredDocument:
+    """Configuration as an operator declared it.
+
+    :param version: the highest one is in force.
+    :param text: the document as it was written, compressed.
+    """
+
+    version: int
+    text: CompressedText
+
+
 @dataclass(frozen=True, slots=True)
 class Applied:
     """A command took effect at a revision.
@@ -178,6 +233,8 @@
     quarantine: dict[str, Quarantine] = field(default_factory=dict)
     requests: dict[RequestId, Applied | Refusal] = field(default_factory=dict)
     next_backend_index: int = 0
+    declared: DeclaredDocument | None = None
+    registry: Registry = field(default_factory=Registry)
 
 
 def endpoint_key(endpoint: Endpoint) -> str:
--- a/src/wasabigw/core/commands.py
+++ b/src/wasabigw/core/commands.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from wasabigw.core.cluster import (
+    DeclaredDocument,
     Endpoint,
     FailureDomain,
     Node,
@@ -17,7 +18,9 @@
     NodeId,
     RequestId,
     Revision,
+    Seconds,
     ServiceId,
+    Tag,
 )
 from wasabigw.core.states import BackendServerState, CandidateReason
 
@@ -87,6 +90,13 @@
     failure_domains: tuple[FailureDomain, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class DeclareConfiguration:
+    """Declares a whole configuration; takes effect if its version is the highest."""
+
+    document: DeclaredDocument
+
+
 Change = (
     CreateService
     | UpdateService
@@ -99,6 +109,8 @@
     | ReplaceConfiguration
 )
 
+OrderedChange = DeclareConfiguration | TakeFailureDomainOut | BringFailureDomainBack
+
 
 @dataclass(frozen=True, slots=True)
 class ChangeRequest:
@@ -113,6 +125,16 @@
     change: Change
 
 
+@dataclass(frozen=True, slots=True)
+class Order:
+    """An operator's change that holds whatever the configuration was before.
+
+    Such changes are idempotent, so a repetition needs no id to be recognised.
+    """
+
+    change: OrderedChange
+
+
 @dataclass(frozen=True, slots=True)
 class BackendServerUp:
     """A backend server announced itself to its home."""
@@ -224,6 +246,39 @@
     since: Revision
 
 
+@dataclass(frozen=True, slots=True)
+class BootAnnounced:
+    """A backend server that is reached by its tag announced itself.
+
+    :param started_at: start of the boot in Unix milliseconds of its own clock.
+    :param cold_for: how long it bears only a few new flows from now on.
+    """
+
+    id: BackendServerId
+    service: ServiceId
+    failure_domain: FailureDomainId
+    endpoint: Endpoint
+    started_at: int
+    slots: int
+    draining: bool
+    cold_for: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class BootSilent:
+    """A boot has not announced itself for a lease, or said that it ends."""
+
+    id: BackendServerId
+    tag: Tag
+
+
+@dataclass(frozen=True, slots=True)
+class BootsForgotten:
+    """No flow can name these ended or silent boots any more."""
+
+    tags: tuple[Tag, ...]
+
+
 Report = (
     BackendServerUp
     | BackendServerDown
@@ -237,6 +292,9 @@
     | NodeSuspected
     | VoterAdmitted
     | EndpointReleased
+    | BootAnnounced
+    | BootSilent
+    | BootsForgotten
 )
 
 
@@ -254,4 +312,4 @@
     leader: NodeId
 
 
-Command = ChangeRequest | ReportBatch | LeaderElected
+Command = ChangeRequest | Order | ReportBatch | LeaderElected
--- a/src/wasabigw/core/copying.py
+++ b/src/wasabigw/core/copying.py
@@ -1,6 +1,6 @@
 """Copies of the replicated state that later commands do not change."""
 
-from wasabigw.core.cluster import BucketTable, ClusterState
+from wasabigw.core.cluster import BucketTable, ClusterState, Registry
 
 
 def copy_state(state: ClusterState) -> ClusterState:
@@ -17,9 +17,20 @@
         quarantine=dict(state.quarantine),
         requests=dict(state.requests),
         next_backend_index=state.next_backend_index,
+        declared=state.declared,
+        registry=_copy_registry(state.registry),
     )
 
 
 def _copy_table(table: BucketTable) -> BucketTable:
     others = {bucket: list(found) for bucket, found in table.others.items()}
     return BucketTable(list(table.current), others)
+
+
+def _copy_registry(registry: Registry) -> Registry:
+    return Registry(
+        current=dict(registry.current),
+        ended=list(registry.ended),
+        owners=dict(registry.owners),
+        next_tag=registry.next_tag,
+    )
--- /dev/null
+++ b/src/wasabigw/core/declaration.py
@@ -0,0 +1,114 @@
+"""Configuration that operators declare as one versioned document.
+
+A listener is an address to which callers open flows; it names the services that
+take them. The replicated state keeps the document as the operator wrote it, so that
+it can be returned unchanged; a front end turns it into a :class:`Declaration`.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from wasabigw.core.cluster import Endpoint, endpoint_key
+from wasabigw.core.endpoints import malformed
+from wasabigw.core.ids import Seconds, ServiceId
+
+DEFAULT_IDLE_TIMEOUT = Seconds(15.0)
+"""Idle time after which a flow may be forgotten, unless the document has one."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """A service that takes a part of a listener's new flows.
+
+    :param weight: its part in relation to the other shares; 0 takes none.
+    """
+
+    service: ServiceId
+    weight: int
+
+
+@dataclass(frozen=True, slots=True)
+class Listener:
+    """An address to which callers open flows.
+
+    :param request_timeout: time that a request on such a flow may take.
+    """
+
+    endpoint: Endpoint
+    shares: tuple[ServiceShare, ...]
+    request_timeout: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class DeclaredService:
+    """A service and what its backend servers bear.
+
+    :param cold_rate: new flows per second that a cold backend server bears.
+    """
+
+    id: ServiceId
+    cold_rate: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Declaration:
+    """A declared configuration.
+
+    :param version: the highest one is in force.
+    """
+
+    version: int
+    listeners: tuple[Listener, ...]
+    services: tuple[DeclaredService, ...]
+    idle_timeout: Seconds = DEFAULT_IDLE_TIMEOUT
+
+
+def declaration_problems(declaration: Declaration) -> tuple[str, ...]:
+    """Everything that makes a declaration invalid, one line each."""
+    problems: list[str] = []
+    if declaration.version < 0:
+        problems.append(f"version {declaration.version} must be 0 or more")
+    problems.extend(_repeated_services(declaration))
+    problems.extend(_repeated_endpoints(declaration))
+    known = {service.id for service in declaration.services}
+    for listener in declaration.listeners:
+        problems.extend(_listener_problems(listener, known))
+    return tuple(problems)
+
+
+def _repeated_services(declaration: Declaration) -> list[str]:
+    counts = Counter(service.id for service in declaration.services)
+    return [
+        f"service {name!r} is declared {count} times; declare it once"
+        for name, count in counts.items()
+        if count > 1
+    ]
+
+
+def _repeated_endpoints(declaration: Declaration) -> list[str]:
+    counts = Counter(listener.endpoint for listener in declaration.listeners)
+    return [
+        f"{count} listeners use {endpoint_key(endpoint)}; give each its own address "
+        "or port"
+        for endpoint, count in counts.items()
+        if count > 1
+    ]
+
+
+def _listener_problems(listener: Listener, known: set[ServiceId]) -> list[str]:
+    where = f"listener {endpoint_key(listener.endpoint)}"
+    wrong = malformed(listener.endpoint)
+    if wrong is not None:
+        return [f"{where}: {wrong}"]
+    problems = [
+        f"{where} names the service {share.service!r}, which is not declared"
+        for share in listener.shares
+        if share.service not in known
+    ]
+    if any(share.weight < 0 for share in listener.shares):
+        problems.append(f"{where} has a negative weight; use 0 or more")
+    elif not any(share.weight > 0 for share in listener.shares):
+        problems.append(f"{where} sends its flows to no service; give one a weight")
+    if listener.request_timeout <= 0:
+        problems.append(f"{where} needs a request timeout above 0 s")
+    return problems
--- a/src/wasabigw/core/ids.py
+++ b/src/wasabigw/core/ids.py
@@ -21,3 +21,8 @@
 Term = NewType("Term", int)
 Seconds = NewType("Seconds", float)
 """Monotonic time of one process, or a duration."""
+Tag = NewType("Tag", int)
+"""Number that names one boot of a backend server in the packets of its flows; 0 names
+none."""
+CompressedText = NewType("CompressedText", str)
+"""Base64 of a text that was compressed with DEFLATE."""
--- a/src/wasabigw/core/log_messages.py
+++ b/src/wasabigw/core/log_messages.py
@@ -41,11 +41,14 @@
 
     :param applied: last revision that it has applied.
     :param wait: how long the leader may hold the poll if there is nothing new.
+    :param relay: whether any voter may answer from its own copy; the answer says how
+        long that copy is known to be current.
     """
 
     node: Node
     applied: Revision
     wait: Seconds
+    relay: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,3 +174,38 @@
 AnnouncementOutcome = (
     AnnouncementAccepted | AnnouncementRedirected | AnnouncementRefused
 )
+
+
+@dataclass(frozen=True, slots=True)
+class BootAnnouncement:
+    """A backend server that is reached by its tag announces itself.
+
+    :param started_at: start of the boot in Unix milliseconds of its own clock.
+    :param cold_for: how long it bears only a few new flows from now on.
+    :param sequence: grows with each announcement of a boot.
+    """
+
+    id: BackendServerId
+    service: ServiceId
+    failure_domain: FailureDomainId
+    endpoint: Endpoint
+    started_at: int
+    slots: int
+    draining: bool
+    cold_for: Seconds
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class BootDeparture:
+    """A backend server that is reached by its tag says that it ends now."""
+
+    id: BackendServerId
+
+
+@dataclass(frozen=True, slots=True)
+class RegistrationBatch:
+    """Calls of backend servers that another control VM passes to the leader."""
+
+    announcements: tuple[BootAnnouncement, ...] = ()
+    departures: tuple[BootDeparture, ...] = ()
--- /dev/null
+++ b/src/wasabigw/core/registrations.py
@@ -0,0 +1,116 @@
+"""Effects of reports on the registrations of backend servers reached by tags.
+
+A tag stands for one boot of a backend server and is never given to another one, so
+a packet that carries it can't reach a successor at the same address. Every report is
+idempotent, and one about a boot that a later one has replaced changes nothing.
+"""
+
+from dataclasses import replace
+
+from wasabigw.core import commands
+from wasabigw.core.cluster import Registration, Registry, endpoint_key
+from wasabigw.core.ids import BackendServerId, Tag
+from wasabigw.core.states import RegistrationState
+
+MAX_ENDED = 4_096
+"""Ended boots that are remembered; beyond it the oldest are forgotten."""
+
+
+def register_boot(report: commands.BootAnnounced, registry: Registry) -> None:
+    """Register a boot, or bring what is known of it up to date."""
+    known = registry.current.get(report.id)
+    if known is not None and known.started_at > report.started_at:
+        return
+    if known is not None and is_same_boot(known, report):
+        _renew(report, known, registry)
+        return
+    holder = holder_of(report, registry)
+    if holder is not None and holder.started_at > report.started_at:
+        return
+    for former in (known, holder):
+        if former is not None:
+            end_boot(former.id, former.tag, registry)
+    _add(report, registry)
+
+
+def is_same_boot(known: Registration, report: commands.BootAnnounced) -> bool:
+    """Whether a report is about the boot that is registered under its id."""
+    return (known.started_at, known.endpoint, known.service) == (
+        report.started_at,
+        report.endpoint,
+        report.service,
+    )
+
+
+def holder_of(
+    report: commands.BootAnnounced, registry: Registry
+) -> Registration | None:
+    """Boot of another backend server that is registered at the same endpoint."""
+    owner = registry.owners.get(endpoint_key(report.endpoint))
+    if owner is None or owner == report.id:
+        return None
+    return registry.current.get(owner)
+
+
+def silence_boot(name: BackendServerId, tag: Tag, registry: Registry) -> None:
+    """Note that a boot no longer announces itself."""
+    known = registry.current.get(name)
+    if known is not None and known.tag == tag and not known.silent:
+        registry.current[name] = replace(known, silent=True)
+
+
+def end_boot(name: BackendServerId, tag: Tag, registry: Registry) -> None:
+    """Note that a boot has ended; its tag is kept for packets that still name it."""
+    known = registry.current.get(name)
+    if known is None or known.tag != tag:
+        return
+    del registry.current[name]
+    key = endpoint_key(known.endpoint)
+    if registry.owners.get(key) == name:
+        del registry.owners[key]
+    registry.ended.append(replace(known, state=RegistrationState.ENDED))
+    del registry.ended[:-MAX_ENDED]
+
+
+def forget_boots(tags: tuple[Tag, ...], registry: Registry) -> None:
+    """Forget boots that no flow can name any more."""
+    forgotten = frozenset(tags)
+    for boot in list(registry.current.values()):
+        if boot.tag in forgotten and boot.silent:
+            end_boot(boot.id, boot.tag, registry)
+    registry.ended = [boot for boot in registry.ended if boot.tag not in forgotten]
+
+
+def _add(report: commands.BootAnnounced, registry: Registry) -> None:
+    boot = Registration(
+        tag=Tag(registry.next_tag),
+        id=report.id,
+        service=report.service,
+        failure_domain=report.failure_domain,
+        endpoint=report.endpoint,
+        started_at=report.started_at,
+        slots=report.slots,
+        state=_state(report),
+        cold_for=report.cold_for,
+    )
+    registry.next_tag += 1
+    registry.current[boot.id] = boot
+    registry.owners[endpoint_key(boot.endpoint)] = boot.id
+
+
+def _renew(
+    report: commands.BootAnnounced, known: Registration, registry: Registry
+) -> None:
+    """Same boot: a drain stays, whatever a late report says."""
+    state = _state(report)
+    if known.state is RegistrationState.DRAINING:
+        state = known.state
+    registry.current[known.id] = replace(
+        known, slots=report.slots, state=state, silent=False, cold_for=report.cold_for
+    )
+
+
+def _state(report: commands.BootAnnounced) -> RegistrationState:
+    if report.draining:
+        return RegistrationState.DRAINING
+    return RegistrationState.SERVING
--- a/src/wasabigw/core/states.py
+++ b/src/wasabigw/core/states.py
@@ -33,6 +33,14 @@
     LEAVING = "leaving"
 
 
+class RegistrationState(Enum):
+    """Life cycle of one boot of a backend server that is reached by its tag."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    ENDED = "ended"
+
+
 class NodeState(Enum):
     """Membership state of a balancer."""
 
