Let voters that do not lead answer log polls and take announcements

Cause: polling the leader from every balancer costs bytes between failure domains, and announcements at the leader alone do not grow with the system.

Change: an append request carries the rest of the view lease and returns the time of the follower's last answer, from which the follower knows how long its copy is current. Polls that allow it are answered from that copy. Any voter takes the calls of backend servers, acknowledges them once its own copy shows what they tell, and passes them on to the leader. Held polls and registrations are parts of their own beside the voter task.

Ruled out: forwarding each announcement to the leader by a redirection, because one leader can't take 10,000 a second at the target size.

--- a/src/wasabigw/core/consensus/lease.py
+++ b/src/wasabigw/core/consensus/lease.py
@@ -55,3 +55,10 @@
 def fresh_for(state: VoterState, now: Seconds) -> Seconds:
     """Rest of the view lease that a log poll gets; only of a current leader."""
     return Seconds(max(0.0, VIEW_LEASE - (now - majority_contact(state, now))))
+
+
+def view_for(state: VoterState, now: Seconds) -> Seconds:
+    """Rest of the view lease of a voter in any role; below 0 if it has ended."""
+    if is_current(state, now):
+        return fresh_for(state, now)
+    return Seconds(state.view_until - now)
--- a/src/wasabigw/core/consensus/messages.py
+++ b/src/wasabigw/core/consensus/messages.py
@@ -59,12 +59,29 @@
     granted: bool
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerMark:
+    """When a follower sent an answer, by its own clock.
+
+    The leader returns the latest one, from which the follower knows how old the
+    leader's request is at most.
+
+    :param process: start of the follower's process, which tells it from an earlier
+        one whose clock had another origin.
+    """
+
+    process: Seconds
+    at: Seconds
+
+
 @dataclass(frozen=True, slots=True)
 class AppendRequest:
     """Entries that follow a revision; without entries, a heartbeat.
 
     :param committed: commit index of the leader.
     :param sent_at: leader's time, returned unchanged in the answer.
+    :param fresh_for: rest of the view lease when the request was sent.
+    :param answered: latest mark that the leader has from the receiver.
     """
 
     previous_revision: Revision
@@ -72,6 +89,8 @@
     entries: tuple[LogEntry, ...]
     committed: Revision
     sent_at: Seconds
+    fresh_for: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
+    answered: AnswerMark | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +113,7 @@
     matched: Revision
     retry_after: Revision
     sent_at: Seconds
+    mark: AnswerMark | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/consensus/replication.py
+++ b/src/wasabigw/core/consensus/replication.py
@@ -16,9 +16,11 @@
     InstallSnapshot,
     SendMessage,
 )
+from wasabigw.core.consensus.lease import fresh_for, is_current
 from wasabigw.core.consensus.messages import (
     AdmissionRequest,
     AdmissionResponse,
+    AnswerMark,
     AppendRequest,
     AppendResponse,
     Body,
@@ -77,30 +79,46 @@
 
 
 def answer_append(
-    state: VoterState, envelope: Envelope, request: AppendRequest
+    state: VoterState, envelope: Envelope, request: AppendRequest, now: Seconds
 ) -> list[Effect]:
     """Append what follows the own log; the answer leaves after the sync."""
+    mark = AnswerMark(state.started, now)
     if envelope.term < state.term:
-        return [_append_answer(state, False, NO_REVISION, request.sent_at)]
+        return [_append_answer(state, False, NO_REVISION, request.sent_at, mark)]
     if not _continues(state, request):
         retry_after = state.log.conflict(request.previous_revision, state.committed)
-        return [_append_answer(state, False, retry_after, request.sent_at)]
+        return [_append_answer(state, False, retry_after, request.sent_at, mark)]
     effects = _append_new(state, request.entries)
     matched = Revision(request.previous_revision + len(request.entries))
     effects.extend(commit_up_to(state, Revision(min(request.committed, matched))))
-    effects.append(_append_answer(state, True, matched, request.sent_at))
+    _extend_view(state, request)
+    effects.append(_append_answer(state, True, matched, request.sent_at, mark))
     return effects
 
 
+def _extend_view(state: VoterState, request: AppendRequest) -> None:
+    """Extend the view lease of a follower that holds all that is committed.
+
+    The request was sent after the marked answer had left, so the lease that it
+    grants had not begun to run before the time of the mark.
+    """
+    answered = request.answered
+    if answered is None or answered.process != state.started:
+        return
+    if state.committed >= request.committed:
+        until = Seconds(answered.at + request.fresh_for)
+        state.view_until = max(state.view_until, until)
+
+
 def answer_snapshot(
     state: VoterState, envelope: Envelope, request: SnapshotRequest
 ) -> list[Effect]:
     """Continue after a snapshot of the leader."""
     if envelope.term < state.term:
-        return [_append_answer(state, False, NO_REVISION, request.sent_at)]
+        return [_append_answer(state, False, NO_REVISION, request.sent_at, None)]
     effects = _take_snapshot(state, request.snapshot)
     matched = request.snapshot.revision
-    effects.append(_append_answer(state, True, matched, request.sent_at))
+    effects.append(_append_answer(state, True, matched, request.sent_at, None))
     return effects
 
 
@@ -116,6 +134,7 @@
     progress.awaiting_since = None
     progress.admitted = envelope.admitted
     progress.contact = max(progress.contact, response.sent_at)
+    progress.mark = response.mark or progress.mark
     if response.success:
         progress.matched = max(progress.matched, response.matched)
         progress.next_after = max(progress.next_after, progress.matched)
@@ -216,6 +235,7 @@
         progress.matched = NO_REVISION
         progress.contact = NEVER
         progress.awaiting_since = None
+        progress.mark = None
     return progress
 
 
@@ -225,7 +245,15 @@
     if after < state.log.available_after or previous_term is None:
         return SnapshotRequest(state.snapshot, now)
     entries = tuple(state.log.after(after, limit=MAX_ENTRIES_PER_REQUEST))
-    return AppendRequest(after, previous_term, entries, state.committed, now)
+    return AppendRequest(
+        after,
+        previous_term,
+        entries,
+        state.committed,
+        now,
+        fresh_for(state, now) if is_current(state, now) else Seconds(0.0),
+        progress.mark,
+    )
 
 
 def _continues(state: VoterState, request: AppendRequest) -> bool:
@@ -249,8 +277,12 @@
 
 
 def _append_answer(
-    state: VoterState, success: bool, revision: Revision, sent_at: Seconds
+    state: VoterState,
+    success: bool,
+    revision: Revision,
+    sent_at: Seconds,
+    mark: AnswerMark | None,
 ) -> AnswerMessage:
     matched = revision if success else NO_REVISION
-    response = AppendResponse(success, matched, revision, sent_at)
+    response = AppendResponse(success, matched, revision, sent_at, mark)
     return AnswerMessage(state.envelope(response))
--- a/src/wasabigw/core/consensus/state.py
+++ b/src/wasabigw/core/consensus/state.py
@@ -6,7 +6,12 @@
 from wasabigw.core.cluster import NO_REVISION
 from wasabigw.core.consensus.effects import RoleChanged, SaveVote, VoteRecord
 from wasabigw.core.consensus.log import ReplicatedLog
-from wasabigw.core.consensus.messages import Body, Envelope, Snapshot
+from wasabigw.core.consensus.messages import (
+    AnswerMark,
+    Body,
+    Envelope,
+    Snapshot,
+)
 from wasabigw.core.consensus.voters import Electorate, electorate
 from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Term
 from wasabigw.core.log_messages import LogEntry
@@ -25,6 +30,7 @@
     :param next_after: revision after which the next entries are sent.
     :param contact: when the last request that it acknowledged was sent.
     :param awaiting_since: when the unanswered request was sent.
+    :param mark: of its latest answer.
     """
 
     next_after: Revision
@@ -33,6 +39,7 @@
     matched: Revision = NO_REVISION
     contact: Seconds = NEVER
     awaiting_since: Seconds | None = None
+    mark: AnswerMark | None = None
 
 
 @dataclass(slots=True)
@@ -45,6 +52,8 @@
     :param members: voters after the entry at ``committed``.
     :param contact: when the voter last heard from a leader.
     :param votes: voters that granted the running (pre-)election.
+    :param started: when this process started, by its own clock.
+    :param view_until: end of the view lease that a leader's request has given.
     """
 
     node: NodeId
@@ -64,6 +73,8 @@
     leader_since: Seconds = NEVER
     heartbeat_at: Seconds = NEVER
     admission_at: Seconds = NEVER
+    started: Seconds = NEVER
+    view_until: Seconds = NEVER
 
     @property
     def term(self) -> Term:
@@ -136,6 +147,7 @@
         role=VoterRole.FOLLOWER,
         contact=now,
         election_at=now,
+        started=now,
     )
     state.role = state.idle_role()
     state.draw_election(now, draw)
--- a/src/wasabigw/core/consensus/voter.py
+++ b/src/wasabigw/core/consensus/voter.py
@@ -134,7 +134,7 @@
 @_receive.register
 def _(body: AppendRequest, event: EnvelopeReceived, state: VoterState) -> list[Effect]:
     effects = _follow(event, state)
-    return effects + answer_append(state, event.envelope, body)
+    return effects + answer_append(state, event.envelope, body, event.now)
 
 
 @_receive.register
--- a/src/wasabigw/tasks/control_plane.py
+++ b/src/wasabigw/tasks/control_plane.py
@@ -22,6 +22,7 @@
     BUDGET_TICK,
     make_metrics_task,
 )
+from wasabigw.tasks.registration_sender import make_registration_sender
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.voter_calls import VoterMessage
 from wasabigw.tasks.voter_link import make_voter_link
@@ -53,6 +54,7 @@
 
     voter: VoterTask
     server: HttpServer
+    mailbox: Mailbox[VoterMessage | Stop]
     _background: tuple[AbstractContextManager[Any], ...]
     _stack: ExitStack
 
@@ -105,6 +107,7 @@
         for peer, api in settings.voters.items()
         if peer != settings.node
     }
+    registrations = make_registration_sender(metrics.mailbox)
     voter = make_voter_task(
         settings,
         mailbox,
@@ -112,10 +115,12 @@
         {peer: link.mailbox for peer, link in links.items()},
         apply_command,
         timer,
+        registrations=registrations.mailbox,
         metrics=metrics.mailbox,
         tracer=tracer,
     )
     own: Endpoint = bind or settings.voters[NodeId(settings.node)]
     api = ControlApiSettings(own, token, tuple(links), limits, tracer)
     server = make_control_server(mailbox, api, metrics.mailbox)
-    return ControlPlane(voter, server, (*background, *links.values()), ExitStack())
+    background.extend((registrations, *links.values()))
+    return ControlPlane(voter, server, mailbox, tuple(background), ExitStack())
--- a/src/wasabigw/tasks/http_bodies.py
+++ b/src/wasabigw/tasks/http_bodies.py
@@ -21,7 +21,7 @@
     :param limit: largest body in bytes; a larger one ends the request with 413.
     :param unknown: what happens to keys of other versions.
     """
-    body = _read_body(limit)
+    body = read_body(limit)
     if isinstance(body, Failure):
         return body
     decoded: Result[Any, MalformedMessage] = decode(body.unwrap(), expected, unknown)
@@ -69,7 +69,11 @@
     return Endpoint(address, int(port))
 
 
-def _read_body(limit: int) -> Result[bytes, str]:
+def read_body(limit: int) -> Result[bytes, str]:
+    """Body of the running request, or why it could not be read.
+
+    :param limit: largest body in bytes; a larger one ends the request with 413.
+    """
     text = cherrypy.request.headers.get("Content-Length", "")
     if not is_number(text):
         return Failure("the header Content-Length must give the size of the body")
--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -26,6 +26,7 @@
     InForce,
     LogBatch,
     NotLeader,
+    RegistrationBatch,
     ReportRequest,
 )
 from wasabigw.core.states import RefusalCode
@@ -54,6 +55,7 @@
     Overloaded,
     PeerMessage,
     PollCall,
+    RegistrationsPassedOn,
     ReportCall,
     StateCall,
     StateView,
@@ -194,6 +196,22 @@
         return self._call(ReportCall(request, reply_mailbox("report")), CALL_TIMEOUT)
 
 
+class _Registrations(_Resource):
+    """``POST /v1/registrations``."""
+
+    def POST(self) -> bytes:  # noqa: N802
+        """Take calls of backend servers that another control VM passes on."""
+        limit = self._settings.limits.request_body_bytes
+        decoded = read_message(RegistrationBatch, limit, UnknownKeys.IGNORE)
+        if isinstance(decoded, Failure):
+            return bad_request(decoded.failure())
+        passed_on = RegistrationsPassedOn(decoded.unwrap())
+        if isinstance(self._voter.post(passed_on), Failure):
+            return retry_later("overloaded", "The voter is too far behind; retry.")
+        cherrypy.response.status = int(HTTPStatus.ACCEPTED)
+        return b""
+
+
 class _Consensus(_Resource):
     """``POST /v1/consensus``."""
 
@@ -245,6 +263,7 @@
         self.in_force = _InForce(voter, settings)
         self.log = _Log(voter, settings)
         self.reports = _Reports(voter, settings)
+        self.registrations = _Registrations(voter, settings)
         self.consensus = _Consensus(voter, settings)
 
 
--- /dev/null
+++ b/src/wasabigw/tasks/registration_sender.py
@@ -0,0 +1,111 @@
+"""Task that passes the calls of backend servers on to the leader."""
+
+from dataclasses import dataclass
+
+import requests
+from returns.result import Success
+
+from wasabigw.codec.messages import encode
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.ids import Seconds
+from wasabigw.core.log_messages import RegistrationBatch
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw.tasks.traffic import TrafficMailbox, report_exchange
+from wasabigw.telemetry.events_control import ControlEvent
+from wasabigw.telemetry.log_events import log
+
+REGISTRATIONS_PATH = "/v1/registrations"
+CONNECT_TIMEOUT = Seconds(0.3)
+READ_TIMEOUT = Seconds(0.5)
+SESSION_IDLE = Seconds(30.0)
+CAPACITY = 256
+"""Batches that wait for a slow leader; what is lost is passed on again."""
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardRegistrations:
+    """Send a batch to the leader."""
+
+    leader: Endpoint
+    batch: RegistrationBatch
+
+
+class RegistrationSender(Task[ForwardRegistrations]):
+    """Task that owns the HTTP session to the leader; a lost batch is not repeated."""
+
+    def __init__(self, traffic: TrafficMailbox) -> None:
+        super().__init__(
+            "registration-sender", Mailbox("registration-sender", CAPACITY)
+        )
+        self._traffic = traffic
+        self._session: requests.Session | None = None
+        self._leader: Endpoint | None = None
+        self._failing = False
+
+    def run(self) -> None:
+        """Send batches until :class:`Stop` arrives."""
+        while True:
+            outcome = self._mailbox.get(SESSION_IDLE)
+            if not isinstance(outcome, Success):
+                self.close()
+                continue
+            message = outcome.unwrap()
+            if isinstance(message, Stop):
+                return
+            self.receive(message)
+
+    def receive(self, message: ForwardRegistrations) -> None:
+        """Send one batch."""
+        if message.leader != self._leader:
+            self.close()
+            self._leader = message.leader
+        try:
+            response = self._send(message)
+        except requests.RequestException as error:
+            self.close()
+            self._note_failure(type(error).__name__)
+            return
+        report_exchange(self._traffic, response, len(response.content))
+        if not response.ok:
+            self._note_failure(f"status {response.status_code}")
+        else:
+            self._failing = False
+
+    def close(self) -> None:
+        """Close the HTTP session."""
+        if self._session is not None:
+            self._session.close()
+            self._session = None
+
+    def _send(self, message: ForwardRegistrations) -> requests.Response:
+        if self._session is None:
+            self._session = requests.Session()
+            self._session.trust_env = False
+        leader = message.leader
+        return self._session.post(
+            f"http://{leader.address}:{leader.port}{REGISTRATIONS_PATH}",
+            data=encode(message.batch),
+            headers={"Content-Type": "application/json"},
+            timeout=(CONNECT_TIMEOUT, READ_TIMEOUT),
+            allow_redirects=False,
+        )
+
+    def _note_failure(self, reason: str) -> None:
+        if not self._failing:
+            self._failing = True
+            assert self._leader is not None
+            log(
+                ControlEvent.REGISTRATIONS_NOT_SENT,
+                address=self._leader.address,
+                port=self._leader.port,
+                reason=reason,
+            )
+
+
+def make_registration_sender(traffic: TrafficMailbox = None) -> RegistrationSender:
+    """Task that passes calls on to whichever control VM leads.
+
+    :param traffic: receives the bytes of each exchange.
+    """
+    return RegistrationSender(traffic)
--- a/src/wasabigw/tasks/storage.py
+++ b/src/wasabigw/tasks/storage.py
@@ -9,7 +9,7 @@
 import os
 from collections.abc import Callable, Sequence
 from contextlib import AbstractContextManager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -196,8 +196,21 @@
     :param first: whether this is the first voter of a new cluster. Every other
         voter, and one whose disk was replaced, is admitted by the leader.
     """
+    identity = Identity(node, incarnation)
+    genesis = ClusterState(voters={node: incarnation}) if first else None
+    return create_folder(folder, identity, genesis)
+
+
+def create_folder(
+    folder: Path, identity: Identity, genesis: ClusterState | None
+) -> Result[Identity, StorageError]:
+    """Create the data directory of a voter.
+
+    :param genesis: state with which a new cluster begins, the same at each of its
+        first voters; ``None`` for a voter that the leader has to admit.
+    """
     try:
-        return Success(_bootstrap(folder, Identity(node, incarnation), first))
+        return Success(_create_folder(folder, identity, genesis))
     except StorageFailure as failure:
         return Failure(failure.error)
     except OSError as error:
@@ -222,7 +235,23 @@
         return Failure(_input_output(folder, error))
 
 
-def _bootstrap(folder: Path, identity: Identity, first: bool) -> Identity:
+def remove_unfinished(folder: Path) -> Result[None, StorageError]:
+    """Remove what an interrupted creation left; a finished directory stays.
+
+    The identity is written last, so nothing was acknowledged without it.
+    """
+    if not folder.exists() or (folder / IDENTITY_FILE).exists():
+        return Success(None)
+    try:
+        remove_files(sorted(folder.iterdir()))
+    except OSError as error:
+        return Failure(_input_output(folder, error))
+    return Success(None)
+
+
+def _create_folder(
+    folder: Path, identity: Identity, genesis: ClusterState | None
+) -> Identity:
     created = not folder.exists()
     folder.mkdir(parents=True, exist_ok=True)
     if created:
@@ -241,10 +270,8 @@
         )
     vote = VoteRecord()
     acknowledged = Acknowledged()
-    if first:
-        state = ClusterState(
-            revision=FIRST_REVISION, voters={identity.node: identity.incarnation}
-        )
+    if genesis is not None:
+        state = replace(genesis, revision=FIRST_REVISION)
         snapshot = Snapshot(FIRST_REVISION, FIRST_TERM, state)
         path = _snapshot_path(folder, FIRST_REVISION)
         replace_file(path, write_record(snapshot))
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -7,19 +7,23 @@
     Applied,
     BackendServer,
     ClusterState,
+    DeclaredDocument,
     FailureDomain,
     Node,
     Refusal,
     Service,
 )
-from wasabigw.core.commands import ChangeRequest
+from wasabigw.core.commands import ChangeRequest, Order
 from wasabigw.core.consensus.messages import Envelope
 from wasabigw.core.ids import Incarnation, NodeId, Revision
 from wasabigw.core.log_messages import (
+    BootAnnouncement,
+    BootDeparture,
     InForce,
     LogBatch,
     LogPoll,
     NotLeader,
+    RegistrationBatch,
     ReportRequest,
 )
 from wasabigw.runtime.mailbox import Mailbox
@@ -58,10 +62,27 @@
     voters: dict[NodeId, Incarnation]
 
 
+@dataclass(frozen=True, slots=True)
+class DocumentView:
+    """The declared configuration that is in force.
+
+    :param document: ``None`` before the first declaration.
+    """
+
+    document: DeclaredDocument | None
+
+
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """The replicated state shows what a backend server told."""
+
+
 CommandAnswer = Applied | Refusal | NotLeader | OutcomeUnknown | Overloaded
 PollAnswer = LogBatch | NotLeader | Overloaded
 StateAnswer = StateView | NotLeader
 InForceAnswer = InForce | NotLeader
+DocumentAnswer = DocumentView | NotLeader
+RegistrationAnswer = Settled | Overloaded
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +146,36 @@
     reply: Mailbox[InForceAnswer]
 
 
+@dataclass(frozen=True, slots=True)
+class OrderCall:
+    """An operator's order."""
+
+    order: Order
+    reply: Mailbox[CommandAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class DocumentCall:
+    """Asks for the declared configuration that is in force."""
+
+    reply: Mailbox[DocumentAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class RegistrationCall:
+    """A call of a backend server that is reached by its tag."""
+
+    told: BootAnnouncement | BootDeparture
+    reply: Mailbox[RegistrationAnswer]
+
+
+@dataclass(frozen=True, slots=True)
+class RegistrationsPassedOn:
+    """Calls of backend servers that another control VM took."""
+
+    batch: RegistrationBatch
+
+
 VoterMessage = (
     PeerMessage
     | LinkAnswer
@@ -133,6 +184,10 @@
     | PollCall
     | StateCall
     | InForceCall
+    | OrderCall
+    | DocumentCall
+    | RegistrationCall
+    | RegistrationsPassedOn
     | Tick
 )
 
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -23,9 +23,10 @@
     CandidatesReleased,
     ChangeRequest,
     Command,
+    Report,
     ReportBatch,
 )
-from wasabigw.core.commit_times import CommitTimes, note_commit, settled_revision
+from wasabigw.core.commit_times import CommitTimes, note_commit
 from wasabigw.core.consensus import lease
 from wasabigw.core.consensus.effects import (
     AnswerMessage,
@@ -53,29 +54,37 @@
 from wasabigw.core.ids import NodeId, RequestId, Revision, Seconds, Term
 from wasabigw.core.log_messages import (
     InForce,
-    LogBatch,
     LogEntry,
     NodeProgress,
     NotLeader,
 )
+from wasabigw.core.orders import is_in_effect
 from wasabigw.core.report_summary import summary
 from wasabigw.core.states import RefusalCode, VoterRole
-from wasabigw.core.timing import LOG_POLL_WAIT, SNAPSHOT_INTERVAL
+from wasabigw.core.timing import ANNOUNCE_LEASE, SNAPSHOT_INTERVAL
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, TimerService, monotonic
+from wasabigw.tasks.held_polls import HeldPolls
 from wasabigw.tasks.in_force_watch import InForceWatch
+from wasabigw.tasks.registration_desk import RegistrationDesk
+from wasabigw.tasks.standing import Standing
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.storage_errors import StorageError
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
     CommandAnswer,
+    DocumentCall,
+    DocumentView,
     InForceCall,
     LinkAnswer,
+    OrderCall,
     OutcomeUnknown,
     Overloaded,
     PeerMessage,
     PollCall,
+    RegistrationCall,
+    RegistrationsPassedOn,
     ReportCall,
     StateCall,
     VoterMessage,
@@ -95,10 +104,6 @@
 """Messages that are handled before what they propose is appended together."""
 MAX_PENDING_COMMANDS = 1024
 """Proposed commands that wait for their commit; more are refused."""
-MAX_HELD_POLLS = 4096
-"""Balancers whose polls are held at the same time; more are refused."""
-MAX_ENTRIES_PER_BATCH = 256
-"""Entries in one answer to a log poll."""
 REMEMBERED_REPORTS = 4096
 """Report ids whose outcome the leader keeps for repeated reports."""
 
@@ -118,10 +123,13 @@
     """Which voter this is and where the voters' control APIs are.
 
     :param voters: endpoint of each voter, with the own one.
+    :param announcement_lease: how long a backend server that is reached by its tag
+        counts as present after an announcement.
     """
 
     node: NodeId
     voters: Mapping[NodeId, Endpoint]
+    announcement_lease: Seconds = ANNOUNCE_LEASE
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,12 +144,6 @@
     term: Term = field(default=Term(0))
 
 
-@dataclass(frozen=True, slots=True)
-class _HeldPoll:
-    call: PollCall
-    until: Seconds
-
-
 class VoterTask(Task[VoterMessage]):
     """Drives the consensus state machine and answers the control API.
 
@@ -159,6 +161,7 @@
         timer: TimerService,
         clock: Callable[[], Seconds],
         draw: Callable[[], float],
+        registrations: Mailbox[Any] | None = None,
         metrics: Mailbox[Any] | None = None,
         tracer: trace.Tracer | None = None,
     ) -> None:
@@ -179,7 +182,10 @@
         self._commit_times = CommitTimes()
         self._collected: list[_Waiting] = []
         self._pending: dict[Revision, _Waiting] = {}
-        self._held: dict[NodeId, _HeldPoll] = {}
+        self._polls = HeldPolls(self._voter, self._commit_times)
+        self._desk = RegistrationDesk(
+            settings.announcement_lease, registrations, self._propose_reports
+        )
         self._reports: OrderedDict[RequestId, Applied | Refusal] = OrderedDict()
         self._peer_reply: Mailbox[Envelope] | None = None
         self._stopped = False
@@ -251,7 +257,9 @@
     def _(self, message: Tick) -> None:
         now = self._clock()
         self._decide(ClockTick(now, self._draw()))
-        self._answer_due_polls(now)
+        standing = self._standing(now)
+        self._polls.answer_due(standing)
+        self._desk.tick(standing)
         self._watch.check(lambda revision: self._progress(revision, now), now)
         if now >= self._membership_at and self._is_current(now):
             self._membership_at = Seconds(now + MEMBERSHIP_PERIOD)
@@ -287,24 +295,41 @@
     @_receive.register
     def _(self, message: PollCall) -> None:
         now = self._clock()
-        if not self._is_current(now):
-            message.reply.post(self._not_leader())
-            return
         poll = message.poll
-        if poll.node.id not in self._held and len(self._held) >= MAX_HELD_POLLS:
-            message.reply.post(Overloaded(f"{MAX_HELD_POLLS} log polls are held"))
-            return
-        self._propose_membership(
-            membership.BalancerPolled(poll.node, poll.applied, now, self._cluster)
-        )
-        replaced = self._held.pop(poll.node.id, None)
-        if replaced is not None:
-            self._answer_poll(replaced.call, now)
-        wait = min(poll.wait, LOG_POLL_WAIT)
-        if poll.applied != self._cluster.revision or wait <= 0:
-            self._answer_poll(message, now)
+        if not poll.relay and not self._is_current(now):
+            message.reply.post(self._not_leader())
             return
-        self._held[poll.node.id] = _HeldPoll(message, Seconds(now + wait))
+        if not poll.relay:
+            self._propose_membership(
+                membership.BalancerPolled(poll.node, poll.applied, now, self._cluster)
+            )
+        self._polls.take(message, self._standing(now))
+
+    @_receive.register
+    def _(self, message: OrderCall) -> None:
+        if not self._is_current(self._clock()):
+            message.reply.post(self._not_leader())
+        elif is_in_effect(message.order.change, self._cluster):
+            revision = self._cluster.revision
+            applied = Applied(revision, self._cluster.configuration_revision)
+            message.reply.post(applied)
+        else:
+            self._propose(_Waiting(message.order, message.reply))
+
+    @_receive.register
+    def _(self, message: DocumentCall) -> None:
+        if self._is_current(self._clock()):
+            message.reply.post(DocumentView(self._cluster.declared))
+        else:
+            message.reply.post(self._not_leader())
+
+    @_receive.register
+    def _(self, message: RegistrationCall) -> None:
+        self._desk.take(message, self._standing(self._clock()))
+
+    @_receive.register
+    def _(self, message: RegistrationsPassedOn) -> None:
+        self._desk.take_batch(message.batch, self._standing(self._clock()))
 
     @_receive.register
     def _(self, message: StateCall) -> None:
@@ -385,6 +410,7 @@
         if effect.role is VoterRole.LEADER:
             gained = membership.LeadershipGained(self._clock(), self._cluster)
             membership.handle(gained, self._membership)
+            self._desk.lead(self._cluster, self._clock())
         else:
             self._end_leadership()
         return None
@@ -422,7 +448,8 @@
         before = self._cluster.revision
         self._execute_all(effects)
         if self._cluster.revision != before:
-            self._answer_due_polls(self._clock())
+            self._polls.answer_due(self._standing(self._clock()))
+            self._desk.applied(self._cluster)
         if self._is_snapshot_due():
             self._take_snapshot()
 
@@ -457,9 +484,16 @@
 
     def _propose_membership(self, event: object) -> None:
         for decision in membership.handle(event, self._membership):
-            kinds = ", ".join(summary(report) for report in decision.reports)
-            log(ControlEvent.PROPOSED_REPORTS, reports=kinds)
-            self._propose(_Waiting(ReportBatch(decision.reports)))
+            self._propose_reports(decision.reports)
+
+    def _propose_reports(self, reports: tuple[Report, ...]) -> None:
+        kinds = ", ".join(summary(report) for report in reports)
+        log(ControlEvent.PROPOSED_REPORTS, reports=kinds)
+        self._propose(_Waiting(ReportBatch(reports)))
+
+    def _standing(self, now: Seconds) -> Standing:
+        leader = self._not_leader().leader
+        return Standing(self._is_current(now), leader, self._cluster, now)
 
     def _refuse_report(self, call: ReportCall) -> Refusal | None:
         request = call.request
@@ -509,48 +543,6 @@
         if len(self._reports) > REMEMBERED_REPORTS:
             self._reports.popitem(last=False)
 
-    def _answer_due_polls(self, now: Seconds) -> None:
-        current = self._is_current(now)
-        due = [
-            node
-            for node, held in self._held.items()
-            if not current
-            or now >= held.until
-            or held.call.poll.applied != self._cluster.revision
-        ]
-        for node in due:
-            self._answer_poll(self._held.pop(node).call, now)
-
-    def _answer_poll(self, call: PollCall, now: Seconds) -> None:
-        applied = call.poll.applied
-        if not self._is_current(now):
-            call.reply.post(self._not_leader())
-            return
-        voter = self._voter
-        if applied > voter.committed:
-            log(
-                ControlEvent.NODE_AHEAD,
-                node=call.poll.node.id,
-                applied=applied,
-                committed=voter.committed,
-            )
-            call.reply.post(NotLeader(None))
-            return
-        snapshot: Snapshot | None = None
-        if applied < voter.log.available_after:
-            snapshot = voter.snapshot
-            applied = snapshot.revision
-        call.reply.post(
-            LogBatch(
-                voter.term,
-                voter.committed,
-                lease.fresh_for(voter, now),
-                tuple(voter.log.after(applied, voter.committed, MAX_ENTRIES_PER_BATCH)),
-                snapshot.state if snapshot else None,
-                settled_revision(self._commit_times, now),
-            )
-        )
-
     def _progress(self, revision: Revision, now: Seconds) -> tuple[NodeProgress, ...]:
         return membership.node_progress(self._membership, self._cluster, revision, now)
 
@@ -560,9 +552,7 @@
             _answer(waiting, OutcomeUnknown())
         self._pending.clear()
         self._reports.clear()
-        for held in self._held.values():
-            held.call.reply.post(self._not_leader())
-        self._held.clear()
+        self._polls.end_leadership(self._not_leader())
 
     def _is_snapshot_due(self) -> bool:
         taken = self._voter.snapshot.revision
@@ -588,12 +578,15 @@
     timer: TimerService,
     clock: Callable[[], Seconds] = monotonic,
     draw: Callable[[], float] = random.random,
+    registrations: Mailbox[Any] | None = None,
     metrics: Mailbox[Any] | None = None,
     tracer: trace.Tracer | None = None,
 ) -> VoterTask:
     """Task of a voter, which takes over the opened data directory.
 
     :param links: mailbox of the link to each other voter.
+    :param registrations: mailbox of the task that passes calls of backend servers on
+        to the leader; ``None`` if none are taken here.
     :param metrics: mailbox of the metrics task.
     :param tracer: records the commit of traced changes.
     """
@@ -606,6 +599,7 @@
         timer,
         clock,
         draw,
+        registrations,
         metrics,
         tracer,
     )
--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -75,3 +75,9 @@
         "voter {peer} sent an answer that cannot be read: {reason}",
         "Run the same version on all voters.",
     )
+    REGISTRATIONS_NOT_SENT = EventDefinition(
+        1103,
+        logging.WARNING,
+        "registrations were not passed on to {address}:{port}: {reason}",
+        "Expected while a leader is lost; backend servers repeat their announcements.",
+    )
