Deliver packets by tags

Cause: on the users' platform both ends of a flow return a 32-bit value, which can name the backend server, so that no table of flows is needed.

A document of the operator is decoded by the front end when its version changes.

Tests: test_tag_steering.py (15).

--- /dev/null
+++ b/src/wasabigw/core/tags/__init__.py
@@ -0,0 +1,1 @@
+"""Delivery by tags: the packets of an open flow name their backend server."""
--- /dev/null
+++ b/src/wasabigw/core/tags/state.py
@@ -0,0 +1,77 @@
+"""State of a balancer that delivers by tags, owned by its packet task."""
+
+import ipaddress
+from dataclasses import dataclass, field
+
+from wasabigw.core.cluster import ClusterState, Registration
+from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT, Declaration, Listener
+from wasabigw.core.ids import FailureDomainId, NodeId, Seconds, ServiceId, Tag
+from wasabigw.core.tags.packets import FlowId
+from wasabigw.core.view import View
+
+ListenerKey = tuple[int, int]
+"""IPv4 address as a number, and port."""
+
+
+@dataclass(slots=True)
+class Server:
+    """A boot of a backend server and its use by this balancer.
+
+    :param cold_until: until when it gets no new flows if another one can take them.
+    :param open_flows: flows that this balancer opened there or carries.
+    :param unanswered: openings in a row that a caller had to repeat.
+    :param avoid_until: until when it gets no new flows, because it did not answer.
+    """
+
+    registration: Registration
+    cold_until: Seconds
+    open_flows: int = 0
+    unanswered: int = 0
+    avoid_until: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
+
+
+@dataclass(slots=True)
+class Flow:
+    """A flow that passes this balancer.
+
+    :param is_open: whether the caller has answered the backend server.
+    """
+
+    server: Server
+    opened_at: Seconds
+    last_seen: Seconds
+    is_open: bool = False
+
+
+@dataclass(slots=True)
+class TagState:
+    """Everything that a balancer knows.
+
+    :param cluster: own copy of the replicated state.
+    :param listeners: of the declaration in force.
+    :param servers: boots by tag, with those that have ended.
+    :param pools: boots of each service that may get new flows.
+    """
+
+    node: NodeId
+    failure_domain: FailureDomainId
+    cluster: ClusterState = field(default_factory=ClusterState)
+    view: View = field(default_factory=View)
+    declared_version: int | None = None
+    idle_timeout: Seconds = DEFAULT_IDLE_TIMEOUT
+    listeners: dict[ListenerKey, Listener] = field(default_factory=dict)
+    servers: dict[Tag, Server] = field(default_factory=dict)
+    pools: dict[ServiceId, list[Server]] = field(default_factory=dict)
+    flows: dict[FlowId, Flow] = field(default_factory=dict)
+
+
+def listeners_of(declaration: Declaration) -> dict[ListenerKey, Listener]:
+    """Listeners of a declaration by address and port."""
+    return {
+        (_number(listener.endpoint.address), listener.endpoint.port): listener
+        for listener in declaration.listeners
+    }
+
+
+def _number(address: str) -> int:
+    return int(ipaddress.IPv4Address(address))
--- /dev/null
+++ b/src/wasabigw/core/tags/steering.py
@@ -0,0 +1,125 @@
+"""Decisions on the packets of callers.
+
+The tag in a packet of an open flow names the backend server, so that any balancer
+can deliver it without a table of flows. Only the opening packet needs a choice.
+"""
+
+from wasabigw.core.ids import Seconds
+from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.decisions import (
+    Deliver,
+    Drop,
+    DropReason,
+    PacketDecision,
+    Refuse,
+    RefuseReason,
+)
+from wasabigw.core.tags.packets import NO_TAG, FlowPacket
+from wasabigw.core.tags.selection import choose_server, service_of
+from wasabigw.core.tags.state import Flow, Server, TagState
+from wasabigw.core.view import is_fresh
+
+MAX_FLOWS = 100_000
+"""Flows whose use is counted; further ones are carried without being counted."""
+
+
+def decide(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+    """Decide on a packet of a caller."""
+    if not state.view.confirmed:
+        return Drop(DropReason.NO_VIEW)
+    if packet.is_opening:
+        return _open(packet, state, now)
+    return _continue(packet, state, now)
+
+
+def _open(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+    flow = packet.flow
+    listener = state.listeners.get((flow.listener, flow.listener_port))
+    if listener is None:
+        if is_fresh(state.view, now):
+            return Refuse(packet, RefuseReason.NO_LISTENER)
+        return Drop(DropReason.UNSURE_OF_LISTENER)
+    known = state.flows.get(flow)
+    former = None
+    if known is not None:
+        if known.is_open:
+            return Deliver(packet, known.server.registration)
+        former = known.server
+        _note_unanswered(former, now)
+        _forget(packet, state)
+    server = choose_server(service_of(listener, flow), state, now, former)
+    if server is None:
+        if is_fresh(state.view, now):
+            return Refuse(packet, RefuseReason.NO_SERVER)
+        return Drop(DropReason.UNSURE_OF_SERVERS)
+    _record(packet, server, state, now)
+    return Deliver(packet, server.registration)
+
+
+def _continue(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+    if packet.tag == NO_TAG:
+        return Drop(DropReason.NO_TAG)
+    server = state.servers.get(packet.tag)
+    if server is None:
+        return Drop(DropReason.UNKNOWN_TAG)
+    if server.registration.state is RegistrationState.ENDED:
+        _forget(packet, state)
+        return Refuse(packet, RefuseReason.SERVER_ENDED)
+    _note_use(packet, server, state, now)
+    return Deliver(packet, server.registration)
+
+
+def _note_use(
+    packet: FlowPacket, server: Server, state: TagState, now: Seconds
+) -> None:
+    if packet.is_closing or packet.is_reset:
+        _forget(packet, state)
+        return
+    known = state.flows.get(packet.flow)
+    if known is not None and known.server is not server:
+        _forget(packet, state)
+        known = None
+    if known is None:
+        _record(packet, server, state, now)
+        known = state.flows.get(packet.flow)
+    if known is not None:
+        known.last_seen = now
+        known.is_open = True
+    server.unanswered = 0
+    server.avoid_until = Seconds(0.0)
+
+
+def _record(packet: FlowPacket, server: Server, state: TagState, now: Seconds) -> None:
+    if len(state.flows) >= MAX_FLOWS:
+        return
+    state.flows[packet.flow] = Flow(server, now, now)
+    server.open_flows += 1
+
+
+def _forget(packet: FlowPacket, state: TagState) -> None:
+    known = state.flows.pop(packet.flow, None)
+    if known is not None:
+        known.server.open_flows -= 1
+
+
+AVOIDED_AFTER = 2
+"""Unanswered openings in a row after which a backend server is avoided."""
+AVOID_TIME = Seconds(1.0)
+
+
+def _note_unanswered(server: Server, now: Seconds) -> None:
+    server.unanswered += 1
+    if server.unanswered >= AVOIDED_AFTER:
+        server.avoid_until = Seconds(now + AVOID_TIME)
+
+
+def expire_flows(state: TagState, now: Seconds) -> None:
+    """Forget flows that have been idle for longer than they may be."""
+    ended = [
+        flow
+        for flow, known in state.flows.items()
+        if now - known.last_seen >= state.idle_timeout
+    ]
+    for flow in ended:
+        known = state.flows.pop(flow)
+        known.server.open_flows -= 1
--- /dev/null
+++ b/src/wasabigw/tasks/tag_balancer.py
@@ -0,0 +1,134 @@
+"""Everything that runs in a process of a balancer that delivers by tags."""
+
+from collections.abc import Sequence
+from contextlib import AbstractContextManager, ExitStack
+from dataclasses import dataclass
+from types import TracebackType
+from typing import Any, Self
+
+from returns.result import Success
+
+from wasabigw.core.cluster import Endpoint, Node
+from wasabigw.core.ids import Seconds
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.timer import TimerService, monotonic
+from wasabigw.tasks.log_follower import make_follower_mailbox, make_log_follower
+from wasabigw.tasks.tag_codec import DocumentDecoder, FlowPacketCodec
+from wasabigw.tasks.tag_messages import (
+    BeginLeaving,
+    TagBalancerStatus,
+    TagStatusRequest,
+)
+from wasabigw.tasks.tag_packet_task import (
+    UPKEEP_PERIOD,
+    UPKEEP_TICK,
+    TagPacketSettings,
+    TagPacketTask,
+    make_tag_packet_task,
+)
+from wasabigw.telemetry.events_balancer import BalancerEvent
+from wasabigw.telemetry.log_events import log
+
+LEAVE_MINIMUM = Seconds(1.5)
+"""Shortest time for which a balancer that stops still carries packets.
+
+The routers ask for readiness twice a second and act after two refusals.
+"""
+LEAVE_QUIET = Seconds(0.5)
+"""Time without packets after which a balancer that stops is no longer used."""
+STATUS_TIMEOUT = Seconds(0.5)
+
+
+@dataclass(frozen=True, slots=True)
+class TagBalancerSettings:
+    """What the process needs to know.
+
+    :param node: this balancer as it registers.
+    :param control: API endpoints of the control VMs.
+    :param leave_timeout: longest time for which a planned stop may take.
+    """
+
+    node: Node
+    control: Sequence[Endpoint]
+    codec: FlowPacketCodec
+    decode_document: DocumentDecoder
+    leave_timeout: Seconds
+
+
+class TagBalancer(AbstractContextManager["TagBalancer"]):
+    """Tasks of the balancer; :func:`make_tag_balancer` makes one."""
+
+    def __init__(self, settings: TagBalancerSettings) -> None:
+        self._settings = settings
+        self._stack = ExitStack()
+        self._packets: TagPacketTask | None = None
+
+    @property
+    def mailbox(self) -> Mailbox[Any]:
+        """Mailbox of the packet task, once the context was entered."""
+        assert self._packets is not None
+        return self._packets.mailbox
+
+    def __enter__(self) -> Self:
+        """Start all tasks.
+
+        :raises OSError: if an endpoint of the settings can't be bound.
+        """
+        with ExitStack() as stack:
+            self._start(stack)
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stack.__exit__(exc_type, exc_value, traceback)
+
+    def leave(self) -> None:
+        """Carry packets until the routers send them elsewhere."""
+        begun = monotonic()
+        node = self._settings.node.id
+        timeout = self._settings.leave_timeout
+        log(BalancerEvent.LEAVING, node=node, seconds=timeout)
+        self.mailbox.post(BeginLeaving())
+        pause: Mailbox[None] = Mailbox("leave pause")
+        while (passed := monotonic() - begun) < timeout:
+            pause.get(Seconds(LEAVE_QUIET / 2))
+            if passed >= LEAVE_MINIMUM and self._is_quiet():
+                return
+
+    def _is_quiet(self) -> bool:
+        reply: Mailbox[TagBalancerStatus] = Mailbox("status", capacity=1)
+        self.mailbox.post(TagStatusRequest(reply))
+        outcome = reply.get(STATUS_TIMEOUT)
+        return isinstance(outcome, Success) and (
+            outcome.unwrap().idle_for >= LEAVE_QUIET
+        )
+
+    def _start(self, stack: ExitStack) -> None:
+        settings = self._settings
+        node = settings.node
+        timer = stack.enter_context(TimerService())
+        applied = make_follower_mailbox()
+        packet_settings = TagPacketSettings(
+            node.id,
+            node.failure_domain,
+            node.data,
+            settings.codec,
+            settings.decode_document,
+        )
+        packets = stack.enter_context(make_tag_packet_task(packet_settings, applied))
+        timer.subscribe(packets.mailbox, UPKEEP_PERIOD, UPKEEP_TICK)
+        follower = make_log_follower(
+            node, settings.control, packets.mailbox, applied, relay=True
+        )
+        stack.enter_context(follower)
+        self._packets = packets
+
+
+def make_tag_balancer(settings: TagBalancerSettings) -> TagBalancer:
+    """Balancer that runs while its context is open."""
+    return TagBalancer(settings)
--- /dev/null
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -0,0 +1,242 @@
+"""Task that owns the UDP socket and the state of a balancer that delivers by tags."""
+
+import selectors
+import socket
+from collections import Counter
+from dataclasses import dataclass
+from functools import singledispatch, singledispatchmethod
+from types import TracebackType
+from typing import Any, Self
+
+from wasabigw.core.cluster import Endpoint
+from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
+from wasabigw.core.tags.decisions import Deliver, Drop, Refuse
+from wasabigw.core.tags.state import TagState
+from wasabigw.core.tags.steering import decide, expire_flows
+from wasabigw.core.view import is_fresh
+from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.timer import Tick, monotonic
+from wasabigw.tasks.messages import LogReceived
+from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
+from wasabigw.tasks.tag_log_application import TagLogApplication
+from wasabigw.tasks.tag_messages import (
+    BeginLeaving,
+    TagBalancerStatus,
+    TagStatusRequest,
+    TagTaskMessage,
+)
+from wasabigw.telemetry.events_balancer import BalancerEvent
+from wasabigw.telemetry.log_events import log
+
+RECEIVE_BYTES = 65_536
+"""Bytes of the largest datagram."""
+SOCKET_BUFFER = 1024 * 1024
+"""Bytes that the kernel may queue."""
+PACKETS_PER_WAKE_UP = 64
+"""Packets handled before the mailbox is looked at again."""
+UPKEEP_TICK = "upkeep"
+UPKEEP_PERIOD = Seconds(1.0)
+"""Period of :data:`UPKEEP_TICK`, with which idle flows are forgotten."""
+
+
+@dataclass(frozen=True, slots=True)
+class TagPacketSettings:
+    """What the packet task needs to know of its surroundings.
+
+    :param bind: where packets arrive.
+    """
+
+    node: NodeId
+    failure_domain: FailureDomainId
+    bind: Endpoint
+    codec: FlowPacketCodec
+    decode_document: DocumentDecoder
+
+
+class TagPacketTask(Task[TagTaskMessage]):
+    """Carries packets of callers to backend servers.
+
+    It waits for its socket and its mailbox. Until it has a view, packets wait in the
+    buffer of the socket.
+    """
+
+    def __init__(
+        self,
+        settings: TagPacketSettings,
+        applied: Mailbox[Any],
+        mailbox: SelectableMailbox[TagTaskMessage | Stop],
+    ) -> None:
+        super().__init__("packets", mailbox)
+        self._settings = settings
+        self._selectable = mailbox
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._state = TagState(settings.node, settings.failure_domain)
+        self._log = TagLogApplication(self._state, settings.decode_document, applied)
+        self._counts: Counter[str] = Counter()
+        self._last_packet = monotonic()
+        self._leaving = False
+        self._selector = selectors.DefaultSelector()
+
+    @property
+    def address(self) -> Address:
+        """Where the task receives packets, once its context was entered."""
+        address: Address = self._socket.getsockname()
+        return address
+
+    def __enter__(self) -> Self:
+        """Bind the socket, so that a failure reaches the caller, and start.
+
+        :raises OSError: if the endpoint of the settings can't be bound.
+        """
+        bind = self._settings.bind
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
+        self._socket.bind((bind.address, bind.port))
+        address, port = self.address
+        log(
+            BalancerEvent.SOCKET_OPENED,
+            node=self._settings.node,
+            address=address,
+            port=port,
+            buffer=self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF),
+        )
+        return super().__enter__()
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        super().__exit__(exc_type, exc_value, traceback)
+        self._socket.close()
+        self._selector.close()
+        self._selectable.__exit__(exc_type, exc_value, traceback)
+
+    def run(self) -> None:
+        """Wait for packets and messages until :class:`Stop` arrives."""
+        self._selector.register(self._selectable, selectors.EVENT_READ)
+        while True:
+            for key, _ in self._selector.select():
+                if key.fileobj is self._socket:
+                    self._receive_packets()
+                elif self._receive_messages():
+                    return
+
+    def _receive_messages(self) -> bool:
+        """Handle the waiting messages; true if one of them is a stop."""
+        for message in self._selectable.drain():
+            if isinstance(message, Stop):
+                return True
+            self.receive(message)
+        return False
+
+    def _receive_packets(self) -> None:
+        now = monotonic()
+        self._last_packet = now
+        receive = self._socket.recvfrom
+        for _ in range(PACKETS_PER_WAKE_UP):
+            try:
+                datagram, _sender = receive(RECEIVE_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An ICMP error for a datagram that was sent earlier.
+                self._counts["receive-failed"] += 1
+                continue
+            self._receive_packet(datagram, now)
+
+    def _receive_packet(self, datagram: bytes, now: Seconds) -> None:
+        packet = self._settings.codec.parse(datagram)
+        if isinstance(packet, str):
+            self._counts[packet] += 1
+            return
+        _execute(decide(packet, self._state, now), datagram, self)
+
+    def send(self, datagram: bytes, address: Address, outcome: str) -> None:
+        """Send a datagram and count its outcome."""
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError:
+            outcome = "send-failed"
+        self._counts[outcome] += 1
+
+    def count(self, outcome: str) -> None:
+        """Count what became of a packet that is not answered."""
+        self._counts[outcome] += 1
+
+    @property
+    def codec(self) -> FlowPacketCodec:
+        """Encoding of the packets."""
+        return self._settings.codec
+
+    @singledispatchmethod
+    def receive(self, message: TagTaskMessage) -> None:
+        """Handle one message."""
+        raise TypeError(f"no rule for the message {type(message).__name__}")
+
+    @receive.register
+    def _(self, message: LogReceived) -> None:
+        was_confirmed = self._state.view.confirmed
+        self._log.apply(message, monotonic())
+        if self._state.view.confirmed and not was_confirmed:
+            self._selector.register(self._socket, selectors.EVENT_READ)
+
+    @receive.register
+    def _(self, message: TagStatusRequest) -> None:
+        now = monotonic()
+        state = self._state
+        message.reply.post(
+            TagBalancerStatus(
+                state.node,
+                state.view.confirmed and not self._leaving,
+                is_fresh(state.view, now),
+                state.cluster.revision,
+                state.declared_version,
+                len(state.flows),
+                Seconds(now - self._last_packet),
+                dict(self._counts),
+            )
+        )
+
+    @receive.register
+    def _(self, message: BeginLeaving) -> None:
+        self._leaving = True
+
+    @receive.register
+    def _(self, message: Tick) -> None:
+        expire_flows(self._state, message.now)
+        self._log.note_freshness(message.now)
+
+
+@singledispatch
+def _execute(decision: object, datagram: bytes, task: TagPacketTask) -> None:
+    raise TypeError(f"not a decision on a packet: {decision!r}")
+
+
+@_execute.register
+def _(decision: Deliver, datagram: bytes, task: TagPacketTask) -> None:
+    out, address = task.codec.delivery(datagram, decision.server)
+    task.send(out, address, "delivered")
+
+
+@_execute.register
+def _(decision: Refuse, datagram: bytes, task: TagPacketTask) -> None:
+    out, address = task.codec.reset(decision.packet)
+    task.send(out, address, f"refused-{decision.reason.value}")
+
+
+@_execute.register
+def _(decision: Drop, datagram: bytes, task: TagPacketTask) -> None:
+    task.count(f"dropped-{decision.reason.value}")
+
+
+def make_tag_packet_task(
+    settings: TagPacketSettings, applied: Mailbox[Any]
+) -> TagPacketTask:
+    """Packet task of a balancer; entering its context binds the socket.
+
+    :param applied: receives ``AppliedRevision`` after each log batch.
+    """
+    return TagPacketTask(settings, applied, SelectableMailbox("packets"))
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -50,12 +50,25 @@
         "failure domain {failure_domain} was taken out of service at this balancer",
         "Confirm it through the control API once the partition has healed.",
     )
+    DOCUMENT_UNREADABLE = EventDefinition(
+        2012,
+        logging.ERROR,
+        "the declared configuration {version} can't be read: {reason}",
+        "Run the same version on all VMs; the balancer keeps the configuration before.",
+    )
     DRAINING = EventDefinition(
         2020,
         logging.INFO,
         "{node} stops; it waits up to {seconds:.0f} s until its homes have moved",
         "None needed; flows continue through the other balancers.",
     )
+    LEAVING = EventDefinition(
+        2022,
+        logging.INFO,
+        "{node} stops; it carries packets for up to {seconds:.1f} s until the routers "
+        "use other balancers",
+        "None needed.",
+    )
     DRAIN_TIMED_OUT = EventDefinition(
         2021,
         logging.WARNING,
--- /dev/null
+++ b/tests/test_tag_steering.py
@@ -0,0 +1,250 @@
+"""Decisions on packets of callers where tags name the backend servers."""
+
+import unittest
+from collections import Counter
+
+from wasabigw.core.cluster import (
+    ClusterState,
+    Endpoint,
+    FailureDomain,
+    Registration,
+    Registry,
+)
+from wasabigw.core.declaration import (
+    Declaration,
+    DeclaredService,
+    Listener,
+    ServiceShare,
+)
+from wasabigw.core.ids import (
+    BackendServerId,
+    FailureDomainId,
+    NodeId,
+    RegionId,
+    Seconds,
+    ServiceId,
+    Tag,
+)
+from wasabigw.core.states import FailureDomainState, RegistrationState
+from wasabigw.core.tags.decisions import (
+    Deliver,
+    Drop,
+    DropReason,
+    Refuse,
+    RefuseReason,
+)
+from wasabigw.core.tags.learning import declare, learn
+from wasabigw.core.tags.packets import FlowId, FlowPacket
+from wasabigw.core.tags.selection import service_of
+from wasabigw.core.tags.state import TagState
+from wasabigw.core.tags.steering import decide, expire_flows
+
+SEATS = ServiceId("seats")
+DOCUMENTS = ServiceId("documents")
+RECIFE, SALVADOR = FailureDomainId("recife"), FailureDomainId("salvador")
+LISTENER = 0xC6120001
+"""198.18.0.1"""
+
+
+def boot(
+    tag: int,
+    domain: FailureDomainId = RECIFE,
+    state: RegistrationState = RegistrationState.SERVING,
+    silent: bool = False,
+    cold_for: float = 0.0,
+) -> Registration:
+    """A boot of a backend server for seats."""
+    return Registration(
+        Tag(tag),
+        BackendServerId(f"b-{tag}"),
+        SEATS,
+        domain,
+        Endpoint("10.0.0.1", 8000 + tag),
+        1000,
+        4,
+        state,
+        silent,
+        Seconds(cold_for),
+    )
+
+
+def opening(port: int = 1, repeat: int = 0, listener_port: int = 443) -> FlowPacket:
+    """Opening packet of a caller."""
+    flow = FlowId(0x64400007, port, LISTENER, listener_port)
+    return FlowPacket(flow, Tag(0), True, False, False, repeat, 100, 0, 0)
+
+
+def data(tag: int, port: int = 1, closing: bool = False) -> FlowPacket:
+    """Packet of an open flow."""
+    flow = FlowId(0x64400007, port, LISTENER, 443)
+    return FlowPacket(flow, Tag(tag), False, closing, False, 0, 101, 555, 10)
+
+
+class SteeringCase(unittest.TestCase):
+    """A balancer in Recife with a fresh view."""
+
+    def setUp(self) -> None:
+        self.state = TagState(NodeId("balancer-1"), RECIFE)
+        domains = [FailureDomain(d, RegionId("r")) for d in (RECIFE, SALVADOR)]
+        self.state.cluster = ClusterState(failure_domains={d.id: d for d in domains})
+        shares = (ServiceShare(SEATS, 1),)
+        endpoint = Endpoint("198.18.0.1", 443)
+        listener = Listener(endpoint, shares, Seconds(3.0))
+        declare(
+            Declaration(1, (listener,), (DeclaredService(SEATS),)),
+            self.state,
+        )
+        self.state.view.confirmed = True
+        self.state.view.fresh_until = Seconds(1000.0)
+
+    def register(self, *boots: Registration, now: float = 0.0) -> None:
+        registry = Registry()
+        for each in boots:
+            if each.state is RegistrationState.ENDED:
+                registry.ended.append(each)
+            else:
+                registry.current[each.id] = each
+        self.state.cluster.registry = registry
+        learn(self.state, Seconds(now))
+
+    def decide(self, packet: FlowPacket, now: float = 0.0) -> object:
+        return decide(packet, self.state, Seconds(now))
+
+    def tag_of(self, packet: FlowPacket, now: float = 0.0) -> int:
+        decision = self.decide(packet, now)
+        assert isinstance(decision, Deliver), decision
+        return decision.server.tag
+
+
+class OpenFlows(SteeringCase):
+    """Guards against packets of a flow that reach another backend server."""
+
+    def test_the_tag_alone_decides(self) -> None:
+        self.register(boot(1), boot(2))
+        for tag in (1, 2):
+            self.assertEqual(self.tag_of(data(tag, port=77)), tag)
+
+    def test_drain_silence_and_evacuation_leave_open_flows_where_they_are(self) -> None:
+        drained = boot(1, state=RegistrationState.DRAINING)
+        self.register(drained, boot(2, silent=True), boot(3, SALVADOR))
+        out = FailureDomainState.OUT_OF_SERVICE
+        domain = FailureDomain(SALVADOR, RegionId("r"), out)
+        self.state.cluster.failure_domains[SALVADOR] = domain
+        learn(self.state, Seconds(0.0))
+        for tag in (1, 2, 3):
+            self.assertEqual(self.tag_of(data(tag)), tag)
+
+    def test_an_unknown_tag_is_dropped_and_never_guessed(self) -> None:
+        self.register(boot(1))
+        self.assertEqual(self.decide(data(9)), Drop(DropReason.UNKNOWN_TAG))
+        self.assertEqual(self.decide(data(0)), Drop(DropReason.NO_TAG))
+
+    def test_a_flow_of_an_ended_boot_is_refused(self) -> None:
+        self.register(boot(1, state=RegistrationState.ENDED))
+        packet = data(1)
+        refused = Refuse(packet, RefuseReason.SERVER_ENDED)
+        self.assertEqual(self.decide(packet), refused)
+
+    def test_nothing_is_decided_before_the_first_view(self) -> None:
+        self.register(boot(1))
+        self.state.view.confirmed = False
+        for packet in (opening(), data(1)):
+            self.assertEqual(self.decide(packet), Drop(DropReason.NO_VIEW))
+
+
+class NewFlows(SteeringCase):
+    """Guards against new flows for backend servers that must not get any."""
+
+    def test_those_that_drain_are_silent_or_out_of_service_get_none(self) -> None:
+        drained = boot(1, state=RegistrationState.DRAINING)
+        self.register(drained, boot(2, silent=True), boot(3, SALVADOR))
+        self.assertEqual({self.tag_of(opening(p)) for p in range(20)}, {3})
+        out = FailureDomainState.OUT_OF_SERVICE
+        domain = FailureDomain(SALVADOR, RegionId("r"), out)
+        self.state.cluster.failure_domains[SALVADOR] = domain
+        learn(self.state, Seconds(0.0))
+        packet = opening(99)
+        refused = Refuse(packet, RefuseReason.NO_SERVER)
+        self.assertEqual(self.decide(packet), refused)
+
+    def test_a_cold_one_gets_none_while_another_can_take_them(self) -> None:
+        self.register(boot(1), boot(2, cold_for=2.0))
+        self.assertEqual({self.tag_of(opening(p)) for p in range(20)}, {1})
+        later = {self.tag_of(opening(p), now=2.5) for p in range(20, 60)}
+        self.assertEqual(later, {1, 2})
+
+    def test_new_flows_stay_in_the_failure_domain_and_are_spread(self) -> None:
+        self.register(boot(1), boot(2), boot(3, SALVADOR))
+        tags = Counter(self.tag_of(opening(p)) for p in range(20))
+        self.assertEqual(tags, {1: 10, 2: 10})
+
+    def test_an_unknown_listener_is_refused_only_with_a_fresh_view(self) -> None:
+        self.register(boot(1))
+        packet = opening(listener_port=80)
+        refused = Refuse(packet, RefuseReason.NO_LISTENER)
+        self.assertEqual(self.decide(packet), refused)
+        dropped = Drop(DropReason.UNSURE_OF_LISTENER)
+        self.assertEqual(self.decide(packet, now=1001.0), dropped)
+
+    def test_a_repeated_opening_goes_to_another_backend_server(self) -> None:
+        self.register(boot(1), boot(2))
+        first = self.tag_of(opening())
+        self.assertNotEqual(self.tag_of(opening(repeat=1), now=0.2), first)
+
+    def test_a_repeated_opening_of_an_open_flow_stays(self) -> None:
+        self.register(boot(1), boot(2))
+        first = self.tag_of(opening())
+        self.decide(data(first), now=0.1)
+        self.assertEqual(self.tag_of(opening(repeat=1), now=0.2), first)
+
+    def test_one_that_does_not_answer_is_avoided_for_a_while(self) -> None:
+        self.register(boot(1), boot(2))
+        for port in (1, 2, 3, 4):
+            self.decide(opening(port))
+        for port in (1, 2, 3, 4):
+            known = self.state.flows[opening(port).flow]
+            if known.server.registration.tag == 1:
+                self.decide(opening(port, repeat=1), now=0.2)
+        tags = {self.tag_of(opening(p), now=0.3) for p in range(10, 20)}
+        self.assertEqual(tags, {2})
+        self.decide(data(1), now=0.4)
+        tags = {self.tag_of(opening(p), now=0.5) for p in range(20, 60)}
+        self.assertEqual(tags, {1, 2})
+
+    def test_the_service_follows_from_the_flow_and_the_weights(self) -> None:
+        shares = (ServiceShare(SEATS, 90), ServiceShare(DOCUMENTS, 10))
+        listener = Listener(Endpoint("198.18.0.1", 443), shares, Seconds(3.0))
+        flows = [opening(port).flow for port in range(2000)]
+        chosen = [service_of(listener, flow) for flow in flows]
+        self.assertEqual(chosen, [service_of(listener, flow) for flow in flows])
+        part = chosen.count(DOCUMENTS) / len(chosen)
+        self.assertAlmostEqual(part, 0.1, delta=0.03)
+
+
+class Use(SteeringCase):
+    """Guards against counts that grow without flows."""
+
+    def test_closing_and_idleness_end_the_count(self) -> None:
+        self.register(boot(1))
+        for port in range(3):
+            self.decide(opening(port))
+        self.decide(data(1, port=0, closing=True), now=1.0)
+        self.decide(data(1, port=1), now=10.0)
+        self.assertEqual(self.state.servers[Tag(1)].open_flows, 2)
+        expire_flows(self.state, Seconds(16.0))
+        self.assertEqual(self.state.servers[Tag(1)].open_flows, 1)
+
+
+class Declarations(SteeringCase):
+    """Guards against a balancer that goes back to an older configuration."""
+
+    def test_an_older_declaration_is_ignored(self) -> None:
+        declare(Declaration(3, (), ()), self.state)
+        self.assertEqual(self.state.listeners, {})
+        listener = Listener(Endpoint("198.18.0.1", 80), (), Seconds(1.0))
+        declare(Declaration(2, (listener,), ()), self.state)
+        self.assertEqual(self.state.listeners, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
