--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,9 @@
 
 setup: $(VENV)/.installed
 
-$(VENV)/.installed: requirements.lock pyproject.toml
+$(VENV)/.installed: requirements.lock requirements-dev.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --requirement requirements-dev.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
 	touch $@
 
