--- a/src/wasabigw/codec/log_poll.py
+++ b/src/wasabigw/codec/log_poll.py
@@ -43,7 +43,6 @@
         "api": f"{poll.node.api.address}:{poll.node.api.port}",
         "after": str(poll.applied),
         "wait_ms": str(round(poll.wait * 1000)),
-        **({"relay": "1"} if poll.relay else {}),
     }
 
 
@@ -71,8 +70,7 @@
         Incarnation(query["incarnation"]),
         state,
     )
-    relay = query.get("relay") == "1"
-    return Success(LogPoll(node, Revision(after), Seconds(wait / 1000), relay))
+    return Success(LogPoll(node, Revision(after), Seconds(wait / 1000)))
 
 
 def _names_problems(query: Mapping[str, Any]) -> list[str]:
--- a/src/wasabigw/core/apply_changes.py
+++ b/src/wasabigw/core/apply_changes.py
@@ -131,6 +131,7 @@
     state = transition.state
     if state.declared is None or change.document.version > state.declared.version:
         state.declared = change.document
+        state.declared_at = transition.revision
     return _DONE
 
 
--- a/src/wasabigw/core/apply_reports.py
+++ b/src/wasabigw/core/apply_reports.py
@@ -145,17 +145,21 @@
 
 @apply_report.register
 def _(report: commands.BootAnnounced, transition: Transition) -> None:
-    registrations.register_boot(report, transition.state.registry)
+    registrations.register_boot(report, transition.state.registry, transition.revision)
 
 
 @apply_report.register
 def _(report: commands.BootSilent, transition: Transition) -> None:
-    registrations.silence_boot(report.id, report.tag, transition.state.registry)
+    registrations.silence_boot(
+        report.id, report.tag, transition.state.registry, transition.revision
+    )
 
 
 @apply_report.register
 def _(report: commands.BootsForgotten, transition: Transition) -> None:
-    registrations.forget_boots(report.tags, transition.state.registry)
+    registrations.forget_boots(
+        report.tags, transition.state.registry, transition.revision
+    )
 
 
 def _registered(
--- a/src/wasabigw/core/cluster.py
+++ b/src/wasabigw/core/cluster.py
@@ -6,21 +6,23 @@
 
 from dataclasses import dataclass, field
 
+from wasabigw.core.endpoint import Endpoint as Endpoint
+from wasabigw.core.endpoint import endpoint_key as endpoint_key
+from wasabigw.core.ids import NO_REVISION as NO_REVISION
 from wasabigw.core.ids import (
     BackendServerId,
     BootId,
     BucketNumber,
-    CompressedText,
     FailureDomainId,
     Incarnation,
     NodeId,
     RegionId,
     RequestId,
     Revision,
-    Seconds,
     ServiceId,
-    Tag,
 )
+from wasabigw.core.registration import DeclaredDocument as DeclaredDocument
+from wasabigw.core.registration import Registration as Registration
 from wasabigw.core.states import (
     BackendServerState,
     CandidateReason,
@@ -29,19 +31,10 @@
     NodeState,
     Protocol,
     RefusalCode,
-    RegistrationState,
 )
 from wasabigw.core.timing import FULL_STEP
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
-    """IPv4 address and port."""
-
-    address: str
-    port: int
-
-
 @dataclass(frozen=True, slots=True)
 class Service:
     """A service address and what its flows need.
@@ -131,29 +124,6 @@
     version: int = field(default=0, compare=False, repr=False)
 
 
-@dataclass(frozen=True, slots=True)
-class Registration:
-    """One boot of a backend server that is reached by its tag.
-
-    :param started_at: when the boot started, in Unix milliseconds of its own clock;
-        of two boots of one id or at one endpoint, the later one is alive.
-    :param silent: it has not announced itself for a lease; its flows go on, but it
-        gets no new ones.
-    :param cold_for: how long after its last change it bears only a few new flows.
-    """
-
-    tag: Tag
-    id: BackendServerId
-    service: ServiceId
-    failure_domain: FailureDomainId
-    endpoint: Endpoint
-    started_at: int
-    slots: int
-    state: RegistrationState = RegistrationState.SERVING
-    silent: bool = False
-    cold_for: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
-
-
 @dataclass(slots=True)
 class Registry:
     """Registered boots of backend servers that are reached by tags.
@@ -162,24 +132,14 @@
     :param ended: boots whose flows may not have been given up by their callers yet.
     :param owners: backend server whose current boot uses an endpoint.
     :param next_tag: tag of the next boot; no tag is used twice.
+    :param forgotten_at: revision at which boots were last forgotten.
     """
 
     current: dict[BackendServerId, Registration] = field(default_factory=dict)
     ended: list[Registration] = field(default_factory=list)
     owners: dict[str, BackendServerId] = field(default_factory=dict)
     next_tag: int = 1
-
-
-@dataclass(frozen=True, slots=True)
-class DeclaredDocument:
-    """Configuration as an operator declared it.
-
-    :param version: the highest one is in force.
-    :param text: the document as it was written, compressed.
-    """
-
-    version: int
-    text: CompressedText
+    forgotten_at: Revision = NO_REVISION
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,10 +174,6 @@
     since: Revision
 
 
-NO_REVISION = Revision(0)
-"""Revision of a state to which no entry has been applied."""
-
-
 @dataclass(slots=True)
 class ClusterState:
     """Copy of the replicated state at one revision."""
@@ -234,9 +190,5 @@
     requests: dict[RequestId, Applied | Refusal] = field(default_factory=dict)
     next_backend_index: int = 0
     declared: DeclaredDocument | None = None
+    declared_at: Revision = NO_REVISION
     registry: Registry = field(default_factory=Registry)
-
-
-def endpoint_key(endpoint: Endpoint) -> str:
-    """Key of an endpoint in maps: ``address:port``."""
-    return f"{endpoint.address}:{endpoint.port}"
--- /dev/null
+++ b/src/wasabigw/core/cluster_view.py
@@ -0,0 +1,24 @@
+"""The part of the replicated state that balancers which deliver by tags follow."""
+
+from wasabigw.core.cluster import ClusterState
+from wasabigw.core.delivery_view import DeliveryView
+from wasabigw.core.states import FailureDomainState
+
+
+def view_of(cluster: ClusterState) -> DeliveryView:
+    """View at the revision of a copy of the replicated state."""
+    registry = cluster.registry
+    boots = {boot.tag: boot for boot in registry.ended}
+    boots.update((boot.tag, boot) for boot in registry.current.values())
+    return DeliveryView(
+        revision=cluster.revision,
+        boots=boots,
+        document=cluster.declared,
+        declared_at=cluster.declared_at,
+        forgotten_at=registry.forgotten_at,
+        out_of_service=tuple(
+            domain.id
+            for domain in cluster.failure_domains.values()
+            if domain.state is FailureDomainState.OUT_OF_SERVICE
+        ),
+    )
--- a/src/wasabigw/core/copying.py
+++ b/src/wasabigw/core/copying.py
@@ -18,6 +18,7 @@
         requests=dict(state.requests),
         next_backend_index=state.next_backend_index,
         declared=state.declared,
+        declared_at=state.declared_at,
         registry=_copy_registry(state.registry),
     )
 
@@ -33,4 +34,5 @@
         ended=list(registry.ended),
         owners=dict(registry.owners),
         next_tag=registry.next_tag,
+        forgotten_at=registry.forgotten_at,
     )
--- a/src/wasabigw/core/declaration.py
+++ b/src/wasabigw/core/declaration.py
@@ -8,8 +8,7 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from wasabigw.core.cluster import Endpoint, endpoint_key
-from wasabigw.core.endpoints import malformed
+from wasabigw.core.endpoint import Endpoint, endpoint_key, malformed
 from wasabigw.core.ids import Seconds, ServiceId
 
 DEFAULT_IDLE_TIMEOUT = Seconds(15.0)
--- a/src/wasabigw/core/endpoints.py
+++ b/src/wasabigw/core/endpoints.py
@@ -1,33 +1,20 @@
 """Checks that keep services apart: one service for each address and port."""
 
-import ipaddress
 from collections.abc import Iterable
 
-from wasabigw.core.cluster import ClusterState, Endpoint, Service, endpoint_key
+from wasabigw.core.cluster import ClusterState, Service, endpoint_key
 from wasabigw.core.commands import BackendServerUp
+from wasabigw.core.endpoint import MAX_PORT as MAX_PORT
+from wasabigw.core.endpoint import malformed as malformed
 from wasabigw.core.ids import ServiceId
 from wasabigw.core.names import announced_id_problem
 from wasabigw.core.states import RefusalCode
 from wasabigw.core.transition import Transition
 
-MAX_PORT = 65_535
 Problem = tuple[RefusalCode, str]
 """Code and text of a refusal."""
 
 
-def malformed(endpoint: Endpoint) -> str | None:
-    """What is wrong with an endpoint, or ``None``."""
-    try:
-        address = ipaddress.IPv4Address(endpoint.address)
-    except ValueError:
-        return f"{endpoint.address!r} is not an IPv4 address; write it as 10.0.0.1"
-    if address.is_unspecified or address.is_multicast or int(address) == 2**32 - 1:
-        return f"{address} can't be reached as a single host; use a unicast address"
-    if not 0 < endpoint.port <= MAX_PORT:
-        return f"port {endpoint.port} is out of range; use 1 to {MAX_PORT}"
-    return None
-
-
 def service_endpoint_problem(
     service: Service, transition: Transition
 ) -> Problem | None:
--- a/src/wasabigw/core/ids.py
+++ b/src/wasabigw/core/ids.py
@@ -18,6 +18,8 @@
 BucketNumber = NewType("BucketNumber", int)
 Revision = NewType("Revision", int)
 """Index of an entry of the replicated log; 0 is before the first entry."""
+NO_REVISION = Revision(0)
+"""Revision of a state to which no entry has been applied."""
 Term = NewType("Term", int)
 Seconds = NewType("Seconds", float)
 """Monotonic time of one process, or a duration."""
--- a/src/wasabigw/core/log_messages.py
+++ b/src/wasabigw/core/log_messages.py
@@ -41,14 +41,11 @@
 
     :param applied: last revision that it has applied.
     :param wait: how long the leader may hold the poll if there is nothing new.
-    :param relay: whether any voter may answer from its own copy; the answer says how
-        long that copy is known to be current.
     """
 
     node: Node
     applied: Revision
     wait: Seconds
-    relay: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/registrations.py
+++ b/src/wasabigw/core/registrations.py
@@ -9,28 +9,30 @@
 
 from wasabigw.core import commands
 from wasabigw.core.cluster import Registration, Registry, endpoint_key
-from wasabigw.core.ids import BackendServerId, Tag
+from wasabigw.core.ids import BackendServerId, Revision, Tag
 from wasabigw.core.states import RegistrationState
 
 MAX_ENDED = 4_096
 """Ended boots that are remembered; beyond it the oldest are forgotten."""
 
 
-def register_boot(report: commands.BootAnnounced, registry: Registry) -> None:
+def register_boot(
+    report: commands.BootAnnounced, registry: Registry, revision: Revision
+) -> None:
     """Register a boot, or bring what is known of it up to date."""
     known = registry.current.get(report.id)
     if known is not None and known.started_at > report.started_at:
         return
     if known is not None and is_same_boot(known, report):
-        _renew(report, known, registry)
+        _renew(report, known, registry, revision)
         return
     holder = holder_of(report, registry)
     if holder is not None and holder.started_at > report.started_at:
         return
     for former in (known, holder):
         if former is not None:
-            end_boot(former.id, former.tag, registry)
-    _add(report, registry)
+            _end(former, registry, revision)
+    _add(report, registry, revision)
 
 
 def is_same_boot(known: Registration, report: commands.BootAnnounced) -> bool:
@@ -52,36 +54,41 @@
     return registry.current.get(owner)
 
 
-def silence_boot(name: BackendServerId, tag: Tag, registry: Registry) -> None:
+def silence_boot(
+    name: BackendServerId, tag: Tag, registry: Registry, revision: Revision
+) -> None:
     """Note that a boot no longer announces itself."""
     known = registry.current.get(name)
     if known is not None and known.tag == tag and not known.silent:
-        registry.current[name] = replace(known, silent=True)
+        registry.current[name] = replace(known, silent=True, changed_at=revision)
 
 
-def end_boot(name: BackendServerId, tag: Tag, registry: Registry) -> None:
-    """Note that a boot has ended; its tag is kept for packets that still name it."""
-    known = registry.current.get(name)
-    if known is None or known.tag != tag:
-        return
-    del registry.current[name]
-    key = endpoint_key(known.endpoint)
-    if registry.owners.get(key) == name:
-        del registry.owners[key]
-    registry.ended.append(replace(known, state=RegistrationState.ENDED))
-    del registry.ended[:-MAX_ENDED]
-
-
-def forget_boots(tags: tuple[Tag, ...], registry: Registry) -> None:
+def forget_boots(tags: tuple[Tag, ...], registry: Registry, revision: Revision) -> None:
     """Forget boots that no flow can name any more."""
     forgotten = frozenset(tags)
     for boot in list(registry.current.values()):
         if boot.tag in forgotten and boot.silent:
-            end_boot(boot.id, boot.tag, registry)
+            _end(boot, registry, revision)
     registry.ended = [boot for boot in registry.ended if boot.tag not in forgotten]
+    registry.forgotten_at = revision
+
+
+def _end(boot: Registration, registry: Registry, revision: Revision) -> None:
+    """Note that a boot has ended; its tag is kept for packets that still name it."""
+    del registry.current[boot.id]
+    key = endpoint_key(boot.endpoint)
+    if registry.owners.get(key) == boot.id:
+        del registry.owners[key]
+    ended = replace(boot, state=RegistrationState.ENDED, changed_at=revision)
+    registry.ended.append(ended)
+    if len(registry.ended) > MAX_ENDED:
+        del registry.ended[:-MAX_ENDED]
+        registry.forgotten_at = revision
 
 
-def _add(report: commands.BootAnnounced, registry: Registry) -> None:
+def _add(
+    report: commands.BootAnnounced, registry: Registry, revision: Revision
+) -> None:
     boot = Registration(
         tag=Tag(registry.next_tag),
         id=report.id,
@@ -92,6 +99,7 @@
         slots=report.slots,
         state=_state(report),
         cold_for=report.cold_for,
+        changed_at=revision,
     )
     registry.next_tag += 1
     registry.current[boot.id] = boot
@@ -99,15 +107,20 @@
 
 
 def _renew(
-    report: commands.BootAnnounced, known: Registration, registry: Registry
+    report: commands.BootAnnounced,
+    known: Registration,
+    registry: Registry,
+    revision: Revision,
 ) -> None:
     """Same boot: a drain stays, whatever a late report says."""
     state = _state(report)
     if known.state is RegistrationState.DRAINING:
         state = known.state
-    registry.current[known.id] = replace(
+    renewed = replace(
         known, slots=report.slots, state=state, silent=False, cold_for=report.cold_for
     )
+    if renewed != known:
+        registry.current[known.id] = replace(renewed, changed_at=revision)
 
 
 def _state(report: commands.BootAnnounced) -> RegistrationState:
--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from wasabigw.core.cluster import Registration
+from wasabigw.core.registration import Registration
 from wasabigw.core.tags.packets import FlowPacket
 
 
--- a/src/wasabigw/core/tags/learning.py
+++ b/src/wasabigw/core/tags/learning.py
@@ -1,11 +1,25 @@
-"""Brings a balancer's view up to date with its copy of the replicated state."""
+"""Takes over what a balancer learns of the replicated state."""
 
-from wasabigw.core.cluster import Registration, Registry
 from wasabigw.core.declaration import Declaration
+from wasabigw.core.delivery_view import ViewUpdate, absorb
 from wasabigw.core.ids import Seconds, ServiceId, Tag
+from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.state import Server, TagState, listeners_of
-from wasabigw.core.transition import in_service
+
+
+def learn(update: ViewUpdate, sent_at: Seconds, state: TagState, now: Seconds) -> bool:
+    """Take over a view update; ``False`` if it has nothing new.
+
+    :param sent_at: when the poll was sent that it answers.
+    """
+    has_changed = absorb(state.view, update)
+    if has_changed:
+        refresh(state, now)
+    if update.revision >= state.view.revision:
+        fresh_until = Seconds(sent_at + update.fresh_for)
+        state.fresh_until = max(state.fresh_until, fresh_until)
+    return has_changed
 
 
 def declare(declaration: Declaration, state: TagState) -> None:
@@ -18,10 +32,9 @@
     state.idle_timeout = declaration.idle_timeout
 
 
-def learn(state: TagState, now: Seconds) -> None:
-    """Take over what the copy of the replicated state has changed."""
-    registry = state.cluster.registry
-    state.servers = _servers(registry, state, now)
+def refresh(state: TagState, now: Seconds) -> None:
+    """Derive which backend servers get new flows from the view."""
+    state.servers = _servers(state, now)
     pools: dict[ServiceId, list[Server]] = {}
     for server in state.servers.values():
         if _takes_new_flows(server.registration, state):
@@ -29,9 +42,9 @@
     state.pools = pools
 
 
-def _servers(registry: Registry, state: TagState, now: Seconds) -> dict[Tag, Server]:
+def _servers(state: TagState, now: Seconds) -> dict[Tag, Server]:
     servers: dict[Tag, Server] = {}
-    for boot in (*registry.ended, *registry.current.values()):
+    for boot in state.view.boots.values():
         server = state.servers.get(boot.tag)
         if server is None:
             server = Server(boot, Seconds(now + boot.cold_for))
@@ -45,4 +58,4 @@
 def _takes_new_flows(boot: Registration, state: TagState) -> bool:
     if boot.state is not RegistrationState.SERVING or boot.silent:
         return False
-    return in_service(boot.failure_domain, state.cluster)
+    return boot.failure_domain not in state.view.out_of_service
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -3,11 +3,19 @@
 import ipaddress
 from dataclasses import dataclass, field
 
-from wasabigw.core.cluster import ClusterState, Registration
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT, Declaration, Listener
-from wasabigw.core.ids import FailureDomainId, NodeId, Seconds, ServiceId, Tag
+from wasabigw.core.delivery_view import DeliveryView
+from wasabigw.core.ids import (
+    NO_REVISION,
+    FailureDomainId,
+    NodeId,
+    Seconds,
+    ServiceId,
+    Tag,
+)
+from wasabigw.core.registration import Registration
 from wasabigw.core.tags.packets import FlowId
-from wasabigw.core.view import View
+from wasabigw.core.view import NEVER
 
 ListenerKey = tuple[int, int]
 """IPv4 address as a number, and port."""
@@ -47,7 +55,8 @@
 class TagState:
     """Everything that a balancer knows.
 
-    :param cluster: own copy of the replicated state.
+    :param view: part of the replicated state that the balancer has.
+    :param fresh_until: until when the view is known to be current.
     :param listeners: of the declaration in force.
     :param servers: boots by tag, with those that have ended.
     :param pools: boots of each service that may get new flows.
@@ -55,8 +64,8 @@
 
     node: NodeId
     failure_domain: FailureDomainId
-    cluster: ClusterState = field(default_factory=ClusterState)
-    view: View = field(default_factory=View)
+    view: DeliveryView = field(default_factory=DeliveryView)
+    fresh_until: Seconds = NEVER
     declared_version: int | None = None
     idle_timeout: Seconds = DEFAULT_IDLE_TIMEOUT
     listeners: dict[ListenerKey, Listener] = field(default_factory=dict)
@@ -64,6 +73,15 @@
     pools: dict[ServiceId, list[Server]] = field(default_factory=dict)
     flows: dict[FlowId, Flow] = field(default_factory=dict)
 
+    @property
+    def has_view(self) -> bool:
+        """Whether the balancer has a view at all."""
+        return self.view.revision > NO_REVISION
+
+    def is_fresh(self, now: Seconds) -> bool:
+        """Whether the view is known to be current."""
+        return now < self.fresh_until
+
 
 def listeners_of(declaration: Declaration) -> dict[ListenerKey, Listener]:
     """Listeners of a declaration by address and port."""
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -17,7 +17,6 @@
 from wasabigw.core.tags.packets import NO_TAG, FlowPacket
 from wasabigw.core.tags.selection import choose_server, service_of
 from wasabigw.core.tags.state import Flow, Server, TagState
-from wasabigw.core.view import is_fresh
 
 MAX_FLOWS = 100_000
 """Flows whose use is counted; further ones are carried without being counted."""
@@ -25,7 +24,7 @@
 
 def decide(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
     """Decide on a packet of a caller."""
-    if not state.view.confirmed:
+    if not state.has_view:
         return Drop(DropReason.NO_VIEW)
     if packet.is_opening:
         return _open(packet, state, now)
@@ -36,7 +35,7 @@
     flow = packet.flow
     listener = state.listeners.get((flow.listener, flow.listener_port))
     if listener is None:
-        if is_fresh(state.view, now):
+        if state.is_fresh(now):
             return Refuse(packet, RefuseReason.NO_LISTENER)
         return Drop(DropReason.UNSURE_OF_LISTENER)
     known = state.flows.get(flow)
@@ -49,7 +48,7 @@
         _forget(packet, state)
     server = choose_server(service_of(listener, flow), state, now, former)
     if server is None:
-        if is_fresh(state.view, now):
+        if state.is_fresh(now):
             return Refuse(packet, RefuseReason.NO_SERVER)
         return Drop(DropReason.UNSURE_OF_SERVERS)
     _record(packet, server, state, now)
--- a/src/wasabigw/runtime/timer.py
+++ b/src/wasabigw/runtime/timer.py
@@ -42,8 +42,12 @@
 
 
 def monotonic() -> Seconds:
-    """Monotonic time of this process."""
-    return Seconds(time.monotonic())
+    """Time since the VM was started.
+
+    Unlike the clock that most programs use for durations, it goes on while the VM is
+    suspended, so that a lease can't outlive its end on a VM that slept.
+    """
+    return Seconds(time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
 class TimerService(Task[Subscribe]):
--- a/src/wasabigw/tasks/control_client.py
+++ b/src/wasabigw/tasks/control_client.py
@@ -121,17 +121,9 @@
                 self._current = self._next(problem)
         return outcome
 
-    def use_next(self) -> None:
-        """Send the next call to another endpoint, although this one answered."""
-        self.close()
-        self._current = self._following()
-
     def _next(self, problem: CallProblem) -> Endpoint:
         if problem.leader is not None and problem.leader != self._current:
             return problem.leader
-        return self._following()
-
-    def _following(self) -> Endpoint:
         if self._current not in self._endpoints:
             return self._endpoints[0]
         index = self._endpoints.index(self._current) + 1
--- a/src/wasabigw/tasks/held_polls.py
+++ b/src/wasabigw/tasks/held_polls.py
@@ -58,7 +58,7 @@
         due = [
             node
             for node, held in self._held.items()
-            if not (standing.is_leader or held.call.poll.relay)
+            if not standing.is_leader
             or standing.now >= held.until
             or held.call.poll.applied != applied
         ]
@@ -66,51 +66,37 @@
             self._answer(self._held.pop(node).call, standing)
 
     def end_leadership(self, refusal: NotLeader) -> None:
-        """Refuse the polls that only a leader may answer."""
-        for node, held in list(self._held.items()):
-            if not held.call.poll.relay:
-                del self._held[node]
-                held.call.reply.post(refusal)
+        """Refuse all polls."""
+        for held in self._held.values():
+            held.call.reply.post(refusal)
+        self._held.clear()
 
     def _answer(self, call: PollCall, standing: Standing) -> None:
         poll = call.poll
-        if not standing.is_leader and not poll.relay:
+        if not standing.is_leader:
             call.reply.post(standing.refusal)
         elif poll.applied > self._voter.committed:
-            self._answer_one_ahead(call)
+            log(
+                ControlEvent.NODE_AHEAD,
+                node=poll.node.id,
+                applied=poll.applied,
+                committed=self._voter.committed,
+            )
+            call.reply.post(NotLeader(None))
         else:
-            call.reply.post(self._batch(poll.applied, standing))
+            call.reply.post(self._batch(poll.applied, standing.now))
 
-    def _answer_one_ahead(self, call: PollCall) -> None:
-        poll = call.poll
-        if poll.relay:
-            # It followed another voter that knew of later commits.
-            voter = self._voter
-            call.reply.post(LogBatch(voter.term, voter.committed, Seconds(0.0)))
-            return
-        log(
-            ControlEvent.NODE_AHEAD,
-            node=poll.node.id,
-            applied=poll.applied,
-            committed=self._voter.committed,
-        )
-        call.reply.post(NotLeader(None))
-
-    def _batch(self, applied: Revision, standing: Standing) -> LogBatch:
+    def _batch(self, applied: Revision, now: Seconds) -> LogBatch:
         voter = self._voter
-        now = standing.now
         snapshot: Snapshot | None = None
         if applied < voter.log.available_after:
             snapshot = voter.snapshot
             applied = snapshot.revision
-        settled = applied
-        if standing.is_leader:
-            settled = settled_revision(self._commit_times, now)
         return LogBatch(
             voter.term,
             voter.committed,
-            Seconds(max(0.0, lease.view_for(voter, now))),
+            lease.fresh_for(voter, now),
             tuple(voter.log.after(applied, voter.committed, MAX_ENTRIES_PER_BATCH)),
             snapshot.state if snapshot else None,
-            settled,
+            settled_revision(self._commit_times, now),
         )
--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -17,9 +17,11 @@
 from wasabigw.codec.consensus import encode_envelope
 from wasabigw.codec.log_poll import poll_from_query
 from wasabigw.codec.messages import UnknownKeys
+from wasabigw.codec.views import encode_update
 from wasabigw.core.cluster import Applied, Endpoint, Refusal
 from wasabigw.core.commands import ChangeRequest
 from wasabigw.core.consensus.messages import Envelope, SnapshotRequest
+from wasabigw.core.delivery_view import ViewUpdate
 from wasabigw.core.ids import NodeId, Revision, Seconds
 from wasabigw.core.log_messages import (
     ChangeOutcome,
@@ -59,6 +61,7 @@
     ReportCall,
     StateCall,
     StateView,
+    ViewCall,
     reply_mailbox,
 )
 from wasabigw.telemetry.trace_context import TraceParent, parse_traceparent
@@ -178,6 +181,18 @@
         return self._call(message, timeout)
 
 
+class _View(_Resource):
+    """``GET /v1/view``."""
+
+    def GET(self, after: Any = None, wait_ms: Any = "0") -> bytes:  # noqa: N802
+        """What has changed in the delivery view after a revision."""
+        if not (is_number(after) and is_number(wait_ms)):
+            return bad_request("parameters after and wait_ms must be whole numbers")
+        wait = Seconds(min(int(wait_ms) / 1000, CALL_TIMEOUT))
+        message = ViewCall(Revision(int(after)), wait, reply_mailbox("view"))
+        return self._call(message, Seconds(wait + READ_TIMEOUT))
+
+
 class _Reports(_Resource):
     """``POST /v1/reports``."""
 
@@ -262,6 +277,7 @@
         self.state = _State(voter, settings)
         self.in_force = _InForce(voter, settings)
         self.log = _Log(voter, settings)
+        self.view = _View(voter, settings)
         self.reports = _Reports(voter, settings)
         self.registrations = _Registrations(voter, settings)
         self.consensus = _Consensus(voter, settings)
@@ -310,6 +326,12 @@
     return json_response(HTTPStatus.OK, answer, LogBatch | NotLeader)
 
 
+@_respond.register
+def _(answer: ViewUpdate) -> bytes:
+    cherrypy.response.headers["Content-Type"] = JSON_TYPE
+    return encode_update(answer)
+
+
 @_respond.register
 def _(answer: StateView) -> bytes:
     return json_response(HTTPStatus.OK, answer)
--- /dev/null
+++ b/src/wasabigw/tasks/light_http.py
@@ -0,0 +1,320 @@
+"""HTTP/1.1 for processes that must start fast: a server for a selector, and a client.
+
+The protocol itself is h11's; this module has the sockets. Other servers and clients
+use cherrypy and requests, which take several times as long to load.
+"""
+
+import selectors
+import socket
+from collections.abc import Callable
+from contextlib import AbstractContextManager, suppress
+from dataclasses import dataclass
+from types import TracebackType
+
+import h11
+from returns.result import Failure, Result, Success
+
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import Seconds
+
+RECEIVE_BYTES = 65_536
+MAX_CONNECTIONS = 512
+"""Open connections of a server; further ones are closed at once."""
+MAX_REQUEST_BYTES = 16_384
+"""Head of a request; its body is discarded."""
+MAX_WAITING_BYTES = 8 * 2**20
+"""Bytes that wait for a client that does not read; beyond it, it is cut off."""
+MAX_ANSWER_BYTES = 64 * 2**20
+"""Largest answer that a client takes."""
+BACKLOG = 128
+
+Callback = Callable[[int], None]
+"""What a task calls when a registered socket is ready, with the ready events."""
+
+
+@dataclass(frozen=True, slots=True)
+class LightRequest:
+    """A request without a body that matters.
+
+    :param target: path and query.
+    """
+
+    connection: "ServerConnection"
+    method: str
+    target: str
+
+
+RequestHandler = Callable[[LightRequest], None]
+"""Answers a request now or later with :meth:`ServerConnection.respond`."""
+
+
+class ServerConnection:
+    """A connection of a client; owned by the task of its server."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        selector: selectors.BaseSelector,
+        handle: RequestHandler,
+    ) -> None:
+        self._socket = sock
+        self._selector = selector
+        self._handle = handle
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES
+        )
+        self._waiting = b""
+        self.is_open = True
+        selector.register(sock, selectors.EVENT_READ, self._on_ready)
+
+    def respond(
+        self, status: int, body: bytes = b"", content_type: str = "application/json"
+    ) -> None:
+        """Answer the request that was handled last; ignored if the client is gone."""
+        if not self.is_open:
+            return
+        headers = [("Content-Length", str(len(body)))]
+        if body:
+            headers.append(("Content-Type", content_type))
+        try:
+            data = self._http.send(h11.Response(status_code=status, headers=headers))
+            data = (data or b"") + (self._http.send(h11.Data(data=body)) or b"")
+            data += self._http.send(h11.EndOfMessage()) or b""
+        except h11.LocalProtocolError:
+            self.close()
+            return
+        self._send(data)
+        self._begin_next()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self._selector.unregister(self._socket)
+        self._socket.close()
+
+    def _on_ready(self, events: int) -> None:
+        if events & selectors.EVENT_WRITE:
+            self._send(b"")
+        if self.is_open and events & selectors.EVENT_READ:
+            self._receive()
+
+    def _receive(self) -> None:
+        try:
+            data = self._socket.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+            return
+        if not data:
+            self.close()
+            return
+        self._feed(data)
+
+    def _feed(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            self._next_events()
+        except h11.RemoteProtocolError:
+            self.close()
+
+    def _next_events(self) -> None:
+        while self.is_open:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                self.close()
+            elif isinstance(event, h11.Request):
+                method, target = event.method.decode(), event.target.decode("latin-1")
+                self._handle(LightRequest(self, method, target))
+            elif isinstance(event, h11.EndOfMessage):
+                # A request that was answered at once has only ended now.
+                self._begin_next()
+
+    def _begin_next(self) -> None:
+        if not self.is_open:
+            return
+        if self._http.our_state is h11.MUST_CLOSE:
+            if not self._waiting:
+                self.close()
+            return
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+
+    def _send(self, data: bytes) -> None:
+        self._waiting += data
+        if not self._waiting:
+            return
+        try:
+            sent = self._socket.send(self._waiting)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close()
+            return
+        self._waiting = self._waiting[sent:]
+        if len(self._waiting) > MAX_WAITING_BYTES:
+            self.close()
+            return
+        events = selectors.EVENT_READ
+        if self._waiting:
+            events |= selectors.EVENT_WRITE
+        self._selector.modify(self._socket, events, self._on_ready)
+
+
+class LightServer(AbstractContextManager["LightServer"]):
+    """Server whose sockets belong to the selector of a task.
+
+    The task selects with callbacks as data and calls each with the ready events.
+
+    :param handle: called for each request.
+    """
+
+    def __init__(
+        self, bind: Endpoint, selector: selectors.BaseSelector, handle: RequestHandler
+    ) -> None:
+        self._selector = selector
+        self._handle = handle
+        self._connections: list[ServerConnection] = []
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.setblocking(False)
+        self._socket.bind((bind.address, bind.port))
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Address and port that the server listens on."""
+        address, port = self._socket.getsockname()
+        return Endpoint(address, port)
+
+    def __enter__(self) -> "LightServer":
+        self._socket.listen(BACKLOG)
+        self._selector.register(self._socket, selectors.EVENT_READ, self._on_ready)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for connection in self._connections:
+            connection.close()
+        with suppress(KeyError):
+            self._selector.unregister(self._socket)
+        self._socket.close()
+
+    def _on_ready(self, _events: int) -> None:
+        try:
+            accepted, _ = self._socket.accept()
+        except OSError:
+            return
+        self._connections = [c for c in self._connections if c.is_open]
+        if len(self._connections) >= MAX_CONNECTIONS:
+            accepted.close()
+            return
+        accepted.setblocking(False)
+        connection = ServerConnection(accepted, self._selector, self._handle)
+        self._connections.append(connection)
+
+
+class LightClient(AbstractContextManager["LightClient"]):
+    """Connection to one server at a time; owned by one task."""
+
+    def __init__(self) -> None:
+        self._server: Endpoint | None = None
+        self._socket: socket.socket | None = None
+        self._http = h11.Connection(h11.CLIENT)
+
+    def get(
+        self,
+        server: Endpoint,
+        target: str,
+        connect_timeout: Seconds,
+        read_timeout: Seconds,
+    ) -> Result[bytes, str]:
+        """Body of the answer with status 200, or why there is none.
+
+        After a failure the connection is closed, because something between the two
+        ends may have lost its state.
+        """
+        try:
+            body = self._exchange(server, target, connect_timeout, read_timeout)
+        except TimeoutError:
+            self.close()
+            return Failure("timed out")
+        except (OSError, h11.ProtocolError) as error:
+            self.close()
+            return Failure(getattr(error, "strerror", None) or str(error))
+        if not isinstance(body, Success):
+            self.close()
+        return body
+
+    def close(self) -> None:
+        """Close the connection; the next request opens a new one."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def _exchange(
+        self,
+        server: Endpoint,
+        target: str,
+        connect_timeout: Seconds,
+        read_timeout: Seconds,
+    ) -> Result[bytes, str]:
+        sock = self._connected(server, connect_timeout)
+        host = f"{server.address}:{server.port}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
+        data = (self._http.send(request) or b"") + (
+            self._http.send(h11.EndOfMessage()) or b""
+        )
+        sock.settimeout(read_timeout)
+        sock.sendall(data)
+        return self._answer(sock)
+
+    def _connected(self, server: Endpoint, timeout: Seconds) -> socket.socket:
+        if self._socket is not None and self._server == server:
+            return self._socket
+        self.close()
+        self._socket = socket.create_connection(
+            (server.address, server.port), timeout=timeout
+        )
+        self._socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._server = server
+        self._http = h11.Connection(h11.CLIENT)
+        return self._socket
+
+    def _answer(self, sock: socket.socket) -> Result[bytes, str]:
+        status = 0
+        body = bytearray()
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(sock.recv(RECEIVE_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_ANSWER_BYTES:
+                    return Failure(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                return Failure("the connection was closed")
+        if self._http.our_state is h11.DONE:
+            self._http.start_next_cycle()
+        else:
+            self.close()
+        return Success(bytes(body)) if status == 200 else Failure(f"status {status}")
--- a/src/wasabigw/tasks/log_follower.py
+++ b/src/wasabigw/tasks/log_follower.py
@@ -58,8 +58,6 @@
 
     :param node: registration of this balancer, sent with each poll.
     :param packets: mailbox of the packet task.
-    :param relay: whether voters that do not lead may answer. The follower then moves
-        on from one whose copy is not known to be current.
     """
 
     def __init__(
@@ -69,10 +67,8 @@
         packets: Mailbox[Any],
         mailbox: Mailbox[FollowerMessage | Stop],
         traffic: TrafficMailbox,
-        relay: bool,
     ) -> None:
         super().__init__("log-follower", mailbox)
-        self._relay = relay
         self._node = node
         self._packets = packets
         self._client = ControlClient(endpoints, traffic)
@@ -112,7 +108,7 @@
                 return
 
     def _poll(self) -> ControlCall:
-        poll = LogPoll(self._node, self._applied, LOG_POLL_WAIT, self._relay)
+        poll = LogPoll(self._node, self._applied, LOG_POLL_WAIT)
         return ControlCall(
             "GET",
             "/v1/log",
@@ -129,8 +125,6 @@
         news = bool(batch.entries) or batch.snapshot is not None
         if news and not self._await_applied():
             return False
-        if self._relay and batch.fresh_for <= 0:
-            return self._leave_stale_source()
         return self._wait_until(Seconds(sent_at + MIN_POLL_INTERVAL))
 
     def _handle_problem(self, problem: CallProblem) -> bool:
@@ -153,10 +147,6 @@
             )
         return self._wait_until(Seconds(monotonic() + ROUND_PAUSE))
 
-    def _leave_stale_source(self) -> bool:
-        self._client.use_next()
-        return self._wait_until(Seconds(monotonic() + MIN_POLL_INTERVAL))
-
     def _note_leader(self) -> None:
         self._failed = 0
         self._reported.clear()
@@ -203,14 +193,12 @@
     packets: Mailbox[Any],
     mailbox: Mailbox[FollowerMessage | Stop] | None = None,
     traffic: TrafficMailbox = None,
-    relay: bool = False,
 ) -> LogFollower:
     """Task that follows the log for a balancer.
 
     :param endpoints: control endpoints of the settings, at least one.
     :param mailbox: where the packet task reports what it has applied.
     :param traffic: receives the bytes of each poll.
-    :param relay: whether voters that do not lead may answer.
     """
     own = mailbox or make_follower_mailbox()
-    return LogFollower(node, endpoints, packets, own, traffic, relay)
+    return LogFollower(node, endpoints, packets, own, traffic)
--- /dev/null
+++ b/src/wasabigw/tasks/relay_task.py
@@ -0,0 +1,186 @@
+"""Task of a relay: passes the delivery view on to the balancers near it."""
+
+import selectors
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from http import HTTPStatus
+from types import TracebackType
+from typing import Any, Self
+from urllib.parse import parse_qs, urlsplit
+
+from wasabigw.codec.views import encode_update
+from wasabigw.core.delivery_view import (
+    DeliveryView,
+    ViewUpdate,
+    absorb,
+    update_after,
+)
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import NO_REVISION, Revision, Seconds
+from wasabigw.core.view import NEVER
+from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.timer import Tick, monotonic
+from wasabigw.tasks.light_http import LightRequest, LightServer
+from wasabigw.tasks.view_file import StoreView
+from wasabigw.tasks.view_follower import VIEW_PATH, ViewReceived
+
+MAX_WAIT = Seconds(2.0)
+"""Longest time for which a poll is held."""
+RELAY_TICK = "relay"
+RELAY_PERIOD = Seconds(0.1)
+"""Period of :data:`RELAY_TICK`, with which held polls are answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class _HeldPoll:
+    request: LightRequest
+    after: Revision
+    until: Seconds
+
+
+class RelayTask(Task[ViewReceived | Tick]):
+    """Owns the view, the server for polls and the polls that wait.
+
+    :param stored: view that an earlier process has kept; ``None`` without one.
+    :param file: mailbox of the task that keeps the view.
+    """
+
+    def __init__(
+        self,
+        bind: Endpoint,
+        stored: ViewUpdate | None,
+        file: Mailbox[Any],
+        mailbox: SelectableMailbox[ViewReceived | Tick | Stop],
+    ) -> None:
+        super().__init__("relay", mailbox)
+        self._selectable = mailbox
+        self._file = file
+        self._selector = selectors.DefaultSelector()
+        self._server = LightServer(bind, self._selector, self._handle)
+        self._view = DeliveryView()
+        self._fresh_until = NEVER
+        self._held: list[_HeldPoll] = []
+        self._is_stored = True
+        if stored is not None:
+            absorb(self._view, stored)
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Where polls are answered."""
+        return self._server.endpoint
+
+    @property
+    def revision(self) -> Revision:
+        """Revision of the view; only before the task runs."""
+        return self._view.revision
+
+    def __enter__(self) -> Self:
+        """Listen and start the thread."""
+        self._server.__enter__()
+        return super().__enter__()
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        super().__exit__(exc_type, exc_value, traceback)
+        self._server.__exit__(exc_type, exc_value, traceback)
+        self._selector.close()
+        self._selectable.__exit__(exc_type, exc_value, traceback)
+
+    def run(self) -> None:
+        """Wait for polls and messages until :class:`Stop` arrives."""
+        self._selector.register(self._selectable, selectors.EVENT_READ, None)
+        while True:
+            for key, events in self._selector.select():
+                if key.data is not None:
+                    key.data(events)
+                elif self._receive_messages():
+                    return
+
+    def _receive_messages(self) -> bool:
+        for message in self._selectable.drain():
+            if isinstance(message, Stop):
+                return True
+            self.receive(message)
+        return False
+
+    @singledispatchmethod
+    def receive(self, message: ViewReceived | Tick) -> None:
+        """Handle one message."""
+        raise TypeError(f"no rule for the message {type(message).__name__}")
+
+    @receive.register
+    def _(self, message: ViewReceived) -> None:
+        update = message.update
+        has_changed = absorb(self._view, update)
+        if update.revision >= self._view.revision:
+            fresh_until = Seconds(message.sent_at + update.fresh_for)
+            self._fresh_until = max(self._fresh_until, fresh_until)
+        if has_changed:
+            self._is_stored = False
+            self._answer_due(monotonic())
+
+    @receive.register
+    def _(self, message: Tick) -> None:
+        self._answer_due(message.now)
+        if not self._is_stored:
+            self._is_stored = True
+            whole = update_after(self._view, NO_REVISION, Seconds(0.0))
+            self._file.post(StoreView(encode_update(whole)))
+
+    def _handle(self, request: LightRequest) -> None:
+        url = urlsplit(request.target)
+        if request.method != "GET" or url.path != VIEW_PATH:
+            request.connection.respond(HTTPStatus.NOT_FOUND)
+            return
+        query = parse_qs(url.query)
+        after, wait_ms = _number(query.get("after")), _number(query.get("wait_ms"))
+        if after is None or wait_ms is None:
+            request.connection.respond(HTTPStatus.BAD_REQUEST)
+            return
+        now = monotonic()
+        wait = min(Seconds(wait_ms / 1000), MAX_WAIT)
+        poll = _HeldPoll(request, Revision(after), Seconds(now + wait))
+        if self._is_due(poll, now):
+            self._answer(poll, now)
+        else:
+            self._held.append(poll)
+
+    def _answer_due(self, now: Seconds) -> None:
+        held, self._held = self._held, []
+        for poll in held:
+            if self._is_due(poll, now):
+                self._answer(poll, now)
+            else:
+                self._held.append(poll)
+
+    def _is_due(self, poll: _HeldPoll, now: Seconds) -> bool:
+        return poll.after != self._view.revision or now >= poll.until
+
+    def _answer(self, poll: _HeldPoll, now: Seconds) -> None:
+        if self._view.revision == NO_REVISION:
+            poll.request.connection.respond(HTTPStatus.SERVICE_UNAVAILABLE)
+            return
+        fresh_for = Seconds(max(0.0, self._fresh_until - now))
+        update = update_after(self._view, poll.after, fresh_for)
+        poll.request.connection.respond(HTTPStatus.OK, encode_update(update))
+
+
+def _number(values: list[str] | None) -> int | None:
+    if values is None or not (values[0].isascii() and values[0].isdecimal()):
+        return None
+    return int(values[0])
+
+
+def make_relay_task(
+    bind: Endpoint, stored: ViewUpdate | None, file: Mailbox[Any]
+) -> RelayTask:
+    """Task of a relay.
+
+    :raises OSError: if the endpoint can't be bound.
+    """
+    return RelayTask(bind, stored, file, SelectableMailbox("relay"))
--- a/src/wasabigw/tasks/tag_balancer.py
+++ b/src/wasabigw/tasks/tag_balancer.py
@@ -1,6 +1,6 @@
 """Everything that runs in a process of a balancer that delivers by tags."""
 
-from collections.abc import Sequence
+from collections.abc import Callable
 from contextlib import AbstractContextManager, ExitStack
 from dataclasses import dataclass
 from types import TracebackType
@@ -8,12 +8,11 @@
 
 from returns.result import Success
 
-from wasabigw.core.cluster import Endpoint, Node
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
+from wasabigw.core.sources import SourceState
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import TimerService, monotonic
-from wasabigw.tasks.log_follower import make_follower_mailbox, make_log_follower
-from wasabigw.tasks.tag_codec import DocumentDecoder, FlowPacketCodec
 from wasabigw.tasks.tag_messages import (
     BeginLeaving,
     TagBalancerStatus,
@@ -26,6 +25,7 @@
     TagPacketTask,
     make_tag_packet_task,
 )
+from wasabigw.tasks.view_follower import make_view_follower
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.log_events import log
 
@@ -43,15 +43,14 @@
 class TagBalancerSettings:
     """What the process needs to know.
 
-    :param node: this balancer as it registers.
-    :param control: API endpoints of the control VMs.
+    :param sources: control VMs at which views can be had.
+    :param relay_of: where the relay of a control VM is, from the API that names it.
     :param leave_timeout: longest time for which a planned stop may take.
     """
 
-    node: Node
-    control: Sequence[Endpoint]
-    codec: FlowPacketCodec
-    decode_document: DocumentDecoder
+    packets: TagPacketSettings
+    sources: SourceState
+    relay_of: Callable[[Endpoint], Endpoint]
     leave_timeout: Seconds
 
 
@@ -90,7 +89,7 @@
     def leave(self) -> None:
         """Carry packets until the routers send them elsewhere."""
         begun = monotonic()
-        node = self._settings.node.id
+        node = self._settings.packets.node
         timeout = self._settings.leave_timeout
         log(BalancerEvent.LEAVING, node=node, seconds=timeout)
         self.mailbox.post(BeginLeaving())
@@ -110,20 +109,11 @@
 
     def _start(self, stack: ExitStack) -> None:
         settings = self._settings
-        node = settings.node
         timer = stack.enter_context(TimerService())
-        applied = make_follower_mailbox()
-        packet_settings = TagPacketSettings(
-            node.id,
-            node.failure_domain,
-            node.data,
-            settings.codec,
-            settings.decode_document,
-        )
-        packets = stack.enter_context(make_tag_packet_task(packet_settings, applied))
+        packets = stack.enter_context(make_tag_packet_task(settings.packets))
         timer.subscribe(packets.mailbox, UPKEEP_PERIOD, UPKEEP_TICK)
-        follower = make_log_follower(
-            node, settings.control, packets.mailbox, applied, relay=True
+        follower = make_view_follower(
+            settings.sources, packets.mailbox, settings.relay_of
         )
         stack.enter_context(follower)
         self._packets = packets
--- a/src/wasabigw/tasks/tag_codec.py
+++ b/src/wasabigw/tasks/tag_codec.py
@@ -4,8 +4,8 @@
 
 from returns.result import Result
 
-from wasabigw.core.cluster import DeclaredDocument, Registration
 from wasabigw.core.declaration import Declaration
+from wasabigw.core.registration import DeclaredDocument, Registration
 from wasabigw.core.tags.packets import FlowPacket
 
 Address = tuple[str, int]
--- a/src/wasabigw/tasks/tag_messages.py
+++ b/src/wasabigw/tasks/tag_messages.py
@@ -6,7 +6,7 @@
 from wasabigw.core.ids import NodeId, Revision, Seconds
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick
-from wasabigw.tasks.messages import LogReceived
+from wasabigw.tasks.view_follower import ViewReceived
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,4 +41,4 @@
     """The process is to stop: no longer ready, but packets are still carried."""
 
 
-TagTaskMessage = LogReceived | TagStatusRequest | BeginLeaving | Tick
+TagTaskMessage = ViewReceived | TagStatusRequest | BeginLeaving | Tick
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -3,29 +3,32 @@
 import selectors
 import socket
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatch, singledispatchmethod
 from types import TracebackType
-from typing import Any, Self
+from typing import Self
 
-from wasabigw.core.cluster import Endpoint
+from returns.result import Success
+
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
 from wasabigw.core.tags.decisions import Deliver, Drop, Refuse
+from wasabigw.core.tags.learning import declare, learn
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import decide, expire_flows
-from wasabigw.core.view import is_fresh
-from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
+from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, monotonic
-from wasabigw.tasks.messages import LogReceived
+from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
-from wasabigw.tasks.tag_log_application import TagLogApplication
 from wasabigw.tasks.tag_messages import (
     BeginLeaving,
     TagBalancerStatus,
     TagStatusRequest,
     TagTaskMessage,
 )
+from wasabigw.tasks.view_follower import ViewReceived
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.log_events import log
 
@@ -35,6 +38,9 @@
 """Bytes that the kernel may queue."""
 PACKETS_PER_WAKE_UP = 64
 """Packets handled before the mailbox is looked at again."""
+AnswerQuestion = Callable[[LightRequest, TagBalancerStatus], None]
+"""Answers a question about the state over HTTP."""
+
 UPKEEP_TICK = "upkeep"
 UPKEEP_PERIOD = Seconds(1.0)
 """Period of :data:`UPKEEP_TICK`, with which idle flows are forgotten."""
@@ -45,6 +51,8 @@
     """What the packet task needs to know of its surroundings.
 
     :param bind: where packets arrive.
+    :param questions: where those that hand out packets ask for the state.
+    :param answer: answers such a question.
     """
 
     node: NodeId
@@ -52,6 +60,8 @@
     bind: Endpoint
     codec: FlowPacketCodec
     decode_document: DocumentDecoder
+    questions: Endpoint
+    answer: AnswerQuestion
 
 
 class TagPacketTask(Task[TagTaskMessage]):
@@ -64,7 +74,6 @@
     def __init__(
         self,
         settings: TagPacketSettings,
-        applied: Mailbox[Any],
         mailbox: SelectableMailbox[TagTaskMessage | Stop],
     ) -> None:
         super().__init__("packets", mailbox)
@@ -72,11 +81,14 @@
         self._selectable = mailbox
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._state = TagState(settings.node, settings.failure_domain)
-        self._log = TagLogApplication(self._state, settings.decode_document, applied)
+        self._was_fresh = False
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
         self._leaving = False
         self._selector = selectors.DefaultSelector()
+        self._server = LightServer(
+            settings.questions, self._selector, self._answer_question
+        )
 
     @property
     def address(self) -> Address:
@@ -101,6 +113,7 @@
             port=port,
             buffer=self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF),
         )
+        self._server.__enter__()
         return super().__enter__()
 
     def __exit__(
@@ -110,17 +123,18 @@
         traceback: TracebackType | None,
     ) -> None:
         super().__exit__(exc_type, exc_value, traceback)
+        self._server.__exit__(exc_type, exc_value, traceback)
         self._socket.close()
         self._selector.close()
         self._selectable.__exit__(exc_type, exc_value, traceback)
 
     def run(self) -> None:
         """Wait for packets and messages until :class:`Stop` arrives."""
-        self._selector.register(self._selectable, selectors.EVENT_READ)
+        self._selector.register(self._selectable, selectors.EVENT_READ, None)
         while True:
-            for key, _ in self._selector.select():
-                if key.fileobj is self._socket:
-                    self._receive_packets()
+            for key, events in self._selector.select():
+                if key.data is not None:
+                    key.data(events)
                 elif self._receive_messages():
                     return
 
@@ -132,7 +146,7 @@
             self.receive(message)
         return False
 
-    def _receive_packets(self) -> None:
+    def _receive_packets(self, _events: int) -> None:
         now = monotonic()
         self._last_packet = now
         receive = self._socket.recvfrom
@@ -177,28 +191,21 @@
         raise TypeError(f"no rule for the message {type(message).__name__}")
 
     @receive.register
-    def _(self, message: LogReceived) -> None:
-        was_confirmed = self._state.view.confirmed
-        self._log.apply(message, monotonic())
-        if self._state.view.confirmed and not was_confirmed:
-            self._selector.register(self._socket, selectors.EVENT_READ)
+    def _(self, message: ViewReceived) -> None:
+        state, now = self._state, monotonic()
+        is_first = not state.has_view
+        if learn(message.update, message.sent_at, state, now):
+            self._declare()
+        if is_first and state.has_view:
+            log(BalancerEvent.FIRST_VIEW, node=state.node, revision=state.view.revision)
+            self._selector.register(
+                self._socket, selectors.EVENT_READ, self._receive_packets
+            )
+        self._note_freshness(now)
 
     @receive.register
     def _(self, message: TagStatusRequest) -> None:
-        now = monotonic()
-        state = self._state
-        message.reply.post(
-            TagBalancerStatus(
-                state.node,
-                state.view.confirmed and not self._leaving,
-                is_fresh(state.view, now),
-                state.cluster.revision,
-                state.declared_version,
-                len(state.flows),
-                Seconds(now - self._last_packet),
-                dict(self._counts),
-            )
-        )
+        message.reply.post(self._status())
 
     @receive.register
     def _(self, message: BeginLeaving) -> None:
@@ -207,7 +214,48 @@
     @receive.register
     def _(self, message: Tick) -> None:
         expire_flows(self._state, message.now)
-        self._log.note_freshness(message.now)
+        self._note_freshness(message.now)
+
+    def _answer_question(self, request: LightRequest) -> None:
+        self._settings.answer(request, self._status())
+
+    def _status(self) -> TagBalancerStatus:
+        now = monotonic()
+        state = self._state
+        return TagBalancerStatus(
+            state.node,
+            state.has_view and not self._leaving,
+            state.is_fresh(now),
+            state.view.revision,
+            state.declared_version,
+            len(state.flows),
+            Seconds(now - self._last_packet),
+            dict(self._counts),
+        )
+
+    def _declare(self) -> None:
+        state = self._state
+        document = state.view.document
+        if document is None or document.version == state.declared_version:
+            return
+        decoded = self._settings.decode_document(document)
+        if isinstance(decoded, Success):
+            declare(decoded.unwrap(), state)
+            return
+        log(
+            BalancerEvent.DOCUMENT_UNREADABLE,
+            version=document.version,
+            reason=decoded.failure(),
+        )
+
+    def _note_freshness(self, now: Seconds) -> None:
+        state = self._state
+        fresh = state.is_fresh(now)
+        if fresh == self._was_fresh:
+            return
+        self._was_fresh = fresh
+        event = BalancerEvent.VIEW_FRESH if fresh else BalancerEvent.VIEW_STALE
+        log(event, node=state.node, revision=state.view.revision)
 
 
 @singledispatch
@@ -232,11 +280,6 @@
     task.count(f"dropped-{decision.reason.value}")
 
 
-def make_tag_packet_task(
-    settings: TagPacketSettings, applied: Mailbox[Any]
-) -> TagPacketTask:
-    """Packet task of a balancer; entering its context binds the socket.
-
-    :param applied: receives ``AppliedRevision`` after each log batch.
-    """
-    return TagPacketTask(settings, applied, SelectableMailbox("packets"))
+def make_tag_packet_task(settings: TagPacketSettings) -> TagPacketTask:
+    """Packet task of a balancer; entering its context binds the socket."""
+    return TagPacketTask(settings, SelectableMailbox("packets"))
--- /dev/null
+++ b/src/wasabigw/tasks/view_follower.py
@@ -0,0 +1,173 @@
+"""Task that follows the delivery view with long polls of a source."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure, Success
+
+from wasabigw.codec.views import decode_update
+from wasabigw.core.delivery_view import Source, ViewUpdate
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import NO_REVISION, Revision, Seconds
+from wasabigw.core.sources import (
+    SourceState,
+    next_source,
+    note_failure,
+    note_sources,
+    note_stale,
+)
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.timer import monotonic
+from wasabigw.tasks.light_http import LightClient
+from wasabigw.telemetry.events_http import HttpEvent
+from wasabigw.telemetry.log_events import log
+
+VIEW_PATH = "/v1/view"
+CONNECT_TIMEOUT = Seconds(0.3)
+READ_MARGIN = Seconds(0.4)
+"""Time for an answer beyond the wait that was asked for."""
+POLL_WAIT = Seconds(0.5)
+"""How long a source may hold a poll if it has nothing new."""
+MIN_INTERVAL = Seconds(0.05)
+"""Least time between two polls that were answered."""
+RETRY_PAUSE = Seconds(0.02)
+"""Pause after a poll without a usable answer."""
+ROUND_PAUSE = Seconds(0.1)
+"""Pause after such a poll when no source is left that should be asked."""
+
+
+@dataclass(frozen=True, slots=True)
+class ViewReceived:
+    """A source answered a poll.
+
+    :param sent_at: when the poll was sent, by the clock of this process.
+    """
+
+    update: ViewUpdate
+    source: Endpoint
+    sent_at: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class SourcesChanged:
+    """The settings name other seeds."""
+
+    seeds: tuple[Endpoint, ...]
+
+
+class ViewFollower(Task[SourcesChanged]):
+    """Polls the best source and posts what it answers.
+
+    :param receiver: gets :class:`ViewReceived`.
+    :param address_of: where a source serves views, from the API that names it.
+    """
+
+    def __init__(
+        self,
+        sources: SourceState,
+        receiver: Mailbox[Any],
+        address_of: Callable[[Endpoint], Endpoint],
+        revision: Revision,
+    ) -> None:
+        super().__init__("view-follower", Mailbox("view-follower", capacity=64))
+        self._sources = sources
+        self._receiver = receiver
+        self._address_of = address_of
+        self._revision = revision
+        self._client = LightClient()
+        self._followed: Endpoint | None = None
+
+    def close(self) -> None:
+        """Close the connection to the source."""
+        self._client.close()
+
+    def receive(self, message: SourcesChanged) -> None:
+        """Use other seeds from now on."""
+        self._sources.seeds = message.seeds
+
+    def run(self) -> None:
+        """Poll until :class:`Stop` arrives; each step waits for a limited time."""
+        running = True
+        while running:
+            sent_at = monotonic()
+            source, is_paused = next_source(self._sources, sent_at)
+            if self._poll(source, sent_at):
+                running = self._wait_until(Seconds(sent_at + MIN_INTERVAL))
+                continue
+            pause = ROUND_PAUSE if is_paused else RETRY_PAUSE
+            running = self._wait_until(Seconds(monotonic() + pause))
+
+    def _wait_until(self, time: Seconds) -> bool:
+        """Handle messages until a time; ``False`` after :class:`Stop`."""
+        while (remaining := time - monotonic()) > 0:
+            outcome = self._mailbox.get(Seconds(remaining))
+            if not isinstance(outcome, Success):
+                continue
+            message = outcome.unwrap()
+            if isinstance(message, Stop):
+                return False
+            self.receive(message)
+        return True
+
+    def _poll(self, source: Endpoint, sent_at: Seconds) -> bool:
+        """Poll a source once; ``False`` if another one should be asked."""
+        wait_ms = round(POLL_WAIT * 1000) if self._revision > NO_REVISION else 0
+        answer = self._client.get(
+            self._address_of(source),
+            f"{VIEW_PATH}?after={self._revision}&wait_ms={wait_ms}",
+            CONNECT_TIMEOUT,
+            Seconds(POLL_WAIT + READ_MARGIN),
+        ).bind(decode_update)
+        if not isinstance(answer, Success):
+            self._lose(source, str(answer.failure()))
+            return False
+        update: ViewUpdate = answer.unwrap()
+        self._take(update, source, sent_at)
+        if update.fresh_for <= 0 or update.revision < self._revision:
+            note_stale(self._sources, source, monotonic())
+            return False
+        return True
+
+    def _take(self, update: ViewUpdate, source: Endpoint, sent_at: Seconds) -> None:
+        if self._followed != source and update.fresh_for > 0:
+            self._followed = source
+            log(HttpEvent.SOURCE_FOUND, address=source.address, port=source.port)
+        received = ViewReceived(update, source, sent_at)
+        if isinstance(self._receiver.post(received), Failure):
+            log(HttpEvent.MAILBOX_FULL, mailbox=self._receiver.name)
+            return
+        if update.revision > self._revision:
+            self._revision = update.revision
+            self._learn_sources(update.sources)
+
+    def _learn_sources(self, known: tuple[Source, ...]) -> None:
+        if known != self._sources.known:
+            note_sources(self._sources, known)
+
+    def _lose(self, source: Endpoint, reason: str) -> None:
+        note_failure(self._sources, source, monotonic())
+        if self._followed == source:
+            self._followed = None
+            log(
+                HttpEvent.SOURCE_LOST,
+                address=source.address,
+                port=source.port,
+                reason=reason,
+            )
+
+
+def make_view_follower(
+    sources: SourceState,
+    receiver: Mailbox[Any],
+    address_of: Callable[[Endpoint], Endpoint],
+    revision: Revision = NO_REVISION,
+) -> ViewFollower:
+    """Task that follows the delivery view.
+
+    :param receiver: mailbox of the task that owns the view.
+    :param address_of: where a source serves views, from the API that names it.
+    :param revision: of the view that the receiver has already.
+    """
+    return ViewFollower(sources, receiver, address_of, revision)
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -15,7 +15,8 @@
 )
 from wasabigw.core.commands import ChangeRequest, Order
 from wasabigw.core.consensus.messages import Envelope
-from wasabigw.core.ids import Incarnation, NodeId, Revision
+from wasabigw.core.delivery_view import ViewUpdate
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds
 from wasabigw.core.log_messages import (
     BootAnnouncement,
     BootDeparture,
@@ -83,6 +84,7 @@
 InForceAnswer = InForce | NotLeader
 DocumentAnswer = DocumentView | NotLeader
 RegistrationAnswer = Settled | Overloaded
+ViewAnswer = ViewUpdate | Overloaded
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +130,18 @@
     reply: Mailbox[PollAnswer]
 
 
+@dataclass(frozen=True, slots=True)
+class ViewCall:
+    """Asks for what has changed in the delivery view after a revision.
+
+    :param wait: how long the voter may hold the call if nothing has.
+    """
+
+    after: Revision
+    wait: Seconds
+    reply: Mailbox[ViewAnswer]
+
+
 @dataclass(frozen=True, slots=True)
 class StateCall:
     """Asks for the current configuration."""
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -66,6 +66,7 @@
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, TimerService, monotonic
 from wasabigw.tasks.held_polls import HeldPolls
+from wasabigw.tasks.held_views import HeldViews
 from wasabigw.tasks.in_force_watch import InForceWatch
 from wasabigw.tasks.registration_desk import RegistrationDesk
 from wasabigw.tasks.standing import Standing
@@ -87,6 +88,7 @@
     RegistrationsPassedOn,
     ReportCall,
     StateCall,
+    ViewCall,
     VoterMessage,
     state_view,
 )
@@ -183,6 +185,7 @@
         self._collected: list[_Waiting] = []
         self._pending: dict[Revision, _Waiting] = {}
         self._polls = HeldPolls(self._voter, self._commit_times)
+        self._views = HeldViews(self._voter)
         self._desk = RegistrationDesk(
             settings.announcement_lease, registrations, self._propose_reports
         )
@@ -259,6 +262,7 @@
         self._decide(ClockTick(now, self._draw()))
         standing = self._standing(now)
         self._polls.answer_due(standing)
+        self._views.answer_due(standing)
         self._desk.tick(standing)
         self._watch.check(lambda revision: self._progress(revision, now), now)
         if now >= self._membership_at and self._is_current(now):
@@ -295,16 +299,19 @@
     @_receive.register
     def _(self, message: PollCall) -> None:
         now = self._clock()
-        poll = message.poll
-        if not poll.relay and not self._is_current(now):
+        if not self._is_current(now):
             message.reply.post(self._not_leader())
             return
-        if not poll.relay:
-            self._propose_membership(
-                membership.BalancerPolled(poll.node, poll.applied, now, self._cluster)
-            )
+        poll = message.poll
+        self._propose_membership(
+            membership.BalancerPolled(poll.node, poll.applied, now, self._cluster)
+        )
         self._polls.take(message, self._standing(now))
 
+    @_receive.register
+    def _(self, message: ViewCall) -> None:
+        self._views.take(message, self._standing(self._clock()))
+
     @_receive.register
     def _(self, message: OrderCall) -> None:
         if not self._is_current(self._clock()):
@@ -448,7 +455,9 @@
         before = self._cluster.revision
         self._execute_all(effects)
         if self._cluster.revision != before:
-            self._polls.answer_due(self._standing(self._clock()))
+            standing = self._standing(self._clock())
+            self._polls.answer_due(standing)
+            self._views.answer_due(standing)
             self._desk.applied(self._cluster)
         if self._is_snapshot_due():
             self._take_snapshot()
--- a/src/wasabigw/telemetry/catalogue.py
+++ b/src/wasabigw/telemetry/catalogue.py
@@ -9,19 +9,10 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from absl import logging
-
 import wasabigw.telemetry
 from wasabigw.telemetry.log_events import EventDefinition, LogEvent
 
 EVENT_MODULE_PREFIX = "events_"
-_LEVELS = {
-    logging.DEBUG: "debug",
-    logging.INFO: "info",
-    logging.WARNING: "warning",
-    logging.ERROR: "error",
-    logging.FATAL: "fatal",
-}
 _HEADER = """\
 # Log events
 
@@ -79,7 +70,7 @@
     for name, item in definitions():
         cells = (
             f"WGW-{item.number:04d}",
-            _LEVELS.get(item.level, str(item.level)),
+            item.severity.value,
             f"`{name}`",
             _cell(item.template),
             _cell(item.advice),
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -1,8 +1,6 @@
 """Log events of balancers: 2000 to 2999."""
 
-from absl import logging
-
-from wasabigw.telemetry.log_events import EventDefinition, LogEvent
+from wasabigw.telemetry.log_events import EventDefinition, LogEvent, Severity
 
 
 class BalancerEvent(LogEvent):
@@ -10,92 +8,110 @@
 
     SOCKET_OPENED = EventDefinition(
         2000,
-        logging.INFO,
+        Severity.INFO,
         "balancer {node} receives frames at {address}:{port}, buffer {buffer} bytes",
         "A buffer far below 4 MB loses packets in bursts; raise net.core.rmem_max.",
     )
     FIRST_VIEW = EventDefinition(
         2001,
-        logging.INFO,
+        Severity.INFO,
         "balancer {node} has its first view at revision {revision}",
         "None needed; the balancer carries packets from now on.",
     )
     VIEW_STALE = EventDefinition(
         2002,
-        logging.WARNING,
+        Severity.WARNING,
         "the view of balancer {node} at revision {revision} is stale",
         "Packets pass the homes until the leader answers; check the control VMs.",
     )
     VIEW_FRESH = EventDefinition(
         2003,
-        logging.INFO,
+        Severity.INFO,
         "the view of balancer {node} is fresh again at revision {revision}",
         "None needed.",
     )
     LOG_GAP = EventDefinition(
         2004,
-        logging.ERROR,
+        Severity.ERROR,
         "entry {found} of the log was received after revision {applied}",
         "The balancer polls again from its revision; if this repeats, restart it.",
     )
     SNAPSHOT_INSTALLED = EventDefinition(
         2005,
-        logging.INFO,
+        Severity.INFO,
         "balancer {node} installed a snapshot at revision {revision}",
         "Expected after a start or a long absence; its homes are incomplete for 300 s.",
     )
     TAKEN_OUT_LOCALLY = EventDefinition(
         2006,
-        logging.WARNING,
+        Severity.WARNING,
         "failure domain {failure_domain} was taken out of service at this balancer",
         "Confirm it through the control API once the partition has healed.",
     )
     DOCUMENT_UNREADABLE = EventDefinition(
         2012,
-        logging.ERROR,
+        Severity.ERROR,
         "the declared configuration {version} can't be read: {reason}",
         "Run the same version on all VMs; the balancer keeps the configuration before.",
     )
+    STORED_VIEW = EventDefinition(
+        2013,
+        Severity.INFO,
+        "the relay begins with its stored view at revision {revision}",
+        "None needed.",
+    )
+    NO_STORED_VIEW = EventDefinition(
+        2014,
+        Severity.INFO,
+        "the relay has no stored view: {reason}",
+        "Expected at the first start and after a disk was replaced.",
+    )
+    VIEW_NOT_STORED = EventDefinition(
+        2015,
+        Severity.WARNING,
+        "the relay can't store its view: {reason}",
+        "Check the disk and its free space; the relay goes on without.",
+    )
     DRAINING = EventDefinition(
         2020,
-        logging.INFO,
+        Severity.INFO,
         "{node} stops; it waits up to {seconds:.0f} s until its homes have moved",
         "None needed; flows continue through the other balancers.",
     )
     LEAVING = EventDefinition(
         2022,
-        logging.INFO,
+        Severity.INFO,
         "{node} stops; it carries packets for up to {seconds:.1f} s until the routers "
         "use other balancers",
         "None needed.",
     )
     DRAIN_TIMED_OUT = EventDefinition(
         2021,
-        logging.WARNING,
+        Severity.WARNING,
         "{node} stops without having handed over all records within {seconds:.0f} s",
         "Check the control VMs; the new homes find flows by elimination.",
     )
     DRAINED = EventDefinition(
         2007,
-        logging.INFO,
+        Severity.INFO,
         "balancer {node} has handed over its records and may stop",
         "Stop the process.",
     )
     FAILURE_DOMAIN_UNREACHABLE = EventDefinition(
         2008,
-        logging.WARNING,
+        Severity.WARNING,
         "failure domain {failure_domain} does not answer pings",
         "New flows go to other failure domains; check the network between them.",
     )
     FAILURE_DOMAIN_REACHABLE = EventDefinition(
         2009,
-        logging.INFO,
+        Severity.INFO,
         "failure domain {failure_domain} answers pings again",
         "None needed.",
     )
     HANDOVER_LOST = EventDefinition(
         2010,
-        logging.WARNING,
+        Severity.WARNING,
         "records of {backend_server} could not be handed over to {address}:{port}: "
         "{problem}",
         "Leave the draining balancer running for 300 s if the other one is alive.",
--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -1,8 +1,6 @@
 """Log events of the control plane: 1000 to 1999."""
 
-from absl import logging
-
-from wasabigw.telemetry.log_events import EventDefinition, LogEvent
+from wasabigw.telemetry.log_events import EventDefinition, LogEvent, Severity
 
 
 class ControlEvent(LogEvent):
@@ -10,74 +8,74 @@
 
     VOTER_OPENED = EventDefinition(
         1000,
-        logging.INFO,
+        Severity.INFO,
         "voter {node} opened its data directory: revision {revision}, term {term}",
         "None needed.",
     )
     ROLE_CHANGED = EventDefinition(
         1001,
-        logging.INFO,
+        Severity.INFO,
         "voter {node} is {role} in term {term}; leader: {leader}",
         "Frequent changes point to an overloaded or badly connected voter.",
     )
     SNAPSHOT_TAKEN = EventDefinition(
         1002,
-        logging.INFO,
+        Severity.INFO,
         "snapshot at revision {revision}",
         "None needed.",
     )
     SNAPSHOT_INSTALLED = EventDefinition(
         1003,
-        logging.INFO,
+        Severity.INFO,
         "installed the leader's snapshot at revision {revision}",
         "Expected after a long absence or a replaced disk.",
     )
     VOTER_ADMITTED = EventDefinition(
         1004,
-        logging.WARNING,
+        Severity.WARNING,
         "voter {voter} is admitted with data directory {incarnation}",
         "Expected after a voter was added or its disk replaced.",
     )
     VOTER_STOPPED = EventDefinition(
         1005,
-        logging.ERROR,
+        Severity.ERROR,
         "voter {node} takes no further part: {reason}",
         "Correct the cause and restart the process.",
     )
     NODE_AHEAD = EventDefinition(
         1006,
-        logging.ERROR,
+        Severity.ERROR,
         "balancer {node} has applied revision {applied}, the log ends at {committed}",
         "The balancer followed another cluster or the log was lost; check the "
         "addresses of the control voters in its settings.",
     )
     PROPOSED_REPORTS = EventDefinition(
         1007,
-        logging.INFO,
+        Severity.INFO,
         "the leader proposes: {reports}",
         "None needed.",
     )
     LINK_FAILED = EventDefinition(
         1100,
-        logging.WARNING,
+        Severity.WARNING,
         "no answer from voter {peer}: {reason}",
         "Check the voter and the network to it; the link keeps trying.",
     )
     LINK_RECOVERED = EventDefinition(
         1101,
-        logging.INFO,
+        Severity.INFO,
         "voter {peer} answers again",
         "None needed.",
     )
     LINK_MALFORMED = EventDefinition(
         1102,
-        logging.ERROR,
+        Severity.ERROR,
         "voter {peer} sent an answer that cannot be read: {reason}",
         "Run the same version on all voters.",
     )
     REGISTRATIONS_NOT_SENT = EventDefinition(
         1103,
-        logging.WARNING,
+        Severity.WARNING,
         "registrations were not passed on to {address}:{port}: {reason}",
         "Expected while a leader is lost; backend servers repeat their announcements.",
     )
--- a/src/wasabigw/telemetry/events_daemon.py
+++ b/src/wasabigw/telemetry/events_daemon.py
@@ -1,8 +1,6 @@
 """Log events of the daemon's start and end, and of its telemetry."""
 
-from absl import logging
-
-from wasabigw.telemetry.log_events import EventDefinition, LogEvent
+from wasabigw.telemetry.log_events import EventDefinition, LogEvent, Severity
 
 
 class DaemonEvent(LogEvent):
@@ -10,46 +8,46 @@
 
     STARTING = EventDefinition(
         4000,
-        logging.INFO,
+        Severity.INFO,
         "wasabigw {version} starts as {role} {node} in failure domain {failure_domain}",
         "None needed.",
     )
-    ENDED = EventDefinition(4001, logging.INFO, "{node} has ended", "None needed.")
+    ENDED = EventDefinition(4001, Severity.INFO, "{node} has ended", "None needed.")
     ROLE_FAILED = EventDefinition(
         4002,
-        logging.ERROR,
+        Severity.ERROR,
         "{node} ended: {reason}",
         "Correct what the reason names and start the process again.",
     )
     DATA_FOLDER_CREATED = EventDefinition(
         4010,
-        logging.INFO,
+        Severity.INFO,
         "created the data folder {folder} for node {node}",
         "None needed.",
     )
     TOKEN_CREATED = EventDefinition(
         4011,
-        logging.INFO,
+        Severity.INFO,
         "created the operator token file {path}",
         "Copy the file to the other VMs; all processes need the same token.",
     )
     KEY_IGNORED = EventDefinition(
         4020,
-        logging.WARNING,
+        Severity.WARNING,
         "ignored the unknown key {key} in a message of type {message}",
         "Expected while processes of two versions run; otherwise look for a sender "
         "that misspells a key. Each key is logged once.",
     )
     TRACE_FILE_FAILED = EventDefinition(
         4100,
-        logging.WARNING,
+        Severity.WARNING,
         "spans are not written to {path}: {reason}",
         "Check the path, its permissions and the free space; spans are lost until "
         "writing succeeds, packets are not affected.",
     )
     TRACE_FILE_RESUMED = EventDefinition(
         4101,
-        logging.INFO,
+        Severity.INFO,
         "spans are written to {path} again; {lost} were lost",
         "None needed.",
     )
--- a/src/wasabigw/telemetry/log_events.py
+++ b/src/wasabigw/telemetry/log_events.py
@@ -4,11 +4,19 @@
 a module of its own named ``events_<area>.py``. docs/log-events.md lists them.
 """
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
-from absl import logging
+
+class Severity(Enum):
+    """How much an event matters to an operator."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,13 +24,12 @@
     """A log event.
 
     :param number: unique and never used again for another event.
-    :param level: one of the levels of ``absl.logging``.
     :param template: text with ``str.format`` fields.
     :param advice: what an operator can do about it.
     """
 
     number: int
-    level: int
+    severity: Severity
     template: str
     advice: str
 
@@ -31,11 +38,33 @@
     """Base of the events of one area; members are :class:`EventDefinition`."""
 
 
+Sink = Callable[[LogEvent, Mapping[str, Any]], None]
+"""Takes an event with the values for its template; it must not wait."""
+
+
+def write_to_absl(event: LogEvent, fields: Mapping[str, Any]) -> None:
+    """Write an event as a line of text through ``absl.logging``."""
+    # Imported here because a process with another sink starts faster without it.
+    from absl import logging
+
+    definition: EventDefinition = event.value
+    text = definition.template.format(**fields)
+    level = getattr(logging, definition.severity.name)
+    logging.log(level, "WGW-%04d %s", definition.number, text)
+
+
+_sink: Sink = write_to_absl
+
+
+def use_sink(sink: Sink) -> None:
+    """Send all further events of this process to a sink."""
+    global _sink
+    _sink = sink
+
+
 def log(event: LogEvent, **fields: Any) -> None:
     """Write a numbered event to the log.
 
     :param fields: values for the template of the event.
     """
-    definition: EventDefinition = event.value
-    text = definition.template.format(**fields)
-    logging.log(definition.level, "WGW-%04d %s", definition.number, text)
+    _sink(event, fields)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -19,6 +19,7 @@
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Task
 from wasabigw.tasks.http_server import HttpServer
+from wasabigw.tasks.light_http import LightRequest
 from wasabigw.tasks.limits import DEFAULT_LIMITS
 from wasabigw.tasks.tag_messages import TagBalancerStatus
 from wasabigw.tasks.voter_calls import (
@@ -29,7 +30,7 @@
 )
 from wasabigw_platform.control_api import make_platform_server
 from wasabigw_platform.documents import read_document
-from wasabigw_platform.readiness import make_readiness_server
+from wasabigw_platform.readiness import answer_readiness
 from wasabigw_platform.settings import PlatformSettings, parse_settings
 
 LIMITS = replace(DEFAULT_LIMITS, http_threads=2)
@@ -49,6 +50,15 @@
         message.reply.post(self.answer)
 
 
+class StandInConnection:
+    """Connection that keeps the status of the last answer."""
+
+    status = 0
+
+    def respond(self, status: int) -> None:
+        self.status = status
+
+
 class CallsCase(unittest.TestCase):
     """A server in front of a stand-in."""
 
@@ -166,20 +176,22 @@
                 self.assertEqual(self.call("POST", "/evacuation/recife")[0], 503)
 
 
-class Readiness(CallsCase):
+class Readiness(unittest.TestCase):
     """Guards against packets for a balancer that can't carry them."""
 
-    def make_server(self) -> HttpServer:
-        bind = Endpoint("127.0.0.1", 0)
-        return make_readiness_server(self.task.mailbox, bind, LIMITS)
-
-    def test_the_state_of_the_packet_task_decides(self) -> None:
-        for ready, status in ((True, 200), (False, 503)):
-            with self.subTest(ready=ready):
-                self.task.answer = TagBalancerStatus(
-                    NodeId("b"), ready, True, Revision(1), 1, 0, Seconds(0.0), {}
-                )
-                self.assertEqual(self.call("GET", "/readiness")[0], status)
+    def ask(self, target: str, ready: bool) -> int:
+        connection = StandInConnection()
+        status = TagBalancerStatus(
+            NodeId("b"), ready, True, Revision(1), 1, 0, Seconds(0.0), {}
+        )
+        request = LightRequest(connection, "GET", target)  # type: ignore[arg-type]
+        answer_readiness(request, status)
+        return connection.status
+
+    def test_the_state_of_the_balancer_decides(self) -> None:
+        self.assertEqual(self.ask("/readiness", ready=True), 200)
+        self.assertEqual(self.ask("/readiness", ready=False), 503)
+        self.assertEqual(self.ask("/other", ready=True), 404)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,217 @@
+"""Relays, the light HTTP server and client, and the tasks that follow views."""
+
+import http.client
+import selectors
+import socket
+import tempfile
+import threading
+import unittest
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Success
+
+from tests.test_delivery_view import boot, view
+from wasabigw.codec.views import decode_update, encode_update
+from wasabigw.core.delivery_view import ViewUpdate, update_after
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import FailureDomainId, Revision, Seconds
+from wasabigw.core.sources import SourceState
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.timer import TimerService, monotonic
+from wasabigw.tasks.light_http import LightClient, LightRequest, LightServer
+from wasabigw.tasks.relay_task import (
+    RELAY_PERIOD,
+    RELAY_TICK,
+    RelayTask,
+    make_relay_task,
+)
+from wasabigw.tasks.view_file import StoreView, make_view_file, read_view_file
+from wasabigw.tasks.view_follower import ViewReceived, make_view_follower
+
+ANY_PORT = Endpoint("127.0.0.1", 0)
+SHORT, LONG = Seconds(0.2), Seconds(5.0)
+RECIFE = FailureDomainId("recife")
+
+
+def update(revision: int, fresh_for: float = 10.0) -> ViewUpdate:
+    """A whole view at a revision."""
+    return update_after(view(revision, boot(1, 1)), Revision(0), Seconds(fresh_for))
+
+
+class LightHttp(unittest.TestCase):
+    """Guards against a server that stops answering on a connection."""
+
+    def setUp(self) -> None:
+        self.selector = selectors.DefaultSelector()
+        self.requests: list[LightRequest] = []
+        server = LightServer(ANY_PORT, self.selector, self.handle)
+        self.server = self.enterContext(server)
+        self.stop = threading.Event()
+        self.thread = threading.Thread(target=self.serve)
+        self.thread.start()
+        self.addCleanup(self.thread.join)
+        self.addCleanup(self.stop.set)
+
+    def serve(self) -> None:
+        while not self.stop.is_set():
+            for key, events in self.selector.select(0.02):
+                key.data(events)
+
+    def handle(self, request: LightRequest) -> None:
+        self.requests.append(request)
+        if request.target == "/large":
+            request.connection.respond(200, b"x" * 3_000_000)
+        elif request.target != "/held":
+            request.connection.respond(200, request.target.encode())
+
+    def get(self, client: LightClient, target: str) -> Any:
+        return client.get(self.server.endpoint, target, LONG, LONG)
+
+    def test_requests_on_one_connection_are_answered_one_after_the_other(self) -> None:
+        with LightClient() as client:
+            for target in ("/a", "/b", "/c"):
+                self.assertEqual(self.get(client, target), Success(target.encode()))
+        connections = {id(r.connection) for r in self.requests}
+        self.assertEqual(len(connections), 1)
+
+    def test_a_large_answer_arrives_whole(self) -> None:
+        with LightClient() as client:
+            self.assertEqual(len(self.get(client, "/large").unwrap()), 3_000_000)
+
+    def test_a_usual_client_is_answered(self) -> None:
+        endpoint = self.server.endpoint
+        connection = http.client.HTTPConnection(endpoint.address, endpoint.port)
+        connection.request("GET", "/plain", headers={"Connection": "close"})
+        self.assertEqual(connection.getresponse().read(), b"/plain")
+        connection.close()
+
+    def test_bytes_that_are_no_request_end_the_connection(self) -> None:
+        endpoint = self.server.endpoint
+        with socket.create_connection((endpoint.address, endpoint.port)) as sock:
+            sock.settimeout(LONG)
+            sock.sendall(b"\x00\x01 nonsense\r\n\r\n")
+            self.assertEqual(sock.recv(100), b"")
+        with LightClient() as client:
+            self.assertIsInstance(self.get(client, "/after"), Success)
+
+    def test_a_server_that_is_silent_is_a_failure_in_time(self) -> None:
+        with LightClient() as client:
+            answer = client.get(self.server.endpoint, "/held", LONG, SHORT)
+            self.assertEqual(answer, Failure("timed out"))
+            # The next request uses a new connection.
+            self.assertIsInstance(self.get(client, "/next"), Success)
+
+    def test_a_server_that_is_gone_is_a_failure(self) -> None:
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            endpoint = Endpoint("127.0.0.1", unused.getsockname()[1])
+        with LightClient() as client:
+            self.assertIsInstance(client.get(endpoint, "/", LONG, LONG), Failure)
+
+
+class RelayCase(unittest.TestCase):
+    """A relay whose view comes from the test."""
+
+    def setUp(self) -> None:
+        self.file: Mailbox[Any] = Mailbox("file")
+        self.timer = self.enterContext(TimerService())
+
+    def start(self, stored: ViewUpdate | None = None) -> RelayTask:
+        relay = make_relay_task(ANY_PORT, stored, self.file)
+        self.enterContext(relay)
+        self.timer.subscribe(relay.mailbox, RELAY_PERIOD, RELAY_TICK)
+        return relay
+
+    def poll(self, relay: RelayTask, after: int, wait_ms: int = 0) -> Any:
+        with LightClient() as client:
+            target = f"/v1/view?after={after}&wait_ms={wait_ms}"
+            answer = client.get(relay.endpoint, target, LONG, LONG)
+            return answer.bind(decode_update)
+
+    def give(self, relay: RelayTask, given: ViewUpdate) -> None:
+        relay.mailbox.post(ViewReceived(given, ANY_PORT, monotonic()))
+
+
+class Relays(RelayCase):
+    """Guards against balancers without a view, or with one that claims to be fresh."""
+
+    def test_there_is_no_answer_before_the_first_view(self) -> None:
+        self.assertEqual(self.poll(self.start(), 0), Failure("status 503"))
+
+    def test_a_stored_view_is_passed_on_but_not_as_fresh(self) -> None:
+        found = self.poll(self.start(update(5)), 0).unwrap()
+        self.assertEqual((found.revision, found.fresh_for), (5, 0.0))
+
+    def test_a_poll_waits_for_the_next_revision(self) -> None:
+        relay = self.start(update(5))
+        threading.Timer(0.2, self.give, (relay, update(6))).start()
+        found = self.poll(relay, 5, wait_ms=2000).unwrap()
+        self.assertEqual(found.revision, 6)
+        self.assertGreater(found.fresh_for, 5.0)
+
+    def test_a_poll_is_answered_after_its_wait(self) -> None:
+        found = self.poll(self.start(update(5)), 5, wait_ms=100).unwrap()
+        self.assertEqual((found.revision, found.boots), (5, ()))
+
+    def test_an_older_view_neither_replaces_nor_refreshes(self) -> None:
+        relay = self.start(update(5))
+        self.give(relay, update(4))
+        found = self.poll(relay, 0).unwrap()
+        self.assertEqual((found.revision, found.fresh_for), (5, 0.0))
+
+    def test_each_new_view_is_stored_whole(self) -> None:
+        relay = self.start()
+        self.give(relay, update(6))
+        stored = self.file.get(LONG).unwrap()
+        assert isinstance(stored, StoreView)
+        found = decode_update(stored.data).unwrap()
+        self.assertEqual((found.revision, len(found.boots)), (6, 1))
+
+    def test_malformed_polls_are_refused(self) -> None:
+        relay = self.start(update(5))
+        with LightClient() as client:
+            for target, status in (
+                ("/v1/view", 400),
+                ("/v1/view?after=x&wait_ms=0", 400),
+                ("/v1/other", 404),
+            ):
+                answer = client.get(relay.endpoint, target, LONG, LONG)
+                self.assertEqual(answer, Failure(f"status {status}"))
+
+
+class Followers(RelayCase):
+    """Guards against a follower that stays with a source that can't help."""
+
+    def test_a_follower_moves_on_from_a_stale_source(self) -> None:
+        stale = self.start(update(5))
+        fresh = self.start()
+        self.give(fresh, update(6))
+        sources = SourceState(RECIFE, (stale.endpoint, fresh.endpoint))
+        received: Mailbox[Any] = Mailbox("received")
+        with make_view_follower(sources, received, lambda api: api):
+            found = [received.get(LONG).unwrap().update.revision for _ in range(2)]
+        self.assertEqual(found, [5, 6])
+
+
+class ViewFiles(unittest.TestCase):
+    """Guards against a relay that can't start because of its file."""
+
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+
+    def test_a_view_is_read_back(self) -> None:
+        folder = self.folder / "new"
+        data = encode_update(update(7))
+        with make_view_file(folder) as file:
+            file.mailbox.post(StoreView(data))
+        self.assertEqual(read_view_file(folder), Success(update(7)))
+
+    def test_a_missing_or_damaged_file_is_a_problem(self) -> None:
+        self.assertIsInstance(read_view_file(self.folder), Failure)
+        (self.folder / "view.json").write_bytes(b'{"revision": 3')
+        self.assertIsInstance(read_view_file(self.folder), Failure)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_tag_steering.py
+++ b/tests/test_tag_steering.py
@@ -3,29 +3,25 @@
 import unittest
 from collections import Counter
 
-from wasabigw.core.cluster import (
-    ClusterState,
-    Endpoint,
-    FailureDomain,
-    Registration,
-    Registry,
-)
 from wasabigw.core.declaration import (
     Declaration,
     DeclaredService,
     Listener,
     ServiceShare,
 )
+from wasabigw.core.delivery_view import DeliveryView
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import (
     BackendServerId,
     FailureDomainId,
     NodeId,
-    RegionId,
+    Revision,
     Seconds,
     ServiceId,
     Tag,
 )
-from wasabigw.core.states import FailureDomainState, RegistrationState
+from wasabigw.core.registration import Registration
+from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import (
     Deliver,
     Drop,
@@ -33,7 +29,7 @@
     Refuse,
     RefuseReason,
 )
-from wasabigw.core.tags.learning import declare, learn
+from wasabigw.core.tags.learning import declare, refresh
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.selection import service_of
 from wasabigw.core.tags.state import TagState
@@ -85,8 +81,8 @@
 
     def setUp(self) -> None:
         self.state = TagState(NodeId("balancer-1"), RECIFE)
-        domains = [FailureDomain(d, RegionId("r")) for d in (RECIFE, SALVADOR)]
-        self.state.cluster = ClusterState(failure_domains={d.id: d for d in domains})
+        self.state.view.revision = Revision(1)
+        self.state.fresh_until = Seconds(1000.0)
         shares = (ServiceShare(SEATS, 1),)
         endpoint = Endpoint("198.18.0.1", 443)
         listener = Listener(endpoint, shares, Seconds(3.0))
@@ -94,18 +90,14 @@
             Declaration(1, (listener,), (DeclaredService(SEATS),)),
             self.state,
         )
-        self.state.view.confirmed = True
-        self.state.view.fresh_until = Seconds(1000.0)
 
     def register(self, *boots: Registration, now: float = 0.0) -> None:
-        registry = Registry()
-        for each in boots:
-            if each.state is RegistrationState.ENDED:
-                registry.ended.append(each)
-            else:
-                registry.current[each.id] = each
-        self.state.cluster.registry = registry
-        learn(self.state, Seconds(now))
+        self.state.view.boots = {boot.tag: boot for boot in boots}
+        refresh(self.state, Seconds(now))
+
+    def take_out(self, domain: FailureDomainId) -> None:
+        self.state.view.out_of_service = (domain,)
+        refresh(self.state, Seconds(0.0))
 
     def decide(self, packet: FlowPacket, now: float = 0.0) -> object:
         return decide(packet, self.state, Seconds(now))
@@ -127,10 +119,7 @@
     def test_drain_silence_and_evacuation_leave_open_flows_where_they_are(self) -> None:
         drained = boot(1, state=RegistrationState.DRAINING)
         self.register(drained, boot(2, silent=True), boot(3, SALVADOR))
-        out = FailureDomainState.OUT_OF_SERVICE
-        domain = FailureDomain(SALVADOR, RegionId("r"), out)
-        self.state.cluster.failure_domains[SALVADOR] = domain
-        learn(self.state, Seconds(0.0))
+        self.take_out(SALVADOR)
         for tag in (1, 2, 3):
             self.assertEqual(self.tag_of(data(tag)), tag)
 
@@ -147,7 +136,7 @@
 
     def test_nothing_is_decided_before_the_first_view(self) -> None:
         self.register(boot(1))
-        self.state.view.confirmed = False
+        self.state.view = DeliveryView()
         for packet in (opening(), data(1)):
             self.assertEqual(self.decide(packet), Drop(DropReason.NO_VIEW))
 
@@ -159,10 +148,7 @@
         drained = boot(1, state=RegistrationState.DRAINING)
         self.register(drained, boot(2, silent=True), boot(3, SALVADOR))
         self.assertEqual({self.tag_of(opening(p)) for p in range(20)}, {3})
-        out = FailureDomainState.OUT_OF_SERVICE
-        domain = FailureDomain(SALVADOR, RegionId("r"), out)
-        self.state.cluster.failure_domains[SALVADOR] = domain
-        learn(self.state, Seconds(0.0))
+        self.take_out(SALVADOR)
         packet = opening(99)
         refused = Refuse(packet, RefuseReason.NO_SERVER)
         self.assertEqual(self.decide(packet), refused)
