--- a/src/wasabigw/core/apply_reports.py
+++ b/src/wasabigw/core/apply_reports.py
@@ -133,6 +133,22 @@
 @apply_report.register
 def _(report: commands.VoterAdmitted, transition: Transition) -> None:
     transition.state.voters[report.voter] = report.incarnation
+    if report.place is not None:
+        transition.state.voter_places[report.voter] = report.place
+
+
+@apply_report.register
+def _(report: commands.VoterRemoved, transition: Transition) -> None:
+    state = transition.state
+    if state.voters.get(report.voter) == report.incarnation:
+        del state.voters[report.voter]
+        state.voter_places.pop(report.voter, None)
+
+
+@apply_report.register
+def _(report: commands.VoterPlaced, transition: Transition) -> None:
+    if report.voter in transition.state.voters:
+        transition.state.voter_places[report.voter] = report.place
 
 
 @apply_report.register
--- a/src/wasabigw/core/cluster.py
+++ b/src/wasabigw/core/cluster.py
@@ -100,6 +100,18 @@
     state: NodeState = NodeState.UP
 
 
+@dataclass(frozen=True, slots=True)
+class VoterPlace:
+    """Where a control VM is.
+
+    :param api: address of the API of its voter.
+    :param failure_domain: ``None`` if only its address is known.
+    """
+
+    api: Endpoint
+    failure_domain: FailureDomainId | None
+
+
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """A backend server that may hold flows of a bucket besides the current one."""
@@ -185,6 +197,7 @@
     backend_servers: dict[BackendServerId, BackendServer] = field(default_factory=dict)
     nodes: dict[NodeId, Node] = field(default_factory=dict)
     voters: dict[NodeId, Incarnation] = field(default_factory=dict)
+    voter_places: dict[NodeId, VoterPlace] = field(default_factory=dict)
     buckets: dict[ServiceId, BucketTable] = field(default_factory=dict)
     quarantine: dict[str, Quarantine] = field(default_factory=dict)
     requests: dict[RequestId, Applied | Refusal] = field(default_factory=dict)
--- a/src/wasabigw/core/cluster_view.py
+++ b/src/wasabigw/core/cluster_view.py
@@ -1,7 +1,7 @@
 """The part of the replicated state that balancers which deliver by tags follow."""
 
 from wasabigw.core.cluster import ClusterState
-from wasabigw.core.delivery_view import DeliveryView
+from wasabigw.core.delivery_view import DeliveryView, Source
 from wasabigw.core.states import FailureDomainState
 
 
@@ -21,4 +21,8 @@
             for domain in cluster.failure_domains.values()
             if domain.state is FailureDomainState.OUT_OF_SERVICE
         ),
+        sources=tuple(
+            Source(place.api, place.failure_domain)
+            for place in cluster.voter_places.values()
+        ),
     )
--- a/src/wasabigw/core/commands.py
+++ b/src/wasabigw/core/commands.py
@@ -8,6 +8,7 @@
     FailureDomain,
     Node,
     Service,
+    VoterPlace,
 )
 from wasabigw.core.ids import (
     BackendServerId,
@@ -229,10 +230,30 @@
 
 @dataclass(frozen=True, slots=True)
 class VoterAdmitted:
-    """A voter with a new data folder may be counted again."""
+    """A voter with a new data folder may be counted, or counted again.
+
+    :param place: ``None`` if the settings of all voters name it.
+    """
 
     voter: NodeId
     incarnation: Incarnation
+    place: VoterPlace | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class VoterRemoved:
+    """A voter is no longer counted."""
+
+    voter: NodeId
+    incarnation: Incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class VoterPlaced:
+    """A voter said where it is."""
+
+    voter: NodeId
+    place: VoterPlace
 
 
 @dataclass(frozen=True, slots=True)
@@ -291,6 +312,8 @@
     | NodeDown
     | NodeSuspected
     | VoterAdmitted
+    | VoterRemoved
+    | VoterPlaced
     | EndpointReleased
     | BootAnnounced
     | BootSilent
--- a/src/wasabigw/core/consensus/commit.py
+++ b/src/wasabigw/core/consensus/commit.py
@@ -5,7 +5,11 @@
 from wasabigw.core.consensus.effects import ApplyEntries, Effect
 from wasabigw.core.consensus.lease import counted_voters
 from wasabigw.core.consensus.state import VoterState
-from wasabigw.core.consensus.voters import admissions
+from wasabigw.core.consensus.voters import (
+    change_members,
+    note_places,
+    voter_changes,
+)
 from wasabigw.core.ids import Revision
 from wasabigw.core.states import VoterRole
 
@@ -26,8 +30,9 @@
         return []
     state.committed = entries[-1].revision
     for entry in entries:
-        for admission in admissions(entry.command):
-            state.members[admission.voter] = admission.incarnation
+        for change in voter_changes(entry.command):
+            change_members(change, state.members)
+        note_places(entry.command, state.places)
     return [ApplyEntries(entries), *note_admission(state)]
 
 
--- a/src/wasabigw/core/consensus/election.py
+++ b/src/wasabigw/core/consensus/election.py
@@ -60,7 +60,6 @@
     granted = (
         request.candidate_term > state.term
         and not _hears_leader(state, now)
-        and state.record.admitted
         and _is_up_to_date(state, request.last_revision, request.last_term)
     )
     answer = PreVoteResponse(request.candidate_term, granted)
@@ -94,7 +93,10 @@
 def answer_vote(
     state: VoterState, envelope: Envelope, request: VoteRequest, now: Seconds
 ) -> list[Effect]:
-    """Vote at most once in a term, durably."""
+    """Vote at most once in a term, durably.
+
+    The candidate knows whether the vote of a voter that is not admitted counts.
+    """
     record = state.record
     candidate = (envelope.sender, envelope.incarnation)
     free = record.candidate is None
@@ -102,7 +104,6 @@
     granted = (
         envelope.term == state.term
         and not _hears_leader(state, now)
-        and record.admitted
         and (free or same)
         and _is_up_to_date(state, request.last_revision, request.last_term)
     )
@@ -154,12 +155,14 @@
 
 
 def _count(state: VoterState, envelope: Envelope) -> None:
-    if state.electorate().members.get(envelope.sender) == envelope.incarnation:
+    voters = state.electorate()
+    if voters.counts(envelope.sender, envelope.incarnation, envelope.admitted):
         state.votes.add(envelope.sender)
 
 
 def _has_won(state: VoterState) -> bool:
-    return state.electorate().is_majority(state.votes)
+    voters = state.electorate()
+    return voters.is_majority(state.votes & voters.members.keys())
 
 
 def _hears_leader(state: VoterState, now: Seconds) -> bool:
--- a/src/wasabigw/core/consensus/lease.py
+++ b/src/wasabigw/core/consensus/lease.py
@@ -10,18 +10,17 @@
 def counted_voters(state: VoterState, matched: Revision = NO_REVISION) -> set[NodeId]:
     """Voters that count for the leader and hold the log up to ``matched``.
 
-    A voter counts only with the incarnation that the log names and once it
-    holds its own admission as committed.
+    :meth:`Electorate.counts` says whether a voter counts at all.
     """
-    members = state.electorate().members
+    voters = state.electorate()
     found = {
         peer
         for peer, progress in state.progress.items()
-        if progress.admitted
-        and members.get(peer) == progress.incarnation
+        if progress.incarnation is not None
+        and voters.counts(peer, progress.incarnation, progress.admitted)
         and progress.matched >= matched
     }
-    if members.get(state.node) == state.incarnation:
+    if voters.members.get(state.node) == state.incarnation:
         found.add(state.node)
     return found
 
--- a/src/wasabigw/core/consensus/messages.py
+++ b/src/wasabigw/core/consensus/messages.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from wasabigw.core.cluster import ClusterState
+from wasabigw.core.cluster import ClusterState, VoterPlace
 from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Term
 from wasabigw.core.log_messages import LogEntry
 
@@ -107,6 +107,7 @@
 
     :param matched: the log is durable and equals the leader's up to here.
     :param retry_after: without success, revision to continue after.
+    :param place: of the sender, unless the replicated state has it.
     """
 
     success: bool
@@ -114,6 +115,7 @@
     retry_after: Revision
     sent_at: Seconds
     mark: AnswerMark | None = None
+    place: VoterPlace | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,9 +123,11 @@
     """A voter with a new data directory asks to be admitted.
 
     :param committed: revision up to which it knows the committed log.
+    :param place: ``None`` if the settings of all voters name it.
     """
 
     committed: Revision
+    place: VoterPlace | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,11 +136,13 @@
 
     :param snapshot: present if the entries do not reach back far enough.
     :param entries: committed entries that follow.
+    :param voters: places of the voters, which may have the leader among them.
     """
 
     accepted: bool
     snapshot: Snapshot | None = None
     entries: tuple[LogEntry, ...] = ()
+    voters: tuple[tuple[NodeId, VoterPlace], ...] = ()
 
 
 Body = (
--- a/src/wasabigw/core/consensus/replication.py
+++ b/src/wasabigw/core/consensus/replication.py
@@ -3,7 +3,8 @@
 from collections.abc import Sequence
 
 from wasabigw.core.cluster import NO_REVISION
-from wasabigw.core.commands import Command, ReportBatch, VoterAdmitted
+from wasabigw.core.commands import Command, ReportBatch, VoterPlaced
+from wasabigw.core.consensus import roster
 from wasabigw.core.consensus.commit import (
     commit_by_majority,
     commit_up_to,
@@ -37,6 +38,9 @@
 MAX_ENTRIES_PER_REQUEST = 64
 """Bounds an append request to the body limit of the consensus endpoint."""
 
+MAX_HINTS = 16
+"""Voters of an answer that a control VM remembers until it is admitted."""
+
 RESEND_AFTER = Seconds(2 * HEARTBEAT_INTERVAL)
 """A request that is not answered within this time counts as lost."""
 
@@ -57,7 +61,7 @@
     state.log.append(entries)
     effects: list[Effect] = [AppendEntries(entries)]
     effects.extend(commit_by_majority(state))
-    for peer in state.peers:
+    for peer in state.progress:
         effects.extend(send_next(state, peer, now))
     return effects
 
@@ -75,7 +79,7 @@
 def heartbeat(state: VoterState, now: Seconds) -> list[Effect]:
     """Send to every voter that is not about to answer a request."""
     state.heartbeat_at = Seconds(now + HEARTBEAT_INTERVAL)
-    return [effect for peer in state.peers for effect in send_next(state, peer, now)]
+    return [effect for peer in state.progress for effect in send_next(state, peer, now)]
 
 
 def answer_append(
@@ -142,22 +146,35 @@
         progress.next_after = max(response.retry_after, progress.matched)
     admitting = state.electorate().pending
     effects = commit_by_majority(state)
+    effects.extend(_note_place(state, envelope, response, now))
     if progress.next_after < state.log.last_revision or not response.success:
         effects.extend(send_next(state, envelope.sender, now))
     if admitting is not None and state.electorate().pending is None:
         # Until the new voter knows of its admission, the loss of another one
         # leaves no majority; the next heartbeat would be later.
+        state.voters_changed_at = now
         effects.extend(heartbeat(state, now))
     return effects
 
 
+def _note_place(
+    state: VoterState, envelope: Envelope, response: AppendResponse, now: Seconds
+) -> list[Effect]:
+    """Record where a voter is that the replicated state does not say of."""
+    place = response.place
+    is_counted = state.members.get(envelope.sender) == envelope.incarnation
+    if place is None or not is_counted or roster.is_changing(state):
+        return []
+    if state.places.get(envelope.sender) == place:
+        return []
+    placed = VoterPlaced(envelope.sender, place)
+    return append_commands(state, (ReportBatch((placed,)),), now)
+
+
 def answer_admission(
     state: VoterState, envelope: Envelope, request: AdmissionRequest, now: Seconds
 ) -> list[Effect]:
-    """Append the admission of a voter with a new data directory.
-
-    One admission at a time, and none before an entry of the own term is
-    committed: otherwise majorities before and after it need not overlap.
+    """Take a voter with a new data directory on, and admit it if it is wanted.
 
     A voter that does not know that its admission is committed gets the committed
     log from any voter. It may be needed for the majority that elects a leader,
@@ -167,17 +184,43 @@
         answer = _committed_log(state, request)
         return [AnswerMessage(state.envelope(answer))]
     effects: list[Effect] = []
-    accepted = _may_admit(state, envelope)
-    if accepted:
-        _progress_of(state, envelope)
-        admission = VoterAdmitted(envelope.sender, envelope.incarnation)
-        effects.extend(append_commands(state, (ReportBatch((admission,)),), now))
-    effects.append(AnswerMessage(state.envelope(AdmissionResponse(accepted))))
+    accepted = False
+    if state.role is VoterRole.LEADER:
+        _note_standby(state, envelope, request, now)
+        admission = roster.admission_of(envelope.sender, state, now)
+        if admission is not None:
+            accepted = True
+            effects.extend(append_commands(state, (ReportBatch((admission,)),), now))
+        else:
+            effects.extend(send_next(state, envelope.sender, now))
+    answer = AdmissionResponse(accepted, voters=tuple(state.places.items()))
+    effects.append(AnswerMessage(state.envelope(answer)))
     return effects
 
 
+def change_roster(state: VoterState, now: Seconds) -> list[Effect]:
+    """Admit a standby that is wanted, or remove a voter too many, if need be."""
+    change = roster.due_change(state, now)
+    if change is None:
+        return []
+    return append_commands(state, (ReportBatch((change,)),), now)
+
+
+def _note_standby(
+    state: VoterState, envelope: Envelope, request: AdmissionRequest, now: Seconds
+) -> None:
+    sender = envelope.sender
+    if sender not in state.progress:
+        state.progress[sender] = Progress(next_after=request.committed)
+    progress = _progress_of(state, envelope)
+    assert progress is not None
+    progress.asked_at = now
+    progress.place = request.place
+
+
 def accept_committed(state: VoterState, response: AdmissionResponse) -> list[Effect]:
     """Take over committed entries; they are the same at every voter."""
+    state.hints = dict(response.voters[:MAX_HINTS]) or state.hints
     if state.record.admitted:
         return []
     effects: list[Effect] = []
@@ -212,20 +255,10 @@
     state.snapshot = snapshot
     state.committed = snapshot.revision
     state.members = dict(snapshot.state.voters)
+    state.places = dict(snapshot.state.voter_places)
     return [InstallSnapshot(snapshot), *note_admission(state)]
 
 
-def _may_admit(state: VoterState, envelope: Envelope) -> bool:
-    voters = state.electorate()
-    return (
-        state.role is VoterRole.LEADER
-        and state.log.term_at(state.committed) == state.term
-        and envelope.sender in state.peers
-        and voters.pending is None
-        and voters.members.get(envelope.sender) != envelope.incarnation
-    )
-
-
 def _progress_of(state: VoterState, envelope: Envelope) -> Progress | None:
     progress = state.progress.get(envelope.sender)
     if progress is not None and progress.incarnation != envelope.incarnation:
@@ -284,5 +317,6 @@
     mark: AnswerMark | None,
 ) -> AnswerMessage:
     matched = revision if success else NO_REVISION
-    response = AppendResponse(success, matched, revision, sent_at, mark)
+    unknown = None if state.places.get(state.node) == state.place else state.place
+    response = AppendResponse(success, matched, revision, sent_at, mark, unknown)
     return AnswerMessage(state.envelope(response))
--- /dev/null
+++ b/src/wasabigw/core/consensus/roster.py
@@ -0,0 +1,140 @@
+"""Which control VMs should be voters.
+
+The leader admits standbys, control VMs that ask for it and hold the log, and removes
+voters that are too many. One change at a time, and none before an entry of the own
+term is committed: otherwise majorities before and after it need not overlap.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from wasabigw.core.commands import VoterAdmitted, VoterRemoved
+from wasabigw.core.consensus.state import Progress, VoterState
+from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
+from wasabigw.core.states import VoterRole
+
+REPLACE_AFTER = Seconds(1.5)
+"""Silence after which a standby may take the place of a voter."""
+STANDBY_TIMEOUT = Seconds(5.0)
+"""Silence after which a standby gets no more of the log."""
+CAUGHT_UP_ENTRIES = 64
+"""Entries that a standby may lack when it is admitted; one request holds them."""
+
+
+def admission_of(name: NodeId, state: VoterState, now: Seconds) -> VoterAdmitted | None:
+    """Admission of a control VM that asks for it, if it is wanted now."""
+    if not _may_change(state):
+        return None
+    progress = state.progress[name]
+    if progress.incarnation is None:
+        return None
+    is_known = name in state.members
+    if not is_known and state.wanted is None and name not in state.contacts:
+        return None
+    if not is_known and state.wanted is not None and not _is_wanted(name, state, now):
+        return None
+    return VoterAdmitted(name, progress.incarnation, progress.place)
+
+
+def due_change(state: VoterState, now: Seconds) -> VoterAdmitted | VoterRemoved | None:
+    """Change of the voters that the leader should propose now."""
+    if state.wanted is None or not _may_change(state):
+        return None
+    _forget_standbys(state, now)
+    if len(state.members) > state.wanted:
+        return _removal(state, now)
+    standbys = [name for name in state.progress if name not in state.members]
+    wanted = [name for name in standbys if _is_wanted(name, state, now)]
+    if not wanted:
+        return None
+    return admission_of(min(wanted, key=lambda name: _crowd(name, state)), state, now)
+
+
+def is_changing(state: VoterState) -> bool:
+    """Whether a change of the voters is not yet known to be committed."""
+    return state.electorate().pending is not None
+
+
+def _may_change(state: VoterState) -> bool:
+    return (
+        state.role is VoterRole.LEADER
+        and state.log.term_at(state.committed) == state.term
+        and not is_changing(state)
+    )
+
+
+def _is_wanted(name: NodeId, state: VoterState, now: Seconds) -> bool:
+    """Whether a standby makes the voters more, or fit for more losses."""
+    assert state.wanted is not None
+    progress = state.progress[name]
+    if progress.incarnation is None or not _is_caught_up(progress, state):
+        return False
+    if now - progress.asked_at >= STANDBY_TIMEOUT:
+        return False
+    if len(state.members) < state.wanted or _lost(state, now):
+        return True
+    # Too many voters in one failure domain would be lost together.
+    most = max(_domains(state.members, state).values())
+    return most - _crowd(name, state) >= 2
+
+
+def _is_caught_up(progress: Progress, state: VoterState) -> bool:
+    return progress.matched + CAUGHT_UP_ENTRIES >= state.log.last_revision
+
+
+def _removal(state: VoterState, now: Seconds) -> VoterRemoved | None:
+    """Removal of a lost voter, or of one in the failure domain that has most."""
+    others = [name for name in state.members if name != state.node]
+    lost = _lost(state, now)
+    if lost:
+        name = min(lost, key=lambda n: state.progress[n].contact)
+    else:
+        name = max(others, key=lambda n: (_crowd(n, state), n))
+    return VoterRemoved(name, state.members[name])
+
+
+def _lost(state: VoterState, now: Seconds) -> list[NodeId]:
+    """Voters that have been silent for long; a new leader waits as long first."""
+    if now - state.leader_since < REPLACE_AFTER:
+        return []
+    return [
+        name
+        for name in state.members
+        if name != state.node and _is_silent(state.progress.get(name), now)
+    ]
+
+
+def _is_silent(progress: Progress | None, now: Seconds) -> bool:
+    return progress is not None and now - progress.contact >= REPLACE_AFTER
+
+
+def _crowd(name: NodeId, state: VoterState) -> int:
+    """Voters in the failure domain of a control VM."""
+    return _domains(state.members, state)[_domain(name, state)]
+
+
+def _domains(
+    names: Iterable[NodeId], state: VoterState
+) -> Counter[FailureDomainId | NodeId]:
+    return Counter(_domain(name, state) for name in names)
+
+
+def _domain(name: NodeId, state: VoterState) -> FailureDomainId | NodeId:
+    """Failure domain of a control VM; one of its own if it is not known."""
+    if name == state.node:
+        place = state.place
+    else:
+        progress = state.progress.get(name)
+        asked = progress.place if progress is not None else None
+        place = asked or state.places.get(name)
+    if place is None or place.failure_domain is None:
+        return name
+    return place.failure_domain
+
+
+def _forget_standbys(state: VoterState, now: Seconds) -> None:
+    for name, progress in list(state.progress.items()):
+        if name in state.members or name in state.contacts:
+            continue
+        if now - progress.asked_at >= STANDBY_TIMEOUT:
+            del state.progress[name]
--- a/src/wasabigw/core/consensus/state.py
+++ b/src/wasabigw/core/consensus/state.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from wasabigw.core.cluster import NO_REVISION
+from wasabigw.core.cluster import NO_REVISION, VoterPlace
 from wasabigw.core.consensus.effects import RoleChanged, SaveVote, VoteRecord
 from wasabigw.core.consensus.log import ReplicatedLog
 from wasabigw.core.consensus.messages import (
@@ -31,6 +31,8 @@
     :param contact: when the last request that it acknowledged was sent.
     :param awaiting_since: when the unanswered request was sent.
     :param mark: of its latest answer.
+    :param asked_at: when it last asked to be admitted.
+    :param place: where it is, if it said so.
     """
 
     next_after: Revision
@@ -40,13 +42,21 @@
     contact: Seconds = NEVER
     awaiting_since: Seconds | None = None
     mark: AnswerMark | None = None
+    asked_at: Seconds = NEVER
+    place: VoterPlace | None = None
 
 
 @dataclass(slots=True)
 class VoterState:
     """A voter of the replicated log.
 
-    :param peers: the other voters that the settings name.
+    :param contacts: other control VMs that the settings name.
+    :param voters_changed_at: when this leader committed a change of the voters.
+    :param wanted: number of voters that the leader sees to; ``None`` if all contacts
+        are to be voters and no others.
+    :param place: where this voter is; ``None`` if all settings name it.
+    :param places: where the voters after the entry at ``committed`` are.
+    :param hints: where control VMs are that others have named.
     :param log: entries that are durable once the effects were executed.
     :param committed: revision up to which entries are known to be committed.
     :param members: voters after the entry at ``committed``.
@@ -58,7 +68,7 @@
 
     node: NodeId
     incarnation: Incarnation
-    peers: tuple[NodeId, ...]
+    contacts: tuple[NodeId, ...]
     record: VoteRecord
     log: ReplicatedLog
     snapshot: Snapshot
@@ -71,10 +81,29 @@
     votes: set[NodeId] = field(default_factory=set)
     progress: dict[NodeId, Progress] = field(default_factory=dict)
     leader_since: Seconds = NEVER
+    voters_changed_at: Seconds = NEVER
     heartbeat_at: Seconds = NEVER
     admission_at: Seconds = NEVER
     started: Seconds = NEVER
     view_until: Seconds = NEVER
+    wanted: int | None = None
+    place: VoterPlace | None = None
+    places: dict[NodeId, VoterPlace] = field(default_factory=dict)
+    hints: dict[NodeId, VoterPlace] = field(default_factory=dict)
+
+    def place_of(self, name: NodeId) -> VoterPlace | None:
+        """Where another control VM is, as far as this voter knows."""
+        progress = self.progress.get(name)
+        asked = progress.place if progress is not None else None
+        return asked or self.places.get(name) or self.hints.get(name)
+
+    @property
+    def peers(self) -> tuple[NodeId, ...]:
+        """Other control VMs that may be voters."""
+        members = self.electorate().members
+        known = dict.fromkeys((*members, *self.contacts, *self.hints))
+        known.pop(self.node, None)
+        return tuple(known)
 
     @property
     def term(self) -> Term:
@@ -121,24 +150,28 @@
 def make_voter_state(
     node: NodeId,
     incarnation: Incarnation,
-    peers: tuple[NodeId, ...],
+    contacts: tuple[NodeId, ...],
     record: VoteRecord,
     snapshot: Snapshot,
     entries: Sequence[LogEntry],
     now: Seconds,
     draw: float,
+    wanted: int | None = None,
+    place: VoterPlace | None = None,
 ) -> VoterState:
     """State of a voter that has just started, from what its disk holds.
 
     The voter counts as if it had just heard from a leader, because it may have
     acknowledged one immediately before it stopped.
 
+    :param contacts: other control VMs that the settings name.
     :param snapshot: revision 0 and an empty state if there is none.
+    :param wanted: number of voters that a leader sees to.
     """
     state = VoterState(
         node=node,
         incarnation=incarnation,
-        peers=peers,
+        contacts=contacts,
         record=record,
         log=ReplicatedLog(snapshot.revision, snapshot.term, entries),
         snapshot=snapshot,
@@ -148,6 +181,9 @@
         contact=now,
         election_at=now,
         started=now,
+        wanted=wanted,
+        place=place,
+        places=dict(snapshot.state.voter_places),
     )
     state.role = state.idle_role()
     state.draw_election(now, draw)
--- a/src/wasabigw/core/consensus/voter.py
+++ b/src/wasabigw/core/consensus/voter.py
@@ -41,17 +41,25 @@
     answer_append,
     answer_snapshot,
     append_commands,
+    change_roster,
     count_append,
     heartbeat,
 )
 from wasabigw.core.consensus.state import VoterState
 from wasabigw.core.ids import Seconds
 from wasabigw.core.states import VoterRole
-from wasabigw.core.timing import ELECTION_TIMEOUT_MIN, LOG_KEPT_BEHIND_SNAPSHOT
+from wasabigw.core.timing import (
+    ELECTION_TIMEOUT_MAX,
+    ELECTION_TIMEOUT_MIN,
+    LOG_KEPT_BEHIND_SNAPSHOT,
+)
 
 ADMISSION_RETRY = Seconds(1.0)
 """How often a voter that is not admitted asks for it."""
 
+LOST_CONTACT = Seconds(2 * ELECTION_TIMEOUT_MAX)
+"""Time without a leader after which a voter asks whether it is still one."""
+
 
 @singledispatch
 def handle(event: object, state: VoterState) -> list[Effect]:
@@ -65,9 +73,15 @@
         return _lead(state, event)
     if not state.record.admitted:
         return _ask_for_admission(state, event.now)
-    if event.now < state.election_at or _is_replaced(state):
+    if event.now < state.election_at:
         return []
-    return start_pre_vote(state, event.now, event.draw)
+    effects: list[Effect] = []
+    if event.now - state.contact >= LOST_CONTACT and state.wanted is not None:
+        # It may have been removed, and nobody else would tell it.
+        effects.extend(_ask_for_admission(state, event.now))
+    if not _is_replaced(state):
+        effects.extend(start_pre_vote(state, event.now, event.draw))
+    return effects
 
 
 @handle.register
@@ -174,21 +188,34 @@
 
 
 def _is_replaced(state: VoterState) -> bool:
-    return state.electorate().members.get(state.node) != state.incarnation
+    """Whether this voter counts neither before nor after the end of its log.
+
+    One whose removal is not known to be committed may still be needed as the leader,
+    because nobody with a shorter log gets its vote.
+    """
+    counted = (state.members, state.electorate().members)
+    return all(m.get(state.node) != state.incarnation for m in counted)
 
 
 def _lead(state: VoterState, event: ClockTick) -> list[Effect]:
     now = event.now
-    since = max(majority_contact(state, now), state.leader_since)
+    if _is_replaced(state):
+        return step_down(state)
+    # A new voter counts only once it has heard of its admission.
+    begun = max(state.leader_since, state.voters_changed_at)
+    since = max(majority_contact(state, now), begun)
     if now - since >= ELECTION_TIMEOUT_MIN:
         state.draw_election(now, event.draw)
         return step_down(state)
-    return heartbeat(state, now) if now >= state.heartbeat_at else []
+    effects = change_roster(state, now)
+    if now >= state.heartbeat_at:
+        effects.extend(heartbeat(state, now))
+    return effects
 
 
 def _ask_for_admission(state: VoterState, now: Seconds) -> list[Effect]:
     if now < state.admission_at:
         return []
     state.admission_at = Seconds(now + ADMISSION_RETRY)
-    envelope = state.envelope(AdmissionRequest(state.committed))
+    envelope = state.envelope(AdmissionRequest(state.committed, state.place))
     return [SendMessage(peer, envelope) for peer in state.peers]
--- a/src/wasabigw/core/consensus/voters.py
+++ b/src/wasabigw/core/consensus/voters.py
@@ -1,14 +1,22 @@
 """Which voters count, as the log says.
 
-A voter is admitted by a ``VoterAdmitted`` entry. Only one admission is
-uncommitted at any time, and majorities before and after it overlap, as in the
-single-server membership changes of Raft (Ongaro, dissertation, section 4.1).
+A voter is admitted by a ``VoterAdmitted`` entry and removed by a ``VoterRemoved``
+entry. Only one such change is uncommitted at any time, and majorities before and
+after it overlap, as in the single-server membership changes of Raft (Ongaro,
+dissertation, section 4.1).
 """
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from wasabigw.core.commands import Command, ReportBatch, VoterAdmitted
+from wasabigw.core.cluster import VoterPlace
+from wasabigw.core.commands import (
+    Command,
+    ReportBatch,
+    VoterAdmitted,
+    VoterPlaced,
+    VoterRemoved,
+)
 from wasabigw.core.ids import Incarnation, NodeId
 from wasabigw.core.log_messages import LogEntry
 
@@ -18,7 +26,7 @@
     """Voters as of the end of the log.
 
     :param members: incarnation that counts, for each voter.
-    :param pending: voter whose admission is not yet known to be committed.
+    :param pending: voter whose admission or removal is not yet known to be committed.
     :param grows: whether the pending voter is an additional one.
     """
 
@@ -27,16 +35,23 @@
     grows: bool = False
 
     def is_majority(self, voters: set[NodeId]) -> bool:
-        """Whether voters, each with its counted incarnation, are a majority.
+        """Whether voters, each with its counted incarnation, are a majority."""
+        return len(voters) >= _majority(len(self.members))
 
-        While an additional voter is pending, a majority of the others is
-        enough: otherwise a leader that restarts between the two could neither
-        commit the admission nor be elected.
+    def counts(self, name: NodeId, incarnation: Incarnation, admitted: bool) -> bool:
+        """Whether a voter counts with what it says or holds.
+
+        One whose disk was replaced counts only once it knows that its admission is
+        committed, because its predecessor may have promised something else. An
+        additional voter has no predecessor. It counts at once: a leader that restarts
+        before the admission is committed could otherwise never be elected again while
+        another voter is down.
+
+        :param admitted: whether the voter knows that its admission is committed.
         """
-        if len(voters) >= _majority(len(self.members)):
-            return True
-        others = voters - {self.pending} if self.pending else voters
-        return self.grows and len(others) >= _majority(len(self.members) - 1)
+        if self.members.get(name) != incarnation:
+            return False
+        return admitted or (self.grows and name == self.pending)
 
 
 def electorate(
@@ -50,18 +65,44 @@
     pending: NodeId | None = None
     grows = False
     for entry in uncommitted:
-        for admission in admissions(entry.command):
-            pending = admission.voter
-            grows = admission.voter not in members
-            members[admission.voter] = admission.incarnation
+        for change in voter_changes(entry.command):
+            pending = change.voter
+            grows = isinstance(change, VoterAdmitted) and change.voter not in members
+            change_members(change, members)
     return Electorate(members, pending, grows)
 
 
-def admissions(command: Command) -> list[VoterAdmitted]:
-    """Admissions that a command contains."""
+def change_members(
+    change: VoterAdmitted | VoterRemoved, members: dict[NodeId, Incarnation]
+) -> None:
+    """Carry out a change in a map of the voters that count."""
+    if isinstance(change, VoterAdmitted):
+        members[change.voter] = change.incarnation
+    elif members.get(change.voter) == change.incarnation:
+        del members[change.voter]
+
+
+def voter_changes(command: Command) -> list[VoterAdmitted | VoterRemoved]:
+    """Changes of the voters that a command contains."""
     if not isinstance(command, ReportBatch):
         return []
-    return [r for r in command.reports if isinstance(r, VoterAdmitted)]
+    return [r for r in command.reports if isinstance(r, VoterAdmitted | VoterRemoved)]
+
+
+def note_places(command: Command, places: dict[NodeId, VoterPlace]) -> None:
+    """Carry out what a command says of where voters are."""
+    if not isinstance(command, ReportBatch):
+        return
+    for report in command.reports:
+        if isinstance(report, VoterRemoved):
+            places.pop(report.voter, None)
+        elif isinstance(report, VoterAdmitted | VoterPlaced) and report.place:
+            places[report.voter] = report.place
+
+
+def admissions(command: Command) -> list[VoterAdmitted]:
+    """Admissions that a command contains."""
+    return [c for c in voter_changes(command) if isinstance(c, VoterAdmitted)]
 
 
 def _majority(count: int) -> int:
--- a/src/wasabigw/core/copying.py
+++ b/src/wasabigw/core/copying.py
@@ -13,6 +13,7 @@
         backend_servers=dict(state.backend_servers),
         nodes=dict(state.nodes),
         voters=dict(state.voters),
+        voter_places=dict(state.voter_places),
         buckets={name: _copy_table(table) for name, table in state.buckets.items()},
         quarantine=dict(state.quarantine),
         requests=dict(state.requests),
--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -15,6 +15,16 @@
     SERVER_ENDED = "server-ended"
 
 
+class ChoiceReason(Enum):
+    """Why a new flow goes to a backend server."""
+
+    LEAST_USED_HERE = "least used in the own failure domain"
+    LEAST_USED_ELSEWHERE = "least used, none in the own failure domain"
+    COLD = "only cold ones are left"
+    REPEATED = "no other one is left for a repeated opening"
+    OPEN = "the flow is open there"
+
+
 class DropReason(Enum):
     """Why a packet is dropped without an answer."""
 
@@ -27,10 +37,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Deliver:
-    """Send the packet to a backend server, with the tag of that server."""
+    """Send the packet to a backend server, with the tag of that server.
+
+    :param choice: why an opening packet goes there; ``None`` for any other packet.
+    """
 
     packet: FlowPacket
     server: Registration
+    choice: ChoiceReason | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/tags/learning.py
+++ b/src/wasabigw/core/tags/learning.py
@@ -19,6 +19,7 @@
     if update.revision >= state.view.revision:
         fresh_until = Seconds(sent_at + update.fresh_for)
         state.fresh_until = max(state.fresh_until, fresh_until)
+        state.confirmed_at = max(state.confirmed_at, sent_at)
     return has_changed
 
 
--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -6,6 +6,7 @@
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
+from wasabigw.core.tags.decisions import ChoiceReason
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.state import Server, TagState
 
@@ -27,10 +28,11 @@
 
 def choose_server(
     service: ServiceId, state: TagState, now: Seconds, avoided: Server | None = None
-) -> Server | None:
+) -> tuple[Server, ChoiceReason] | None:
     """Backend server with the fewest flows, preferably in the own failure domain.
 
     :param avoided: did not answer an earlier copy of the opening packet.
+    :returns: the backend server and why, or ``None`` if there is none.
     """
     servers = [s for s in state.pools.get(service, ()) if s is not avoided]
     answering = [s for s in servers if s.avoid_until <= now] or servers
@@ -38,10 +40,16 @@
     if warm:
         return _least_used(warm, state.failure_domain)
     if answering:
-        return _least_used(answering, state.failure_domain)
-    return avoided
+        chosen, _ = _least_used(answering, state.failure_domain)
+        return chosen, ChoiceReason.COLD
+    return (avoided, ChoiceReason.REPEATED) if avoided is not None else None
 
 
-def _least_used(servers: Sequence[Server], home: FailureDomainId) -> Server:
+def _least_used(
+    servers: Sequence[Server], home: FailureDomainId
+) -> tuple[Server, ChoiceReason]:
     local = [s for s in servers if s.registration.failure_domain == home]
-    return min(local or servers, key=lambda s: (s.open_flows, s.registration.tag))
+    chosen = min(local or servers, key=lambda s: (s.open_flows, s.registration.tag))
+    if local:
+        return chosen, ChoiceReason.LEAST_USED_HERE
+    return chosen, ChoiceReason.LEAST_USED_ELSEWHERE
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -57,6 +57,7 @@
 
     :param view: part of the replicated state that the balancer has.
     :param fresh_until: until when the view is known to be current.
+    :param confirmed_at: when the latest view was asked for.
     :param listeners: of the declaration in force.
     :param servers: boots by tag, with those that have ended.
     :param pools: boots of each service that may get new flows.
@@ -66,6 +67,7 @@
     failure_domain: FailureDomainId
     view: DeliveryView = field(default_factory=DeliveryView)
     fresh_until: Seconds = NEVER
+    confirmed_at: Seconds = NEVER
     declared_version: int | None = None
     idle_timeout: Seconds = DEFAULT_IDLE_TIMEOUT
     listeners: dict[ListenerKey, Listener] = field(default_factory=dict)
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -7,6 +7,7 @@
 from wasabigw.core.ids import Seconds
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import (
+    ChoiceReason,
     Deliver,
     Drop,
     DropReason,
@@ -42,17 +43,18 @@
     former = None
     if known is not None:
         if known.is_open:
-            return Deliver(packet, known.server.registration)
+            return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
         former = known.server
         _note_unanswered(former, now)
         _forget(packet, state)
-    server = choose_server(service_of(listener, flow), state, now, former)
-    if server is None:
+    chosen = choose_server(service_of(listener, flow), state, now, former)
+    if chosen is None:
         if state.is_fresh(now):
             return Refuse(packet, RefuseReason.NO_SERVER)
         return Drop(DropReason.UNSURE_OF_SERVERS)
+    server, reason = chosen
     _record(packet, server, state, now)
-    return Deliver(packet, server.registration)
+    return Deliver(packet, server.registration, reason)
 
 
 def _continue(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
--- a/src/wasabigw/runtime/task.py
+++ b/src/wasabigw/runtime/task.py
@@ -76,6 +76,10 @@
         self._mailbox.post(Stop())
         self._thread.join(STOP_TIMEOUT)
 
+    def abandon(self) -> None:
+        """Stop the thread without waiting for its end."""
+        self._mailbox.post(Stop())
+
     def _main(self) -> None:
         self.open()
         try:
--- a/src/wasabigw/tasks/control_plane.py
+++ b/src/wasabigw/tasks/control_plane.py
@@ -25,7 +25,7 @@
 from wasabigw.tasks.registration_sender import make_registration_sender
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.voter_calls import VoterMessage
-from wasabigw.tasks.voter_link import make_voter_link
+from wasabigw.tasks.voter_links import OpenLinks
 from wasabigw.tasks.voter_task import (
     ApplyCommand,
     VoterSettings,
@@ -102,17 +102,13 @@
         spans = TraceFileTask(traces.file, limits.trace_file_bytes)
         background.append(spans)
         tracer = make_tracer(settings.node, traces.sample_rate, spans.mailbox)
-    links = {
-        peer: make_voter_link(peer, api, mailbox, metrics.mailbox)
-        for peer, api in settings.voters.items()
-        if peer != settings.node
-    }
+    links = OpenLinks(mailbox, metrics.mailbox)
     registrations = make_registration_sender(metrics.mailbox)
     voter = make_voter_task(
         settings,
         mailbox,
         storage,
-        {peer: link.mailbox for peer, link in links.items()},
+        links,
         apply_command,
         timer,
         registrations=registrations.mailbox,
@@ -120,7 +116,8 @@
         tracer=tracer,
     )
     own: Endpoint = bind or settings.voters[NodeId(settings.node)]
-    api = ControlApiSettings(own, token, tuple(links), limits, tracer)
+    peers = None if settings.wanted is not None else tuple(settings.voters)
+    api = ControlApiSettings(own, token, peers, limits, tracer)
     server = make_control_server(mailbox, api, metrics.mailbox)
-    background.extend((registrations, *links.values()))
+    background.extend((registrations, links))
     return ControlPlane(voter, server, mailbox, tuple(background), ExitStack())
--- /dev/null
+++ b/src/wasabigw/tasks/decision_log.py
@@ -0,0 +1,108 @@
+"""Log lines for the decisions that touch flows, within a budget."""
+
+from collections import Counter
+from functools import singledispatchmethod
+from typing import Any
+
+from wasabigw.core.ids import Seconds
+from wasabigw.core.tags.decisions import Deliver, Drop, PacketDecision, Refuse
+from wasabigw.core.tags.packets import FlowId, FlowPacket
+from wasabigw.core.tags.state import TagState
+from wasabigw.telemetry.events_flow import FlowEvent
+from wasabigw.telemetry.log_events import log
+
+LINES_PER_SECOND = 100
+"""Lines of one kind of event; further ones are counted and left out."""
+
+
+class DecisionLog:
+    """Writes a line for each opening, refusal and drop.
+
+    :param state: of the balancer, only read.
+    """
+
+    def __init__(self, state: TagState) -> None:
+        self._state = state
+        self._lines: Counter[FlowEvent] = Counter()
+        self._left_out: Counter[FlowEvent] = Counter()
+
+    def note(self, packet: FlowPacket, decision: PacketDecision, now: Seconds) -> None:
+        """Write a line for a decision, unless it only carries an open flow on."""
+        self._note(decision, packet, now)
+
+    def end_second(self) -> None:
+        """Begin the budget of the next second; says what was left out."""
+        for event, count in self._left_out.items():
+            log(FlowEvent.LEFT_OUT, count=count, kind=event.name)
+        self._lines.clear()
+        self._left_out.clear()
+
+    @singledispatchmethod
+    def _note(self, decision: object, packet: FlowPacket, now: Seconds) -> None:
+        raise TypeError(f"not a decision on a packet: {decision!r}")
+
+    @_note.register
+    def _(self, decision: Deliver, packet: FlowPacket, now: Seconds) -> None:
+        if decision.choice is None or not self._has_budget(FlowEvent.OPENED):
+            return
+        server = decision.server
+        known = self._state.servers.get(server.tag)
+        log(
+            FlowEvent.OPENED,
+            flow=flow_text(packet.flow),
+            repeat=packet.repeat,
+            server=server.id,
+            service=server.service,
+            failure_domain=server.failure_domain,
+            tag=server.tag,
+            reason=decision.choice.value,
+            open_flows=known.open_flows if known is not None else 0,
+            **self._inputs(now),
+        )
+
+    @_note.register
+    def _(self, decision: Refuse, packet: FlowPacket, now: Seconds) -> None:
+        self._note_reason(FlowEvent.REFUSED, decision.reason.value, packet, now)
+
+    @_note.register
+    def _(self, decision: Drop, packet: FlowPacket, now: Seconds) -> None:
+        self._note_reason(FlowEvent.DROPPED, decision.reason.value, packet, now)
+
+    def _note_reason(
+        self, event: FlowEvent, reason: str, packet: FlowPacket, now: Seconds
+    ) -> None:
+        if not self._has_budget(event):
+            return
+        log(
+            event,
+            flow=flow_text(packet.flow),
+            reason=reason,
+            tag=packet.tag,
+            **self._inputs(now),
+        )
+
+    def _inputs(self, now: Seconds) -> dict[str, Any]:
+        """What every decision depends on, and how old it is."""
+        state = self._state
+        return {
+            "revision": state.view.revision,
+            "age": round(now - state.confirmed_at, 3),
+            "version": state.declared_version,
+        }
+
+    def _has_budget(self, event: FlowEvent) -> bool:
+        if self._lines[event] >= LINES_PER_SECOND:
+            self._left_out[event] += 1
+            return False
+        self._lines[event] += 1
+        return True
+
+
+def flow_text(flow: FlowId) -> str:
+    """Name of a flow in logs."""
+    caller = f"{_address(flow.caller)}:{flow.caller_port}"
+    return f"{caller}>{_address(flow.listener)}:{flow.listener_port}"
+
+
+def _address(number: int) -> str:
+    return ".".join(str(byte) for byte in number.to_bytes(4, "big"))
--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -95,12 +95,13 @@
     """Settings of the control API.
 
     :param token: bearer token of operators.
-    :param peers: the other voters, whose consensus messages are accepted.
+    :param peers: voters whose consensus messages are accepted; ``None`` if any control
+        VM may become one.
     """
 
     bind: Endpoint
     token: str
-    peers: Collection[NodeId]
+    peers: Collection[NodeId] | None
     limits: ProcessLimits = DEFAULT_LIMITS
     tracer: trace.Tracer = field(default_factory=make_disabled_tracer)
 
@@ -236,7 +237,8 @@
         if isinstance(decoded, Failure):
             return bad_request(decoded.failure())
         envelope = decoded.unwrap()
-        if envelope.sender not in self._settings.peers:
+        peers = self._settings.peers
+        if peers is not None and envelope.sender not in peers:
             return error_response(
                 HTTPStatus.FORBIDDEN,
                 "unknown-voter",
--- a/src/wasabigw/tasks/registration_desk.py
+++ b/src/wasabigw/tasks/registration_desk.py
@@ -11,6 +11,7 @@
 from wasabigw.core.log_messages import (
     BootAnnouncement,
     BootDeparture,
+    NotLeader,
     RegistrationBatch,
 )
 from wasabigw.core.registrar import RegistrarState
@@ -63,7 +64,14 @@
         registrar.handle(registrar.LeadershipGained(now, cluster), self._registrar)
 
     def take(self, call: RegistrationCall, standing: Standing) -> None:
-        """Take the call of a backend server."""
+        """Take the call of a backend server.
+
+        Without a current copy it is refused: an acknowledgement would keep the backend
+        server from another control VM, which the leader hears.
+        """
+        if not standing.is_current:
+            call.reply.post(NotLeader(None))
+            return
         if registrar.is_settled(call.told, standing.cluster):
             call.reply.post(Settled())
             self._note_settled(call.told, standing)
--- a/src/wasabigw/tasks/standing.py
+++ b/src/wasabigw/tasks/standing.py
@@ -12,10 +12,12 @@
     """Role of a control VM and its copy of the replicated state.
 
     :param is_leader: whether it may propose and answer as current.
+    :param is_current: whether its copy is known to be current.
     :param leader: where the leader is, if another control VM leads.
     """
 
     is_leader: bool
+    is_current: bool
     leader: Endpoint | None
     cluster: ClusterState
     now: Seconds
--- a/src/wasabigw/tasks/storage.py
+++ b/src/wasabigw/tasks/storage.py
@@ -121,6 +121,11 @@
         """Persist a snapshot that replaces the whole log."""
         return self._write(lambda: self._install_snapshot(snapshot))
 
+    def reopen(self) -> Result["Storage", StorageError]:
+        """Open the directory anew after an error; this object is then closed."""
+        self.close()
+        return open_storage(self._folder, self._recovered.identity.node)
+
     def close(self) -> None:
         """Release the directory."""
         if self._lock is not None:
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -20,6 +20,7 @@
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, monotonic
+from wasabigw.tasks.decision_log import DecisionLog
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
 from wasabigw.tasks.tag_messages import (
@@ -82,6 +83,7 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._state = TagState(settings.node, settings.failure_domain)
         self._was_fresh = False
+        self._decisions = DecisionLog(self._state)
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
         self._leaving = False
@@ -166,7 +168,9 @@
         if isinstance(packet, str):
             self._counts[packet] += 1
             return
-        _execute(decide(packet, self._state, now), datagram, self)
+        decision = decide(packet, self._state, now)
+        self._decisions.note(packet, decision, now)
+        _execute(decision, datagram, self)
 
     def send(self, datagram: bytes, address: Address, outcome: str) -> None:
         """Send a datagram and count its outcome."""
@@ -214,6 +218,7 @@
     @receive.register
     def _(self, message: Tick) -> None:
         expire_flows(self._state, message.now)
+        self._decisions.end_second()
         self._note_freshness(message.now)
 
     def _answer_question(self, request: LightRequest) -> None:
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -83,7 +83,7 @@
 StateAnswer = StateView | NotLeader
 InForceAnswer = InForce | NotLeader
 DocumentAnswer = DocumentView | NotLeader
-RegistrationAnswer = Settled | Overloaded
+RegistrationAnswer = Settled | Overloaded | NotLeader
 ViewAnswer = ViewUpdate | Overloaded
 
 
--- /dev/null
+++ b/src/wasabigw/tasks/voter_links.py
@@ -0,0 +1,98 @@
+"""Links of a voter to the other control VMs."""
+
+from collections.abc import Mapping
+from contextlib import AbstractContextManager
+from types import TracebackType
+from typing import Any, Protocol, Self
+
+from wasabigw.core.consensus.messages import Envelope
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import NodeId
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.traffic import TrafficMailbox
+from wasabigw.tasks.voter_link import VoterLink, make_voter_link
+
+MAX_LINKS = 32
+"""Links that are open at the same time; the one used longest ago gives way."""
+
+
+class VoterLinks(Protocol):
+    """Sends messages to other control VMs."""
+
+    def send(
+        self, recipient: NodeId, place: Endpoint | None, envelope: Envelope
+    ) -> None:
+        """Send a message; it may be lost.
+
+        :param place: API of the recipient, if the voter knows it.
+        """
+
+
+class FixedLinks:
+    """Links to the voters that the settings name.
+
+    :param links: mailbox of the link to each.
+    """
+
+    def __init__(self, links: Mapping[NodeId, Mailbox[Any]]) -> None:
+        self._links = links
+
+    def send(
+        self, recipient: NodeId, place: Endpoint | None, envelope: Envelope
+    ) -> None:
+        """Send a message; the voter repeats what a full link loses."""
+        self._links[recipient].post(envelope)
+
+
+class OpenLinks(AbstractContextManager["OpenLinks"]):
+    """Links that are opened as the voter learns of other control VMs.
+
+    Only the task of the voter sends.
+
+    :param voter: mailbox of the voter task, for the answers.
+    """
+
+    def __init__(self, voter: Mailbox[Any], traffic: TrafficMailbox) -> None:
+        self._voter = voter
+        self._traffic = traffic
+        self._links: dict[NodeId, VoterLink] = {}
+        self._places: dict[NodeId, Endpoint] = {}
+
+    def send(
+        self, recipient: NodeId, place: Endpoint | None, envelope: Envelope
+    ) -> None:
+        """Send a message, over a new link if the recipient is new or has moved."""
+        if place is None:
+            return
+        if self._places.get(recipient) != place:
+            self._close(recipient)
+            self._open(recipient, place)
+        link = self._links.pop(recipient)
+        self._links[recipient] = link
+        link.mailbox.post(envelope)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        for name in list(self._links):
+            self._close(name)
+
+    def _open(self, recipient: NodeId, place: Endpoint) -> None:
+        if len(self._links) >= MAX_LINKS:
+            self._close(next(iter(self._links)))
+        link = make_voter_link(recipient, place, self._voter, self._traffic)
+        link.__enter__()
+        self._links[recipient] = link
+        self._places[recipient] = place
+
+    def _close(self, recipient: NodeId) -> None:
+        self._places.pop(recipient, None)
+        link = self._links.pop(recipient, None)
+        if link is not None:
+            link.abandon()
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -9,10 +9,16 @@
 from typing import Any
 
 from opentelemetry import trace
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from wasabigw.core import membership
-from wasabigw.core.cluster import Applied, ClusterState, Endpoint, Refusal
+from wasabigw.core.cluster import (
+    Applied,
+    ClusterState,
+    Endpoint,
+    Refusal,
+    VoterPlace,
+)
 from wasabigw.core.commands import (
     BackendServerDown,
     BackendServerDraining,
@@ -92,6 +98,7 @@
     VoterMessage,
     state_view,
 )
+from wasabigw.tasks.voter_links import FixedLinks, VoterLinks
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw.telemetry.log_events import log
 from wasabigw.telemetry.trace_context import TraceParent
@@ -106,6 +113,8 @@
 """Messages that are handled before what they propose is appended together."""
 MAX_PENDING_COMMANDS = 1024
 """Proposed commands that wait for their commit; more are refused."""
+REOPEN_INTERVAL = Seconds(0.5)
+"""How often a voter tries to open its data directory after a storage error."""
 REMEMBERED_REPORTS = 4096
 """Report ids whose outcome the leader keeps for repeated reports."""
 
@@ -124,7 +133,11 @@
 class VoterSettings:
     """Which voter this is and where the voters' control APIs are.
 
-    :param voters: endpoint of each voter, with the own one.
+    :param voters: endpoint of each voter, with the own one; if others may become
+        voters, of some control VMs.
+    :param wanted: number of voters that a leader sees to; ``None`` if those of the
+        settings are to be voters and no others.
+    :param place: where this control VM is, if others may become voters.
     :param announcement_lease: how long a backend server that is reached by its tag
         counts as present after an announcement.
     """
@@ -132,6 +145,8 @@
     node: NodeId
     voters: Mapping[NodeId, Endpoint]
     announcement_lease: Seconds = ANNOUNCE_LEASE
+    wanted: int | None = None
+    place: VoterPlace | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,8 +164,9 @@
 class VoterTask(Task[VoterMessage]):
     """Drives the consensus state machine and answers the control API.
 
-    After a storage error it takes no further part and says so to every caller;
-    the process must be restarted.
+    After a storage error it takes no further part and says so to every caller, until
+    its data directory can be opened again. What the disk then holds counts, as after a
+    restart of the process.
     """
 
     def __init__(
@@ -158,7 +174,7 @@
         settings: VoterSettings,
         mailbox: Mailbox[VoterMessage | Stop],
         storage: Storage,
-        links: Mapping[NodeId, Mailbox[Any]],
+        links: VoterLinks,
         apply_command: ApplyCommand,
         timer: TimerService,
         clock: Callable[[], Seconds],
@@ -177,32 +193,32 @@
         self._draw = draw
         self._tracer = tracer or make_disabled_tracer()
         self._watch = InForceWatch(metrics, self._tracer)
-        self._voter = self._recover()
-        self._cluster = copy_state(self._voter.snapshot.state)
         self._membership = membership.MembershipState()
         self._membership_at = Seconds(0.0)
-        self._commit_times = CommitTimes()
         self._collected: list[_Waiting] = []
         self._pending: dict[Revision, _Waiting] = {}
-        self._polls = HeldPolls(self._voter, self._commit_times)
-        self._views = HeldViews(self._voter)
         self._desk = RegistrationDesk(
             settings.announcement_lease, registrations, self._propose_reports
         )
         self._reports: OrderedDict[RequestId, Applied | Refusal] = OrderedDict()
         self._peer_reply: Mailbox[Envelope] | None = None
         self._stopped = False
+        self._reopen_at = Seconds(0.0)
+        self._begin(storage)
+
+    def _begin(self, storage: Storage) -> None:
+        """Continue with what an opened data directory holds."""
+        self._storage = storage
+        self._voter = self._recover()
+        self._cluster = copy_state(self._voter.snapshot.state)
+        self._commit_times = CommitTimes()
+        self._polls = HeldPolls(self._voter, self._commit_times)
+        self._views = HeldViews(self._voter)
         self._replayed_until = self._voter.log.last_revision
 
     def open(self) -> None:
         """Subscribe to the timer."""
-        recovered = self._storage.recovered
-        log(
-            ControlEvent.VOTER_OPENED,
-            node=self._settings.node,
-            revision=self._voter.log.last_revision,
-            term=recovered.vote.term,
-        )
+        self._log_opened()
         self._timer.subscribe(self.mailbox, TICK_PERIOD, "voter")
 
     def close(self) -> None:
@@ -259,6 +275,8 @@
     @_receive.register
     def _(self, message: Tick) -> None:
         now = self._clock()
+        if self._stopped and now >= self._reopen_at:
+            self._reopen(now)
         self._decide(ClockTick(now, self._draw()))
         standing = self._standing(now)
         self._polls.answer_due(standing)
@@ -395,8 +413,8 @@
 
     @_execute.register
     def _(self, effect: SendMessage) -> StorageError | None:
-        # A full link loses the message; the voter sends it again.
-        self._links[effect.recipient].post(effect.envelope)
+        recipient = effect.recipient
+        self._links.send(recipient, self._endpoint_of(recipient), effect.envelope)
         return None
 
     @_execute.register
@@ -436,10 +454,13 @@
             recovered.entries,
             self._clock(),
             self._draw(),
+            self._settings.wanted,
+            self._settings.place,
         )
 
     def _receive_envelope(self, envelope: Envelope) -> None:
-        if envelope.sender in self._voter.peers:
+        is_open = self._settings.wanted is not None
+        if is_open or envelope.sender in self._voter.peers:
             self._decide(EnvelopeReceived(envelope, self._clock(), self._draw()))
 
     def _decide(
@@ -470,8 +491,26 @@
                 self._stop(str(error))
                 return
 
+    def _log_opened(self) -> None:
+        log(
+            ControlEvent.VOTER_OPENED,
+            node=self._settings.node,
+            revision=self._voter.log.last_revision,
+            term=self._storage.recovered.vote.term,
+        )
+
+    def _reopen(self, now: Seconds) -> None:
+        """Try to continue after a storage error."""
+        self._reopen_at = Seconds(now + REOPEN_INTERVAL)
+        reopened = self._storage.reopen()
+        if isinstance(reopened, Success):
+            self._begin(reopened.unwrap())
+            self._stopped = False
+            self._log_opened()
+
     def _stop(self, reason: str) -> None:
         self._stopped = True
+        self._reopen_at = Seconds(self._clock() + REOPEN_INTERVAL)
         log(ControlEvent.VOTER_STOPPED, node=self._settings.node, reason=reason)
         self._end_leadership()
 
@@ -482,7 +521,11 @@
         leader = self._voter.leader
         if self._stopped or leader is None or leader == self._settings.node:
             return NotLeader(None)
-        return NotLeader(self._settings.voters.get(leader))
+        return NotLeader(self._endpoint_of(leader))
+
+    def _endpoint_of(self, name: NodeId) -> Endpoint | None:
+        place = self._voter.place_of(name)
+        return place.api if place is not None else self._settings.voters.get(name)
 
     def _propose(self, waiting: _Waiting) -> None:
         if len(self._pending) + len(self._collected) >= MAX_PENDING_COMMANDS:
@@ -501,8 +544,14 @@
         self._propose(_Waiting(ReportBatch(reports)))
 
     def _standing(self, now: Seconds) -> Standing:
-        leader = self._not_leader().leader
-        return Standing(self._is_current(now), leader, self._cluster, now)
+        is_current = not self._stopped and lease.view_for(self._voter, now) > 0
+        return Standing(
+            self._is_current(now),
+            is_current,
+            self._not_leader().leader,
+            self._cluster,
+            now,
+        )
 
     def _refuse_report(self, call: ReportCall) -> Refusal | None:
         request = call.request
@@ -582,7 +631,7 @@
     settings: VoterSettings,
     mailbox: Mailbox[VoterMessage | Stop],
     storage: Storage,
-    links: Mapping[NodeId, Mailbox[Any]],
+    links: VoterLinks | Mapping[NodeId, Mailbox[Any]],
     apply_command: ApplyCommand,
     timer: TimerService,
     clock: Callable[[], Seconds] = monotonic,
@@ -593,7 +642,7 @@
 ) -> VoterTask:
     """Task of a voter, which takes over the opened data directory.
 
-    :param links: mailbox of the link to each other voter.
+    :param links: to the other voters, or the mailbox of the link to each.
     :param registrations: mailbox of the task that passes calls of backend servers on
         to the leader; ``None`` if none are taken here.
     :param metrics: mailbox of the metrics task.
@@ -603,7 +652,7 @@
         settings,
         mailbox,
         storage,
-        links,
+        FixedLinks(links) if isinstance(links, Mapping) else links,
         apply_command,
         timer,
         clock,
--- /dev/null
+++ b/src/wasabigw/telemetry/events_flow.py
@@ -0,0 +1,39 @@
+"""Log events of decisions on flows: 5000 to 5999.
+
+A flow is named as callers and listeners see it: ``ADDRESS:PORT>ADDRESS:PORT``.
+"""
+
+from wasabigw.telemetry.log_events import EventDefinition, LogEvent, Severity
+
+
+class FlowEvent(LogEvent):
+    """Decisions of a balancer that delivers by tags."""
+
+    OPENED = EventDefinition(
+        5000,
+        Severity.INFO,
+        "flow {flow}: opening packet, copy {repeat}, to {server} of {service} in "
+        "{failure_domain} as tag {tag}; {reason}; view {revision} of age {age} s, "
+        "configuration {version}, {open_flows} flows there from here",
+        "None needed.",
+    )
+    REFUSED = EventDefinition(
+        5001,
+        Severity.WARNING,
+        "flow {flow}: reset, {reason}; tag {tag}, view {revision} of age {age} s, "
+        "configuration {version}",
+        "docs/OPERATIONS.md says for each reason what it depends on.",
+    )
+    DROPPED = EventDefinition(
+        5002,
+        Severity.WARNING,
+        "flow {flow}: packet dropped, {reason}; tag {tag}, view {revision} of age "
+        "{age} s, configuration {version}",
+        "docs/OPERATIONS.md says for each reason what it depends on.",
+    )
+    LEFT_OUT = EventDefinition(
+        5003,
+        Severity.INFO,
+        "{count} lines of {kind} were left out in the last second",
+        "None needed; the counters have all decisions.",
+    )
--- a/src/wasabigw_verify/harness/voters.py
+++ b/src/wasabigw_verify/harness/voters.py
@@ -24,6 +24,7 @@
 from wasabigw.runtime.timer import Tick
 from wasabigw.tasks.storage import Identity, Recovered, Storage
 from wasabigw.tasks.voter_calls import LinkAnswer, PeerMessage, VoterMessage
+from wasabigw.tasks.voter_links import FixedLinks
 from wasabigw.tasks.voter_task import TICK_PERIOD, VoterSettings, VoterTask
 from wasabigw_verify.harness.steps import Focus, Step
 
@@ -146,7 +147,7 @@
             VoterSettings(node, endpoints),
             Mailbox(node),
             cast(Storage, MemoryStorage(self)),
-            cast(Any, links),
+            FixedLinks(cast(Any, links)),
             self._apply,
             cast(Any, None),
             lambda: Seconds(network.now),
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,176 @@
+"""Control VMs that come and go: standbys are admitted, lost voters removed."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.voter_network import NODES, Network, empty_disk
+from wasabigw.core.ids import NodeId
+from wasabigw.core.states import VoterRole
+
+A, B, C = NODES
+D, E = NodeId("d"), NodeId("e")
+CATCH_UP = 4.0
+"""Seconds for which a control VM that is back still counts as lost."""
+DOMAINS = {A: "recife", B: "fortaleza", C: "salvador", D: "salvador", E: "recife"}
+
+
+def network(
+    seed: int = 0, wanted: int = 3, started: tuple[NodeId, ...] = NODES
+) -> Network:
+    """Three voters in three failure domains, and two more control VMs."""
+    made = Network(seed, wanted=wanted, domains=DOMAINS)
+    for node in (*NODES, D, E):
+        if node not in started:
+            del made.members[node]
+    return made
+
+
+def may_lose_disk(run: Network, node: NodeId) -> bool:
+    """Whether no other loss is under way: a loss is over after the catch-up time."""
+    leaders = [name for name in run.members if run.is_current(name)]
+    if not leaders or run.now - run.wiped_at < CATCH_UP:
+        return False
+    state = run.members[leaders[0]].state
+    if state.electorate().pending is not None:
+        return False
+    others = [name for name in state.members if name not in (node, state.node)]
+    return all(
+        name in run.members
+        and run.disks[name].vote.admitted
+        and run.members[name].state.committed == state.committed
+        for name in others
+    )
+
+
+class Replacement(unittest.TestCase):
+    """Guards against a majority that is lost although one VM at a time is."""
+
+    def test_a_standby_is_not_admitted_while_all_voters_are_there(self) -> None:
+        run = network(started=(A, B, C, D))
+        run.run(8.0)
+        self.assertEqual(run.voters(), {A, B, C})
+        self.assertIs(run.members[D].state.role, VoterRole.AWAITING_ADMISSION)
+
+    def test_a_standby_takes_the_place_of_a_lost_voter(self) -> None:
+        run = network(started=(A, B, C, D))
+        run.run(4.0)
+        del run.members[C]
+        run.run(4.0)
+        self.assertEqual(run.voters(), {A, B, D})
+        # The next loss leaves a majority.
+        del run.members[A]
+        run.propose(run.settle())
+
+    def test_a_new_vm_that_starts_after_the_loss_is_in_time(self) -> None:
+        run = network()
+        run.run(3.0)
+        del run.members[C]
+        run.run(1.0)
+        run.restart([D])
+        run.run(4.0)
+        self.assertEqual(run.voters(), {A, B, D})
+
+    def test_the_leader_itself_may_be_the_lost_one(self) -> None:
+        run = network(started=(A, B, C, D))
+        leader = run.settle()
+        run.run(2.0)
+        del run.members[leader]
+        run.run(8.0)
+        self.assertEqual(run.voters(), {A, B, C, D} - {leader})
+
+    def test_a_removed_voter_learns_of_it_and_follows_the_log(self) -> None:
+        run = network(started=(A, B, C, D))
+        run.run(3.0)
+        del run.members[C]
+        run.run(5.0)
+        run.restart([C])
+        run.propose(run.settle())
+        run.run(15.0)
+        leader = run.members[run.settle()]
+        returned = run.members[C].state
+        self.assertIs(returned.role, VoterRole.AWAITING_ADMISSION)
+        self.assertEqual(returned.committed, leader.state.committed)
+
+    def test_a_removed_voter_replaces_the_next_lost_one(self) -> None:
+        run = network(started=(A, B, C, D))
+        run.run(3.0)
+        del run.members[C]
+        run.run(5.0)
+        run.restart([C])
+        run.run(10.0)
+        del run.members[D]
+        run.run(5.0)
+        self.assertEqual(run.voters(), {A, B, C})
+
+    def test_a_lost_disk_is_admitted_again_at_its_place(self) -> None:
+        run = network()
+        run.run(3.0)
+        run.replace_disk(C, empty_disk("c-new"))
+        run.run(4.0)
+        self.assertEqual(run.voters(), {A, B, C})
+
+
+class Spread(unittest.TestCase):
+    """Guards against voters that one failure domain takes with it."""
+
+    def test_voters_are_added_up_to_the_wanted_number(self) -> None:
+        run = network(wanted=5, started=(A, B, C, D, E))
+        run.run(8.0)
+        self.assertEqual(run.voters(), {A, B, C, D, E})
+
+    def test_voters_of_a_crowded_failure_domain_give_way(self) -> None:
+        run = network(started=(A, B, C, E))
+        run.run(3.0)
+        del run.members[C]
+        run.run(5.0)
+        self.assertEqual(run.voters(), {A, B, E})
+        # Two of three are in Recife now; one of Salvador is better.
+        run.restart([D])
+        run.run(8.0)
+        voters = run.voters()
+        self.assertEqual(len(voters), 3)
+        self.assertEqual(len({DOMAINS[name] for name in voters}), 3)
+
+
+class RandomFaults(unittest.TestCase):
+    """Guards against accepted changes that are lost while the voters change."""
+
+    @settings(max_examples=80)
+    @given(st.integers(0, 2**32))
+    def test_accepted_entries_never_change(self, seed: int) -> None:
+        run = network(seed, started=(A, B, C, D, E))
+        draw = run.random
+        run.loss = draw.choice((0.0, 0.05, 0.2))
+        replaced = 0
+        for _ in range(600):
+            node = draw.choice(tuple(DOMAINS))
+            action = draw.random()
+            running = len(run.members)
+            if action < 0.02 and node in run.members and running > 3:
+                del run.members[node]
+            elif action < 0.15 and node not in run.members:
+                run.restart([node])
+            elif action < 0.03:
+                run.cut_off = {node}
+            elif action < 0.06:
+                run.cut_off.clear()
+            elif action < 0.07 and may_lose_disk(run, node):
+                replaced += 1
+                run.replace_disk(node, empty_disk(f"{node}-new-{replaced}"))
+            elif action < 0.6 and node in run.members:
+                run.propose(node)
+            run.step()
+        run.cut_off.clear()
+        run.loss = 0.0
+        run.restart([node for node in DOMAINS if node not in run.members])
+        run.propose(run.settle())
+        run.run(25.0)
+        ends = {m.state.committed for m in run.members.values()}
+        self.assertEqual(len(ends), 1)
+        self.assertEqual(len(run.voters()), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_voter_task.py
+++ b/tests/test_voter_task.py
@@ -12,9 +12,11 @@
 from tests.test_membership import node
 from tests.voter_network import change
 from wasabigw.core import cluster, commands, ids
+from wasabigw.core.apply import apply
 from wasabigw.core.cluster import Applied, Refusal
 from wasabigw.core.ids import Incarnation, NodeId, RequestId, Revision, Seconds
 from wasabigw.core.log_messages import (
+    BootAnnouncement,
     InForce,
     LogBatch,
     LogEntry,
@@ -32,7 +34,9 @@
     ChangeCall,
     InForceCall,
     PollCall,
+    RegistrationCall,
     ReportCall,
+    Settled,
     StateCall,
     StateView,
     reply_mailbox,
@@ -71,6 +75,8 @@
 class VoterTaskCase(unittest.TestCase):
     """One voter, driven without its thread and with a clock of the test."""
 
+    apply_command = staticmethod(fake_apply)
+
     def setUp(self) -> None:
         base = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, base)
@@ -88,7 +94,7 @@
             Mailbox("voter"),
             self.storage,
             {},
-            fake_apply,
+            self.apply_command,
             TimerService(),
             clock=lambda: self.now,
             draw=lambda: 0.5,
@@ -122,6 +128,36 @@
         )
 
 
+class Registrations(VoterTaskCase):
+    """Guards against acknowledgements that the leader does not know of."""
+
+    apply_command = staticmethod(apply)
+
+    def announce(self) -> Any:
+        told = BootAnnouncement(
+            ids.BackendServerId("b-1"),
+            ids.ServiceId("seats"),
+            ids.FailureDomainId("recife"),
+            cluster.Endpoint("10.0.0.1", 80),
+            1000,
+            4,
+            False,
+            Seconds(0.0),
+            1,
+        )
+        return self.ask(RegistrationCall, told)
+
+    def test_the_leader_registers_and_acknowledges(self) -> None:
+        self.assertEqual(self.announce(), Settled())
+
+    def test_a_voter_without_a_current_copy_refuses(self) -> None:
+        self.announce()
+        error = StorageError(StorageProblem.INPUT_OUTPUT, "log", "", "full", "free it")
+        with mock.patch.object(self.storage, "append", return_value=Failure(error)):
+            self.ask(ChangeCall, self.change("r1"))
+        self.assertEqual(self.announce(), NotLeader(None))
+
+
 class Changes(VoterTaskCase):
     """Guards against changes that run twice, get lost or win both."""
 
@@ -158,6 +194,19 @@
         )
         self.assertEqual(self.ask(StateCall), NotLeader(None))
 
+    def test_a_voter_goes_on_once_its_disk_works_again(self) -> None:
+        before = self.ask(ChangeCall, self.change("r1"))
+        error = StorageError(StorageProblem.INPUT_OUTPUT, "log", "", "full", "free it")
+        with mock.patch.object(self.storage, "append", return_value=Failure(error)):
+            self.ask(ChangeCall, self.change("r2", before.configuration_revision))
+        for _ in range(6):
+            self.advance(0.5)
+        after = self.ask(StateCall)
+        self.assertIsInstance(after, StateView)
+        self.assertEqual(after.configuration_revision, before.configuration_revision)
+        repeated = self.ask(ChangeCall, self.change("r1"))
+        self.assertEqual(repeated, before)
+
     def test_restart_after_hundreds_of_changes(self) -> None:
         revision = 0
         for number in range(700):
--- a/tests/voter_network.py
+++ b/tests/voter_network.py
@@ -3,18 +3,23 @@
 The run is a function of the seed. Disks are objects that survive a crash.
 """
 
+import math
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from wasabigw.core.cluster import ClusterState
+from wasabigw.core.cluster import ClusterState, Endpoint, VoterPlace
 from wasabigw.core.commands import BringFailureDomainBack, ChangeRequest, Command
 from wasabigw.core.consensus import effects, events, lease
 from wasabigw.core.consensus.messages import NO_TERM, Envelope, Snapshot
 from wasabigw.core.consensus.replication import CommittedEntryError
 from wasabigw.core.consensus.state import VoterState, make_voter_state
 from wasabigw.core.consensus.voter import handle
-from wasabigw.core.consensus.voters import admissions
+from wasabigw.core.consensus.voters import (
+    change_members,
+    note_places,
+    voter_changes,
+)
 from wasabigw.core.copying import copy_state
 from wasabigw.core.ids import (
     FailureDomainId,
@@ -90,6 +95,8 @@
     :param acknowledge_before_sync: plants the fault that log entries become
         durable only some time after they were acknowledged.
     :param founders: voters that are admitted from the start.
+    :param wanted: number of voters that a leader sees to.
+    :param domains: failure domain of each control VM, if any may become a voter.
     """
 
     def __init__(
@@ -97,10 +104,15 @@
         seed: int = 0,
         acknowledge_before_sync: bool = False,
         founders: Sequence[NodeId] = NODES,
+        wanted: int | None = None,
+        domains: Mapping[NodeId, str] | None = None,
     ) -> None:
         self.random = random.Random(seed)
         self.now = 0.0
-        self.disks = {node: empty_disk(f"{node}1") for node in NODES}
+        self._wanted = wanted
+        self._domains = domains or {}
+        nodes = tuple(self._domains) or NODES
+        self.disks = {node: empty_disk(f"{node}1") for node in nodes}
         self.disks.update(admitted_disks(founders))
         self.members: dict[NodeId, Member] = {}
         self.messages: list[tuple[NodeId, Envelope]] = []
@@ -109,6 +121,7 @@
         self.leaders: dict[Term, tuple[NodeId, Incarnation]] = {}
         self.loss = 0.0
         self.proposed = 0
+        self.wiped_at = -math.inf
         self._acknowledge_before_sync = acknowledge_before_sync
         self.restart(self.disks)
 
@@ -124,12 +137,25 @@
                 tuple(disk.entries),
                 Seconds(self.now),
                 self.random.random(),
+                self._wanted,
+                self._place(node),
             )
             cluster = copy_state(disk.snapshot.state)
             self.members[node] = Member(disk, state, cluster)
 
+    def _place(self, node: NodeId) -> VoterPlace | None:
+        domain = self._domains.get(node)
+        if domain is None:
+            return None
+        return VoterPlace(Endpoint(node, 1), FailureDomainId(domain))
+
+    def voters(self) -> set[NodeId]:
+        """Voters that the current leader counts."""
+        return set(self.members[self.settle()].state.members)
+
     def replace_disk(self, node: NodeId, disk: Disk) -> None:
         self.disks[node] = disk
+        self.wiped_at = self.now
         self.restart([node])
 
     def propose(self, node: NodeId, commands: Sequence[Command] = ()) -> None:
@@ -250,8 +276,9 @@
         for entry in entries:
             if self.committed.setdefault(entry.revision, entry) != entry:
                 raise SafetyError(f"entry {entry.revision} was accepted twice")
-            for admission in admissions(entry.command):
-                member.cluster.voters[admission.voter] = admission.incarnation
+            for changed in voter_changes(entry.command):
+                change_members(changed, member.cluster.voters)
+            note_places(entry.command, member.cluster.voter_places)
             member.cluster.revision = entry.revision
 
 
