Open a circuit breaker for a backend server that leaves an opening unanswered

Cause: a backend server that crashed got two openings a second from each balancer until its lease ended, because it was avoided for 1 s after two unanswered ones.

Ruled out: resets for flows on a backend server that seems dead, because its caller may only be overloaded or cut off, and a reset of a living flow breaks a promise.

Change: one unanswered opening opens the breaker, unless there was a sign of life since; after a pause that doubles up to 8 s a single flow probes; any sign of life closes it. A retransmission is no sign of life.

Tests: test_tag_steering.py (5 more).

--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -7,6 +7,7 @@
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.tags.decisions import ChoiceReason
+from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.state import Server, TagState
 
@@ -35,7 +36,7 @@
     :returns: the backend server and why, or ``None`` if there is none.
     """
     servers = [s for s in state.pools.get(service, ()) if s is not avoided]
-    answering = [s for s in servers if s.avoid_until <= now] or servers
+    answering = [s for s in servers if _may_answer(s, now)] or servers
     warm = [s for s in answering if s.cold_until <= now]
     if warm:
         return _least_used(warm, state.failure_domain)
@@ -45,6 +46,10 @@
     return (avoided, ChoiceReason.REPEATED) if avoided is not None else None
 
 
+def _may_answer(server: Server, now: Seconds) -> bool:
+    return health_of(server.breaker, now) is not Health.SILENT
+
+
 def _least_used(
     servers: Sequence[Server], home: FailureDomainId
 ) -> tuple[Server, ChoiceReason]:
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -14,6 +14,7 @@
     Tag,
 )
 from wasabigw.core.registration import Registration
+from wasabigw.core.tags.health import Breaker
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.view import NEVER
 
@@ -27,15 +28,13 @@
 
     :param cold_until: until when it gets no new flows if another one can take them.
     :param open_flows: flows that this balancer opened there or carries.
-    :param unanswered: openings in a row that a caller had to repeat.
-    :param avoid_until: until when it gets no new flows, because it did not answer.
+    :param breaker: signs that it answers.
     """
 
     registration: Registration
     cold_until: Seconds
     open_flows: int = 0
-    unanswered: int = 0
-    avoid_until: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
+    breaker: Breaker = field(default_factory=Breaker)
 
 
 @dataclass(slots=True)
@@ -43,12 +42,14 @@
     """A flow that passes this balancer.
 
     :param is_open: whether the caller has answered the backend server.
+    :param acknowledged: what the caller has received last.
     """
 
     server: Server
     opened_at: Seconds
     last_seen: Seconds
     is_open: bool = False
+    acknowledged: int = 0
 
 
 @dataclass(slots=True)
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -15,6 +15,7 @@
     Refuse,
     RefuseReason,
 )
+from wasabigw.core.tags.health import note_life, note_opening, note_unanswered
 from wasabigw.core.tags.packets import NO_TAG, FlowPacket
 from wasabigw.core.tags.selection import choose_server, service_of
 from wasabigw.core.tags.state import Flow, Server, TagState
@@ -45,7 +46,7 @@
         if known.is_open:
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
         former = known.server
-        _note_unanswered(former, now)
+        note_unanswered(former.breaker, known.opened_at, now)
         _forget(packet, state)
     chosen = choose_server(service_of(listener, flow), state, now, former)
     if chosen is None:
@@ -53,6 +54,7 @@
             return Refuse(packet, RefuseReason.NO_SERVER)
         return Drop(DropReason.UNSURE_OF_SERVERS)
     server, reason = chosen
+    note_opening(server.breaker, now)
     _record(packet, server, state, now)
     return Deliver(packet, server.registration, reason)
 
@@ -83,11 +85,13 @@
     if known is None:
         _record(packet, server, state, now)
         known = state.flows.get(packet.flow)
-    if known is not None:
-        known.last_seen = now
+    if known is None:
+        return
+    known.last_seen = now
+    if not known.is_open or known.acknowledged != packet.acknowledged:
         known.is_open = True
-    server.unanswered = 0
-    server.avoid_until = Seconds(0.0)
+        known.acknowledged = packet.acknowledged
+        note_life(server.breaker, now)
 
 
 def _record(packet: FlowPacket, server: Server, state: TagState, now: Seconds) -> None:
@@ -103,17 +107,6 @@
         known.server.open_flows -= 1
 
 
-AVOIDED_AFTER = 2
-"""Unanswered openings in a row after which a backend server is avoided."""
-AVOID_TIME = Seconds(1.0)
-
-
-def _note_unanswered(server: Server, now: Seconds) -> None:
-    server.unanswered += 1
-    if server.unanswered >= AVOIDED_AFTER:
-        server.avoid_until = Seconds(now + AVOID_TIME)
-
-
 def expire_flows(state: TagState, now: Seconds) -> None:
     """Forget flows that have been idle for longer than they may be."""
     ended = [
--- a/tests/test_tag_steering.py
+++ b/tests/test_tag_steering.py
@@ -183,20 +183,57 @@
         self.decide(data(first), now=0.1)
         self.assertEqual(self.tag_of(opening(repeat=1), now=0.2), first)
 
-    def test_one_that_does_not_answer_is_avoided_for_a_while(self) -> None:
+    def fail_first(self) -> None:
+        """Let one opening at the first backend server go unanswered."""
         self.register(boot(1), boot(2))
-        for port in (1, 2, 3, 4):
-            self.decide(opening(port))
-        for port in (1, 2, 3, 4):
-            known = self.state.flows[opening(port).flow]
-            if known.server.registration.tag == 1:
-                self.decide(opening(port, repeat=1), now=0.2)
+        self.assertEqual(self.tag_of(opening(1)), 1)
+        self.assertEqual(self.tag_of(opening(1, repeat=1), now=0.2), 2)
+
+    def test_one_that_does_not_answer_gets_no_new_flows(self) -> None:
+        self.fail_first()
         tags = {self.tag_of(opening(p), now=0.3) for p in range(10, 20)}
         self.assertEqual(tags, {2})
-        self.decide(data(1), now=0.4)
-        tags = {self.tag_of(opening(p), now=0.5) for p in range(20, 60)}
+
+    def test_it_gets_a_single_probe_after_a_pause(self) -> None:
+        self.fail_first()
+        tags = [self.tag_of(opening(p), now=1.3) for p in range(10, 20)]
+        self.assertEqual(tags.count(1), 1)
+        # The probe fails as well, so the next pause is longer.
+        port = 10 + tags.index(1)
+        self.assertEqual(self.tag_of(opening(port, repeat=1), now=1.5), 2)
+        tags = [self.tag_of(opening(p), now=3.0) for p in range(20, 30)]
+        self.assertNotIn(1, tags)
+
+    def test_a_sign_of_life_brings_it_back(self) -> None:
+        self.fail_first()
+        self.decide(data(1, port=50), now=0.4)
+        tags = {self.tag_of(opening(p), now=0.5) for p in range(20, 40)}
         self.assertEqual(tags, {1, 2})
 
+    def test_a_retransmission_is_no_sign_of_life(self) -> None:
+        self.register(boot(1), boot(2))
+        self.decide(data(1, port=50))
+        self.decide(data(2, port=51))
+        self.assertEqual(self.tag_of(opening(1), now=0.1), 1)
+        self.decide(data(1, port=50), now=0.2)
+        self.decide(opening(1, repeat=1), now=0.3)
+        tags = {self.tag_of(opening(p), now=0.4) for p in range(20, 40)}
+        self.assertEqual(tags, {2})
+
+    def test_a_lost_opening_does_not_count_if_there_was_life_since(self) -> None:
+        self.register(boot(1), boot(2))
+        self.decide(opening(1))
+        self.decide(data(1, port=50), now=0.1)
+        self.decide(opening(1, repeat=1), now=0.2)
+        tags = {self.tag_of(opening(p), now=0.3) for p in range(20, 40)}
+        self.assertEqual(tags, {1, 2})
+
+    def test_if_none_answers_all_are_tried(self) -> None:
+        self.register(boot(1))
+        self.decide(opening(1))
+        self.assertEqual(self.tag_of(opening(1, repeat=1), now=0.2), 1)
+        self.assertEqual(self.tag_of(opening(2), now=0.3), 1)
+
     def test_the_service_follows_from_the_flow_and_the_weights(self) -> None:
         shares = (ServiceShare(SEATS, 90), ServiceShare(DOCUMENTS, 10))
         listener = Listener(Endpoint("198.18.0.1", 443), shares, Seconds(3.0))
