--- a/src/wasabigw/tasks/relay.py
+++ b/src/wasabigw/tasks/relay.py
@@ -2,7 +2,6 @@
 
 from contextlib import AbstractContextManager, ExitStack
 from dataclasses import dataclass
-from pathlib import Path
 from types import TracebackType
 from typing import Self
 
@@ -30,7 +29,7 @@
 
     bind: Endpoint
     sources: SourceState
-    folder: Path
+    folder: str
 
 
 class Relay(AbstractContextManager["Relay"]):
@@ -73,7 +72,7 @@
         stack.enter_context(follower)
 
 
-def _stored_view(folder: Path) -> ViewUpdate | None:
+def _stored_view(folder: str) -> ViewUpdate | None:
     read = read_view_file(folder)
     if isinstance(read, Failure):
         log(BalancerEvent.NO_STORED_VIEW, reason=read.failure())
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -6,7 +6,6 @@
 from http import HTTPStatus
 from types import TracebackType
 from typing import Any, Self
-from urllib.parse import parse_qs, urlsplit
 
 from wasabigw.codec.views import encode_update
 from wasabigw.core.delivery_view import (
@@ -133,12 +132,11 @@
             self._file.post(StoreView(encode_update(whole)))
 
     def _handle(self, request: LightRequest) -> None:
-        url = urlsplit(request.target)
-        if request.method != "GET" or url.path != VIEW_PATH:
+        path, _, query = request.target.partition("?")
+        if request.method != "GET" or path != VIEW_PATH:
             request.connection.respond(HTTPStatus.NOT_FOUND)
             return
-        query = parse_qs(url.query)
-        after, wait_ms = _number(query.get("after")), _number(query.get("wait_ms"))
+        after, wait_ms = _number("after", query), _number("wait_ms", query)
         if after is None or wait_ms is None:
             request.connection.respond(HTTPStatus.BAD_REQUEST)
             return
@@ -170,10 +168,13 @@
         poll.request.connection.respond(HTTPStatus.OK, encode_update(update))
 
 
-def _number(values: list[str] | None) -> int | None:
-    if values is None or not (values[0].isascii() and values[0].isdecimal()):
-        return None
-    return int(values[0])
+def _number(name: str, query: str) -> int | None:
+    """Whole number under a name in a query, if there is one."""
+    for part in query.split("&"):
+        key, _, value = part.partition("=")
+        if key == name and value.isascii() and value.isdecimal():
+            return int(value)
+    return None
 
 
 def make_relay_task(
--- a/src/wasabigw/tasks/storage_files.py
+++ b/src/wasabigw/tasks/storage_files.py
@@ -1,12 +1,14 @@
 """Durable file operations: nothing counts before file and directory are synced."""
 
 import os
-from pathlib import Path
+from collections.abc import Sequence
 
 TEMPORARY_SUFFIX = ".tmp"
 
+FilePath = str | os.PathLike[str]
 
-def sync_directory(folder: Path) -> None:
+
+def sync_directory(folder: FilePath) -> None:
     """Make creations, renames and removals in a directory durable."""
     descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
@@ -15,38 +17,38 @@
         os.close(descriptor)
 
 
-def replace_file(path: Path, data: bytes) -> None:
+def replace_file(path: FilePath, data: bytes) -> None:
     """Write a whole file so that a crash leaves the old or the new content."""
-    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
-    with temporary.open("wb") as file:
+    temporary = os.fspath(path) + TEMPORARY_SUFFIX
+    with open(temporary, "wb") as file:
         file.write(data)
         file.flush()
         os.fsync(file.fileno())
-    temporary.replace(path)
-    sync_directory(path.parent)
+    os.replace(temporary, path)
+    sync_directory(os.path.dirname(path))
 
 
-def append_to_file(path: Path, data: bytes) -> None:
+def append_to_file(path: FilePath, data: bytes) -> None:
     """Append to a file, which is created if needed, and sync it."""
-    created = not path.exists()
-    with path.open("ab") as file:
+    created = not os.path.exists(path)
+    with open(path, "ab") as file:
         file.write(data)
         file.flush()
         os.fsync(file.fileno())
     if created:
-        sync_directory(path.parent)
+        sync_directory(os.path.dirname(path))
 
 
-def truncate_file(path: Path, size: int) -> None:
+def truncate_file(path: FilePath, size: int) -> None:
     """Cut a file and sync it."""
-    with path.open("r+b") as file:
+    with open(path, "r+b") as file:
         file.truncate(size)
         os.fsync(file.fileno())
 
 
-def remove_files(paths: list[Path]) -> None:
+def remove_files(paths: Sequence[FilePath]) -> None:
     """Remove files of one directory in order."""
     for path in paths:
-        path.unlink()
+        os.unlink(path)
     if paths:
-        sync_directory(paths[0].parent)
+        sync_directory(os.path.dirname(paths[0]))
--- a/src/wasabigw/tasks/view_file.py
+++ b/src/wasabigw/tasks/view_file.py
@@ -1,7 +1,7 @@
 """File in which a relay keeps its view, so that it has one when it starts."""
 
+import os
 from dataclasses import dataclass
-from pathlib import Path
 
 from returns.result import Failure, Result
 
@@ -30,7 +30,7 @@
     Of several views that wait, only the newest is written.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: str) -> None:
         super().__init__("view-file", Mailbox("view-file", CAPACITY))
         self._folder = folder
         self._failing = False
@@ -48,8 +48,8 @@
     def receive(self, message: StoreView) -> None:
         """Write a view; after a failure the next one is written anew."""
         try:
-            self._folder.mkdir(parents=True, exist_ok=True)
-            replace_file(self._folder / FILE_NAME, message.data)
+            os.makedirs(self._folder, exist_ok=True)
+            replace_file(os.path.join(self._folder, FILE_NAME), message.data)
         except OSError as error:
             if not self._failing:
                 reason = error.strerror or str(error)
@@ -59,15 +59,15 @@
         self._failing = False
 
 
-def read_view_file(folder: Path) -> Result[ViewUpdate, str]:
+def read_view_file(folder: str) -> Result[ViewUpdate, str]:
     """View that an earlier process has kept, or why there is none."""
     try:
-        data = (folder / FILE_NAME).read_bytes()
+        with open(os.path.join(folder, FILE_NAME), "rb") as file:
+            return decode_update(file.read())
     except OSError as error:
         return Failure(error.strerror or str(error))
-    return decode_update(data)
 
 
-def make_view_file(folder: Path) -> ViewFile:
+def make_view_file(folder: str) -> ViewFile:
     """Task that keeps views in a folder, which is created if needed."""
     return ViewFile(folder)
--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -96,7 +96,8 @@
             if self._poll(source, sent_at):
                 running = self._wait_until(Seconds(sent_at + MIN_INTERVAL))
                 continue
-            pause = ROUND_PAUSE if is_paused else RETRY_PAUSE
+            has_view = self._revision > NO_REVISION
+            pause = ROUND_PAUSE if is_paused and has_view else RETRY_PAUSE
             running = self._wait_until(Seconds(monotonic() + pause))
 
     def _wait_until(self, time: Seconds) -> bool:
--- a/src/wasabigw/telemetry/json_lines.py
+++ b/src/wasabigw/telemetry/json_lines.py
@@ -1,6 +1,5 @@
 """Structured logs: one JSON object per line on standard output."""
 
-import json
 import os
 import time
 from collections.abc import Mapping
@@ -8,6 +7,7 @@
 from enum import Enum
 from typing import Any
 
+import msgspec
 from returns.result import Failure
 
 from wasabigw.runtime.mailbox import Mailbox
@@ -58,15 +58,16 @@
         """Write one line."""
         self._write([self._text(message)])
 
-    def _write(self, texts: list[str]) -> None:
+    def _write(self, texts: list[bytes]) -> None:
         if self._left_out:
-            texts.append(json.dumps({"node": self._node, "left_out": self._left_out}))
+            left_out = {"node": self._node, "left_out": self._left_out}
+            texts.append(msgspec.json.encode(left_out))
             self._left_out = 0
-        data = "".join(f"{text}\n" for text in texts).encode()
+        data = b"".join(text + b"\n" for text in texts)
         while data:
             data = data[os.write(STANDARD_OUTPUT, data) :]
 
-    def _text(self, line: LogLine) -> str:
+    def _text(self, line: LogLine) -> bytes:
         definition: EventDefinition = line.event.value
         record = {
             "time": round(line.at, 6),
@@ -76,7 +77,7 @@
             "node": self._node,
             **{key: _value(value) for key, value in line.fields.items()},
         }
-        return json.dumps(record, separators=(",", ":"))
+        return msgspec.json.encode(record)
 
 
 def _value(value: Any) -> Any:
