Take over settings that change while a process runs

Cause: SIGHUP was ignored and the settings file was read only at the start, so a process that had lost all of its first seeds would never have found the others, and a new control VM whose seeds were exchanged before it had joined would have stayed out. Ruled out: learning all addresses from views alone, which a process without a view can't.

--- a/src/wasabigw/core/consensus/events.py
+++ b/src/wasabigw/core/consensus/events.py
@@ -8,7 +8,7 @@
 
 from wasabigw.core.commands import Command
 from wasabigw.core.consensus.messages import Envelope, Snapshot
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import NodeId, Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,4 +43,14 @@
     snapshot: Snapshot
 
 
-VoterEvent = ClockTick | EnvelopeReceived | Proposed | SnapshotTaken
+@dataclass(frozen=True, slots=True)
+class ContactsNamed:
+    """The settings name other control VMs than before.
+
+    :param contacts: all that they name, without this one.
+    """
+
+    contacts: tuple[NodeId, ...]
+
+
+VoterEvent = ClockTick | EnvelopeReceived | Proposed | SnapshotTaken | ContactsNamed
--- a/src/wasabigw/core/consensus/voter.py
+++ b/src/wasabigw/core/consensus/voter.py
@@ -19,6 +19,7 @@
 )
 from wasabigw.core.consensus.events import (
     ClockTick,
+    ContactsNamed,
     EnvelopeReceived,
     Proposed,
     SnapshotTaken,
@@ -101,6 +102,14 @@
     return [SaveSnapshot(snapshot)]
 
 
+@handle.register
+def _(event: ContactsNamed, state: VoterState) -> list[Effect]:
+    # Without a wanted number the contacts are the voters, which only a restart changes.
+    if state.wanted is not None:
+        state.contacts = event.contacts
+    return []
+
+
 @handle.register
 def _(event: EnvelopeReceived, state: VoterState) -> list[Effect]:
     effects: list[Effect] = []
--- a/src/wasabigw/tasks/relay.py
+++ b/src/wasabigw/tasks/relay.py
@@ -13,7 +13,11 @@
 from wasabigw.runtime.timer import TimerService
 from wasabigw.tasks.relay_task import RELAY_PERIOD, RELAY_TICK, make_relay_task
 from wasabigw.tasks.view_file import make_view_file, read_view_file
-from wasabigw.tasks.view_follower import make_view_follower
+from wasabigw.tasks.view_follower import (
+    SeedsChanged,
+    ViewFollower,
+    make_view_follower,
+)
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.log_events import log
 
@@ -38,6 +42,7 @@
     def __init__(self, settings: RelaySettings) -> None:
         self._settings = settings
         self._stack = ExitStack()
+        self._follower: ViewFollower | None = None
 
     def __enter__(self) -> Self:
         """Start all tasks.
@@ -57,6 +62,11 @@
     ) -> None:
         self._stack.__exit__(exc_type, exc_value, traceback)
 
+    def use_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
+        """Use other control VMs besides those that the view names."""
+        assert self._follower is not None
+        self._follower.mailbox.post(SeedsChanged(seeds))
+
     def _start(self, stack: ExitStack) -> None:
         settings = self._settings
         stored = _stored_view(settings.folder)
@@ -70,6 +80,7 @@
             settings.sources, relay.mailbox, lambda api: api, revision
         )
         stack.enter_context(follower)
+        self._follower = follower
 
 
 def _stored_view(folder: str) -> ViewUpdate | None:
--- a/src/wasabigw/tasks/tag_balancer.py
+++ b/src/wasabigw/tasks/tag_balancer.py
@@ -25,7 +25,11 @@
     TagPacketTask,
     make_tag_packet_task,
 )
-from wasabigw.tasks.view_follower import make_view_follower
+from wasabigw.tasks.view_follower import (
+    SeedsChanged,
+    ViewFollower,
+    make_view_follower,
+)
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.log_events import log
 
@@ -61,6 +65,7 @@
         self._settings = settings
         self._stack = ExitStack()
         self._packets: TagPacketTask | None = None
+        self._follower: ViewFollower | None = None
 
     @property
     def mailbox(self) -> Mailbox[Any]:
@@ -86,6 +91,11 @@
     ) -> None:
         self._stack.__exit__(exc_type, exc_value, traceback)
 
+    def use_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
+        """Use other control VMs besides those that the view names."""
+        assert self._follower is not None
+        self._follower.mailbox.post(SeedsChanged(seeds))
+
     def leave(self) -> None:
         """Carry packets until the routers send them elsewhere."""
         begun = monotonic()
@@ -117,6 +127,7 @@
         )
         stack.enter_context(follower)
         self._packets = packets
+        self._follower = follower
 
 
 def make_tag_balancer(settings: TagBalancerSettings) -> TagBalancer:
--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -51,13 +51,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SourcesChanged:
+class SeedsChanged:
     """The settings name other seeds."""
 
     seeds: tuple[Endpoint, ...]
 
 
-class ViewFollower(Task[SourcesChanged]):
+class ViewFollower(Task[SeedsChanged]):
     """Polls the best source and posts what it answers.
 
     :param receiver: gets :class:`ViewReceived`.
@@ -83,7 +83,7 @@
         """Close the connection to the source."""
         self._client.close()
 
-    def receive(self, message: SourcesChanged) -> None:
+    def receive(self, message: SeedsChanged) -> None:
         """Use other seeds from now on."""
         self._sources.seeds = message.seeds
 
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -1,5 +1,6 @@
 """Messages that the voter task receives and its answers."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -8,6 +9,7 @@
     BackendServer,
     ClusterState,
     DeclaredDocument,
+    Endpoint,
     FailureDomain,
     Node,
     Refusal,
@@ -190,6 +192,16 @@
     batch: RegistrationBatch
 
 
+@dataclass(frozen=True, slots=True)
+class ContactsChanged:
+    """The settings name other control VMs.
+
+    :param contacts: endpoint of each, with the own one.
+    """
+
+    contacts: Mapping[NodeId, Endpoint]
+
+
 VoterMessage = (
     PeerMessage
     | LinkAnswer
@@ -202,6 +214,7 @@
     | DocumentCall
     | RegistrationCall
     | RegistrationsPassedOn
+    | ContactsChanged
     | Tick
 )
 
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -47,9 +47,11 @@
 )
 from wasabigw.core.consensus.events import (
     ClockTick,
+    ContactsNamed,
     EnvelopeReceived,
     Proposed,
     SnapshotTaken,
+    VoterEvent,
 )
 from wasabigw.core.consensus.messages import Envelope, Snapshot
 from wasabigw.core.consensus.replication import CommittedEntryError
@@ -81,6 +83,7 @@
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
     CommandAnswer,
+    ContactsChanged,
     DocumentCall,
     DocumentView,
     InForceCall,
@@ -377,6 +380,11 @@
         in_force = applied and all(node.in_force for node in nodes)
         message.reply.post(InForce(revision, in_force, nodes))
 
+    @_receive.register
+    def _(self, message: ContactsChanged) -> None:
+        self._settings = replace(self._settings, voters=message.contacts)
+        self._decide(ContactsNamed(self._contacts()))
+
     # Effects
 
     @singledispatchmethod
@@ -448,7 +456,7 @@
         return make_voter_state(
             node,
             recovered.identity.incarnation,
-            tuple(voter for voter in self._settings.voters if voter != node),
+            self._contacts(),
             recovered.vote,
             recovered.snapshot,
             recovered.entries,
@@ -458,14 +466,16 @@
             self._settings.place,
         )
 
+    def _contacts(self) -> tuple[NodeId, ...]:
+        settings = self._settings
+        return tuple(voter for voter in settings.voters if voter != settings.node)
+
     def _receive_envelope(self, envelope: Envelope) -> None:
         is_open = self._settings.wanted is not None
         if is_open or envelope.sender in self._voter.peers:
             self._decide(EnvelopeReceived(envelope, self._clock(), self._draw()))
 
-    def _decide(
-        self, event: ClockTick | EnvelopeReceived | Proposed | SnapshotTaken
-    ) -> None:
+    def _decide(self, event: VoterEvent) -> None:
         if self._stopped:
             return
         try:
--- a/src/wasabigw/telemetry/events_daemon.py
+++ b/src/wasabigw/telemetry/events_daemon.py
@@ -19,6 +19,18 @@
         "{node} ended: {reason}",
         "Correct what the reason names and start the process again.",
     )
+    SETTINGS_RELOADED = EventDefinition(
+        4003,
+        Severity.INFO,
+        "took over changed settings",
+        "None needed.",
+    )
+    SETTINGS_REFUSED = EventDefinition(
+        4004,
+        Severity.WARNING,
+        "kept the settings in force, because the changed ones are wrong: {reason}",
+        "Correct the settings file; it is read again within seconds.",
+    )
     DATA_FOLDER_CREATED = EventDefinition(
         4010,
         Severity.INFO,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -28,7 +28,11 @@
     make_relay_task,
 )
 from wasabigw.tasks.view_file import StoreView, make_view_file, read_view_file
-from wasabigw.tasks.view_follower import ViewReceived, make_view_follower
+from wasabigw.tasks.view_follower import (
+    SeedsChanged,
+    ViewReceived,
+    make_view_follower,
+)
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
 SHORT, LONG = Seconds(0.2), Seconds(5.0)
@@ -194,6 +198,19 @@
             found = [received.get(LONG).unwrap().update.revision for _ in range(2)]
         self.assertEqual(found, [5, 6])
 
+    def test_a_follower_uses_seeds_of_changed_settings(self) -> None:
+        # The process would stay without a view if its first seeds are gone for good.
+        gone = Endpoint("127.0.0.1", 1)
+        fresh = self.start()
+        self.give(fresh, update(6))
+        received: Mailbox[Any] = Mailbox("received")
+        sources = SourceState(RECIFE, (gone,))
+        with make_view_follower(sources, received, lambda api: api) as follower:
+            self.assertIsInstance(received.get(SHORT), Failure)
+            follower.mailbox.post(SeedsChanged((fresh.endpoint,)))
+            found = received.get(LONG).unwrap()
+        self.assertEqual(found.update.revision, 6)
+
 
 class ViewFiles(unittest.TestCase):
     """Guards against a relay that can't start because of its file."""
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -6,6 +6,8 @@
 from hypothesis import strategies as st
 
 from tests.voter_network import NODES, Network, empty_disk
+from wasabigw.core.consensus.events import ContactsNamed
+from wasabigw.core.consensus.voter import handle
 from wasabigw.core.ids import NodeId
 from wasabigw.core.states import VoterRole
 
@@ -111,6 +113,17 @@
         run.run(4.0)
         self.assertEqual(run.voters(), {A, B, C})
 
+    def test_a_new_vm_with_lost_seeds_joins_after_its_settings_change(self) -> None:
+        run = network(started=(A, B, C, D))
+        run.members[D].state.contacts = (NodeId("gone"),)
+        run.run(3.0)
+        del run.members[C]
+        run.run(4.0)
+        self.assertNotIn(D, run.voters())
+        handle(ContactsNamed((A, B)), run.members[D].state)
+        run.run(4.0)
+        self.assertEqual(run.voters(), {A, B, D})
+
 
 class Spread(unittest.TestCase):
     """Guards against voters that one failure domain takes with it."""
