Handle the messages of a follower while its source holds polls

Cause: a follower looked at its mailbox only while it waited for the next poll. A poll that its source holds takes longer than the interval between polls, so that it never waited: a balancer took five seconds longer to stop and was killed at its grace time, and changed seeds were not taken over. Ruled out: packets that kept the balancer from leaving. It left after two seconds, and its process ended with the time-out of the follower's thread. Change: messages that wait are handled after each poll. Test: a follower whose source holds polls stops within the time of one poll; it failed with 5.0 s.

--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -101,16 +101,20 @@
             running = self._wait_until(Seconds(monotonic() + pause))
 
     def _wait_until(self, time: Seconds) -> bool:
-        """Handle messages until a time; ``False`` after :class:`Stop`."""
-        while (remaining := time - monotonic()) > 0:
-            outcome = self._mailbox.get(Seconds(remaining))
+        """Handle messages until a time; ``False`` after :class:`Stop`.
+
+        Messages that wait already are handled even if the time has passed: a poll
+        that its source holds takes longer than the interval between polls.
+        """
+        while True:
+            remaining = time - monotonic()
+            outcome = self._mailbox.get(Seconds(max(0.0, remaining)))
             if not isinstance(outcome, Success):
-                continue
+                return True
             message = outcome.unwrap()
             if isinstance(message, Stop):
                 return False
             self.receive(message)
-        return True
 
     def _poll(self, source: Endpoint, sent_at: Seconds) -> bool:
         """Poll a source once; ``False`` if another one should be asked."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -29,6 +29,8 @@
 )
 from wasabigw.tasks.view_file import StoreView, make_view_file, read_view_file
 from wasabigw.tasks.view_follower import (
+    POLL_WAIT,
+    READ_MARGIN,
     SeedsChanged,
     ViewReceived,
     make_view_follower,
@@ -198,6 +200,18 @@
             found = [received.get(LONG).unwrap().update.revision for _ in range(2)]
         self.assertEqual(found, [5, 6])
 
+    def test_a_follower_stops_while_its_source_holds_polls(self) -> None:
+        # Stops took five seconds, and balancers were killed at their grace time.
+        quiet = self.start()
+        self.give(quiet, update(6))
+        received: Mailbox[Any] = Mailbox("received")
+        sources = SourceState(RECIFE, (quiet.endpoint,))
+        with make_view_follower(sources, received, lambda api: api):
+            for _ in range(2):
+                received.get(LONG).unwrap()
+            began = monotonic()
+        self.assertLess(monotonic() - began, POLL_WAIT + READ_MARGIN + SHORT)
+
     def test_a_follower_uses_seeds_of_changed_settings(self) -> None:
         # The process would stay without a view if its first seeds are gone for good.
         gone = Endpoint("127.0.0.1", 1)
