Send a part of the new flows of a failure domain with few slots elsewhere

Cause: new flows stayed in the failure domain of their balancer however few backend servers it had. Change: each failure domain of a region has a claim to an equal part of the slots. One with less than 0.8 of its claim sends the rest of its flows to those with more, and one without any uses only those. Slots weigh the choice between backend servers. Other regions are used only if the own one has no backend server.

--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -19,7 +19,7 @@
     """Why a new flow goes to a backend server."""
 
     LEAST_USED_HERE = "least used in the own failure domain"
-    LEAST_USED_ELSEWHERE = "least used, none in the own failure domain"
+    LEAST_USED_ELSEWHERE = "least used, the own failure domain has too few"
     COLD = "only cold ones are left"
     REPEATED = "no other one is left for a repeated opening"
     OPEN = "the flow is open there"
--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -1,14 +1,16 @@
 """Which backend server gets a new flow."""
 
+from collections import Counter
 from collections.abc import Sequence
 
 import xxhash
 
 from wasabigw.core.declaration import Listener
-from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
+from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
 from wasabigw.core.tags.decisions import ChoiceReason
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.packets import FlowId
+from wasabigw.core.tags.spread import reachable, shares_of
 from wasabigw.core.tags.state import Server, TagState
 
 
@@ -30,7 +32,7 @@
 def choose_server(
     service: ServiceId, state: TagState, now: Seconds, avoided: Server | None = None
 ) -> tuple[Server, ChoiceReason] | None:
-    """Backend server with the fewest flows, preferably in the own failure domain.
+    """Backend server with the fewest flows for its share of them.
 
     :param avoided: did not answer an earlier copy of the opening packet.
     :returns: the backend server and why, or ``None`` if there is none.
@@ -39,9 +41,9 @@
     answering = [s for s in servers if _may_answer(s, now)] or servers
     warm = [s for s in answering if s.cold_until <= now]
     if warm:
-        return _least_used(warm, state.failure_domain)
+        return _least_used(warm, state)
     if answering:
-        chosen, _ = _least_used(answering, state.failure_domain)
+        chosen, _ = _least_used(answering, state)
         return chosen, ChoiceReason.COLD
     return (avoided, ChoiceReason.REPEATED) if avoided is not None else None
 
@@ -51,10 +53,26 @@
 
 
 def _least_used(
-    servers: Sequence[Server], home: FailureDomainId
+    servers: Sequence[Server], state: TagState
 ) -> tuple[Server, ChoiceReason]:
-    local = [s for s in servers if s.registration.failure_domain == home]
-    chosen = min(local or servers, key=lambda s: (s.open_flows, s.registration.tag))
-    if local:
+    home = state.failure_domain
+    slots: Counter[FailureDomainId] = Counter()
+    for server in servers:
+        slots[server.registration.failure_domain] += _slots(server)
+    usable = reachable(home, slots, state.regions)
+    shares = shares_of(home, usable, state.regions)
+
+    def use(server: Server) -> tuple[float, Tag]:
+        domain = server.registration.failure_domain
+        weight = shares[domain] * _slots(server) / usable[domain]
+        return (server.open_flows + 1) / weight, server.registration.tag
+
+    candidates = [s for s in servers if s.registration.failure_domain in shares]
+    chosen = min(candidates, key=use)
+    if chosen.registration.failure_domain == home:
         return chosen, ChoiceReason.LEAST_USED_HERE
     return chosen, ChoiceReason.LEAST_USED_ELSEWHERE
+
+
+def _slots(server: Server) -> int:
+    return max(server.registration.slots, 1)
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -1,6 +1,7 @@
 """State of a balancer that delivers by tags, owned by its packet task."""
 
 import ipaddress
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT, Declaration, Listener
@@ -9,6 +10,7 @@
     NO_REVISION,
     FailureDomainId,
     NodeId,
+    RegionId,
     Seconds,
     ServiceId,
     Tag,
@@ -56,6 +58,7 @@
 class TagState:
     """Everything that a balancer knows.
 
+    :param regions: of all failure domains.
     :param view: part of the replicated state that the balancer has.
     :param fresh_until: until when the view is known to be current.
     :param confirmed_at: when the latest view was asked for.
@@ -66,6 +69,7 @@
 
     node: NodeId
     failure_domain: FailureDomainId
+    regions: Mapping[FailureDomainId, RegionId] = field(default_factory=dict)
     view: DeliveryView = field(default_factory=DeliveryView)
     fresh_until: Seconds = NEVER
     confirmed_at: Seconds = NEVER
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -3,7 +3,7 @@
 import selectors
 import socket
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import singledispatch, singledispatchmethod
 from types import TracebackType
@@ -12,7 +12,7 @@
 from returns.result import Success
 
 from wasabigw.core.endpoint import Endpoint
-from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
+from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Seconds
 from wasabigw.core.tags.decisions import Deliver, Drop, Refuse
 from wasabigw.core.tags.learning import declare, learn
 from wasabigw.core.tags.state import TagState
@@ -58,6 +58,7 @@
 
     node: NodeId
     failure_domain: FailureDomainId
+    regions: Mapping[FailureDomainId, RegionId]
     bind: Endpoint
     codec: FlowPacketCodec
     decode_document: DocumentDecoder
@@ -81,7 +82,7 @@
         self._settings = settings
         self._selectable = mailbox
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._state = TagState(settings.node, settings.failure_domain)
+        self._state = TagState(settings.node, settings.failure_domain, settings.regions)
         self._was_fresh = False
         self._decisions = DecisionLog(self._state)
         self._counts: Counter[str] = Counter()
--- a/tests/test_tag_steering.py
+++ b/tests/test_tag_steering.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from wasabigw.core.declaration import (
     Declaration,
@@ -15,6 +16,7 @@
     BackendServerId,
     FailureDomainId,
     NodeId,
+    RegionId,
     Revision,
     Seconds,
     ServiceId,
@@ -38,6 +40,8 @@
 SEATS = ServiceId("seats")
 DOCUMENTS = ServiceId("documents")
 RECIFE, SALVADOR = FailureDomainId("recife"), FailureDomainId("salvador")
+FORTALEZA = FailureDomainId("fortaleza")
+NORTH, SOUTH = RegionId("north"), RegionId("south")
 LISTENER = 0xC6120001
 """198.18.0.1"""
 
@@ -164,6 +168,41 @@
         tags = Counter(self.tag_of(opening(p)) for p in range(20))
         self.assertEqual(tags, {1: 10, 2: 10})
 
+    def open_many(self, count: int) -> Counter[int]:
+        """New flows, of which all stay open, by backend server."""
+        return Counter(self.tag_of(opening(p)) for p in range(count))
+
+    def test_a_failure_domain_with_too_few_slots_sends_a_part_elsewhere(self) -> None:
+        # One backend server here got as many flows as three elsewhere, and queued.
+        self.state.regions = {RECIFE: NORTH, SALVADOR: NORTH, FORTALEZA: NORTH}
+        self.register(boot(1), *(boot(n, SALVADOR) for n in (2, 3, 4)))
+        self.assertEqual(self.open_many(80), {1: 62, 2: 6, 3: 6, 4: 6})
+
+    def test_one_without_any_uses_those_that_have_more_than_their_part(self) -> None:
+        self.state.regions = {RECIFE: NORTH, SALVADOR: NORTH, FORTALEZA: NORTH}
+        fortaleza = (boot(n, FORTALEZA) for n in (2, 3, 4))
+        self.register(boot(1, SALVADOR), *fortaleza)
+        self.assertEqual(self.open_many(30), {2: 10, 3: 10, 4: 10})
+
+    def test_a_small_difference_moves_nothing(self) -> None:
+        self.state.regions = {RECIFE: NORTH, SALVADOR: NORTH}
+        self.register(
+            *(boot(n) for n in (1, 2)), *(boot(n, SALVADOR) for n in (3, 4, 5))
+        )
+        self.assertEqual(self.open_many(20), {1: 10, 2: 10})
+
+    def test_another_region_is_used_only_if_the_own_one_has_none(self) -> None:
+        self.state.regions = {RECIFE: NORTH, SALVADOR: SOUTH, FORTALEZA: NORTH}
+        salvador = [boot(n, SALVADOR) for n in (2, 3, 4, 5)]
+        self.register(boot(1), *salvador)
+        self.assertEqual(self.open_many(10), {1: 10})
+        self.register(*salvador)
+        self.assertEqual(set(self.open_many(10)), {2, 3, 4, 5})
+
+    def test_more_slots_take_more_flows(self) -> None:
+        self.register(replace(boot(1), slots=12), boot(2))
+        self.assertEqual(self.open_many(16), {1: 12, 2: 4})
+
     def test_an_unknown_listener_is_refused_only_with_a_fresh_view(self) -> None:
         self.register(boot(1))
         packet = opening(listener_port=80)
