Give up flows of backend servers that can't be reached

Cause: a caller whose backend server crashed, or was cut off, sent its data again until its time was over, because nothing told it to open another flow. Ruled out: slow backend servers. Change: a second copy without a sign of life from the backend server since the data was first sent shows a loss. The balancer refuses that flow, and for 1.5 s other flows of that backend server with their next data. The first copy opens the circuit breaker for new flows. The first packet of a flow that was opened through another balancer is no longer a sign of life, and of several failures at the same time one counts.

--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -13,6 +13,7 @@
     NO_LISTENER = "no-listener"
     NO_SERVER = "no-server"
     SERVER_ENDED = "server-ended"
+    SERVER_LOST = "server-lost"
 
 
 class ChoiceReason(Enum):
--- a/src/wasabigw/core/tags/health.py
+++ b/src/wasabigw/core/tags/health.py
@@ -3,6 +3,11 @@
 A circuit breaker for each backend server: an opening that its caller has to repeat
 opens it, unless the backend server has shown life since. After a pause a single new
 flow is let through as a probe. Any sign of life closes it.
+
+Data of an open flow that its caller sends again is such a sign as well, because a
+backend server acknowledges data at once, however long its requests wait. Data that was
+sent three times without a sign of life from the backend server to any caller shows that
+it can't be reached. Its flows are then given up, so that callers can try elsewhere.
 """
 
 from dataclasses import dataclass
@@ -14,6 +19,19 @@
 FIRST_PAUSE = Seconds(1.0)
 LONGEST_PAUSE = Seconds(8.0)
 """Pauses between probes; each is twice as long as the one before."""
+LOST_AFTER_COPIES = 2
+LOST_AFTER = Seconds(0.5)
+"""Copies of data, and time since it was sent first, that show a loss.
+
+Callers send the copies after 0.2 and 0.6 s. A balancer that was frozen gets all of them
+at the same moment, which shows nothing.
+"""
+LOSS_REMEMBERED = Seconds(1.5)
+"""How long a loss counts for the other flows.
+
+Shorter than the time for which a fault excuses the end of flows, so that a backend
+server that is back in the meantime may still have lost them.
+"""
 PROBE_TIME = Seconds(0.5)
 """Time in which a probe is answered, or its caller repeats the opening."""
 
@@ -32,12 +50,16 @@
 
     :param heard_at: when a caller last acknowledged something new from it.
     :param failures: unanswered openings in a row.
+    :param opened_at: when the latest pause began.
     :param paused_until: until when it gets no new flows.
+    :param lost_at: when data of an open flow last showed that it can't be reached.
     """
 
     heard_at: Seconds = NEVER
     failures: int = 0
+    opened_at: Seconds = NEVER
     paused_until: Seconds = NEVER
+    lost_at: Seconds = NEVER
 
 
 def note_life(breaker: Breaker, now: Seconds) -> None:
@@ -45,12 +67,17 @@
     breaker.heard_at = now
     breaker.failures = 0
     breaker.paused_until = NEVER
+    breaker.lost_at = NEVER
 
 
 def note_unanswered(breaker: Breaker, sent_at: Seconds, now: Seconds) -> None:
-    """Note that an opening, sent at a time, has not been answered yet."""
-    if breaker.heard_at >= sent_at:
+    """Note that an opening or data, sent at a time, has not been answered yet."""
+    if breaker.heard_at > sent_at:
         return
+    if breaker.failures > 0 and sent_at < breaker.opened_at:
+        # Only what was sent since, a probe, says more than what opened the breaker.
+        return
+    breaker.opened_at = now
     pause = FIRST_PAUSE * 2**breaker.failures
     breaker.failures += 1
     breaker.paused_until = Seconds(now + min(pause, LONGEST_PAUSE))
@@ -62,6 +89,19 @@
         breaker.paused_until = Seconds(now + PROBE_TIME)
 
 
+def is_lost(breaker: Breaker, sent_at: Seconds, copies: int, now: Seconds) -> bool:
+    """Whether data of an open flow will get no answer.
+
+    :param sent_at: when the caller sent the data first.
+    :param copies: how often it has sent the data again.
+    """
+    if breaker.heard_at > sent_at:
+        return False
+    if copies >= LOST_AFTER_COPIES and now - sent_at >= LOST_AFTER:
+        breaker.lost_at = now
+    return now - breaker.lost_at < LOSS_REMEMBERED
+
+
 def health_of(breaker: Breaker, now: Seconds) -> Health:
     """State of a breaker."""
     if breaker.failures == 0:
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -45,6 +45,9 @@
 
     :param is_open: whether the caller has answered the backend server.
     :param acknowledged: what the caller has received last.
+    :param pending: sequence number of data that is not answered yet.
+    :param pending_since: when that data passed first.
+    :param copies: how often it has passed again.
     """
 
     server: Server
@@ -52,6 +55,9 @@
     last_seen: Seconds
     is_open: bool = False
     acknowledged: int = 0
+    pending: int | None = None
+    pending_since: Seconds = NEVER
+    copies: int = 0
 
 
 @dataclass(slots=True)
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -15,7 +15,12 @@
     Refuse,
     RefuseReason,
 )
-from wasabigw.core.tags.health import note_life, note_opening, note_unanswered
+from wasabigw.core.tags.health import (
+    is_lost,
+    note_life,
+    note_opening,
+    note_unanswered,
+)
 from wasabigw.core.tags.packets import NO_TAG, FlowPacket
 from wasabigw.core.tags.selection import choose_server, service_of
 from wasabigw.core.tags.state import Flow, Server, TagState
@@ -68,37 +73,59 @@
     if server.registration.state is RegistrationState.ENDED:
         _forget(packet, state)
         return Refuse(packet, RefuseReason.SERVER_ENDED)
-    _note_use(packet, server, state, now)
+    if packet.is_closing or packet.is_reset:
+        _forget(packet, state)
+        return Deliver(packet, server.registration)
+    flow = _note_use(packet, server, state, now)
+    if flow is not None and _is_lost(packet, flow, now):
+        _forget(packet, state)
+        return Refuse(packet, RefuseReason.SERVER_LOST)
     return Deliver(packet, server.registration)
 
 
+def _is_lost(packet: FlowPacket, flow: Flow, now: Seconds) -> bool:
+    if packet.length == 0:
+        return False
+    breaker = flow.server.breaker
+    if flow.pending is None:
+        flow.pending, flow.pending_since, flow.copies = packet.sequence, now, 0
+    elif packet.sequence == flow.pending:
+        flow.copies += 1
+        note_unanswered(breaker, flow.pending_since, now)
+    return is_lost(breaker, flow.pending_since, flow.copies, now)
+
+
 def _note_use(
     packet: FlowPacket, server: Server, state: TagState, now: Seconds
-) -> None:
-    if packet.is_closing or packet.is_reset:
-        _forget(packet, state)
-        return
+) -> Flow | None:
     known = state.flows.get(packet.flow)
     if known is not None and known.server is not server:
         _forget(packet, state)
         known = None
     if known is None:
-        _record(packet, server, state, now)
-        known = state.flows.get(packet.flow)
-    if known is None:
-        return
+        # Opened through another balancer: what it acknowledges may be old.
+        known = _record(packet, server, state, now)
+        if known is not None:
+            known.is_open = True
+            known.acknowledged = packet.acknowledged
+        return known
     known.last_seen = now
     if not known.is_open or known.acknowledged != packet.acknowledged:
         known.is_open = True
         known.acknowledged = packet.acknowledged
+        known.pending = None
         note_life(server.breaker, now)
+    return known
 
 
-def _record(packet: FlowPacket, server: Server, state: TagState, now: Seconds) -> None:
+def _record(
+    packet: FlowPacket, server: Server, state: TagState, now: Seconds
+) -> Flow | None:
     if len(state.flows) >= MAX_FLOWS:
-        return
-    state.flows[packet.flow] = Flow(server, now, now)
+        return None
+    flow = state.flows[packet.flow] = Flow(server, now, now)
     server.open_flows += 1
+    return flow
 
 
 def _forget(packet: FlowPacket, state: TagState) -> None:
