Let first copies of the data of two flows show a loss

Cause: a loss was seen with the second copy of one flow, 0.6 s after the data, although other flows of the backend server had sent first copies by then. Ruled out: single losses of packets. Copies of two flows without a sign of life in between count only if the data was first sent 0.15 s before, and within 1.5 s of each other. Change: two flows whose data was copied once show a loss.

--- a/src/wasabigw/core/tags/health.py
+++ b/src/wasabigw/core/tags/health.py
@@ -19,13 +19,14 @@
 FIRST_PAUSE = Seconds(1.0)
 LONGEST_PAUSE = Seconds(8.0)
 """Pauses between probes; each is twice as long as the one before."""
-LOST_AFTER_COPIES = 2
+DOUBT_AFTER = Seconds(0.15)
 LOST_AFTER = Seconds(0.5)
-"""Copies of data, and time since it was sent first, that show a loss.
+"""Time from data to its first and second copy, which callers send after 0.2 and 0.6 s.
 
-Callers send the copies after 0.2 and 0.6 s. A balancer that was frozen gets all of them
-at the same moment, which shows nothing.
+A balancer that was frozen gets all of them at the same moment, which shows nothing.
 """
+DOUBTS = 2
+"""Flows whose data was copied once that together show a loss."""
 LOSS_REMEMBERED = Seconds(1.5)
 """How long a loss counts for the other flows.
 
@@ -52,6 +53,9 @@
     :param failures: unanswered openings in a row.
     :param opened_at: when the latest pause began.
     :param paused_until: until when it gets no new flows.
+    :param doubts: flows whose data was copied since the last sign of life, each within
+        the time that a loss is remembered after the one before.
+    :param doubted_at: when the latest of them was counted.
     :param lost_at: when data of an open flow last showed that it can't be reached.
     """
 
@@ -59,6 +63,8 @@
     failures: int = 0
     opened_at: Seconds = NEVER
     paused_until: Seconds = NEVER
+    doubts: int = 0
+    doubted_at: Seconds = NEVER
     lost_at: Seconds = NEVER
 
 
@@ -67,6 +73,7 @@
     breaker.heard_at = now
     breaker.failures = 0
     breaker.paused_until = NEVER
+    breaker.doubts = 0
     breaker.lost_at = NEVER
 
 
@@ -89,17 +96,28 @@
         breaker.paused_until = Seconds(now + PROBE_TIME)
 
 
-def is_lost(breaker: Breaker, sent_at: Seconds, copies: int, now: Seconds) -> bool:
-    """Whether data of an open flow will get no answer.
+def note_copy(breaker: Breaker, sent_at: Seconds, copies: int, now: Seconds) -> None:
+    """Note that a caller sent data of an open flow again.
 
-    :param sent_at: when the caller sent the data first.
+    :param sent_at: when it sent the data first.
     :param copies: how often it has sent the data again.
     """
-    if breaker.heard_at > sent_at:
-        return False
-    if copies >= LOST_AFTER_COPIES and now - sent_at >= LOST_AFTER:
+    waited = now - sent_at
+    if breaker.heard_at > sent_at or waited < DOUBT_AFTER:
+        return
+    note_unanswered(breaker, sent_at, now)
+    if copies == 1:
+        is_recent = now - breaker.doubted_at < LOSS_REMEMBERED
+        breaker.doubts = breaker.doubts + 1 if is_recent else 1
+        breaker.doubted_at = now
+    if breaker.doubts >= DOUBTS or (copies > 1 and waited >= LOST_AFTER):
         breaker.lost_at = now
-    return now - breaker.lost_at < LOSS_REMEMBERED
+
+
+def is_lost(breaker: Breaker, sent_at: Seconds, now: Seconds) -> bool:
+    """Whether data of an open flow, first sent at a time, will get no answer."""
+    is_recent = now - breaker.lost_at < LOSS_REMEMBERED
+    return is_recent and breaker.heard_at <= sent_at
 
 
 def health_of(breaker: Breaker, now: Seconds) -> Health:
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -17,6 +17,7 @@
 )
 from wasabigw.core.tags.health import (
     is_lost,
+    note_copy,
     note_life,
     note_opening,
     note_unanswered,
@@ -91,8 +92,8 @@
         flow.pending, flow.pending_since, flow.copies = packet.sequence, now, 0
     elif packet.sequence == flow.pending:
         flow.copies += 1
-        note_unanswered(breaker, flow.pending_since, now)
-    return is_lost(breaker, flow.pending_since, flow.copies, now)
+        note_copy(breaker, flow.pending_since, flow.copies, now)
+    return is_lost(breaker, flow.pending_since, now)
 
 
 def _note_use(
--- a/tests/test_tag_steering.py
+++ b/tests/test_tag_steering.py
@@ -338,8 +338,20 @@
             self.open(port, now=1.0)
         self.assertEqual(self.send(1, now=1.2), "delivered")
         self.assertEqual(self.send(1, now=1.6), "refused")
+        # The next request of the other flow, which had none open.
         self.assertEqual(self.send(2, now=1.7), "refused")
 
+    def test_first_copies_of_two_flows_are_enough(self) -> None:
+        for port in (1, 2, 3):
+            self.open(port, now=1.0)
+        sent = [self.send(port, now=1.2) for port in (1, 2, 3)]
+        self.assertEqual(sent, ["delivered", "refused", "refused"])
+
+    def test_two_copies_of_one_flow_are_one_doubt(self) -> None:
+        self.open(1, now=1.0)
+        sent = [self.send(1, now=now) for now in (1.2, 1.3)]
+        self.assertEqual(sent, ["delivered", "delivered"])
+
     def test_new_flows_avoid_it_from_the_first_copy_on(self) -> None:
         self.open(1, now=1.0)
         self.send(1, now=1.2)
