Count the freshness of a view from the receipt of the poll

Cause: an answer to a held poll said for how long the view was known to be current from the answer on, but whoever polls counts from when it sent the poll, up to 0.5 s earlier. Views went stale between polls of an undisturbed system, and openings for unknown listeners were dropped instead of refused. Ruled out: late answers of voters. Change: voters and relays count from the receipt of the poll. A view that is stale at the time of the answer is still said to be.

--- a/src/wasabigw/core/delivery_view.py
+++ b/src/wasabigw/core/delivery_view.py
@@ -55,7 +55,8 @@
 class ViewUpdate:
     """What has changed in a view after a revision.
 
-    :param fresh_for: how long the view is known to be current.
+    :param fresh_for: how long the view is known to be current, counted from when the
+        source received the poll; 0 if it is not now.
     :param is_whole: whether all that is not contained has to be forgotten.
     :param document: ``None`` if it has not changed.
     """
--- a/src/wasabigw/tasks/held_views.py
+++ b/src/wasabigw/tasks/held_views.py
@@ -17,6 +17,7 @@
 @dataclass(frozen=True, slots=True)
 class _HeldView:
     call: ViewCall
+    received: Seconds
     until: Seconds
 
 
@@ -37,11 +38,12 @@
     def take(self, call: ViewCall, standing: Standing) -> None:
         """Hold a call, or answer it if something has changed."""
         if call.after != standing.cluster.revision or call.wait <= 0:
-            self._answer(call, standing)
+            self._answer(call, standing.now, standing)
         elif len(self._held) >= MAX_HELD_VIEWS:
             call.reply.post(Overloaded(f"{MAX_HELD_VIEWS} calls for views are held"))
         else:
-            self._held.append(_HeldView(call, Seconds(standing.now + call.wait)))
+            until = Seconds(standing.now + call.wait)
+            self._held.append(_HeldView(call, standing.now, until))
 
     def answer_due(self, standing: Standing) -> None:
         """Answer the calls that have waited long enough or lack something."""
@@ -49,13 +51,14 @@
         for entry in held:
             has_changed = entry.call.after != standing.cluster.revision
             if has_changed or standing.now >= entry.until:
-                self._answer(entry.call, standing)
+                self._answer(entry.call, entry.received, standing)
             else:
                 self._held.append(entry)
 
-    def _answer(self, call: ViewCall, standing: Standing) -> None:
+    def _answer(self, call: ViewCall, received: Seconds, standing: Standing) -> None:
         if self._view.revision != standing.cluster.revision:
             self._view = view_of(standing.cluster)
-        fresh_for = lease.view_for(self._voter, standing.now)
-        update = update_after(self._view, call.after, Seconds(max(0.0, fresh_for)))
+        rest = lease.view_for(self._voter, standing.now)
+        fresh_for = Seconds(standing.now - received + rest if rest > 0 else 0.0)
+        update = update_after(self._view, call.after, fresh_for)
         call.reply.post(update)
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -35,6 +35,7 @@
 class _HeldPoll:
     request: LightRequest
     after: Revision
+    received: Seconds
     until: Seconds
 
 
@@ -142,7 +143,7 @@
             return
         now = monotonic()
         wait = min(Seconds(wait_ms / 1000), MAX_WAIT)
-        poll = _HeldPoll(request, Revision(after), Seconds(now + wait))
+        poll = _HeldPoll(request, Revision(after), now, Seconds(now + wait))
         if self._is_due(poll, now):
             self._answer(poll, now)
         else:
@@ -163,7 +164,8 @@
         if self._view.revision == NO_REVISION:
             poll.request.connection.respond(HTTPStatus.SERVICE_UNAVAILABLE)
             return
-        fresh_for = Seconds(max(0.0, self._fresh_until - now))
+        is_fresh = now < self._fresh_until
+        fresh_for = Seconds(self._fresh_until - poll.received if is_fresh else 0.0)
         update = update_after(self._view, poll.after, fresh_for)
         poll.request.connection.respond(HTTPStatus.OK, encode_update(update))
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -161,6 +161,19 @@
         found = self.poll(self.start(update(5)), 5, wait_ms=100).unwrap()
         self.assertEqual((found.revision, found.boots), (5, ()))
 
+    def test_freshness_counts_from_the_receipt_of_a_poll(self) -> None:
+        # Whoever polls counts from then on; views went stale between held polls.
+        relay = self.start()
+        self.give(relay, update(6, fresh_for=1.0))
+        found = self.poll(relay, 6, wait_ms=600).unwrap()
+        self.assertGreater(found.fresh_for, 0.9)
+
+    def test_a_view_that_went_stale_while_a_poll_was_held_is_not_fresh(self) -> None:
+        relay = self.start()
+        self.give(relay, update(6, fresh_for=0.3))
+        found = self.poll(relay, 6, wait_ms=600).unwrap()
+        self.assertEqual(found.fresh_for, 0.0)
+
     def test_an_older_view_neither_replaces_nor_refreshes(self) -> None:
         relay = self.start(update(5))
         self.give(relay, update(4))
