Serve metrics in text form, log orders and views, add wasabigwctl explain

Cause: on-call engineers have only logs and metrics, and balancers and relays had no metrics, orders and changes of views no line, and nothing joined the logs of several processes. Ruled out: the OpenTelemetry SDK in balancers and relays, which takes longer to load than a balancer takes to start. Change: each process serves /metrics at the port of the deploy file: decisions by service, failure domain, outcome and reason, answer times, flows, boots, what is out of service, age of the view; for voters also role, lag, time of a disk sync and of a commit. A port that is in use is logged and stops nothing. A line for each order with its outcome, each read, and each change of the view; refusals and drops name the backend server and how long it has been silent. wasabigwctl explain shows what the logs of all processes say about a flow, a backend server, a version or any field, in order.

--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -6,6 +6,7 @@
 
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT, Declaration, Listener
 from wasabigw.core.delivery_view import DeliveryView
+from wasabigw.core.durations import Durations
 from wasabigw.core.ids import (
     NO_REVISION,
     FailureDomainId,
@@ -70,6 +71,7 @@
     :param confirmed_at: when the latest view was asked for.
     :param listeners: of the declaration in force.
     :param servers: boots by tag, with those that have ended.
+    :param answer_times: from data of callers to their next acknowledgement.
     :param pools: boots of each service that may get new flows.
     """
 
@@ -85,6 +87,7 @@
     servers: dict[Tag, Server] = field(default_factory=dict)
     pools: dict[ServiceId, list[Server]] = field(default_factory=dict)
     flows: dict[FlowId, Flow] = field(default_factory=dict)
+    answer_times: dict[ServiceId, Durations] = field(default_factory=dict)
 
     @property
     def has_view(self) -> bool:
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -4,6 +4,7 @@
 can deliver it without a table of flows. Only the opening packet needs a choice.
 """
 
+from wasabigw.core.durations import Durations, note_duration
 from wasabigw.core.ids import Seconds
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import (
@@ -114,7 +115,11 @@
     if not known.is_open or known.acknowledged != packet.acknowledged:
         known.is_open = True
         known.acknowledged = packet.acknowledged
-        known.pending = None
+        if known.pending is not None:
+            known.pending = None
+            service = server.registration.service
+            times = state.answer_times.setdefault(service, Durations())
+            note_duration(times, Seconds(now - known.pending_since))
         note_life(server.breaker, now)
     return known
 
--- a/src/wasabigw/ctl/main.py
+++ b/src/wasabigw/ctl/main.py
@@ -11,6 +11,7 @@
 
 from wasabigw import __version__
 from wasabigw.ctl.connection import ConnectionOptions
+from wasabigw.ctl.explain import explain
 from wasabigw.ctl.operation_commands import drain_app, failure_domain_app
 from wasabigw.ctl.questionnaire_commands import (
     apply,
@@ -41,6 +42,7 @@
 app.command()(questionnaire)
 app.command("generate")(generate_command)
 app.command()(apply)
+app.command()(explain)
 
 
 def _print_version(requested: bool) -> None:
--- a/src/wasabigw/tasks/decision_log.py
+++ b/src/wasabigw/tasks/decision_log.py
@@ -1,13 +1,16 @@
 """Log lines for the decisions that touch flows, within a budget."""
 
+import math
 from collections import Counter
 from functools import singledispatchmethod
 from typing import Any
 
 from wasabigw.core.ids import Seconds
+from wasabigw.core.registration import Registration
 from wasabigw.core.tags.decisions import Deliver, Drop, PacketDecision, Refuse
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
+from wasabigw.tasks.tag_metrics import DecisionKey
 from wasabigw.telemetry.events_flow import FlowEvent
 from wasabigw.telemetry.log_events import log
 
@@ -19,12 +22,16 @@
     """Writes a line for each opening, refusal and drop.
 
     :param state: of the balancer, only read.
+
+    ``decisions`` and ``left_out`` count all of them, with those without a line.
     """
 
     def __init__(self, state: TagState) -> None:
         self._state = state
         self._lines: Counter[FlowEvent] = Counter()
         self._left_out: Counter[FlowEvent] = Counter()
+        self.decisions: Counter[DecisionKey] = Counter()
+        self.left_out = 0
 
     def note(self, packet: FlowPacket, decision: PacketDecision, now: Seconds) -> None:
         """Write a line for a decision, unless it only carries an open flow on."""
@@ -33,6 +40,7 @@
     def end_second(self) -> None:
         """Begin the budget of the next second; says what was left out."""
         for event, count in self._left_out.items():
+            self.left_out += count
             log(FlowEvent.LEFT_OUT, count=count, kind=event.name)
         self._lines.clear()
         self._left_out.clear()
@@ -43,9 +51,12 @@
 
     @_note.register
     def _(self, decision: Deliver, packet: FlowPacket, now: Seconds) -> None:
-        if decision.choice is None or not self._has_budget(FlowEvent.OPENED):
+        if decision.choice is None:
             return
         server = decision.server
+        self._count("opened", server, decision.choice.value)
+        if not self._has_budget(FlowEvent.OPENED):
+            return
         known = self._state.servers.get(server.tag)
         log(
             FlowEvent.OPENED,
@@ -62,25 +73,45 @@
 
     @_note.register
     def _(self, decision: Refuse, packet: FlowPacket, now: Seconds) -> None:
-        self._note_reason(FlowEvent.REFUSED, decision.reason.value, packet, now)
+        self._note_reason(
+            FlowEvent.REFUSED, "refused", decision.reason.value, packet, now
+        )
 
     @_note.register
     def _(self, decision: Drop, packet: FlowPacket, now: Seconds) -> None:
-        self._note_reason(FlowEvent.DROPPED, decision.reason.value, packet, now)
+        self._note_reason(
+            FlowEvent.DROPPED, "dropped", decision.reason.value, packet, now
+        )
 
     def _note_reason(
-        self, event: FlowEvent, reason: str, packet: FlowPacket, now: Seconds
+        self,
+        event: FlowEvent,
+        outcome: str,
+        reason: str,
+        packet: FlowPacket,
+        now: Seconds,
     ) -> None:
+        known = self._state.servers.get(packet.tag)
+        server = known.registration if known is not None else None
+        self._count(outcome, server, reason)
         if not self._has_budget(event):
             return
+        silent_for = now - known.breaker.heard_at if known is not None else math.inf
         log(
             event,
             flow=flow_text(packet.flow),
             reason=reason,
             tag=packet.tag,
+            server=server.id if server is not None else None,
+            silent_for=round(silent_for, 3) if silent_for < math.inf else None,
             **self._inputs(now),
         )
 
+    def _count(self, outcome: str, server: Registration | None, reason: str) -> None:
+        service = server.service if server is not None else ""
+        domain = server.failure_domain if server is not None else ""
+        self.decisions[DecisionKey(outcome, service, domain, reason)] += 1
+
     def _inputs(self, now: Seconds) -> dict[str, Any]:
         """What every decision depends on, and how old it is."""
         state = self._state
--- a/src/wasabigw/tasks/light_http.py
+++ b/src/wasabigw/tasks/light_http.py
@@ -182,7 +182,11 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.setblocking(False)
-        self._socket.bind((bind.address, bind.port))
+        try:
+            self._socket.bind((bind.address, bind.port))
+        except OSError:
+            self._socket.close()
+            raise
 
     @property
     def endpoint(self) -> Endpoint:
--- a/src/wasabigw/tasks/relay.py
+++ b/src/wasabigw/tasks/relay.py
@@ -29,11 +29,13 @@
     :param bind: where balancers poll it.
     :param sources: voters that it may follow, its own VM's first.
     :param folder: where it keeps its view.
+    :param metrics: where metrics are collected.
     """
 
     bind: Endpoint
     sources: SourceState
     folder: str
+    metrics: Endpoint | None = None
 
 
 class Relay(AbstractContextManager["Relay"]):
@@ -71,7 +73,7 @@
         settings = self._settings
         stored = _stored_view(settings.folder)
         file = stack.enter_context(make_view_file(settings.folder))
-        relay = make_relay_task(settings.bind, stored, file.mailbox)
+        relay = make_relay_task(settings.bind, stored, file.mailbox, settings.metrics)
         revision = relay.revision
         stack.enter_context(relay)
         timer = stack.enter_context(TimerService())
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -1,6 +1,7 @@
 """Task of a relay: passes the delivery view on to the balancers near it."""
 
 import selectors
+from collections import Counter
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from http import HTTPStatus
@@ -21,8 +22,10 @@
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.light_http import LightRequest, LightServer
+from wasabigw.tasks.light_metrics import LightMetrics
 from wasabigw.tasks.view_file import StoreView
 from wasabigw.tasks.view_follower import VIEW_PATH, ViewReceived
+from wasabigw.telemetry.exposition import Family, MetricKind, Sample, gauge
 
 MAX_WAIT = Seconds(2.0)
 """Longest time for which a poll is held."""
@@ -44,6 +47,7 @@
 
     :param stored: view that an earlier process has kept; ``None`` without one.
     :param file: mailbox of the task that keeps the view.
+    :param metrics: where metrics are collected.
     """
 
     def __init__(
@@ -52,12 +56,15 @@
         stored: ViewUpdate | None,
         file: Mailbox[Any],
         mailbox: SelectableMailbox[ViewReceived | Tick | Stop],
+        metrics: Endpoint | None,
     ) -> None:
         super().__init__("relay", mailbox)
         self._selectable = mailbox
         self._file = file
         self._selector = selectors.DefaultSelector()
         self._server = LightServer(bind, self._selector, self._handle)
+        self._metrics = LightMetrics(metrics, self._selector, self._metric_families)
+        self._answered: Counter[HTTPStatus] = Counter()
         self._view = DeliveryView()
         self._fresh_until = NEVER
         self._held: list[_HeldPoll] = []
@@ -78,6 +85,7 @@
     def __enter__(self) -> Self:
         """Listen and start the thread."""
         self._server.__enter__()
+        self._metrics.__enter__()
         return super().__enter__()
 
     def __exit__(
@@ -87,7 +95,8 @@
         traceback: TracebackType | None,
     ) -> None:
         super().__exit__(exc_type, exc_value, traceback)
-        self._server.__exit__(exc_type, exc_value, traceback)
+        for server in (self._server, self._metrics):
+            server.__exit__(exc_type, exc_value, traceback)
         self._selector.close()
         self._selectable.__exit__(exc_type, exc_value, traceback)
 
@@ -162,13 +171,35 @@
 
     def _answer(self, poll: _HeldPoll, now: Seconds) -> None:
         if self._view.revision == NO_REVISION:
+            self._answered[HTTPStatus.SERVICE_UNAVAILABLE] += 1
             poll.request.connection.respond(HTTPStatus.SERVICE_UNAVAILABLE)
             return
+        self._answered[HTTPStatus.OK] += 1
         is_fresh = now < self._fresh_until
         fresh_for = Seconds(self._fresh_until - poll.received if is_fresh else 0.0)
         update = update_after(self._view, poll.after, fresh_for)
         poll.request.connection.respond(HTTPStatus.OK, encode_update(update))
 
+    def _metric_families(self) -> list[Family]:
+        now = monotonic()
+        polls = tuple(
+            Sample(count, {"status": str(int(status))})
+            for status, count in sorted(self._answered.items())
+        )
+        held, revision = len(self._held), self._view.revision
+        rest = max(0.0, self._fresh_until - now)
+        return [
+            Family(
+                "wasabigw_relay_polls_total",
+                MetricKind.COUNTER,
+                "Polls for views that were answered",
+                polls,
+            ),
+            gauge("wasabigw_relay_polls_held", "Polls that wait for a change", held),
+            gauge("wasabigw_view_revision", "Revision of the view", revision),
+            gauge("wasabigw_view_fresh_seconds", "For how long it is current", rest),
+        ]
+
 
 def _number(name: str, query: str) -> int | None:
     """Whole number under a name in a query, if there is one."""
@@ -180,10 +211,15 @@
 
 
 def make_relay_task(
-    bind: Endpoint, stored: ViewUpdate | None, file: Mailbox[Any]
+    bind: Endpoint,
+    stored: ViewUpdate | None,
+    file: Mailbox[Any],
+    metrics: Endpoint | None = None,
 ) -> RelayTask:
     """Task of a relay.
 
+    :param metrics: where metrics are collected.
+
     :raises OSError: if the endpoint can't be bound.
     """
-    return RelayTask(bind, stored, file, SelectableMailbox("relay"))
+    return RelayTask(bind, stored, file, SelectableMailbox("relay"), metrics)
--- /dev/null
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -0,0 +1,114 @@
+"""Metrics of a balancer that delivers by tags."""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from wasabigw.core.ids import NO_REVISION, FailureDomainId, Seconds, ServiceId
+from wasabigw.core.registration import Registration
+from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.state import TagState
+from wasabigw.telemetry.exposition import Family, MetricKind, Sample, gauge
+
+
+class DecisionKey(NamedTuple):
+    """What decisions are counted by.
+
+    :param outcome: opened, refused or dropped.
+    :param failure_domain: of the backend server, empty without one.
+    """
+
+    outcome: str
+    service: str
+    failure_domain: str
+    reason: str
+
+
+def families_of(
+    state: TagState,
+    decisions: Mapping[DecisionKey, int],
+    packets: Mapping[str, int],
+    left_out: int,
+    now: Seconds,
+) -> list[Family]:
+    """Metrics of a balancer.
+
+    :param packets: by what became of them.
+    :param left_out: lines of the log that the budget did not allow.
+    """
+    flows: Counter[tuple[ServiceId, FailureDomainId]] = Counter()
+    boots: Counter[tuple[ServiceId, FailureDomainId, str]] = Counter()
+    for server in state.servers.values():
+        boot = server.registration
+        boots[boot.service, boot.failure_domain, state_of(boot)] += 1
+        flows[boot.service, boot.failure_domain] += server.open_flows
+    age = now - state.confirmed_at if state.view.revision > NO_REVISION else 0.0
+    return [
+        Family(
+            "wasabigw_decisions_total",
+            MetricKind.COUNTER,
+            "Decisions on openings, and on other packets that were not carried on",
+            tuple(Sample(n, key._asdict()) for key, n in sorted(decisions.items())),
+        ),
+        Family(
+            "wasabigw_packets_total",
+            MetricKind.COUNTER,
+            "Packets by what became of them",
+            tuple(Sample(n, {"outcome": key}) for key, n in sorted(packets.items())),
+        ),
+        Family(
+            "wasabigw_answer_seconds",
+            MetricKind.HISTOGRAM,
+            "Time from data of a caller to what it acknowledges next",
+            tuple(
+                Sample(durations, {"service": service})
+                for service, durations in sorted(state.answer_times.items())
+            ),
+        ),
+        Family(
+            "wasabigw_flows_open",
+            MetricKind.GAUGE,
+            "Flows that this balancer carries",
+            tuple(
+                Sample(n, {"service": service, "failure_domain": domain})
+                for (service, domain), n in sorted(flows.items())
+            ),
+        ),
+        Family(
+            "wasabigw_boots",
+            MetricKind.GAUGE,
+            "Boots of backend servers in the view",
+            tuple(
+                Sample(n, {"service": s, "failure_domain": d, "state": shown})
+                for (s, d, shown), n in sorted(boots.items())
+            ),
+        ),
+        Family(
+            "wasabigw_failure_domain_out_of_service",
+            MetricKind.GAUGE,
+            "Failure domains whose backend servers get no new flows",
+            tuple(
+                Sample(1, {"failure_domain": name})
+                for name in state.view.out_of_service
+            ),
+        ),
+        gauge("wasabigw_view_revision", "Revision of the view", state.view.revision),
+        gauge("wasabigw_view_age_seconds", "Time since it was confirmed", age),
+        gauge(
+            "wasabigw_view_fresh",
+            "Whether it is known to be current",
+            state.is_fresh(now),
+        ),
+        gauge(
+            "wasabigw_declared_version",
+            "Configuration in force",
+            state.declared_version or 0,
+        ),
+        gauge("wasabigw_log_lines_left_out", "Lines beyond the budget", left_out),
+    ]
+
+
+def state_of(boot: Registration) -> str:
+    """State of a boot as logs and metrics show it."""
+    is_silent = boot.silent and boot.state is RegistrationState.SERVING
+    return "silent" if is_silent else boot.state.value
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -11,8 +11,9 @@
 
 from returns.result import Success
 
+from wasabigw.core.delivery_view import ViewUpdate
 from wasabigw.core.endpoint import Endpoint
-from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Seconds
+from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Revision, Seconds
 from wasabigw.core.tags.decisions import Deliver, Drop, Refuse
 from wasabigw.core.tags.learning import declare, learn
 from wasabigw.core.tags.state import TagState
@@ -22,6 +23,7 @@
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.decision_log import DecisionLog
 from wasabigw.tasks.light_http import LightRequest, LightServer
+from wasabigw.tasks.light_metrics import LightMetrics
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
 from wasabigw.tasks.tag_messages import (
     BeginLeaving,
@@ -29,8 +31,10 @@
     TagStatusRequest,
     TagTaskMessage,
 )
+from wasabigw.tasks.tag_metrics import families_of, state_of
 from wasabigw.tasks.view_follower import ViewReceived
 from wasabigw.telemetry.events_balancer import BalancerEvent
+from wasabigw.telemetry.exposition import Family
 from wasabigw.telemetry.log_events import log
 
 RECEIVE_BYTES = 65_536
@@ -47,6 +51,10 @@
 """Period of :data:`UPKEEP_TICK`, with which idle flows are forgotten."""
 
 
+BOOTS_LOGGED = 20
+"""Boots that the line on a change of the view names."""
+
+
 @dataclass(frozen=True, slots=True)
 class TagPacketSettings:
     """What the packet task needs to know of its surroundings.
@@ -64,6 +72,7 @@
     decode_document: DocumentDecoder
     questions: Endpoint
     answer: AnswerQuestion
+    metrics: Endpoint | None = None
 
 
 class TagPacketTask(Task[TagTaskMessage]):
@@ -92,6 +101,9 @@
         self._server = LightServer(
             settings.questions, self._selector, self._answer_question
         )
+        self._metrics = LightMetrics(
+            settings.metrics, self._selector, self._metric_families
+        )
 
     @property
     def address(self) -> Address:
@@ -117,6 +129,7 @@
             buffer=self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF),
         )
         self._server.__enter__()
+        self._metrics.__enter__()
         return super().__enter__()
 
     def __exit__(
@@ -126,7 +139,8 @@
         traceback: TracebackType | None,
     ) -> None:
         super().__exit__(exc_type, exc_value, traceback)
-        self._server.__exit__(exc_type, exc_value, traceback)
+        for server in (self._server, self._metrics):
+            server.__exit__(exc_type, exc_value, traceback)
         self._socket.close()
         self._selector.close()
         self._selectable.__exit__(exc_type, exc_value, traceback)
@@ -199,8 +213,10 @@
     def _(self, message: ViewReceived) -> None:
         state, now = self._state, monotonic()
         is_first = not state.has_view
+        before = state.view.revision
         if learn(message.update, message.sent_at, state, now):
             self._declare()
+            self._log_change(before, message.update)
         if is_first and state.has_view:
             log(BalancerEvent.FIRST_VIEW, node=state.node, revision=state.view.revision)
             self._selector.register(
@@ -225,6 +241,15 @@
     def _answer_question(self, request: LightRequest) -> None:
         self._settings.answer(request, self._status())
 
+    def _metric_families(self) -> list[Family]:
+        return families_of(
+            self._state,
+            self._decisions.decisions,
+            self._counts,
+            self._decisions.left_out,
+            monotonic(),
+        )
+
     def _status(self) -> TagBalancerStatus:
         now = monotonic()
         state = self._state
@@ -254,6 +279,20 @@
             reason=decoded.failure(),
         )
 
+    def _log_change(self, before: Revision, update: ViewUpdate) -> None:
+        state = self._state
+        changed = [f"{b.id} {state_of(b)}" for b in update.boots[:BOOTS_LOGGED]]
+        if len(update.boots) > BOOTS_LOGGED:
+            changed.append(f"and {len(update.boots) - BOOTS_LOGGED} more")
+        log(
+            BalancerEvent.VIEW_CHANGED,
+            before=before,
+            revision=state.view.revision,
+            boots=", ".join(changed),
+            version=state.declared_version,
+            out_of_service=", ".join(state.view.out_of_service),
+        )
+
     def _note_freshness(self, now: Seconds) -> None:
         state = self._state
         fresh = state.is_fresh(now)
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -18,7 +18,15 @@
 from wasabigw.core.commands import ChangeRequest, Order
 from wasabigw.core.consensus.messages import Envelope
 from wasabigw.core.delivery_view import ViewUpdate
-from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds
+from wasabigw.core.durations import Durations
+from wasabigw.core.ids import (
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    Revision,
+    Seconds,
+    Term,
+)
 from wasabigw.core.log_messages import (
     BootAnnouncement,
     BootDeparture,
@@ -29,6 +37,7 @@
     RegistrationBatch,
     ReportRequest,
 )
+from wasabigw.core.states import VoterRole
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick
 from wasabigw.telemetry.trace_context import TraceParent
@@ -192,6 +201,34 @@
     batch: RegistrationBatch
 
 
+@dataclass(frozen=True, slots=True)
+class VoterStatus:
+    """What a voter knows and how long its work takes.
+
+    :param lag: entries of its log that are not known to be committed.
+    :param syncs: from an append to the end of its sync.
+    :param commits: from the proposal of a command to its commit, at a leader.
+    """
+
+    role: VoterRole
+    term: Term
+    revision: Revision
+    lag: int
+    voters: int
+    waiting: int
+    declared_version: int | None
+    out_of_service: tuple[FailureDomainId, ...]
+    syncs: Durations
+    commits: Durations
+
+
+@dataclass(frozen=True, slots=True)
+class VoterStatusCall:
+    """Asks for the state of the voter; every voter answers at any time."""
+
+    reply: Mailbox[VoterStatus]
+
+
 @dataclass(frozen=True, slots=True)
 class ContactsChanged:
     """The settings name other control VMs.
@@ -215,6 +252,7 @@
     | RegistrationCall
     | RegistrationsPassedOn
     | ContactsChanged
+    | VoterStatusCall
     | Tick
 )
 
--- /dev/null
+++ b/src/wasabigw/tasks/voter_metrics.py
@@ -0,0 +1,110 @@
+"""Metrics of a voter in the usual text format."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import cherrypy
+from returns.result import Success
+
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import Seconds
+from wasabigw.core.states import VoterRole
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.http_server import HttpServer, make_http_server
+from wasabigw.tasks.limits import ProcessLimits
+from wasabigw.tasks.voter_calls import VoterStatus, VoterStatusCall, reply_mailbox
+from wasabigw.telemetry.exposition import (
+    CONTENT_TYPE,
+    Family,
+    MetricKind,
+    Sample,
+    gauge,
+    render,
+)
+
+STATUS_TIMEOUT = Seconds(0.9)
+MAX_BODY = 1_024
+
+
+def families_of(status: VoterStatus) -> list[Family]:
+    """Metrics of a voter."""
+    return [
+        Family(
+            "wasabigw_voter_role",
+            MetricKind.GAUGE,
+            "1 for the role of this voter",
+            tuple(
+                Sample(float(role is status.role), {"role": role.value})
+                for role in VoterRole
+            ),
+        ),
+        gauge("wasabigw_voter_term", "Term of this voter", status.term),
+        gauge("wasabigw_voters", "Voters that this one counts", status.voters),
+        gauge("wasabigw_state_revision", "Applied revision", status.revision),
+        gauge("wasabigw_log_lag", "Entries not known to be committed", status.lag),
+        gauge("wasabigw_commands_waiting", "Proposed commands", status.waiting),
+        gauge(
+            "wasabigw_declared_version",
+            "Configuration in force",
+            status.declared_version or 0,
+        ),
+        Family(
+            "wasabigw_failure_domain_out_of_service",
+            MetricKind.GAUGE,
+            "Failure domains whose backend servers get no new flows",
+            tuple(Sample(1, {"failure_domain": n}) for n in status.out_of_service),
+        ),
+        Family(
+            "wasabigw_disk_sync_seconds",
+            MetricKind.HISTOGRAM,
+            "Time of an append to the log with its sync",
+            (Sample(status.syncs),),
+        ),
+        Family(
+            "wasabigw_commit_seconds",
+            MetricKind.HISTOGRAM,
+            "Time from the proposal of a command to its commit",
+            (Sample(status.commits),),
+        ),
+    ]
+
+
+@dataclass(frozen=True, slots=True)
+class _Metrics:
+    """``GET /metrics``."""
+
+    call: Callable[[], bytes]
+    exposed: bool = True
+
+    def GET(self) -> bytes:  # noqa: N802 - method names of cherrypy
+        """All metrics of the voter."""
+        return self.call()
+
+
+@dataclass(frozen=True, slots=True)
+class _Root:
+    metrics: _Metrics
+
+
+def make_metrics_server(
+    voter: Mailbox[Any], bind: Endpoint, limits: ProcessLimits
+) -> HttpServer:
+    """Server for whoever collects the metrics of a voter.
+
+    :param voter: mailbox of the voter task.
+    """
+
+    def answer() -> bytes:
+        call = VoterStatusCall(reply_mailbox("status"))
+        voter.post(call)
+        outcome = call.reply.get(STATUS_TIMEOUT)
+        if not isinstance(outcome, Success):
+            cherrypy.response.status = int(HTTPStatus.SERVICE_UNAVAILABLE)
+            return b""
+        cherrypy.response.headers["Content-Type"] = CONTENT_TYPE
+        return render(families_of(outcome.unwrap()))
+
+    root = _Root(_Metrics(answer))
+    return make_http_server("metrics", bind, root, MAX_BODY, limits)
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -19,6 +19,7 @@
     Refusal,
     VoterPlace,
 )
+from wasabigw.core.cluster_view import view_of
 from wasabigw.core.commands import (
     BackendServerDown,
     BackendServerDraining,
@@ -59,6 +60,7 @@
 from wasabigw.core.consensus.voter import handle
 from wasabigw.core.consensus.voters import admissions
 from wasabigw.core.copying import copy_state
+from wasabigw.core.durations import Durations, note_duration
 from wasabigw.core.ids import NodeId, RequestId, Revision, Seconds, Term
 from wasabigw.core.log_messages import (
     InForce,
@@ -70,6 +72,7 @@
 from wasabigw.core.report_summary import summary
 from wasabigw.core.states import RefusalCode, VoterRole
 from wasabigw.core.timing import ANNOUNCE_LEASE, SNAPSHOT_INTERVAL
+from wasabigw.core.view import NEVER
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, TimerService, monotonic
@@ -99,6 +102,8 @@
     StateCall,
     ViewCall,
     VoterMessage,
+    VoterStatus,
+    VoterStatusCall,
     state_view,
 )
 from wasabigw.tasks.voter_links import FixedLinks, VoterLinks
@@ -162,6 +167,7 @@
     parent: TraceParent | None = None
     span: trace.Span = trace.INVALID_SPAN
     term: Term = field(default=Term(0))
+    proposed_at: Seconds = NEVER
 
 
 class VoterTask(Task[VoterMessage]):
@@ -207,6 +213,8 @@
         self._peer_reply: Mailbox[Envelope] | None = None
         self._stopped = False
         self._reopen_at = Seconds(0.0)
+        self._syncs = Durations()
+        self._commits = Durations()
         self._begin(storage)
 
     def _begin(self, storage: Storage) -> None:
@@ -253,11 +261,13 @@
                 _answer(waiting, self._not_leader())
             return
         first = self._voter.log.last_revision + 1
-        term = self._voter.term
+        term, now = self._voter.term, self._clock()
         for position, waiting in enumerate(collected):
-            self._pending[Revision(first + position)] = replace(waiting, term=term)
+            self._pending[Revision(first + position)] = replace(
+                waiting, term=term, proposed_at=now
+            )
         commands = tuple(waiting.command for waiting in collected)
-        self._decide(Proposed(commands, self._clock()))
+        self._decide(Proposed(commands, now))
 
     # Messages
 
@@ -380,6 +390,25 @@
         in_force = applied and all(node.in_force for node in nodes)
         message.reply.post(InForce(revision, in_force, nodes))
 
+    @_receive.register
+    def _(self, message: VoterStatusCall) -> None:
+        cluster, voter = self._cluster, self._voter
+        declared = cluster.declared
+        message.reply.post(
+            VoterStatus(
+                voter.role,
+                voter.term,
+                cluster.revision,
+                voter.log.last_revision - voter.committed,
+                len(voter.members),
+                len(self._pending),
+                declared.version if declared is not None else None,
+                view_of(cluster).out_of_service,
+                self._syncs,
+                self._commits,
+            )
+        )
+
     @_receive.register
     def _(self, message: ContactsChanged) -> None:
         self._settings = replace(self._settings, voters=message.contacts)
@@ -397,7 +426,10 @@
 
     @_execute.register
     def _(self, effect: AppendEntries) -> StorageError | None:
-        return _error_of(self._storage.append(effect.entries))
+        began = self._clock()
+        error = _error_of(self._storage.append(effect.entries))
+        note_duration(self._syncs, Seconds(self._clock() - began))
+        return error
 
     @_execute.register
     def _(self, effect: SaveSnapshot) -> StorageError | None:
@@ -597,6 +629,7 @@
             _answer(waiting, OutcomeUnknown())
             return
         answer = _value_of(outcome)
+        note_duration(self._commits, Seconds(self._clock() - waiting.proposed_at))
         waiting.span.end()
         if isinstance(entry.command, ChangeRequest) and isinstance(answer, Applied):
             self._watch.committed(entry.revision, waiting.parent, self._clock())
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -30,6 +30,13 @@
         "the view of balancer {node} is fresh again at revision {revision}",
         "None needed.",
     )
+    VIEW_CHANGED = EventDefinition(
+        2016,
+        Severity.INFO,
+        "the view went from revision {before} to {revision}: {boots}; configuration "
+        "{version}, out of service: {out_of_service}",
+        "None needed.",
+    )
     LOG_GAP = EventDefinition(
         2004,
         Severity.ERROR,
--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -55,6 +55,18 @@
         "the leader proposes: {reports}",
         "None needed.",
     )
+    ORDER_ANSWERED = EventDefinition(
+        1010,
+        Severity.INFO,
+        "order {order}: {outcome} at revision {revision} after {waited} s, {detail}",
+        "For no-leader and unknown, see whether a majority of the voters is up.",
+    )
+    DOCUMENT_READ = EventDefinition(
+        1011,
+        Severity.INFO,
+        "read of the configuration: {outcome}, version {version}, after {waited} s",
+        "For no-leader and unknown, see whether a majority of the voters is up.",
+    )
     LINK_FAILED = EventDefinition(
         1100,
         Severity.WARNING,
--- a/src/wasabigw/telemetry/events_flow.py
+++ b/src/wasabigw/telemetry/events_flow.py
@@ -20,15 +20,16 @@
     REFUSED = EventDefinition(
         5001,
         Severity.WARNING,
-        "flow {flow}: reset, {reason}; tag {tag}, view {revision} of age {age} s, "
-        "configuration {version}",
+        "flow {flow}: reset, {reason}; tag {tag}, backend server {server}, silent for "
+        "{silent_for} s; view {revision} of age {age} s, configuration {version}",
         "docs/OPERATIONS.md says for each reason what it depends on.",
     )
     DROPPED = EventDefinition(
         5002,
         Severity.WARNING,
-        "flow {flow}: packet dropped, {reason}; tag {tag}, view {revision} of age "
-        "{age} s, configuration {version}",
+        "flow {flow}: packet dropped, {reason}; tag {tag}, backend server {server}, "
+        "silent for {silent_for} s; view {revision} of age {age} s, configuration "
+        "{version}",
         "docs/OPERATIONS.md says for each reason what it depends on.",
     )
     LEFT_OUT = EventDefinition(
--- a/src/wasabigw/telemetry/events_http.py
+++ b/src/wasabigw/telemetry/events_http.py
@@ -42,6 +42,12 @@
         "no control endpoint answers as leader; {address}:{port}: {problem}",
         "Check the control VMs and the network to them; flows continue through homes.",
     )
+    NO_METRICS = EventDefinition(
+        3004,
+        Severity.WARNING,
+        "no metrics are served at port {port}: {reason}",
+        "Choose another port; everything else works without.",
+    )
     SOURCE_FOUND = EventDefinition(
         3013,
         Severity.INFO,
--- a/src/wasabigw/telemetry/metrics.py
+++ b/src/wasabigw/telemetry/metrics.py
@@ -18,6 +18,7 @@
 
 from wasabigw.core.ids import NodeId
 from wasabigw.core.timing import IN_FORCE_BOUND
+from wasabigw.telemetry.exposition import MetricKind
 
 AttributeValue = str | bool | int | float
 Attributes = Mapping[str, AttributeValue]
@@ -27,14 +28,6 @@
 """Upper bounds of the histogram of in-force delays, in seconds."""
 
 
-class MetricKind(Enum):
-    """How the values of a metric add up."""
-
-    COUNTER = "counter"
-    GAUGE = "gauge"
-    HISTOGRAM = "histogram"
-
-
 @dataclass(frozen=True, slots=True)
 class MetricDefinition:
     """A metric.
--- /dev/null
+++ b/tests/test_exposition.py
@@ -0,0 +1,120 @@
+"""Metrics in the text format, and what balancers, relays and voters put there."""
+
+import selectors
+import threading
+import unittest
+from contextlib import closing
+from unittest import mock
+
+from returns.result import Success
+
+from tests.test_tag_steering import SteeringCase, boot, data, opening
+from wasabigw.core.durations import Durations, note_duration
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import Revision, Seconds, Term
+from wasabigw.core.states import VoterRole
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.decision_log import DecisionLog
+from wasabigw.tasks.light_http import LightClient
+from wasabigw.tasks.light_metrics import LightMetrics
+from wasabigw.tasks.limits import DEFAULT_LIMITS
+from wasabigw.tasks.tag_metrics import families_of
+from wasabigw.tasks.voter_calls import VoterStatus, VoterStatusCall
+from wasabigw.tasks.voter_metrics import make_metrics_server
+from wasabigw.telemetry.exposition import Family, MetricKind, Sample, gauge, render
+
+ANY_PORT = Endpoint("127.0.0.1", 0)
+LONG = Seconds(5.0)
+
+
+class TextFormat(unittest.TestCase):
+    """Guards against text that collectors can't read."""
+
+    def test_counters_and_gauges(self) -> None:
+        sample = Sample(3, {"reason": 'a "b"\n'})
+        family = Family("x_total", MetricKind.COUNTER, "Things", (sample,))
+        expected = (
+            "# HELP x_total Things\n# TYPE x_total counter\n"
+            'x_total{reason="a \\"b\\"\\n"} 3\n'
+            "# HELP y Level\n# TYPE y gauge\ny 0.5\n"
+        )
+        self.assertEqual(render((family, gauge("y", "Level", 0.5))).decode(), expected)
+
+    def test_buckets_of_a_histogram_are_cumulative(self) -> None:
+        durations = Durations()
+        for seconds in (0.004, 0.04, 0.04, 9.0):
+            note_duration(durations, Seconds(seconds))
+        family = Family("d", MetricKind.HISTOGRAM, "Time", (Sample(durations),))
+        lines = render((family,)).decode().splitlines()
+        self.assertIn('d_bucket{le="0.005"} 1', lines)
+        self.assertIn('d_bucket{le="0.05"} 3', lines)
+        self.assertIn('d_bucket{le="+Inf"} 4', lines)
+        self.assertIn("d_count 4", lines)
+
+
+class BalancerMetrics(SteeringCase):
+    """Guards against decisions that no counter shows."""
+
+    def text(self) -> str:
+        """Metrics after one opening with its answer, and one refusal."""
+        log = DecisionLog(self.state)
+        self.register(boot(1), boot(2, silent=True))
+        for packet, now in (
+            (opening(), 1.0),
+            (data(1), 1.1),
+            (data(1, acknowledged=600, sequence=111), 1.3),
+            (opening(2, listener_port=80), 1.4),
+        ):
+            with mock.patch("wasabigw.tasks.decision_log.log"):
+                log.note(packet, self.decide(packet, now), Seconds(now))  # type: ignore[arg-type]
+        families = families_of(self.state, log.decisions, {}, 0, Seconds(2.0))
+        return render(families).decode()
+
+    def test_decisions_answers_and_boots(self) -> None:
+        text = self.text()
+        for expected in (
+            'wasabigw_decisions_total{outcome="opened",service="seats",'
+            'failure_domain="recife",reason="least used in the own failure domain"} 1',
+            'wasabigw_decisions_total{outcome="refused",service="",'
+            'failure_domain="",reason="no-listener"} 1',
+            'wasabigw_answer_seconds_count{service="seats"} 1',
+            'wasabigw_answer_seconds_bucket{service="seats",le="0.25"} 1',
+            'wasabigw_boots{service="seats",failure_domain="recife",state="silent"} 1',
+        ):
+            self.assertIn(expected, text)
+
+
+class Servers(unittest.TestCase):
+    """Guards against a process that fails, or waits, for its metrics."""
+
+    def test_a_port_in_use_does_not_stop_the_task(self) -> None:
+        with selectors.DefaultSelector() as selector:
+            server = make_metrics_server(Mailbox("v"), ANY_PORT, DEFAULT_LIMITS)
+            log = self.enterContext(mock.patch("wasabigw.tasks.light_metrics.log"))
+            with server, LightMetrics(server.endpoint, selector, lambda: ()):
+                self.assertEqual(log.call_count, 1)
+
+    def test_a_voter_answers_in_any_role(self) -> None:
+        voter: Mailbox[VoterStatusCall] = Mailbox("voter")
+        status = VoterStatus(
+            VoterRole.FOLLOWER, Term(3), Revision(9), 1, 3, 0, 7, (), Durations(),
+            Durations(),
+        )  # fmt: skip
+
+        def answer() -> None:
+            voter.get(LONG).unwrap().reply.post(status)
+
+        thread = threading.Thread(target=answer)
+        thread.start()
+        self.addCleanup(thread.join)
+        server = make_metrics_server(voter, ANY_PORT, DEFAULT_LIMITS)
+        with server, closing(LightClient()) as client:
+            found = client.get(server.endpoint, "/metrics", LONG, LONG)
+        assert isinstance(found, Success)
+        text = found.unwrap().decode()
+        self.assertIn('wasabigw_voter_role{role="follower"} 1', text)
+        self.assertIn("wasabigw_log_lag 1", text)
+
+
+if __name__ == "__main__":
+    unittest.main()
