--- a/src/wasabigw/telemetry/json_lines.py
+++ b/src/wasabigw/telemetry/json_lines.py
@@ -69,13 +69,18 @@
 
     def _text(self, line: LogLine) -> bytes:
         definition: EventDefinition = line.event.value
+        fields = dict(line.fields)
+        subject = fields.pop("node", self._node)
+        if subject != self._node:
+            # A voter has an id besides the name of its process.
+            fields["voter"] = subject
         record = {
             "time": round(line.at, 6),
             "severity": definition.severity.value,
             "event": f"WGW-{definition.number:04d}",
             "name": line.event.name,
             "node": self._node,
-            **{key: _value(value) for key, value in line.fields.items()},
+            **{key: _value(value) for key, value in fields.items()},
         }
         return msgspec.json.encode(record)
 
