--- a/src/wasabigw/tasks/decision_log.py
+++ b/src/wasabigw/tasks/decision_log.py
@@ -35,7 +35,9 @@
 
     def note(self, packet: FlowPacket, decision: PacketDecision, now: Seconds) -> None:
         """Write a line for a decision, unless it only carries an open flow on."""
-        self._note(decision, packet, now)
+        # Nearly all packets; the dispatch below takes as long as the decision.
+        if not isinstance(decision, Deliver) or decision.choice is not None:
+            self._note(decision, packet, now)
 
     def end_second(self) -> None:
         """Begin the budget of the next second; says what was left out."""
@@ -51,8 +53,7 @@
 
     @_note.register
     def _(self, decision: Deliver, packet: FlowPacket, now: Seconds) -> None:
-        if decision.choice is None:
-            return
+        assert decision.choice is not None
         server = decision.server
         self._count("opened", server, decision.choice.value)
         if not self._has_budget(FlowEvent.OPENED):
--- a/src/wasabigw_measure/_bench_run.py
+++ b/src/wasabigw_measure/_bench_run.py
@@ -128,9 +128,11 @@
     """Running processes of a benchmark.
 
     :param subjects: by name; the first is the loop.
+    :param tags: packet task that delivers by tags.
     """
 
     subjects: dict[str, Worker]
+    tags: Worker
     senders: list[Worker]
     sink: socket.socket
     peer: socket.socket
@@ -147,6 +149,7 @@
         time.sleep(TAKEOVER_WAIT)
         self._saturate("mid-flow packets, one candidate", "data")
         self._saturate("answers", "answers")
+        self._saturate_tags()
         self._latency()
         self._open_rounds()
         self._fill()
@@ -163,8 +166,19 @@
             for name in self.subjects:
                 rates[name].append(self._saturated(name, kind))
 
+    def _saturate_tags(self) -> None:
+        pair = {"loop": self.subjects["loop"], "balancer": self.tags}
+        rates: dict[str, list[Rate]] = {name: [] for name in pair}
+        self.results.rates["mid-flow packets, by tag"] = rates
+        for _ in range(self.extent.rounds):
+            for name, subject in pair.items():
+                rates[name].append(self._saturated_at(subject, "tagged"))
+
     def _saturated(self, name: str, kind: str) -> Rate:
-        port, subject = self._port(name), self.subjects[name]
+        return self._saturated_at(self.subjects[name], kind)
+
+    def _saturated_at(self, subject: Worker, kind: str) -> Rate:
+        port = int(subject.call("address")[1])
         seconds = self.extent.seconds
         for sender in self.senders:
             sender.start("saturate", port, kind, seconds)
@@ -293,8 +307,9 @@
         if baseline is not None:
             worker = Worker(baseline, "balancer", *ports)
             subjects["baseline"] = stack.enter_context(worker)
+        tags = stack.enter_context(Worker(None, "tags", ports[0]))
         senders = [stack.enter_context(Worker(None, "sender")) for _ in range(SENDERS)]
-        return Bench(subjects, senders, sink, peer, extent).run()
+        return Bench(subjects, tags, senders, sink, peer, extent).run()
 
 
 def _bound(stack: ExitStack) -> socket.socket:
--- a/src/wasabigw_measure/_bench_worker.py
+++ b/src/wasabigw_measure/_bench_worker.py
@@ -58,6 +58,7 @@
     opening_frame,
     set_caller,
 )
+from wasabigw_measure._bench_tags import run_tags, tagged_frames
 
 BACKEND_SERVERS = 10
 CAPACITY = 10_000_000
@@ -79,6 +80,7 @@
     roles: dict[str, Callable[..., None]] = {
         "loop": run_loop,
         "balancer": run_balancer,
+        "tags": lambda port: run_tags(port, thread_clock, serve),
         "sender": run_sender,
     }
     roles[role](*arguments)
@@ -300,6 +302,7 @@
     kinds = {
         "data": data_frames(CALLERS),
         "answers": answer_frames(CALLERS, BACKEND_SERVERS),
+        "tagged": tagged_frames(CALLERS),
     }
 
     def saturate(port: int, kind: str, seconds: float) -> int:
