Give up all flows of a lost backend server on the word of two callers

Cause: when a backend server was found to be lost, flows without an open request stayed. Their next requests went there and were lost, those that must not be repeated for good. Ruled out: losing them earlier. Change: when two callers have sent data again without a sign of life from the backend server, all its open flows at this balancer are refused at once, so that callers open new ones for their next requests. Copies of one flow no longer count for two, and the word of one caller refuses only what it did before, as its own network may be at fault.

--- a/src/wasabigw/core/tags/health.py
+++ b/src/wasabigw/core/tags/health.py
@@ -6,8 +6,10 @@
 
 Data of an open flow that its caller sends again is such a sign as well, because a
 backend server acknowledges data at once, however long its requests wait. Data that was
-sent three times without a sign of life from the backend server to any caller shows that
-it can't be reached. Its flows are then given up, so that callers can try elsewhere.
+sent three times, or data of two callers that was sent twice, without a sign of life
+from the backend server to any caller shows that it can't be reached. Its flows are then
+given up, so that callers can try elsewhere. Flows without open requests are given up
+only on the word of two callers, because the network of one of them may be at fault.
 """
 
 from dataclasses import dataclass
@@ -25,8 +27,8 @@
 
 A balancer that was frozen gets all of them at the same moment, which shows nothing.
 """
-DOUBTS = 2
-"""Flows whose data was copied once that together show a loss."""
+DOUBTERS = 2
+"""Callers whose data was copied once that together show a loss."""
 LOSS_REMEMBERED = Seconds(1.5)
 """How long a loss counts for the other flows.
 
@@ -53,9 +55,9 @@
     :param failures: unanswered openings in a row.
     :param opened_at: when the latest pause began.
     :param paused_until: until when it gets no new flows.
-    :param doubts: flows whose data was copied since the last sign of life, each within
-        the time that a loss is remembered after the one before.
-    :param doubted_at: when the latest of them was counted.
+    :param doubters: callers whose data was copied since the last sign of life, each
+        within the time that a loss is remembered after the one before.
+    :param doubted_at: when the latest of them was noted.
     :param lost_at: when data of an open flow last showed that it can't be reached.
     """
 
@@ -63,7 +65,7 @@
     failures: int = 0
     opened_at: Seconds = NEVER
     paused_until: Seconds = NEVER
-    doubts: int = 0
+    doubters: frozenset[int] = frozenset()
     doubted_at: Seconds = NEVER
     lost_at: Seconds = NEVER
 
@@ -73,7 +75,7 @@
     breaker.heard_at = now
     breaker.failures = 0
     breaker.paused_until = NEVER
-    breaker.doubts = 0
+    breaker.doubters = frozenset()
     breaker.lost_at = NEVER
 
 
@@ -96,9 +98,12 @@
         breaker.paused_until = Seconds(now + PROBE_TIME)
 
 
-def note_copy(breaker: Breaker, sent_at: Seconds, copies: int, now: Seconds) -> None:
+def note_copy(
+    breaker: Breaker, caller: int, sent_at: Seconds, copies: int, now: Seconds
+) -> None:
     """Note that a caller sent data of an open flow again.
 
+    :param caller: its address.
     :param sent_at: when it sent the data first.
     :param copies: how often it has sent the data again.
     """
@@ -106,14 +111,19 @@
     if breaker.heard_at > sent_at or waited < DOUBT_AFTER:
         return
     note_unanswered(breaker, sent_at, now)
-    if copies == 1:
-        is_recent = now - breaker.doubted_at < LOSS_REMEMBERED
-        breaker.doubts = breaker.doubts + 1 if is_recent else 1
-        breaker.doubted_at = now
-    if breaker.doubts >= DOUBTS or (copies > 1 and waited >= LOST_AFTER):
+    is_recent = now - breaker.doubted_at < LOSS_REMEMBERED
+    others = breaker.doubters if is_recent else frozenset()
+    breaker.doubters = others | {caller}
+    breaker.doubted_at = now
+    if is_confirmed(breaker) or (copies > 1 and waited >= LOST_AFTER):
         breaker.lost_at = now
 
 
+def is_confirmed(breaker: Breaker) -> bool:
+    """Whether several callers have doubts about a backend server."""
+    return len(breaker.doubters) >= DOUBTERS
+
+
 def is_lost(breaker: Breaker, sent_at: Seconds, now: Seconds) -> bool:
     """Whether data of an open flow, first sent at a time, will get no answer."""
     is_recent = now - breaker.lost_at < LOSS_REMEMBERED
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -17,13 +17,14 @@
     RefuseReason,
 )
 from wasabigw.core.tags.health import (
+    is_confirmed,
     is_lost,
     note_copy,
     note_life,
     note_opening,
     note_unanswered,
 )
-from wasabigw.core.tags.packets import NO_TAG, FlowPacket
+from wasabigw.core.tags.packets import NO_TAG, FlowId, FlowPacket
 from wasabigw.core.tags.selection import choose_server, service_of
 from wasabigw.core.tags.state import Flow, Server, TagState
 
@@ -93,10 +94,40 @@
         flow.pending, flow.pending_since, flow.copies = packet.sequence, now, 0
     elif packet.sequence == flow.pending:
         flow.copies += 1
-        note_copy(breaker, flow.pending_since, flow.copies, now)
+        caller = packet.flow.caller
+        note_copy(breaker, caller, flow.pending_since, flow.copies, now)
     return is_lost(breaker, flow.pending_since, now)
 
 
+def is_loss(decision: PacketDecision) -> bool:
+    """Whether a packet is refused because its backend server can't be reached."""
+    return isinstance(decision, Refuse) and decision.reason is RefuseReason.SERVER_LOST
+
+
+def give_up(packet: FlowPacket, state: TagState) -> list[Refuse]:
+    """Give up all open flows of the backend server that a refused packet was for.
+
+    A caller whose flow has ended by then opens a new one for its next request, which
+    would otherwise be lost with the flow. The word of one caller is not enough.
+    """
+    server = state.servers.get(packet.tag)
+    if server is None or not is_confirmed(server.breaker):
+        return []
+    lost = [
+        _last_packet(flow, known)
+        for flow, known in state.flows.items()
+        if known.server is server and known.is_open
+    ]
+    for last in lost:
+        _forget(last, state)
+    return [Refuse(last, RefuseReason.SERVER_LOST) for last in lost]
+
+
+def _last_packet(flow: FlowId, known: Flow) -> FlowPacket:
+    tag, acknowledged = known.server.registration.tag, known.acknowledged
+    return FlowPacket(flow, tag, False, False, False, 0, 0, acknowledged, 0)
+
+
 def _note_use(
     packet: FlowPacket, server: Server, state: TagState, now: Seconds
 ) -> Flow | None:
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -17,7 +17,7 @@
 from wasabigw.core.tags.decisions import Deliver, Drop, Refuse
 from wasabigw.core.tags.learning import declare, learn
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.steering import decide, expire_flows
+from wasabigw.core.tags.steering import decide, expire_flows, give_up, is_loss
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, monotonic
@@ -186,6 +186,10 @@
         decision = decide(packet, self._state, now)
         self._decisions.note(packet, decision, now)
         _execute(decision, datagram, self)
+        if is_loss(decision):
+            for other in give_up(packet, self._state):
+                self._decisions.note(other.packet, other, now)
+                _execute(other, datagram, self)
 
     def send(self, datagram: bytes, address: Address, outcome: str) -> None:
         """Send a datagram and count its outcome."""
