Read endpoints from text in one place

Change: core/endpoint.py parses for all. What changes: log polls and API bodies take only IPv4 addresses, as settings did; the stand-ins of the demonstration still take port 0. The cells of the fault matrix are a module of their own, so that matrix and matrix_page no longer import each other.

--- a/src/wasabigw/codec/log_poll.py
+++ b/src/wasabigw/codec/log_poll.py
@@ -7,6 +7,7 @@
 
 from wasabigw.codec.messages import MalformedMessage
 from wasabigw.core.cluster import Endpoint, Node
+from wasabigw.core.endpoint import parse_endpoint
 from wasabigw.core.ids import (
     FailureDomainId,
     Incarnation,
@@ -93,8 +94,4 @@
 
 
 def _endpoint(text: str) -> Endpoint | None:
-    address, separator, port_text = text.rpartition(":")
-    port = _number(port_text)
-    if not separator or not address or port is None or not 0 < port < 65_536:
-        return None
-    return Endpoint(address, port)
+    return parse_endpoint(text).value_or(None)
--- a/src/wasabigw/core/endpoint.py
+++ b/src/wasabigw/core/endpoint.py
@@ -3,6 +3,8 @@
 import ipaddress
 from dataclasses import dataclass
 
+from returns.result import Failure, Result, Success
+
 MAX_PORT = 65_535
 
 
@@ -19,6 +21,24 @@
     return f"{endpoint.address}:{endpoint.port}"
 
 
+def parse_endpoint(text: str, lowest_port: int = 1) -> Result[Endpoint, str]:
+    """Endpoint from ``address:port``, or what is wrong with the text.
+
+    :param lowest_port: 0 where a free port may be asked for.
+    """
+    address, separator, port = text.rpartition(":")
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    try:
+        parsed = ipaddress.IPv4Address(address)
+    except ValueError:
+        parsed = None
+    if not separator or parsed is None or not is_number:
+        return Failure(f"{text!r} is not an address and a port, as 10.0.0.1:8080")
+    if not lowest_port <= int(port) <= MAX_PORT:
+        return Failure(f"the port in {text!r} must be {lowest_port} to {MAX_PORT}")
+    return Success(Endpoint(str(parsed), int(port)))
+
+
 def malformed(endpoint: Endpoint) -> str | None:
     """What is wrong with an endpoint, or ``None``."""
     try:
--- a/src/wasabigw/settings_types.py
+++ b/src/wasabigw/settings_types.py
@@ -1,10 +1,11 @@
 """Types of single values in settings files."""
 
-import ipaddress
 from typing import Annotated, Any
 
 from pydantic import BeforeValidator, PlainSerializer, WithJsonSchema
+from returns.result import Failure
 
+from wasabigw.core import endpoint
 from wasabigw.core.cluster import Endpoint, endpoint_key
 from wasabigw.core.endpoints import MAX_PORT
 from wasabigw.core.names import NAME_PATTERN, NAME_RULE, is_name
@@ -21,17 +22,10 @@
         return value
     if not isinstance(value, str):
         raise ValueError(_ENDPOINT_RULE)
-    address, _, port_text = value.rpartition(":")
-    if not (port_text.isascii() and port_text.isdecimal()):
-        raise ValueError(_ENDPOINT_RULE)
-    try:
-        parsed = ipaddress.IPv4Address(address)
-        port = int(port_text)
-    except ValueError:
-        raise ValueError(_ENDPOINT_RULE) from None
-    if not 1 <= port <= MAX_PORT:
-        raise ValueError(f"a port from 1 to {MAX_PORT}")
-    return Endpoint(str(parsed), port)
+    parsed = endpoint.parse_endpoint(value)
+    if isinstance(parsed, Failure):
+        raise ValueError(f"{_ENDPOINT_RULE}, with a port from 1 to {MAX_PORT}")
+    return parsed.unwrap()
 
 
 EndpointSetting = Annotated[
--- a/src/wasabigw/tasks/http_bodies.py
+++ b/src/wasabigw/tasks/http_bodies.py
@@ -9,7 +9,7 @@
 
 from wasabigw.codec.messages import MalformedMessage, UnknownKeys, decode
 from wasabigw.core.cluster import Endpoint
-from wasabigw.core.endpoints import MAX_PORT
+from wasabigw.core.endpoint import parse_endpoint
 from wasabigw.tasks.http_server import error_response
 
 
@@ -61,12 +61,7 @@
     """Endpoint from ``address:port``, or ``None``."""
     if not isinstance(text, str):
         return None
-    address, separator, port = text.rpartition(":")
-    if not separator or not address or not is_number(port) or len(port) > 5:
-        return None
-    if not 0 < int(port) <= MAX_PORT:
-        return None
-    return Endpoint(address, int(port))
+    return parse_endpoint(text).value_or(None)
 
 
 def read_body(limit: int) -> Result[bytes, str]:
--- a/src/wasabigw_demo/addresses.py
+++ b/src/wasabigw_demo/addresses.py
@@ -8,7 +8,9 @@
 from dataclasses import dataclass
 
 import typer
+from returns.result import Failure
 
+from wasabigw.core import endpoint
 from wasabigw.core.cluster import Endpoint
 
 FIRST_PORT = 10_000
@@ -20,16 +22,10 @@
 
     :raises typer.BadParameter: if the text is not one.
     """
-    address, separator, port = text.rpartition(":")
-    try:
-        ipaddress.IPv4Address(address)
-        number = int(port)
-    except ValueError as error:
-        message = f"{text!r} is not an endpoint; write it as 127.0.0.1:8080"
-        raise typer.BadParameter(message) from error
-    if not separator or not 0 <= number <= 65535:
-        raise typer.BadParameter(f"the port in {text!r} must be 0 to 65535")
-    return Endpoint(address, number)
+    parsed = endpoint.parse_endpoint(text, lowest_port=0)
+    if isinstance(parsed, Failure):
+        raise typer.BadParameter(parsed.failure())
+    return parsed.unwrap()
 
 
 def parse_named_endpoint(text: str) -> tuple[str, Endpoint]:
--- a/src/wasabigw_verify/matrix.py
+++ b/src/wasabigw_verify/matrix.py
@@ -9,8 +9,6 @@
 import zlib
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass
-from enum import Enum
 from itertools import combinations_with_replacement
 from multiprocessing import get_context
 from pathlib import Path
@@ -20,6 +18,7 @@
 from wasabigw_verify.harness.faults import INJECTORS, Fault
 from wasabigw_verify.harness.run import Injection, Run
 from wasabigw_verify.harness.steps import Step
+from wasabigw_verify.matrix_cells import Cell, Outcome, Verdict
 from wasabigw_verify.matrix_page import render
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -37,45 +36,6 @@
 """Why a fault can't be injected at a step, in one sentence."""
 
 
-class Outcome(Enum):
-    """How a cell ended."""
-
-    PASSED = "passed"
-    FAILED = "failed"
-    CANNOT_OCCUR = "can't occur"
-    OPEN = "open"
-
-
-@dataclass(frozen=True, slots=True)
-class Cell:
-    """Faults and the steps at which they are injected, in this order."""
-
-    injections: tuple[tuple[Fault, Step], ...]
-    seed: int
-
-    @property
-    def name(self) -> str:
-        """Name in the page and in KNOWN-RED.txt."""
-        injections = ", then ".join(
-            f"{f.value} at {s.value}" for f, s in self.injections
-        )
-        return f"{injections} (seed {self.seed})"
-
-
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    """Outcome of a cell.
-
-    :param detail: first thing that went wrong, or why the cell can't occur.
-    :param digest: of the record, equal in each run of the cell.
-    """
-
-    cell: Cell
-    outcome: Outcome
-    detail: str = ""
-    digest: int = 0
-
-
 def single_cells() -> list[Cell]:
     """Each fault at each step."""
     return [Cell(((fault, step),), SEED) for fault in Fault for step in Step]
--- a/src/wasabigw_verify/matrix_page.py
+++ b/src/wasabigw_verify/matrix_page.py
@@ -1,13 +1,10 @@
 """Text of docs/faults.md."""
 
 from collections.abc import Callable, Sequence
-from typing import TYPE_CHECKING
 
 from wasabigw_verify.harness.faults import Fault
 from wasabigw_verify.harness.steps import Step
-
-if TYPE_CHECKING:
-    from wasabigw_verify.matrix import Verdict
+from wasabigw_verify.matrix_cells import Verdict
 
 INTRODUCTION = """\
 # Fault matrix
@@ -38,9 +35,9 @@
 
 
 def render(
-    singles: Sequence["Verdict"],
-    pairs: Sequence["Verdict"],
-    counts: Callable[[Sequence["Verdict"]], str],
+    singles: Sequence[Verdict],
+    pairs: Sequence[Verdict],
+    counts: Callable[[Sequence[Verdict]], str],
 ) -> str:
     """Page with the table, the reasons and what is open."""
     parts = [
@@ -59,7 +56,7 @@
     return "\n\n".join(part.strip("\n") for part in parts) + "\n"
 
 
-def _table(singles: Sequence["Verdict"]) -> str:
+def _table(singles: Sequence[Verdict]) -> str:
     found = {verdict.cell.injections[0]: verdict.outcome.value for verdict in singles}
     lines = [
         "| fault | " + " | ".join(step.value for step in Step) + " |",
@@ -71,7 +68,7 @@
     return "\n".join(lines)
 
 
-def _notes(title: str, outcome: str, verdicts: Sequence["Verdict"]) -> list[str]:
+def _notes(title: str, outcome: str, verdicts: Sequence[Verdict]) -> list[str]:
     found = [v for v in verdicts if v.outcome.value == outcome]
     if not found:
         return []
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -5,6 +5,7 @@
 from wasabigw_verify import matrix
 from wasabigw_verify.harness.faults import Fault
 from wasabigw_verify.harness.steps import Step
+from wasabigw_verify.matrix_cells import Cell
 
 
 class Matrix(unittest.TestCase):
@@ -20,5 +21,5 @@
 
     def test_the_same_cell_gives_the_same_record(self) -> None:
         injection = (Fault.BALANCER_DIES, Step.REQUEST_SENT)
-        cell = matrix.Cell((injection,), 3)
+        cell = Cell((injection,), 3)
         self.assertEqual(matrix.run_cell(cell), matrix.run_cell(cell))
