Build the programs aside and rename them

Cause: a build removed target/app and copied it anew. Change: deploy/build.sh makes target/app.new and renames it.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,8 +6,12 @@
     python3 -m pip install --quiet --target target/deps --requirement requirements.lock
     touch target/deps/.installed
 fi
-rm -rf target/app
-mkdir -p target/app
-cp -r src/wasabigw platform/wasabigw_platform platform/main.py target/app/
-find target/app -name __pycache__ -prune -exec rm -rf {} +
-python3 -m compileall -q target/app
+# Made aside and then renamed: a process that starts meanwhile finds all modules.
+rm -rf target/app.new target/app.old
+mkdir -p target/app.new
+cp -r src/wasabigw platform/wasabigw_platform platform/main.py target/app.new/
+find target/app.new -name __pycache__ -prune -exec rm -rf {} +
+python3 -m compileall -q target/app.new
+if [ -d target/app ]; then mv target/app target/app.old; fi
+mv target/app.new target/app
+rm -rf target/app.old
