Start and end parts, and wait for sockets, in one place

The relay, the two kinds of balancer, the control plane and the light metrics each had the same context of an exit stack, and three tasks the same loop over a selector and a mailbox with the same closing. CompositeContext and SelectorTask hold them now; the parts start and end in the order they had. A control plane whose server can't start now also ends the parts before it, as the others did.

--- /dev/null
+++ b/src/wasabigw/runtime/selector_task.py
@@ -0,0 +1,51 @@
+"""Tasks that wait for sockets and for their mailbox at the same time."""
+
+import selectors
+from contextlib import ExitStack
+from types import TracebackType
+
+from wasabigw.runtime.mailbox import SelectableMailbox
+from wasabigw.runtime.task import Message, Stop, Task
+
+
+class SelectorTask(Task[Message]):
+    """A task whose sockets are registered with a callback as their data.
+
+    A callback gets the ready events. ``_resources`` holds the contexts of the sockets;
+    they are closed after the thread has ended.
+    """
+
+    def __init__(self, name: str, mailbox: SelectableMailbox[Message | Stop]) -> None:
+        super().__init__(name, mailbox)
+        self._selectable = mailbox
+        self._selector = selectors.DefaultSelector()
+        self._resources = ExitStack()
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        super().__exit__(exc_type, exc_value, traceback)
+        self._resources.close()
+        self._selector.close()
+        self._selectable.__exit__(exc_type, exc_value, traceback)
+
+    def run(self) -> None:
+        """Wait for sockets and messages until :class:`Stop` arrives."""
+        self._selector.register(self._selectable, selectors.EVENT_READ, None)
+        while True:
+            for key, events in self._selector.select():
+                if key.data is not None:
+                    key.data(events)
+                elif self._receive_messages():
+                    return
+
+    def _receive_messages(self) -> bool:
+        """Handle the waiting messages; true if one of them is a stop."""
+        for message in self._selectable.drain():
+            if isinstance(message, Stop):
+                return True
+            self.receive(message)
+        return False
--- a/src/wasabigw/tasks/balancer.py
+++ b/src/wasabigw/tasks/balancer.py
@@ -1,17 +1,17 @@
 """Everything that runs in a balancer process, as one context."""
 
 from collections.abc import Sequence
-from contextlib import AbstractContextManager, ExitStack
+from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
-from types import TracebackType
-from typing import Any, Self
+from typing import Any
 
 from returns.result import Success
 
 from wasabigw.core.cluster import Endpoint, Node
 from wasabigw.core.flows.handover import Handover
 from wasabigw.core.ids import Seconds
+from wasabigw.runtime.composite import CompositeContext
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import TimerService, monotonic
 from wasabigw.tasks.handover_sender import make_handover_sender
@@ -74,33 +74,15 @@
     limits: ProcessLimits = DEFAULT_LIMITS
 
 
-class Balancer(AbstractContextManager["Balancer"]):
+class Balancer(CompositeContext):
     """Tasks of a balancer; its HTTP server starts last and stops first."""
 
     def __init__(self, settings: BalancerSettings) -> None:
+        super().__init__()
         self._settings = settings
-        self._stack = ExitStack()
         self._packets: PacketTask | None = None
         self._follower: LogFollower | None = None
 
-    def __enter__(self) -> Self:
-        """Start all tasks.
-
-        :raises OSError: if an endpoint of the settings can't be bound.
-        """
-        with ExitStack() as stack:
-            self._start(stack)
-            self._stack = stack.pop_all()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._stack.__exit__(exc_type, exc_value, traceback)
-
     def drain(self) -> None:
         """Hand over the homes and wait until the others know of it."""
         assert self._follower is not None
--- a/src/wasabigw/tasks/control_plane.py
+++ b/src/wasabigw/tasks/control_plane.py
@@ -3,11 +3,11 @@
 from contextlib import AbstractContextManager, ExitStack
 from dataclasses import dataclass
 from pathlib import Path
-from types import TracebackType
-from typing import Any, Self
+from typing import Any
 
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import NodeId
+from wasabigw.runtime.composite import CompositeContext
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import TimerService
@@ -44,34 +44,33 @@
     sample_rate: float
 
 
-@dataclass(frozen=True, slots=True)
-class ControlPlane(AbstractContextManager["ControlPlane"]):
+class ControlPlane(CompositeContext):
     """A voter with its links and its HTTP server.
 
     The server starts last and stops first, so that no request meets a voter
     that does not run.
-    """
-
-    voter: VoterTask
-    server: HttpServer
-    mailbox: Mailbox[VoterMessage | Stop]
-    _background: tuple[AbstractContextManager[Any], ...]
-    _stack: ExitStack
 
-    def __enter__(self) -> Self:
-        for task in self._background:
-            self._stack.enter_context(task)
-        self._stack.enter_context(self.voter)
-        self._stack.enter_context(self.server)
-        return self
+    :param background: what the voter and its server use.
+    """
 
-    def __exit__(
+    def __init__(
         self,
-        exc_type: type[BaseException] | None,
-        exc_value: BaseException | None,
-        traceback: TracebackType | None,
+        voter: VoterTask,
+        server: HttpServer,
+        mailbox: Mailbox[VoterMessage | Stop],
+        background: tuple[AbstractContextManager[Any], ...],
     ) -> None:
-        self._stack.__exit__(exc_type, exc_value, traceback)
+        super().__init__()
+        self.voter = voter
+        self.server = server
+        self.mailbox = mailbox
+        self._background = background
+
+    def _start(self, stack: ExitStack) -> None:
+        for part in self._background:
+            stack.enter_context(part)
+        stack.enter_context(self.voter)
+        stack.enter_context(self.server)
 
 
 def make_control_plane(
@@ -120,4 +119,4 @@
     api = ControlApiSettings(own, token, peers, limits, tracer)
     server = make_control_server(mailbox, api, metrics.mailbox)
     background.extend((registrations, links))
-    return ControlPlane(voter, server, mailbox, tuple(background), ExitStack())
+    return ControlPlane(voter, server, mailbox, tuple(background))
--- a/src/wasabigw/tasks/light_metrics.py
+++ b/src/wasabigw/tasks/light_metrics.py
@@ -2,12 +2,11 @@
 
 import selectors
 from collections.abc import Callable, Iterable
-from contextlib import AbstractContextManager, ExitStack
+from contextlib import ExitStack
 from http import HTTPStatus
-from types import TracebackType
-from typing import Self
 
 from wasabigw.core.endpoint import Endpoint
+from wasabigw.runtime.composite import CompositeContext
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.exposition import CONTENT_TYPE, Family, render
@@ -16,7 +15,7 @@
 METRICS_PATH = "/metrics"
 
 
-class LightMetrics(AbstractContextManager["LightMetrics"]):
+class LightMetrics(CompositeContext):
     """Server for metrics beside the sockets of a task.
 
     A port that can't be bound is logged: no process may fail for its metrics.
@@ -31,28 +30,19 @@
         selector: selectors.BaseSelector,
         families: Callable[[], Iterable[Family]],
     ) -> None:
+        super().__init__()
         self._bind = bind
         self._selector = selector
         self._families = families
-        self._stack = ExitStack()
 
-    def __enter__(self) -> Self:
+    def _start(self, stack: ExitStack) -> None:
         if self._bind is None:
-            return self
+            return
         try:
             server = LightServer(self._bind, self._selector, self._answer)
-            self._stack.enter_context(server)
+            stack.enter_context(server)
         except OSError as error:
             log(HttpEvent.NO_METRICS, port=self._bind.port, reason=str(error))
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._stack.__exit__(exc_type, exc_value, traceback)
 
     def _answer(self, request: LightRequest) -> None:
         answer_metrics(request, self._families())
--- a/src/wasabigw/tasks/packet_task.py
+++ b/src/wasabigw/tasks/packet_task.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from time import thread_time
-from types import TracebackType
 from typing import Any, Self
 
 from returns.result import Success
@@ -46,7 +45,8 @@
 from wasabigw.core.reachability import PingAnswered, PingDue
 from wasabigw.core.view import is_fresh
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
-from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.selector_task import SelectorTask
+from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.balancer_queries import flow_path, status_of
 from wasabigw.tasks.fast_path import FastPath
@@ -126,7 +126,7 @@
     metrics: Mailbox[Any] | None = None
 
 
-class PacketTask(Task[PacketTaskMessage]):
+class PacketTask(SelectorTask[PacketTaskMessage]):
     """Carries packets and is the home of backend servers.
 
     It waits for its socket and its mailbox; :func:`make_packet_task` makes one.
@@ -141,7 +141,6 @@
         super().__init__("packets", mailbox)
         node = settings.node
         self._settings = settings
-        self._selectable = mailbox
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._home = backend_home.make_home_state(node.id)
         admission = HomeAdmission(self._home)
@@ -186,39 +185,13 @@
             port=port,
             buffer=granted,
         )
+        self._resources.enter_context(self._output)
+        self._selector.register(
+            self._socket, selectors.EVENT_READ, self._receive_packets
+        )
         return super().__enter__()
 
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        super().__exit__(exc_type, exc_value, traceback)
-        self._output.__exit__(exc_type, exc_value, traceback)
-        self._selectable.__exit__(exc_type, exc_value, traceback)
-
-    def run(self) -> None:
-        """Wait for packets and messages until :class:`Stop` arrives."""
-        with selectors.DefaultSelector() as selector:
-            selector.register(self._socket, selectors.EVENT_READ)
-            selector.register(self._selectable, selectors.EVENT_READ)
-            while True:
-                for key, _ in selector.select():
-                    if key.fileobj is self._socket:
-                        self._receive_packets()
-                    elif self._receive_messages():
-                        return
-
-    def _receive_messages(self) -> bool:
-        """Handle the waiting messages; true if one of them is a stop."""
-        for message in self._selectable.drain():
-            if isinstance(message, Stop):
-                return True
-            self.receive(message)
-        return False
-
-    def _receive_packets(self) -> None:
+    def _receive_packets(self, _events: int) -> None:
         now = monotonic()
         fresh = is_fresh(self._state.view, now)
         receive = self._socket.recvfrom_into
--- a/src/wasabigw/tasks/relay.py
+++ b/src/wasabigw/tasks/relay.py
@@ -1,15 +1,14 @@
 """Everything that runs in a process of a relay, as one context."""
 
-from contextlib import AbstractContextManager, ExitStack
+from contextlib import ExitStack
 from dataclasses import dataclass
-from types import TracebackType
-from typing import Self
 
 from returns.result import Failure
 
 from wasabigw.core.delivery_view import ViewUpdate
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.sources import SourceState
+from wasabigw.runtime.composite import CompositeContext
 from wasabigw.runtime.timer import TimerService
 from wasabigw.tasks.relay_task import RELAY_PERIOD, RELAY_TICK, make_relay_task
 from wasabigw.tasks.view_file import make_view_file, read_view_file
@@ -38,32 +37,14 @@
     metrics: Endpoint | None = None
 
 
-class Relay(AbstractContextManager["Relay"]):
+class Relay(CompositeContext):
     """Tasks of a relay; :func:`make_relay` makes one."""
 
     def __init__(self, settings: RelaySettings) -> None:
+        super().__init__()
         self._settings = settings
-        self._stack = ExitStack()
         self._follower: ViewFollower | None = None
 
-    def __enter__(self) -> Self:
-        """Start all tasks.
-
-        :raises OSError: if the endpoint of the settings can't be bound.
-        """
-        with ExitStack() as stack:
-            self._start(stack)
-            self._stack = stack.pop_all()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._stack.__exit__(exc_type, exc_value, traceback)
-
     def use_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
         """Use other control VMs besides those that the view names."""
         assert self._follower is not None
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -1,11 +1,9 @@
 """Task of a relay: passes the delivery view on to the balancers near it."""
 
-import selectors
 from collections import Counter
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from http import HTTPStatus
-from types import TracebackType
 from typing import Any, Self
 
 from wasabigw.codec.views import encode_update
@@ -19,7 +17,8 @@
 from wasabigw.core.ids import NO_REVISION, Revision, Seconds
 from wasabigw.core.view import NEVER
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
-from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.selector_task import SelectorTask
+from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
@@ -42,7 +41,7 @@
     until: Seconds
 
 
-class RelayTask(Task[ViewReceived | Tick]):
+class RelayTask(SelectorTask[ViewReceived | Tick]):
     """Owns the view, the server for polls and the polls that wait.
 
     :param stored: view that an earlier process has kept; ``None`` without one.
@@ -59,9 +58,7 @@
         metrics: Endpoint | None,
     ) -> None:
         super().__init__("relay", mailbox)
-        self._selectable = mailbox
         self._file = file
-        self._selector = selectors.DefaultSelector()
         self._server = LightServer(bind, self._selector, self._handle)
         self._metrics = LightMetrics(metrics, self._selector, self._metric_families)
         self._answered: Counter[HTTPStatus] = Counter()
@@ -84,39 +81,10 @@
 
     def __enter__(self) -> Self:
         """Listen and start the thread."""
-        self._server.__enter__()
-        self._metrics.__enter__()
+        for part in (self._metrics, self._server):
+            self._resources.enter_context(part)
         return super().__enter__()
 
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        super().__exit__(exc_type, exc_value, traceback)
-        for server in (self._server, self._metrics):
-            server.__exit__(exc_type, exc_value, traceback)
-        self._selector.close()
-        self._selectable.__exit__(exc_type, exc_value, traceback)
-
-    def run(self) -> None:
-        """Wait for polls and messages until :class:`Stop` arrives."""
-        self._selector.register(self._selectable, selectors.EVENT_READ, None)
-        while True:
-            for key, events in self._selector.select():
-                if key.data is not None:
-                    key.data(events)
-                elif self._receive_messages():
-                    return
-
-    def _receive_messages(self) -> bool:
-        for message in self._selectable.drain():
-            if isinstance(message, Stop):
-                return True
-            self.receive(message)
-        return False
-
     @singledispatchmethod
     def receive(self, message: ViewReceived | Tick) -> None:
         """Handle one message."""
--- a/src/wasabigw/tasks/tag_balancer.py
+++ b/src/wasabigw/tasks/tag_balancer.py
@@ -1,16 +1,16 @@
 """Everything that runs in a process of a balancer that delivers by tags."""
 
 from collections.abc import Callable
-from contextlib import AbstractContextManager, ExitStack
+from contextlib import ExitStack
 from dataclasses import dataclass
-from types import TracebackType
-from typing import Any, Self
+from typing import Any
 
 from returns.result import Success
 
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.sources import SourceState
+from wasabigw.runtime.composite import CompositeContext
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import TimerService, monotonic
 from wasabigw.tasks.tag_messages import (
@@ -58,12 +58,12 @@
     leave_timeout: Seconds
 
 
-class TagBalancer(AbstractContextManager["TagBalancer"]):
+class TagBalancer(CompositeContext):
     """Tasks of the balancer; :func:`make_tag_balancer` makes one."""
 
     def __init__(self, settings: TagBalancerSettings) -> None:
+        super().__init__()
         self._settings = settings
-        self._stack = ExitStack()
         self._packets: TagPacketTask | None = None
         self._follower: ViewFollower | None = None
 
@@ -73,24 +73,6 @@
         assert self._packets is not None
         return self._packets.mailbox
 
-    def __enter__(self) -> Self:
-        """Start all tasks.
-
-        :raises OSError: if an endpoint of the settings can't be bound.
-        """
-        with ExitStack() as stack:
-            self._start(stack)
-            self._stack = stack.pop_all()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        self._stack.__exit__(exc_type, exc_value, traceback)
-
     def use_seeds(self, seeds: tuple[Endpoint, ...]) -> None:
         """Use other control VMs besides those that the view names."""
         assert self._follower is not None
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import singledispatch, singledispatchmethod
-from types import TracebackType
 from typing import Self
 
 from returns.result import Success
@@ -19,7 +18,8 @@
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import decide, expire_flows, give_up, is_loss
 from wasabigw.runtime.mailbox import SelectableMailbox
-from wasabigw.runtime.task import Stop, Task
+from wasabigw.runtime.selector_task import SelectorTask
+from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.decision_log import DecisionLog
 from wasabigw.tasks.light_http import LightRequest, LightServer
@@ -75,7 +75,7 @@
     metrics: Endpoint | None = None
 
 
-class TagPacketTask(Task[TagTaskMessage]):
+class TagPacketTask(SelectorTask[TagTaskMessage]):
     """Carries packets of callers to backend servers.
 
     It waits for its socket and its mailbox. Until it has a view, packets wait in the
@@ -89,7 +89,6 @@
     ) -> None:
         super().__init__("packets", mailbox)
         self._settings = settings
-        self._selectable = mailbox
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._state = TagState(settings.node, settings.failure_domain, settings.regions)
         self._was_fresh = False
@@ -97,7 +96,6 @@
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
         self._leaving = False
-        self._selector = selectors.DefaultSelector()
         self._server = LightServer(
             settings.questions, self._selector, self._answer_question
         )
@@ -128,41 +126,10 @@
             port=port,
             buffer=self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF),
         )
-        self._server.__enter__()
-        self._metrics.__enter__()
+        for part in (self._socket, self._metrics, self._server):
+            self._resources.enter_context(part)
         return super().__enter__()
 
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc_value: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        super().__exit__(exc_type, exc_value, traceback)
-        for server in (self._server, self._metrics):
-            server.__exit__(exc_type, exc_value, traceback)
-        self._socket.close()
-        self._selector.close()
-        self._selectable.__exit__(exc_type, exc_value, traceback)
-
-    def run(self) -> None:
-        """Wait for packets and messages until :class:`Stop` arrives."""
-        self._selector.register(self._selectable, selectors.EVENT_READ, None)
-        while True:
-            for key, events in self._selector.select():
-                if key.data is not None:
-                    key.data(events)
-                elif self._receive_messages():
-                    return
-
-    def _receive_messages(self) -> bool:
-        """Handle the waiting messages; true if one of them is a stop."""
-        for message in self._selectable.drain():
-            if isinstance(message, Stop):
-                return True
-            self.receive(message)
-        return False
-
     def _receive_packets(self, _events: int) -> None:
         now = monotonic()
         self._last_packet = now
