Open, use and close HTTP sessions between processes in one place

The sender of registrations, the links between voters and the client of the control API each opened a session without the proxies of the environment and closed it after a problem; the first two also posted JSON in the same way. PeerSession does it for all.

--- a/src/wasabigw/tasks/control_client.py
+++ b/src/wasabigw/tasks/control_client.py
@@ -17,6 +17,7 @@
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.log_messages import NotLeader
+from wasabigw.tasks.peer_session import PeerSession
 from wasabigw.tasks.traffic import TrafficMailbox, report_exchange
 
 CONNECT_TIMEOUT = Seconds(0.5)
@@ -81,7 +82,7 @@
         self._endpoints = tuple(endpoints)
         self._traffic = traffic
         self._current = self._endpoints[0]
-        self._session: requests.Session | None = None
+        self._session = PeerSession()
 
     @property
     def current(self) -> Endpoint:
@@ -95,9 +96,7 @@
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
-        if self._session is not None:
-            self._session.close()
-            self._session = None
+        self._session.close()
 
     def __exit__(
         self,
@@ -142,11 +141,7 @@
         return self._decode(call, status, body)
 
     def _send(self, call: ControlCall) -> tuple[int, bytes | None]:
-        if self._session is None:
-            self._session = requests.Session()
-            # Proxies and credentials of the environment are not for this traffic.
-            self._session.trust_env = False
-        with self._session.request(
+        with self._session.open().request(
             call.method,
             f"http://{self._current.address}:{self._current.port}{call.path}",
             params=call.query,
--- a/src/wasabigw/tasks/registration_sender.py
+++ b/src/wasabigw/tasks/registration_sender.py
@@ -11,6 +11,7 @@
 from wasabigw.core.log_messages import RegistrationBatch
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
+from wasabigw.tasks.peer_session import PeerSession
 from wasabigw.tasks.traffic import TrafficMailbox, report_exchange
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw.telemetry.log_events import log
@@ -39,7 +40,7 @@
             "registration-sender", Mailbox("registration-sender", CAPACITY)
         )
         self._traffic = traffic
-        self._session: requests.Session | None = None
+        self._session = PeerSession()
         self._leader: Endpoint | None = None
         self._failing = False
 
@@ -61,7 +62,13 @@
             self.close()
             self._leader = message.leader
         try:
-            response = self._send(message)
+            response = self._session.post(
+                message.leader,
+                REGISTRATIONS_PATH,
+                encode(message.batch),
+                CONNECT_TIMEOUT,
+                READ_TIMEOUT,
+            )
         except requests.RequestException as error:
             self.close()
             self._note_failure(type(error).__name__)
@@ -74,22 +81,7 @@
 
     def close(self) -> None:
         """Close the HTTP session."""
-        if self._session is not None:
-            self._session.close()
-            self._session = None
-
-    def _send(self, message: ForwardRegistrations) -> requests.Response:
-        if self._session is None:
-            self._session = requests.Session()
-            self._session.trust_env = False
-        leader = message.leader
-        return self._session.post(
-            f"http://{leader.address}:{leader.port}{REGISTRATIONS_PATH}",
-            data=encode(message.batch),
-            headers={"Content-Type": "application/json"},
-            timeout=(CONNECT_TIMEOUT, READ_TIMEOUT),
-            allow_redirects=False,
-        )
+        self._session.close()
 
     def _note_failure(self, reason: str) -> None:
         if not self._failing:
--- a/src/wasabigw/tasks/voter_link.py
+++ b/src/wasabigw/tasks/voter_link.py
@@ -11,6 +11,7 @@
 from wasabigw.core.ids import NodeId, Seconds
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
+from wasabigw.tasks.peer_session import PeerSession
 from wasabigw.tasks.traffic import TrafficMailbox, report_exchange
 from wasabigw.tasks.voter_calls import LinkAnswer
 from wasabigw.telemetry.events_control import ControlEvent
@@ -44,10 +45,10 @@
         name = f"link-{peer}"
         super().__init__(name, Mailbox(name, LINK_CAPACITY))
         self._peer = peer
-        self._url = f"http://{api.address}:{api.port}{CONSENSUS_PATH}"
+        self._api = api
         self._voter = voter
         self._traffic = traffic
-        self._session: requests.Session | None = None
+        self._session = PeerSession()
         self._failing = False
 
     def run(self) -> None:
@@ -67,8 +68,6 @@
         try:
             response = self._send(message)
         except requests.RequestException as error:
-            # The connection may be silent for good; the next attempt needs
-            # a new one.
             self.close()
             self._note_failure(type(error).__name__)
             return
@@ -80,22 +79,17 @@
 
     def close(self) -> None:
         """Close the HTTP session."""
-        if self._session is not None:
-            self._session.close()
-            self._session = None
+        self._session.close()
 
     def _send(self, message: Envelope) -> requests.Response:
-        if self._session is None:
-            self._session = requests.Session()
-            self._session.trust_env = False
         is_snapshot = isinstance(message.body, SnapshotRequest)
         read_timeout = SNAPSHOT_TIMEOUT if is_snapshot else READ_TIMEOUT
         return self._session.post(
-            self._url,
-            data=encode_envelope(message),
-            headers={"Content-Type": "application/json"},
-            timeout=(CONNECT_TIMEOUT, read_timeout),
-            allow_redirects=False,
+            self._api,
+            CONSENSUS_PATH,
+            encode_envelope(message),
+            CONNECT_TIMEOUT,
+            read_timeout,
         )
 
     def _post_answer(self, content: bytes) -> None:
