Bound the numbers in requests in one place

Cause: a poll for views with a number of 400 or 5,000 digits ended the thread of the relay: Python can't divide the one and refuses to read the other. The relay read numbers with its own loop; log polls bounded theirs, the API of voters did not. Ruled out: the limit of the light server, which allows 16 KB for a request.

--- a/src/wasabigw/codec/log_poll.py
+++ b/src/wasabigw/codec/log_poll.py
@@ -16,6 +16,7 @@
     Seconds,
 )
 from wasabigw.core.log_messages import LogPoll
+from wasabigw.core.numbers import whole_number
 from wasabigw.core.states import NodeState
 
 _NAMES = (
@@ -30,7 +31,6 @@
 )
 _STATES = {state.value: state for state in (NodeState.UP, NodeState.DRAINING)}
 _MAX_NAME = 200
-_MAX_NUMBER = 10**15
 
 
 def poll_to_query(poll: LogPoll) -> dict[str, str]:
@@ -54,8 +54,8 @@
         return Failure(MalformedMessage(tuple(problems)))
     data = _endpoint(query["data"])
     api = _endpoint(query["api"])
-    after = _number(query["after"])
-    wait = _number(query["wait_ms"])
+    after = whole_number(query["after"])
+    wait = whole_number(query["wait_ms"])
     if data is None or api is None:
         return _malformed("data and api must be address:port")
     if after is None or wait is None:
@@ -87,11 +87,5 @@
     return Failure(MalformedMessage((problem,)))
 
 
-def _number(text: str) -> int | None:
-    if not (text.isascii() and text.isdecimal()) or len(text) > len(str(_MAX_NUMBER)):
-        return None
-    return int(text)
-
-
 def _endpoint(text: str) -> Endpoint | None:
     return parse_endpoint(text).value_or(None)
--- a/src/wasabigw/core/endpoint.py
+++ b/src/wasabigw/core/endpoint.py
@@ -5,6 +5,8 @@
 
 from returns.result import Failure, Result, Success
 
+from wasabigw.core.numbers import whole_number
+
 MAX_PORT = 65_535
 
 
@@ -27,16 +29,16 @@
     :param lowest_port: 0 where a free port may be asked for.
     """
     address, separator, port = text.rpartition(":")
-    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    number = whole_number(port) if len(port) <= len(str(MAX_PORT)) else None
     try:
         parsed = ipaddress.IPv4Address(address)
     except ValueError:
         parsed = None
-    if not separator or parsed is None or not is_number:
+    if not separator or parsed is None or number is None:
         return Failure(f"{text!r} is not an address and a port, as 10.0.0.1:8080")
-    if not lowest_port <= int(port) <= MAX_PORT:
+    if not lowest_port <= number <= MAX_PORT:
         return Failure(f"the port in {text!r} must be {lowest_port} to {MAX_PORT}")
-    return Success(Endpoint(str(parsed), int(port)))
+    return Success(Endpoint(str(parsed), number))
 
 
 def malformed(endpoint: Endpoint) -> str | None:
--- a/src/wasabigw/tasks/http_bodies.py
+++ b/src/wasabigw/tasks/http_bodies.py
@@ -10,6 +10,7 @@
 from wasabigw.codec.messages import MalformedMessage, UnknownKeys, decode
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.endpoint import parse_endpoint
+from wasabigw.core.numbers import whole_number
 from wasabigw.tasks.http_server import error_response
 
 
@@ -70,9 +71,9 @@
     :param limit: largest body in bytes; a larger one ends the request with 413.
     """
     text = cherrypy.request.headers.get("Content-Length", "")
-    if not is_number(text):
+    length = whole_number(text)
+    if length is None:
         return Failure("the header Content-Length must give the size of the body")
-    length = int(text)
     if length > limit:
         raise cherrypy.HTTPError(
             HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
@@ -86,8 +87,3 @@
     if len(data) != length:
         return Failure(f"the body ended after {len(data)} of {length} bytes")
     return Success(data)
-
-
-def is_number(text: Any) -> bool:
-    """Whether a text of a request is a whole number in ASCII digits."""
-    return isinstance(text, str) and text.isascii() and text.isdecimal()
--- a/src/wasabigw/tasks/http_control.py
+++ b/src/wasabigw/tasks/http_control.py
@@ -31,12 +31,12 @@
     RegistrationBatch,
     ReportRequest,
 )
+from wasabigw.core.numbers import whole_number
 from wasabigw.core.states import RefusalCode
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.tasks.http_bodies import (
     bad_request,
     has_token,
-    is_number,
     read_message,
     retry_later,
     unauthorized,
@@ -163,9 +163,10 @@
             return unauthorized()
         wanted: Revision | None = None
         if revision is not None:
-            if not is_number(revision):
+            number = whole_number(revision)
+            if number is None:
                 return bad_request("parameter revision must be a whole number")
-            wanted = Revision(int(revision))
+            wanted = Revision(number)
         return self._call(InForceCall(wanted, reply_mailbox("in-force")), READ_TIMEOUT)
 
 
@@ -187,10 +188,11 @@
 
     def GET(self, after: Any = None, wait_ms: Any = "0") -> bytes:  # noqa: N802
         """What has changed in the delivery view after a revision."""
-        if not (is_number(after) and is_number(wait_ms)):
+        revision, milliseconds = whole_number(after), whole_number(wait_ms)
+        if revision is None or milliseconds is None:
             return bad_request("parameters after and wait_ms must be whole numbers")
-        wait = Seconds(min(int(wait_ms) / 1000, CALL_TIMEOUT))
-        message = ViewCall(Revision(int(after)), wait, reply_mailbox("view"))
+        wait = Seconds(min(milliseconds / 1000, CALL_TIMEOUT))
+        message = ViewCall(Revision(revision), wait, reply_mailbox("view"))
         return self._call(message, Seconds(wait + READ_TIMEOUT))
 
 
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -15,6 +15,7 @@
 )
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import NO_REVISION, Revision, Seconds
+from wasabigw.core.numbers import whole_number
 from wasabigw.core.view import NEVER
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
 from wasabigw.runtime.selector_task import SelectorTask
@@ -173,8 +174,8 @@
     """Whole number under a name in a query, if there is one."""
     for part in query.split("&"):
         key, _, value = part.partition("=")
-        if key == name and value.isascii() and value.isdecimal():
-            return int(value)
+        if key == name:
+            return whole_number(value)
     return None
 
 
--- a/src/wasabigw/tasks/traffic.py
+++ b/src/wasabigw/tasks/traffic.py
@@ -6,6 +6,7 @@
 
 import requests
 
+from wasabigw.core.numbers import whole_number
 from wasabigw.runtime.mailbox import Mailbox
 
 WsgiApplication = Callable[[dict[str, Any], Any], Iterable[bytes]]
@@ -71,4 +72,4 @@
 
 
 def _number(text: str | None) -> int:
-    return int(text) if text and text.isascii() and text.isdecimal() else 0
+    return whole_number(text) or 0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -188,6 +188,18 @@
         found = decode_update(stored.data).unwrap()
         self.assertEqual((found.revision, len(found.boots)), (6, 1))
 
+    def test_numbers_beyond_all_revisions_do_not_end_the_task(self) -> None:
+        # Such a poll ended the thread, and the relay answered nobody any more.
+        relay = self.start(update(5))
+        for digits in (400, 5_000):
+            number = "9" * digits
+            for query in (f"after={number}&wait_ms=0", f"after=5&wait_ms={number}"):
+                with self.subTest(digits=digits), LightClient() as client:
+                    target = f"/v1/view?{query}"
+                    answer = client.get(relay.endpoint, target, LONG, LONG)
+                    self.assertEqual(answer, Failure("status 400"))
+        self.assertEqual(self.poll(relay, 0).unwrap().revision, 5)
+
     def test_malformed_polls_are_refused(self) -> None:
         relay = self.start(update(5))
         with LightClient() as client:
