Share what voters and balancers tell, and the numbers of addresses

A voter built a whole view, with a copy of all boots, to tell which failure domains are out of service each time its metrics were collected; it asks for these alone now.

--- a/src/wasabigw/core/cluster_view.py
+++ b/src/wasabigw/core/cluster_view.py
@@ -2,6 +2,7 @@
 
 from wasabigw.core.cluster import ClusterState
 from wasabigw.core.delivery_view import DeliveryView, Source
+from wasabigw.core.ids import FailureDomainId
 from wasabigw.core.states import FailureDomainState
 
 
@@ -16,13 +17,18 @@
         document=cluster.declared,
         declared_at=cluster.declared_at,
         forgotten_at=registry.forgotten_at,
-        out_of_service=tuple(
-            domain.id
-            for domain in cluster.failure_domains.values()
-            if domain.state is FailureDomainState.OUT_OF_SERVICE
-        ),
+        out_of_service=out_of_service(cluster),
         sources=tuple(
             Source(place.api, place.failure_domain)
             for place in cluster.voter_places.values()
         ),
     )
+
+
+def out_of_service(cluster: ClusterState) -> tuple[FailureDomainId, ...]:
+    """Failure domains whose backend servers get no new flows."""
+    return tuple(
+        domain.id
+        for domain in cluster.failure_domains.values()
+        if domain.state is FailureDomainState.OUT_OF_SERVICE
+    )
--- a/src/wasabigw/core/endpoint.py
+++ b/src/wasabigw/core/endpoint.py
@@ -23,6 +23,16 @@
     return f"{endpoint.address}:{endpoint.port}"
 
 
+def address_number(address: str) -> int:
+    """IPv4 address as a number, as packets have it."""
+    return int(ipaddress.IPv4Address(address))
+
+
+def address_text(number: int) -> str:
+    """IPv4 address of a number."""
+    return str(ipaddress.IPv4Address(number))
+
+
 def parse_endpoint(text: str, lowest_port: int = 1) -> Result[Endpoint, str]:
     """Endpoint from ``address:port``, or what is wrong with the text.
 
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -1,12 +1,12 @@
 """State of a balancer that delivers by tags, owned by its packet task."""
 
-import ipaddress
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT, Declaration, Listener
 from wasabigw.core.delivery_view import DeliveryView
 from wasabigw.core.durations import Durations
+from wasabigw.core.endpoint import address_number
 from wasabigw.core.ids import (
     NO_REVISION,
     FailureDomainId,
@@ -104,10 +104,6 @@
 def listeners_of(declaration: Declaration) -> dict[ListenerKey, Listener]:
     """Listeners of a declaration by address and port."""
     return {
-        (_number(listener.endpoint.address), listener.endpoint.port): listener
+        (address_number(listener.endpoint.address), listener.endpoint.port): listener
         for listener in declaration.listeners
     }
-
-
-def _number(address: str) -> int:
-    return int(ipaddress.IPv4Address(address))
--- a/src/wasabigw/ctl/explain.py
+++ b/src/wasabigw/ctl/explain.py
@@ -56,9 +56,9 @@
     output: OutputOption = Output.TEXT,
 ) -> None:
     """Show what all processes decided about a flow or another subject, in order."""
-    missing = [name for name in files if name != STANDARD_INPUT and not is_file(name)]
-    if missing:
-        fail(output, wrong_input("FILES", missing[0], "log files that exist"))
+    for name in files:
+        if name != STANDARD_INPUT and not Path(name).is_file():
+            fail(output, wrong_input("FILES", name, "log files that exist"))
     records = sorted(read_records(_lines(files)), key=lambda record: record.time)
     found = select(records, subject, around)
     if not found:
@@ -67,11 +67,6 @@
     show_result(output, describe(found), {"records": encoded})
 
 
-def is_file(name: str) -> bool:
-    """Whether there is a file of this name."""
-    return Path(name).is_file()
-
-
 def read_records(lines: Iterable[str]) -> Iterator[LogRecord]:
     """Records of the lines that are events; what stands before the JSON is ignored.
 
--- a/src/wasabigw/tasks/decision_log.py
+++ b/src/wasabigw/tasks/decision_log.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from wasabigw.core.endpoint import address_text
 from wasabigw.core.ids import Seconds
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.decisions import Deliver, Drop, PacketDecision, Refuse
@@ -132,9 +133,5 @@
 
 def flow_text(flow: FlowId) -> str:
     """Name of a flow in logs."""
-    caller = f"{_address(flow.caller)}:{flow.caller_port}"
-    return f"{caller}>{_address(flow.listener)}:{flow.listener_port}"
-
-
-def _address(number: int) -> str:
-    return ".".join(str(byte) for byte in number.to_bytes(4, "big"))
+    caller = f"{address_text(flow.caller)}:{flow.caller_port}"
+    return f"{caller}>{address_text(flow.listener)}:{flow.listener_port}"
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -8,7 +8,14 @@
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.state import TagState
-from wasabigw.telemetry.exposition import Family, MetricKind, Sample, gauge
+from wasabigw.telemetry.exposition import (
+    Family,
+    MetricKind,
+    Sample,
+    declared_version,
+    gauge,
+    out_of_service,
+)
 
 
 class DecisionKey(NamedTuple):
@@ -83,15 +90,7 @@
                 for (s, d, shown), n in sorted(boots.items())
             ),
         ),
-        Family(
-            "wasabigw_failure_domain_out_of_service",
-            MetricKind.GAUGE,
-            "Failure domains whose backend servers get no new flows",
-            tuple(
-                Sample(1, {"failure_domain": name})
-                for name in state.view.out_of_service
-            ),
-        ),
+        out_of_service(state.view.out_of_service),
         gauge("wasabigw_view_revision", "Revision of the view", state.view.revision),
         gauge("wasabigw_view_age_seconds", "Time since it was confirmed", age),
         gauge(
@@ -99,11 +98,7 @@
             "Whether it is known to be current",
             state.is_fresh(now),
         ),
-        gauge(
-            "wasabigw_declared_version",
-            "Configuration in force",
-            state.declared_version or 0,
-        ),
+        declared_version(state.declared_version),
         gauge("wasabigw_log_lines_left_out", "Lines beyond the budget", left_out),
     ]
 
--- a/src/wasabigw/tasks/voter_metrics.py
+++ b/src/wasabigw/tasks/voter_metrics.py
@@ -20,7 +20,9 @@
     Family,
     MetricKind,
     Sample,
+    declared_version,
     gauge,
+    out_of_service,
     render,
 )
 
@@ -45,17 +47,8 @@
         gauge("wasabigw_state_revision", "Applied revision", status.revision),
         gauge("wasabigw_log_lag", "Entries not known to be committed", status.lag),
         gauge("wasabigw_commands_waiting", "Proposed commands", status.waiting),
-        gauge(
-            "wasabigw_declared_version",
-            "Configuration in force",
-            status.declared_version or 0,
-        ),
-        Family(
-            "wasabigw_failure_domain_out_of_service",
-            MetricKind.GAUGE,
-            "Failure domains whose backend servers get no new flows",
-            tuple(Sample(1, {"failure_domain": n}) for n in status.out_of_service),
-        ),
+        declared_version(status.declared_version),
+        out_of_service(status.out_of_service),
         Family(
             "wasabigw_disk_sync_seconds",
             MetricKind.HISTOGRAM,
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -19,7 +19,7 @@
     Refusal,
     VoterPlace,
 )
-from wasabigw.core.cluster_view import view_of
+from wasabigw.core.cluster_view import out_of_service
 from wasabigw.core.commands import (
     BackendServerDown,
     BackendServerDraining,
@@ -403,7 +403,7 @@
                 len(voter.members),
                 len(self._pending),
                 declared.version if declared is not None else None,
-                view_of(cluster).out_of_service,
+                out_of_service(cluster),
                 self._syncs,
                 self._commits,
             )
--- a/src/wasabigw/telemetry/exposition.py
+++ b/src/wasabigw/telemetry/exposition.py
@@ -44,6 +44,21 @@
     return Family(name, MetricKind.GAUGE, description, (Sample(value),))
 
 
+def declared_version(version: int | None) -> Family:
+    """Configuration that the process follows."""
+    return gauge("wasabigw_declared_version", "Configuration in force", version or 0)
+
+
+def out_of_service(names: Iterable[str]) -> Family:
+    """Failure domains that the process knows to be out of service."""
+    return Family(
+        "wasabigw_failure_domain_out_of_service",
+        MetricKind.GAUGE,
+        "Failure domains whose backend servers get no new flows",
+        tuple(Sample(1, {"failure_domain": name}) for name in names),
+    )
+
+
 def render(families: Iterable[Family]) -> bytes:
     """Text of metrics."""
     lines: list[str] = []
--- a/src/wasabigw_measure/_bench_worker.py
+++ b/src/wasabigw_measure/_bench_worker.py
@@ -19,6 +19,7 @@
 
 from wasabigw.core import commands as c
 from wasabigw.core.cluster import Endpoint, FailureDomain, Node, Service
+from wasabigw.core.endpoint import address_text
 from wasabigw.core.ids import (
     BackendServerId,
     BootId,
@@ -226,7 +227,7 @@
 
 def _server(number: int) -> c.BackendServerUp:
     address = backend_address(number)
-    text = ".".join(str(part) for part in address.to_bytes(4))
+    text = address_text(address)
     return c.BackendServerUp(
         BackendServerId(f"b{number}"),
         SERVICE_ID,
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -108,6 +108,7 @@
             "$.zones": {"zones": None},
             "$.bootstrap": {"bootstrap": "yes"},
             "not an address and a port": {"seeds": ["10.1.0.13"]},
+            "$.seeds": {"seeds": []},
             "$.listen.datagram-address": {"listen": {"datagram-address": 5}},
         }
         for text, changed in cases.items():
