Log why a balancer leaves a backend server out, and count those

Cause: a breaker that opens changes what the balancer believes, but no line said so; the cause of flows that avoid a backend server had to be guessed from other lines. Decisions stay as they were: the tests of the breaker pass unchanged.

--- a/src/wasabigw/core/tags/health.py
+++ b/src/wasabigw/core/tags/health.py
@@ -39,6 +39,14 @@
 """Time in which a probe is answered, or its caller repeats the opening."""
 
 
+class Doubt(Enum):
+    """What speaks against a backend server."""
+
+    OPENING_REPEATED = "an opening was sent again"
+    OPENING_OVERDUE = "nothing followed an opening"
+    DATA_REPEATED = "data of an open flow was sent again"
+
+
 class Health(Enum):
     """Whether new flows may go to a backend server."""
 
@@ -70,26 +78,35 @@
     lost_at: Seconds = NEVER
 
 
-def note_life(breaker: Breaker, now: Seconds) -> None:
-    """Note that the backend server has answered a caller."""
+def note_life(breaker: Breaker, now: Seconds) -> bool:
+    """Note that the backend server has answered a caller.
+
+    :returns: whether this closes the breaker.
+    """
+    was_open = breaker.failures > 0
     breaker.heard_at = now
     breaker.failures = 0
     breaker.paused_until = NEVER
     breaker.doubters = frozenset()
     breaker.lost_at = NEVER
+    return was_open
+
 
+def note_unanswered(breaker: Breaker, sent_at: Seconds, now: Seconds) -> bool:
+    """Note that an opening or data, sent at a time, has not been answered yet.
 
-def note_unanswered(breaker: Breaker, sent_at: Seconds, now: Seconds) -> None:
-    """Note that an opening or data, sent at a time, has not been answered yet."""
+    :returns: whether this opens the breaker, or begins a longer pause.
+    """
     if breaker.heard_at > sent_at:
-        return
+        return False
     if breaker.failures > 0 and sent_at < breaker.opened_at:
         # Only what was sent since, a probe, says more than what opened the breaker.
-        return
+        return False
     breaker.opened_at = now
     pause = FIRST_PAUSE * 2**breaker.failures
     breaker.failures += 1
     breaker.paused_until = Seconds(now + min(pause, LONGEST_PAUSE))
+    return True
 
 
 def note_opening(breaker: Breaker, now: Seconds) -> None:
@@ -100,23 +117,25 @@
 
 def note_copy(
     breaker: Breaker, caller: int, sent_at: Seconds, copies: int, now: Seconds
-) -> None:
+) -> bool:
     """Note that a caller sent data of an open flow again.
 
     :param caller: its address.
     :param sent_at: when it sent the data first.
     :param copies: how often it has sent the data again.
+    :returns: whether this opens the breaker, or begins a longer pause.
     """
     waited = now - sent_at
     if breaker.heard_at > sent_at or waited < DOUBT_AFTER:
-        return
-    note_unanswered(breaker, sent_at, now)
+        return False
+    has_opened = note_unanswered(breaker, sent_at, now)
     is_recent = now - breaker.doubted_at < LOSS_REMEMBERED
     others = breaker.doubters if is_recent else frozenset()
     breaker.doubters = others | {caller}
     breaker.doubted_at = now
     if is_confirmed(breaker) or (copies > 1 and waited >= LOST_AFTER):
         breaker.lost_at = now
+    return has_opened
 
 
 def is_confirmed(breaker: Breaker) -> bool:
--- a/src/wasabigw/core/tags/openings.py
+++ b/src/wasabigw/core/tags/openings.py
@@ -9,7 +9,6 @@
 from collections.abc import Iterable
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.health import note_unanswered
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.state import Server
 
@@ -35,15 +34,14 @@
     server.unanswered.pop(flow, None)
 
 
-def note_overdue(server: Server, now: Seconds) -> None:
-    """Count openings as unanswered that no other packet has followed in time."""
+def take_overdue(server: Server, now: Seconds) -> list[Seconds]:
+    """Times of the openings that no other packet has followed in time."""
     overdue = [
         flow
         for flow, opened_at in server.unanswered.items()
         if now - opened_at >= OPENING_TIMEOUT
     ]
-    for flow in overdue:
-        note_unanswered(server.breaker, server.unanswered.pop(flow), now)
+    return [server.unanswered.pop(flow) for flow in overdue]
 
 
 def tried_by(caller: int, servers: Iterable[Server], now: Seconds) -> list[Server]:
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -17,7 +17,7 @@
     Tag,
 )
 from wasabigw.core.registration import Registration
-from wasabigw.core.tags.health import Breaker
+from wasabigw.core.tags.health import Breaker, Doubt
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.view import NEVER
 
@@ -66,6 +66,19 @@
     copies: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class HealthChange:
+    """A breaker opened, began a longer pause, or closed.
+
+    :param doubt: what opened it; ``None`` if it closed.
+    :param silent_for: time since the last sign of life before.
+    """
+
+    server: Server
+    doubt: Doubt | None
+    silent_for: Seconds
+
+
 @dataclass(slots=True)
 class TagState:
     """Everything that a balancer knows.
@@ -78,6 +91,7 @@
     :param servers: boots by tag, with those that have ended.
     :param answer_times: from data of callers to their next acknowledgement.
     :param pools: boots of each service that may get new flows.
+    :param health_changes: for the log, which takes them out.
     """
 
     node: NodeId
@@ -93,6 +107,7 @@
     pools: dict[ServiceId, list[Server]] = field(default_factory=dict)
     flows: dict[FlowId, Flow] = field(default_factory=dict)
     answer_times: dict[ServiceId, Durations] = field(default_factory=dict)
+    health_changes: list[HealthChange] = field(default_factory=list)
 
     @property
     def has_view(self) -> bool:
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -17,6 +17,7 @@
     RefuseReason,
 )
 from wasabigw.core.tags.health import (
+    Doubt,
     is_confirmed,
     is_lost,
     note_copy,
@@ -27,12 +28,12 @@
 from wasabigw.core.tags.openings import (
     note_followed,
     note_opened,
-    note_overdue,
+    take_overdue,
     tried_by,
 )
 from wasabigw.core.tags.packets import NO_TAG, FlowId, FlowPacket
 from wasabigw.core.tags.selection import choose_server, service_of
-from wasabigw.core.tags.state import Flow, Server, TagState
+from wasabigw.core.tags.state import Flow, HealthChange, Server, TagState
 
 MAX_FLOWS = 100_000
 """Flows whose use is counted; further ones are carried without being counted."""
@@ -63,10 +64,13 @@
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
         if known.server not in avoided:
             avoided.append(known.server)
-        note_unanswered(known.server.breaker, known.opened_at, now)
+        _doubt_opening(
+            known.server, known.opened_at, Doubt.OPENING_REPEATED, state, now
+        )
         _forget(packet, state)
     for server in pool:
-        note_overdue(server, now)
+        for opened_at in take_overdue(server, now):
+            _doubt_opening(server, opened_at, Doubt.OPENING_OVERDUE, state, now)
     chosen = choose_server(service, state, now, avoided)
     if chosen is None:
         if state.is_fresh(now):
@@ -92,13 +96,21 @@
         _forget(packet, state)
         return Deliver(packet, server.registration)
     flow = _note_use(packet, server, state, now)
-    if flow is not None and _is_lost(packet, flow, now):
+    if flow is not None and _is_lost(packet, flow, state, now):
         _forget(packet, state)
         return Refuse(packet, RefuseReason.SERVER_LOST)
     return Deliver(packet, server.registration)
 
 
-def _is_lost(packet: FlowPacket, flow: Flow, now: Seconds) -> bool:
+def _doubt_opening(
+    server: Server, sent_at: Seconds, doubt: Doubt, state: TagState, now: Seconds
+) -> None:
+    silent_for = Seconds(now - server.breaker.heard_at)
+    if note_unanswered(server.breaker, sent_at, now):
+        state.health_changes.append(HealthChange(server, doubt, silent_for))
+
+
+def _is_lost(packet: FlowPacket, flow: Flow, state: TagState, now: Seconds) -> bool:
     if packet.length == 0:
         return False
     breaker = flow.server.breaker
@@ -107,7 +119,10 @@
     elif packet.sequence == flow.pending:
         flow.copies += 1
         caller = packet.flow.caller
-        note_copy(breaker, caller, flow.pending_since, flow.copies, now)
+        silent_for = Seconds(now - breaker.heard_at)
+        if note_copy(breaker, caller, flow.pending_since, flow.copies, now):
+            change = HealthChange(flow.server, Doubt.DATA_REPEATED, silent_for)
+            state.health_changes.append(change)
     return is_lost(breaker, flow.pending_since, now)
 
 
@@ -164,7 +179,9 @@
             service = server.registration.service
             times = state.answer_times.setdefault(service, Durations())
             note_duration(times, Seconds(now - known.pending_since))
-        note_life(server.breaker, now)
+        silent_for = Seconds(now - server.breaker.heard_at)
+        if note_life(server.breaker, now):
+            state.health_changes.append(HealthChange(server, None, silent_for))
     return known
 
 
--- a/src/wasabigw/tasks/decision_log.py
+++ b/src/wasabigw/tasks/decision_log.py
@@ -10,7 +10,7 @@
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.decisions import Deliver, Drop, PacketDecision, Refuse
 from wasabigw.core.tags.packets import FlowId, FlowPacket
-from wasabigw.core.tags.state import TagState
+from wasabigw.core.tags.state import HealthChange, TagState
 from wasabigw.tasks.tag_metrics import DecisionKey
 from wasabigw.telemetry.events_flow import FlowEvent
 from wasabigw.telemetry.log_events import log
@@ -40,6 +40,34 @@
         if not isinstance(decision, Deliver) or decision.choice is not None:
             self._note(decision, packet, now)
 
+    def note_health(self, now: Seconds) -> None:
+        """Write a line for each breaker that has opened or closed."""
+        changes = self._state.health_changes
+        for change in changes:
+            event = (
+                FlowEvent.SERVER_ANSWERS
+                if change.doubt is None
+                else FlowEvent.SERVER_DOUBTED
+            )
+            if self._has_budget(event):
+                self._log_health(event, change, now)
+        changes.clear()
+
+    def _log_health(self, event: FlowEvent, change: HealthChange, now: Seconds) -> None:
+        boot, breaker = change.server.registration, change.server.breaker
+        pause = max(0.0, breaker.paused_until - now)
+        log(
+            event,
+            server=boot.id,
+            service=boot.service,
+            failure_domain=boot.failure_domain,
+            tag=boot.tag,
+            reason=change.doubt.value if change.doubt is not None else "life",
+            failures=breaker.failures,
+            pause=round(pause, 3),
+            silent_for=_rounded(change.silent_for),
+        )
+
     def end_second(self) -> None:
         """Begin the budget of the next second; says what was left out."""
         for event, count in self._left_out.items():
@@ -105,7 +133,7 @@
             reason=reason,
             tag=packet.tag,
             server=server.id if server is not None else None,
-            silent_for=round(silent_for, 3) if silent_for < math.inf else None,
+            silent_for=_rounded(silent_for),
             **self._inputs(now),
         )
 
@@ -131,6 +159,11 @@
         return True
 
 
+def _rounded(seconds: float) -> float | None:
+    """Seconds for a line; ``None`` if there was never anything to count from."""
+    return round(seconds, 3) if seconds < math.inf else None
+
+
 def flow_text(flow: FlowId) -> str:
     """Name of a flow in logs."""
     caller = f"{address_text(flow.caller)}:{flow.caller_port}"
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -7,6 +7,7 @@
 from wasabigw.core.ids import NO_REVISION, FailureDomainId, Seconds, ServiceId
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.telemetry.exposition import (
     Family,
@@ -45,10 +46,13 @@
     """
     flows: Counter[tuple[ServiceId, FailureDomainId]] = Counter()
     boots: Counter[tuple[ServiceId, FailureDomainId, str]] = Counter()
+    doubted: Counter[tuple[ServiceId, FailureDomainId]] = Counter()
     for server in state.servers.values():
         boot = server.registration
         boots[boot.service, boot.failure_domain, state_of(boot)] += 1
         flows[boot.service, boot.failure_domain] += server.open_flows
+        is_doubted = health_of(server.breaker, now) is not Health.ANSWERING
+        doubted[boot.service, boot.failure_domain] += is_doubted
     age = now - state.confirmed_at if state.view.revision > NO_REVISION else 0.0
     return [
         Family(
@@ -90,6 +94,15 @@
                 for (s, d, shown), n in sorted(boots.items())
             ),
         ),
+        Family(
+            "wasabigw_servers_doubted",
+            MetricKind.GAUGE,
+            "Backend servers that get no new flows but for probes",
+            tuple(
+                Sample(n, {"service": service, "failure_domain": domain})
+                for (service, domain), n in sorted(doubted.items())
+            ),
+        ),
         out_of_service(state.view.out_of_service),
         gauge("wasabigw_view_revision", "Revision of the view", state.view.revision),
         gauge("wasabigw_view_age_seconds", "Time since it was confirmed", age),
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -152,6 +152,8 @@
             return
         decision = decide(packet, self._state, now)
         self._decisions.note(packet, decision, now)
+        if self._state.health_changes:
+            self._decisions.note_health(now)
         _execute(decision, datagram, self)
         if is_loss(decision):
             for other in give_up(packet, self._state):
--- a/src/wasabigw/telemetry/events_flow.py
+++ b/src/wasabigw/telemetry/events_flow.py
@@ -32,6 +32,22 @@
         "{version}",
         "docs/OPERATIONS.md says for each reason what it depends on.",
     )
+    SERVER_DOUBTED = EventDefinition(
+        5004,
+        Severity.WARNING,
+        "backend server {server} of {service} in {failure_domain}, tag {tag}: no new "
+        "flows for {pause} s, then one as a probe; {reason}, {failures} times in a "
+        "row, silent for {silent_for} s",
+        "If several balancers say so, look at the backend server; if one does, at the "
+        "way between the two.",
+    )
+    SERVER_ANSWERS = EventDefinition(
+        5005,
+        Severity.INFO,
+        "backend server {server} of {service} in {failure_domain}, tag {tag}: answers "
+        "again and gets new flows; silent for {silent_for} s",
+        "None needed.",
+    )
     LEFT_OUT = EventDefinition(
         5003,
         Severity.INFO,
--- a/tests/test_refused_openings.py
+++ b/tests/test_refused_openings.py
@@ -1,12 +1,19 @@
 """Openings that a backend server refuses, which only its caller sees."""
 
 import unittest
+from typing import Any
+from unittest import mock
 
 from tests.test_tag_steering import FORTALEZA, LISTENER, SteeringCase, boot, data
 from wasabigw.core.ids import RegionId, Seconds, Tag
+from wasabigw.core.tags.health import Doubt
 from wasabigw.core.tags.openings import OPENING_TIMEOUT
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
+from wasabigw.tasks.decision_log import DecisionLog
+from wasabigw.tasks.tag_metrics import families_of
+from wasabigw.telemetry.events_flow import FlowEvent
+from wasabigw.telemetry.exposition import render
 
 FIRST_CALLER, SECOND_CALLER = 0x64400007, 0x64400008
 
@@ -93,6 +100,52 @@
         self.assertEqual(tags, {3, 4})
 
 
+class HealthLines(SteeringCase):
+    """Guards against backend servers that get no flows for a reason that no log has."""
+
+    def lines(self, now: float) -> list[tuple[FlowEvent, dict[str, Any]]]:
+        """What the log says of breakers since the last time."""
+        with mock.patch("wasabigw.tasks.decision_log.log") as written:
+            DecisionLog(self.state).note_health(Seconds(now))
+        return [(call.args[0], dict(call.kwargs)) for call in written.call_args_list]
+
+    def test_a_line_says_why_a_breaker_opens_and_when_it_closes(self) -> None:
+        self.register(boot(1), boot(2))
+        refusing = self.tag_of(opening(FIRST_CALLER, 1))
+        self.decide(opening(SECOND_CALLER, 2), now=0.15)
+        [(event, fields)] = self.lines(0.15)
+        self.assertIs(event, FlowEvent.SERVER_DOUBTED)
+        self.assertEqual(fields["server"], f"b-{refusing}")
+        self.assertEqual(fields["reason"], Doubt.OPENING_OVERDUE.value)
+        self.assertEqual((fields["failures"], fields["pause"]), (1, 1.0))
+        self.assertIsNone(fields["silent_for"])
+        self.decide(data(refusing, 1), now=0.4)
+        [(event, fields)] = self.lines(0.4)
+        self.assertIs(event, FlowEvent.SERVER_ANSWERS)
+        self.assertEqual(fields["server"], f"b-{refusing}")
+        self.assertEqual(self.lines(0.5), [])
+
+    def test_repeated_openings_and_data_have_reasons_of_their_own(self) -> None:
+        self.register(boot(1), boot(2))
+        tag = self.tag_of(opening(FIRST_CALLER, 1))
+        self.decide(opening(FIRST_CALLER, 1, repeat=1), now=0.2)
+        [(_, fields)] = self.lines(0.2)
+        self.assertEqual(fields["reason"], Doubt.OPENING_REPEATED.value)
+        other = 3 - tag
+        for now in (1.0, 1.2):
+            self.decide(data(other, 9), now)
+        [(_, fields)] = self.lines(1.2)
+        self.assertEqual(fields["reason"], Doubt.DATA_REPEATED.value)
+
+    def test_the_metrics_count_those_that_are_doubted(self) -> None:
+        self.register(boot(1), boot(2))
+        self.tag_of(opening(FIRST_CALLER, 1))
+        self.decide(opening(FIRST_CALLER, 1, repeat=1), now=0.2)
+        text = render(families_of(self.state, {}, {}, 0, Seconds(0.3))).decode()
+        expected = 'wasabigw_servers_doubted{service="seats",failure_domain="recife"} 1'
+        self.assertIn(expected, text)
+
+
 class FrozenBalancers(SteeringCase):
     """Guards against openings that seem refused because the balancer stood still."""
 
