Split proposals, report checks and settings from the voter task

Change: proposals.py holds commands between call and commit, core/report_checks.py the decision whether a balancer may send reports, voter_settings.py the settings.

--- a/src/wasabigw/roles.py
+++ b/src/wasabigw/roles.py
@@ -21,7 +21,7 @@
 from wasabigw.tasks.control_plane import TraceSettings, make_control_plane
 from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.storage import open_storage
-from wasabigw.tasks.voter_task import VoterSettings
+from wasabigw.tasks.voter_settings import VoterSettings
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/tasks/control_plane.py
+++ b/src/wasabigw/tasks/control_plane.py
@@ -26,12 +26,8 @@
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.voter_calls import VoterMessage
 from wasabigw.tasks.voter_links import OpenLinks
-from wasabigw.tasks.voter_task import (
-    ApplyCommand,
-    VoterSettings,
-    VoterTask,
-    make_voter_task,
-)
+from wasabigw.tasks.voter_settings import VoterSettings
+from wasabigw.tasks.voter_task import ApplyCommand, VoterTask, make_voter_task
 from wasabigw.telemetry.trace_file import TraceFileTask
 from wasabigw.telemetry.tracing import make_disabled_tracer, make_tracer
 
--- /dev/null
+++ b/src/wasabigw/tasks/proposals.py
@@ -0,0 +1,124 @@
+"""Commands between their call and their commit, as a part of the voter task."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field, replace
+
+from opentelemetry import trace
+
+from wasabigw.core.cluster import Applied, Refusal
+from wasabigw.core.commands import Command
+from wasabigw.core.durations import Durations, note_duration
+from wasabigw.core.ids import RequestId, Revision, Seconds, Term
+from wasabigw.core.log_messages import LogEntry, NotLeader
+from wasabigw.core.view import NEVER
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.voter_calls import CommandAnswer, OutcomeUnknown, Overloaded
+from wasabigw.telemetry.trace_context import TraceParent
+
+MAX_PENDING_COMMANDS = 1024
+"""Proposed commands that wait for their commit; more are refused."""
+REMEMBERED_REPORTS = 4096
+"""Report ids whose outcome the leader keeps for repeated reports."""
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A proposed command whose outcome somebody may wait for.
+
+    :param report_id: under which the outcome is remembered.
+    :param term: in which it was appended to the log.
+    """
+
+    command: Command
+    reply: Mailbox[CommandAnswer] | None = None
+    report_id: RequestId | None = None
+    parent: TraceParent | None = None
+    span: trace.Span = trace.INVALID_SPAN
+    term: Term = field(default=Term(0))
+    proposed_at: Seconds = NEVER
+
+
+class Proposals:
+    """Proposals of a leader, and the outcomes of reports that may be repeated.
+
+    :ivar commit_times: from the append of a command to its commit.
+    """
+
+    def __init__(self) -> None:
+        self._collected: list[Proposal] = []
+        self._pending: dict[Revision, Proposal] = {}
+        self._reports: OrderedDict[RequestId, Applied | Refusal] = OrderedDict()
+        self.commit_times = Durations()
+
+    @property
+    def pending(self) -> int:
+        """Commands in the log that wait for their commit."""
+        return len(self._pending)
+
+    def outcome_of(self, report_id: RequestId) -> Applied | Refusal | None:
+        """Outcome of a report that was committed before."""
+        return self._reports.get(report_id)
+
+    def collect(self, proposal: Proposal) -> None:
+        """Take a proposal for the next append; refused if too many wait."""
+        if len(self._pending) + len(self._collected) >= MAX_PENDING_COMMANDS:
+            message = f"{MAX_PENDING_COMMANDS} commands wait for their commit"
+            _answer(proposal, Overloaded(message))
+            return
+        self._collected.append(proposal)
+
+    def refuse_collected(self, answer: NotLeader) -> None:
+        """Answer what was collected by a voter that is no leader now."""
+        collected, self._collected = self._collected, []
+        for proposal in collected:
+            _answer(proposal, answer)
+
+    def append_collected(
+        self, first: Revision, term: Term, now: Seconds
+    ) -> tuple[Command, ...]:
+        """Commands to append to the log, the first of them at a revision."""
+        collected, self._collected = self._collected, []
+        for position, proposal in enumerate(collected):
+            self._pending[Revision(first + position)] = replace(
+                proposal, term=term, proposed_at=now
+            )
+        return tuple(proposal.command for proposal in collected)
+
+    @property
+    def has_collected(self) -> bool:
+        """Whether anything is to be appended."""
+        return bool(self._collected)
+
+    def commit(
+        self, entry: LogEntry, outcome: Applied | Refusal, now: Seconds
+    ) -> Proposal | None:
+        """Answer whoever waits for an entry; ``None`` if it was not proposed here."""
+        proposal = self._pending.pop(entry.revision, None)
+        if proposal is None:
+            return None
+        if proposal.term != entry.term:
+            _answer(proposal, OutcomeUnknown())
+            return None
+        note_duration(self.commit_times, Seconds(now - proposal.proposed_at))
+        proposal.span.end()
+        if proposal.report_id is not None:
+            self._remember(proposal.report_id, outcome)
+        _answer(proposal, outcome)
+        return proposal
+
+    def end_leadership(self) -> None:
+        """Answer all that wait; another leader may commit their commands or not."""
+        for proposal in self._pending.values():
+            _answer(proposal, OutcomeUnknown())
+        self._pending.clear()
+        self._reports.clear()
+
+    def _remember(self, report_id: RequestId, outcome: Applied | Refusal) -> None:
+        self._reports[report_id] = outcome
+        if len(self._reports) > REMEMBERED_REPORTS:
+            self._reports.popitem(last=False)
+
+
+def _answer(proposal: Proposal, answer: CommandAnswer) -> None:
+    if proposal.reply is not None:
+        proposal.reply.post(answer)
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -1,9 +1,8 @@
 """Task of a voter: owns the data directory, the log and the replicated state."""
 
 import random
-from collections import OrderedDict
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import singledispatchmethod
 from itertools import islice
 from typing import Any
@@ -17,17 +16,9 @@
     ClusterState,
     Endpoint,
     Refusal,
-    VoterPlace,
 )
 from wasabigw.core.cluster_view import out_of_service
 from wasabigw.core.commands import (
-    BackendServerDown,
-    BackendServerDraining,
-    BackendServerOverloaded,
-    BackendServerStep,
-    BackendServerUp,
-    CandidatesAdded,
-    CandidatesReleased,
     ChangeRequest,
     Command,
     Report,
@@ -61,7 +52,7 @@
 from wasabigw.core.consensus.voters import admissions
 from wasabigw.core.copying import copy_state
 from wasabigw.core.durations import Durations, note_duration
-from wasabigw.core.ids import NodeId, RequestId, Revision, Seconds, Term
+from wasabigw.core.ids import NodeId, Revision, Seconds
 from wasabigw.core.log_messages import (
     InForce,
     LogEntry,
@@ -69,31 +60,29 @@
     NotLeader,
 )
 from wasabigw.core.orders import is_in_effect
+from wasabigw.core.report_checks import refusal_of
 from wasabigw.core.report_summary import summary
-from wasabigw.core.states import RefusalCode, VoterRole
-from wasabigw.core.timing import ANNOUNCE_LEASE, SNAPSHOT_INTERVAL
-from wasabigw.core.view import NEVER
+from wasabigw.core.states import VoterRole
+from wasabigw.core.timing import SNAPSHOT_INTERVAL
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import Tick, TimerService, monotonic
 from wasabigw.tasks.held_polls import HeldPolls
 from wasabigw.tasks.held_views import HeldViews
 from wasabigw.tasks.in_force_watch import InForceWatch
+from wasabigw.tasks.proposals import Proposal, Proposals
 from wasabigw.tasks.registration_desk import RegistrationDesk
 from wasabigw.tasks.standing import Standing
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.storage_errors import StorageError
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
-    CommandAnswer,
     ContactsChanged,
     DocumentCall,
     DocumentView,
     InForceCall,
     LinkAnswer,
     OrderCall,
-    OutcomeUnknown,
-    Overloaded,
     PeerMessage,
     PollCall,
     RegistrationCall,
@@ -107,9 +96,9 @@
     state_view,
 )
 from wasabigw.tasks.voter_links import FixedLinks, VoterLinks
+from wasabigw.tasks.voter_settings import VoterSettings
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw.telemetry.log_events import log
-from wasabigw.telemetry.trace_context import TraceParent
 from wasabigw.telemetry.tracing import begin_span, make_disabled_tracer
 
 ApplyCommand = Callable[[Command, Revision, ClusterState], Result[Applied, Refusal]]
@@ -119,55 +108,8 @@
 MEMBERSHIP_PERIOD = Seconds(0.5)
 MAX_MESSAGES_PER_BATCH = 256
 """Messages that are handled before what they propose is appended together."""
-MAX_PENDING_COMMANDS = 1024
-"""Proposed commands that wait for their commit; more are refused."""
 REOPEN_INTERVAL = Seconds(0.5)
 """How often a voter tries to open its data directory after a storage error."""
-REMEMBERED_REPORTS = 4096
-"""Report ids whose outcome the leader keeps for repeated reports."""
-
-_REPORTS_OF_HOMES = (
-    BackendServerUp
-    | BackendServerDown
-    | BackendServerStep
-    | BackendServerDraining
-    | BackendServerOverloaded
-    | CandidatesReleased
-    | CandidatesAdded
-)
-
-
-@dataclass(frozen=True, slots=True)
-class VoterSettings:
-    """Which voter this is and where the voters' control APIs are.
-
-    :param voters: endpoint of each voter, with the own one; if others may become
-        voters, of some control VMs.
-    :param wanted: number of voters that a leader sees to; ``None`` if those of the
-        settings are to be voters and no others.
-    :param place: where this control VM is, if others may become voters.
-    :param announcement_lease: how long a backend server that is reached by its tag
-        counts as present after an announcement.
-    """
-
-    node: NodeId
-    voters: Mapping[NodeId, Endpoint]
-    announcement_lease: Seconds = ANNOUNCE_LEASE
-    wanted: int | None = None
-    place: VoterPlace | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class _Waiting:
-    """A proposed command whose outcome somebody waits for."""
-
-    command: Command
-    reply: Mailbox[CommandAnswer] | None = None
-    report_id: RequestId | None = None
-    parent: TraceParent | None = None
-    span: trace.Span = trace.INVALID_SPAN
-    term: Term = field(default=Term(0))
-    proposed_at: Seconds = NEVER
 
 
 class VoterTask(Task[VoterMessage]):
@@ -204,17 +146,14 @@
         self._watch = InForceWatch(metrics, self._tracer)
         self._membership = membership.MembershipState()
         self._membership_at = Seconds(0.0)
-        self._collected: list[_Waiting] = []
-        self._pending: dict[Revision, _Waiting] = {}
+        self._proposals = Proposals()
         self._desk = RegistrationDesk(
             settings.announcement_lease, registrations, self._propose_reports
         )
-        self._reports: OrderedDict[RequestId, Applied | Refusal] = OrderedDict()
         self._peer_reply: Mailbox[Envelope] | None = None
         self._stopped = False
         self._reopen_at = Seconds(0.0)
         self._syncs = Durations()
-        self._commits = Durations()
         self._begin(storage)
 
     def _begin(self, storage: Storage) -> None:
@@ -253,20 +192,14 @@
 
     def flush(self) -> None:
         """Append all commands that were proposed since the last call."""
-        collected, self._collected = self._collected, []
-        if not collected:
+        if not self._proposals.has_collected:
             return
         if self._stopped or self._voter.role is not VoterRole.LEADER:
-            for waiting in collected:
-                _answer(waiting, self._not_leader())
+            self._proposals.refuse_collected(self._not_leader())
             return
-        first = self._voter.log.last_revision + 1
-        term, now = self._voter.term, self._clock()
-        for position, waiting in enumerate(collected):
-            self._pending[Revision(first + position)] = replace(
-                waiting, term=term, proposed_at=now
-            )
-        commands = tuple(waiting.command for waiting in collected)
+        now = self._clock()
+        first = Revision(self._voter.log.last_revision + 1)
+        commands = self._proposals.append_collected(first, self._voter.term, now)
         self._decide(Proposed(commands, now))
 
     # Messages
@@ -311,8 +244,9 @@
             message.reply.post(known)
             return
         span = begin_span(self._tracer, "control.commit", message.parent)
-        waiting = _Waiting(request, message.reply, parent=message.parent, span=span)
-        self._propose(waiting)
+        self._proposals.collect(
+            Proposal(request, message.reply, parent=message.parent, span=span)
+        )
 
     @_receive.register
     def _(self, message: ReportCall) -> None:
@@ -320,12 +254,13 @@
         if not self._is_current(self._clock()):
             message.reply.post(self._not_leader())
             return
-        known = self._reports.get(request.report_id) or self._refuse_report(message)
-        if known is not None:
-            message.reply.post(known)
+        known = self._proposals.outcome_of(request.report_id)
+        answer = known or refusal_of(request, self._cluster)
+        if answer is not None:
+            message.reply.post(answer)
             return
         batch = ReportBatch(request.reports)
-        self._propose(_Waiting(batch, message.reply, request.report_id))
+        self._proposals.collect(Proposal(batch, message.reply, request.report_id))
 
     @_receive.register
     def _(self, message: PollCall) -> None:
@@ -352,7 +287,7 @@
             applied = Applied(revision, self._cluster.configuration_revision)
             message.reply.post(applied)
         else:
-            self._propose(_Waiting(message.order, message.reply))
+            self._proposals.collect(Proposal(message.order, message.reply))
 
     @_receive.register
     def _(self, message: DocumentCall) -> None:
@@ -401,11 +336,11 @@
                 cluster.revision,
                 voter.log.last_revision - voter.committed,
                 len(voter.members),
-                len(self._pending),
+                self._proposals.pending,
                 declared.version if declared is not None else None,
                 out_of_service(cluster),
                 self._syncs,
-                self._commits,
+                self._proposals.commit_times,
             )
         )
 
@@ -569,13 +504,6 @@
         place = self._voter.place_of(name)
         return place.api if place is not None else self._settings.voters.get(name)
 
-    def _propose(self, waiting: _Waiting) -> None:
-        if len(self._pending) + len(self._collected) >= MAX_PENDING_COMMANDS:
-            message = f"{MAX_PENDING_COMMANDS} commands wait for their commit"
-            _answer(waiting, Overloaded(message))
-            return
-        self._collected.append(waiting)
-
     def _propose_membership(self, event: object) -> None:
         for decision in membership.handle(event, self._membership):
             self._propose_reports(decision.reports)
@@ -583,7 +511,7 @@
     def _propose_reports(self, reports: tuple[Report, ...]) -> None:
         kinds = ", ".join(summary(report) for report in reports)
         log(ControlEvent.PROPOSED_REPORTS, reports=kinds)
-        self._propose(_Waiting(ReportBatch(reports)))
+        self._proposals.collect(Proposal(ReportBatch(reports)))
 
     def _standing(self, now: Seconds) -> Standing:
         is_current = not self._stopped and lease.view_for(self._voter, now) > 0
@@ -595,22 +523,6 @@
             now,
         )
 
-    def _refuse_report(self, call: ReportCall) -> Refusal | None:
-        request = call.request
-        revision = self._cluster.configuration_revision
-        wrong = [r for r in request.reports if not isinstance(r, _REPORTS_OF_HOMES)]
-        if wrong:
-            message = f"{type(wrong[0]).__name__} is proposed by the leader only"
-            return Refusal(RefusalCode.INVALID, message, revision)
-        known = self._cluster.nodes.get(request.node)
-        if known is None or known.incarnation != request.incarnation:
-            message = (
-                f"balancer {request.node} is not registered with this incarnation; "
-                "poll the log and send the reports again"
-            )
-            return Refusal(RefusalCode.CONFLICT, message, revision)
-        return None
-
     def _apply_entry(self, entry: LogEntry) -> None:
         note_commit(self._commit_times, entry.revision, self._clock())
         outcome = self._apply(entry.command, entry.revision, self._cluster)
@@ -622,37 +534,18 @@
                 voter=admission.voter,
                 incarnation=admission.incarnation,
             )
-        waiting = self._pending.pop(entry.revision, None)
-        if waiting is None:
-            return
-        if waiting.term != entry.term:
-            _answer(waiting, OutcomeUnknown())
+        proposal = self._proposals.commit(entry, _value_of(outcome), self._clock())
+        if proposal is None:
             return
-        answer = _value_of(outcome)
-        note_duration(self._commits, Seconds(self._clock() - waiting.proposed_at))
-        waiting.span.end()
-        if isinstance(entry.command, ChangeRequest) and isinstance(answer, Applied):
-            self._watch.committed(entry.revision, waiting.parent, self._clock())
-        if waiting.report_id is not None:
-            self._remember_report(waiting.report_id, answer)
-        _answer(waiting, answer)
-
-    def _remember_report(
-        self, report_id: RequestId, outcome: Applied | Refusal
-    ) -> None:
-        self._reports[report_id] = outcome
-        if len(self._reports) > REMEMBERED_REPORTS:
-            self._reports.popitem(last=False)
+        if isinstance(entry.command, ChangeRequest) and isinstance(outcome, Success):
+            self._watch.committed(entry.revision, proposal.parent, self._clock())
 
     def _progress(self, revision: Revision, now: Seconds) -> tuple[NodeProgress, ...]:
         return membership.node_progress(self._membership, self._cluster, revision, now)
 
     def _end_leadership(self) -> None:
         self._watch.clear()
-        for waiting in self._pending.values():
-            _answer(waiting, OutcomeUnknown())
-        self._pending.clear()
-        self._reports.clear()
+        self._proposals.end_leadership()
         self._polls.end_leadership(self._not_leader())
 
     def _is_snapshot_due(self) -> bool:
@@ -706,11 +599,6 @@
     )
 
 
-def _answer(waiting: _Waiting, answer: CommandAnswer) -> None:
-    if waiting.reply is not None:
-        waiting.reply.post(answer)
-
-
 def _error_of(result: Result[None, StorageError]) -> StorageError | None:
     return result.failure() if isinstance(result, Failure) else None
 
--- a/src/wasabigw_measure/_capacity_control.py
+++ b/src/wasabigw_measure/_capacity_control.py
@@ -40,7 +40,7 @@
 from wasabigw.tasks.http_balancer import BalancerApiSettings, make_balancer_server
 from wasabigw.tasks.http_server import COMPRESSED_FROM, compressed
 from wasabigw.tasks.storage import bootstrap, open_storage
-from wasabigw.tasks.voter_task import VoterSettings
+from wasabigw.tasks.voter_settings import VoterSettings
 from wasabigw_measure._capacity_cluster import (
     boot_id,
     make_cluster,
--- a/src/wasabigw_verify/harness/voters.py
+++ b/src/wasabigw_verify/harness/voters.py
@@ -25,7 +25,8 @@
 from wasabigw.tasks.storage import Identity, Recovered, Storage
 from wasabigw.tasks.voter_calls import LinkAnswer, PeerMessage, VoterMessage
 from wasabigw.tasks.voter_links import FixedLinks
-from wasabigw.tasks.voter_task import TICK_PERIOD, VoterSettings, VoterTask
+from wasabigw.tasks.voter_settings import VoterSettings
+from wasabigw.tasks.voter_task import TICK_PERIOD, VoterTask
 from wasabigw_verify.harness.steps import Focus, Step
 
 if TYPE_CHECKING:
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -43,7 +43,7 @@
 from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
 from wasabigw.tasks.storage import bootstrap, open_storage
 from wasabigw.tasks.voter_calls import Overloaded
-from wasabigw.tasks.voter_task import VoterSettings
+from wasabigw.tasks.voter_settings import VoterSettings
 
 TOKEN = "secret"
 HEADERS = {"Authorization": f"Bearer {TOKEN}"}
--- a/tests/test_voter_task.py
+++ b/tests/test_voter_task.py
@@ -41,7 +41,8 @@
     StateView,
     reply_mailbox,
 )
-from wasabigw.tasks.voter_task import VoterSettings, VoterTask, make_voter_task
+from wasabigw.tasks.voter_settings import VoterSettings
+from wasabigw.tasks.voter_task import VoterTask, make_voter_task
 from wasabigw.telemetry.events_control import ControlEvent
 
 NODE = NodeId("a")
