Send callers elsewhere from a cut failure domain that can't serve them

Cause: the balancers of a failure domain that was cut off, and that had no backend server of its own for what its callers asked for, stayed ready. All openings of its callers were lost until the cut ended, although balancers elsewhere reached backend servers. Ruled out: the choice of backend servers (none that was left could be reached); late resets of open flows (they came within 0.6 s). Change: a balancer with a view that is not current, most of whose latest openings found only unanswering backend servers of other failure domains, is not ready, until its view is current or 4 s have passed. Openings without any backend server that is known to answer are logged with that reason.

--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -21,6 +21,7 @@
 
     LEAST_USED_HERE = "least used in the own failure domain"
     LEAST_USED_ELSEWHERE = "least used, the own failure domain has too few"
+    UNANSWERING = "none is known to answer"
     COLD = "only cold ones are left"
     REPEATED = "no other one is left for a repeated opening"
     OPEN = "the flow is open there"
--- a/src/wasabigw/core/tags/health.py
+++ b/src/wasabigw/core/tags/health.py
@@ -109,7 +109,7 @@
     return True
 
 
-def note_opening(breaker: Breaker, now: Seconds) -> None:
+def note_probe(breaker: Breaker, now: Seconds) -> None:
     """Note that a new flow goes to the backend server; of a silent one, a probe."""
     if breaker.failures > 0:
         breaker.paused_until = Seconds(now + PROBE_TIME)
--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -50,7 +50,10 @@
     :returns: the backend server and why, or ``None`` if there is none.
     """
     servers = [s for s in state.pools.get(service, ()) if s not in avoided]
-    answering = [s for s in servers if _may_answer(s, now)] or servers
+    answering = [s for s in servers if _may_answer(s, now)]
+    if servers and not answering:
+        chosen, _ = _least_used(servers, state)
+        return chosen, ChoiceReason.UNANSWERING
     warm = [s for s in answering if s.cold_until <= now]
     if warm:
         return _least_used(warm, state)
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -19,6 +19,7 @@
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.health import Breaker, Doubt
 from wasabigw.core.tags.packets import FlowId
+from wasabigw.core.tags.reach import Reach
 from wasabigw.core.view import NEVER
 
 ListenerKey = tuple[int, int]
@@ -91,6 +92,7 @@
     :param servers: boots by tag, with those that have ended.
     :param answer_times: from data of callers to their next acknowledgement.
     :param pools: boots of each service that may get new flows.
+    :param reach: whether callers are better served elsewhere.
     :param health_changes: for the log, which takes them out.
     """
 
@@ -107,6 +109,7 @@
     pools: dict[ServiceId, list[Server]] = field(default_factory=dict)
     flows: dict[FlowId, Flow] = field(default_factory=dict)
     answer_times: dict[ServiceId, Durations] = field(default_factory=dict)
+    reach: Reach = field(default_factory=Reach)
     health_changes: list[HealthChange] = field(default_factory=list)
 
     @property
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -4,9 +4,12 @@
 can deliver it without a table of flows. Only the opening packet needs a choice.
 """
 
+from collections.abc import Sequence
+
 from wasabigw.core.durations import Durations, note_duration
 from wasabigw.core.ids import Seconds
 from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags import reach
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
     Deliver,
@@ -22,7 +25,7 @@
     is_lost,
     note_copy,
     note_life,
-    note_opening,
+    note_probe,
     note_unanswered,
 )
 from wasabigw.core.tags.openings import (
@@ -77,12 +80,27 @@
             return Refuse(packet, RefuseReason.NO_SERVER)
         return Drop(DropReason.UNSURE_OF_SERVERS)
     server, reason = chosen
-    note_opening(server.breaker, now)
+    note_probe(server.breaker, now)
+    reach.note_opening(state.reach, _is_served(server, reason, pool, state))
     if _record(packet, server, state, now) is not None:
         note_opened(server, flow, now)
     return Deliver(packet, server.registration, reason)
 
 
+def _is_served(
+    server: Server, reason: ChoiceReason, pool: Sequence[Server], state: TagState
+) -> bool:
+    """Whether an opening goes to a backend server that may answer.
+
+    Where the own failure domain has backend servers for the service, none of which
+    answers, it is them and not the way to others that has failed.
+    """
+    if reason not in (ChoiceReason.UNANSWERING, ChoiceReason.REPEATED):
+        return True
+    home = state.failure_domain
+    return any(s.registration.failure_domain == home for s in pool)
+
+
 def _continue(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
     if packet.tag == NO_TAG:
         return Drop(DropReason.NO_TAG)
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -15,6 +15,7 @@
 from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Revision, Seconds
 from wasabigw.core.tags.decisions import Deliver, Drop, Refuse
 from wasabigw.core.tags.learning import declare, learn
+from wasabigw.core.tags.reach import age, is_away
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import decide, expire_flows, give_up, is_loss
 from wasabigw.runtime.mailbox import SelectableMailbox
@@ -92,6 +93,7 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._state = TagState(settings.node, settings.failure_domain, settings.regions)
         self._was_fresh = False
+        self._was_away = False
         self._decisions = DecisionLog(self._state)
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
@@ -208,6 +210,7 @@
     @receive.register
     def _(self, message: Tick) -> None:
         expire_flows(self._state, message.now)
+        age(self._state.reach)
         self._decisions.end_second()
         self._note_freshness(message.now)
 
@@ -228,7 +231,7 @@
         state = self._state
         return TagBalancerStatus(
             state.node,
-            state.has_view and not self._leaving,
+            state.has_view and not self._leaving and not self._note_reach(now),
             state.is_fresh(now),
             state.view.revision,
             state.declared_version,
@@ -266,6 +269,21 @@
             out_of_service=", ".join(state.view.out_of_service),
         )
 
+    def _note_reach(self, now: Seconds) -> bool:
+        """Whether callers are to be sent elsewhere; logs when this changes."""
+        state = self._state
+        away = is_away(state.reach, state.is_fresh(now), now)
+        if away != self._was_away:
+            self._was_away = away
+            event = BalancerEvent.CALLERS_AWAY if away else BalancerEvent.CALLERS_BACK
+            log(
+                event,
+                node=state.node,
+                failure_domain=state.failure_domain,
+                age=round(now - state.confirmed_at, 3),
+            )
+        return away
+
     def _note_freshness(self, now: Seconds) -> None:
         state = self._state
         fresh = state.is_fresh(now)
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -92,6 +92,19 @@
         "use other balancers",
         "None needed.",
     )
+    CALLERS_AWAY = EventDefinition(
+        2023,
+        Severity.WARNING,
+        "{node} is not ready: {failure_domain} has no backend server for most "
+        "openings, and those of others don't answer; view of age {age} s",
+        "Check the network between the failure domains; others serve the callers.",
+    )
+    CALLERS_BACK = EventDefinition(
+        2024,
+        Severity.INFO,
+        "{node} in {failure_domain} takes callers again; view of age {age} s",
+        "None needed.",
+    )
     DRAIN_TIMED_OUT = EventDefinition(
         2021,
         Severity.WARNING,
