Break the circle of types in the harness of the fault matrix

Cause: six modules of wasabigw_verify/harness imported each other, for types only, so that none could be read alone.

--- a/src/wasabigw_verify/harness/backend_servers.py
+++ b/src/wasabigw_verify/harness/backend_servers.py
@@ -2,7 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.flows import events as e
@@ -30,10 +30,7 @@
 )
 from wasabigw_verify import record as r
 from wasabigw_verify.harness.packets import ANSWER_PARTS, Ask, Packet, Part
-
-if TYPE_CHECKING:
-    from wasabigw_verify.harness.balancers import Balancer
-    from wasabigw_verify.harness.world import World
+from wasabigw_verify.harness.surroundings import BalancerProcess, Surroundings
 
 PART_INTERVAL = 0.15
 ANNOUNCE_TIMEOUT = 0.5
@@ -61,7 +58,7 @@
 
     def __init__(
         self,
-        world: "World",
+        world: Surroundings,
         name: BackendServerId,
         service: ServiceId,
         domain: FailureDomainId,
@@ -178,7 +175,7 @@
 
     # Packets
 
-    def receive(self, packet: Packet, via: "Balancer", service: ServiceId) -> None:
+    def receive(self, packet: Packet, via: BalancerProcess, service: ServiceId) -> None:
         """Handle a packet of a caller."""
         event = packet.event
         flow = event.flow
--- a/src/wasabigw_verify/harness/balancers.py
+++ b/src/wasabigw_verify/harness/balancers.py
@@ -1,7 +1,7 @@
 """Balancers: decisions of the product, with the network in place of sockets."""
 
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from wasabigw.core import backend_home, reachability
 from wasabigw.core.buckets import bucket_of
@@ -31,11 +31,9 @@
 from wasabigw_verify.harness.followers import Follower, Reporter
 from wasabigw_verify.harness.packets import Packet
 from wasabigw_verify.harness.steps import Focus, Step
+from wasabigw_verify.harness.surroundings import Surroundings
 from wasabigw_verify.harness.voters import reply_to
 
-if TYPE_CHECKING:
-    from wasabigw_verify.harness.world import World
-
 HANDOVER_ATTEMPTS = 3
 HANDOVER_RETRY = 1.0
 
@@ -43,7 +41,9 @@
 class Balancer:
     """A running balancer."""
 
-    def __init__(self, world: "World", name: NodeId, domain: FailureDomainId) -> None:
+    def __init__(
+        self, world: Surroundings, name: NodeId, domain: FailureDomainId
+    ) -> None:
         self.world = world
         self.alive = True
         self.drained = False
--- a/src/wasabigw_verify/harness/callers.py
+++ b/src/wasabigw_verify/harness/callers.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from wasabigw.core import request_events as q
 from wasabigw.core import requests
@@ -16,9 +16,7 @@
 from wasabigw.core.states import Protocol
 from wasabigw_verify import record as r
 from wasabigw_verify.harness.packets import ANSWER_PARTS, Ask, Packet, Part
-
-if TYPE_CHECKING:
-    from wasabigw_verify.harness.world import World
+from wasabigw_verify.harness.surroundings import Surroundings
 
 RETRANSMIT = 1.0
 GIVE_UP = 15.0
@@ -67,7 +65,7 @@
     closing = False
     """Whether no further requests are made."""
 
-    def __init__(self, world: "World") -> None:
+    def __init__(self, world: Surroundings) -> None:
         self.world = world
         self.sessions: dict[FlowKey, Session] = {}
         self.all: list[Session] = []
--- /dev/null
+++ b/src/wasabigw_verify/harness/disks.py
@@ -0,0 +1,42 @@
+"""Disks of control voters, in memory."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from wasabigw.core.cluster import ClusterState
+from wasabigw.core.consensus.effects import VoteRecord
+from wasabigw.core.consensus.messages import NO_TERM, Snapshot
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Term
+from wasabigw.core.log_messages import LogEntry
+
+
+class WriteFault(Enum):
+    """What becomes of the next write; the process ends with it."""
+
+    TORN = "torn"
+    NOT_SYNCED = "not-synced"
+
+
+@dataclass(slots=True)
+class Disk:
+    """What survives the end of a voter."""
+
+    incarnation: Incarnation
+    vote: VoteRecord = field(default_factory=VoteRecord)
+    snapshot: Snapshot = field(
+        default_factory=lambda: Snapshot(Revision(0), NO_TERM, ClusterState())
+    )
+    entries: list[LogEntry] = field(default_factory=list)
+    fault: WriteFault | None = None
+
+
+def founding_disks(names: Sequence[NodeId]) -> dict[NodeId, Disk]:
+    """Disks of voters that are all admitted to an empty log."""
+    incarnations = {name: Incarnation(f"{name}-disk-1") for name in names}
+    state = ClusterState(revision=Revision(1), voters=incarnations)
+    snapshot = Snapshot(Revision(1), Term(1), state)
+    vote = VoteRecord(Term(1), admitted=True)
+    return {
+        n: Disk(incarnation, vote, snapshot) for n, incarnation in incarnations.items()
+    }
--- a/src/wasabigw_verify/harness/faults.py
+++ b/src/wasabigw_verify/harness/faults.py
@@ -14,10 +14,10 @@
 from wasabigw_verify import record as r
 from wasabigw_verify.harness.backend_servers import BackendServer
 from wasabigw_verify.harness.balancers import Balancer
+from wasabigw_verify.harness.disks import WriteFault
 from wasabigw_verify.harness.operators import Operator
 from wasabigw_verify.harness.run import Injector, Run
 from wasabigw_verify.harness.steps import Focus
-from wasabigw_verify.harness.voters import WriteFault
 from wasabigw_verify.harness.world import COURSES, DOMAINS, VOTERS
 
 DOWN_TIME = 4.0
--- a/src/wasabigw_verify/harness/followers.py
+++ b/src/wasabigw_verify/harness/followers.py
@@ -1,7 +1,7 @@
 """Log polls and reports of a balancer, as its HTTP tasks do them."""
 
 from collections.abc import Hashable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from wasabigw.core.cluster import Applied, Refusal
 from wasabigw.core.commands import Report
@@ -11,19 +11,16 @@
 from wasabigw.tasks.log_follower import MIN_POLL_INTERVAL, ROUND_PAUSE
 from wasabigw.tasks.report_sender import MAX_BATCH_AGE, RETRY_PAUSE, matter_of
 from wasabigw.tasks.voter_calls import PollCall, ReportCall
+from wasabigw_verify.harness.surroundings import BalancerProcess, Surroundings
 from wasabigw_verify.harness.voters import reply_to
 
-if TYPE_CHECKING:
-    from wasabigw_verify.harness.balancers import Balancer
-    from wasabigw_verify.harness.world import World
-
 READ_TIMEOUT = LOG_POLL_WAIT + 1.0
 
 
 class ControlCaller:
     """Calls the leader; the next voter after a timeout or a refusal."""
 
-    def __init__(self, world: "World", place: str) -> None:
+    def __init__(self, world: Surroundings, place: str) -> None:
         self._world = world
         self._place = place
         self._voters = list(world.disks)
@@ -82,7 +79,7 @@
 class Follower:
     """Polls the log for a balancer."""
 
-    def __init__(self, world: "World", balancer: "Balancer") -> None:
+    def __init__(self, world: Surroundings, balancer: BalancerProcess) -> None:
         self._world = world
         self._balancer = balancer
         self._control = ControlCaller(world, balancer.name)
@@ -117,7 +114,7 @@
 class Reporter:
     """Sends the reports of a balancer, each batch with one id until it is accepted."""
 
-    def __init__(self, world: "World", balancer: "Balancer") -> None:
+    def __init__(self, world: Surroundings, balancer: BalancerProcess) -> None:
         self._world = world
         self._balancer = balancer
         self._control = ControlCaller(world, balancer.name)
--- a/src/wasabigw_verify/harness/operators.py
+++ b/src/wasabigw_verify/harness/operators.py
@@ -1,7 +1,7 @@
 """Operators, who send changes, race with each other and repeat lost ones."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from wasabigw.core.cluster import Applied, Refusal
 from wasabigw.core.commands import Change, ChangeRequest
@@ -10,9 +10,7 @@
 from wasabigw.tasks.voter_calls import ChangeCall, StateCall, StateView
 from wasabigw_verify import record as r
 from wasabigw_verify.harness.followers import ControlCaller
-
-if TYPE_CHECKING:
-    from wasabigw_verify.harness.world import World
+from wasabigw_verify.harness.surroundings import Surroundings
 
 RETRY = 0.3
 PLACE = "operators"
@@ -28,7 +26,7 @@
 
     def __init__(
         self,
-        world: "World",
+        world: Surroundings,
         change: Change,
         expected: Revision | None = None,
         answers_lost: int = 0,
--- a/src/wasabigw_verify/harness/voters.py
+++ b/src/wasabigw_verify/harness/voters.py
@@ -1,9 +1,7 @@
 """Control voters: the task of the product over a disk in memory."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, cast
 
 from returns.result import Result, Success
 
@@ -12,13 +10,12 @@
 from wasabigw.core.commands import ChangeRequest, Command
 from wasabigw.core.consensus.effects import VoteRecord
 from wasabigw.core.consensus.messages import (
-    NO_TERM,
     AppendResponse,
     Envelope,
     Snapshot,
     VoteResponse,
 )
-from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Term
+from wasabigw.core.ids import NodeId, Revision, Seconds
 from wasabigw.core.log_messages import LogEntry
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick
@@ -27,10 +24,9 @@
 from wasabigw.tasks.voter_links import FixedLinks
 from wasabigw.tasks.voter_settings import VoterSettings
 from wasabigw.tasks.voter_task import TICK_PERIOD, VoterTask
+from wasabigw_verify.harness.disks import Disk, WriteFault
 from wasabigw_verify.harness.steps import Focus, Step
-
-if TYPE_CHECKING:
-    from wasabigw_verify.harness.world import World
+from wasabigw_verify.harness.surroundings import Surroundings
 
 LINK_TIMEOUT = 1.5
 """Seconds after which an unanswered request makes a link open a new connection."""
@@ -40,37 +36,6 @@
     """The process ended in the middle of a write."""
 
 
-class WriteFault(Enum):
-    """What becomes of the next write; the process ends with it."""
-
-    TORN = "torn"
-    NOT_SYNCED = "not-synced"
-
-
-@dataclass(slots=True)
-class Disk:
-    """What survives the end of a voter."""
-
-    incarnation: Incarnation
-    vote: VoteRecord = field(default_factory=VoteRecord)
-    snapshot: Snapshot = field(
-        default_factory=lambda: Snapshot(Revision(0), NO_TERM, ClusterState())
-    )
-    entries: list[LogEntry] = field(default_factory=list)
-    fault: WriteFault | None = None
-
-
-def founding_disks(names: Sequence[NodeId]) -> dict[NodeId, Disk]:
-    """Disks of voters that are all admitted to an empty log."""
-    incarnations = {name: Incarnation(f"{name}-disk-1") for name in names}
-    state = ClusterState(revision=Revision(1), voters=incarnations)
-    snapshot = Snapshot(Revision(1), Term(1), state)
-    vote = VoteRecord(Term(1), admitted=True)
-    return {
-        n: Disk(incarnation, vote, snapshot) for n, incarnation in incarnations.items()
-    }
-
-
 class MemoryStorage:
     """Data directory on a :class:`Disk`; writes may fail as the disk says."""
 
@@ -135,7 +100,7 @@
 class Voter:
     """A running control voter."""
 
-    def __init__(self, world: "World", node: NodeId, disk: Disk) -> None:
+    def __init__(self, world: Surroundings, node: NodeId, disk: Disk) -> None:
         self.world = world
         self.node = node
         self.disk = disk
--- a/src/wasabigw_verify/harness/world.py
+++ b/src/wasabigw_verify/harness/world.py
@@ -24,10 +24,12 @@
 from wasabigw_verify.harness.backend_servers import BackendServer
 from wasabigw_verify.harness.balancers import Balancer
 from wasabigw_verify.harness.callers import Callers
+from wasabigw_verify.harness.disks import Disk, founding_disks
 from wasabigw_verify.harness.network import Network
 from wasabigw_verify.harness.packets import Packet
 from wasabigw_verify.harness.steps import Focus, Step
-from wasabigw_verify.harness.voters import Disk, Voter, founding_disks
+from wasabigw_verify.harness.surroundings import BalancerProcess
+from wasabigw_verify.harness.voters import Voter
 
 DOMAINS = tuple(FailureDomainId(name) for name in ("recife", "fortaleza", "salvador"))
 SEATS, COURSES = ServiceId("seats"), ServiceId("courses")
@@ -119,7 +121,7 @@
         leader = self.leader()
         self.reached(Step.CHANGE_PROPOSED, Focus(voter=leader))
 
-    def note_packet_step(self, packet: Packet, balancer: Balancer) -> None:
+    def note_packet_step(self, packet: Packet, balancer: BalancerProcess) -> None:
         """A packet reached its first balancer."""
         event = packet.event
         backend_server = getattr(event, "backend_server", None)
@@ -219,7 +221,7 @@
         self._gone.append(balancer)
         self.add(r.NodeStopped(self.network.now, name, planned))
 
-    def stop_drained(self, balancer: Balancer) -> None:
+    def stop_drained(self, balancer: BalancerProcess) -> None:
         """Stop a balancer that has handed everything over."""
 
         def stop() -> None:
@@ -263,7 +265,9 @@
         if balancer.alive:
             balancer.receive(packet)
 
-    def to_backend_server(self, via: Balancer, target: Target, packet: Packet) -> None:
+    def to_backend_server(
+        self, via: BalancerProcess, target: Target, packet: Packet
+    ) -> None:
         """Send a packet to the backend server at an address."""
         service = self.service_of(packet.event.flow)
         for server in self.backend_servers.values():
@@ -273,7 +277,7 @@
                     via.name, server.name, _receive(server, packet, via, service)
                 )
 
-    def to_caller(self, via: Balancer, packet: Packet) -> None:
+    def to_caller(self, via: BalancerProcess, packet: Packet) -> None:
         """Send an answer to its caller."""
         session = self.callers.sessions.get(packet.event.flow)
         if session is not None:
@@ -281,7 +285,7 @@
                 via.name, session.place, lambda: self.callers.receive(packet)
             )
 
-    def refuse(self, via: Balancer, packet: Packet) -> None:
+    def refuse(self, via: BalancerProcess, packet: Packet) -> None:
         """Send a reset to the sender of a packet."""
         flow = packet.event.flow
         session = self.callers.sessions.get(flow)
@@ -317,6 +321,6 @@
 
 
 def _receive(
-    server: BackendServer, packet: Packet, via: Balancer, service: ServiceId
+    server: BackendServer, packet: Packet, via: BalancerProcess, service: ServiceId
 ) -> Callable[[], None]:
     return lambda: server.receive(packet, via, service) if server.alive else None
--- a/src/wasabigw_verify/sessions/deployed.py
+++ b/src/wasabigw_verify/sessions/deployed.py
@@ -10,11 +10,11 @@
 from wasabigw.core.commands import Change
 from wasabigw.core.ids import NodeId, Revision, ServiceId
 from wasabigw.tasks import voter_task
-from wasabigw_verify.harness.balancers import Balancer
 from wasabigw_verify.harness.callers import Session
 from wasabigw_verify.harness.operators import Operator
 from wasabigw_verify.harness.packets import Packet
 from wasabigw_verify.harness.steps import Focus, Step
+from wasabigw_verify.harness.surroundings import BalancerProcess
 from wasabigw_verify.harness.world import VOTERS, World
 from wasabigw_verify.sessions.deployments import (
     BACKEND_SERVERS,
@@ -117,7 +117,7 @@
         if self.on_applied is not None:
             self.on_applied(node, revision, state)
 
-    def refuse(self, via: Balancer, packet: Packet) -> None:
+    def refuse(self, via: BalancerProcess, packet: Packet) -> None:
         """Send a reset to the sender of a packet."""
         if packet.opens:
             self.refusals[self.service_of(packet.event.flow)] += 1
