--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -76,15 +76,7 @@
                 for service, durations in sorted(state.answer_times.items())
             ),
         ),
-        Family(
-            "wasabigw_flows_open",
-            MetricKind.GAUGE,
-            "Flows that this balancer carries",
-            tuple(
-                Sample(n, {"service": service, "failure_domain": domain})
-                for (service, domain), n in sorted(flows.items())
-            ),
-        ),
+        _by_service("wasabigw_flows_open", "Flows that this balancer carries", flows),
         Family(
             "wasabigw_boots",
             MetricKind.GAUGE,
@@ -94,14 +86,10 @@
                 for (s, d, shown), n in sorted(boots.items())
             ),
         ),
-        Family(
+        _by_service(
             "wasabigw_servers_doubted",
-            MetricKind.GAUGE,
             "Backend servers that get no new flows but for probes",
-            tuple(
-                Sample(n, {"service": service, "failure_domain": domain})
-                for (service, domain), n in sorted(doubted.items())
-            ),
+            doubted,
         ),
         out_of_service(state.view.out_of_service),
         gauge("wasabigw_view_revision", "Revision of the view", state.view.revision),
@@ -116,6 +104,17 @@
     ]
 
 
+def _by_service(
+    name: str, text: str, counts: Mapping[tuple[ServiceId, FailureDomainId], int]
+) -> Family:
+    """Gauge for each service and failure domain."""
+    samples = tuple(
+        Sample(n, {"service": service, "failure_domain": domain})
+        for (service, domain), n in sorted(counts.items())
+    )
+    return Family(name, MetricKind.GAUGE, text, samples)
+
+
 def state_of(boot: Registration) -> str:
     """State of a boot as logs and metrics show it."""
     is_silent = boot.silent and boot.state is RegistrationState.SERVING
