Count the bytes that a balancer spends on views

Change: the client counts what it sends and receives; the metric wasabigw_control_bytes_total and the line at a planned stop show it.

--- a/src/wasabigw/tasks/light_http.py
+++ b/src/wasabigw/tasks/light_http.py
@@ -226,9 +226,13 @@
 
 
 class LightClient(AbstractContextManager["LightClient"]):
-    """Connection to one server at a time; owned by one task."""
+    """Connection to one server at a time; owned by one task.
+
+    :ivar traffic: bytes of all requests and answers.
+    """
 
     def __init__(self) -> None:
+        self.traffic = 0
         self._server: Endpoint | None = None
         self._socket: socket.socket | None = None
         self._http = h11.Connection(h11.CLIENT)
@@ -286,6 +290,7 @@
         )
         sock.settimeout(read_timeout)
         sock.sendall(data)
+        self.traffic += len(data)
         return self._answer(sock)
 
     def _connected(self, server: Endpoint, timeout: Seconds) -> socket.socket:
@@ -306,7 +311,9 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(sock.recv(RECEIVE_BYTES))
+                received = sock.recv(RECEIVE_BYTES)
+                self.traffic += len(received)
+                self._http.receive_data(received)
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
--- a/src/wasabigw/tasks/tag_balancer.py
+++ b/src/wasabigw/tasks/tag_balancer.py
@@ -64,6 +64,7 @@
     def __init__(self, settings: TagBalancerSettings) -> None:
         super().__init__()
         self._settings = settings
+        self._started = monotonic()
         self._packets: TagPacketTask | None = None
         self._follower: ViewFollower | None = None
 
@@ -83,7 +84,14 @@
         begun = monotonic()
         node = self._settings.packets.node
         timeout = self._settings.leave_timeout
-        log(BalancerEvent.LEAVING, node=node, seconds=timeout)
+        status = self._status()
+        log(
+            BalancerEvent.LEAVING,
+            node=node,
+            seconds=timeout,
+            ran=round(begun - self._started, 1),
+            control_bytes=status.control_traffic if status is not None else None,
+        )
         self.mailbox.post(BeginLeaving())
         pause: Mailbox[None] = Mailbox("leave pause")
         while (passed := monotonic() - begun) < timeout:
@@ -92,12 +100,15 @@
                 return
 
     def _is_quiet(self) -> bool:
+        status = self._status()
+        return status is not None and status.idle_for >= LEAVE_QUIET
+
+    def _status(self) -> TagBalancerStatus | None:
+        """State of the packet task; ``None`` if it does not answer in time."""
         reply: Mailbox[TagBalancerStatus] = Mailbox("status", capacity=1)
         self.mailbox.post(TagStatusRequest(reply))
         outcome = reply.get(STATUS_TIMEOUT)
-        return isinstance(outcome, Success) and (
-            outcome.unwrap().idle_for >= LEAVE_QUIET
-        )
+        return outcome.unwrap() if isinstance(outcome, Success) else None
 
     def _start(self, stack: ExitStack) -> None:
         settings = self._settings
--- a/src/wasabigw/tasks/tag_messages.py
+++ b/src/wasabigw/tasks/tag_messages.py
@@ -16,6 +16,7 @@
     :param ready: whether it carries packets and will go on to.
     :param fresh: whether its view is known to be current.
     :param idle_for: time since the last packet of a caller.
+    :param control_traffic: bytes of polls for views since the start.
     :param counts: packets since the start by what became of them.
     """
 
@@ -26,6 +27,7 @@
     declared_version: int | None
     flows: int
     idle_for: Seconds
+    control_traffic: int
     counts: Mapping[str, int]
 
 
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -37,12 +37,14 @@
     decisions: Mapping[DecisionKey, int],
     packets: Mapping[str, int],
     left_out: int,
+    control_traffic: int,
     now: Seconds,
 ) -> list[Family]:
     """Metrics of a balancer.
 
     :param packets: by what became of them.
     :param left_out: lines of the log that the budget did not allow.
+    :param control_traffic: bytes of polls for views since the start.
     """
     flows: Counter[tuple[ServiceId, FailureDomainId]] = Counter()
     boots: Counter[tuple[ServiceId, FailureDomainId, str]] = Counter()
@@ -100,6 +102,12 @@
             state.is_fresh(now),
         ),
         declared_version(state.declared_version),
+        Family(
+            "wasabigw_control_bytes_total",
+            MetricKind.COUNTER,
+            "Bytes of polls for views and of their answers",
+            (Sample(control_traffic),),
+        ),
         gauge("wasabigw_log_lines_left_out", "Lines beyond the budget", left_out),
     ]
 
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -98,6 +98,7 @@
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
         self._leaving = False
+        self._control_traffic = 0
         self._server = LightServer(
             settings.questions, self._selector, self._answer_question
         )
@@ -187,6 +188,7 @@
     @receive.register
     def _(self, message: ViewReceived) -> None:
         state, now = self._state, monotonic()
+        self._control_traffic = message.traffic
         is_first = not state.has_view
         before = state.view.revision
         if learn(message.update, message.sent_at, state, now):
@@ -223,6 +225,7 @@
             self._decisions.decisions,
             self._counts,
             self._decisions.left_out,
+            self._control_traffic,
             monotonic(),
         )
 
@@ -237,6 +240,7 @@
             state.declared_version,
             len(state.flows),
             Seconds(now - self._last_packet),
+            self._control_traffic,
             dict(self._counts),
         )
 
--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -45,11 +45,13 @@
     """A source answered a poll.
 
     :param sent_at: when the poll was sent, by the clock of this process.
+    :param traffic: bytes of all polls and answers since the start of the process.
     """
 
     update: ViewUpdate
     source: Endpoint
     sent_at: Seconds
+    traffic: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +144,7 @@
         if self._followed != source and update.fresh_for > 0:
             self._followed = source
             log(HttpEvent.SOURCE_FOUND, address=source.address, port=source.port)
-        received = ViewReceived(update, source, sent_at)
+        received = ViewReceived(update, source, sent_at, self._client.traffic)
         if isinstance(self._receiver.post(received), Failure):
             log(HttpEvent.MAILBOX_FULL, mailbox=self._receiver.name)
             return
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -89,7 +89,7 @@
         2022,
         Severity.INFO,
         "{node} stops; it carries packets for up to {seconds:.1f} s until the routers "
-        "use other balancers",
+        "use other balancers; {control_bytes} bytes for views in {ran} s",
         "None needed.",
     )
     CALLERS_AWAY = EventDefinition(
--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -67,7 +67,7 @@
         ):
             with mock.patch("wasabigw.tasks.decision_log.log"):
                 log.note(packet, self.decide(packet, now), Seconds(now))  # type: ignore[arg-type]
-        families = families_of(self.state, log.decisions, {}, 0, Seconds(2.0))
+        families = families_of(self.state, log.decisions, {}, 0, 4321, Seconds(2.0))
         return render(families).decode()
 
     def test_decisions_answers_and_boots(self) -> None:
@@ -80,6 +80,7 @@
             'wasabigw_answer_seconds_count{service="seats"} 1',
             'wasabigw_answer_seconds_bucket{service="seats",le="0.25"} 1',
             'wasabigw_boots{service="seats",failure_domain="recife",state="silent"} 1',
+            "wasabigw_control_bytes_total 4321",
         ):
             self.assertIn(expected, text)
 
--- a/tests/test_refused_openings.py
+++ b/tests/test_refused_openings.py
@@ -141,7 +141,7 @@
         self.register(boot(1), boot(2))
         self.tag_of(opening(FIRST_CALLER, 1))
         self.decide(opening(FIRST_CALLER, 1, repeat=1), now=0.2)
-        text = render(families_of(self.state, {}, {}, 0, Seconds(0.3))).decode()
+        text = render(families_of(self.state, {}, {}, 0, 0, Seconds(0.3))).decode()
         expected = 'wasabigw_servers_doubted{service="seats",failure_domain="recife"} 1'
         self.assertIn(expected, text)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -86,6 +86,14 @@
         connections = {id(r.connection) for r in self.requests}
         self.assertEqual(len(connections), 1)
 
+    def test_the_client_counts_the_bytes_of_both_directions(self) -> None:
+        with LightClient() as client:
+            self.get(client, "/a")
+            first = client.traffic
+            self.get(client, "/large")
+            self.assertGreater(first, len("GET /a HTTP/1.1") + len("HTTP/1.1 200"))
+            self.assertGreater(client.traffic - first, 3_000_000)
+
     def test_a_large_answer_arrives_whole(self) -> None:
         with LightClient() as client:
             self.assertEqual(len(self.get(client, "/large").unwrap()), 3_000_000)
