Keep openings with the backend servers that may get new flows

Cause: if no other backend server was left, an opening went to those that had not answered the caller's earlier ones. The same way led a repeated opening back to a backend server that drained or was out of service meanwhile, also before. Ruled out: the view (the tag was known and of the other service), addresses used again (the packet named the backend server that took it). Change: what is left is taken from the backend servers that may get new flows of the service. Two tests failed before.

--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -46,10 +46,11 @@
 ) -> tuple[Server, ChoiceReason] | None:
     """Backend server with the fewest flows for its share of them.
 
-    :param avoided: have not answered earlier openings of the caller.
+    :param avoided: have not answered earlier openings of the caller, of any service.
     :returns: the backend server and why, or ``None`` if there is none.
     """
-    servers = [s for s in state.pools.get(service, ()) if s not in avoided]
+    pool = state.pools.get(service, ())
+    servers = [s for s in pool if s not in avoided]
     answering = [s for s in servers if _may_answer(s, now)]
     if servers and not answering:
         chosen, _ = _least_used(servers, state)
@@ -60,8 +61,8 @@
     if answering:
         chosen, _ = _least_used(answering, state)
         return chosen, ChoiceReason.COLD
-    if avoided:
-        chosen, _ = _least_used(avoided, state)
+    if pool:
+        chosen, _ = _least_used(pool, state)
         return chosen, ChoiceReason.REPEATED
     return None
 
--- a/tests/test_refused_openings.py
+++ b/tests/test_refused_openings.py
@@ -4,9 +4,27 @@
 from typing import Any
 from unittest import mock
 
-from tests.test_tag_steering import FORTALEZA, LISTENER, SteeringCase, boot, data
+from tests.test_tag_steering import (
+    DOCUMENTS,
+    FORTALEZA,
+    LISTENER,
+    SEATS,
+    SteeringCase,
+    boot,
+    data,
+)
+from wasabigw.core.declaration import (
+    Declaration,
+    DeclaredService,
+    Listener,
+    ServiceShare,
+)
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import RegionId, Seconds, Tag
+from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.decisions import Refuse, RefuseReason
 from wasabigw.core.tags.health import Doubt
+from wasabigw.core.tags.learning import declare
 from wasabigw.core.tags.openings import OPENING_TIMEOUT
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
@@ -100,6 +118,45 @@
         self.assertEqual(tags, {3, 4})
 
 
+class OtherServices(SteeringCase):
+    """Guards against flows for a backend server of another service.
+
+    A caller had an unanswered opening at one service when it opened a flow to another
+    one without usable backend servers; the flow went to the first service.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        seats = Listener(
+            Endpoint("198.18.0.1", 443), (ServiceShare(SEATS, 1),), Seconds(3.0)
+        )
+        documents = Listener(
+            Endpoint("198.18.0.1", 80), (ServiceShare(DOCUMENTS, 1),), Seconds(3.0)
+        )
+        services = (DeclaredService(SEATS), DeclaredService(DOCUMENTS))
+        declare(Declaration(2, (seats, documents), services), self.state)
+
+    def open_documents(self, now: float) -> object:
+        flow = FlowId(FIRST_CALLER, 9, LISTENER, 80)
+        packet = FlowPacket(flow, Tag(0), True, False, False, 0, 100, 0, 0)
+        return self.decide(packet, now)
+
+    def test_an_opening_stays_with_its_service(self) -> None:
+        self.register(boot(1))
+        self.decide(opening(FIRST_CALLER, 1))
+        decision = self.open_documents(now=0.05)
+        assert isinstance(decision, Refuse), decision
+        self.assertIs(decision.reason, RefuseReason.NO_SERVER)
+
+    def test_one_that_drains_gets_no_repeated_opening(self) -> None:
+        self.register(boot(1))
+        self.decide(opening(FIRST_CALLER, 1))
+        self.register(boot(1, state=RegistrationState.DRAINING))
+        decision = self.decide(opening(FIRST_CALLER, 1, repeat=1), now=0.2)
+        assert isinstance(decision, Refuse), decision
+        self.assertIs(decision.reason, RefuseReason.NO_SERVER)
+
+
 class HealthLines(SteeringCase):
     """Guards against backend servers that get no flows for a reason that no log has."""
 
