Pace the packets of a balancer at the rate of its link, with fair queues

Cause: a balancer with a link of 1.55 Mbit/s passed on a caller's burst of 16 packets within 5 ms. The caller repeats the whole window after 0.2 s, the copies fill the link again, and copies without an answer were taken for a lost backend server, whose flows were reset (rule FLOW).

Copies of data that waits replace it, and are no evidence against a backend server. Data more than a window ahead of earlier data shows that a backend server receives an upload.

--- a/src/wasabigw/core/tags/packets.py
+++ b/src/wasabigw/core/tags/packets.py
@@ -8,6 +8,11 @@
 """Tag of a packet whose caller has not received a tag yet."""
 
 
+MAX_UNACKNOWLEDGED_BYTES = 16 * 1200
+"""Most bytes that an end of a flow sends before they are acknowledged."""
+SEQUENCE_NUMBERS = 2**32
+
+
 class FlowId(NamedTuple):
     """Both endpoints of a flow; IPv4 addresses are integers."""
 
@@ -33,3 +38,9 @@
     sequence: int
     acknowledged: int
     length: int
+
+
+def sequence_distance(start: int, end: int) -> int:
+    """How far ``end`` is ahead of ``start``; negative if it is behind."""
+    distance = (end - start) % SEQUENCE_NUMBERS
+    return distance - SEQUENCE_NUMBERS if distance > SEQUENCE_NUMBERS // 2 else distance
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -19,6 +19,7 @@
 )
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.caller_diversion import Diversion
+from wasabigw.core.tags.egress import EgressQueue
 from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.view_lease import NEVER
@@ -50,7 +51,7 @@
     :param is_open: whether the caller has sent a packet after its opening.
     :param acknowledged: latest acknowledgement of the caller.
     :param pending_sequence: sequence number of the data that waits for an answer.
-    :param pending_since: when that data was first seen.
+    :param pending_since: when that data was first sent to the backend server.
     :param retransmissions: how often that data was seen again.
     """
 
@@ -99,6 +100,7 @@
         oldest first.
     :param answer_times: times from data of callers to their next acknowledgement.
     :param diversion: whether callers are sent to other failure domains.
+    :param egress: packets that wait for the link of this balancer.
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
     """
@@ -118,6 +120,7 @@
     pending_openings: dict[FlowId, Opening] = field(default_factory=dict)
     answer_times: dict[ServiceId, Durations] = field(default_factory=dict)
     diversion: Diversion = field(default_factory=Diversion)
+    egress: EgressQueue = field(default_factory=EgressQueue)
     health_changes: list[HealthChange] = field(default_factory=list)
 
     @property
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -19,6 +19,7 @@
     RefusalReason,
     Refuse,
 )
+from wasabigw.core.tags.egress import is_waiting
 from wasabigw.core.tags.health import (
     FailureSignal,
     is_failure_confirmed,
@@ -34,7 +35,13 @@
     record_opening,
     tried_servers,
 )
-from wasabigw.core.tags.packets import NO_TAG, FlowId, FlowPacket
+from wasabigw.core.tags.packets import (
+    MAX_UNACKNOWLEDGED_BYTES,
+    NO_TAG,
+    FlowId,
+    FlowPacket,
+    sequence_distance,
+)
 from wasabigw.core.tags.selection import choose_server, service_of
 from wasabigw.core.tags.state import Flow, HealthChange, Server, TagState
 
@@ -67,6 +74,8 @@
     if known is not None:
         if known.is_open:
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
+        if is_waiting(state.egress, packet):
+            return Deliver(packet, known.server.registration)
         if known.server not in avoided:
             avoided.append(known.server)
         _record_unanswered(
@@ -148,13 +157,15 @@
     """Record data of an open flow; ``True`` if its backend server is unreachable."""
     if packet.length == 0:
         return False
+    if is_waiting(state.egress, packet):
+        # The backend server has not been sent the first copy yet.
+        return False
     breaker = flow.server.breaker
     if flow.pending_sequence is None:
-        flow.pending_sequence, flow.pending_since, flow.retransmissions = (
-            packet.sequence,
-            now,
-            0,
-        )
+        _expect_answer(flow, packet.sequence, now)
+    elif _shows_progress(packet, flow.pending_sequence):
+        _record_response(flow.server, state, now)
+        _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
         flow.retransmissions += 1
         caller = packet.flow.caller
@@ -169,6 +180,39 @@
     return is_unreachable(breaker, flow.pending_since, now)
 
 
+def _expect_answer(flow: Flow, sequence: int, now: Seconds) -> None:
+    flow.pending_sequence = sequence
+    flow.pending_since = now
+    flow.retransmissions = 0
+
+
+def _shows_progress(packet: FlowPacket, pending_sequence: int) -> bool:
+    """Whether data is so far ahead that earlier data must have been acknowledged.
+
+    During an upload nothing else shows that the backend server is alive: it sends
+    acknowledgements, which the balancer does not see, and no data.
+    """
+    ahead = sequence_distance(pending_sequence, packet.sequence)
+    return ahead + packet.length > MAX_UNACKNOWLEDGED_BYTES
+
+
+def record_release(packet: FlowPacket, state: TagState, now: Seconds) -> None:
+    """Record that a packet is sent to its backend server after it has waited.
+
+    The time that a packet waits for the link is no evidence against the backend server.
+    """
+    flow = state.flows.get(packet.flow)
+    if flow is None:
+        return
+    if packet.is_opening:
+        if not flow.is_open:
+            flow.opened_at = now
+            discard_opening(packet.flow, state)
+            record_opening(packet.flow, flow.server, state, now)
+    elif packet.length and packet.sequence == flow.pending_sequence:
+        _expect_answer(flow, packet.sequence, now)
+
+
 def is_server_lost(decision: PacketDecision) -> bool:
     """Whether a packet is refused because its backend server is unreachable."""
     return isinstance(decision, Refuse) and decision.reason is RefusalReason.SERVER_LOST
@@ -225,12 +269,16 @@
             service = server.registration.service
             times = state.answer_times.setdefault(service, Durations())
             record_duration(times, Seconds(now - known.pending_since))
-        silent_for = Seconds(now - server.breaker.last_response_at)
-        if record_response(server.breaker, now):
-            state.health_changes.append(HealthChange(server, None, silent_for))
+        _record_response(server, state, now)
     return known
 
 
+def _record_response(server: Server, state: TagState, now: Seconds) -> None:
+    silent_for = Seconds(now - server.breaker.last_response_at)
+    if record_response(server.breaker, now):
+        state.health_changes.append(HealthChange(server, None, silent_for))
+
+
 def _add_flow(
     packet: FlowPacket, server: Server, state: TagState, now: Seconds
 ) -> Flow | None:
--- a/src/wasabigw/runtime/selector_task.py
+++ b/src/wasabigw/runtime/selector_task.py
@@ -4,6 +4,7 @@
 from contextlib import ExitStack
 from types import TracebackType
 
+from wasabigw.core.ids import Seconds
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.task import Message, Stop, Task
 
@@ -36,11 +37,23 @@
         """Wait for sockets and messages until :class:`Stop` arrives."""
         self._selector.register(self._selectable, selectors.EVENT_READ, None)
         while True:
-            for key, events in self._selector.select():
+            for key, events in self._selector.select(self._time_to_next()):
                 if key.data is not None:
                     key.data(events)
                 elif self._receive_messages():
                     return
+            self._handle_due()
+
+    def _time_to_next(self) -> Seconds | None:
+        """Longest time to wait; ``None`` if the task has no deadline of its own.
+
+        Deadlines of a few milliseconds that change with each packet are kept here, as
+        a message of the timer service costs more than a packet.
+        """
+        return None
+
+    def _handle_due(self) -> None:
+        """Handle what is due; called after each wait."""
 
     def _receive_messages(self) -> bool:
         """Handle the queued messages; ``True`` if :class:`Stop` is among them."""
--- a/src/wasabigw/tasks/tag_balancer.py
+++ b/src/wasabigw/tasks/tag_balancer.py
@@ -102,7 +102,11 @@
 
     def _is_idle(self) -> bool:
         status = self._status()
-        return status is not None and status.idle_for >= DRAIN_IDLE_TIME
+        return (
+            status is not None
+            and status.idle_for >= DRAIN_IDLE_TIME
+            and status.waiting_bytes == 0
+        )
 
     def _status(self) -> TagBalancerStatus | None:
         """State of the packet task; ``None`` if it does not respond in time."""
--- a/src/wasabigw/tasks/tag_messages.py
+++ b/src/wasabigw/tasks/tag_messages.py
@@ -18,6 +18,7 @@
     :param declared_version: version of the declared configuration in use, if any.
     :param flows: number of flows that it tracks.
     :param idle_for: time since the last packet of a caller.
+    :param waiting_bytes: bytes of packets that wait for the link.
     :param control_traffic: bytes of view polls and their responses since the start.
     :param counts: packets since the start, by outcome.
     """
@@ -29,6 +30,7 @@
     declared_version: int | None
     flows: int
     idle_for: Seconds
+    waiting_bytes: int
     control_traffic: int
     counts: Mapping[str, int]
 
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -109,6 +109,11 @@
             "Bytes of polls for views and of their answers",
             (Sample(control_traffic),),
         ),
+        gauge(
+            "wasabigw_link_queue_bytes",
+            "Bytes of packets that wait for the link of this balancer",
+            state.egress.size,
+        ),
         gauge("wasabigw_log_lines_left_out", "Lines beyond the budget", suppressed),
     ]
 
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -14,12 +14,23 @@
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Revision, Seconds
 from wasabigw.core.tags.caller_diversion import decay_counts, should_divert
-from wasabigw.core.tags.decisions import Deliver, Drop, Refuse
+from wasabigw.core.tags.decisions import Deliver, Drop, DropReason, Refuse
+from wasabigw.core.tags.egress import (
+    Admission,
+    Datagram,
+    make_egress_queue,
+    queue_time,
+    release,
+    submit,
+    time_to_release,
+)
+from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import (
     decide,
     expire_flows,
     is_server_lost,
+    record_release,
     refuse_open_flows,
 )
 from wasabigw.core.tags.updates import apply_declaration, apply_view_update
@@ -56,6 +67,9 @@
 MAINTENANCE_PERIOD = Seconds(1.0)
 """Period of the tick that expires idle flows and resets the budget of log lines."""
 
+LONG_QUEUE_TIME = Seconds(0.2)
+"""Queue time that is logged; callers begin to retransmit data that waits longer."""
+
 MAX_LOGGED_BOOTS = 20
 """Maximum number of boots named in the log line of a view change."""
 
@@ -68,6 +82,7 @@
     :param status_endpoint: HTTP endpoint at which routers query the state.
     :param respond_status: responds to such a query.
     :param metrics: HTTP endpoint of the metrics; ``None`` if they are not served.
+    :param link_megabits: capacity of the link in Mbit/s; ``None`` if it is not known.
     """
 
     node: NodeId
@@ -79,6 +94,7 @@
     status_endpoint: Endpoint
     respond_status: StatusResponder
     metrics: Endpoint | None = None
+    link_megabits: float | None = None
 
 
 class TagPacketTask(SelectorTask[TagTaskMessage]):
@@ -96,9 +112,15 @@
         super().__init__("packets", mailbox)
         self._settings = settings
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._state = TagState(settings.node, settings.failure_domain, settings.regions)
+        self._state = TagState(
+            settings.node,
+            settings.failure_domain,
+            settings.regions,
+            egress=make_egress_queue(settings.link_megabits),
+        )
         self._was_fresh = False
         self._was_diverting = False
+        self._was_queueing = False
         self._decision_log = DecisionLog(self._state)
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
@@ -165,11 +187,37 @@
         self._decision_log.log_decision(packet, decision, now)
         if self._state.health_changes:
             self._decision_log.log_health_changes(now)
-        _execute(decision, datagram, self)
+        _execute(decision, datagram, now, self)
         if is_server_lost(decision):
             for refusal in refuse_open_flows(packet, self._state):
                 self._decision_log.log_decision(refusal.packet, refusal, now)
-                _execute(refusal, datagram, self)
+                _execute(refusal, datagram, now, self)
+
+    def deliver(self, packet: FlowPacket, datagram: Datagram, now: Seconds) -> None:
+        """Send a packet to its backend server as soon as the link can take it."""
+        admission = submit(self._state.egress, packet, datagram, now)
+        if admission is Admission.SEND:
+            self._send_to_server(datagram)
+        elif admission is Admission.REJECTED:
+            drop = Drop(DropReason.LINK_FULL)
+            self._decision_log.log_decision(packet, drop, now)
+            self.count(f"dropped-{drop.reason.value}")
+        elif admission is Admission.REPLACED:
+            self.count("replaced")
+
+    def _time_to_next(self) -> Seconds | None:
+        return time_to_release(self._state.egress, monotonic())
+
+    def _handle_due(self) -> None:
+        if self._state.egress.is_empty:
+            return
+        now = monotonic()
+        for waiting in release(self._state.egress, now):
+            record_release(waiting.packet, self._state, now)
+            self._send_to_server(waiting.datagram)
+
+    def _send_to_server(self, datagram: Datagram) -> None:
+        self.send(datagram.data, (datagram.address, datagram.port), "delivered")
 
     def send(self, datagram: bytes, address: Address, outcome: str) -> None:
         """Send a datagram and count its outcome."""
@@ -223,6 +271,7 @@
         decay_counts(self._state.diversion)
         self._decision_log.reset_budget()
         self._log_freshness_change(message.now)
+        self._log_queue_change()
 
     def _respond_status(self, request: LightRequest) -> None:
         self._settings.respond_status(request, self._status())
@@ -248,6 +297,7 @@
             state.declared_version,
             len(state.flows),
             Seconds(now - self._last_packet),
+            state.egress.size,
             self._control_traffic,
             dict(self._counts),
         )
@@ -298,6 +348,23 @@
             )
         return diverts
 
+    def _log_queue_change(self) -> None:
+        """Log when packets begin to wait long for the link, and when none waits."""
+        egress, node = self._state.egress, self._state.node
+        wait = queue_time(egress)
+        if not self._was_queueing and wait >= LONG_QUEUE_TIME:
+            self._was_queueing = True
+            log(
+                BalancerEvent.LINK_QUEUE,
+                node=node,
+                wait=round(wait, 3),
+                bytes=egress.size,
+                replaced=self._counts["replaced"],
+            )
+        elif self._was_queueing and egress.is_empty:
+            self._was_queueing = False
+            log(BalancerEvent.LINK_IDLE, node=node)
+
     def _log_freshness_change(self, now: Seconds) -> None:
         state = self._state
         fresh = state.is_fresh(now)
@@ -309,24 +376,26 @@
 
 
 @singledispatch
-def _execute(decision: object, datagram: bytes, task: TagPacketTask) -> None:
+def _execute(
+    decision: object, datagram: bytes, now: Seconds, task: TagPacketTask
+) -> None:
     raise TypeError(f"not a decision on a packet: {decision!r}")
 
 
 @_execute.register
-def _(decision: Deliver, datagram: bytes, task: TagPacketTask) -> None:
-    out, address = task.codec.encode_delivery(datagram, decision.server)
-    task.send(out, address, "delivered")
+def _(decision: Deliver, datagram: bytes, now: Seconds, task: TagPacketTask) -> None:
+    out, (address, port) = task.codec.encode_delivery(datagram, decision.server)
+    task.deliver(decision.packet, Datagram(out, address, port), now)
 
 
 @_execute.register
-def _(decision: Refuse, datagram: bytes, task: TagPacketTask) -> None:
+def _(decision: Refuse, datagram: bytes, now: Seconds, task: TagPacketTask) -> None:
     out, address = task.codec.encode_reset(decision.packet)
     task.send(out, address, f"refused-{decision.reason.value}")
 
 
 @_execute.register
-def _(decision: Drop, datagram: bytes, task: TagPacketTask) -> None:
+def _(decision: Drop, datagram: bytes, now: Seconds, task: TagPacketTask) -> None:
     task.count(f"dropped-{decision.reason.value}")
 
 
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -147,3 +147,16 @@
         "{problem}",
         "Keep the draining balancer running for 300 s if the receiving one is up.",
     )
+    LINK_QUEUE = EventDefinition(
+        2025,
+        Severity.WARNING,
+        "packets wait up to {wait} s for the link of balancer {node}; {bytes} bytes "
+        "wait, {replaced} retransmitted copies were left out so far",
+        "Callers send more than the link carries; add balancers to the failure domain.",
+    )
+    LINK_IDLE = EventDefinition(
+        2026,
+        Severity.INFO,
+        "packets no longer wait for the link of balancer {node}",
+        "None needed.",
+    )
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -182,7 +182,7 @@
     def get_status(self, target: str, ready: bool) -> int:
         connection = StubConnection()
         status = TagBalancerStatus(
-            NodeId("b"), ready, True, Revision(1), 1, 0, Seconds(0.0), 0, {}
+            NodeId("b"), ready, True, Revision(1), 1, 0, Seconds(0.0), 0, 0, {}
         )
         request = LightRequest(connection, "GET", target)  # type: ignore[arg-type]
         answer_readiness(request, status)
