Refuse odd entries among those of the backend servers

Cause: announcements were checked for types only. A number of slots with 400 digits entered the replicated log, and the balancers that chose among the backend servers ended their packet task with an OverflowError. A start time in the distant future hid every later boot of the same id or address, which was acknowledged but never registered. JSON that is nested too deeply raised a RecursionError, which became status 500 for announcements and configurations and would have ended the task that follows views.

Change: core/announcement_checks.py limits numbers, names, start times and addresses; RecursionError is an error of the input at each decoder; balancers limit the slots that they read, and count a port out of range as a failed send.

--- a/src/wasabigw/codec/views.py
+++ b/src/wasabigw/codec/views.py
@@ -25,5 +25,5 @@
     """
     try:
         return Success(_decoder.decode(data))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         return Failure(str(error))
--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -5,6 +5,7 @@
 
 import xxhash
 
+from wasabigw.core.announcement_checks import MAX_SLOTS
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds, ServiceId, Tag
 from wasabigw.core.tags.decisions import ChoiceReason
@@ -95,4 +96,5 @@
 
 
 def _slots(server: Server) -> int:
-    return max(server.registration.slots, 1)
+    """Slots within the limits of today, as an older version may have accepted more."""
+    return min(max(server.registration.slots, 1), MAX_SLOTS)
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -223,7 +223,8 @@
         """Send a datagram and count its outcome."""
         try:
             self._socket.sendto(datagram, address)
-        except OSError:
+        except (OSError, OverflowError):
+            # OverflowError is raised for a port out of range.
             outcome = "send-failed"
         self._counts[outcome] += 1
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -51,6 +51,9 @@
     "born": 1781961815000,
 }
 
+NOW_MS = 1781961900000
+"""Time of the control VM in Unix milliseconds."""
+
 DOCUMENT: dict[str, Any] = {
     "version": 7,
     "routes": [
@@ -127,7 +130,8 @@
     """Guards against backend servers that are registered from invalid requests."""
 
     def read(self, name: str = "i-7f3a91c2", **changed: Any) -> Any:
-        return read_announcement(name, json.dumps(ANNOUNCEMENT | changed).encode())
+        text = json.dumps(ANNOUNCEMENT | changed).encode()
+        return read_announcement(name, text, NOW_MS)
 
     def test_fields_are_converted(self) -> None:
         expected = BootAnnouncement(
@@ -163,7 +167,7 @@
     def test_missing_fields_and_invalid_json_are_errors(self) -> None:
         for text in (b"", b"{}", b"null", b"\xff\xfe", b"[1, 2"):
             with self.subTest(text=text):
-                self.assertIsInstance(read_announcement("i-1", text), Failure)
+                self.assertIsInstance(read_announcement("i-1", text, NOW_MS), Failure)
 
     def test_an_id_without_hex_digits_is_refused(self) -> None:
         self.assertIsInstance(self.read(name="i-xyz"), Failure)
