--- a/src/wasabigw/tasks/storage.py
+++ b/src/wasabigw/tasks/storage.py
@@ -122,9 +122,21 @@
         return self._write(lambda: self._install_snapshot(snapshot))
 
     def reopen(self) -> Result["Storage", StorageError]:
-        """Close this object and open the directory again after an error."""
+        """Close this object and open the directory again after an error.
+
+        A directory that can be read but not written counts as an error as well: a voter
+        that takes part but can't store anything only delays the others.
+        """
         self.close()
-        return open_storage(self._directory, self._recovered.identity.node)
+        opened = open_storage(self._directory, self._recovered.identity.node)
+        if not isinstance(opened, Success):
+            return opened
+        storage = opened.unwrap()
+        written = storage.save_vote(storage.recovered.vote)
+        if isinstance(written, Failure):
+            storage.close()
+            return written
+        return opened
 
     def close(self) -> None:
         """Release the lock on the directory."""
