Match responses to requests on connections that are used again

Cause: a second copy of a response that arrives late on a connection in use was taken for the response to the next request, by the client of polls for views (a late view counted as current from the new poll on) and by all sessions on requests (voters, reports, registrations, wasabigwctl).

Change: the header Request-Number, which servers return; a client closes the connection and treats a response with another number as lost. Responses without a number, of older versions, are accepted.

--- a/src/wasabigw/ctl/link.py
+++ b/src/wasabigw/ctl/link.py
@@ -30,6 +30,7 @@
 from wasabigw.ctl.token import Token
 from wasabigw.runtime.timer import monotonic
 from wasabigw.settings_types import parse_endpoint
+from wasabigw.tasks.request_numbers import make_session
 from wasabigw.telemetry.trace_context import TraceParent, format_traceparent
 from wasabigw.telemetry.tracing import hop_span
 
@@ -96,7 +97,9 @@
         self._token = token
         self._timeouts = timeouts
         self._tracer = tracer
-        self._session = self._new_session()
+        # A proxy from the environment would receive the token, and a .netrc entry
+        # would replace it; sessions made by make_session ignore both.
+        self._session = make_session()
         self._last_responder: Endpoint | None = None
 
     def __exit__(
@@ -165,7 +168,7 @@
             except requests.RequestException as error:
                 # The connection may be dead, so the next attempt uses a new one.
                 self._session.close()
-                self._session = self._new_session()
+                self._session = make_session()
                 reason = f"{address}: {_reason(error)}"
                 if _is_connect_failure(error):
                     return _Attempt(ConnectionFailed(monotonic()), reason)
@@ -216,13 +219,6 @@
             headers["traceparent"] = format_traceparent(parent)
         return headers
 
-    def _new_session(self) -> requests.Session:
-        session = requests.Session()
-        # A proxy from the environment would receive the token, and a .netrc entry
-        # would replace it.
-        session.trust_env = False
-        return session
-
     def __enter__(self) -> Self:
         return self
 
--- a/src/wasabigw/tasks/http_server.py
+++ b/src/wasabigw/tasks/http_server.py
@@ -20,6 +20,7 @@
 from wasabigw.core.cluster import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.tasks.limits import DEFAULT_LIMITS, ProcessLimits
+from wasabigw.tasks.request_numbers import return_request_number
 from wasabigw.tasks.traffic import TrafficMailbox, WsgiApplication, count_traffic
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
@@ -88,7 +89,10 @@
         self._name = name
         self._server = _Server(
             (bind.address, bind.port),
-            count_traffic(_limit_body_size(_application(root), max_body), traffic),
+            count_traffic(
+                return_request_number(_limit_body_size(_application(root), max_body)),
+                traffic,
+            ),
             numthreads=limits.http_threads,
             max=limits.http_threads,
             server_name=name,
--- a/src/wasabigw/tasks/light_http.py
+++ b/src/wasabigw/tasks/light_http.py
@@ -17,6 +17,7 @@
 
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
+from wasabigw.core.request_number import REQUEST_NUMBER, is_response_to
 
 RECEIVE_BYTES = 65_536
 MAX_CONNECTIONS = 512
@@ -29,6 +30,8 @@
 """Maximum size of a response body that a client accepts."""
 BACKLOG = 128
 
+_NUMBER_KEY = REQUEST_NUMBER.lower().encode()
+
 Callback = Callable[[int], None]
 """Called by a task with the ready events of a registered socket."""
 
@@ -65,6 +68,7 @@
             h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES
         )
         self._unsent = b""
+        self._request_number: bytes | None = None
         self.is_open = True
         selector.register(sock, selectors.EVENT_READ, self._on_ready)
 
@@ -75,6 +79,8 @@
         if not self.is_open:
             return
         headers = [("Content-Length", str(len(body)))]
+        if self._request_number is not None:
+            headers.append((REQUEST_NUMBER, self._request_number.decode("latin-1")))
         if body:
             headers.append(("Content-Type", content_type))
         try:
@@ -130,6 +136,7 @@
                 self.close()
             elif isinstance(event, h11.Request):
                 method, target = event.method.decode(), event.target.decode("latin-1")
+                self._request_number = dict(event.headers).get(_NUMBER_KEY)
                 self._handle(LightRequest(self, method, target))
             elif isinstance(event, h11.EndOfMessage):
                 # After an immediate response, the request itself ends only now.
@@ -235,6 +242,7 @@
 
     def __init__(self) -> None:
         self.traffic = 0
+        self._number = 0
         self._server: Endpoint | None = None
         self._socket: socket.socket | None = None
         self._http = h11.Connection(h11.CLIENT)
@@ -286,7 +294,9 @@
     ) -> Result[bytes, str]:
         sock = self._connect(server, connect_timeout)
         host = f"{server.address}:{server.port}"
-        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
+        self._number += 1
+        headers = [("Host", host), (REQUEST_NUMBER, str(self._number))]
+        request = h11.Request(method="GET", target=target, headers=headers)
         data = (self._http.send(request) or b"") + (
             self._http.send(h11.EndOfMessage()) or b""
         )
@@ -318,6 +328,10 @@
                 self._http.receive_data(received)
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                returned = dict(event.headers).get(_NUMBER_KEY)
+                number = returned.decode("latin-1") if returned is not None else None
+                if not is_response_to(str(self._number), number):
+                    return Failure("the response is to another request")
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MAX_RESPONSE_BYTES:
--- a/src/wasabigw/tasks/peer_session.py
+++ b/src/wasabigw/tasks/peer_session.py
@@ -4,6 +4,7 @@
 
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
+from wasabigw.tasks.request_numbers import make_session
 
 
 class PeerSession:
@@ -19,9 +20,7 @@
     def open(self) -> requests.Session:
         """Return the session, after opening it if necessary."""
         if self._session is None:
-            self._session = requests.Session()
-            # Ignore the proxies and credentials of the environment.
-            self._session.trust_env = False
+            self._session = make_session()
         return self._session
 
     def post(
