--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -32,6 +32,12 @@
 """Minimum pause between two releases, which limits the wake-ups of the task."""
 MAX_QUEUE_TIME = Seconds(1.0)
 """Sending time of the packets that may wait in total."""
+MAX_OPENING_WAIT = Seconds(0.5)
+"""Time after which an opening that waits is dropped.
+
+A balancer that was suspended must not open a flow by a decision from before. Callers
+retransmit openings within this time.
+"""
 QUANTUM_BYTES = 1300
 """Bytes that a flow may send in its turn; at least the size of a packet."""
 
@@ -57,11 +63,13 @@
     """A packet that waits for the link.
 
     :param size: bytes that it takes on the link.
+    :param queued_at: when it was given to the queue, or its latest copy.
     """
 
     packet: FlowPacket
     datagram: Datagram
     size: int
+    queued_at: Seconds
 
 
 _Key = tuple[int, int]
@@ -133,7 +141,8 @@
         queue.credit -= size
         return Admission.SEND
     backlog = _backlog_of(queue, packet.flow)
-    if backlog is not None and _replace_copy(backlog, packet, datagram, size):
+    waiting = Waiting(packet, datagram, size, now)
+    if backlog is not None and _replace_copy(backlog, waiting):
         return Admission.REPLACED
     if queue.size + size > rate * MAX_QUEUE_TIME and not _make_room(
         queue, packet.flow, size
@@ -142,7 +151,7 @@
     if backlog is None:
         backlog = queue.sparse[packet.flow] = _Backlog()
     key = _key_of(packet) or _own_key(backlog)
-    backlog.packets[key] = Waiting(packet, datagram, size)
+    backlog.packets[key] = waiting
     backlog.size += size
     queue.size += size
     return Admission.QUEUED
@@ -155,6 +164,8 @@
     _update_credit(queue, queue.rate, now)
     while queue.size > 0 and queue.credit > 0:
         waiting = _pop_next(queue)
+        if _has_expired(waiting, now):
+            continue
         queue.credit -= waiting.size
         yield waiting
 
@@ -175,6 +186,16 @@
     return backlog is not None and _key_of(packet) in backlog.packets
 
 
+def is_opening_waiting(queue: EgressQueue, flow: FlowId) -> bool:
+    """Whether the opening packet of a flow still waits to be sent."""
+    if queue.size == 0:
+        return False
+    backlog = _backlog_of(queue, flow)
+    return backlog is not None and any(
+        waiting.packet.is_opening for waiting in backlog.packets.values()
+    )
+
+
 def queue_time(queue: EgressQueue) -> Seconds:
     """Time that the link needs for all packets that wait."""
     return Seconds(queue.size / queue.rate if queue.rate else 0.0)
@@ -190,17 +211,19 @@
     return None
 
 
-def _replace_copy(
-    backlog: _Backlog, packet: FlowPacket, datagram: Datagram, size: int
-) -> bool:
+def _has_expired(waiting: Waiting, now: Seconds) -> bool:
+    return waiting.packet.is_opening and now - waiting.queued_at > MAX_OPENING_WAIT
+
+
+def _replace_copy(backlog: _Backlog, waiting: Waiting) -> bool:
     """Replace a waiting copy of a packet, which keeps its place; ``False`` if none.
 
     The later copy has the newer acknowledgement and tag.
     """
-    key = _key_of(packet)
+    key = _key_of(waiting.packet)
     if key is None or key not in backlog.packets:
         return False
-    backlog.packets[key] = Waiting(packet, datagram, size)
+    backlog.packets[key] = waiting
     return True
 
 
--- a/src/wasabigw/core/tags/openings.py
+++ b/src/wasabigw/core/tags/openings.py
@@ -7,6 +7,7 @@
 """
 
 from wasabigw.core.ids import Seconds
+from wasabigw.core.tags.egress import is_opening_waiting
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.state import Opening, Server, TagState
 
@@ -34,12 +35,16 @@
 
 
 def pop_overdue(state: TagState, now: Seconds) -> list[Opening]:
-    """Remove and return the pending openings that have reached the timeout."""
+    """Remove and return the pending openings that have reached the timeout.
+
+    One that still waits for the link has not been sent yet and stays pending.
+    """
     overdue = []
     for flow, opening in state.pending_openings.items():
         if now - opening.at < OPENING_TIMEOUT:
             break
-        overdue.append(flow)
+        if not is_opening_waiting(state.egress, flow):
+            overdue.append(flow)
     return [state.pending_openings.pop(flow) for flow in overdue]
 
 
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -74,17 +74,16 @@
     if known is not None:
         if known.is_open:
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
-        if is_waiting(state.egress, packet):
-            return Deliver(packet, known.server.registration)
-        if known.server not in avoided:
-            avoided.append(known.server)
-        _record_unanswered(
-            known.server,
-            known.opened_at,
-            FailureSignal.OPENING_RETRANSMITTED,
-            state,
-            now,
-        )
+        if not is_waiting(state.egress, packet):
+            if known.server not in avoided:
+                avoided.append(known.server)
+            _record_unanswered(
+                known.server,
+                known.opened_at,
+                FailureSignal.OPENING_RETRANSMITTED,
+                state,
+                now,
+            )
         _remove_flow(packet, state)
     for overdue in pop_overdue(state, now):
         _record_unanswered(
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -164,8 +164,6 @@
         return super().__enter__()
 
     def _receive_packets(self, _events: int) -> None:
-        now = monotonic()
-        self._last_packet = now
         receive = self._socket.recvfrom
         for _ in range(PACKETS_PER_WAKE_UP):
             try:
@@ -176,7 +174,10 @@
                 # Reports an ICMP error for a datagram that was sent earlier.
                 self._counts["receive-failed"] += 1
                 continue
-            self._receive_packet(datagram, now)
+            # Read for each packet: the process may have been paused since the last one,
+            # and a decision must not rely on a view that has expired meanwhile.
+            self._last_packet = monotonic()
+            self._receive_packet(datagram, self._last_packet)
 
     def _receive_packet(self, datagram: bytes, now: Seconds) -> None:
         packet = self._settings.codec.parse(datagram)
--- a/tests/test_egress_queue.py
+++ b/tests/test_egress_queue.py
@@ -134,6 +134,32 @@
         self.assertLessEqual(outcomes[Admission.SEND], allowed)
 
 
+class Pauses(unittest.TestCase):
+    """Guards against a balancer that was suspended and opens flows by old decisions."""
+
+    def release_after(self, pause: float, waiting: FlowPacket) -> list[FlowPacket]:
+        link = Link()
+        link.submit(*upload(1), waiting)
+        link.now = Seconds(link.now + pause)
+        link.run_until(link.now + 1.0)
+        return [sent for _, sent in link.left]
+
+    def test_an_opening_from_before_a_pause_is_not_sent(self) -> None:
+        self.assertIn(opening(9), self.release_after(0.3, opening(9)))
+        self.assertNotIn(opening(9), self.release_after(5.0, opening(9)))
+
+    def test_packets_of_open_flows_are_sent(self) -> None:
+        self.assertIn(packet(9), self.release_after(5.0, packet(9)))
+
+    def test_a_copy_after_the_pause_is_sent(self) -> None:
+        link = Link()
+        link.submit(*upload(1), opening(9))
+        link.now = Seconds(5.0)
+        link.submit(opening(9))
+        link.run_until(6.0)
+        self.assertEqual(link.ports().count(9), 1)
+
+
 class Fairness(unittest.TestCase):
     """Guards against short requests that wait behind uploads."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -177,9 +177,10 @@
         # Balancers count the freshness from when they sent the poll. When it was
         # counted from the response, views went stale between held polls.
         relay = self.start()
-        self.post_view(relay, update(6, fresh_for=1.0))
-        found = self.poll(relay, 6, wait_ms=600).unwrap()
-        self.assertGreater(found.fresh_for, 0.9)
+        self.post_view(relay, update(6, fresh_for=30.0))
+        found = self.poll(relay, 6, wait_ms=2000).unwrap()
+        # From the response on, at most 28.0 s would be left.
+        self.assertGreater(found.fresh_for, 28.5)
 
     def test_a_view_that_went_stale_while_a_poll_was_held_is_not_fresh(self) -> None:
         relay = self.start()
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -4,6 +4,7 @@
 
 from tests.test_tag_steering import LISTENER, SteeringCase, boot
 from wasabigw.core.ids import Seconds, Tag
+from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import Deliver, Refuse
 from wasabigw.core.tags.egress import (
     Admission,
@@ -123,6 +124,23 @@
         self.send(opening(5), now=1.8)
         self.assertIs(self.health(1.8), Health.SILENT)
 
+    def test_an_opening_that_waits_is_not_overdue_for_other_callers(self) -> None:
+        self.send(data(1, 0), now=1.1)
+        self.send(opening(3), now=1.1)
+        self.send(opening(4), now=1.25)
+        self.assertIs(self.health(1.25), Health.ANSWERING)
+
+    def test_an_opening_that_waits_goes_where_its_latest_copy_was_decided_to(
+        self,
+    ) -> None:
+        self.send(data(1, 0), now=1.1)
+        self.send(opening(3), now=1.1)
+        self.register(boot(1, state=RegistrationState.DRAINING), boot(2))
+        self.send(opening(3), now=1.3)
+        self.assertIs(self.health(1.3), Health.ANSWERING)
+        flow = self.state.flows[opening(3).flow]
+        self.assertEqual(flow.server.registration.tag, Tag(2))
+
 
 if __name__ == "__main__":
     unittest.main()
