Prefer warm backend servers when none answers; bound the queue at odd rates

Room in a full queue was found by joining the tables of all flows for each packet, and a link of rate 0, or one that is slower than a packet a second, ended the packet task with a ValueError.

Change: warm ones first; no table is joined; 0 counts as unknown, a negative rate is an error of the settings. The largest exact whole number has one constant.

--- a/src/wasabigw/core/announcement_checks.py
+++ b/src/wasabigw/core/announcement_checks.py
@@ -7,13 +7,12 @@
 from wasabigw.core.endpoint import endpoint_problem
 from wasabigw.core.ids import Seconds
 from wasabigw.core.log_messages import BootAnnouncement
+from wasabigw.core.numbers import MAX_EXACT_INTEGER
 
 MAX_NAME_LENGTH = 200
 MAX_SLOTS = 65_536
 """Most requests that one backend server can process at the same time."""
 MAX_COLD_TIME = Seconds(86_400.0)
-MAX_SEQUENCE = 2**53
-"""Largest whole number that JSON implementations represent exactly."""
 MAX_CLOCK_DIFFERENCE_MS = 3_600_000
 """How far the clock of a backend server may be ahead.
 
@@ -41,8 +40,8 @@
             )
     if not 1 <= announcement.slots <= MAX_SLOTS:
         return f"the number of slots must be 1 to {MAX_SLOTS}"
-    if not 0 <= announcement.sequence <= MAX_SEQUENCE:
-        return f"the sequence number must be 0 to {MAX_SEQUENCE}"
+    if not 0 <= announcement.sequence <= MAX_EXACT_INTEGER:
+        return f"the sequence number must be 0 to {MAX_EXACT_INTEGER}"
     if not 0 <= announcement.cold_for <= MAX_COLD_TIME:
         return f"the rest of the cold start must be 0 to {MAX_COLD_TIME:.0f} s"
     latest = wall_clock_ms + MAX_CLOCK_DIFFERENCE_MS
--- a/src/wasabigw/core/declaration.py
+++ b/src/wasabigw/core/declaration.py
@@ -10,13 +10,11 @@
 
 from wasabigw.core.endpoint import Endpoint, endpoint_key, endpoint_problem
 from wasabigw.core.ids import Seconds, ServiceId
+from wasabigw.core.numbers import MAX_EXACT_INTEGER
 
 DEFAULT_IDLE_TIMEOUT = Seconds(15.0)
 """Idle time after which a flow may be dropped, unless the document sets another."""
 
-MAX_NUMBER = 2**53
-"""Largest version or weight, which JSON implementations represent exactly."""
-
 
 @dataclass(frozen=True, slots=True)
 class ServiceShare:
@@ -71,8 +69,8 @@
     problems: list[str] = []
     if declaration.version < 0:
         problems.append(f"version {declaration.version} must be 0 or more")
-    elif declaration.version > MAX_NUMBER:
-        problems.append(f"the version is above {MAX_NUMBER}")
+    elif declaration.version > MAX_EXACT_INTEGER:
+        problems.append(f"the version is above {MAX_EXACT_INTEGER}")
     problems.extend(_repeated_services(declaration))
     problems.extend(_repeated_endpoints(declaration))
     known = {service.id for service in declaration.services}
@@ -112,8 +110,8 @@
     ]
     if any(share.weight < 0 for share in listener.shares):
         problems.append(f"{where} has a negative weight; use 0 or more")
-    elif any(share.weight > MAX_NUMBER for share in listener.shares):
-        problems.append(f"{where} has a weight above {MAX_NUMBER}")
+    elif any(share.weight > MAX_EXACT_INTEGER for share in listener.shares):
+        problems.append(f"{where} has a weight above {MAX_EXACT_INTEGER}")
     elif not any(share.weight > 0 for share in listener.shares):
         problems.append(f"{where} sends its flows to no service; set a weight above 0")
     if listener.request_timeout <= 0:
--- a/src/wasabigw/core/numbers.py
+++ b/src/wasabigw/core/numbers.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+MAX_EXACT_INTEGER = 2**53
+"""Largest whole number up to which all JSON implementations are exact."""
 MAX_DIGITS = 16
 """Maximum number of digits; revisions and milliseconds have far fewer.
 
--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -15,6 +15,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import chain
 from typing import NamedTuple
 
 from wasabigw.core.ids import Seconds
@@ -80,10 +81,12 @@
 class _Backlog:
     """Waiting packets of a flow, oldest first.
 
+    :param size: bytes that they take on the link.
     :param deficit: bytes that the flow may still send in its turn.
     :param unkeyed: packets without data so far.
     """
 
+    flow: FlowId
     packets: dict[_Key, Waiting] = field(default_factory=dict)
     size: int = 0
     deficit: int = QUANTUM_BYTES
@@ -98,6 +101,7 @@
     :param credit: bytes that may be sent at once; negative after a packet that was
         larger than the credit before it.
     :param updated_at: time for which the credit was computed.
+    :param size: bytes that all waiting packets take on the link.
     :param sparse: flows that had nothing waiting when their first packet came.
     :param backlogged: flows that have used up a turn.
     """
@@ -118,9 +122,10 @@
 def make_egress_queue(link_megabits: float | None) -> EgressQueue:
     """Create an empty queue.
 
-    :param link_megabits: capacity of the link in Mbit/s; ``None`` if it is not known.
+    :param link_megabits: capacity of the link in Mbit/s; ``None`` or 0 if it is not
+        known.
     """
-    if link_megabits is None:
+    if not link_megabits:
         return EgressQueue()
     return EgressQueue(link_megabits * BYTES_PER_MEGABIT * DATA_SHARE)
 
@@ -149,7 +154,7 @@
     ):
         return Admission.REJECTED
     if backlog is None:
-        backlog = queue.sparse[packet.flow] = _Backlog()
+        backlog = queue.sparse[packet.flow] = _Backlog(packet.flow)
     key = _key_of(packet) or _own_key(backlog)
     backlog.packets[key] = waiting
     backlog.size += size
@@ -269,17 +274,15 @@
     :returns: whether it fits; it does not if its own flow has the longest backlog.
     """
     assert queue.rate is not None
-    flows = queue.sparse | queue.backlogged
-    while queue.size + size > queue.rate * MAX_QUEUE_TIME:
-        longest = max(flows, key=lambda name: flows[name].size)
-        if longest == flow:
+    while 0 < queue.size > queue.rate * MAX_QUEUE_TIME - size:
+        backlogs = chain(queue.sparse.values(), queue.backlogged.values())
+        longest = max(backlogs, key=lambda backlog: backlog.size)
+        if longest.flow == flow:
             return False
-        backlog = flows[longest]
-        _, dropped = backlog.packets.popitem()
-        backlog.size -= dropped.size
+        _, dropped = longest.packets.popitem()
+        longest.size -= dropped.size
         queue.size -= dropped.size
-        if not backlog.packets:
-            queue.sparse.pop(longest, None)
-            queue.backlogged.pop(longest, None)
-            del flows[longest]
+        if not longest.packets:
+            queue.sparse.pop(longest.flow, None)
+            queue.backlogged.pop(longest.flow, None)
     return True
--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -55,7 +55,9 @@
     servers = [s for s in pool if s not in avoided]
     answering = [s for s in servers if _is_available(s, now)]
     if servers and not answering:
-        chosen, _ = _least_used(servers, state)
+        # Cold ones come last here too: they may be failing because they are cold.
+        warm = [s for s in servers if s.cold_until <= now]
+        chosen, _ = _least_used(warm or servers, state)
         return chosen, ChoiceReason.UNANSWERING
     warm = [s for s in answering if s.cold_until <= now]
     if warm:
--- a/tests/test_egress_queue.py
+++ b/tests/test_egress_queue.py
@@ -231,6 +231,16 @@
 class Limits(unittest.TestCase):
     """Guards against a queue that grows without a bound."""
 
+    def test_a_link_slower_than_a_packet_a_second_sends_one_after_another(self) -> None:
+        link = Link(0.001)
+        link.submit(packet(1), packet(2), packet(3))
+        self.assertLessEqual(len(link.left), 1)
+        link.run_until(60.0)
+        self.assertGreaterEqual(len(link.left), 2)
+
+    def test_a_link_of_rate_0_counts_as_unknown(self) -> None:
+        self.assertEqual(set(Link(0.0).submit(*upload(1))), {Admission.SEND})
+
     def test_the_longest_backlog_gives_way(self) -> None:
         link = Link()
         link.submit(*(packet(1, number) for number in range(1000)))
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -106,10 +106,16 @@
         self.assertIsNone(settings.control)
         self.assertIsNone(settings.data_folder)
 
+    def test_the_capacity_of_the_link_may_be_unknown(self) -> None:
+        self.assertIsNone(self.parse().link_megabits)
+        limits = {"link-mbps": 1.55, "memory-mb": 139}
+        self.assertEqual(self.parse(limits=limits).link_megabits, 1.55)
+
     def test_errors_name_the_invalid_field(self) -> None:
         cases: dict[str, dict[str, Any]] = {
             "$.zones": {"zones": None},
             "$.bootstrap": {"bootstrap": "yes"},
+            "$.limits.link-mbps": {"limits": {"link-mbps": -1}},
             "not an address and a port": {"seeds": ["10.1.0.13"]},
             "$.seeds": {"seeds": []},
             "$.listen.datagram-address": {"listen": {"datagram-address": 5}},
--- a/tests/test_tag_steering.py
+++ b/tests/test_tag_steering.py
@@ -31,6 +31,7 @@
     RefusalReason,
     Refuse,
 )
+from wasabigw.core.tags.health import record_failure
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.selection import service_of
 from wasabigw.core.tags.state import TagState
@@ -266,6 +267,14 @@
         tags = {self.tag_of(opening(p), now=0.3) for p in range(10, 20)}
         self.assertEqual(tags, {2})
 
+    def test_if_none_answers_warm_ones_come_before_cold_ones(self) -> None:
+        self.register(boot(1, cold_for=60.0), boot(2))
+        for tag in (1, 2):
+            breaker = self.state.servers[Tag(tag)].breaker
+            record_failure(breaker, Seconds(1.0), Seconds(1.0))
+        tags = {self.tag_of(opening(port), now=1.1) for port in range(1, 9)}
+        self.assertEqual(tags, {2})
+
     def test_it_gets_a_single_probe_after_the_backoff(self) -> None:
         self.fail_first()
         tags = [self.tag_from(2, opening(p), now=1.3) for p in range(10, 20)]
