Refuse limits out of range at homes, and survive those in the log

Cause: a home accepted any number of slots and connections. With 400 digits the entry ended every process that applied it with an OverflowError, and again after each restart, because the entry is in the log. A reported load of that size ended the home.

Change: homes refuse limits above the largest exact whole number and limit reported loads; readers limit what is in the log already.

Measured: the three tests of OwnFrontEnd fail before and pass now.

--- a/src/wasabigw/core/admission.py
+++ b/src/wasabigw/core/admission.py
@@ -6,6 +6,7 @@
 
 from wasabigw.core.cold_start import ColdVerdict
 from wasabigw.core.ids import Seconds
+from wasabigw.core.numbers import MAX_EXACT_INTEGER
 from wasabigw.core.timing import FULL_STEP, RAMP_STEP_TIME, RAMP_STEPS
 
 OPENING_WINDOW = Seconds(10.0)
@@ -94,12 +95,14 @@
 
 def allowed_flows(admission: Admission) -> int:
     """Open flows allowed at the current ramp step, at least 1."""
-    return max(1, math.ceil(admission.limit * admission.ramp.step / FULL_STEP))
+    limit = min(admission.limit, MAX_EXACT_INTEGER)
+    return max(1, math.ceil(limit * admission.ramp.step / FULL_STEP))
 
 
 def opening_rate(admission: Admission) -> float:
     """New flows per second allowed at the current ramp step."""
-    share = admission.connections * admission.ramp.step / FULL_STEP
+    connections = min(admission.connections, MAX_EXACT_INTEGER)
+    share = connections * admission.ramp.step / FULL_STEP
     return share / OPENING_WINDOW
 
 
--- a/src/wasabigw/core/home_announcements.py
+++ b/src/wasabigw/core/home_announcements.py
@@ -25,6 +25,7 @@
     AnnouncementRedirected,
     AnnouncementRefused,
 )
+from wasabigw.core.numbers import MAX_EXACT_INTEGER
 from wasabigw.core.placement import select_home
 from wasabigw.core.states import BackendServerState, FlowLimit
 from wasabigw.core.timing import ANNOUNCE_LEASE, RAMP_STEPS
@@ -42,7 +43,7 @@
     if state.cluster is None:
         return [_refuse("this balancer has no view of the cluster yet", 1.0)]
     report = _registration_report(announcement)
-    report_error = report_problem(report)
+    report_error = report_problem(report) or _limit_problem(announcement)
     if report_error is not None:
         return [_refuse(report_error, None)]
     nodes = state.cluster.nodes
@@ -66,6 +67,17 @@
     return [ReplyToAnnouncement(accepted), *send_due_reports([record], state, now)]
 
 
+def _limit_problem(announcement: Announcement) -> str | None:
+    """Why the limits of a backend server are refused, or ``None``.
+
+    What a home accepts enters the replicated log, so it is checked here and not where
+    the log is applied: earlier entries have to keep their outcome.
+    """
+    if max(announcement.slots, announcement.connections) > MAX_EXACT_INTEGER:
+        return f"slots and connections must be at most {MAX_EXACT_INTEGER}"
+    return None
+
+
 def _registration_report(announcement: Announcement) -> BackendServerUp:
     return BackendServerUp(
         id=announcement.id,
@@ -207,7 +219,8 @@
     service = state.cluster.services.get(record.service)
     by_slots = service is not None and service.limit_by is FlowLimit.SLOTS
     load = announcement.load
-    return load.busy_slots if by_slots else load.open_connections
+    reported = load.busy_slots if by_slots else load.open_connections
+    return max(0, min(reported, MAX_EXACT_INTEGER))
 
 
 def _load_is_bad(announcement: Announcement) -> bool:
--- a/src/wasabigw/core/transition.py
+++ b/src/wasabigw/core/transition.py
@@ -128,6 +128,14 @@
     return known is not None and known.state is FailureDomainState.IN_SERVICE
 
 
+LARGEST_LIMIT = 2**1000
+"""Limit from which on a weight would overflow.
+
+An older version may have accepted a larger one. Smaller ones give the same weights as
+in every version, because voters of two versions have to hold the same state.
+"""
+
+
 def weight(backend_server: BackendServer, state: ClusterState) -> float:
     """Relative share of the new flows of its service that a backend server takes.
 
@@ -143,6 +151,7 @@
         return 0.0
     by_slots = service.limit_by is FlowLimit.SLOTS
     limit = backend_server.slots if by_slots else backend_server.connections
+    limit = min(limit, LARGEST_LIMIT)
     return max(1, limit) * max(1, backend_server.step) / FULL_STEP
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from tests.test_backend_home import B1, HomeFixture
 from tests.test_platform_formats import ANNOUNCEMENT, DOCUMENT, FRONTEND, NOW_MS
 from tests.test_registrations import RegistrarCase
 from tests.test_tag_steering import SteeringCase, boot, opening
@@ -19,9 +20,15 @@
     MAX_SLOTS,
 )
 from wasabigw.core.delivery_view import DeliveryView, update_since
+from wasabigw.core.home_events import HomesChanged
 from wasabigw.core.ids import NO_REVISION, Revision, Seconds, ServiceId
-from wasabigw.core.log_messages import BootAnnouncement
+from wasabigw.core.log_messages import (
+    AnnouncementRefused,
+    BootAnnouncement,
+    LoadReport,
+)
 from wasabigw.core.tags.decisions import Deliver
+from wasabigw.core.transition import weight
 from wasabigw_platform.announcements import read_announcement
 from wasabigw_platform.documents import read_document
 from wasabigw_platform.settings import parse_settings
@@ -167,5 +174,43 @@
         self.assertEqual(tags, {1})
 
 
+class OwnFrontEnd(unittest.TestCase):
+    """Guards against announcements at a home that stop every reader of the log."""
+
+    def test_limits_out_of_range_are_refused(self) -> None:
+        cases: list[dict[str, Any]] = [
+            {"slots": HUGE},
+            {"connections": HUGE},
+            {"slots": 2**60},
+        ]
+        for changes in cases:
+            with self.subTest(changes=list(changes)):
+                fixture = HomeFixture()
+                reply = fixture.announce(**changes)
+                self.assertIsInstance(reply, AnnouncementRefused)
+                self.assertEqual(fixture.cluster.backend_servers, {})
+
+    def test_any_load_is_taken_as_a_number_of_flows(self) -> None:
+        for load in (LoadReport(HUGE, HUGE), LoadReport(-HUGE, -1)):
+            fixture = HomeFixture()
+            fixture.run(12, load=load)
+            self.assertGreaterEqual(fixture.state.servers[B1].admission.open_flows, 0)
+
+    def test_an_entry_that_an_older_version_accepted_stops_no_reader(self) -> None:
+        for limit in (HUGE, 2**60):
+            fixture = HomeFixture()
+            fixture.run(2)
+            known = fixture.cluster.backend_servers[B1]
+            odd = replace(known, slots=limit, connections=limit)
+            fixture.cluster.backend_servers[B1] = odd
+            self.assertGreater(weight(odd, fixture.cluster), 0.0)
+            # Its home was restarted and takes it over from the replicated state.
+            restarted = HomeFixture()
+            restarted.cluster = fixture.cluster
+            restarted.handle(HomesChanged(fixture.cluster, Seconds(5.0)))
+            restarted.run(3, boot=None)
+            restarted.admit()
+
+
 if __name__ == "__main__":
     unittest.main()
