--- a/src/wasabigw_verify/harness/disks.py
+++ b/src/wasabigw_verify/harness/disks.py
@@ -20,7 +20,10 @@
 
 @dataclass(slots=True)
 class Disk:
-    """Durable state of a voter."""
+    """Durable state of a voter.
+
+    :param is_full: whether writes fail, while the process goes on.
+    """
 
     incarnation: Incarnation
     vote: VoteRecord = field(default_factory=VoteRecord)
@@ -29,6 +32,7 @@
     )
     entries: list[LogEntry] = field(default_factory=list)
     fault: WriteFault | None = None
+    is_full: bool = False
 
 
 def make_initial_disks(names: Sequence[NodeId]) -> dict[NodeId, Disk]:
--- a/src/wasabigw_verify/harness/faults.py
+++ b/src/wasabigw_verify/harness/faults.py
@@ -17,7 +17,7 @@
 from wasabigw_verify.harness.disks import WriteFault
 from wasabigw_verify.harness.operators import Operator
 from wasabigw_verify.harness.run import Injector, Run
-from wasabigw_verify.harness.simulation import COURSES, DOMAINS, VOTERS
+from wasabigw_verify.harness.simulation import COURSES, DOMAINS, SEATS, VOTERS
 from wasabigw_verify.harness.steps import StepParticipants
 
 DOWN_TIME = 4.0
@@ -37,6 +37,14 @@
 FREEZE_TIME = 3.5
 POWER_OFF_TIME = 1.5
 """Seconds until power returns to the control VMs."""
+DISK_FULL_TIME = 2.0
+"""Seconds for which the disk of each control VM is full."""
+SLOW_TIME = 6.0
+SLOW_PERIOD = 0.25
+SLOW_PAUSE = 0.2
+"""Part of each period in which a slow VM handles nothing: a fifth of its speed."""
+ADDED_SERVERS = 6
+SLOTS_OF_ADDED = 16
 
 
 class Fault(Enum):
@@ -61,6 +69,9 @@
     DISK_STALLED = "a disk of a control VM stalls"
     ONE_WAY_CUT = "packets of a control VM pass one way only"
     POWER_LOST = "all control VMs lose power"
+    DISKS_FULL = "disks of control VMs are full one after another"
+    VOTER_SLOW = "a control VM turns slow"
+    SERVERS_ADDED = "empty backend servers are added in bulk"
 
 
 INJECTORS: dict[Fault, Injector] = {}
@@ -348,3 +359,47 @@
 
     simulation.network.call_later(POWER_OFF_TIME, restart)
     run.change()
+
+
+@injector(Fault.DISKS_FULL)
+def _(run: Run, participants: StepParticipants) -> None:
+    simulation = run.simulation
+    first = _voter(run, participants)
+    order = [first, *(name for name in VOTERS if name != first)]
+
+    def fill(position: int) -> None:
+        for node in VOTERS:
+            simulation.disks[node].is_full = False
+        if position < len(order):
+            simulation.disks[order[position]].is_full = True
+            run.change()
+            simulation.network.call_later(DISK_FULL_TIME, lambda: fill(position + 1))
+
+    fill(0)
+
+
+@injector(Fault.VOTER_SLOW)
+def _(run: Run, participants: StepParticipants) -> None:
+    network = run.simulation.network
+    slow = _voter(run, participants)
+    for number in range(round(SLOW_TIME / SLOW_PERIOD)):
+        network.call_later(
+            number * SLOW_PERIOD,
+            lambda: network.frozen_until.update({slow: network.now + SLOW_PAUSE}),
+        )
+    run.change()
+
+
+@injector(Fault.SERVERS_ADDED)
+def _(run: Run, participants: StepParticipants) -> None:
+    simulation = run.simulation
+    for number in range(ADDED_SERVERS):
+        name = f"seats-added-{number}"
+        if name not in simulation.backend_servers:
+            domain = DOMAINS[number % len(DOMAINS)]
+            simulation.add_backend_server(name, SEATS, domain, SLOTS_OF_ADDED)
+    for number in range(EXTRA_FLOWS):
+        simulation.network.call_later(
+            number * SLOW_NETWORK_TIME / EXTRA_FLOWS,
+            lambda: run.open_flow("callers", SEATS, [0.2] * 2),
+        )
--- a/src/wasabigw_verify/harness/voters.py
+++ b/src/wasabigw_verify/harness/voters.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from typing import Any, cast
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from wasabigw.core.apply import apply
 from wasabigw.core.cluster import Applied, ClusterState, Endpoint, Refusal
@@ -20,6 +20,7 @@
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick
 from wasabigw.tasks.storage import Identity, Recovered, Storage
+from wasabigw.tasks.storage_errors import StorageError, StorageProblem
 from wasabigw.tasks.voter_calls import LinkAnswer, PeerMessage, VoterMessage
 from wasabigw.tasks.voter_links import FixedLinks
 from wasabigw.tasks.voter_settings import VoterSettings
@@ -28,6 +29,9 @@
 from wasabigw_verify.harness.environment import Environment
 from wasabigw_verify.harness.steps import Step, StepParticipants
 
+DISK_FULL = StorageError(
+    StorageProblem.INPUT_OUTPUT, "disk", "", "no space left", "Free some space."
+)
 LINK_TIMEOUT = 1.5
 """Seconds without an answer after which a link opens a new connection."""
 
@@ -49,9 +53,18 @@
     def close(self) -> None:
         """Do nothing, since no resources are open."""
 
+    def reopen(self) -> Result["MemoryStorage", StorageError]:
+        """Read the disk again after a failed write, unless it is still full."""
+        if self._voter.disk.is_full:
+            return Failure(DISK_FULL)
+        self._voter.count_start()
+        return Success(MemoryStorage(self._voter))
+
     def save_vote(self, record: VoteRecord) -> Result[None, Any]:
         """Replace the vote; a faulty write leaves the old one."""
         self._crash_if_faulty()
+        if self._voter.disk.is_full:
+            return Failure(DISK_FULL)
         self._voter.disk.vote = record
         return Success(None)
 
@@ -60,6 +73,8 @@
         if any(isinstance(entry.command, ChangeRequest) for entry in entries):
             self._voter.report_step(Step.CHANGE_STORED)
         disk = self._voter.disk
+        if disk.is_full:
+            return Failure(DISK_FULL)
         kept = list(entries)
         if disk.fault is WriteFault.TORN:
             kept.pop()
@@ -73,12 +88,16 @@
         """Replace the snapshot."""
         self._voter.report_step(Step.SNAPSHOT_WRITTEN)
         self._crash_if_faulty()
+        if self._voter.disk.is_full:
+            return Failure(DISK_FULL)
         self._voter.disk.snapshot = snapshot
         return Success(None)
 
     def install_snapshot(self, snapshot: Snapshot) -> Result[None, Any]:
         """Replace the snapshot and delete the log."""
         self._crash_if_faulty()
+        if self._voter.disk.is_full:
+            return Failure(DISK_FULL)
         self._voter.disk.snapshot = snapshot
         self._voter.disk.entries = []
         return Success(None)
@@ -105,7 +124,8 @@
         self.node = node
         self.disk = disk
         self.alive = True
-        self._start_number = simulation.next_number()
+        self._start_number = 0
+        self.count_start()
         network = simulation.network
         endpoints = {name: Endpoint(name, 1) for name in simulation.disks}
         links = {name: self._make_link(name) for name in endpoints if name != node}
@@ -121,6 +141,13 @@
         )
         network.call_every(node, self, TICK_PERIOD, self._tick)
 
+    def count_start(self) -> None:
+        """Begin a new number of this voter in the record.
+
+        A voter that reads its disk again applies its log anew, as after a restart.
+        """
+        self._start_number = self.simulation.next_number()
+
     @property
     def is_leader(self) -> bool:
         """Whether it holds the leader lease."""
--- a/src/wasabigw_verify/matrix.py
+++ b/src/wasabigw_verify/matrix.py
@@ -29,6 +29,7 @@
 SEED = 1
 PAIR_SEED = 7
 LATER_PAIR_SEED = 8
+LATEST_PAIR_SEED = 9
 LATER_FAULTS = frozenset(
     {
         Fault.BALANCER_FROZEN,
@@ -37,7 +38,8 @@
         Fault.POWER_LOST,
     }
 )
-"""Faults whose pairs, also those with other faults, are drawn with a second seed.
+LATEST_FAULTS = frozenset({Fault.DISKS_FULL, Fault.VOTER_SLOW, Fault.SERVERS_ADDED})
+"""Faults whose pairs, also those with earlier faults, have a seed of their own.
 
 A fault added to the others would change the steps and seeds drawn for their pairs, and
 so the names of their cells.
@@ -60,14 +62,17 @@
 
     The seeds are fixed, so that the cells and their names stay the same.
     """
-    first_faults = [fault for fault in Fault if fault not in LATER_FAULTS]
-    earlier = list(combinations_with_replacement(first_faults, 2))
-    later = [
-        pair
-        for pair in combinations_with_replacement(Fault, 2)
-        if not LATER_FAULTS.isdisjoint(pair)
-    ]
-    return [*_draw_cells(earlier, PAIR_SEED), *_draw_cells(later, LATER_PAIR_SEED)]
+    added = LATER_FAULTS | LATEST_FAULTS
+    groups = (
+        ([f for f in Fault if f not in added], frozenset(Fault), PAIR_SEED),
+        ([f for f in Fault if f not in LATEST_FAULTS], LATER_FAULTS, LATER_PAIR_SEED),
+        (list(Fault), LATEST_FAULTS, LATEST_PAIR_SEED),
+    )
+    cells: list[Cell] = []
+    for faults, required, seed in groups:
+        pairs = combinations_with_replacement(faults, 2)
+        cells += _draw_cells([p for p in pairs if not required.isdisjoint(p)], seed)
+    return cells
 
 
 def _draw_cells(pairs: Sequence[tuple[Fault, Fault]], seed: int) -> Iterator[Cell]:
