Give two tests of wasabigwctl more time than a slow first response takes

Their limit of 1 s ran out before the state was read, so that nothing was sent. A stub that answers the state after 1.2 s gives the same two failures, and none with a limit of 3 s. What the tests check is unchanged.

--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -145,13 +145,13 @@
 
     def test_unknown_outcome_prints_how_to_repeat_the_command(self) -> None:
         self.leader.reply("/v1/changes", NO_RESPONSE)
-        result = self.run_tool(*OUT, "--request-id", "r7", time_limit="1")
+        result = self.run_tool(*OUT, "--request-id", "r7", time_limit="3")
         self.assertEqual(result.exit_code, ExitCode.OUTCOME_UNKNOWN)
         self.assertIn("--request-id r7 --expected-revision 7", result.stderr)
 
     def test_change_not_in_force_in_time_lists_lagging_balancers(self) -> None:
         self.leader.reply("/v1/in-force", in_force(False))
-        result = self.run_tool(*OUT, time_limit="1")
+        result = self.run_tool(*OUT, time_limit="3")
         self.assertEqual(result.exit_code, ExitCode.NOT_IN_FORCE)
         self.assertIn("lagging: recife-1", result.stderr)
 
