--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -20,6 +20,7 @@
 MAX_WORKERS = 4
 """Maximum number of concurrent modules; more would delay tests that use timers."""
 STARTED_FIRST = (
+    "test_fault_matrix.py",
     "test_process_faults.py",
     "test_process_resend.py",
     "test_capacity.py",
