Reuse whole_number for request numbers, and read no clock for an empty queue

A server checked the digits of a request number by itself, beside core/numbers.whole_number. The packet task read the clock once more at each wake-up although nothing waited. A datagram kept address and port apart, to join them again for the socket.

--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -53,11 +53,10 @@
 
 
 class Datagram(NamedTuple):
-    """An encoded packet and where it is sent."""
+    """An encoded packet, and the address and port that it is sent to."""
 
     data: bytes
-    address: str
-    port: int
+    address: tuple[str, int]
 
 
 class Waiting(NamedTuple):
--- a/src/wasabigw/tasks/request_numbers.py
+++ b/src/wasabigw/tasks/request_numbers.py
@@ -12,11 +12,11 @@
 import requests
 from requests.adapters import HTTPAdapter
 
+from wasabigw.core.numbers import whole_number
 from wasabigw.core.request_number import REQUEST_NUMBER, is_response_to
 from wasabigw.tasks.traffic import WsgiApplication
 
 _ENVIRON_KEY = "HTTP_REQUEST_NUMBER"
-_MAX_DIGITS = 20
 
 
 class MismatchedResponse(requests.RequestException):
@@ -61,7 +61,7 @@
         environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         number = environ.get(_ENVIRON_KEY)
-        if number is None or not number.isdecimal() or len(number) > _MAX_DIGITS:
+        if whole_number(number) is None:
             return application(environ, start_response)
 
         def start(status: str, headers: list[tuple[str, str]], *rest: Any) -> Any:
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -207,6 +207,8 @@
             self.count("replaced")
 
     def _time_to_next(self) -> Seconds | None:
+        if self._state.egress.is_empty:
+            return None
         return time_to_release(self._state.egress, monotonic())
 
     def _handle_due(self) -> None:
@@ -218,7 +220,7 @@
             self._send_to_server(waiting.datagram)
 
     def _send_to_server(self, datagram: Datagram) -> None:
-        self.send(datagram.data, (datagram.address, datagram.port), "delivered")
+        self.send(datagram.data, datagram.address, "delivered")
 
     def send(self, datagram: bytes, address: Address, outcome: str) -> None:
         """Send a datagram and count its outcome."""
@@ -386,8 +388,8 @@
 
 @_execute.register
 def _(decision: Deliver, datagram: bytes, now: Seconds, task: TagPacketTask) -> None:
-    out, (address, port) = task.codec.encode_delivery(datagram, decision.server)
-    task.deliver(decision.packet, Datagram(out, address, port), now)
+    out, address = task.codec.encode_delivery(datagram, decision.server)
+    task.deliver(decision.packet, Datagram(out, address), now)
 
 
 @_execute.register
--- a/tests/test_egress_queue.py
+++ b/tests/test_egress_queue.py
@@ -50,7 +50,7 @@
 def datagram_of(sent: FlowPacket) -> Datagram:
     """Datagram with a packet."""
     size = DATAGRAM_BYTES - DATA_BYTES + sent.length
-    return Datagram(bytes(size), "10.0.0.1", 8000)
+    return Datagram(bytes(size), ("10.0.0.1", 8000))
 
 
 class Link:
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -91,7 +91,7 @@
 
     def send(self, packet: FlowPacket, now: float) -> Admission:
         self.assertIsInstance(self.decide(packet, now), Deliver)
-        datagram = Datagram(bytes(DATA_BYTES), "10.0.0.1", 8001)
+        datagram = Datagram(bytes(DATA_BYTES), ("10.0.0.1", 8001))
         return submit(self.state.egress, packet, datagram, Seconds(now))
 
     def release(self, now: float) -> None:
