--- a/src/wasabigw_verify/harness/faults.py
+++ b/src/wasabigw_verify/harness/faults.py
@@ -10,7 +10,7 @@
     DrainBackendServer,
     TakeFailureDomainOut,
 )
-from wasabigw.core.ids import BackendServerId, FailureDomainId, NodeId
+from wasabigw.core.ids import BackendServerId, FailureDomainId, NodeId, ServiceId
 from wasabigw_verify import record as r
 from wasabigw_verify.harness.backend_servers import BackendServer
 from wasabigw_verify.harness.balancers import Balancer
@@ -116,6 +116,16 @@
     return known or run.simulation.network.random.choice(DOMAINS)
 
 
+def _open_extra_flows(run: Run, service: ServiceId, requests: int) -> None:
+    """Open flows beside the usual traffic, spread over some seconds."""
+    pauses = [0.2] * requests
+    for number in range(EXTRA_FLOWS):
+        run.simulation.network.call_later(
+            number * SLOW_NETWORK_TIME / EXTRA_FLOWS,
+            lambda: run.open_flow("callers", service, list(pauses)),
+        )
+
+
 @injector(Fault.BALANCER_DIES)
 def _(run: Run, participants: StepParticipants) -> None:
     balancer = _balancer(run, participants)
@@ -159,9 +169,7 @@
         simulation.add(r.BackendServerLeaving(network.now, leaving))
 
     Operator(simulation, DrainBackendServer(leaving), done=drained)
-    for number in range(EXTRA_FLOWS):
-        pause = number * SLOW_NETWORK_TIME / EXTRA_FLOWS
-        network.call_later(pause, lambda: run.open_flow("callers", COURSES, [0.2] * 4))
+    _open_extra_flows(run, COURSES, requests=4)
     network.call_later(SLOW_NETWORK_TIME, network.max_extra_delay.clear)
 
 
@@ -398,8 +406,4 @@
         if name not in simulation.backend_servers:
             domain = DOMAINS[number % len(DOMAINS)]
             simulation.add_backend_server(name, SEATS, domain, SLOTS_OF_ADDED)
-    for number in range(EXTRA_FLOWS):
-        simulation.network.call_later(
-            number * SLOW_NETWORK_TIME / EXTRA_FLOWS,
-            lambda: run.open_flow("callers", SEATS, [0.2] * 2),
-        )
+    _open_extra_flows(run, SEATS, requests=2)
