Refuse announcements of services that no configuration declares

Cause: of two boots at one endpoint or under one id, the one that started later ends the other, and an announcement could register a boot for any service. The voters held the declared configuration only as text and did not know its services.

No circuit breaker opened, so the backend server was not taken for a lost one.

Change: a control VM decodes the services of the configuration in force. A boot that is registered already stays, for its open flows. That works because nothing else can register the boot that would end the live one. Before the first configuration no boot is registered.

--- a/src/wasabigw/core/flows/limits.py
+++ b/src/wasabigw/core/flows/limits.py
@@ -1,4 +1,4 @@
-"""Rate limits on bindings and refusals that a balancer sends."""
+"""Rate limits on what a process sends or logs."""
 
 from dataclasses import dataclass
 
--- a/src/wasabigw/core/registrar.py
+++ b/src/wasabigw/core/registrar.py
@@ -6,7 +6,7 @@
 entry. The leader keeps the leases and proposes the changes of registrations.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import singledispatch
 
@@ -17,7 +17,7 @@
     BootSilent,
     Report,
 )
-from wasabigw.core.ids import BackendServerId, Seconds, Tag
+from wasabigw.core.ids import BackendServerId, Seconds, ServiceId, Tag
 from wasabigw.core.log_messages import BootAnnouncement, BootDeparture
 from wasabigw.core.registrations import endpoint_holder, is_same_boot
 from wasabigw.core.states import RegistrationState
@@ -42,11 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class BootAnnouncementReceived:
-    """A backend server announced itself, here or at another control VM."""
+    """A backend server announced itself, here or at another control VM.
+
+    :param declared: services of the configuration in force; ``None`` if not known.
+    """
 
     announcement: BootAnnouncement
     now: Seconds
     cluster: ClusterState
+    declared: Collection[ServiceId] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +115,8 @@
 @handle.register
 def _(event: BootAnnouncementReceived, state: RegistrarState) -> list[Report]:
     announcement = event.announcement
+    if not is_admissible(announcement, event.cluster, event.declared):
+        return []
     if not _renew_lease(announcement, state, event.now):
         return []
     if is_reflected(announcement, event.cluster):
@@ -137,6 +143,39 @@
     return _record_proposals(reports, state, event.now)
 
 
+@singledispatch
+def is_admissible(
+    call: object, cluster: ClusterState, declared: Collection[ServiceId] | None
+) -> bool:
+    """Whether a call of a backend server may change registrations or renew a lease.
+
+    :param declared: services of the configuration in force; ``None`` if not known.
+    """
+    raise TypeError(f"not a call of a backend server: {call!r}")
+
+
+@is_admissible.register
+def _(
+    call: BootAnnouncement,
+    cluster: ClusterState,
+    declared: Collection[ServiceId] | None,
+) -> bool:
+    # A new boot ends the registered ones under its id and at its endpoint, so an entry
+    # that names no declared service could end a live backend server. A registered boot
+    # keeps its open flows when a later configuration no longer declares its service.
+    if declared is None or call.service in declared:
+        return True
+    known = cluster.registry.current.get(call.id)
+    return known is not None and is_same_boot(known, _announcement_report(call))
+
+
+@is_admissible.register
+def _(
+    call: BootDeparture, cluster: ClusterState, declared: Collection[ServiceId] | None
+) -> bool:
+    return True
+
+
 @singledispatch
 def is_reflected(call: object, cluster: ClusterState) -> bool:
     """Whether a copy of the replicated state reflects a call of a backend server.
--- a/src/wasabigw/tasks/control_plane.py
+++ b/src/wasabigw/tasks/control_plane.py
@@ -24,6 +24,7 @@
 )
 from wasabigw.tasks.registration_sender import make_registration_sender
 from wasabigw.tasks.storage import Storage
+from wasabigw.tasks.tag_codec import DocumentDecoder
 from wasabigw.tasks.voter_calls import VoterMessage
 from wasabigw.tasks.voter_links import OpenLinks
 from wasabigw.tasks.voter_settings import VoterSettings
@@ -78,6 +79,7 @@
     bind: Endpoint | None = None,
     limits: ProcessLimits = DEFAULT_LIMITS,
     traces: TraceSettings | None = None,
+    decode_document: DocumentDecoder | None = None,
 ) -> ControlPlane:
     """Make the control plane, which takes ownership of the opened data directory.
 
@@ -85,6 +87,8 @@
     :param timer: running timer service.
     :param bind: listen address; ``None`` for the endpoint of this node in the settings.
     :param traces: ``None`` if spans are not written.
+    :param decode_document: decoder of the declared configuration; ``None`` if the
+        front end has none.
     """
     mailbox: Mailbox[VoterMessage | Stop] = Mailbox(
         f"voter-{settings.node}", limits.mailbox_messages
@@ -109,6 +113,7 @@
         registration_sender=registration_sender.mailbox,
         metrics=metrics.mailbox,
         tracer=tracer,
+        decode_document=decode_document,
     )
     listen: Endpoint = bind or settings.voters[NodeId(settings.node)]
     peers = None if settings.target_voters is not None else tuple(settings.voters)
--- a/src/wasabigw/tasks/registration_handler.py
+++ b/src/wasabigw/tasks/registration_handler.py
@@ -5,8 +5,9 @@
 from typing import Any
 
 from wasabigw.core import registrar
-from wasabigw.core.cluster import ClusterState
+from wasabigw.core.cluster import ClusterState, endpoint_key
 from wasabigw.core.commands import Report
+from wasabigw.core.flows.limits import make_rate_limit, take_token
 from wasabigw.core.ids import Seconds
 from wasabigw.core.log_messages import (
     BootAnnouncement,
@@ -16,9 +17,18 @@
 )
 from wasabigw.core.registrar import RegistrarState
 from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.declared_services import DeclaredServices
 from wasabigw.tasks.registration_sender import ForwardRegistrations
-from wasabigw.tasks.voter_calls import Overloaded, RegistrationCall, Settled
+from wasabigw.tasks.tag_codec import DocumentDecoder
+from wasabigw.tasks.voter_calls import (
+    Overloaded,
+    RegistrationCall,
+    ServiceNotDeclared,
+    Settled,
+)
 from wasabigw.tasks.voter_context import VoterContext
+from wasabigw.telemetry.events_control import ControlEvent
+from wasabigw.telemetry.log_events import log
 
 MAX_WAITING_CALLS = 4_096
 """Calls that wait until the replicated state shows them; more are refused."""
@@ -28,6 +38,8 @@
 """How often announcements that only refresh a lease are forwarded, in one batch."""
 RETRY_DELAY = Seconds(0.3)
 """How soon a call that is not settled is forwarded or proposed again."""
+LOGGED_REFUSALS_PER_SECOND = 5.0
+LOGGED_REFUSALS_BURST = 20.0
 
 
 @dataclass(slots=True)
@@ -44,6 +56,8 @@
     :param sender: mailbox of the task that forwards calls to the leader; ``None`` if
         this control VM accepts no such calls.
     :param propose: appends reports to the log; called on the leader only.
+    :param decode_document: decoder of the declared configuration; ``None`` if the
+        front end has none, and any service may be announced.
     """
 
     def __init__(
@@ -51,10 +65,15 @@
         lease: Seconds,
         sender: Mailbox[Any] | None,
         propose: Callable[[tuple[Report, ...]], None],
+        decode_document: DocumentDecoder | None = None,
     ) -> None:
         self._registrar = RegistrarState(lease)
         self._sender = sender
         self._propose = propose
+        self._declared = DeclaredServices(decode_document)
+        self._logged_refusals = make_rate_limit(
+            LOGGED_REFUSALS_PER_SECOND, LOGGED_REFUSALS_BURST
+        )
         self._waiting: list[_WaitingCall] = []
         self._pending_refreshes: dict[str, BootAnnouncement] = {}
         self._next_refresh = Seconds(0.0)
@@ -72,6 +91,10 @@
         if not context.is_current:
             call.reply.post(NotLeader(None))
             return
+        declared = self._declared.of(context.cluster)
+        if not registrar.is_admissible(call.notification, context.cluster, declared):
+            self._refuse(call, context)
+            return
         if registrar.is_reflected(call.notification, context.cluster):
             call.reply.post(Settled())
             self._refresh_lease(call.notification, context)
@@ -115,6 +138,22 @@
             self._pending_refreshes.clear()
             self._dispatch(refreshed, context)
 
+    def _refuse(self, call: RegistrationCall, context: VoterContext) -> None:
+        """Refuse the announcement of a service that is not declared."""
+        announcement = call.notification
+        assert isinstance(announcement, BootAnnouncement)
+        call.reply.post(ServiceNotDeclared(announcement.service))
+        if not take_token(self._logged_refusals, context.now):
+            return
+        document = context.cluster.declared
+        log(
+            ControlEvent.ANNOUNCEMENT_REFUSED,
+            server=announcement.id,
+            endpoint=endpoint_key(announcement.endpoint),
+            service=announcement.service,
+            version=document.version if document is not None else None,
+        )
+
     def _refresh_lease(
         self, notification: BootAnnouncement | BootDeparture, context: VoterContext
     ) -> None:
@@ -151,7 +190,10 @@
             event: registrar.BootAnnouncementReceived | registrar.BootDepartureReceived
             if isinstance(notification, BootAnnouncement):
                 event = registrar.BootAnnouncementReceived(
-                    notification, context.now, context.cluster
+                    notification,
+                    context.now,
+                    context.cluster,
+                    self._declared.of(context.cluster),
                 )
             else:
                 event = registrar.BootDepartureReceived(
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -25,6 +25,7 @@
     NodeId,
     Revision,
     Seconds,
+    ServiceId,
     Term,
 )
 from wasabigw.core.log_messages import (
@@ -89,12 +90,23 @@
     """The replicated state shows what a backend server announced."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceNotDeclared:
+    """An announcement was refused: no configuration in force declares its service.
+
+    The copy of the state may lack a configuration that was acknowledged just now, so
+    the announcement may be accepted elsewhere or later.
+    """
+
+    service: ServiceId
+
+
 CommandAnswer = Applied | Refusal | NotLeader | OutcomeUnknown | Overloaded
 PollAnswer = LogBatch | NotLeader | Overloaded
 StateAnswer = StateView | NotLeader
 InForceAnswer = InForce | NotLeader
 DocumentAnswer = DocumentView | NotLeader
-RegistrationAnswer = Settled | Overloaded | NotLeader
+RegistrationAnswer = Settled | ServiceNotDeclared | Overloaded | NotLeader
 ViewAnswer = ViewUpdate | Overloaded
 
 
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -74,6 +74,7 @@
 from wasabigw.tasks.registration_handler import RegistrationHandler
 from wasabigw.tasks.storage import Storage
 from wasabigw.tasks.storage_errors import StorageError
+from wasabigw.tasks.tag_codec import DocumentDecoder
 from wasabigw.tasks.voter_calls import (
     ChangeCall,
     DocumentCall,
@@ -134,6 +135,7 @@
         registration_sender: Mailbox[Any] | None = None,
         metrics: Mailbox[Any] | None = None,
         tracer: trace.Tracer | None = None,
+        decode_document: DocumentDecoder | None = None,
     ) -> None:
         super().__init__(f"voter-{settings.node}", mailbox)
         self._settings = settings
@@ -149,7 +151,10 @@
         self._next_membership_tick = Seconds(0.0)
         self._proposals = Proposals()
         self._registrations = RegistrationHandler(
-            settings.announcement_lease, registration_sender, self._propose_reports
+            settings.announcement_lease,
+            registration_sender,
+            self._propose_reports,
+            decode_document,
         )
         self._peer_reply: Mailbox[Envelope] | None = None
         self._suspended = False
@@ -581,6 +586,7 @@
     registration_sender: Mailbox[Any] | None = None,
     metrics: Mailbox[Any] | None = None,
     tracer: trace.Tracer | None = None,
+    decode_document: DocumentDecoder | None = None,
 ) -> VoterTask:
     """Make the voter task, which takes ownership of the opened data directory.
 
@@ -589,6 +595,8 @@
         servers to the leader; ``None`` if this control VM accepts no such calls.
     :param metrics: mailbox of the metrics task.
     :param tracer: records spans for the commit of traced changes.
+    :param decode_document: decoder of the declared configuration; ``None`` if the
+        front end has none.
     """
     return VoterTask(
         settings,
@@ -602,6 +610,7 @@
         registration_sender,
         metrics,
         tracer,
+        decode_document,
     )
 
 
--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -69,6 +69,14 @@
         "configuration read: {outcome}, version {version}, after {waited} s",
         "For no-leader and unknown, check whether a majority of the voters is up.",
     )
+    ANNOUNCEMENT_REFUSED = EventDefinition(
+        1012,
+        Severity.WARNING,
+        "refused the announcement of backend server {server} at {endpoint}: "
+        "configuration {version} has no service {service}",
+        "Expected until the configuration that adds the service is in force; otherwise "
+        "find out which process announces it.",
+    )
     LINK_FAILED = EventDefinition(
         1100,
         Severity.WARNING,
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -13,7 +13,7 @@
     DeclareConfiguration,
     TakeFailureDomainOut,
 )
-from wasabigw.core.ids import NodeId, Revision, Seconds
+from wasabigw.core.ids import NodeId, Revision, Seconds, ServiceId
 from wasabigw.core.log_messages import BootAnnouncement, BootDeparture, NotLeader
 from wasabigw.core.states import RefusalCode
 from wasabigw.runtime.mailbox import Mailbox
@@ -26,6 +26,7 @@
     DocumentView,
     OutcomeUnknown,
     Overloaded,
+    ServiceNotDeclared,
     Settled,
 )
 from wasabigw_platform.control_api import make_platform_server
@@ -123,6 +124,13 @@
         self.assertEqual(self.call("PUT", "/instances/xyz", b"{}")[0], 400)
         self.assertEqual(self.task.received, [])
 
+    def test_an_undeclared_service_is_refused_with_the_reason(self) -> None:
+        # 503 lets a backend server try a control VM that knows a newer configuration.
+        self.task.answer = ServiceNotDeclared(ServiceId("huvo11a"))
+        status, answer, _ = self.put_announcement()
+        self.assertEqual(status, 503)
+        self.assertIn("no service 'huvo11a'", json.loads(answer)["error"])
+
     def test_an_oversized_announcement_is_refused(self) -> None:
         self.assertEqual(self.call("PUT", "/instances/i-1", b"x" * 70_000)[0], 413)
 
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -123,6 +123,49 @@
         self.assertEqual(self.cluster.registry.next_tag, 2)
 
 
+class UndeclaredServices(RegistrarCase):
+    """Guards against an odd entry that ends a live boot or keeps its leases out.
+
+    The control VM that received it may know another configuration than the leader.
+    """
+
+    def announce_declared(self, call: BootAnnouncement, *declared: ServiceId) -> None:
+        event = registrar.BootAnnouncementReceived(
+            call, Seconds(0.0), self.cluster, frozenset(declared)
+        )
+        self.commit(registrar.handle(event, self.state))
+
+    def check_is_live(self) -> None:
+        self.assertEqual(self.current().tag, Tag(1))
+        self.assertEqual(self.cluster.registry.ended, [])
+
+    def test_it_ends_no_boot_at_its_endpoint_or_under_its_id(self) -> None:
+        self.announce(announcement())
+        for name in ("b-1", "b-2"):
+            odd = announcement(name, started_at=2000, service=DOCUMENTS)
+            self.announce_declared(odd, SEATS)
+            self.check_is_live()
+
+    def test_its_sequence_number_hides_no_later_announcement(self) -> None:
+        self.announce(announcement())
+        odd = announcement(started_at=2000, sequence=9, service=DOCUMENTS)
+        self.announce_declared(odd, SEATS)
+        self.announce(announcement(sequence=2), LEASE - 0.1)
+        self.assertEqual(self.tick(LEASE + 1), [])
+
+    def test_nothing_is_registered_before_there_is_a_configuration(self) -> None:
+        self.announce_declared(announcement())
+        self.assertEqual(self.cluster.registry.current, {})
+        self.announce_declared(announcement(), SEATS)
+        self.check_is_live()
+
+    def test_a_registered_boot_is_kept_without_its_service(self) -> None:
+        self.announce(announcement())
+        self.announce_declared(announcement(sequence=2, draining=True), DOCUMENTS)
+        self.assertIs(self.current().state, RegistrationState.DRAINING)
+        self.check_is_live()
+
+
 class Drains(RegistrarCase):
     """Guards against new flows for a backend server that is shutting down."""
 
