--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -98,6 +98,18 @@
             outcome = read(json.dumps(ANNOUNCEMENT).encode(), name)
             self.assertIsInstance(outcome, Failure, outcome)
 
+    def test_fields_that_are_missing_or_of_another_type_are_refused(self) -> None:
+        # The start of a boot is optional: without it, it replaces no other boot.
+        required = sorted(set(ANNOUNCEMENT) - {"born"})
+        for field in required:
+            with self.subTest(field=field):
+                entry = {k: v for k, v in ANNOUNCEMENT.items() if k != field}
+                self.assertIsInstance(read(json.dumps(entry).encode()), Failure)
+                self.check_refused(**{field: None})
+                self.check_refused(**{field: [ANNOUNCEMENT[field]]})
+        self.check_refused(version=1)
+        self.check_refused(born="1781961815000")
+
     def test_deep_nesting_is_refused(self) -> None:
         for field in ("slots", "a-field-of-later"):
             with self.subTest(field=field):
