Decide openings from ports of ended flows like those of new flows

Cause: the acknowledgement that follows the FIN of a caller added the closed flow to the table again, as open, for the idle timeout. An opening of a flow that was in the table as open was taken for a late copy whatever its sequence number and age, and went to the same backend server without a look at the configuration, at drains or at failure domains out of service.

Change: a flow is opening, open or closed. A closed one takes the last acknowledgement without opening again and is no load of its backend server. An opening is a copy only if its sequence number fits that of the flow, within 2 s unless it is exactly that of the open flow. That works though the balancer sees no packet of backend servers and can't know which flows have ended, because a later flow has another sequence number.

--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import NamedTuple
 
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT, Declaration, Listener
@@ -34,7 +35,7 @@
 
     :param rank: breaks ties between equally loaded boots.
     :param cold_until: until when it gets no new flows while a warm one is available.
-    :param open_flows: flows to it that pass this balancer.
+    :param open_flows: flows to it that pass this balancer and have not closed.
     """
 
     registration: Registration
@@ -44,11 +45,23 @@
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
 
 
+class FlowState(Enum):
+    """State of a flow as its caller's packets show it."""
+
+    OPENING = "opening"
+    """No packet has followed the opening."""
+    OPEN = "open"
+    CLOSED = "closed"
+    """The caller has closed its end; acknowledgements may follow."""
+
+
 @dataclass(slots=True)
 class Flow:
     """A flow that passes this balancer.
 
-    :param is_open: whether the caller has sent a packet after its opening.
+    :param opened_at: when its first packet passed.
+    :param first_sequence: sequence number of its first packet: of the opening, unless
+        it was opened through another balancer.
     :param acknowledged: latest acknowledgement of the caller.
     :param pending_sequence: sequence number of the data that waits for an answer.
     :param pending_since: when that data was first sent to the backend server.
@@ -58,7 +71,8 @@
     server: Server
     opened_at: Seconds
     last_seen: Seconds
-    is_open: bool = False
+    first_sequence: int
+    state: FlowState = FlowState.OPENING
     acknowledged: int = 0
     pending_sequence: int | None = None
     pending_since: Seconds = NEVER
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -43,10 +43,23 @@
     sequence_distance,
 )
 from wasabigw.core.tags.selection import choose_server, service_of
-from wasabigw.core.tags.state import Flow, HealthChange, Server, TagState
+from wasabigw.core.tags.state import (
+    Flow,
+    FlowState,
+    HealthChange,
+    Server,
+    TagState,
+)
 
 MAX_FLOWS = 100_000
 """Maximum number of tracked flows; further flows are delivered untracked."""
+MAX_COPY_AGE = Seconds(2.0)
+"""Time after the first packet of a flow during which copies of its opening arrive.
+
+Callers send the last copy 0.6 s after the opening, and it may wait in queues.
+"""
+MAX_BYTES_BEFORE_COPY = 2**20
+"""Most bytes that a caller sends on a flow before a copy of its opening arrives."""
 
 
 def decide(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
@@ -72,9 +85,10 @@
     avoided = tried_servers(flow.caller, state, now)
     known = state.flows.get(flow)
     if known is not None:
-        if known.is_open:
+        if _is_copy_of_opening(packet, known, now):
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
-        if not is_waiting(state.egress, packet):
+        is_retransmission = known.state is FlowState.OPENING
+        if is_retransmission and not is_waiting(state.egress, packet):
             if known.server not in avoided:
                 avoided.append(known.server)
             _record_unanswered(
@@ -104,6 +118,24 @@
     return Deliver(packet, server.registration, reason)
 
 
+def _is_copy_of_opening(packet: FlowPacket, known: Flow, now: Seconds) -> bool:
+    """Whether an opening packet is a late copy of the opening of a known flow.
+
+    A copy has to reach the same backend server: the caller puts the tag of the latest
+    answer into its packets. Otherwise the caller uses the port of an ended flow again,
+    for a flow of its own. Packets of backend servers bypass the balancer, so a flow may
+    have ended though it seems open.
+    """
+    if known.state is FlowState.OPENING:
+        return False
+    if known.state is FlowState.OPEN and packet.sequence == known.first_sequence:
+        return True
+    if now - known.opened_at >= MAX_COPY_AGE:
+        return False
+    ahead = sequence_distance(packet.sequence, known.first_sequence)
+    return 0 <= ahead <= MAX_BYTES_BEFORE_COPY
+
+
 def _counts_as_served(
     server: Server, reason: ChoiceReason, pool: Sequence[Server], state: TagState
 ) -> bool:
@@ -130,9 +162,12 @@
     if server.registration.state is RegistrationState.ENDED:
         _remove_flow(packet, state)
         return Refuse(packet, RefusalReason.SERVER_ENDED)
-    if packet.is_closing or packet.is_reset:
+    if packet.is_reset:
         _remove_flow(packet, state)
         return Deliver(packet, server.registration)
+    if packet.is_closing:
+        _close_flow(packet, server, state, now)
+        return Deliver(packet, server.registration)
     flow = _record_use(packet, server, state, now)
     if flow is not None and _record_data(packet, flow, state, now):
         _remove_flow(packet, state)
@@ -204,7 +239,7 @@
     if flow is None:
         return
     if packet.is_opening:
-        if not flow.is_open:
+        if flow.state is FlowState.OPENING:
             flow.opened_at = now
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
@@ -230,7 +265,7 @@
     to_refuse = [
         _packet_to_refuse(flow, known)
         for flow, known in state.flows.items()
-        if known.server is server and known.is_open
+        if known.server is server and known.state is FlowState.OPEN
     ]
     for refused in to_refuse:
         _remove_flow(refused, state)
@@ -246,22 +281,21 @@
 def _record_use(
     packet: FlowPacket, server: Server, state: TagState, now: Seconds
 ) -> Flow | None:
-    known = state.flows.get(packet.flow)
-    if known is not None and known.server is not server:
-        _remove_flow(packet, state)
-        known = None
+    known = _flow_at(server, packet, state)
     if known is None:
         # Opened through another balancer: its acknowledgement may be an old one and
         # is no evidence that the backend server is alive now.
         known = _add_flow(packet, server, state, now)
         if known is not None:
-            known.is_open = True
+            known.state = FlowState.OPEN
             known.acknowledged = packet.acknowledged
         return known
     known.last_seen = now
     discard_opening(packet.flow, state)
-    if not known.is_open or known.acknowledged != packet.acknowledged:
-        known.is_open = True
+    was_opening = known.state is FlowState.OPENING
+    if was_opening:
+        known.state = FlowState.OPEN
+    if was_opening or known.acknowledged != packet.acknowledged:
         known.acknowledged = packet.acknowledged
         if known.pending_sequence is not None:
             known.pending_sequence = None
@@ -272,6 +306,31 @@
     return known
 
 
+def _flow_at(server: Server, packet: FlowPacket, state: TagState) -> Flow | None:
+    """The flow of a packet, unless it is known at another backend server."""
+    known = state.flows.get(packet.flow)
+    if known is not None and known.server is not server:
+        _remove_flow(packet, state)
+        return None
+    return known
+
+
+def _close_flow(
+    packet: FlowPacket, server: Server, state: TagState, now: Seconds
+) -> None:
+    """Keep a flow as closed, so that its last acknowledgement does not open it."""
+    known = _flow_at(server, packet, state) or _add_flow(packet, server, state, now)
+    if known is None:
+        return
+    discard_opening(packet.flow, state)
+    if known.state is not FlowState.CLOSED:
+        known.state = FlowState.CLOSED
+        server.open_flows -= 1
+    known.last_seen = now
+    known.acknowledged = packet.acknowledged
+    known.pending_sequence = None
+
+
 def _record_response(server: Server, state: TagState, now: Seconds) -> None:
     silent_for = Seconds(now - server.breaker.last_response_at)
     if record_response(server.breaker, now):
@@ -283,16 +342,22 @@
 ) -> Flow | None:
     if len(state.flows) >= MAX_FLOWS:
         return None
-    flow = state.flows[packet.flow] = Flow(server, now, now)
+    flow = state.flows[packet.flow] = Flow(server, now, now, packet.sequence)
     server.open_flows += 1
     return flow
 
 
 def _remove_flow(packet: FlowPacket, state: TagState) -> None:
-    known = state.flows.pop(packet.flow, None)
-    if known is not None:
+    _discard_flow(packet.flow, state)
+
+
+def _discard_flow(flow: FlowId, state: TagState) -> None:
+    known = state.flows.pop(flow, None)
+    if known is None:
+        return
+    if known.state is not FlowState.CLOSED:
         known.server.open_flows -= 1
-        discard_opening(packet.flow, state)
+    discard_opening(flow, state)
 
 
 def expire_flows(state: TagState, now: Seconds) -> None:
@@ -303,6 +368,4 @@
         if now - known.last_seen >= state.idle_timeout
     ]
     for flow in ended:
-        known = state.flows.pop(flow)
-        known.server.open_flows -= 1
-        discard_opening(flow, state)
+        _discard_flow(flow, state)
