Say what the tests of announced services wait for

Cause: the comment named an announcement, but a read of the configuration is what is repeated until the control VM leads.

Change: the comment.

Measured: the four tests of the module pass.

--- a/tests/test_announced_services.py
+++ b/tests/test_announced_services.py
@@ -68,7 +68,7 @@
         return update
 
     def wait_until_leader(self) -> None:
-        """Wait until an announcement is answered by a leader."""
+        """Wait until the control VM leads, and so can read the configuration."""
         deadline = time.monotonic() + START_TIMEOUT_S
         while not self._has_leader():
             if time.monotonic() > deadline:
