core/consensus: report which votes a failed election lacks, and why

A control plane without a leader could not be explained from its logs: a voter logged that it was a pre-candidate, but not whose votes it lacked.

No decision depends on these.

Measured: two tests in test_consensus.py tell no answer, refused and not counted apart.

--- a/src/wasabigw/core/consensus/effects.py
+++ b/src/wasabigw/core/consensus/effects.py
@@ -9,7 +9,7 @@
 from wasabigw.core.consensus.messages import NO_TERM, Envelope, Snapshot
 from wasabigw.core.ids import Incarnation, NodeId, Term
 from wasabigw.core.log_messages import LogEntry
-from wasabigw.core.states import VoterRole
+from wasabigw.core.states import MissingVoteReason, VoterRole
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +86,28 @@
     leader: NodeId | None
 
 
+@dataclass(frozen=True, slots=True)
+class MissingVote:
+    """A vote or pre-vote that a candidate does not have, and why."""
+
+    voter: NodeId
+    reason: MissingVoteReason
+
+
+@dataclass(frozen=True, slots=True)
+class ElectionFailed:
+    """Report that a candidate got no majority within the election timeout.
+
+    :param votes: number of votes that it has.
+    :param voters: number of voters after the last entry of its log.
+    """
+
+    term: Term
+    votes: int
+    voters: int
+    missing: tuple[MissingVote, ...]
+
+
 Effect = (
     SaveVote
     | AppendEntries
@@ -95,4 +117,5 @@
     | SendMessage
     | AnswerMessage
     | RoleChanged
+    | ElectionFailed
 )
--- a/src/wasabigw/core/consensus/election.py
+++ b/src/wasabigw/core/consensus/election.py
@@ -6,6 +6,8 @@
 from wasabigw.core.consensus.effects import (
     AnswerMessage,
     Effect,
+    ElectionFailed,
+    MissingVote,
     SendMessage,
     VoteRecord,
 )
@@ -19,8 +21,8 @@
 )
 from wasabigw.core.consensus.replication import append_commands
 from wasabigw.core.consensus.state import Progress, VoterState
-from wasabigw.core.ids import Revision, Seconds, Term
-from wasabigw.core.states import VoterRole
+from wasabigw.core.ids import NodeId, Revision, Seconds, Term
+from wasabigw.core.states import MissingVoteReason, VoterRole
 from wasabigw.core.timing import ELECTION_TIMEOUT_MIN
 
 
@@ -37,14 +39,18 @@
     """Stop being leader or candidate; no leader is known."""
     state.progress.clear()
     state.votes.clear()
+    state.refusals.clear()
     return [*state.change_role(state.idle_role(), None)]
 
 
 def start_pre_vote(state: VoterState, now: Seconds, jitter: float) -> list[Effect]:
     """Ask the other voters whether they would vote for this one."""
+    effects: list[Effect] = []
+    if state.role in (VoterRole.PRE_CANDIDATE, VoterRole.CANDIDATE):
+        effects.append(_failed_election(state))
+    _reset_votes(state)
     state.reset_election_timer(now, jitter)
-    state.votes = {state.node}
-    effects: list[Effect] = [*state.change_role(VoterRole.PRE_CANDIDATE, None)]
+    effects.extend(state.change_role(VoterRole.PRE_CANDIDATE, None))
     if _has_won(state):
         return effects + _start_election(state, now, jitter)
     request = PreVoteRequest(
@@ -76,9 +82,9 @@
     """Count a pre-vote, and start the election once there is a majority."""
     if state.role is not VoterRole.PRE_CANDIDATE:
         return []
-    if not response.granted or response.candidate_term != state.term + 1:
+    if response.candidate_term != state.term + 1:
         return []
-    _add_vote(state, envelope)
+    _record_vote(state, envelope, response.granted)
     return _start_election(state, now, jitter) if _has_won(state) else []
 
 
@@ -126,15 +132,15 @@
     """Count a vote, and become leader once there is a majority."""
     if state.role is not VoterRole.CANDIDATE:
         return []
-    if not response.granted or envelope.term != state.term:
+    if envelope.term != state.term:
         return []
-    _add_vote(state, envelope)
+    _record_vote(state, envelope, response.granted)
     return _become_leader(state, now) if _has_won(state) else []
 
 
 def _start_election(state: VoterState, now: Seconds, jitter: float) -> list[Effect]:
     state.reset_election_timer(now, jitter)
-    state.votes = {state.node}
+    _reset_votes(state)
     term = Term(state.term + 1)
     record = VoteRecord(term, state.node, state.incarnation, state.record.admitted)
     effects: list[Effect] = [*state.save(record)]
@@ -155,10 +161,38 @@
     return effects
 
 
-def _add_vote(state: VoterState, envelope: Envelope) -> None:
+def _reset_votes(state: VoterState) -> None:
+    state.votes = {state.node}
+    state.refusals.clear()
+
+
+def _record_vote(state: VoterState, envelope: Envelope, granted: bool) -> None:
     voters = state.latest_voters()
-    if voters.counts(envelope.sender, envelope.incarnation, envelope.admitted):
-        state.votes.add(envelope.sender)
+    sender = envelope.sender
+    if not granted:
+        state.refusals[sender] = MissingVoteReason.REFUSED
+    elif voters.counts(sender, envelope.incarnation, envelope.admitted):
+        state.votes.add(sender)
+    else:
+        state.refusals[sender] = MissingVoteReason.NOT_COUNTED
+
+
+def _failed_election(state: VoterState) -> ElectionFailed:
+    members = state.latest_voters().members
+    missing = tuple(
+        MissingVote(name, _missing_vote_reason(state, name))
+        for name in members
+        if name not in state.votes
+    )
+    return ElectionFailed(
+        state.term, len(state.votes & members.keys()), len(members), missing
+    )
+
+
+def _missing_vote_reason(state: VoterState, name: NodeId) -> MissingVoteReason:
+    if not state.has_address(name):
+        return MissingVoteReason.NO_ADDRESS
+    return state.refusals.get(name, MissingVoteReason.NO_ANSWER)
 
 
 def _has_won(state: VoterState) -> bool:
--- a/src/wasabigw/core/consensus/state.py
+++ b/src/wasabigw/core/consensus/state.py
@@ -15,7 +15,7 @@
 from wasabigw.core.consensus.voters import VoterSet, latest_voters
 from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Term
 from wasabigw.core.log_messages import LogEntry
-from wasabigw.core.states import VoterRole
+from wasabigw.core.states import MissingVoteReason, VoterRole
 from wasabigw.core.timing import ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN
 
 NEVER = Seconds(float("-inf"))
@@ -58,6 +58,8 @@
     :param members: voters after the entry at ``committed``.
     :param last_contact: when the voter last received a request of a leader.
     :param votes: voters that granted a vote or pre-vote in the current election.
+    :param refusals: why the votes of voters that have answered in the current election
+        are missing.
     :param voters_changed_at: when this leader last committed a change of the voters.
     :param started: when this process started, by its own clock.
     :param view_until: end of the view lease that the leader has granted.
@@ -81,6 +83,7 @@
     election_at: Seconds
     leader: NodeId | None = None
     votes: set[NodeId] = field(default_factory=set)
+    refusals: dict[NodeId, MissingVoteReason] = field(default_factory=dict)
     progress: dict[NodeId, Progress] = field(default_factory=dict)
     leader_since: Seconds = NEVER
     voters_changed_at: Seconds = NEVER
@@ -99,6 +102,16 @@
         announced = progress.place if progress is not None else None
         return announced or self.places.get(name) or self.discovered_places.get(name)
 
+    def has_address(self, name: NodeId) -> bool:
+        """Whether the address of another control VM is known."""
+        return name in self.seeds or self.place_of(name) is not None
+
+    @property
+    def without_address(self) -> int:
+        """Number of other voters whose address is not known."""
+        others = self.latest_voters().members.keys() - {self.node}
+        return sum(not self.has_address(name) for name in others)
+
     @property
     def peers(self) -> tuple[NodeId, ...]:
         """Other control VMs that are voters or may become voters."""
--- a/src/wasabigw/core/states.py
+++ b/src/wasabigw/core/states.py
@@ -77,3 +77,12 @@
     CANDIDATE = "candidate"
     LEADER = "leader"
     AWAITING_ADMISSION = "awaiting-admission"
+
+
+class MissingVoteReason(Enum):
+    """Why a candidate does not have the vote of a voter."""
+
+    NO_ADDRESS = "no address"
+    NO_ANSWER = "no answer"
+    REFUSED = "refused"
+    NOT_COUNTED = "not counted"
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -217,6 +217,8 @@
 class VoterStatus:
     """State of a voter and the durations of its disk syncs and commits.
 
+    :param without_address: voters after the last entry of its log whose address it
+        does not know.
     :param lag: entries of its log that are not known to be committed.
     :param waiting: proposed commands that are not yet committed.
     :param syncs: durations of appends to the log, with the disk sync.
@@ -229,6 +231,7 @@
     revision: Revision
     lag: int
     voters: int
+    without_address: int
     waiting: int
     declared_version: int | None
     out_of_service: tuple[FailureDomainId, ...]
--- a/src/wasabigw/tasks/voter_metrics.py
+++ b/src/wasabigw/tasks/voter_metrics.py
@@ -44,6 +44,11 @@
         ),
         gauge("wasabigw_voter_term", "Term of this voter", status.term),
         gauge("wasabigw_voters", "Voters that this one counts", status.voters),
+        gauge(
+            "wasabigw_voters_without_address",
+            "Voters in the log that this one can't send requests to",
+            status.without_address,
+        ),
         gauge("wasabigw_state_revision", "Applied revision", status.revision),
         gauge("wasabigw_log_lag", "Entries not known to be committed", status.lag),
         gauge("wasabigw_commands_waiting", "Proposed commands", status.waiting),
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -31,6 +31,7 @@
     AppendEntries,
     ApplyEntries,
     Effect,
+    ElectionFailed,
     InstallSnapshot,
     RoleChanged,
     SaveSnapshot,
@@ -344,6 +345,7 @@
                 cluster.revision,
                 voter.log.last_revision - voter.committed,
                 len(voter.members),
+                voter.without_address,
                 self._proposals.pending,
                 declared.version if declared is not None else None,
                 out_of_service(cluster),
@@ -423,6 +425,19 @@
             self._end_leadership()
         return None
 
+    @_execute.register
+    def _(self, effect: ElectionFailed) -> StorageError | None:
+        missing = (f"{m.voter} {m.reason.value}" for m in effect.missing)
+        log(
+            ControlEvent.ELECTION_FAILED,
+            node=self._settings.node,
+            term=effect.term,
+            votes=effect.votes,
+            voters=effect.voters,
+            missing=", ".join(missing),
+        )
+        return None
+
     # Event processing
 
     def _make_voter_state(self) -> VoterState:
@@ -484,6 +499,8 @@
             node=self._settings.node,
             revision=self._voter.log.last_revision,
             term=self._storage.recovered.vote.term,
+            admitted=self._storage.recovered.vote.admitted,
+            voters=", ".join(self._voter.latest_voters().members),
         )
 
     def _reopen(self, now: Seconds) -> None:
--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -9,7 +9,8 @@
     VOTER_OPENED = EventDefinition(
         1000,
         Severity.INFO,
-        "voter {node} opened its data directory: revision {revision}, term {term}",
+        "voter {node} opened its data directory: revision {revision}, term {term}, "
+        "admitted: {admitted}; voters in its log: {voters}",
         "None needed.",
     )
     ROLE_CHANGED = EventDefinition(
@@ -57,6 +58,14 @@
         "the leader proposed reports: {reports}",
         "None needed.",
     )
+    ELECTION_FAILED = EventDefinition(
+        1008,
+        Severity.WARNING,
+        "voter {node} got {votes} of {voters} votes in term {term}; missing: {missing}",
+        "No answer: check that VM and the network to it. No address: this voter can't "
+        "reach it. Refused: it has a longer log or hears a leader. Not counted: its "
+        "disk was replaced, and its admission is not complete.",
+    )
     ORDER_ANSWERED = EventDefinition(
         1010,
         Severity.INFO,
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -20,7 +20,7 @@
 from wasabigw.core.consensus import events, lease, messages, voter
 from wasabigw.core.ids import Incarnation, Revision, Seconds, Term
 from wasabigw.core.log_messages import LogEntry
-from wasabigw.core.states import VoterRole
+from wasabigw.core.states import MissingVoteReason, VoterRole
 from wasabigw.core.timing import LEADER_LEASE, VIEW_LEASE
 
 
@@ -48,6 +48,48 @@
         self.assertTrue(all(d.vote.admitted for d in network.disks.values()))
 
 
+class FailedElections(unittest.TestCase):
+    """Guards against a missing leader that the logs can't explain."""
+
+    def test_a_voter_that_does_not_answer_is_named(self) -> None:
+        network = Network()
+        del network.members[NODES[1]]
+        del network.members[NODES[2]]
+        network.run(6.0)
+        candidate, failed = network.failed_elections[-1]
+        self.assertEqual((candidate, failed.votes, failed.voters), (NODES[0], 1, 3))
+        reasons = {vote.voter: vote.reason for vote in failed.missing}
+        no_answer = dict.fromkeys(NODES[1:], MissingVoteReason.NO_ANSWER)
+        self.assertEqual(reasons, no_answer)
+
+    def test_a_refusal_and_a_vote_that_does_not_count_are_told_apart(self) -> None:
+        refusing, replaced = NODES[1:]
+        network = Network()
+        del network.members[refusing]
+        del network.members[replaced]
+        network.run(6.0)
+        state = network.members[NODES[0]].state
+        next_term = Term(state.term + 1)
+        for sender, incarnation, granted in (
+            (refusing, f"{refusing}1", False),
+            (replaced, "another disk", True),
+        ):
+            response = messages.PreVoteResponse(next_term, granted)
+            envelope = messages.Envelope(
+                sender, Incarnation(incarnation), True, state.term, response
+            )
+            now = Seconds(network.now)
+            voter.handle(events.EnvelopeReceived(envelope, now, 0.5), state)
+        network.run(2.0)
+        _, failed = network.failed_elections[-1]
+        reasons = {vote.voter: vote.reason for vote in failed.missing}
+        expected = {
+            refusing: MissingVoteReason.REFUSED,
+            replaced: MissingVoteReason.NOT_COUNTED,
+        }
+        self.assertEqual(reasons, expected)
+
+
 class InjectedFaults(unittest.TestCase):
     """Guards against safety checks that can't fail."""
 
--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -98,7 +98,7 @@
     def test_voters_that_do_not_lead_serve_metrics(self) -> None:
         voter: Mailbox[VoterStatusCall] = Mailbox("voter")
         status = VoterStatus(
-            VoterRole.FOLLOWER, Term(3), Revision(9), 1, 3, 0, 7, (), Durations(),
+            VoterRole.FOLLOWER, Term(3), Revision(9), 1, 3, 2, 0, 7, (), Durations(),
             Durations(),
         )  # fmt: skip
 
@@ -115,6 +115,7 @@
         text = found.unwrap().decode()
         self.assertIn('wasabigw_voter_role{role="follower"} 1', text)
         self.assertIn("wasabigw_log_lag 1", text)
+        self.assertIn("wasabigw_voters_without_address 2", text)
 
 
 if __name__ == "__main__":
--- a/tests/voter_network.py
+++ b/tests/voter_network.py
@@ -120,6 +120,7 @@
         self.committed: dict[Revision, LogEntry] = {}
         self.leaders: dict[Term, tuple[NodeId, Incarnation]] = {}
         self.loss = 0.0
+        self.failed_elections: list[tuple[NodeId, effects.ElectionFailed]] = []
         self.proposed = 0
         self.disk_replaced_at = -math.inf
         self._acknowledge_before_sync = acknowledge_before_sync
@@ -260,6 +261,8 @@
                 self._apply(member, entries)
             case effects.SendMessage(recipient, envelope):
                 self.messages.append((recipient, envelope))
+            case effects.ElectionFailed():
+                self.failed_elections.append((member.state.node, effect))
             case effects.AnswerMessage(envelope):
                 assert sender is not None
                 self.messages.append((sender, envelope))
