--- a/tests/voter_network.py
+++ b/tests/voter_network.py
@@ -260,7 +260,9 @@
             case effects.ApplyEntries(entries):
                 self._apply(member, entries)
             case effects.SendMessage(recipient, envelope):
-                self.messages.append((recipient, envelope))
+                # A VM can send only to an address that it knows.
+                if not self._domains or member.state.has_address(recipient):
+                    self.messages.append((recipient, envelope))
             case effects.ElectionFailed():
                 self.failed_elections.append((member.state.node, effect))
             case effects.AnswerMessage(envelope):
