core/consensus: take addresses of voters from the newest entries of the log

Voters admitted later were in the log as members, but their requests for votes were dropped by the sender. With the tolerated number of disks lost, every remaining vote is needed.

Change: VoterSet, which has always taken the members from the newest entries, has the places as well, and VoterState.place_of and the answer to admission requests use them.

--- a/src/wasabigw/core/apply_reports.py
+++ b/src/wasabigw/core/apply_reports.py
@@ -13,6 +13,7 @@
 from wasabigw.core.states import BackendServerState, CandidateReason, NodeState
 from wasabigw.core.timing import BUCKETS_PER_SERVICE, RAMP_STEPS
 from wasabigw.core.transition import Transition, in_service
+from wasabigw.core.voter_reports import VoterReport, apply_voter_report
 
 _DRAIN_RANK = {
     BackendServerState.COLD: 0,
@@ -131,24 +132,8 @@
 
 
 @apply_report.register
-def _(report: commands.VoterAdmitted, transition: Transition) -> None:
-    transition.state.voters[report.voter] = report.incarnation
-    if report.place is not None:
-        transition.state.voter_places[report.voter] = report.place
-
-
-@apply_report.register
-def _(report: commands.VoterRemoved, transition: Transition) -> None:
-    state = transition.state
-    if state.voters.get(report.voter) == report.incarnation:
-        del state.voters[report.voter]
-        state.voter_places.pop(report.voter, None)
-
-
-@apply_report.register
-def _(report: commands.VoterPlaced, transition: Transition) -> None:
-    if report.voter in transition.state.voters:
-        transition.state.voter_places[report.voter] = report.place
+def _(report: VoterReport, transition: Transition) -> None:
+    apply_voter_report(report, transition.state.voters, transition.state.voter_places)
 
 
 @apply_report.register
--- a/src/wasabigw/core/consensus/commit.py
+++ b/src/wasabigw/core/consensus/commit.py
@@ -5,13 +5,10 @@
 from wasabigw.core.consensus.effects import ApplyEntries, Effect
 from wasabigw.core.consensus.lease import counted_voters
 from wasabigw.core.consensus.state import VoterState
-from wasabigw.core.consensus.voters import (
-    apply_voter_change,
-    apply_voter_places,
-    voter_changes,
-)
+from wasabigw.core.consensus.voters import voter_reports
 from wasabigw.core.ids import Revision
 from wasabigw.core.states import VoterRole
+from wasabigw.core.voter_reports import apply_voter_report
 
 
 def commit_by_majority(state: VoterState) -> list[Effect]:
@@ -30,9 +27,8 @@
         return []
     state.committed = entries[-1].revision
     for entry in entries:
-        for change in voter_changes(entry.command):
-            apply_voter_change(change, state.members)
-        apply_voter_places(entry.command, state.places)
+        for report in voter_reports(entry.command):
+            apply_voter_report(report, state.members, state.places)
     return [ApplyEntries(entries), *update_admission(state)]
 
 
--- a/src/wasabigw/core/consensus/replication.py
+++ b/src/wasabigw/core/consensus/replication.py
@@ -165,7 +165,7 @@
     is_counted = state.members.get(envelope.sender) == envelope.incarnation
     if place is None or not is_counted or reconfiguration.has_uncommitted_change(state):
         return []
-    if state.places.get(envelope.sender) == place:
+    if state.latest_voters().places.get(envelope.sender) == place:
         return []
     placed = VoterPlaced(envelope.sender, place)
     return append_commands(state, (ReportBatch((placed,)),), now)
@@ -193,7 +193,8 @@
             effects.extend(append_commands(state, (ReportBatch((admission,)),), now))
         else:
             effects.extend(send_next(state, envelope.sender, now))
-    answer = AdmissionResponse(accepted, voters=tuple(state.places.items()))
+    known = tuple(state.latest_voters().places.items())
+    answer = AdmissionResponse(accepted, voters=known)
     effects.append(AnswerMessage(state.envelope(answer)))
     return effects
 
--- a/src/wasabigw/core/consensus/state.py
+++ b/src/wasabigw/core/consensus/state.py
@@ -100,7 +100,8 @@
         """Place of another control VM, or ``None`` if it is not known."""
         progress = self.progress.get(name)
         announced = progress.place if progress is not None else None
-        return announced or self.places.get(name) or self.discovered_places.get(name)
+        recorded = self.latest_voters().places.get(name)
+        return announced or recorded or self.discovered_places.get(name)
 
     def has_address(self, name: NodeId) -> bool:
         """Whether the address of another control VM is known."""
@@ -126,8 +127,9 @@
         return self.record.term
 
     def latest_voters(self) -> VoterSet:
-        """Voters as of the end of the log."""
-        return latest_voters(self.members, self.log.after(self.committed))
+        """Voters and their places as of the end of the log."""
+        uncommitted = self.log.after(self.committed)
+        return latest_voters(self.members, self.places, uncommitted)
 
     def envelope(self, body: Body) -> Envelope:
         """Wrap a message of this voter."""
--- a/src/wasabigw/core/consensus/voters.py
+++ b/src/wasabigw/core/consensus/voters.py
@@ -1,4 +1,4 @@
-"""The set of voters, as determined by the log.
+"""The set of voters and their places, as determined by the log.
 
 A ``VoterAdmitted`` entry adds a voter and a ``VoterRemoved`` entry removes one. At most
 one such change is uncommitted at any time, and majorities before and after it overlap,
@@ -9,15 +9,10 @@
 from dataclasses import dataclass
 
 from wasabigw.core.cluster import VoterPlace
-from wasabigw.core.commands import (
-    Command,
-    ReportBatch,
-    VoterAdmitted,
-    VoterPlaced,
-    VoterRemoved,
-)
+from wasabigw.core.commands import Command, ReportBatch, VoterAdmitted
 from wasabigw.core.ids import Incarnation, NodeId
 from wasabigw.core.log_messages import LogEntry
+from wasabigw.core.voter_reports import VoterChange, VoterReport, apply_voter_report
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,11 +20,13 @@
     """The voters after the last entry of the log.
 
     :param members: admitted incarnation of each voter.
+    :param places: places of the voters, as far as the log contains them.
     :param pending: voter whose admission or removal is not known to be committed yet.
     :param is_addition: whether the pending change adds a voter.
     """
 
     members: Mapping[NodeId, Incarnation]
+    places: Mapping[NodeId, VoterPlace]
     pending: NodeId | None = None
     is_addition: bool = False
 
@@ -54,57 +51,41 @@
 
 
 def latest_voters(
-    committed: Mapping[NodeId, Incarnation], uncommitted: Iterable[LogEntry]
+    committed: Mapping[NodeId, Incarnation],
+    places: Mapping[NodeId, VoterPlace],
+    uncommitted: Iterable[LogEntry],
 ) -> VoterSet:
     """Voters after the last entry of a log.
 
     :param committed: voters after the last entry known to be committed.
+    :param places: places of the voters after that entry.
     :param uncommitted: entries that follow it.
     """
     members = dict(committed)
+    latest_places = dict(places)
     pending: NodeId | None = None
     is_addition = False
     for entry in uncommitted:
-        for change in voter_changes(entry.command):
-            pending = change.voter
-            is_addition = (
-                isinstance(change, VoterAdmitted) and change.voter not in members
-            )
-            apply_voter_change(change, members)
-    return VoterSet(members, pending, is_addition)
-
-
-def apply_voter_change(
-    change: VoterAdmitted | VoterRemoved, members: dict[NodeId, Incarnation]
-) -> None:
-    """Apply a change to a map of the voters."""
-    if isinstance(change, VoterAdmitted):
-        members[change.voter] = change.incarnation
-    elif members.get(change.voter) == change.incarnation:
-        del members[change.voter]
-
-
-def voter_changes(command: Command) -> list[VoterAdmitted | VoterRemoved]:
-    """Changes of the voters in a command."""
+        for report in voter_reports(entry.command):
+            if isinstance(report, VoterChange):
+                pending = report.voter
+                is_addition = (
+                    isinstance(report, VoterAdmitted) and report.voter not in members
+                )
+            apply_voter_report(report, members, latest_places)
+    return VoterSet(members, latest_places, pending, is_addition)
+
+
+def voter_reports(command: Command) -> list[VoterReport]:
+    """Reports on voters in a command."""
     if not isinstance(command, ReportBatch):
         return []
-    return [r for r in command.reports if isinstance(r, VoterAdmitted | VoterRemoved)]
-
-
-def apply_voter_places(command: Command, places: dict[NodeId, VoterPlace]) -> None:
-    """Apply a command to a map of the places of voters."""
-    if not isinstance(command, ReportBatch):
-        return
-    for report in command.reports:
-        if isinstance(report, VoterRemoved):
-            places.pop(report.voter, None)
-        elif isinstance(report, VoterAdmitted | VoterPlaced) and report.place:
-            places[report.voter] = report.place
+    return [report for report in command.reports if isinstance(report, VoterReport)]
 
 
 def admissions(command: Command) -> list[VoterAdmitted]:
     """Admissions in a command."""
-    return [c for c in voter_changes(command) if isinstance(c, VoterAdmitted)]
+    return [r for r in voter_reports(command) if isinstance(r, VoterAdmitted)]
 
 
 def _majority(count: int) -> int:
--- a/tests/voter_network.py
+++ b/tests/voter_network.py
@@ -15,11 +15,7 @@
 from wasabigw.core.consensus.replication import CommittedEntryError
 from wasabigw.core.consensus.state import VoterState, make_voter_state
 from wasabigw.core.consensus.voter import handle
-from wasabigw.core.consensus.voters import (
-    apply_voter_change,
-    apply_voter_places,
-    voter_changes,
-)
+from wasabigw.core.consensus.voters import voter_reports
 from wasabigw.core.copying import copy_state
 from wasabigw.core.ids import (
     FailureDomainId,
@@ -32,6 +28,7 @@
 )
 from wasabigw.core.log_messages import LogEntry
 from wasabigw.core.states import VoterRole
+from wasabigw.core.voter_reports import apply_voter_report
 
 NODES = tuple(NodeId(name) for name in "abc")
 STEP = 0.05
@@ -281,9 +278,9 @@
         for entry in entries:
             if self.committed.setdefault(entry.revision, entry) != entry:
                 raise SafetyError(f"two entries are committed at {entry.revision}")
-            for changed in voter_changes(entry.command):
-                apply_voter_change(changed, member.cluster.voters)
-            apply_voter_places(entry.command, member.cluster.voter_places)
+            for report in voter_reports(entry.command):
+                cluster = member.cluster
+                apply_voter_report(report, cluster.voters, cluster.voter_places)
             member.cluster.revision = entry.revision
 
 
