core/consensus: admit only a standby that answers the leader

Cause: a standby counted as caught up if it lacked at most 64 entries, so one that had never answered was admitted at its first request. An added voter counts at once, so the leader then had no majority that answered it and stepped down at its next tick, with the admission uncommitted.

Change: a standby is admitted only if it holds the log and has answered within REPLACE_AFTER, by which the leader also tells lost voters. So the majority that the leader needs after the change answers it already.

--- a/src/wasabigw/core/consensus/reconfiguration.py
+++ b/src/wasabigw/core/consensus/reconfiguration.py
@@ -74,7 +74,7 @@
     """Whether admitting a standby adds a missing voter or improves fault tolerance."""
     assert state.target_voters is not None
     progress = state.progress[name]
-    if progress.incarnation is None or not _is_caught_up(progress, state):
+    if not _is_ready(progress, state, now):
         return False
     if now - progress.asked_at >= STANDBY_TIMEOUT:
         return False
@@ -85,8 +85,14 @@
     return most - _domain_size(name, state) >= 2
 
 
-def _is_caught_up(progress: Progress, state: VoterState) -> bool:
-    return progress.matched + CAUGHT_UP_ENTRIES >= state.log.last_revision
+def _is_ready(progress: Progress, state: VoterState, now: Seconds) -> bool:
+    """Whether a standby answers the leader and holds the log.
+
+    An added voter counts at once. If it did not answer while another voter is lost, the
+    leader would have no majority and step down.
+    """
+    is_caught_up = progress.matched + CAUGHT_UP_ENTRIES >= state.log.last_revision
+    return is_caught_up and not _is_silent(progress, now)
 
 
 def _removal(state: VoterState, now: Seconds) -> VoterRemoved | None:
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -78,6 +78,22 @@
         run.run(4.0)
         self.assertEqual(run.voters(), {A, B, D})
 
+    def test_the_leader_stays_while_it_admits_a_vm_that_starts_later(self) -> None:
+        # The new voter counts at once, so the leader needs its answer to keep the
+        # majority while another voter is lost.
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                run = network(seed)
+                run.run(3.0)
+                leader = run.settle()
+                del run.members[next(node for node in NODES if node != leader)]
+                run.run(2.0)
+                term = run.members[leader].state.term
+                run.restart([D])
+                run.run(4.0)
+                self.assertIn(D, run.voters())
+                self.assertEqual(run.members[leader].state.term, term)
+
     def test_a_lost_leader_is_replaced(self) -> None:
         run = network(started=(A, B, C, D))
         leader = run.settle()
