core/consensus: a new leader removes no voter that may be the only one up

Cause: a leader of too many voters removes a lost one, or else one by its failure domain. A new leader regards no voter as lost for 1.5 s, so it removed one that was up although another one was gone, which left two of three until the next replacement.

Evidence: the committed removals in the new test are [d, a] where a is down and d is up.

Change: while any voter has not answered for three heartbeats, no voter that is up is removed; the silent one answers or becomes lost by then.

--- a/src/wasabigw/core/consensus/reconfiguration.py
+++ b/src/wasabigw/core/consensus/reconfiguration.py
@@ -13,9 +13,12 @@
 from wasabigw.core.consensus.state import Progress, VoterState
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
 from wasabigw.core.states import VoterRole
+from wasabigw.core.timing import HEARTBEAT_INTERVAL
 
 REPLACE_AFTER = Seconds(1.5)
 """Time without an answer after which a standby may replace a voter."""
+ANSWER_OVERDUE = Seconds(3 * HEARTBEAT_INTERVAL)
+"""Time without an answer after which a voter may be lost."""
 STANDBY_TIMEOUT = Seconds(5.0)
 """Time without an admission request after which a standby gets no more entries."""
 CAUGHT_UP_ENTRIES = 64
@@ -101,6 +104,9 @@
     lost = _lost_voters(state, now)
     if lost:
         name = min(lost, key=lambda n: state.progress[n].last_contact)
+    elif any(_is_overdue(state.progress.get(name), now) for name in others):
+        # It may be lost; without one that is up, fewer losses could be tolerated.
+        return None
     else:
         name = max(others, key=lambda n: (_domain_size(n, state), n))
     return VoterRemoved(name, state.members[name])
@@ -124,6 +130,10 @@
     return progress is not None and now - progress.last_contact >= REPLACE_AFTER
 
 
+def _is_overdue(progress: Progress | None, now: Seconds) -> bool:
+    return progress is None or now - progress.last_contact >= ANSWER_OVERDUE
+
+
 def _domain_size(name: NodeId, state: VoterState) -> int:
     """Number of voters in the failure domain of a control VM."""
     return _voters_by_domain(state.members, state)[_domain(name, state)]
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -6,8 +6,10 @@
 from hypothesis import strategies as st
 
 from tests.voter_network import NODES, Network, empty_disk
+from wasabigw.core.commands import VoterRemoved
 from wasabigw.core.consensus.events import SeedsChanged
 from wasabigw.core.consensus.voter import handle
+from wasabigw.core.consensus.voters import voter_reports
 from wasabigw.core.ids import NodeId
 from wasabigw.core.states import VoterRole
 
@@ -29,6 +31,13 @@
     return made
 
 
+def removals(run: Network) -> list[NodeId]:
+    """Voters that committed entries remove, in the order of the log."""
+    commands = [entry.command for _, entry in sorted(run.committed.items())]
+    reports = [report for command in commands for report in voter_reports(command)]
+    return [r.voter for r in reports if isinstance(r, VoterRemoved)]
+
+
 def may_lose_disk(run: Network, node: NodeId) -> bool:
     """Whether a disk may be replaced without losing committed entries.
 
@@ -94,6 +103,22 @@
                 self.assertIn(D, run.voters())
                 self.assertEqual(run.members[leader].state.term, term)
 
+    def test_a_new_leader_does_not_remove_a_voter_that_is_up(self) -> None:
+        # Four voters, one too many, of which one stops and takes the leadership with
+        # it. Removing one that is up would leave only two of three.
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                run = network(seed, target_voters=4, started=(A, B, C, D))
+                run.run(6.0)
+                self.assertEqual(run.voters(), {A, B, C, D})
+                leader = run.settle()
+                del run.members[leader]
+                for member in run.members.values():
+                    member.state.target_voters = 3
+                run.run(8.0)
+                self.assertEqual(run.voters(), {A, B, C, D} - {leader})
+                self.assertEqual(removals(run), [leader])
+
     def test_a_lost_leader_is_replaced(self) -> None:
         run = network(started=(A, B, C, D))
         leader = run.settle()
