--- a/src/wasabigw_demo/_children.py
+++ b/src/wasabigw_demo/_children.py
@@ -30,21 +30,35 @@
     """Starts processes, and stops those still running when the context ends.
 
     :param environment: environment variables of all processes.
+    :param folder: folder in which processes are started; the present one if ``None``.
     """
 
-    def __init__(self, environment: Mapping[str, str]) -> None:
+    def __init__(
+        self, environment: Mapping[str, str], folder: Path | None = None
+    ) -> None:
         self._environment = dict(environment)
+        self._folder = folder
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
 
-    def start(self, name: str, command: Sequence[str], log: Path) -> None:
-        """Start a process, and append its output to a file."""
+    def start(
+        self,
+        name: str,
+        command: Sequence[str],
+        log: Path,
+        variables: Mapping[str, str] | None = None,
+    ) -> None:
+        """Start a process, and append its output to a file.
+
+        :param variables: environment variables of this process alone.
+        """
         with log.open("ab") as output:
             self._processes[name] = subprocess.Popen(
                 command,
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
-                env=self._environment,
+                env={**self._environment, **(variables or {})},
+                cwd=self._folder,
             )
 
     def run(self, command: Sequence[str], timeout: Seconds) -> CompletedCommand:
--- /dev/null
+++ b/src/wasabigw_demo/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak of the programs of the deploy file as real processes on loopback."""
--- /dev/null
+++ b/src/wasabigw_demo/soak/change_sender.py
@@ -0,0 +1,131 @@
+"""Task that sends configuration documents as an operator does."""
+
+import time
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any
+
+from wasabigw.core.ids import Seconds
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.task import Task
+from wasabigw_demo.soak.control_calls import ControlAddresses, ControlCalls
+from wasabigw_demo.soak.documents import (
+    MAIN_PORT,
+    SPLIT_PORT,
+    Document,
+    DocumentKind,
+    DocumentSeries,
+    ListenerPort,
+)
+from wasabigw_demo.soak.machines import now
+from wasabigw_demo.soak.observations import Change
+from wasabigw_demo.soak.traffic import Targets
+
+FINAL_STATUSES = frozenset({400, 409, 412, 413, 422})
+"""Statuses after which an operator does not send a change again."""
+FIRST_RETRY_DELAY = 0.1
+LAST_RETRY_DELAY = 0.8
+SEND_LIMIT = Seconds(8.0)
+"""Time after which the operator gives up a change without a clear answer."""
+RECENT_PORTS = 3
+"""Added, dropped and decoy listeners of each kind to which flows are opened."""
+TARGET_WEIGHTS = {MAIN_PORT: 6, SPLIT_PORT: 2}
+ADDED_WEIGHT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class SendChange:
+    """Generate the next document of a kind and send it.
+
+    :param reply: gets the result, if it is wanted.
+    """
+
+    kind: DocumentKind
+    reply: Mailbox[Change] | None = None
+
+
+class ChangeSender(Task[Any]):
+    """Sends one document after the other, and tells the callers about new listeners.
+
+    :param traffic: mailbox of the task that plays the callers.
+    """
+
+    def __init__(
+        self, calls: ControlCalls, series: DocumentSeries, traffic: Mailbox[Any]
+    ) -> None:
+        super().__init__("operator", Mailbox("operator"))
+        self._calls = calls
+        self._series = series
+        self._traffic = traffic
+        self._changes: list[Change] = []
+        self._newest: Change | None = None
+        self._dropped: list[ListenerPort] = []
+        self._decoys: list[ListenerPort] = []
+
+    @property
+    def changes(self) -> tuple[Change, ...]:
+        """All changes; call this after the task has ended."""
+        return tuple(self._changes)
+
+    @singledispatchmethod
+    def receive(self, message: Any) -> None:
+        """Handle a message of the run."""
+        raise TypeError(f"unknown message for the operator: {message!r}")
+
+    @receive.register
+    def _(self, message: ControlAddresses) -> None:
+        self._calls.use(message.addresses)
+
+    @receive.register
+    def _(self, message: SendChange) -> None:
+        document = self._generate(message.kind)
+        if document is None:
+            return
+        change = self._send(document)
+        self._changes.append(change)
+        if document.kind is DocumentKind.VALID:
+            self._newest = change
+        if message.reply is not None:
+            message.reply.post(change)
+
+    def _generate(self, kind: DocumentKind) -> Document | None:
+        """Generate a document; ``None`` if its kind needs an acknowledged change."""
+        if kind is DocumentKind.VALID:
+            former = self._newest
+            document = self._series.next_valid()
+            if former is not None:
+                self._dropped += former.document.routes.keys() - document.routes.keys()
+            self._set_targets(document)
+            return document
+        if kind is DocumentKind.INVALID:
+            document = self._series.next_invalid()
+        elif self._newest is None or not self._newest.is_acknowledged:
+            return None
+        else:
+            document = self._series.next_overtaken()
+        if document.decoy is not None:
+            self._decoys.append(document.decoy)
+        if self._newest is not None:
+            self._set_targets(self._newest.document)
+        return document
+
+    def _set_targets(self, document: Document) -> None:
+        weights = dict.fromkeys(self._dropped[-RECENT_PORTS:], 1)
+        weights |= dict.fromkeys(self._decoys[-RECENT_PORTS:], 1)
+        added = [port for port in document.routes if document.is_added(port)]
+        weights |= dict.fromkeys(added[-RECENT_PORTS:], ADDED_WEIGHT)
+        self._traffic.post(Targets(weights | TARGET_WEIGHTS))
+
+    def _send(self, document: Document) -> Change:
+        """Send a document to one control VM after the other until it is answered."""
+        sent_at = now()
+        delay = FIRST_RETRY_DELAY
+        while True:
+            address = self._calls.choose()
+            response = self._calls.call(address, "PUT", "/configuration", document.body)
+            if response.is_success or response.status in FINAL_STATUSES:
+                return Change(document, sent_at, now(), response.status)
+            if now() > sent_at + SEND_LIMIT:
+                return Change(document, sent_at, now(), None)
+            time.sleep(delay)
+            delay = min(2 * delay, LAST_RETRY_DELAY)
--- /dev/null
+++ b/src/wasabigw_demo/soak/control_calls.py
@@ -0,0 +1,197 @@
+"""Calls of the control API, and the tasks that repeat calls at an interval."""
+
+import itertools
+import json
+import random
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any
+
+import requests
+from returns.result import Success
+
+from wasabigw.core.ids import Seconds
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.task import Stop, Task
+from wasabigw_demo.soak.deployment import HEARTBEAT_SECONDS
+from wasabigw_demo.soak.documents import Version, digest
+from wasabigw_demo.soak.machines import now
+from wasabigw_demo.soak.observations import ReadBack
+from wasabigw_demo.soak.traffic import ServerPlace
+
+CALL_TIMEOUT = 1.0
+"""Seconds after which a caller of the control API tries another control VM."""
+READ_INTERVAL = Seconds(0.25)
+
+
+@dataclass(frozen=True, slots=True)
+class ControlAddresses:
+    """Addresses of the control API that callers use from now on."""
+
+    addresses: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Response to a call.
+
+    :param status: ``None`` if there was no response.
+    """
+
+    status: int | None
+    body: bytes = b""
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the call was acknowledged."""
+        return self.status is not None and 200 <= self.status < 300
+
+
+class ControlCalls:
+    """Calls of the control API over connections that stay open.
+
+    A connection is used until its process has ended, as callers do.
+    """
+
+    def __init__(self, addresses: Sequence[str], seed: str) -> None:
+        self._addresses = tuple(addresses)
+        self._random = random.Random(seed)
+        self._session = requests.Session()
+        self._session.trust_env = False
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Addresses that are called."""
+        return self._addresses
+
+    def use(self, addresses: tuple[str, ...]) -> None:
+        """Call other addresses from now on."""
+        self._addresses = addresses
+
+    def choose(self) -> str:
+        """Choose an address."""
+        return self._random.choice(self._addresses)
+
+    def call(
+        self, address: str, method: str, path: str, body: bytes | None = None
+    ) -> Response:
+        """Send a request to one control VM, and follow its redirects."""
+        try:
+            response = self._session.request(
+                method,
+                f"http://{address}{path}",
+                data=body,
+                headers={"Content-Type": "application/json"},
+                timeout=CALL_TIMEOUT,
+            )
+        except requests.RequestException:
+            return Response(None)
+        return Response(response.status_code, response.content)
+
+
+class PeriodicCalls(Task[ControlAddresses]):
+    """Calls the control API at an interval, until the task is stopped."""
+
+    def __init__(self, name: str, calls: ControlCalls, interval: Seconds) -> None:
+        super().__init__(name, Mailbox(name))
+        self._calls = calls
+        self._interval = interval
+
+    def run(self) -> None:
+        """Call, and wait for the next call or a message."""
+        due_at = now()
+        while True:
+            outcome = self._mailbox.get(Seconds(max(0.0, due_at - now())))
+            if not isinstance(outcome, Success):
+                self._call()
+                due_at = Seconds(max(now(), due_at + self._interval))
+                continue
+            message = outcome.unwrap()
+            if isinstance(message, Stop):
+                return
+            self.receive(message)
+
+    @singledispatchmethod
+    def receive(self, message: Any) -> None:
+        """Handle a message of the run."""
+        raise TypeError(f"unknown message for {self.name}: {message!r}")
+
+    @receive.register
+    def _(self, message: ControlAddresses) -> None:
+        self._calls.use(message.addresses)
+
+    def _call(self) -> None:
+        raise NotImplementedError
+
+
+class Reader(PeriodicCalls):
+    """Reads the configuration at all control VMs in turn."""
+
+    def __init__(self, calls: ControlCalls) -> None:
+        super().__init__("reader", calls, READ_INTERVAL)
+        self._turn = itertools.count()
+        self._reads: list[ReadBack] = []
+
+    @property
+    def reads(self) -> tuple[ReadBack, ...]:
+        """All reads; call this after the task has ended."""
+        return tuple(self._reads)
+
+    def _call(self) -> None:
+        addresses = self._calls.addresses
+        address = addresses[next(self._turn) % len(addresses)]
+        sent_at = now()
+        response = self._calls.call(address, "GET", "/configuration")
+        body = response.body if response.status == requests.codes.ok else b""
+        version = Version(json.loads(body)["version"]) if body else None
+        self._reads.append(
+            ReadBack(
+                address,
+                sent_at,
+                now(),
+                response.status,
+                version,
+                digest(body) if body else "",
+            )
+        )
+
+
+class Heartbeat(PeriodicCalls):
+    """Announces one backend server."""
+
+    def __init__(
+        self, server: ServerPlace, failure_domain: str, calls: ControlCalls
+    ) -> None:
+        interval = Seconds(HEARTBEAT_SECONDS)
+        super().__init__(f"heartbeat of {server.id}", calls, interval)
+        self._server = server
+        self._failure_domain = failure_domain
+        self._born = round(time.time() * 1000)
+        self._sequence = 0
+        self._preferred = calls.choose()
+
+    def _call(self) -> None:
+        for _ in range(len(self._calls.addresses)):
+            self._sequence += 1
+            path = f"/instances/{self._server.id}"
+            response = self._calls.call(self._preferred, "PUT", path, self._body())
+            if response.is_success:
+                return
+            self._preferred = self._calls.choose()
+
+    def _body(self) -> bytes:
+        server = self._server
+        fields = {
+            "service": server.service,
+            "address": f"{server.address}:{server.port}",
+            "zone": self._failure_domain,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold-remaining-ms": 0,
+            "born": self._born,
+            "sequence": self._sequence,
+        }
+        return json.dumps(fields).encode()
--- /dev/null
+++ b/src/wasabigw_demo/soak/judge.py
@@ -0,0 +1,367 @@
+"""Judges from observations alone whether acknowledged configurations were in force.
+
+Each break belongs to one of four shapes, and each shape counts what was checked for it.
+"""
+
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+
+from wasabigw.core.ids import Seconds
+from wasabigw_demo.soak.documents import (
+    Document,
+    DocumentKind,
+    ListenerPort,
+    ServiceName,
+    Version,
+)
+from wasabigw_demo.soak.observations import (
+    Change,
+    Fault,
+    FaultScope,
+    History,
+    MachineName,
+    Opening,
+    OpeningOutcome,
+    ReadBack,
+)
+
+APPLY_TIME = Seconds(3.0)
+"""Time from an acknowledgement until the change is in force everywhere."""
+MAX_STRETCH = Seconds(12.0)
+"""Time by which faults of control VMs may extend :data:`APPLY_TIME`."""
+CONTACT_WINDOW = Seconds(4.0)
+"""Time after a fault in which the machine still counts as faulty."""
+RECOVERY_TIME = Seconds(12.0)
+"""Time from the end of a fault of the majority until service is restored."""
+REGRESSION_WINDOW = Seconds(0.25)
+"""Time after the effect of a version was seen in which an older one may still act."""
+SILENCE_TIME = Seconds(2.0)
+"""Time for which openings to an added route may be lost one after the other."""
+SILENT_OPENINGS = 3
+
+
+class BreakShape(Enum):
+    """Ways in which the rule on configurations breaks."""
+
+    NOT_IN_FORCE = "not in force in time"
+    OLDER = "came back older"
+    INVALID = "invalid or refused change taken"
+    ADDED_ROUTE = "added route not served"
+
+
+@dataclass(frozen=True, slots=True)
+class Break:
+    """A break of the rule, with its evidence."""
+
+    shape: BreakShape
+    at: Seconds
+    evidence: str
+
+
+@dataclass(slots=True)
+class Verdict:
+    """Breaks, and the number of checks of each shape."""
+
+    breaks: list[Break] = field(default_factory=list)
+    checks: Counter[BreakShape] = field(default_factory=Counter)
+
+    def check(self, shape: BreakShape, at: Seconds, problem: str | None) -> None:
+        """Count a check, and add a break if there is a problem."""
+        self.checks[shape] += 1
+        if problem is not None:
+            self.breaks.append(Break(shape, at, problem))
+
+    def of(self, shape: BreakShape) -> list[Break]:
+        """Breaks of one shape, the earliest first."""
+        found = [b for b in self.breaks if b.shape is shape]
+        return sorted(found, key=lambda item: item.at)
+
+
+def judge(history: History) -> Verdict:
+    """Judge all observations of a run."""
+    verdict = Verdict()
+    versions = _Versions(history)
+    _judge_answers(history.changes, verdict)
+    for read in history.reads:
+        _judge_read(read, versions, verdict)
+    _judge_recovery(history, versions, verdict)
+    for opening in history.openings:
+        _judge_opening(opening, versions, verdict)
+    _judge_regressions(history, versions, verdict)
+    _judge_silence(history, versions, verdict)
+    return verdict
+
+
+class _Faults:
+    """Faults, and what they excuse."""
+
+    def __init__(self, faults: Sequence[Fault]) -> None:
+        self._control = [f for f in faults if f.scope is not FaultScope.BALANCER]
+        self._majority = [f for f in faults if f.scope is FaultScope.MAJORITY]
+        self._machines: dict[MachineName, list[Fault]] = {}
+        for fault in faults:
+            if fault.machine is not None:
+                self._machines.setdefault(fault.machine, []).append(fault)
+
+    def is_in_contact(self, machine: MachineName, at: Seconds) -> bool:
+        """Whether a machine had no fault lately, and neither had the majority."""
+        own = self._machines.get(machine, ())
+        if any(_overlaps(fault, Seconds(at - CONTACT_WINDOW), at) for fault in own):
+            return False
+        return not any(
+            _overlaps(fault, Seconds(at - RECOVERY_TIME), at)
+            for fault in self._majority
+        )
+
+    def apply_time(self, acknowledged_at: Seconds, at: Seconds) -> Seconds:
+        """Time that a change may take until it is in force."""
+        since = Seconds(acknowledged_at - CONTACT_WINDOW)
+        if any(_overlaps(fault, since, at) for fault in self._control):
+            return Seconds(APPLY_TIME + MAX_STRETCH)
+        return APPLY_TIME
+
+    def boot(self, machine: MachineName, at: Seconds) -> int:
+        """Number of faults of a machine until a moment."""
+        own = self._machines.get(machine, ())
+        return sum(fault.started_at <= at for fault in own)
+
+    @property
+    def last_majority_end(self) -> Seconds | None:
+        """End of the last fault of the majority."""
+        return max((fault.ended_at for fault in self._majority), default=None)
+
+
+class _Versions:
+    """Which versions may be in force at a moment."""
+
+    def __init__(self, history: History) -> None:
+        valid = [
+            change
+            for change in history.changes
+            if change.document.kind is DocumentKind.VALID
+        ]
+        self._changes = sorted(valid, key=lambda change: change.document.version)
+        self._acknowledged = [c for c in self._changes if c.is_acknowledged]
+        self._without_effect = [
+            c.document
+            for c in history.changes
+            if c.document.kind is not DocumentKind.VALID
+        ]
+        self.faults = _Faults(history.faults)
+        self.documents = {c.document.version: c.document for c in self._changes}
+        self.decoys = {d.decoy for d in self._without_effect if d.decoy is not None}
+
+    def newest_acknowledged(self, until: Seconds) -> Version:
+        """Newest version that was acknowledged until a moment; 0 if none was."""
+        versions = (
+            change.document.version
+            for change in self._acknowledged
+            if change.answered_at <= until
+        )
+        return max(versions, default=Version(0))
+
+    def oldest_allowed(self, at: Seconds) -> Version:
+        """Version that has to be in force at a moment; 0 if none has."""
+        due = (
+            change.document.version
+            for change in self._acknowledged
+            if change.answered_at + self.faults.apply_time(change.answered_at, at) < at
+        )
+        return max(due, default=Version(0))
+
+    def sent_until(self, at: Seconds, oldest: Version) -> list[Document]:
+        """Documents from a version on that were sent until a moment."""
+        return [
+            change.document
+            for change in self._changes
+            if change.sent_at <= at and change.document.version >= oldest
+        ]
+
+
+def _overlaps(fault: Fault, since: Seconds, until: Seconds) -> bool:
+    return fault.started_at <= until and fault.ended_at >= since
+
+
+def _judge_answers(changes: Iterable[Change], verdict: Verdict) -> None:
+    for change in changes:
+        document = change.document
+        if document.kind is not DocumentKind.INVALID or change.status is None:
+            continue
+        problem = None
+        if change.is_acknowledged:
+            problem = f"invalid version {document.version} got {change.status}"
+        verdict.check(BreakShape.INVALID, change.answered_at, problem)
+
+
+def _judge_read(read: ReadBack, versions: _Versions, verdict: Verdict) -> None:
+    if read.version is None:
+        return
+    expected = versions.newest_acknowledged(Seconds(read.sent_at - APPLY_TIME))
+    problem = None
+    if read.version < expected:
+        problem = f"{read.address} read {read.version}, {expected} was acknowledged"
+    verdict.check(BreakShape.OLDER, read.sent_at, problem)
+    document = versions.documents.get(read.version)
+    problem = None
+    if document is None or document.digest != read.digest:
+        problem = f"{read.address} read a version {read.version} that was not valid"
+    verdict.check(BreakShape.INVALID, read.sent_at, problem)
+
+
+def _judge_recovery(history: History, versions: _Versions, verdict: Verdict) -> None:
+    """Judge whether the newest configuration is read after the last large fault."""
+    end = versions.faults.last_majority_end
+    if end is None:
+        return
+    since = Seconds(end + RECOVERY_TIME)
+    expected = versions.newest_acknowledged(since)
+    late = [read for read in history.reads if read.sent_at > since]
+    statuses = Counter(read.status for read in late)
+    found = any(r.version is not None and r.version >= expected for r in late)
+    problem = None
+    if not found:
+        problem = f"version {expected} was not read back; statuses {dict(statuses)}"
+    verdict.check(BreakShape.NOT_IN_FORCE, since, problem)
+
+
+def _judge_opening(opening: Opening, versions: _Versions, verdict: Verdict) -> None:
+    if opening.port in versions.decoys:
+        problem = None
+        if opening.taken:
+            problem = f"{_name(opening)} was served by {opening.taken[0].service}"
+        verdict.check(BreakShape.INVALID, opening.sent_at, problem)
+        return
+    if not versions.faults.is_in_contact(opening.balancer, opening.sent_at):
+        return
+    oldest = versions.oldest_allowed(opening.sent_at)
+    if oldest == 0:
+        return
+    allowed = versions.sent_until(opening.ended_at, oldest)
+    for taken in opening.taken:
+        problem = None
+        if not any(
+            _allows(document, opening.port, taken.service) for document in allowed
+        ):
+            problem = (
+                f"{_name(opening)} got {taken.service}; {oldest} has to be in force"
+            )
+        verdict.check(BreakShape.NOT_IN_FORCE, opening.sent_at, problem)
+    if all(opening.port in document.routes for document in allowed):
+        problem = None
+        if opening.outcome is OpeningOutcome.REFUSED:
+            problem = f"{_name(opening)} was refused; {oldest} has to be in force"
+        verdict.check(BreakShape.ADDED_ROUTE, opening.sent_at, problem)
+
+
+@dataclass(frozen=True, slots=True)
+class _Effect:
+    """What an opening shows of the version that handled it.
+
+    :param oldest: oldest version that explains it.
+    :param newest: newest version that explains it.
+    """
+
+    sent_at: Seconds
+    seen_at: Seconds
+    oldest: Version
+    newest: Version
+    opening: Opening
+
+
+def _judge_regressions(history: History, versions: _Versions, verdict: Verdict) -> None:
+    """Judge that no balancer acts on an older version in one boot of its process."""
+    groups: dict[tuple[MachineName, int], list[_Effect]] = {}
+    for opening in history.openings:
+        for effect in _effects(opening, versions):
+            boot = versions.faults.boot(opening.balancer, effect.seen_at)
+            if boot == versions.faults.boot(opening.balancer, opening.sent_at):
+                groups.setdefault((opening.balancer, boot), []).append(effect)
+    for effects in groups.values():
+        _judge_boot(effects, verdict)
+
+
+def _judge_boot(effects: Sequence[_Effect], verdict: Verdict) -> None:
+    by_sight = sorted(effects, key=lambda effect: effect.seen_at)
+    seen_at = [effect.seen_at for effect in by_sight]
+    floors: list[Version] = []
+    for effect in by_sight:
+        floors.append(max(effect.oldest, floors[-1] if floors else effect.oldest))
+    for effect in effects:
+        count = bisect_right(seen_at, effect.sent_at - REGRESSION_WINDOW)
+        if count == 0:
+            continue
+        floor = floors[count - 1]
+        problem = None
+        if effect.newest < floor:
+            problem = (
+                f"{_name(effect.opening)} was handled by {effect.newest} at most; "
+                f"the balancer had served {floor}"
+            )
+        verdict.check(BreakShape.OLDER, effect.sent_at, problem)
+
+
+def _effects(opening: Opening, versions: _Versions) -> Iterator[_Effect]:
+    known = versions.sent_until(opening.ended_at, Version(0))
+    for taken in opening.taken:
+        explaining = [
+            document.version
+            for document in known
+            if _allows(document, opening.port, taken.service)
+        ]
+        if explaining:
+            yield _Effect(
+                opening.sent_at, taken.at, explaining[0], explaining[-1], opening
+            )
+
+
+def _judge_silence(history: History, versions: _Versions, verdict: Verdict) -> None:
+    """Judge that added routes are not silent where other routes are served."""
+    by_balancer: dict[MachineName, list[Opening]] = {}
+    for opening in sorted(history.openings, key=lambda item: item.sent_at):
+        by_balancer.setdefault(opening.balancer, []).append(opening)
+    for openings in by_balancer.values():
+        _judge_silent_routes(openings, versions, verdict)
+
+
+def _judge_silent_routes(
+    openings: Sequence[Opening], versions: _Versions, verdict: Verdict
+) -> None:
+    silent: dict[ListenerPort, list[Opening]] = {}
+    last_answer: Seconds | None = None
+    for opening in openings:
+        if opening.outcome is not OpeningOutcome.SILENT:
+            silent.pop(opening.port, None)
+            if opening.outcome is OpeningOutcome.ANSWERED:
+                last_answer = opening.sent_at
+            continue
+        if not _has_to_be_served(opening, versions):
+            silent.pop(opening.port, None)
+            continue
+        run = silent.setdefault(opening.port, [])
+        run.append(opening)
+        first_at = run[0].sent_at
+        is_long = opening.sent_at >= first_at + SILENCE_TIME
+        is_served_elsewhere = last_answer is not None and last_answer > first_at
+        if len(run) >= SILENT_OPENINGS and is_long and is_served_elsewhere:
+            problem = f"{_name(opening)} got no answer in {len(run)} openings"
+            verdict.check(BreakShape.ADDED_ROUTE, opening.sent_at, problem)
+            silent.pop(opening.port)
+
+
+def _has_to_be_served(opening: Opening, versions: _Versions) -> bool:
+    if not versions.faults.is_in_contact(opening.balancer, opening.sent_at):
+        return False
+    oldest = versions.oldest_allowed(opening.sent_at)
+    allowed = versions.sent_until(opening.ended_at, oldest)
+    return oldest > 0 and all(opening.port in document.routes for document in allowed)
+
+
+def _allows(document: Document, port: ListenerPort, service: ServiceName) -> bool:
+    return service in document.routes.get(port, frozenset())
+
+
+def _name(opening: Opening) -> str:
+    return f"opening of port {opening.port} through {opening.balancer}"
--- /dev/null
+++ b/src/wasabigw_demo/soak/machines.py
@@ -0,0 +1,178 @@
+"""Starts, kills and pauses the processes of machines, and empties their disks."""
+
+import json
+import os
+import shutil
+import signal
+import sys
+import time
+from collections.abc import Iterable
+from contextlib import AbstractContextManager, ExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+from wasabigw.core.ids import Seconds
+from wasabigw_demo._children import Children
+from wasabigw_demo.soak.deployment import (
+    BOUNDS,
+    ROOT,
+    Deployment,
+    Machine,
+    Role,
+    Source,
+    fill_in,
+    run_commands,
+)
+from wasabigw_demo.soak.observations import Fault, FaultScope, MachineName
+
+PASSED_VARIABLES = ("PATH", "HOME", "LANG")
+"""Variables that a process gets from the caller; the platform passes no others."""
+BUILT_PROGRAM = ["python3", "-S", "target/app/main.py"]
+TREE_PROGRAM = [sys.executable, "platform/main.py"]
+PYTHON_PATHS = {Source.BUILT: "target/deps", Source.TREE: "src:platform"}
+KILL_TIMEOUT = Seconds(5.0)
+
+
+class Machines(AbstractContextManager["Machines"]):
+    """Processes of all machines of a deployment, and the faults that they had."""
+
+    def __init__(self, deployment: Deployment, source: Source) -> None:
+        self._deployment = deployment
+        self._source = source
+        self._commands = run_commands()
+        variables = {n: os.environ[n] for n in PASSED_VARIABLES if n in os.environ}
+        variables["PYTHONPATH"] = PYTHON_PATHS[source]
+        self._children = Children(variables, ROOT)
+        self._resources = ExitStack()
+        self._expected_ends: set[str] = set()
+        self._faults: list[Fault] = []
+        self._open: dict[MachineName, Seconds] = {}
+
+    def __enter__(self) -> Self:
+        self._resources.enter_context(self._children)
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc_value: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._resources.close()
+
+    @property
+    def faults(self) -> tuple[Fault, ...]:
+        """Faults so far."""
+        return tuple(self._faults)
+
+    def start(self, machines: Iterable[Machine], is_first: bool = False) -> None:
+        """Start all processes of machines, which ends their faults."""
+        for machine in machines:
+            for role in machine.roles:
+                self._start_process(machine, role, is_first)
+            self._end_fault(machine)
+
+    def kill(self, machines: Iterable[Machine]) -> None:
+        """Kill all processes of machines at the same moment."""
+        chosen = [*machines]
+        names = [name for machine in chosen for name in process_names(machine)]
+        self._expected_ends |= {*names}
+        for machine in chosen:
+            self._open.setdefault(machine.name, now())
+            self._signal(machine, signal.SIGKILL)
+        for name in names:
+            self._children.wait(name, KILL_TIMEOUT)
+
+    def stop(self, machine: Machine) -> None:
+        """Stop a machine for good: SIGTERM, and SIGKILL after the grace time."""
+        self._open[machine.name] = now()
+        self._expected_ends |= {*process_names(machine)}
+        self._signal(machine, signal.SIGTERM)
+        deadline = now() + float(BOUNDS["grace-s"])
+        for name in process_names(machine):
+            self._children.wait(name, Seconds(deadline - now()))
+        self.kill([machine])
+        self._end_fault(machine)
+
+    def pause(self, machines: Iterable[Machine]) -> None:
+        """Pause all processes of machines."""
+        for machine in machines:
+            self._open[machine.name] = now()
+            self._signal(machine, signal.SIGSTOP)
+
+    def resume(self, machines: Iterable[Machine]) -> None:
+        """Continue all processes of paused machines."""
+        for machine in machines:
+            self._signal(machine, signal.SIGCONT)
+            self._end_fault(machine)
+
+    def empty_disk(self, machine: Machine) -> None:
+        """Remove all files from the disk of a machine whose processes were killed."""
+        for role in machine.roles:
+            folder = self._deployment.data_folder(machine, role)
+            shutil.rmtree(folder, ignore_errors=True)
+
+    def note_majority_fault(self, started_at: Seconds) -> None:
+        """Note that half of the control VMs or more were down until now."""
+        self._faults.append(Fault(FaultScope.MAJORITY, None, started_at, now()))
+
+    def unexpected_ends(self) -> dict[str, int]:
+        """Exit codes of the processes that ended by themselves."""
+        ended = self._children.ended()
+        return {n: c for n, c in ended.items() if n not in self._expected_ends}
+
+    def write_settings(self, machines: Iterable[Machine]) -> None:
+        """Write the present settings of running processes, which reload them."""
+        for machine in machines:
+            for role in machine.roles:
+                self._write_settings(machine, role, is_first=False)
+
+    def _signal(self, machine: Machine, number: signal.Signals) -> None:
+        for name in process_names(machine):
+            self._children.signal(name, number)
+
+    def _start_process(self, machine: Machine, role: Role, is_first: bool) -> None:
+        name = process_name(machine, role)
+        if self._children.is_running(name):
+            return
+        settings = self._deployment.settings(machine, role, is_first)
+        if settings["data-directory"] is not None:
+            Path(settings["data-directory"]).mkdir(parents=True, exist_ok=True)
+        path = self._write_settings(machine, role, is_first)
+        words = fill_in(self._commands[role], settings)
+        if self._source is Source.TREE:
+            words = [*TREE_PROGRAM, *words[len(BUILT_PROGRAM) :]]
+        self._expected_ends.discard(name)
+        log = self._deployment.folder / f"{name}.log"
+        self._children.start(name, words, log, {"WASABIGW_CONFIG": str(path)})
+
+    def _write_settings(self, machine: Machine, role: Role, is_first: bool) -> Path:
+        path = self._deployment.folder / f"{process_name(machine, role)}.json"
+        text = json.dumps(self._deployment.settings(machine, role, is_first))
+        # Renamed, because a process may read its settings at any time.
+        new = path.with_suffix(".new")
+        new.write_text(text, encoding="utf-8")
+        new.replace(path)
+        return path
+
+    def _end_fault(self, machine: Machine) -> None:
+        started_at = self._open.pop(machine.name, now())
+        is_control = Role.CONTROL in machine.roles
+        scope = FaultScope.CONTROL if is_control else FaultScope.BALANCER
+        self._faults.append(Fault(scope, machine.name, started_at, now()))
+
+
+def now() -> Seconds:
+    """Present time of all observations of a run."""
+    return Seconds(time.monotonic())
+
+
+def process_name(machine: Machine, role: Role) -> str:
+    """Name of a process, its settings file and its log."""
+    return f"{machine.name}-{role.value}"
+
+
+def process_names(machine: Machine) -> list[str]:
+    """Names of all processes of a machine."""
+    return [process_name(machine, role) for role in machine.roles]
--- /dev/null
+++ b/src/wasabigw_demo/soak/outages.py
@@ -0,0 +1,128 @@
+"""Plays the outages of a plan on the machines of a deployment."""
+
+from collections.abc import Callable, Sequence
+from functools import partial, singledispatchmethod
+from typing import Any
+
+from wasabigw.core.ids import Seconds
+from wasabigw_demo.soak.deployment import Deployment, Machine
+from wasabigw_demo.soak.machines import Machines, now
+from wasabigw_demo.soak.plan import (
+    AddControl,
+    KillAllControls,
+    KillBalancers,
+    KillControl,
+    LoseDisk,
+    PauseBalancers,
+    PauseControl,
+    ReplaceControl,
+)
+from wasabigw_demo.soak.timeline import Timeline
+
+SEED_LAG = Seconds(3.0)
+"""Time after which settings name the control VMs that exist now."""
+BALANCER_PART = 6
+"""One of so many balancers has an outage at the same time."""
+
+
+class OutagePlayer:
+    """Starts outages, and ends each of them after its duration.
+
+    :param on_controls: called when control VMs came or went.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        machines: Machines,
+        timeline: Timeline,
+        on_controls: Callable[[], None],
+    ) -> None:
+        self._deployment = deployment
+        self._machines = machines
+        self._timeline = timeline
+        self._on_controls = on_controls
+
+    @singledispatchmethod
+    def play(self, outage: Any) -> None:
+        """Start an outage."""
+        raise TypeError(f"unknown outage: {outage!r}")
+
+    @play.register
+    def _(self, outage: LoseDisk) -> None:
+        machine = self._control(outage.target)
+        self._machines.kill([machine])
+        self._machines.empty_disk(machine)
+        self._later(outage.duration, partial(self._machines.start, [machine]))
+
+    @play.register
+    def _(self, outage: KillControl) -> None:
+        machine = self._control(outage.target)
+        self._machines.kill([machine])
+        self._later(outage.duration, partial(self._machines.start, [machine]))
+
+    @play.register
+    def _(self, outage: PauseControl) -> None:
+        machine = self._control(outage.target)
+        self._machines.pause([machine])
+        self._later(outage.duration, partial(self._machines.resume, [machine]))
+
+    @play.register
+    def _(self, outage: KillAllControls) -> None:
+        started_at = now()
+        controls = [*self._deployment.controls]
+        self._machines.kill(controls)
+        self._later(outage.duration, partial(self._restart, controls, started_at))
+
+    @play.register
+    def _(self, outage: ReplaceControl) -> None:
+        old = self._control(outage.target)
+        self._start_control(old.failure_domain)
+        self._later(outage.duration, partial(self._remove, old))
+
+    @play.register
+    def _(self, outage: AddControl) -> None:
+        self._start_control(self._control(outage.target).failure_domain)
+
+    @play.register
+    def _(self, outage: KillBalancers) -> None:
+        chosen = self._balancers(outage.target)
+        self._machines.kill(chosen)
+        self._later(outage.duration, partial(self._machines.start, chosen))
+
+    @play.register
+    def _(self, outage: PauseBalancers) -> None:
+        chosen = self._balancers(outage.target)
+        self._machines.pause(chosen)
+        self._later(outage.duration, partial(self._machines.resume, chosen))
+
+    def _later(self, delay: Seconds, action: Callable[[], None]) -> None:
+        self._timeline.schedule(Seconds(now() + delay), action)
+
+    def _control(self, target: int) -> Machine:
+        controls = self._deployment.controls
+        return controls[target % len(controls)]
+
+    def _balancers(self, target: int) -> Sequence[Machine]:
+        first = target % BALANCER_PART
+        return self._deployment.balancers[first::BALANCER_PART]
+
+    def _restart(self, controls: Sequence[Machine], started_at: Seconds) -> None:
+        self._machines.start(controls)
+        self._machines.note_majority_fault(started_at)
+
+    def _start_control(self, failure_domain: str) -> None:
+        machine = self._deployment.new_control(failure_domain)
+        self._machines.start([machine])
+        self._deployment.controls.append(machine)
+        self._later(SEED_LAG, self._on_controls)
+
+    def _remove(self, machine: Machine) -> None:
+        self._machines.stop(machine)
+        self._deployment.controls.remove(machine)
+        self._later(SEED_LAG, self._update_settings)
+
+    def _update_settings(self) -> None:
+        deployment = self._deployment
+        self._machines.write_settings([*deployment.controls, *deployment.balancers])
+        self._on_controls()
--- /dev/null
+++ b/src/wasabigw_demo/soak/plan.py
@@ -0,0 +1,164 @@
+"""Seeded series of changes and faults of a soak."""
+
+import random
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from wasabigw.core.ids import Seconds
+from wasabigw_demo.soak.deployment import CATCH_UP_SECONDS, SEEDS
+from wasabigw_demo.soak.documents import DocumentKind
+
+FIRST_STEP = Seconds(1.0)
+CATCH_UP_MARGIN = Seconds(1.5)
+"""Time beyond the catch-up time between two faults of control VMs."""
+MAX_LOST_DISKS = 2
+TARGETS = 100
+CHANGE_INTERVALS = (0.1, 0.3, 0.8, 1.5)
+DOCUMENT_KINDS = {
+    DocumentKind.VALID: 7,
+    DocumentKind.INVALID: 2,
+    DocumentKind.OVERTAKEN: 2,
+}
+LOST_DISK_WEIGHTS = (2, 2, 6)
+"""Weights of 0, 1 and 2 disks that the loss of power takes."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendDocument:
+    """The operator sends a document."""
+
+    kind: DocumentKind
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """Processes do not run for some time.
+
+    :param target: chooses the machine, modulo their number.
+    """
+
+    target: int
+    duration: Seconds
+
+
+class LoseDisk(Outage):
+    """A control VM is killed and comes back with an empty disk."""
+
+
+class KillControl(Outage):
+    """A control VM is killed and comes back."""
+
+
+class PauseControl(Outage):
+    """A control VM is paused."""
+
+
+class KillAllControls(Outage):
+    """All control VMs are killed at the same moment and come back."""
+
+
+class ReplaceControl(Outage):
+    """A control VM is stopped for good, ``duration`` after its successor started."""
+
+
+class AddControl(Outage):
+    """A control VM with an empty disk is added at a new address."""
+
+
+class KillBalancers(Outage):
+    """Some balancers are killed and come back."""
+
+
+class PauseBalancers(Outage):
+    """Some balancers are paused."""
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """A step of a plan.
+
+    :param at: seconds after the start of the series.
+    """
+
+    at: Seconds
+    action: SendDocument | Outage
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """All that a run does.
+
+    :param steps: steps in the order of their times.
+    :param length: seconds from the start of the series to the loss of power.
+    :param lost_disks: numbers of the control VMs whose disks the loss of power takes.
+    """
+
+    seed: int
+    steps: tuple[Step, ...]
+    length: Seconds
+    lost_disks: tuple[int, ...]
+
+
+def make_plan(seed: int, length: Seconds, controls: int) -> Plan:
+    """Draw the plan of a seed.
+
+    :param length: seconds of changes and faults before the loss of power.
+    :param controls: number of control VMs.
+    """
+    generator = random.Random(f"plan {seed}")
+    steps = [
+        *_changes(generator, length),
+        *_control_outages(generator, length),
+        *_balancer_outages(generator, length),
+    ]
+    steps.sort(key=lambda step: step.at)
+    return Plan(seed, tuple(steps), length, _lost_disks(generator, controls))
+
+
+def _changes(generator: random.Random, length: Seconds) -> Iterator[Step]:
+    at = float(FIRST_STEP)
+    while at < length:
+        (kind,) = generator.choices([*DOCUMENT_KINDS], [*DOCUMENT_KINDS.values()])
+        yield Step(Seconds(at), SendDocument(kind))
+        at += generator.choice(CHANGE_INTERVALS)
+
+
+def _control_outages(generator: random.Random, length: Seconds) -> Iterator[Step]:
+    """Draw outages of control VMs, each after the former one has been overcome.
+
+    Every plan loses the disks of one or two control VMs, because the replicas that
+    are rebuilt then are what the loss of power at the end meets.
+    """
+    chosen: list[Callable[[int, Seconds], Outage]] = []
+    chosen += [LoseDisk] * generator.randint(1, MAX_LOST_DISKS)
+    others = (KillControl, PauseControl, ReplaceControl, AddControl, KillAllControls)
+    chosen += generator.choices(others, k=2)
+    generator.shuffle(chosen)
+    at = float(FIRST_STEP) + generator.uniform(0.0, 1.5)
+    for outage in chosen:
+        duration = generator.uniform(0.5, 3.0)
+        if outage is ReplaceControl:
+            # The successor gets the catch-up time before the old VM is stopped.
+            duration = CATCH_UP_SECONDS + CATCH_UP_MARGIN
+        overcome_at = at + duration + CATCH_UP_SECONDS + CATCH_UP_MARGIN
+        if overcome_at > length:
+            return
+        target = generator.randrange(TARGETS)
+        yield Step(Seconds(at), outage(target, Seconds(duration)))
+        at = overcome_at
+
+
+def _balancer_outages(generator: random.Random, length: Seconds) -> Iterator[Step]:
+    at = float(FIRST_STEP) + generator.uniform(0.0, 3.0)
+    while at < length:
+        outage = generator.choice((KillBalancers, PauseBalancers))
+        duration = Seconds(generator.uniform(0.5, 2.5))
+        yield Step(Seconds(at), outage(generator.randrange(TARGETS), duration))
+        at += duration + generator.uniform(2.0, 6.0)
+
+
+def _lost_disks(generator: random.Random, controls: int) -> tuple[int, ...]:
+    """Draw the disks that the loss of power takes; half of the times only of seeds."""
+    (count,) = generator.choices(range(MAX_LOST_DISKS + 1), LOST_DISK_WEIGHTS)
+    candidates = range(generator.choice((SEEDS, controls)))
+    return tuple(generator.sample(candidates, count))
--- /dev/null
+++ b/src/wasabigw_demo/soak/report.py
@@ -0,0 +1,62 @@
+"""Report and record of one seed."""
+
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from wasabigw_demo.soak.judge import BreakShape
+from wasabigw_demo.soak.observations import OpeningOutcome
+from wasabigw_demo.soak.run import RunResult
+
+SHOWN_BREAKS = 3
+"""Breaks of one shape that are printed; the record of the run has all of them."""
+
+
+def report_lines(result: RunResult) -> Iterator[str]:
+    """Lines of the report of a run."""
+    history = result.history
+    changes = Counter(
+        f"{change.document.kind.value} {change.status}" for change in history.changes
+    )
+    openings = Counter(opening.outcome for opening in history.openings)
+    reads = Counter(read.status for read in history.reads)
+    yield f"  changes: {_counts(changes)}"
+    outcomes = {o.value: openings[o] for o in OpeningOutcome}
+    yield f"  openings: {_counts(Counter(outcomes))}; reads: {_counts(reads)}"
+    for shape in BreakShape:
+        yield from _shape_lines(result, shape)
+    for name, code in result.ends.items():
+        yield f"  FAIL {name} ended by itself with exit code {code}"
+
+
+def write_record(result: RunResult, path: Path) -> None:
+    """Write the plan, all observations and all breaks of a run as JSON lines."""
+    history = result.history
+    groups: dict[str, Sequence[Any]] = {
+        "step": result.plan.steps,
+        "change": history.changes,
+        "read": history.reads,
+        "opening": history.openings,
+        "fault": history.faults,
+        "break": result.verdict.breaks,
+    }
+    with path.open("wb") as file:
+        for kind, items in groups.items():
+            for item in items:
+                file.write(msgspec.json.encode({"kind": kind, "item": item}) + b"\n")
+
+
+def _shape_lines(result: RunResult, shape: BreakShape) -> Iterator[str]:
+    breaks = result.verdict.of(shape)
+    checks = result.verdict.checks[shape]
+    mark = "FAIL" if breaks else "ok  "
+    yield f"  {mark} {shape.value:32} {len(breaks)} breaks in {checks} checks"
+    for item in breaks[:SHOWN_BREAKS]:
+        yield f"       {item.at - result.started_at:6.2f} s: {item.evidence}"
+
+
+def _counts(counts: Counter[str] | Counter[int | None]) -> str:
+    return ", ".join(f"{key} x{count}" for key, count in counts.items())
--- /dev/null
+++ b/src/wasabigw_demo/soak/run.py
@@ -0,0 +1,215 @@
+"""Runs one seed of the soak: starts the processes, plays the plan, and judges."""
+
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+from returns.result import Success
+
+from wasabigw.core.ids import Seconds
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.task import Task
+from wasabigw_demo.soak.change_sender import SEND_LIMIT, ChangeSender, SendChange
+from wasabigw_demo.soak.control_calls import (
+    ControlAddresses,
+    ControlCalls,
+    Heartbeat,
+    Reader,
+)
+from wasabigw_demo.soak.deployment import Deployment, Shape, Source, failure_domain
+from wasabigw_demo.soak.documents import SERVICES, DocumentKind, DocumentSeries
+from wasabigw_demo.soak.judge import RECOVERY_TIME, Verdict, judge
+from wasabigw_demo.soak.machines import Machines, now
+from wasabigw_demo.soak.observations import Change, History
+from wasabigw_demo.soak.outages import OutagePlayer
+from wasabigw_demo.soak.plan import Plan, SendDocument, Step
+from wasabigw_demo.soak.timeline import Timeline
+from wasabigw_demo.soak.traffic import Entry, ServerPlace, Traffic, TrafficPlan
+
+START_TIME = Seconds(6.0)
+"""Time from the first document to the series of the plan."""
+POWER_OFF_TIME = Seconds(0.8)
+CHANGES_AFTER_POWER_LOSS = tuple(Seconds(at) for at in (2.0, 6.0, 11.0, 13.0, 15.0))
+TIME_AFTER_RECOVERY = Seconds(8.0)
+REPLY_MARGIN = Seconds(2.0)
+CALLERS = 3
+OPENINGS_PER_BALANCER = 4.0
+"""Openings per second through each balancer."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunResult:
+    """Result of a run.
+
+    :param ends: exit codes of the processes that ended by themselves.
+    """
+
+    plan: Plan
+    history: History
+    verdict: Verdict
+    started_at: Seconds
+    ends: dict[str, int]
+
+    @property
+    def passed(self) -> bool:
+        """Whether no break was found and no process ended by itself."""
+        return not self.verdict.breaks and not self.ends
+
+
+def run_plan(
+    plan: Plan,
+    shape: Shape,
+    source: Source,
+    folder: Path,
+    print_step: Callable[[str], None],
+) -> RunResult:
+    """Play a plan with real processes, and judge what was observed."""
+    deployment = Deployment(shape, folder)
+    with Machines(deployment, source) as machines:
+        return _Run(plan, deployment, machines, print_step).play()
+
+
+class _Run:
+    """Plays a plan in the main thread; the tasks observe in threads of their own."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        deployment: Deployment,
+        machines: Machines,
+        print_step: Callable[[str], None],
+    ) -> None:
+        self._plan = plan
+        self._deployment = deployment
+        self._machines = machines
+        self._print_step = print_step
+        self._timeline = Timeline()
+        self._outages = OutagePlayer(
+            deployment, machines, self._timeline, self._announce_controls
+        )
+        places = _server_places(deployment)
+        self._traffic = Traffic(_traffic_plan(plan.seed, deployment, places))
+        self._reader = Reader(self._calls("reader"))
+        series = DocumentSeries(plan.seed, deployment.shape.idle_routes)
+        self._sender = ChangeSender(
+            self._calls("operator"), series, self._traffic.mailbox
+        )
+        self._heartbeats = [
+            Heartbeat(place, failure_domain(number), self._calls(place.id))
+            for number, place in enumerate(places)
+        ]
+
+    @property
+    def _tasks(self) -> list[Task[Any]]:
+        return [self._traffic, self._reader, self._sender, *self._heartbeats]
+
+    def play(self) -> RunResult:
+        """Start the processes, play all steps, and judge."""
+        started_at = now()
+        deployment = self._deployment
+        everything = [*deployment.controls, *deployment.balancers]
+        self._machines.start(everything, is_first=True)
+        with ExitStack() as tasks:
+            for task in self._tasks:
+                tasks.enter_context(task)
+            self._send_valid()
+            self._play_series(Seconds(now() + START_TIME))
+            self._lose_power()
+            self._play_recovery()
+            ends = self._machines.unexpected_ends()
+        history = History(
+            self._sender.changes,
+            self._reader.reads,
+            self._traffic.openings,
+            self._machines.faults,
+            now(),
+        )
+        return RunResult(self._plan, history, judge(history), started_at, ends)
+
+    def _play_series(self, began_at: Seconds) -> None:
+        for step in self._plan.steps:
+            at = Seconds(began_at + step.at)
+            self._timeline.schedule(at, partial(self._play_step, step))
+        self._timeline.play_until(Seconds(began_at + self._plan.length))
+
+    def _play_step(self, step: Step) -> None:
+        if isinstance(step.action, SendDocument):
+            self._sender.mailbox.post(SendChange(step.action.kind))
+            return
+        self._print_step(f"{step.at:5.1f} s: {step.action}")
+        self._outages.play(step.action)
+
+    def _send_valid(self) -> Change | None:
+        """Send a valid change and wait for its result."""
+        reply: Mailbox[Change] = Mailbox("change")
+        self._sender.mailbox.post(SendChange(DocumentKind.VALID, reply))
+        outcome = reply.get(Seconds(2 * SEND_LIMIT + REPLY_MARGIN))
+        return outcome.unwrap() if isinstance(outcome, Success) else None
+
+    def _lose_power(self) -> None:
+        """Kill all processes right after an acknowledgement, and start them again."""
+        change = self._send_valid()
+        started_at = now()
+        deployment = self._deployment
+        everything = [*deployment.controls, *deployment.balancers]
+        self._machines.kill(everything)
+        lost = [deployment.controls[number] for number in self._plan.lost_disks]
+        for machine in lost:
+            self._machines.empty_disk(machine)
+        version = change.document.version if change and change.is_acknowledged else None
+        self._print_step(
+            f"power lost after version {version}; lost disks: "
+            f"{', '.join(machine.name for machine in lost) or 'none'}"
+        )
+        self._timeline.play_until(Seconds(started_at + POWER_OFF_TIME))
+        self._machines.start(everything)
+        self._machines.note_majority_fault(started_at)
+
+    def _play_recovery(self) -> None:
+        back_at = now()
+        for delay in CHANGES_AFTER_POWER_LOSS:
+            at = Seconds(back_at + delay)
+            self._timeline.schedule(at, self._post_valid)
+        end = Seconds(back_at + RECOVERY_TIME + TIME_AFTER_RECOVERY)
+        self._timeline.play_until(end)
+
+    def _post_valid(self) -> None:
+        self._sender.mailbox.post(SendChange(DocumentKind.VALID))
+
+    def _calls(self, name: str) -> ControlCalls:
+        seed = f"{name} {self._plan.seed}"
+        return ControlCalls(self._deployment.control_addresses, seed)
+
+    def _announce_controls(self) -> None:
+        message = ControlAddresses(self._deployment.control_addresses)
+        for task in (self._reader, self._sender, *self._heartbeats):
+            task.mailbox.post(message)
+
+
+def _server_places(deployment: Deployment) -> list[ServerPlace]:
+    places = []
+    for number in range(len(SERVICES) * deployment.shape.servers):
+        service = SERVICES[number % len(SERVICES)]
+        receiver = number + 1
+        address = deployment.server_address(number)
+        name = f"i-{receiver:x}"
+        port = deployment.ports.packets
+        places.append(ServerPlace(name, service, receiver, address, port))
+    return places
+
+
+def _traffic_plan(
+    seed: int, deployment: Deployment, places: list[ServerPlace]
+) -> TrafficPlan:
+    balancers = deployment.balancers
+    return TrafficPlan(
+        callers=tuple(deployment.caller_address(number) for number in range(CALLERS)),
+        servers=tuple(places),
+        entries=tuple(Entry(machine.name, machine.address) for machine in balancers),
+        packet_port=deployment.ports.packets,
+        interval=Seconds(1 / (OPENINGS_PER_BALANCER * len(balancers))),
+        seed=seed,
+    )
--- /dev/null
+++ b/src/wasabigw_demo/soak/soak.py
@@ -0,0 +1,68 @@
+"""Plays seeds of the soak one after the other, and reports each of them."""
+
+import shutil
+import tempfile
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+from wasabigw.core.ids import Seconds
+from wasabigw_demo.launcher import print_step
+from wasabigw_demo.soak.deployment import Shape, Source
+from wasabigw_demo.soak.judge import BreakShape
+from wasabigw_demo.soak.plan import make_plan
+from wasabigw_demo.soak.report import report_lines, write_record
+from wasabigw_demo.soak.run import RunResult, run_plan
+
+
+@dataclass(frozen=True, slots=True)
+class SoakOptions:
+    """What a soak plays.
+
+    :param length: seconds of changes and faults before the loss of power.
+    :param folder: folder in which the runs of failed seeds are kept.
+    :param keep: whether those of all seeds are kept.
+    """
+
+    seeds: Sequence[int]
+    shape: Shape
+    source: Source
+    length: Seconds
+    folder: Path
+    keep: bool = False
+
+
+def run_soak(options: SoakOptions) -> int:
+    """Play all seeds; returns the exit code, which is 0 if the rule held in all."""
+    results = [play_seed(options, seed) for seed in options.seeds]
+    _print_totals(results)
+    return 0 if all(result.passed for result in results) else 1
+
+
+def play_seed(options: SoakOptions, seed: int) -> RunResult:
+    """Play one seed, print its report, and keep its folder if it failed."""
+    options.folder.mkdir(parents=True, exist_ok=True)
+    folder = Path(tempfile.mkdtemp(prefix=f"seed-{seed}-", dir=options.folder))
+    plan = make_plan(seed, options.length, options.shape.controls)
+    print_step(f"seed {seed}")
+    result = run_plan(plan, options.shape, options.source, folder, print_step)
+    for line in report_lines(result):
+        print(line, flush=True)
+    if result.passed and not options.keep:
+        shutil.rmtree(folder)
+    else:
+        write_record(result, folder / "record.jsonl")
+        print(f"  settings, records and logs are kept in {folder}", flush=True)
+    return result
+
+
+def _print_totals(results: Sequence[RunResult]) -> None:
+    held = sum(result.passed for result in results)
+    print(f"\nheld in {held} of {len(results)} seeds")
+    for shape in BreakShape:
+        checks: Counter[BreakShape] = Counter()
+        for result in results:
+            checks += result.verdict.checks
+        broken = [r.plan.seed for r in results if r.verdict.of(shape)]
+        print(f"  {shape.value:32} {checks[shape]:7} checks, broken in {broken}")
--- /dev/null
+++ b/src/wasabigw_demo/soak/traffic.py
@@ -0,0 +1,268 @@
+"""Task that plays the callers and the backend servers of a soak."""
+
+import itertools
+import random
+import selectors
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial, singledispatchmethod
+from typing import Any
+
+from wasabigw.core.ids import Seconds
+from wasabigw.runtime.mailbox import SelectableMailbox
+from wasabigw.runtime.selector_task import SelectorTask
+from wasabigw_demo.soak.documents import LISTENER_ADDRESS, ListenerPort, ServiceName
+from wasabigw_demo.soak.machines import now
+from wasabigw_demo.soak.observations import (
+    MachineName,
+    Opening,
+    OpeningOutcome,
+    Taken,
+)
+from wasabigw_demo.soak.packets import Flag, Packet, decode, decode_delivery, encode
+from wasabigw_demo.soak.timeline import Timeline
+
+MAX_DATAGRAM = 2048
+RECEIVE_BUFFER = 2**20
+COPY_DELAYS = (Seconds(0.2), Seconds(0.6))
+"""Times after the first opening packet at which a caller sends copies."""
+OPEN_TIMEOUT = Seconds(1.4)
+FIRST_CALLER_PORT = 20_000
+CALLER_PORTS = 40_000
+
+
+@dataclass(frozen=True, slots=True)
+class ServerPlace:
+    """A backend server.
+
+    :param receiver: number that addresses it in deliveries.
+    """
+
+    id: str
+    service: ServiceName
+    receiver: int
+    address: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A balancer that gets packets of callers."""
+
+    name: MachineName
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficPlan:
+    """Who exchanges packets.
+
+    :param packet_port: port of balancers and of callers.
+    :param interval: time between two openings.
+    """
+
+    callers: tuple[str, ...]
+    servers: tuple[ServerPlace, ...]
+    entries: tuple[Entry, ...]
+    packet_port: int
+    interval: Seconds
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Targets:
+    """Listeners to which callers open flows from now on, with their weights."""
+
+    weights: dict[ListenerPort, int]
+
+
+@dataclass(slots=True)
+class _Attempt:
+    entry: Entry
+    packet: Packet
+    sent_at: Seconds
+    outcome: OpeningOutcome = OpeningOutcome.SILENT
+    taken: list[Taken] = field(default_factory=list)
+    copies: int = 0
+
+
+class Traffic(SelectorTask[Targets]):
+    """Opens flows through all balancers in turn, and records what became of each.
+
+    Callers and backend servers have sockets of their own, but one state, so that an
+    opening packet that a backend server received is known to be that of an attempt.
+    """
+
+    def __init__(self, plan: TrafficPlan) -> None:
+        super().__init__("traffic", SelectableMailbox("traffic"))
+        self._plan = plan
+        self._random = random.Random(f"traffic {plan.seed}")
+        self._targets = Targets({})
+        self._entries = itertools.cycle(plan.entries)
+        self._ports = itertools.count()
+        self._timeline = Timeline()
+        self._attempts: dict[tuple[str, int], _Attempt] = {}
+        self._sockets: dict[str, socket.socket] = {}
+        self._openings: list[Opening] = []
+
+    @property
+    def openings(self) -> tuple[Opening, ...]:
+        """Finished attempts; call this after the task has ended."""
+        return tuple(self._openings)
+
+    def open(self) -> None:
+        """Bind the sockets of all callers and backend servers."""
+        for caller in self._plan.callers:
+            bound = self._bind(caller, self._plan.packet_port)
+            self._listen(bound, partial(self._receive_as_caller, caller, bound))
+            self._sockets[caller] = bound
+        for server in self._plan.servers:
+            bound = self._bind(server.address, server.port)
+            self._listen(bound, partial(self._receive_as_server, server, bound))
+        self._timeline.schedule(now(), self._open_flow)
+
+    @singledispatchmethod
+    def receive(self, message: Any) -> None:
+        """Handle a message of the run."""
+        raise TypeError(f"unknown message for the traffic: {message!r}")
+
+    @receive.register
+    def _(self, message: Targets) -> None:
+        self._targets = message
+
+    def _bind(self, address: str, port: int) -> socket.socket:
+        bound = self._resources.enter_context(
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        )
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+        bound.bind((address, port))
+        bound.setblocking(False)
+        return bound
+
+    def _listen(self, bound: socket.socket, handle: Callable[[bytes], None]) -> None:
+        self._selector.register(
+            bound, selectors.EVENT_READ, lambda _: self._read(bound, handle)
+        )
+
+    def _read(self, bound: socket.socket, handle: Callable[[bytes], None]) -> None:
+        try:
+            datagram = bound.recv(MAX_DATAGRAM)
+        except OSError:
+            # ICMP errors of packets to processes that were killed.
+            return
+        handle(datagram)
+
+    def _time_to_next(self) -> Seconds | None:
+        next_at = self._timeline.next_at
+        return None if next_at is None else Seconds(max(0.0, next_at - now()))
+
+    def _handle_due(self) -> None:
+        self._timeline.run_due()
+
+    def _open_flow(self) -> None:
+        self._timeline.schedule(Seconds(now() + self._plan.interval), self._open_flow)
+        weights = self._targets.weights
+        if not weights:
+            return
+        (port,) = self._random.choices([*weights], [*weights.values()])
+        caller = self._random.choice(self._plan.callers)
+        source_port = FIRST_CALLER_PORT + next(self._ports) % CALLER_PORTS
+        sequence = self._random.getrandbits(32)
+        packet = Packet(
+            *(caller, source_port),
+            *(LISTENER_ADDRESS, port),
+            Flag.SYN,
+            sequence,
+            0,
+        )
+        attempt = _Attempt(next(self._entries), packet, now())
+        self._attempts[caller, source_port] = attempt
+        self._send_copy(attempt)
+        for delay in COPY_DELAYS:
+            copy_at = Seconds(attempt.sent_at + delay)
+            self._timeline.schedule(copy_at, partial(self._send_copy, attempt))
+        ended_at = Seconds(attempt.sent_at + OPEN_TIMEOUT)
+        self._timeline.schedule(ended_at, partial(self._finish, attempt))
+
+    def _send_copy(self, attempt: _Attempt) -> None:
+        if attempt.outcome is not OpeningOutcome.SILENT:
+            return
+        packet = replace(attempt.packet, acknowledged=attempt.copies)
+        attempt.copies += 1
+        self._send_to_balancer(attempt, packet)
+
+    def _send_to_balancer(self, attempt: _Attempt, packet: Packet) -> None:
+        address = (attempt.entry.address, self._plan.packet_port)
+        self._send(self._sockets[packet.source], packet, address)
+
+    def _send(
+        self, bound: socket.socket, packet: Packet, address: tuple[str, int]
+    ) -> None:
+        try:
+            bound.sendto(encode(packet), address)
+        except OSError:
+            # The receiver was killed; for a caller this is a lost packet.
+            return
+
+    def _finish(self, attempt: _Attempt) -> None:
+        packet = attempt.packet
+        del self._attempts[packet.source, packet.source_port]
+        self._openings.append(
+            Opening(
+                attempt.entry.name,
+                ListenerPort(packet.destination_port),
+                attempt.sent_at,
+                now(),
+                attempt.outcome,
+                tuple(attempt.taken),
+            )
+        )
+
+    def _receive_as_caller(
+        self, caller: str, bound: socket.socket, datagram: bytes
+    ) -> None:
+        packet = decode(datagram)
+        if packet is None:
+            return
+        attempt = self._attempts.get((caller, packet.destination_port))
+        if attempt is None or attempt.outcome is not OpeningOutcome.SILENT:
+            return
+        if packet.flags & Flag.RST:
+            attempt.outcome = OpeningOutcome.REFUSED
+        elif packet.flags & Flag.SYN:
+            attempt.outcome = OpeningOutcome.ANSWERED
+            self._complete(attempt, packet)
+
+    def _complete(self, attempt: _Attempt, answer: Packet) -> None:
+        """End the handshake and close the flow."""
+        acknowledgement = replace(
+            attempt.packet,
+            flags=Flag.ACK,
+            sequence=attempt.packet.sequence + 1,
+            acknowledged=answer.sequence + 1,
+            tag=answer.tag,
+        )
+        self._send_to_balancer(attempt, acknowledgement)
+        end = replace(acknowledgement, flags=Flag.FIN | Flag.ACK)
+        self._send_to_balancer(attempt, end)
+
+    def _receive_as_server(
+        self, server: ServerPlace, bound: socket.socket, datagram: bytes
+    ) -> None:
+        packet = decode_delivery(datagram, server.receiver)
+        if packet is None or not packet.flags & (Flag.SYN | Flag.FIN):
+            return
+        attempt = self._attempts.get((packet.source, packet.source_port))
+        if attempt is not None and packet.flags & Flag.SYN:
+            attempt.taken.append(Taken(server.service, now()))
+        is_opening = bool(packet.flags & Flag.SYN)
+        answer = Packet(
+            *(packet.destination, packet.destination_port),
+            *(packet.source, packet.source_port),
+            Flag.SYN | Flag.ACK if is_opening else Flag.FIN | Flag.ACK,
+            server.receiver if is_opening else packet.acknowledged,
+            packet.sequence + 1,
+            packet.tag,
+        )
+        self._send(bound, answer, (packet.source, self._plan.packet_port))
