--- a/src/wasabigw_demo/soak/change_sender.py
+++ b/src/wasabigw_demo/soak/change_sender.py
@@ -1,7 +1,9 @@
 """Task that sends configuration documents as an operator does."""
 
 import time
-from dataclasses import dataclass
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, replace
 from functools import singledispatchmethod
 from typing import Any
 
@@ -44,14 +46,25 @@
     reply: Mailbox[Change] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class SendRacingChanges:
+    """Generate valid documents and send them at the same time."""
+
+    count: int
+
+
 class ChangeSender(Task[Any]):
     """Sends one document after the other, and tells the callers about new listeners.
 
+    :param calls: calls of each of the operators that can send at the same time.
     :param traffic: mailbox of the task that plays the callers.
     """
 
     def __init__(
-        self, calls: ControlCalls, series: DocumentSeries, traffic: Mailbox[Any]
+        self,
+        calls: Sequence[ControlCalls],
+        series: DocumentSeries,
+        traffic: Mailbox[Any],
     ) -> None:
         super().__init__("operator", Mailbox("operator"))
         self._calls = calls
@@ -59,6 +72,7 @@
         self._traffic = traffic
         self._changes: list[Change] = []
         self._newest: Change | None = None
+        self._routes: set[ListenerPort] = set()
         self._dropped: list[ListenerPort] = []
         self._decoys: list[ListenerPort] = []
 
@@ -74,35 +88,51 @@
 
     @receive.register
     def _(self, message: ControlAddresses) -> None:
-        self._calls.use(message.addresses)
+        for calls in self._calls:
+            calls.use(message.addresses)
 
     @receive.register
     def _(self, message: SendChange) -> None:
         document = self._generate(message.kind)
         if document is None:
             return
-        change = self._send(document)
-        self._changes.append(change)
-        if document.kind is DocumentKind.VALID:
-            self._newest = change
+        change = _send(self._calls[0], document)
+        self._note(change)
         if message.reply is not None:
             message.reply.post(change)
 
+    @receive.register
+    def _(self, message: SendRacingChanges) -> None:
+        documents = [self._next_valid() for _ in range(message.count)]
+        with ThreadPoolExecutor(message.count) as operators:
+            for change in operators.map(_send, self._calls, documents):
+                self._note(change)
+
+    def _note(self, change: Change) -> None:
+        self._changes.append(change)
+        if change.document.kind is DocumentKind.VALID:
+            self._newest = change
+
     def _generate(self, kind: DocumentKind) -> Document | None:
         """Generate a document; ``None`` if its kind needs an acknowledged change."""
         if kind is DocumentKind.VALID:
-            former = self._newest
-            document = self._series.next_valid()
-            if former is not None:
-                self._dropped += former.document.routes.keys() - document.routes.keys()
-            self._set_targets(document)
-            return document
+            return self._next_valid()
         if kind is DocumentKind.INVALID:
-            document = self._series.next_invalid()
-        elif self._newest is None or not self._newest.is_acknowledged:
+            return self._without_effect(self._series.next_invalid())
+        if self._newest is None or not self._newest.is_acknowledged:
             return None
-        else:
-            document = self._series.next_overtaken()
+        if kind is DocumentKind.REPEATED:
+            return replace(self._newest.document, kind=kind)
+        return self._without_effect(self._series.next_overtaken())
+
+    def _next_valid(self) -> Document:
+        document = self._series.next_valid()
+        self._dropped += self._routes - document.routes.keys()
+        self._routes = {*document.routes}
+        self._set_targets(document)
+        return document
+
+    def _without_effect(self, document: Document) -> Document:
         if document.decoy is not None:
             self._decoys.append(document.decoy)
         if self._newest is not None:
@@ -116,16 +146,16 @@
         weights |= dict.fromkeys(added[-RECENT_PORTS:], ADDED_WEIGHT)
         self._traffic.post(Targets(weights | TARGET_WEIGHTS))
 
-    def _send(self, document: Document) -> Change:
-        """Send a document to one control VM after the other until it is answered."""
-        sent_at = now()
-        delay = FIRST_RETRY_DELAY
-        while True:
-            address = self._calls.choose()
-            response = self._calls.call(address, "PUT", "/configuration", document.body)
-            if response.is_success or response.status in FINAL_STATUSES:
-                return Change(document, sent_at, now(), response.status)
-            if now() > sent_at + SEND_LIMIT:
-                return Change(document, sent_at, now(), None)
-            time.sleep(delay)
-            delay = min(2 * delay, LAST_RETRY_DELAY)
+
+def _send(calls: ControlCalls, document: Document) -> Change:
+    """Send a document to one control VM after the other until it is answered."""
+    sent_at = now()
+    delay = FIRST_RETRY_DELAY
+    while True:
+        response = calls.call(calls.choose(), "PUT", "/configuration", document.body)
+        if response.is_success or response.status in FINAL_STATUSES:
+            return Change(document, sent_at, now(), response.status)
+        if now() > sent_at + SEND_LIMIT:
+            return Change(document, sent_at, now(), None)
+        time.sleep(delay)
+        delay = min(2 * delay, LAST_RETRY_DELAY)
--- a/src/wasabigw_demo/soak/documents.py
+++ b/src/wasabigw_demo/soak/documents.py
@@ -34,6 +34,8 @@
     """It has to be refused with a 4xx status."""
     OVERTAKEN = "overtaken"
     """Its version is acknowledged already or lower; it changes nothing."""
+    REPEATED = "repeated"
+    """The newest acknowledged document once more; it has to be acknowledged again."""
 
 
 class Defect(Enum):
--- a/src/wasabigw_demo/soak/judge.py
+++ b/src/wasabigw_demo/soak/judge.py
@@ -1,6 +1,6 @@
 """Judges from observations alone whether acknowledged configurations were in force.
 
-Each break belongs to one of four shapes, and each shape counts what was checked for it.
+Each break belongs to one shape, and each shape counts what was checked for it.
 """
 
 from bisect import bisect_right
@@ -43,6 +43,10 @@
 SILENT_OPENINGS = 3
 
 
+WITHOUT_EFFECT = frozenset({DocumentKind.INVALID, DocumentKind.OVERTAKEN})
+"""Kinds of documents whose routes must never be served."""
+
+
 class BreakShape(Enum):
     """Ways in which the rule on configurations breaks."""
 
@@ -50,6 +54,7 @@
     OLDER = "came back older"
     INVALID = "invalid or refused change taken"
     ADDED_ROUTE = "added route not served"
+    REPEAT_REFUSED = "acknowledged change refused when repeated"
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,9 +151,7 @@
         self._changes = sorted(valid, key=lambda change: change.document.version)
         self._acknowledged = [c for c in self._changes if c.is_acknowledged]
         self._without_effect = [
-            c.document
-            for c in history.changes
-            if c.document.kind is not DocumentKind.VALID
+            c.document for c in history.changes if c.document.kind in WITHOUT_EFFECT
         ]
         self.faults = _Faults(history.faults)
         self.documents = {c.document.version: c.document for c in self._changes}
@@ -187,13 +190,15 @@
 
 def _judge_answers(changes: Iterable[Change], verdict: Verdict) -> None:
     for change in changes:
-        document = change.document
-        if document.kind is not DocumentKind.INVALID or change.status is None:
+        if change.status is None:
             continue
-        problem = None
-        if change.is_acknowledged:
-            problem = f"invalid version {document.version} got {change.status}"
-        verdict.check(BreakShape.INVALID, change.answered_at, problem)
+        answer = f"version {change.document.version} got {change.status}"
+        if change.document.kind is DocumentKind.INVALID:
+            problem = answer if change.is_acknowledged else None
+            verdict.check(BreakShape.INVALID, change.answered_at, problem)
+        if change.document.kind is DocumentKind.REPEATED:
+            problem = None if change.is_acknowledged else answer
+            verdict.check(BreakShape.REPEAT_REFUSED, change.answered_at, problem)
 
 
 def _judge_read(read: ReadBack, versions: _Versions, verdict: Verdict) -> None:
--- a/src/wasabigw_demo/soak/plan.py
+++ b/src/wasabigw_demo/soak/plan.py
@@ -18,7 +18,10 @@
     DocumentKind.VALID: 7,
     DocumentKind.INVALID: 2,
     DocumentKind.OVERTAKEN: 2,
+    DocumentKind.REPEATED: 1,
 }
+RACE_PROBABILITY = 0.15
+RACING_DOCUMENTS = 3
 LOST_DISK_WEIGHTS = (2, 2, 6)
 """Weights of 0, 1 and 2 disks that the loss of power takes."""
 
@@ -30,6 +33,13 @@
     kind: DocumentKind
 
 
+@dataclass(frozen=True, slots=True)
+class SendRace:
+    """Several operators send valid documents of different versions at once."""
+
+    count: int
+
+
 @dataclass(frozen=True, slots=True)
 class Outage:
     """Processes do not run for some time.
@@ -81,7 +91,7 @@
     """
 
     at: Seconds
-    action: SendDocument | Outage
+    action: SendDocument | SendRace | Outage
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +129,9 @@
     at = float(FIRST_STEP)
     while at < length:
         (kind,) = generator.choices([*DOCUMENT_KINDS], [*DOCUMENT_KINDS.values()])
-        yield Step(Seconds(at), SendDocument(kind))
+        is_race = generator.random() < RACE_PROBABILITY
+        action = SendRace(RACING_DOCUMENTS) if is_race else SendDocument(kind)
+        yield Step(Seconds(at), action)
         at += generator.choice(CHANGE_INTERVALS)
 
 
--- a/src/wasabigw_demo/soak/report.py
+++ b/src/wasabigw_demo/soak/report.py
@@ -53,7 +53,7 @@
     breaks = result.verdict.of(shape)
     checks = result.verdict.checks[shape]
     mark = "FAIL" if breaks else "ok  "
-    yield f"  {mark} {shape.value:32} {len(breaks)} breaks in {checks} checks"
+    yield f"  {mark} {shape.value:42} {len(breaks)} breaks in {checks} checks"
     for item in breaks[:SHOWN_BREAKS]:
         yield f"       {item.at - result.started_at:6.2f} s: {item.evidence}"
 
--- a/src/wasabigw_demo/soak/run.py
+++ b/src/wasabigw_demo/soak/run.py
@@ -12,7 +12,12 @@
 from wasabigw.core.ids import Seconds
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Task
-from wasabigw_demo.soak.change_sender import SEND_LIMIT, ChangeSender, SendChange
+from wasabigw_demo.soak.change_sender import (
+    SEND_LIMIT,
+    ChangeSender,
+    SendChange,
+    SendRacingChanges,
+)
 from wasabigw_demo.soak.control_calls import (
     ControlAddresses,
     ControlCalls,
@@ -25,7 +30,7 @@
 from wasabigw_demo.soak.machines import Machines, now
 from wasabigw_demo.soak.observations import Change, History
 from wasabigw_demo.soak.outages import OutagePlayer
-from wasabigw_demo.soak.plan import Plan, SendDocument, Step
+from wasabigw_demo.soak.plan import RACING_DOCUMENTS, Plan, SendDocument, SendRace, Step
 from wasabigw_demo.soak.timeline import Timeline
 from wasabigw_demo.soak.traffic import Entry, ServerPlace, Traffic, TrafficPlan
 
@@ -94,9 +99,10 @@
         self._traffic = Traffic(_traffic_plan(plan.seed, deployment, places))
         self._reader = Reader(self._calls("reader"))
         series = DocumentSeries(plan.seed, deployment.shape.idle_routes)
-        self._sender = ChangeSender(
-            self._calls("operator"), series, self._traffic.mailbox
-        )
+        operators = [
+            self._calls(f"operator {number}") for number in range(RACING_DOCUMENTS)
+        ]
+        self._sender = ChangeSender(operators, series, self._traffic.mailbox)
         self._heartbeats = [
             Heartbeat(place, failure_domain(number), self._calls(place.id))
             for number, place in enumerate(places)
@@ -136,11 +142,14 @@
         self._timeline.play_until(Seconds(began_at + self._plan.length))
 
     def _play_step(self, step: Step) -> None:
-        if isinstance(step.action, SendDocument):
-            self._sender.mailbox.post(SendChange(step.action.kind))
-            return
-        self._print_step(f"{step.at:5.1f} s: {step.action}")
-        self._outages.play(step.action)
+        match step.action:
+            case SendDocument(kind):
+                self._sender.mailbox.post(SendChange(kind))
+            case SendRace(count):
+                self._sender.mailbox.post(SendRacingChanges(count))
+            case outage:
+                self._print_step(f"{step.at:5.1f} s: {outage}")
+                self._outages.play(outage)
 
     def _send_valid(self) -> Change | None:
         """Send a valid change and wait for its result."""
--- a/src/wasabigw_demo/soak/soak.py
+++ b/src/wasabigw_demo/soak/soak.py
@@ -65,4 +65,4 @@
         for result in results:
             checks += result.verdict.checks
         broken = [r.plan.seed for r in results if r.verdict.of(shape)]
-        print(f"  {shape.value:32} {checks[shape]:7} checks, broken in {broken}")
+        print(f"  {shape.value:42} {checks[shape]:7} checks, broken in {broken}")
