--- a/src/wasabigw_demo/soak/plan.py
+++ b/src/wasabigw_demo/soak/plan.py
@@ -1,7 +1,7 @@
 """Seeded series of changes and faults of a soak."""
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from wasabigw.core.ids import Seconds
@@ -13,6 +13,9 @@
 """Time beyond the catch-up time between two faults of control VMs."""
 MAX_LOST_DISKS = 2
 TARGETS = 100
+OTHER_TARGETS = 5
+"""Targets after the first one that are other machines, as there are at least six."""
+OVERLAP_PROBABILITY = 0.4
 CHANGE_INTERVALS = (0.1, 0.3, 0.8, 1.5)
 DOCUMENT_KINDS = {
     DocumentKind.VALID: 7,
@@ -83,6 +86,10 @@
     """Some balancers are paused."""
 
 
+SINGLE_OUTAGES = (LoseDisk, KillControl, PauseControl)
+"""Outages of which two may overlap, as the loss of two control VMs is tolerated."""
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """A step of a plan.
@@ -141,23 +148,39 @@
     Every plan loses the disks of one or two control VMs, because the replicas that
     are rebuilt then are what the loss of power at the end meets.
     """
-    chosen: list[Callable[[int, Seconds], Outage]] = []
+    chosen: list[type[Outage]] = []
     chosen += [LoseDisk] * generator.randint(1, MAX_LOST_DISKS)
     others = (KillControl, PauseControl, ReplaceControl, AddControl, KillAllControls)
     chosen += generator.choices(others, k=2)
     generator.shuffle(chosen)
     at = float(FIRST_STEP) + generator.uniform(0.0, 1.5)
     for outage in chosen:
-        duration = generator.uniform(0.5, 3.0)
-        if outage is ReplaceControl:
-            # The successor gets the catch-up time before the old VM is stopped.
-            duration = CATCH_UP_SECONDS + CATCH_UP_MARGIN
-        overcome_at = at + duration + CATCH_UP_SECONDS + CATCH_UP_MARGIN
-        if overcome_at > length:
+        outages = [*_overlapping_outages(generator, Seconds(at), outage)]
+        ended_at = max(start + item.duration for start, item in outages)
+        at = ended_at + CATCH_UP_SECONDS + CATCH_UP_MARGIN
+        if at > length:
             return
-        target = generator.randrange(TARGETS)
-        yield Step(Seconds(at), outage(target, Seconds(duration)))
-        at = overcome_at
+        yield from (Step(start, item) for start, item in outages)
+
+
+def _overlapping_outages(
+    generator: random.Random, at: Seconds, outage: type[Outage]
+) -> Iterator[tuple[Seconds, Outage]]:
+    """Draw an outage, and at times one of another control VM before it ends."""
+    target = generator.randrange(TARGETS)
+    duration = Seconds(generator.uniform(0.5, 4.0))
+    if outage is ReplaceControl:
+        # The successor gets the catch-up time before the old VM is stopped.
+        duration = Seconds(CATCH_UP_SECONDS + CATCH_UP_MARGIN)
+    yield at, outage(target, duration)
+    is_overlapped = generator.random() < OVERLAP_PROBABILITY
+    if outage not in SINGLE_OUTAGES or not is_overlapped:
+        return
+    second = generator.choice(SINGLE_OUTAGES)
+    other = target + generator.randint(1, OTHER_TARGETS)
+    starts_at = Seconds(at + generator.uniform(0.0, duration))
+    second_duration = Seconds(generator.uniform(0.5, 4.0))
+    yield starts_at, second(other, second_duration)
 
 
 def _balancer_outages(generator: random.Random, length: Seconds) -> Iterator[Step]:
--- a/src/wasabigw_demo/soak/run.py
+++ b/src/wasabigw_demo/soak/run.py
@@ -12,6 +12,7 @@
 from wasabigw.core.ids import Seconds
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Task
+from wasabigw_demo._system import DemoFailedError
 from wasabigw_demo.soak.change_sender import (
     SEND_LIMIT,
     ChangeSender,
@@ -36,6 +37,8 @@
 
 START_TIME = Seconds(6.0)
 """Time from the first document to the series of the plan."""
+START_LIMIT = Seconds(30.0)
+"""Time within which the first document has to be acknowledged."""
 POWER_OFF_TIME = Seconds(0.8)
 CHANGES_AFTER_POWER_LOSS = tuple(Seconds(at) for at in (2.0, 6.0, 11.0, 13.0, 15.0))
 TIME_AFTER_RECOVERY = Seconds(8.0)
@@ -121,7 +124,7 @@
         with ExitStack() as tasks:
             for task in self._tasks:
                 tasks.enter_context(task)
-            self._send_valid()
+            self._send_first()
             self._play_series(Seconds(now() + START_TIME))
             self._lose_power()
             self._play_recovery()
@@ -151,6 +154,15 @@
                 self._print_step(f"{step.at:5.1f} s: {outage}")
                 self._outages.play(outage)
 
+    def _send_first(self) -> None:
+        """Send valid changes until the system has started and acknowledges one."""
+        deadline = now() + START_LIMIT
+        change = self._send_valid()
+        while change is None or not change.is_acknowledged:
+            if now() > deadline:
+                raise DemoFailedError("no change was acknowledged after the start")
+            change = self._send_valid()
+
     def _send_valid(self) -> Change | None:
         """Send a valid change and wait for its result."""
         reply: Mailbox[Change] = Mailbox("change")
