--- a/src/wasabigw_demo/soak/report.py
+++ b/src/wasabigw_demo/soak/report.py
@@ -26,6 +26,12 @@
     yield f"  changes: {_counts(changes)}"
     outcomes = {o.value: openings[o] for o in OpeningOutcome}
     yield f"  openings: {_counts(Counter(outcomes))}; reads: {_counts(reads)}"
+    for change in history.changes:
+        if change.status is None:
+            began = change.sent_at - result.started_at
+            lasted = change.answered_at - change.sent_at
+            yield f"  no answer to a change sent at {began:.1f} s for {lasted:.1f} s"
+    yield f"  longest wait of the soak for a processor: {result.longest_delay:.2f} s"
     for shape in BreakShape:
         yield from _shape_lines(result, shape)
     for name, code in result.ends.items():
--- a/src/wasabigw_demo/soak/run.py
+++ b/src/wasabigw_demo/soak/run.py
@@ -53,6 +53,7 @@
     """Result of a run.
 
     :param ends: exit codes of the processes that ended by themselves.
+    :param longest_delay: longest time for which the soak waited for a processor.
     """
 
     plan: Plan
@@ -60,6 +61,7 @@
     verdict: Verdict
     started_at: Seconds
     ends: dict[str, int]
+    longest_delay: Seconds
 
     @property
     def passed(self) -> bool:
@@ -136,7 +138,14 @@
             self._machines.faults,
             now(),
         )
-        return RunResult(self._plan, history, judge(history), started_at, ends)
+        return RunResult(
+            self._plan,
+            history,
+            judge(history),
+            started_at,
+            ends,
+            self._traffic.longest_delay,
+        )
 
     def _play_series(self, began_at: Seconds) -> None:
         for step in self._plan.steps:
--- a/src/wasabigw_demo/soak/traffic.py
+++ b/src/wasabigw_demo/soak/traffic.py
@@ -105,12 +105,21 @@
         self._attempts: dict[tuple[str, int], _Attempt] = {}
         self._sockets: dict[str, socket.socket] = {}
         self._openings: list[Opening] = []
+        self._longest_delay = Seconds(0.0)
 
     @property
     def openings(self) -> tuple[Opening, ...]:
         """Finished attempts; call this after the task has ended."""
         return tuple(self._openings)
 
+    @property
+    def longest_delay(self) -> Seconds:
+        """Longest time by which an opening was sent late; call this after the end.
+
+        It shows how long the processes of a run had to wait for a processor.
+        """
+        return self._longest_delay
+
     def open(self) -> None:
         """Bind the sockets of all callers and backend servers."""
         for caller in self._plan.callers:
@@ -120,7 +129,7 @@
         for server in self._plan.servers:
             bound = self._bind(server.address, server.port)
             self._listen(bound, partial(self._receive_as_server, server, bound))
-        self._timeline.schedule(now(), self._open_flow)
+        self._schedule_opening(now())
 
     @singledispatchmethod
     def receive(self, message: Any) -> None:
@@ -160,8 +169,12 @@
     def _handle_due(self) -> None:
         self._timeline.run_due()
 
-    def _open_flow(self) -> None:
-        self._timeline.schedule(Seconds(now() + self._plan.interval), self._open_flow)
+    def _schedule_opening(self, at: Seconds) -> None:
+        self._timeline.schedule(at, partial(self._open_flow, at))
+
+    def _open_flow(self, due_at: Seconds) -> None:
+        self._longest_delay = max(self._longest_delay, Seconds(now() - due_at))
+        self._schedule_opening(Seconds(now() + self._plan.interval))
         weights = self._targets.weights
         if not weights:
             return
