--- a/src/wasabigw_demo/soak/plan.py
+++ b/src/wasabigw_demo/soak/plan.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import Enum
 
 from wasabigw.core.ids import Seconds
 from wasabigw_demo.soak.deployment import CATCH_UP_SECONDS, SEEDS
@@ -27,6 +28,37 @@
 RACING_DOCUMENTS = 3
 LOST_DISK_WEIGHTS = (2, 2, 6)
 """Weights of 0, 1 and 2 disks that the loss of power takes."""
+MAX_POWER_DELAY = 0.3
+"""Longest time in seconds between the acknowledgement and the loss of power."""
+IMMEDIATE_PROBABILITY = 0.7
+
+
+class PowerScope(Enum):
+    """Which machines lose power at the end."""
+
+    LOST_DISKS = "those that lose their disks"
+    CONTROLS = "all control VMs"
+    ALL = "all machines"
+
+
+POWER_SCOPE_WEIGHTS = {
+    PowerScope.LOST_DISKS: 1,
+    PowerScope.CONTROLS: 1,
+    PowerScope.ALL: 6,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class PowerLoss:
+    """Loss of power right after a change was acknowledged.
+
+    :param lost_disks: numbers of the control VMs that lose their disks.
+    :param delay: seconds from the acknowledgement to the loss.
+    """
+
+    scope: PowerScope
+    lost_disks: tuple[int, ...]
+    delay: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,13 +139,12 @@
 
     :param steps: steps in the order of their times.
     :param length: seconds from the start of the series to the loss of power.
-    :param lost_disks: numbers of the control VMs whose disks the loss of power takes.
     """
 
     seed: int
     steps: tuple[Step, ...]
     length: Seconds
-    lost_disks: tuple[int, ...]
+    power_loss: PowerLoss
 
 
 def make_plan(seed: int, length: Seconds, controls: int) -> Plan:
@@ -129,7 +160,7 @@
         *_balancer_outages(generator, length),
     ]
     steps.sort(key=lambda step: step.at)
-    return Plan(seed, tuple(steps), length, _lost_disks(generator, controls))
+    return Plan(seed, tuple(steps), length, _power_loss(generator, controls))
 
 
 def _changes(generator: random.Random, length: Seconds) -> Iterator[Step]:
@@ -192,8 +223,16 @@
         at += duration + generator.uniform(2.0, 6.0)
 
 
-def _lost_disks(generator: random.Random, controls: int) -> tuple[int, ...]:
-    """Draw the disks that the loss of power takes; half of the times only of seeds."""
+def _power_loss(generator: random.Random, controls: int) -> PowerLoss:
+    """Draw the loss of power; half of the times it takes only disks of seeds."""
     (count,) = generator.choices(range(MAX_LOST_DISKS + 1), LOST_DISK_WEIGHTS)
     candidates = range(generator.choice((SEEDS, controls)))
-    return tuple(generator.sample(candidates, count))
+    lost_disks = tuple(generator.sample(candidates, count))
+    (scope,) = generator.choices(
+        [*POWER_SCOPE_WEIGHTS], [*POWER_SCOPE_WEIGHTS.values()]
+    )
+    if not lost_disks:
+        scope = PowerScope.ALL
+    delay = Seconds(generator.uniform(0.0, MAX_POWER_DELAY))
+    is_immediate = generator.random() < IMMEDIATE_PROBABILITY
+    return PowerLoss(scope, lost_disks, Seconds(0.0) if is_immediate else delay)
--- a/src/wasabigw_demo/soak/run.py
+++ b/src/wasabigw_demo/soak/run.py
@@ -31,7 +31,14 @@
 from wasabigw_demo.soak.machines import Machines, now
 from wasabigw_demo.soak.observations import Change, History
 from wasabigw_demo.soak.outages import OutagePlayer
-from wasabigw_demo.soak.plan import RACING_DOCUMENTS, Plan, SendDocument, SendRace, Step
+from wasabigw_demo.soak.plan import (
+    RACING_DOCUMENTS,
+    Plan,
+    PowerScope,
+    SendDocument,
+    SendRace,
+    Step,
+)
 from wasabigw_demo.soak.timeline import Timeline
 from wasabigw_demo.soak.traffic import Entry, ServerPlace, Traffic, TrafficPlan
 
@@ -180,22 +187,28 @@
         return outcome.unwrap() if isinstance(outcome, Success) else None
 
     def _lose_power(self) -> None:
-        """Kill all processes right after an acknowledgement, and start them again."""
+        """Cut the power right after an acknowledgement, and restore it."""
+        loss = self._plan.power_loss
+        controls = self._deployment.controls
+        lost = [controls[number] for number in loss.lost_disks]
+        machines = {
+            PowerScope.LOST_DISKS: lost,
+            PowerScope.CONTROLS: [*controls],
+            PowerScope.ALL: [*controls, *self._deployment.balancers],
+        }[loss.scope]
         change = self._send_valid()
+        self._timeline.play_until(Seconds(now() + loss.delay))
         started_at = now()
-        deployment = self._deployment
-        everything = [*deployment.controls, *deployment.balancers]
-        self._machines.kill(everything)
-        lost = [deployment.controls[number] for number in self._plan.lost_disks]
+        self._machines.kill(machines)
         for machine in lost:
             self._machines.empty_disk(machine)
         version = change.document.version if change and change.is_acknowledged else None
         self._print_step(
-            f"power lost after version {version}; lost disks: "
-            f"{', '.join(machine.name for machine in lost) or 'none'}"
+            f"power lost {loss.delay:.2f} s after version {version}: "
+            f"{loss.scope.value}; lost disks: {[machine.name for machine in lost]}"
         )
         self._timeline.play_until(Seconds(started_at + POWER_OFF_TIME))
-        self._machines.start(everything)
+        self._machines.start(machines)
         self._machines.note_majority_fault(started_at)
 
     def _play_recovery(self) -> None:
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -23,6 +23,7 @@
     "test_fault_matrix.py",
     "test_process_faults.py",
     "test_process_resend.py",
+    "test_soak.py",
     "test_capacity.py",
     "test_control_api.py",
 )
