Poll every source of views before one that was not current is polled again

A balancer or relay that reaches a current source goes on with an older configuration for as long as other sources that it prefers are not current, as in a core that is cut in two halves.

Cause: a source that is not current holds a poll for 0.5 s and is then left out for 1 s, and a source that accepts polls but does not answer takes 0.9 s. With three of them the backoff of the first ends before the fourth source is polled once, and the most preferred source without backoff is polled next: the follower polls the same three in turn.

Change: until a source has answered with a current view, sources are polled in the order of their last failures, those that have not failed first. That works because each failure puts a source behind all others, so a search takes one poll of each. A current answer clears the failure and ends the search; from then on a preferred source is tried again after its backoff, as before.

test_a_source_that_failed_is_not_polled_during_its_backoff now records the answer of the source that it polls, as followers do; it checked the choice after a poll without a result, which is a search now. What it checks is the same.

--- a/src/wasabigw/core/sources.py
+++ b/src/wasabigw/core/sources.py
@@ -6,6 +6,7 @@
 from wasabigw.core.delivery_view import Source
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, Seconds
+from wasabigw.core.view_lease import NEVER
 
 STALE_BACKOFF = Seconds(1.0)
 """How long a source without a current view is not polled."""
@@ -24,6 +25,7 @@
         domain over them.
     :param known: sources listed in the last view.
     :param backoff_until: end of the backoff of each source that failed or was stale.
+    :param searching: whether the last poll gave no current view.
     """
 
     failure_domain: FailureDomainId
@@ -32,28 +34,43 @@
     offset: int = 0
     known: tuple[Source, ...] = ()
     backoff_until: dict[Endpoint, Seconds] = field(default_factory=dict)
+    searching: bool = False
 
 
 def next_source(state: SourceState, now: Seconds) -> tuple[Endpoint, bool]:
     """Most preferred source without backoff, or the one whose backoff ends first.
 
+    During a search, sources come in the order of their last failures. The backoff of
+    a preferred source may end before all others were polled once, and a follower
+    that went back to it would poll the same few sources in turn.
+
     :returns: the source, and whether it is still in backoff.
     """
     preferred = _by_preference(state)
-    for source in preferred:
-        if state.backoff_until.get(source, now) <= now:
-            return source, False
-    return min(preferred, key=lambda source: state.backoff_until[source]), True
+    if not state.searching:
+        for source in preferred:
+            if state.backoff_until.get(source, now) <= now:
+                return source, False
+    source = min(preferred, key=lambda api: state.backoff_until.get(api, NEVER))
+    return source, state.backoff_until.get(source, now) > now
+
+
+def record_current(state: SourceState, source: Endpoint) -> None:
+    """Record that a source answered with a current view."""
+    state.backoff_until.pop(source, None)
+    state.searching = False
 
 
 def record_failure(state: SourceState, source: Endpoint, now: Seconds) -> None:
     """Record that a source did not answer."""
     state.backoff_until[source] = Seconds(now + FAILURE_BACKOFF)
+    state.searching = True
 
 
 def record_stale(state: SourceState, source: Endpoint, now: Seconds) -> None:
     """Record that a source answered without a current view."""
     state.backoff_until[source] = Seconds(now + STALE_BACKOFF)
+    state.searching = True
 
 
 def set_known_sources(state: SourceState, known: tuple[Source, ...]) -> None:
--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -13,6 +13,7 @@
 from wasabigw.core.sources import (
     SourceState,
     next_source,
+    record_current,
     record_failure,
     record_stale,
     set_known_sources,
@@ -141,6 +142,7 @@
         if update.fresh_for <= 0 or update.revision < self._revision:
             record_stale(self._sources, source, monotonic())
             return False
+        record_current(self._sources, source)
         return True
 
     def _handle_update(
--- a/tests/test_delivery_view.py
+++ b/tests/test_delivery_view.py
@@ -24,6 +24,7 @@
     FAILURE_BACKOFF,
     SourceState,
     next_source,
+    record_current,
     record_failure,
     set_known_sources,
 )
@@ -135,6 +136,7 @@
     def test_a_source_that_failed_is_not_polled_during_its_backoff(self) -> None:
         record_failure(self.state, self.first, Seconds(0.0))
         self.assertEqual(next_source(self.state, Seconds(0.1)), (self.second, False))
+        record_current(self.state, self.second)
         later = Seconds(FAILURE_BACKOFF)
         self.assertEqual(next_source(self.state, later), (self.first, False))
 
