Let only a source with a current view hold a poll

A balancer whose source is lost learns of a change 0.5 s later for each source that is not current and comes before a current one, so a change passes the bound of 3 s with six of them.

Cause: every poll asks to be held for 0.5 s until the view changes, also by a source that is not current. Such a source has the revision that the follower has, so it holds the poll for the whole time and then says that it is not current.

Evidence: test_only_a_source_with_a_current_view_is_asked_to_hold_polls failed before: three sources that were not current were asked to hold polls for 500 ms.

Change: a poll asks to be held only by the source that the last poll found current, or while all sources are in backoff, which limits the load while there is no leader. That works because a source that does not hold a poll says at once whether it is current.

--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -35,7 +35,8 @@
 READ_MARGIN = Seconds(0.4)
 """Read timeout beyond the wait that the poll requests."""
 POLL_WAIT = Seconds(0.5)
-"""How long a source may hold a poll until the view changes."""
+"""How long a current source may hold a poll until the view changes."""
+NO_WAIT = Seconds(0.0)
 MIN_INTERVAL = Seconds(0.05)
 """Minimum time between the starts of two polls after a successful one."""
 RETRY_DELAY = Seconds(0.02)
@@ -101,7 +102,7 @@
         while running:
             sent_at = monotonic()
             source, is_in_backoff = next_source(self._sources, sent_at)
-            if self._poll(source, sent_at):
+            if self._poll(source, sent_at, self._wait_of(source, is_in_backoff)):
                 running = self._wait_until(Seconds(sent_at + MIN_INTERVAL))
                 continue
             has_view = self._revision > NO_REVISION
@@ -124,10 +125,21 @@
                 return False
             self.receive(message)
 
-    def _poll(self, source: Endpoint, sent_at: Seconds) -> bool:
+    def _wait_of(self, source: Endpoint, is_in_backoff: bool) -> Seconds:
+        """How long a source may hold a poll.
+
+        A source that may not be current responds at once, so that a search takes no
+        longer than its failures. If none is known to be current, one of them may hold
+        the poll, which limits the load.
+        """
+        if self._revision == NO_REVISION:
+            return NO_WAIT
+        return POLL_WAIT if source == self._followed or is_in_backoff else NO_WAIT
+
+    def _poll(self, source: Endpoint, sent_at: Seconds, wait: Seconds) -> bool:
         """Poll a source once; ``False`` if another one should be polled next."""
         has_view = self._revision > NO_REVISION
-        wait_ms = round(POLL_WAIT * 1000) if has_view else 0
+        wait_ms = round(wait * 1000)
         response = self._client.get(
             self._address_of(source),
             f"{VIEW_PATH}?after={self._revision}&wait_ms={wait_ms}",
@@ -141,6 +153,8 @@
         self._handle_update(update, source, sent_at)
         if update.fresh_for <= 0 or update.revision < self._revision:
             record_stale(self._sources, source, monotonic())
+            if self._followed == source:
+                self._followed = None
             return False
         record_current(self._sources, source)
         return True
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -129,6 +129,44 @@
             self.assertIsInstance(client.get(endpoint, "/", LONG, LONG), Failure)
 
 
+class PollRecorder:
+    """Source that answers each poll at once and records the wait that it asks for.
+
+    :ivar waits: milliseconds for which each poll may be held.
+    """
+
+    def __init__(self, served: ViewUpdate) -> None:
+        self.waits: list[int] = []
+        self._body = encode_update(served)
+        self._selector = selectors.DefaultSelector()
+        self._server = LightServer(ANY_PORT, self._selector, self._handle)
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+
+    @property
+    def endpoint(self) -> Endpoint:
+        return self._server.endpoint
+
+    def __enter__(self) -> "PollRecorder":
+        self._server.__enter__()
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stop.set()
+        self._thread.join()
+        self._server.__exit__(None, None, None)
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            for key, events in self._selector.select(0.02):
+                key.data(events)
+
+    def _handle(self, request: LightRequest) -> None:
+        self.waits.append(int(request.target.rpartition("wait_ms=")[2]))
+        request.connection.respond(200, self._body)
+
+
 class RelayCase(unittest.TestCase):
     """Starts relays and posts views to them."""
 
@@ -239,6 +277,21 @@
             found = [received.get(LONG).unwrap().update.revision for _ in range(2)]
         self.assertEqual(found, [5, 6])
 
+    def test_only_a_source_with_a_current_view_is_asked_to_hold_polls(self) -> None:
+        # Each source that was not current held the polls of a search for 0.5 s.
+        views = [update(6, 0.0)] * 3 + [update(6)]
+        recorders = [self.enterContext(PollRecorder(served)) for served in views]
+        *not_current, current = recorders
+        sources = SourceState(RECIFE, tuple(r.endpoint for r in recorders))
+        received: Mailbox[Any] = Mailbox("received")
+        with make_view_follower(sources, received, lambda api: api):
+            while len(current.waits) < 3:
+                received.get(LONG).unwrap()
+        for recorder in not_current:
+            self.assertEqual(set(recorder.waits), {0})
+        self.assertEqual(current.waits[0], 0)
+        self.assertIn(round(POLL_WAIT * 1000), current.waits)
+
     def test_a_follower_stops_while_its_source_holds_polls(self) -> None:
         # Stops took 5 s, and balancers were killed at the end of their grace period.
         holding = self.start()
