Count the age of a view from when it was last known to be current

What operators saw: without a leader, a balancer shows a view that it follows since minutes with an age below a second, in wasabigw_view_age_seconds and in each decision that it logs.

Cause: each answer to a poll set the time from which the age counts, also one of a source whose view is not current.

Change: only an answer of a current source does. A view that was never current, as one that a relay has stored, has no age: null in log lines, +Inf in the gauge.

--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -106,7 +106,7 @@
     :param regions: region of each failure domain.
     :param view: the balancer's copy of a part of the replicated state.
     :param fresh_until: until when the view is known to be current.
-    :param confirmed_at: when the poll was sent that last confirmed the view.
+    :param confirmed_at: when the last poll was sent that got a current view.
     :param listeners: listeners of the declaration in force.
     :param servers: boots by tag, including those that have ended.
     :param pools: boots of each service that may get new flows.
@@ -146,6 +146,10 @@
         """Whether the view is known to be current."""
         return now < self.fresh_until
 
+    def view_age(self, now: Seconds) -> Seconds:
+        """Time since the view was known to be current; infinite if it never was."""
+        return Seconds(now - self.confirmed_at)
+
 
 def listeners_of(declaration: Declaration) -> dict[ListenerKey, Listener]:
     """Listeners of a declaration by address and port."""
--- a/src/wasabigw/core/tags/updates.py
+++ b/src/wasabigw/core/tags/updates.py
@@ -23,7 +23,8 @@
     if update.revision >= state.view.revision:
         fresh_until = Seconds(sent_at + update.fresh_for)
         state.fresh_until = max(state.fresh_until, fresh_until)
-        state.confirmed_at = max(state.confirmed_at, sent_at)
+        if update.fresh_for > 0:
+            state.confirmed_at = max(state.confirmed_at, sent_at)
     return has_changed
 
 
--- a/src/wasabigw/tasks/decision_log.py
+++ b/src/wasabigw/tasks/decision_log.py
@@ -68,7 +68,7 @@
             reason=change.failure.value if change.failure is not None else "life",
             failures=breaker.failures,
             pause=round(pause, 3),
-            silent_for=_rounded_or_none(change.silent_for),
+            silent_for=rounded_or_none(change.silent_for),
         )
 
     def reset_budget(self) -> None:
@@ -138,7 +138,7 @@
             reason=reason,
             tag=packet.tag,
             server=server.id if server is not None else None,
-            silent_for=_rounded_or_none(silent_for),
+            silent_for=rounded_or_none(silent_for),
             **self._view_fields(now),
         )
 
@@ -152,7 +152,7 @@
         state = self._state
         return {
             "revision": state.view.revision,
-            "age": round(now - state.confirmed_at, 3),
+            "age": rounded_or_none(state.view_age(now)),
             "version": state.declared_version,
         }
 
@@ -164,7 +164,7 @@
         return True
 
 
-def _rounded_or_none(seconds: float) -> float | None:
+def rounded_or_none(seconds: float) -> float | None:
     """Rounded duration; ``None`` if infinite, because the event never happened."""
     return round(seconds, 3) if seconds < math.inf else None
 
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-from wasabigw.core.ids import NO_REVISION, FailureDomainId, Seconds, ServiceId
+from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.health import Health, health_of
@@ -16,6 +16,7 @@
     declared_version,
     gauge,
     out_of_service,
+    view_age,
 )
 
 
@@ -56,7 +57,6 @@
         flows[boot.service, boot.failure_domain] += server.open_flows
         is_failing = health_of(server.breaker, now) is not Health.ANSWERING
         failing[boot.service, boot.failure_domain] += is_failing
-    age = now - state.confirmed_at if state.view.revision > NO_REVISION else 0.0
     return [
         Family(
             "wasabigw_decisions_total",
@@ -96,7 +96,7 @@
         ),
         out_of_service(state.view.out_of_service),
         gauge("wasabigw_view_revision", "Revision of the view", state.view.revision),
-        gauge("wasabigw_view_age_seconds", "Time since it was confirmed", age),
+        view_age(state.view_age(now)),
         gauge(
             "wasabigw_view_fresh",
             "Whether it is known to be current",
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -38,7 +38,7 @@
 from wasabigw.runtime.selector_task import SelectorTask
 from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import Tick, monotonic
-from wasabigw.tasks.decision_log import DecisionLog
+from wasabigw.tasks.decision_log import DecisionLog, rounded_or_none
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
@@ -348,7 +348,7 @@
                 event,
                 node=state.node,
                 failure_domain=state.failure_domain,
-                age=round(now - state.confirmed_at, 3),
+                age=rounded_or_none(state.view_age(now)),
             )
         return diverts
 
--- a/src/wasabigw/telemetry/exposition.py
+++ b/src/wasabigw/telemetry/exposition.py
@@ -4,6 +4,7 @@
 a balancer takes to start. Names are those that its Prometheus exporter would derive.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -49,6 +50,15 @@
     return gauge("wasabigw_declared_version", "Configuration in force", version or 0)
 
 
+def view_age(seconds: float) -> Family:
+    """Gauge of the age of the process's view; infinite if it was never current."""
+    return gauge(
+        "wasabigw_view_age_seconds",
+        "Time since the view was known to be current",
+        seconds,
+    )
+
+
 def out_of_service(names: Iterable[str]) -> Family:
     """Gauge of the failure domains that are out of service in the process's view."""
     return Family(
@@ -85,10 +95,11 @@
 
 
 def _line(name: str, labels: Mapping[str, str], value: float) -> str:
+    number = "+Inf" if value == math.inf else f"{value:g}"
     if not labels:
-        return f"{name} {value:g}"
+        return f"{name} {number}"
     pairs = ",".join(f'{key}="{_escaped(text)}"' for key, text in labels.items())
-    return f"{name}{{{pairs}}} {value:g}"
+    return f"{name}{{{pairs}}} {number}"
 
 
 def _escaped(text: str) -> str:
