Write whole metric values with all their digits

What operators saw: wasabigw_declared_version and wasabigw_view_revision of two processes agree although one holds an older version or revision, if the numbers are above 999999.

Cause: values were written with six significant digits.

Evidence: test_whole_numbers_keep_all_digits failed before: version 1234567 was written as 1.23457e+06.

Change: whole numbers are written in full.

--- a/src/wasabigw/telemetry/exposition.py
+++ b/src/wasabigw/telemetry/exposition.py
@@ -95,12 +95,19 @@
 
 
 def _line(name: str, labels: Mapping[str, str], value: float) -> str:
-    number = "+Inf" if value == math.inf else f"{value:g}"
+    number = _number_text(value)
     if not labels:
         return f"{name} {number}"
     pairs = ",".join(f'{key}="{_escaped(text)}"' for key, text in labels.items())
     return f"{name}{{{pairs}}} {number}"
 
 
+def _number_text(value: float) -> str:
+    """Number in the text format; a whole number keeps all its digits."""
+    if value == math.inf:
+        return "+Inf"
+    return str(int(value)) if float(value).is_integer() else f"{value:g}"
+
+
 def _escaped(text: str) -> str:
     return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -40,6 +40,13 @@
         )
         self.assertEqual(render((family, gauge("y", "Level", 0.5))).decode(), expected)
 
+    def test_whole_numbers_keep_all_digits(self) -> None:
+        # Versions and revisions above 999999 were rounded, so that a process with an
+        # older one could not be told from the others.
+        for value in (1_234_567, 1_234_567.0, 0, 7):
+            text = render((gauge("version", "Version", value),)).decode()
+            self.assertIn(f"\nversion {int(value)}\n", text)
+
     def test_buckets_of_a_histogram_are_cumulative(self) -> None:
         durations = Durations()
         for seconds in (0.004, 0.04, 0.04, 9.0):
