Log at each hop which version of the configuration is held, and from whom

Cause: of a configuration that is acknowledged but not in force, the logs could not tell at which hop it had stopped. A relay logged nothing of the views that it follows and had no gauge of the version, a balancer did not name the source of a view, a follower did not say that it left a source because its view was not current, and a voter did not say when it had applied a version.

A source that answers as current with a lower revision than the follower has is no longer logged as followed.

--- a/src/wasabigw/tasks/relay.py
+++ b/src/wasabigw/tasks/relay.py
@@ -11,7 +11,7 @@
 from wasabigw.runtime.composite import CompositeContext
 from wasabigw.runtime.timer import TimerService
 from wasabigw.tasks.relay_task import RELAY_PERIOD, RELAY_TICK, make_relay_task
-from wasabigw.tasks.view_file import make_view_file, read_view_file
+from wasabigw.tasks.view_file import make_view_file, read_view_file, view_file_age
 from wasabigw.tasks.view_follower import (
     SeedsChanged,
     ViewFollower,
@@ -72,7 +72,14 @@
         log(BalancerEvent.NO_STORED_VIEW, reason=read.failure())
         return None
     update: ViewUpdate = read.unwrap()
-    log(BalancerEvent.STORED_VIEW, revision=update.revision)
+    document = update.document
+    age = view_file_age(folder)
+    log(
+        BalancerEvent.STORED_VIEW,
+        revision=update.revision,
+        version=document.version if document is not None else None,
+        age=round(age, 1) if age is not None else None,
+    )
     return update
 
 
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -13,7 +13,7 @@
     apply_update,
     update_since,
 )
-from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.endpoint import Endpoint, endpoint_key
 from wasabigw.core.ids import NO_REVISION, Revision, Seconds
 from wasabigw.core.numbers import whole_number
 from wasabigw.core.view_lease import NEVER
@@ -26,7 +26,16 @@
 from wasabigw.tasks.view_file import StoreView
 from wasabigw.tasks.view_follower import ViewReceived
 from wasabigw.tasks.view_names import VIEW_PATH
-from wasabigw.telemetry.exposition import Family, MetricKind, Sample, gauge
+from wasabigw.telemetry.events_balancer import BalancerEvent
+from wasabigw.telemetry.exposition import (
+    Family,
+    MetricKind,
+    Sample,
+    declared_version,
+    gauge,
+    view_age,
+)
+from wasabigw.telemetry.log_events import log
 
 MAX_WAIT = Seconds(2.0)
 """Maximum time for which a poll is held."""
@@ -66,8 +75,11 @@
         self._responses: Counter[HTTPStatus] = Counter()
         self._view = DeliveryView()
         self._fresh_until = NEVER
+        self._confirmed_at = NEVER
+        self._was_fresh = False
         self._held: list[_HeldPoll] = []
         self._is_stored = True
+        self._is_from_file = stored is not None
         if stored is not None:
             apply_update(self._view, stored)
 
@@ -95,22 +107,67 @@
     @receive.register
     def _(self, message: ViewReceived) -> None:
         update = message.update
+        before = self._version
         has_changed = apply_update(self._view, update)
-        if update.revision >= self._view.revision:
+        if update.revision >= self._view.revision and update.fresh_for > 0:
             fresh_until = Seconds(message.sent_at + update.fresh_for)
             self._fresh_until = max(self._fresh_until, fresh_until)
+            self._confirmed_at = max(self._confirmed_at, message.sent_at)
+            self._log_fresh(message.source)
         if has_changed:
             self._is_stored = False
+            self._is_from_file = False
             self._respond_to_due_polls(monotonic())
+        if self._version != before:
+            self._log_version(before, message)
 
     @receive.register
     def _(self, message: Tick) -> None:
         self._respond_to_due_polls(message.now)
+        self._log_stale(message.now)
         if not self._is_stored:
             self._is_stored = True
             full_view = update_since(self._view, NO_REVISION, Seconds(0.0))
             self._file.post(StoreView(encode_update(full_view)))
 
+    @property
+    def _version(self) -> int | None:
+        """Version of the configuration in the view."""
+        document = self._view.document
+        return document.version if document is not None else None
+
+    def _log_version(self, before: int | None, message: ViewReceived) -> None:
+        log(
+            BalancerEvent.RELAY_VIEW,
+            version=self._version,
+            before=before,
+            revision=self._view.revision,
+            source=endpoint_key(message.source),
+            fresh_for=round(message.update.fresh_for, 3),
+        )
+
+    def _log_fresh(self, source: Endpoint) -> None:
+        if self._was_fresh:
+            return
+        self._was_fresh = True
+        log(
+            BalancerEvent.RELAY_FRESH,
+            version=self._version,
+            revision=self._view.revision,
+            source=endpoint_key(source),
+        )
+
+    def _log_stale(self, now: Seconds) -> None:
+        if not self._was_fresh or now < self._fresh_until:
+            return
+        self._was_fresh = False
+        log(
+            BalancerEvent.RELAY_STALE,
+            version=self._version,
+            revision=self._view.revision,
+            age=round(now - self._confirmed_at, 3),
+        )
+
     def _handle(self, request: LightRequest) -> None:
         path, _, query = request.target.partition("?")
         if request.method != "GET" or path != VIEW_PATH:
@@ -158,6 +215,7 @@
         )
         held, revision = len(self._held), self._view.revision
         fresh_seconds = max(0.0, self._fresh_until - now)
+        is_fresh = now < self._fresh_until
         return [
             Family(
                 "wasabigw_relay_polls_total",
@@ -172,6 +230,14 @@
                 "For how long it is current",
                 fresh_seconds,
             ),
+            gauge("wasabigw_view_fresh", "Whether it is known to be current", is_fresh),
+            view_age(now - self._confirmed_at),
+            gauge(
+                "wasabigw_view_stored",
+                "Whether it is the one that an earlier process stored",
+                self._is_from_file,
+            ),
+            declared_version(self._version),
         ]
 
 
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -10,8 +10,7 @@
 
 from returns.result import Success
 
-from wasabigw.core.delivery_view import ViewUpdate
-from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.endpoint import Endpoint, endpoint_key
 from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Revision, Seconds
 from wasabigw.core.tags.caller_diversion import decay_counts, should_divert
 from wasabigw.core.tags.decisions import Deliver, Drop, DropReason, Refuse
@@ -253,7 +252,7 @@
         before = state.view.revision
         if apply_view_update(message.update, message.sent_at, state, now):
             self._apply_document()
-            self._log_view_change(before, message.update)
+            self._log_view_change(before, message)
         if is_first and state.has_view:
             log(BalancerEvent.FIRST_VIEW, node=state.node, revision=state.view.revision)
             self._selector.register(
@@ -321,8 +320,8 @@
             reason=decoded.failure(),
         )
 
-    def _log_view_change(self, before: Revision, update: ViewUpdate) -> None:
-        state = self._state
+    def _log_view_change(self, before: Revision, message: ViewReceived) -> None:
+        state, update = self._state, message.update
         changed = [f"{b.id} {boot_state(b)}" for b in update.boots[:MAX_LOGGED_BOOTS]]
         if len(update.boots) > MAX_LOGGED_BOOTS:
             changed.append(f"and {len(update.boots) - MAX_LOGGED_BOOTS} more")
@@ -333,6 +332,8 @@
             boots=", ".join(changed),
             version=state.declared_version,
             out_of_service=", ".join(state.view.out_of_service),
+            source=endpoint_key(message.source),
+            fresh_for=round(update.fresh_for, 3),
         )
 
     def _check_diversion(self, now: Seconds) -> bool:
--- a/src/wasabigw/tasks/view_file.py
+++ b/src/wasabigw/tasks/view_file.py
@@ -1,12 +1,14 @@
 """File in which a relay stores its view, so that it has one after a restart."""
 
 import os
+import time
 from dataclasses import dataclass
 
 from returns.result import Failure, Result
 
 from wasabigw.codec.views import decode_update
 from wasabigw.core.delivery_view import ViewUpdate
+from wasabigw.core.ids import Seconds
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.task import Task
 from wasabigw.tasks.storage_files import replace_file
@@ -68,6 +70,15 @@
         return Failure(error.strerror or str(error))
 
 
+def view_file_age(folder: str) -> Seconds | None:
+    """Time of day since the view was stored; ``None`` if it is not known."""
+    try:
+        stored_at = os.stat(os.path.join(folder, VIEW_FILE_NAME)).st_mtime
+    except OSError:
+        return None
+    return Seconds(time.time() - stored_at)
+
+
 def make_view_file(folder: str) -> ViewFile:
     """Create the task that stores views in a folder, which is created if needed."""
     return ViewFile(folder)
--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -150,21 +150,44 @@
             self._handle_failure(source, str(response.failure()))
             return False
         update: ViewUpdate = response.unwrap()
+        is_current = update.fresh_for > 0 and update.revision >= self._revision
+        if is_current:
+            self._record_current(source, update)
+        else:
+            self._record_stale(source, update)
         self._handle_update(update, source, sent_at)
-        if update.fresh_for <= 0 or update.revision < self._revision:
-            record_stale(self._sources, source, monotonic())
-            if self._followed == source:
-                self._followed = None
-            return False
+        return is_current
+
+    def _record_current(self, source: Endpoint, update: ViewUpdate) -> None:
         record_current(self._sources, source)
-        return True
+        if self._followed != source:
+            self._followed = source
+            log(
+                HttpEvent.SOURCE_FOUND,
+                address=source.address,
+                port=source.port,
+                revision=update.revision,
+            )
+
+    def _record_stale(self, source: Endpoint, update: ViewUpdate) -> None:
+        """Leave a source; logged if it was followed or has a newer view."""
+        record_stale(self._sources, source, monotonic())
+        was_followed = self._followed == source
+        if was_followed:
+            self._followed = None
+        if was_followed or update.revision > self._revision:
+            log(
+                HttpEvent.SOURCE_STALE,
+                address=source.address,
+                port=source.port,
+                revision=update.revision,
+                fresh_for=round(update.fresh_for, 3),
+                own=self._revision,
+            )
 
     def _handle_update(
         self, update: ViewUpdate, source: Endpoint, sent_at: Seconds
     ) -> None:
-        if self._followed != source and update.fresh_for > 0:
-            self._followed = source
-            log(HttpEvent.SOURCE_FOUND, address=source.address, port=source.port)
         received = ViewReceived(update, source, sent_at, self._client.traffic)
         if isinstance(self._receiver.post(received), Failure):
             log(HttpEvent.MAILBOX_FULL, mailbox=self._receiver.name)
--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -221,6 +221,7 @@
         does not know.
     :param lag: entries of its log that are not known to be committed.
     :param waiting: proposed commands that are not yet committed.
+    :param is_current: whether its copy of the replicated state is known to be current.
     :param syncs: durations of appends to the log, with the disk sync.
     :param commits: durations from the proposal of a command to its commit, on the
         leader.
@@ -234,6 +235,7 @@
     without_address: int
     waiting: int
     declared_version: int | None
+    is_current: bool
     out_of_service: tuple[FailureDomainId, ...]
     syncs: Durations
     commits: Durations
--- a/src/wasabigw/tasks/voter_metrics.py
+++ b/src/wasabigw/tasks/voter_metrics.py
@@ -53,6 +53,11 @@
         gauge("wasabigw_log_lag", "Entries not known to be committed", status.lag),
         gauge("wasabigw_commands_waiting", "Proposed commands", status.waiting),
         declared_version(status.declared_version),
+        gauge(
+            "wasabigw_view_fresh",
+            "Whether the applied state is known to be current",
+            status.is_current,
+        ),
         out_of_service(status.out_of_service),
         Family(
             "wasabigw_disk_sync_seconds",
--- a/src/wasabigw/tasks/voter_task.py
+++ b/src/wasabigw/tasks/voter_task.py
@@ -337,7 +337,6 @@
     @_receive.register
     def _(self, message: VoterStatusCall) -> None:
         cluster, voter = self._cluster, self._voter
-        declared = cluster.declared
         message.reply.post(
             VoterStatus(
                 voter.role,
@@ -347,7 +346,8 @@
                 len(voter.members),
                 voter.without_address,
                 self._proposals.pending,
-                declared.version if declared is not None else None,
+                self._declared_version,
+                self._context(self._clock()).is_current,
                 out_of_service(cluster),
                 self._sync_durations,
                 self._proposals.commit_times,
@@ -475,8 +475,10 @@
         except CommittedEntryError as error:
             self._suspend(str(error))
             return
-        before = self._cluster.revision
+        before, declared = self._cluster.revision, self._declared_version
         self._execute_effects(effects)
+        if self._declared_version != declared:
+            self._log_declared(declared)
         if self._cluster.revision != before:
             context = self._context(self._clock())
             self._held_polls.answer_due(context)
@@ -503,6 +505,20 @@
             voters=", ".join(self._voter.latest_voters().members),
         )
 
+    @property
+    def _declared_version(self) -> int | None:
+        declared = self._cluster.declared
+        return declared.version if declared is not None else None
+
+    def _log_declared(self, before: int | None) -> None:
+        log(
+            ControlEvent.DOCUMENT_APPLIED,
+            node=self._settings.node,
+            version=self._declared_version,
+            before=before,
+            revision=self._cluster.revision,
+        )
+
     def _reopen(self, now: Seconds) -> None:
         """Try to open the data directory again after a storage error."""
         self._next_reopen = Seconds(now + REOPEN_INTERVAL)
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -37,7 +37,32 @@
         2016,
         Severity.INFO,
         "view updated from revision {before} to {revision}: {boots}; configuration "
-        "{version}, out of service: {out_of_service}",
+        "{version}, out of service: {out_of_service}; from {source}, current for "
+        "{fresh_for} s",
+        "0 s: the source does not know whether its view is current; other sources are "
+        "polled.",
+    )
+    RELAY_VIEW = EventDefinition(
+        2017,
+        Severity.INFO,
+        "relay has configuration {version} at revision {revision}, before {before}; "
+        "from {source}, current for {fresh_for} s",
+        "0 s: the source does not know whether its view is current; other sources are "
+        "polled.",
+    )
+    RELAY_STALE = EventDefinition(
+        2018,
+        Severity.WARNING,
+        "the view of this relay is stale: configuration {version} at revision "
+        "{revision}, known to be current {age} s ago",
+        "No control VM answered with a current view; check whether there is a leader "
+        "(WGW-1001) and the network to the control VMs.",
+    )
+    RELAY_FRESH = EventDefinition(
+        2019,
+        Severity.INFO,
+        "the view of this relay is current: configuration {version} at revision "
+        "{revision}, from {source}",
         "None needed.",
     )
     LOG_GAP = EventDefinition(
@@ -70,8 +95,9 @@
     STORED_VIEW = EventDefinition(
         2013,
         Severity.INFO,
-        "relay started with its stored view at revision {revision}",
-        "None needed.",
+        "relay started with its stored view at revision {revision}, configuration "
+        "{version}, stored {age} s ago by the time of day",
+        "None needed; the view is served, but not as a current one.",
     )
     NO_STORED_VIEW = EventDefinition(
         2014,
--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -86,6 +86,14 @@
         "Expected until the configuration that adds the service is in force; otherwise "
         "find out which process announces it.",
     )
+    DOCUMENT_APPLIED = EventDefinition(
+        1013,
+        Severity.INFO,
+        "voter {node} has configuration {version} at revision {revision}, before "
+        "{before}",
+        "None needed; after a restart the committed log is applied again, and the line "
+        "tells when this voter knew which entries are committed.",
+    )
     LINK_FAILED = EventDefinition(
         1100,
         Severity.WARNING,
--- a/src/wasabigw/telemetry/events_http.py
+++ b/src/wasabigw/telemetry/events_http.py
@@ -52,7 +52,7 @@
     SOURCE_FOUND = EventDefinition(
         3013,
         Severity.INFO,
-        "following the view at {address}:{port}",
+        "following the view at {address}:{port}, revision {revision}",
         "None needed; frequent changes indicate an unstable control VM.",
     )
     SOURCE_LOST = EventDefinition(
@@ -61,6 +61,14 @@
         "no view from {address}:{port}: {reason}",
         "Check the control VM and the network to it; another source is tried.",
     )
+    SOURCE_STALE = EventDefinition(
+        3015,
+        Severity.WARNING,
+        "the view at {address}:{port} is not current: revision {revision}, current for "
+        "{fresh_for} s; this process has revision {own}",
+        "Expected while there is no leader or a network is partitioned; another source "
+        "is tried.",
+    )
     LOG_NOT_APPLIED = EventDefinition(
         3012,
         Severity.WARNING,
--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -105,8 +105,8 @@
     def test_voters_that_do_not_lead_serve_metrics(self) -> None:
         voter: Mailbox[VoterStatusCall] = Mailbox("voter")
         status = VoterStatus(
-            VoterRole.FOLLOWER, Term(3), Revision(9), 1, 3, 2, 0, 7, (), Durations(),
-            Durations(),
+            VoterRole.FOLLOWER, Term(3), Revision(9), 1, 3, 2, 0, 7, True, (),
+            Durations(), Durations(),
         )  # fmt: skip
 
         def answer() -> None:
@@ -123,6 +123,8 @@
         self.assertIn('wasabigw_voter_role{role="follower"} 1', text)
         self.assertIn("wasabigw_log_lag 1", text)
         self.assertIn("wasabigw_voters_without_address 2", text)
+        self.assertIn("wasabigw_declared_version 7", text)
+        self.assertIn("wasabigw_view_fresh 1", text)
 
 
 if __name__ == "__main__":
