--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -13,6 +13,7 @@
 from wasabigw.core.sources import (
     SourceState,
     next_source,
+    record_current,
     record_failure,
     record_stale,
     set_known_sources,
@@ -34,7 +35,8 @@
 READ_MARGIN = Seconds(0.4)
 """Read timeout beyond the wait that the poll requests."""
 POLL_WAIT = Seconds(0.5)
-"""How long a source may hold a poll until the view changes."""
+"""How long a current source may hold a poll until the view changes."""
+NO_WAIT = Seconds(0.0)
 MIN_INTERVAL = Seconds(0.05)
 """Minimum time between the starts of two polls after a successful one."""
 RETRY_DELAY = Seconds(0.02)
@@ -100,7 +102,7 @@
         while running:
             sent_at = monotonic()
             source, is_in_backoff = next_source(self._sources, sent_at)
-            if self._poll(source, sent_at):
+            if self._poll(source, sent_at, self._wait_of(source, is_in_backoff)):
                 running = self._wait_until(Seconds(sent_at + MIN_INTERVAL))
                 continue
             has_view = self._revision > NO_REVISION
@@ -123,10 +125,21 @@
                 return False
             self.receive(message)
 
-    def _poll(self, source: Endpoint, sent_at: Seconds) -> bool:
+    def _wait_of(self, source: Endpoint, is_in_backoff: bool) -> Seconds:
+        """How long a source may hold a poll.
+
+        A source that may not be current responds at once, so that a search takes no
+        longer than its failures. If none is known to be current, one of them may hold
+        the poll, which limits the load.
+        """
+        if self._revision == NO_REVISION:
+            return NO_WAIT
+        return POLL_WAIT if source == self._followed or is_in_backoff else NO_WAIT
+
+    def _poll(self, source: Endpoint, sent_at: Seconds, wait: Seconds) -> bool:
         """Poll a source once; ``False`` if another one should be polled next."""
         has_view = self._revision > NO_REVISION
-        wait_ms = round(POLL_WAIT * 1000) if has_view else 0
+        wait_ms = round(wait * 1000)
         response = self._client.get(
             self._address_of(source),
             f"{VIEW_PATH}?after={self._revision}&wait_ms={wait_ms}",
@@ -137,18 +150,44 @@
             self._handle_failure(source, str(response.failure()))
             return False
         update: ViewUpdate = response.unwrap()
+        is_current = update.fresh_for > 0 and update.revision >= self._revision
+        if is_current:
+            self._record_current(source, update)
+        else:
+            self._record_stale(source, update)
         self._handle_update(update, source, sent_at)
-        if update.fresh_for <= 0 or update.revision < self._revision:
-            record_stale(self._sources, source, monotonic())
-            return False
-        return True
+        return is_current
+
+    def _record_current(self, source: Endpoint, update: ViewUpdate) -> None:
+        record_current(self._sources, source)
+        if self._followed != source:
+            self._followed = source
+            log(
+                HttpEvent.SOURCE_FOUND,
+                address=source.address,
+                port=source.port,
+                revision=update.revision,
+            )
+
+    def _record_stale(self, source: Endpoint, update: ViewUpdate) -> None:
+        """Leave a source; logged if it was followed or has a newer view."""
+        record_stale(self._sources, source, monotonic())
+        was_followed = self._followed == source
+        if was_followed:
+            self._followed = None
+        if was_followed or update.revision > self._revision:
+            log(
+                HttpEvent.SOURCE_STALE,
+                address=source.address,
+                port=source.port,
+                revision=update.revision,
+                fresh_for=round(update.fresh_for, 3),
+                own=self._revision,
+            )
 
     def _handle_update(
         self, update: ViewUpdate, source: Endpoint, sent_at: Seconds
     ) -> None:
-        if self._followed != source and update.fresh_for > 0:
-            self._followed = source
-            log(HttpEvent.SOURCE_FOUND, address=source.address, port=source.port)
         received = ViewReceived(update, source, sent_at, self._client.traffic)
         if isinstance(self._receiver.post(received), Failure):
             log(HttpEvent.MAILBOX_FULL, mailbox=self._receiver.name)
--- a/src/wasabigw/telemetry/exposition.py
+++ b/src/wasabigw/telemetry/exposition.py
@@ -4,6 +4,7 @@
 a balancer takes to start. Names are those that its Prometheus exporter would derive.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -49,6 +50,15 @@
     return gauge("wasabigw_declared_version", "Configuration in force", version or 0)
 
 
+def view_age(seconds: float) -> Family:
+    """Gauge of the age of the process's view; infinite if it was never current."""
+    return gauge(
+        "wasabigw_view_age_seconds",
+        "Time since the view was known to be current",
+        seconds,
+    )
+
+
 def out_of_service(names: Iterable[str]) -> Family:
     """Gauge of the failure domains that are out of service in the process's view."""
     return Family(
@@ -85,10 +95,18 @@
 
 
 def _line(name: str, labels: Mapping[str, str], value: float) -> str:
+    number = _number_text(value)
     if not labels:
-        return f"{name} {value:g}"
+        return f"{name} {number}"
     pairs = ",".join(f'{key}="{_escaped(text)}"' for key, text in labels.items())
-    return f"{name}{{{pairs}}} {value:g}"
+    return f"{name}{{{pairs}}} {number}"
+
+
+def _number_text(value: float) -> str:
+    """Number in the text format; a whole number keeps all its digits."""
+    if value == math.inf:
+        return "+Inf"
+    return str(int(value)) if float(value).is_integer() else f"{value:g}"
 
 
 def _escaped(text: str) -> str:
