--- a/src/wasabigw_demo/soak/soak.py
+++ b/src/wasabigw_demo/soak/soak.py
@@ -1,6 +1,7 @@
 """Plays seeds of the soak one after the other, and reports each of them."""
 
 import shutil
+import signal
 import tempfile
 from collections import Counter
 from collections.abc import Sequence
@@ -8,7 +9,7 @@
 from pathlib import Path
 
 from wasabigw.core.ids import Seconds
-from wasabigw_demo.launcher import print_step
+from wasabigw_demo.launcher import print_step, raise_interrupt
 from wasabigw_demo.soak.deployment import Shape, Source
 from wasabigw_demo.soak.judge import BreakShape
 from wasabigw_demo.soak.plan import make_plan
@@ -35,6 +36,7 @@
 
 def run_soak(options: SoakOptions) -> int:
     """Play all seeds; returns the exit code, which is 0 if the rule held in all."""
+    signal.signal(signal.SIGTERM, raise_interrupt)
     results = [play_seed(options, seed) for seed in options.seeds]
     _print_totals(results)
     return 0 if all(result.passed for result in results) else 1
