--- a/src/wasabigw_demo/soak/report.py
+++ b/src/wasabigw_demo/soak/report.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wasabigw.core.ids import Seconds
 from wasabigw_demo.soak.judge import BreakShape
 from wasabigw_demo.soak.observations import OpeningOutcome
 from wasabigw_demo.soak.run import RunResult
@@ -32,6 +33,7 @@
             lasted = change.answered_at - change.sent_at
             yield f"  no answer to a change sent at {began:.1f} s for {lasted:.1f} s"
     yield f"  longest wait of the soak for a processor: {result.longest_delay:.2f} s"
+    yield from _recovery_lines(result)
     for shape in BreakShape:
         yield from _shape_lines(result, shape)
     for name, code in result.ends.items():
@@ -55,6 +57,25 @@
                 file.write(msgspec.json.encode({"kind": kind, "item": item}) + b"\n")
 
 
+def _recovery_lines(result: RunResult) -> Iterator[str]:
+    """When control VMs answered after the loss of power, and with a configuration.
+
+    The start of a process counts as recovery; on a busy machine it takes seconds.
+    """
+    back_at = result.back_at
+    first_answers: dict[str, Seconds] = {}
+    for read in result.history.reads:
+        if read.sent_at > back_at and read.status is not None:
+            first_answers.setdefault(read.address, read.answered_at)
+    served = [r for r in result.history.reads if r.sent_at > back_at and r.version]
+    if first_answers:
+        slowest = max(first_answers.values()) - back_at
+        yield f"  the last control VM answered {slowest:.1f} s after power was back"
+    if served:
+        first = served[0].answered_at - back_at
+        yield f"  a configuration was read {first:.1f} s after power was back"
+
+
 def _shape_lines(result: RunResult, shape: BreakShape) -> Iterator[str]:
     breaks = result.verdict.of(shape)
     checks = result.verdict.checks[shape]
--- a/src/wasabigw_demo/soak/run.py
+++ b/src/wasabigw_demo/soak/run.py
@@ -61,6 +61,7 @@
 
     :param ends: exit codes of the processes that ended by themselves.
     :param longest_delay: longest time for which the soak waited for a processor.
+    :param back_at: when all processes had been started after the loss of power.
     """
 
     plan: Plan
@@ -69,6 +70,7 @@
     started_at: Seconds
     ends: dict[str, int]
     longest_delay: Seconds
+    back_at: Seconds
 
     @property
     def passed(self) -> bool:
@@ -135,8 +137,8 @@
                 tasks.enter_context(task)
             self._send_first()
             self._play_series(Seconds(now() + START_TIME))
-            self._lose_power()
-            self._play_recovery()
+            back_at = self._lose_power()
+            self._play_recovery(back_at)
             ends = self._machines.unexpected_ends()
         history = History(
             self._sender.changes,
@@ -152,6 +154,7 @@
             started_at,
             ends,
             self._traffic.longest_delay,
+            back_at,
         )
 
     def _play_series(self, began_at: Seconds) -> None:
@@ -186,8 +189,8 @@
         outcome = reply.get(Seconds(2 * SEND_LIMIT + REPLY_MARGIN))
         return outcome.unwrap() if isinstance(outcome, Success) else None
 
-    def _lose_power(self) -> None:
-        """Cut the power right after an acknowledgement, and restore it."""
+    def _lose_power(self) -> Seconds:
+        """Cut the power right after an acknowledgement; returns when it was back."""
         loss = self._plan.power_loss
         controls = self._deployment.controls
         lost = [controls[number] for number in loss.lost_disks]
@@ -210,9 +213,9 @@
         self._timeline.play_until(Seconds(started_at + POWER_OFF_TIME))
         self._machines.start(machines)
         self._machines.note_majority_fault(started_at)
+        return now()
 
-    def _play_recovery(self) -> None:
-        back_at = now()
+    def _play_recovery(self, back_at: Seconds) -> None:
         for delay in CHANGES_AFTER_POWER_LOSS:
             at = Seconds(back_at + delay)
             self._timeline.schedule(at, self._post_valid)
