--- a/src/wasabigw_demo/soak/judge.py
+++ b/src/wasabigw_demo/soak/judge.py
@@ -6,8 +6,7 @@
 from bisect import bisect_right
 from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
-from enum import Enum
+from dataclasses import dataclass
 
 from wasabigw.core.ids import Seconds
 from wasabigw_demo.soak.documents import (
@@ -19,23 +18,15 @@
 )
 from wasabigw_demo.soak.observations import (
     Change,
-    Fault,
-    FaultScope,
     History,
     MachineName,
     Opening,
     OpeningOutcome,
     ReadBack,
 )
+from wasabigw_demo.soak.verdict import BreakShape, Verdict
+from wasabigw_demo.soak.versions import APPLY_TIME, RECOVERY_TIME, Versions
 
-APPLY_TIME = Seconds(3.0)
-"""Time from an acknowledgement until the change is in force everywhere."""
-MAX_STRETCH = Seconds(12.0)
-"""Time by which faults of control VMs may extend :data:`APPLY_TIME`."""
-CONTACT_WINDOW = Seconds(4.0)
-"""Time after a fault in which the machine still counts as faulty."""
-RECOVERY_TIME = Seconds(12.0)
-"""Time from the end of a fault of the majority until service is restored."""
 REGRESSION_WINDOW = Seconds(0.25)
 """Time after the effect of a version was seen in which an older one may still act."""
 SILENCE_TIME = Seconds(2.0)
@@ -44,52 +35,10 @@
 NEVER = Seconds(float("-inf"))
 
 
-WITHOUT_EFFECT = frozenset({DocumentKind.INVALID, DocumentKind.OVERTAKEN})
-"""Kinds of documents whose routes must never be served."""
-
-
-class BreakShape(Enum):
-    """Ways in which the rule on configurations breaks."""
-
-    NOT_IN_FORCE = "not in force in time"
-    OLDER = "came back older"
-    INVALID = "invalid or refused change taken"
-    ADDED_ROUTE = "added route not served"
-    REPEAT_REFUSED = "acknowledged change refused when repeated"
-
-
-@dataclass(frozen=True, slots=True)
-class Break:
-    """A break of the rule, with its evidence."""
-
-    shape: BreakShape
-    at: Seconds
-    evidence: str
-
-
-@dataclass(slots=True)
-class Verdict:
-    """Breaks, and the number of checks of each shape."""
-
-    breaks: list[Break] = field(default_factory=list)
-    checks: Counter[BreakShape] = field(default_factory=Counter)
-
-    def check(self, shape: BreakShape, at: Seconds, problem: str | None) -> None:
-        """Count a check, and add a break if there is a problem."""
-        self.checks[shape] += 1
-        if problem is not None:
-            self.breaks.append(Break(shape, at, problem))
-
-    def of(self, shape: BreakShape) -> list[Break]:
-        """Breaks of one shape, the earliest first."""
-        found = [b for b in self.breaks if b.shape is shape]
-        return sorted(found, key=lambda item: item.at)
-
-
 def judge(history: History) -> Verdict:
     """Judge all observations of a run."""
     verdict = Verdict()
-    versions = _Versions(history)
+    versions = Versions(history)
     _judge_answers(history.changes, verdict)
     for read in history.reads:
         _judge_read(read, versions, verdict)
@@ -101,94 +50,6 @@
     return verdict
 
 
-class _Faults:
-    """Faults, and what they excuse."""
-
-    def __init__(self, faults: Sequence[Fault]) -> None:
-        self._control = [f for f in faults if f.scope is not FaultScope.BALANCER]
-        self._majority = [f for f in faults if f.scope is FaultScope.MAJORITY]
-        self._machines: dict[MachineName, list[Fault]] = {}
-        for fault in faults:
-            if fault.machine is not None:
-                self._machines.setdefault(fault.machine, []).append(fault)
-
-    def is_in_contact(self, machine: MachineName, at: Seconds) -> bool:
-        """Whether a machine had no fault lately, and neither had the majority."""
-        own = self._machines.get(machine, ())
-        if any(_overlaps(fault, Seconds(at - CONTACT_WINDOW), at) for fault in own):
-            return False
-        return not any(
-            _overlaps(fault, Seconds(at - RECOVERY_TIME), at)
-            for fault in self._majority
-        )
-
-    def apply_time(self, acknowledged_at: Seconds, at: Seconds) -> Seconds:
-        """Time that a change may take until it is in force."""
-        since = Seconds(acknowledged_at - CONTACT_WINDOW)
-        if any(_overlaps(fault, since, at) for fault in self._control):
-            return Seconds(APPLY_TIME + MAX_STRETCH)
-        return APPLY_TIME
-
-    def boot(self, machine: MachineName, at: Seconds) -> int:
-        """Number of faults of a machine until a moment."""
-        own = self._machines.get(machine, ())
-        return sum(fault.started_at <= at for fault in own)
-
-    @property
-    def last_majority_end(self) -> Seconds | None:
-        """End of the last fault of the majority."""
-        return max((fault.ended_at for fault in self._majority), default=None)
-
-
-class _Versions:
-    """Which versions may be in force at a moment."""
-
-    def __init__(self, history: History) -> None:
-        valid = [
-            change
-            for change in history.changes
-            if change.document.kind is DocumentKind.VALID
-        ]
-        self._changes = sorted(valid, key=lambda change: change.document.version)
-        self._acknowledged = [c for c in self._changes if c.is_acknowledged]
-        self._without_effect = [
-            c.document for c in history.changes if c.document.kind in WITHOUT_EFFECT
-        ]
-        self.faults = _Faults(history.faults)
-        self.documents = {c.document.version: c.document for c in self._changes}
-        self.decoys = {d.decoy for d in self._without_effect if d.decoy is not None}
-
-    def newest_acknowledged(self, until: Seconds) -> Version:
-        """Newest version that was acknowledged until a moment; 0 if none was."""
-        versions = (
-            change.document.version
-            for change in self._acknowledged
-            if change.answered_at <= until
-        )
-        return max(versions, default=Version(0))
-
-    def oldest_allowed(self, at: Seconds) -> Version:
-        """Version that has to be in force at a moment; 0 if none has."""
-        due = (
-            change.document.version
-            for change in self._acknowledged
-            if change.answered_at + self.faults.apply_time(change.answered_at, at) < at
-        )
-        return max(due, default=Version(0))
-
-    def sent_until(self, at: Seconds, oldest: Version) -> list[Document]:
-        """Documents from a version on that were sent until a moment."""
-        return [
-            change.document
-            for change in self._changes
-            if change.sent_at <= at and change.document.version >= oldest
-        ]
-
-
-def _overlaps(fault: Fault, since: Seconds, until: Seconds) -> bool:
-    return fault.started_at <= until and fault.ended_at >= since
-
-
 def _judge_answers(changes: Iterable[Change], verdict: Verdict) -> None:
     for change in changes:
         if change.status is None:
@@ -202,7 +63,7 @@
             verdict.check(BreakShape.REPEAT_REFUSED, change.answered_at, problem)
 
 
-def _judge_read(read: ReadBack, versions: _Versions, verdict: Verdict) -> None:
+def _judge_read(read: ReadBack, versions: Versions, verdict: Verdict) -> None:
     if read.version is None:
         return
     expected = versions.newest_acknowledged(Seconds(read.sent_at - APPLY_TIME))
@@ -217,7 +78,7 @@
     verdict.check(BreakShape.INVALID, read.sent_at, problem)
 
 
-def _judge_recovery(history: History, versions: _Versions, verdict: Verdict) -> None:
+def _judge_recovery(history: History, versions: Versions, verdict: Verdict) -> None:
     """Judge whether the newest configuration is read after the last large fault."""
     end = versions.faults.last_majority_end
     if end is None:
@@ -233,7 +94,7 @@
     verdict.check(BreakShape.NOT_IN_FORCE, since, problem)
 
 
-def _judge_opening(opening: Opening, versions: _Versions, verdict: Verdict) -> None:
+def _judge_opening(opening: Opening, versions: Versions, verdict: Verdict) -> None:
     if opening.port in versions.decoys:
         problem = None
         if opening.taken:
@@ -272,7 +133,7 @@
     opening: Opening
 
 
-def _judge_regressions(history: History, versions: _Versions, verdict: Verdict) -> None:
+def _judge_regressions(history: History, versions: Versions, verdict: Verdict) -> None:
     """Judge that no balancer acts on an older version in one boot of its process."""
     groups: dict[tuple[MachineName, int], list[_Effect]] = {}
     for opening in history.openings:
@@ -304,7 +165,7 @@
         verdict.check(BreakShape.OLDER, effect.sent_at, problem)
 
 
-def _effects(opening: Opening, versions: _Versions) -> Iterator[_Effect]:
+def _effects(opening: Opening, versions: Versions) -> Iterator[_Effect]:
     known = versions.sent_until(opening.ended_at, Version(0))
     for taken in opening.taken:
         explaining = [
@@ -318,9 +179,7 @@
             )
 
 
-def _judge_added_routes(
-    history: History, versions: _Versions, verdict: Verdict
-) -> None:
+def _judge_added_routes(history: History, versions: Versions, verdict: Verdict) -> None:
     """Judge that each balancer serves added routes where it serves any.
 
     A balancer that knows no backend server of a service refuses its routes. That it
@@ -334,7 +193,7 @@
 
 
 def _judge_added_routes_of(
-    openings: Sequence[Opening], versions: _Versions, verdict: Verdict
+    openings: Sequence[Opening], versions: Versions, verdict: Verdict
 ) -> None:
     silent: dict[ListenerPort, list[Opening]] = {}
     answered_at: dict[ServiceName, Seconds] = {}
@@ -372,7 +231,7 @@
 
 
 def _services_of_added_route(
-    opening: Opening, versions: _Versions
+    opening: Opening, versions: Versions
 ) -> frozenset[ServiceName]:
     """Services of a route that was added and has to be in force; empty if it hasn't."""
     nothing: frozenset[ServiceName] = frozenset()
--- a/src/wasabigw_demo/soak/machines.py
+++ b/src/wasabigw_demo/soak/machines.py
@@ -105,7 +105,7 @@
         """Continue all processes of paused machines."""
         for machine in machines:
             self._signal(machine, signal.SIGCONT)
-            self._end_fault(machine)
+            self._end_fault(machine, is_restart=False)
 
     def empty_disk(self, machine: Machine) -> None:
         """Remove all files from the disk of a machine whose processes were killed."""
@@ -156,11 +156,12 @@
         new.replace(path)
         return path
 
-    def _end_fault(self, machine: Machine) -> None:
+    def _end_fault(self, machine: Machine, is_restart: bool = True) -> None:
         started_at = self._open.pop(machine.name, now())
         is_control = Role.CONTROL in machine.roles
         scope = FaultScope.CONTROL if is_control else FaultScope.BALANCER
-        self._faults.append(Fault(scope, machine.name, started_at, now()))
+        fault = Fault(scope, machine.name, started_at, now(), is_restart)
+        self._faults.append(fault)
 
 
 def now() -> Seconds:
--- a/src/wasabigw_demo/soak/observations.py
+++ b/src/wasabigw_demo/soak/observations.py
@@ -94,12 +94,14 @@
 
     :param machine: the machine; ``None`` for all of them.
     :param ended_at: when the processes were started or continued.
+    :param is_restart: whether other processes run since; paused ones continue.
     """
 
     scope: FaultScope
     machine: MachineName | None
     started_at: Seconds
     ended_at: Seconds
+    is_restart: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw_demo/soak/run.py
+++ b/src/wasabigw_demo/soak/run.py
@@ -27,7 +27,7 @@
 )
 from wasabigw_demo.soak.deployment import Deployment, Shape, Source, failure_domain
 from wasabigw_demo.soak.documents import SERVICES, DocumentKind, DocumentSeries
-from wasabigw_demo.soak.judge import RECOVERY_TIME, Verdict, judge
+from wasabigw_demo.soak.judge import judge
 from wasabigw_demo.soak.machines import Machines, now
 from wasabigw_demo.soak.observations import Change, History
 from wasabigw_demo.soak.outages import OutagePlayer
@@ -41,6 +41,8 @@
 )
 from wasabigw_demo.soak.timeline import Timeline
 from wasabigw_demo.soak.traffic import Entry, ServerPlace, Traffic, TrafficPlan
+from wasabigw_demo.soak.verdict import Verdict
+from wasabigw_demo.soak.versions import RECOVERY_TIME
 
 START_TIME = Seconds(6.0)
 """Time from the first document to the series of the plan."""
--- /dev/null
+++ b/src/wasabigw_demo/soak/verdict.py
@@ -0,0 +1,45 @@
+"""Breaks of the rule on configurations, by shape, and the checks for each shape."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+
+from wasabigw.core.ids import Seconds
+
+
+class BreakShape(Enum):
+    """Ways in which the rule on configurations breaks."""
+
+    NOT_IN_FORCE = "not in force in time"
+    OLDER = "came back older"
+    INVALID = "invalid or refused change taken"
+    ADDED_ROUTE = "added route not served"
+    REPEAT_REFUSED = "acknowledged change refused when repeated"
+
+
+@dataclass(frozen=True, slots=True)
+class Break:
+    """A break of the rule, with its evidence."""
+
+    shape: BreakShape
+    at: Seconds
+    evidence: str
+
+
+@dataclass(slots=True)
+class Verdict:
+    """Breaks, and the number of checks of each shape."""
+
+    breaks: list[Break] = field(default_factory=list)
+    checks: Counter[BreakShape] = field(default_factory=Counter)
+
+    def check(self, shape: BreakShape, at: Seconds, problem: str | None) -> None:
+        """Count a check, and add a break if there is a problem."""
+        self.checks[shape] += 1
+        if problem is not None:
+            self.breaks.append(Break(shape, at, problem))
+
+    def of(self, shape: BreakShape) -> list[Break]:
+        """Breaks of one shape, the earliest first."""
+        found = [b for b in self.breaks if b.shape is shape]
+        return sorted(found, key=lambda item: item.at)
--- /dev/null
+++ b/src/wasabigw_demo/soak/versions.py
@@ -0,0 +1,106 @@
+"""Which versions of the configuration may be in force at a moment of a run."""
+
+from collections.abc import Sequence
+
+from wasabigw.core.ids import Seconds
+from wasabigw_demo.soak.documents import Document, DocumentKind, Version
+from wasabigw_demo.soak.observations import Fault, FaultScope, History, MachineName
+
+APPLY_TIME = Seconds(3.0)
+"""Time from an acknowledgement until the change is in force everywhere."""
+MAX_STRETCH = Seconds(12.0)
+"""Time by which faults of control VMs may extend :data:`APPLY_TIME`."""
+CONTACT_WINDOW = Seconds(4.0)
+"""Time after a fault in which the machine still counts as faulty."""
+RECOVERY_TIME = Seconds(12.0)
+"""Time from the end of a fault of the majority until service is restored."""
+WITHOUT_EFFECT = frozenset({DocumentKind.INVALID, DocumentKind.OVERTAKEN})
+"""Kinds of documents whose routes must never be served."""
+
+
+class FaultWindows:
+    """Faults, and what they excuse."""
+
+    def __init__(self, faults: Sequence[Fault]) -> None:
+        self._control = [f for f in faults if f.scope is not FaultScope.BALANCER]
+        self._majority = [f for f in faults if f.scope is FaultScope.MAJORITY]
+        self._machines: dict[MachineName, list[Fault]] = {}
+        for fault in faults:
+            if fault.machine is not None:
+                self._machines.setdefault(fault.machine, []).append(fault)
+
+    def is_in_contact(self, machine: MachineName, at: Seconds) -> bool:
+        """Whether a machine had no fault lately, and neither had the majority."""
+        own = self._machines.get(machine, ())
+        if any(_overlaps(fault, Seconds(at - CONTACT_WINDOW), at) for fault in own):
+            return False
+        return not any(
+            _overlaps(fault, Seconds(at - RECOVERY_TIME), at)
+            for fault in self._majority
+        )
+
+    def apply_time(self, acknowledged_at: Seconds, at: Seconds) -> Seconds:
+        """Time that a change may take until it is in force."""
+        since = Seconds(acknowledged_at - CONTACT_WINDOW)
+        if any(_overlaps(fault, since, at) for fault in self._control):
+            return Seconds(APPLY_TIME + MAX_STRETCH)
+        return APPLY_TIME
+
+    def boot(self, machine: MachineName, at: Seconds) -> int:
+        """Number of restarts of a machine until a moment."""
+        own = self._machines.get(machine, ())
+        return sum(fault.is_restart and fault.started_at <= at for fault in own)
+
+    @property
+    def last_majority_end(self) -> Seconds | None:
+        """End of the last fault of the majority."""
+        return max((fault.ended_at for fault in self._majority), default=None)
+
+
+class Versions:
+    """Which versions may be in force at a moment."""
+
+    def __init__(self, history: History) -> None:
+        valid = [
+            change
+            for change in history.changes
+            if change.document.kind is DocumentKind.VALID
+        ]
+        self._changes = sorted(valid, key=lambda change: change.document.version)
+        self._acknowledged = [c for c in self._changes if c.is_acknowledged]
+        self._without_effect = [
+            c.document for c in history.changes if c.document.kind in WITHOUT_EFFECT
+        ]
+        self.faults = FaultWindows(history.faults)
+        self.documents = {c.document.version: c.document for c in self._changes}
+        self.decoys = {d.decoy for d in self._without_effect if d.decoy is not None}
+
+    def newest_acknowledged(self, until: Seconds) -> Version:
+        """Newest version that was acknowledged until a moment; 0 if none was."""
+        versions = (
+            change.document.version
+            for change in self._acknowledged
+            if change.answered_at <= until
+        )
+        return max(versions, default=Version(0))
+
+    def oldest_allowed(self, at: Seconds) -> Version:
+        """Version that has to be in force at a moment; 0 if none has."""
+        due = (
+            change.document.version
+            for change in self._acknowledged
+            if change.answered_at + self.faults.apply_time(change.answered_at, at) < at
+        )
+        return max(due, default=Version(0))
+
+    def sent_until(self, at: Seconds, oldest: Version) -> list[Document]:
+        """Documents from a version on that were sent until a moment."""
+        return [
+            change.document
+            for change in self._changes
+            if change.sent_at <= at and change.document.version >= oldest
+        ]
+
+
+def _overlaps(fault: Fault, since: Seconds, until: Seconds) -> bool:
+    return fault.started_at <= until and fault.ended_at >= since
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -12,7 +12,7 @@
     ServiceName,
     Version,
 )
-from wasabigw_demo.soak.judge import BreakShape, judge
+from wasabigw_demo.soak.judge import judge
 from wasabigw_demo.soak.observations import (
     Change,
     Fault,
@@ -24,6 +24,7 @@
     ReadBack,
     Taken,
 )
+from wasabigw_demo.soak.verdict import BreakShape
 
 ADDED_PORT = ListenerPort(2_001)
 DECOY_PORT = ListenerPort(20_001)
@@ -144,6 +145,15 @@
         openings = [opening(10.5, NEW), opening(11.0, OLD)]
         self.assert_breaks(None, history(self.changes, openings, faults=[fault]))
 
+    def test_a_balancer_serves_an_older_version_after_a_pause(self) -> None:
+        fault = Fault(
+            FaultScope.BALANCER, BALANCER, Seconds(10.6), Seconds(10.8), False
+        )
+        openings = [opening(10.5, NEW), opening(11.0, OLD)]
+        self.assert_breaks(
+            BreakShape.OLDER, history(self.changes, openings, faults=[fault])
+        )
+
     def test_an_invalid_document_is_acknowledged(self) -> None:
         invalid = document(7, OLD, kind=DocumentKind.INVALID)
         changes = [*self.changes, change(invalid, 12.0)]
