--- a/src/wasabigw_demo/soak/judge.py
+++ b/src/wasabigw_demo/soak/judge.py
@@ -23,6 +23,7 @@
     Opening,
     OpeningOutcome,
     ReadBack,
+    Taken,
 )
 from wasabigw_demo.soak.verdict import BreakShape, Verdict
 from wasabigw_demo.soak.versions import APPLY_TIME, RECOVERY_TIME, Versions
@@ -32,7 +33,6 @@
 SILENCE_TIME = Seconds(2.0)
 """Time for which openings to an added route may be lost one after the other."""
 SILENT_OPENINGS = 3
-NEVER = Seconds(float("-inf"))
 
 
 def judge(history: History) -> Verdict:
@@ -196,11 +196,8 @@
     openings: Sequence[Opening], versions: Versions, verdict: Verdict
 ) -> None:
     silent: dict[ListenerPort, list[Opening]] = {}
-    answered_at: dict[ServiceName, Seconds] = {}
+    served = [taken for opening in openings for taken in opening.taken]
     for opening in openings:
-        if opening.outcome is OpeningOutcome.ANSWERED:
-            for taken in opening.taken:
-                answered_at[taken.service] = opening.sent_at
         services = _services_of_added_route(opening, versions)
         if not services:
             silent.pop(opening.port, None)
@@ -210,23 +207,36 @@
             run.append(opening)
         else:
             run.clear()
-        last_answer = max(answered_at.get(s, NEVER) for s in services)
-        problem = _added_route_problem(opening, run, last_answer)
+        problem = _added_route_problem(opening, run, _served_at(served, services))
         if problem is not None:
             run.clear()
         verdict.check(BreakShape.ADDED_ROUTE, opening.sent_at, problem)
 
 
+def _served_at(
+    served: Sequence[Taken], services: frozenset[ServiceName]
+) -> list[Seconds]:
+    return [taken.at for taken in served if taken.service in services]
+
+
 def _added_route_problem(
-    opening: Opening, silent: Sequence[Opening], answered_at: Seconds
+    opening: Opening, silent: Sequence[Opening], served_at: Sequence[Seconds]
 ) -> str | None:
+    """Problem of an opening to an added route.
+
+    :param served_at: when openings of its services were served. A copy of an opening
+        may be served where the first packet was not.
+    """
     if opening.outcome is OpeningOutcome.REFUSED:
-        is_recent = answered_at >= opening.sent_at - SILENCE_TIME
-        return f"{_name(opening)} was refused" if is_recent else None
-    if len(silent) < SILENT_OPENINGS or answered_at < silent[0].sent_at:
+        since = opening.sent_at - SILENCE_TIME
+        is_served = any(since <= at <= opening.sent_at for at in served_at)
+        return f"{_name(opening)} was refused" if is_served else None
+    if len(silent) < SILENT_OPENINGS:
         return None
     if opening.sent_at < silent[0].sent_at + SILENCE_TIME:
         return None
+    if not any(silent[0].sent_at <= at <= opening.sent_at for at in served_at):
+        return None
     return f"{_name(opening)} got no answer in {len(silent)} openings"
 
 
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -185,6 +185,15 @@
         ]
         self.assert_breaks(None, history(self.changes, refused))
 
+    def test_a_refusal_before_the_copy_of_a_former_opening_is_served(self) -> None:
+        former = Opening(
+            *(BALANCER, MAIN_PORT, Seconds(13.9), Seconds(14.6)),
+            OpeningOutcome.ANSWERED,
+            (Taken(NEW, Seconds(14.5)),),
+        )
+        refused = opening(14.0, None, ADDED_PORT, OpeningOutcome.REFUSED)
+        self.assert_breaks(None, history(self.changes, [former, refused]))
+
     def test_a_dropped_route_is_refused(self) -> None:
         changes = [*self.changes, change(document(6, NEW), 20.0)]
         openings = [opening(24.0, None, ADDED_PORT, OpeningOutcome.REFUSED)]
