--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 .PHONY: setup test lint format types demo
 .PHONY: tour process-faults compare-mapping capacity bench fault-matrix
-.PHONY: golden measure
+.PHONY: golden measure soak
 
 setup: $(VENV)/.installed
 
@@ -37,6 +37,10 @@
 process-faults: setup
 	$(BIN)/python -m wasabigw_demo faults
 
+soak: setup
+	sh deploy/build.sh
+	$(BIN)/python -m wasabigw_demo soak --seeds 1-50
+
 compare-mapping: setup
 	$(BIN)/python -m wasabigw_measure.compare_mapping
 
