wasabigw_verify: search the states of the replicated log under changes of voters

Change: wasabigw_verify/log_check explores states of the real core/consensus, each once: the regular run of three scenarios (a successor, a replaced disk, a loss of power with two lost disks among five voters), and faults at each of its steps. It checks safety after each event and, from each state, the time until a majority that is left alone has a lasting leader.

--- /dev/null
+++ b/src/wasabigw_verify/log_check/steps.py
@@ -0,0 +1,291 @@
+"""Steps of a run: regular ones, steps of a script, and faults."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from functools import singledispatch
+
+from wasabigw.core.commands import BringFailureDomainBack, ChangeRequest
+from wasabigw.core.consensus.lease import has_leader_lease
+from wasabigw.core.ids import FailureDomainId, NodeId, RequestId, Revision, Seconds
+from wasabigw.core.states import VoterRole
+from wasabigw.core.timing import ELECTION_TIMEOUT_MAX, ELECTION_TIMEOUT_MIN
+from wasabigw_verify.log_check import driver
+from wasabigw_verify.log_check.disk import make_empty_disk, next_incarnation
+from wasabigw_verify.log_check.safety import check_electable
+from wasabigw_verify.log_check.world import (
+    TICK,
+    LateFlight,
+    World,
+    copy_voter,
+    load_state,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Continue:
+    """Deliver the oldest message, or advance time by a tick if there is none."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lose:
+    """Lose the oldest message."""
+
+
+@dataclass(frozen=True, slots=True)
+class Delay:
+    """Deliver the oldest message late, 0 ticks later behind the others in flight."""
+
+    ticks: int
+
+
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """End a process.
+
+    :param down: ticks until it starts again from its disk; ``None`` if it never does.
+    :param loses_sent: whether the messages that it has sent are lost as well.
+    """
+
+    node: NodeId
+    down: int | None
+    loses_sent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """Lose all messages to and from a control VM for some ticks.
+
+    A leader that is cut off steps down after the shortest election timeout.
+    """
+
+    node: NodeId
+    ticks: int
+
+
+@dataclass(frozen=True, slots=True)
+class PowerLoss:
+    """End all processes and start them again, some of them with empty disks."""
+
+    lost_disks: tuple[NodeId, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PostponeElection:
+    """Let the election timer of a voter run out later than those of the others."""
+
+    node: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class TakeSnapshot:
+    """Take a snapshot at a voter."""
+
+    node: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """Start the process of a control VM from its disk."""
+
+    node: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Stop a control VM for good."""
+
+    node: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceDisk:
+    """Restart a control VM with an empty disk."""
+
+    node: NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """Propose a change at the current leader, if there is one."""
+
+
+Step = (
+    Continue
+    | Lose
+    | Delay
+    | Crash
+    | Cut
+    | PowerLoss
+    | PostponeElection
+    | TakeSnapshot
+    | Start
+    | Stop
+    | ReplaceDisk
+    | Propose
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ScriptedStep:
+    """A step that every run takes.
+
+    :param tick: tick at which it is taken.
+    """
+
+    tick: int
+    step: Step
+
+
+@singledispatch
+def take(step: object, world: World, script: Sequence[ScriptedStep]) -> None:
+    """Take a step in a copy of a state."""
+    raise TypeError(f"not a step: {step!r}")
+
+
+@take.register
+def _(step: Continue, world: World, script: Sequence[ScriptedStep]) -> None:
+    if world.flights:
+        flight, *rest = world.flights
+        world.flights = tuple(rest)
+        driver.deliver(world, flight)
+        return
+    world.now += 1
+    _release_late(world)
+    for node, vm in list(world.vms.items()):
+        if vm.starts_at is not None and vm.starts_at <= world.now:
+            _start(world, node)
+    while world.script_position < len(script):
+        scripted = script[world.script_position]
+        if scripted.tick > world.now:
+            break
+        world.script_position += 1
+        take(scripted.step, world, script)
+    for node in world.running():
+        driver.tick_voter(world, node)
+
+
+@take.register
+def _(step: Lose, world: World, script: Sequence[ScriptedStep]) -> None:
+    world.flights = world.flights[1:]
+
+
+@take.register
+def _(step: Delay, world: World, script: Sequence[ScriptedStep]) -> None:
+    flight, *rest = world.flights
+    world.flights = tuple(rest)
+    if step.ticks == 0:
+        world.flights += (flight,)
+    else:
+        world.late += (LateFlight(world.now + step.ticks, flight),)
+
+
+@take.register
+def _(step: Crash, world: World, script: Sequence[ScriptedStep]) -> None:
+    _stop(world, step.node)
+    if step.loses_sent:
+        world.flights = tuple(
+            f for f in world.flights if f.envelope.sender != step.node
+        )
+    if step.down == 0:
+        _start(world, step.node)
+    elif step.down is not None:
+        starts_at = world.now + step.down
+        world.vms[step.node] = replace(world.vms[step.node], starts_at=starts_at)
+
+
+@take.register
+def _(step: Cut, world: World, script: Sequence[ScriptedStep]) -> None:
+    vm = world.vms[step.node]
+    world.vms[step.node] = replace(vm, cut_until=world.now + step.ticks)
+
+
+@take.register
+def _(step: PowerLoss, world: World, script: Sequence[ScriptedStep]) -> None:
+    nodes = world.running()
+    world.flights = ()
+    world.late = ()
+    for node in nodes:
+        _stop(world, node)
+        if node in step.lost_disks:
+            _empty_disk(world, node)
+        _start(world, node)
+
+
+@take.register
+def _(step: PostponeElection, world: World, script: Sequence[ScriptedStep]) -> None:
+    vm = world.vms[step.node]
+    state = copy_voter(world.state(step.node))
+    spread = ELECTION_TIMEOUT_MAX - ELECTION_TIMEOUT_MIN
+    rest = spread * (1 - world.site.jitter(step.node)) - TICK
+    state.election_at = Seconds(state.election_at + rest)
+    world.vms[step.node] = replace(vm, state=state)
+
+
+@take.register
+def _(step: TakeSnapshot, world: World, script: Sequence[ScriptedStep]) -> None:
+    driver.take_snapshot(world, step.node)
+
+
+@take.register
+def _(step: Start, world: World, script: Sequence[ScriptedStep]) -> None:
+    _start(world, step.node)
+
+
+@take.register
+def _(step: Stop, world: World, script: Sequence[ScriptedStep]) -> None:
+    _stop(world, step.node)
+
+
+@take.register
+def _(step: ReplaceDisk, world: World, script: Sequence[ScriptedStep]) -> None:
+    _stop(world, step.node)
+    _empty_disk(world, step.node)
+    _start(world, step.node)
+
+
+@take.register
+def _(step: Propose, world: World, script: Sequence[ScriptedStep]) -> None:
+    for node in world.running():
+        state = world.state(node)
+        if state.role is VoterRole.LEADER and has_leader_lease(state, world.time):
+            world.proposed += 1
+            driver.propose(world, node, _make_change(world.proposed))
+            return
+
+
+def _make_change(number: int) -> ChangeRequest:
+    domain = FailureDomainId(f"domain-{number}")
+    return ChangeRequest(
+        RequestId(f"r{number}"), Revision(0), BringFailureDomainBack(domain)
+    )
+
+
+def _release_late(world: World) -> None:
+    due = tuple(late.flight for late in world.late if late.due <= world.now)
+    world.late = tuple(late for late in world.late if late.due > world.now)
+    world.flights += due
+
+
+def _stop(world: World, node: NodeId) -> None:
+    world.vms[node] = replace(world.vms[node], state=None, starts_at=None)
+    world.flights = tuple(
+        f for f in world.flights if not (f.is_answer and f.recipient == node)
+    )
+    world.late = tuple(
+        late
+        for late in world.late
+        if not (late.flight.is_answer and late.flight.recipient == node)
+    )
+
+
+def _start(world: World, node: NodeId) -> None:
+    vm = world.vms[node]
+    state = load_state(world, node, vm.disk)
+    world.vms[node] = replace(vm, state=state, starts_at=None)
+    check_electable(world)
+
+
+def _empty_disk(world: World, node: NodeId) -> None:
+    vm = world.vms[node]
+    disk = make_empty_disk(next_incarnation(vm.disk.incarnation))
+    world.vms[node] = replace(vm, disk=disk)
--- /dev/null
+++ b/src/wasabigw_verify/log_check/world.py
@@ -0,0 +1,198 @@
+"""State of all voters, of the messages between them, and of what was committed.
+
+A :class:`World` is never changed once it is explored: each step works on a copy, which
+shares the voters that the step does not touch.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from wasabigw.core.cluster import Endpoint, VoterPlace
+from wasabigw.core.consensus.log import ReplicatedLog
+from wasabigw.core.consensus.messages import Envelope
+from wasabigw.core.consensus.state import Progress, VoterState, make_voter_state
+from wasabigw.core.ids import FailureDomainId, Incarnation, NodeId, Seconds, Term
+from wasabigw.core.log_messages import LogEntry
+from wasabigw_verify.log_check.disk import Disk
+
+TICK = Seconds(0.25)
+"""Time between two ticks; a power of two, so that sums of ticks are exact."""
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """What the settings of all control VMs say.
+
+    :param nodes: all control VMs, in the order of their election timeouts.
+    :param seeds: control VMs that the settings name.
+    :param target_voters: number of voters that a leader maintains; ``None`` if the
+        seeds are the voters.
+    :param domains: failure domain of each control VM.
+    """
+
+    nodes: tuple[NodeId, ...]
+    seeds: tuple[NodeId, ...]
+    target_voters: int | None
+    domains: Mapping[NodeId, str]
+
+    def place(self, node: NodeId) -> VoterPlace | None:
+        """Place that a control VM announces."""
+        if self.target_voters is None:
+            return None
+        return VoterPlace(Endpoint(node, 1), FailureDomainId(self.domains[node]))
+
+    def jitter(self, node: NodeId) -> float:
+        """Random part of the election timeouts of a control VM."""
+        return self.nodes.index(node) / len(self.nodes)
+
+
+@dataclass(frozen=True, slots=True)
+class Flight:
+    """A message in flight.
+
+    :param is_answer: whether it answers a request, so that it is lost if the process
+        that sent the request has ended.
+    """
+
+    recipient: NodeId
+    envelope: Envelope
+    is_answer: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LateFlight:
+    """A message that is delivered late.
+
+    :param due: tick at which it is delivered.
+    """
+
+    due: int
+    flight: Flight
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """A control VM.
+
+    :param state: state of its voter; ``None`` if no process runs.
+    :param starts_at: tick at which the process starts again, if it does.
+    :param cut_until: tick at which messages to and from it pass again.
+    """
+
+    disk: Disk
+    state: VoterState | None = None
+    starts_at: int | None = None
+    cut_until: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Leadership:
+    """A voter that was elected."""
+
+    node: NodeId
+    incarnation: Incarnation
+
+
+@dataclass(slots=True)
+class World:
+    """Whole state of the system.
+
+    :param now: number of ticks since the start.
+    :param committed: committed entries that follow the first snapshot.
+    :param leaders: elected voter of each term.
+    :param proposed: number of changes that were proposed.
+    :param script_position: number of steps of the script that were taken.
+    :param script_length: number of steps of the script.
+    """
+
+    site: Site
+    founders: Mapping[NodeId, Incarnation]
+    vms: dict[NodeId, Vm]
+    now: int = 0
+    flights: tuple[Flight, ...] = ()
+    late: tuple[LateFlight, ...] = ()
+    committed: tuple[LogEntry, ...] = ()
+    leaders: dict[Term, Leadership] = field(default_factory=dict)
+    proposed: int = 0
+    script_position: int = 0
+    script_length: int = 0
+
+    @property
+    def time(self) -> Seconds:
+        """Time of all clocks."""
+        return Seconds(self.now * TICK)
+
+    def copy(self) -> "World":
+        """Copy that shares the voters until they are replaced."""
+        return World(
+            self.site,
+            self.founders,
+            dict(self.vms),
+            self.now,
+            self.flights,
+            self.late,
+            self.committed,
+            self.leaders,
+            self.proposed,
+            self.script_position,
+            self.script_length,
+        )
+
+    def state(self, node: NodeId) -> VoterState:
+        """State of a voter that runs."""
+        found = self.vms[node].state
+        assert found is not None
+        return found
+
+    def running(self) -> list[NodeId]:
+        """Control VMs whose process runs."""
+        return [name for name, vm in self.vms.items() if vm.state is not None]
+
+    def is_cut(self, node: NodeId) -> bool:
+        """Whether messages to and from a control VM are lost."""
+        return self.vms[node].cut_until > self.now
+
+
+def load_state(world: World, node: NodeId, disk: Disk) -> VoterState:
+    """State of a voter that starts from its disk."""
+    site = world.site
+    seeds = tuple(name for name in site.seeds if name != node)
+    return make_voter_state(
+        node,
+        disk.incarnation,
+        seeds,
+        disk.vote,
+        disk.snapshot,
+        disk.entries,
+        world.time,
+        site.jitter(node),
+        site.target_voters,
+        site.place(node),
+    )
+
+
+_STATE_FIELDS = tuple(VoterState.__slots__)
+_PROGRESS_FIELDS = tuple(Progress.__slots__)
+
+
+def copy_voter(state: VoterState) -> VoterState:
+    """Independent copy of the state of a voter."""
+    copied = object.__new__(VoterState)
+    for name in _STATE_FIELDS:
+        setattr(copied, name, getattr(state, name))
+    log = state.log
+    entries = log.after(log.available_after)
+    copied.log = ReplicatedLog(state.snapshot.revision, state.snapshot.term, entries)
+    copied.members = dict(state.members)
+    copied.votes = set(state.votes)
+    copied.refusals = dict(state.refusals)
+    copied.places = dict(state.places)
+    copied.progress = {k: _copy_progress(p) for k, p in state.progress.items()}
+    return copied
+
+
+def _copy_progress(progress: Progress) -> Progress:
+    copied = object.__new__(Progress)
+    for name in _PROGRESS_FIELDS:
+        setattr(copied, name, getattr(progress, name))
+    return copied
--- /dev/null
+++ b/tests/test_log_check.py
@@ -0,0 +1,193 @@
+"""The check of the replicated log: its short bound, and faults that it must find."""
+
+import unittest
+from contextlib import AbstractContextManager
+from dataclasses import replace
+from typing import Any
+from unittest import mock
+
+from wasabigw.core.cluster import VoterPlace
+from wasabigw.core.commands import VoterRemoved
+from wasabigw.core.consensus import commit, reconfiguration, replication
+from wasabigw.core.consensus.effects import VoteRecord
+from wasabigw.core.consensus.lease import counted_voters
+from wasabigw.core.consensus.state import VoterState
+from wasabigw.core.consensus.voters import VoterSet
+from wasabigw.core.ids import NodeId, Revision, Seconds
+from wasabigw_verify.log_check.explore import Report, Search
+from wasabigw_verify.log_check.faults import Budget, FaultKinds
+from wasabigw_verify.log_check.fingerprint import fingerprint
+from wasabigw_verify.log_check.scenario import A, B, C, D, E, Scenario, initial_world
+from wasabigw_verify.log_check.scenarios import (
+    POWER_LOSS,
+    REPLACED_DISK,
+    SHORT,
+    SUCCESSOR,
+)
+from wasabigw_verify.log_check.steps import (
+    Continue,
+    Cut,
+    Propose,
+    ReplaceDisk,
+    ScriptedStep,
+    take,
+)
+
+Patch = AbstractContextManager[Any]
+
+
+def explore(scenario: Scenario, *patches: Patch) -> Report:
+    """Report of a search up to the first finding, with faults planted in the code."""
+    for patch in patches:
+        patch.__enter__()
+    try:
+        return Search(scenario, max_findings=1).run()
+    finally:
+        for patch in reversed(patches):
+            patch.__exit__(None, None, None)
+
+
+class ShortBound(unittest.TestCase):
+    """Guards against a change of the voters that loses entries or the leader."""
+
+    def test_no_scenario_breaks_safety_or_progress(self) -> None:
+        for scenario in SHORT:
+            with self.subTest(scenario=scenario.name):
+                report = Search(scenario).run()
+                self.assertEqual(report.findings, [])
+                self.assertTrue(report.is_complete)
+
+
+class Identity(unittest.TestCase):
+    """Guards against a search that never ends, or that takes states for explored."""
+
+    def test_states_that_differ_only_by_the_time_are_the_same(self) -> None:
+        scenario = replace(REPLACED_DISK, script=())
+        world = initial_world(scenario, scenario.orders[0])
+        found = set()
+        for _ in range(2000):
+            take(Continue(), world, scenario.script)
+            found.add(fingerprint(world))
+        self.assertLess(len(found), 200)
+
+    def test_a_state_with_an_entry_more_is_another_one(self) -> None:
+        scenario = replace(REPLACED_DISK, script=())
+        world = initial_world(scenario, scenario.orders[0])
+        while not world.committed or world.flights:
+            take(Continue(), world, scenario.script)
+        before = fingerprint(world)
+        take(Propose(), world, scenario.script)
+        self.assertNotEqual(fingerprint(world), before)
+
+
+class Addresses(unittest.TestCase):
+    """Guards against a check that misses the fault of issue 30."""
+
+    def place_in_snapshot(self) -> Patch:
+        def place_of(state: VoterState, name: NodeId) -> VoterPlace | None:
+            progress = state.progress.get(name)
+            announced = progress.place if progress is not None else None
+            recorded = state.places.get(name)
+            return announced or recorded or state.discovered_places.get(name)
+
+        return mock.patch.object(VoterState, "place_of", place_of)
+
+    def test_voters_without_the_addresses_of_the_log_after_a_loss_of_power(
+        self,
+    ) -> None:
+        report = explore(POWER_LOSS, self.place_in_snapshot())
+        self.assertIn("no lasting leader", report.findings[0].reason)
+
+    def test_voters_without_the_addresses_of_the_log_after_a_crash(self) -> None:
+        scenario = replace(SUCCESSOR, kinds=FaultKinds(downs=(9,)))
+        report = explore(scenario, self.place_in_snapshot())
+        self.assertIn("no lasting leader", report.findings[0].reason)
+
+
+class PlantedFaults(unittest.TestCase):
+    """Guards against checks of safety that can't fail."""
+
+    def assert_found(self, scenario: Scenario, reason: str, *patches: Patch) -> None:
+        self.assertEqual(explore(scenario).findings, [])
+        report = explore(scenario, *patches)
+        self.assertTrue(report.findings)
+        self.assertIn(reason, report.findings[0].reason)
+
+    def test_a_replaced_disk_that_counts_at_once(self) -> None:
+        def counts(
+            voters: VoterSet, name: NodeId, incarnation: object, admitted: bool
+        ) -> bool:
+            return name in voters.members
+
+        scenario = replace(
+            REPLACED_DISK,
+            script=(ScriptedStep(8, Propose()), ScriptedStep(9, ReplaceDisk(C))),
+            budget=Budget(messages=1),
+        )
+        planted = mock.patch.object(VoterSet, "counts", counts)
+        self.assert_found(scenario, "could elect it", planted)
+
+    def test_an_entry_of_an_older_term_committed_by_counting(self) -> None:
+        def majority_revision(state: VoterState) -> Revision:
+            voters = state.latest_voters()
+            candidates = {p.matched for p in state.progress.values()}
+            return max(
+                (
+                    revision
+                    for revision in candidates | {state.log.last_revision}
+                    if voters.is_majority(counted_voters(state, revision))
+                ),
+                default=state.committed,
+            )
+
+        scenario = replace(
+            REPLACED_DISK,
+            script=(ScriptedStep(8, Cut(A, 8)), ScriptedStep(8, Propose())),
+            kinds=FaultKinds(downs=(14,)),
+        )
+        # With one entry a request, an entry of the current term comes later.
+        one_entry = mock.patch.object(replication, "MAX_ENTRIES_PER_REQUEST", 1)
+        with one_entry:
+            planted = mock.patch.object(commit, "_majority_revision", majority_revision)
+            self.assert_found(scenario, "could elect it", planted)
+
+    def test_two_changes_of_the_voters_that_are_uncommitted_at_once(self) -> None:
+        five = (A, B, C, D, E)
+        others_are_cut = [ScriptedStep(5, Cut(node, 3)) for node in (C, D, E)]
+        scenario = replace(
+            POWER_LOSS,
+            seeds=five,
+            target_voters=3,
+            script=tuple(others_are_cut),
+            budget=Budget(messages=1),
+            kinds=FaultKinds(),
+        )
+
+        def removal(state: VoterState, now: Seconds) -> VoterRemoved | None:
+            members = state.latest_voters().members
+            if len(members) <= 3:
+                return None
+            name = max(members.keys() - {state.node})
+            return VoterRemoved(name, members[name])
+
+        self.assert_found(
+            scenario,
+            "could elect it",
+            mock.patch.object(
+                reconfiguration, "has_uncommitted_change", return_value=False
+            ),
+            mock.patch.object(reconfiguration, "_removal", removal),
+        )
+
+    def test_a_vote_that_is_not_stored(self) -> None:
+        def save(state: VoterState, record: VoteRecord) -> list[object]:
+            state.record = record
+            return []
+
+        planted = mock.patch.object(VoterState, "save", save)
+        scenario = replace(REPLACED_DISK, budget=Budget())
+        self.assert_found(scenario, "is not durable", planted)
+
+
+if __name__ == "__main__":
+    unittest.main()
