wasabigw_verify: rotate the order of election timeouts with the term

Cause: with fixed timeouts a split vote repeated itself for ever, which random timeouts do not; the search reported it as a missing leader.

Change: the random part of a timeout is a function of voter and term.

--- a/src/wasabigw_verify/log_check/driver.py
+++ b/src/wasabigw_verify/log_check/driver.py
@@ -51,7 +51,7 @@
 
 def tick_voter(world: World, node: NodeId) -> None:
     """Tell a voter that time has passed."""
-    _run_event(world, node, ClockTick(world.time, world.site.jitter(node)), None)
+    _run_event(world, node, ClockTick(world.time, _jitter(world, node)), None)
 
 
 def deliver(world: World, flight: Flight) -> None:
@@ -60,7 +60,7 @@
     is_down = world.vms[node].state is None
     if is_down or world.is_cut(node) or world.is_cut(envelope.sender):
         return
-    event = EnvelopeReceived(envelope, world.time, world.site.jitter(node))
+    event = EnvelopeReceived(envelope, world.time, _jitter(world, node))
     _run_event(world, node, event, envelope.sender)
 
 
@@ -88,6 +88,10 @@
     world.vms[node] = replace(world.vms[node], state=copied)
 
 
+def _jitter(world: World, node: NodeId) -> float:
+    return world.site.jitter(node, world.state(node).term)
+
+
 def _run_event(
     world: World, node: NodeId, event: VoterEvent, sender: NodeId | None
 ) -> None:
--- a/src/wasabigw_verify/log_check/faults.py
+++ b/src/wasabigw_verify/log_check/faults.py
@@ -19,6 +19,7 @@
     PowerLoss,
     Step,
     TakeSnapshot,
+    postponement,
 )
 from wasabigw_verify.log_check.world import TICK, World
 
@@ -133,7 +134,7 @@
         state = world.state(node)
         left = state.election_at - world.time
         may_stand = state.record.admitted and state.role is not VoterRole.LEADER
-        if may_stand and 0 < left <= TICK:
+        if may_stand and 0 < left <= TICK and postponement(world, node) > 0:
             yield PostponeElection(node)
 
 
--- a/src/wasabigw_verify/log_check/steps.py
+++ b/src/wasabigw_verify/log_check/steps.py
@@ -215,9 +215,7 @@
 def _(step: PostponeElection, world: World, script: Sequence[ScriptedStep]) -> None:
     vm = world.vms[step.node]
     state = copy_voter(world.state(step.node))
-    spread = ELECTION_TIMEOUT_MAX - ELECTION_TIMEOUT_MIN
-    rest = spread * (1 - world.site.jitter(step.node)) - TICK
-    state.election_at = Seconds(state.election_at + rest)
+    state.election_at = Seconds(state.election_at + postponement(world, step.node))
     world.vms[step.node] = replace(vm, state=state)
 
 
@@ -253,6 +251,13 @@
             return
 
 
+def postponement(world: World, node: NodeId) -> Seconds:
+    """Time by which an election timer may run out later, up to the longest timeout."""
+    jitter = world.site.jitter(node, world.state(node).term)
+    spread = ELECTION_TIMEOUT_MAX - ELECTION_TIMEOUT_MIN
+    return Seconds(int(spread * (1 - jitter) / TICK) * TICK)
+
+
 def _make_change(number: int) -> ChangeRequest:
     domain = FailureDomainId(f"domain-{number}")
     return ChangeRequest(
--- a/src/wasabigw_verify/log_check/world.py
+++ b/src/wasabigw_verify/log_check/world.py
@@ -18,12 +18,18 @@
 TICK = Seconds(0.25)
 """Time between two ticks; a power of two, so that sums of ticks are exact."""
 
+JITTERS = (0.25, 0.5, 0.75, 0.99)
+"""Random parts of election timeouts: they end at different ticks.
+
+None is 0, because a voter that grants its vote waits for just the shortest timeout.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class Site:
     """What the settings of all control VMs say.
 
-    :param nodes: all control VMs, in the order of their election timeouts.
+    :param nodes: all control VMs, in the order of their election timeouts in term 0.
     :param seeds: control VMs that the settings name.
     :param target_voters: number of voters that a leader maintains; ``None`` if the
         seeds are the voters.
@@ -41,9 +47,14 @@
             return None
         return VoterPlace(Endpoint(node, 1), FailureDomainId(self.domains[node]))
 
-    def jitter(self, node: NodeId) -> float:
-        """Random part of the election timeouts of a control VM."""
-        return self.nodes.index(node) / len(self.nodes)
+    def jitter(self, node: NodeId, term: Term) -> float:
+        """Random part of the election timeouts of a control VM in a term.
+
+        The order of the voters rotates with the term. With a fixed one, the same split
+        vote would repeat for ever.
+        """
+        position = (self.nodes.index(node) + term) % len(self.nodes)
+        return JITTERS[position % len(JITTERS)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,7 +176,7 @@
         disk.snapshot,
         disk.entries,
         world.time,
-        site.jitter(node),
+        site.jitter(node, disk.vote.term),
         site.target_voters,
         site.place(node),
     )
