wasabigw_verify: plant faults of safety by state, not by tick

Cause: the rotation of the election timeouts moved the elections, so that two planted faults were no longer reached, and the voter that stops led in two scenarios.

Change: the tests run until a voter leads before they plant a fault; the order of the timeouts is that of the scenario in the first term.

--- a/src/wasabigw_verify/log_check/disk.py
+++ b/src/wasabigw_verify/log_check/disk.py
@@ -10,6 +10,8 @@
 
 FIRST_REVISION = Revision(1)
 """Revision of the snapshot that the founders write."""
+FOUNDING_TERM = Term(1)
+"""Term of that snapshot."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,8 +61,8 @@
 ) -> Disk:
     """Disk of a voter that founds the cluster together with all of the voters."""
     state = ClusterState(FIRST_REVISION, voters=voters, voter_places=places)
-    snapshot = Snapshot(FIRST_REVISION, Term(1), state)
-    return Disk(voters[node], VoteRecord(Term(1), admitted=True), snapshot)
+    snapshot = Snapshot(FIRST_REVISION, FOUNDING_TERM, state)
+    return Disk(voters[node], VoteRecord(FOUNDING_TERM, admitted=True), snapshot)
 
 
 def first_incarnation(node: NodeId) -> Incarnation:
--- a/src/wasabigw_verify/log_check/world.py
+++ b/src/wasabigw_verify/log_check/world.py
@@ -13,7 +13,7 @@
 from wasabigw.core.consensus.state import Progress, VoterState, make_voter_state
 from wasabigw.core.ids import FailureDomainId, Incarnation, NodeId, Seconds, Term
 from wasabigw.core.log_messages import LogEntry
-from wasabigw_verify.log_check.disk import Disk
+from wasabigw_verify.log_check.disk import FOUNDING_TERM, Disk
 
 TICK = Seconds(0.25)
 """Time between two ticks; a power of two, so that sums of ticks are exact."""
@@ -29,7 +29,8 @@
 class Site:
     """What the settings of all control VMs say.
 
-    :param nodes: all control VMs, in the order of their election timeouts in term 0.
+    :param nodes: all control VMs, in the order of their election timeouts in the
+        first term.
     :param seeds: control VMs that the settings name.
     :param target_voters: number of voters that a leader maintains; ``None`` if the
         seeds are the voters.
@@ -53,7 +54,7 @@
         The order of the voters rotates with the term. With a fixed one, the same split
         vote would repeat for ever.
         """
-        position = (self.nodes.index(node) + term) % len(self.nodes)
+        position = (self.nodes.index(node) + term - FOUNDING_TERM) % len(self.nodes)
         return JITTERS[position % len(JITTERS)]
 
 
--- a/tests/test_log_check.py
+++ b/tests/test_log_check.py
@@ -1,7 +1,7 @@
 """The check of the replicated log: its short bound, and faults that it must find."""
 
 import unittest
-from contextlib import AbstractContextManager
+from contextlib import AbstractContextManager, ExitStack
 from dataclasses import replace
 from typing import Any
 from unittest import mock
@@ -14,7 +14,9 @@
 from wasabigw.core.consensus.messages import AppendRequest
 from wasabigw.core.consensus.state import VoterState
 from wasabigw.core.consensus.voters import VoterSet
-from wasabigw.core.ids import NodeId, Revision, Seconds
+from wasabigw.core.ids import NodeId, Revision, Seconds, Term
+from wasabigw.core.states import VoterRole
+from wasabigw_verify.log_check.disk import FOUNDING_TERM
 from wasabigw_verify.log_check.explore import Report, Search
 from wasabigw_verify.log_check.faults import Budget, FaultKinds
 from wasabigw_verify.log_check.fingerprint import fingerprint
@@ -28,6 +30,7 @@
 )
 from wasabigw_verify.log_check.steps import (
     Continue,
+    Crash,
     Cut,
     Lose,
     Propose,
@@ -40,15 +43,22 @@
 Patch = AbstractContextManager[Any]
 
 
-def explore(scenario: Scenario, *patches: Patch) -> Report:
+def explore(scenario: Scenario, *patches: Patch, start: World | None = None) -> Report:
     """Report of a search up to the first finding, with faults planted in the code."""
-    for patch in patches:
-        patch.__enter__()
-    try:
-        return Search(scenario, max_findings=1).run()
-    finally:
-        for patch in reversed(patches):
-            patch.__exit__(None, None, None)
+    with ExitStack() as stack:
+        for patch in patches:
+            stack.enter_context(patch)
+        return Search(scenario, max_findings=1).run(start)
+
+
+def run_until_leader(world: World, after: Term) -> NodeId:
+    """Take regular steps until a voter leads in a later term."""
+    while True:
+        for node in world.running():
+            state = world.state(node)
+            if state.role is VoterRole.LEADER and state.term > after:
+                return node
+        take(Continue(), world, ())
 
 
 def summaries(report: Report) -> list[str]:
@@ -139,9 +149,15 @@
 class PlantedFaults(unittest.TestCase):
     """Guards against checks of safety that can't fail."""
 
-    def assert_found(self, scenario: Scenario, reason: str, *patches: Patch) -> None:
-        self.assertEqual(summaries(explore(scenario)), [])
-        report = explore(scenario, *patches)
+    def assert_found(
+        self,
+        scenario: Scenario,
+        reason: str,
+        *patches: Patch,
+        start: World | None = None,
+    ) -> None:
+        self.assertEqual(summaries(explore(scenario, start=start)), [])
+        report = explore(scenario, *patches, start=start)
         self.assertTrue(report.findings)
         self.assertIn(reason, report.findings[0].reason)
 
@@ -172,28 +188,32 @@
                 default=state.committed,
             )
 
-        scenario = replace(
-            REPLACED_DISK,
-            script=(ScriptedStep(8, Cut(A, 8)), ScriptedStep(8, Propose())),
-            kinds=FaultKinds(downs=(14,)),
-        )
         # With one entry a request, an entry of the current term comes later.
         one_entry = mock.patch.object(replication, "MAX_ENTRIES_PER_REQUEST", 1)
+        planted = mock.patch.object(commit, "_majority_revision", majority_revision)
         with one_entry:
-            planted = mock.patch.object(commit, "_majority_revision", majority_revision)
-            self.assert_found(scenario, "could elect it", planted)
+            # The first leader has an entry of its own, and so has the second one.
+            scenario = replace(REPLACED_DISK, script=(), budget=Budget())
+            world = initial_world(scenario, scenario.orders[0])
+            first = run_until_leader(world, FOUNDING_TERM)
+            take(Cut(first, 8), world, ())
+            take(Propose(), world, ())
+            second = run_until_leader(world, world.state(first).term)
+            take(Crash(second, 20, loses_sent=True), world, ())
+            self.assert_found(scenario, "could elect it", planted, start=world)
 
     def test_two_changes_of_the_voters_that_are_uncommitted_at_once(self) -> None:
         five = (A, B, C, D, E)
-        others_are_cut = [ScriptedStep(5, Cut(node, 3)) for node in (C, D, E)]
         scenario = replace(
-            POWER_LOSS,
-            seeds=five,
-            target_voters=3,
-            script=tuple(others_are_cut),
-            budget=Budget(messages=1),
-            kinds=FaultKinds(),
+            POWER_LOSS, seeds=five, target_voters=3, script=(), budget=Budget()
         )
+        world = initial_world(scenario, scenario.orders[0])
+        leader = run_until_leader(world, FOUNDING_TERM)
+        while world.flights:
+            take(Continue(), world, ())
+        for node in five:
+            if node not in (leader, B):
+                take(Cut(node, 4), world, ())
 
         def removal(state: VoterState, now: Seconds) -> VoterRemoved | None:
             members = state.latest_voters().members
@@ -209,6 +229,7 @@
                 reconfiguration, "has_uncommitted_change", return_value=False
             ),
             mock.patch.object(reconfiguration, "_removal", removal),
+            start=world,
         )
 
     def test_a_vote_that_is_not_stored(self) -> None:
