wasabigw_verify: crash a voter between two effects of an event

Cause: a voter may stop after its log is durable and before its vote record is.

Change: a crash may come after one, two or three effects of the event at hand.

--- a/src/wasabigw_verify/log_check/driver.py
+++ b/src/wasabigw_verify/log_check/driver.py
@@ -54,14 +54,17 @@
     _run_event(world, node, ClockTick(world.time, _jitter(world, node)), None)
 
 
-def deliver(world: World, flight: Flight) -> None:
-    """Deliver a message, unless its sender or recipient can't be reached."""
+def deliver(world: World, flight: Flight, effect_limit: int | None = None) -> None:
+    """Deliver a message, unless its sender or recipient can't be reached.
+
+    :param effect_limit: number of effects that are executed; ``None`` for all.
+    """
     node, envelope = flight.recipient, flight.envelope
     is_down = world.vms[node].state is None
     if is_down or world.is_cut(node) or world.is_cut(envelope.sender):
         return
     event = EnvelopeReceived(envelope, world.time, _jitter(world, node))
-    _run_event(world, node, event, envelope.sender)
+    _run_event(world, node, event, envelope.sender, effect_limit)
 
 
 def propose(world: World, node: NodeId, command: Command) -> None:
@@ -93,7 +96,11 @@
 
 
 def _run_event(
-    world: World, node: NodeId, event: VoterEvent, sender: NodeId | None
+    world: World,
+    node: NodeId,
+    event: VoterEvent,
+    sender: NodeId | None,
+    effect_limit: int | None = None,
 ) -> None:
     vm = world.vms[node]
     assert vm.state is not None
@@ -104,11 +111,14 @@
         decided = handle(event, execution.state)
     except CommittedEntryError as error:
         raise SafetyError(f"{node}: {error}") from error
-    for effect in decided:
+    for effect in decided[:effect_limit]:
         _execute(effect, execution)
     state = execution.state
     world.vms[node] = replace(vm, disk=execution.disk, state=state)
     world.flights += tuple(execution.sent)
+    if effect_limit is not None:
+        # The process ends, so only its disk and what it has sent matter.
+        return
     after = (state.committed, state.log.last_revision, state.role)
     if after != before or state.role is VoterRole.LEADER:
         check_voter(world, state)
--- a/src/wasabigw_verify/log_check/faults.py
+++ b/src/wasabigw_verify/log_check/faults.py
@@ -12,6 +12,7 @@
 )
 from wasabigw_verify.log_check.steps import (
     Crash,
+    CrashDuringEvent,
     Cut,
     Delay,
     Lose,
@@ -23,6 +24,9 @@
 )
 from wasabigw_verify.log_check.world import TICK, World
 
+MAX_EFFECTS = 4
+"""A crash during an event comes before this effect at the latest."""
+
 
 @dataclass(frozen=True, slots=True)
 class Budget:
@@ -114,10 +118,18 @@
                 yield Crash(node, down, loses_sent=True)
         if not world.is_cut(node):
             yield from (Cut(node, ticks) for ticks in kinds.cuts)
+    yield from _crashes_during_event(world, kinds)
     if kinds.may_lose_power:
         yield from _power_losses(world)
 
 
+def _crashes_during_event(world: World, kinds: FaultKinds) -> Iterator[Step]:
+    if not world.flights or world.vms[world.flights[0].recipient].state is None:
+        return
+    for effects in range(1, MAX_EFFECTS):
+        yield from (CrashDuringEvent(effects, down) for down in kinds.downs)
+
+
 def _power_losses(world: World) -> Iterator[Step]:
     losses = tolerated_losses(world)
     if losses < 0:
--- a/src/wasabigw_verify/log_check/steps.py
+++ b/src/wasabigw_verify/log_check/steps.py
@@ -51,6 +51,18 @@
     loses_sent: bool
 
 
+@dataclass(frozen=True, slots=True)
+class CrashDuringEvent:
+    """Deliver the oldest message, and end the recipient's process before all is done.
+
+    :param effects: number of effects that are executed, in their order.
+    :param down: ticks until it starts again from its disk; ``None`` if it never does.
+    """
+
+    effects: int
+    down: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class Cut:
     """Lose all messages to and from a control VM for some ticks.
@@ -114,6 +126,7 @@
     | Lose
     | Delay
     | Crash
+    | CrashDuringEvent
     | Cut
     | PowerLoss
     | PostponeElection
@@ -181,16 +194,19 @@
 
 @take.register
 def _(step: Crash, world: World, script: Sequence[ScriptedStep]) -> None:
-    _stop(world, step.node)
     if step.loses_sent:
         world.flights = tuple(
             f for f in world.flights if f.envelope.sender != step.node
         )
-    if step.down == 0:
-        _start(world, step.node)
-    elif step.down is not None:
-        starts_at = world.now + step.down
-        world.vms[step.node] = replace(world.vms[step.node], starts_at=starts_at)
+    _crash(world, step.node, step.down)
+
+
+@take.register
+def _(step: CrashDuringEvent, world: World, script: Sequence[ScriptedStep]) -> None:
+    flight, *rest = world.flights
+    world.flights = tuple(rest)
+    driver.deliver(world, flight, step.effects)
+    _crash(world, flight.recipient, step.down)
 
 
 @take.register
@@ -271,6 +287,14 @@
     world.flights += due
 
 
+def _crash(world: World, node: NodeId, down: int | None) -> None:
+    _stop(world, node)
+    if down == 0:
+        _start(world, node)
+    elif down is not None:
+        world.vms[node] = replace(world.vms[node], starts_at=world.now + down)
+
+
 def _stop(world: World, node: NodeId) -> None:
     world.vms[node] = replace(world.vms[node], state=None, starts_at=None)
     world.flights = tuple(
