--- a/src/wasabigw_demo/soak/run.py
+++ b/src/wasabigw_demo/soak/run.py
@@ -27,7 +27,7 @@
 )
 from wasabigw_demo.soak.deployment import Deployment, Shape, Source, failure_domain
 from wasabigw_demo.soak.documents import SERVICES, DocumentKind, DocumentSeries
-from wasabigw_demo.soak.judge import RECOVERY_TIME, Verdict, judge
+from wasabigw_demo.soak.judge import judge
 from wasabigw_demo.soak.machines import Machines, now
 from wasabigw_demo.soak.observations import Change, History
 from wasabigw_demo.soak.outages import OutagePlayer
@@ -41,6 +41,8 @@
 )
 from wasabigw_demo.soak.timeline import Timeline
 from wasabigw_demo.soak.traffic import Entry, ServerPlace, Traffic, TrafficPlan
+from wasabigw_demo.soak.verdict import Verdict
+from wasabigw_demo.soak.versions import RECOVERY_TIME
 
 START_TIME = Seconds(6.0)
 """Time from the first document to the series of the plan."""
@@ -61,6 +63,7 @@
 
     :param ends: exit codes of the processes that ended by themselves.
     :param longest_delay: longest time for which the soak waited for a processor.
+    :param back_at: when all processes had been started after the loss of power.
     """
 
     plan: Plan
@@ -69,6 +72,7 @@
     started_at: Seconds
     ends: dict[str, int]
     longest_delay: Seconds
+    back_at: Seconds
 
     @property
     def passed(self) -> bool:
@@ -135,8 +139,8 @@
                 tasks.enter_context(task)
             self._send_first()
             self._play_series(Seconds(now() + START_TIME))
-            self._lose_power()
-            self._play_recovery()
+            back_at = self._lose_power()
+            self._play_recovery(back_at)
             ends = self._machines.unexpected_ends()
         history = History(
             self._sender.changes,
@@ -152,6 +156,7 @@
             started_at,
             ends,
             self._traffic.longest_delay,
+            back_at,
         )
 
     def _play_series(self, began_at: Seconds) -> None:
@@ -186,8 +191,8 @@
         outcome = reply.get(Seconds(2 * SEND_LIMIT + REPLY_MARGIN))
         return outcome.unwrap() if isinstance(outcome, Success) else None
 
-    def _lose_power(self) -> None:
-        """Cut the power right after an acknowledgement, and restore it."""
+    def _lose_power(self) -> Seconds:
+        """Cut the power right after an acknowledgement; returns when it was back."""
         loss = self._plan.power_loss
         controls = self._deployment.controls
         lost = [controls[number] for number in loss.lost_disks]
@@ -210,9 +215,9 @@
         self._timeline.play_until(Seconds(started_at + POWER_OFF_TIME))
         self._machines.start(machines)
         self._machines.note_majority_fault(started_at)
+        return now()
 
-    def _play_recovery(self) -> None:
-        back_at = now()
+    def _play_recovery(self, back_at: Seconds) -> None:
         for delay in CHANGES_AFTER_POWER_LOSS:
             at = Seconds(back_at + delay)
             self._timeline.schedule(at, self._post_valid)
