core/consensus: count a voter that missed the commit of its admission

A voter that had not learned of its admission counted only while that admission was the last change in the log; after the next change neither the candidate nor the voter itself knew that it is committed, and nobody could tell it.

Evidence: a admits d (4), the message that tells d is lost, a and b commit the removal of c (5), all lose power and b its disk: a has its own vote of {a, b, d}, and d's does not count.

A candidate then counts the vote of a voter whose admission it knows as committed, and as leader tells it of the admission.

Why it is safe: entries committed before the admission are in the log of whoever holds the admission, and the majority that committed it does not include the voter, so no vote of its earlier disk can have elected a leader of a later term that lacks the admission. Acknowledgements still count only once the voter knows, so that it can stand for election with the entries that it helped to commit.

--- a/src/wasabigw/core/consensus/commit.py
+++ b/src/wasabigw/core/consensus/commit.py
@@ -5,7 +5,7 @@
 from wasabigw.core.consensus.effects import ApplyEntries, Effect
 from wasabigw.core.consensus.lease import counted_voters
 from wasabigw.core.consensus.state import VoterState
-from wasabigw.core.consensus.voters import voter_reports
+from wasabigw.core.consensus.voters import implied_commit, voter_reports
 from wasabigw.core.ids import Revision
 from wasabigw.core.states import VoterRole
 from wasabigw.core.voter_reports import apply_voter_report
@@ -32,6 +32,18 @@
     return [ApplyEntries(entries), *update_admission(state)]
 
 
+def commit_implied(state: VoterState) -> list[Effect]:
+    """Commit what the latest change of the voters in the log shows to be committed.
+
+    After a restart only the snapshot is known to be committed, until there is a leader.
+    The vote of a voter that does not know of its admission counts only if the candidate
+    knows that the admission is committed, so it may be needed to elect the leader.
+    """
+    uncommitted = state.log.after(state.committed)
+    term = state.log.term_at(state.committed)
+    return commit_up_to(state, implied_commit(uncommitted, term))
+
+
 def update_admission(state: VoterState) -> list[Effect]:
     """Record whether the committed voters include this incarnation.
 
--- a/src/wasabigw/core/consensus/election.py
+++ b/src/wasabigw/core/consensus/election.py
@@ -167,16 +167,30 @@
 
 
 def _record_vote(state: VoterState, envelope: Envelope, granted: bool) -> None:
-    voters = state.latest_voters()
     sender = envelope.sender
     if not granted:
         state.refusals[sender] = MissingVoteReason.REFUSED
-    elif voters.counts(sender, envelope.incarnation, envelope.admitted):
+    elif _vote_counts(state, envelope):
         state.votes.add(sender)
     else:
         state.refusals[sender] = MissingVoteReason.NOT_COUNTED
 
 
+def _vote_counts(state: VoterState, envelope: Envelope) -> bool:
+    """Whether the vote of a voter counts towards a majority.
+
+    The voter need not know that its admission is committed if the candidate does: all
+    entries that are committed before the admission are then in the candidate's log, and
+    no candidate of a later term can have won with a promise of the earlier disk.
+    """
+    sender, incarnation = envelope.sender, envelope.incarnation
+    voters = state.latest_voters()
+    if voters.counts(sender, incarnation, envelope.admitted):
+        return True
+    latest = voters.members.get(sender)
+    return latest == state.members.get(sender) == incarnation
+
+
 def _failed_election(state: VoterState) -> ElectionFailed:
     members = state.latest_voters().members
     missing = tuple(
--- a/src/wasabigw/core/consensus/voter.py
+++ b/src/wasabigw/core/consensus/voter.py
@@ -6,6 +6,7 @@
 
 from functools import singledispatch
 
+from wasabigw.core.consensus.commit import commit_implied
 from wasabigw.core.consensus.effects import Effect, SaveSnapshot, SendMessage
 from wasabigw.core.consensus.election import (
     adopt_term,
@@ -72,11 +73,11 @@
 def _(event: ClockTick, state: VoterState) -> list[Effect]:
     if state.role is VoterRole.LEADER:
         return _tick_as_leader(state, event)
+    effects = commit_implied(state)
     if not state.record.admitted:
-        return _request_admission(state, event.now)
+        return effects + _request_admission(state, event.now)
     if event.now < state.election_at:
-        return []
-    effects: list[Effect] = []
+        return effects
     if (
         event.now - state.last_contact >= NO_LEADER_TIMEOUT
         and state.target_voters is not None
--- a/src/wasabigw/core/consensus/voters.py
+++ b/src/wasabigw/core/consensus/voters.py
@@ -8,9 +8,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from wasabigw.core.cluster import VoterPlace
+from wasabigw.core.cluster import NO_REVISION, VoterPlace
 from wasabigw.core.commands import Command, ReportBatch, VoterAdmitted
-from wasabigw.core.ids import Incarnation, NodeId
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Term
 from wasabigw.core.log_messages import LogEntry
 from wasabigw.core.voter_reports import VoterChange, VoterReport, apply_voter_report
 
@@ -76,6 +76,29 @@
     return VoterSet(members, latest_places, pending, is_addition)
 
 
+def implied_commit(uncommitted: Iterable[LogEntry], term: Term | None) -> Revision:
+    """Revision up to which a change of the voters shows that a log is committed.
+
+    A leader proposes a change only after an entry of its own term and the previous
+    change are committed.
+
+    :param uncommitted: entries that are not known to be committed.
+    :param term: term of the entry before them.
+    :returns: :data:`NO_REVISION` if the entries contain no change.
+    """
+    implied = NO_REVISION
+    last_change = NO_REVISION
+    term_began = NO_REVISION
+    for entry in uncommitted:
+        if entry.term != term:
+            term = entry.term
+            term_began = entry.revision
+        if any(isinstance(r, VoterChange) for r in voter_reports(entry.command)):
+            implied = max(term_began, last_change)
+            last_change = entry.revision
+    return implied
+
+
 def voter_reports(command: Command) -> list[VoterReport]:
     """Reports on voters in a command."""
     if not isinstance(command, ReportBatch):
--- a/tests/test_reconfiguration.py
+++ b/tests/test_reconfiguration.py
@@ -6,11 +6,12 @@
 from hypothesis import strategies as st
 
 from tests.voter_network import NODES, Network, empty_disk
-from wasabigw.core.commands import VoterRemoved
+from wasabigw.core.commands import LeaderElected, ReportBatch, VoterRemoved
 from wasabigw.core.consensus.events import SeedsChanged
 from wasabigw.core.consensus.voter import handle
-from wasabigw.core.consensus.voters import voter_reports
-from wasabigw.core.ids import NodeId
+from wasabigw.core.consensus.voters import implied_commit, voter_reports
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Term
+from wasabigw.core.log_messages import LogEntry
 from wasabigw.core.states import VoterRole
 
 A, B, C = NODES
@@ -170,6 +171,35 @@
         self.assertEqual(run.voters(), {A, B, D})
 
 
+class ImpliedCommit(unittest.TestCase):
+    """Guards against entries that are taken as committed before they are."""
+
+    def implied(self, *entries: tuple[int, bool]) -> int:
+        """Implied commit of entries after revision 1 of term 1.
+
+        :param entries: term of each entry, and whether it changes the voters.
+        """
+        change = ReportBatch((VoterRemoved(C, Incarnation("c1")),))
+        other = LeaderElected(A)
+        log = [
+            LogEntry(Revision(revision), Term(term), change if is_change else other)
+            for revision, (term, is_change) in enumerate(entries, start=2)
+        ]
+        return implied_commit(log, Term(1))
+
+    def test_without_a_change_nothing_is_implied(self) -> None:
+        self.assertEqual(self.implied((1, False), (2, False)), 0)
+
+    def test_a_change_in_the_term_of_the_last_committed_entry(self) -> None:
+        self.assertEqual(self.implied((1, False), (1, True)), 0)
+
+    def test_a_change_implies_the_first_entry_of_its_term(self) -> None:
+        self.assertEqual(self.implied((1, False), (2, False), (2, True)), 3)
+
+    def test_a_change_implies_the_previous_change(self) -> None:
+        self.assertEqual(self.implied((1, True), (1, False), (1, True)), 2)
+
+
 class Spread(unittest.TestCase):
     """Guards against losing the majority of voters with one failure domain."""
 
