demo/soak: machines that wait for a processor count as slowed

A machine that is slowed counts as lost, so the soak samples how long the threads of each process wait in the run queue of the kernel. The report shows the sum.

--- a/src/wasabigw_demo/_children.py
+++ b/src/wasabigw_demo/_children.py
@@ -46,8 +46,8 @@
         command: Sequence[str],
         log: Path,
         variables: Mapping[str, str] | None = None,
-    ) -> None:
-        """Start a process, and append its output to a file.
+    ) -> int:
+        """Start a process, and append its output to a file; returns its process id.
 
         :param variables: environment variables of this process alone.
         """
@@ -60,6 +60,7 @@
                 env={**self._environment, **(variables or {})},
                 cwd=self._folder,
             )
+        return self._processes[name].pid
 
     def run(self, command: Sequence[str], timeout: Seconds) -> CompletedCommand:
         """Run a command and wait for it."""
--- a/src/wasabigw_demo/soak/control_calls.py
+++ b/src/wasabigw_demo/soak/control_calls.py
@@ -10,15 +10,13 @@
 from typing import Any
 
 import requests
-from returns.result import Success
 
 from wasabigw.core.ids import Seconds
-from wasabigw.runtime.mailbox import Mailbox
-from wasabigw.runtime.task import Stop, Task
 from wasabigw_demo.soak.deployment import HEARTBEAT_SECONDS
 from wasabigw_demo.soak.documents import Version, digest
 from wasabigw_demo.soak.machines import now
 from wasabigw_demo.soak.observations import ReadBack
+from wasabigw_demo.soak.periodic import PeriodicTask
 from wasabigw_demo.soak.traffic import ServerPlace
 
 CALL_TIMEOUT = 1.0
@@ -91,27 +89,12 @@
         return Response(response.status_code, response.content)
 
 
-class PeriodicCalls(Task[ControlAddresses]):
+class PeriodicCalls(PeriodicTask):
     """Calls the control API at an interval, until the task is stopped."""
 
     def __init__(self, name: str, calls: ControlCalls, interval: Seconds) -> None:
-        super().__init__(name, Mailbox(name))
+        super().__init__(name, interval)
         self._calls = calls
-        self._interval = interval
-
-    def run(self) -> None:
-        """Call, and wait for the next call or a message."""
-        due_at = now()
-        while True:
-            outcome = self._mailbox.get(Seconds(max(0.0, due_at - now())))
-            if not isinstance(outcome, Success):
-                self._call()
-                due_at = Seconds(max(now(), due_at + self._interval))
-                continue
-            message = outcome.unwrap()
-            if isinstance(message, Stop):
-                return
-            self.receive(message)
 
     @singledispatchmethod
     def receive(self, message: Any) -> None:
@@ -122,9 +105,6 @@
     def _(self, message: ControlAddresses) -> None:
         self._calls.use(message.addresses)
 
-    def _call(self) -> None:
-        raise NotImplementedError
-
 
 class Reader(PeriodicCalls):
     """Reads the configuration at all control VMs in turn."""
@@ -139,7 +119,7 @@
         """All reads; call this after the task has ended."""
         return tuple(self._reads)
 
-    def _call(self) -> None:
+    def _repeat(self) -> None:
         addresses = self._calls.addresses
         address = addresses[next(self._turn) % len(addresses)]
         sent_at = now()
@@ -172,7 +152,7 @@
         self._sequence = 0
         self._preferred = calls.choose()
 
-    def _call(self) -> None:
+    def _repeat(self) -> None:
         for _ in range(len(self._calls.addresses)):
             self._sequence += 1
             path = f"/instances/{self._server.id}"
--- a/src/wasabigw_demo/soak/judge.py
+++ b/src/wasabigw_demo/soak/judge.py
@@ -80,12 +80,14 @@
 
 def _judge_recovery(history: History, versions: Versions, verdict: Verdict) -> None:
     """Judge whether the newest configuration is read after the last large fault."""
-    end = versions.faults.last_majority_end
-    if end is None:
+    back_at = versions.faults.last_back_at
+    if back_at is None:
         return
-    since = Seconds(end + RECOVERY_TIME)
+    since = Seconds(back_at + RECOVERY_TIME)
     expected = versions.newest_acknowledged(since)
     late = [read for read in history.reads if read.sent_at > since]
+    if not late:
+        return
     statuses = Counter(read.status for read in late)
     found = any(r.version is not None and r.version >= expected for r in late)
     problem = None
--- a/src/wasabigw_demo/soak/machines.py
+++ b/src/wasabigw_demo/soak/machines.py
@@ -8,11 +8,13 @@
 import time
 from collections.abc import Iterable
 from contextlib import AbstractContextManager, ExitStack
+from dataclasses import dataclass
 from pathlib import Path
 from types import TracebackType
-from typing import Self
+from typing import Any, Self
 
 from wasabigw.core.ids import Seconds
+from wasabigw.runtime.mailbox import Mailbox
 from wasabigw_demo._children import Children
 from wasabigw_demo.soak.deployment import (
     BOUNDS,
@@ -24,7 +26,7 @@
     fill_in,
     run_commands,
 )
-from wasabigw_demo.soak.observations import Fault, FaultScope, MachineName
+from wasabigw_demo.soak.observations import Fault, FaultCause, FaultScope, MachineName
 
 PASSED_VARIABLES = ("PATH", "HOME", "LANG")
 """Variables that a process gets from the caller; the platform passes no others."""
@@ -34,10 +36,25 @@
 KILL_TIMEOUT = Seconds(5.0)
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessStarted:
+    """A process of a machine was started."""
+
+    machine: MachineName
+    scope: FaultScope
+    pid: int
+
+
 class Machines(AbstractContextManager["Machines"]):
-    """Processes of all machines of a deployment, and the faults that they had."""
+    """Processes of all machines of a deployment, and the faults that they had.
+
+    :param watcher: mailbox that gets :class:`ProcessStarted`.
+    """
 
-    def __init__(self, deployment: Deployment, source: Source) -> None:
+    def __init__(
+        self, deployment: Deployment, source: Source, watcher: Mailbox[Any]
+    ) -> None:
+        self._watcher = watcher
         self._deployment = deployment
         self._source = source
         self._commands = run_commands()
@@ -105,7 +122,7 @@
         """Continue all processes of paused machines."""
         for machine in machines:
             self._signal(machine, signal.SIGCONT)
-            self._end_fault(machine, is_restart=False)
+            self._end_fault(machine, FaultCause.PAUSE)
 
     def empty_disk(self, machine: Machine) -> None:
         """Remove all files from the disk of a machine whose processes were killed."""
@@ -145,7 +162,9 @@
             words = [*TREE_PROGRAM, *words[len(BUILT_PROGRAM) :]]
         self._expected_ends.discard(name)
         log = self._deployment.folder / f"{name}.log"
-        self._children.start(name, words, log, {"WASABIGW_CONFIG": str(path)})
+        variables = {"WASABIGW_CONFIG": str(path)}
+        pid = self._children.start(name, words, log, variables)
+        self._watcher.post(ProcessStarted(machine.name, _scope(machine), pid))
 
     def _write_settings(self, machine: Machine, role: Role, is_first: bool) -> Path:
         path = self._deployment.folder / f"{process_name(machine, role)}.json"
@@ -156,11 +175,11 @@
         new.replace(path)
         return path
 
-    def _end_fault(self, machine: Machine, is_restart: bool = True) -> None:
+    def _end_fault(
+        self, machine: Machine, cause: FaultCause = FaultCause.RESTART
+    ) -> None:
         started_at = self._open.pop(machine.name, now())
-        is_control = Role.CONTROL in machine.roles
-        scope = FaultScope.CONTROL if is_control else FaultScope.BALANCER
-        fault = Fault(scope, machine.name, started_at, now(), is_restart)
+        fault = Fault(_scope(machine), machine.name, started_at, now(), cause)
         self._faults.append(fault)
 
 
@@ -169,6 +188,11 @@
     return Seconds(time.monotonic())
 
 
+def _scope(machine: Machine) -> FaultScope:
+    is_control = Role.CONTROL in machine.roles
+    return FaultScope.CONTROL if is_control else FaultScope.BALANCER
+
+
 def process_name(machine: Machine, role: Role) -> str:
     """Name of a process, its settings file and its log."""
     return f"{machine.name}-{role.value}"
--- a/src/wasabigw_demo/soak/observations.py
+++ b/src/wasabigw_demo/soak/observations.py
@@ -88,20 +88,38 @@
     """Half of the control VMs or more."""
 
 
+class FaultCause(Enum):
+    """Why processes of a machine did not run."""
+
+    RESTART = "restart"
+    PAUSE = "pause"
+    SLOW = "waits for a processor"
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """A time in which processes of a machine did not run, or were just started.
 
     :param machine: the machine; ``None`` for all of them.
     :param ended_at: when the processes were started or continued.
-    :param is_restart: whether other processes run since; paused ones continue.
+    :param cause: why they did not run.
     """
 
     scope: FaultScope
     machine: MachineName | None
     started_at: Seconds
     ended_at: Seconds
-    is_restart: bool = True
+    cause: FaultCause = FaultCause.RESTART
+
+    @property
+    def is_restart(self) -> bool:
+        """Whether other processes run since; paused and slowed ones continue."""
+        return self.cause is FaultCause.RESTART
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether processes waited for a processor."""
+        return self.cause is FaultCause.SLOW
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw_demo/soak/report.py
+++ b/src/wasabigw_demo/soak/report.py
@@ -1,6 +1,6 @@
 """Report and record of one seed."""
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 from typing import Any
@@ -32,6 +32,12 @@
             began = change.sent_at - result.started_at
             lasted = change.answered_at - change.sent_at
             yield f"  no answer to a change sent at {began:.1f} s for {lasted:.1f} s"
+    slowed: defaultdict[str, float] = defaultdict(float)
+    for fault in history.faults:
+        if fault.is_slow:
+            slowed[fault.scope.value] += fault.ended_at - fault.started_at
+    totals = ", ".join(f"{name} {spent:.1f} s" for name, spent in slowed.items())
+    yield f"  waits for a processor, summed over machines: {totals or 'none'}"
     yield f"  longest wait of the soak for a processor: {result.longest_delay:.2f} s"
     yield from _recovery_lines(result)
     for shape in BreakShape:
--- a/src/wasabigw_demo/soak/run.py
+++ b/src/wasabigw_demo/soak/run.py
@@ -39,6 +39,7 @@
     SendRace,
     Step,
 )
+from wasabigw_demo.soak.processor_waits import ProcessorWaits
 from wasabigw_demo.soak.timeline import Timeline
 from wasabigw_demo.soak.traffic import Entry, ServerPlace, Traffic, TrafficPlan
 from wasabigw_demo.soak.verdict import Verdict
@@ -89,8 +90,9 @@
 ) -> RunResult:
     """Play a plan with real processes, and judge what was observed."""
     deployment = Deployment(shape, folder)
-    with Machines(deployment, source) as machines:
-        return _Run(plan, deployment, machines, print_step).play()
+    waits = ProcessorWaits()
+    with Machines(deployment, source, waits.mailbox) as machines:
+        return _Run(plan, deployment, machines, waits, print_step).play()
 
 
 class _Run:
@@ -101,9 +103,11 @@
         plan: Plan,
         deployment: Deployment,
         machines: Machines,
+        waits: ProcessorWaits,
         print_step: Callable[[str], None],
     ) -> None:
         self._plan = plan
+        self._waits = waits
         self._deployment = deployment
         self._machines = machines
         self._print_step = print_step
@@ -126,7 +130,8 @@
 
     @property
     def _tasks(self) -> list[Task[Any]]:
-        return [self._traffic, self._reader, self._sender, *self._heartbeats]
+        observers = [self._waits, self._traffic, self._reader, self._sender]
+        return [*observers, *self._heartbeats]
 
     def play(self) -> RunResult:
         """Start the processes, play all steps, and judge."""
@@ -146,7 +151,7 @@
             self._sender.changes,
             self._reader.reads,
             self._traffic.openings,
-            self._machines.faults,
+            (*self._machines.faults, *self._waits.faults),
             now(),
         )
         return RunResult(
--- a/src/wasabigw_demo/soak/versions.py
+++ b/src/wasabigw_demo/soak/versions.py
@@ -35,7 +35,7 @@
         if any(_overlaps(fault, Seconds(at - CONTACT_WINDOW), at) for fault in own):
             return False
         return not any(
-            _overlaps(fault, Seconds(at - RECOVERY_TIME), at)
+            fault.started_at <= at <= self._back_at(fault) + RECOVERY_TIME
             for fault in self._majority
         )
 
@@ -52,9 +52,17 @@
         return sum(fault.is_restart and fault.started_at <= at for fault in own)
 
     @property
-    def last_majority_end(self) -> Seconds | None:
-        """End of the last fault of the majority."""
-        return max((fault.ended_at for fault in self._majority), default=None)
+    def last_back_at(self) -> Seconds | None:
+        """When all control VMs were back after the last fault of the majority."""
+        return max((self._back_at(fault) for fault in self._majority), default=None)
+
+    def _back_at(self, majority_fault: Fault) -> Seconds:
+        """When no control VM was slowed any more after a fault of the majority."""
+        back_at = majority_fault.ended_at
+        for fault in sorted(self._control, key=lambda item: item.started_at):
+            if fault.started_at <= back_at:
+                back_at = max(back_at, fault.ended_at)
+        return back_at
 
 
 class Versions:
