--- a/src/wasabigw_verify/log_check/faults.py
+++ b/src/wasabigw_verify/log_check/faults.py
@@ -130,7 +130,9 @@
     for members in memberships_in_force(world):
         voters.update(dict.fromkeys(members))
     for lost in combinations(voters, losses):
-        yield PowerLoss(lost)
+        yield PowerLoss(lost, lost_start=True)
+        if lost:
+            yield PowerLoss(lost, lost_start=False)
 
 
 def _timer_faults(world: World) -> Iterator[Step]:
--- a/src/wasabigw_verify/log_check/steps.py
+++ b/src/wasabigw_verify/log_check/steps.py
@@ -76,9 +76,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PowerLoss:
-    """End all processes and start them again, some of them with empty disks."""
+    """End all processes and start them again, some of them with empty disks.
+
+    :param lost_start: whether the control VMs with lost disks start again at all.
+    """
 
     lost_disks: tuple[NodeId, ...]
+    lost_start: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,7 +228,8 @@
         _stop(world, node)
         if node in step.lost_disks:
             _empty_disk(world, node)
-        _start(world, node)
+        if step.lost_start or node not in step.lost_disks:
+            _start(world, node)
 
 
 @take.register
