Move the soak of the platform's programs beside the adapter

The soak names fields and calls of the users' platform, which only platform/ may contain: test_platform_names failed on 20 of its lines.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 
 soak: setup
 	sh deploy/build.sh
-	$(BIN)/python -m wasabigw_demo soak --seeds 1-50
+	PYTHONPATH=platform $(BIN)/python -m wasabigw_soak --seeds 1-50
 
 compare-mapping: setup
 	$(BIN)/python -m wasabigw_measure.compare_mapping
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,12 @@
-"""Short soak with real processes; ``python -m wasabigw_demo soak`` plays long ones."""
+"""Short soak with real processes; ``make soak`` plays long ones."""
 
 import tempfile
 import unittest
 from pathlib import Path
 
 from wasabigw.core.ids import Seconds
-from wasabigw_demo.soak.deployment import Shape, Source
-from wasabigw_demo.soak.soak import SoakOptions, play_seed
+from wasabigw_soak.deployment import Shape, Source
+from wasabigw_soak.soak import SoakOptions, play_seed
 
 SEED = 8
 """Loses the disk of one control VM, and those of two seeds with all power."""
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from wasabigw.core.ids import Seconds
-from wasabigw_demo.soak.documents import (
+from wasabigw_soak.documents import (
     MAIN_PORT,
     Document,
     DocumentKind,
@@ -12,8 +12,8 @@
     ServiceName,
     Version,
 )
-from wasabigw_demo.soak.judge import judge
-from wasabigw_demo.soak.observations import (
+from wasabigw_soak.judge import judge
+from wasabigw_soak.observations import (
     Change,
     Fault,
     FaultCause,
@@ -25,7 +25,7 @@
     ReadBack,
     Taken,
 )
-from wasabigw_demo.soak.verdict import BreakShape
+from wasabigw_soak.verdict import BreakShape
 
 ADDED_PORT = ListenerPort(2_001)
 DECOY_PORT = ListenerPort(20_001)
