tests: add a finding on a voter that may be needed as leader, which fails

The last added voter may be one of three that hold its admission. It does not stand for election, and the other voters have shorter logs.

--- a/tests/test_review_findings.py
+++ b/tests/test_review_findings.py
@@ -105,6 +105,28 @@
                 lose_power(run, [leader, lost])
                 self.assert_leader_with(run, accepted)
 
+    def test_the_last_added_voter_may_be_needed_as_leader(self) -> None:
+        # The fifth voter is one of three that hold its committed admission, and does
+        # not know yet that it is committed when the other two lose their disks.
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                run = Network(seed, target_voters=5, domains=DOMAINS)
+                leader = run.settle()
+                state = run.members[leader].state
+                while len(state.latest_voters().members) < len(DOMAINS) - 1:
+                    run.step()
+                accepted = state.log.last_revision
+                while state.committed < accepted:
+                    run.step()
+                holders = [
+                    node
+                    for node in sorted(NODES)
+                    if node != leader
+                    and run.members[node].state.log.last_revision >= accepted
+                ]
+                lose_power(run, [leader, *holders[:1]])
+                self.assert_leader_with(run, accepted)
+
 
 class Admission(unittest.TestCase):
     """Guards against an admission that takes the leader's majority."""
