tests: reads and views of control VMs while processes fail

Control VMs with their real voter tasks and data directories are restarted, one or all of them, frozen and cut off while configurations are declared. After each step and right after a wake-up every running control VM is read: a read may lag behind a confirmation by the leader lease (0.8 s) and a view that is given as current by the view lease (1.5 s), the bound of the users being 3 s. At the end a change has to be confirmed and current at all of them.

--- a/src/wasabigw/tasks/voter_calls.py
+++ b/src/wasabigw/tasks/voter_calls.py
@@ -264,6 +264,7 @@
     | ChangeCall
     | ReportCall
     | PollCall
+    | ViewCall
     | StateCall
     | InForceCall
     | OrderCall
--- a/tests/disk_cluster.py
+++ b/tests/disk_cluster.py
@@ -135,6 +135,10 @@
             Identity(name, FIRST if is_first else Incarnation(f"{name}-1")),
             initial if is_first else None,
         ).unwrap()
+        return self.open_voter(name)
+
+    def open_voter(self, name: NodeId) -> VoterTask:
+        """Start the process of a control VM with its data directory."""
         settings = VoterSettings(
             name,
             {n: self._places[n].api for n in {*self._seeds, name}},
@@ -160,7 +164,7 @@
 
     def _step(self) -> None:
         self.now = Seconds(self.now + STEP)
-        for voter in self.voters.values():
+        for voter in self.running():
             voter.receive(Tick("voter", self.now))
             voter.flush()
         for _ in range(4):
@@ -168,6 +172,10 @@
             for sender, recipient, envelope in sent:
                 self._deliver(sender, recipient, envelope)
 
+    def running(self) -> list[VoterTask]:
+        """Voters whose processes run."""
+        return list(self.voters.values())
+
     def _deliver(self, sender: NodeId, recipient: NodeId, envelope: Envelope) -> None:
         reply: Mailbox[Envelope] = Mailbox("reply")
         self.voters[recipient].receive(PeerMessage(envelope, reply))
@@ -202,14 +210,14 @@
         return max(leaders)[1] if leaders else None
 
     def declare(self) -> list[Mailbox[Any]]:
-        """Send a change to every control VM, as an operator that finds no leader.
+        """Send a change to each running control VM, as if no leader were known.
 
         :return: the mailbox for the answer of each control VM.
         """
         self.version += 1
         replies = []
         document = DeclaredDocument(self.version, CompressedText("x"))
-        for voter in self.voters.values():
+        for voter in self.running():
             reply = reply_mailbox("order")
             voter.receive(OrderCall(Order(DeclareConfiguration(document)), reply))
             voter.flush()
