--- a/tests/test_announced_services.py
+++ b/tests/test_announced_services.py
@@ -55,6 +55,14 @@
         """Declare a configuration."""
         return self.put("/configuration", DOCUMENT | changed)
 
+    def configuration(self) -> dict[str, Any]:
+        """The configuration as an operator reads it."""
+        assert self._settings.control is not None
+        control_endpoint = self._settings.control
+        _, body = self._request(control_endpoint, "GET", "/configuration", None)
+        document: dict[str, Any] = json.loads(body)
+        return document
+
     def announce(self, name: str, **changed: Any) -> int:
         """Announce a backend server that has just started."""
         born = round(time.time() * 1000)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -93,8 +93,8 @@
     return parse_settings(json.dumps(FRONTEND | changed).encode()).unwrap()
 
 
-class ControlApi(HttpApiCase):
-    """Guards against responses that differ from the API of the platform."""
+class PlatformApiCase(HttpApiCase):
+    """Starts the API of the platform on a control VM."""
 
     def make_server(self) -> HttpServer:
         self.settings = core_settings()
@@ -103,6 +103,10 @@
         server._server.bind_addr = ("127.0.0.1", 0)
         return server
 
+
+class ControlApi(PlatformApiCase):
+    """Guards against responses that differ from the API of the platform."""
+
     def put_announcement(self, **changed: Any) -> tuple[int, bytes, str | None]:
         body = json.dumps(ANNOUNCEMENT | changed).encode()
         return self.call("PUT", "/instances/i-7f3a91c2", body)
