Bound the time of a poll whose response arrives slowly

A balancer or relay that polls a machine with a squeezed link goes on with an older configuration until the whole response has arrived, however long that takes, although other sources answer at once.

Cause: only the time without any byte of a response was limited.

Evidence: test_a_follower_leaves_a_source_whose_response_trickles failed before: no view within 5 s, although the second source had one.

Change: a poll ends after 2 s, so that another source is polled within the bound of 3 s. The timeout doubles while no poll succeeds, up to 16 s: if the link of the follower itself is slow, it gets its view in the end (test_a_follower_with_a_slow_link_receives_its_view).

--- a/src/wasabigw/tasks/light_http.py
+++ b/src/wasabigw/tasks/light_http.py
@@ -5,6 +5,7 @@
 several times as long to load.
 """
 
+import math
 import selectors
 import socket
 from collections.abc import Callable
@@ -18,6 +19,7 @@
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.request_number import REQUEST_NUMBER, is_response_to
+from wasabigw.runtime.timer import monotonic
 
 RECEIVE_BYTES = 65_536
 MAX_CONNECTIONS = 512
@@ -29,6 +31,8 @@
 MAX_RESPONSE_BYTES = 64 * 2**20
 """Maximum size of a response body that a client accepts."""
 BACKLOG = 128
+NO_LIMIT = Seconds(math.inf)
+"""Time limit of a response that may take any time while bytes of it arrive."""
 
 _NUMBER_KEY = REQUEST_NUMBER.lower().encode()
 
@@ -253,14 +257,22 @@
         target: str,
         connect_timeout: Seconds,
         read_timeout: Seconds,
+        response_timeout: Seconds = NO_LIMIT,
     ) -> Result[bytes, str]:
         """Body of a response with status 200, or why there is none.
 
+        :param read_timeout: maximum time without any byte of the response.
+        :param response_timeout: maximum time until the response is complete.
+
         A failure closes the connection, because a middlebox may have lost its
         connection state.
         """
         try:
-            body = self._exchange(server, target, connect_timeout, read_timeout)
+            sock = self._connect(server, connect_timeout)
+            deadline = Seconds(monotonic() + response_timeout)
+            sock.settimeout(read_timeout)
+            self._send_request(sock, server, target)
+            body = self._read_response(sock, read_timeout, deadline)
         except TimeoutError:
             self.close()
             return Failure("timed out")
@@ -285,14 +297,7 @@
     ) -> None:
         self.close()
 
-    def _exchange(
-        self,
-        server: Endpoint,
-        target: str,
-        connect_timeout: Seconds,
-        read_timeout: Seconds,
-    ) -> Result[bytes, str]:
-        sock = self._connect(server, connect_timeout)
+    def _send_request(self, sock: socket.socket, server: Endpoint, target: str) -> None:
         host = f"{server.address}:{server.port}"
         self._number += 1
         headers = [("Host", host), (REQUEST_NUMBER, str(self._number))]
@@ -300,10 +305,8 @@
         data = (self._http.send(request) or b"") + (
             self._http.send(h11.EndOfMessage()) or b""
         )
-        sock.settimeout(read_timeout)
         sock.sendall(data)
         self.traffic += len(data)
-        return self._read_response(sock)
 
     def _connect(self, server: Endpoint, timeout: Seconds) -> socket.socket:
         if self._socket is not None and self._server == server:
@@ -317,12 +320,18 @@
         self._http = h11.Connection(h11.CLIENT)
         return self._socket
 
-    def _read_response(self, sock: socket.socket) -> Result[bytes, str]:
+    def _read_response(
+        self, sock: socket.socket, read_timeout: Seconds, deadline: Seconds
+    ) -> Result[bytes, str]:
         status = 0
         body = bytearray()
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
+                remaining = deadline - monotonic()
+                if remaining <= 0:
+                    raise TimeoutError
+                sock.settimeout(min(read_timeout, remaining))
                 received = sock.recv(RECEIVE_BYTES)
                 self.traffic += len(received)
                 self._http.receive_data(received)
--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -34,6 +34,14 @@
 """
 READ_MARGIN = Seconds(0.4)
 """Read timeout beyond the wait that the poll requests."""
+RESPONSE_TIMEOUT = Seconds(2.0)
+"""Maximum duration of a poll whose response arrives slowly.
+
+Another source may be faster, and a change has to be in force 3 s after it was
+confirmed. The timeout doubles while no poll succeeds, because the link of this process
+may be slow itself.
+"""
+MAX_RESPONSE_TIMEOUT = Seconds(16.0)
 POLL_WAIT = Seconds(0.5)
 """How long a current source may hold a poll until the view changes."""
 NO_WAIT = Seconds(0.0)
@@ -87,6 +95,7 @@
         self._revision = revision
         self._client = LightClient()
         self._followed: Endpoint | None = None
+        self._response_timeout = RESPONSE_TIMEOUT
 
     def close(self) -> None:
         """Close the connection to the source."""
@@ -145,10 +154,15 @@
             f"{VIEW_PATH}?after={self._revision}&wait_ms={wait_ms}",
             CONNECT_TIMEOUT if has_view else FIRST_CONNECT_TIMEOUT,
             Seconds(POLL_WAIT + READ_MARGIN),
+            self._response_timeout,
         ).bind(decode_update)
         if not isinstance(response, Success):
+            if monotonic() - sent_at >= self._response_timeout:
+                doubled = Seconds(2 * self._response_timeout)
+                self._response_timeout = min(doubled, MAX_RESPONSE_TIMEOUT)
             self._handle_failure(source, str(response.failure()))
             return False
+        self._response_timeout = RESPONSE_TIMEOUT
         update: ViewUpdate = response.unwrap()
         is_current = update.fresh_for > 0 and update.revision >= self._revision
         if is_current:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,9 +8,12 @@
 import sys
 import tempfile
 import threading
+import time
 import unittest
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from returns.result import Failure, Success
 
@@ -264,6 +267,29 @@
                 self.assertEqual(response, Failure(f"status {status}"))
 
 
+def send_slowly(listener: socket.socket, done: threading.Event) -> None:
+    """Accept one connection and respond to its poll with a byte every 0.2 s."""
+    connection, _ = listener.accept()
+    with connection, suppress(OSError):
+        connection.recv(4096)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n")
+        while not done.wait(0.2):
+            connection.sendall(b" ")
+
+
+def send_in_halves(listener: socket.socket, body: bytes, pause: float) -> None:
+    """Respond to two polls, the second half of each body after a pause."""
+    half = len(body) // 2
+    for _ in range(2):
+        connection, _ = listener.accept()
+        with connection, suppress(OSError):
+            connection.recv(4096)
+            header = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            connection.sendall(header.encode() + body[:half])
+            time.sleep(pause)
+            connection.sendall(body[half:])
+
+
 class Followers(RelayCase):
     """Guards against a follower that keeps polling a stale or unreachable source."""
 
@@ -292,6 +318,40 @@
         self.assertEqual(current.waits[0], 0)
         self.assertIn(round(POLL_WAIT * 1000), current.waits)
 
+    def test_a_follower_leaves_a_source_whose_response_trickles(self) -> None:
+        # A slow source held the follower for as long as each byte came in time.
+        listener = self.enterContext(socket.create_server((ANY_PORT.address, 0)))
+        done = threading.Event()
+        trickle = threading.Thread(target=send_slowly, args=(listener, done))
+        trickle.start()
+        self.addCleanup(trickle.join)
+        self.addCleanup(done.set)
+        current = self.start()
+        self.post_view(current, update(6))
+        slow = Endpoint(*listener.getsockname())
+        sources = SourceState(RECIFE, (slow, current.endpoint))
+        received: Mailbox[Any] = Mailbox("received")
+        with make_view_follower(sources, received, lambda api: api):
+            found = received.get(LONG)
+        self.assertEqual(found.unwrap().update.revision, 6)
+
+    def test_a_follower_with_a_slow_link_receives_its_view(self) -> None:
+        # With the same timeout for each poll, it would never have the whole view.
+        listener = self.enterContext(socket.create_server((ANY_PORT.address, 0)))
+        body = encode_update(update(6))
+        serving = threading.Thread(target=send_in_halves, args=(listener, body, 0.6))
+        serving.start()
+        self.addCleanup(serving.join)
+        sources = SourceState(RECIFE, (Endpoint(*listener.getsockname()),))
+        received: Mailbox[Any] = Mailbox("received")
+        timeout = "wasabigw.tasks.view_follower.RESPONSE_TIMEOUT"
+        with (
+            mock.patch(timeout, Seconds(0.4)),
+            make_view_follower(sources, received, lambda api: api),
+        ):
+            found = received.get(LONG)
+        self.assertEqual(found.unwrap().update.revision, 6)
+
     def test_a_follower_stops_while_its_source_holds_polls(self) -> None:
         # Stops took 5 s, and balancers were killed at the end of their grace period.
         holding = self.start()
