Give no view as current at a voter that takes no part in consensus

A relay stayed with a voter whose disk refuses to be written for up to 1.5 s after it had stopped to follow the log.

Cause: the view lease that a voter holds was given on with its view also while the voter was suspended after a storage error. The request that fails may bring entries, say that they are committed and extend the lease, so the view may lack entries that it should have for that lease.

Evidence: test_a_voter_that_takes_no_part_gives_no_view_as_current failed before: the view was given as current for 1.3 s.

Change: a suspended voter gives none, as it already refuses announcements.

--- a/src/wasabigw/tasks/held_view_calls.py
+++ b/src/wasabigw/tasks/held_view_calls.py
@@ -60,7 +60,7 @@
             self._view = view_of(context.cluster)
         remaining = lease.view_lease_left(self._voter, context.now)
         fresh_for = Seconds(
-            context.now - received + remaining if remaining > 0 else 0.0
+            context.now - received + remaining if context.is_current else 0.0
         )
         update = update_since(self._view, call.after, fresh_for)
         call.reply.post(update)
--- a/tests/test_full_disks.py
+++ b/tests/test_full_disks.py
@@ -15,10 +15,11 @@
 from tests.disk_cluster import DiskCluster, FullDisks
 from tests.test_platform_formats import FRONTEND
 from wasabigw.core.cluster import Applied
-from wasabigw.core.ids import Incarnation, NodeId
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds
 from wasabigw.core.timing import IN_FORCE_BOUND
 from wasabigw.tasks.storage import Identity, create_data_directory
 from wasabigw.tasks.storage_errors import StorageProblem
+from wasabigw.tasks.voter_calls import ViewCall, reply_mailbox
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw_platform.control import open_data_directory, voter_id
 from wasabigw_platform.settings import PlatformSettings, parse_settings
@@ -104,6 +105,19 @@
                 self.assertEqual(events.count(ControlEvent.VOTER_STOPPED), 1)
                 self.assertIs(victim in cluster.members(), names == 3)
 
+    def test_a_voter_that_takes_no_part_gives_no_view_as_current(self) -> None:
+        # It had received entries that it could not write, and its view lacks them.
+        cluster = self.cluster(3, 3, seed=1)
+        leader = cluster.leader()
+        name = next(n for n in cluster.voters if n != leader)
+        cluster.disks.full = {cluster.directory(name)}
+        cluster.declare()
+        cluster.run(0.1)
+        reply = reply_mailbox("view")
+        cluster.voters[name].receive(ViewCall(Revision(0), Seconds(0.0), reply))
+        (update,) = reply.drain()
+        self.assertEqual(update.fresh_for, 0.0)
+
     def test_a_disk_that_is_full_during_a_snapshot(self) -> None:
         cluster = self.cluster(3, 3, seed=1)
         for _ in range(520):
