--- a/src/wasabigw_verify/log_check/safety.py
+++ b/src/wasabigw_verify/log_check/safety.py
@@ -1,15 +1,19 @@
 """Safety: what must hold after every event."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 from wasabigw.core.commands import Command, ReportBatch, VoterAdmitted, VoterRemoved
+from wasabigw.core.consensus.commit import commit_implied
+from wasabigw.core.consensus.election import count_vote
 from wasabigw.core.consensus.lease import has_leader_lease
+from wasabigw.core.consensus.messages import VoteResponse
 from wasabigw.core.consensus.state import VoterState
 from wasabigw.core.ids import Incarnation, NodeId, Revision
 from wasabigw.core.log_messages import LogEntry
 from wasabigw.core.states import VoterRole
 from wasabigw_verify.log_check.disk import FIRST_REVISION, Disk
-from wasabigw_verify.log_check.world import Leadership, World, load_state
+from wasabigw_verify.log_check.world import Leadership, World, copy_voter, load_state
 
 Members = dict[NodeId, Incarnation]
 
@@ -67,8 +71,8 @@
 def check_electable(world: World) -> None:
     """Check that no voter that lacks a committed entry could be elected.
 
-    A candidate is counted all votes that the logs of the others allow, with the rules
-    of the code for the votes that count. A violation is found before the faults that
+    A candidate gets all votes that the logs of the others allow, and the code decides
+    whether they count and are a majority. A violation is found before the faults that
     would let it win the election. Voters that will start again take part.
     """
     states: list[VoterState] | None = None
@@ -118,23 +122,35 @@
 
 
 def _check_is_not_electable(
-    world: World, candidate: VoterState, states: list[VoterState]
+    world: World, candidate: VoterState, others: list[VoterState]
 ) -> None:
-    voters = candidate.latest_voters()
-    end = (candidate.log.last_term, candidate.log.last_revision)
-    votes: set[NodeId] = set()
-    for other in states:
-        node = other.node
-        longer = (other.log.last_term, other.log.last_revision) > end
-        counts = node == candidate.node or voters.counts(
-            node, other.incarnation, other.record.admitted
-        )
-        if counts and not longer and node in voters.members:
-            votes.add(node)
-    if voters.is_majority(votes):
-        names = ", ".join(sorted(votes))
+    votes = [other for other in others if _may_vote_for(candidate, other)]
+    if _wins(world, candidate, votes):
+        names = ", ".join(sorted(other.node for other in votes))
         lacking = _first_lacking(world, candidate)
         raise SafetyError(
             f"{candidate.node} lacks committed entry {lacking}, "
             f"and the votes of {names} could elect it"
         )
+
+
+def _may_vote_for(candidate: VoterState, other: VoterState) -> bool:
+    """Whether the log of another voter allows a vote in a later term."""
+    end = (candidate.log.last_term, candidate.log.last_revision)
+    return other.node != candidate.node and end >= (
+        other.log.last_term,
+        other.log.last_revision,
+    )
+
+
+def _wins(world: World, candidate: VoterState, votes: list[VoterState]) -> bool:
+    """Whether the code counts votes as a majority for a candidate."""
+    state = copy_voter(candidate)
+    commit_implied(state)
+    state.role = VoterRole.CANDIDATE
+    state.votes = {state.node}
+    granted = VoteResponse(granted=True)
+    for other in votes:
+        envelope = replace(other.envelope(granted), term=state.term)
+        count_vote(state, envelope, granted, world.time)
+    return state.role is VoterRole.LEADER
