--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 
 .PHONY: setup test lint format types demo
-.PHONY: tour process-faults compare-mapping capacity bench fault-matrix
+.PHONY: tour process-faults compare-mapping capacity bench fault-matrix log-check
 .PHONY: golden measure
 
 setup: $(VENV)/.installed
@@ -49,6 +49,9 @@
 fault-matrix: setup
 	$(BIN)/python -m wasabigw_verify.matrix
 
+log-check: setup
+	$(BIN)/python -m wasabigw_verify.log_check --bound long
+
 golden: setup
 	$(BIN)/python -m wasabigw_verify.golden
 
--- a/src/wasabigw_verify/log_check/scenarios.py
+++ b/src/wasabigw_verify/log_check/scenarios.py
@@ -64,6 +64,21 @@
     budget=_ONE_OUTAGE,
     kinds=_OUTAGES,
 )
+TWO_REPLACEMENTS = Scenario(
+    "two voters are replaced one after the other, so that one seed is left",
+    orders=((A, B, C, D, E),),
+    seeds=_SEEDS,
+    target_voters=3,
+    started=_SEEDS,
+    script=(
+        ScriptedStep(_CHANGE_AT, Stop(C)),
+        ScriptedStep(_CHANGE_AT, Start(D)),
+        ScriptedStep(_CHANGE_AT + _LEFT_ALONE, Stop(B)),
+        ScriptedStep(_CHANGE_AT + _LEFT_ALONE, Start(E)),
+    ),
+    budget=_ONE_OUTAGE,
+    kinds=_OUTAGES,
+)
 POWER_LOSS = Scenario(
     "five voters, three of them seeds, lose power and the tolerated disks",
     orders=((A, B, C, D, E),),
@@ -110,5 +125,6 @@
     replace(POWER_LOSS, budget=_WITH_SNAPSHOT),
     replace(POWER_LOSS, budget=_WITH_MESSAGE),
     replace(POWER_LOSS, budget=Budget(outages=2)),
+    TWO_REPLACEMENTS,
 )
 """Explored by hand."""
