--- a/tests/test_log_check.py
+++ b/tests/test_log_check.py
@@ -20,6 +20,13 @@
 from wasabigw_verify.log_check.explore import Report, Search
 from wasabigw_verify.log_check.faults import Budget, FaultKinds
 from wasabigw_verify.log_check.fingerprint import fingerprint
+from wasabigw_verify.log_check.membership import tolerated_losses
+from wasabigw_verify.log_check.progress import (
+    LEADER_WITHIN_TICKS,
+    Digest,
+    Link,
+    Progress,
+)
 from wasabigw_verify.log_check.safety import last_committed, members_at
 from wasabigw_verify.log_check.scenario import A, B, C, D, E, Scenario, initial_world
 from wasabigw_verify.log_check.scenarios import (
@@ -66,6 +73,11 @@
     return [finding.summary for finding in report.findings]
 
 
+def state_number(number: int) -> Digest:
+    """Digest that stands for a state."""
+    return Digest(bytes([number]))
+
+
 def tells_of_admission(world: World, node: NodeId) -> bool:
     """Whether the next message tells a voter that its admission is committed."""
     if not world.flights or node not in members_at(world, last_committed(world)):
@@ -108,6 +120,49 @@
         self.assertNotEqual(fingerprint(world), before)
 
 
+class LastingLeader(unittest.TestCase):
+    """Guards against a check of progress that overlooks states without a leader."""
+
+    def failures(self, *leaders: bool, repeats: bool, claimed: bool = True) -> int:
+        """Number of failures in a chain of states, one tick after the other."""
+        progress = Progress()
+        for position, has_leader in enumerate(leaders):
+            is_last = position + 1 == len(leaders)
+            following = 0 if is_last and repeats else position + 1
+            link = Link(state_number(following), 1, claimed, has_leader)
+            progress.record(state_number(position), link)
+        return len(progress.failures())
+
+    def test_a_cycle_without_a_leader(self) -> None:
+        self.assertEqual(self.failures(False, False, repeats=True), 2)
+
+    def test_a_leader_that_steps_down_again_and_again(self) -> None:
+        self.assertEqual(self.failures(True, False, True, repeats=True), 3)
+
+    def test_a_leader_that_is_elected_too_late(self) -> None:
+        late = [False] * LEADER_WITHIN_TICKS
+        self.assertEqual(self.failures(*late, True, repeats=False), 0)
+        self.assertEqual(self.failures(*late, False, True, repeats=False), 1)
+
+    def test_without_a_majority_no_leader_is_required(self) -> None:
+        self.assertEqual(self.failures(False, repeats=True, claimed=False), 0)
+
+
+class Losses(unittest.TestCase):
+    """Guards against losses that no system bears, and against a search without any."""
+
+    def test_as_many_disks_are_lost_as_voters_tolerate(self) -> None:
+        world = initial_world(POWER_LOSS, POWER_LOSS.orders[0])
+        self.assertEqual(tolerated_losses(world), 1)
+        while len(members_at(world, last_committed(world))) < 5:
+            take(Continue(), world, POWER_LOSS.script)
+        while world.flights:
+            take(Continue(), world, POWER_LOSS.script)
+        self.assertEqual(tolerated_losses(world), 2)
+        take(Cut(A, 4), world, POWER_LOSS.script)
+        self.assertEqual(tolerated_losses(world), 1)
+
+
 class Addresses(unittest.TestCase):
     """Guards against a check that misses the fault of issue 30."""
 
