--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -134,7 +134,7 @@
         slow = Fault(
             FaultScope.CONTROL,
             MachineName("core-1"),
-            Seconds(20.8),
+            Seconds(24.0),
             Seconds(30.0),
             FaultCause.SLOW,
         )
