core/consensus: ask for a newer answer of a standby than of the majority

Cause: a standby was admitted if it had answered within REPLACE_AFTER, 1.5 s, but the leader steps down if the majority, which then includes the standby, has not answered for 1.0 s.

Change: the answer must be at most three heartbeats old, as for the removal of a voter, which leaves the standby 0.4 s for the next one.

--- a/src/wasabigw/core/consensus/reconfiguration.py
+++ b/src/wasabigw/core/consensus/reconfiguration.py
@@ -18,7 +18,10 @@
 REPLACE_AFTER = Seconds(1.5)
 """Time without an answer after which a standby may replace a voter."""
 ANSWER_OVERDUE = Seconds(3 * HEARTBEAT_INTERVAL)
-"""Time without an answer after which a voter may be lost."""
+"""Time without an answer after which a voter or a standby may be lost.
+
+A leader that admits a standby gives it the rest of the election timeout to answer.
+"""
 STANDBY_TIMEOUT = Seconds(5.0)
 """Time without an admission request after which a standby gets no more entries."""
 CAUGHT_UP_ENTRIES = 64
@@ -95,7 +98,7 @@
     leader would have no majority and step down.
     """
     is_caught_up = progress.matched + CAUGHT_UP_ENTRIES >= state.log.last_revision
-    return is_caught_up and not _is_silent(progress, now)
+    return is_caught_up and not _is_overdue(progress, now)
 
 
 def _removal(state: VoterState, now: Seconds) -> VoterRemoved | None:
