core/consensus: let the last added voter stand for election

Cause: an added voter counts before it knows that its admission is committed, so it may be one of three that hold the admission. If the other two lose their disks, the remaining voters have shorter logs and get no vote from it, and it did not stand itself.

Change: a voter stands if its own vote counts, which is the rule by which the others count it; a voter with a replaced disk still has to know that its admission is committed.

--- a/src/wasabigw/core/consensus/state.py
+++ b/src/wasabigw/core/consensus/state.py
@@ -131,6 +131,18 @@
         uncommitted = self.log.after(self.committed)
         return latest_voters(self.members, self.places, uncommitted)
 
+    @property
+    def own_vote_counts(self) -> bool:
+        """Whether this voter counts towards a majority, and may stand for election.
+
+        An added voter may hold entries that were committed with its acknowledgement
+        before it knows that its admission is committed.
+        """
+        voters = self.latest_voters()
+        return self.record.admitted or voters.counts(
+            self.node, self.incarnation, self.record.admitted
+        )
+
     def envelope(self, body: Body) -> Envelope:
         """Wrap a message of this voter."""
         return Envelope(
--- a/src/wasabigw/core/consensus/voter.py
+++ b/src/wasabigw/core/consensus/voter.py
@@ -75,8 +75,8 @@
         return _tick_as_leader(state, event)
     effects = commit_implied(state)
     if not state.record.admitted:
-        return effects + _request_admission(state, event.now)
-    if event.now < state.election_at:
+        effects.extend(_request_admission(state, event.now))
+    if event.now < state.election_at or not state.own_vote_counts:
         return effects
     if (
         event.now - state.last_contact >= NO_LEADER_TIMEOUT
