core/consensus: the leader admits a replaced disk without being asked

Cause: a control VM with a replaced disk is lost until it is admitted again. It asked for that once a second, the leader admits one at a time and could be busy with a standby, so the second one was admitted later than the catch-up time.

Change: a voter that answers the leader with another data directory is admitted at the next tick, before all other changes. An answer of a directory that is admitted already is an earlier one that arrives late.

--- a/src/wasabigw/core/consensus/reconfiguration.py
+++ b/src/wasabigw/core/consensus/reconfiguration.py
@@ -49,8 +49,11 @@
 
 def next_change(state: VoterState, now: Seconds) -> VoterAdmitted | VoterRemoved | None:
     """Next change of the voters to propose, or ``None`` if none is needed."""
-    if state.target_voters is None or not _may_change(state):
+    if not _may_change(state):
         return None
+    replaced = _replaced_disk(state, now)
+    if replaced is not None or state.target_voters is None:
+        return replaced
     _drop_silent_standbys(state, now)
     if len(state.members) > state.target_voters:
         return _removal(state, now)
@@ -76,6 +79,22 @@
     )
 
 
+def _replaced_disk(state: VoterState, now: Seconds) -> VoterAdmitted | None:
+    """Admission of a voter that answers with another data directory.
+
+    It comes before all other changes: the voter counts as lost until then. The leader
+    does not wait for the voter's next request, which may be a second away.
+    """
+    for name, incarnation in state.members.items():
+        progress = state.progress.get(name)
+        if progress is None or progress.incarnation in (None, incarnation):
+            continue
+        # A late answer of the earlier data directory says that it is admitted.
+        if not progress.admitted and not _is_overdue(progress, now):
+            return VoterAdmitted(name, progress.incarnation, progress.place)
+    return None
+
+
 def _is_needed(name: NodeId, state: VoterState, now: Seconds) -> bool:
     """Whether admitting a standby adds a missing voter or improves fault tolerance."""
     assert state.target_voters is not None
