core/consensus: admit a slow standby if the leader keeps a majority without it

A standby whose answers always take 0.7 to 1.3 s was never admitted in place of a lost voter, so the next losses would not be borne.

Cause: the previous bound, an answer at most three heartbeats old, was meant for the leader's majority, but was asked of the standby whatever the other voters do.

Change: the standby has to answer within REPLACE_AFTER, and the voters in contact within the leader lease, with the standby if it is one of them, have to be a majority of the enlarged set.

--- a/src/wasabigw/core/consensus/reconfiguration.py
+++ b/src/wasabigw/core/consensus/reconfiguration.py
@@ -10,18 +10,17 @@
 from collections.abc import Iterable
 
 from wasabigw.core.commands import VoterAdmitted, VoterRemoved
+from wasabigw.core.consensus.lease import counted_voters
 from wasabigw.core.consensus.state import Progress, VoterState
+from wasabigw.core.consensus.voters import VoterSet
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
 from wasabigw.core.states import VoterRole
-from wasabigw.core.timing import HEARTBEAT_INTERVAL
+from wasabigw.core.timing import HEARTBEAT_INTERVAL, LEADER_LEASE
 
 REPLACE_AFTER = Seconds(1.5)
 """Time without an answer after which a standby may replace a voter."""
 ANSWER_OVERDUE = Seconds(3 * HEARTBEAT_INTERVAL)
-"""Time without an answer after which a voter or a standby may be lost.
-
-A leader that admits a standby gives it the rest of the election timeout to answer.
-"""
+"""Time without an answer after which a voter may be lost."""
 STANDBY_TIMEOUT = Seconds(5.0)
 """Time without an admission request after which a standby gets no more entries."""
 CAUGHT_UP_ENTRIES = 64
@@ -99,7 +98,7 @@
     """Whether admitting a standby adds a missing voter or improves fault tolerance."""
     assert state.target_voters is not None
     progress = state.progress[name]
-    if not _is_ready(progress, state, now):
+    if not _is_ready(name, state, now):
         return False
     if now - progress.asked_at >= STANDBY_TIMEOUT:
         return False
@@ -110,14 +109,28 @@
     return most - _domain_size(name, state) >= 2
 
 
-def _is_ready(progress: Progress, state: VoterState, now: Seconds) -> bool:
-    """Whether a standby answers the leader and holds the log.
+def _is_ready(name: NodeId, state: VoterState, now: Seconds) -> bool:
+    """Whether a standby holds the log, and the leader keeps a majority with it.
 
-    An added voter counts at once. If it did not answer while another voter is lost, the
+    An added voter counts at once. If it did not answer while other voters are lost, the
     leader would have no majority and step down.
     """
-    is_caught_up = progress.matched + CAUGHT_UP_ENTRIES >= state.log.last_revision
-    return is_caught_up and not _is_overdue(progress, now)
+    progress = state.progress[name]
+    if progress.incarnation is None or _is_silent(progress, now):
+        return False
+    if progress.matched + CAUGHT_UP_ENTRIES < state.log.last_revision:
+        return False
+    enlarged = VoterSet({**state.members, name: progress.incarnation}, {})
+    candidates = counted_voters(state) | {name}
+    return enlarged.is_majority(
+        {voter for voter in candidates if _is_in_contact(voter, state, now)}
+    )
+
+
+def _is_in_contact(name: NodeId, state: VoterState, now: Seconds) -> bool:
+    if name == state.node:
+        return True
+    return now - state.progress[name].last_contact < LEADER_LEASE
 
 
 def _removal(state: VoterState, now: Seconds) -> VoterRemoved | None:
--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -64,7 +64,7 @@
         "voter {node} got {votes} of {voters} votes in term {term}; missing: {missing}",
         "No answer: check that VM and the network to it. No address: this voter can't "
         "reach it. Refused: it has a longer log or hears a leader. Not counted: its "
-        "disk was replaced, and its admission is not complete.",
+        "admission with its present disk is not known to be committed.",
     )
     ORDER_ANSWERED = EventDefinition(
         1010,
--- a/tests/voter_network.py
+++ b/tests/voter_network.py
@@ -59,10 +59,18 @@
     return Disk(Incarnation(incarnation), effects.VoteRecord(), empty)
 
 
-def admitted_disks(founders: Sequence[NodeId]) -> dict[NodeId, Disk]:
-    """Disks of voters that are all admitted."""
+def admitted_disks(
+    founders: Sequence[NodeId], has_places: bool = False
+) -> dict[NodeId, Disk]:
+    """Disks of voters that are all admitted.
+
+    :param has_places: whether their snapshot has the addresses of the voters.
+    """
     voters = {node: Incarnation(f"{node}1") for node in founders}
     state = ClusterState(revision=Revision(1), voters=voters)
+    if has_places:
+        places = {node: VoterPlace(Endpoint(node, 1), None) for node in founders}
+        state.voter_places.update(places)
     snapshot = Snapshot(Revision(1), Term(1), state)
     vote = effects.VoteRecord(Term(1), admitted=True)
     return {node: Disk(name, vote, snapshot) for node, name in voters.items()}
@@ -110,7 +118,7 @@
         self._domains = domains or {}
         nodes = tuple(self._domains) or NODES
         self.disks = {node: empty_disk(f"{node}1") for node in nodes}
-        self.disks.update(admitted_disks(founders))
+        self.disks.update(admitted_disks(founders, has_places=bool(domains)))
         self.members: dict[NodeId, Member] = {}
         self.messages: list[tuple[NodeId, Envelope]] = []
         self.isolated: set[NodeId] = set()
