--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -40,6 +40,13 @@
         )
         self.assertEqual(render((family, gauge("y", "Level", 0.5))).decode(), expected)
 
+    def test_whole_numbers_keep_all_digits(self) -> None:
+        # Versions and revisions above 999999 were rounded, so that a process with an
+        # older one could not be told from the others.
+        for value in (1_234_567, 1_234_567.0, 0, 7):
+            text = render((gauge("version", "Version", value),)).decode()
+            self.assertIn(f"\nversion {int(value)}\n", text)
+
     def test_buckets_of_a_histogram_are_cumulative(self) -> None:
         durations = Durations()
         for seconds in (0.004, 0.04, 0.04, 9.0):
@@ -98,8 +105,8 @@
     def test_voters_that_do_not_lead_serve_metrics(self) -> None:
         voter: Mailbox[VoterStatusCall] = Mailbox("voter")
         status = VoterStatus(
-            VoterRole.FOLLOWER, Term(3), Revision(9), 1, 3, 2, 0, 7, (), Durations(),
-            Durations(),
+            VoterRole.FOLLOWER, Term(3), Revision(9), 1, 3, 2, 0, 7, True, (),
+            Durations(), Durations(),
         )  # fmt: skip
 
         def answer() -> None:
@@ -116,6 +123,8 @@
         self.assertIn('wasabigw_voter_role{role="follower"} 1', text)
         self.assertIn("wasabigw_log_lag 1", text)
         self.assertIn("wasabigw_voters_without_address 2", text)
+        self.assertIn("wasabigw_declared_version 7", text)
+        self.assertIn("wasabigw_view_fresh 1", text)
 
 
 if __name__ == "__main__":
