--- a/tests/test_view_records.py
+++ b/tests/test_view_records.py
@@ -17,10 +17,11 @@
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.updates import apply_view_update
 from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.timer import monotonic
 from wasabigw.tasks.light_http import LightClient
 from wasabigw.tasks.relay_task import RelayTask, make_relay_task
 from wasabigw.tasks.tag_metrics import families_of
-from wasabigw.tasks.view_follower import make_view_follower
+from wasabigw.tasks.view_follower import ViewReceived, make_view_follower
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.events_control import ControlEvent
 from wasabigw.telemetry.events_http import HttpEvent
@@ -56,6 +57,22 @@
         self.assertIn("wasabigw_view_age_seconds +Inf", render(families).decode())
 
 
+class Freezes(RelayCase):
+    """Guards against a lease that is used after the process was frozen past its end."""
+
+    def test_a_balancer_that_reads_an_answer_late_is_not_current(self) -> None:
+        state = TagState(NodeId("balancer-1"), RECIFE)
+        woken = Seconds(START + 5)
+        apply_view_update(update(5, 1.5), START, state, woken)
+        self.assertFalse(state.is_fresh(woken))
+
+    def test_a_relay_that_reads_an_answer_late_is_not_current(self) -> None:
+        relay = self.start()
+        sent_at = Seconds(monotonic() - 5)
+        relay.mailbox.post(ViewReceived(update(5, 1.5), ANY_PORT, sent_at))
+        self.assertEqual(self.poll(relay, 0).unwrap().fresh_for, 0.0)
+
+
 class Lines(RelayCase):
     """Guards against a process whose log does not tell which view it follows.
 
