--- a/src/wasabigw/core/consensus/reconfiguration.py
+++ b/src/wasabigw/core/consensus/reconfiguration.py
@@ -18,7 +18,10 @@
 REPLACE_AFTER = Seconds(1.5)
 """Time without an answer after which a standby may replace a voter."""
 ANSWER_OVERDUE = Seconds(3 * HEARTBEAT_INTERVAL)
-"""Time without an answer after which a voter may be lost."""
+"""Time without an answer after which a voter or a standby may be lost.
+
+A leader that admits a standby gives it the rest of the election timeout to answer.
+"""
 STANDBY_TIMEOUT = Seconds(5.0)
 """Time without an admission request after which a standby gets no more entries."""
 CAUGHT_UP_ENTRIES = 64
@@ -46,8 +49,11 @@
 
 def next_change(state: VoterState, now: Seconds) -> VoterAdmitted | VoterRemoved | None:
     """Next change of the voters to propose, or ``None`` if none is needed."""
-    if state.target_voters is None or not _may_change(state):
+    if not _may_change(state):
         return None
+    replaced = _replaced_disk(state, now)
+    if replaced is not None or state.target_voters is None:
+        return replaced
     _drop_silent_standbys(state, now)
     if len(state.members) > state.target_voters:
         return _removal(state, now)
@@ -73,6 +79,22 @@
     )
 
 
+def _replaced_disk(state: VoterState, now: Seconds) -> VoterAdmitted | None:
+    """Admission of a voter that answers with another data directory.
+
+    It comes before all other changes: the voter counts as lost until then. The leader
+    does not wait for the voter's next request, which may be a second away.
+    """
+    for name, incarnation in state.members.items():
+        progress = state.progress.get(name)
+        if progress is None or progress.incarnation in (None, incarnation):
+            continue
+        # A late answer of the earlier data directory says that it is admitted.
+        if not progress.admitted and not _is_overdue(progress, now):
+            return VoterAdmitted(name, progress.incarnation, progress.place)
+    return None
+
+
 def _is_needed(name: NodeId, state: VoterState, now: Seconds) -> bool:
     """Whether admitting a standby adds a missing voter or improves fault tolerance."""
     assert state.target_voters is not None
@@ -95,7 +117,7 @@
     leader would have no majority and step down.
     """
     is_caught_up = progress.matched + CAUGHT_UP_ENTRIES >= state.log.last_revision
-    return is_caught_up and not _is_silent(progress, now)
+    return is_caught_up and not _is_overdue(progress, now)
 
 
 def _removal(state: VoterState, now: Seconds) -> VoterRemoved | None:
