--- a/src/wasabigw_verify/log_check/explore.py
+++ b/src/wasabigw_verify/log_check/explore.py
@@ -16,7 +16,8 @@
 )
 from wasabigw_verify.log_check.safety import SafetyError
 from wasabigw_verify.log_check.scenario import Scenario, initial_world
-from wasabigw_verify.log_check.steps import Continue, Step, take
+from wasabigw_verify.log_check.steps import Continue, Step
+from wasabigw_verify.log_check.transitions import take
 from wasabigw_verify.log_check.world import TICK, World
 
 MAX_TICKS = 200
--- a/src/wasabigw_verify/log_check/faults.py
+++ b/src/wasabigw_verify/log_check/faults.py
@@ -20,8 +20,8 @@
     PowerLoss,
     Step,
     TakeSnapshot,
-    postponement,
 )
+from wasabigw_verify.log_check.transitions import postponement
 from wasabigw_verify.log_check.world import TICK, World
 
 MAX_EFFECTS = 4
--- a/src/wasabigw_verify/log_check/trace.py
+++ b/src/wasabigw_verify/log_check/trace.py
@@ -5,7 +5,8 @@
 from wasabigw.core.ids import NodeId
 from wasabigw_verify.log_check.safety import SafetyError
 from wasabigw_verify.log_check.scenario import Scenario, initial_world
-from wasabigw_verify.log_check.steps import Continue, Step, take
+from wasabigw_verify.log_check.steps import Continue, Step
+from wasabigw_verify.log_check.transitions import take
 from wasabigw_verify.log_check.world import Flight, World
 
 
--- a/tests/test_log_check.py
+++ b/tests/test_log_check.py
@@ -43,8 +43,8 @@
     Propose,
     ReplaceDisk,
     ScriptedStep,
-    take,
 )
+from wasabigw_verify.log_check.transitions import take
 from wasabigw_verify.log_check.world import World
 
 Patch = AbstractContextManager[Any]
