--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from wasabigw.core.ids import Seconds
-from wasabigw_demo.soak.documents import (
+from wasabigw_soak.documents import (
     MAIN_PORT,
     Document,
     DocumentKind,
@@ -12,10 +12,11 @@
     ServiceName,
     Version,
 )
-from wasabigw_demo.soak.judge import judge
-from wasabigw_demo.soak.observations import (
+from wasabigw_soak.judge import judge
+from wasabigw_soak.observations import (
     Change,
     Fault,
+    FaultCause,
     FaultScope,
     History,
     MachineName,
@@ -24,7 +25,7 @@
     ReadBack,
     Taken,
 )
-from wasabigw_demo.soak.verdict import BreakShape
+from wasabigw_soak.verdict import BreakShape
 
 ADDED_PORT = ListenerPort(2_001)
 DECOY_PORT = ListenerPort(20_001)
@@ -128,6 +129,23 @@
         answered = [read(40.0, Version(5), self.second)]
         self.assert_breaks(None, history(self.changes, reads=answered, faults=[fault]))
 
+    def test_control_vms_that_wait_for_a_processor_are_not_back(self) -> None:
+        loss = Fault(FaultScope.MAJORITY, None, Seconds(20.0), Seconds(21.0))
+        slow = Fault(
+            FaultScope.CONTROL,
+            MachineName("core-1"),
+            Seconds(24.0),
+            Seconds(30.0),
+            FaultCause.SLOW,
+        )
+        early, late = read(40.0, None, None), read(43.0, None, None)
+        faults = [loss, slow]
+        self.assert_breaks(None, history(self.changes, reads=[early], faults=faults))
+        reads = [early, late]
+        self.assert_breaks(
+            BreakShape.NOT_IN_FORCE, history(self.changes, reads=reads, faults=faults)
+        )
+
     def test_an_older_version_is_read(self) -> None:
         reads = [read(14.0, Version(1), self.first)]
         self.assert_breaks(BreakShape.OLDER, history(self.changes, reads=reads))
@@ -147,7 +165,11 @@
 
     def test_a_balancer_serves_an_older_version_after_a_pause(self) -> None:
         fault = Fault(
-            FaultScope.BALANCER, BALANCER, Seconds(10.6), Seconds(10.8), False
+            FaultScope.BALANCER,
+            BALANCER,
+            Seconds(10.6),
+            Seconds(10.8),
+            FaultCause.PAUSE,
         )
         openings = [opening(10.5, NEW), opening(11.0, OLD)]
         self.assert_breaks(
@@ -185,6 +207,15 @@
         ]
         self.assert_breaks(None, history(self.changes, refused))
 
+    def test_a_refusal_before_the_copy_of_a_former_opening_is_served(self) -> None:
+        former = Opening(
+            *(BALANCER, MAIN_PORT, Seconds(13.9), Seconds(14.6)),
+            OpeningOutcome.ANSWERED,
+            (Taken(NEW, Seconds(14.5)),),
+        )
+        refused = opening(14.0, None, ADDED_PORT, OpeningOutcome.REFUSED)
+        self.assert_breaks(None, history(self.changes, [former, refused]))
+
     def test_a_dropped_route_is_refused(self) -> None:
         changes = [*self.changes, change(document(6, NEW), 20.0)]
         openings = [opening(24.0, None, ADDED_PORT, OpeningOutcome.REFUSED)]
