wasabigw_verify: an added voter that may stand for election is a candidate

Cause: an added voter may stand before it knows of its admission.

Change: the check of elections asks the voter whether it may stand.

--- a/src/wasabigw_verify/log_check/faults.py
+++ b/src/wasabigw_verify/log_check/faults.py
@@ -139,7 +139,7 @@
     for node in world.running():
         state = world.state(node)
         left = state.election_at - world.time
-        may_stand = state.record.admitted and state.role is not VoterRole.LEADER
+        may_stand = state.own_vote_counts and state.role is not VoterRole.LEADER
         if may_stand and 0 < left <= TICK and postponement(world, node) > 0:
             yield PostponeElection(node)
 
--- a/src/wasabigw_verify/log_check/safety.py
+++ b/src/wasabigw_verify/log_check/safety.py
@@ -77,7 +77,7 @@
     """
     states: list[VoterState] | None = None
     for state in _voters(world):
-        if state.record.admitted and _first_lacking(world, state) is not None:
+        if _first_lacking(world, state) is not None:
             states = states or list(_voters(world))
             _check_is_not_electable(world, state, states)
 
@@ -147,6 +147,8 @@
     """Whether the code counts votes as a majority for a candidate."""
     state = copy_voter(candidate)
     commit_implied(state)
+    if not state.own_vote_counts:
+        return False
     state.role = VoterRole.CANDIDATE
     state.votes = {state.node}
     granted = VoteResponse(granted=True)
