Correct docstrings of the voters, views, soak and search

Cause: the module docstring of core/consensus/reconfiguration did not name the admission of replaced disks, view_file_age was described as a time of day, the parameters of LightClient.get stood before its description, and others were figurative.

Change: only docstrings and comments.

--- a/src/wasabigw/core/consensus/reconfiguration.py
+++ b/src/wasabigw/core/consensus/reconfiguration.py
@@ -1,9 +1,9 @@
 """Changes of the voters that the leader proposes.
 
-The leader admits standbys, which are control VMs that request admission and hold the
-log, and removes surplus voters. It makes one change at a time, and none before an entry
-of its own term is committed: otherwise majorities before and after a change might not
-overlap.
+The leader admits voters again whose disks were replaced, admits standbys, which are
+control VMs that request admission and hold the log, and removes surplus voters. It
+makes one change at a time, and none before an entry of its own term is committed:
+otherwise majorities before and after a change might not overlap.
 """
 
 from collections import Counter
@@ -20,7 +20,10 @@
 REPLACE_AFTER = Seconds(1.5)
 """Time without an answer after which a standby may replace a voter."""
 ANSWER_OVERDUE = Seconds(3 * HEARTBEAT_INTERVAL)
-"""Time without an answer after which a voter may be lost."""
+"""Time without an answer after which a voter may be lost.
+
+No voter that is up is removed then.
+"""
 STANDBY_TIMEOUT = Seconds(5.0)
 """Time without an admission request after which a standby gets no more entries."""
 CAUGHT_UP_ENTRIES = 64
--- a/src/wasabigw/core/consensus/voters.py
+++ b/src/wasabigw/core/consensus/voters.py
@@ -39,10 +39,9 @@
 
         A voter whose disk was replaced counts only once it knows that its admission is
         committed, because its earlier incarnation may have voted or acknowledged
-        something else. An added voter has no earlier incarnation and counts
-        while its admission is pending: a
-        leader that restarts before the admission is committed could otherwise never be
-        elected again while another voter is down.
+        something else. An added voter has no earlier incarnation and counts while its
+        admission is pending: a leader that restarts before the admission is committed
+        could otherwise never be elected again while another voter is down.
 
         :param admitted: whether the voter knows that its admission is committed.
         """
--- a/src/wasabigw/tasks/light_http.py
+++ b/src/wasabigw/tasks/light_http.py
@@ -261,11 +261,11 @@
     ) -> Result[bytes, str]:
         """Body of a response with status 200, or why there is none.
 
-        :param read_timeout: maximum time without any byte of the response.
-        :param response_timeout: maximum time until the response is complete.
-
         A failure closes the connection, because a middlebox may have lost its
         connection state.
+
+        :param read_timeout: maximum time without any byte of the response.
+        :param response_timeout: maximum time until the response is complete.
         """
         try:
             sock = self._connect(server, connect_timeout)
--- a/src/wasabigw/tasks/view_file.py
+++ b/src/wasabigw/tasks/view_file.py
@@ -71,7 +71,7 @@
 
 
 def view_file_age(folder: str) -> Seconds | None:
-    """Time of day since the view was stored; ``None`` if it is not known."""
+    """Time since the view was stored, by the wall clock; ``None`` if not known."""
     try:
         stored_at = os.stat(os.path.join(folder, VIEW_FILE_NAME)).st_mtime
     except OSError:
--- a/src/wasabigw_demo/_children.py
+++ b/src/wasabigw_demo/_children.py
@@ -30,7 +30,7 @@
     """Starts processes, and stops those still running when the context ends.
 
     :param environment: environment variables of all processes.
-    :param folder: folder in which processes are started; the present one if ``None``.
+    :param folder: working directory of all processes; that of this one if ``None``.
     """
 
     def __init__(
--- a/src/wasabigw_verify/log_check/explore.py
+++ b/src/wasabigw_verify/log_check/explore.py
@@ -70,7 +70,7 @@
 
     :param depth: largest number of steps to a state.
     :param is_complete: whether all states within the budget were explored.
-    :param longest: longest time without a leader although a majority was left alone.
+    :param longest: longest time without a leader although a majority had no faults.
     """
 
     states: int = 0
--- a/src/wasabigw_verify/log_check/progress.py
+++ b/src/wasabigw_verify/log_check/progress.py
@@ -1,9 +1,9 @@
-"""Progress: a connected majority that is left alone has a lasting leader in time.
+"""Progress: without further faults, a connected majority has a leader in time.
 
 Every explored state has one regular successor, so the states form chains without
 further faults. From each state on, the time to the last state of its chain that has no
-leader is limited, so that neither an election that never ends nor a leader that steps
-down again and again passes.
+leader is limited, so that neither an endless election nor a leader that repeatedly
+steps down passes.
 """
 
 from dataclasses import dataclass
@@ -21,7 +21,7 @@
 LEADER_WITHIN = Seconds(
     ELECTION_TIMEOUT_MIN + 2 * ELECTION_TIMEOUT_MAX + ADMISSION_RETRY_DELAY
 )
-"""Time within which a majority that is left alone has a lasting leader.
+"""Time within which a majority without further faults has a lasting leader.
 
 Votes for others are ignored for the shortest timeout after the last request of an
 earlier leader. A voter that can win then stands within the longest timeout; one more is
@@ -103,7 +103,7 @@
 
 
 def is_claimed(world: World) -> bool:
-    """Whether a majority of each membership in force is connected and left alone."""
+    """Whether a majority of each membership is connected and no fault is pending."""
     is_quiet = (
         world.script_position == world.script_length
         and not world.late
--- a/tests/test_log_check.py
+++ b/tests/test_log_check.py
@@ -149,7 +149,7 @@
 
 
 class Losses(unittest.TestCase):
-    """Guards against losses that no system bears, and against a search without any."""
+    """Guards against a search that loses more disks than are tolerated, or too few."""
 
     def test_as_many_disks_are_lost_as_voters_tolerate(self) -> None:
         world = initial_world(POWER_LOSS, POWER_LOSS.orders[0])
