--- a/src/wasabigw/core/consensus/state.py
+++ b/src/wasabigw/core/consensus/state.py
@@ -138,9 +138,8 @@
         An added voter may hold entries that were committed with its acknowledgement
         before it knows that its admission is committed.
         """
-        voters = self.latest_voters()
-        return self.record.admitted or voters.counts(
-            self.node, self.incarnation, self.record.admitted
+        return self.record.admitted or self.latest_voters().counts(
+            self.node, self.incarnation, admitted=False
         )
 
     def envelope(self, body: Body) -> Envelope:
