--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -19,6 +19,8 @@
     view_age,
 )
 
+NO_WAIT = Seconds(0.0)
+
 
 class DecisionKey(NamedTuple):
     """Labels by which decisions are counted.
@@ -41,12 +43,14 @@
     suppressed: int,
     control_traffic: int,
     now: Seconds,
+    receive_wait: Seconds = NO_WAIT,
 ) -> list[Family]:
     """Collect the metrics of a balancer.
 
     :param packets: number of packets by outcome.
     :param suppressed: log lines suppressed because of their budget.
     :param control_traffic: bytes of view polls and their responses since the start.
+    :param receive_wait: longest time that a packet may have waited to be read.
     """
     flows: Counter[tuple[ServiceId, FailureDomainId]] = Counter()
     boots: Counter[tuple[ServiceId, FailureDomainId, str]] = Counter()
@@ -114,6 +118,11 @@
             "Bytes of packets that wait for the link of this balancer",
             state.egress.size,
         ),
+        gauge(
+            "wasabigw_receive_wait_seconds",
+            "Time for which the receive buffer has not been empty",
+            receive_wait,
+        ),
         gauge("wasabigw_log_lines_left_out", "Lines beyond the budget", suppressed),
     ]
 
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -120,6 +120,8 @@
         self._was_fresh = False
         self._was_diverting = False
         self._was_queueing = False
+        self._was_backlogged = False
+        self._backlogged_since: Seconds | None = None
         self._decision_log = DecisionLog(self._state)
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
@@ -164,10 +166,13 @@
 
     def _receive_packets(self, _events: int) -> None:
         receive = self._socket.recvfrom
+        if self._backlogged_since is None:
+            self._backlogged_since = monotonic()
         for _ in range(PACKETS_PER_WAKE_UP):
             try:
                 datagram, _sender = receive(RECEIVE_BYTES)
             except BlockingIOError:
+                self._backlogged_since = None
                 return
             except OSError:
                 # Reports an ICMP error for a datagram that was sent earlier.
@@ -275,18 +280,21 @@
         self._decision_log.reset_budget()
         self._log_freshness_change(message.now)
         self._log_queue_change()
+        self._log_backlog_change(monotonic())
 
     def _respond_status(self, request: LightRequest) -> None:
         self._settings.respond_status(request, self._status())
 
     def _metric_families(self) -> list[Family]:
+        now = monotonic()
         return families_of(
             self._state,
             self._decision_log.decisions,
             self._counts,
             self._decision_log.suppressed,
             self._control_traffic,
-            monotonic(),
+            now,
+            self._receive_wait(now),
         )
 
     def _status(self) -> TagBalancerStatus:
@@ -370,6 +378,21 @@
             self._was_queueing = False
             log(BalancerEvent.LINK_IDLE, node=node)
 
+    def _receive_wait(self, now: Seconds) -> Seconds:
+        """Longest time that a packet may have waited in the receive buffer so far."""
+        since = self._backlogged_since
+        return Seconds(0.0 if since is None else now - since)
+
+    def _log_backlog_change(self, now: Seconds) -> None:
+        """Log when packets begin to wait long to be read, and when none waits."""
+        wait, node = self._receive_wait(now), self._state.node
+        if not self._was_backlogged and wait >= LONG_QUEUE_TIME:
+            self._was_backlogged = True
+            log(BalancerEvent.RECEIVE_BACKLOG, node=node, wait=round(wait, 3))
+        elif self._was_backlogged and wait < LONG_QUEUE_TIME:
+            self._was_backlogged = False
+            log(BalancerEvent.RECEIVE_CURRENT, node=node)
+
     def _log_freshness_change(self, now: Seconds) -> None:
         state = self._state
         fresh = state.is_fresh(now)
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -187,3 +187,16 @@
         "packets no longer wait for the link of balancer {node}",
         "None needed.",
     )
+    RECEIVE_BACKLOG = EventDefinition(
+        2027,
+        Severity.WARNING,
+        "balancer {node} is behind: its receive buffer has not been empty for {wait} s",
+        "Packets wait there or are lost, and callers send them again; add balancers to "
+        "the failure domain.",
+    )
+    RECEIVE_CURRENT = EventDefinition(
+        2028,
+        Severity.INFO,
+        "balancer {node} has caught up with its receive buffer",
+        "None needed.",
+    )
