balancer: reset flows as lost only after a check of the host

Cause: a balancer sees the packets of callers only, and took the first retransmissions of two callers, or the second of one, for the loss of a backend server. Packets that are late or lost at the balancer, acknowledgements that are lost on the way, and requests that wait for a slot look the same.

Retransmissions now only open the circuit breaker, which moves new flows, and request a check: three connection attempts to the host, and as many at the same moments to hosts that answered callers since. Flows are reset only if the host answered none and the others all of them. A host that is up resets flows of an ended backend server itself, so a refused connection counts as an answer. A result that comes late, as after a pause, is discarded. Packets that the balancer drops or can't send no longer count as unanswered.

--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -36,6 +36,7 @@
     UNSURE_OF_SERVERS = "unsure-of-servers"
     NO_VIEW = "no-view"
     LINK_FULL = "link-full"
+    OPENING_EXPIRED = "opening-expired"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -103,6 +103,7 @@
     :param size: bytes that all waiting packets take on the link.
     :param sparse: flows that had nothing waiting when their first packet came.
     :param backlogged: flows that have used up a turn.
+    :param evicted: packets that were dropped since :func:`take_evicted` was called.
     """
 
     rate: float | None = None
@@ -111,6 +112,7 @@
     size: int = 0
     sparse: OrderedDict[FlowId, _Backlog] = field(default_factory=OrderedDict)
     backlogged: OrderedDict[FlowId, _Backlog] = field(default_factory=OrderedDict)
+    evicted: list[Waiting] = field(default_factory=list)
 
     @property
     def is_empty(self) -> bool:
@@ -169,11 +171,18 @@
     while queue.size > 0 and queue.credit > 0:
         waiting = _pop_next(queue)
         if _has_expired(waiting, now):
+            queue.evicted.append(waiting)
             continue
         queue.credit -= waiting.size
         yield waiting
 
 
+def take_evicted(queue: EgressQueue) -> list[Waiting]:
+    """Remove and return the packets that were dropped to make room or as too old."""
+    evicted, queue.evicted = queue.evicted, []
+    return evicted
+
+
 def time_to_release(queue: EgressQueue, now: Seconds) -> Seconds | None:
     """Time until :func:`release` should be called; ``None`` if nothing waits."""
     if queue.size == 0 or queue.rate is None:
@@ -281,6 +290,7 @@
         _, dropped = longest.packets.popitem()
         longest.size -= dropped.size
         queue.size -= dropped.size
+        queue.evicted.append(dropped)
         if not longest.packets:
             queue.sparse.pop(longest.flow, None)
             queue.backlogged.pop(longest.flow, None)
--- /dev/null
+++ b/src/wasabigw/core/tags/flow_table.py
@@ -0,0 +1,41 @@
+"""Table of the flows that pass a balancer, with the load of each backend server."""
+
+from wasabigw.core.ids import Seconds
+from wasabigw.core.tags.openings import discard_opening
+from wasabigw.core.tags.packets import FlowId, FlowPacket
+from wasabigw.core.tags.state import Flow, FlowState, Server, TagState
+
+MAX_FLOWS = 100_000
+"""Maximum number of tracked flows; further flows are delivered untracked."""
+
+
+def add_flow(
+    packet: FlowPacket, server: Server, state: TagState, now: Seconds
+) -> Flow | None:
+    """Add the flow of a packet; ``None`` if the table is full."""
+    if len(state.flows) >= MAX_FLOWS:
+        return None
+    flow = state.flows[packet.flow] = Flow(server, now, now, packet.sequence)
+    server.open_flows += 1
+    return flow
+
+
+def remove_flow(flow: FlowId, state: TagState) -> None:
+    """Remove a flow, if it is known."""
+    known = state.flows.pop(flow, None)
+    if known is None:
+        return
+    if known.state is not FlowState.CLOSED:
+        known.server.open_flows -= 1
+    discard_opening(flow, state)
+
+
+def expire_flows(state: TagState, now: Seconds) -> None:
+    """Remove flows that have reached the idle timeout."""
+    ended = [
+        flow
+        for flow, known in state.flows.items()
+        if now - known.last_seen >= state.idle_timeout
+    ]
+    for flow in ended:
+        remove_flow(flow, state)
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -22,6 +22,7 @@
 from wasabigw.core.tags.caller_diversion import Diversion
 from wasabigw.core.tags.egress import EgressQueue
 from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
+from wasabigw.core.tags.host_checks import HostCheck
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.view_lease import NEVER
 
@@ -65,7 +66,6 @@
     :param acknowledged: latest acknowledgement of the caller.
     :param pending_sequence: sequence number of the data that waits for an answer.
     :param pending_since: when that data was first sent to the backend server.
-    :param retransmissions: how often that data was seen again.
     """
 
     server: Server
@@ -76,7 +76,6 @@
     acknowledged: int = 0
     pending_sequence: int | None = None
     pending_since: Seconds = NEVER
-    retransmissions: int = 0
 
 
 class Opening(NamedTuple):
@@ -115,6 +114,8 @@
     :param answer_times: times from data of callers to their next acknowledgement.
     :param diversion: whether callers are sent to other failure domains.
     :param egress: packets that wait for the link of this balancer.
+    :param host_checks: requested checks of hosts that have not begun; the packet task
+        removes them.
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
     """
@@ -135,6 +136,7 @@
     answer_times: dict[ServiceId, Durations] = field(default_factory=dict)
     diversion: Diversion = field(default_factory=Diversion)
     egress: EgressQueue = field(default_factory=EgressQueue)
+    host_checks: list[HostCheck] = field(default_factory=list)
     health_changes: list[HealthChange] = field(default_factory=list)
 
     @property
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -20,14 +20,13 @@
     Refuse,
 )
 from wasabigw.core.tags.egress import is_waiting
+from wasabigw.core.tags.flow_table import add_flow, remove_flow
 from wasabigw.core.tags.health import (
     FailureSignal,
-    is_failure_confirmed,
     is_unreachable,
     record_failure,
     record_probe,
     record_response,
-    record_retransmission,
 )
 from wasabigw.core.tags.openings import (
     discard_opening,
@@ -38,7 +37,6 @@
 from wasabigw.core.tags.packets import (
     MAX_UNACKNOWLEDGED_BYTES,
     NO_TAG,
-    FlowId,
     FlowPacket,
     sequence_distance,
 )
@@ -50,9 +48,14 @@
     Server,
     TagState,
 )
+from wasabigw.core.tags.unreachable_hosts import request_check
 
-MAX_FLOWS = 100_000
-"""Maximum number of tracked flows; further flows are delivered untracked."""
+SUSPECT_AFTER = Seconds(0.15)
+"""Minimum age of data at which its retransmission counts as a failure.
+
+Callers retransmit after 0.2 s. A balancer that was suspended receives the data and its
+retransmissions at the same moment, which is no evidence of a failure.
+"""
 MAX_COPY_AGE = Seconds(2.0)
 """Time after the first packet of a flow during which copies of its opening arrive.
 
@@ -98,7 +101,7 @@
                 state,
                 now,
             )
-        _remove_flow(packet, state)
+        remove_flow(packet.flow, state)
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
@@ -113,7 +116,7 @@
     caller_diversion.record_outcome(
         state.diversion, _counts_as_served(server, reason, pool, state)
     )
-    if _add_flow(packet, server, state, now) is not None:
+    if add_flow(packet, server, state, now) is not None:
         record_opening(flow, server, state, now)
     return Deliver(packet, server.registration, reason)
 
@@ -160,17 +163,17 @@
     if server is None:
         return Drop(DropReason.UNKNOWN_TAG)
     if server.registration.state is RegistrationState.ENDED:
-        _remove_flow(packet, state)
+        remove_flow(packet.flow, state)
         return Refuse(packet, RefusalReason.SERVER_ENDED)
     if packet.is_reset:
-        _remove_flow(packet, state)
+        remove_flow(packet.flow, state)
         return Deliver(packet, server.registration)
     if packet.is_closing:
         _close_flow(packet, server, state, now)
         return Deliver(packet, server.registration)
     flow = _record_use(packet, server, state, now)
     if flow is not None and _record_data(packet, flow, state, now):
-        _remove_flow(packet, state)
+        remove_flow(packet.flow, state)
         return Refuse(packet, RefusalReason.SERVER_LOST)
     return Deliver(packet, server.registration)
 
@@ -185,6 +188,8 @@
     silent_for = Seconds(now - server.breaker.last_response_at)
     if record_failure(server.breaker, sent_at, now):
         state.health_changes.append(HealthChange(server, failure, silent_for))
+    if server.breaker.failures > 0:
+        request_check(server, state, now)
 
 
 def _record_data(packet: FlowPacket, flow: Flow, state: TagState, now: Seconds) -> bool:
@@ -194,30 +199,25 @@
     if is_waiting(state.egress, packet):
         # The backend server has not been sent the first copy yet.
         return False
-    breaker = flow.server.breaker
     if flow.pending_sequence is None:
         _expect_answer(flow, packet.sequence, now)
     elif _shows_progress(packet, flow.pending_sequence):
         _record_response(flow.server, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
-        flow.retransmissions += 1
-        caller = packet.flow.caller
-        silent_for = Seconds(now - breaker.last_response_at)
-        if record_retransmission(
-            breaker, caller, flow.pending_since, flow.retransmissions, now
-        ):
-            change = HealthChange(
-                flow.server, FailureSignal.DATA_RETRANSMITTED, silent_for
-            )
-            state.health_changes.append(change)
-    return is_unreachable(breaker, flow.pending_since, now)
+        _record_retransmission(flow, state, now)
+    return is_unreachable(flow.server.breaker, now)
+
+
+def _record_retransmission(flow: Flow, state: TagState, now: Seconds) -> None:
+    if now - flow.pending_since >= SUSPECT_AFTER:
+        signal = FailureSignal.DATA_RETRANSMITTED
+        _record_unanswered(flow.server, flow.pending_since, signal, state, now)
 
 
 def _expect_answer(flow: Flow, sequence: int, now: Seconds) -> None:
     flow.pending_sequence = sequence
     flow.pending_since = now
-    flow.retransmissions = 0
 
 
 def _shows_progress(packet: FlowPacket, pending_sequence: int) -> bool:
@@ -247,35 +247,19 @@
         _expect_answer(flow, packet.sequence, now)
 
 
-def is_server_lost(decision: PacketDecision) -> bool:
-    """Whether a packet is refused because its backend server is unreachable."""
-    return isinstance(decision, Refuse) and decision.reason is RefusalReason.SERVER_LOST
-
-
-def refuse_open_flows(packet: FlowPacket, state: TagState) -> list[Refuse]:
-    """Refuse all open flows of the backend server that a refused packet was for.
+def record_loss(packet: FlowPacket, state: TagState) -> None:
+    """Record that a packet was not sent to its backend server after all.
 
-    A caller whose flow is reset in time opens a new one for its next request, which
-    would otherwise be lost with the flow. Nothing is refused until retransmissions of
-    several callers confirm the failure.
+    A caller that retransmits it shows nothing about the backend server.
     """
-    server = state.servers.get(packet.tag)
-    if server is None or not is_failure_confirmed(server.breaker):
-        return []
-    to_refuse = [
-        _packet_to_refuse(flow, known)
-        for flow, known in state.flows.items()
-        if known.server is server and known.state is FlowState.OPEN
-    ]
-    for refused in to_refuse:
-        _remove_flow(refused, state)
-    return [Refuse(refused, RefusalReason.SERVER_LOST) for refused in to_refuse]
-
-
-def _packet_to_refuse(flow: FlowId, known: Flow) -> FlowPacket:
-    """Packet of an open flow with the acknowledgement that its reset has to match."""
-    tag, acknowledged = known.server.registration.tag, known.acknowledged
-    return FlowPacket(flow, tag, False, False, False, 0, 0, acknowledged, 0)
+    flow = state.flows.get(packet.flow)
+    if flow is None:
+        return
+    if packet.is_opening:
+        if flow.state is FlowState.OPENING:
+            remove_flow(packet.flow, state)
+    elif packet.length and packet.sequence == flow.pending_sequence:
+        flow.pending_sequence = None
 
 
 def _record_use(
@@ -285,7 +269,7 @@
     if known is None:
         # Opened through another balancer: its acknowledgement may be an old one and
         # is no evidence that the backend server is alive now.
-        known = _add_flow(packet, server, state, now)
+        known = add_flow(packet, server, state, now)
         if known is not None:
             known.state = FlowState.OPEN
             known.acknowledged = packet.acknowledged
@@ -310,7 +294,7 @@
     """The flow of a packet, unless it is known at another backend server."""
     known = state.flows.get(packet.flow)
     if known is not None and known.server is not server:
-        _remove_flow(packet, state)
+        remove_flow(packet.flow, state)
         return None
     return known
 
@@ -319,7 +303,7 @@
     packet: FlowPacket, server: Server, state: TagState, now: Seconds
 ) -> None:
     """Keep a flow as closed, so that its last acknowledgement does not open it."""
-    known = _flow_at(server, packet, state) or _add_flow(packet, server, state, now)
+    known = _flow_at(server, packet, state) or add_flow(packet, server, state, now)
     if known is None:
         return
     discard_opening(packet.flow, state)
@@ -335,37 +319,3 @@
     silent_for = Seconds(now - server.breaker.last_response_at)
     if record_response(server.breaker, now):
         state.health_changes.append(HealthChange(server, None, silent_for))
-
-
-def _add_flow(
-    packet: FlowPacket, server: Server, state: TagState, now: Seconds
-) -> Flow | None:
-    if len(state.flows) >= MAX_FLOWS:
-        return None
-    flow = state.flows[packet.flow] = Flow(server, now, now, packet.sequence)
-    server.open_flows += 1
-    return flow
-
-
-def _remove_flow(packet: FlowPacket, state: TagState) -> None:
-    _discard_flow(packet.flow, state)
-
-
-def _discard_flow(flow: FlowId, state: TagState) -> None:
-    known = state.flows.pop(flow, None)
-    if known is None:
-        return
-    if known.state is not FlowState.CLOSED:
-        known.server.open_flows -= 1
-    discard_opening(flow, state)
-
-
-def expire_flows(state: TagState, now: Seconds) -> None:
-    """Remove flows that have reached the idle timeout."""
-    ended = [
-        flow
-        for flow, known in state.flows.items()
-        if now - known.last_seen >= state.idle_timeout
-    ]
-    for flow in ended:
-        _discard_flow(flow, state)
--- a/src/wasabigw/tasks/tag_messages.py
+++ b/src/wasabigw/tasks/tag_messages.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from wasabigw.core.ids import NodeId, Revision, Seconds
+from wasabigw.core.tags.host_checks import HostChecked
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick
 from wasabigw.tasks.view_follower import ViewReceived
@@ -47,4 +48,4 @@
     """The process will stop: report not ready, but go on delivering packets."""
 
 
-TagTaskMessage = ViewReceived | TagStatusRequest | BeginTagDrain | Tick
+TagTaskMessage = ViewReceived | HostChecked | TagStatusRequest | BeginTagDrain | Tick
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -21,23 +21,22 @@
     queue_time,
     release,
     submit,
+    take_evicted,
     time_to_release,
 )
+from wasabigw.core.tags.flow_table import expire_flows
+from wasabigw.core.tags.host_checks import HostChecked
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.steering import (
-    decide,
-    expire_flows,
-    is_server_lost,
-    record_release,
-    refuse_open_flows,
-)
+from wasabigw.core.tags.steering import decide, record_loss, record_release
+from wasabigw.core.tags.unreachable_hosts import record_check
 from wasabigw.core.tags.updates import apply_declaration, apply_view_update
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.selector_task import SelectorTask
 from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.decision_log import DecisionLog, rounded_or_none
+from wasabigw.tasks.host_checker import make_host_checker
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
@@ -130,6 +129,7 @@
         self._server = LightServer(
             settings.status_endpoint, self._selector, self._respond_status
         )
+        self._checker = make_host_checker(self.mailbox)
         self._metrics = LightMetrics(
             settings.metrics, self._selector, self._metric_families
         )
@@ -160,7 +160,7 @@
             port=port,
             buffer=self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF),
         )
-        for part in (self._socket, self._metrics, self._server):
+        for part in (self._socket, self._metrics, self._server, self._checker):
             self._resources.enter_context(part)
         return super().__enter__()
 
@@ -192,23 +192,35 @@
         self._decision_log.log_decision(packet, decision, now)
         if self._state.health_changes:
             self._decision_log.log_health_changes(now)
+        self._request_host_checks()
         _execute(decision, datagram, now, self)
-        if is_server_lost(decision):
-            for refusal in refuse_open_flows(packet, self._state):
-                self._decision_log.log_decision(refusal.packet, refusal, now)
-                _execute(refusal, datagram, now, self)
+
+    def _request_host_checks(self) -> None:
+        checks = self._state.host_checks
+        for check in checks:
+            self._checker.mailbox.post(check)
+        checks.clear()
 
     def deliver(self, packet: FlowPacket, datagram: Datagram, now: Seconds) -> None:
         """Send a packet to its backend server as soon as the link can take it."""
-        admission = submit(self._state.egress, packet, datagram, now)
+        egress = self._state.egress
+        admission = submit(egress, packet, datagram, now)
         if admission is Admission.SEND:
-            self._send_to_server(datagram)
+            self._send_to_server(packet, datagram)
         elif admission is Admission.REJECTED:
-            drop = Drop(DropReason.LINK_FULL)
-            self._decision_log.log_decision(packet, drop, now)
-            self.count(f"dropped-{drop.reason.value}")
+            self._drop_from_link(packet, DropReason.LINK_FULL, now)
         elif admission is Admission.REPLACED:
             self.count("replaced")
+        for evicted in take_evicted(egress):
+            self._drop_from_link(evicted.packet, DropReason.LINK_FULL, now)
+
+    def _drop_from_link(
+        self, packet: FlowPacket, reason: DropReason, now: Seconds
+    ) -> None:
+        record_loss(packet, self._state)
+        drop = Drop(reason)
+        self._decision_log.log_decision(packet, drop, now)
+        self.count(f"dropped-{drop.reason.value}")
 
     def _time_to_next(self) -> Seconds | None:
         if self._state.egress.is_empty:
@@ -221,19 +233,27 @@
         now = monotonic()
         for waiting in release(self._state.egress, now):
             record_release(waiting.packet, self._state, now)
-            self._send_to_server(waiting.datagram)
+            self._send_to_server(waiting.packet, waiting.datagram)
+        for expired in take_evicted(self._state.egress):
+            self._drop_from_link(expired.packet, DropReason.OPENING_EXPIRED, now)
+
+    def _send_to_server(self, packet: FlowPacket, datagram: Datagram) -> None:
+        if not self.send(datagram.data, datagram.address, "delivered"):
+            record_loss(packet, self._state)
 
-    def _send_to_server(self, datagram: Datagram) -> None:
-        self.send(datagram.data, datagram.address, "delivered")
+    def send(self, datagram: bytes, address: Address, outcome: str) -> bool:
+        """Send a datagram and count its outcome.
 
-    def send(self, datagram: bytes, address: Address, outcome: str) -> None:
-        """Send a datagram and count its outcome."""
+        :returns: whether it was sent.
+        """
         try:
             self._socket.sendto(datagram, address)
         except (OSError, OverflowError):
             # OverflowError is raised for a port out of range.
-            outcome = "send-failed"
+            self._counts["send-failed"] += 1
+            return False
         self._counts[outcome] += 1
+        return True
 
     def count(self, outcome: str) -> None:
         """Count the outcome of a packet for which nothing is sent."""
@@ -265,6 +285,13 @@
             )
         self._log_freshness_change(now)
 
+    @receive.register
+    def _(self, message: HostChecked) -> None:
+        now = monotonic()
+        for refusal in record_check(message, self._state, now):
+            self._decision_log.log_decision(refusal.packet, refusal, now)
+            _execute(refusal, b"", now, self)
+
     @receive.register
     def _(self, message: TagStatusRequest) -> None:
         message.reply.post(self._status())
--- a/src/wasabigw/telemetry/events_flow.py
+++ b/src/wasabigw/telemetry/events_flow.py
@@ -51,6 +51,14 @@
         "breaker closed, it gets new flows again; silent for {silent_for} s",
         "None needed.",
     )
+    HOST_CHECKED = EventDefinition(
+        5006,
+        Severity.INFO,
+        "host {endpoint} of the backend server with tag {tag} is {status}: connection "
+        "attempts for {seconds} s, at the same time to {references}",
+        "If unreachable, the open flows of the backend server are reset. Unknown: the "
+        "other hosts did not answer either, or the balancer was late; see WGW-2027.",
+    )
     LEFT_OUT = EventDefinition(
         5003,
         Severity.INFO,
--- /dev/null
+++ b/tests/test_host_checker.py
@@ -0,0 +1,88 @@
+"""Connection attempts of the host checker, with real sockets on loopback."""
+
+import socket
+import unittest
+from typing import Any
+
+from returns.result import Success
+
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import Seconds, Tag
+from wasabigw.core.tags.host_checks import HostCheck, HostChecked, HostStatus
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.host_checker import make_host_checker
+
+WAIT = Seconds(5.0)
+"""Longest wait for a result."""
+QUEUED_CONNECTIONS = 4
+"""More than a socket with the shortest queue of new connections accepts."""
+
+
+class HostCheckerCase(unittest.TestCase):
+    """A running host checker, and endpoints that behave like hosts."""
+
+    def setUp(self) -> None:
+        self.results: Mailbox[Any] = Mailbox("results")
+        self.checker = make_host_checker(self.results)
+        self.enterContext(self.checker)
+
+    def listen(self, backlog: int = 16) -> Endpoint:
+        """Endpoint at which connections are accepted."""
+        server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.addCleanup(server.close)
+        server.bind(("127.0.0.1", 0))
+        server.listen(backlog)
+        return Endpoint(*server.getsockname())
+
+    def closed(self) -> Endpoint:
+        """Endpoint of a host that is up, at which nothing listens."""
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as server:
+            server.bind(("127.0.0.1", 0))
+            return Endpoint(*server.getsockname())
+
+    def silent(self) -> Endpoint:
+        """Endpoint that drops attempts: its queue of new connections is full."""
+        endpoint = self.listen(backlog=0)
+        for _ in range(QUEUED_CONNECTIONS):
+            client = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self.addCleanup(client.close)
+            client.setblocking(False)
+            client.connect_ex((endpoint.address, endpoint.port))
+        return endpoint
+
+    def check(self, endpoint: Endpoint, *references: Endpoint) -> HostStatus:
+        self.checker.mailbox.post(HostCheck(Tag(7), endpoint, references))
+        outcome = self.results.get(WAIT)
+        assert isinstance(outcome, Success), "no result"
+        result = outcome.unwrap()
+        assert isinstance(result, HostChecked)
+        self.assertEqual(result.tag, 7)
+        return result.status
+
+
+class Statuses(HostCheckerCase):
+    """Guards against resets of flows whose host is up, or whose balancer is cut off."""
+
+    def test_a_host_that_accepts_is_reachable(self) -> None:
+        status = self.check(self.listen(), self.listen())
+        self.assertIs(status, HostStatus.REACHABLE)
+
+    def test_a_host_that_refuses_is_reachable(self) -> None:
+        status = self.check(self.closed(), self.listen())
+        self.assertIs(status, HostStatus.REACHABLE)
+
+    def test_a_host_without_any_answer_is_unreachable(self) -> None:
+        status = self.check(self.silent(), self.listen(), self.closed())
+        self.assertIs(status, HostStatus.UNREACHABLE)
+
+    def test_nothing_is_known_if_a_reference_is_silent_too(self) -> None:
+        status = self.check(self.silent(), self.listen(), self.silent())
+        self.assertIs(status, HostStatus.UNKNOWN)
+
+    def test_an_address_that_cannot_be_used_is_unknown(self) -> None:
+        status = self.check(Endpoint("255.255.255.255", 80), self.listen())
+        self.assertIs(status, HostStatus.UNKNOWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_reused_ports.py
+++ b/tests/test_reused_ports.py
@@ -22,8 +22,8 @@
 from wasabigw.core.ids import Seconds, ServiceId, Tag
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import Deliver
+from wasabigw.core.tags.flow_table import expire_flows
 from wasabigw.core.tags.packets import SEQUENCE_NUMBERS, FlowPacket
-from wasabigw.core.tags.steering import expire_flows
 from wasabigw.core.tags.updates import apply_declaration
 
 NEW_SEQUENCE = 3_000_000_000
--- a/tests/test_tag_steering.py
+++ b/tests/test_tag_steering.py
@@ -31,11 +31,12 @@
     RefusalReason,
     Refuse,
 )
+from wasabigw.core.tags.flow_table import expire_flows
 from wasabigw.core.tags.health import record_failure
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.selection import service_of
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.steering import decide, expire_flows
+from wasabigw.core.tags.steering import decide
 from wasabigw.core.tags.updates import apply_declaration, rebuild_pools
 
 SEATS = ServiceId("seats")
