balancer: never reset a flow because of a late copy of its opening

A retransmitted opening for which a balancer knows no listener or no backend server was answered with a reset. Routers may hand the copy to a balancer that has not seen the first one, while another balancer has opened the flow with it: the only backend server may be draining by then, or the view of one of the two balancers be a moment older. A copy is now dropped (may-be-open); a first opening is refused at once, as before.

--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -35,6 +35,7 @@
     UNSURE_OF_LISTENER = "unsure-of-listener"
     UNSURE_OF_SERVERS = "unsure-of-servers"
     NO_VIEW = "no-view"
+    MAY_BE_OPEN = "may-be-open"
     LINK_FULL = "link-full"
     OPENING_EXPIRED = "opening-expired"
 
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -80,9 +80,9 @@
     flow = packet.flow
     listener = state.listeners.get((flow.listener, flow.listener_port))
     if listener is None:
-        if state.is_fresh(now):
-            return Refuse(packet, RefusalReason.NO_LISTENER)
-        return Drop(DropReason.UNSURE_OF_LISTENER)
+        return _reject_opening(
+            packet, RefusalReason.NO_LISTENER, DropReason.UNSURE_OF_LISTENER, state, now
+        )
     service = service_of(listener, flow)
     pool = state.pools.get(service, ())
     avoided = tried_servers(flow.caller, state, now)
@@ -108,9 +108,9 @@
         )
     chosen = choose_server(service, state, now, avoided)
     if chosen is None:
-        if state.is_fresh(now):
-            return Refuse(packet, RefusalReason.NO_SERVER)
-        return Drop(DropReason.UNSURE_OF_SERVERS)
+        return _reject_opening(
+            packet, RefusalReason.NO_SERVER, DropReason.UNSURE_OF_SERVERS, state, now
+        )
     server, reason = chosen
     record_probe(server.breaker, now)
     caller_diversion.record_outcome(
@@ -121,6 +121,26 @@
     return Deliver(packet, server.registration, reason)
 
 
+def _reject_opening(
+    packet: FlowPacket,
+    reason: RefusalReason,
+    unsure: DropReason,
+    state: TagState,
+    now: Seconds,
+) -> PacketDecision:
+    """Refuse an opening if the flow can't be open; drop it otherwise.
+
+    :param unsure: why it is dropped if the view is not known to be current.
+    """
+    if not state.is_fresh(now):
+        return Drop(unsure)
+    if packet.repeat > 0:
+        # Another balancer may have delivered the first copy, and a reset would end the
+        # flow that it opened.
+        return Drop(DropReason.MAY_BE_OPEN)
+    return Refuse(packet, reason)
+
+
 def _is_copy_of_opening(packet: FlowPacket, known: Flow, now: Seconds) -> bool:
     """Whether an opening packet is a late copy of the opening of a known flow.
 
--- a/tests/test_live_servers.py
+++ b/tests/test_live_servers.py
@@ -9,7 +9,14 @@
 
 from tests.test_tag_steering import SteeringCase, boot, data, opening
 from wasabigw.core.ids import Seconds, Tag
-from wasabigw.core.tags.decisions import Deliver
+from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.decisions import (
+    Deliver,
+    Drop,
+    DropReason,
+    RefusalReason,
+    Refuse,
+)
 from wasabigw.core.tags.egress import (
     Admission,
     Datagram,
@@ -154,5 +161,27 @@
             self.submit(packet, now)
 
 
+class LateCopies(SteeringCase):
+    """Guards against the reset of a flow by a late copy of its opening.
+
+    Routers hand the copy to a balancer that has not seen the first one, which another
+    balancer delivered.
+    """
+
+    def test_a_copy_is_not_refused_if_the_only_server_is_draining(self) -> None:
+        self.register(boot(1, state=RegistrationState.DRAINING))
+        decision = self.decide(opening(repeat=1), now=1.0)
+        self.assertEqual(decision, Drop(DropReason.MAY_BE_OPEN))
+
+    def test_a_copy_is_not_refused_if_its_listener_is_not_known(self) -> None:
+        decision = self.decide(opening(repeat=1, listener_port=8443), now=1.0)
+        self.assertEqual(decision, Drop(DropReason.MAY_BE_OPEN))
+
+    def test_a_first_opening_is_refused_at_once(self) -> None:
+        decision = self.decide(opening(), now=1.0)
+        assert isinstance(decision, Refuse)
+        self.assertIs(decision.reason, RefusalReason.NO_SERVER)
+
+
 if __name__ == "__main__":
     unittest.main()
