An announcement no longer ends another boot

What callers saw: an open flow was reset although its backend server served (FLOW, reason server-ended), and that backend server got no new flows although its announcements were acknowledged.

Cause: a boot counted as ended once another one was announced under its id or at its endpoint with a later start. Starts are times of clocks that differ and step, and an announcement may arrive after its sender has crashed, so the order of two clocks and one late message decided that a live boot had ended, and balancers reset its flows everywhere. A boot that was ended in this way, or whose clock was behind that of a crashed boot, stayed out until the other registration was forgotten. Leases were kept by id, so announcements of one boot also renewed the lease of the other, or were hidden by its sequence number.

Change: an announcement decides only where new flows go. Of the boots at an endpoint or under an id, the one with the later start is in use while it announces itself; any other one is superseded, which balancers see as silent: it gets no new flows, and packets with its tag are delivered. A datagram names its receiver by id, so nobody else takes them; a backend server that has started again under its id resets unknown flows itself. When the preferred boot is silent, the other one is in use from its next announcement on, with the tag that it had. Each boot has a lease of its own, and after a shutdown only a later sequence number counts. Superseded boots are forgotten after the retention time and limited as before. Balancers have no reason server-ended any more; the state ENDED is only read, from logs and views of earlier versions.

What it costs: callers of a boot that crashed and was replaced under another id got a reset when the new one was announced; now they wait for the circuit breaker or their own time limit. Not measured here. Control VMs of both versions must not run side by side (docs/operations/upgrade.md).

--- a/src/wasabigw/core/cluster.py
+++ b/src/wasabigw/core/cluster.py
@@ -140,11 +140,13 @@
 class Registry:
     """Registered boots of backend servers that are addressed by tags.
 
-    :param current: latest boot of each backend server, unless it has ended.
-    :param ended: ended boots to which callers may still send packets.
-    :param owners: backend server whose current boot uses each endpoint.
+    :param current: boot of each backend server that was last in use. Of those at one
+        endpoint, all but one are silent.
+    :param ended: other boots under the ids of current ones, for packets that carry
+        their tags. They may still run.
+    :param owners: backend server whose boot was last in use at each endpoint.
     :param next_tag: tag of the next boot; tags are never reused.
-    :param forgotten_at: revision at which ended boots were last removed.
+    :param forgotten_at: revision at which boots were last removed.
     """
 
     current: dict[BackendServerId, Registration] = field(default_factory=dict)
--- a/src/wasabigw/core/commands.py
+++ b/src/wasabigw/core/commands.py
@@ -295,7 +295,7 @@
 
 @dataclass(frozen=True, slots=True)
 class BootsForgotten:
-    """No flow can refer to these ended or silent boots any more."""
+    """No flow can refer to these boots, which get no new ones, any more."""
 
     tags: tuple[Tag, ...]
 
--- a/src/wasabigw/core/delivery_view.py
+++ b/src/wasabigw/core/delivery_view.py
@@ -35,7 +35,7 @@
 class DeliveryView:
     """Part of the replicated state at one revision.
 
-    :param boots: registered boots by tag, including those that have ended.
+    :param boots: registered boots by tag, including superseded ones.
     :param document: configuration in force, declared at ``declared_at``.
     :param forgotten_at: revision at which boots were last removed.
     :param out_of_service: failure domains whose backend servers get no new flows.
--- a/src/wasabigw/core/registrar.py
+++ b/src/wasabigw/core/registrar.py
@@ -10,6 +10,15 @@
 from dataclasses import dataclass, field
 from functools import singledispatch
 
+from wasabigw.core.boot_leases import (
+    BootLeases,
+    announced_ago,
+    end_lease,
+    expired_boots,
+    renew_lease,
+    start_missing_leases,
+)
+from wasabigw.core.boot_preferences import PreferenceChange, changes_by
 from wasabigw.core.cluster import ClusterState, Registration, Registry
 from wasabigw.core.commands import (
     BootAnnounced,
@@ -17,9 +26,9 @@
     BootSilent,
     Report,
 )
-from wasabigw.core.ids import BackendServerId, Seconds, ServiceId, Tag
+from wasabigw.core.ids import NO_REVISION, Revision, Seconds, ServiceId, Tag
 from wasabigw.core.log_messages import BootAnnouncement, BootDeparture
-from wasabigw.core.registrations import endpoint_holder, is_same_boot
+from wasabigw.core.registrations import is_same_boot, preferred_boot
 from wasabigw.core.states import RegistrationState
 
 PROPOSAL_RETRY_DELAY = Seconds(0.5)
@@ -70,29 +79,24 @@
     cluster: ClusterState
 
 
-@dataclass(slots=True)
-class _LastAnnouncement:
-    started_at: int
-    sequence: int
-    at: Seconds
-
-
 @dataclass(slots=True)
 class RegistrarState:
     """Announcement leases during one leadership.
 
     :param lease: how long a boot counts as present after an announcement.
-    :param last_announcements: last announcement of each backend server.
+    :param leases: last announcement of each boot.
+    :param leases_revision: revision at which each registered boot had a lease.
     :param unused_since: when a boot was first seen to get no new flows, by tag.
     :param proposed_at: when a report was last proposed.
+    :param preference_changes: changes that the owner of the state has not logged yet.
     """
 
     lease: Seconds
-    last_announcements: dict[BackendServerId, _LastAnnouncement] = field(
-        default_factory=dict
-    )
+    leases: BootLeases = field(default_factory=dict)
+    leases_revision: Revision = NO_REVISION
     unused_since: dict[Tag, Seconds] = field(default_factory=dict)
     proposed_at: dict[Report, Seconds] = field(default_factory=dict)
+    preference_changes: list[PreferenceChange] = field(default_factory=list)
 
 
 @singledispatch
@@ -103,10 +107,9 @@
 
 @handle.register
 def _(event: LeadershipGained, state: RegistrarState) -> list[Report]:
-    state.last_announcements = {
-        boot.id: _LastAnnouncement(boot.started_at, 0, event.now)
-        for boot in event.cluster.registry.current.values()
-    }
+    state.leases.clear()
+    start_missing_leases(event.cluster.registry.current, state.leases, event.now)
+    state.leases_revision = event.cluster.revision
     state.unused_since.clear()
     state.proposed_at.clear()
     return []
@@ -117,17 +120,28 @@
     announcement = event.announcement
     if not is_admissible(announcement, event.cluster, event.declared):
         return []
-    if not _renew_lease(announcement, state, event.now):
-        return []
-    if is_reflected(announcement, event.cluster):
+    report = _announcement_report(announcement)
+    previous = announced_ago(report, state.leases, event.now)
+    if not renew_lease(announcement, state.leases, state.lease, event.now):
         return []
-    return _record_proposals([_announcement_report(announcement)], state, event.now)
+    registry = event.cluster.registry
+    due: list[Report] = []
+    if not is_reflected(announcement, event.cluster):
+        due = _record_proposals([report], state, event.now)
+    if due or preferred_boot(report, registry) is not None:
+        state.preference_changes += changes_by(
+            report, previous, registry, state.leases, event.now
+        )
+    return due
 
 
 @handle.register
 def _(event: BootDepartureReceived, state: RegistrarState) -> list[Report]:
     boot = event.cluster.registry.current.get(event.departure.id)
-    if boot is None or boot.silent:
+    if boot is None:
+        return []
+    end_lease(boot, state.leases)
+    if boot.silent:
         return []
     return _record_proposals([BootSilent(boot.id, boot.tag)], state, event.now)
 
@@ -135,8 +149,8 @@
 @handle.register
 def _(event: RegistrarTick, state: RegistrarState) -> list[Report]:
     registry = event.cluster.registry
-    _remove_expired(registry, state, event.now)
-    reports: list[Report] = list(_expired_leases(registry, state, event.now))
+    _remove_old_proposals(state, event.now)
+    reports: list[Report] = list(_expired_leases(event.cluster, state, event.now))
     forgotten = tuple(_removable_tags(registry, state, event.now))
     if forgotten:
         reports.append(BootsForgotten(forgotten))
@@ -160,9 +174,10 @@
     cluster: ClusterState,
     declared: Collection[ServiceId] | None,
 ) -> bool:
-    # A new boot ends the registered ones under its id and at its endpoint, so an entry
-    # that names no declared service could end a live backend server. A registered boot
-    # keeps its open flows when a later configuration no longer declares its service.
+    # A new boot takes the new flows of the registered ones under its id and at its
+    # endpoint, so an entry that names no declared service could keep a live backend
+    # server out of use. A registered boot keeps its open flows when a later
+    # configuration no longer declares its service.
     if declared is None or call.service in declared:
         return True
     known = cluster.registry.current.get(call.id)
@@ -180,7 +195,8 @@
 def is_reflected(call: object, cluster: ClusterState) -> bool:
     """Whether a copy of the replicated state reflects a call of a backend server.
 
-    A call that a later one or a later boot has superseded counts as reflected.
+    A call that a later one has superseded counts as reflected, and so does the
+    announcement of a boot while another one is preferred.
     """
     raise TypeError(f"not a call of a backend server: {call!r}")
 
@@ -189,11 +205,11 @@
 def _(call: BootAnnouncement, cluster: ClusterState) -> bool:
     registry = cluster.registry
     report = _announcement_report(call)
-    known = registry.current.get(call.id)
-    if known is not None and known.started_at > call.started_at:
+    if preferred_boot(report, registry) is not None:
         return True
+    known = registry.current.get(call.id)
     if known is None or not is_same_boot(known, report):
-        return _is_superseded(report, registry)
+        return False
     if call.draining and known.state is not RegistrationState.DRAINING:
         return False
     is_cold = call.cold_for > 0
@@ -206,30 +222,6 @@
     return boot is None or boot.silent
 
 
-def _is_superseded(report: BootAnnounced, registry: Registry) -> bool:
-    """Whether a late announcement is of a boot that a later one has replaced."""
-    holder = endpoint_holder(report, registry)
-    if holder is not None and holder.started_at > report.started_at:
-        return True
-    return any(
-        boot.id == report.id and boot.started_at >= report.started_at
-        for boot in registry.ended
-    )
-
-
-def _renew_lease(
-    announcement: BootAnnouncement, state: RegistrarState, now: Seconds
-) -> bool:
-    """Renew a lease; ``False`` if a later announcement has arrived before this one."""
-    last = state.last_announcements.get(announcement.id)
-    order = (announcement.started_at, announcement.sequence)
-    is_alive = last is not None and now - last.at < state.lease
-    if last and is_alive and (last.started_at, last.sequence) > order:
-        return False
-    state.last_announcements[announcement.id] = _LastAnnouncement(*order, now)
-    return True
-
-
 def _announcement_report(announcement: BootAnnouncement) -> BootAnnounced:
     return BootAnnounced(
         id=announcement.id,
@@ -244,18 +236,15 @@
 
 
 def _expired_leases(
-    registry: Registry, state: RegistrarState, now: Seconds
+    cluster: ClusterState, state: RegistrarState, now: Seconds
 ) -> Iterator[BootSilent]:
-    for boot in registry.current.values():
-        if boot.silent:
-            continue
-        last = state.last_announcements.get(boot.id)
-        if last is None:
-            # Registered by an entry of an earlier leader, applied after the takeover.
-            state.last_announcements[boot.id] = _LastAnnouncement(
-                boot.started_at, 0, now
-            )
-        elif now - last.at >= state.lease:
+    current = cluster.registry.current
+    if state.leases_revision != cluster.revision:
+        # Entries of an earlier leader may be applied after the takeover.
+        start_missing_leases(current, state.leases, now)
+        state.leases_revision = cluster.revision
+    for boot in expired_boots(current, state.leases, state.lease, now):
+        if not boot.silent:
             yield BootSilent(boot.id, boot.tag)
 
 
@@ -276,17 +265,12 @@
             yield boot
 
 
-def _remove_expired(registry: Registry, state: RegistrarState, now: Seconds) -> None:
+def _remove_old_proposals(state: RegistrarState, now: Seconds) -> None:
     state.proposed_at = {
         report: at
         for report, at in state.proposed_at.items()
         if now - at < PROPOSAL_RETRY_DELAY
     }
-    state.last_announcements = {
-        name: last
-        for name, last in state.last_announcements.items()
-        if name in registry.current or now - last.at < state.lease
-    }
 
 
 def _record_proposals(
--- a/src/wasabigw/core/registration.py
+++ b/src/wasabigw/core/registration.py
@@ -21,9 +21,10 @@
     """One boot of a backend server that is addressed by its tag.
 
     :param started_at: start of the boot in Unix milliseconds of its own clock; of two
-        boots with the same id or endpoint, the later one replaces the other.
-    :param silent: whether it no longer announces itself; its flows continue, but it
-        gets no new ones.
+        boots with the same id or endpoint that announce themselves, the later one gets
+        the new flows.
+    :param silent: whether it gets no new flows, because it no longer announces itself
+        or another boot is preferred; its flows continue.
     :param cold_for: how long after its last change it can take only few new flows.
     :param changed_at: revision of the last change.
     """
--- a/src/wasabigw/core/registrations.py
+++ b/src/wasabigw/core/registrations.py
@@ -1,8 +1,12 @@
 """Effects of reports on the registrations of backend servers addressed by tags.
 
 A tag identifies one boot of a backend server and is never reused, so a packet that
-carries it can't reach a later boot at the same address. Every report is idempotent,
-and a report about a boot that a later one has replaced changes nothing.
+carries it can't reach a later boot at the same address. Every report is idempotent.
+
+Of several boots under one id or at one endpoint, one is in use, and the others are
+superseded: they get no new flows, and packets that carry their tags are delivered.
+Announcements arrive late and clocks differ, so an announcement never proves that
+another boot has ended; it only decides where new flows go.
 """
 
 from dataclasses import replace
@@ -13,31 +17,35 @@
 from wasabigw.core.states import RegistrationState
 
 MAX_ENDED_BOOTS = 4_096
-"""Limit on the ended boots that are kept; the oldest are removed first."""
+"""Limit on the superseded boots that are kept; the oldest are removed first."""
 
 
 def register_boot(
     report: commands.BootAnnounced, registry: Registry, revision: Revision
 ) -> None:
-    """Register a boot, or update its registration."""
-    known = registry.current.get(report.id)
-    if known is not None and known.started_at > report.started_at:
-        return
-    if known is not None and is_same_boot(known, report):
-        _renew_boot(report, known, registry, revision)
+    """Put a boot in use or update its registration, unless another is preferred."""
+    if preferred_boot(report, registry) is not None:
         return
+    known = registry.current.get(report.id)
+    if known is not None and not is_same_boot(known, report):
+        _set_aside(known, registry, revision)
+        known = None
     holder = endpoint_holder(report, registry)
-    if holder is not None and holder.started_at > report.started_at:
-        return
-    for former in (known, holder):
-        if former is not None:
-            _end_boot(former, registry, revision)
-    _add_boot(report, registry, revision)
+    if holder is not None:
+        mark_boot_silent(holder.id, holder.tag, registry, revision)
+    registry.owners[endpoint_key(report.endpoint)] = report.id
+    known = known or _take_back(report, registry)
+    if known is None:
+        _add_boot(report, registry, revision)
+    else:
+        _renew_boot(report, known, registry, revision)
+    _limit_superseded(registry, revision)
 
 
 def is_same_boot(known: Registration, report: commands.BootAnnounced) -> bool:
-    """Whether a report is about the boot that is registered under its id."""
-    return (known.started_at, known.endpoint, known.service) == (
+    """Whether a report is about a registered boot."""
+    return (known.id, known.started_at, known.endpoint, known.service) == (
+        report.id,
         report.started_at,
         report.endpoint,
         report.service,
@@ -47,17 +55,51 @@
 def endpoint_holder(
     report: commands.BootAnnounced, registry: Registry
 ) -> Registration | None:
-    """Registered boot of another backend server at the endpoint of a report."""
+    """Boot of another backend server that was last in use at the endpoint."""
     owner = registry.owners.get(endpoint_key(report.endpoint))
     if owner is None or owner == report.id:
         return None
     return registry.current.get(owner)
 
 
+def competing_boots(
+    report: commands.BootAnnounced, registry: Registry
+) -> list[Registration]:
+    """Other boots that were last in use under the id and at the endpoint."""
+    known = registry.current.get(report.id)
+    if known is not None and is_same_boot(known, report):
+        known = None
+    holder = endpoint_holder(report, registry)
+    return [boot for boot in (known, holder) if boot is not None]
+
+
+def preferred_boot(
+    report: commands.BootAnnounced, registry: Registry
+) -> Registration | None:
+    """Boot that stays in use although the boot of the report announces itself.
+
+    It is one that started later, each by its own clock, and is not silent.
+    """
+    for boot in competing_boots(report, registry):
+        if not boot.silent and boot.started_at > report.started_at:
+            return boot
+    return None
+
+
+def registered_boot(
+    report: commands.BootAnnounced, registry: Registry
+) -> Registration | None:
+    """Registration of the boot of a report, whether or not it is in use."""
+    known = registry.current.get(report.id)
+    if known is not None and is_same_boot(known, report):
+        return known
+    return next((b for b in registry.ended if is_same_boot(b, report)), None)
+
+
 def mark_boot_silent(
     name: BackendServerId, tag: Tag, registry: Registry, revision: Revision
 ) -> None:
-    """Record that a boot no longer announces itself."""
+    """Record that a boot gets no new flows: it is silent, or superseded."""
     known = registry.current.get(name)
     if known is not None and known.tag == tag and not known.silent:
         registry.current[name] = replace(known, silent=True, changed_at=revision)
@@ -68,22 +110,49 @@
     forgotten = frozenset(tags)
     for boot in list(registry.current.values()):
         if boot.tag in forgotten and boot.silent:
-            _end_boot(boot, registry, revision)
+            _remove_current(boot, registry)
     registry.ended = [boot for boot in registry.ended if boot.tag not in forgotten]
     registry.forgotten_at = revision
 
 
-def _end_boot(boot: Registration, registry: Registry, revision: Revision) -> None:
-    """Record that a boot has ended; its tag is kept for packets that still carry it."""
+def _set_aside(boot: Registration, registry: Registry, revision: Revision) -> None:
+    """Keep a boot whose id another one uses now, for packets that carry its tag."""
+    _remove_current(boot, registry)
+    registry.ended.append(replace(boot, silent=True, changed_at=revision))
+
+
+def _take_back(
+    report: commands.BootAnnounced, registry: Registry
+) -> Registration | None:
+    """Move the boot of a report back from those that were set aside."""
+    boot = registered_boot(report, registry)
+    if boot is not None and boot in registry.ended:
+        registry.ended.remove(boot)
+        registry.current[boot.id] = boot
+    return boot
+
+
+def _remove_current(boot: Registration, registry: Registry) -> None:
     del registry.current[boot.id]
     key = endpoint_key(boot.endpoint)
     if registry.owners.get(key) == boot.id:
         del registry.owners[key]
-    ended = replace(boot, state=RegistrationState.ENDED, changed_at=revision)
-    registry.ended.append(ended)
-    if len(registry.ended) > MAX_ENDED_BOOTS:
-        del registry.ended[:-MAX_ENDED_BOOTS]
-        registry.forgotten_at = revision
+
+
+def _limit_superseded(registry: Registry, revision: Revision) -> None:
+    """Remove the superseded boots that were changed first, if there are too many."""
+    if len(registry.current) + len(registry.ended) <= MAX_ENDED_BOOTS:
+        return
+    superseded = registry.ended + [
+        boot
+        for boot in registry.current.values()
+        if registry.owners.get(endpoint_key(boot.endpoint)) != boot.id
+    ]
+    excess = len(superseded) - MAX_ENDED_BOOTS
+    if excess > 0:
+        superseded.sort(key=lambda boot: (boot.changed_at, boot.tag))
+        tags = tuple(boot.tag for boot in superseded[:excess])
+        remove_boots(tags, registry, revision)
 
 
 def _add_boot(
@@ -103,7 +172,6 @@
     )
     registry.next_tag += 1
     registry.current[boot.id] = boot
-    registry.owners[endpoint_key(boot.endpoint)] = boot.id
 
 
 def _renew_boot(
--- a/src/wasabigw/core/states.py
+++ b/src/wasabigw/core/states.py
@@ -34,7 +34,11 @@
 
 
 class RegistrationState(Enum):
-    """Life cycle of one boot of a backend server that is addressed by its tag."""
+    """Life cycle of one boot of a backend server that is addressed by its tag.
+
+    ``ENDED`` is only read: logs and views of earlier versions have it for boots that
+    another one has replaced.
+    """
 
     SERVING = "serving"
     DRAINING = "draining"
--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -12,7 +12,6 @@
 
     NO_LISTENER = "no-listener"
     NO_SERVER = "no-server"
-    SERVER_ENDED = "server-ended"
     SERVER_LOST = "server-lost"
 
 
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -8,7 +8,6 @@
 
 from wasabigw.core.durations import Durations, record_duration
 from wasabigw.core.ids import Seconds
-from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags import caller_diversion
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
@@ -162,9 +161,6 @@
     server = state.servers.get(packet.tag)
     if server is None:
         return Drop(DropReason.UNKNOWN_TAG)
-    if server.registration.state is RegistrationState.ENDED:
-        remove_flow(packet.flow, state)
-        return Refuse(packet, RefusalReason.SERVER_ENDED)
     if packet.is_reset:
         remove_flow(packet.flow, state)
         return Deliver(packet, server.registration)
--- a/src/wasabigw/tasks/registration_handler.py
+++ b/src/wasabigw/tasks/registration_handler.py
@@ -17,6 +17,7 @@
 )
 from wasabigw.core.registrar import RegistrarState
 from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.boot_preference_log import log_preference
 from wasabigw.tasks.declared_services import DeclaredServices
 from wasabigw.tasks.registration_sender import ForwardRegistrations
 from wasabigw.tasks.tag_codec import DocumentDecoder
@@ -40,6 +41,9 @@
 """How soon a call that is not settled is forwarded or proposed again."""
 LOGGED_REFUSALS_PER_SECOND = 5.0
 LOGGED_REFUSALS_BURST = 20.0
+LOGGED_PREFERENCES_PER_SECOND = 20.0
+LOGGED_PREFERENCES_BURST = 200.0
+"""A restart of all backend servers writes a line for each of them."""
 
 
 @dataclass(slots=True)
@@ -74,6 +78,9 @@
         self._logged_refusals = make_rate_limit(
             LOGGED_REFUSALS_PER_SECOND, LOGGED_REFUSALS_BURST
         )
+        self._logged_preferences = make_rate_limit(
+            LOGGED_PREFERENCES_PER_SECOND, LOGGED_PREFERENCES_BURST
+        )
         self._waiting: list[_WaitingCall] = []
         self._pending_refreshes: dict[str, BootAnnouncement] = {}
         self._next_refresh = Seconds(0.0)
@@ -200,8 +207,16 @@
                     notification, context.now, context.cluster
                 )
             reports.extend(registrar.handle(event, self._registrar))
+        self._log_preferences(context.now)
         self._propose_all(reports)
 
+    def _log_preferences(self, now: Seconds) -> None:
+        changes = self._registrar.preference_changes
+        for change in changes:
+            if take_token(self._logged_preferences, now):
+                log_preference(change)
+        changes.clear()
+
     def _propose_all(self, reports: list[Report]) -> None:
         if reports:
             self._propose(tuple(reports))
--- a/src/wasabigw/telemetry/events_control.py
+++ b/src/wasabigw/telemetry/events_control.py
@@ -94,6 +94,33 @@
         "None needed; after a restart the committed log is applied again, and the line "
         "tells when this voter knew which entries are committed.",
     )
+    BOOT_TAKEN_OVER = EventDefinition(
+        1014,
+        Severity.INFO,
+        "{server} (start {started_at}, announced before {announced_ago} s ago) gets "
+        "the new flows at {endpoint}; {other} (start {other_started_at}, announced "
+        "{other_announced_ago} s ago, tag {other_tag}) keeps its open ones",
+        "Expected after a restart. If the other one was announced shortly before, the "
+        "announcement may be a late one of a boot that has crashed; WGW-1015 tells.",
+    )
+    BOOT_NOT_PREFERRED = EventDefinition(
+        1015,
+        Severity.WARNING,
+        "{server} (start {started_at}, announced before {announced_ago} s ago) "
+        "announces itself at {endpoint} and gets no new flows: {other} (start "
+        "{other_started_at}, announced {other_announced_ago} s ago, tag {other_tag}) "
+        "is preferred",
+        "A late announcement, or a clock was ahead when the other one started. If the "
+        "other one is silent for a lease, WGW-1016 follows.",
+    )
+    BOOT_BACK_IN_USE = EventDefinition(
+        1016,
+        Severity.INFO,
+        "{server} (start {started_at}, announced before {announced_ago} s ago) gets "
+        "new flows at {endpoint} again; {other} (start {other_started_at}, announced "
+        "{other_announced_ago} s ago, tag {other_tag}) keeps its open ones",
+        "Find out which process announced the other one if it goes on changing.",
+    )
     LINK_FAILED = EventDefinition(
         1100,
         Severity.WARNING,
