balancer: the server at a reused address answers for a replaced boot

What callers saw: since a replaced boot is no longer taken as ended, callers of a boot that crashed, and whose address a boot with another id took, would wait until they give up. The new boot ignores datagrams that name another receiver, and the check of the host finds it up.

Change: while another boot is in use at the endpoint of a silent or superseded one, packets of the latter's open flows name no receiver (PROTOCOL.md: 0 addresses any backend server). The backend server that runs there decides, and only it can know: the flow's own one takes the packet, a successor resets unknown flows. Openings name their receiver as before, so a copy can't open a flow at a second one.

test_tag_steering.py (two tests) and test_platform_packets.py (one) check the receivers; there was none to check before.

--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -38,17 +38,27 @@
     OPENING_EXPIRED = "opening-expired"
 
 
+class Receiver(Enum):
+    """Which backend server at an endpoint may take a delivered packet."""
+
+    NAMED = "named"
+    ANY = "any"
+    """Whichever runs there: the flow's own one, or one that resets unknown flows."""
+
+
 @dataclass(frozen=True, slots=True)
 class Deliver:
     """Send the packet to a backend server, with the tag of that server.
 
     :param choice: why the backend server was chosen for an opening packet; ``None`` for
         any other packet.
+    :param receiver: which backend server at its endpoint may take the packet.
     """
 
     packet: FlowPacket
     server: Registration
     choice: ChoiceReason | None = None
+    receiver: Receiver = Receiver.NAMED
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -20,6 +20,7 @@
 )
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.caller_diversion import Diversion
+from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.egress import EgressQueue
 from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
 from wasabigw.core.tags.host_checks import HostCheck
@@ -37,6 +38,7 @@
     :param rank: breaks ties between equally loaded boots.
     :param cold_until: until when it gets no new flows while a warm one is available.
     :param open_flows: flows to it that pass this balancer and have not closed.
+    :param receiver: which backend server at its endpoint takes packets of open flows.
     """
 
     registration: Registration
@@ -44,6 +46,7 @@
     rank: int = 0
     open_flows: int = 0
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
+    receiver: Receiver = Receiver.NAMED
 
 
 class FlowState(Enum):
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -163,15 +163,20 @@
         return Drop(DropReason.UNKNOWN_TAG)
     if packet.is_reset:
         remove_flow(packet.flow, state)
-        return Deliver(packet, server.registration)
+        return _deliver(packet, server)
     if packet.is_closing:
         _close_flow(packet, server, state, now)
-        return Deliver(packet, server.registration)
+        return _deliver(packet, server)
     flow = _record_use(packet, server, state, now)
     if flow is not None and _record_data(packet, flow, state, now):
         remove_flow(packet.flow, state)
         return Refuse(packet, RefusalReason.SERVER_LOST)
-    return Deliver(packet, server.registration)
+    return _deliver(packet, server)
+
+
+def _deliver(packet: FlowPacket, server: Server) -> Deliver:
+    """Deliver a packet of an open flow."""
+    return Deliver(packet, server.registration, receiver=server.receiver)
 
 
 def _record_unanswered(
--- a/src/wasabigw/core/tags/updates.py
+++ b/src/wasabigw/core/tags/updates.py
@@ -1,10 +1,14 @@
 """Application of view updates and declarations to the state of a balancer."""
 
+from collections.abc import Set
+
 from wasabigw.core.declaration import Declaration
 from wasabigw.core.delivery_view import ViewUpdate, apply_update
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds, ServiceId, Tag
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.selection import rank_of
 from wasabigw.core.tags.state import Server, TagState, listeners_of
 
@@ -42,7 +46,9 @@
     """Rebuild the backend servers and the pools for new flows from the view."""
     state.servers = _servers(state, now)
     pools: dict[ServiceId, list[Server]] = {}
+    in_use = {b.endpoint for b in state.view.boots.values() if _is_in_use(b)}
     for server in state.servers.values():
+        server.receiver = _receiver(server.registration, in_use)
         if _accepts_new_flows(server.registration, state):
             pools.setdefault(server.registration.service, []).append(server)
     state.pools = pools
@@ -62,6 +68,21 @@
     return servers
 
 
+def _receiver(boot: Registration, in_use: Set[Endpoint]) -> Receiver:
+    """Which backend server takes packets of open flows of a boot.
+
+    If another boot is in use at the endpoint, only the one that runs there knows which
+    of them has ended. One that replaced the other ignores packets that name the other,
+    whose callers would wait until they give up, but resets unknown flows.
+    """
+    is_superseded = not _is_in_use(boot) and boot.endpoint in in_use
+    return Receiver.ANY if is_superseded else Receiver.NAMED
+
+
+def _is_in_use(boot: Registration) -> bool:
+    return not boot.silent and boot.state is not RegistrationState.ENDED
+
+
 def _accepts_new_flows(boot: Registration, state: TagState) -> bool:
     if boot.state is not RegistrationState.SERVING or boot.silent:
         return False
--- a/src/wasabigw/tasks/tag_codec.py
+++ b/src/wasabigw/tasks/tag_codec.py
@@ -6,6 +6,7 @@
 
 from wasabigw.core.declaration import Declaration
 from wasabigw.core.registration import DeclaredDocument, Registration
+from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.packets import FlowPacket
 
 Address = tuple[str, int]
@@ -22,7 +23,7 @@
         """
 
     def encode_delivery(
-        self, datagram: bytes, server: Registration
+        self, datagram: bytes, server: Registration, receiver: Receiver
     ) -> tuple[bytes, Address]:
         """Encode the delivery of a packet to a backend server, with its tag."""
 
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -439,7 +439,9 @@
 
 @_execute.register
 def _(decision: Deliver, datagram: bytes, now: Seconds, task: TagPacketTask) -> None:
-    out, address = task.codec.encode_delivery(datagram, decision.server)
+    out, address = task.codec.encode_delivery(
+        datagram, decision.server, decision.receiver
+    )
     task.deliver(decision.packet, Datagram(out, address), now)
 
 
--- a/src/wasabigw_measure/_bench_tags.py
+++ b/src/wasabigw_measure/_bench_tags.py
@@ -22,6 +22,7 @@
     Tag,
 )
 from wasabigw.core.registration import DeclaredDocument, Registration
+from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import monotonic
@@ -65,7 +66,7 @@
         )
 
     def encode_delivery(
-        self, datagram: bytes, server: Registration
+        self, datagram: bytes, server: Registration, receiver: Receiver
     ) -> tuple[bytes, Address]:
         """Encode a delivery: the datagram with the tag of the backend server."""
         return server.tag.to_bytes(4, "big") + datagram[4:], self._sink
--- a/tests/test_platform_packets.py
+++ b/tests/test_platform_packets.py
@@ -4,6 +4,7 @@
 
 from wasabigw.core.cluster import Endpoint, Registration
 from wasabigw.core.ids import BackendServerId, FailureDomainId, ServiceId, Tag
+from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw_platform.packets import PlatformPackets, receiver_number
 
@@ -83,13 +84,21 @@
 
     def test_a_delivery_prepends_the_receiver_and_changes_only_the_tag(self) -> None:
         sent = packet(32, 7, 900, b"GET")
-        datagram, address = self.codec.encode_delivery(sent, SERVER)
+        datagram, address = self.codec.encode_delivery(sent, SERVER, Receiver.NAMED)
         self.assertEqual(address, ("10.128.0.9", 8080))
         self.assertEqual(datagram[:8], bytes.fromhex("000000007f3a91c2"))
         self.assertEqual(datagram[8:14], sent[:6])
         self.assertEqual(datagram[14:18], bytes.fromhex("01020304"))
         self.assertEqual(datagram[18:], sent[10:])
 
+    # A backend server ignores a packet that names the one that ran at its address.
+    def test_a_delivery_to_any_receiver_names_none(self) -> None:
+        sent = packet(32, 7, 900, b"GET")
+        named, _ = self.codec.encode_delivery(sent, SERVER, Receiver.NAMED)
+        datagram, address = self.codec.encode_delivery(sent, SERVER, Receiver.ANY)
+        self.assertEqual(address, ("10.128.0.9", 8080))
+        self.assertEqual(datagram, bytes(8) + named[8:])
+
     def test_a_reset_equals_the_example_of_the_platform(self) -> None:
         datagram, address = self.codec.encode_reset(self.parsed(OPENING))
         expected = (
--- a/tests/test_tag_steering.py
+++ b/tests/test_tag_steering.py
@@ -28,6 +28,7 @@
     Deliver,
     Drop,
     DropReason,
+    Receiver,
     RefusalReason,
     Refuse,
 )
@@ -165,6 +166,41 @@
             found = {self.tag_of(opening(p)) for p in range(100, 120)}
             self.assertEqual(found, {2})
 
+    def receiver_of(self, packet: FlowPacket) -> Receiver:
+        decision = self.decide(packet)
+        assert isinstance(decision, Deliver), decision
+        return decision.receiver
+
+    def test_whoever_runs_at_the_endpoint_answers_for_a_replaced_boot(self) -> None:
+        # Guards against callers of a crashed boot that wait until they give up: the
+        # boot that replaced it ignores packets that name another one.
+        here = boot(2).endpoint
+        for replaced in (
+            boot(1, state=RegistrationState.ENDED),
+            boot(1, silent=True),
+        ):
+            self.register(replace(replaced, endpoint=here), boot(2))
+            kinds = {"data": data(1), "end": data(1, closing=True)}
+            for kind, packet in kinds.items():
+                with self.subTest(kind, state=replaced.state):
+                    self.assertIs(self.receiver_of(packet), Receiver.ANY)
+            self.assertIs(self.receiver_of(data(2)), Receiver.NAMED)
+
+    def test_only_the_own_boot_answers_where_no_other_one_is_in_use(self) -> None:
+        # Guards against packets that a boot of another service takes, and against an
+        # opening that reaches two boots.
+        here, away = boot(2).endpoint, Endpoint("10.0.0.99", 80)
+        self.register(replace(boot(1, silent=True), endpoint=away), boot(2))
+        self.assertIs(self.receiver_of(data(1)), Receiver.NAMED)
+        silent = boot(2, silent=True)
+        self.register(replace(boot(1, silent=True), endpoint=here), silent)
+        self.assertIs(self.receiver_of(data(1)), Receiver.NAMED)
+        self.register(boot(1))
+        self.decide(opening(7))
+        self.decide(data(1, 7))
+        self.register(replace(boot(1, silent=True), endpoint=here), boot(2))
+        self.assertIs(self.receiver_of(opening(7, repeat=1)), Receiver.NAMED)
+
     def test_nothing_is_decided_before_the_first_view(self) -> None:
         self.register(boot(1))
         self.state.view = DeliveryView()
