--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -8,7 +8,6 @@
 
 from wasabigw.core.durations import Durations, record_duration
 from wasabigw.core.ids import Seconds
-from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags import caller_diversion
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
@@ -182,20 +181,22 @@
     server = state.servers.get(packet.tag)
     if server is None:
         return Drop(DropReason.UNKNOWN_TAG)
-    if server.registration.state is RegistrationState.ENDED:
-        remove_flow(packet.flow, state)
-        return Refuse(packet, RefusalReason.SERVER_ENDED)
     if packet.is_reset:
         remove_flow(packet.flow, state)
-        return Deliver(packet, server.registration)
+        return _deliver(packet, server)
     if packet.is_closing:
         _close_flow(packet, server, state, now)
-        return Deliver(packet, server.registration)
+        return _deliver(packet, server)
     flow = _record_use(packet, server, state, now)
     if flow is not None and _record_data(packet, flow, state, now):
         remove_flow(packet.flow, state)
         return Refuse(packet, RefusalReason.SERVER_LOST)
-    return Deliver(packet, server.registration)
+    return _deliver(packet, server)
+
+
+def _deliver(packet: FlowPacket, server: Server) -> Deliver:
+    """Deliver a packet of an open flow."""
+    return Deliver(packet, server.registration, receiver=server.receiver)
 
 
 def _record_unanswered(
