balancer: fair and limited checks of hosts

A refused connection counts only beside boots of the same service, and not for one that drains: others may accept connections where these do not, and its flows would be reset although it lives. The attempt to the checked host is made before those to the others, because a full link loses the end of a burst. The result is due 0.15 s after the last attempt, also if that was made late. At most eight checks run at a time, counted where they are requested, so that a balancer that is behind does not look for references for each of its backend servers. The tests of the first and the last failed before: a check had no such field, and 13 checks were requested.

--- a/src/wasabigw/core/tags/host_checks.py
+++ b/src/wasabigw/core/tags/host_checks.py
@@ -14,8 +14,9 @@
 
 - A host that does not respond is unreachable if all reference hosts respond.
 - A host that refuses has no backend server any more, or something on the way rejects
-  connections. It counts as unreachable only if all reference hosts accept, because
-  backend servers need not accept connections.
+  connections. It counts as unreachable only if all reference hosts accept and belong
+  to the same service, because backend servers need not accept connections, and not if
+  its backend server is draining, as that may have stopped accepting them.
 """
 
 from collections.abc import Iterable, Sequence
@@ -28,7 +29,9 @@
 ATTEMPTS = 6
 """Connection attempts to each host of a check; packets may be lost."""
 ATTEMPT_INTERVAL = Seconds(0.05)
-CHECK_DURATION = Seconds(0.4)
+RESPONSE_TIME = Seconds(0.15)
+"""Time from the last attempt to the result, for a round trip between regions."""
+CHECK_DURATION = Seconds((ATTEMPTS - 1) * ATTEMPT_INTERVAL + RESPONSE_TIME)
 """Time from the first attempt to the result; callers retransmit twice within it."""
 MAX_LATENESS = Seconds(0.1)
 """Delay of a result beyond which it is discarded: the balancer may have been paused."""
@@ -59,12 +62,15 @@
 class HostCheck:
     """Request to check a host.
 
-    :param references: endpoints on other hosts that are expected to answer.
+    :param references: endpoints on other hosts that are expected to respond.
+    :param refusal_counts: whether the backend server would accept connections if the
+        references do.
     """
 
     tag: Tag
     endpoint: Endpoint
     references: tuple[Endpoint, ...]
+    refusal_counts: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,10 +86,14 @@
 
 
 def status_of(
-    attempts: Sequence[Attempt], references: Iterable[Attempt], lateness: Seconds
+    attempts: Sequence[Attempt],
+    references: Iterable[Attempt],
+    refusal_counts: bool,
+    lateness: Seconds,
 ) -> HostStatus:
     """Status of a host after all attempts of a check.
 
+    :param refusal_counts: that of the check.
     :param lateness: time from the end of the check to its evaluation.
     """
     if Attempt.ACCEPTED in attempts:
@@ -91,6 +101,8 @@
     if lateness > MAX_LATENESS or Attempt.FAILED in attempts:
         return HostStatus.UNKNOWN
     is_refused = Attempt.REFUSED in attempts
+    if is_refused and not refusal_counts:
+        return HostStatus.UNKNOWN
     expected = frozenset((Attempt.ACCEPTED,)) if is_refused else _RESPONSES
     if all(reference in expected for reference in references):
         return HostStatus.UNREACHABLE
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -119,6 +119,7 @@
     :param egress: packets that wait for the link of this balancer.
     :param host_checks: requested checks of hosts that have not begun; the packet task
         removes them.
+    :param running_checks: tags of the boots whose hosts are being checked.
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
     """
@@ -140,6 +141,7 @@
     diversion: Diversion = field(default_factory=Diversion)
     egress: EgressQueue = field(default_factory=EgressQueue)
     host_checks: list[HostCheck] = field(default_factory=list)
+    running_checks: set[Tag] = field(default_factory=set)
     health_changes: list[HealthChange] = field(default_factory=list)
 
     @property
--- a/src/wasabigw/core/tags/unreachable_hosts.py
+++ b/src/wasabigw/core/tags/unreachable_hosts.py
@@ -1,7 +1,10 @@
 """Open flows of backend servers whose hosts were found unreachable."""
 
-from wasabigw.core.endpoint import Endpoint
+from heapq import nlargest
+
 from wasabigw.core.ids import Seconds
+from wasabigw.core.registration import Registration
+from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import RefusalReason, Refuse
 from wasabigw.core.tags.flow_table import remove_flow
 from wasabigw.core.tags.host_checks import HostCheck, HostChecked, HostStatus
@@ -10,6 +13,11 @@
 
 CHECK_INTERVAL = Seconds(1.0)
 """Minimum time between two checks of the same host."""
+MAX_RUNNING_CHECKS = 8
+"""Maximum number of checks at a time; the next retransmission requests others again.
+
+A balancer that is behind doubts all backend servers at once.
+"""
 REFERENCE_HOSTS = 2
 """Maximum number of hosts that are asked at the same time as a doubted one."""
 
@@ -20,14 +28,28 @@
     There is no check without a host that has answered since, because it could not tell
     a fault of that host from one of the balancer.
     """
+    boot = server.registration
     if now - server.breaker.checked_at < CHECK_INTERVAL:
         return
+    if boot.tag in state.running_checks:
+        return
+    if len(state.running_checks) >= MAX_RUNNING_CHECKS:
+        return
     references = _references(server, state)
     if not references:
         return
     server.breaker.checked_at = now
-    boot = server.registration
-    state.host_checks.append(HostCheck(boot.tag, boot.endpoint, references))
+    state.running_checks.add(boot.tag)
+    same_service = all(r.service == boot.service for r in references)
+    is_draining = boot.state is RegistrationState.DRAINING
+    state.host_checks.append(
+        HostCheck(
+            boot.tag,
+            boot.endpoint,
+            tuple(reference.endpoint for reference in references),
+            refusal_counts=same_service and not is_draining,
+        )
+    )
 
 
 def record_check(result: HostChecked, state: TagState, now: Seconds) -> list[Refuse]:
@@ -38,6 +60,7 @@
 
     :returns: refusals of the open flows, if the host is unreachable.
     """
+    state.running_checks.discard(result.tag)
     server = state.servers.get(result.tag)
     if server is None or result.status is not HostStatus.UNREACHABLE:
         return []
@@ -65,19 +88,26 @@
     return FlowPacket(flow, tag, False, False, False, 0, 0, acknowledged, 0)
 
 
-def _references(server: Server, state: TagState) -> tuple[Endpoint, ...]:
-    """Endpoints on other hosts that have answered since this one, the latest first."""
-    doubted = server.registration.endpoint.address
-    since = server.breaker.last_response_at
-    answering = [
-        other
-        for other in state.servers.values()
-        if other.breaker.failures == 0 and other.breaker.last_response_at > since
-    ]
-    answering.sort(key=lambda other: other.breaker.last_response_at, reverse=True)
-    by_host: dict[str, Endpoint] = {}
-    for other in answering:
-        endpoint = other.registration.endpoint
-        if endpoint.address != doubted:
-            by_host.setdefault(endpoint.address, endpoint)
-    return tuple(by_host.values())[:REFERENCE_HOSTS]
+def _references(server: Server, state: TagState) -> list[Registration]:
+    """Boots on other hosts that have answered since this one.
+
+    Those of its own service come first, then those that answered last.
+    """
+    doubted = server.registration
+
+    def rank(other: Server) -> tuple[bool, Seconds]:
+        same_service = other.registration.service == doubted.service
+        return same_service, other.breaker.last_response_at
+
+    by_host: dict[str, Server] = {}
+    for other in state.servers.values():
+        breaker, address = other.breaker, other.registration.endpoint.address
+        has_answered = breaker.last_response_at > server.breaker.last_response_at
+        if breaker.failures > 0 or not has_answered:
+            continue
+        known = by_host.setdefault(address, other)
+        if rank(other) > rank(known):
+            by_host[address] = other
+    by_host.pop(doubted.endpoint.address, None)
+    best = nlargest(REFERENCE_HOSTS, by_host.values(), key=rank)
+    return [reference.registration for reference in best]
--- a/src/wasabigw/tasks/host_checker.py
+++ b/src/wasabigw/tasks/host_checker.py
@@ -12,7 +12,7 @@
 from wasabigw.core.tags.host_checks import (
     ATTEMPT_INTERVAL,
     ATTEMPTS,
-    CHECK_DURATION,
+    RESPONSE_TIME,
     Attempt,
     HostCheck,
     HostChecked,
@@ -26,8 +26,6 @@
 from wasabigw.telemetry.events_flow import FlowEvent
 from wasabigw.telemetry.log_events import log
 
-MAX_RUNNING_CHECKS = 8
-"""Maximum number of checks at a time; others are skipped until callers retransmit."""
 _RESULTS = {
     0: Attempt.ACCEPTED,
     errno.ECONNREFUSED: Attempt.REFUSED,
@@ -73,33 +71,34 @@
     def __init__(self, check: HostCheck, now: Seconds) -> None:
         self.check = check
         self.started_at = now
+        self.next_at = now
         self.connections: list[_Connection] = []
         self.references: list[_Connection] = []
 
-    @property
-    def next_at(self) -> Seconds:
-        """When the next attempts, or the result, are due."""
-        made = len(self.connections)
-        delay = made * ATTEMPT_INTERVAL if made < ATTEMPTS else CHECK_DURATION
-        return Seconds(self.started_at + delay)
-
     @property
     def is_reachable(self) -> bool:
         """Whether the host has accepted a connection."""
         return any(c.attempt is Attempt.ACCEPTED for c in self.connections)
 
-    def connect(self, selector: selectors.BaseSelector) -> None:
-        """Make one attempt to each host."""
+    def connect(self, selector: selectors.BaseSelector, now: Seconds) -> None:
+        """Make one attempt to each host.
+
+        The checked host comes first: a link that is full loses the last packets of a
+        burst, and losses must not be more likely for the checked host.
+        """
+        self.connections.append(_Connection(self.check.endpoint, selector))
         for target in self.check.references:
             self.references.append(_Connection(target, selector))
-        self.connections.append(_Connection(self.check.endpoint, selector))
+        is_last = len(self.connections) == ATTEMPTS
+        self.next_at = Seconds(now + (RESPONSE_TIME if is_last else ATTEMPT_INTERVAL))
 
     def status(self, now: Seconds) -> HostStatus:
         """Result of the check."""
         return status_of(
             [connection.attempt for connection in self.connections],
             [connection.attempt for connection in self.references],
-            Seconds(now - self.started_at - CHECK_DURATION),
+            self.check.refusal_counts,
+            Seconds(now - self.next_at),
         )
 
     def close(self) -> None:
@@ -131,8 +130,7 @@
 
     @receive.register
     def _(self, message: HostCheck) -> None:
-        if len(self._running) < MAX_RUNNING_CHECKS:
-            self._running.append(_RunningCheck(message, monotonic()))
+        self._running.append(_RunningCheck(message, monotonic()))
 
     def _time_to_next(self) -> Seconds | None:
         if not self._running:
@@ -150,7 +148,7 @@
 
     def _continue(self, running: _RunningCheck, now: Seconds) -> None:
         if len(running.connections) < ATTEMPTS:
-            running.connect(self._selector)
+            running.connect(self._selector, now)
         else:
             self._finish(running, now)
 
--- a/tests/test_host_checker.py
+++ b/tests/test_host_checker.py
@@ -51,7 +51,9 @@
         return endpoint
 
     def check(self, endpoint: Endpoint, *references: Endpoint) -> HostStatus:
-        self.checker.mailbox.post(HostCheck(Tag(7), endpoint, references))
+        self.checker.mailbox.post(
+            HostCheck(Tag(7), endpoint, references, refusal_counts=True)
+        )
         outcome = self.results.get(WAIT)
         assert isinstance(outcome, Success), "no result"
         result = outcome.unwrap()
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -4,10 +4,11 @@
 from dataclasses import replace
 
 from tests.test_live_servers import from_caller, request
-from tests.test_tag_steering import SteeringCase, boot, data, opening
+from tests.test_tag_steering import DOCUMENTS, SteeringCase, boot, data, opening
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds, Tag
 from wasabigw.core.registration import Registration
+from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import Deliver, RefusalReason, Refuse
 from wasabigw.core.tags.host_checks import (
     ATTEMPTS,
@@ -19,7 +20,11 @@
     HostStatus,
     status_of,
 )
-from wasabigw.core.tags.unreachable_hosts import CHECK_INTERVAL, record_check
+from wasabigw.core.tags.unreachable_hosts import (
+    CHECK_INTERVAL,
+    MAX_RUNNING_CHECKS,
+    record_check,
+)
 
 PENDING = [Attempt.PENDING] * ATTEMPTS
 ACCEPTED = [Attempt.ACCEPTED] * ATTEMPTS
@@ -198,9 +203,29 @@
         self.send(1, now=1.2)
         endpoints = (Endpoint("10.0.0.2", 8000), Endpoint("10.0.0.3", 8000))
         [check] = self.take_checks()
-        self.assertEqual(
-            check, HostCheck(Tag(1), Endpoint("10.0.0.1", 8000), endpoints)
-        )
+        expected = HostCheck(Tag(1), Endpoint("10.0.0.1", 8000), endpoints, True)
+        self.assertEqual(check, expected)
+
+    def test_backend_servers_of_the_same_service_are_the_first_references(self) -> None:
+        others = [replace(on_host(n), service=DOCUMENTS) for n in (4, 5)]
+        self.register(*(on_host(number) for number in (1, 2, 3)), *others)
+        self.answer(2, now=1.1)
+        self.answer(4, now=1.15)
+        self.answer(5, now=1.16)
+        self.send(1, now=1.2)
+        [check] = self.take_checks()
+        addresses = [endpoint.address for endpoint in check.references]
+        self.assertEqual(addresses, ["10.0.0.2", "10.0.0.5"])
+        # One of another service may accept connections where this one does not.
+        self.assertFalse(check.refusal_counts)
+
+    def test_a_draining_backend_server_may_refuse_connections(self) -> None:
+        draining = replace(on_host(1), state=RegistrationState.DRAINING)
+        self.register(draining, *(on_host(number) for number in (2, 3)))
+        self.answer(2, now=1.15)
+        self.send(1, now=1.2)
+        [check] = self.take_checks()
+        self.assertFalse(check.refusal_counts)
 
     def test_no_check_without_a_host_that_has_answered_since(self) -> None:
         # Packets of all callers may be late or lost at the balancer itself.
@@ -219,9 +244,29 @@
         for now in (1.2, 1.3, 1.6, 1.2 + CHECK_INTERVAL - 0.01):
             self.send(1, now=now)
         self.assertEqual(len(self.take_checks()), 1)
+        self.finish_check(now=1.6, status=HostStatus.UNKNOWN)
         self.send(1, now=1.2 + CHECK_INTERVAL + 0.01)
         self.assertEqual(len(self.take_checks()), 1)
 
+    def test_no_second_check_while_one_is_running(self) -> None:
+        self.answer(2, now=1.15)
+        self.send(1, now=1.2)
+        self.send(1, now=1.2 + CHECK_INTERVAL + 0.01)
+        self.assertEqual(len(self.take_checks()), 1)
+
+    def test_the_number_of_checks_at_a_time_is_limited(self) -> None:
+        # A balancer that is behind doubts all of its backend servers.
+        count = MAX_RUNNING_CHECKS + 5
+        self.register(*(on_host(number) for number in range(1, count + 2)))
+        for tag in range(2, count + 1):
+            self.answer(tag, now=1.01)
+        self.answer(count + 1, now=1.15)
+        for tag in range(1, count + 1):
+            for now in (1.1, 1.4):
+                packet = request(1000 + tag, tag=tag)
+                self.decide(packet, now)
+        self.assertEqual(len(self.take_checks()), MAX_RUNNING_CHECKS)
+
 
 class Results(unittest.TestCase):
     """Guards against a host that counts as unreachable although the balancer fails."""
@@ -231,8 +276,9 @@
         attempts: list[Attempt],
         references: list[Attempt],
         lateness: float = 0.0,
+        refusal_counts: bool = True,
     ) -> HostStatus:
-        return status_of(attempts, references, Seconds(lateness))
+        return status_of(attempts, references, refusal_counts, Seconds(lateness))
 
     def test_a_silent_host_beside_one_that_always_responds(self) -> None:
         for references in (ACCEPTED, REFUSED):
@@ -247,6 +293,10 @@
         references = [*ACCEPTED, Attempt.REFUSED]
         self.assertIs(self.status(REFUSED, references), HostStatus.UNKNOWN)
 
+    def test_a_refusal_proves_nothing_if_the_check_says_so(self) -> None:
+        status = self.status(REFUSED, ACCEPTED, refusal_counts=False)
+        self.assertIs(status, HostStatus.UNKNOWN)
+
     def test_one_accepted_attempt_is_enough(self) -> None:
         attempts = [Attempt.PENDING, Attempt.REFUSED, Attempt.ACCEPTED]
         self.assertIs(self.status(attempts, ACCEPTED), HostStatus.REACHABLE)
