balancer: keep checking hosts after an attempt that could not be made

An error of socket(), such as no free descriptor, or a port out of range was raised in the thread of the host checks and ended it: no host was checked any more, and callers of lost hosts waited until their time was up. Such an attempt now counts as not made, and the result of its check is unknown. Both new tests failed before with "no result", and the log showed the traceback of the thread.

--- a/src/wasabigw/tasks/host_checker.py
+++ b/src/wasabigw/tasks/host_checker.py
@@ -4,7 +4,8 @@
 import selectors
 import socket
 from collections import Counter
-from functools import singledispatchmethod
+from contextlib import ExitStack
+from functools import partial, singledispatchmethod
 from typing import Any
 
 from wasabigw.core.endpoint import Endpoint, endpoint_key
@@ -41,28 +42,37 @@
 
     def __init__(self, target: Endpoint, selector: selectors.BaseSelector) -> None:
         self.attempt = Attempt.PENDING
-        self._selector = selector
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._socket.setblocking(False)
-        error = self._socket.connect_ex((target.address, target.port))
-        if error in _IN_PROGRESS:
-            selector.register(self._socket, selectors.EVENT_WRITE, self._on_ready)
-        else:
-            self._end(error)
+        self._resources = ExitStack()
+        try:
+            self._connect(target, selector)
+        except (OSError, OverflowError):
+            # No descriptor is left, or the port is out of range.
+            self.attempt = Attempt.FAILED
+            self.close()
 
     def close(self) -> None:
-        """Give up the attempt."""
-        if self._socket.fileno() >= 0:
-            self._end(errno.ETIMEDOUT)
+        """Give up the attempt if it has no response."""
+        self._resources.close()
+
+    def _connect(self, target: Endpoint, selector: selectors.BaseSelector) -> None:
+        connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._resources.enter_context(connection)
+        connection.setblocking(False)
+        error = connection.connect_ex((target.address, target.port))
+        if error not in _IN_PROGRESS:
+            self._end(error)
+            return
+        selector.register(
+            connection, selectors.EVENT_WRITE, partial(self._on_ready, connection)
+        )
+        self._resources.callback(selector.unregister, connection)
 
-    def _on_ready(self, _events: int) -> None:
-        self._end(self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+    def _on_ready(self, connection: socket.socket, _events: int) -> None:
+        self._end(connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
     def _end(self, error: int) -> None:
         self.attempt = _RESULTS.get(error, Attempt.FAILED)
-        if self._socket in self._selector.get_map():
-            self._selector.unregister(self._socket)
-        self._socket.close()
+        self.close()
 
 
 class _RunningCheck:
--- a/tests/test_host_checker.py
+++ b/tests/test_host_checker.py
@@ -1,8 +1,10 @@
 """Connection attempts of the host checker, with real sockets on loopback."""
 
+import errno
 import socket
 import unittest
 from typing import Any
+from unittest import mock
 
 from returns.result import Success
 
@@ -89,6 +91,18 @@
         status = self.check(Endpoint("255.255.255.255", 80), self.listen())
         self.assertIs(status, HostStatus.UNKNOWN)
 
+    def test_a_port_out_of_range_is_unknown(self) -> None:
+        status = self.check(Endpoint("127.0.0.1", 70_000), self.listen())
+        self.assertIs(status, HostStatus.UNKNOWN)
+
+    def test_checks_go_on_after_one_without_free_descriptors(self) -> None:
+        # An error of socket() must not end the thread of all later checks.
+        host, reference = self.listen(), self.listen()
+        exhausted = OSError(errno.EMFILE, "too many open files")
+        with mock.patch("socket.socket", side_effect=exhausted):
+            self.assertIs(self.check(host, reference), HostStatus.UNKNOWN)
+        self.assertIs(self.check(host, reference), HostStatus.REACHABLE)
+
 
 if __name__ == "__main__":
     unittest.main()
