--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -174,6 +174,13 @@
         self.answer(1, now=1.7)
         self.assertEqual(self.send(7, now=1.8), "delivered")
 
+    def test_a_result_that_has_waited_is_discarded(self) -> None:
+        # The process was paused after the check, and the host is back.
+        self.send(1, now=1.2)
+        result = HostChecked(Tag(1), HostStatus.UNREACHABLE, Seconds(1.2))
+        self.assertEqual(record_check(result, self.state, Seconds(9.0)), [])
+        self.assertEqual(self.send(2, now=9.1), "delivered")
+
     def test_retransmissions_that_arrive_at_once_do_not_count(self) -> None:
         # A balancer that was frozen reads all that its callers sent in the meantime.
         self.answer(2, now=1.0)
