balancer: report no receive backlog after the buffer was emptied exactly

The buffer counted as not empty until a read found it so. The buffer is now looked at when the wait is reported.

--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -407,9 +407,21 @@
 
     def _receive_wait(self, now: Seconds) -> Seconds:
         """Longest time that a packet may have waited in the receive buffer so far."""
+        if self._backlogged_since is not None and self._is_receive_buffer_empty():
+            self._backlogged_since = None
         since = self._backlogged_since
         return Seconds(0.0 if since is None else now - since)
 
+    def _is_receive_buffer_empty(self) -> bool:
+        try:
+            self._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            # Reports an ICMP error for a datagram that was sent earlier.
+            self._counts["receive-failed"] += 1
+        return False
+
     def _log_backlog_change(self, now: Seconds) -> None:
         """Log when packets begin to wait long to be read, and when none waits."""
         wait, node = self._receive_wait(now), self._state.node
--- a/tests/test_receive_backlog.py
+++ b/tests/test_receive_backlog.py
@@ -61,6 +61,16 @@
             self._tick_until_logged(BalancerEvent.RECEIVE_BACKLOG)
         self._tick_until_logged(BalancerEvent.RECEIVE_CURRENT)
 
+    def test_a_buffer_that_was_emptied_exactly_is_no_backlog(self) -> None:
+        # The last read before the limit of a wake-up does not show that none is left.
+        with mock.patch.object(tag_packet_task, "PACKETS_PER_WAKE_UP", 1):
+            self.send_window()
+            time.sleep(tag_packet_task.LONG_QUEUE_TIME * 1.5)
+            self.events.clear()
+            self.balancer.mailbox.post(Tick(MAINTENANCE_TICK, monotonic()))
+            time.sleep(0.1)
+        self.assertNotIn(BalancerEvent.RECEIVE_BACKLOG, self.events)
+
 
 if __name__ == "__main__":
     unittest.main()
