--- a/src/wasabigw/core/announcement_checks.py
+++ b/src/wasabigw/core/announcement_checks.py
@@ -16,8 +16,9 @@
 MAX_CLOCK_DIFFERENCE_MS = 3_600_000
 """How far the clock of a backend server may be ahead.
 
-A boot hides all earlier ones under its id and at its endpoint. One that seems to start
-in the distant future would hide every later one as well.
+While a boot announces itself, it gets the new flows of those under its id and at its
+endpoint that started earlier. One that seems to start in the distant future would take
+those of every later one as well.
 """
 
 
