balancer: judge the age of a check's result from its end

The age was judged from the first attempt. Since each attempt is scheduled from the one before, a few milliseconds of delay of each add up on a busy balancer, and a result that had not waited at all was discarded: its callers would wait for a host that is gone. The new test failed before: no flow was reset.

--- a/src/wasabigw/core/tags/host_checks.py
+++ b/src/wasabigw/core/tags/host_checks.py
@@ -78,11 +78,13 @@
     """Result of a check.
 
     :param started_at: when the first attempt was made.
+    :param ended_at: when the attempts were evaluated.
     """
 
     tag: Tag
     status: HostStatus
     started_at: Seconds
+    ended_at: Seconds
 
 
 def status_of(
--- a/src/wasabigw/core/tags/unreachable_hosts.py
+++ b/src/wasabigw/core/tags/unreachable_hosts.py
@@ -8,7 +8,6 @@
 from wasabigw.core.tags.decisions import RefusalReason, Refuse
 from wasabigw.core.tags.flow_table import remove_flow
 from wasabigw.core.tags.host_checks import (
-    CHECK_DURATION,
     MAX_LATENESS,
     HostCheck,
     HostChecked,
@@ -73,7 +72,7 @@
     breaker = server.breaker
     if breaker.failures == 0 or breaker.last_response_at >= result.started_at:
         return []
-    if now - result.started_at > CHECK_DURATION + MAX_LATENESS:
+    if now - result.ended_at > MAX_LATENESS:
         # The balancer is behind or was paused, and the host may be back by now.
         return []
     breaker.unreachable_at = now
--- a/src/wasabigw/tasks/host_checker.py
+++ b/src/wasabigw/tasks/host_checker.py
@@ -177,7 +177,7 @@
             seconds=round(now - running.started_at, 3),
             references=", ".join(map(endpoint_key, check.references)),
         )
-        self._results.post(HostChecked(check.tag, status, running.started_at))
+        self._results.post(HostChecked(check.tag, status, running.started_at, now))
 
     def _close_all(self) -> None:
         for running in self._running:
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -88,7 +88,7 @@
     ) -> list[int]:
         """End a check of the first host; returns the ports of the refused flows."""
         started_at = Seconds(now - CHECK_DURATION)
-        result = HostChecked(Tag(1), status, started_at)
+        result = HostChecked(Tag(1), status, started_at, Seconds(now))
         refused = record_check(result, self.state, Seconds(now))
         for refusal in refused:
             self.assertIs(refusal.reason, RefusalReason.SERVER_LOST)
@@ -124,7 +124,8 @@
 
     def test_the_reset_matches_the_last_acknowledgement(self) -> None:
         self.doubt()
-        result = HostChecked(Tag(1), HostStatus.UNREACHABLE, Seconds(1.2))
+        started_at, ended_at = Seconds(1.2), Seconds(1.6)
+        result = HostChecked(Tag(1), HostStatus.UNREACHABLE, started_at, ended_at)
         found = record_check(result, self.state, Seconds(1.6))
         acknowledged = {r.packet.flow.caller: r.packet.acknowledged for r in found}
         self.assertEqual(acknowledged, {1: 600, 2: 600, 3: 600, 4: 600, 5: 555})
@@ -177,10 +178,18 @@
     def test_a_result_that_has_waited_is_discarded(self) -> None:
         # The process was paused after the check, and the host is back.
         self.send(1, now=1.2)
-        result = HostChecked(Tag(1), HostStatus.UNREACHABLE, Seconds(1.2))
+        started_at, ended_at = Seconds(1.2), Seconds(1.6)
+        result = HostChecked(Tag(1), HostStatus.UNREACHABLE, started_at, ended_at)
         self.assertEqual(record_check(result, self.state, Seconds(9.0)), [])
         self.assertEqual(self.send(2, now=9.1), "delivered")
 
+    def test_a_check_that_took_long_counts_if_its_result_is_new(self) -> None:
+        # On a balancer that is busy each attempt may be made late.
+        self.send(1, now=1.2)
+        started_at, ended_at = Seconds(1.2), Seconds(1.95)
+        result = HostChecked(Tag(1), HostStatus.UNREACHABLE, started_at, ended_at)
+        self.assertEqual(len(record_check(result, self.state, Seconds(2.0))), 5)
+
     def test_retransmissions_that_arrive_at_once_do_not_count(self) -> None:
         # A balancer that was frozen reads all that its callers sent in the meantime.
         self.answer(2, now=1.0)
