tests/evidence_model: model of callers, balancers and backend servers

A judge that knows which boots live and where each flow is open reports each reset or detour of an open flow. Loss, delay and duplication act on each leg apart; machines are suspended, slow, full, killed, restarted.

Planted faults of each kind are found.

--- /dev/null
+++ b/tests/evidence_model/servers.py
@@ -0,0 +1,384 @@
+"""Backend servers: hosts, and the boots that run on them one after the other."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from tests.evidence_model.balancers import DOMAIN, SERVICE
+from tests.evidence_model.clock import Callback, Clock
+from tests.evidence_model.judge import Judge
+from tests.evidence_model.transport import Acknowledging, Receiver, Segment, Sender
+from tests.evidence_model.wire import Kind, ServerPacket
+from wasabigw.core.commands import BootAnnounced
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import BackendServerId, Seconds, Tag
+from wasabigw.core.tags.packets import NO_TAG, FlowId, FlowPacket
+
+MOST_RETRANSMISSIONS = 8
+
+
+class HostState(Enum):
+    """What a host does with packets."""
+
+    RUNNING = "a boot receives them"
+    PAUSED = "they wait until the boot runs again"
+    SILENT = "nothing answers, and connections time out"
+    REFUSING = "the boot is gone: connections are refused, packets get no answer"
+    RESETTING = "the boot is gone: connections are refused, packets are reset"
+
+
+class FlowPhase(Enum):
+    """Life of a flow at a backend server."""
+
+    HALF_OPEN = "the end of the handshake has not arrived"
+    OPEN = "open"
+    ENDED = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class ServerSettings:
+    """A backend server.
+
+    :param service_time: seconds that a request occupies a slot.
+    :param queue: requests that wait for a slot; further ones are rejected.
+    """
+
+    slots: int = 4
+    queue: int = 20
+    service_time: float = 0.01
+    max_flows: int = 2000
+    acknowledging: Acknowledging = Acknowledging.EACH
+
+
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """Sizes of the requests of a caller and of their responses, in bytes."""
+
+    request: int = 600
+    response: int = 600
+
+
+DEFAULT_WORKLOAD = Workload()
+
+
+@dataclass(slots=True, eq=False)
+class ServerFlow:
+    """One flow at one boot."""
+
+    flow: FlowId
+    first_sequence: int
+    own_sequence: int
+    tag: Tag
+    receiver: Receiver
+    sender: Sender
+    phase: FlowPhase = FlowPhase.HALF_OPEN
+    unread: int = 0
+    unanswered: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Boot:
+    """One start of a backend server.
+
+    :param number: counted over all boots of the run.
+    :param disturbed_at: when an impairment of it or of its links was last in force.
+    """
+
+    id: BackendServerId
+    number: int
+    settings: ServerSettings
+    report: BootAnnounced
+    tag: Tag = NO_TAG
+    is_alive: bool = True
+    is_draining: bool = False
+    died_at: float = -1.0
+    disturbed_at: float = -1000.0
+    busy: int = 0
+    flows: dict[FlowId, ServerFlow] = field(default_factory=dict)
+    waiting: deque[ServerFlow] = field(default_factory=deque)
+
+
+class Host:
+    """A host of backend servers, and the boot that runs there.
+
+    :param to_caller: sends a packet to a caller.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        settings: ServerSettings,
+        clock: Clock,
+        judge: Judge,
+        to_caller: Callable[[ServerPacket], None],
+        workload: Callable[[FlowId], Workload],
+    ) -> None:
+        self.number = number
+        self.address = f"10.0.0.{number}"
+        self.state = HostState.RUNNING
+        self.paused_until = -1.0
+        self.boot: Boot | None = None
+        self._settings = settings
+        self._clock = clock
+        self._judge = judge
+        self._to_caller = to_caller
+        self._workload = workload
+        self._backlog: list[Callback] = []
+
+    @property
+    def answers_connections(self) -> bool:
+        """Whether a connection attempt is accepted or refused.
+
+        The kernel of a host accepts connections while the boot stands still.
+        """
+        return self.state is not HostState.SILENT
+
+    def start(self, name: str, number: int, late_start: int = 0) -> Boot:
+        """Start a boot; another one must not run.
+
+        :param late_start: milliseconds by which the clock of the host is behind.
+        """
+        report = BootAnnounced(
+            id=BackendServerId(name),
+            service=SERVICE,
+            failure_domain=DOMAIN,
+            endpoint=Endpoint(self.address, 8080),
+            started_at=1_000_000 + round(self._clock.now * 1000) - late_start,
+            slots=self._settings.slots,
+            draining=False,
+            cold_for=Seconds(0.0),
+        )
+        self.boot = Boot(report.id, number, self._settings, report)
+        self.state = HostState.RUNNING
+        return self.boot
+
+    def kill(self, after: HostState) -> None:
+        """End the boot without a word.
+
+        :param after: how the host treats packets from then on.
+        """
+        self.state = after
+        self._backlog.clear()
+        boot, self.boot = self.boot, None
+        if boot is not None:
+            boot.is_alive = False
+            boot.died_at = boot.disturbed_at = self._clock.now
+            for flow in boot.flows.values():
+                flow.sender.stop()
+            self._judge.boot_died(boot.number, self._clock.now)
+
+    def drain(self) -> BootAnnounced | None:
+        """Let the boot leave; returns its announcement."""
+        boot = self.boot
+        if boot is None:
+            return None
+        boot.is_draining = True
+        boot.report = replace(boot.report, draining=True)
+        return boot.report
+
+    def pause(self, seconds: float) -> None:
+        """Stop the boot for some time; packets wait meanwhile."""
+        if self.boot is None:
+            return
+        self.state = HostState.PAUSED
+        self.paused_until = max(self.paused_until, self._clock.now + seconds)
+        self.disturb(seconds)
+        self._clock.after(seconds, self._resume)
+
+    def disturb(self, seconds: float) -> None:
+        """Record that the boot or its links are impaired for some time."""
+        if self.boot is not None:
+            end = self._clock.now + seconds
+            self.boot.disturbed_at = max(self.boot.disturbed_at, end)
+
+    def _resume(self) -> None:
+        if self.state is not HostState.PAUSED or self._clock.now < self.paused_until:
+            return
+        self.state = HostState.RUNNING
+        backlog, self._backlog = self._backlog, []
+        for callback in backlog:
+            self._run(callback)
+
+    def _run(self, callback: Callback) -> None:
+        """Run a callback of the boot, or keep it until the boot runs again."""
+        if self.state is HostState.PAUSED:
+            self._backlog.append(callback)
+        elif self.state is HostState.RUNNING:
+            callback()
+
+    def _after(self, boot: Boot, delay: float, callback: Callback) -> None:
+        def due() -> None:
+            if boot.is_alive:
+                self._run(callback)
+
+        self._clock.after(delay, due)
+
+    def receive(self, intended: BackendServerId, packet: FlowPacket) -> None:
+        """A packet arrives at the address of the host."""
+        if self.state is HostState.RESETTING and not packet.is_reset:
+            self._reset(packet, BackendServerId(f"host {self.number}"), 0)
+        boot = self.boot
+        if boot is not None and boot.is_alive:
+            self._run(lambda: self._take(boot, intended, packet))
+
+    def _take(self, boot: Boot, intended: BackendServerId, packet: FlowPacket) -> None:
+        if intended != boot.id or not boot.is_alive:
+            return
+        self._judge.packet_reached(packet, boot.number, self._clock.now)
+        if packet.is_opening:
+            self._open(boot, packet)
+            return
+        flow = boot.flows.get(packet.flow)
+        if flow is None:
+            if not packet.is_reset:
+                self._reset(packet, boot.id, boot.number)
+            return
+        flow.tag = packet.tag
+        if packet.is_reset:
+            self._end(boot, flow)
+        elif flow.phase is FlowPhase.ENDED:
+            self._answer_ended(boot, flow, packet)
+        elif flow.phase is FlowPhase.HALF_OPEN and not self._completes(flow, packet):
+            self._reset(packet, boot.id, boot.number)
+        else:
+            self._receive_on(boot, flow, packet)
+
+    def _open(self, boot: Boot, packet: FlowPacket) -> None:
+        known = boot.flows.get(packet.flow)
+        if known is None or known.first_sequence != packet.sequence:
+            held = sum(f.phase is not FlowPhase.ENDED for f in boot.flows.values())
+            if held >= boot.settings.max_flows:
+                return
+            if known is not None:
+                known.sender.stop()
+            known = boot.flows[packet.flow] = self._make_flow(boot, packet)
+        known.tag = packet.tag
+        self._send(boot, known, Kind.ACCEPT, known.own_sequence, 0, False)
+
+    def _make_flow(self, boot: Boot, packet: FlowPacket) -> ServerFlow:
+        # The sequence numbers of two boots differ, as the callers tell them by these.
+        own = 1_000_000 * (boot.number + 1) + packet.sequence % 997 * 1000
+        receiver = Receiver(packet.sequence + 1, boot.settings.acknowledging)
+
+        def transmit(segment: Segment) -> None:
+            self._send(
+                boot,
+                flow,
+                Kind.DATA,
+                segment.sequence,
+                segment.length,
+                segment.closing,
+            )
+
+        sender = Sender(
+            own + 1,
+            transmit,
+            lambda delay, callback: self._after(boot, delay, callback),
+            lambda: self._end(boot, flow),
+            MOST_RETRANSMISSIONS,
+        )
+        flow = ServerFlow(
+            packet.flow, packet.sequence, own, packet.tag, receiver, sender
+        )
+        return flow
+
+    @staticmethod
+    def _completes(flow: ServerFlow, packet: FlowPacket) -> bool:
+        return packet.acknowledged == flow.own_sequence + 1
+
+    def _receive_on(self, boot: Boot, flow: ServerFlow, packet: FlowPacket) -> None:
+        if flow.phase is FlowPhase.HALF_OPEN:
+            flow.phase = FlowPhase.OPEN
+            self._judge.flow_opened(
+                flow.flow, flow.first_sequence, boot.number, self._clock.now
+            )
+        flow.sender.acknowledge(packet.acknowledged)
+        if packet.length or packet.is_closing:
+            received, is_due = flow.receiver.receive(
+                packet.sequence, packet.length, packet.is_closing
+            )
+            flow.unread += received
+            self._read_requests(boot, flow)
+            if is_due:
+                self._acknowledge(boot, flow)
+        if flow.receiver.is_closed and flow.unanswered == 0:
+            self._end(boot, flow)
+
+    def _read_requests(self, boot: Boot, flow: ServerFlow) -> None:
+        size = self._workload(flow.flow).request
+        while flow.unread >= size:
+            flow.unread -= size
+            if boot.busy < boot.settings.slots:
+                self._serve(boot, flow)
+            elif len(boot.waiting) < boot.settings.queue:
+                flow.unanswered += 1
+                boot.waiting.append(flow)
+            else:
+                flow.sender.send(self._workload(flow.flow).response, boot.is_draining)
+
+    def _serve(self, boot: Boot, flow: ServerFlow) -> None:
+        boot.busy += 1
+        flow.unanswered += 1
+        self._after(boot, boot.settings.service_time, lambda: self._done(boot, flow))
+
+    def _done(self, boot: Boot, flow: ServerFlow) -> None:
+        boot.busy -= 1
+        flow.unanswered -= 1
+        if flow.phase is FlowPhase.OPEN:
+            flow.sender.send(self._workload(flow.flow).response, boot.is_draining)
+        while boot.waiting and boot.busy < boot.settings.slots:
+            following = boot.waiting.popleft()
+            following.unanswered -= 1
+            if following.phase is FlowPhase.OPEN:
+                self._serve(boot, following)
+
+    def _acknowledge(self, boot: Boot, flow: ServerFlow) -> None:
+        self._send(boot, flow, Kind.DATA, flow.sender.sent_up_to, 0, False)
+
+    def _answer_ended(self, boot: Boot, flow: ServerFlow, packet: FlowPacket) -> None:
+        if packet.is_closing:
+            self._acknowledge(boot, flow)
+        elif packet.length:
+            self._reset(packet, boot.id, boot.number)
+
+    def _end(self, boot: Boot, flow: ServerFlow) -> None:
+        flow.phase = FlowPhase.ENDED
+        flow.sender.stop()
+        self._judge.flow_ended(flow.flow, flow.first_sequence, boot.number)
+
+    def _send(
+        self,
+        boot: Boot,
+        flow: ServerFlow,
+        kind: Kind,
+        sequence: int,
+        length: int,
+        closing: bool,
+    ) -> None:
+        self._to_caller(
+            ServerPacket(
+                flow.flow,
+                kind,
+                boot.id,
+                boot.number,
+                flow.tag,
+                sequence,
+                flow.receiver.acknowledged(),
+                length,
+                closing,
+            )
+        )
+
+    def _reset(self, packet: FlowPacket, sender: BackendServerId, number: int) -> None:
+        self._to_caller(
+            ServerPacket(
+                packet.flow,
+                Kind.RESET,
+                sender,
+                number,
+                packet.tag,
+                packet.acknowledged,
+                packet.sequence,
+            )
+        )
--- /dev/null
+++ b/tests/test_evidence_model.py
@@ -0,0 +1,197 @@
+"""Open flows of live backend servers, in the model of callers and backend servers."""
+
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from hypothesis import HealthCheck, Phase, given, settings
+
+from tests.evidence_model import balancers, cases, world
+from tests.evidence_model.judge import Fault, Finding
+from tests.evidence_model.registry import Registrations
+from tests.evidence_model.scenario import Scenario, scenarios
+from tests.evidence_model.world import run
+from wasabigw.core.ids import Seconds, Tag
+from wasabigw.core.tags import steering
+from wasabigw.core.tags.decisions import (
+    Deliver,
+    PacketDecision,
+    RefusalReason,
+    Refuse,
+)
+from wasabigw.core.tags.packets import FlowId, FlowPacket
+from wasabigw.core.tags.state import TagState
+
+Decide = Callable[[FlowPacket, TagState, Seconds], PacketDecision]
+any_scenario = settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=(Phase.explicit, Phase.generate),
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+"""Without shrinking: ``python -m tests.evidence_model`` shrinks what it finds."""
+
+
+def findings(scenario: Scenario, *faults: Fault) -> list[Finding]:
+    """Findings of these faults in a scenario; of all faults, if none is given."""
+    found = run(scenario).findings
+    return [f for f in found if not faults or f.fault in faults]
+
+
+class AnyScenario(unittest.TestCase):
+    """Guards against a live backend server whose flows are reset or go elsewhere."""
+
+    @any_scenario
+    @given(scenarios)
+    def test_no_live_server_counts_as_lost(self, scenario: Scenario) -> None:
+        self.assertEqual(findings(scenario, Fault.LOST), [])
+
+    @any_scenario
+    @given(scenarios)
+    def test_no_live_boot_counts_as_ended(self, scenario: Scenario) -> None:
+        self.assertEqual(findings(scenario, Fault.ENDED), [])
+
+    @any_scenario
+    @given(scenarios)
+    def test_no_copy_of_an_opening_is_refused(self, scenario: Scenario) -> None:
+        self.assertEqual(findings(scenario, Fault.REFUSED), [])
+
+    @any_scenario
+    @given(scenarios)
+    def test_no_open_flow_is_sent_elsewhere(self, scenario: Scenario) -> None:
+        found = findings(scenario, Fault.STEERED, Fault.FOREIGN_RESET)
+        self.assertEqual(found, [])
+
+    @any_scenario
+    @given(scenarios)
+    def test_no_planned_stop_loses_packets(self, scenario: Scenario) -> None:
+        self.assertEqual(findings(scenario, Fault.DROPPED_AT_STOP), [])
+
+
+class Regressions(unittest.TestCase):
+    """Guards against a balancer that takes delays or losses for a lost server."""
+
+    def test_requests_that_wait_for_a_slot(self) -> None:
+        self.assertEqual(findings(cases.REQUESTS_WAIT_FOR_SLOTS), [])
+
+    def test_packets_dropped_because_the_link_is_full(self) -> None:
+        self.assertEqual(findings(cases.LINK_IS_FULL), [])
+
+    def test_packets_that_wait_before_the_decision(self) -> None:
+        self.assertEqual(findings(cases.PACKETS_WAIT_BEFORE_DECISION), [])
+
+    def test_packets_lost_in_the_receive_buffer(self) -> None:
+        self.assertEqual(findings(cases.RECEIVE_BUFFER_OVERFLOWS), [])
+
+    def test_packets_that_can_not_be_sent(self) -> None:
+        self.assertEqual(findings(cases.SENDING_FAILS), [])
+
+    def test_suspended_balancer(self) -> None:
+        self.assertEqual(findings(cases.BALANCER_IS_SUSPENDED), [])
+
+    def test_planned_stop_while_packets_wait_for_the_link(self) -> None:
+        self.assertEqual(findings(cases.PLANNED_STOP), [])
+
+
+def lost_by_inference() -> Decide:
+    """Decide as before, but refuse each packet of data that is seen again."""
+    seen: set[tuple[FlowId, int]] = set()
+
+    def decide(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+        key = packet.flow, packet.sequence
+        if packet.length and key in seen:
+            return Refuse(packet, RefusalReason.SERVER_LOST)
+        if packet.length:
+            seen.add(key)
+        return steering.decide(packet, state, now)
+
+    return decide
+
+
+def steered_as_new(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+    """Decide as before, but choose a server for packets of flows that are not known."""
+    if not packet.is_opening and packet.flow not in state.flows:
+        others = [s for tag, s in state.servers.items() if tag != packet.tag]
+        return Deliver(packet, others[0].registration)
+    return steering.decide(packet, state, now)
+
+
+def refused_as_new(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+    """Decide as before, but refuse copies of openings."""
+    if packet.is_opening and packet.repeat:
+        return Refuse(packet, RefusalReason.NO_SERVER)
+    return steering.decide(packet, state, now)
+
+
+class PlantedFaults(unittest.TestCase):
+    """Guards against a judge that does not see a fault."""
+
+    def planted(self, decide: Decide, scenario: Scenario) -> set[Fault]:
+        """Faults that are found while balancers decide otherwise."""
+        with mock.patch.object(balancers, "decide", decide):
+            return {finding.fault for finding in run(scenario).findings}
+
+    def test_lost_by_inference(self) -> None:
+        found = self.planted(lost_by_inference(), cases.LOSSES)
+        self.assertEqual(found, {Fault.LOST})
+
+    def test_ended_by_registration(self) -> None:
+        announce = Registrations.announce
+        tags: list[Tag | None] = []
+
+        def announce_and_end(registrations: Registrations, report: object) -> object:
+            tag = announce(registrations, report)  # type: ignore[arg-type]
+            tags.append(tag)
+            if tag is not None and report.draining:  # type: ignore[attr-defined]
+                registrations.end(tag)
+            return tag
+
+        with mock.patch.object(Registrations, "announce", announce_and_end):
+            found = {finding.fault for finding in run(cases.DRAIN).findings}
+        self.assertEqual(found, {Fault.ENDED})
+
+    def test_steered_as_new(self) -> None:
+        found = self.planted(steered_as_new, cases.MOVED_FLOWS)
+        self.assertEqual(found, {Fault.FOREIGN_RESET})
+
+    def test_steered_as_new_while_no_reset_arrives(self) -> None:
+        found = self.planted(steered_as_new, cases.MOVED_FLOWS_WITHOUT_RESETS)
+        self.assertEqual(found, {Fault.STEERED})
+
+    def test_refused_as_new(self) -> None:
+        found = self.planted(refused_as_new, cases.LATE_ANSWERS)
+        self.assertIn(Fault.REFUSED, found)
+
+    def test_packets_dropped_at_a_planned_stop(self) -> None:
+        stop = mock.patch.object(
+            balancers.BalancerNode, "stop", balancers.BalancerNode.exit
+        )
+        with stop, mock.patch.object(world, "LEAVE_BEFORE_STOP", 0.0):
+            found = {finding.fault for finding in run(cases.PLANNED_STOP).findings}
+        self.assertEqual(found, {Fault.DROPPED_AT_STOP})
+
+
+class Runs(unittest.TestCase):
+    """Guards against a model in which nothing happens, or not the same each time."""
+
+    def test_a_calm_run_serves_all_flows(self) -> None:
+        outcome = run(cases.CALM)
+        self.assertEqual((outcome.served, outcome.failed), (8, 0))
+        self.assertEqual(outcome.findings, ())
+
+    @settings(any_scenario, max_examples=10)
+    @given(scenarios)
+    def test_a_run_can_be_repeated(self, scenario: Scenario) -> None:
+        self.assertEqual(run(scenario).trace, run(scenario).trace)
+
+    def test_callers_of_a_dead_server_are_freed(self) -> None:
+        freed = run(cases.SERVER_DIES).freed
+        self.assertGreater(len(freed), 0)
+        for caller in freed:
+            self.assertIsNotNone(caller.waited, caller)
+
+
+if __name__ == "__main__":
+    unittest.main()
