tests/evidence_model: paths, frozen hosts and callers of dead servers

Callers of a backend server whose host refuses connections are no longer freed: they spend their budget of 4 s.

--- a/tests/evidence_model/balancers.py
+++ b/tests/evidence_model/balancers.py
@@ -80,7 +80,7 @@
 
     to_server: Callable[[Tag, FlowPacket], None]
     to_caller: Callable[[BalancerReset], None]
-    connect: Callable[[NodeId, Endpoint, Callback], None]
+    connect: Callable[[Endpoint, Callback], None]
 
 
 class BalancerNode:
@@ -220,7 +220,7 @@
     def _connect(self, target: Endpoint, answer: Callback) -> bool:
         if self._clock.now < self.failing_until:
             return False
-        self._output.connect(self.name, target, answer)
+        self._output.connect(target, answer)
         return True
 
     def _when_running(self, callback: Callback) -> None:
--- a/tests/evidence_model/cases.py
+++ b/tests/evidence_model/cases.py
@@ -102,3 +102,7 @@
     to_balancers=LegQuality(jitter=0.1),
 )
 """Callers send a copy of their opening while the answer is on its way."""
+HOST_IS_LOST = replace(
+    SERVER_DIES, disturbances=(Disturbance(1.0, Trouble.SILENCE_HOST, 0),)
+)
+"""The host of a backend server is lost, and nothing answers there."""
--- a/tests/evidence_model/scenario.py
+++ b/tests/evidence_model/scenario.py
@@ -21,6 +21,7 @@
     STALE_VIEW = "a balancer gets no views"
     STOP_BALANCER = "a balancer is stopped as planned"
     PAUSE_SERVER = "a backend server stands still"
+    FREEZE_HOST = "the host of a backend server stands still"
     SILENCE_HOST = "the host of a backend server is lost"
     KILL_SERVER = "a backend server dies, and its host refuses connections"
     RESET_BY_HOST = "a backend server dies, and its host resets"
@@ -29,6 +30,8 @@
     DRAIN_SERVER = "a backend server leaves as planned"
     CUT_TO_BALANCERS = "no packet of a caller reaches a balancer"
     CUT_TO_SERVERS = "no packet of a balancer reaches a backend server"
+    CUT_PATH = "no packet passes between a balancer and a host"
+    IMPAIR_PATH = "half of the packets between a balancer and a host are lost"
     LOSE_RESETS = "resets of backend servers are lost"
     CUT_TO_CALLERS = "no packet of a backend server reaches a caller"
 
--- a/tests/evidence_model/servers.py
+++ b/tests/evidence_model/servers.py
@@ -23,6 +23,7 @@
 
     RUNNING = "a boot receives them"
     PAUSED = "they wait until the boot runs again"
+    FROZEN = "they wait, and connections get no answer, until the host runs again"
     SILENT = "nothing answers, and connections time out"
     REFUSING = "the boot is gone: connections are refused, packets get no answer"
     RESETTING = "the boot is gone: connections are refused, packets are reset"
@@ -132,7 +133,11 @@
 
         The kernel of a host accepts connections while the boot stands still.
         """
-        return self.state is not HostState.SILENT
+        return self.state not in (HostState.SILENT, HostState.FROZEN)
+
+    @property
+    def _stands_still(self) -> bool:
+        return self.state in (HostState.PAUSED, HostState.FROZEN)
 
     def start(self, name: str, number: int, late_start: int = 0) -> Boot:
         """Start a boot; another one must not run.
@@ -177,11 +182,14 @@
         boot.report = replace(boot.report, draining=True)
         return boot.report
 
-    def pause(self, seconds: float) -> None:
-        """Stop the boot for some time; packets wait meanwhile."""
+    def pause(self, seconds: float, state: HostState = HostState.PAUSED) -> None:
+        """Stop the boot for some time; packets wait meanwhile.
+
+        :param state: whether the boot or the whole host stands still.
+        """
         if self.boot is None:
             return
-        self.state = HostState.PAUSED
+        self.state = state
         self.paused_until = max(self.paused_until, self._clock.now + seconds)
         self.disturb(seconds)
         self._clock.after(seconds, self._resume)
@@ -193,7 +201,7 @@
             self.boot.disturbed_at = max(self.boot.disturbed_at, end)
 
     def _resume(self) -> None:
-        if self.state is not HostState.PAUSED or self._clock.now < self.paused_until:
+        if not self._stands_still or self._clock.now < self.paused_until:
             return
         self.state = HostState.RUNNING
         backlog, self._backlog = self._backlog, []
@@ -202,7 +210,7 @@
 
     def _run(self, callback: Callback) -> None:
         """Run a callback of the boot, or keep it until the boot runs again."""
-        if self.state is HostState.PAUSED:
+        if self._stands_still:
             self._backlog.append(callback)
         elif self.state is HostState.RUNNING:
             callback()
--- a/tests/evidence_model/world.py
+++ b/tests/evidence_model/world.py
@@ -2,7 +2,8 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from functools import partial
 
 from tests.evidence_model.balancers import BalancerNode, Output
 from tests.evidence_model.balancers import Phase as BalancerPhase
@@ -16,7 +17,7 @@
 from tests.evidence_model.wire import BalancerReset, Kind, ServerPacket
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT
 from wasabigw.core.endpoint import Endpoint
-from wasabigw.core.ids import NodeId, Tag
+from wasabigw.core.ids import Tag
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 
 CALLER_ADDRESS = 0x64400000
@@ -64,7 +65,11 @@
         self.judge = Judge(self._in_touch, DEFAULT_IDLE_TIMEOUT)
         self.registrations = Registrations()
         self._to_balancers = self._leg("to balancers", scenario.to_balancers)
-        self._to_servers = self._leg("to servers", scenario.to_servers)
+        self._paths = {
+            (balancer, host): self._leg(f"{balancer} to {host}", scenario.to_servers)
+            for balancer in range(len(scenario.balancers))
+            for host in range(len(scenario.servers))
+        }
         self._to_callers = self._leg("to callers", scenario.to_callers)
         self._router = Router(self._ready, scenario.moves, self._draws("router"))
         self.balancers = [
@@ -72,7 +77,11 @@
                 f"balancer-{number}",
                 settings,
                 self.clock,
-                Output(self._send_to_server, self._send_reset, self._connect),
+                Output(
+                    partial(self._send_to_server, number),
+                    self._send_reset,
+                    partial(self._connect, number),
+                ),
             )
             for number, settings in enumerate(scenario.balancers)
         ]
@@ -156,22 +165,24 @@
         self._note(f"caller -> {balancer.name}: {_text(packet)}")
         self._to_balancers.send(lambda: balancer.receive(packet))
 
-    def _send_to_server(self, tag: Tag, packet: FlowPacket) -> None:
+    def _send_to_server(self, balancer: int, tag: Tag, packet: FlowPacket) -> None:
         boot = self._by_tag[tag]
         host = self._host_at(boot.report.endpoint.address)
         self._note(f"-> {boot.id}: {_text(packet)}")
-        self._to_servers.send(lambda: host.receive(boot.id, packet))
+        path = self._paths[balancer, host.number]
+        path.send(lambda: host.receive(boot.id, packet))
 
-    def _connect(self, name: NodeId, target: Endpoint, answer: Callback) -> None:
+    def _connect(self, balancer: int, target: Endpoint, answer: Callback) -> None:
         """A connection attempt of a balancer to a host."""
         host = self._host_at(target.address)
-        self._note(f"{name} connects to host {host.number}")
+        path = self._paths[balancer, host.number]
+        self._note(f"balancer-{balancer} connects to host {host.number}")
 
         def respond() -> None:
             if host.answers_connections:
-                self._to_servers.send(answer)
+                path.send(answer)
 
-        self._to_servers.send(respond)
+        path.send(respond)
 
     def _host_at(self, address: str) -> Host:
         return next(h for h in self.hosts if h.address == address)
@@ -292,7 +303,28 @@
 
     def cut_to_servers(self, disturbance: Disturbance) -> None:
         """Lose all packets to backend servers for some time."""
-        self.cut(self._to_servers, disturbance.seconds)
+        for path in self._paths.values():
+            self.cut(path, disturbance.seconds)
+
+    def cut_path(self, disturbance: Disturbance) -> None:
+        """Lose all packets between one balancer and one host for some time."""
+        host = self.host_of(disturbance)
+        path = self._paths[disturbance.target % len(self.balancers), host.number]
+        path.cut_until = self.clock.now + disturbance.seconds
+        host.disturb(disturbance.seconds)
+
+    def impair_path(self, disturbance: Disturbance) -> None:
+        """Lose half of the packets between one balancer and one host for some time."""
+        host = self.host_of(disturbance)
+        path = self._paths[disturbance.target % len(self.balancers), host.number]
+        before = path.quality
+        path.quality = replace(before, loss=0.5)
+        host.disturb(disturbance.seconds)
+
+        def mend() -> None:
+            path.quality = before
+
+        self.clock.after(disturbance.seconds, mend)
 
     def lose_resets(self, disturbance: Disturbance) -> None:
         """Lose the resets of backend servers for some time."""
@@ -322,6 +354,10 @@
     world.host_of(disturbance).pause(disturbance.seconds)
 
 
+def _freeze(world: World, disturbance: Disturbance) -> None:
+    world.host_of(disturbance).pause(disturbance.seconds, HostState.FROZEN)
+
+
 def _killing(after: HostState) -> "Callable[[World, Disturbance], None]":
     return lambda world, disturbance: world.kill(disturbance, after)
 
@@ -337,6 +373,7 @@
     Trouble.STALE_VIEW: World.hold_view,
     Trouble.STOP_BALANCER: World.stop_balancer,
     Trouble.PAUSE_SERVER: _pause,
+    Trouble.FREEZE_HOST: _freeze,
     Trouble.SILENCE_HOST: _killing(HostState.SILENT),
     Trouble.KILL_SERVER: _killing(HostState.REFUSING),
     Trouble.RESET_BY_HOST: _killing(HostState.RESETTING),
@@ -346,6 +383,8 @@
     Trouble.CUT_TO_BALANCERS: World.cut_to_balancers,
     Trouble.CUT_TO_SERVERS: World.cut_to_servers,
     Trouble.LOSE_RESETS: World.lose_resets,
+    Trouble.CUT_PATH: World.cut_path,
+    Trouble.IMPAIR_PATH: World.impair_path,
     Trouble.CUT_TO_CALLERS: World.cut_to_callers,
 }
 
--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -186,11 +186,25 @@
     def test_a_run_can_be_repeated(self, scenario: Scenario) -> None:
         self.assertEqual(run(scenario).trace, run(scenario).trace)
 
-    def test_callers_of_a_dead_server_are_freed(self) -> None:
-        freed = run(cases.SERVER_DIES).freed
+
+class DeadServers(unittest.TestCase):
+    """Guards against callers that spend their budget waiting for a server that is gone.
+
+    Their requests wait for an answer, so that retransmissions show the loss. Before
+    issue 33, a flow was reset at the second retransmission of its data at the latest.
+    """
+
+    def test_lost_host(self) -> None:
+        self.check_reasons(cases.HOST_IS_LOST)
+
+    def test_host_that_refuses_connections(self) -> None:
+        self.check_reasons(cases.SERVER_DIES)
+
+    def check_reasons(self, scenario: Scenario) -> None:
+        freed = run(scenario).freed
         self.assertGreater(len(freed), 0)
-        for caller in freed:
-            self.assertIsNotNone(caller.waited, caller)
+        reasons = {caller.reason for caller in freed}
+        self.assertEqual(reasons, {"reset by balancer-0, server-lost"})
 
 
 if __name__ == "__main__":
