tests/evidence_model: registrations in dispute, and receivers of superseded boots

Boots announce themselves again and again, announcements of dead ones arrive late, and the clock of a boot may be behind that of the one before it.

--- a/tests/evidence_model/cases.py
+++ b/tests/evidence_model/cases.py
@@ -106,3 +106,12 @@
     SERVER_DIES, disturbances=(Disturbance(1.0, Trouble.SILENCE_HOST, 0),)
 )
 """The host of a backend server is lost, and nothing answers there."""
+RESTART_BETWEEN_VIEWS = Scenario(
+    callers=_callers(12, CallerPlan(requests=8, pause=0.3), 0.05),
+    servers=(ServerSettings(),),
+    disturbances=(
+        Disturbance(0.05, Trouble.RESTART_SAME_ID, 0),
+        Disturbance(0.0, Trouble.STALE_VIEW, 0, 0.8),
+    ),
+)
+"""A boot accepts openings with the tag of the boot before it, of an older view."""
--- a/tests/evidence_model/scenario.py
+++ b/tests/evidence_model/scenario.py
@@ -27,6 +27,8 @@
     RESET_BY_HOST = "a backend server dies, and its host resets"
     RESTART_SAME_ID = "a backend server dies and starts again under its id"
     RESTART_NEW_ID = "a backend server dies, and another one starts on its host"
+    RESTART_CLOCK_BEHIND = "as before, and its clock is behind"
+    LATE_ANNOUNCEMENT = "an announcement of a boot arrives after its death"
     DRAIN_SERVER = "a backend server leaves as planned"
     CUT_TO_BALANCERS = "no packet of a caller reaches a balancer"
     CUT_TO_SERVERS = "no packet of a balancer reaches a backend server"
