tests/evidence_model: search with callers that return the latest tag

docs/platform-questions.md, 1, leaves open which tag a caller returns after two answers. The option searches for what breaks if it is the latest one.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 .PHONY: setup test lint format types demo
 .PHONY: tour process-faults compare-mapping capacity bench fault-matrix log-check
-.PHONY: golden measure soak
+.PHONY: golden measure soak evidence-model
 
 setup: $(VENV)/.installed
 
@@ -56,6 +56,9 @@
 log-check: setup
 	$(BIN)/python -m wasabigw_verify.log_check --bound long
 
+evidence-model: setup
+	$(BIN)/python -m tests.evidence_model --examples 5000
+
 golden: setup
 	$(BIN)/python -m wasabigw_verify.golden
 
--- a/tests/evidence_model/__main__.py
+++ b/tests/evidence_model/__main__.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from tests.evidence_model.callers import TagTaken
 from tests.evidence_model.judge import Fault
 from tests.evidence_model.search import Report, search
 from tests.evidence_model.waits import run_deaths
@@ -17,6 +18,9 @@
     fault: Annotated[
         str, typer.Option(help="Shrink a scenario with this fault, such as LOST.")
     ] = "",
+    latest_tag: Annotated[
+        bool, typer.Option(help="Callers return the tag of the latest answer.")
+    ] = False,
     trace: Annotated[bool, typer.Option(help="Print the packets of it.")] = False,
     deaths: Annotated[
         int, typer.Option(help="Print how long callers of dead servers wait.")
@@ -26,7 +30,8 @@
     if deaths:
         print(run_deaths(deaths, seed))
         return
-    report = search(examples, seed, Fault[fault] if fault else None)
+    taken = TagTaken.LATEST if latest_tag else TagTaken.CHOSEN
+    report = search(examples, seed, Fault[fault] if fault else None, taken)
     _print_counts(report)
     if report.simplest is not None:
         outcome = run(report.simplest)
--- a/tests/evidence_model/scenario.py
+++ b/tests/evidence_model/scenario.py
@@ -1,12 +1,12 @@
 """Scenarios: all that decides a run, besides the decisions of the balancers."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from hypothesis import strategies as st
 
 from tests.evidence_model.balancers import BalancerSettings
-from tests.evidence_model.callers import CallerPlan
+from tests.evidence_model.callers import CallerPlan, TagTaken
 from tests.evidence_model.network import SOUND, LegQuality
 from tests.evidence_model.servers import ServerSettings, Workload
 from tests.evidence_model.transport import Acknowledging
@@ -135,3 +135,9 @@
     seed=st.integers(0, 999),
 )
 """Any scenario; shrinking leads to few callers, sound legs and no disturbances."""
+
+
+def with_tags(scenario: Scenario, taken: TagTaken) -> Scenario:
+    """The same scenario with callers that return another tag."""
+    plans = tuple(replace(plan, tag_taken=taken) for plan in scenario.callers)
+    return replace(scenario, callers=plans)
--- a/tests/evidence_model/search.py
+++ b/tests/evidence_model/search.py
@@ -6,8 +6,9 @@
 
 from hypothesis import HealthCheck, Phase, given, seed, settings
 
+from tests.evidence_model.callers import TagTaken
 from tests.evidence_model.judge import Fault, Freed
-from tests.evidence_model.scenario import Scenario, scenarios
+from tests.evidence_model.scenario import Scenario, scenarios, with_tags
 from tests.evidence_model.world import Outcome, run
 
 
@@ -31,15 +32,22 @@
     simplest: Scenario | None = None
 
 
-def search(examples: int, number: int, fault: Fault | None = None) -> Report:
+def search(
+    examples: int,
+    number: int,
+    fault: Fault | None = None,
+    taken: TagTaken = TagTaken.CHOSEN,
+) -> Report:
     """Run scenarios, and shrink the first one with a finding of a fault.
 
     :param number: seed of the search.
     :param fault: the fault to search for; without it, all are counted.
+    :param taken: which tag all callers return.
     """
     report = Report()
 
-    def check(scenario: Scenario) -> None:
+    def check(drawn: Scenario) -> None:
+        scenario = with_tags(drawn, taken)
         outcome = run(scenario)
         _count(outcome, report)
         found = {finding.fault for finding in outcome.findings}
