--- a/tests/evidence_model/balancers.py
+++ b/tests/evidence_model/balancers.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from tests.evidence_model.clock import Callback, Clock
-from tests.evidence_model.host_checker import HostChecker
+from tests.evidence_model.host_checker import HostChecker, Respond
 from tests.evidence_model.wire import BalancerReset
 from wasabigw.core.declaration import (
     Declaration,
@@ -81,7 +81,7 @@
 
     to_server: Callable[[Registration, Receiver, FlowPacket], None]
     to_caller: Callable[[BalancerReset], None]
-    connect: Callable[[Endpoint, Callback], None]
+    connect: Callable[[Endpoint, Respond], None]
 
 
 class BalancerNode:
@@ -219,7 +219,7 @@
         for refusal in record_check(result, self._state, self._clock.now):
             self._refuse(refusal)
 
-    def _connect(self, target: Endpoint, answer: Callback) -> bool:
+    def _connect(self, target: Endpoint, answer: Respond) -> bool:
         if self._clock.now < self.failing_until:
             return False
         self._output.connect(target, answer)
--- a/tests/evidence_model/host_checker.py
+++ b/tests/evidence_model/host_checker.py
@@ -18,8 +18,12 @@
 
 MAX_RUNNING_CHECKS = 8
 
-Connect = Callable[[Endpoint, Callback], bool]
-"""Tries to connect; calls back at a response. ``False`` if no attempt can be made."""
+Respond = Callable[[Attempt], None]
+Connect = Callable[[Endpoint, Respond], bool]
+"""Tries to connect; calls back with the response, if there is one.
+
+``False`` if no attempt can be made.
+"""
 
 
 class Connection:
@@ -30,8 +34,9 @@
         if not connect(target, self._answer):
             self.attempt = Attempt.FAILED
 
-    def _answer(self) -> None:
-        self.attempt = Attempt.ANSWERED
+    def _answer(self, response: Attempt) -> None:
+        if self.attempt is Attempt.PENDING:
+            self.attempt = response
 
 
 @dataclass(slots=True, eq=False)
@@ -45,8 +50,8 @@
 
     @property
     def is_reachable(self) -> bool:
-        """Whether the host has answered."""
-        return any(c.attempt is Attempt.ANSWERED for c in self.connections)
+        """Whether the host has accepted a connection."""
+        return any(c.attempt is Attempt.ACCEPTED for c in self.connections)
 
 
 class HostChecker:
--- a/tests/evidence_model/scenario.py
+++ b/tests/evidence_model/scenario.py
@@ -122,7 +122,7 @@
 )
 
 
-scenarios = st.builds(
+scenarios_with_connections = st.builds(
     Scenario,
     callers=st.lists(callers, min_size=1, max_size=8).map(tuple),
     servers=st.lists(servers, min_size=1, max_size=3).map(tuple),
@@ -134,10 +134,24 @@
     disturbances=st.lists(disturbances, max_size=4).map(tuple),
     seed=st.integers(0, 999),
 )
-"""Any scenario; shrinking leads to few callers, sound legs and no disturbances."""
+
+
+def _without_connections(scenario: Scenario) -> Scenario:
+    """The same scenario with backend servers that accept no connections."""
+    servers = tuple(replace(s, accepts_connections=False) for s in scenario.servers)
+    return replace(scenario, servers=servers)
 
 
 def with_tags(scenario: Scenario, taken: TagTaken) -> Scenario:
     """The same scenario with callers that return another tag."""
     plans = tuple(replace(plan, tag_taken=taken) for plan in scenario.callers)
     return replace(scenario, callers=plans)
+
+
+scenarios = st.one_of(
+    scenarios_with_connections,
+    scenarios_with_connections,
+    scenarios_with_connections,
+    scenarios_with_connections.map(_without_connections),
+)
+"""Any scenario; shrinking leads to few callers, sound legs and no disturbances."""
--- a/tests/evidence_model/servers.py
+++ b/tests/evidence_model/servers.py
@@ -13,6 +13,7 @@
 from wasabigw.core.commands import BootAnnounced
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import BackendServerId, Seconds, Tag
+from wasabigw.core.tags.host_checks import Attempt
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 
 MOST_RETRANSMISSIONS = 8
@@ -42,6 +43,7 @@
     """A backend server.
 
     :param service_time: seconds that a request occupies a slot.
+    :param accepts_connections: whether it listens for health checks.
     :param queue: requests that wait for a slot; further ones are rejected.
     """
 
@@ -49,6 +51,7 @@
     queue: int = 20
     service_time: float = 0.01
     max_flows: int = 2000
+    accepts_connections: bool = True
     acknowledging: Acknowledging = Acknowledging.EACH
 
 
@@ -126,13 +129,16 @@
         self._workload = workload
         self._backlog: list[Callback] = []
 
-    @property
-    def answers_connections(self) -> bool:
-        """Whether a connection attempt is accepted or refused.
+    def connection_response(self) -> Attempt | None:
+        """Response to a connection attempt; ``None`` if there is none.
 
         The kernel of a host accepts connections while the boot stands still.
         """
-        return self.state not in (HostState.SILENT, HostState.FROZEN)
+        if self.state in (HostState.SILENT, HostState.FROZEN):
+            return None
+        if self.boot is not None and self._settings.accepts_connections:
+            return Attempt.ACCEPTED
+        return Attempt.REFUSED
 
     @property
     def _stands_still(self) -> bool:
--- a/tests/evidence_model/world.py
+++ b/tests/evidence_model/world.py
@@ -8,7 +8,8 @@
 from tests.evidence_model.balancers import BalancerNode, Output
 from tests.evidence_model.balancers import Phase as BalancerPhase
 from tests.evidence_model.callers import Caller
-from tests.evidence_model.clock import Callback, Clock
+from tests.evidence_model.clock import Clock
+from tests.evidence_model.host_checker import Respond
 from tests.evidence_model.judge import CONTACT_WINDOW, Finding, Freed, Judge
 from tests.evidence_model.network import Leg, LegQuality, Router
 from tests.evidence_model.registry import Registrations
@@ -181,15 +182,16 @@
         self._note(f"-> {intended} at host {host.number}: {_text(packet)}")
         path.send(lambda: host.receive(intended, packet))
 
-    def _connect(self, balancer: int, target: Endpoint, answer: Callback) -> None:
+    def _connect(self, balancer: int, target: Endpoint, answer: Respond) -> None:
         """A connection attempt of a balancer to a host."""
         host = self._host_at(target.address)
         path = self._paths[balancer, host.number]
         self._note(f"balancer-{balancer} connects to host {host.number}")
 
         def respond() -> None:
-            if host.answers_connections:
-                path.send(answer)
+            response = host.connection_response()
+            if response is not None:
+                path.send(lambda: answer(response))
 
         path.send(respond)
 
