--- a/tests/evidence_model/servers.py
+++ b/tests/evidence_model/servers.py
@@ -17,6 +17,7 @@
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 
 MOST_RETRANSMISSIONS = 8
+LONG_AGO = -1000.0
 
 
 class HostState(Enum):
@@ -96,7 +97,7 @@
     is_alive: bool = True
     is_draining: bool = False
     died_at: float = -1.0
-    disturbed_at: float = -1000.0
+    disturbed_at: float = LONG_AGO
     busy: int = 0
     flows: dict[FlowId, ServerFlow] = field(default_factory=dict)
     waiting: deque[ServerFlow] = field(default_factory=deque)
@@ -128,6 +129,7 @@
         self._to_caller = to_caller
         self._workload = workload
         self._backlog: list[Callback] = []
+        self._disturbed_at = LONG_AGO
 
     def connection_response(self) -> Attempt | None:
         """Response to a connection attempt; ``None`` if there is none.
@@ -160,6 +162,7 @@
             cold_for=Seconds(0.0),
         )
         self.boot = Boot(report.id, number, self._settings, report)
+        self.boot.disturbed_at = self._disturbed_at
         self.state = HostState.RUNNING
         return self.boot
 
@@ -196,14 +199,19 @@
             return
         self.state = state
         self.paused_until = max(self.paused_until, self._clock.now + seconds)
-        self.disturb(seconds)
+        if state is HostState.FROZEN:
+            self.disturb(seconds)
+        self.boot.disturbed_at = max(self.boot.disturbed_at, self.paused_until)
         self._clock.after(seconds, self._resume)
 
     def disturb(self, seconds: float) -> None:
-        """Record that the boot or its links are impaired for some time."""
+        """Record that the host or its links are impaired for some time.
+
+        This outlasts the boot: the next one on the host is not in touch either.
+        """
+        self._disturbed_at = max(self._disturbed_at, self._clock.now + seconds)
         if self.boot is not None:
-            end = self._clock.now + seconds
-            self.boot.disturbed_at = max(self.boot.disturbed_at, end)
+            self.boot.disturbed_at = max(self.boot.disturbed_at, self._disturbed_at)
 
     def _resume(self) -> None:
         if not self._stands_still or self._clock.now < self.paused_until:
