--- /dev/null
+++ b/tests/evidence_model/host_checker.py
@@ -0,0 +1,111 @@
+"""Connection attempts of a balancer, as ``wasabigw.tasks.host_checker`` makes them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tests.evidence_model.clock import Callback, Clock
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import Seconds
+from wasabigw.core.tags.host_checks import (
+    ATTEMPT_INTERVAL,
+    ATTEMPTS,
+    RESPONSE_TIME,
+    Attempt,
+    HostCheck,
+    HostChecked,
+    status_of,
+)
+
+Respond = Callable[[Attempt], None]
+Connect = Callable[[Endpoint, Respond], bool]
+"""Tries to connect; calls back with the response, if there is one.
+
+``False`` if no attempt can be made.
+"""
+
+
+class Connection:
+    """A connection attempt."""
+
+    def __init__(self, target: Endpoint, connect: Connect) -> None:
+        self.attempt = Attempt.PENDING
+        if not connect(target, self._answer):
+            self.attempt = Attempt.FAILED
+
+    def _answer(self, response: Attempt) -> None:
+        if self.attempt is Attempt.PENDING:
+            self.attempt = response
+
+
+@dataclass(slots=True, eq=False)
+class RunningCheck:
+    """The connections of a check."""
+
+    check: HostCheck
+    started_at: Seconds
+    next_at: Seconds
+    connections: list[Connection] = field(default_factory=list)
+    references: list[Connection] = field(default_factory=list)
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the host has accepted a connection."""
+        return any(c.attempt is Attempt.ACCEPTED for c in self.connections)
+
+
+class HostChecker:
+    """Makes the attempts of checks.
+
+    :param when_running: runs a callback when the process runs.
+    :param report: takes the results.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        connect: Connect,
+        when_running: Callable[[Callback], None],
+        report: Callable[[HostChecked], None],
+    ) -> None:
+        self._clock = clock
+        self._connect = connect
+        self._when_running = when_running
+        self._report = report
+        self._running: list[RunningCheck] = []
+
+    def start(self, check: HostCheck) -> None:
+        """Begin a check."""
+        running = RunningCheck(check, self._clock.now, self._clock.now)
+        self._running.append(running)
+        self._continue(running)
+
+    def _continue(self, running: RunningCheck) -> None:
+        if running.is_reachable:
+            self._finish(running)
+        elif len(running.connections) < ATTEMPTS:
+            target = running.check.endpoint
+            running.connections.append(Connection(target, self._connect))
+            for target in running.check.references:
+                running.references.append(Connection(target, self._connect))
+            self._wait(running)
+        else:
+            self._finish(running)
+
+    def _wait(self, running: RunningCheck) -> None:
+        is_last = len(running.connections) == ATTEMPTS
+        delay = RESPONSE_TIME if is_last else ATTEMPT_INTERVAL
+        running.next_at = Seconds(self._clock.now + delay)
+        self._clock.after(
+            delay,
+            lambda: self._when_running(lambda: self._continue(running)),
+        )
+
+    def _finish(self, running: RunningCheck) -> None:
+        self._running.remove(running)
+        status = status_of(
+            [connection.attempt for connection in running.connections],
+            [connection.attempt for connection in running.references],
+            running.check.refusal_counts,
+            Seconds(self._clock.now - running.next_at),
+        )
+        self._report(HostChecked(running.check.tag, status, running.started_at))
