--- a/tests/evidence_model/host_checker.py
+++ b/tests/evidence_model/host_checker.py
@@ -108,4 +108,6 @@
             running.check.refusal_counts,
             Seconds(self._clock.now - running.next_at),
         )
-        self._report(HostChecked(running.check.tag, status, running.started_at))
+        now = self._clock.now
+        tag, started_at = running.check.tag, running.started_at
+        self._report(HostChecked(tag, status, started_at, now))
