balancer: check hosts only for open flows

Only open flows are reset, so only retransmitted data requests a check. The test failed before: an unanswered opening requested one.

--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -209,8 +209,6 @@
     silent_for = Seconds(now - server.breaker.last_response_at)
     if record_failure(server.breaker, sent_at, now):
         state.health_changes.append(HealthChange(server, failure, silent_for))
-    if server.breaker.failures > 0:
-        request_check(server, state, now)
 
 
 def _record_data(packet: FlowPacket, flow: Flow, state: TagState, now: Seconds) -> bool:
@@ -231,9 +229,12 @@
 
 
 def _record_retransmission(flow: Flow, state: TagState, now: Seconds) -> None:
-    if now - flow.pending_since >= SUSPECT_AFTER:
-        signal = FailureSignal.DATA_RETRANSMITTED
-        _record_unanswered(flow.server, flow.pending_since, signal, state, now)
+    if now - flow.pending_since < SUSPECT_AFTER:
+        return
+    signal = FailureSignal.DATA_RETRANSMITTED
+    _record_unanswered(flow.server, flow.pending_since, signal, state, now)
+    if flow.server.breaker.failures > 0:
+        request_check(flow.server, state, now)
 
 
 def _expect_answer(flow: Flow, sequence: int, now: Seconds) -> None:
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -243,6 +243,15 @@
         [check] = self.take_checks()
         self.assertFalse(check.refusal_counts)
 
+    def test_openings_without_an_answer_request_no_check(self) -> None:
+        # Guards against connections that cost a backend server something and decide
+        # nothing: only open flows are reset.
+        self.decide(opening(50), now=1.0)
+        self.answer(2, now=1.15)
+        self.decide(opening(50, repeat=1), now=1.2)
+        self.decide(opening(51), now=1.4)
+        self.assertEqual(self.take_checks(), [])
+
     def test_no_check_without_a_host_that_has_answered_since(self) -> None:
         # Packets of all callers may be late or lost at the balancer itself.
         self.send(1, now=1.2)
