--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -8,7 +8,6 @@
 
 from wasabigw.core.durations import Durations, record_duration
 from wasabigw.core.ids import Seconds
-from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags import caller_diversion
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
@@ -80,9 +79,9 @@
     flow = packet.flow
     listener = state.listeners.get((flow.listener, flow.listener_port))
     if listener is None:
-        if state.is_fresh(now):
-            return Refuse(packet, RefusalReason.NO_LISTENER)
-        return Drop(DropReason.UNSURE_OF_LISTENER)
+        return _reject_opening(
+            packet, RefusalReason.NO_LISTENER, DropReason.UNSURE_OF_LISTENER, state, now
+        )
     service = service_of(listener, flow)
     pool = state.pools.get(service, ())
     avoided = tried_servers(flow.caller, state, now)
@@ -108,9 +107,9 @@
         )
     chosen = choose_server(service, state, now, avoided)
     if chosen is None:
-        if state.is_fresh(now):
-            return Refuse(packet, RefusalReason.NO_SERVER)
-        return Drop(DropReason.UNSURE_OF_SERVERS)
+        return _reject_opening(
+            packet, RefusalReason.NO_SERVER, DropReason.UNSURE_OF_SERVERS, state, now
+        )
     server, reason = chosen
     record_probe(server.breaker, now)
     caller_diversion.record_outcome(
@@ -121,6 +120,26 @@
     return Deliver(packet, server.registration, reason)
 
 
+def _reject_opening(
+    packet: FlowPacket,
+    reason: RefusalReason,
+    unsure: DropReason,
+    state: TagState,
+    now: Seconds,
+) -> PacketDecision:
+    """Refuse an opening if the flow can't be open; drop it otherwise.
+
+    :param unsure: why it is dropped if the view is not known to be current.
+    """
+    if not state.is_fresh(now):
+        return Drop(unsure)
+    if packet.repeat > 0:
+        # Another balancer may have delivered the first copy, and a reset would end the
+        # flow that it opened.
+        return Drop(DropReason.MAY_BE_OPEN)
+    return Refuse(packet, reason)
+
+
 def _is_copy_of_opening(packet: FlowPacket, known: Flow, now: Seconds) -> bool:
     """Whether an opening packet is a late copy of the opening of a known flow.
 
@@ -162,20 +181,22 @@
     server = state.servers.get(packet.tag)
     if server is None:
         return Drop(DropReason.UNKNOWN_TAG)
-    if server.registration.state is RegistrationState.ENDED:
-        remove_flow(packet.flow, state)
-        return Refuse(packet, RefusalReason.SERVER_ENDED)
     if packet.is_reset:
         remove_flow(packet.flow, state)
-        return Deliver(packet, server.registration)
+        return _deliver(packet, server)
     if packet.is_closing:
         _close_flow(packet, server, state, now)
-        return Deliver(packet, server.registration)
+        return _deliver(packet, server)
     flow = _record_use(packet, server, state, now)
     if flow is not None and _record_data(packet, flow, state, now):
         remove_flow(packet.flow, state)
         return Refuse(packet, RefusalReason.SERVER_LOST)
-    return Deliver(packet, server.registration)
+    return _deliver(packet, server)
+
+
+def _deliver(packet: FlowPacket, server: Server) -> Deliver:
+    """Deliver a packet of an open flow."""
+    return Deliver(packet, server.registration, receiver=server.receiver)
 
 
 def _record_unanswered(
