--- a/src/wasabigw/core/tags/host_checks.py
+++ b/src/wasabigw/core/tags/host_checks.py
@@ -7,10 +7,15 @@
 flows only if the host itself is gone, or cut off from the balancer, and must be sure
 of that, because a reset can't be taken back.
 
-It makes several connection attempts to the host. Any response shows that the host is
-up, a refusal as well. As many attempts to reference hosts, which answered callers
-lately, are made at the same moments: only if each of them is answered, and none to the
-checked host is, the fault is not at the balancer or its link.
+It makes several connection attempts to the host. As many attempts to reference hosts,
+which answered callers lately, are made at the same moments. If one to the checked host
+is accepted, it is up. Otherwise the result depends on the reference hosts, because a
+fault at the balancer or its link would affect their attempts as well:
+
+- A host that does not respond is unreachable if all reference hosts respond.
+- A host that refuses has no backend server any more, or something on the way rejects
+  connections. It counts as unreachable only if all reference hosts accept, because
+  backend servers need not accept connections.
 """
 
 from collections.abc import Iterable, Sequence
@@ -33,11 +38,15 @@
     """State of a connection attempt."""
 
     PENDING = "no response"
-    ANSWERED = "accepted or refused"
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
     FAILED = "not made"
     """The system of the balancer did not allow it."""
 
 
+_RESPONSES = frozenset((Attempt.ACCEPTED, Attempt.REFUSED))
+
+
 class HostStatus(Enum):
     """Result of a check."""
 
@@ -77,10 +86,12 @@
 
     :param lateness: time from the end of the check to its evaluation.
     """
-    if Attempt.ANSWERED in attempts:
+    if Attempt.ACCEPTED in attempts:
         return HostStatus.REACHABLE
-    if lateness > MAX_LATENESS or any(a is not Attempt.PENDING for a in attempts):
-        return HostStatus.UNKNOWN
-    if any(reference is not Attempt.ANSWERED for reference in references):
+    if lateness > MAX_LATENESS or Attempt.FAILED in attempts:
         return HostStatus.UNKNOWN
-    return HostStatus.UNREACHABLE
+    is_refused = Attempt.REFUSED in attempts
+    expected = frozenset((Attempt.ACCEPTED,)) if is_refused else _RESPONSES
+    if all(reference in expected for reference in references):
+        return HostStatus.UNREACHABLE
+    return HostStatus.UNKNOWN
--- a/src/wasabigw/tasks/host_checker.py
+++ b/src/wasabigw/tasks/host_checker.py
@@ -3,6 +3,7 @@
 import errno
 import selectors
 import socket
+from collections import Counter
 from functools import singledispatchmethod
 from typing import Any
 
@@ -27,8 +28,13 @@
 
 MAX_RUNNING_CHECKS = 8
 """Maximum number of checks at a time; others are skipped until callers retransmit."""
-_ANSWERED = frozenset((0, errno.ECONNREFUSED, errno.ECONNRESET))
-"""Results of a connection attempt that only a host which is up can cause."""
+_RESULTS = {
+    0: Attempt.ACCEPTED,
+    errno.ECONNREFUSED: Attempt.REFUSED,
+    errno.ECONNRESET: Attempt.REFUSED,
+    errno.ETIMEDOUT: Attempt.PENDING,
+}
+"""States of attempts that have ended, by error number; others were not made."""
 _IN_PROGRESS = frozenset((errno.EINPROGRESS, errno.EWOULDBLOCK))
 
 
@@ -55,10 +61,7 @@
         self._end(self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
     def _end(self, error: int) -> None:
-        if error in _ANSWERED:
-            self.attempt = Attempt.ANSWERED
-        elif error != errno.ETIMEDOUT:
-            self.attempt = Attempt.FAILED
+        self.attempt = _RESULTS.get(error, Attempt.FAILED)
         if self._socket in self._selector.get_map():
             self._selector.unregister(self._socket)
         self._socket.close()
@@ -82,8 +85,8 @@
 
     @property
     def is_reachable(self) -> bool:
-        """Whether the host has answered."""
-        return any(c.attempt is Attempt.ANSWERED for c in self.connections)
+        """Whether the host has accepted a connection."""
+        return any(c.attempt is Attempt.ACCEPTED for c in self.connections)
 
     def connect(self, selector: selectors.BaseSelector) -> None:
         """Make one attempt to each host."""
@@ -161,6 +164,8 @@
             tag=check.tag,
             endpoint=endpoint_key(check.endpoint),
             status=status.value,
+            attempts=_text_of(running.connections),
+            reference_attempts=_text_of(running.references),
             seconds=round(now - running.started_at, 3),
             references=", ".join(map(endpoint_key, check.references)),
         )
@@ -171,6 +176,11 @@
             running.close()
 
 
+def _text_of(connections: list[_Connection]) -> str:
+    counts = Counter(connection.attempt.value for connection in connections)
+    return ", ".join(f"{count} {state}" for state, count in sorted(counts.items()))
+
+
 def make_host_checker(results: Mailbox[Any]) -> HostChecker:
     """Create the task; entering its context starts it."""
     return HostChecker(SelectableMailbox("host checks"), results)
--- a/src/wasabigw/telemetry/events_flow.py
+++ b/src/wasabigw/telemetry/events_flow.py
@@ -55,7 +55,8 @@
         5006,
         Severity.INFO,
         "host {endpoint} of the backend server with tag {tag} is {status}: connection "
-        "attempts for {seconds} s, at the same time to {references}",
+        "attempts for {seconds} s: {attempts}; at the same time to {references}: "
+        "{reference_attempts}",
         "If unreachable, the open flows of the backend server are reset. Unknown: the "
         "other hosts did not answer either, or the balancer was late; see WGW-2027.",
     )
--- a/tests/test_host_checker.py
+++ b/tests/test_host_checker.py
@@ -67,9 +67,13 @@
         status = self.check(self.listen(), self.listen())
         self.assertIs(status, HostStatus.REACHABLE)
 
-    def test_a_host_that_refuses_is_reachable(self) -> None:
+    def test_a_host_that_refuses_beside_one_that_accepts(self) -> None:
         status = self.check(self.closed(), self.listen())
-        self.assertIs(status, HostStatus.REACHABLE)
+        self.assertIs(status, HostStatus.UNREACHABLE)
+
+    def test_a_host_that_refuses_as_the_others_do(self) -> None:
+        status = self.check(self.closed(), self.listen(), self.closed())
+        self.assertIs(status, HostStatus.UNKNOWN)
 
     def test_a_host_without_any_answer_is_unreachable(self) -> None:
         status = self.check(self.silent(), self.listen(), self.closed())
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -22,7 +22,8 @@
 from wasabigw.core.tags.unreachable_hosts import CHECK_INTERVAL, record_check
 
 PENDING = [Attempt.PENDING] * ATTEMPTS
-ANSWERED = [Attempt.ANSWERED] * ATTEMPTS
+ACCEPTED = [Attempt.ACCEPTED] * ATTEMPTS
+REFUSED = [Attempt.REFUSED] * ATTEMPTS
 
 
 def on_host(number: int) -> Registration:
@@ -233,27 +234,38 @@
     ) -> HostStatus:
         return status_of(attempts, references, Seconds(lateness))
 
-    def test_a_silent_host_beside_one_that_always_answers(self) -> None:
-        self.assertIs(self.status(PENDING, ANSWERED), HostStatus.UNREACHABLE)
+    def test_a_silent_host_beside_one_that_always_responds(self) -> None:
+        for references in (ACCEPTED, REFUSED):
+            self.assertIs(self.status(PENDING, references), HostStatus.UNREACHABLE)
 
-    def test_one_answer_is_enough(self) -> None:
-        attempts = [Attempt.PENDING, Attempt.PENDING, Attempt.ANSWERED]
-        self.assertIs(self.status(attempts, ANSWERED), HostStatus.REACHABLE)
+    def test_a_host_that_refuses_beside_one_that_always_accepts(self) -> None:
+        # Its backend server has ended, or something on the way rejects connections.
+        self.assertIs(self.status(REFUSED, ACCEPTED), HostStatus.UNREACHABLE)
+
+    def test_a_refusal_proves_nothing_if_references_refuse_as_well(self) -> None:
+        # Backend servers of this deployment may not accept connections.
+        references = [*ACCEPTED, Attempt.REFUSED]
+        self.assertIs(self.status(REFUSED, references), HostStatus.UNKNOWN)
+
+    def test_one_accepted_attempt_is_enough(self) -> None:
+        attempts = [Attempt.PENDING, Attempt.REFUSED, Attempt.ACCEPTED]
+        self.assertIs(self.status(attempts, ACCEPTED), HostStatus.REACHABLE)
         late = self.status(attempts, PENDING, lateness=9.0)
         self.assertIs(late, HostStatus.REACHABLE)
 
-    def test_references_that_lack_an_answer_prove_nothing(self) -> None:
-        references = [*ANSWERED, Attempt.PENDING]
-        self.assertIs(self.status(PENDING, references), HostStatus.UNKNOWN)
+    def test_references_that_lack_a_response_prove_nothing(self) -> None:
+        references = [*ACCEPTED, Attempt.PENDING]
+        for attempts in (PENDING, REFUSED):
+            self.assertIs(self.status(attempts, references), HostStatus.UNKNOWN)
 
     def test_attempts_that_could_not_be_made_prove_nothing(self) -> None:
         attempts = [*PENDING[1:], Attempt.FAILED]
-        self.assertIs(self.status(attempts, ANSWERED), HostStatus.UNKNOWN)
+        self.assertIs(self.status(attempts, ACCEPTED), HostStatus.UNKNOWN)
 
     def test_a_late_result_proves_nothing(self) -> None:
-        # The balancer may have been paused, and answers may wait for it.
+        # The balancer may have been paused, and responses may wait for it.
         late = MAX_LATENESS + 0.01
-        self.assertIs(self.status(PENDING, ANSWERED, late), HostStatus.UNKNOWN)
+        self.assertIs(self.status(PENDING, ACCEPTED, late), HostStatus.UNKNOWN)
 
 
 if __name__ == "__main__":
