fix: a late first copy of an opening no longer resets its flow

Callers saw a reset on an open flow if the first copy of its opening waited in the receive buffer of a balancer that knows no listener or backend server for it, while another balancer opened the flow with the second copy. A balancer that starts does not read its socket before it has a view, so a planned restart is enough.

Cause: the balancer took the time of reading for the time of arrival, and a first copy for the only one.

The socket now asks the kernel when each datagram arrived (SO_TIMESTAMPNS), and an opening that waited 0.15 s or longer is dropped where it would have been refused. Callers retransmit after 0.2 s, so no other copy exists before that. Delay on the way to the balancer stays unseen.

--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -49,6 +49,7 @@
 )
 from wasabigw.core.tags.unreachable_hosts import request_check
 
+NO_WAIT = Seconds(0.0)
 SUSPECT_AFTER = Seconds(0.15)
 """Minimum age of data at which its retransmission counts as a failure.
 
@@ -60,28 +61,45 @@
 
 Callers send the last copy 0.6 s after the opening, and it may wait in queues.
 """
+MAX_WAIT_TO_REFUSE = Seconds(0.15)
+"""Time in the receive buffer after which another copy of an opening may be delivered.
+
+Callers send an opening again after 0.2 s.
+"""
 MAX_BYTES_BEFORE_COPY = 2**20
 """Most bytes that a caller sends on a flow before a copy of its opening arrives."""
+_REASONS_IF_STALE = {
+    RefusalReason.NO_LISTENER: DropReason.UNSURE_OF_LISTENER,
+    RefusalReason.NO_SERVER: DropReason.UNSURE_OF_SERVERS,
+}
+"""Why an opening is dropped rather than refused if the view may not be current."""
 
 
-def decide(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
-    """Decide whether to deliver, refuse or drop a packet from a caller."""
+def decide(
+    packet: FlowPacket,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds = NO_WAIT,
+) -> PacketDecision:
+    """Decide whether to deliver, refuse or drop a packet from a caller.
+
+    :param waited: time that the packet spent in the receive buffer.
+    """
     if not state.has_view:
         return Drop(DropReason.NO_VIEW)
     if packet.is_opening:
-        return _decide_opening(packet, state, now)
+        return _decide_opening(packet, state, now, waited)
     return _decide_open_flow(packet, state, now)
 
 
 def _decide_opening(
-    packet: FlowPacket, state: TagState, now: Seconds
+    packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
 ) -> PacketDecision:
     flow = packet.flow
     listener = state.listeners.get((flow.listener, flow.listener_port))
     if listener is None:
-        return _reject_opening(
-            packet, RefusalReason.NO_LISTENER, DropReason.UNSURE_OF_LISTENER, state, now
-        )
+        reason = RefusalReason.NO_LISTENER
+        return _reject_opening(packet, reason, state, now, waited)
     service = service_of(listener, flow)
     pool = state.pools.get(service, ())
     avoided = tried_servers(flow.caller, state, now)
@@ -107,34 +125,30 @@
         )
     chosen = choose_server(service, state, now, avoided)
     if chosen is None:
-        return _reject_opening(
-            packet, RefusalReason.NO_SERVER, DropReason.UNSURE_OF_SERVERS, state, now
-        )
-    server, reason = chosen
+        reason = RefusalReason.NO_SERVER
+        return _reject_opening(packet, reason, state, now, waited)
+    server, choice = chosen
     record_probe(server.breaker, now)
     caller_diversion.record_outcome(
-        state.diversion, _counts_as_served(server, reason, pool, state)
+        state.diversion, _counts_as_served(server, choice, pool, state)
     )
     if add_flow(packet, server, state, now) is not None:
         record_opening(flow, server, state, now)
-    return Deliver(packet, server.registration, reason)
+    return Deliver(packet, server.registration, choice)
 
 
 def _reject_opening(
     packet: FlowPacket,
     reason: RefusalReason,
-    unsure: DropReason,
     state: TagState,
     now: Seconds,
+    waited: Seconds,
 ) -> PacketDecision:
-    """Refuse an opening if the flow can't be open; drop it otherwise.
-
-    :param unsure: why it is dropped if the view is not known to be current.
-    """
+    """Refuse an opening if the flow can't be open; drop it otherwise."""
     if not state.is_fresh(now):
-        return Drop(unsure)
-    if packet.repeat > 0:
-        # Another balancer may have delivered the first copy, and a reset would end the
+        return Drop(_REASONS_IF_STALE[reason])
+    if packet.repeat > 0 or waited >= MAX_WAIT_TO_REFUSE:
+        # Another balancer may have delivered another copy, and a reset would end the
         # flow that it opened.
         return Drop(DropReason.MAY_BE_OPEN)
     return Refuse(packet, reason)
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -1,7 +1,6 @@
 """Task that owns the UDP socket and the state of a balancer that delivers by tags."""
 
 import selectors
-import socket
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -39,6 +38,7 @@
 from wasabigw.tasks.host_checker import make_host_checker
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
+from wasabigw.tasks.packet_socket import Received, make_packet_socket
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
 from wasabigw.tasks.tag_messages import (
     BeginTagDrain,
@@ -52,10 +52,6 @@
 from wasabigw.telemetry.exposition import Family
 from wasabigw.telemetry.log_events import log
 
-RECEIVE_BYTES = 65_536
-"""Size of the largest possible datagram, in bytes."""
-SOCKET_BUFFER = 1024 * 1024
-"""Size of the receive buffer in the kernel, in bytes."""
 PACKETS_PER_WAKE_UP = 64
 """Maximum number of packets handled before the mailbox is checked again."""
 StatusResponder = Callable[[LightRequest, TagBalancerStatus], None]
@@ -109,7 +105,7 @@
     ) -> None:
         super().__init__("packets", mailbox)
         self._settings = settings
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket = make_packet_socket()
         self._state = TagState(
             settings.node,
             settings.failure_domain,
@@ -137,8 +133,7 @@
     @property
     def address(self) -> Address:
         """Address at which the task receives packets, after its context was entered."""
-        address: Address = self._socket.getsockname()
-        return address
+        return self._socket.address
 
     def __enter__(self) -> Self:
         """Bind the socket and start the task.
@@ -148,52 +143,47 @@
 
         :raises OSError: if the endpoint of the settings can't be bound.
         """
-        bind = self._settings.bind
-        self._socket.setblocking(False)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER)
-        self._socket.bind((bind.address, bind.port))
+        self._socket.bind(self._settings.bind)
         address, port = self.address
         log(
             BalancerEvent.SOCKET_OPENED,
             node=self._settings.node,
             address=address,
             port=port,
-            buffer=self._socket.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF),
+            buffer=self._socket.buffer_size,
         )
         for part in (self._socket, self._metrics, self._server, self._checker):
             self._resources.enter_context(part)
         return super().__enter__()
 
     def _receive_packets(self, _events: int) -> None:
-        receive = self._socket.recvfrom
         if self._backlogged_since is None:
             self._backlogged_since = monotonic()
         for _ in range(PACKETS_PER_WAKE_UP):
             try:
-                datagram, _sender = receive(RECEIVE_BYTES)
+                received = self._socket.receive()
             except BlockingIOError:
                 self._backlogged_since = None
                 return
             except OSError:
-                # Reports an ICMP error for a datagram that was sent earlier.
                 self._counts["receive-failed"] += 1
                 continue
             # Read for each packet: the process may have been paused since the last one,
             # and a decision must not rely on a view that has expired meanwhile.
             self._last_packet = monotonic()
-            self._receive_packet(datagram, self._last_packet)
+            self._receive_packet(received, self._last_packet)
 
-    def _receive_packet(self, datagram: bytes, now: Seconds) -> None:
-        packet = self._settings.codec.parse(datagram)
+    def _receive_packet(self, received: Received, now: Seconds) -> None:
+        packet = self._settings.codec.parse(received.data)
         if isinstance(packet, str):
             self._counts[packet] += 1
             return
-        decision = decide(packet, self._state, now)
+        decision = decide(packet, self._state, now, received.waited)
         self._decision_log.log_decision(packet, decision, now)
         if self._state.health_changes:
             self._decision_log.log_health_changes(now)
         self._request_host_checks()
-        _execute(decision, datagram, now, self)
+        _execute(decision, received.data, now, self)
 
     def _request_host_checks(self) -> None:
         checks = self._state.host_checks
@@ -247,9 +237,8 @@
         :returns: whether it was sent.
         """
         try:
-            self._socket.sendto(datagram, address)
+            self._socket.send(datagram, address)
         except (OSError, OverflowError):
-            # OverflowError is raised for a port out of range.
             self._counts["send-failed"] += 1
             return False
         self._counts[outcome] += 1
@@ -414,11 +403,8 @@
 
     def _is_receive_buffer_empty(self) -> bool:
         try:
-            self._socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
+            return self._socket.is_empty()
         except OSError:
-            # Reports an ICMP error for a datagram that was sent earlier.
             self._counts["receive-failed"] += 1
         return False
 
--- a/tests/test_live_servers.py
+++ b/tests/test_live_servers.py
@@ -27,7 +27,7 @@
 )
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.packets import FlowPacket
-from wasabigw.core.tags.steering import record_loss, record_release
+from wasabigw.core.tags.steering import decide, record_loss, record_release
 
 CALLERS = (1, 2, 3)
 REQUEST_SEQUENCE = 111
@@ -164,8 +164,8 @@
 class LateCopies(SteeringCase):
     """Guards against the reset of a flow by a late copy of its opening.
 
-    Routers hand the copy to a balancer that has not seen the first one, which another
-    balancer delivered.
+    Routers hand the copies to several balancers. The one that delivers the flow knows
+    a backend server for it, and this one does not.
     """
 
     def test_a_copy_is_not_refused_if_the_only_server_is_draining(self) -> None:
@@ -177,6 +177,12 @@
         decision = self.decide(opening(repeat=1, listener_port=8443), now=1.0)
         self.assertEqual(decision, Drop(DropReason.MAY_BE_OPEN))
 
+    def test_a_first_copy_that_waited_is_not_refused(self) -> None:
+        # The caller has sent the second copy meanwhile, which another balancer took.
+        for packet in (opening(), opening(listener_port=8443)):
+            decision = decide(packet, self.state, Seconds(1.0), Seconds(0.2))
+            self.assertEqual(decision, Drop(DropReason.MAY_BE_OPEN))
+
     def test_a_first_opening_is_refused_at_once(self) -> None:
         decision = self.decide(opening(), now=1.0)
         assert isinstance(decision, Refuse)
--- a/tests/test_receive_backlog.py
+++ b/tests/test_receive_backlog.py
@@ -48,10 +48,10 @@
         slow = Seconds(tag_packet_task.LONG_QUEUE_TIME * 1.5)
 
         def decide_slowly(
-            packet: FlowPacket, state: TagState, now: Seconds
+            packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
         ) -> PacketDecision:
             time.sleep(slow)
-            return decide(packet, state, now)
+            return decide(packet, state, now, waited)
 
         with (
             mock.patch.object(tag_packet_task, "decide", decide_slowly),
--- a/tests/test_tag_balancer.py
+++ b/tests/test_tag_balancer.py
@@ -61,8 +61,8 @@
         return port
 
 
-class SlowLinkCase(unittest.TestCase):
-    """A balancer with a slow link before one backend server."""
+class StartingBalancerCase(unittest.TestCase):
+    """A balancer that has no view yet, with a slow link before one backend server."""
 
     def setUp(self) -> None:
         self.server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -76,6 +76,9 @@
         self.running = ExitStack()
         self.addCleanup(self.running.close)
         self.running.enter_context(self.balancer)
+
+    def post_view(self) -> None:
+        """Give the balancer its first view."""
         view = DeliveryView(Revision(1), {Tag(7): self._registration()})
         update = update_since(view, NO_REVISION, Seconds(60.0))
         self.balancer.mailbox.post(ViewReceived(update, LOOPBACK, monotonic()))
@@ -130,6 +133,14 @@
         return times
 
 
+class SlowLinkCase(StartingBalancerCase):
+    """The same balancer with a view."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.post_view()
+
+
 class Pacing(SlowLinkCase):
     """Guards against a task that sends faster than its link, or loses what waits."""
 
