verify: the models of the evidence and of the registrations move to src

They are now wasabigw_verify.evidence_model and wasabigw_verify.registration_model; their tests stay in tests/. Command: git mv of tests/evidence_model and of tests/registration_model.py to src/wasabigw_verify, then sed 's/tests\.(evidence_model|registration_model)/wasabigw_verify.\1/'. No change of behaviour; the methods of the registration model get the doc comments that src asks for.

hypothesis stays a package of requirements-dev.lock, as dpkt of wasabigw_demo: what is shipped is wasabigw alone (deploy/build.sh). The strategies and the search stay beside the models, because the commands need them and src must not import from tests.

Run: make lint types; test_evidence_model.py, test_registration_properties.py, test_import_cycles.py, test_core_imports.py pass.

--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 	$(BIN)/python -m wasabigw_verify.log_check --bound long
 
 evidence-model: setup
-	$(BIN)/python -m tests.evidence_model --examples 5000
+	$(BIN)/python -m wasabigw_verify.evidence_model --examples 5000
 
 golden: setup
 	$(BIN)/python -m wasabigw_verify.golden
--- a/tests/evidence_model/__main__.py
+++ b/src/wasabigw_verify/evidence_model/__main__.py
@@ -1,15 +1,15 @@
-"""Command of the model: ``python -m tests.evidence_model --examples 5000 --seed 1``."""
+"""Command of the model: ``python -m wasabigw_verify.evidence_model``."""
 
 import sys
 from typing import Annotated
 
 import typer
 
-from tests.evidence_model.callers import TagTaken
-from tests.evidence_model.judge import Fault
-from tests.evidence_model.search import Report, search
-from tests.evidence_model.waits import run_deaths
-from tests.evidence_model.world import run
+from wasabigw_verify.evidence_model.callers import TagTaken
+from wasabigw_verify.evidence_model.judge import Fault
+from wasabigw_verify.evidence_model.search import Report, search
+from wasabigw_verify.evidence_model.waits import run_deaths
+from wasabigw_verify.evidence_model.world import run
 
 
 def main(
--- a/tests/evidence_model/balancers.py
+++ b/src/wasabigw_verify/evidence_model/balancers.py
@@ -10,9 +10,6 @@
 from enum import Enum
 from typing import NamedTuple
 
-from tests.evidence_model.clock import Callback, Clock
-from tests.evidence_model.host_checker import HostChecker, Respond
-from tests.evidence_model.wire import BalancerReset
 from wasabigw.core.declaration import (
     Declaration,
     DeclaredService,
@@ -40,6 +37,9 @@
 from wasabigw.core.tags.steering import decide, record_loss, record_release
 from wasabigw.core.tags.unreachable_hosts import record_check
 from wasabigw.core.tags.updates import apply_declaration, apply_view_update
+from wasabigw_verify.evidence_model.clock import Callback, Clock
+from wasabigw_verify.evidence_model.host_checker import HostChecker, Respond
+from wasabigw_verify.evidence_model.wire import BalancerReset
 
 SERVICE = ServiceId("seats")
 DOMAIN = FailureDomainId("recife")
--- a/tests/evidence_model/callers.py
+++ b/src/wasabigw_verify/evidence_model/callers.py
@@ -6,13 +6,18 @@
 from enum import Enum
 from functools import partial
 
-from tests.evidence_model.balancers import LISTENER, LISTENER_NUMBER
-from tests.evidence_model.clock import Clock
-from tests.evidence_model.judge import Judge
-from tests.evidence_model.servers import DEFAULT_WORKLOAD, Workload
-from tests.evidence_model.transport import Acknowledging, Receiver, Segment, Sender
-from tests.evidence_model.wire import BalancerReset, Kind, ServerPacket
 from wasabigw.core.tags.packets import NO_TAG, FlowId, FlowPacket
+from wasabigw_verify.evidence_model.balancers import LISTENER, LISTENER_NUMBER
+from wasabigw_verify.evidence_model.clock import Clock
+from wasabigw_verify.evidence_model.judge import Judge
+from wasabigw_verify.evidence_model.servers import DEFAULT_WORKLOAD, Workload
+from wasabigw_verify.evidence_model.transport import (
+    Acknowledging,
+    Receiver,
+    Segment,
+    Sender,
+)
+from wasabigw_verify.evidence_model.wire import BalancerReset, Kind, ServerPacket
 
 COPIES_AFTER = (0.2, 0.6)
 ATTEMPT_ENDS_AFTER = 1.4
--- a/tests/evidence_model/cases.py
+++ b/src/wasabigw_verify/evidence_model/cases.py
@@ -2,12 +2,12 @@
 
 from dataclasses import replace
 
-from tests.evidence_model.balancers import BalancerSettings
-from tests.evidence_model.callers import CallerPlan
-from tests.evidence_model.network import LegQuality
-from tests.evidence_model.scenario import Disturbance, Scenario, Trouble
-from tests.evidence_model.servers import ServerSettings, Workload
-from tests.evidence_model.transport import Acknowledging
+from wasabigw_verify.evidence_model.balancers import BalancerSettings
+from wasabigw_verify.evidence_model.callers import CallerPlan
+from wasabigw_verify.evidence_model.network import LegQuality
+from wasabigw_verify.evidence_model.scenario import Disturbance, Scenario, Trouble
+from wasabigw_verify.evidence_model.servers import ServerSettings, Workload
+from wasabigw_verify.evidence_model.transport import Acknowledging
 
 
 def _callers(count: int, plan: CallerPlan, gap: float) -> tuple[CallerPlan, ...]:
--- a/tests/evidence_model/host_checker.py
+++ b/src/wasabigw_verify/evidence_model/host_checker.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tests.evidence_model.clock import Callback, Clock
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.tags.host_checks import (
@@ -15,6 +14,7 @@
     HostChecked,
     status_of,
 )
+from wasabigw_verify.evidence_model.clock import Callback, Clock
 
 Respond = Callable[[Attempt], None]
 Connect = Callable[[Endpoint, Respond], bool]
--- a/tests/evidence_model/judge.py
+++ b/src/wasabigw_verify/evidence_model/judge.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from tests.evidence_model.wire import BalancerReset, ServerPacket
 from wasabigw.core.tags.decisions import RefusalReason
 from wasabigw.core.tags.packets import FlowId, FlowPacket
+from wasabigw_verify.evidence_model.wire import BalancerReset, ServerPacket
 
 CONTACT_WINDOW = 4.0
 """Seconds after an impairment in which a machine is not in touch."""
--- a/tests/evidence_model/network.py
+++ b/src/wasabigw_verify/evidence_model/network.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tests.evidence_model.clock import Callback, Clock
+from wasabigw_verify.evidence_model.clock import Callback, Clock
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/evidence_model/scenario.py
+++ b/src/wasabigw_verify/evidence_model/scenario.py
@@ -5,11 +5,11 @@
 
 from hypothesis import strategies as st
 
-from tests.evidence_model.balancers import BalancerSettings
-from tests.evidence_model.callers import CallerPlan, TagTaken
-from tests.evidence_model.network import SOUND, LegQuality
-from tests.evidence_model.servers import ServerSettings, Workload
-from tests.evidence_model.transport import Acknowledging
+from wasabigw_verify.evidence_model.balancers import BalancerSettings
+from wasabigw_verify.evidence_model.callers import CallerPlan, TagTaken
+from wasabigw_verify.evidence_model.network import SOUND, LegQuality
+from wasabigw_verify.evidence_model.servers import ServerSettings, Workload
+from wasabigw_verify.evidence_model.transport import Acknowledging
 
 
 class Trouble(Enum):
--- a/tests/evidence_model/search.py
+++ b/src/wasabigw_verify/evidence_model/search.py
@@ -6,10 +6,10 @@
 
 from hypothesis import HealthCheck, Phase, given, seed, settings
 
-from tests.evidence_model.callers import TagTaken
-from tests.evidence_model.judge import Fault, Freed
-from tests.evidence_model.scenario import Scenario, scenarios, with_tags
-from tests.evidence_model.world import Outcome, run
+from wasabigw_verify.evidence_model.callers import TagTaken
+from wasabigw_verify.evidence_model.judge import Fault, Freed
+from wasabigw_verify.evidence_model.scenario import Scenario, scenarios, with_tags
+from wasabigw_verify.evidence_model.world import Outcome, run
 
 
 class FaultFoundError(Exception):
--- a/tests/evidence_model/servers.py
+++ b/src/wasabigw_verify/evidence_model/servers.py
@@ -5,16 +5,21 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 
-from tests.evidence_model.balancers import DOMAIN, SERVICE
-from tests.evidence_model.clock import Callback, Clock
-from tests.evidence_model.judge import Judge
-from tests.evidence_model.transport import Acknowledging, Receiver, Segment, Sender
-from tests.evidence_model.wire import Kind, ServerPacket
 from wasabigw.core.commands import BootAnnounced
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import BackendServerId, Seconds, Tag
 from wasabigw.core.tags.host_checks import Attempt
 from wasabigw.core.tags.packets import FlowId, FlowPacket
+from wasabigw_verify.evidence_model.balancers import DOMAIN, SERVICE
+from wasabigw_verify.evidence_model.clock import Callback, Clock
+from wasabigw_verify.evidence_model.judge import Judge
+from wasabigw_verify.evidence_model.transport import (
+    Acknowledging,
+    Receiver,
+    Segment,
+    Sender,
+)
+from wasabigw_verify.evidence_model.wire import Kind, ServerPacket
 
 MOST_RETRANSMISSIONS = 8
 LONG_AGO = -1000.0
--- a/tests/evidence_model/transport.py
+++ b/src/wasabigw_verify/evidence_model/transport.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from tests.evidence_model.clock import Callback
-from tests.evidence_model.wire import PACKET_BYTES
+from wasabigw_verify.evidence_model.clock import Callback
+from wasabigw_verify.evidence_model.wire import PACKET_BYTES
 
 MAX_IN_FLIGHT = 16
 FIRST_RETRANSMISSION = 0.2
--- a/tests/evidence_model/waits.py
+++ b/src/wasabigw_verify/evidence_model/waits.py
@@ -3,11 +3,11 @@
 import random
 from statistics import fmean
 
-from tests.evidence_model.balancers import BalancerSettings
-from tests.evidence_model.callers import CallerPlan
-from tests.evidence_model.scenario import Disturbance, Scenario, Trouble
-from tests.evidence_model.servers import ServerSettings
-from tests.evidence_model.world import run
+from wasabigw_verify.evidence_model.balancers import BalancerSettings
+from wasabigw_verify.evidence_model.callers import CallerPlan
+from wasabigw_verify.evidence_model.scenario import Disturbance, Scenario, Trouble
+from wasabigw_verify.evidence_model.servers import ServerSettings
+from wasabigw_verify.evidence_model.world import run
 
 DEATHS = (
     Trouble.SILENCE_HOST,
--- a/tests/evidence_model/world.py
+++ b/src/wasabigw_verify/evidence_model/world.py
@@ -5,22 +5,22 @@
 from dataclasses import dataclass, replace
 from functools import partial
 
-from tests.evidence_model.balancers import BalancerNode, Output
-from tests.evidence_model.balancers import Phase as BalancerPhase
-from tests.evidence_model.callers import Caller
-from tests.evidence_model.clock import Clock
-from tests.evidence_model.host_checker import Respond
-from tests.evidence_model.judge import CONTACT_WINDOW, Finding, Freed, Judge
-from tests.evidence_model.network import Leg, LegQuality, Router
-from tests.evidence_model.registry import Registrations
-from tests.evidence_model.scenario import Disturbance, Scenario, Trouble
-from tests.evidence_model.servers import Boot, Host, HostState, Workload
-from tests.evidence_model.wire import BalancerReset, Kind, ServerPacket
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.packets import FlowId, FlowPacket
+from wasabigw_verify.evidence_model.balancers import BalancerNode, Output
+from wasabigw_verify.evidence_model.balancers import Phase as BalancerPhase
+from wasabigw_verify.evidence_model.callers import Caller
+from wasabigw_verify.evidence_model.clock import Clock
+from wasabigw_verify.evidence_model.host_checker import Respond
+from wasabigw_verify.evidence_model.judge import CONTACT_WINDOW, Finding, Freed, Judge
+from wasabigw_verify.evidence_model.network import Leg, LegQuality, Router
+from wasabigw_verify.evidence_model.registry import Registrations
+from wasabigw_verify.evidence_model.scenario import Disturbance, Scenario, Trouble
+from wasabigw_verify.evidence_model.servers import Boot, Host, HostState, Workload
+from wasabigw_verify.evidence_model.wire import BalancerReset, Kind, ServerPacket
 
 CALLER_ADDRESS = 0x64400000
 POLL_PERIOD = 0.25
--- a/tests/registration_model.py
+++ b/src/wasabigw_verify/registration_model.py
@@ -4,7 +4,8 @@
 announcements that are late, doubled and reordered, from clocks that differ and step,
 for ids and addresses that are used again, of other writers, and changes of the leader.
 
-``python -m tests.registration_model EXAMPLES SEED`` searches for longer than the tests.
+``python -m wasabigw_verify.registration_model EXAMPLES SEED`` searches for longer
+than the tests.
 """
 
 import sys
@@ -186,6 +187,7 @@
 
     @property
     def key(self) -> BootKey:
+        """Key of the lease of its boot."""
         return key_of(self.call)
 
 
@@ -213,6 +215,7 @@
         self.commits = 0
 
     def do(self, step: object) -> None:
+        """Play one step."""
         match step:
             case Pass(ticks):
                 for _ in range(ticks):
@@ -244,6 +247,7 @@
                 self.copies[vm] = copy_state(self.cluster)
 
     def start(self, name: int, address: int, service: int, clock: int) -> None:
+        """Start a backend server, unless its id or its address is taken."""
         call = self.announcement(name, address, service, clock, 0)
         if address in self.servers or any(
             server.call.id == call.id for server in self.servers.values()
@@ -259,6 +263,7 @@
     def announcement(
         self, name: int, address: int, service: int, clock: int, sequence: int
     ) -> BootAnnouncement:
+        """Announcement of a boot that starts now, by a clock that is ahead."""
         return BootAnnouncement(
             BackendServerId(f"b-{name}"),
             ServiceId(f"service-{service}"),
@@ -272,6 +277,7 @@
         )
 
     def write(self, step: OtherWriter) -> None:
+        """Deliver the announcement of another writer."""
         clock = step.clock if step.clock is not None else 0
         call = self.announcement(
             step.name, step.address, step.service, clock, step.sequence
@@ -285,6 +291,7 @@
         self.deliver(call, step.vm)
 
     def tick(self) -> None:
+        """Advance the time, and let the backend servers announce themselves."""
         self.now += TICK
         self.commit_due()
         event = registrar.RegistrarTick(Seconds(self.now), self.cluster)
@@ -316,6 +323,7 @@
         self.propose(registrar.handle(event, self.registrar))
 
     def depart(self, name: BackendServerId) -> None:
+        """Deliver the departure of a backend server."""
         for server in self.servers.values():
             if server.call.id == name:
                 server.disturbed_at = max(server.disturbed_at, self.now)
@@ -325,6 +333,7 @@
         self.propose(registrar.handle(event, self.registrar))
 
     def change_leader(self, loses_entries: bool) -> None:
+        """Let another voter lead, whose leases start anew."""
         for server in self.servers.values():
             if not self.is_in_use(server):
                 # The leases of boots that are preferred start anew.
@@ -337,10 +346,12 @@
         registrar.handle(event, self.registrar)
 
     def propose(self, reports: list[Report]) -> None:
+        """Append reports to the log."""
         if reports:
             self.pending.append(_PendingEntry(tuple(reports), COMMIT_TICKS))
 
     def commit_due(self) -> None:
+        """Commit the entries that are due, and update the view of the balancer."""
         for entry in self.pending:
             entry.committed_in -= 1
         while self.pending and self.pending[0].committed_in <= 0:
@@ -360,6 +371,7 @@
         return {key_of(boot): boot.tag for boot in found}
 
     def is_in_use(self, server: LiveServer) -> bool:
+        """Whether the balancer chooses a backend server for new flows."""
         return server.key in self.in_use()
 
     def check_acknowledgement(self, call: BootAnnouncement, copy: ClusterState) -> None:
@@ -387,6 +399,7 @@
         self.judge_growth(set(in_use.values()))
 
     def judge_server(self, server: LiveServer, tag: Tag | None) -> None:
+        """A backend server is in use within its lease and keeps its open flows."""
         if tag is not None:
             server.used[tag] = self.now
         blocked_until = max(
@@ -416,6 +429,7 @@
         assert receiver == (server.call.id, server.call.endpoint), decision
 
     def judge_registry(self) -> None:
+        """Tags are unique, and each endpoint has the owner that is in use."""
         registry = self.cluster.registry
         boots = [*registry.current.values(), *registry.ended]
         assert len({boot.tag for boot in boots}) == len(boots), "a tag is used twice"
@@ -428,11 +442,13 @@
             assert endpoint_key(registry.current[name].endpoint) == key, key
 
     def judge_dead_boots(self, in_use: dict[BootKey, Tag]) -> None:
+        """A boot that no longer announces itself gets no new flows."""
         for key in in_use:
             present_at = max(self.delivered[key], self.gained_at)
             assert self.now <= present_at + LEASE + 2 * MARGIN, f"{key} is in use"
 
     def judge_growth(self, in_use: set[Tag]) -> None:
+        """Boots that are not in use are forgotten in time."""
         unused = set(self.balancer.view.boots) - in_use
         self.unused_since = {
             tag: max(self.unused_since.get(tag, self.now), self.gained_at)
--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -7,11 +7,6 @@
 
 from hypothesis import HealthCheck, Phase, given, settings
 
-from tests.evidence_model import balancers, cases, world
-from tests.evidence_model.judge import Fault, Finding
-from tests.evidence_model.registry import Registrations
-from tests.evidence_model.scenario import Scenario, scenarios
-from tests.evidence_model.world import run
 from wasabigw.core.commands import BootAnnounced
 from wasabigw.core.ids import Seconds
 from wasabigw.core.states import RegistrationState
@@ -24,6 +19,11 @@
 )
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
+from wasabigw_verify.evidence_model import balancers, cases, world
+from wasabigw_verify.evidence_model.judge import Fault, Finding
+from wasabigw_verify.evidence_model.registry import Registrations
+from wasabigw_verify.evidence_model.scenario import Scenario, scenarios
+from wasabigw_verify.evidence_model.world import run
 
 Decide = Callable[[FlowPacket, TagState, Seconds], PacketDecision]
 any_scenario = settings(
@@ -34,7 +34,7 @@
     phases=(Phase.explicit, Phase.generate),
     suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
 )
-"""Without shrinking: ``python -m tests.evidence_model`` shrinks what it finds."""
+"""Without shrinking, which ``python -m wasabigw_verify.evidence_model`` does."""
 
 
 def findings(scenario: Scenario, *faults: Fault) -> list[Finding]:
