evidence_model: split the world and the backend servers by their jobs

The troubles of a scenario are now in troubles.py, the boots and flows of backend servers in boots.py, their hosts in hosts.py, the strategies in strategies.py, and run() in runs.py, so that world.py does not need to know the troubles.

--- a/src/wasabigw_verify/evidence_model/__main__.py
+++ b/src/wasabigw_verify/evidence_model/__main__.py
@@ -7,9 +7,9 @@
 
 from wasabigw_verify.evidence_model.callers import TagTaken
 from wasabigw_verify.evidence_model.judge import Fault
+from wasabigw_verify.evidence_model.runs import run
 from wasabigw_verify.evidence_model.search import Report, search
 from wasabigw_verify.evidence_model.waits import run_deaths
-from wasabigw_verify.evidence_model.world import run
 
 
 def main(
--- a/src/wasabigw_verify/evidence_model/callers.py
+++ b/src/wasabigw_verify/evidence_model/callers.py
@@ -8,9 +8,9 @@
 
 from wasabigw.core.tags.packets import NO_TAG, FlowId, FlowPacket
 from wasabigw_verify.evidence_model.balancers import LISTENER, LISTENER_NUMBER
+from wasabigw_verify.evidence_model.boots import DEFAULT_WORKLOAD, Workload
 from wasabigw_verify.evidence_model.clock import Clock
 from wasabigw_verify.evidence_model.judge import Judge
-from wasabigw_verify.evidence_model.servers import DEFAULT_WORKLOAD, Workload
 from wasabigw_verify.evidence_model.transport import (
     Acknowledging,
     Receiver,
--- a/src/wasabigw_verify/evidence_model/cases.py
+++ b/src/wasabigw_verify/evidence_model/cases.py
@@ -3,10 +3,10 @@
 from dataclasses import replace
 
 from wasabigw_verify.evidence_model.balancers import BalancerSettings
+from wasabigw_verify.evidence_model.boots import ServerSettings, Workload
 from wasabigw_verify.evidence_model.callers import CallerPlan
 from wasabigw_verify.evidence_model.network import LegQuality
 from wasabigw_verify.evidence_model.scenario import Disturbance, Scenario, Trouble
-from wasabigw_verify.evidence_model.servers import ServerSettings, Workload
 from wasabigw_verify.evidence_model.transport import Acknowledging
 
 
--- a/src/wasabigw_verify/evidence_model/servers.py
+++ b/src/wasabigw_verify/evidence_model/hosts.py
@@ -1,28 +1,29 @@
-"""Backend servers: hosts, and the boots that run on them one after the other."""
+"""Hosts of backend servers, and the boots that run on them one after the other."""
 
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from enum import Enum
 
 from wasabigw.core.commands import BootAnnounced
 from wasabigw.core.endpoint import Endpoint
-from wasabigw.core.ids import BackendServerId, Seconds, Tag
+from wasabigw.core.ids import BackendServerId, Seconds
 from wasabigw.core.tags.host_checks import Attempt
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw_verify.evidence_model.balancers import DOMAIN, SERVICE
+from wasabigw_verify.evidence_model.boots import (
+    LONG_AGO,
+    Boot,
+    FlowPhase,
+    ServerFlow,
+    ServerSettings,
+    Workload,
+)
 from wasabigw_verify.evidence_model.clock import Callback, Clock
 from wasabigw_verify.evidence_model.judge import Judge
-from wasabigw_verify.evidence_model.transport import (
-    Acknowledging,
-    Receiver,
-    Segment,
-    Sender,
-)
+from wasabigw_verify.evidence_model.transport import Receiver, Segment, Sender
 from wasabigw_verify.evidence_model.wire import Kind, ServerPacket
 
 MOST_RETRANSMISSIONS = 8
-LONG_AGO = -1000.0
 
 
 class HostState(Enum):
@@ -36,78 +37,6 @@
     RESETTING = "the boot is gone: connections are refused, packets are reset"
 
 
-class FlowPhase(Enum):
-    """Life of a flow at a backend server."""
-
-    HALF_OPEN = "the end of the handshake has not arrived"
-    OPEN = "open"
-    ENDED = "ended"
-
-
-@dataclass(frozen=True, slots=True)
-class ServerSettings:
-    """A backend server.
-
-    :param service_time: seconds that a request occupies a slot.
-    :param accepts_connections: whether it listens for health checks.
-    :param queue: requests that wait for a slot; further ones are rejected.
-    """
-
-    slots: int = 4
-    queue: int = 20
-    service_time: float = 0.01
-    max_flows: int = 2000
-    accepts_connections: bool = True
-    acknowledging: Acknowledging = Acknowledging.EACH
-
-
-@dataclass(frozen=True, slots=True)
-class Workload:
-    """Sizes of the requests of a caller and of their responses, in bytes."""
-
-    request: int = 600
-    response: int = 600
-
-
-DEFAULT_WORKLOAD = Workload()
-
-
-@dataclass(slots=True, eq=False)
-class ServerFlow:
-    """One flow at one boot."""
-
-    flow: FlowId
-    first_sequence: int
-    own_sequence: int
-    tag: Tag
-    receiver: Receiver
-    sender: Sender
-    phase: FlowPhase = FlowPhase.HALF_OPEN
-    unread: int = 0
-    unanswered: int = 0
-
-
-@dataclass(slots=True, eq=False)
-class Boot:
-    """One start of a backend server.
-
-    :param number: counted over all boots of the run.
-    :param disturbed_at: when an impairment of it or of its links was last in force.
-    """
-
-    id: BackendServerId
-    number: int
-    settings: ServerSettings
-    report: BootAnnounced
-    is_alive: bool = True
-    is_draining: bool = False
-    died_at: float = -1.0
-    disturbed_at: float = LONG_AGO
-    busy: int = 0
-    flows: dict[FlowId, ServerFlow] = field(default_factory=dict)
-    waiting: deque[ServerFlow] = field(default_factory=deque)
-
-
 class Host:
     """A host of backend servers, and the boot that runs there.
 
--- a/src/wasabigw_verify/evidence_model/search.py
+++ b/src/wasabigw_verify/evidence_model/search.py
@@ -8,8 +8,10 @@
 
 from wasabigw_verify.evidence_model.callers import TagTaken
 from wasabigw_verify.evidence_model.judge import Fault, Freed
-from wasabigw_verify.evidence_model.scenario import Scenario, scenarios, with_tags
-from wasabigw_verify.evidence_model.world import Outcome, run
+from wasabigw_verify.evidence_model.runs import run
+from wasabigw_verify.evidence_model.scenario import Scenario, with_tags
+from wasabigw_verify.evidence_model.strategies import scenarios
+from wasabigw_verify.evidence_model.world import Outcome
 
 
 class FaultFoundError(Exception):
--- a/src/wasabigw_verify/evidence_model/waits.py
+++ b/src/wasabigw_verify/evidence_model/waits.py
@@ -4,10 +4,10 @@
 from statistics import fmean
 
 from wasabigw_verify.evidence_model.balancers import BalancerSettings
+from wasabigw_verify.evidence_model.boots import ServerSettings
 from wasabigw_verify.evidence_model.callers import CallerPlan
+from wasabigw_verify.evidence_model.runs import run
 from wasabigw_verify.evidence_model.scenario import Disturbance, Scenario, Trouble
-from wasabigw_verify.evidence_model.servers import ServerSettings
-from wasabigw_verify.evidence_model.world import run
 
 DEATHS = (
     Trouble.SILENCE_HOST,
--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -19,11 +19,12 @@
 )
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
-from wasabigw_verify.evidence_model import balancers, cases, world
+from wasabigw_verify.evidence_model import balancers, cases, troubles
 from wasabigw_verify.evidence_model.judge import Fault, Finding
 from wasabigw_verify.evidence_model.registry import Registrations
-from wasabigw_verify.evidence_model.scenario import Scenario, scenarios
-from wasabigw_verify.evidence_model.world import run
+from wasabigw_verify.evidence_model.runs import run
+from wasabigw_verify.evidence_model.scenario import Scenario
+from wasabigw_verify.evidence_model.strategies import scenarios
 
 Decide = Callable[[FlowPacket, TagState, Seconds], PacketDecision]
 any_scenario = settings(
@@ -187,7 +188,7 @@
         stop = mock.patch.object(
             balancers.BalancerNode, "stop", balancers.BalancerNode.exit
         )
-        with stop, mock.patch.object(world, "LEAVE_BEFORE_STOP", 0.0):
+        with stop, mock.patch.object(troubles, "LEAVE_BEFORE_STOP", 0.0):
             found = {finding.fault for finding in run(cases.PLANNED_STOP).findings}
         self.assertEqual(found, {Fault.DROPPED_AT_STOP})
 
