--- a/src/wasabigw_verify/evidence_model/balancers.py
+++ b/src/wasabigw_verify/evidence_model/balancers.py
@@ -84,6 +84,13 @@
     connect: Callable[[Endpoint, Respond], None]
 
 
+class _Received(NamedTuple):
+    """A packet in the receive buffer, and when it arrived."""
+
+    packet: FlowPacket
+    at: Seconds
+
+
 class BalancerNode:
     """A balancer with its receive buffer and its link.
 
@@ -111,7 +118,7 @@
         self._settings = settings
         self._clock = clock
         self._output = output
-        self._received: deque[FlowPacket] = deque()
+        self._received: deque[_Received] = deque()
         self._is_working = False
         self._free_at = 0.0
         self._release_at: float | None = None
@@ -154,7 +161,7 @@
         if len(self._received) >= self._settings.buffer:
             self.overflows += 1
             return
-        self._received.append(packet)
+        self._received.append(_Received(packet, self._clock.now))
         self._schedule_work(self._free_at - self._clock.now)
 
     def leave(self) -> None:
@@ -193,7 +200,8 @@
         if not self._state.has_view:
             self._schedule_work(VIEW_CHECK_PERIOD)
             return
-        self._handle(self._received.popleft(), now)
+        received = self._received.popleft()
+        self._handle(received.packet, now, Seconds(now - received.at))
         self._handle_due()
         self._free_at = now + self._packet_time()
         if self._received:
@@ -204,8 +212,8 @@
             return self.slow_packet_time
         return self._settings.packet_time
 
-    def _handle(self, packet: FlowPacket, now: Seconds) -> None:
-        decision = decide(packet, self._state, now)
+    def _handle(self, packet: FlowPacket, now: Seconds, waited: Seconds) -> None:
+        decision = decide(packet, self._state, now, waited)
         self._state.health_changes.clear()
         if isinstance(decision, Deliver):
             self._deliver(decision, now)
--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -26,7 +26,7 @@
 from wasabigw_verify.evidence_model.scenario import Scenario
 from wasabigw_verify.evidence_model.strategies import scenarios
 
-Decide = Callable[[FlowPacket, TagState, Seconds], PacketDecision]
+Decide = Callable[[FlowPacket, TagState, Seconds, Seconds], PacketDecision]
 any_scenario = settings(
     max_examples=60,
     deadline=None,
@@ -105,40 +105,46 @@
     """Decide as before, but refuse each packet of data that is seen again."""
     seen: set[tuple[FlowId, int]] = set()
 
-    def decide(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+    def decide(
+        packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
+    ) -> PacketDecision:
         key = packet.flow, packet.sequence
         if packet.length and key in seen:
             return Refuse(packet, RefusalReason.SERVER_LOST)
         if packet.length:
             seen.add(key)
-        return steering.decide(packet, state, now)
+        return steering.decide(packet, state, now, waited)
 
     return decide
 
 
-def steered_as_new(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+def steered_as_new(
+    packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
+) -> PacketDecision:
     """Decide as before, but choose a server for packets of flows that are not known."""
     if not packet.is_opening and packet.flow not in state.flows:
         others = [s for tag, s in state.servers.items() if tag != packet.tag]
         return Deliver(packet, others[0].registration)
-    return steering.decide(packet, state, now)
+    return steering.decide(packet, state, now, waited)
 
 
-def refused_as_new(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+def refused_as_new(
+    packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
+) -> PacketDecision:
     """Decide as before, but refuse copies of openings."""
     if packet.is_opening and packet.repeat:
         return Refuse(packet, RefusalReason.NO_SERVER)
-    return steering.decide(packet, state, now)
+    return steering.decide(packet, state, now, waited)
 
 
 def refused_as_ended(
-    packet: FlowPacket, state: TagState, now: Seconds
+    packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
 ) -> PacketDecision:
     """Decide as before, but refuse packets for boots that are registered as ended."""
     server = state.servers.get(packet.tag)
     if server and server.registration.state is RegistrationState.ENDED:
         return Refuse(packet, RefusalReason.NO_SERVER)
-    return steering.decide(packet, state, now)
+    return steering.decide(packet, state, now, waited)
 
 
 @contextmanager
