balancer: packets that are unread are no silence at a planned stop

A stopping balancer ends once it has been idle for 0.5 s. The packet task measured that from the last packet that it had read. If it was suspended or got no processor, it could handle the status request of the stop before the packets that had come meanwhile, report a long silence, and stop with these packets in its receive buffer and its queue. Their callers' flows lost them.

The idle time is 0 now while the receive buffer of a balancer with a view is not empty.

--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -334,12 +334,22 @@
             state.view.revision,
             state.declared_version,
             len(state.flows),
-            Seconds(now - self._last_packet),
+            self._idle_time(now),
             state.egress.size,
             self._control_traffic,
             dict(self._counts),
         )
 
+    def _idle_time(self, now: Seconds) -> Seconds:
+        """Time without packets; none while packets that can be handled are unread.
+
+        A task that was suspended or got no processor may handle a status request
+        before the packets that came meanwhile.
+        """
+        if self._state.has_view and not self._is_receive_buffer_empty():
+            return Seconds(0.0)
+        return Seconds(now - self._last_packet)
+
     def _apply_document(self) -> None:
         state = self._state
         document = state.view.document
--- a/tests/test_tag_balancer.py
+++ b/tests/test_tag_balancer.py
@@ -25,20 +25,23 @@
 )
 from wasabigw.core.registration import DeclaredDocument, Registration
 from wasabigw.core.sources import SourceState
+from wasabigw.runtime.mailbox import Mailbox, MailboxFull
 from wasabigw.runtime.timer import monotonic
 from wasabigw.tasks.light_http import LightRequest
 from wasabigw.tasks.tag_balancer import (
+    DRAIN_IDLE_TIME,
     TagBalancer,
     TagBalancerSettings,
     make_tag_balancer,
 )
-from wasabigw.tasks.tag_messages import TagBalancerStatus
+from wasabigw.tasks.tag_messages import TagBalancerStatus, TagStatusRequest
 from wasabigw.tasks.tag_packet_task import TagPacketSettings
 from wasabigw.tasks.view_follower import ViewReceived
 from wasabigw_platform.packets import PlatformPackets
 
 LOOPBACK = Endpoint("127.0.0.1", 0)
 DOMAIN = FailureDomainId("recife")
+LONG = Seconds(5.0)
 ACK = 32
 WINDOW = 16
 DATA_BYTES = 1200
@@ -141,9 +144,41 @@
         self.assertGreaterEqual(times[-1] - times[0], at_least)
 
 
+class LateReply(Mailbox[TagBalancerStatus]):
+    """Mailbox at which the packet task is delayed until it may go on."""
+
+    def __init__(self) -> None:
+        super().__init__("late reply")
+        self.reached = threading.Event()
+        self.may_continue = threading.Event()
+
+    def post(self, message: TagBalancerStatus) -> Result[None, MailboxFull]:
+        """Queue a message once the task may go on."""
+        self.reached.set()
+        self.may_continue.wait(LONG)
+        return super().post(message)
+
+
 class PlannedStop(SlowLinkCase):
     """Guards against packets that are cut off by a planned stop under load."""
 
+    def test_packets_that_were_not_read_yet_do_not_count_as_silence(self) -> None:
+        # A task that got no processor for a while found itself idle by the packets
+        # that it had read, and stopped with others in its receive buffer.
+        self.send_window()
+        self.assertEqual(len(self.receive_window()), WINDOW)
+        late, reply = LateReply(), Mailbox[TagBalancerStatus]("status")
+        self.addCleanup(late.may_continue.set)
+        self.balancer.mailbox.post(TagStatusRequest(late))
+        self.assertTrue(late.reached.wait(LONG))
+        time.sleep(DRAIN_IDLE_TIME)
+        # The request comes before the packets, so that the task handles it first.
+        self.balancer.mailbox.post(TagStatusRequest(reply))
+        self.send_window()
+        late.may_continue.set()
+        status = reply.get(LONG).unwrap()
+        self.assertLess(status.idle_for, DRAIN_IDLE_TIME)
+
     def test_packets_that_wait_are_sent_before_the_balancer_stops(self) -> None:
         received: list[float] = []
         receiver = threading.Thread(target=lambda: received.extend(self._receive_all()))
