fix: compare attempts to a host with those to one on its path

Cause: references were chosen without regard to where they are, so they showed that the balancer works and nothing about the path. And where 30 % of the packets are lost in each direction, an attempt fails with a probability of 0.51, and all six with 0.018.

A check now has one reference in the failure domain of the host and one elsewhere. The host is unreachable if both answer all attempts, or if nothing in its failure domain answers any while the other does. A mix on the path is a lossy path, and nothing is known. Twelve attempts in the same 0.4 s leave 0.0003 without a reference on the path, and 0.00001 with one; both are computed. References get six attempts each as before, so healthy backend servers get no more connections than before. The rule on refusals asks for the same service elsewhere; a failure domain that refuses as a whole counts only if it has answered no caller since the data was sent.

The model has one failure domain, so it shows that the time is kept and nothing about paths.

--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -234,7 +234,7 @@
     signal = FailureSignal.DATA_RETRANSMITTED
     _record_unanswered(flow.server, flow.pending_since, signal, state, now)
     if flow.server.breaker.failures > 0:
-        request_check(flow.server, state, now)
+        request_check(flow.server, flow.pending_since, state, now)
 
 
 def _expect_answer(flow: Flow, sequence: int, now: Seconds) -> None:
--- a/src/wasabigw/core/tags/unreachable_hosts.py
+++ b/src/wasabigw/core/tags/unreachable_hosts.py
@@ -1,9 +1,9 @@
 """Open flows of backend servers whose hosts were found unreachable."""
 
-from heapq import nlargest
+from dataclasses import dataclass
+from operator import attrgetter
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import RefusalReason, Refuse
 from wasabigw.core.tags.flow_table import remove_flow
@@ -12,9 +12,11 @@
     HostCheck,
     HostChecked,
     HostStatus,
+    Reference,
 )
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import Flow, FlowState, Server, TagState
+from wasabigw.core.view_lease import NEVER
 
 CHECK_INTERVAL = Seconds(1.0)
 """Minimum time between two checks of the same host."""
@@ -24,14 +26,31 @@
 A balancer that is behind doubts all backend servers at once.
 """
 REFERENCE_HOSTS = 2
-"""Maximum number of hosts that are asked at the same time as a doubted one."""
+"""Maximum number of reference hosts of a check, as each attempt costs a connection."""
 
 
-def request_check(server: Server, state: TagState, now: Seconds) -> None:
+@dataclass(frozen=True, slots=True)
+class _References:
+    """Backend servers on other hosts than a doubted one.
+
+    :param on_path: those in its failure domain.
+    :param path_answered_at: when a host of that failure domain last answered a caller.
+    """
+
+    on_path: list[Server]
+    elsewhere: list[Server]
+    path_answered_at: Seconds
+
+
+def request_check(
+    server: Server, sent_at: Seconds, state: TagState, now: Seconds
+) -> None:
     """Request a check of the host of a doubted backend server.
 
     There is no check without a host that has answered since, because it could not tell
     a fault of that host from one of the balancer.
+
+    :param sent_at: when the data was sent that has no answer.
     """
     boot = server.registration
     if now - server.breaker.checked_at < CHECK_INTERVAL:
@@ -41,19 +60,28 @@
     if len(state.running_checks) >= MAX_RUNNING_CHECKS:
         return
     references = _references(server, state)
-    if not references:
+    if references is None:
         return
     server.breaker.checked_at = now
     state.running_checks.add(boot.tag)
-    same_service = all(r.service == boot.service for r in references)
+    state.host_checks.append(_check_of(server, references, sent_at))
+
+
+def _check_of(doubted: Server, references: _References, sent_at: Seconds) -> HostCheck:
+    boot = doubted.registration
+    on_path, elsewhere = references.on_path, references.elsewhere
     is_draining = boot.state is RegistrationState.DRAINING
-    state.host_checks.append(
-        HostCheck(
-            boot.tag,
-            boot.endpoint,
-            tuple(reference.endpoint for reference in references),
-            refusal_counts=same_service and not is_draining,
-        )
+    same_elsewhere = bool(elsewhere) and _serve_same(elsewhere, doubted)
+    same_service = same_elsewhere if elsewhere else _serve_same(on_path, doubted)
+    # Packets of flows pass where connections are rejected.
+    path_answers = references.path_answered_at > sent_at
+    return HostCheck(
+        boot.tag,
+        boot.endpoint,
+        boot.failure_domain,
+        tuple(_reference(server) for server in (*on_path, *elsewhere)),
+        refusal_counts=same_service and not is_draining,
+        domain_refusal_counts=same_elsewhere and not is_draining and not path_answers,
     )
 
 
@@ -96,26 +124,79 @@
     return FlowPacket(flow, tag, False, False, False, 0, 0, acknowledged, 0)
 
 
-def _references(server: Server, state: TagState) -> list[Registration]:
-    """Boots on other hosts that have answered since this one.
+def _references(doubted: Server, state: TagState) -> _References | None:
+    """Backend servers to compare a doubted one with; ``None`` if none has answered.
 
-    Those of its own service come first, then those that answered last.
+    A host in its failure domain and one elsewhere have answered since, or two of one
+    kind. Hosts of its failure domain that have not answered are better than none: they
+    tell whether the whole failure domain is silent.
     """
-    doubted = server.registration
-
-    def rank(other: Server) -> tuple[bool, Seconds]:
-        same_service = other.registration.service == doubted.service
-        return same_service, other.breaker.last_response_at
-
-    by_host: dict[str, Server] = {}
-    for other in state.servers.values():
-        breaker, address = other.breaker, other.registration.endpoint.address
-        has_answered = breaker.last_response_at > server.breaker.last_response_at
-        if breaker.failures > 0 or not has_answered:
-            continue
-        known = by_host.setdefault(address, other)
-        if rank(other) > rank(known):
-            by_host[address] = other
-    by_host.pop(doubted.endpoint.address, None)
-    best = nlargest(REFERENCE_HOSTS, by_host.values(), key=rank)
-    return [reference.registration for reference in best]
+    answered = _answered_since(doubted, state)
+    if not answered:
+        return None
+    domain = doubted.registration.failure_domain
+    near = [s for s in answered if s.registration.failure_domain == domain]
+    far = [s for s in answered if s.registration.failure_domain != domain]
+    elsewhere = _latest(far, doubted, REFERENCE_HOSTS)
+    on_path = _latest(near or _nearby(doubted, state), doubted, REFERENCE_HOSTS)
+    if on_path and elsewhere:
+        del on_path[1:], elsewhere[1:]
+    answered_at = max((s.breaker.last_response_at for s in near), default=NEVER)
+    return _References(on_path, elsewhere, answered_at)
+
+
+def _answered_since(doubted: Server, state: TagState) -> list[Server]:
+    """Backend servers on other hosts that have answered since a doubted one."""
+    since = doubted.breaker.last_response_at
+    address = doubted.registration.endpoint.address
+    return [
+        server
+        for server in state.servers.values()
+        if server.breaker.last_response_at > since
+        and server.breaker.failures == 0
+        and server.registration.endpoint.address != address
+    ]
+
+
+def _nearby(doubted: Server, state: TagState) -> list[Server]:
+    """Backend servers on other hosts of the failure domain of a doubted one.
+
+    Those that do not answer either are left out, if there are others.
+    """
+    boot = doubted.registration
+    nearby = [
+        server
+        for server in state.servers.values()
+        if server.registration.failure_domain == boot.failure_domain
+        and server.registration.endpoint.address != boot.endpoint.address
+        and not server.registration.silent
+        and server.registration.state is not RegistrationState.ENDED
+    ]
+    return [s for s in nearby if s.breaker.failures == 0] or nearby
+
+
+def _latest(servers: list[Server], doubted: Server, count: int) -> list[Server]:
+    """Backend servers on different hosts: of the same service, then latest to answer.
+
+    :param count: maximum number of them.
+    """
+    service = doubted.registration.service
+    found: list[Server] = []
+    left = servers
+    while left and len(found) < count:
+        same = [s for s in left if s.registration.service == service]
+        best = max(same or left, key=attrgetter("breaker.last_response_at"))
+        found.append(best)
+        address = best.registration.endpoint.address
+        left = [s for s in left if s.registration.endpoint.address != address]
+    return found
+
+
+def _serve_same(servers: list[Server], doubted: Server) -> bool:
+    service = doubted.registration.service
+    return all(server.registration.service == service for server in servers)
+
+
+def _reference(server: Server) -> Reference:
+    boot = server.registration
+    return Reference(boot.endpoint, boot.failure_domain)
--- a/src/wasabigw/tasks/host_checker.py
+++ b/src/wasabigw/tasks/host_checker.py
@@ -4,6 +4,7 @@
 import selectors
 import socket
 from collections import Counter
+from collections.abc import Sequence
 from contextlib import ExitStack
 from functools import partial, singledispatchmethod
 from typing import Any
@@ -15,9 +16,12 @@
     ATTEMPTS,
     RESPONSE_TIME,
     Attempt,
+    CheckAttempts,
     HostCheck,
     HostChecked,
     HostStatus,
+    Reference,
+    attempts_by_group,
     status_of,
 )
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
@@ -83,7 +87,7 @@
         self.started_at = now
         self.next_at = now
         self.connections: list[_Connection] = []
-        self.references: list[_Connection] = []
+        self.references: list[tuple[Reference, _Connection]] = []
 
     @property
     def is_reachable(self) -> bool:
@@ -91,29 +95,36 @@
         return any(c.attempt is Attempt.ACCEPTED for c in self.connections)
 
     def connect(self, selector: selectors.BaseSelector, now: Seconds) -> None:
-        """Make one attempt to each host.
+        """Make the attempts of one round.
 
         The checked host comes first: a link that is full loses the last packets of a
         burst, and losses must not be more likely for the checked host.
         """
+        references = self.check.references_in_round(len(self.connections))
         self.connections.append(_Connection(self.check.endpoint, selector))
-        for target in self.check.references:
-            self.references.append(_Connection(target, selector))
+        for reference in references:
+            connection = _Connection(reference.endpoint, selector)
+            self.references.append((reference, connection))
         is_last = len(self.connections) == ATTEMPTS
         self.next_at = Seconds(now + (RESPONSE_TIME if is_last else ATTEMPT_INTERVAL))
 
-    def status(self, now: Seconds) -> HostStatus:
-        """Result of the check."""
-        return status_of(
+    def attempts(self) -> CheckAttempts:
+        """States of all attempts so far."""
+        return attempts_by_group(
+            self.check,
             [connection.attempt for connection in self.connections],
-            [connection.attempt for connection in self.references],
-            self.check.refusal_counts,
-            Seconds(now - self.next_at),
+            [(to, connection.attempt) for to, connection in self.references],
         )
 
+    def status(self, now: Seconds) -> HostStatus:
+        """Result of the check."""
+        return status_of(self.check, self.attempts(), Seconds(now - self.next_at))
+
     def close(self) -> None:
         """Give up the attempts that have no response."""
-        for connection in (*self.connections, *self.references):
+        for connection in self.connections:
+            connection.close()
+        for _, connection in self.references:
             connection.close()
 
 
@@ -167,15 +178,20 @@
         status = running.status(now)
         running.close()
         check = running.check
+        made = running.attempts()
         log(
             FlowEvent.HOST_CHECKED,
             tag=check.tag,
             endpoint=endpoint_key(check.endpoint),
             status=status.value,
-            attempts=_text_of(running.connections),
-            reference_attempts=_text_of(running.references),
+            attempts=_text_of(made.host),
+            reference_attempts=_text_of((*made.on_path, *made.elsewhere)),
             seconds=round(now - running.started_at, 3),
-            references=", ".join(map(endpoint_key, check.references)),
+            references=", ".join(endpoint_key(r.endpoint) for r in check.references),
+            failure_domain=check.failure_domain,
+            reference_domains=", ".join(r.failure_domain for r in check.references),
+            on_path_attempts=_text_of(made.on_path),
+            elsewhere_attempts=_text_of(made.elsewhere),
         )
         self._results.post(HostChecked(check.tag, status, running.started_at, now))
 
@@ -184,8 +200,8 @@
             running.close()
 
 
-def _text_of(connections: list[_Connection]) -> str:
-    counts = Counter(connection.attempt.value for connection in connections)
+def _text_of(attempts: Sequence[Attempt]) -> str:
+    counts = Counter(attempt.value for attempt in attempts)
     return ", ".join(f"{count} {state}" for state, count in sorted(counts.items()))
 
 
--- a/src/wasabigw/telemetry/events_flow.py
+++ b/src/wasabigw/telemetry/events_flow.py
@@ -56,9 +56,12 @@
         Severity.INFO,
         "host {endpoint} of the backend server with tag {tag} is {status}: connection "
         "attempts for {seconds} s: {attempts}; at the same time to {references}: "
-        "{reference_attempts}",
+        "{reference_attempts}; in its failure domain {failure_domain}: "
+        "{on_path_attempts}; elsewhere: {elsewhere_attempts}; failure domains of the "
+        "other hosts: {reference_domains}",
         "If unreachable, the open flows of the backend server are reset. Unknown: the "
-        "other hosts did not answer either, or the balancer was late; see WGW-2027.",
+        "path to its failure domain loses packets, the other hosts did not answer "
+        "either, or the balancer was late; see WGW-2027.",
     )
     LEFT_OUT = EventDefinition(
         5003,
--- a/tests/evidence_model/host_checker.py
+++ b/tests/evidence_model/host_checker.py
@@ -13,6 +13,8 @@
     Attempt,
     HostCheck,
     HostChecked,
+    Reference,
+    attempts_by_group,
     status_of,
 )
 
@@ -45,7 +47,7 @@
     started_at: Seconds
     next_at: Seconds
     connections: list[Connection] = field(default_factory=list)
-    references: list[Connection] = field(default_factory=list)
+    references: list[tuple[Reference, Connection]] = field(default_factory=list)
 
     @property
     def is_reachable(self) -> bool:
@@ -84,9 +86,10 @@
             self._finish(running)
         elif len(running.connections) < ATTEMPTS:
             target = running.check.endpoint
+            references = running.check.references_in_round(len(running.connections))
             running.connections.append(Connection(target, self._connect))
-            for target in running.check.references:
-                running.references.append(Connection(target, self._connect))
+            for to in references:
+                running.references.append((to, Connection(to.endpoint, self._connect)))
             self._wait(running)
         else:
             self._finish(running)
@@ -102,12 +105,13 @@
 
     def _finish(self, running: RunningCheck) -> None:
         self._running.remove(running)
-        status = status_of(
+        made = attempts_by_group(
+            running.check,
             [connection.attempt for connection in running.connections],
-            [connection.attempt for connection in running.references],
-            running.check.refusal_counts,
-            Seconds(self._clock.now - running.next_at),
+            [(to, connection.attempt) for to, connection in running.references],
         )
+        lateness = Seconds(self._clock.now - running.next_at)
+        status = status_of(running.check, made, lateness)
         now = self._clock.now
         tag, started_at = running.check.tag, running.started_at
         self._report(HostChecked(tag, status, started_at, now))
--- a/tests/test_host_checker.py
+++ b/tests/test_host_checker.py
@@ -9,13 +9,19 @@
 from returns.result import Success
 
 from wasabigw.core.endpoint import Endpoint
-from wasabigw.core.ids import Seconds, Tag
-from wasabigw.core.tags.host_checks import HostCheck, HostChecked, HostStatus
+from wasabigw.core.ids import FailureDomainId, Seconds, Tag
+from wasabigw.core.tags.host_checks import (
+    HostCheck,
+    HostChecked,
+    HostStatus,
+    Reference,
+)
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.tasks.host_checker import make_host_checker
 
 WAIT = Seconds(5.0)
 """Longest wait for a result."""
+RECIFE, SALVADOR = FailureDomainId("recife"), FailureDomainId("salvador")
 QUEUED_CONNECTIONS = 4
 """More than a socket with the shortest queue of new connections accepts."""
 
@@ -52,9 +58,25 @@
             client.connect_ex((endpoint.address, endpoint.port))
         return endpoint
 
-    def check(self, endpoint: Endpoint, *references: Endpoint) -> HostStatus:
+    def check(
+        self,
+        endpoint: Endpoint,
+        *on_path: Endpoint,
+        elsewhere: tuple[Endpoint, ...] = (),
+    ) -> HostStatus:
+        references = (
+            *(Reference(to, RECIFE) for to in on_path),
+            *(Reference(to, SALVADOR) for to in elsewhere),
+        )
         self.checker.mailbox.post(
-            HostCheck(Tag(7), endpoint, references, refusal_counts=True)
+            HostCheck(
+                Tag(7),
+                endpoint,
+                RECIFE,
+                references,
+                refusal_counts=True,
+                domain_refusal_counts=True,
+            )
         )
         outcome = self.results.get(WAIT)
         assert isinstance(outcome, Success), "no result"
@@ -87,6 +109,23 @@
         status = self.check(self.silent(), self.listen(), self.silent())
         self.assertIs(status, HostStatus.UNKNOWN)
 
+    def test_a_silent_failure_domain_beside_one_that_answers(self) -> None:
+        status = self.check(self.silent(), self.silent(), elsewhere=(self.listen(),))
+        self.assertIs(status, HostStatus.UNREACHABLE)
+
+    def test_the_log_tells_which_references_lie_on_the_path(self) -> None:
+        # Guards against a line from which nobody can tell whether the path was sound.
+        host, near, far = self.silent(), self.listen(), self.closed()
+        with mock.patch("wasabigw.tasks.host_checker.log") as log:
+            self.check(host, near, elsewhere=(far,))
+        fields = log.call_args.kwargs
+        self.assertEqual(fields["failure_domain"], RECIFE)
+        self.assertEqual(fields["reference_domains"], "recife, salvador")
+        self.assertEqual(fields["attempts"], "12 no response")
+        self.assertEqual(fields["on_path_attempts"], "6 accepted")
+        self.assertEqual(fields["elsewhere_attempts"], "6 refused")
+        self.assertEqual(fields["reference_attempts"], "6 accepted, 6 refused")
+
     def test_an_address_that_cannot_be_used_is_unknown(self) -> None:
         status = self.check(Endpoint("255.255.255.255", 80), self.listen())
         self.assertIs(status, HostStatus.UNKNOWN)
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -4,9 +4,18 @@
 from dataclasses import replace
 
 from tests.test_live_servers import from_caller, request
-from tests.test_tag_steering import DOCUMENTS, SteeringCase, boot, data, opening
+from tests.test_tag_steering import (
+    DOCUMENTS,
+    FORTALEZA,
+    RECIFE,
+    SALVADOR,
+    SteeringCase,
+    boot,
+    data,
+    opening,
+)
 from wasabigw.core.endpoint import Endpoint
-from wasabigw.core.ids import Seconds, Tag
+from wasabigw.core.ids import FailureDomainId, Seconds, Tag
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import Deliver, RefusalReason, Refuse
@@ -14,15 +23,20 @@
     ATTEMPTS,
     CHECK_DURATION,
     MAX_LATENESS,
+    REFERENCE_ATTEMPTS,
     Attempt,
+    CheckAttempts,
     HostCheck,
     HostChecked,
     HostStatus,
+    Reference,
+    attempts_by_group,
     status_of,
 )
 from wasabigw.core.tags.unreachable_hosts import (
     CHECK_INTERVAL,
     MAX_RUNNING_CHECKS,
+    REFERENCE_HOSTS,
     record_check,
 )
 
@@ -31,9 +45,15 @@
 REFUSED = [Attempt.REFUSED] * ATTEMPTS
 
 
-def on_host(number: int) -> Registration:
+def on_host(number: int, domain: FailureDomainId = RECIFE) -> Registration:
     """A boot whose tag is also the number of its host."""
-    return replace(boot(number), endpoint=Endpoint(f"10.0.0.{number}", 8000))
+    return replace(boot(number, domain), endpoint=Endpoint(f"10.0.0.{number}", 8000))
+
+
+def hosts_of(check: HostCheck) -> list[int]:
+    """Numbers of the reference hosts of a check."""
+    addresses = [reference.endpoint.address for reference in check.references]
+    return [int(address.rpartition(".")[2]) for address in addresses]
 
 
 class LostServerCase(SteeringCase):
@@ -218,8 +238,16 @@
         self.answer(2, now=1.15)
         self.send(1, now=1.2)
         endpoints = (Endpoint("10.0.0.2", 8000), Endpoint("10.0.0.3", 8000))
+        references = tuple(Reference(endpoint, RECIFE) for endpoint in endpoints)
         [check] = self.take_checks()
-        expected = HostCheck(Tag(1), Endpoint("10.0.0.1", 8000), endpoints, True)
+        expected = HostCheck(
+            Tag(1),
+            Endpoint("10.0.0.1", 8000),
+            RECIFE,
+            references,
+            refusal_counts=True,
+            domain_refusal_counts=False,
+        )
         self.assertEqual(check, expected)
 
     def test_backend_servers_of_the_same_service_are_the_first_references(self) -> None:
@@ -230,8 +258,7 @@
         self.answer(5, now=1.16)
         self.send(1, now=1.2)
         [check] = self.take_checks()
-        addresses = [endpoint.address for endpoint in check.references]
-        self.assertEqual(addresses, ["10.0.0.2", "10.0.0.5"])
+        self.assertEqual(hosts_of(check), [2, 5])
         # One of another service may accept connections where this one does not.
         self.assertFalse(check.refusal_counts)
 
@@ -293,17 +320,119 @@
         self.assertEqual(len(self.take_checks()), MAX_RUNNING_CHECKS)
 
 
+class ReferencesOfAPath(LostServerCase):
+    """Guards against a lossy path that is taken for a lost host (issue 36).
+
+    The balancer and two sound hosts are in one failure domain; the doubted host and
+    two others are in a second one, a sixth is in a third.
+    """
+
+    BOOTS = (
+        *(on_host(number, SALVADOR) for number in (1, 4, 5)),
+        *(on_host(number) for number in (2, 3)),
+        on_host(6, FORTALEZA),
+    )
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.register(*self.BOOTS)
+        self.open_flows()
+
+    def check(self, *answers: tuple[int, float], now: float = 1.2) -> HostCheck:
+        """Check that is requested after some hosts have answered."""
+        for tag, answered_at in answers:
+            self.answer(tag, answered_at)
+        self.send(1, now)
+        [check] = self.take_checks()
+        return check
+
+    def test_one_reference_lies_in_the_failure_domain_of_the_host(self) -> None:
+        check = self.check((4, 1.05), (2, 1.1), (3, 1.15))
+        self.assertEqual(hosts_of(check), [4, 3])
+        self.assertTrue(check.is_on_path(check.references[0]))
+        self.assertFalse(check.is_on_path(check.references[1]))
+
+    def test_a_lossy_path_is_not_taken_for_a_lost_host(self) -> None:
+        # Seen on a day: no attempt to the host answered, all to the own failure domain.
+        check = self.check((4, 1.05), (2, 1.1), (3, 1.15))
+        lossy = [Attempt.PENDING, Attempt.ACCEPTED] * (REFERENCE_ATTEMPTS // 2)
+        near, far = check.references
+        references = [(near, attempt) for attempt in lossy]
+        references += [(far, attempt) for attempt in ACCEPTED[:REFERENCE_ATTEMPTS]]
+        made = attempts_by_group(check, PENDING, references)
+        self.assertIs(status_of(check, made, Seconds(0.0)), HostStatus.UNKNOWN)
+
+    def test_a_host_of_its_failure_domain_is_asked_even_if_none_answered(self) -> None:
+        # Tells a lossy path from a failure domain that is gone.
+        check = self.check((2, 1.1), (3, 1.15))
+        near, far = hosts_of(check)
+        self.assertIn(near, (4, 5))
+        self.assertEqual(far, 3)
+
+    def test_a_host_that_is_doubted_itself_is_the_last_choice(self) -> None:
+        self.state.servers[Tag(4)].breaker.failures = 1
+        self.assertEqual(hosts_of(self.check((2, 1.1))), [5, 2])
+
+    def test_a_boot_that_is_silent_or_has_ended_is_no_reference(self) -> None:
+        silent = replace(self.BOOTS[1], silent=True)
+        ended = replace(self.BOOTS[2], state=RegistrationState.ENDED)
+        self.register(self.BOOTS[0], silent, ended, *self.BOOTS[3:])
+        self.assertEqual(hosts_of(self.check((2, 1.1), (3, 1.15))), [3, 2])
+
+    def test_the_number_of_references_does_not_grow_with_the_domains(self) -> None:
+        check = self.check(*((tag, 1.0 + tag / 100) for tag in (2, 3, 4, 5, 6)))
+        self.assertEqual(hosts_of(check), [5, 6])
+        self.assertEqual(len(check.references), REFERENCE_HOSTS)
+
+    def test_a_reference_is_tried_in_every_second_round(self) -> None:
+        check = self.check((4, 1.05), (3, 1.15))
+        rounds = [check.references_in_round(number) for number in range(ATTEMPTS)]
+        self.assertEqual(rounds, [check.references, ()] * REFERENCE_ATTEMPTS)
+
+    def test_a_refusing_failure_domain_that_answers_callers_proves_nothing(
+        self,
+    ) -> None:
+        # Connections to it may be rejected while packets of flows pass.
+        check = self.check((2, 1.15), (4, 1.16))
+        self.assertTrue(check.refusal_counts)
+        self.assertFalse(check.domain_refusal_counts)
+
+    def test_a_refusing_failure_domain_counts_if_it_answers_no_caller(self) -> None:
+        check = self.check((2, 1.15))
+        self.assertTrue(check.domain_refusal_counts)
+
+    def test_refusals_do_not_count_beside_another_service_elsewhere(self) -> None:
+        other = replace(self.BOOTS[3], service=DOCUMENTS)
+        self.register(*(b for b in self.BOOTS if b.tag not in (2, 3)), other)
+        check = self.check((4, 1.05), (2, 1.1))
+        self.assertFalse(check.refusal_counts)
+        self.assertFalse(check.domain_refusal_counts)
+
+
 class Results(unittest.TestCase):
     """Guards against a host that counts as unreachable although the balancer fails."""
 
+    ON_PATH = Reference(Endpoint("10.0.0.2", 8000), RECIFE)
+
     def status(
         self,
         attempts: list[Attempt],
         references: list[Attempt],
         lateness: float = 0.0,
         refusal_counts: bool = True,
+        elsewhere: tuple[Attempt, ...] = (),
+        domain_refusal_counts: bool = True,
     ) -> HostStatus:
-        return status_of(attempts, references, refusal_counts, Seconds(lateness))
+        check = HostCheck(
+            Tag(1),
+            Endpoint("10.0.0.1", 8000),
+            RECIFE,
+            (self.ON_PATH,),
+            refusal_counts,
+            domain_refusal_counts,
+        )
+        made = CheckAttempts(attempts, references, elsewhere)
+        return status_of(check, made, Seconds(lateness))
 
     def test_a_silent_host_beside_one_that_always_responds(self) -> None:
         for references in (ACCEPTED, REFUSED):
@@ -336,6 +465,55 @@
     def test_attempts_that_could_not_be_made_prove_nothing(self) -> None:
         attempts = [*PENDING[1:], Attempt.FAILED]
         self.assertIs(self.status(attempts, ACCEPTED), HostStatus.UNKNOWN)
+        status = self.status(PENDING, attempts, elsewhere=tuple(ACCEPTED))
+        self.assertIs(status, HostStatus.UNKNOWN)
+
+    def test_a_silent_failure_domain_beside_one_that_always_responds(self) -> None:
+        for on_path in (PENDING, []):
+            for elsewhere in (ACCEPTED, REFUSED):
+                status = self.status(PENDING, on_path, elsewhere=tuple(elsewhere))
+                self.assertIs(status, HostStatus.UNREACHABLE)
+
+    def test_a_lossy_path_proves_nothing(self) -> None:
+        for count in range(1, ATTEMPTS):
+            on_path = ACCEPTED[:count] + PENDING[count:]
+            status = self.status(PENDING, on_path, elsewhere=tuple(ACCEPTED))
+            self.assertIs(status, HostStatus.UNKNOWN)
+
+    def test_a_silent_failure_domain_alone_proves_nothing(self) -> None:
+        # The link of the balancer may be cut.
+        for on_path in (PENDING, []):
+            for elsewhere in ([], PENDING, [*ACCEPTED, Attempt.PENDING]):
+                status = self.status(PENDING, on_path, elsewhere=tuple(elsewhere))
+                self.assertIs(status, HostStatus.UNKNOWN)
+
+    def test_a_reference_elsewhere_without_a_response_proves_nothing(self) -> None:
+        elsewhere = (*ACCEPTED, Attempt.PENDING)
+        status = self.status(PENDING, ACCEPTED, elsewhere=elsewhere)
+        self.assertIs(status, HostStatus.UNKNOWN)
+
+    def test_a_refusing_failure_domain_counts_only_if_the_check_says_so(self) -> None:
+        for counts, expected in (
+            (True, HostStatus.UNREACHABLE),
+            (False, HostStatus.UNKNOWN),
+        ):
+            status = self.status(
+                REFUSED,
+                REFUSED,
+                elsewhere=tuple(ACCEPTED),
+                domain_refusal_counts=counts,
+            )
+            self.assertIs(status, expected)
+
+    def test_silence_of_a_sound_host_is_improbable_at_the_worst_loss(self) -> None:
+        # Links lose up to 30 % of the packets in each direction. With 6 attempts, 1.8 %
+        # of the checks found a sound host silent.
+        answered = 0.7 * 0.7
+        self.assertLess((1 - answered) ** ATTEMPTS, 0.001)
+
+    def test_the_result_is_known_before_the_second_retransmission(self) -> None:
+        # Callers retransmit 0.2 and 0.6 s after the data; the first requests the check.
+        self.assertLessEqual(CHECK_DURATION, 0.4)
 
     def test_a_late_result_proves_nothing(self) -> None:
         # The balancer may have been paused, and responses may wait for it.
