fix: a full queue of new connections is no lost host

Callers of a sound backend server got a reset (server-lost) from balancers that found its queue of new connections full. Linux drops attempts then, while packets of open flows still arrive. Checks fill that queue themselves: balancers that doubt one backend server make their attempts at the same time.

Cause: silence of the attempts to the backend server was taken for silence of its host. A host that is up resets attempts to a port without a listener, and no queue is involved. In every second round a check now makes one to an unused port (1) as well; with a response there the result is unknown.

On loopback each port of a host that is up responds, so the other tests of silent hosts have the checker take a silent port as the unused one.

--- a/src/wasabigw/core/tags/host_checks.py
+++ b/src/wasabigw/core/tags/host_checks.py
@@ -17,6 +17,8 @@
   domain is gone or cut off from this balancer, and the host with it.
 - If only some attempts have a response, the path or the balancer loses packets, and
   nothing is known.
+- A host that responds at an unused port is up, and nothing is known: if its queue of
+  new connections is full, it drops attempts while packets of flows still arrive.
 - A host that refuses has no backend server any more, or something on the way rejects
   connections. Only accepted attempts count as responses of references then, and those
   elsewhere, or all if there are none, must belong to the same service, because backend
@@ -41,6 +43,11 @@
 """
 REFERENCE_ATTEMPTS = 6
 """Connection attempts to each reference, in every second round of attempts."""
+UNUSED_PORT = 1
+"""Port of the checked host for attempts that show whether the host is up.
+
+Assigned to a service that is hardly used any more (tcpmux, RFC 1078).
+"""
 ATTEMPTS_DURATION = Seconds(0.25)
 """Time from the first attempt to the last one, which begins the last round."""
 ATTEMPT_INTERVAL = Seconds(ATTEMPTS_DURATION / (ATTEMPTS - 1))
@@ -108,8 +115,19 @@
 
         :param number: number of the round, from 0.
         """
-        is_compared = number % (ATTEMPTS // REFERENCE_ATTEMPTS) == 0
-        return self.references if is_compared else ()
+        return self.references if _is_compared(number) else ()
+
+    def unused_in_round(self, number: int) -> tuple[Endpoint, ...]:
+        """Unused endpoints of the host that are tried in a round of attempts.
+
+        :param number: number of the round, from 0.
+        """
+        unused = Endpoint(self.endpoint.address, UNUSED_PORT)
+        return () if _is_compared(number) else (unused,)
+
+
+def _is_compared(number: int) -> bool:
+    return number % (ATTEMPTS // REFERENCE_ATTEMPTS) == 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,11 +137,13 @@
     :param host: those to the checked host.
     :param on_path: those to references in its failure domain.
     :param elsewhere: those to references in other failure domains.
+    :param unused: those to an unused port of the checked host.
     """
 
     host: Sequence[Attempt]
     on_path: Sequence[Attempt]
     elsewhere: Sequence[Attempt]
+    unused: Sequence[Attempt] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,11 +164,12 @@
     check: HostCheck,
     host: Sequence[Attempt],
     references: Sequence[tuple[Reference, Attempt]],
+    unused: Sequence[Attempt] = (),
 ) -> CheckAttempts:
     """Attempts of a check, those to references by their place."""
     on_path = [attempt for to, attempt in references if check.is_on_path(to)]
     elsewhere = [attempt for to, attempt in references if not check.is_on_path(to)]
-    return CheckAttempts(host, on_path, elsewhere)
+    return CheckAttempts(host, on_path, elsewhere, unused)
 
 
 def status_of(check: HostCheck, made: CheckAttempts, lateness: Seconds) -> HostStatus:
@@ -161,7 +182,8 @@
     if lateness > MAX_LATENESS or _is_any_not_made(made):
         return HostStatus.UNKNOWN
     if Attempt.REFUSED not in made.host:
-        return _status_compared(made, _RESPONSES)
+        is_up = not _RESPONSES.isdisjoint(made.unused)
+        return HostStatus.UNKNOWN if is_up else _status_compared(made, _RESPONSES)
     is_domain_rejected = bool(made.on_path) and Attempt.ACCEPTED not in made.on_path
     counts = check.domain_refusal_counts if is_domain_rejected else check.refusal_counts
     return _status_compared(made, _ACCEPTED) if counts else HostStatus.UNKNOWN
--- a/src/wasabigw/tasks/host_checker.py
+++ b/src/wasabigw/tasks/host_checker.py
@@ -88,6 +88,7 @@
         self.next_at = now
         self.connections: list[_Connection] = []
         self.references: list[tuple[Reference, _Connection]] = []
+        self.unused: list[_Connection] = []
 
     @property
     def is_reachable(self) -> bool:
@@ -100,11 +101,14 @@
         The checked host comes first: a link that is full loses the last packets of a
         burst, and losses must not be more likely for the checked host.
         """
-        references = self.check.references_in_round(len(self.connections))
+        number = len(self.connections)
+        references = self.check.references_in_round(number)
         self.connections.append(_Connection(self.check.endpoint, selector))
         for reference in references:
             connection = _Connection(reference.endpoint, selector)
             self.references.append((reference, connection))
+        for endpoint in self.check.unused_in_round(number):
+            self.unused.append(_Connection(endpoint, selector))
         is_last = len(self.connections) == ATTEMPTS
         self.next_at = Seconds(now + (RESPONSE_TIME if is_last else ATTEMPT_INTERVAL))
 
@@ -114,6 +118,7 @@
             self.check,
             [connection.attempt for connection in self.connections],
             [(to, connection.attempt) for to, connection in self.references],
+            [connection.attempt for connection in self.unused],
         )
 
     def status(self, now: Seconds) -> HostStatus:
@@ -122,7 +127,7 @@
 
     def close(self) -> None:
         """Give up the attempts that have no response."""
-        for connection in self.connections:
+        for connection in (*self.connections, *self.unused):
             connection.close()
         for _, connection in self.references:
             connection.close()
@@ -192,6 +197,7 @@
             reference_domains=", ".join(r.failure_domain for r in check.references),
             on_path_attempts=_text_of(made.on_path),
             elsewhere_attempts=_text_of(made.elsewhere),
+            unused_port_attempts=_text_of(made.unused),
         )
         self._results.post(HostChecked(check.tag, status, running.started_at, now))
 
--- a/src/wasabigw/telemetry/events_flow.py
+++ b/src/wasabigw/telemetry/events_flow.py
@@ -58,10 +58,11 @@
         "attempts for {seconds} s: {attempts}; at the same time to {references}: "
         "{reference_attempts}; in its failure domain {failure_domain}: "
         "{on_path_attempts}; elsewhere: {elsewhere_attempts}; failure domains of the "
-        "other hosts: {reference_domains}",
+        "other hosts: {reference_domains}; at an unused port: {unused_port_attempts}",
         "If unreachable, the open flows of the backend server are reset. Unknown: the "
         "path to its failure domain loses packets, the other hosts did not answer "
-        "either, or the balancer was late; see WGW-2027.",
+        "either, the host is up and its queue of new connections full, or the balancer "
+        "was late; see WGW-2027.",
     )
     LEFT_OUT = EventDefinition(
         5003,
--- a/tests/evidence_model/host_checker.py
+++ b/tests/evidence_model/host_checker.py
@@ -1,4 +1,7 @@
-"""Connection attempts of a balancer, as ``wasabigw.tasks.host_checker`` makes them."""
+"""Connection attempts of a balancer, as ``wasabigw.tasks.host_checker`` makes them.
+
+Those to an unused port are left out: no host of the model has a full queue.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
--- a/tests/test_host_checker.py
+++ b/tests/test_host_checker.py
@@ -26,6 +26,26 @@
 """More than a socket with the shortest queue of new connections accepts."""
 
 
+def check_of(
+    endpoint: Endpoint,
+    on_path: tuple[Endpoint, ...],
+    elsewhere: tuple[Endpoint, ...] = (),
+) -> HostCheck:
+    """Check of a host, with references in its failure domain and elsewhere."""
+    references = (
+        *(Reference(to, RECIFE) for to in on_path),
+        *(Reference(to, SALVADOR) for to in elsewhere),
+    )
+    return HostCheck(
+        Tag(7),
+        endpoint,
+        RECIFE,
+        references,
+        refusal_counts=True,
+        domain_refusal_counts=True,
+    )
+
+
 class HostCheckerCase(unittest.TestCase):
     """A running host checker, and endpoints that behave like hosts."""
 
@@ -33,6 +53,13 @@
         self.results: Mailbox[Any] = Mailbox("results")
         self.checker = make_host_checker(self.results)
         self.enterContext(self.checker)
+        # Loopback answers at each port, and a host that is gone at none.
+        self.use_unused_port(self.silent())
+
+    def use_unused_port(self, endpoint: Endpoint) -> None:
+        """Let checks take the port of an endpoint as the unused port of all hosts."""
+        path = "wasabigw.core.tags.host_checks.UNUSED_PORT"
+        self.enterContext(mock.patch(path, endpoint.port))
 
     def listen(self, backlog: int = 16) -> Endpoint:
         """Endpoint at which connections are accepted."""
@@ -64,20 +91,11 @@
         *on_path: Endpoint,
         elsewhere: tuple[Endpoint, ...] = (),
     ) -> HostStatus:
-        references = (
-            *(Reference(to, RECIFE) for to in on_path),
-            *(Reference(to, SALVADOR) for to in elsewhere),
-        )
-        self.checker.mailbox.post(
-            HostCheck(
-                Tag(7),
-                endpoint,
-                RECIFE,
-                references,
-                refusal_counts=True,
-                domain_refusal_counts=True,
-            )
-        )
+        self.checker.mailbox.post(check_of(endpoint, on_path, elsewhere))
+        return self.take_status()
+
+    def take_status(self) -> HostStatus:
+        """Wait for the result of a check."""
         outcome = self.results.get(WAIT)
         assert isinstance(outcome, Success), "no result"
         result = outcome.unwrap()
@@ -125,6 +143,7 @@
         self.assertEqual(fields["on_path_attempts"], "6 accepted")
         self.assertEqual(fields["elsewhere_attempts"], "6 refused")
         self.assertEqual(fields["reference_attempts"], "6 accepted, 6 refused")
+        self.assertEqual(fields["unused_port_attempts"], "6 no response")
 
     def test_an_address_that_cannot_be_used_is_unknown(self) -> None:
         status = self.check(Endpoint("255.255.255.255", 80), self.listen())
@@ -143,5 +162,35 @@
         self.assertIs(self.check(host, reference), HostStatus.REACHABLE)
 
 
+class FullQueues(HostCheckerCase):
+    """Guards against a sound host whose queue of new connections is full.
+
+    Packets of open flows still reach it, and connections of checks fill the queue.
+    """
+
+    BACKLOG = 5
+    CHECKERS = 12
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.use_unused_port(self.closed())
+
+    def test_balancers_that_check_a_host_at_once_do_not_find_it_lost(self) -> None:
+        busy = self.listen(self.BACKLOG)
+        check = check_of(busy, (self.listen(backlog=128),))
+        checkers = [make_host_checker(self.results) for _ in range(self.CHECKERS)]
+        for checker in checkers:
+            self.enterContext(checker)
+        for checker in checkers:
+            checker.mailbox.post(check)
+        statuses = [self.take_status() for _ in checkers]
+        self.assertNotIn(HostStatus.UNREACHABLE, statuses)
+        self.assertIn(HostStatus.UNKNOWN, statuses)
+
+    def test_a_host_without_a_backend_server_is_still_unreachable(self) -> None:
+        status = self.check(self.closed(), self.listen())
+        self.assertIs(status, HostStatus.UNREACHABLE)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -24,6 +24,7 @@
     CHECK_DURATION,
     MAX_LATENESS,
     REFERENCE_ATTEMPTS,
+    UNUSED_PORT,
     Attempt,
     CheckAttempts,
     HostCheck,
@@ -388,6 +389,9 @@
         check = self.check((4, 1.05), (3, 1.15))
         rounds = [check.references_in_round(number) for number in range(ATTEMPTS)]
         self.assertEqual(rounds, [check.references, ()] * REFERENCE_ATTEMPTS)
+        unused = [check.unused_in_round(number) for number in range(ATTEMPTS)]
+        at_host = (Endpoint("10.0.0.1", UNUSED_PORT),)
+        self.assertEqual(unused, [(), at_host] * REFERENCE_ATTEMPTS)
 
     def test_a_refusing_failure_domain_that_answers_callers_proves_nothing(
         self,
@@ -422,6 +426,7 @@
         refusal_counts: bool = True,
         elsewhere: tuple[Attempt, ...] = (),
         domain_refusal_counts: bool = True,
+        unused: tuple[Attempt, ...] = (),
     ) -> HostStatus:
         check = HostCheck(
             Tag(1),
@@ -431,7 +436,7 @@
             refusal_counts,
             domain_refusal_counts,
         )
-        made = CheckAttempts(attempts, references, elsewhere)
+        made = CheckAttempts(attempts, references, elsewhere, unused)
         return status_of(check, made, Seconds(lateness))
 
     def test_a_silent_host_beside_one_that_always_responds(self) -> None:
@@ -505,6 +510,19 @@
             )
             self.assertIs(status, expected)
 
+    def test_a_host_that_responds_at_an_unused_port_is_up(self) -> None:
+        # Its queue of new connections is full, and packets of its flows arrive.
+        for response in (Attempt.ACCEPTED, Attempt.REFUSED):
+            unused = (*PENDING[1:], response)
+            status = self.status(PENDING, ACCEPTED, unused=unused)
+            self.assertIs(status, HostStatus.UNKNOWN)
+        status = self.status(PENDING, ACCEPTED, unused=tuple(PENDING))
+        self.assertIs(status, HostStatus.UNREACHABLE)
+
+    def test_a_host_that_refuses_at_each_port_is_unreachable(self) -> None:
+        status = self.status(REFUSED, ACCEPTED, unused=tuple(REFUSED))
+        self.assertIs(status, HostStatus.UNREACHABLE)
+
     def test_silence_of_a_sound_host_is_improbable_at_the_worst_loss(self) -> None:
         # Links lose up to 30 % of the packets in each direction. With 6 attempts, 1.8 %
         # of the checks found a sound host silent.
