fix: end a check with the sixth refusal

Callers of a backend server that died at a host which refuses connections waited for all attempts of the check, although the first six had decided it.

A refusal is no lost packet, so repeating it for 0.4 s excludes nothing. A check now ends as soon as six attempts have been refused, as many as before, and the result with the attempts made so far is unreachable: same service, no draining, all references accepted, not late. Otherwise it goes on.

--- a/tests/evidence_model/host_checker.py
+++ b/tests/evidence_model/host_checker.py
@@ -14,10 +14,12 @@
     ATTEMPTS,
     RESPONSE_TIME,
     Attempt,
+    CheckAttempts,
     HostCheck,
     HostChecked,
     Reference,
     attempts_by_group,
+    is_decided,
     status_of,
 )
 
@@ -52,10 +54,13 @@
     connections: list[Connection] = field(default_factory=list)
     references: list[tuple[Reference, Connection]] = field(default_factory=list)
 
-    @property
-    def is_reachable(self) -> bool:
-        """Whether the host has accepted a connection."""
-        return any(c.attempt is Attempt.ACCEPTED for c in self.connections)
+    def attempts(self) -> CheckAttempts:
+        """States of all attempts so far."""
+        return attempts_by_group(
+            self.check,
+            [connection.attempt for connection in self.connections],
+            [(to, connection.attempt) for to, connection in self.references],
+        )
 
 
 class HostChecker:
@@ -85,7 +90,8 @@
         self._continue(running)
 
     def _continue(self, running: RunningCheck) -> None:
-        if running.is_reachable:
+        lateness = Seconds(self._clock.now - running.next_at)
+        if is_decided(running.check, running.attempts(), lateness):
             self._finish(running)
         elif len(running.connections) < ATTEMPTS:
             target = running.check.endpoint
@@ -108,13 +114,8 @@
 
     def _finish(self, running: RunningCheck) -> None:
         self._running.remove(running)
-        made = attempts_by_group(
-            running.check,
-            [connection.attempt for connection in running.connections],
-            [(to, connection.attempt) for to, connection in running.references],
-        )
         lateness = Seconds(self._clock.now - running.next_at)
-        status = status_of(running.check, made, lateness)
+        status = status_of(running.check, running.attempts(), lateness)
         now = self._clock.now
         tag, started_at = running.check.tag, running.started_at
         self._report(HostChecked(tag, status, started_at, now))
