fix: a refusal doesn't count if the server drains when the check ends

A backend server that closes its listening socket and then drains its open flows refuses connections before balancers know that it drains. A check that began meanwhile found it unreachable, and its callers got a reset (server-lost) though it served them.

Cause: whether it drains was only looked up when the check was requested, and the view with the drain may come during the check. The result now tells whether the host refused, and the drain is looked up again. A drain that comes after the result still comes too late.

Before, test_a_server_that_drains_since_the_check_may_refuse_connections: AssertionError: Lists differ: [Refuse(...)] != [] First list contains 5 additional elements.

--- a/src/wasabigw/core/tags/host_checks.py
+++ b/src/wasabigw/core/tags/host_checks.py
@@ -160,12 +160,14 @@
 
     :param started_at: when the first attempt was made.
     :param ended_at: when the attempts were evaluated.
+    :param is_refused: whether the host refused connections.
     """
 
     tag: Tag
     status: HostStatus
     started_at: Seconds
     ended_at: Seconds
+    is_refused: bool = False
 
 
 def attempts_by_group(
--- a/src/wasabigw/core/tags/unreachable_hosts.py
+++ b/src/wasabigw/core/tags/unreachable_hosts.py
@@ -103,6 +103,10 @@
     if now - result.ended_at > MAX_LATENESS:
         # The balancer is behind or was paused, and the host may be back by now.
         return []
+    is_draining = server.registration.state is RegistrationState.DRAINING
+    if result.is_refused and is_draining:
+        # It may have stopped accepting connections before the view told so.
+        return []
     breaker.unreachable_at = now
     return _refuse_open_flows(server, state)
 
--- a/src/wasabigw/tasks/host_checker.py
+++ b/src/wasabigw/tasks/host_checker.py
@@ -199,7 +199,9 @@
             elsewhere_attempts=_text_of(made.elsewhere),
             unused_port_attempts=_text_of(made.unused),
         )
-        self._results.post(HostChecked(check.tag, status, running.started_at, now))
+        is_refused = Attempt.REFUSED in made.host
+        started_at = running.started_at
+        self._results.post(HostChecked(check.tag, status, started_at, now, is_refused))
 
     def _close_all(self) -> None:
         for running in self._running:
--- a/tests/evidence_model/host_checker.py
+++ b/tests/evidence_model/host_checker.py
@@ -118,4 +118,5 @@
         status = status_of(running.check, running.attempts(), lateness)
         now = self._clock.now
         tag, started_at = running.check.tag, running.started_at
-        self._report(HostChecked(tag, status, started_at, now))
+        is_refused = Attempt.REFUSED in running.attempts().host
+        self._report(HostChecked(tag, status, started_at, now, is_refused))
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -206,6 +206,20 @@
         self.assertEqual(record_check(result, self.state, Seconds(9.0)), [])
         self.assertEqual(self.send(2, now=9.1), "delivered")
 
+    def test_a_server_that_drains_since_the_check_may_refuse_connections(self) -> None:
+        # Guards against a reset of its flows: it closed its listening socket first.
+        self.send(1, now=1.2)
+        draining = replace(on_host(1), state=RegistrationState.DRAINING)
+        self.register(draining, *(on_host(number) for number in (2, 3)))
+        started_at, ended_at = Seconds(1.2), Seconds(1.32)
+        result = HostChecked(
+            Tag(1), HostStatus.UNREACHABLE, started_at, ended_at, is_refused=True
+        )
+        self.assertEqual(record_check(result, self.state, ended_at), [])
+        self.assertEqual(self.send(2, now=1.4), "delivered")
+        silent = replace(result, is_refused=False)
+        self.assertEqual(len(record_check(silent, self.state, ended_at)), 5)
+
     def test_a_check_that_took_long_counts_if_its_result_is_new(self) -> None:
         # On a balancer that is busy each attempt may be made late.
         self.send(1, now=1.2)
