core: keep the registered boot when another one announces itself late

Callers saw open flows of a live backend server refused (flow-gone) in deployments without tags: any announcement with another boot id, such as one of a crashed earlier boot that arrived late, counted as a restart at the home, replaced the registration and ended the flows of the live boot.

The home now holds another boot as a contender. It takes over when the known boot leaves, or has been silent for a lease while the contender goes on announcing itself. Nothing in the application of log entries changes.

test_new_boot_id_and_return_of_the_failure_domain_restart_the_ramp expected the registration in the second of the announcement. It now expects that no flow is admitted until then, and the first step once the lease has run out.

--- a/src/wasabigw/core/backend_home.py
+++ b/src/wasabigw/core/backend_home.py
@@ -28,6 +28,7 @@
     MAX_HOMED_SERVERS,
     HomedServer,
     HomeState,
+    is_contested,
     restart_ramp_if_cold,
     send_due_reports,
 )
@@ -97,6 +98,9 @@
         if waiting:
             return AdmissionVerdict.TAKEOVER_WAIT
         return AdmissionVerdict.NOT_ANNOUNCED
+    if is_contested(record, now):
+        # The flow would open at a boot that is not registered yet.
+        return AdmissionVerdict.TAKEOVER_WAIT
     if not leases.may_admit_after_takeover(record.lease, now):
         return AdmissionVerdict.TAKEOVER_WAIT
     fresh = state.fresh_until is not None and now < state.fresh_until
--- a/src/wasabigw/core/home_announcements.py
+++ b/src/wasabigw/core/home_announcements.py
@@ -1,6 +1,6 @@
 """Handling of the announcements that backend servers send to their home."""
 
-from wasabigw.core import cold_start, leases
+from wasabigw.core import admission, cold_start, contenders, leases
 from wasabigw.core.commands import BackendServerUp
 from wasabigw.core.endpoint_checks import backend_server_problem, report_problem
 from wasabigw.core.home_events import (
@@ -13,6 +13,9 @@
     MAX_HOMED_SERVERS,
     HomedServer,
     HomeState,
+    heard_at,
+    is_contested,
+    is_silent,
     make_admission,
     restart_ramp_if_cold,
     send_due_reports,
@@ -28,7 +31,7 @@
 from wasabigw.core.numbers import MAX_EXACT_INTEGER
 from wasabigw.core.placement import select_home
 from wasabigw.core.states import BackendServerState, FlowLimit
-from wasabigw.core.timing import ANNOUNCE_LEASE, RAMP_STEPS
+from wasabigw.core.timing import ANNOUNCE_INTERVAL, ANNOUNCE_LEASE, RAMP_STEPS
 from wasabigw.core.transition import in_service
 
 REFUSED_RETRY_DELAY = Seconds(5.0)
@@ -62,6 +65,18 @@
             "add balancers"
         )
         return [_refuse(text, REFUSED_RETRY_DELAY)]
+    known = state.servers.get(announcement.id)
+    is_other_boot = known is not None and not _is_same_boot(known, announcement)
+    if (
+        known is not None
+        and is_other_boot
+        and not _takes_over(announcement, known, now)
+    ):
+        text = (
+            f"another boot of {known.id} is registered; this one takes its place when "
+            "the other one leaves or is silent, if it goes on announcing itself"
+        )
+        return [_refuse(text, ANNOUNCE_INTERVAL)]
     record = _record_announcement(announcement, state, now)
     accepted = AnnouncementAccepted(ANNOUNCE_LEASE, state.node)
     return [ReplyToAnnouncement(accepted), *send_due_reports([record], state, now)]
@@ -149,6 +164,23 @@
     )
 
 
+def _takes_over(announcement: Announcement, known: HomedServer, now: Seconds) -> bool:
+    """Whether a boot replaces the known one, whose open flows end then.
+
+    It does once the known boot leaves, or is silent while the other one goes on
+    announcing itself.
+    """
+    if known.state is BackendServerState.LEAVING:
+        return True
+    contender = contenders.record_contender(announcement, known.contenders, now)
+    if not contenders.is_running(contender):
+        return False
+    if heard_at(known) <= contender.first_at and is_contested(known, now):
+        # Most likely a restart, so that new flows had better go elsewhere.
+        admission.restart_ramp(known.admission, now)
+    return is_silent(known, now)
+
+
 def _new_record(
     announcement: Announcement, state: HomeState, now: Seconds
 ) -> HomedServer:
@@ -156,7 +188,9 @@
     assert state.cluster is not None
     previous = state.servers.get(announcement.id)
     previous_flows = 0
+    lease = None
     if previous is not None:
+        lease = _contender_lease(announcement, previous)
         previous_flows = (
             previous.admission.open_flows + previous.admission.previous_boot_flows
         )
@@ -181,9 +215,20 @@
         admission=limits,
         homed_since=now if previous is None else previous.homed_since,
         confirmed_step=0 if registered is None else registered.step,
+        lease=lease,
     )
 
 
+def _contender_lease(
+    announcement: Announcement, previous: HomedServer
+) -> leases.Lease | None:
+    """Lease of a boot that has announced itself here before it took over."""
+    contender = previous.contenders.get(contenders.key_of(announcement))
+    if contender is None:
+        return None
+    return leases.Lease(contender.first_at, contender.last_at)
+
+
 def _initialize_open_flows(
     record: HomedServer, announcement: Announcement, state: HomeState
 ) -> None:
--- a/src/wasabigw/core/home_records.py
+++ b/src/wasabigw/core/home_records.py
@@ -20,6 +20,7 @@
     BackendServerUp,
     Report,
 )
+from wasabigw.core.contenders import Contenders, contends_for, remove_expired
 from wasabigw.core.home_events import HomeDecision, SendReports
 from wasabigw.core.ids import (
     BackendServerId,
@@ -59,6 +60,7 @@
         became its home.
     :param overflow_flows: open flows that were passed to OVERFLOW candidates.
     :param last_sent: time of the last report of each kind.
+    :param contenders: other boots that announce themselves under the id.
     """
 
     id: BackendServerId
@@ -77,6 +79,7 @@
     overflow_flows: int = 0
     detector: ColdStartDetector = field(default_factory=ColdStartDetector)
     last_sent: dict[type[Report], Seconds] = field(default_factory=dict)
+    contenders: Contenders = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -158,9 +161,7 @@
         return []
     due = [
         report
-        for report in _pending_reports(
-            record, registered, record.homed_since, fresh, now
-        )
+        for report in _pending_reports(record, registered, fresh, now)
         if now - record.last_sent.get(type(report), NEVER) >= REPORT_RETRY_INTERVAL
     ]
     record.last_sent.update({type(report): now for report in due})
@@ -170,12 +171,14 @@
 def _pending_reports(
     record: HomedServer,
     registered: BackendServer | None,
-    homed_since: Seconds,
     fresh: bool,
     now: Seconds,
 ) -> Iterator[Report]:
     if not leases.is_valid(record.lease, now):
-        if registered is not None and fresh and now - homed_since >= ANNOUNCE_LEASE:
+        remove_expired(record.contenders, now)
+        is_known_silent = fresh and is_silent(record, now)
+        # A contender takes over at its next announcement, and keeps the buckets then.
+        if registered is not None and is_known_silent and not record.contenders:
             yield BackendServerDown(registered.id, registered.boot_id)
         return
     if registered is None or not _matches_registration(record, registered):
@@ -194,6 +197,22 @@
         yield BackendServerOverloaded(record.id, record.admission.overloaded)
 
 
+def heard_at(record: HomedServer) -> Seconds:
+    """Time of the last announcement of the known boot to this home."""
+    return NEVER if record.lease is None else record.lease.renewed_at
+
+
+def is_silent(record: HomedServer, now: Seconds) -> bool:
+    """Whether the known boot has not announced itself to this home for a lease."""
+    homed_since = NEVER if record.homed_since is None else record.homed_since
+    return now - max(heard_at(record), homed_since) >= ANNOUNCE_LEASE
+
+
+def is_contested(record: HomedServer, now: Seconds) -> bool:
+    """Whether another boot may be running at the endpoint of the known one."""
+    return contends_for(record.endpoint, record.contenders, heard_at(record), now)
+
+
 def up_report(record: HomedServer) -> BackendServerUp:
     """Report that registers a backend server in its current state."""
     return BackendServerUp(
--- a/tests/test_backend_home.py
+++ b/tests/test_backend_home.py
@@ -210,6 +210,8 @@
         fixture = HomeFixture()
         fixture.run(20)
         fixture.run(1, "y")
+        self.assertIs(fixture.admit(), AdmissionVerdict.TAKEOVER_WAIT)
+        fixture.run(2, "y")
         self.assertEqual(
             (fixture.step(), fixture.cluster.backend_servers[B1].step), (1, 1)
         )
