core: don't count a home's own absence as silence of its servers

Callers saw the open flows of all backend servers homed at one balancer refused (flow-gone) after that balancer had been suspended or cut off for longer than the rest of the announcement leases: it woke, its view became fresh with the next log poll, and its next tick reported every server down that had not announced itself in between, up to one second.

Silence now counts from the end of the last pause and of the last stale view at the earliest. Callers of a server that died during the pause are freed one lease after the home's return instead of at once. Entries of the log are applied as before.

--- a/src/wasabigw/core/backend_home.py
+++ b/src/wasabigw/core/backend_home.py
@@ -31,6 +31,7 @@
     is_contested,
     restart_ramp_if_cold,
     send_due_reports,
+    update_listening,
 )
 from wasabigw.core.ids import (
     BackendServerId,
@@ -157,11 +158,13 @@
 
 @handle.register
 def _(event: AnnouncementReceived, state: HomeState) -> list[HomeDecision]:
+    update_listening(state, event.now)
     return answer_announcement(event, state)
 
 
 @handle.register
 def _(event: HomeTick, state: HomeState) -> list[HomeDecision]:
+    update_listening(state, event.now)
     state.now = event.now
     for record in state.servers.values():
         _advance_ramp(record, state, event.now)
@@ -173,6 +176,7 @@
 
 @handle.register
 def _(event: HomesChanged, state: HomeState) -> list[HomeDecision]:
+    update_listening(state, event.now)
     apply_cluster_changes(event.cluster, state, event.now)
     return send_due_reports(state.servers.values(), state, event.now)
 
--- a/src/wasabigw/core/home_announcements.py
+++ b/src/wasabigw/core/home_announcements.py
@@ -70,7 +70,7 @@
     if (
         known is not None
         and is_other_boot
-        and not _takes_over(announcement, known, now)
+        and not _takes_over(announcement, known, state, now)
     ):
         text = (
             f"another boot of {known.id} is registered; this one takes its place when "
@@ -164,7 +164,9 @@
     )
 
 
-def _takes_over(announcement: Announcement, known: HomedServer, now: Seconds) -> bool:
+def _takes_over(
+    announcement: Announcement, known: HomedServer, state: HomeState, now: Seconds
+) -> bool:
     """Whether a boot replaces the known one, whose open flows end then.
 
     It does once the known boot leaves, or is silent while the other one goes on
@@ -178,7 +180,7 @@
     if heard_at(known) <= contender.first_at and is_contested(known, now):
         # Most likely a restart, so that new flows had better go elsewhere.
         admission.restart_ramp(known.admission, now)
-    return is_silent(known, now)
+    return is_silent(known, state.listening_since, now)
 
 
 def _new_record(
--- a/src/wasabigw/core/home_records.py
+++ b/src/wasabigw/core/home_records.py
@@ -31,7 +31,7 @@
     ServiceId,
 )
 from wasabigw.core.states import BackendServerState, FlowLimit
-from wasabigw.core.timing import ANNOUNCE_LEASE
+from wasabigw.core.timing import ANNOUNCE_INTERVAL, ANNOUNCE_LEASE
 
 MAX_HOMED_SERVERS = 4096
 """Limit on the backend servers homed at one node; further ones are refused."""
@@ -45,6 +45,12 @@
 DOWN_REPORT_TRANSIT_TIME = Seconds(10.0)
 """Longest time for which a report of an ended lease may be in transit to the leader."""
 
+MAX_EVENT_GAP = ANNOUNCE_INTERVAL
+"""Longest time between two events of a home that runs; it has a tick each 0.25 s.
+
+A longer one means that the home was paused and may have missed announcements.
+"""
+
 NEVER = Seconds(float("-inf"))
 LEAVING_STATES = (BackendServerState.DRAINING, BackendServerState.LEAVING)
 _RUNNING_STATES = (BackendServerState.COLD, BackendServerState.READY)
@@ -95,6 +101,9 @@
     :param handed_over_counts: open flows handed over before this node learned that
         it is the home.
     :param now: time of the last tick.
+    :param last_event: time of the last event.
+    :param listening_since: end of the last time in which this node was paused or had
+        a stale view, so that it may have been unable to hear backend servers.
     """
 
     node: NodeId
@@ -105,6 +114,8 @@
     membership: tuple[object, ...] = ()
     handed_over_counts: dict[BackendServerId, int] = field(default_factory=dict)
     now: Seconds = NEVER
+    last_event: Seconds = NEVER
+    listening_since: Seconds = NEVER
 
 
 def make_admission(
@@ -149,19 +160,37 @@
     )
 
 
+def has_fresh_view(state: HomeState, now: Seconds) -> bool:
+    """Whether this node may assume that it still is the home."""
+    return state.fresh_until is None or now < state.fresh_until
+
+
+def update_listening(state: HomeState, now: Seconds) -> None:
+    """Update since when this node has been able to hear its backend servers.
+
+    It has to be called for each event, before leases are compared with the time.
+    """
+    was_paused = now - state.last_event > MAX_EVENT_GAP
+    if (was_paused and state.last_event != NEVER) or not has_fresh_view(state, now):
+        state.listening_since = now
+    state.last_event = now
+
+
 def due_reports(
-    record: HomedServer, registered: BackendServer | None, fresh: bool, now: Seconds
+    record: HomedServer,
+    registered: BackendServer | None,
+    state: HomeState,
+    now: Seconds,
 ) -> list[Report]:
     """Reports to send now, for what the replicated state does not show yet.
 
     :param registered: the backend server in the replicated state.
-    :param fresh: whether this node may assume that it still is the home.
     """
     if record.homed_since is None:
         return []
     due = [
         report
-        for report in _pending_reports(record, registered, fresh, now)
+        for report in _pending_reports(record, registered, state, now)
         if now - record.last_sent.get(type(report), NEVER) >= REPORT_RETRY_INTERVAL
     ]
     record.last_sent.update({type(report): now for report in due})
@@ -171,12 +200,13 @@
 def _pending_reports(
     record: HomedServer,
     registered: BackendServer | None,
-    fresh: bool,
+    state: HomeState,
     now: Seconds,
 ) -> Iterator[Report]:
     if not leases.is_valid(record.lease, now):
         remove_expired(record.contenders, now)
-        is_known_silent = fresh and is_silent(record, now)
+        # Under a stale view, `listening_since` is the time of this event.
+        is_known_silent = is_silent(record, state.listening_since, now)
         # A contender takes over at its next announcement, and keeps the buckets then.
         if registered is not None and is_known_silent and not record.contenders:
             yield BackendServerDown(registered.id, registered.boot_id)
@@ -202,10 +232,10 @@
     return NEVER if record.lease is None else record.lease.renewed_at
 
 
-def is_silent(record: HomedServer, now: Seconds) -> bool:
-    """Whether the known boot has not announced itself to this home for a lease."""
+def is_silent(record: HomedServer, listening_since: Seconds, now: Seconds) -> bool:
+    """Whether this home has listened to the known boot in vain for a lease."""
     homed_since = NEVER if record.homed_since is None else record.homed_since
-    return now - max(heard_at(record), homed_since) >= ANNOUNCE_LEASE
+    return now - max(heard_at(record), homed_since, listening_since) >= ANNOUNCE_LEASE
 
 
 def is_contested(record: HomedServer, now: Seconds) -> bool:
@@ -265,9 +295,8 @@
 def _due_for(record: HomedServer, state: HomeState, now: Seconds) -> list[Report]:
     if state.cluster is None:
         return []
-    fresh = state.fresh_until is None or now < state.fresh_until
     registered = state.cluster.backend_servers.get(record.id)
-    return due_reports(record, registered, fresh, now)
+    return due_reports(record, registered, state, now)
 
 
 def update_limits(record: HomedServer, state: HomeState) -> None:
