flows: drop unknown packets until all failure domains answer

Callers lost a flow just after a partition: it had been opened on the other side at a backend server that its bucket was diverted to, and one packet that passed a balancer of this side went to another backend server, which reset the flow.

Cause: a balancer that has just been reconnected has a fresh view, but does not know yet where the other side diverted flows to. The belief by elimination was applied although the list of candidates may be incomplete.

Before the fix the new test gives

FAIL: test_the_only_home_without_records_gets_no_unknown_packets_either AssertionError: SendToBackend(...b1...) != Drop(HEALING)

With the check first, the caller's repetition finds the flow once pings are answered. Price: until then, flows whose home and backup both lack records wait instead of being delivered by elimination.

--- a/src/wasabigw/core/flows/search.py
+++ b/src/wasabigw/core/flows/search.py
@@ -104,6 +104,10 @@
         # The log may not yet list the candidates that another side of the partition
         # diverted flows to.
         return DropReason.HEALING
+    if state.routes.unreachable and not udp:
+        # The partition may just have ended, and the flow may have been diverted by the
+        # other side to a backend server that is no candidate here.
+        return DropReason.HEALING
     lacking = [t for t in context.candidates.live if _may_hold(t, forwarding)]
     if len(lacking) == 1:
         return lacking[0]
@@ -111,10 +115,6 @@
         return DropReason.AMBIGUOUS
     if udp:
         return _udp_opening_target(context)
-    if state.routes.unreachable:
-        # The partition may just have ended, and the flow may have been diverted by the
-        # other side.
-        return DropReason.HEALING
     return _owner_by_age(event, context, state)
 
 
--- a/tests/test_flow_decisions.py
+++ b/tests/test_flow_decisions.py
@@ -528,3 +528,24 @@
         dropped = handle(forwarded, owner.state)
         self.assertEqual(dropped, [d.Drop(DropReason.HEALING)])
         self.assertIsInstance(handle(known, owner.state)[0], d.SendToBackend)
+
+    def test_the_only_home_without_records_gets_no_unknown_packets_either(self) -> None:
+        """The other side may have diverted the flow to a server not listed here."""
+        sim = make_simulation(6)
+        unrecorded = e.FlowData(unused_key(sim, "b1"), SEATS, sim.time())
+        name = BackendServerId("b1")
+        until = Seconds(sim.now + 100)
+        for balancer in sim.balancers.values():
+            if name in balancer.state.homes.incomplete_until:
+                balancer.state.homes.incomplete_until[name] = until
+        domain = sim.any_balancer().cluster.backend_servers[name].failure_domain
+        silent = frozenset(d for d in DOMAINS if d != domain)
+        for balancer in sim.balancers.values():
+            set_reachability(balancer.state.routes, silent, frozenset())
+        balancer = not_home_of(sim, "b1")
+        [decided] = handle(unrecorded, balancer.state)
+        while isinstance(decided, d.ForwardToNode):
+            sender, balancer = balancer, sim.balancers[decided.node]
+            event = e.Forwarded(sender.state.node, decided.forwarding, unrecorded)
+            decided = handle(event, balancer.state)[0]
+        self.assertEqual(decided, d.Drop(DropReason.HEALING))
