bench: measure a round again in which a process did not run

test_tiny_run failed twice beside load: a ratio to the processor time of the plain loop ended with a division by zero. The packet count was raised to 1 in that case, so the round also gave a rate that was none.

The new test gives two rounds without progress of the loop and fails on the code before ({'loop': 0.0}).

--- a/src/wasabigw_measure/_bench_run.py
+++ b/src/wasabigw_measure/_bench_run.py
@@ -188,6 +188,20 @@
         return self._measure_rate(self.subjects[name], kind)
 
     def _measure_rate(self, subject: Worker, kind: str) -> Rate:
+        """Measure until a subject has passed packets in a round.
+
+        On a busy machine, a subject may not run at all in a short round. Such a round
+        has no rate that a ratio could be taken of.
+        """
+        deadline = time.monotonic() + WORKER_TIMEOUT
+        while time.monotonic() < deadline:
+            rate = self._measure_round(subject, kind)
+            if rate is not None:
+                return rate
+        raise RuntimeError(f"no packet was passed within {WORKER_TIMEOUT:.0f} s")
+
+    def _measure_round(self, subject: Worker, kind: str) -> Rate | None:
+        """Rate of one round; ``None`` if the subject did not run in it."""
         port = int(subject.call("address")[1])
         seconds = self.settings.seconds
         for sender in self.senders:
@@ -199,8 +213,11 @@
         for sender in self.senders:
             sender.receive()
         time.sleep(DRAIN_WAIT)
-        count = max(1, after["received"] - before["received"])
-        return Rate(count / (ended - started), (after["cpu"] - before["cpu"]) / count)
+        count = after["received"] - before["received"]
+        cpu_seconds = after["cpu"] - before["cpu"]
+        if count <= 0 or cpu_seconds <= 0.0:
+            return None
+        return Rate(count / (ended - started), cpu_seconds / count)
 
     def _balancers(self) -> list[str]:
         return [name for name in self.subjects if name != "loop"]
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,11 +1,38 @@
 """Tests of the data path benchmark."""
 
 import unittest
+from collections.abc import Sequence
 from contextlib import redirect_stdout
 from io import StringIO
+from typing import Any
+from unittest import mock
 
 from wasabigw_measure import bench
-from wasabigw_measure._bench_run import Rate, Results
+from wasabigw_measure._bench_run import Benchmark, BenchSettings, Rate, Results, Worker
+
+
+class StubWorker(Worker):
+    """A subject or sender whose packet counts and processor times are given.
+
+    :param statuses: packets and processor time of each status, in order.
+    """
+
+    def __init__(self, statuses: Sequence[tuple[int, float]] = ()) -> None:
+        self._statuses = iter(statuses)
+
+    def send(self, *command: Any) -> None:
+        """Ignore a command."""
+
+    def receive(self) -> Any:
+        """Return the result of a sender at once."""
+        return 0
+
+    def call(self, *command: Any) -> Any:
+        """Return the next status, or an address."""
+        if command != ("status",):
+            return ("127.0.0.1", 9)
+        received, cpu = next(self._statuses)
+        return {"received": received, "cpu": cpu}
 
 
 class DataPathBenchmark(unittest.TestCase):
@@ -25,3 +52,19 @@
         text = "\n".join(bench.table(Results({"data": rates}, latencies), "loop"))
         for ratio in ("0.500 (0.500", "3.000 (3.000", "2.000 (2.000", "4.000 (4.000"):
             self.assertIn(ratio, text)
+
+    def test_a_round_in_which_the_loop_did_not_run_is_measured_again(self) -> None:
+        # On a busy machine, the loop passed no packet in 0.1 s. The ratio to its
+        # processor time of zero ended the benchmark.
+        loop = StubWorker([(5, 0.25), (5, 0.25), (5, 0.25), (8, 0.25), (9, 1), (13, 3)])
+        balancer = StubWorker([(0, 0.0), (2, 4.0)])
+        subjects: dict[str, Worker] = {"loop": loop, "balancer": balancer}
+        settings = BenchSettings(rounds=1, seconds=0.01)
+        unused = mock.Mock()
+        run = Benchmark(subjects, unused, [StubWorker()], unused, unused, settings)
+        run._measure_rates("data", "data")
+        rates = {
+            name: found.cpu_seconds
+            for name, (found,) in run.results.rates["data"].items()
+        }
+        self.assertEqual(rates, {"loop": 0.5, "balancer": 2.0})
