core: keep a silent backend server that still answers callers

Callers saw the open flows of a live backend server refused (flow-gone) 3 s after the home stopped hearing it, although only the path between the two was cut, or only the agent that announces it had died.

Answers to callers reach the home through other balancers as well (openings, closings, one data packet in 32 of each balancer). They now count: a server that answered within the last lease, and 1.5 intervals or more after its last announcement, is not reported down. The home reports the first ramp step instead, so that most of its new flows go elsewhere. A boot at another endpoint does not take over meanwhile.

A crashed server answers for up to one interval after its last announcement and is removed as early as before. Resets and ICMP errors don't count. The log gets no new kind of entry, and its entries are applied as before.

Price: new flows of the buckets that the server keeps at the first step are dropped until it is heard again.

Open: servers that answer no caller within the lease are still removed.

--- a/src/wasabigw/core/backend_home.py
+++ b/src/wasabigw/core/backend_home.py
@@ -63,6 +63,7 @@
     "make_home_state",
     "may_send",
     "observe",
+    "observe_answer",
     "observe_shed",
     "release",
 ]
@@ -140,6 +141,15 @@
         restart_ramp_if_cold(record, now)
 
 
+def observe_answer(
+    state: HomeState, backend_server: BackendServerId, now: Seconds
+) -> None:
+    """Record that a backend server answered a caller."""
+    record = state.servers.get(backend_server)
+    if record is not None:
+        record.answered_at = now
+
+
 def observe_shed(
     state: HomeState, backend_server: BackendServerId, now: Seconds
 ) -> None:
--- a/src/wasabigw/core/flows/admission_port.py
+++ b/src/wasabigw/core/flows/admission_port.py
@@ -34,6 +34,9 @@
     ) -> None:
         """Report the result of an opening."""
 
+    def observe_answer(self, backend_server: BackendServerId, now: Seconds) -> None:
+        """Report that a backend server answered a caller."""
+
     def count_open(
         self, backend_server: BackendServerId, open_flows: int, overflow_flows: int
     ) -> None:
@@ -71,6 +74,10 @@
         signal = OpeningSignal(result, latency)
         backend_home.observe(self.state, backend_server, signal, now)
 
+    def observe_answer(self, backend_server: BackendServerId, now: Seconds) -> None:
+        """Report that a backend server answered a caller."""
+        backend_home.observe_answer(self.state, backend_server, now)
+
     def count_open(
         self, backend_server: BackendServerId, open_flows: int, overflow_flows: int
     ) -> None:
--- a/src/wasabigw/core/flows/responses.py
+++ b/src/wasabigw/core/flows/responses.py
@@ -56,6 +56,8 @@
         and is_unconfirmed(state, event.flow, target, event.now)
     ):
         return drop(DropReason.RESET_IN_DOUBT)
+    if owner == state.node and _shows_that_it_runs(event):
+        state.admission.observe_answer(target.id, event.now)
     if not may_send(state, target, event.now):
         return drop(DropReason.STALE_VIEW)
     copy = backup(state.homes, target.id)
@@ -70,6 +72,13 @@
     return forward(copy, Forwarding(forwarding.hops, bucket, copy=True), state)
 
 
+def _shows_that_it_runs(event: AnswerEvent) -> bool:
+    """Whether the backend server sent the packet, and not the system of its host."""
+    if isinstance(event, AnswerClosing):
+        return not event.reset
+    return not (isinstance(event, AnswerData) and event.related)
+
+
 def _changes_copy(event: AnswerEvent, record: FlowRecord | None) -> bool:
     """Whether the packet has to pass the backup, because it changes the copy.
 
--- a/src/wasabigw/core/home_announcements.py
+++ b/src/wasabigw/core/home_announcements.py
@@ -13,6 +13,7 @@
     MAX_HOMED_SERVERS,
     HomedServer,
     HomeState,
+    answers_callers,
     heard_at,
     is_contested,
     is_silent,
@@ -180,6 +181,8 @@
     if heard_at(known) <= contender.first_at and is_contested(known, now):
         # Most likely a restart, so that new flows had better go elsewhere.
         admission.restart_ramp(known.admission, now)
+    if known.endpoint != announcement.endpoint and answers_callers(known, now):
+        return False
     return is_silent(known, state.listening_since, now)
 
 
--- a/src/wasabigw/core/home_records.py
+++ b/src/wasabigw/core/home_records.py
@@ -31,7 +31,7 @@
     ServiceId,
 )
 from wasabigw.core.states import BackendServerState, FlowLimit
-from wasabigw.core.timing import ANNOUNCE_INTERVAL, ANNOUNCE_LEASE
+from wasabigw.core.timing import ANNOUNCE_INTERVAL, ANNOUNCE_LEASE, RAMP_STEPS
 
 MAX_HOMED_SERVERS = 4096
 """Limit on the backend servers homed at one node; further ones are refused."""
@@ -51,6 +51,12 @@
 A longer one means that the home was paused and may have missed announcements.
 """
 
+ANSWER_MARGIN = Seconds(1.5 * ANNOUNCE_INTERVAL)
+"""Time from the last announcement to an answer which shows that a server still runs.
+
+One that has crashed answered for up to an interval after its last announcement.
+"""
+
 NEVER = Seconds(float("-inf"))
 LEAVING_STATES = (BackendServerState.DRAINING, BackendServerState.LEAVING)
 _RUNNING_STATES = (BackendServerState.COLD, BackendServerState.READY)
@@ -67,6 +73,7 @@
     :param overflow_flows: open flows that were passed to OVERFLOW candidates.
     :param last_sent: time of the last report of each kind.
     :param contenders: other boots that announce themselves under the id.
+    :param answered_at: when this home last saw an answer of it to a caller.
     """
 
     id: BackendServerId
@@ -86,6 +93,7 @@
     detector: ColdStartDetector = field(default_factory=ColdStartDetector)
     last_sent: dict[type[Report], Seconds] = field(default_factory=dict)
     contenders: Contenders = field(default_factory=dict)
+    answered_at: Seconds = NEVER
 
 
 @dataclass(slots=True)
@@ -204,12 +212,8 @@
     now: Seconds,
 ) -> Iterator[Report]:
     if not leases.is_valid(record.lease, now):
-        remove_expired(record.contenders, now)
-        # Under a stale view, `listening_since` is the time of this event.
-        is_known_silent = is_silent(record, state.listening_since, now)
-        # A contender takes over at its next announcement, and keeps the buckets then.
-        if registered is not None and is_known_silent and not record.contenders:
-            yield BackendServerDown(registered.id, registered.boot_id)
+        if registered is not None:
+            yield from _reports_of_silence(record, registered, state, now)
         return
     if registered is None or not _matches_registration(record, registered):
         yield up_report(record)
@@ -227,6 +231,25 @@
         yield BackendServerOverloaded(record.id, record.admission.overloaded)
 
 
+def _reports_of_silence(
+    record: HomedServer,
+    registered: BackendServer,
+    state: HomeState,
+    now: Seconds,
+) -> Iterator[Report]:
+    remove_expired(record.contenders, now)
+    # Under a stale view, `listening_since` is the time of this event. A contender
+    # takes over at its next announcement, and keeps the buckets then.
+    if record.contenders or not is_silent(record, state.listening_since, now):
+        return
+    if not answers_callers(record, now):
+        yield BackendServerDown(registered.id, registered.boot_id)
+    elif registered.step != RAMP_STEPS[0]:
+        # Most of its new flows go elsewhere, and its open flows stay.
+        admission.restart_ramp(record.admission, now)
+        yield BackendServerStep(registered.id, registered.boot_id, RAMP_STEPS[0])
+
+
 def heard_at(record: HomedServer) -> Seconds:
     """Time of the last announcement of the known boot to this home."""
     return NEVER if record.lease is None else record.lease.renewed_at
@@ -238,6 +261,18 @@
     return now - max(heard_at(record), homed_since, listening_since) >= ANNOUNCE_LEASE
 
 
+def answers_callers(record: HomedServer, now: Seconds) -> bool:
+    """Whether answers show that a backend server runs although it is silent here.
+
+    Answers reach the home through other balancers, too, so that a path that is cut
+    between the two doesn't end the flows.
+    """
+    homed_since = NEVER if record.homed_since is None else record.homed_since
+    heard = max(heard_at(record), homed_since)
+    is_later = record.answered_at - heard > ANSWER_MARGIN
+    return is_later and now - record.answered_at < ANNOUNCE_LEASE
+
+
 def is_contested(record: HomedServer, now: Seconds) -> bool:
     """Whether another boot may be running at the endpoint of the known one."""
     return contends_for(record.endpoint, record.contenders, heard_at(record), now)
--- a/src/wasabigw_measure/_mapping_project.py
+++ b/src/wasabigw_measure/_mapping_project.py
@@ -129,6 +129,9 @@
     ) -> None:
         """Ignore the result of an opening."""
 
+    def observe_answer(self, backend_server: BackendServerId, now: Seconds) -> None:
+        """Ignore an answer."""
+
     def count_open(
         self, backend_server: BackendServerId, open_flows: int, overflow_flows: int
     ) -> None:
--- a/tests/flow_simulation.py
+++ b/tests/flow_simulation.py
@@ -60,6 +60,7 @@
         self.open: dict[BackendServerId, int] = {}
         self.leases: dict[BackendServerId, tuple[ServiceId, Seconds, Seconds]] = {}
         self.observed: list[OpeningResult] = []
+        self.answered: list[BackendServerId] = []
 
     def announce(self, name: BackendServerId, service: ServiceId, now: Seconds) -> None:
         lease = self.leases.get(name)
@@ -98,6 +99,9 @@
     ) -> None:
         self.observed.append(result)
 
+    def observe_answer(self, backend_server: BackendServerId, now: Seconds) -> None:
+        self.answered.append(backend_server)
+
     def count_open(
         self, backend_server: BackendServerId, open_flows: int, overflow_flows: int
     ) -> None:
--- a/tests/test_flow_decisions.py
+++ b/tests/test_flow_decisions.py
@@ -549,3 +549,23 @@
             event = e.Forwarded(sender.state.node, decided.forwarding, unrecorded)
             decided = handle(event, balancer.state)[0]
         self.assertEqual(decided, d.Drop(DropReason.HEALING))
+
+
+class SilentServers(unittest.TestCase):
+    """Guards against the end of flows at a server that only its home does not hear."""
+
+    def test_its_answers_reach_the_admission_of_its_home(self) -> None:
+        sim = make_simulation(15)
+        flow = open_flow(sim, "b1")
+        answered = home_of(sim, "b1").admission.answered
+        answered.clear()
+        backend = BackendServerId("b1")
+        now = sim.time()
+        for event in (
+            e.AnswerClosing(flow.key, backend, now, reset=True),
+            e.AnswerData(flow.key, backend, now, sampled=True, related=True),
+        ):
+            sim.carry(event)
+        self.assertEqual(answered, [])
+        sim.carry(e.AnswerData(flow.key, backend, now, sampled=True))
+        self.assertEqual(answered, [backend])
--- a/tests/test_silent_backend_servers.py
+++ b/tests/test_silent_backend_servers.py
@@ -4,6 +4,7 @@
 
 from tests.test_backend_home import B1, HomeFixture
 from wasabigw.core import backend_home, ids
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.timing import ANNOUNCE_LEASE, VIEW_LEASE
 
 
@@ -49,5 +50,67 @@
         self.assertNotIn(B1, home.cluster.backend_servers)
 
 
+class CutPaths(unittest.TestCase):
+    """Guards against the end of flows whose server only its home does not hear.
+
+    Answers to callers reach the home through other balancers.
+    """
+
+    def answer(self, home: HomeFixture, seconds: float) -> None:
+        """Let time pass, in which the server answers and the home hears no more."""
+        for _ in range(round(seconds / 0.5)):
+            home.now += 0.5
+            now = ids.Seconds(home.now)
+            backend_home.observe_answer(home.state, B1, now)
+            home.handle(backend_home.HomeTick(now))
+
+    def test_a_server_that_answers_callers_stays_registered(self) -> None:
+        home = HomeFixture()
+        home.run(20)
+        before = home.cluster.backend_servers[B1]
+        self.answer(home, 60)
+        server = home.cluster.backend_servers[B1]
+        self.assertEqual((server.index, server.boot_id), (before.index, before.boot_id))
+        self.assertEqual(server.step, 1, "its new flows have to go elsewhere")
+        self.assertIs(home.admit(), backend_home.AdmissionVerdict.NOT_ANNOUNCED)
+        home.run(15)
+        self.assertEqual(home.cluster.backend_servers[B1].step, 8)
+        self.assertIs(home.admit(), backend_home.AdmissionVerdict.ADMITTED)
+
+    def test_another_boot_elsewhere_does_not_take_over_while_it_answers(self) -> None:
+        home = HomeFixture()
+        home.run(20)
+        for _ in range(20):
+            home.announce("crashed", endpoint=Endpoint("10.0.0.2", 80))
+            self.answer(home, 1)
+        self.assertEqual(home.cluster.backend_servers[B1].boot_id, "x")
+
+    def test_it_is_removed_when_it_no_longer_answers(self) -> None:
+        home = HomeFixture()
+        home.run(20)
+        self.answer(home, 20)
+        home.run(4, None)
+        self.assertNotIn(B1, home.cluster.backend_servers)
+
+    def test_a_crashed_server_is_removed_as_soon_as_without_answers(self) -> None:
+        home = HomeFixture()
+        home.run(20)
+        self.answer(home, 1)
+        home.run(2, None)
+        self.assertNotIn(B1, home.cluster.backend_servers)
+
+    def test_a_new_home_that_never_heard_it_keeps_it_too(self) -> None:
+        home = HomeFixture()
+        home.run(20)
+        cluster, now = home.cluster, home.now
+        home = HomeFixture()
+        home.now = now
+        backend_home.confirm_view(home.state, ids.Seconds(1e9))
+        home.cluster = cluster
+        home.handle(backend_home.HomesChanged(cluster, ids.Seconds(now)))
+        self.answer(home, 20)
+        self.assertIn(B1, home.cluster.backend_servers)
+
+
 if __name__ == "__main__":
     unittest.main()
