tests: scrape the metrics of a voter until it answers in time

test_voters_that_do_not_lead_serve_metrics failed once beside load, because the server sent no response with status 200; the status was not printed. The server answers 503 if the voter takes longer than 0.9 s, as it should. The test asked once, and its voter answered one call, for 5 s from before the server was made.

The voter of the test answers all calls until the end, and the test asks again after a 503, for up to 5 s; any other response fails as before and is printed. A new test expects the 503 of a voter that does not answer.

--- a/tests/test_exposition.py
+++ b/tests/test_exposition.py
@@ -6,7 +6,7 @@
 from contextlib import closing
 from unittest import mock
 
-from returns.result import Success
+from returns.result import Failure, Result, Success
 
 from tests.test_tag_steering import SteeringCase, boot, data, opening
 from wasabigw.core.durations import Durations, record_duration
@@ -14,7 +14,9 @@
 from wasabigw.core.ids import Revision, Seconds, Term
 from wasabigw.core.states import VoterRole
 from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.runtime.timer import monotonic
 from wasabigw.tasks.decision_log import DecisionLog
+from wasabigw.tasks.http_server import HttpServer
 from wasabigw.tasks.light_http import LightClient
 from wasabigw.tasks.light_metrics import LightMetrics
 from wasabigw.tasks.limits import DEFAULT_LIMITS
@@ -24,7 +26,8 @@
 from wasabigw.telemetry.exposition import Family, MetricKind, Sample, gauge, render
 
 ANY_PORT = Endpoint("127.0.0.1", 0)
-LONG = Seconds(5.0)
+SHORT, LONG = Seconds(0.2), Seconds(5.0)
+UNAVAILABLE = Failure("status 503")
 
 
 class TextFormat(unittest.TestCase):
@@ -102,23 +105,46 @@
             with server, LightMetrics(server.endpoint, selector, lambda: ()):
                 self.assertEqual(log.call_count, 1)
 
-    def test_voters_that_do_not_lead_serve_metrics(self) -> None:
-        voter: Mailbox[VoterStatusCall] = Mailbox("voter")
+    def answer_calls(self, voter: Mailbox[VoterStatusCall]) -> None:
+        """Answer status calls as a follower until the test ends."""
         status = VoterStatus(
             VoterRole.FOLLOWER, Term(3), Revision(9), 1, 3, 2, 0, 7, True, (),
             Durations(), Durations(),
         )  # fmt: skip
+        ended = threading.Event()
 
         def answer() -> None:
-            voter.get(LONG).unwrap().reply.post(status)
+            while not ended.is_set():
+                call = voter.get(SHORT)
+                if isinstance(call, Success):
+                    call.unwrap().reply.post(status)
 
         thread = threading.Thread(target=answer)
         thread.start()
         self.addCleanup(thread.join)
-        server = make_metrics_server(voter, ANY_PORT, DEFAULT_LIMITS)
+        self.addCleanup(ended.set)
+
+    def scrape(self, server: HttpServer) -> Result[bytes, str]:
+        """Metrics of a voter; a collector asks again when the voter is late."""
+        deadline = monotonic() + LONG
+        with closing(LightClient()) as client:
+            while True:
+                found = client.get(server.endpoint, "/metrics", LONG, LONG)
+                if found != UNAVAILABLE or monotonic() > deadline:
+                    return found
+
+    def test_a_voter_without_an_answer_is_not_shown_as_running(self) -> None:
+        server = make_metrics_server(Mailbox("voter"), ANY_PORT, DEFAULT_LIMITS)
         with server, closing(LightClient()) as client:
             found = client.get(server.endpoint, "/metrics", LONG, LONG)
-        assert isinstance(found, Success)
+        self.assertEqual(found, UNAVAILABLE)
+
+    def test_voters_that_do_not_lead_serve_metrics(self) -> None:
+        voter: Mailbox[VoterStatusCall] = Mailbox("voter")
+        self.answer_calls(voter)
+        with make_metrics_server(voter, ANY_PORT, DEFAULT_LIMITS) as server:
+            found = self.scrape(server)
+        self.assertIsInstance(found, Success, found)
         text = found.unwrap().decode()
         self.assertIn('wasabigw_voter_role{role="follower"} 1', text)
         self.assertIn("wasabigw_log_lag 1", text)
