evidence_model: rare states, several failure domains and services

The model had one failure domain and one service, started checks and took their results at once, and disturbed machines at drawn times only, so that a disturbance hardly ever met a check.

It counted three packets that reached other servers within 2 s even if the own server got packets as well; rule FLOW asks for a span of 2 s without one. Both sides of the limit have a test.

--- a/src/wasabigw_verify/evidence_model/boots.py
+++ b/src/wasabigw_verify/evidence_model/boots.py
@@ -5,8 +5,9 @@
 from enum import Enum
 
 from wasabigw.core.commands import BootAnnounced
-from wasabigw.core.ids import BackendServerId, Tag
+from wasabigw.core.ids import BackendServerId, FailureDomainId, ServiceId, Tag
 from wasabigw.core.tags.packets import FlowId
+from wasabigw_verify.evidence_model.deployment import DOMAINS, SERVICES
 from wasabigw_verify.evidence_model.transport import Acknowledging, Receiver, Sender
 
 LONG_AGO = -1000.0
@@ -27,6 +28,7 @@
     :param service_time: seconds that a request occupies a slot.
     :param accepts_connections: whether it listens for health checks.
     :param queue: requests that wait for a slot; further ones are rejected.
+    :param starts_at: when its first boot starts.
     """
 
     slots: int = 4
@@ -35,6 +37,9 @@
     max_flows: int = 2000
     accepts_connections: bool = True
     acknowledging: Acknowledging = Acknowledging.EACH
+    failure_domain: FailureDomainId = DOMAINS[0]
+    service: ServiceId = SERVICES[0]
+    starts_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw_verify/evidence_model/callers.py
+++ b/src/wasabigw_verify/evidence_model/callers.py
@@ -6,10 +6,15 @@
 from enum import Enum
 from functools import partial
 
+from wasabigw.core.ids import ServiceId
 from wasabigw.core.tags.packets import NO_TAG, FlowId, FlowPacket
-from wasabigw_verify.evidence_model.balancers import LISTENER, LISTENER_NUMBER
 from wasabigw_verify.evidence_model.boots import DEFAULT_WORKLOAD, Workload
 from wasabigw_verify.evidence_model.clock import Clock
+from wasabigw_verify.evidence_model.deployment import (
+    LISTENER_NUMBER,
+    LISTENERS,
+    SERVICES,
+)
 from wasabigw_verify.evidence_model.judge import Judge
 from wasabigw_verify.evidence_model.transport import (
     Acknowledging,
@@ -59,6 +64,7 @@
     budget: float = 4.0
     keeps_port: bool = False
     tag_taken: TagTaken = TagTaken.CHOSEN
+    service: ServiceId = SERVICES[0]
 
 
 class Phase(Enum):
@@ -273,7 +279,8 @@
     def _open(self) -> None:
         if not self.plan.keeps_port:
             self._port += 1
-        flow = FlowId(self._address, self._port, LISTENER_NUMBER, LISTENER.port)
+        port = LISTENERS[self.plan.service].port
+        flow = FlowId(self._address, self._port, LISTENER_NUMBER, port)
         sequence = self._draws.randrange(1, 1 << 20) * 1000
         self._current = CallerFlow(self, flow, sequence)
         self._current.open()
--- a/src/wasabigw_verify/evidence_model/network.py
+++ b/src/wasabigw_verify/evidence_model/network.py
@@ -31,18 +31,32 @@
     """One direction of the network between two kinds of machines.
 
     :param cut_until: until when all packets are lost.
+    :param impaired_until: until when ``impaired_loss`` is the share that is lost.
     """
 
     clock: Clock
     quality: LegQuality
     draws: random.Random
     cut_until: float = field(default=-1.0)
+    impaired_until: float = field(default=-1.0)
+    impaired_loss: float = field(default=0.0)
+
+    def impair(self, loss: float, seconds: float) -> None:
+        """Lose a larger share of the packets for some time."""
+        self.impaired_loss = loss
+        self.impaired_until = self.clock.now + seconds
+
+    @property
+    def _loss(self) -> float:
+        if self.clock.now < self.impaired_until:
+            return max(self.quality.loss, self.impaired_loss)
+        return self.quality.loss
 
     def send(self, arrive: Callback) -> None:
         """Carry a packet, which may arrive late, twice or not at all."""
         copies = 2 if self.draws.random() < self.quality.duplication else 1
         for _ in range(copies):
-            is_lost = self.draws.random() < self.quality.loss
+            is_lost = self.draws.random() < self._loss
             delay = self.quality.delay + self.draws.random() * self.quality.jitter
             if not is_lost and self.clock.now >= self.cut_until:
                 self.clock.after(delay, arrive)
--- a/src/wasabigw_verify/evidence_model/scenario.py
+++ b/src/wasabigw_verify/evidence_model/scenario.py
@@ -6,6 +6,7 @@
 from wasabigw_verify.evidence_model.balancers import BalancerSettings
 from wasabigw_verify.evidence_model.boots import ServerSettings
 from wasabigw_verify.evidence_model.callers import CallerPlan, TagTaken
+from wasabigw_verify.evidence_model.moments import Moment
 from wasabigw_verify.evidence_model.network import SOUND, LegQuality
 
 
@@ -33,19 +34,33 @@
     IMPAIR_PATH = "half of the packets between a balancer and a host are lost"
     LOSE_RESETS = "resets of backend servers are lost"
     CUT_TO_CALLERS = "no packet of a backend server reaches a caller"
+    REFUSE_AND_DRAIN = "as a leaving server, and connections are refused after a while"
+    FULL_QUEUE = "the queue of new connections of a host is full: they get no answer"
+    FAIL_CONNECTING = "a balancer has no local port left to connect to a host"
+    CUT_TO_HOSTS = "no packet passes between a balancer and any host"
+    IMPAIR_TO_HOSTS = "half of the packets between a balancer and any host are lost"
+    IMPAIR_DOMAIN = "most packets to the hosts of a failure domain from others are lost"
+    LOSE_LISTENERS = "a balancer has not learned the listeners yet"
 
 
 @dataclass(frozen=True, slots=True)
 class Disturbance:
     """Trouble of one machine.
 
-    :param target: number of the machine, modulo the machines of its kind.
+    :param at: when it begins, or from when on the moment counts.
+    :param target: number of the machine, modulo the machines of its kind; at a moment
+        of a check, the machines are those of the check.
+    :param host: number of the host, if it differs from the target.
+    :param after: seconds from the moment until it begins.
     """
 
     at: float
     trouble: Trouble
     target: int = 0
     seconds: float = 0.5
+    host: int | None = None
+    moment: Moment = Moment.TIME
+    after: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw_verify/evidence_model/strategies.py
+++ b/src/wasabigw_verify/evidence_model/strategies.py
@@ -11,6 +11,11 @@
 from wasabigw_verify.evidence_model.scenario import Disturbance, Scenario, Trouble
 from wasabigw_verify.evidence_model.transport import Acknowledging
 
+TROUBLES = tuple(trouble for trouble in Trouble if trouble is not Trouble.FULL_QUEUE)
+"""Without the trouble in which a live host can't be told from a lost one.
+
+:data:`~wasabigw_verify.evidence_model.aimed.FULL_QUEUES` has scenarios with it.
+"""
 times = st.integers(0, 50).map(lambda tenths: tenths / 10)
 shares = st.sampled_from([0.0, 0.02, 0.1, 0.3])
 poor_legs = st.builds(
@@ -56,7 +61,7 @@
 disturbances = st.builds(
     Disturbance,
     at=times,
-    trouble=st.sampled_from(list(Trouble)),
+    trouble=st.sampled_from(TROUBLES),
     target=st.integers(0, 2),
     seconds=st.sampled_from([0.1, 0.3, 0.8, 2.0]),
 )
--- a/src/wasabigw_verify/evidence_model/troubles.py
+++ b/src/wasabigw_verify/evidence_model/troubles.py
@@ -6,6 +6,7 @@
 
 from wasabigw_verify.evidence_model.boots import Boot
 from wasabigw_verify.evidence_model.hosts import HostState
+from wasabigw_verify.evidence_model.moments import Moment
 from wasabigw_verify.evidence_model.network import Leg
 from wasabigw_verify.evidence_model.scenario import Disturbance, Trouble
 from wasabigw_verify.evidence_model.world import World
@@ -18,12 +19,34 @@
 CLOCK_BEHIND = 10_000
 """Milliseconds by which a clock may be behind that of the boot before."""
 DRAIN_SECONDS = 2.0
+PATH_LOSS = 0.5
+DOMAIN_LOSS = 0.7
 
 
 def schedule(disturbances: Iterable[Disturbance], world: World) -> None:
     """Let disturbances begin when they are due."""
+    waiting: list[Disturbance] = []
     for disturbance in disturbances:
-        world.clock.after(disturbance.at, partial(_begin, disturbance, world))
+        if disturbance.moment is Moment.TIME:
+            world.clock.after(disturbance.at, partial(_begin, disturbance, world))
+        else:
+            waiting.append(disturbance)
+    if waiting:
+        world.on_moment = partial(_begin_at_moment, waiting, world)
+
+
+def _begin_at_moment(
+    waiting: list[Disturbance], world: World, moment: Moment, balancer: int, host: int
+) -> None:
+    for disturbance in tuple(waiting):
+        if disturbance.moment is not moment or world.clock.now < disturbance.at:
+            continue
+        waiting.remove(disturbance)
+        aimed = replace(disturbance, target=balancer, host=host)
+        if aimed.after > 0:
+            world.clock.after(aimed.after, partial(_begin, aimed, world))
+        else:
+            _begin(aimed, world)
 
 
 def _begin(disturbance: Disturbance, world: World) -> None:
@@ -142,6 +165,11 @@
     world.clock.after(DRAIN_SECONDS, leave)
 
 
+def _refuse_and_drain(world: World, disturbance: Disturbance) -> None:
+    world.host_of(disturbance).refuse_connections(disturbance.seconds)
+    _drain(world, disturbance)
+
+
 def _cut(world: World, leg: Leg, seconds: float) -> None:
     """Lose all packets on a leg for some time."""
     leg.cut_until = world.clock.now + seconds
@@ -169,15 +197,42 @@
 
 
 def _impair_path(world: World, disturbance: Disturbance) -> None:
-    path = world.path_of(disturbance)
-    before = path.quality
-    path.quality = replace(before, loss=0.5)
+    world.path_of(disturbance).impair(PATH_LOSS, disturbance.seconds)
     world.host_of(disturbance).disturb(disturbance.seconds)
 
-    def mend() -> None:
-        path.quality = before
 
-    world.clock.after(disturbance.seconds, mend)
+def _cut_to_hosts(world: World, disturbance: Disturbance) -> None:
+    """Cut a balancer off; no host and no link of one is impaired."""
+    for path in world.paths_from(world.balancer_of(disturbance)):
+        path.cut_until = world.clock.now + disturbance.seconds
+
+
+def _impair_to_hosts(world: World, disturbance: Disturbance) -> None:
+    for path in world.paths_from(world.balancer_of(disturbance)):
+        path.impair(PATH_LOSS, disturbance.seconds)
+
+
+def _impair_domain(world: World, disturbance: Disturbance) -> None:
+    domain = world.host_of(disturbance).failure_domain
+    for host in world.hosts:
+        if host.failure_domain == domain:
+            host.disturb(disturbance.seconds)
+            for path in world.paths_between_domains(host):
+                path.impair(DOMAIN_LOSS, disturbance.seconds)
+
+
+def _fail_connecting(world: World, disturbance: Disturbance) -> None:
+    address = world.host_of(disturbance).address
+    world.balancer_of(disturbance).fail_connecting(address, disturbance.seconds)
+
+
+def _fill_queue(world: World, disturbance: Disturbance) -> None:
+    host = world.host_of(disturbance)
+    host.queue_full_until = world.clock.now + disturbance.seconds
+
+
+def _lose_listeners(world: World, disturbance: Disturbance) -> None:
+    world.balancer_of(disturbance).lose_listeners(disturbance.seconds)
 
 
 def _lose_resets(world: World, disturbance: Disturbance) -> None:
@@ -206,4 +261,11 @@
     Trouble.CUT_PATH: _cut_path,
     Trouble.IMPAIR_PATH: _impair_path,
     Trouble.CUT_TO_CALLERS: _cut_to_callers,
+    Trouble.REFUSE_AND_DRAIN: _refuse_and_drain,
+    Trouble.FULL_QUEUE: _fill_queue,
+    Trouble.FAIL_CONNECTING: _fail_connecting,
+    Trouble.CUT_TO_HOSTS: _cut_to_hosts,
+    Trouble.IMPAIR_TO_HOSTS: _impair_to_hosts,
+    Trouble.IMPAIR_DOMAIN: _impair_domain,
+    Trouble.LOSE_LISTENERS: _lose_listeners,
 }
--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -8,7 +8,7 @@
 from hypothesis import HealthCheck, Phase, given, settings
 
 from wasabigw.core.commands import BootAnnounced
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import Seconds, Tag
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags import steering
 from wasabigw.core.tags.decisions import (
@@ -20,7 +20,7 @@
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
 from wasabigw_verify.evidence_model import balancers, cases, troubles
-from wasabigw_verify.evidence_model.judge import Fault, Finding
+from wasabigw_verify.evidence_model.judge import Contact, Fault, Finding, Judge
 from wasabigw_verify.evidence_model.registry import Registrations
 from wasabigw_verify.evidence_model.runs import run
 from wasabigw_verify.evidence_model.scenario import Scenario
@@ -193,6 +193,33 @@
         self.assertEqual(found, {Fault.DROPPED_AT_STOP})
 
 
+class SteeringSpan(unittest.TestCase):
+    """Guards against a judge that counts copies at another server beside own packets.
+
+    Rule FLOW is broken by three packets elsewhere and none at the own server for 2 s.
+    """
+
+    def judge_of(self, own: tuple[float, ...], elsewhere: tuple[float, ...]) -> Judge:
+        """Judge of a flow whose packets reached servers at some times."""
+        judge = Judge(lambda boot, now: Contact.IN_TOUCH, 3.0)
+        flow = FlowId(1, 2, 3, 4)
+        judge.flow_opened(flow, 0, 1, 0.0)
+        arrivals = sorted([(at, 1) for at in own] + [(at, 2) for at in elsewhere])
+        for at, boot in arrivals:
+            packet = FlowPacket(flow, Tag(boot), False, False, False, 0, 1, 1, 600)
+            judge.packet_reached(packet, boot, at)
+        judge.end(5.0)
+        return judge
+
+    def test_copies_elsewhere_between_own_packets(self) -> None:
+        judge = self.judge_of((1.0, 2.0, 3.0, 4.0), (2.1, 2.1, 2.1))
+        self.assertEqual(judge.findings, [])
+
+    def test_copies_elsewhere_and_no_own_packet(self) -> None:
+        judge = self.judge_of((1.0, 3.1), (2.1, 2.3, 2.5))
+        self.assertEqual([f.fault for f in judge.findings], [Fault.STEERED])
+
+
 class Runs(unittest.TestCase):
     """Guards against a model in which nothing happens, or not the same each time."""
 
