--- a/src/wasabigw_verify/evidence_model/balancers.py
+++ b/src/wasabigw_verify/evidence_model/balancers.py
@@ -40,6 +40,8 @@
 HEADER_BYTES = 32
 RECEIVER_BYTES = 10
 MAINTENANCE_PERIOD = 1.0
+HANDOVER_PACKETS = 4
+"""Packets that are handled until the checker takes a request."""
 PACKETS_PER_WAKE_UP = 64
 """Most packets that are handled before the results of checks are taken."""
 STOP_CHECK_PERIOD = 0.005
@@ -80,6 +82,13 @@
     notify: Callable[[Moment, Endpoint], None]
 
 
+class _Received(NamedTuple):
+    """A packet in the receive buffer, and when it arrived."""
+
+    packet: FlowPacket
+    at: Seconds
+
+
 class BalancerNode:
     """A balancer with its receive buffer and its link.
 
@@ -107,7 +116,7 @@
         self._settings = settings
         self._clock = clock
         self._output = output
-        self._received: deque[FlowPacket] = deque()
+        self._received: deque[_Received] = deque()
         self._is_working = False
         self._free_at = 0.0
         self._release_at: float | None = None
@@ -120,7 +129,7 @@
             self._connect,
             self._when_running,
             self._post_result,
-            self._packet_time,
+            lambda: HANDOVER_PACKETS * self._packet_time(),
         )
         self._results: deque[HostChecked] = deque()
         self._handled = 0
@@ -172,7 +181,7 @@
         if len(self._received) >= self._settings.buffer:
             self.overflows += 1
             return
-        self._received.append(packet)
+        self._received.append(_Received(packet, self._clock.now))
         self._schedule_work(self._free_at - self._clock.now)
 
     def leave(self) -> None:
@@ -216,7 +225,8 @@
             self._schedule_work(VIEW_CHECK_PERIOD)
             return
         self._handled += 1
-        self._handle(self._received.popleft(), now)
+        received = self._received.popleft()
+        self._handle(received.packet, now, Seconds(now - received.at))
         self._handle_due()
         self._free_at = now + self._packet_time()
         if self._received or self._results:
@@ -227,8 +237,8 @@
             return self.slow_packet_time
         return self._settings.packet_time
 
-    def _handle(self, packet: FlowPacket, now: Seconds) -> None:
-        decision = decide(packet, self._state, now)
+    def _handle(self, packet: FlowPacket, now: Seconds, waited: Seconds) -> None:
+        decision = decide(packet, self._state, now, waited)
         self._state.health_changes.clear()
         if isinstance(decision, Deliver):
             self._deliver(decision, now)
--- /dev/null
+++ b/src/wasabigw_verify/evidence_model/faults.py
@@ -0,0 +1,287 @@
+"""Planted faults: each removes a condition of ``core/tags`` that protects open flows."""
+
+from wasabigw_verify.planted_faults import PlantedFault
+
+_STEERING = "wasabigw.core.tags.steering"
+_HEALTH = "wasabigw.core.tags.health"
+_CHECKS = "wasabigw.core.tags.host_checks"
+_HOSTS = "wasabigw.core.tags.unreachable_hosts"
+
+OPENINGS = (
+    PlantedFault(
+        "copy of an opening is steered as new",
+        _STEERING,
+        "if _is_copy_of_opening(packet, known, now):",
+        "if False:",
+    ),
+    PlantedFault(
+        "copy of an opening counts for 2 s only",
+        _STEERING,
+        "if known.state is FlowState.OPEN and packet.sequence == known.first_sequence:",
+        "if False:",
+    ),
+    PlantedFault(
+        "copy of an opening after other packets is steered as new",
+        _STEERING,
+        "return 0 <= ahead <= MAX_BYTES_BEFORE_COPY",
+        "return False",
+    ),
+    PlantedFault(
+        "later copy of an opening is refused",
+        _STEERING,
+        "if packet.repeat > 0 or waited >= MAX_WAIT_TO_REFUSE:",
+        "if waited >= MAX_WAIT_TO_REFUSE:",
+    ),
+    PlantedFault(
+        "opening that waited to be read is refused",
+        _STEERING,
+        "if packet.repeat > 0 or waited >= MAX_WAIT_TO_REFUSE:",
+        "if packet.repeat > 0:",
+    ),
+    PlantedFault(
+        "opening is refused by an old view",
+        _STEERING,
+        "if not state.is_fresh(now):",
+        "if False:",
+    ),
+    PlantedFault(
+        "opening that waits for the link counts as unanswered",
+        _STEERING,
+        "if is_retransmission and not is_waiting(state.egress, packet):",
+        "if is_retransmission:",
+    ),
+    PlantedFault(
+        "packets are decided on without a view",
+        _STEERING,
+        "if not state.has_view:",
+        "if False:",
+    ),
+    PlantedFault(
+        "packet with an unknown tag is refused",
+        _STEERING,
+        "return Drop(DropReason.UNKNOWN_TAG)",
+        "return Refuse(packet, RefusalReason.NO_SERVER)",
+    ),
+)
+DOUBTS = (
+    PlantedFault(
+        "retransmission at the same moment counts",
+        _STEERING,
+        "if now - flow.pending_since < SUSPECT_AFTER:",
+        "if False:",
+    ),
+    PlantedFault(
+        "data that waits for the link counts as unanswered",
+        _STEERING,
+        "    if is_waiting(state.egress, packet):\n",
+        "    if False:\n",
+    ),
+    PlantedFault(
+        "wait for the link counts as silence",
+        _STEERING,
+        "elif packet.length and packet.sequence == flow.pending_sequence:\n"
+        "        _expect_answer(flow, packet.sequence, now)",
+        "elif False:\n        _expect_answer(flow, packet.sequence, now)",
+    ),
+    PlantedFault(
+        "packet that was not sent counts as unanswered",
+        _STEERING,
+        "elif packet.length and packet.sequence == flow.pending_sequence:\n"
+        "        flow.pending_sequence = None",
+        "elif False:\n        flow.pending_sequence = None",
+    ),
+    PlantedFault(
+        "opening that was not sent counts as unanswered",
+        _STEERING,
+        "        if flow.state is FlowState.OPENING:\n"
+        "            remove_flow(packet.flow, state)",
+        "        if False:\n            remove_flow(packet.flow, state)",
+    ),
+    PlantedFault(
+        "progress of an upload does not count as a response",
+        _STEERING,
+        "    elif _shows_progress(packet, flow.pending_sequence):\n"
+        "        _record_response(flow.server, state, now)\n",
+        "    elif _shows_progress(packet, flow.pending_sequence):\n",
+    ),
+    PlantedFault(
+        "check without a failure",
+        _STEERING,
+        "if flow.server.breaker.failures > 0:",
+        "if True:",
+    ),
+    PlantedFault(
+        "flow is known at another server",
+        _STEERING,
+        "if known is not None and known.server is not server:",
+        "if False:",
+    ),
+    PlantedFault(
+        "acknowledgement of a flow opened elsewhere counts as a response",
+        _STEERING,
+        "            known.acknowledged = packet.acknowledged\n        return known",
+        "            known.acknowledged = packet.acknowledged\n"
+        "            _record_response(server, state, now)\n        return known",
+    ),
+    PlantedFault(
+        "response since the data was sent does not count",
+        _HEALTH,
+        "if breaker.last_response_at > sent_at:",
+        "if False:",
+    ),
+    PlantedFault(
+        "packets from before the failure are new evidence",
+        _HEALTH,
+        "if breaker.failures > 0 and sent_at < breaker.opened_at:",
+        "if False:",
+    ),
+    PlantedFault(
+        "host stays unreachable",
+        _HEALTH,
+        "return now - breaker.unreachable_at < UNREACHABLE_TTL",
+        "return breaker.unreachable_at > NEVER",
+    ),
+)
+CHECKS = (
+    PlantedFault(
+        "accepted connection does not count",
+        _CHECKS,
+        "if Attempt.ACCEPTED in attempts:",
+        "if False:",
+    ),
+    PlantedFault(
+        "late evaluation counts",
+        _CHECKS,
+        "if lateness > MAX_LATENESS or Attempt.FAILED in attempts:",
+        "if Attempt.FAILED in attempts:",
+    ),
+    PlantedFault(
+        "attempt that was not made counts",
+        _CHECKS,
+        "if lateness > MAX_LATENESS or Attempt.FAILED in attempts:",
+        "if lateness > MAX_LATENESS:",
+    ),
+    PlantedFault(
+        "any refusal counts",
+        _CHECKS,
+        "if is_refused and not refusal_counts:",
+        "if False:",
+    ),
+    PlantedFault(
+        "references that refuse confirm a refusal",
+        _CHECKS,
+        "frozenset((Attempt.ACCEPTED,)) if is_refused else _RESPONSES",
+        "_RESPONSES",
+    ),
+    PlantedFault(
+        "references need not respond",
+        _CHECKS,
+        "if all(reference in expected for reference in references):",
+        "if True:",
+    ),
+    PlantedFault(
+        "one response of a reference is enough",
+        _CHECKS,
+        "if all(reference in expected for reference in references):",
+        "if any(reference in expected for reference in references):",
+    ),
+)
+RESULTS = (
+    PlantedFault(
+        "checks follow each other at once",
+        _HOSTS,
+        "if now - server.breaker.checked_at < CHECK_INTERVAL:",
+        "if False:",
+    ),
+    PlantedFault(
+        "two checks of a host at a time",
+        _HOSTS,
+        "if boot.tag in state.running_checks:",
+        "if False:",
+    ),
+    PlantedFault(
+        "any number of checks at a time",
+        _HOSTS,
+        "if len(state.running_checks) >= MAX_RUNNING_CHECKS:",
+        "if False:",
+    ),
+    PlantedFault(
+        "check without references",
+        _HOSTS,
+        "    if not references:\n",
+        "    if False:\n",
+    ),
+    PlantedFault(
+        "references that have not answered since",
+        _HOSTS,
+        "if breaker.failures > 0 or not has_answered:",
+        "if breaker.failures > 0:",
+    ),
+    PlantedFault(
+        "references that are doubted",
+        _HOSTS,
+        "if breaker.failures > 0 or not has_answered:",
+        "if not has_answered:",
+    ),
+    PlantedFault(
+        "reference on the checked host",
+        _HOSTS,
+        "    by_host.pop(doubted.endpoint.address, None)\n",
+        "",
+    ),
+    PlantedFault(
+        "refusal counts against references of another service",
+        _HOSTS,
+        "refusal_counts=same_service and not is_draining",
+        "refusal_counts=not is_draining",
+    ),
+    PlantedFault(
+        "refusal of a draining server counts",
+        _HOSTS,
+        "refusal_counts=same_service and not is_draining",
+        "refusal_counts=same_service",
+    ),
+    PlantedFault(
+        "unknown result counts as unreachable",
+        _HOSTS,
+        "result.status is not HostStatus.UNREACHABLE",
+        "result.status is HostStatus.REACHABLE",
+    ),
+    PlantedFault(
+        "reachable host counts as unreachable",
+        _HOSTS,
+        "result.status is not HostStatus.UNREACHABLE",
+        "result.status is HostStatus.UNKNOWN",
+    ),
+    PlantedFault(
+        "breaker that has closed does not count",
+        _HOSTS,
+        "if breaker.failures == 0 or breaker.last_response_at >= result.started_at:",
+        "if breaker.last_response_at >= result.started_at:",
+    ),
+    PlantedFault(
+        "response during the check does not count",
+        _HOSTS,
+        "if breaker.failures == 0 or breaker.last_response_at >= result.started_at:",
+        "if breaker.failures == 0:",
+    ),
+    PlantedFault(
+        "late result counts",
+        _HOSTS,
+        "if now - result.ended_at > MAX_LATENESS:",
+        "if False:",
+    ),
+    PlantedFault(
+        "flows of all servers are reset",
+        _HOSTS,
+        "if known.server is server and known.state is FlowState.OPEN",
+        "if known.state is FlowState.OPEN",
+    ),
+    PlantedFault(
+        "flows that are not open are reset",
+        _HOSTS,
+        "if known.server is server and known.state is FlowState.OPEN",
+        "if known.server is server",
+    ),
+)
+FAULTS = (*OPENINGS, *DOUBTS, *CHECKS, *RESULTS)
