--- a/src/wasabigw_verify/evidence_model/faults.py
+++ b/src/wasabigw_verify/evidence_model/faults.py
@@ -1,4 +1,4 @@
-"""Planted faults: each removes a condition of ``core/tags`` that protects open flows."""
+"""Planted faults: each removes a condition of ``core/tags`` that protects flows."""
 
 from wasabigw_verify.planted_faults import PlantedFault
 
--- a/src/wasabigw_verify/planted_faults.py
+++ b/src/wasabigw_verify/planted_faults.py
@@ -72,10 +72,15 @@
         if isinstance(function, FunctionType)
         and function.__module__ == module.__name__
         and function.__name__ in after
-        and after[function.__name__] != before[function.__name__]
+        and _effect(after[function.__name__]) != _effect(before[function.__name__])
     ]
 
 
+def _effect(code: CodeType) -> tuple[object, ...]:
+    """What a function does, without the places of its code in the source text."""
+    return code.co_code, code.co_consts, code.co_names, code.co_varnames
+
+
 def _codes(module: CodeType) -> dict[str, CodeType]:
     """Code of the functions of a module, by name."""
     return {c.co_name: c for c in module.co_consts if isinstance(c, CodeType)}
