--- a/tests/test_planted_faults.py
+++ b/tests/test_planted_faults.py
@@ -8,6 +8,9 @@
 from wasabigw_verify.evidence_model.faults import FAULTS
 from wasabigw_verify.evidence_model.runs import run
 from wasabigw_verify.planted_faults import PlantedFault, PlantingError, planted
+from wasabigw_verify.registration_model import fault_cases as registration_cases
+from wasabigw_verify.registration_model import faults as registration_faults
+from wasabigw_verify.registration_model.runs import play
 
 TTL = PlantedFault(
     "host stays unreachable for a minute",
@@ -71,5 +74,33 @@
                     pass
 
 
+class RegistrationConditions(unittest.TestCase):
+    """Guards against a model that misses a condition of the registrations."""
+
+    def test_each_fault_has_steps_or_a_reason(self) -> None:
+        names = [fault.name for fault in registration_faults.FAULTS]
+        known = [*registration_cases.STEPS, *registration_cases.NOT_FOUND]
+        self.assertCountEqual(names, known)
+
+    def test_the_code_holds_in_each_run(self) -> None:
+        for name, steps in registration_cases.STEPS.items():
+            with self.subTest(fault=name):
+                play(steps)
+
+    def test_each_fault_is_found(self) -> None:
+        for fault in registration_faults.FAULTS:
+            if fault.name in registration_cases.NOT_FOUND:
+                continue
+            found = self.assertRaises(AssertionError)
+            with self.subTest(fault=fault.name), planted(fault), found:
+                play(registration_cases.STEPS[fault.name])
+
+    def test_the_others_can_be_planted(self) -> None:
+        for fault in registration_faults.FAULTS:
+            if fault.name in registration_cases.NOT_FOUND:
+                with self.subTest(fault=fault.name), planted(fault):
+                    pass
+
+
 if __name__ == "__main__":
     unittest.main()
