--- a/src/wasabigw_verify/evidence_model/strategies.py
+++ b/src/wasabigw_verify/evidence_model/strategies.py
@@ -14,7 +14,7 @@
 TROUBLES = tuple(trouble for trouble in Trouble if trouble is not Trouble.FULL_QUEUE)
 """Without the trouble in which a live host can't be told from a lost one.
 
-:data:`~wasabigw_verify.evidence_model.aimed.FULL_QUEUES` has scenarios with it.
+The scenarios of :mod:`~wasabigw_verify.evidence_model.aimed` have it.
 """
 times = st.integers(0, 50).map(lambda tenths: tenths / 10)
 shares = st.sampled_from([0.0, 0.02, 0.1, 0.3])
