--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -21,6 +21,7 @@
 from wasabigw.core.tags.state import TagState
 from wasabigw_verify.evidence_model import balancers, cases, troubles
 from wasabigw_verify.evidence_model.judge import Contact, Fault, Finding, Judge
+from wasabigw_verify.evidence_model.large_worlds import large_scenarios
 from wasabigw_verify.evidence_model.registry import Registrations
 from wasabigw_verify.evidence_model.runs import run
 from wasabigw_verify.evidence_model.scenario import Scenario
@@ -63,6 +64,11 @@
         found = findings(scenario, Fault.STEERED, Fault.FOREIGN_RESET)
         self.assertEqual(found, [])
 
+    @settings(any_scenario, max_examples=40)
+    @given(large_scenarios)
+    def test_larger_worlds(self, scenario: Scenario) -> None:
+        self.assertEqual(findings(scenario), [])
+
     @any_scenario
     @given(scenarios)
     def test_no_planned_stop_loses_packets(self, scenario: Scenario) -> None:
