--- a/src/wasabigw_verify/evidence_model/aimed.py
+++ b/src/wasabigw_verify/evidence_model/aimed.py
@@ -71,10 +71,10 @@
     accepts_connections=st.sampled_from([True, True, True, False]),
     service=st.sampled_from(SERVICES),
 )
-full_queues = st.builds(
+dropped_connections = st.builds(
     Disturbance,
     at=st.sampled_from([0.0, 1.0, 1.5, 2.0]),
-    trouble=st.just(Trouble.FULL_QUEUE),
+    trouble=st.just(Trouble.DROP_CONNECTIONS),
     target=st.sampled_from([0, 0, 0, 1]),
     seconds=st.sampled_from([0.6, 1.0, ALWAYS]),
 )
@@ -112,7 +112,7 @@
     to_callers=steady,
     disturbances=st.builds(
         _joined,
-        st.lists(full_queues, max_size=2),
+        st.lists(dropped_connections, max_size=2),
         st.lists(own_troubles, max_size=2),
     ),
 )
--- a/src/wasabigw_verify/evidence_model/case_parts.py
+++ b/src/wasabigw_verify/evidence_model/case_parts.py
@@ -1,7 +1,7 @@
 """Parts of the scenarios in which only one condition protects open flows.
 
-Most doubts show only where a live host looks lost to a check, so the queue of new
-connections of the doubted host is full. A backend server that acknowledges every second
+Most doubts show only where a live host looks lost to a check, so connections to the
+doubted host are dropped on the way, and packets of flows are not. A backend server that acknowledges every second
 packet has requests of one packet sent again while it works; requests of two packets are
 acknowledged at once.
 """
@@ -73,4 +73,4 @@
 """Callers of the others, which were answered lately and wait for nothing."""
 STEADY = LegQuality(jitter=0.0)
 """Packets arrive in order."""
-QUEUE_IS_FULL = Disturbance(0.0, Trouble.FULL_QUEUE, 0, ALWAYS)
+CONNECTIONS_DROPPED = Disturbance(0.0, Trouble.DROP_CONNECTIONS, 0, ALWAYS)
--- a/src/wasabigw_verify/evidence_model/check_cases.py
+++ b/src/wasabigw_verify/evidence_model/check_cases.py
@@ -5,9 +5,9 @@
 from wasabigw_verify.evidence_model.case_parts import (
     ALWAYS,
     ANSWERED,
+    CONNECTIONS_DROPPED,
     COURSES,
     OTHERS,
-    QUEUE_IS_FULL,
     STEADY,
     TWO_PACKETS,
     caller,
@@ -121,17 +121,20 @@
 REFERENCE_IS_SILENT = Scenario(
     callers=(caller(1.0), *ANSWERED),
     servers=(slow_server(0.8), *OTHERS),
-    disturbances=(QUEUE_IS_FULL, Disturbance(0.0, Trouble.FULL_QUEUE, 1, ALWAYS)),
+    disturbances=(
+        CONNECTIONS_DROPPED,
+        Disturbance(0.0, Trouble.DROP_CONNECTIONS, 1, ALWAYS),
+    ),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
 )
 
 
-QUEUE_FILLS_LATER = Scenario(
+DROPPED_LATER = Scenario(
     callers=(caller(1.0), caller(1.45), *ANSWERED),
     servers=(slow_server(1.5), *OTHERS),
-    disturbances=(Disturbance(1.5, Trouble.FULL_QUEUE, 0, 0.6),),
+    disturbances=(Disturbance(1.5, Trouble.DROP_CONNECTIONS, 0, 0.6),),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -142,7 +145,7 @@
 NO_REFERENCES = Scenario(
     callers=(caller(1.0),),
     servers=(slow_server(0.8),),
-    disturbances=(QUEUE_IS_FULL,),
+    disturbances=(CONNECTIONS_DROPPED,),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -155,7 +158,7 @@
         *(caller(0.1, requests=3, pause=0.05, service=COURSES),) * 2,
     ),
     servers=(slow_server(0.8), *OTHERS),
-    disturbances=(QUEUE_IS_FULL,),
+    disturbances=(CONNECTIONS_DROPPED,),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -166,7 +169,7 @@
 DOUBTED_REFERENCE = Scenario(
     callers=(caller(1.0, first_pause=0.15), caller(1.1, service=COURSES)),
     servers=(slow_server(1.5), slow_server(1.5, service=COURSES)),
-    disturbances=(QUEUE_IS_FULL,),
+    disturbances=(CONNECTIONS_DROPPED,),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -181,7 +184,7 @@
     ),
     servers=(slow_server(0.8), *OTHERS),
     balancers=(BalancerSettings(packet_time=0.005),),
-    disturbances=(QUEUE_IS_FULL,),
+    disturbances=(CONNECTIONS_DROPPED,),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -197,7 +200,7 @@
         *ANSWERED,
     ),
     servers=(slow_server(1.3), *OTHERS),
-    disturbances=(QUEUE_IS_FULL,),
+    disturbances=(CONNECTIONS_DROPPED,),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -222,7 +225,7 @@
     to_servers=STEADY,
     to_callers=STEADY,
     disturbances=(
-        QUEUE_IS_FULL,
+        CONNECTIONS_DROPPED,
         Disturbance(1.15, Trouble.FAIL_CONNECTING, 0, 0.1),
         Disturbance(1.21, Trouble.SUSPEND_BALANCER, 0, 1.09),
     ),
@@ -246,7 +249,10 @@
         to_balancers=STEADY,
         to_servers=STEADY,
         to_callers=STEADY,
-        disturbances=(Disturbance(0.0, Trouble.FULL_QUEUE, last, ALWAYS), *failing),
+        disturbances=(
+            Disturbance(0.0, Trouble.DROP_CONNECTIONS, last, ALWAYS),
+            *failing,
+        ),
     )
 
 
--- a/src/wasabigw_verify/evidence_model/doubt_cases.py
+++ b/src/wasabigw_verify/evidence_model/doubt_cases.py
@@ -5,9 +5,9 @@
 from wasabigw_verify.evidence_model.case_parts import (
     ANSWERED,
     ANSWERED_BEFORE,
+    CONNECTIONS_DROPPED,
     COURSES,
     OTHERS,
-    QUEUE_IS_FULL,
     STEADY,
     TWO_PACKETS,
     caller,
@@ -20,7 +20,7 @@
 RESPONSE_SINCE = Scenario(
     callers=(caller(1.0), caller(0.3, TWO_PACKETS, requests=2, pause=3.0), *ANSWERED),
     servers=(slow_server(0.8), *OTHERS),
-    disturbances=(QUEUE_IS_FULL,),
+    disturbances=(CONNECTIONS_DROPPED,),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -31,7 +31,10 @@
 PAUSED_WITH_COPIES = Scenario(
     callers=(caller(0.1, first_pause=0.9), *ANSWERED_BEFORE),
     servers=(slow_server(0.8), *OTHERS),
-    disturbances=(QUEUE_IS_FULL, Disturbance(0.9, Trouble.SUSPEND_BALANCER, 0, 0.35)),
+    disturbances=(
+        CONNECTIONS_DROPPED,
+        Disturbance(0.9, Trouble.SUSPEND_BALANCER, 0, 0.35),
+    ),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -54,7 +57,7 @@
         ),
         balancers=(BalancerSettings(link_megabits=0.1),),
         to_callers=LegQuality(delay=to_callers),
-        disturbances=(QUEUE_IS_FULL,),
+        disturbances=(CONNECTIONS_DROPPED,),
         to_balancers=STEADY,
         to_servers=STEADY,
     )
@@ -70,7 +73,10 @@
 SENDING_FAILED = Scenario(
     callers=(caller(0.1, first_pause=0.9), *ANSWERED),
     servers=(slow_server(0.8, acknowledging=Acknowledging.EACH), *OTHERS),
-    disturbances=(QUEUE_IS_FULL, Disturbance(0.95, Trouble.FAIL_SENDING, 0, 0.15)),
+    disturbances=(
+        CONNECTIONS_DROPPED,
+        Disturbance(0.95, Trouble.FAIL_SENDING, 0, 0.15),
+    ),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -84,7 +90,7 @@
         *ANSWERED,
     ),
     servers=(slow_server(1.5), *OTHERS),
-    disturbances=(QUEUE_IS_FULL,),
+    disturbances=(CONNECTIONS_DROPPED,),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
@@ -100,7 +106,7 @@
         *ANSWERED,
     ),
     servers=(slow_server(0.75, max_flows=2), ServerSettings(slots=1), *OTHERS),
-    disturbances=(QUEUE_IS_FULL,),
+    disturbances=(CONNECTIONS_DROPPED,),
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
--- a/src/wasabigw_verify/evidence_model/fault_cases.py
+++ b/src/wasabigw_verify/evidence_model/fault_cases.py
@@ -35,7 +35,7 @@
     "references that refuse confirm a refusal": checks.NO_CONNECTIONS,
     "references need not respond": checks.CUT_OFF,
     "one response of a reference is enough": checks.REFERENCE_IS_SILENT,
-    "checks follow each other at once": checks.QUEUE_FILLS_LATER,
+    "checks follow each other at once": checks.DROPPED_LATER,
     "two checks of a host at a time": checks.TWO_CHECKS,
     "any number of checks at a time": checks.MANY_CHECKS,
     "check without references": checks.NO_REFERENCES,
--- a/src/wasabigw_verify/evidence_model/host_checker.py
+++ b/src/wasabigw_verify/evidence_model/host_checker.py
@@ -10,8 +10,12 @@
     ATTEMPTS,
     RESPONSE_TIME,
     Attempt,
+    CheckAttempts,
     HostCheck,
     HostChecked,
+    Reference,
+    attempts_by_group,
+    is_decided,
     status_of,
 )
 from wasabigw_verify.evidence_model.clock import Callback, Clock
@@ -45,12 +49,17 @@
     started_at: Seconds
     next_at: Seconds
     connections: list[Connection] = field(default_factory=list)
-    references: list[Connection] = field(default_factory=list)
-
-    @property
-    def is_reachable(self) -> bool:
-        """Whether the host has accepted a connection."""
-        return any(c.attempt is Attempt.ACCEPTED for c in self.connections)
+    references: list[tuple[Reference, Connection]] = field(default_factory=list)
+    unused: list[Connection] = field(default_factory=list)
+
+    def attempts(self) -> CheckAttempts:
+        """States of all attempts so far."""
+        return attempts_by_group(
+            self.check,
+            [connection.attempt for connection in self.connections],
+            [(to, connection.attempt) for to, connection in self.references],
+            [connection.attempt for connection in self.unused],
+        )
 
 
 class HostChecker:
@@ -89,17 +98,23 @@
         self._continue(running)
 
     def _continue(self, running: RunningCheck) -> None:
-        if running.is_reachable:
+        lateness = Seconds(self._clock.now - running.next_at)
+        if is_decided(running.check, running.attempts(), lateness):
             self._finish(running)
         elif len(running.connections) < ATTEMPTS:
-            target = running.check.endpoint
-            running.connections.append(Connection(target, self._connect))
-            for target in running.check.references:
-                running.references.append(Connection(target, self._connect))
+            self._make_round(running)
             self._wait(running)
         else:
             self._finish(running)
 
+    def _make_round(self, running: RunningCheck) -> None:
+        check, number = running.check, len(running.connections)
+        running.connections.append(Connection(check.endpoint, self._connect))
+        for to in check.references_in_round(number):
+            running.references.append((to, Connection(to.endpoint, self._connect)))
+        for endpoint in check.unused_in_round(number):
+            running.unused.append(Connection(endpoint, self._connect))
+
     def _wait(self, running: RunningCheck) -> None:
         is_last = len(running.connections) == ATTEMPTS
         delay = RESPONSE_TIME if is_last else ATTEMPT_INTERVAL
@@ -111,12 +126,10 @@
 
     def _finish(self, running: RunningCheck) -> None:
         self._running.remove(running)
-        status = status_of(
-            [connection.attempt for connection in running.connections],
-            [connection.attempt for connection in running.references],
-            running.check.refusal_counts,
-            Seconds(self._clock.now - running.next_at),
-        )
+        lateness = Seconds(self._clock.now - running.next_at)
+        status = status_of(running.check, running.attempts(), lateness)
         now = self._clock.now
         tag, started_at = running.check.tag, running.started_at
-        self._report(HostChecked(tag, status, started_at, now), running.check)
+        is_refused = Attempt.REFUSED in running.attempts().host
+        result = HostChecked(tag, status, started_at, now, is_refused)
+        self._report(result, running.check)
--- a/src/wasabigw_verify/evidence_model/hosts.py
+++ b/src/wasabigw_verify/evidence_model/hosts.py
@@ -23,6 +23,7 @@
 from wasabigw_verify.evidence_model.wire import Kind, ServerPacket
 
 MOST_RETRANSMISSIONS = 8
+PORT = 8080
 
 
 class HostState(Enum):
@@ -57,6 +58,7 @@
         self.state = HostState.RUNNING
         self.paused_until = -1.0
         self.queue_full_until = -1.0
+        self.connections_dropped_until = -1.0
         self._refuses_from: float | None = None
         self.boot: Boot | None = None
         self._settings = settings
@@ -67,15 +69,16 @@
         self._backlog: list[Callback] = []
         self._disturbed_at = LONG_AGO
 
-    def connection_response(self) -> Attempt | None:
+    def connection_response(self, port: int) -> Attempt | None:
         """Response to a connection attempt; ``None`` if there is none.
 
         The kernel of a host accepts connections while the boot stands still, and
         ignores them while the queue of those that were not accepted yet is full.
         """
-        if self.state in (HostState.SILENT, HostState.FROZEN):
+        is_dropped = self._clock.now < self.connections_dropped_until
+        if is_dropped or self.state in (HostState.SILENT, HostState.FROZEN):
             return None
-        if self.boot is None or not self._listens:
+        if self.boot is None or port != PORT or not self._listens:
             return Attempt.REFUSED
         is_full = self._clock.now < self.queue_full_until
         return None if is_full else Attempt.ACCEPTED
@@ -100,7 +103,7 @@
             id=BackendServerId(name),
             service=self._settings.service,
             failure_domain=self._settings.failure_domain,
-            endpoint=Endpoint(self.address, 8080),
+            endpoint=Endpoint(self.address, PORT),
             started_at=1_000_000 + round(self._clock.now * 1000) - clock_behind,
             slots=self._settings.slots,
             draining=False,
--- a/src/wasabigw_verify/evidence_model/opening_cases.py
+++ b/src/wasabigw_verify/evidence_model/opening_cases.py
@@ -7,9 +7,9 @@
 from wasabigw_verify.evidence_model.callers import CallerPlan, TagTaken
 from wasabigw_verify.evidence_model.case_parts import (
     ANSWERED,
+    CONNECTIONS_DROPPED,
     COURSES,
     OTHERS,
-    QUEUE_IS_FULL,
     STEADY,
     TWO_PACKETS,
     caller,
@@ -115,7 +115,10 @@
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
-    disturbances=(QUEUE_IS_FULL, Disturbance(2.045, Trouble.FAIL_SENDING, 0, 0.015)),
+    disturbances=(
+        CONNECTIONS_DROPPED,
+        Disturbance(2.045, Trouble.FAIL_SENDING, 0, 0.015),
+    ),
 )
 """A balancer can't send an opening; nothing follows it."""
 
@@ -132,6 +135,9 @@
     to_balancers=STEADY,
     to_servers=STEADY,
     to_callers=STEADY,
-    disturbances=(QUEUE_IS_FULL, Disturbance(2.195, Trouble.CUT_TO_BALANCERS, 0, 0.02)),
+    disturbances=(
+        CONNECTIONS_DROPPED,
+        Disturbance(2.195, Trouble.CUT_TO_BALANCERS, 0, 0.02),
+    ),
 )
 """An opening and its copy wait for the link."""
--- a/src/wasabigw_verify/evidence_model/troubles.py
+++ b/src/wasabigw_verify/evidence_model/troubles.py
@@ -231,6 +231,11 @@
     host.queue_full_until = world.clock.now + disturbance.seconds
 
 
+def _drop_connections(world: World, disturbance: Disturbance) -> None:
+    host = world.host_of(disturbance)
+    host.connections_dropped_until = world.clock.now + disturbance.seconds
+
+
 def _lose_listeners(world: World, disturbance: Disturbance) -> None:
     world.balancer_of(disturbance).lose_listeners(disturbance.seconds)
 
@@ -263,6 +268,7 @@
     Trouble.CUT_TO_CALLERS: _cut_to_callers,
     Trouble.REFUSE_AND_DRAIN: _refuse_and_drain,
     Trouble.FULL_QUEUE: _fill_queue,
+    Trouble.DROP_CONNECTIONS: _drop_connections,
     Trouble.FAIL_CONNECTING: _fail_connecting,
     Trouble.CUT_TO_HOSTS: _cut_to_hosts,
     Trouble.IMPAIR_TO_HOSTS: _impair_to_hosts,
--- a/src/wasabigw_verify/evidence_model/world.py
+++ b/src/wasabigw_verify/evidence_model/world.py
@@ -198,7 +198,7 @@
         self.note(f"balancer-{balancer} connects to host {host.number}")
 
         def respond() -> None:
-            response = host.connection_response()
+            response = host.connection_response(target.port)
             if response is not None:
                 path.send(lambda: answer(response))
 
