evidence_model: planted faults of the checks with references on the path

Two more troubles: connections to a host that are dropped on the way, in place of a full queue, which an unused port tells now, and connections to a failure domain that are rejected.

--- a/src/wasabigw_verify/evidence_model/case_parts.py
+++ b/src/wasabigw_verify/evidence_model/case_parts.py
@@ -1,15 +1,15 @@
 """Parts of the scenarios in which only one condition protects open flows.
 
 Most doubts show only where a live host looks lost to a check, so connections to the
-doubted host are dropped on the way, and packets of flows are not. A backend server that acknowledges every second
-packet has requests of one packet sent again while it works; requests of two packets are
-acknowledged at once.
+doubted host are dropped on the way, and packets of flows are not. A backend server that
+acknowledges every second packet has requests of one packet sent again while it works;
+requests of two packets are acknowledged at once.
 """
 
-from wasabigw.core.ids import ServiceId
+from wasabigw.core.ids import FailureDomainId, ServiceId
 from wasabigw_verify.evidence_model.boots import ServerSettings, Workload
 from wasabigw_verify.evidence_model.callers import CallerPlan, TagTaken
-from wasabigw_verify.evidence_model.deployment import SERVICES
+from wasabigw_verify.evidence_model.deployment import DOMAINS, SERVICES
 from wasabigw_verify.evidence_model.network import LegQuality
 from wasabigw_verify.evidence_model.scenario import Disturbance, Trouble
 from wasabigw_verify.evidence_model.transport import Acknowledging
@@ -29,6 +29,7 @@
     accepts_connections: bool = True,
     acknowledging: Acknowledging = Acknowledging.SECOND,
     service: ServiceId = SEATS,
+    failure_domain: FailureDomainId = DOMAINS[0],
 ) -> ServerSettings:
     """A backend server on which requests of one packet are sent again."""
     return ServerSettings(
@@ -38,6 +39,7 @@
         accepts_connections=accepts_connections,
         acknowledging=acknowledging,
         service=service,
+        failure_domain=failure_domain,
     )
 
 
--- a/src/wasabigw_verify/evidence_model/check_cases.py
+++ b/src/wasabigw_verify/evidence_model/check_cases.py
@@ -76,21 +76,6 @@
 """Backend servers of one service accept no connections, those of another do."""
 
 
-SAME_SERVICE = (caller(0.1, requests=60, pause=0.05),) * 4
-
-
-NO_CONNECTIONS = Scenario(
-    callers=(caller(1.0), *SAME_SERVICE),
-    servers=(
-        slow_server(0.8, slots=4, accepts_connections=False),
-        *(ServerSettings(accepts_connections=False),) * 2,
-    ),
-    to_balancers=STEADY,
-    to_servers=STEADY,
-    to_callers=STEADY,
-)
-
-
 DRAINING_REFUSES = Scenario(
     callers=(
         caller(0.1, first_pause=1.1),
@@ -139,17 +124,7 @@
     to_servers=STEADY,
     to_callers=STEADY,
 )
-"""The queue is full between two checks."""
-
-
-NO_REFERENCES = Scenario(
-    callers=(caller(1.0),),
-    servers=(slow_server(0.8),),
-    disturbances=(CONNECTIONS_DROPPED,),
-    to_balancers=STEADY,
-    to_servers=STEADY,
-    to_callers=STEADY,
-)
+"""Connections are dropped between two checks."""
 
 
 OLD_REFERENCES = Scenario(
--- a/src/wasabigw_verify/evidence_model/fault_cases.py
+++ b/src/wasabigw_verify/evidence_model/fault_cases.py
@@ -3,6 +3,7 @@
 from wasabigw_verify.evidence_model import check_cases as checks
 from wasabigw_verify.evidence_model import doubt_cases as doubts
 from wasabigw_verify.evidence_model import opening_cases as openings
+from wasabigw_verify.evidence_model import reference_cases as references
 from wasabigw_verify.evidence_model.scenario import Scenario
 
 SCENARIOS: dict[str, Scenario] = {
@@ -32,19 +33,32 @@
     "late evaluation counts": checks.PAUSED_BEFORE_EVALUATION,
     "attempt that was not made counts": checks.NO_LOCAL_PORT,
     "any refusal counts": checks.OTHER_SERVICE_ACCEPTS,
-    "references that refuse confirm a refusal": checks.NO_CONNECTIONS,
-    "references need not respond": checks.CUT_OFF,
-    "one response of a reference is enough": checks.REFERENCE_IS_SILENT,
+    "references that refuse confirm a refusal": references.REFUSED_ELSEWHERE,
+    "response at an unused port does not count": references.QUEUE_IS_FULL,
+    "refusals of a whole failure domain count as those of a host": (
+        references.DOMAIN_REJECTS
+    ),
+    "references elsewhere need not respond": references.ONE_SILENT_ELSEWHERE,
+    "one response elsewhere is enough": references.ONE_SILENT_ELSEWHERE,
+    "references on the path need not respond": checks.CUT_OFF,
+    "one response on the path is enough": checks.REFERENCE_IS_SILENT,
+    "failure domain is gone if one attempt has no response": (references.NEAR_IS_LOSSY),
+    "failure domain is gone though no other one responds": checks.CUT_OFF,
     "checks follow each other at once": checks.DROPPED_LATER,
     "two checks of a host at a time": checks.TWO_CHECKS,
     "any number of checks at a time": checks.MANY_CHECKS,
-    "check without references": checks.NO_REFERENCES,
     "references that have not answered since": checks.OLD_REFERENCES,
     "references that are doubted": checks.DOUBTED_REFERENCE,
     "refusal counts against references of another service": (
         checks.OTHER_SERVICE_ACCEPTS
     ),
-    "refusal of a draining server counts": checks.DRAINING_REFUSES,
+    "refusal counts though the failure domain answers callers": (
+        references.DOMAIN_REJECTS
+    ),
+    "refusals of a failure domain count against another service": (
+        references.DOMAIN_OF_OTHER_SERVICE_REJECTS
+    ),
+    "refusal counts though the server drains by now": references.DRAINS_DURING_CHECK,
     "unknown result counts as unreachable": checks.CUT_OFF,
     "reachable host counts as unreachable": checks.SERVER_IS_SLOW,
     "breaker that has closed does not count": checks.RESPONSE_BEFORE_CHECK,
@@ -69,6 +83,9 @@
         "keeps flows: the reference does what the checked host does, so that nothing "
         "is shown"
     ),
+    "refusal of a draining server counts": (
+        "protected twice: the state of the server is read again after the check"
+    ),
     "flows that are not open are reset": (
         "protected twice: such a reset acknowledges nothing that the caller has open, "
         "so that its sequence number is out of the window"
--- a/src/wasabigw_verify/evidence_model/hosts.py
+++ b/src/wasabigw_verify/evidence_model/hosts.py
@@ -59,6 +59,7 @@
         self.paused_until = -1.0
         self.queue_full_until = -1.0
         self.connections_dropped_until = -1.0
+        self.connections_rejected_until = -1.0
         self._refuses_from: float | None = None
         self.boot: Boot | None = None
         self._settings = settings
@@ -78,7 +79,8 @@
         is_dropped = self._clock.now < self.connections_dropped_until
         if is_dropped or self.state in (HostState.SILENT, HostState.FROZEN):
             return None
-        if self.boot is None or port != PORT or not self._listens:
+        is_rejected = self._clock.now < self.connections_rejected_until
+        if is_rejected or port != PORT or self.boot is None or not self._listens:
             return Attempt.REFUSED
         is_full = self._clock.now < self.queue_full_until
         return None if is_full else Attempt.ACCEPTED
--- a/src/wasabigw_verify/evidence_model/scenario.py
+++ b/src/wasabigw_verify/evidence_model/scenario.py
@@ -37,6 +37,7 @@
     REFUSE_AND_DRAIN = "as a leaving server, and connections are refused after a while"
     FULL_QUEUE = "the queue of new connections of a host is full: they get no answer"
     DROP_CONNECTIONS = "connections to a host are dropped on the way, packets are not"
+    REJECT_CONNECTIONS = "connections to a failure domain are rejected, packets are not"
     FAIL_CONNECTING = "a balancer has no local port left to connect to a host"
     CUT_TO_HOSTS = "no packet passes between a balancer and any host"
     IMPAIR_TO_HOSTS = "half of the packets between a balancer and any host are lost"
--- a/src/wasabigw_verify/evidence_model/strategies.py
+++ b/src/wasabigw_verify/evidence_model/strategies.py
@@ -11,8 +11,9 @@
 from wasabigw_verify.evidence_model.scenario import Disturbance, Scenario, Trouble
 from wasabigw_verify.evidence_model.transport import Acknowledging
 
-TROUBLES = tuple(t for t in Trouble if t is not Trouble.DROP_CONNECTIONS)
-"""Without the trouble in which a live host can't be told from a lost one.
+ONLY_CONNECTIONS = (Trouble.DROP_CONNECTIONS, Trouble.REJECT_CONNECTIONS)
+TROUBLES = tuple(t for t in Trouble if t not in ONLY_CONNECTIONS)
+"""Without the troubles in which a live host can't be told from a lost one.
 
 The scenarios of :mod:`~wasabigw_verify.evidence_model.aimed` have it.
 """
--- a/src/wasabigw_verify/evidence_model/troubles.py
+++ b/src/wasabigw_verify/evidence_model/troubles.py
@@ -236,6 +236,13 @@
     host.connections_dropped_until = world.clock.now + disturbance.seconds
 
 
+def _reject_connections(world: World, disturbance: Disturbance) -> None:
+    domain = world.host_of(disturbance).failure_domain
+    for host in world.hosts:
+        if host.failure_domain == domain:
+            host.connections_rejected_until = world.clock.now + disturbance.seconds
+
+
 def _lose_listeners(world: World, disturbance: Disturbance) -> None:
     world.balancer_of(disturbance).lose_listeners(disturbance.seconds)
 
@@ -269,6 +276,7 @@
     Trouble.REFUSE_AND_DRAIN: _refuse_and_drain,
     Trouble.FULL_QUEUE: _fill_queue,
     Trouble.DROP_CONNECTIONS: _drop_connections,
+    Trouble.REJECT_CONNECTIONS: _reject_connections,
     Trouble.FAIL_CONNECTING: _fail_connecting,
     Trouble.CUT_TO_HOSTS: _cut_to_hosts,
     Trouble.IMPAIR_TO_HOSTS: _impair_to_hosts,
