--- a/src/wasabigw/core/backend_home.py
+++ b/src/wasabigw/core/backend_home.py
@@ -28,8 +28,10 @@
     MAX_HOMED_SERVERS,
     HomedServer,
     HomeState,
+    is_contested,
     restart_ramp_if_cold,
     send_due_reports,
+    update_listening,
 )
 from wasabigw.core.ids import (
     BackendServerId,
@@ -97,6 +99,9 @@
         if waiting:
             return AdmissionVerdict.TAKEOVER_WAIT
         return AdmissionVerdict.NOT_ANNOUNCED
+    if is_contested(record, now):
+        # The flow would open at a boot that is not registered yet.
+        return AdmissionVerdict.TAKEOVER_WAIT
     if not leases.may_admit_after_takeover(record.lease, now):
         return AdmissionVerdict.TAKEOVER_WAIT
     fresh = state.fresh_until is not None and now < state.fresh_until
@@ -153,11 +158,13 @@
 
 @handle.register
 def _(event: AnnouncementReceived, state: HomeState) -> list[HomeDecision]:
+    update_listening(state, event.now)
     return answer_announcement(event, state)
 
 
 @handle.register
 def _(event: HomeTick, state: HomeState) -> list[HomeDecision]:
+    update_listening(state, event.now)
     state.now = event.now
     for record in state.servers.values():
         _advance_ramp(record, state, event.now)
@@ -169,6 +176,7 @@
 
 @handle.register
 def _(event: HomesChanged, state: HomeState) -> list[HomeDecision]:
+    update_listening(state, event.now)
     apply_cluster_changes(event.cluster, state, event.now)
     return send_due_reports(state.servers.values(), state, event.now)
 
