tests: a server that stops accepting connections as it drains is reset

A server that refuses connections from its drain call on, and is doubted between two polls of a balancer, has its open flows reset: the check ends with the sixth refusal after about 0.12 s, before the view can tell that the server drains.

--- a/src/wasabigw_verify/evidence_model/reference_cases.py
+++ b/src/wasabigw_verify/evidence_model/reference_cases.py
@@ -76,6 +76,12 @@
     disturbances=(Disturbance(0.0, Trouble.REJECT_CONNECTIONS, 0, ALWAYS),),
 )
 """As before, and only servers of another service accept connections elsewhere."""
+DRAINS_BEFORE_VIEW = replace(
+    DRAINING_REFUSES,
+    callers=(caller(0.1, first_pause=0.96), *DRAINING_REFUSES.callers[1:]),
+    disturbances=(Disturbance(1.26, Trouble.REFUSE_AND_DRAIN, 0, 0.0),),
+)
+"""A server stops accepting connections as it drains, before the next poll."""
 DRAINS_DURING_CHECK = replace(
     DRAINING_REFUSES,
     disturbances=(Disturbance(1.4, Trouble.REFUSE_AND_DRAIN, 0, 0.0),),
--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -19,7 +19,12 @@
 )
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
-from wasabigw_verify.evidence_model import balancers, cases, troubles
+from wasabigw_verify.evidence_model import (
+    balancers,
+    cases,
+    reference_cases,
+    troubles,
+)
 from wasabigw_verify.evidence_model.judge import Contact, Fault, Finding, Judge
 from wasabigw_verify.evidence_model.large_worlds import large_scenarios
 from wasabigw_verify.evidence_model.registry import Registrations
@@ -107,6 +112,13 @@
         self.assertEqual(findings(cases.PLANNED_STOP), [])
 
 
+class DrainingServers(unittest.TestCase):
+    """Guards against a check that ends by refusals before the drain is known."""
+
+    def test_a_server_that_stops_accepting_as_it_drains(self) -> None:
+        self.assertEqual(findings(reference_cases.DRAINS_BEFORE_VIEW), [])
+
+
 def lost_by_inference() -> Decide:
     """Decide as before, but refuse each packet of data that is seen again."""
     seen: set[tuple[FlowId, int]] = set()
