tests: a first copy that is delayed on its way is still refused

Trace: the first copy of an opening is sent at 2.100 s and takes 0.35 s to balancer-0, the copy of 2.300 s opens the flow, and the first one is refused at 2.451 s (no-listener).

--- a/src/wasabigw_verify/evidence_model/opening_cases.py
+++ b/src/wasabigw_verify/evidence_model/opening_cases.py
@@ -69,6 +69,14 @@
 """Copies of openings arrive after the only backend server has begun to leave."""
 
 
+DELAYED_FIRST_COPY = replace(
+    COPY_WHILE_POOL_IS_EMPTY,
+    callers=tuple(caller(0.5 + n / 50, requests=4) for n in range(24)),
+    to_balancers=DELAYED,
+    to_callers=LegQuality(),
+    seed=32,
+)
+"""A first copy is delayed on its way until the only backend server leaves."""
 READ_LATE_WITHOUT_LISTENER = Scenario(
     callers=tuple(caller(0.9 + n / 50, requests=4) for n in range(12)),
     servers=(ServerSettings(),),
--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -22,6 +22,7 @@
 from wasabigw_verify.evidence_model import (
     balancers,
     cases,
+    opening_cases,
     reference_cases,
     troubles,
 )
@@ -112,6 +113,13 @@
         self.assertEqual(findings(cases.PLANNED_STOP), [])
 
 
+class DelayedCopies(unittest.TestCase):
+    """Guards against a refusal of a first copy that other copies have overtaken."""
+
+    def test_first_copy_that_is_delayed_on_its_way(self) -> None:
+        self.assertEqual(findings(opening_cases.DELAYED_FIRST_COPY), [])
+
+
 class DrainingServers(unittest.TestCase):
     """Guards against a check that ends by refusals before the drain is known."""
 
