--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -7,11 +7,6 @@
 
 from hypothesis import HealthCheck, Phase, given, settings
 
-from tests.evidence_model import balancers, cases, world
-from tests.evidence_model.judge import Fault, Finding
-from tests.evidence_model.registry import Registrations
-from tests.evidence_model.scenario import Scenario, scenarios
-from tests.evidence_model.world import run
 from wasabigw.core.commands import BootAnnounced
 from wasabigw.core.ids import Seconds
 from wasabigw.core.states import RegistrationState
@@ -24,8 +19,14 @@
 )
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
-
-Decide = Callable[[FlowPacket, TagState, Seconds], PacketDecision]
+from wasabigw_verify.evidence_model import balancers, cases, troubles
+from wasabigw_verify.evidence_model.judge import Fault, Finding
+from wasabigw_verify.evidence_model.registry import Registrations
+from wasabigw_verify.evidence_model.runs import run
+from wasabigw_verify.evidence_model.scenario import Scenario
+from wasabigw_verify.evidence_model.strategies import scenarios
+
+Decide = Callable[[FlowPacket, TagState, Seconds, Seconds], PacketDecision]
 any_scenario = settings(
     max_examples=60,
     deadline=None,
@@ -34,7 +35,7 @@
     phases=(Phase.explicit, Phase.generate),
     suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
 )
-"""Without shrinking: ``python -m tests.evidence_model`` shrinks what it finds."""
+"""Without shrinking, which ``python -m wasabigw_verify.evidence_model`` does."""
 
 
 def findings(scenario: Scenario, *faults: Fault) -> list[Finding]:
@@ -104,40 +105,46 @@
     """Decide as before, but refuse each packet of data that is seen again."""
     seen: set[tuple[FlowId, int]] = set()
 
-    def decide(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+    def decide(
+        packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
+    ) -> PacketDecision:
         key = packet.flow, packet.sequence
         if packet.length and key in seen:
             return Refuse(packet, RefusalReason.SERVER_LOST)
         if packet.length:
             seen.add(key)
-        return steering.decide(packet, state, now)
+        return steering.decide(packet, state, now, waited)
 
     return decide
 
 
-def steered_as_new(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+def steered_as_new(
+    packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
+) -> PacketDecision:
     """Decide as before, but choose a server for packets of flows that are not known."""
     if not packet.is_opening and packet.flow not in state.flows:
         others = [s for tag, s in state.servers.items() if tag != packet.tag]
         return Deliver(packet, others[0].registration)
-    return steering.decide(packet, state, now)
+    return steering.decide(packet, state, now, waited)
 
 
-def refused_as_new(packet: FlowPacket, state: TagState, now: Seconds) -> PacketDecision:
+def refused_as_new(
+    packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
+) -> PacketDecision:
     """Decide as before, but refuse copies of openings."""
     if packet.is_opening and packet.repeat:
         return Refuse(packet, RefusalReason.NO_SERVER)
-    return steering.decide(packet, state, now)
+    return steering.decide(packet, state, now, waited)
 
 
 def refused_as_ended(
-    packet: FlowPacket, state: TagState, now: Seconds
+    packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
 ) -> PacketDecision:
     """Decide as before, but refuse packets for boots that are registered as ended."""
     server = state.servers.get(packet.tag)
     if server and server.registration.state is RegistrationState.ENDED:
         return Refuse(packet, RefusalReason.NO_SERVER)
-    return steering.decide(packet, state, now)
+    return steering.decide(packet, state, now, waited)
 
 
 @contextmanager
@@ -187,7 +194,7 @@
         stop = mock.patch.object(
             balancers.BalancerNode, "stop", balancers.BalancerNode.exit
         )
-        with stop, mock.patch.object(world, "LEAVE_BEFORE_STOP", 0.0):
+        with stop, mock.patch.object(troubles, "LEAVE_BEFORE_STOP", 0.0):
             found = {finding.fault for finding in run(cases.PLANNED_STOP).findings}
         self.assertEqual(found, {Fault.DROPPED_AT_STOP})
 
