--- a/src/wasabigw/core/tags/host_checks.py
+++ b/src/wasabigw/core/tags/host_checks.py
@@ -43,8 +43,6 @@
 """
 REFERENCE_ATTEMPTS = 6
 """Connection attempts to each reference, in every second round of attempts."""
-REFUSALS = 6
-"""Refused attempts that end a check early: a refusal is no lost packet."""
 UNUSED_PORT = 1
 """Port of the checked host for attempts that show whether the host is up.
 
@@ -199,18 +197,6 @@
     return _status_compared(made, _ACCEPTED) if counts else HostStatus.UNKNOWN
 
 
-def is_decided(check: HostCheck, made: CheckAttempts, lateness: Seconds) -> bool:
-    """Whether the result of a check is known before all attempts have been made.
-
-    :param lateness: time since the next attempt was due, if it is.
-    """
-    if Attempt.ACCEPTED in made.host:
-        return True
-    if made.host.count(Attempt.REFUSED) < REFUSALS:
-        return False
-    return status_of(check, made, lateness) is HostStatus.UNREACHABLE
-
-
 def _is_any_not_made(made: CheckAttempts) -> bool:
     groups = (made.host, made.on_path, made.elsewhere)
     return any(Attempt.FAILED in group for group in groups)
--- a/src/wasabigw/tasks/host_checker.py
+++ b/src/wasabigw/tasks/host_checker.py
@@ -22,7 +22,6 @@
     HostStatus,
     Reference,
     attempts_by_group,
-    is_decided,
     status_of,
 )
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
@@ -91,6 +90,11 @@
         self.references: list[tuple[Reference, _Connection]] = []
         self.unused: list[_Connection] = []
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the host has accepted a connection."""
+        return any(c.attempt is Attempt.ACCEPTED for c in self.connections)
+
     def connect(self, selector: selectors.BaseSelector, now: Seconds) -> None:
         """Make the attempts of one round.
 
@@ -108,10 +112,6 @@
         is_last = len(self.connections) == ATTEMPTS
         self.next_at = Seconds(now + (RESPONSE_TIME if is_last else ATTEMPT_INTERVAL))
 
-    def is_decided(self, now: Seconds) -> bool:
-        """Whether the result is known before all attempts have been made."""
-        return is_decided(self.check, self.attempts(), Seconds(now - self.next_at))
-
     def attempts(self) -> CheckAttempts:
         """States of all attempts so far."""
         return attempts_by_group(
@@ -167,7 +167,7 @@
     def _handle_due(self) -> None:
         now = monotonic()
         for running in tuple(self._running):
-            if running.is_decided(now):
+            if running.is_reachable:
                 self._finish(running, now)
             elif running.next_at <= now:
                 self._continue(running, now)
