fix: an error at the unused port of a host is no silence

A sound host with a full queue of new connections was found unreachable, and its flows were reset, if a firewall rejects attempts to its unused port with an ICMP error: the attempt ended with an error, which counted as no response.

Anything but silence at that port now leaves the result unknown.

--- a/src/wasabigw/core/tags/host_checks.py
+++ b/src/wasabigw/core/tags/host_checks.py
@@ -190,7 +190,8 @@
     if lateness > MAX_LATENESS or _is_any_not_made(made):
         return HostStatus.UNKNOWN
     if Attempt.REFUSED not in made.host:
-        is_up = not _RESPONSES.isdisjoint(made.unused)
+        # An error, such as an ICMP rejection by a firewall, is no silence either.
+        is_up = any(attempt is not Attempt.PENDING for attempt in made.unused)
         return HostStatus.UNKNOWN if is_up else _status_compared(made, _RESPONSES)
     is_domain_rejected = bool(made.on_path) and Attempt.ACCEPTED not in made.on_path
     counts = check.domain_refusal_counts if is_domain_rejected else check.refusal_counts
--- a/src/wasabigw_verify/evidence_model/boots.py
+++ b/src/wasabigw_verify/evidence_model/boots.py
@@ -29,6 +29,7 @@
     :param accepts_connections: whether it listens for health checks.
     :param queue: requests that wait for a slot; further ones are rejected.
     :param starts_at: when its first boot starts.
+    :param is_firewalled: whether attempts to its unused ports are dropped.
     """
 
     slots: int = 4
@@ -40,6 +41,7 @@
     failure_domain: FailureDomainId = DOMAINS[0]
     service: ServiceId = SERVICES[0]
     starts_at: float = 0.0
+    is_firewalled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw_verify/evidence_model/check_cases.py
+++ b/src/wasabigw_verify/evidence_model/check_cases.py
@@ -1,5 +1,7 @@
 """Scenarios in which the host of a live backend server is checked."""
 
+from dataclasses import replace
+
 from wasabigw_verify.evidence_model.balancers import BalancerSettings
 from wasabigw_verify.evidence_model.boots import ServerSettings
 from wasabigw_verify.evidence_model.case_parts import (
@@ -58,7 +60,7 @@
 
 NO_LOCAL_PORT = Scenario(
     callers=(caller(1.0), *ANSWERED),
-    servers=(slow_server(0.8), *OTHERS),
+    servers=(replace(slow_server(0.8), is_firewalled=True), *OTHERS),
     disturbances=(Disturbance(0.0, Trouble.FAIL_CONNECTING, 0, ALWAYS),),
     to_balancers=STEADY,
     to_servers=STEADY,
--- a/src/wasabigw_verify/evidence_model/hosts.py
+++ b/src/wasabigw_verify/evidence_model/hosts.py
@@ -79,6 +79,8 @@
         is_dropped = self._clock.now < self.connections_dropped_until
         if is_dropped or self.state in (HostState.SILENT, HostState.FROZEN):
             return None
+        if port != PORT and self._settings.is_firewalled:
+            return None
         is_rejected = self._clock.now < self.connections_rejected_until
         if is_rejected or port != PORT or self.boot is None or not self._listens:
             return Attempt.REFUSED
