fix: the time of day stepping back no longer hides a packet's wait

An opening that waited in the receive buffer was refused, although another balancer may have opened the flow, if the time of day was set back meanwhile: the negative wait counted as none. The time that a packet waited is now infinite then, so the opening is dropped and sent again by the caller. A step back that is shorter than the wait still goes unnoticed.

Whole nanoseconds are compared, because a float of the time of day is too coarse to tell a step from a packet that is read at once. TimeOfDay in tests/test_check_evidence.py failed before; it sets time.time_ns back, which is what the socket reads now.

--- a/src/wasabigw/tasks/packet_socket.py
+++ b/src/wasabigw/tasks/packet_socket.py
@@ -4,6 +4,7 @@
 import struct
 import time
 from contextlib import ExitStack
+from math import inf
 from typing import NamedTuple, Self
 
 from wasabigw.core.endpoint import Endpoint
@@ -19,6 +20,7 @@
 
 Its number is the same on x86-64 and on arm64.
 """
+NANOSECONDS = 1_000_000_000
 _TIMESTAMP = struct.Struct("@ll")
 """Seconds and nanoseconds of the time of day."""
 _ANCILLARY_SIZE = socket.CMSG_SPACE(_TIMESTAMP.size)
@@ -27,8 +29,8 @@
 class Received(NamedTuple):
     """A datagram.
 
-    :param waited: time that it spent in the receive buffer; zero if the kernel does not
-        tell, or if the time of day was set back meanwhile.
+    :param waited: time that it spent in the receive buffer: zero if the kernel does not
+        tell, and infinite if the time of day was set back meanwhile.
     """
 
     data: bytes
@@ -112,7 +114,8 @@
 
 def _time_since(timestamp: bytes) -> Seconds:
     seconds, nanoseconds = _TIMESTAMP.unpack(timestamp)
-    return Seconds(max(0.0, time.time() - seconds - nanoseconds / 1e9))
+    waited = time.time_ns() - seconds * NANOSECONDS - nanoseconds
+    return Seconds(waited / NANOSECONDS if waited >= 0 else inf)
 
 
 def make_packet_socket() -> PacketSocket:
--- a/tests/test_check_evidence.py
+++ b/tests/test_check_evidence.py
@@ -36,7 +36,7 @@
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
 from wasabigw.runtime.task import Stop
 from wasabigw.tasks.host_checker import HostChecker
-from wasabigw.tasks.packet_socket import make_packet_socket
+from wasabigw.tasks.packet_socket import NANOSECONDS, make_packet_socket
 
 
 class UnusedPorts(unittest.TestCase):
@@ -96,8 +96,8 @@
         receiver.bind(Endpoint("127.0.0.1", 0))
         caller.sendto(OPENING, receiver.address)
         time.sleep(FIRST_RETRANSMISSION)
-        set_back = time.time() - 2.0
-        with mock.patch("time.time", return_value=set_back):
+        set_back = time.time_ns() - 2 * NANOSECONDS
+        with mock.patch("time.time_ns", return_value=set_back):
             waited = receiver.receive().waited
         unknown = opening(listener_port=8443)
         decision = decide(unknown, self.state, Seconds(1.0), waited)
