fix: boots that have left are no references of a check

Callers of a lost backend server waited until their time was up if the check compared it with a boot that had left since it answered: its silence made the result unknown.

--- a/src/wasabigw/core/tags/unreachable_hosts.py
+++ b/src/wasabigw/core/tags/unreachable_hosts.py
@@ -159,6 +159,7 @@
         if server.breaker.last_response_at > since
         and server.breaker.failures == 0
         and server.registration.endpoint.address != address
+        and _is_in_use(server)
     ]
 
 
@@ -173,12 +174,17 @@
         for server in state.servers.values()
         if server.registration.failure_domain == boot.failure_domain
         and server.registration.endpoint.address != boot.endpoint.address
-        and not server.registration.silent
-        and server.registration.state is not RegistrationState.ENDED
+        and _is_in_use(server)
     ]
     return [s for s in nearby if s.breaker.failures == 0] or nearby
 
 
+def _is_in_use(server: Server) -> bool:
+    """Whether a boot may still run: what has left does not answer attempts."""
+    boot = server.registration
+    return not boot.silent and boot.state is not RegistrationState.ENDED
+
+
 def _latest(servers: list[Server], doubted: Server, count: int) -> list[Server]:
     """Backend servers on different hosts: of the same service, then latest to answer.
 
