core: notice silent backend servers in spite of short interruptions

Callers saw flows to a lost backend server hang, and its successor got no new flows, while the view of its home was stale for 0.25 s in every 2.5 s: each stale view or pause started the lease of all its backend servers again (listening_since), so that no silence lasted for a lease.

The home now also adds up the time between interruptions, without the first VIEW_LEASE of each piece, and compares it with ANNOUNCE_LEASE + ANNOUNCE_INTERVAL. Leaving out VIEW_LEASE makes up for the time in which a home that is cut off still has a fresh view; the additional interval covers the time from the last announcement to the cut. So a single interruption leaves a live server a whole lease afterwards, as before, and a server that is gone is still removed one lease after a single long one. Answers to callers follow the same rule, so that they don't expire while the home is paused.

A home that is never uninterrupted for longer than VIEW_LEASE still notices no silence; such a piece is too short to tell.

--- a/src/wasabigw/core/backend_home.py
+++ b/src/wasabigw/core/backend_home.py
@@ -148,6 +148,7 @@
     record = state.servers.get(backend_server)
     if record is not None:
         record.answered_at = now
+        record.missed_when_answered = state.missed
 
 
 def observe_shed(
--- a/src/wasabigw/core/home_announcements.py
+++ b/src/wasabigw/core/home_announcements.py
@@ -149,6 +149,7 @@
     record.announced = True
     _update_unrecorded_flows(record, announcement, state)
     record.lease = leases.renew(record.lease, now)
+    record.missed_when_heard = state.missed
     cold_start.report_load(record.detector, _load_is_bad(announcement))
     is_cold = announcement.state is BackendServerState.COLD
     cold_start.report_readiness(record.detector, is_cold)
@@ -181,9 +182,9 @@
     if heard_at(known) <= contender.first_at and is_contested(known, now):
         # Most likely a restart, so that new flows had better go elsewhere.
         admission.restart_ramp(known.admission, now)
-    if known.endpoint != announcement.endpoint and answers_callers(known, now):
+    if known.endpoint != announcement.endpoint and answers_callers(known, state, now):
         return False
-    return is_silent(known, state.listening_since, now)
+    return is_silent(known, state, now)
 
 
 def _new_record(
--- a/src/wasabigw/core/home_changes.py
+++ b/src/wasabigw/core/home_changes.py
@@ -48,6 +48,7 @@
     elif record is None or record.homed_since is None:
         gained = record_from_registration(server, state.cluster, now)
         gained.admission.open_flows = state.handed_over_counts.pop(server.id, 0)
+        gained.missed_when_heard = state.missed
         state.servers[server.id] = gained
     else:
         _update_confirmed_step(record, server, now)
--- a/src/wasabigw/core/home_records.py
+++ b/src/wasabigw/core/home_records.py
@@ -31,7 +31,12 @@
     ServiceId,
 )
 from wasabigw.core.states import BackendServerState, FlowLimit
-from wasabigw.core.timing import ANNOUNCE_INTERVAL, ANNOUNCE_LEASE, RAMP_STEPS
+from wasabigw.core.timing import (
+    ANNOUNCE_INTERVAL,
+    ANNOUNCE_LEASE,
+    RAMP_STEPS,
+    VIEW_LEASE,
+)
 
 MAX_HOMED_SERVERS = 4096
 """Limit on the backend servers homed at one node; further ones are refused."""
@@ -51,6 +56,21 @@
 A longer one means that the home was paused and may have missed announcements.
 """
 
+RESUMPTION_TIME = VIEW_LEASE
+"""Time after a pause or a stale view that does not count as listened.
+
+A home that is cut off counts the time until its view becomes stale, so it counts less
+by the same time afterwards. It also is longer than :data:`ANNOUNCE_INTERVAL`, so a
+backend server that runs is heard before silence counts again.
+"""
+
+INTERRUPTED_LEASE = Seconds(ANNOUNCE_LEASE + ANNOUNCE_INTERVAL)
+"""Silence, as far as the home listened, that ends a lease in spite of interruptions.
+
+The last announcement may have come an interval before the home was cut off, so that a
+single interruption still leaves a backend server a whole lease afterwards.
+"""
+
 ANSWER_MARGIN = Seconds(1.5 * ANNOUNCE_INTERVAL)
 """Time from the last announcement to an answer which shows that a server still runs.
 
@@ -58,6 +78,7 @@
 """
 
 NEVER = Seconds(float("-inf"))
+NONE = Seconds(0.0)
 LEAVING_STATES = (BackendServerState.DRAINING, BackendServerState.LEAVING)
 _RUNNING_STATES = (BackendServerState.COLD, BackendServerState.READY)
 
@@ -73,7 +94,10 @@
     :param overflow_flows: open flows that were passed to OVERFLOW candidates.
     :param last_sent: time of the last report of each kind.
     :param contenders: other boots that announce themselves under the id.
+    :param missed_when_heard: value of :attr:`HomeState.missed` at its last announcement
+        or, if there has been none since, when this node became its home.
     :param answered_at: when this home last saw an answer of it to a caller.
+    :param missed_when_answered: value of :attr:`HomeState.missed` then.
     """
 
     id: BackendServerId
@@ -93,7 +117,9 @@
     detector: ColdStartDetector = field(default_factory=ColdStartDetector)
     last_sent: dict[type[Report], Seconds] = field(default_factory=dict)
     contenders: Contenders = field(default_factory=dict)
+    missed_when_heard: Seconds = NONE
     answered_at: Seconds = NEVER
+    missed_when_answered: Seconds = NONE
 
 
 @dataclass(slots=True)
@@ -110,8 +136,9 @@
         it is the home.
     :param now: time of the last tick.
     :param last_event: time of the last event.
-    :param listening_since: end of the last time in which this node was paused or had
-        a stale view, so that it may have been unable to hear backend servers.
+    :param missed: total time that does not count as listened, because this node may
+        have been unable to hear backend servers.
+    :param listening_since: end of the last pause or stale view.
     """
 
     node: NodeId
@@ -123,6 +150,7 @@
     handed_over_counts: dict[BackendServerId, int] = field(default_factory=dict)
     now: Seconds = NEVER
     last_event: Seconds = NEVER
+    missed: Seconds = NONE
     listening_since: Seconds = NEVER
 
 
@@ -174,14 +202,17 @@
 
 
 def update_listening(state: HomeState, now: Seconds) -> None:
-    """Update since when this node has been able to hear its backend servers.
+    """Update for how long this node has been unable to hear its backend servers.
 
     It has to be called for each event, before leases are compared with the time.
     """
-    was_paused = now - state.last_event > MAX_EVENT_GAP
-    if (was_paused and state.last_event != NEVER) or not has_fresh_view(state, now):
+    previous, state.last_event = state.last_event, now
+    if previous == NEVER:
+        return
+    if now - previous > MAX_EVENT_GAP or not has_fresh_view(state, now):
         state.listening_since = now
-    state.last_event = now
+    missed_until = min(now, state.listening_since + RESUMPTION_TIME)
+    state.missed = Seconds(state.missed + max(0.0, missed_until - previous))
 
 
 def due_reports(
@@ -238,11 +269,10 @@
     now: Seconds,
 ) -> Iterator[Report]:
     remove_expired(record.contenders, now)
-    # Under a stale view, `listening_since` is the time of this event. A contender
-    # takes over at its next announcement, and keeps the buckets then.
-    if record.contenders or not is_silent(record, state.listening_since, now):
+    # A contender takes over at its next announcement, and keeps the buckets then.
+    if record.contenders or not is_silent(record, state, now):
         return
-    if not answers_callers(record, now):
+    if not answers_callers(record, state, now):
         yield BackendServerDown(registered.id, registered.boot_id)
     elif registered.step != RAMP_STEPS[0]:
         # Most of its new flows go elsewhere, and its open flows stay.
@@ -255,13 +285,31 @@
     return NEVER if record.lease is None else record.lease.renewed_at
 
 
-def is_silent(record: HomedServer, listening_since: Seconds, now: Seconds) -> bool:
+def is_silent(record: HomedServer, state: HomeState, now: Seconds) -> bool:
     """Whether this home has listened to the known boot in vain for a lease."""
     homed_since = NEVER if record.homed_since is None else record.homed_since
-    return now - max(heard_at(record), homed_since, listening_since) >= ANNOUNCE_LEASE
+    heard = max(heard_at(record), homed_since)
+    return _lease_has_ended(heard, record.missed_when_heard, state, now)
 
 
-def answers_callers(record: HomedServer, now: Seconds) -> bool:
+def _lease_has_ended(
+    since: Seconds, missed_before: Seconds, state: HomeState, now: Seconds
+) -> bool:
+    """Whether this home has listened for a lease since a time.
+
+    It has done so in one piece, or in pieces of which the first part does not count. If
+    only one piece counted, a home with slow polls would never notice a silence.
+
+    :param missed_before: value of :attr:`HomeState.missed` at that time.
+    """
+    if now - max(since, state.listening_since) >= ANNOUNCE_LEASE:
+        return True
+    if now - state.listening_since < RESUMPTION_TIME:
+        return False
+    return now - since - (state.missed - missed_before) >= INTERRUPTED_LEASE
+
+
+def answers_callers(record: HomedServer, state: HomeState, now: Seconds) -> bool:
     """Whether answers show that a backend server runs although it is silent here.
 
     Answers reach the home through other balancers, too, so that a path that is cut
@@ -270,7 +318,9 @@
     homed_since = NEVER if record.homed_since is None else record.homed_since
     heard = max(heard_at(record), homed_since)
     is_later = record.answered_at - heard > ANSWER_MARGIN
-    return is_later and now - record.answered_at < ANNOUNCE_LEASE
+    return is_later and not _lease_has_ended(
+        record.answered_at, record.missed_when_answered, state, now
+    )
 
 
 def is_contested(record: HomedServer, now: Seconds) -> bool:
--- a/tests/test_silent_backend_servers.py
+++ b/tests/test_silent_backend_servers.py
@@ -41,6 +41,51 @@
         home.run(2)
         self.assertIn(B1, home.cluster.backend_servers)
 
+    def test_a_server_has_a_lease_after_a_short_cut(self) -> None:
+        """The home counts silence in pieces, and a view is fresh early in a cut.
+
+        The last announcement came almost an interval before the cut.
+        """
+        for cut in (1.75, 2.0, 2.5):
+            with self.subTest(cut):
+                home = HomeFixture()
+                home.run(5)
+                home.now += 0.75
+                fresh_until = ids.Seconds(home.now + VIEW_LEASE)
+                backend_home.confirm_view(home.state, fresh_until)
+                self.tick(home, cut)
+                backend_home.confirm_view(home.state, ids.Seconds(1e9))
+                self.tick(home, ANNOUNCE_LEASE - 0.25)
+                self.assertIn(B1, home.cluster.backend_servers)
+                home.announce()
+                home.run(5)
+                self.assertIn(B1, home.cluster.backend_servers)
+
+    def tick(self, home: HomeFixture, seconds: float) -> None:
+        for _ in range(round(seconds / 0.25)):
+            home.now += 0.25
+            home.handle(backend_home.HomeTick(ids.Seconds(home.now)))
+
+    def test_a_server_that_is_heard_between_pauses_stays(self) -> None:
+        """It announces itself once in each time in which the home runs."""
+        home = HomeFixture()
+        home.run(5)
+        for _ in range(30):
+            self.wake(home, 1.5)
+            self.tick(home, 1.25)
+            home.announce()
+            self.tick(home, 0.5)
+        self.assertIn(B1, home.cluster.backend_servers)
+
+    def test_a_server_that_is_lost_between_pauses_is_removed(self) -> None:
+        home = HomeFixture()
+        home.run(5)
+        for _ in range(30):
+            self.wake(home, 1.5)
+            backend_home.confirm_view(home.state, ids.Seconds(1e9))
+            self.tick(home, 2.0)
+        self.assertNotIn(B1, home.cluster.backend_servers)
+
     def test_servers_that_stay_silent_are_removed_one_lease_later(self) -> None:
         home = HomeFixture()
         home.run(5)
