core: remove a lost backend server while its successors crash

Callers' flows stayed assigned to a lost backend server while boots under its id crashed before their second announcement: any contender, also one that had announced itself once, held BackendServerDown back, and each boot of the crash loop was a new one.

Only a contender that is shown to run (two announcements half an interval apart) holds the report back now. It takes over at its next announcement, and keeps the buckets then. If it crashes first, it expires one lease after its last announcement; after a lease of silence, no further one can hold the report back without taking over. A restart whose second announcement comes after the lease registers anew instead of taking over: it starts at the first ramp step in either case, and its buckets move twice.

--- a/src/wasabigw/core/home_records.py
+++ b/src/wasabigw/core/home_records.py
@@ -20,7 +20,12 @@
     BackendServerUp,
     Report,
 )
-from wasabigw.core.contenders import Contenders, contends_for, remove_expired
+from wasabigw.core.contenders import (
+    Contenders,
+    contends_for,
+    is_running,
+    remove_expired,
+)
 from wasabigw.core.home_events import HomeDecision, SendReports
 from wasabigw.core.ids import (
     BackendServerId,
@@ -269,8 +274,12 @@
     now: Seconds,
 ) -> Iterator[Report]:
     remove_expired(record.contenders, now)
-    # A contender takes over at its next announcement, and keeps the buckets then.
-    if record.contenders or not is_silent(record, state, now):
+    if not is_silent(record, state, now):
+        return
+    # A contender that runs takes over at its next announcement, and keeps the buckets
+    # then; if it has crashed, it expires. Those that announced themselves once don't
+    # count, because there may always be another one in a crash loop.
+    if any(map(is_running, record.contenders.values())):
         return
     if not answers_callers(record, state, now):
         yield BackendServerDown(registered.id, registered.boot_id)
--- a/tests/test_late_home_announcements.py
+++ b/tests/test_late_home_announcements.py
@@ -5,7 +5,9 @@
 from tests.test_backend_home import B1, HomeFixture
 from wasabigw.core import commands
 from wasabigw.core.admission import AdmissionVerdict
+from wasabigw.core.backend_home import HomeTick
 from wasabigw.core.cluster import Endpoint
+from wasabigw.core.ids import Seconds
 from wasabigw.core.log_messages import AnnouncementAccepted, AnnouncementRefused
 from wasabigw.core.states import BackendServerState
 from wasabigw.core.timing import ANNOUNCE_INTERVAL, ANNOUNCE_LEASE
@@ -97,6 +99,32 @@
                 self.assertEqual(home.step(), 1)
                 self.assertEqual(home.admitted(), 1)
 
+    def test_a_restart_that_takes_most_of_a_lease_is_registered(self) -> None:
+        """The earlier boot is reported down before its second announcement."""
+        home = HomeFixture()
+        home.run(20, "first")
+        home.run(2, None)
+        home.now += 0.5
+        home.announce("second")
+        home.now += 0.5
+        home.handle(HomeTick(Seconds(home.now)))
+        self.assertEqual(home.cluster.backend_servers, {})
+        home.now += 0.5
+        home.announce("second")
+        self.assertEqual(registered_boot(home), "second")
+        self.assertEqual(home.step(), 1)
+
+    def test_a_boot_that_crashes_after_two_announcements_delays_it_by_a_lease(
+        self,
+    ) -> None:
+        """Later boots that crash sooner don't keep the earlier boot registered."""
+        home = HomeFixture()
+        home.run(20, "first")
+        home.run(2, "second")
+        for boot in ("third", "fourth", "fifth"):
+            home.run(1, boot)
+        self.assertEqual(home.cluster.backend_servers, {})
+
     def test_it_is_registered_at_once_after_the_earlier_boot_left(self) -> None:
         home = HomeFixture()
         home.run(20, "first")
