--- a/tests/test_check_evidence.py
+++ b/tests/test_check_evidence.py
@@ -7,7 +7,7 @@
 from typing import Any, ClassVar
 from unittest import mock
 
-from tests.test_host_checker import check_of
+from tests.test_host_checker import WAIT, HostCheckerCase, check_of
 from tests.test_late_openings import FIRST_RETRANSMISSION
 from tests.test_live_servers import request
 from tests.test_lost_servers import (
@@ -60,6 +60,20 @@
         self.assertIs(status, HostStatus.UNKNOWN)
 
 
+class Refusals(HostCheckerCase):
+    """Guards against a drain that a result does not respect.
+
+    The balancer looks up the drain at the end of a check if the host refused.
+    """
+
+    def test_a_result_tells_whether_the_host_refused(self) -> None:
+        for host, is_refused in ((self.closed(), True), (self.silent(), False)):
+            self.checker.mailbox.post(check_of(host, (self.listen(),)))
+            result = self.results.get(WAIT).unwrap()
+            self.assertIs(result.status, HostStatus.UNREACHABLE)
+            self.assertIs(result.is_refused, is_refused)
+
+
 class FormerReferences(LostServerCase):
     """Guards against references that have ended since they answered.
 
