--- a/src/wasabigw_verify/evidence_model/aimed.py
+++ b/src/wasabigw_verify/evidence_model/aimed.py
@@ -42,6 +42,15 @@
     )
 
 
+def _agreeing(
+    parts: tuple[ServerSettings, list[ServerSettings]],
+) -> tuple[ServerSettings, ...]:
+    """Backend servers of which all of a service accept connections, or none does."""
+    servers = (parts[0], *parts[1])
+    listens = {s.service: s.accepts_connections for s in reversed(servers)}
+    return tuple(replace(s, accepts_connections=listens[s.service]) for s in servers)
+
+
 doubted_callers = st.builds(
     _caller,
     fine_times,
@@ -101,7 +110,7 @@
     ).map(lambda parts: tuple(parts[0] + parts[1])),
     servers=st.tuples(
         doubted_servers, st.lists(other_servers, min_size=1, max_size=3)
-    ).map(lambda parts: (parts[0], *parts[1])),
+    ).map(_agreeing),
     balancers=st.builds(
         BalancerSettings,
         link_megabits=st.sampled_from([None, None, 0.1]),
@@ -248,5 +257,10 @@
 )
 """Scenarios that are close to those in which a planted fault is found."""
 aimed_scenarios = st.one_of(
-    variants, variants, hosts_that_look_lost, late_copies, hosts_that_are_back
+    variants,
+    variants,
+    variants,
+    hosts_that_look_lost,
+    late_copies,
+    hosts_that_are_back,
 )
