--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 .PHONY: setup test lint format types demo
 .PHONY: tour process-faults compare-mapping capacity bench fault-matrix log-check
-.PHONY: golden measure soak evidence-model
+.PHONY: golden measure soak evidence-model planted-faults
 
 setup: $(VENV)/.installed
 
@@ -59,6 +59,10 @@
 evidence-model: setup
 	$(BIN)/python -m wasabigw_verify.evidence_model --examples 5000
 
+planted-faults: setup
+	$(BIN)/python -m wasabigw_verify.evidence_model --worlds aimed --planted all \
+		--examples 2000 --seed 92
+
 golden: setup
 	$(BIN)/python -m wasabigw_verify.golden
 
--- a/src/wasabigw_verify/evidence_model/aimed.py
+++ b/src/wasabigw_verify/evidence_model/aimed.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from wasabigw_verify.evidence_model.balancers import BalancerSettings
-from wasabigw_verify.evidence_model.boots import ServerSettings
+from wasabigw_verify.evidence_model.boots import ServerSettings, Workload
 from wasabigw_verify.evidence_model.callers import CallerPlan, TagTaken
 from wasabigw_verify.evidence_model.case_parts import (
     ALWAYS,
@@ -21,7 +21,7 @@
 from wasabigw_verify.evidence_model.strategies import TROUBLES
 from wasabigw_verify.evidence_model.transport import Acknowledging
 
-LARGE_UPLOAD = 60_000
+UPLOAD = Workload(60_000, 600)
 EXTRA_TROUBLE = 0.2
 """Share of the variants that have one trouble more."""
 fine_times = st.integers(0, 60).map(lambda steps: 0.5 + steps / 40)
@@ -33,15 +33,6 @@
     return tuple(disturbance for part in parts for disturbance in part)
 
 
-def _caller(start: float, requests: int, first_pause: float, size: int) -> CallerPlan:
-    workload = {1: ONE_PACKET, 2: TWO_PACKETS}.get(size)
-    if workload is None:
-        workload = type(ONE_PACKET)(LARGE_UPLOAD, 600)
-    return CallerPlan(
-        start, requests=requests, pause=1.0, first_pause=first_pause, workload=workload
-    )
-
-
 def _agreeing(
     parts: tuple[ServerSettings, list[ServerSettings]],
 ) -> tuple[ServerSettings, ...]:
@@ -52,11 +43,14 @@
 
 
 doubted_callers = st.builds(
-    _caller,
-    fine_times,
-    st.integers(1, 2),
-    st.sampled_from([0.0, 0.0, 0.15, 0.6, 1.0]),
-    st.sampled_from([1, 1, 2, 2, 3]),
+    CallerPlan,
+    start=fine_times,
+    requests=st.integers(1, 2),
+    first_pause=st.sampled_from([0.0, 0.0, 0.15, 0.6, 1.0]),
+    workload=st.sampled_from(
+        [ONE_PACKET, ONE_PACKET, TWO_PACKETS, TWO_PACKETS, UPLOAD]
+    ),
+    pause=st.just(1.0),
 )
 answered_callers = st.builds(
     CallerPlan,
