--- a/src/wasabigw_verify/matrix.py
+++ b/src/wasabigw_verify/matrix.py
@@ -13,6 +13,7 @@
 from multiprocessing import get_context
 from pathlib import Path
 
+import typer
 from absl import logging
 
 from wasabigw_verify.harness.faults import INJECTORS, Fault
@@ -140,8 +141,8 @@
     return render(singles, pairs, outcome_counts)
 
 
-def main() -> int:
-    """Run the matrix; return 0 only if no cell failed unexpectedly."""
+def main() -> None:
+    """Run all cells of the fault matrix and write docs/faults.md."""
     results = run_cells([*single_cells(), *pair_cells()])
     singles = results[: len(single_cells())]
     page = make_page(singles, results[len(singles) :])
@@ -151,8 +152,8 @@
     failures = unexpected_failures(results)
     for result in failures:
         print(f"FAILED {result.cell.name}: {result.detail}")
-    return 1 if failures else 0
+    sys.exit(bool(failures))
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    typer.run(main)
