--- a/src/wasabigw/core/declaration.py
+++ b/src/wasabigw/core/declaration.py
@@ -11,6 +11,7 @@
 from wasabigw.core.endpoint import Endpoint, endpoint_key, endpoint_problem
 from wasabigw.core.ids import Seconds, ServiceId
 from wasabigw.core.numbers import MAX_EXACT_INTEGER
+from wasabigw.core.requirements import Requirements
 
 DEFAULT_IDLE_TIMEOUT = Seconds(15.0)
 """Idle time after which a flow may be dropped, unless the document sets another."""
@@ -33,11 +34,13 @@
 
     :param shares: services that take the flows.
     :param request_timeout: longest duration of a request on such a flow.
+    :param requirements: what its callers need; ``None`` if that is not declared.
     """
 
     endpoint: Endpoint
     shares: tuple[ServiceShare, ...]
     request_timeout: Seconds
+    requirements: Requirements | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wasabigw/core/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load of backend servers as balancers count it and relays sum it."""
--- /dev/null
+++ b/src/wasabigw/core/load/figures.py
@@ -0,0 +1,94 @@
+"""Load figures: what balancers report to relays, and what relays return.
+
+Figures are soft state. They are lost with their owner, expire by their age, and only
+decide where new flows go; they never end a flow.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from wasabigw.core.ids import (
+    FailureDomainId,
+    Incarnation,
+    NodeId,
+    Seconds,
+    ServiceId,
+    Tag,
+)
+
+REPORT_INTERVAL = Seconds(1.0)
+"""Time between two reports of a balancer."""
+COUNT_WINDOW = Seconds(2.0)
+"""Time over which openings and answers are counted."""
+FIGURES_TTL = Seconds(4.0)
+"""Age from which figures are ignored, so that decisions fall back to own counts."""
+MAX_REPORTED_SERVERS = 100
+"""Backend servers in one report or response, which limits its bytes."""
+
+
+class ServerFigures(NamedTuple):
+    """Load of one boot of a backend server, at one balancer or summed over several.
+
+    :param flows: open flows.
+    :param in_flight: requests that were sent to it and have no answer yet.
+    :param openings: openings sent to it within :data:`COUNT_WINDOW`.
+    :param answers: first answers that callers acknowledged within that time.
+    :param answer_time: sum of the times from a request to its first answer.
+    """
+
+    tag: Tag
+    flows: int
+    in_flight: int
+    openings: int
+    answers: int
+    answer_time: Seconds
+
+
+class ServiceFigures(NamedTuple):
+    """Load of the backend servers of a service in one failure domain.
+
+    :param in_flight: as in :class:`ServerFigures`, summed.
+    :param arrivals: openings of callers that arrived at balancers of this failure
+        domain within :data:`COUNT_WINDOW`, wherever they were sent.
+    """
+
+    service: ServiceId
+    failure_domain: FailureDomainId
+    flows: int
+    in_flight: int
+    arrivals: int
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What one balancer has counted; a later one replaces it.
+
+    :param incarnation: of the balancer's process; sequences start again with it.
+    :param sequence: increases with each report, so that a late one is ignored.
+    :param share: part of the known backend servers that the report names; the relay
+        divides by it, so that sums stay right when a report is limited to a sample.
+    """
+
+    node: NodeId
+    incarnation: Incarnation
+    failure_domain: FailureDomainId
+    sequence: int
+    share: float
+    servers: tuple[ServerFigures, ...]
+    services: tuple[ServiceFigures, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadSums:
+    """Sums of the reports of several balancers, without those of the receiver.
+
+    :param age: mean age of the reports when the response was sent.
+    :param balancers: number of balancers whose reports were summed.
+    :param servers: those whose load differs most from the mean of their service; the
+        others have about the mean.
+    """
+
+    age: Seconds
+    balancers: int
+    servers: tuple[ServerFigures, ...]
+    services: tuple[ServiceFigures, ...]
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -18,10 +18,12 @@
     ServiceId,
     Tag,
 )
+from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.caller_diversion import Diversion
 from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.egress import EgressQueue
+from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
 from wasabigw.core.tags.host_checks import HostCheck
 from wasabigw.core.tags.packets import FlowId
@@ -122,6 +124,8 @@
     :param running_checks: tags of the boots whose hosts are being checked.
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
+    :param features: parts that operators have left switched on.
+    :param known_load: load of backend servers from other balancers.
     """
 
     node: NodeId
@@ -143,6 +147,8 @@
     host_checks: list[HostCheck] = field(default_factory=list)
     running_checks: set[Tag] = field(default_factory=set)
     health_changes: list[HealthChange] = field(default_factory=list)
+    features: Features = field(default_factory=Features)
+    known_load: KnownLoad = field(default_factory=KnownLoad)
 
     @property
     def has_view(self) -> bool:
