load: count, report and sum the load of backend servers

Change: core/load/counting.py counts requests in flight, openings and answers by hooks of a line each in steering.py; reporting.py makes a report each second if a listener declares requirements; sums.py sums the reports at a relay, bounded by bounds.py; codec/load.py encodes them. The view follower sends the latest report with its next poll, and the response brings the sums of the others. ViewUpdate no longer has the key load: sums are decoded apart from the view, so that malformed ones cost no view, and reach the packet task as ReportAnswered. LoadReport has its age. A response names 48 backend servers, a report 75.

--- a/src/wasabigw/core/delivery_view.py
+++ b/src/wasabigw/core/delivery_view.py
@@ -16,7 +16,6 @@
     Seconds,
     Tag,
 )
-from wasabigw.core.load.figures import LoadSums
 from wasabigw.core.registration import DeclaredDocument, Registration
 
 
@@ -61,7 +60,6 @@
     :param is_whole: whether the update is a complete view that replaces the previous
         one.
     :param document: ``None`` if it has not changed.
-    :param load: load figures of other balancers; ``None`` from a source without them.
     """
 
     revision: Revision
@@ -73,7 +71,6 @@
     forgotten_at: Revision
     out_of_service: tuple[FailureDomainId, ...]
     sources: tuple[Source, ...]
-    load: LoadSums | None = None
 
 
 def update_since(view: DeliveryView, after: Revision, fresh_for: Seconds) -> ViewUpdate:
--- a/src/wasabigw/core/load/figures.py
+++ b/src/wasabigw/core/load/figures.py
@@ -22,8 +22,15 @@
 """Time over which openings and answers are counted."""
 FIGURES_TTL = Seconds(4.0)
 """Age from which figures are ignored, so that decisions fall back to own counts."""
-MAX_REPORTED_SERVERS = 100
-"""Backend servers in one report or response, which limits its bytes."""
+MAX_REPORTED_SERVERS = 75
+"""Backend servers in one report; with more, the sums of a sample are less exact.
+
+A report and the response to it share the 1.5 KB/s that polls leave of 3 KB/s.
+"""
+MAX_RETURNED_SERVERS = 48
+"""Backend servers in one response; the others have about the mean of their service."""
+MAX_REPORTED_SERVICES = 24
+"""Pairs of service and failure domain in one report or response."""
 
 
 class ServerFigures(NamedTuple):
@@ -67,6 +74,7 @@
     :param sequence: increases with each report, so that a late one is ignored.
     :param share: part of the known backend servers that the report names; the relay
         divides by it, so that sums stay right when a report is limited to a sample.
+    :param age: time from its counts to when it was sent.
     """
 
     node: NodeId
@@ -76,6 +84,7 @@
     share: float
     servers: tuple[ServerFigures, ...]
     services: tuple[ServiceFigures, ...]
+    age: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wasabigw/core/load/reporting.py
@@ -0,0 +1,116 @@
+"""Reports of what a balancer has counted."""
+
+from collections.abc import Callable, Sequence
+
+from wasabigw.core.ids import Incarnation, Seconds, ServiceId
+from wasabigw.core.load.figures import (
+    COUNT_WINDOW,
+    MAX_REPORTED_SERVERS,
+    MAX_REPORTED_SERVICES,
+    LoadReport,
+    ServerFigures,
+    ServiceFigures,
+)
+from wasabigw.core.load.known import ServiceKey
+from wasabigw.core.tags.state import Server, TagState
+
+Sample = Callable[[Sequence[ServerFigures], int], Sequence[ServerFigures]]
+"""Returns a random sample of a given size without repetition."""
+
+
+def make_report(
+    state: TagState, incarnation: Incarnation, now: Seconds, sample: Sample
+) -> LoadReport:
+    """Make the next report, and begin the next period of the counts.
+
+    :param sample: selects the backend servers if there are too many for one report.
+    """
+    load = state.load
+    load.sequence += 1
+    scale = min(1.0, COUNT_WINDOW / max(now - load.previous_began, 1e-3))
+    servers = _server_figures(state, scale)
+    services = _service_figures(state, scale)
+    _begin_period(state, now)
+    share = 1.0
+    if len(servers) > MAX_REPORTED_SERVERS:
+        share = MAX_REPORTED_SERVERS / len(servers)
+        servers = list(sample(servers, MAX_REPORTED_SERVERS))
+    return LoadReport(
+        state.node,
+        incarnation,
+        state.failure_domain,
+        load.sequence,
+        share,
+        tuple(servers),
+        tuple(services),
+    )
+
+
+def _server_figures(state: TagState, scale: float) -> list[ServerFigures]:
+    """Figures of the backend servers that have any load.
+
+    :param scale: corrects for periods that took longer, such as after a suspension.
+    """
+    figures = (_figures_of(server, scale) for server in state.servers.values())
+    return [f for f in figures if f.flows or f.in_flight or f.openings or f.answers]
+
+
+def _figures_of(server: Server, scale: float) -> ServerFigures:
+    counts = server.counts
+    return ServerFigures(
+        server.registration.tag,
+        server.open_flows,
+        counts.in_flight,
+        round((counts.openings + counts.previous_openings) * scale),
+        round((counts.answers + counts.previous_answers) * scale),
+        Seconds((counts.answer_time + counts.previous_answer_time) * scale),
+    )
+
+
+def _service_figures(state: TagState, scale: float) -> list[ServiceFigures]:
+    """Exact sums of each service, also if the report names only a sample of servers."""
+    load, home = state.load, state.failure_domain
+    flows: dict[ServiceKey, int] = {}
+    in_flight: dict[ServiceKey, int] = {}
+    for server in state.servers.values():
+        if server.open_flows or server.counts.in_flight:
+            key = server.registration.service, server.registration.failure_domain
+            flows[key] = flows.get(key, 0) + server.open_flows
+            in_flight[key] = in_flight.get(key, 0) + server.counts.in_flight
+    arrivals = {
+        service: round(scale * recent_arrivals(service, state))
+        for service in {**load.previous_arrivals, **load.arrivals}
+    }
+    keys = {*flows, *((service, home) for service in arrivals)}
+    found = [
+        ServiceFigures(
+            service,
+            domain,
+            flows.get((service, domain), 0),
+            in_flight.get((service, domain), 0),
+            arrivals.get(service, 0) if domain == home else 0,
+        )
+        for service, domain in sorted(keys)
+    ]
+    found.sort(key=lambda f: (f.in_flight + f.arrivals, f.flows), reverse=True)
+    return found[:MAX_REPORTED_SERVICES]
+
+
+def recent_arrivals(service: ServiceId, state: TagState) -> int:
+    """Openings of callers for a service that this balancer counted recently."""
+    load = state.load
+    return load.arrivals.get(service, 0) + load.previous_arrivals.get(service, 0)
+
+
+def _begin_period(state: TagState, now: Seconds) -> None:
+    load = state.load
+    load.previous_began, load.period_began = load.period_began, now
+    load.previous_arrivals, load.arrivals = load.arrivals, {}
+    for server in state.servers.values():
+        counts = server.counts
+        if counts.openings or counts.previous_openings:
+            counts.previous_openings, counts.openings = counts.openings, 0
+        if counts.answers or counts.previous_answers:
+            counts.previous_answers, counts.answers = counts.answers, 0
+            counts.previous_answer_time = counts.answer_time
+            counts.answer_time = 0.0
--- a/src/wasabigw/core/tags/flow_table.py
+++ b/src/wasabigw/core/tags/flow_table.py
@@ -1,6 +1,7 @@
 """Table of the flows that pass a balancer, with the load of each backend server."""
 
 from wasabigw.core.ids import Seconds
+from wasabigw.core.load.counting import end_request
 from wasabigw.core.tags.openings import discard_opening
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import Flow, FlowState, Server, TagState
@@ -15,7 +16,8 @@
     """Add the flow of a packet; ``None`` if the table is full."""
     if len(state.flows) >= MAX_FLOWS:
         return None
-    flow = state.flows[packet.flow] = Flow(server, now, now, packet.sequence)
+    flow = Flow(server, now, now, packet.sequence, sent_until=packet.sequence)
+    state.flows[packet.flow] = flow
     server.open_flows += 1
     return flow
 
@@ -27,6 +29,7 @@
         return
     if known.state is not FlowState.CLOSED:
         known.server.open_flows -= 1
+    end_request(known)
     discard_opening(flow, state)
 
 
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -18,6 +18,7 @@
     ServiceId,
     Tag,
 )
+from wasabigw.core.load.counts import LoadCounts, ServerCounts
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.caller_diversion import Diversion
@@ -41,6 +42,7 @@
     :param cold_until: until when it gets no new flows while a warm one is available.
     :param open_flows: flows to it that pass this balancer and have not closed.
     :param receiver: which backend server at its endpoint takes packets of open flows.
+    :param counts: requests, openings and answers that pass this balancer.
     """
 
     registration: Registration
@@ -49,6 +51,7 @@
     open_flows: int = 0
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
     receiver: Receiver = Receiver.NAMED
+    counts: ServerCounts = field(default_factory=ServerCounts)
 
 
 class FlowState(Enum):
@@ -71,6 +74,10 @@
     :param acknowledged: latest acknowledgement of the caller.
     :param pending_sequence: sequence number of the data that waits for an answer.
     :param pending_since: when that data was first sent to the backend server.
+    :param is_in_flight: whether a request on it is counted as in flight.
+    :param is_upload: whether that request takes more than one burst of packets.
+    :param sent_until: sequence number after the latest data that was counted.
+    :param acknowledged_before: acknowledgement that the request in flight began with.
     """
 
     server: Server
@@ -81,6 +88,10 @@
     acknowledged: int = 0
     pending_sequence: int | None = None
     pending_since: Seconds = NEVER
+    is_in_flight: bool = False
+    is_upload: bool = False
+    sent_until: int = 0
+    acknowledged_before: int = 0
 
 
 class Opening(NamedTuple):
@@ -125,6 +136,7 @@
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
     :param features: parts that operators have left switched on.
+    :param load: counts for the next report, besides those of each backend server.
     :param known_load: load of backend servers from other balancers.
     """
 
@@ -148,6 +160,7 @@
     running_checks: set[Tag] = field(default_factory=set)
     health_changes: list[HealthChange] = field(default_factory=list)
     features: Features = field(default_factory=Features)
+    load: LoadCounts = field(default_factory=LoadCounts)
     known_load: KnownLoad = field(default_factory=KnownLoad)
 
     @property
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -8,6 +8,15 @@
 
 from wasabigw.core.durations import Durations, record_duration
 from wasabigw.core.ids import Seconds
+from wasabigw.core.load.counting import (
+    count_acknowledgement,
+    count_arrival,
+    count_data,
+    count_opening,
+    discard_lost_data,
+    discard_lost_opening,
+    end_request,
+)
 from wasabigw.core.tags import caller_diversion
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
@@ -101,6 +110,7 @@
         reason = RefusalReason.NO_LISTENER
         return _reject_opening(packet, reason, state, now, waited)
     service = service_of(listener, flow)
+    count_arrival(packet, service, state)
     pool = state.pools.get(service, ())
     avoided = tried_servers(flow.caller, state, now)
     known = state.flows.get(flow)
@@ -132,6 +142,7 @@
     caller_diversion.record_outcome(
         state.diversion, _counts_as_served(server, choice, pool, state)
     )
+    count_opening(server)
     if add_flow(packet, server, state, now) is not None:
         record_opening(flow, server, state, now)
     return Deliver(packet, server.registration, choice)
@@ -232,9 +243,11 @@
     if is_waiting(state.egress, packet):
         # The backend server has not been sent the first copy yet.
         return False
+    count_data(packet, flow)
     if flow.pending_sequence is None:
         _expect_answer(flow, packet.sequence, now)
     elif _shows_progress(packet, flow.pending_sequence):
+        flow.is_upload = True
         _record_response(flow.server, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
@@ -293,9 +306,11 @@
         return
     if packet.is_opening:
         if flow.state is FlowState.OPENING:
+            discard_lost_opening(flow.server)
             remove_flow(packet.flow, state)
     elif packet.length and packet.sequence == flow.pending_sequence:
         flow.pending_sequence = None
+        discard_lost_data(packet, flow)
 
 
 def _record_use(
@@ -316,6 +331,7 @@
     if was_opening:
         known.state = FlowState.OPEN
     if was_opening or known.acknowledged != packet.acknowledged:
+        count_acknowledgement(packet, known, now)
         known.acknowledged = packet.acknowledged
         if known.pending_sequence is not None:
             known.pending_sequence = None
@@ -346,6 +362,8 @@
     if known.state is not FlowState.CLOSED:
         known.state = FlowState.CLOSED
         server.open_flows -= 1
+    count_acknowledgement(packet, known, now)
+    end_request(known)
     known.last_seen = now
     known.acknowledged = packet.acknowledged
     known.pending_sequence = None
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -14,7 +14,7 @@
     update_since,
 )
 from wasabigw.core.endpoint import Endpoint, endpoint_key
-from wasabigw.core.ids import NO_REVISION, Revision, Seconds
+from wasabigw.core.ids import NO_REVISION, NodeId, Revision, Seconds
 from wasabigw.core.numbers import whole_number
 from wasabigw.core.view_lease import NEVER
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
@@ -23,6 +23,7 @@
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
+from wasabigw.tasks.relay_load import RelayLoad
 from wasabigw.tasks.view_file import StoreView
 from wasabigw.tasks.view_follower import ViewReceived
 from wasabigw.tasks.view_names import VIEW_PATH
@@ -46,10 +47,16 @@
 
 @dataclass(frozen=True, slots=True)
 class _HeldPoll:
+    """A poll that waits for a change.
+
+    :param reporter: balancer whose load report came with it.
+    """
+
     request: LightRequest
     after: Revision
     received: Seconds
     until: Seconds
+    reporter: NodeId | None
 
 
 class RelayTask(SelectorTask[ViewReceived | Tick]):
@@ -78,6 +85,7 @@
         self._confirmed_at = NEVER
         self._was_fresh = False
         self._held: list[_HeldPoll] = []
+        self._load = RelayLoad()
         self._is_file_current = True
         self._is_from_file = stored is not None
         if stored is not None:
@@ -124,6 +132,7 @@
     @receive.register
     def _(self, message: Tick) -> None:
         self._respond_to_due_polls(message.now)
+        self._load.expire(message.now)
         self._log_stale(message.now)
         if not self._is_file_current:
             self._is_file_current = True
@@ -179,7 +188,10 @@
             return
         now = monotonic()
         wait = min(Seconds(wait_ms / 1000), MAX_WAIT)
-        poll = _HeldPoll(request, Revision(after), now, Seconds(now + wait))
+        report = _query_text("load", query)
+        reporter = self._load.receive_report(report, now) if report else None
+        until = Seconds(now + wait)
+        poll = _HeldPoll(request, Revision(after), now, until, reporter)
         if self._is_due(poll, now):
             self._respond(poll, now)
         else:
@@ -205,7 +217,10 @@
         is_fresh = now < self._fresh_until
         fresh_for = Seconds(self._fresh_until - poll.received if is_fresh else 0.0)
         update = update_since(self._view, poll.after, fresh_for)
-        poll.request.connection.respond(HTTPStatus.OK, encode_update(update))
+        response = encode_update(update)
+        if poll.reporter is not None:
+            response = self._load.add_sums(response, poll.reporter, self._view, now)
+        poll.request.connection.respond(HTTPStatus.OK, response)
 
     def _metric_families(self) -> list[Family]:
         now = monotonic()
@@ -238,15 +253,22 @@
                 self._is_from_file,
             ),
             declared_version(self._version),
+            *self._load.families(now),
         ]
 
 
 def _query_number(name: str, query: str) -> int | None:
     """Whole number of a query parameter; ``None`` if it is missing or malformed."""
+    text = _query_text(name, query)
+    return None if text is None else whole_number(text)
+
+
+def _query_text(name: str, query: str) -> str | None:
+    """Text of a query parameter; ``None`` if it is missing."""
     for part in query.split("&"):
         key, _, value = part.partition("=")
         if key == name:
-            return whole_number(value)
+            return value
     return None
 
 
--- a/src/wasabigw/tasks/tag_balancer.py
+++ b/src/wasabigw/tasks/tag_balancer.py
@@ -9,10 +9,12 @@
 
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
+from wasabigw.core.load.figures import REPORT_INTERVAL
 from wasabigw.core.sources import SourceState
 from wasabigw.runtime.composite import CompositeContext
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import TimerService, monotonic
+from wasabigw.tasks.load_messages import ReportLoadTo
 from wasabigw.tasks.tag_messages import (
     BeginTagDrain,
     TagBalancerStatus,
@@ -21,6 +23,7 @@
 from wasabigw.tasks.tag_packet_task import (
     MAINTENANCE_PERIOD,
     MAINTENANCE_TICK,
+    REPORT_TICK,
     TagPacketSettings,
     TagPacketTask,
     make_tag_packet_task,
@@ -124,6 +127,8 @@
             settings.sources, packets.mailbox, settings.relay_of
         )
         stack.enter_context(follower)
+        packets.mailbox.post(ReportLoadTo(follower.mailbox))
+        timer.subscribe(packets.mailbox, REPORT_INTERVAL, REPORT_TICK)
         self._packets = packets
         self._follower = follower
 
--- a/src/wasabigw/tasks/tag_messages.py
+++ b/src/wasabigw/tasks/tag_messages.py
@@ -7,6 +7,7 @@
 from wasabigw.core.tags.host_checks import HostChecked
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick
+from wasabigw.tasks.load_messages import ReportAnswered, ReportLoadTo
 from wasabigw.tasks.view_follower import ViewReceived
 
 
@@ -49,4 +50,12 @@
     """The process will stop: report not ready, but go on delivering packets."""
 
 
-TagTaskMessage = ViewReceived | HostChecked | TagStatusRequest | BeginTagDrain | Tick
+TagTaskMessage = (
+    ViewReceived
+    | HostChecked
+    | TagStatusRequest
+    | BeginTagDrain
+    | ReportLoadTo
+    | ReportAnswered
+    | Tick
+)
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -38,6 +38,8 @@
 from wasabigw.tasks.host_checker import make_host_checker
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
+from wasabigw.tasks.load_messages import ReportAnswered, ReportLoadTo
+from wasabigw.tasks.load_reporter import LoadReporter
 from wasabigw.tasks.packet_socket import Received, make_packet_socket
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
 from wasabigw.tasks.tag_messages import (
@@ -58,6 +60,8 @@
 """Responds to an HTTP request about the state of the balancer."""
 
 MAINTENANCE_TICK = "upkeep"
+REPORT_TICK = "report"
+"""Tick at which load is reported."""
 MAINTENANCE_PERIOD = Seconds(1.0)
 """Period of the tick that expires idle flows and resets the budget of log lines."""
 
@@ -122,6 +126,7 @@
         self._last_packet = monotonic()
         self._draining = False
         self._control_traffic = 0
+        self._load = LoadReporter(self._state)
         self._server = LightServer(
             settings.status_endpoint, self._selector, self._respond_status
         )
@@ -290,8 +295,19 @@
     def _(self, message: BeginTagDrain) -> None:
         self._draining = True
 
+    @receive.register
+    def _(self, message: ReportLoadTo) -> None:
+        self._load.receiver = message.mailbox
+
+    @receive.register
+    def _(self, message: ReportAnswered) -> None:
+        self._load.record_answer(message)
+
     @receive.register
     def _(self, message: Tick) -> None:
+        if message.token == REPORT_TICK:
+            self._load.report(message.now)
+            return
         expire_flows(self._state, message.now)
         decay_counts(self._state.diversion)
         self._decision_log.reset_budget()
@@ -312,7 +328,7 @@
             self._control_traffic,
             now,
             self._receive_wait(now),
-        )
+        ) + self._load.families(now)
 
     def _status(self) -> TagBalancerStatus:
         now = monotonic()
--- a/src/wasabigw/tasks/view_follower.py
+++ b/src/wasabigw/tasks/view_follower.py
@@ -1,14 +1,19 @@
-"""Task that follows the delivery view by long polling a source."""
+"""Task that follows the delivery view by long polling a source.
+
+The latest load report goes with the next poll, and the response brings the sums.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import singledispatchmethod
 from typing import Any
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
+from wasabigw.codec.load import encode_report, sums_of_response
 from wasabigw.codec.views import decode_update
 from wasabigw.core.delivery_view import Source, ViewUpdate
-from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.endpoint import Endpoint, endpoint_key
 from wasabigw.core.ids import NO_REVISION, Revision, Seconds
 from wasabigw.core.sources import (
     SourceState,
@@ -22,7 +27,9 @@
 from wasabigw.runtime.task import Stop, Task
 from wasabigw.runtime.timer import monotonic
 from wasabigw.tasks.light_http import LightClient
+from wasabigw.tasks.load_messages import LoadReported, ReportAnswered, SumsOutcome
 from wasabigw.tasks.view_names import VIEW_PATH
+from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.log_events import log
 
@@ -74,10 +81,10 @@
     seeds: tuple[Endpoint, ...]
 
 
-class ViewFollower(Task[SeedsChanged]):
+class ViewFollower(Task[SeedsChanged | LoadReported]):
     """Polls the preferred source and posts its responses.
 
-    :param receiver: receives :class:`ViewReceived`.
+    :param receiver: receives :class:`ViewReceived` and :class:`ReportAnswered`.
     :param address_of: maps the API endpoint of a source to where it serves views.
     """
 
@@ -96,15 +103,26 @@
         self._client = LightClient()
         self._followed: Endpoint | None = None
         self._response_timeout = RESPONSE_TIMEOUT
+        self._unsent: LoadReported | None = None
 
     def close(self) -> None:
         """Close the connection to the source."""
         self._client.close()
 
-    def receive(self, message: SeedsChanged) -> None:
-        """Replace the seeds."""
+    @singledispatchmethod
+    def receive(self, message: SeedsChanged | LoadReported) -> None:
+        """Handle a message."""
+        raise TypeError(f"unsupported message type: {type(message).__name__}")
+
+    @receive.register
+    def _(self, message: SeedsChanged) -> None:
         self._sources.seeds = message.seeds
 
+    @receive.register
+    def _(self, message: LoadReported) -> None:
+        # Replaces a report that was not sent yet.
+        self._unsent = message
+
     def run(self) -> None:
         """Poll until :class:`Stop` arrives; each wait has a time limit."""
         running = True
@@ -149,13 +167,18 @@
         """Poll a source once; ``False`` if another one should be polled next."""
         has_view = self._revision > NO_REVISION
         wait_ms = round(wait * 1000)
-        response = self._client.get(
+        report = self._take_report(sent_at)
+        load = f"&load={report}" if report else ""
+        body = self._client.get(
             self._address_of(source),
-            f"{VIEW_PATH}?after={self._revision}&wait_ms={wait_ms}",
+            f"{VIEW_PATH}?after={self._revision}&wait_ms={wait_ms}{load}",
             CONNECT_TIMEOUT if has_view else FIRST_CONNECT_TIMEOUT,
             Seconds(POLL_WAIT + READ_MARGIN),
             self._response_timeout,
-        ).bind(decode_update)
+        )
+        if report:
+            self._post_answer(len(report), body, source)
+        response = body.bind(decode_update)
         if not isinstance(response, Success):
             if monotonic() - sent_at >= self._response_timeout:
                 doubled = Seconds(2 * self._response_timeout)
@@ -172,6 +195,40 @@
         self._handle_update(update, source, sent_at)
         return is_current
 
+    def _take_report(self, now: Seconds) -> str:
+        """Text of the latest report if it was not sent yet, otherwise empty."""
+        unsent, self._unsent = self._unsent, None
+        if unsent is None:
+            return ""
+        return encode_report(unsent.report, Seconds(now - unsent.made_at))
+
+    def _post_answer(
+        self, size: int, response: Result[bytes, str], source: Endpoint
+    ) -> None:
+        """Post what came back for a report."""
+        now = monotonic()
+        if not isinstance(response, Success):
+            answer = ReportAnswered(SumsOutcome.NO_RESPONSE, now, size)
+            self._receiver.post(answer)
+            return
+        decoded = sums_of_response(response.unwrap())
+        if not isinstance(decoded, Success):
+            log(
+                BalancerEvent.LOAD_MALFORMED,
+                source=endpoint_key(source),
+                reason=decoded.failure(),
+            )
+            answer = ReportAnswered(SumsOutcome.MALFORMED, now, size)
+            self._receiver.post(answer)
+            return
+        received = decoded.unwrap()
+        if received is None:
+            answer = ReportAnswered(SumsOutcome.ABSENT, now, size)
+        else:
+            size += received.size
+            answer = ReportAnswered(SumsOutcome.RECEIVED, now, size, received.sums)
+        self._receiver.post(answer)
+
     def _record_current(self, source: Endpoint, update: ViewUpdate) -> None:
         record_current(self._sources, source)
         if self._followed != source:
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -200,3 +200,35 @@
         "balancer {node} has caught up with its receive buffer",
         "None needed.",
     )
+    LOAD_KNOWN = EventDefinition(
+        2030,
+        Severity.INFO,
+        "balancer {node} knows the load that {balancers} other balancers report",
+        "None needed; new flows are spread by these figures.",
+    )
+    LOAD_UNKNOWN = EventDefinition(
+        2031,
+        Severity.WARNING,
+        "balancer {node} has had no load figures of other balancers for {age} s",
+        "New flows are spread by its own flows only; check whether relays answer its "
+        "polls and run a version with load figures.",
+    )
+    LOAD_MALFORMED = EventDefinition(
+        2032,
+        Severity.WARNING,
+        "load figures from {source} are malformed and ignored: {reason}",
+        "Views are not affected; check the version of the sender.",
+    )
+    LOAD_PEER_FOUND = EventDefinition(
+        2033,
+        Severity.INFO,
+        "relay at {peer} returns its load sums, of {balancers} balancers",
+        "None needed.",
+    )
+    LOAD_PEER_LOST = EventDefinition(
+        2034,
+        Severity.WARNING,
+        "relay at {peer} returns no load sums: {reason}",
+        "The load of its balancers is not counted until it answers; check its process "
+        "and the network, and its version if the status is 404.",
+    )
--- /dev/null
+++ b/tests/test_load_counting.py
@@ -0,0 +1,279 @@
+"""Counts of requests and openings from the packets of callers."""
+
+import random
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.test_tag_steering import RECIFE, SEATS, SteeringCase, boot, data, opening
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Tag
+from wasabigw.core.load.counting import expire_requests
+from wasabigw.core.load.figures import (
+    COUNT_WINDOW,
+    MAX_REPORTED_SERVERS,
+    LoadReport,
+    ServerFigures,
+)
+from wasabigw.core.load.reporting import make_report
+from wasabigw.core.tags.flow_table import expire_flows
+from wasabigw.core.tags.packets import FlowPacket
+from wasabigw.core.tags.state import TagState
+from wasabigw.core.tags.steering import record_loss, record_release
+
+ANSWERED = 755
+"""Acknowledgement of a caller that has received an answer."""
+
+
+class CountingCase(SteeringCase):
+    """A balancer with one backend server, which has made two reports already."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.register(boot(1))
+        for at in (-2.0, -1.0, 0.0):
+            self.report(at)
+
+    def report(self, now: float) -> LoadReport:
+        sample = random.Random(1).sample
+        return make_report(self.state, Incarnation("a"), Seconds(now), sample)
+
+    def figures(self, now: float = 1.0) -> ServerFigures:
+        """Figures of the backend server in a report."""
+        found = {f.tag: f for f in self.report(now).servers}
+        return found.get(Tag(1), ServerFigures(Tag(1), 0, 0, 0, 0, Seconds(0.0)))
+
+    @property
+    def in_flight(self) -> int:
+        return self.state.servers[Tag(1)].counts.in_flight
+
+    def open(self, now: float = 0.0, port: int = 1) -> None:
+        self.decide(opening(port), now)
+        self.decide(replace_length(data(1, port), 0), now)
+
+
+def replace_length(packet: FlowPacket, length: int) -> FlowPacket:
+    """The packet with another length of its data."""
+    return packet._replace(length=length)
+
+
+class Requests(CountingCase):
+    """Guards against requests that count twice, or stay in flight for ever."""
+
+    def test_a_request_is_in_flight_until_its_answer_is_acknowledged(self) -> None:
+        self.open()
+        self.assertEqual(self.in_flight, 0)
+        self.decide(data(1), now=0.1)
+        self.assertEqual(self.in_flight, 1)
+        self.decide(replace_length(data(1, acknowledged=ANSWERED), 0), now=0.4)
+        found = self.figures()
+        self.assertEqual((found.in_flight, found.openings, found.answers), (0, 1, 1))
+        self.assertAlmostEqual(found.answer_time, 0.3)
+
+    def test_the_next_request_acknowledges_the_answer_before(self) -> None:
+        self.open()
+        self.decide(data(1), now=0.1)
+        self.decide(data(1, sequence=111, acknowledged=ANSWERED), now=0.5)
+        found = self.figures()
+        self.assertEqual((found.in_flight, found.answers), (1, 1))
+
+    def test_the_end_of_a_flow_may_acknowledge_the_answer(self) -> None:
+        self.open()
+        self.decide(data(1), now=0.1)
+        end = data(1, closing=True, sequence=111, acknowledged=ANSWERED)
+        self.decide(replace_length(end, 0), now=0.2)
+        found = self.figures()
+        self.assertEqual((found.flows, found.in_flight, found.answers), (0, 0, 1))
+
+    def test_copies_of_data_and_later_packets_of_a_request_count_once(self) -> None:
+        self.open()
+        for sequence, at in ((101, 0.1), (111, 0.1), (101, 0.3), (111, 0.31)):
+            self.decide(data(1, sequence=sequence), now=at)
+        self.assertEqual(self.in_flight, 1)
+
+    def test_a_late_copy_neither_begins_nor_answers_a_request(self) -> None:
+        self.open()
+        self.decide(data(1), now=0.1)
+        answered = replace_length(data(1, sequence=111, acknowledged=ANSWERED), 0)
+        self.decide(answered, now=0.2)
+        self.decide(data(1), now=0.25)
+        self.assertEqual(self.in_flight, 0)
+        self.decide(data(1, sequence=111, acknowledged=ANSWERED), now=0.3)
+        self.decide(data(1), now=0.35)
+        self.decide(answered, now=0.4)
+        found = self.figures()
+        self.assertEqual((found.in_flight, found.answers), (1, 1))
+
+    def test_an_upload_is_in_flight_while_it_runs_and_gives_no_answer_time(
+        self,
+    ) -> None:
+        self.open()
+        for number in range(60):
+            packet = data(1, sequence=101 + 1200 * number)
+            self.decide(replace_length(packet, 1200), now=0.1 + 0.05 * number)
+            self.assertEqual(self.in_flight, 1)
+        end = replace_length(data(1, sequence=72101, acknowledged=ANSWERED), 0)
+        self.decide(end, now=4.0)
+        found = self.figures(4.0)
+        self.assertEqual((found.in_flight, found.answers), (0, 0))
+
+    def test_a_request_ends_with_its_flow(self) -> None:
+        for end in ("reset", "idle", "moved", "closed"):
+            with self.subTest(end=end):
+                self.setUp()
+                self.register(boot(1), boot(2))
+                self.decide(data(1))
+                self.assertEqual(self.in_flight, 1)
+                if end == "reset":
+                    self.decide(data(1)._replace(is_reset=True))
+                elif end == "idle":
+                    expire_flows(self.state, Seconds(100.0))
+                elif end == "moved":
+                    self.decide(data(2))
+                else:
+                    self.decide(data(1, closing=True))
+                self.assertEqual(self.in_flight, 0)
+
+    def test_data_that_the_link_lost_is_in_flight_once_it_is_sent_again(self) -> None:
+        self.open()
+        self.decide(data(1), now=0.1)
+        record_loss(data(1), self.state)
+        self.assertEqual(self.in_flight, 0)
+        self.decide(data(1), now=0.3)
+        record_release(data(1), self.state, Seconds(0.5))
+        self.decide(replace_length(data(1, acknowledged=ANSWERED), 0), now=0.6)
+        found = self.figures()
+        self.assertEqual((found.in_flight, found.answers), (0, 1))
+        self.assertAlmostEqual(found.answer_time, 0.1)
+
+    def test_a_request_of_a_caller_that_moved_to_another_balancer_expires(
+        self,
+    ) -> None:
+        self.open()
+        self.decide(data(1), now=0.1)
+        expire_requests(self.state, Seconds(3.0))
+        self.assertEqual(self.in_flight, 1)
+        expire_requests(self.state, Seconds(3.2))
+        self.assertEqual(self.in_flight, 0)
+
+    def test_the_answer_of_a_request_sent_by_another_balancer_does_not_count(
+        self,
+    ) -> None:
+        self.decide(replace_length(data(1, acknowledged=600), 0), now=0.1)
+        self.decide(replace_length(data(1, acknowledged=ANSWERED), 0), now=0.2)
+        found = self.figures()
+        self.assertEqual((found.flows, found.in_flight, found.answers), (1, 0, 0))
+
+
+packets = st.lists(
+    st.tuples(
+        st.sampled_from(["open", "data", "ack", "close", "reset", "lost", "expire"]),
+        st.integers(1, 3),
+        st.integers(1, 2),
+        st.integers(0, 4),
+        st.integers(0, 3),
+        st.floats(0.0, 2.0),
+    ),
+    max_size=60,
+)
+
+
+class Balance(unittest.TestCase):
+    """Guards against counts that drift from the flows after any sequence of events."""
+
+    @given(packets)
+    @settings(max_examples=200, deadline=None)
+    def test_counts_equal_the_flows_in_flight(self, events: list[Any]) -> None:
+        case = CountingCase()
+        case.setUp()
+        case.register(boot(1), boot(2))
+        now = 1.0
+        for kind, port, tag, sequence, acknowledged, pause in events:
+            now += pause
+            self.apply(case, kind, port, tag, 101 + 10 * sequence, acknowledged, now)
+            for server in case.state.servers.values():
+                flows = [f for f in case.state.flows.values() if f.server is server]
+                in_flight = sum(flow.is_in_flight for flow in flows)
+                self.assertEqual(server.counts.in_flight, in_flight)
+                self.assertGreaterEqual(server.counts.openings, 0)
+
+    def apply(
+        self,
+        case: CountingCase,
+        kind: str,
+        port: int,
+        tag: int,
+        sequence: int,
+        acknowledged: int,
+        now: float,
+    ) -> None:
+        packet = data(tag, port, sequence=sequence, acknowledged=555 + acknowledged)
+        if kind == "open":
+            case.decide(opening(port), now)
+        elif kind == "expire":
+            expire_requests(case.state, Seconds(now))
+            expire_flows(case.state, Seconds(now))
+        elif kind == "lost":
+            record_loss(packet, case.state)
+        else:
+            packet = packet._replace(
+                is_closing=kind == "close",
+                is_reset=kind == "reset",
+                length=10 if kind == "data" else 0,
+            )
+            case.decide(packet, now)
+
+
+class Reports(CountingCase):
+    """Guards against reports whose window or sample biases the sums."""
+
+    def test_openings_and_arrivals_of_the_last_two_periods_count(self) -> None:
+        self.decide(opening(1), now=0.1)
+        self.decide(opening(1, repeat=1), now=0.3)
+        reports = [self.report(at) for at in (1.0, 2.0, 3.0)]
+        arrivals = [r.services[0].arrivals if r.services else 0 for r in reports]
+        openings = [r.servers[0].openings if r.servers else 0 for r in reports]
+        self.assertEqual(arrivals, [1, 1, 0])
+        self.assertEqual(openings, [2, 2, 0])
+        self.assertEqual([r.sequence for r in reports], [4, 5, 6])
+
+    def test_a_late_report_counts_no_more_than_the_window(self) -> None:
+        for port in range(12):
+            self.decide(opening(port), now=2.0 + port / 2)
+        self.assertEqual(self.figures(now=7.0).openings, 12 * COUNT_WINDOW / 8)
+
+    def test_an_opening_that_the_link_lost_does_not_count(self) -> None:
+        self.decide(opening(1), now=0.1)
+        record_loss(opening(1), self.state)
+        self.assertEqual(self.figures().openings, 0)
+
+    def test_a_sample_has_its_share_and_services_are_complete(self) -> None:
+        count = 3 * MAX_REPORTED_SERVERS
+        self.register(*(boot(tag) for tag in range(1, count + 1)))
+        for tag in range(1, count + 1):
+            self.decide(data(tag, port=tag))
+        report = self.report(1.0)
+        self.assertEqual(len(report.servers), MAX_REPORTED_SERVERS)
+        self.assertAlmostEqual(report.share, 1 / 3)
+        (service,) = report.services
+        self.assertEqual(
+            (service.service, service.failure_domain, service.in_flight),
+            (SEATS, RECIFE, count),
+        )
+
+
+class StartedBalancer(unittest.TestCase):
+    """Guards against counts of unknown length in the first reports of a process."""
+
+    def test_the_first_report_names_only_what_is_open(self) -> None:
+        state = TagState(NodeId("balancer-1"), RECIFE)
+        state.view.revision = Revision(1)
+        report = make_report(
+            state, Incarnation("a"), Seconds(5.0), random.Random(1).sample
+        )
+        self.assertEqual((report.servers, report.services), ((), ()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_load_sums.py
@@ -0,0 +1,286 @@
+"""Sums of load reports at a relay, and their encoding."""
+
+import unittest
+from dataclasses import replace
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from tests.test_tag_steering import RECIFE, SALVADOR, SEATS, boot
+from wasabigw.codec import load as codec
+from wasabigw.codec.load import decode_report, encode_report
+from wasabigw.core.delivery_view import DeliveryView
+from wasabigw.core.ids import Incarnation, NodeId, Revision, Seconds, Tag
+from wasabigw.core.load.bounds import MAX_TIMES_MEAN, SLACK
+from wasabigw.core.load.figures import (
+    FIGURES_TTL,
+    MAX_RETURNED_SERVERS,
+    LoadReport,
+    LoadSums,
+    ServerFigures,
+    ServiceFigures,
+)
+from wasabigw.core.load.known import KnownLoad, record_sums
+from wasabigw.core.load.sums import (
+    FILL_TIME,
+    LoadTable,
+    ReportOutcome,
+    expire_contributions,
+    record_report,
+    sums_for,
+)
+
+NO_AGE = Seconds(0.0)
+FILLED = Seconds(FILL_TIME)
+
+
+def figures(tag: int, in_flight: int, answer_time: float = 0.0) -> ServerFigures:
+    """Figures of a backend server with as many flows, openings and answers."""
+    times = Seconds(answer_time * in_flight)
+    return ServerFigures(Tag(tag), in_flight, in_flight, in_flight, in_flight, times)
+
+
+def report(
+    node: str,
+    *servers: ServerFigures,
+    sequence: int = 1,
+    incarnation: str = "a",
+    share: float = 1.0,
+) -> LoadReport:
+    """Report of a balancer in Recife; its service has the sums of ``servers``."""
+    total = sum(f.in_flight for f in servers)
+    services = (ServiceFigures(SEATS, RECIFE, total, total, total),)
+    return LoadReport(
+        NodeId(node),
+        Incarnation(incarnation),
+        RECIFE,
+        sequence,
+        share,
+        servers,
+        services,
+    )
+
+
+class SumsCase(unittest.TestCase):
+    """A relay with a view of some backend servers, all in Recife but tag 9."""
+
+    def setUp(self) -> None:
+        self.table = LoadTable()
+        self.view = self.view_of(3)
+
+    def view_of(self, count: int) -> DeliveryView:
+        boots = {Tag(n): boot(n) for n in range(1, count + 1)}
+        return DeliveryView(Revision(1), {**boots, Tag(9): boot(9, SALVADOR)})
+
+    def record(self, *reports: LoadReport, at: float = 0.0) -> list[ReportOutcome]:
+        return [record_report(self.table, r, Seconds(at)) for r in reports]
+
+    def in_flight(self, node: str = "asker", at: float = FILLED) -> dict[int, int]:
+        """Requests in flight by tag, as a balancer receives them; without zeros."""
+        sums = sums_for(self.table, NodeId(node), self.view, Seconds(at))
+        servers = sums.servers if sums is not None else ()
+        return {f.tag: f.in_flight for f in servers if f.in_flight}
+
+
+class Reports(SumsCase):
+    """Guards against reports that count twice, too long, or not at all."""
+
+    def test_a_balancer_gets_the_sums_of_the_others(self) -> None:
+        self.record(report("b1", figures(1, 2)), report("b2", figures(1, 3)))
+        self.assertEqual(self.in_flight("b1"), {1: 3})
+        self.assertEqual(self.in_flight("b2"), {1: 2})
+        sums = sums_for(self.table, NodeId("b1"), self.view, Seconds(2.0))
+        assert sums is not None
+        self.assertEqual((sums.balancers, sums.age), (1, 2.0))
+        self.assertEqual(sums.services, (ServiceFigures(SEATS, RECIFE, 3, 3, 3),))
+
+    def test_only_a_later_report_of_an_incarnation_replaces_one(self) -> None:
+        outcomes = self.record(
+            report("b1", figures(1, 2), sequence=5),
+            report("b1", figures(1, 3), sequence=5),
+            report("b1", figures(1, 3), sequence=4),
+        )
+        accepted, late = ReportOutcome.ACCEPTED, ReportOutcome.LATE
+        self.assertEqual(outcomes, [accepted, late, late])
+        self.assertEqual(self.in_flight(), {1: 2})
+        self.record(report("b1", figures(2, 1), sequence=6))
+        self.assertEqual(self.in_flight(), {2: 1})
+
+    def test_a_new_incarnation_replaces_the_old_one_for_good(self) -> None:
+        outcomes = self.record(
+            report("b1", figures(1, 2), sequence=50),
+            report("b1", figures(1, 1), sequence=1, incarnation="b"),
+            report("b1", figures(1, 2), sequence=51),
+        )
+        self.assertIs(outcomes[2], ReportOutcome.LATE)
+        self.assertEqual(self.in_flight(), {1: 1})
+
+    def test_reports_expire_by_the_age_of_their_figures(self) -> None:
+        self.record(replace(report("b1", figures(1, 2)), age=Seconds(1.0)))
+        self.record(report("b2", figures(1, 3)))
+        self.assertEqual(self.in_flight(at=FIGURES_TTL - 1.1), {1: 5})
+        self.assertEqual(self.in_flight(at=FIGURES_TTL - 0.9), {1: 3})
+        expire_contributions(self.table, FIGURES_TTL)
+        self.assertEqual(self.table.direct.servers.sums, {})
+
+    def test_a_sample_is_divided_by_its_share(self) -> None:
+        self.record(report("b1", figures(1, 2), share=0.25))
+        self.assertEqual(self.in_flight(), {1: 8})
+
+    def test_a_relay_that_just_started_returns_nothing(self) -> None:
+        # Sums of a few balancers would replace those of all.
+        self.record(report("b1", figures(1, 2)))
+        self.assertEqual(self.in_flight(at=FILL_TIME - 0.1), {})
+        self.record(report("b2", figures(1, 2)), at=1.0)
+        self.assertEqual(self.in_flight(), {1: 4})
+
+    def test_a_balancer_alone_gets_no_sums(self) -> None:
+        self.record(report("b1", figures(1, 2)))
+        self.assertIsNone(sums_for(self.table, NodeId("b1"), self.view, FILLED))
+
+    def test_boots_that_are_not_in_the_view_are_not_returned(self) -> None:
+        self.record(report("b1", figures(1, 2), figures(77, 5)))
+        self.assertEqual(self.in_flight(), {1: 2})
+
+    def test_of_many_servers_those_that_differ_most_are_returned(self) -> None:
+        count = MAX_RETURNED_SERVERS + 30
+        self.view = self.view_of(count)
+        loads = [figures(n, 9 if n == 7 else 3) for n in range(1, count) if n != 40]
+        self.record(report("b1", *loads))
+        sums = sums_for(self.table, NodeId("asker"), self.view, FILLED)
+        assert sums is not None
+        self.assertEqual(len(sums.servers), MAX_RETURNED_SERVERS)
+        self.assertLessEqual({7, 40}, {f.tag for f in sums.servers})
+
+
+class Liars(SumsCase):
+    """Guards against one balancer that moves the load of all others."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        honest = [figures(1, 2, 0.1), figures(2, 2, 0.1), figures(3, 2, 0.1)]
+        self.record(*(report(f"b{n}", *honest) for n in range(20)))
+        self.mean = 6
+
+    def test_absurd_counts_add_at_most_a_few_shares(self) -> None:
+        for share in (1.0, 1e-6):
+            with self.subTest(share=share):
+                lie = figures(1, 1_000_000, 60.0)
+                self.record(report("liar", lie, share=share, incarnation=str(share)))
+                added = sum(self.in_flight().values()) - 20 * self.mean
+                self.assertLessEqual(added, MAX_TIMES_MEAN * self.mean + SLACK)
+
+    def test_absurd_answer_times_move_the_mean_by_a_few_shares(self) -> None:
+        self.record(report("liar", *(figures(n, 2, 60.0) for n in (1, 2, 3))))
+        sums = sums_for(self.table, NodeId("asker"), self.view, FILLED)
+        assert sums is not None
+        means = [f.answer_time / f.answers for f in sums.servers if f.answers]
+        self.assertEqual(len(means), 3)
+        self.assertLess(max(means), 0.1 * (1 + MAX_TIMES_MEAN / 20))
+
+    def test_a_service_total_is_bounded_too(self) -> None:
+        lie = ServiceFigures(SEATS, RECIFE, 0, 0, 1_000_000)
+        self.record(replace(report("liar"), services=(lie,)))
+        sums = sums_for(self.table, NodeId("asker"), self.view, FILLED)
+        assert sums is not None
+        bound = (20 + MAX_TIMES_MEAN) * self.mean + SLACK
+        self.assertLessEqual(sums.services[0].arrivals, bound)
+
+    def test_a_balancer_with_several_times_the_mean_counts_in_full(self) -> None:
+        self.record(report("busy", figures(1, 20)))
+        self.assertEqual(self.in_flight()[1], 60)
+
+    def test_a_liar_that_leaves_leaves_nothing_behind(self) -> None:
+        before = self.in_flight()
+        self.record(report("liar", figures(1, 1_000_000)))
+        self.record(report("liar", sequence=2))
+        self.assertEqual(self.in_flight(), before)
+
+
+counts = st.integers(0, codec.LARGEST_COUNT)
+server_figures = st.builds(
+    ServerFigures,
+    st.integers(0, 2**32 - 1).map(Tag),
+    counts,
+    counts,
+    counts,
+    counts,
+    st.floats(0.0, 1e9).map(Seconds),
+)
+
+
+class Encoding(unittest.TestCase):
+    """Guards against malformed or absurd reports that reach the sums."""
+
+    @given(st.lists(server_figures, max_size=80, unique_by=lambda f: f.tag))
+    @settings(max_examples=50, deadline=None)
+    def test_a_report_is_read_back_within_its_precision(
+        self, servers: list[ServerFigures]
+    ) -> None:
+        sent = report("b1", *servers, share=0.5)
+        sent = replace(sent, services=(ServiceFigures(SEATS, RECIFE, 1, 2, 3),))
+        found = decode_report(encode_report(sent, Seconds(0.25))).unwrap()
+        same = replace(found, servers=sent.servers, age=NO_AGE)
+        self.assertEqual((same, found.age), (sent, 0.25))
+        for before, after in zip(servers, found.servers, strict=True):
+            self.assertEqual(before.tag, after.tag)
+            for a, b in zip(before[1:5], after[1:5], strict=True):
+                self.assertAlmostEqual(a, b, delta=0.5 + 0.023 * a)
+
+    @given(st.one_of(st.text(), st.binary().map(lambda b: codec._to_text(b))))
+    @settings(max_examples=200, deadline=None)
+    def test_any_other_text_is_a_failure(self, text: str) -> None:
+        self.assertIsInstance(decode_report(text), Failure)
+
+    def test_figures_out_of_range_are_failures(self) -> None:
+        valid = report("b1", figures(1, 2))
+        for wrong in (
+            replace(valid, share=0.0),
+            replace(valid, share=1.5),
+            replace(valid, share=float("nan")),
+            replace(valid, sequence=-1),
+            replace(valid, node=NodeId("")),
+            replace(valid, servers=(figures(1, 2), figures(1, 3))),
+            replace(valid, services=(ServiceFigures(SEATS, RECIFE, -1, 0, 0),)),
+        ):
+            with self.subTest(wrong=wrong):
+                decoded = decode_report(encode_report(wrong, NO_AGE))
+                self.assertIsInstance(decoded, Failure)
+
+    def test_columns_of_different_lengths_are_a_failure(self) -> None:
+        text = encode_report(report("b1", figures(1, 2), figures(2, 2)), NO_AGE)
+        shortened = codec._to_text(codec._from_text(text)[: -codec.TAG_BYTES])
+        self.assertIsInstance(decode_report(shortened), Failure)
+
+    def test_text_that_expands_beyond_the_limit_is_a_failure(self) -> None:
+        plain = msgspec.msgpack.encode("x" * (codec.MAX_PLAIN_BYTES + 1))
+        text = codec._to_text(codec._join(plain, ()))
+        self.assertLess(len(text), codec.MAX_TEXT_BYTES)
+        self.assertIsInstance(decode_report(text), Failure)
+
+    def test_fields_of_a_later_version_are_ignored(self) -> None:
+        text = encode_report(report("b1", figures(1, 2)), NO_AGE)
+        plain, _ = codec._split(codec._from_text(text))
+        later = msgspec.msgpack.encode([*msgspec.msgpack.decode(plain), "more"])
+        text = codec._to_text(codec._join(later, (figures(1, 2),)))
+        self.assertIsInstance(decode_report(text), Success)
+
+
+class Known(unittest.TestCase):
+    """Guards against older sums that replace newer ones at a balancer."""
+
+    def test_sums_that_are_older_are_ignored(self) -> None:
+        known = KnownLoad()
+        newer = LoadSums(Seconds(0.5), 3, (figures(1, 2),), ())
+        older = LoadSums(Seconds(3.0), 9, (figures(1, 7),), ())
+        record_sums(known, newer, Seconds(10.0))
+        record_sums(known, older, Seconds(11.0))
+        self.assertEqual(known.balancers, 3)
+        self.assertTrue(known.is_current(Seconds(13.4)))
+        self.assertFalse(known.is_current(Seconds(13.5)))
+
+
+if __name__ == "__main__":
+    unittest.main()
