tasks: a link sends the newest waiting message of each kind

Change: of several waiting messages, the newest of each kind is sent, oldest first. Result: test_newest_message_of_each_kind_is_sent timed out before and passes; the modules voter_task, reconfiguration, control_clients and power_loss pass.

--- a/src/wasabigw/tasks/voter_link.py
+++ b/src/wasabigw/tasks/voter_link.py
@@ -31,7 +31,7 @@
 class VoterLink(Task[Envelope]):
     """Task that owns the HTTP session to one other voter.
 
-    Of several waiting messages only the newest is sent: each message supersedes the
+    Of several waiting messages of a kind only the newest is sent: it supersedes the
     earlier ones, and the voter repeats requests that are not answered.
     """
 
@@ -61,7 +61,8 @@
             waiting = [outcome.unwrap(), *self._mailbox.drain()]
             if any(isinstance(message, Stop) for message in waiting):
                 return
-            self.receive(waiting[-1])
+            for message in _newest_of_each_kind(waiting):
+                self.receive(message)
 
     def receive(self, message: Envelope) -> None:
         """Send a message and post the response to the voter."""
@@ -108,6 +109,20 @@
             log(ControlEvent.LINK_FAILED, peer=self._peer, reason=reason)
 
 
+def _newest_of_each_kind(waiting: list[Envelope]) -> list[Envelope]:
+    """The newest message of each kind, oldest first.
+
+    A voter without a leader sends an admission request and a pre-vote request in the
+    same tick; neither supersedes the other.
+    """
+    newest: dict[type, Envelope] = {}
+    for message in waiting:
+        kind = type(message.body)
+        newest.pop(kind, None)
+        newest[kind] = message
+    return list(newest.values())
+
+
 def make_voter_link(
     peer: NodeId,
     endpoint: Endpoint,
--- a/tests/test_voter_link.py
+++ b/tests/test_voter_link.py
@@ -30,10 +30,12 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
 
-def read_request(connection: socket.socket) -> None:
-    """Read a complete request, header and body."""
+def read_request(
+    connection: socket.socket, kind: type[messages.Body] = messages.AdmissionRequest
+) -> None:
+    """Read a complete request, header and body, with a message of one kind."""
     data = b""
-    while b"AdmissionRequest" not in data or not data.endswith(b"}"):
+    while kind.__name__.encode() not in data or not data.endswith(b"}"):
         data += connection.recv(65_536)
 
 
@@ -75,3 +77,31 @@
         self.assertEqual(self.voter.get(RECEIVE_TIMEOUT), Success(LinkAnswer(answer)))
         while connection.recv(65_536):
             continue
+
+
+class SeveralWaitingMessages(unittest.TestCase):
+    """Guards against a removed voter that never asks to be admitted again.
+
+    A voter without a leader sends an admission request and a pre-vote request in the
+    same tick, and the link sent only the later one.
+    """
+
+    def test_newest_message_of_each_kind_is_sent(self) -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        listener.settimeout(RECEIVE_TIMEOUT)
+        api = Endpoint(*listener.getsockname())
+        link = make_voter_link(NodeId("b"), api, Mailbox[Any]("voter"))
+        pre_vote = messages.PreVoteRequest(Term(2), Revision(1), Term(1))
+        for body in (pre_vote, messages.AdmissionRequest(Revision(0)), pre_vote):
+            link.mailbox.post(envelope(body))
+        with link:
+            connection, _ = listener.accept()
+            self.addCleanup(connection.close)
+            connection.settimeout(RECEIVE_TIMEOUT)
+            read_request(connection)
+            refusal = envelope(messages.AdmissionResponse(False))
+            connection.sendall(http_answer(encode_envelope(refusal)))
+            read_request(connection, messages.PreVoteRequest)
+            granted = envelope(messages.PreVoteResponse(Term(2), True))
+            connection.sendall(http_answer(encode_envelope(granted)))
