platform: settings switch load sharing, admission and link classes off

Change: the optional key 'features' of a role's settings reaches TagState.features; a missing key leaves the parts on. Result: test_platform_formats covers both values and a value of the wrong type.

--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -23,6 +23,7 @@
     take_evicted,
     time_to_release,
 )
+from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.flow_table import expire_flows
 from wasabigw.core.tags.host_checks import HostChecked
 from wasabigw.core.tags.packets import FlowPacket
@@ -77,6 +78,7 @@
     :param respond_status: responds to such a query.
     :param metrics: HTTP endpoint of the metrics; ``None`` if they are not served.
     :param link_megabits: capacity of the link in Mbit/s; ``None`` if it is not known.
+    :param features: parts that operators have left switched on.
     """
 
     node: NodeId
@@ -89,6 +91,7 @@
     respond_status: StatusResponder
     metrics: Endpoint | None = None
     link_megabits: float | None = None
+    features: Features = Features()  # noqa: RUF009 - a frozen dataclass
 
 
 class TagPacketTask(SelectorTask[TagTaskMessage]):
@@ -111,6 +114,7 @@
             settings.failure_domain,
             settings.regions,
             egress=make_egress_queue(settings.link_megabits),
+            features=settings.features,
         )
         self._was_fresh = False
         self._was_diverting = False
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -10,6 +10,7 @@
 from wasabigw.core.declaration import Listener, ServiceShare
 from wasabigw.core.ids import BackendServerId, FailureDomainId, Seconds, ServiceId
 from wasabigw.core.log_messages import BootAnnouncement
+from wasabigw.core.tags.features import Features
 from wasabigw_platform.announcements import read_announcement
 from wasabigw_platform.documents import (
     decode_document,
@@ -111,8 +112,14 @@
         limits = {"link-mbps": 1.55, "memory-mb": 139}
         self.assertEqual(self.parse(limits=limits).link_megabits, 1.55)
 
+    def test_parts_are_on_unless_switched_off(self) -> None:
+        self.assertEqual(self.parse().features, Features())
+        changed = self.parse(features={"admission-control": False})
+        self.assertEqual(changed.features, Features(admission_control=False))
+
     def test_errors_name_the_invalid_field(self) -> None:
         cases: dict[str, dict[str, Any]] = {
+            "$.features.load-sharing": {"features": {"load-sharing": "off"}},
             "$.zones": {"zones": None},
             "$.bootstrap": {"bootstrap": "yes"},
             "$.limits.link-mbps": {"limits": {"link-mbps": -1}},
