load: relays exchange the sums of the reports that they received

Cause: the balancers of a failure domain are spread over its relays, so each relay sums only a part of the reports.

Change: while a relay has reports, it asks the relays that the view names for their direct sums once a second (tasks/load_exchange.py, core/load/peers.py). Relays of another failure domain get the sums of services and the backend servers of their own failure domain only.

--- a/src/wasabigw/tasks/load_messages.py
+++ b/src/wasabigw/tasks/load_messages.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import Any
 
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.load.figures import LoadReport, LoadSums
 from wasabigw.runtime.mailbox import Mailbox
@@ -50,3 +51,34 @@
     received_at: Seconds
     size: int
     sums: LoadSums | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeLoadThrough:
+    """Tells the relay task who asks other relays for their sums."""
+
+    mailbox: Mailbox[Any]
+
+
+@dataclass(frozen=True, slots=True)
+class PollPeers:
+    """Asks other relays for their sums once.
+
+    :param at: when the round was requested.
+    """
+
+    peers: tuple[Endpoint, ...]
+    at: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAnswered:
+    """Sums of the reports that another relay received directly.
+
+    :param size: bytes of the request and of the response.
+    """
+
+    peer: Endpoint
+    sums: LoadSums
+    received_at: Seconds
+    size: int
--- a/src/wasabigw/tasks/load_reporter.py
+++ b/src/wasabigw/tasks/load_reporter.py
@@ -1,7 +1,7 @@
 """Part of the packet task that reports load and records the load of other balancers."""
 
+import os
 import random
-import secrets
 from collections import Counter
 from typing import Any
 
@@ -27,7 +27,7 @@
 
     def __init__(self, state: TagState) -> None:
         self._state = state
-        self._incarnation = Incarnation(secrets.token_hex(INCARNATION_BYTES))
+        self._incarnation = Incarnation(os.urandom(INCARNATION_BYTES).hex())
         self._sample = random.Random().sample
         self._outcomes: Counter[str] = Counter()
         self._bytes = 0
--- a/src/wasabigw/tasks/relay.py
+++ b/src/wasabigw/tasks/relay.py
@@ -10,6 +10,8 @@
 from wasabigw.core.sources import SourceState
 from wasabigw.runtime.composite import CompositeContext
 from wasabigw.runtime.timer import TimerService
+from wasabigw.tasks.load_exchange import make_load_exchange
+from wasabigw.tasks.load_messages import ExchangeLoadThrough
 from wasabigw.tasks.relay_task import RELAY_PERIOD, RELAY_TICK, make_relay_task
 from wasabigw.tasks.view_file import make_view_file, read_view_file, view_file_age
 from wasabigw.tasks.view_follower import (
@@ -54,10 +56,17 @@
         settings = self._settings
         stored = _read_stored_view(settings.folder)
         file = stack.enter_context(make_view_file(settings.folder))
-        relay = make_relay_task(settings.bind, stored, file.mailbox, settings.metrics)
+        failure_domain = settings.sources.failure_domain
+        relay = make_relay_task(
+            settings.bind, stored, file.mailbox, settings.metrics, failure_domain
+        )
         revision = relay.revision
         stack.enter_context(relay)
         timer = stack.enter_context(TimerService())
+        exchange = stack.enter_context(
+            make_load_exchange(failure_domain, relay.mailbox)
+        )
+        relay.mailbox.post(ExchangeLoadThrough(exchange.mailbox))
         timer.subscribe(relay.mailbox, RELAY_PERIOD, RELAY_TICK)
         follower = make_view_follower(
             settings.sources, relay.mailbox, lambda api: api, revision
--- a/src/wasabigw/tasks/relay_load.py
+++ b/src/wasabigw/tasks/relay_load.py
@@ -1,20 +1,28 @@
 """Part of the relay task that sums the load reports of balancers."""
 
 from collections import Counter
+from typing import Any
 
 from returns.result import Success
 
-from wasabigw.codec.load import add_sums, decode_report
-from wasabigw.core.delivery_view import DeliveryView
-from wasabigw.core.ids import NodeId, Seconds
+from wasabigw.codec.load import add_sums, decode_report, encode_sums
+from wasabigw.core.delivery_view import DeliveryView, Source
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
+from wasabigw.core.load.figures import REPORT_INTERVAL
+from wasabigw.core.load.peers import choose_peers
 from wasabigw.core.load.sums import (
     LoadTable,
     ReportOutcome,
+    direct_sums,
     expire_contributions,
+    record_peer,
     record_report,
     sums_for,
 )
 from wasabigw.core.view_lease import NEVER
+from wasabigw.runtime.mailbox import Mailbox
+from wasabigw.tasks.load_messages import PeerAnswered, PollPeers
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.exposition import Family, MetricKind, Sample, gauge
 from wasabigw.telemetry.log_events import log
@@ -24,13 +32,21 @@
 
 
 class RelayLoad:
-    """Load figures of a relay; owned by the relay task."""
+    """Load figures of a relay; owned by the relay task.
 
-    def __init__(self) -> None:
+    :param bind: endpoint of this relay; the others use the same port.
+    :ivar exchange: mailbox of the task that asks other relays, once it is known.
+    """
+
+    def __init__(self, bind: Endpoint, failure_domain: FailureDomainId) -> None:
+        self._bind = bind
+        self._failure_domain = failure_domain
         self._table = LoadTable()
+        self._round_at = NEVER
         self._outcomes: Counter[ReportOutcome] = Counter()
         self._bytes: Counter[str] = Counter()
         self._logged_at = NEVER
+        self.exchange: Mailbox[Any] | None = None
 
     def receive_report(self, text: str, now: Seconds) -> NodeId | None:
         """Record the report of a poll.
@@ -59,9 +75,38 @@
         self._bytes["sent"] += len(extended) - len(response)
         return extended
 
-    def expire(self, now: Seconds) -> None:
-        """Remove figures that are too old."""
+    def direct_sums(
+        self, failure_domain: FailureDomainId, view: DeliveryView, now: Seconds
+    ) -> bytes:
+        """Encoded sums for a relay of a failure domain.
+
+        Relays of another failure domain get only the backend servers of their own.
+        """
+        only = None if failure_domain == self._failure_domain else failure_domain
+        encoded = encode_sums(direct_sums(self._table, view, only, now))
+        self._bytes["sent to relays"] += len(encoded)
+        return encoded
+
+    def record_peer(self, answer: PeerAnswered) -> None:
+        """Record the sums of another relay."""
+        self._bytes["polls of relays"] += answer.size
+        record_peer(self._table, answer.peer, answer.sums, answer.received_at)
+
+    def tick(self, sources: tuple[Source, ...], now: Seconds) -> None:
+        """Remove figures that are too old, and ask other relays for theirs.
+
+        Without reports of balancers nobody needs the sums, so nobody is asked.
+        """
         expire_contributions(self._table, now)
+        is_due = now - self._round_at >= REPORT_INTERVAL
+        if self.exchange is None or not self._table.reports or not is_due:
+            return
+        self._round_at = now
+        peers = choose_peers(
+            sources, self._failure_domain, self._bind.address, self._bind.port
+        )
+        if peers:
+            self.exchange.post(PollPeers(peers, now))
 
     def families(self, now: Seconds) -> list[Family]:
         """Metrics of the reports."""
@@ -79,7 +124,7 @@
             Family(
                 "wasabigw_relay_load_bytes_total",
                 MetricKind.COUNTER,
-                "Bytes of load reports and of the sums returned",
+                "Bytes of load reports, of the sums returned, and of other relays",
                 tuple(Sample(n, {"direction": d}) for d, n in self._bytes.items()),
             ),
             gauge(
@@ -87,6 +132,11 @@
                 "Balancers whose load reports are summed",
                 len(ages),
             ),
+            gauge(
+                "wasabigw_relay_load_peers",
+                "Other relays whose sums are counted",
+                len(self._table.peers),
+            ),
             gauge(
                 "wasabigw_relay_load_age_seconds",
                 "Age of the oldest load report that is summed",
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 from http import HTTPStatus
 from typing import Any, Self
+from urllib.parse import unquote
 
 from wasabigw.codec.views import encode_update
 from wasabigw.core.delivery_view import (
@@ -14,7 +15,13 @@
     update_since,
 )
 from wasabigw.core.endpoint import Endpoint, endpoint_key
-from wasabigw.core.ids import NO_REVISION, NodeId, Revision, Seconds
+from wasabigw.core.ids import (
+    NO_REVISION,
+    FailureDomainId,
+    NodeId,
+    Revision,
+    Seconds,
+)
 from wasabigw.core.numbers import whole_number
 from wasabigw.core.view_lease import NEVER
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
@@ -23,10 +30,11 @@
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
+from wasabigw.tasks.load_messages import ExchangeLoadThrough, PeerAnswered
 from wasabigw.tasks.relay_load import RelayLoad
 from wasabigw.tasks.view_file import StoreView
 from wasabigw.tasks.view_follower import ViewReceived
-from wasabigw.tasks.view_names import VIEW_PATH
+from wasabigw.tasks.view_names import LOAD_PATH, VIEW_PATH
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.exposition import (
     Family,
@@ -38,8 +46,11 @@
 )
 from wasabigw.telemetry.log_events import log
 
+NO_FAILURE_DOMAIN = FailureDomainId("")
 MAX_WAIT = Seconds(2.0)
 """Maximum time for which a poll is held."""
+BINARY = "application/octet-stream"
+"""Content type of the sums for other relays."""
 RELAY_TICK = "relay"
 RELAY_PERIOD = Seconds(0.1)
 """Interval at which held polls are checked and a new view is stored."""
@@ -59,12 +70,16 @@
     reporter: NodeId | None
 
 
-class RelayTask(SelectorTask[ViewReceived | Tick]):
+RelayMessage = ViewReceived | PeerAnswered | ExchangeLoadThrough | Tick
+
+
+class RelayTask(SelectorTask[RelayMessage]):
     """Owns the view, the HTTP server and the held polls.
 
     :param stored: view that an earlier process has stored, if any.
     :param file: mailbox of the task that stores the view.
     :param metrics: endpoint that serves metrics, if any.
+    :param failure_domain: failure domain of this relay.
     """
 
     def __init__(
@@ -72,8 +87,9 @@
         bind: Endpoint,
         stored: ViewUpdate | None,
         file: Mailbox[Any],
-        mailbox: SelectableMailbox[ViewReceived | Tick | Stop],
+        mailbox: SelectableMailbox[RelayMessage | Stop],
         metrics: Endpoint | None,
+        failure_domain: FailureDomainId,
     ) -> None:
         super().__init__("relay", mailbox)
         self._file = file
@@ -85,7 +101,7 @@
         self._confirmed_at = NEVER
         self._was_fresh = False
         self._held: list[_HeldPoll] = []
-        self._load = RelayLoad()
+        self._load = RelayLoad(bind, failure_domain)
         self._is_file_current = True
         self._is_from_file = stored is not None
         if stored is not None:
@@ -108,7 +124,7 @@
         return super().__enter__()
 
     @singledispatchmethod
-    def receive(self, message: ViewReceived | Tick) -> None:
+    def receive(self, message: RelayMessage) -> None:
         """Handle one message."""
         raise TypeError(f"unsupported message type: {type(message).__name__}")
 
@@ -129,10 +145,18 @@
         if self._version != before:
             self._log_version(before, message)
 
+    @receive.register
+    def _(self, message: PeerAnswered) -> None:
+        self._load.record_peer(message)
+
+    @receive.register
+    def _(self, message: ExchangeLoadThrough) -> None:
+        self._load.exchange = message.mailbox
+
     @receive.register
     def _(self, message: Tick) -> None:
         self._respond_to_due_polls(message.now)
-        self._load.expire(message.now)
+        self._load.tick(self._view.sources, message.now)
         self._log_stale(message.now)
         if not self._is_file_current:
             self._is_file_current = True
@@ -179,6 +203,9 @@
 
     def _handle(self, request: LightRequest) -> None:
         path, _, query = request.target.partition("?")
+        if request.method == "GET" and path == LOAD_PATH:
+            self._respond_load(request, query)
+            return
         if request.method != "GET" or path != VIEW_PATH:
             request.connection.respond(HTTPStatus.NOT_FOUND)
             return
@@ -197,6 +224,12 @@
         else:
             self._held.append(poll)
 
+    def _respond_load(self, request: LightRequest, query: str) -> None:
+        """Return the sums of the reports received here to another relay."""
+        domain = FailureDomainId(unquote(_query_text("failure_domain", query) or ""))
+        body = self._load.direct_sums(domain, self._view, monotonic())
+        request.connection.respond(HTTPStatus.OK, body, BINARY)
+
     def _respond_to_due_polls(self, now: Seconds) -> None:
         held, self._held = self._held, []
         for poll in held:
@@ -277,11 +310,15 @@
     stored: ViewUpdate | None,
     file: Mailbox[Any],
     metrics: Endpoint | None = None,
+    failure_domain: FailureDomainId = NO_FAILURE_DOMAIN,
 ) -> RelayTask:
     """Create the task of a relay.
 
     :param metrics: endpoint that serves metrics, if any.
+    :param failure_domain: failure domain of the relay; relays of others get only the
+        load of their own backend servers.
 
     :raises OSError: if the endpoint can't be bound.
     """
-    return RelayTask(bind, stored, file, SelectableMailbox("relay"), metrics)
+    mailbox: SelectableMailbox[RelayMessage | Stop] = SelectableMailbox("relay")
+    return RelayTask(bind, stored, file, mailbox, metrics, failure_domain)
