load: balancers that change their relay count once

Change: a relay names the balancers that have begun to report to it when it asks other relays, and these remove earlier reports of them. Sums of a relay that does not answer are removed after 2.5 s.

--- a/src/wasabigw/codec/load.py
+++ b/src/wasabigw/codec/load.py
@@ -32,6 +32,7 @@
     ServerFigures,
     ServiceFigures,
 )
+from wasabigw.core.load.sums import ArrivedBalancer
 
 MAX_TEXT_BYTES = 12_000
 """Maximum size of a report, below that of the header section of a request."""
@@ -42,6 +43,8 @@
 MAX_SERVICES = 4_096
 MAX_COUNT = 1_000_000
 """Maximum value of a count."""
+MAX_ARRIVED = 100
+"""Balancers that one poll of a relay names as arrived."""
 MAX_AGE_MS = 60_000
 MAX_SEQUENCE = 2**53
 STEPS = 16
@@ -106,6 +109,7 @@
 _encoder = msgspec.msgpack.Encoder()
 _report_decoder = msgspec.msgpack.Decoder(_Report)
 _sums_decoder = msgspec.msgpack.Decoder(_Sums)
+_arrived_decoder = msgspec.msgpack.Decoder(list[tuple[_Name, _Age]])
 _ERRORS = (msgspec.DecodeError, UnicodeDecodeError, ValueError, zlib.error)
 
 
@@ -174,6 +178,27 @@
     return Success(sums)
 
 
+def encode_arrived(arrived: Sequence[ArrivedBalancer]) -> str:
+    """Encode balancers that have changed their relay as text for a query.
+
+    Beyond :data:`MAX_ARRIVED` they are left out; they count twice until the report that
+    their former relay has is too old.
+    """
+    rows = [(b.node, _milliseconds(b.age)) for b in arrived[:MAX_ARRIVED]]
+    return _to_text(_encoder.encode(rows))
+
+
+def decode_arrived(text: str) -> Result[tuple[ArrivedBalancer, ...], str]:
+    """Decode balancers that have changed their relay, or return an error message."""
+    try:
+        rows = _arrived_decoder.decode(_from_text(text))
+    except _ERRORS as error:
+        return Failure(str(error))
+    return Success(
+        tuple(ArrivedBalancer(NodeId(n), Seconds(age / 1000)) for n, age in rows)
+    )
+
+
 class _ResponseWithLoad(Struct):
     load: msgspec.Raw = msgspec.Raw()
 
--- a/src/wasabigw/core/load/sums.py
+++ b/src/wasabigw/core/load/sums.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from wasabigw.core.delivery_view import DeliveryView
 from wasabigw.core.endpoint import Endpoint
@@ -40,6 +41,26 @@
 """Time from the first report until all balancers of a relay have sent one."""
 
 
+PEER_TTL = Seconds(2.5 * REPORT_INTERVAL)
+"""Time without an answer after which the sums of a relay are removed.
+
+Shorter than :data:`FIGURES_TTL`: the balancers of a lost relay soon report to another
+one, and would count twice until then.
+"""
+ARRIVAL_PERIOD = Seconds(2.5 * REPORT_INTERVAL)
+"""Time for which other relays are told that a balancer reports to this one now."""
+
+
+class ArrivedBalancer(NamedTuple):
+    """A balancer that has begun to report to a relay.
+
+    :param age: age of its latest report.
+    """
+
+    node: NodeId
+    age: Seconds
+
+
 class ReportOutcome(Enum):
     """What became of a report."""
 
@@ -67,12 +88,22 @@
 class _KeptReport:
     """Latest report of a balancer.
 
+    :param arrived_at: when its first report came since this relay had none.
     :param replaced: incarnation before this one, whose late reports are ignored.
     """
 
     incarnation: Incarnation
     sequence: int
     replaced: Incarnation | None
+    arrived_at: Seconds
+    contribution: _Contribution
+
+
+@dataclass(frozen=True, slots=True)
+class _PeerAnswer:
+    """Latest sums of another relay."""
+
+    received_at: Seconds
     contribution: _Contribution
 
 
@@ -97,7 +128,7 @@
     """
 
     reports: dict[NodeId, _KeptReport] = field(default_factory=dict)
-    peers: dict[Endpoint, _Contribution] = field(default_factory=dict)
+    peers: dict[Endpoint, _PeerAnswer] = field(default_factory=dict)
     direct: _Sums = field(default_factory=_Sums)
     indirect: _Sums = field(default_factory=_Sums)
     ranking: Ranking = field(default_factory=Ranking)
@@ -107,7 +138,7 @@
 def record_report(table: LoadTable, report: LoadReport, now: Seconds) -> ReportOutcome:
     """Replace the previous report of a balancer, unless this one is older."""
     known = table.reports.get(report.node)
-    replaced = None
+    replaced, arrived_at = None, now
     if known is not None:
         if report.incarnation == known.incarnation:
             if report.sequence <= known.sequence:
@@ -117,14 +148,14 @@
             return ReportOutcome.LATE
         else:
             replaced = known.incarnation
-        _remove(table.direct, known.contribution)
-        del table.reports[report.node]
+        arrived_at = known.arrived_at
+        _remove_report(table, report.node)
     elif not table.reports:
         table.first_report_at = now
     contribution = _contribution_of(report, table, now)
     _add(table.direct, contribution)
     table.reports[report.node] = _KeptReport(
-        report.incarnation, report.sequence, replaced, contribution
+        report.incarnation, report.sequence, replaced, arrived_at, contribution
     )
     return ReportOutcome.ACCEPTED
 
@@ -135,7 +166,7 @@
     """Replace the sums that another relay has received directly."""
     known = table.peers.pop(peer, None)
     if known is not None:
-        _remove(table.indirect, known)
+        _remove(table.indirect, known.contribution)
     contribution = _Contribution(
         Seconds(received_at - sums.age),
         sums.balancers,
@@ -143,21 +174,47 @@
         {(f.service, f.failure_domain): tuple(f[2:]) for f in sums.services},
     )
     _add(table.indirect, contribution)
-    table.peers[peer] = contribution
+    table.peers[peer] = _PeerAnswer(received_at, contribution)
 
 
 def expire_contributions(table: LoadTable, now: Seconds) -> None:
     """Remove reports and sums that have reached :data:`FIGURES_TTL`."""
     for node, kept in list(table.reports.items()):
         if now - kept.contribution.measured_at >= FIGURES_TTL:
-            _remove(table.direct, kept.contribution)
-            del table.reports[node]
-    for peer, contribution in list(table.peers.items()):
-        if now - contribution.measured_at >= FIGURES_TTL:
-            _remove(table.indirect, contribution)
+            _remove_report(table, node)
+    for peer, answer in list(table.peers.items()):
+        is_old = now - answer.contribution.measured_at >= FIGURES_TTL
+        if is_old or now - answer.received_at >= PEER_TTL:
+            _remove(table.indirect, answer.contribution)
             del table.peers[peer]
 
 
+def arrived_balancers(table: LoadTable, now: Seconds) -> tuple[ArrivedBalancer, ...]:
+    """Balancers that have begun to report to this relay a short time ago."""
+    return tuple(
+        ArrivedBalancer(node, Seconds(now - kept.contribution.measured_at))
+        for node, kept in table.reports.items()
+        if now - kept.arrived_at < ARRIVAL_PERIOD
+    )
+
+
+def remove_departed(
+    table: LoadTable, arrived: Iterable[ArrivedBalancer], now: Seconds
+) -> None:
+    """Remove reports of balancers that have reported to another relay since.
+
+    :param arrived: balancers that have begun to report to that relay.
+    """
+    for node, age in arrived:
+        kept = table.reports.get(node)
+        if kept is not None and kept.contribution.measured_at < now - age:
+            _remove_report(table, node)
+
+
+def _remove_report(table: LoadTable, node: NodeId) -> None:
+    _remove(table.direct, table.reports.pop(node).contribution)
+
+
 def sums_for(
     table: LoadTable, node: NodeId, view: DeliveryView, now: Seconds
 ) -> LoadSums | None:
@@ -250,7 +307,7 @@
 
 def _contributions(table: LoadTable) -> Iterator[_Contribution]:
     yield from (kept.contribution for kept in table.reports.values())
-    yield from table.peers.values()
+    yield from (answer.contribution for answer in table.peers.values())
 
 
 def _load(table: LoadTable, tag: Tag) -> Row:
--- a/src/wasabigw/tasks/load_exchange.py
+++ b/src/wasabigw/tasks/load_exchange.py
@@ -10,7 +10,7 @@
 
 from returns.result import Result, Success
 
-from wasabigw.codec.load import decode_sums
+from wasabigw.codec.load import decode_sums, encode_arrived
 from wasabigw.core.endpoint import Endpoint, endpoint_key
 from wasabigw.core.ids import FailureDomainId, Seconds
 from wasabigw.core.load.figures import REPORT_INTERVAL, LoadSums
@@ -63,20 +63,23 @@
         if monotonic() - message.at >= MAX_ROUND_DELAY:
             return
         self._close_others(message.peers)
+        target = self._target
+        if message.arrived:
+            target += f"&arrived={encode_arrived(message.arrived)}"
         for peer in peers_to_poll(self._state, message.peers, message.at):
-            self._poll(peer)
+            self._poll(peer, target)
 
     def _close_others(self, peers: tuple[Endpoint, ...]) -> None:
         forget_other_peers(self._state, peers)
         for peer in [peer for peer in self._clients if peer not in peers]:
             self._clients.pop(peer).close()
 
-    def _poll(self, peer: Endpoint) -> None:
+    def _poll(self, peer: Endpoint, target: str) -> None:
         client = self._clients.setdefault(peer, LightClient())
         before = client.traffic
         sums: Result[LoadSums, str] = client.get(
             peer,
-            self._target,
+            target,
             CONNECT_TIMEOUT,
             READ_TIMEOUT,
             RESPONSE_TIMEOUT,
--- a/src/wasabigw/tasks/load_messages.py
+++ b/src/wasabigw/tasks/load_messages.py
@@ -7,6 +7,7 @@
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.load.figures import LoadReport, LoadSums
+from wasabigw.core.load.sums import ArrivedBalancer
 from wasabigw.runtime.mailbox import Mailbox
 
 
@@ -65,10 +66,12 @@
     """Asks other relays for their sums once.
 
     :param at: when the round was requested.
+    :param arrived: balancers that may have reported to one of them before.
     """
 
     peers: tuple[Endpoint, ...]
     at: Seconds
+    arrived: tuple[ArrivedBalancer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/tasks/relay_load.py
+++ b/src/wasabigw/tasks/relay_load.py
@@ -5,7 +5,12 @@
 
 from returns.result import Success
 
-from wasabigw.codec.load import add_sums, decode_report, encode_sums
+from wasabigw.codec.load import (
+    add_sums,
+    decode_arrived,
+    decode_report,
+    encode_sums,
+)
 from wasabigw.core.delivery_view import DeliveryView, Source
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
@@ -14,10 +19,12 @@
 from wasabigw.core.load.sums import (
     LoadTable,
     ReportOutcome,
+    arrived_balancers,
     direct_sums,
     expire_contributions,
     record_peer,
     record_report,
+    remove_departed,
     sums_for,
 )
 from wasabigw.core.view_lease import NEVER
@@ -57,7 +64,7 @@
         decoded = decode_report(text)
         if not isinstance(decoded, Success):
             self._outcomes[ReportOutcome.MALFORMED] += 1
-            self._log_malformed(decoded.failure(), now)
+            self._log_malformed("a balancer", decoded.failure(), now)
             return None
         report = decoded.unwrap()
         outcome = record_report(self._table, report, now)
@@ -87,6 +94,14 @@
         self._bytes["sent to relays"] += len(encoded)
         return encoded
 
+    def remove_departed(self, text: str, now: Seconds) -> None:
+        """Remove reports of balancers that another relay names as arrived there."""
+        decoded = decode_arrived(text)
+        if isinstance(decoded, Success):
+            remove_departed(self._table, decoded.unwrap(), now)
+        else:
+            self._log_malformed("a relay", decoded.failure(), now)
+
     def record_peer(self, answer: PeerAnswered) -> None:
         """Record the sums of another relay."""
         self._bytes["polls of relays"] += answer.size
@@ -106,7 +121,8 @@
             sources, self._failure_domain, self._bind.address, self._bind.port
         )
         if peers:
-            self.exchange.post(PollPeers(peers, now))
+            arrived = arrived_balancers(self._table, now)
+            self.exchange.post(PollPeers(peers, now, arrived))
 
     def families(self, now: Seconds) -> list[Family]:
         """Metrics of the reports."""
@@ -144,8 +160,8 @@
             ),
         ]
 
-    def _log_malformed(self, reason: str, now: Seconds) -> None:
+    def _log_malformed(self, source: str, reason: str, now: Seconds) -> None:
         if now - self._logged_at < MALFORMED_LOG_INTERVAL:
             return
         self._logged_at = now
-        log(BalancerEvent.LOAD_MALFORMED, source="a balancer", reason=reason)
+        log(BalancerEvent.LOAD_MALFORMED, source=source, reason=reason)
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -227,7 +227,11 @@
     def _respond_load(self, request: LightRequest, query: str) -> None:
         """Return the sums of the reports received here to another relay."""
         domain = FailureDomainId(unquote(_query_text("failure_domain", query) or ""))
-        body = self._load.direct_sums(domain, self._view, monotonic())
+        now = monotonic()
+        arrived = _query_text("arrived", query)
+        if arrived:
+            self._load.remove_departed(arrived, now)
+        body = self._load.direct_sums(domain, self._view, now)
         request.connection.respond(HTTPStatus.OK, body, BINARY)
 
     def _respond_to_due_polls(self, now: Seconds) -> None:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -9,7 +9,7 @@
 from tests.test_load_sums import figures, report
 from tests.test_load_transport import NO_AGE, SETTLED, RelayCase
 from tests.test_tag_steering import RECIFE, SALVADOR, boot
-from wasabigw.codec.load import decode_sums, encode_report
+from wasabigw.codec.load import decode_sums, encode_arrived, encode_report
 from wasabigw.core.delivery_view import DeliveryView, Source
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, NodeId, Revision, Seconds, Tag
@@ -24,7 +24,17 @@
     record_answer,
     record_failure,
 )
-from wasabigw.core.load.sums import LoadTable, record_peer, record_report, sums_for
+from wasabigw.core.load.sums import (
+    ARRIVAL_PERIOD,
+    PEER_TTL,
+    ArrivedBalancer,
+    LoadTable,
+    arrived_balancers,
+    record_peer,
+    record_report,
+    remove_departed,
+    sums_for,
+)
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.tasks import load_exchange
 from wasabigw.tasks.light_http import LightClient, LightRequest
@@ -112,10 +122,31 @@
         self.peer(20, 2.5)
         self.assertEqual(self.in_flight(3.0), (22, 11))
 
-    def test_sums_beyond_a_cut_expire_by_the_age_of_their_reports(self) -> None:
-        self.peer(30, 1.5, age=1.0)
-        self.assertEqual(self.in_flight(0.4 + FIGURES_TTL), (32, 11))
-        self.assertEqual(self.in_flight(0.6 + FIGURES_TTL), (2, 1))
+    def test_sums_beyond_a_cut_expire(self) -> None:
+        # By the time without an answer, or by the age of the reports.
+        for age, end in ((0.5, 1.5 + PEER_TTL), (3.0, 0.5 + FIGURES_TTL - 2.0)):
+            with self.subTest(age=age):
+                self.setUp()
+                self.peer(30, 1.5, age)
+                self.assertEqual(self.in_flight(end - 0.1), (32, 11))
+                self.assertEqual(self.in_flight(end + 0.1), (2, 1))
+
+    def test_a_balancer_that_changed_its_relay_counts_once(self) -> None:
+        arrived = ArrivedBalancer(NodeId("b1"), Seconds(0.3))
+        remove_departed(self.table, (arrived,), Seconds(0.2))
+        self.assertEqual(set(self.table.reports), {"b1"})
+        unknown = ArrivedBalancer(NodeId("b7"), Seconds(0.3))
+        remove_departed(self.table, (unknown, arrived), Seconds(1.5))
+        self.assertEqual(self.table.reports, {})
+        self.assertEqual(self.table.direct.servers.sums, {})
+
+    def test_a_balancer_is_named_as_arrived_for_a_short_time(self) -> None:
+        for number in range(1, 6):
+            sent = report("b1", figures(1, 2), sequence=number + 1)
+            record_report(self.table, sent, Seconds(number))
+            arrived = arrived_balancers(self.table, Seconds(number + 0.2))
+            self.assertEqual(len(arrived), 1 if number + 0.2 < ARRIVAL_PERIOD else 0)
+            self.assertLessEqual({round(b.age, 3) for b in arrived}, {0.2})
 
 
 class Exchange(RelayCase):
@@ -128,9 +159,9 @@
         self.rounds: Mailbox[Any] = Mailbox("rounds")
         self.relay._load.exchange = self.rounds
 
-    def ask(self, domain: str) -> LoadSums:
+    def ask(self, domain: str, arrived: str = "") -> LoadSums:
         connection: Any = mock.Mock()
-        target = f"/v1/load?failure_domain={domain}"
+        target = f"/v1/load?failure_domain={domain}&arrived={arrived}"
         self.relay._handle(LightRequest(connection, "GET", target))
         return decode_sums(connection.respond.call_args.args[1]).unwrap()
 
@@ -149,6 +180,14 @@
         self.assertEqual(self.ask("recife").servers, (figures(1, 2),))
         self.assertIn("wasabigw_relay_load_peers 1", self.metrics())
 
+    def test_a_report_is_removed_once_another_relay_has_a_later_one(self) -> None:
+        self.send(report("b1", figures(1, 2)))
+        self.now = Seconds(1.0)
+        later = encode_arrived([ArrivedBalancer(NodeId("b1"), Seconds(0.1))])
+        with self.assertLogs("absl", "WARNING"):
+            self.assertEqual(self.ask("recife", "%00").balancers, 1)
+        self.assertEqual(self.ask("recife", later).balancers, 0)
+
     def test_without_reports_no_relay_is_asked(self) -> None:
         sources = (source(1), source(2))
         self.relay._load.tick(sources, Seconds(1.0))
@@ -157,7 +196,8 @@
         for at in (1.0, 1.1, 1.9, 2.0):
             self.relay._load.tick(sources, Seconds(at))
         first, second = self.rounds.drain()
-        self.assertEqual(first, PollPeers((relay_at(2),), Seconds(1.0)))
+        arrived = (ArrivedBalancer(NodeId("b1"), Seconds(1.0)),)
+        self.assertEqual(first, PollPeers((relay_at(2),), Seconds(1.0), arrived))
         self.assertEqual(second.at, 2.0)
 
     def test_a_balancer_gets_the_sums_of_both_relays(self) -> None:
