load: relays name only backend servers of which they know all balancers

Cause: a relay gets the figures of the backend servers of its own failure domain from all others, but of other failure domains only from its own balancers.

Change: a response names backend servers of the relay's failure domain, and of those without relays; the same ones are exchanged. The others count as the mean of their service and failure domain, whose sums are exchanged in full.

--- a/src/wasabigw/core/load/figures.py
+++ b/src/wasabigw/core/load/figures.py
@@ -27,7 +27,7 @@
 
 A report and the response to it share the 1.5 KB/s that polls leave of 3 KB/s.
 """
-MAX_RETURNED_SERVERS = 48
+MAX_RETURNED_SERVERS = 50
 """Backend servers in one response; the others have about the mean of their service."""
 MAX_REPORTED_SERVICES = 24
 """Pairs of service and failure domain in one report or response."""
@@ -94,7 +94,8 @@
     :param age: mean age of the reports when the response was sent.
     :param balancers: number of balancers whose reports were summed.
     :param servers: those whose load differs most from the mean of their service; the
-        others have about the mean.
+        others have about the mean. Backend servers of failure domains that have relays
+        of their own are not named at those of other failure domains.
     """
 
     age: Seconds
--- a/src/wasabigw/core/load/sums.py
+++ b/src/wasabigw/core/load/sums.py
@@ -41,6 +41,8 @@
 """Time from the first report until all balancers of a relay have sent one."""
 
 
+NO_FAILURE_DOMAIN = FailureDomainId("")
+"""Failure domain of a relay that does not know its own."""
 PEER_TTL = Seconds(2.5 * REPORT_INTERVAL)
 """Time without an answer after which the sums of a relay are removed.
 
@@ -119,6 +121,7 @@
 class LoadTable:
     """Contributions that have not expired, and their sums.
 
+    :param failure_domain: that of the relay; empty if it is not known.
     :param reports: latest report of each balancer that polls this relay.
     :param peers: what other relays have received directly.
     :param direct: sums of ``reports``.
@@ -127,6 +130,7 @@
     :param first_report_at: when the first report came since there was none.
     """
 
+    failure_domain: FailureDomainId = NO_FAILURE_DOMAIN
     reports: dict[NodeId, _KeptReport] = field(default_factory=dict)
     peers: dict[Endpoint, _PeerAnswer] = field(default_factory=dict)
     direct: _Sums = field(default_factory=_Sums)
@@ -250,21 +254,20 @@
 
 
 def direct_sums(
-    table: LoadTable,
-    view: DeliveryView,
-    only: FailureDomainId | None,
-    now: Seconds,
+    table: LoadTable, view: DeliveryView, asker: FailureDomainId, now: Seconds
 ) -> LoadSums:
     """Sums of the reports received directly, for another relay.
 
-    :param only: failure domain of the backend servers to name; ``None`` for all.
+    :param asker: failure domain of that relay, which gets the backend servers that it
+        names to its balancers.
     """
     expire_contributions(table, now)
     received = [kept.contribution for kept in table.reports.values()]
+    domains = _domains_of_others(view, asker)
     servers = (
         _server_figures(tag, table.direct.servers.of(tag))
         for tag in table.direct.servers.sums
-        if tag in view.boots and only in (None, view.boots[tag].failure_domain)
+        if tag in view.boots and view.boots[tag].failure_domain not in domains
     )
     services = (
         _service_figures(key, table.direct.services.of(key))
@@ -319,18 +322,37 @@
 
 
 def _ranked_tags(table: LoadTable, view: DeliveryView, now: Seconds) -> tuple[Tag, ...]:
-    """Backend servers of all services with figures, limited to those named first."""
+    """Backend servers of all services with figures, limited to those named first.
+
+    Those of failure domains that have relays of their own are left to these: only they
+    get the figures of all balancers.
+    """
     if is_due(table.ranking, view, now):
         services = {service for service, _ in _service_keys(table)}
+        domains = _domains_of_others(view, table.failure_domain)
         loads = {
             tag: _load(table, tag)
             for tag, boot in view.boots.items()
-            if boot.service in services and _accepts_new_flows(boot)
+            if boot.service in services
+            and boot.failure_domain not in domains
+            and _accepts_new_flows(boot)
         }
         rank(table.ranking, view, loads, now)
     return table.ranking.tags
 
 
+def _domains_of_others(
+    view: DeliveryView, own: FailureDomainId
+) -> set[FailureDomainId | None]:
+    """Failure domains with relays, without that of a relay itself.
+
+    :param own: failure domain of the relay; empty if it is not known.
+    """
+    if not own:
+        return set()
+    return {source.failure_domain for source in view.sources} - {own}
+
+
 def _accepts_new_flows(boot: Registration) -> bool:
     return boot.state is RegistrationState.SERVING and not boot.silent
 
--- a/src/wasabigw/tasks/relay_load.py
+++ b/src/wasabigw/tasks/relay_load.py
@@ -47,8 +47,7 @@
 
     def __init__(self, bind: Endpoint, failure_domain: FailureDomainId) -> None:
         self._bind = bind
-        self._failure_domain = failure_domain
-        self._table = LoadTable()
+        self._table = LoadTable(failure_domain)
         self._round_at = NEVER
         self._outcomes: Counter[ReportOutcome] = Counter()
         self._bytes: Counter[str] = Counter()
@@ -85,12 +84,8 @@
     def direct_sums(
         self, failure_domain: FailureDomainId, view: DeliveryView, now: Seconds
     ) -> bytes:
-        """Encoded sums for a relay of a failure domain.
-
-        Relays of another failure domain get only the backend servers of their own.
-        """
-        only = None if failure_domain == self._failure_domain else failure_domain
-        encoded = encode_sums(direct_sums(self._table, view, only, now))
+        """Encoded sums for another relay, by its failure domain."""
+        encoded = encode_sums(direct_sums(self._table, view, failure_domain, now))
         self._bytes["sent to relays"] += len(encoded)
         return encoded
 
@@ -118,7 +113,7 @@
             return
         self._round_at = now
         peers = choose_peers(
-            sources, self._failure_domain, self._bind.address, self._bind.port
+            sources, self._table.failure_domain, self._bind.address, self._bind.port
         )
         if peers:
             arrived = arrived_balancers(self._table, now)
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -22,6 +22,7 @@
     Revision,
     Seconds,
 )
+from wasabigw.core.load.sums import NO_FAILURE_DOMAIN
 from wasabigw.core.numbers import whole_number
 from wasabigw.core.view_lease import NEVER
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
@@ -46,7 +47,6 @@
 )
 from wasabigw.telemetry.log_events import log
 
-NO_FAILURE_DOMAIN = FailureDomainId("")
 MAX_WAIT = Seconds(2.0)
 """Maximum time for which a poll is held."""
 BINARY = "application/octet-stream"
