--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -20,6 +20,10 @@
 
     LEAST_USED_HERE = "least used in the own failure domain"
     LEAST_USED_ELSEWHERE = "least used, the own failure domain has too few"
+    LOAD_SHARE_HERE = "share by load figures, in the own failure domain"
+    LOAD_SHARE_ELSEWHERE = (
+        "share by load figures, the own failure domain has too little room"
+    )
     UNANSWERING = "none is known to answer"
     COLD = "only cold ones are left"
     REPEATED = "no other one is left for a repeated opening"
--- /dev/null
+++ b/src/wasabigw/core/tags/plans.py
@@ -0,0 +1,55 @@
+"""Plan of a service: what is constant between two sets of load figures."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from wasabigw.core.ids import FailureDomainId, Seconds, Tag
+from wasabigw.core.tags.estimates import ServerLoad
+from wasabigw.core.tags.turns import Turns
+from wasabigw.core.tags.weights import Speed
+from wasabigw.core.view_lease import NEVER
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """Room of the backend servers to which a balancer sends new flows of a service.
+
+    The figures apply to the time at which other balancers counted, some tenths of a
+    second to 4 s ago. In a surge, they are too good by what has arrived since then.
+
+    :param utilization: requests in flight for each slot; above 1 requests queue. It
+        varies as the number of requests in flight does, by its square root.
+    :param wait: expected time from an opening to the start of its request, by the
+        requests in flight at each backend server; it has the error of `utilization`.
+    :param free_slots: slots without a request, weighted by speed.
+    :param service_rate: requests a second that the backend servers can answer, by the
+        times of the last seconds; too low by up to a third at a moderate load, because
+        these times include some of the time in queues.
+    """
+
+    utilization: float
+    wait: Seconds
+    free_slots: float
+    service_rate: float
+
+
+@dataclass(slots=True)
+class ServicePlan:
+    """Shares of the new flows of a service at this balancer.
+
+    :param pool: backend servers from which it was made.
+    :param measured_at: time of the figures from which it was made.
+    :param loads: expected load of each backend server that gets new flows.
+    :param domains: turns of failure domains.
+    :param servers: turns of the backend servers of each failure domain.
+    :param room: ``None`` if nothing is known of the speed of the backend servers.
+    """
+
+    pool: Sequence[object] = ()
+    measured_at: Seconds = NEVER
+    made_at: Seconds = NEVER
+    speeds: dict[Tag, Speed] = field(default_factory=dict)
+    loads: dict[Tag, ServerLoad] = field(default_factory=dict)
+    domains: Turns[FailureDomainId] = field(default_factory=lambda: Turns({}))
+    servers: dict[FailureDomainId, Turns[Tag]] = field(default_factory=dict)
+    room: Room | None = None
--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -5,9 +5,9 @@
 
 import xxhash
 
-from wasabigw.core.announcement_checks import MAX_SLOTS
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds, ServiceId, Tag
+from wasabigw.core.tags.balancing import choose_by_load, uses_load_figures
 from wasabigw.core.tags.decisions import ChoiceReason
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.locality import eligible_slots, traffic_shares
@@ -39,6 +39,24 @@
     return xxhash.xxh32_intdigest(f"{node}/{tag}".encode())
 
 
+def choose_server_for(
+    listener: Listener,
+    service: ServiceId,
+    state: TagState,
+    now: Seconds,
+    avoided: Sequence[Server] = (),
+) -> tuple[Server, ChoiceReason] | None:
+    """Choose a backend server by load figures if possible, else by own flows.
+
+    :param avoided: as in :func:`choose_server`.
+    """
+    if uses_load_figures(listener, state, now):
+        chosen = choose_by_load(service, state, now, avoided)
+        if chosen is not None:
+            return chosen
+    return choose_server(service, state, now, avoided)
+
+
 def choose_server(
     service: ServiceId,
     state: TagState,
@@ -81,13 +99,13 @@
     home = state.failure_domain
     slots: Counter[FailureDomainId] = Counter()
     for server in servers:
-        slots[server.registration.failure_domain] += _slots(server)
+        slots[server.registration.failure_domain] += server.slots
     usable = eligible_slots(home, slots, state.regions)
     shares = traffic_shares(home, usable, state.regions)
 
     def load(server: Server) -> tuple[float, int]:
         domain = server.registration.failure_domain
-        weight = shares[domain] * _slots(server) / usable[domain]
+        weight = shares[domain] * server.slots / usable[domain]
         return (server.open_flows + 1) / weight, server.rank
 
     candidates = [s for s in servers if s.registration.failure_domain in shares]
@@ -95,8 +113,3 @@
     if chosen.registration.failure_domain == home:
         return chosen, ChoiceReason.LEAST_USED_HERE
     return chosen, ChoiceReason.LEAST_USED_ELSEWHERE
-
-
-def _slots(server: Server) -> int:
-    """Slots within the limits of today, as an older version may have accepted more."""
-    return min(max(server.registration.slots, 1), MAX_SLOTS)
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from wasabigw.core.announcement_checks import MAX_SLOTS
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT, Declaration, Listener
 from wasabigw.core.delivery_view import DeliveryView
 from wasabigw.core.durations import Durations
@@ -27,6 +28,7 @@
 from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
 from wasabigw.core.tags.host_checks import HostCheck
 from wasabigw.core.tags.packets import FlowId
+from wasabigw.core.tags.plans import ServicePlan
 from wasabigw.core.view_lease import NEVER
 
 ListenerKey = tuple[int, int]
@@ -50,6 +52,11 @@
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
     receiver: Receiver = Receiver.NAMED
 
+    @property
+    def slots(self) -> int:
+        """Slots within the limits of today; an older version may have accepted more."""
+        return min(max(self.registration.slots, 1), MAX_SLOTS)
+
 
 class FlowState(Enum):
     """State of a flow as its caller's packets show it."""
@@ -103,6 +110,15 @@
     silent_for: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class WeightChange:
+    """A backend server has become slow for its weight, or has recovered."""
+
+    server: Server
+    weight: float
+    is_slow: bool
+
+
 @dataclass(slots=True)
 class TagState:
     """Complete state of a balancer.
@@ -124,6 +140,9 @@
     :param running_checks: tags of the boots whose hosts are being checked.
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
+    :param weight_changes: backend servers that have become slow or recovered and are
+        not logged yet; the log removes them.
+    :param plans: shares of new flows by load figures, for each service that has any.
     :param features: parts that operators have left switched on.
     :param known_load: load of backend servers from other balancers.
     """
@@ -147,6 +166,8 @@
     host_checks: list[HostCheck] = field(default_factory=list)
     running_checks: set[Tag] = field(default_factory=set)
     health_changes: list[HealthChange] = field(default_factory=list)
+    weight_changes: list[WeightChange] = field(default_factory=list)
+    plans: dict[ServiceId, ServicePlan] = field(default_factory=dict)
     features: Features = field(default_factory=Features)
     known_load: KnownLoad = field(default_factory=KnownLoad)
 
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -39,7 +39,7 @@
     FlowPacket,
     sequence_distance,
 )
-from wasabigw.core.tags.selection import choose_server, service_of
+from wasabigw.core.tags.selection import choose_server_for, service_of
 from wasabigw.core.tags.state import (
     Flow,
     FlowState,
@@ -123,7 +123,7 @@
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
         )
-    chosen = choose_server(service, state, now, avoided)
+    chosen = choose_server_for(listener, service, state, now, avoided)
     if chosen is None:
         reason = RefusalReason.NO_SERVER
         return _reject_opening(packet, reason, state, now, waited)
--- a/src/wasabigw/core/tags/updates.py
+++ b/src/wasabigw/core/tags/updates.py
@@ -52,6 +52,8 @@
         if _accepts_new_flows(server.registration, state):
             pools.setdefault(server.registration.service, []).append(server)
     state.pools = pools
+    for service in state.plans.keys() - pools.keys():
+        del state.plans[service]
 
 
 def _servers(state: TagState, now: Seconds) -> dict[Tag, Server]:
