--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -19,6 +19,7 @@
     ServiceId,
     Tag,
 )
+from wasabigw.core.load.counts import LoadCounts, ServerCounts
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.caller_diversion import Diversion
@@ -43,6 +44,7 @@
     :param cold_until: until when it gets no new flows while a warm one is available.
     :param open_flows: flows to it that pass this balancer and have not closed.
     :param receiver: which backend server at its endpoint takes packets of open flows.
+    :param counts: requests, openings and answers that pass this balancer.
     """
 
     registration: Registration
@@ -51,6 +53,7 @@
     open_flows: int = 0
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
     receiver: Receiver = Receiver.NAMED
+    counts: ServerCounts = field(default_factory=ServerCounts)
 
     @property
     def slots(self) -> int:
@@ -78,6 +81,10 @@
     :param acknowledged: latest acknowledgement of the caller.
     :param pending_sequence: sequence number of the data that waits for an answer.
     :param pending_since: when that data was first sent to the backend server.
+    :param is_in_flight: whether a request on it is counted as in flight.
+    :param is_upload: whether that request takes more than one burst of packets.
+    :param sent_until: sequence number after the latest data that was counted.
+    :param acknowledged_before: acknowledgement that the request in flight began with.
     """
 
     server: Server
@@ -88,6 +95,10 @@
     acknowledged: int = 0
     pending_sequence: int | None = None
     pending_since: Seconds = NEVER
+    is_in_flight: bool = False
+    is_upload: bool = False
+    sent_until: int = 0
+    acknowledged_before: int = 0
 
 
 class Opening(NamedTuple):
@@ -144,6 +155,7 @@
         not logged yet; the log removes them.
     :param plans: shares of new flows by load figures, for each service that has any.
     :param features: parts that operators have left switched on.
+    :param load: counts for the next report, besides those of each backend server.
     :param known_load: load of backend servers from other balancers.
     """
 
@@ -169,6 +181,7 @@
     weight_changes: list[WeightChange] = field(default_factory=list)
     plans: dict[ServiceId, ServicePlan] = field(default_factory=dict)
     features: Features = field(default_factory=Features)
+    load: LoadCounts = field(default_factory=LoadCounts)
     known_load: KnownLoad = field(default_factory=KnownLoad)
 
     @property
