tags: choose backend servers by the load that balancers share

Cause: a balancer among many sees a few flows a second, so its own flows say nearly nothing of a backend server's load, and balancers overran backend servers in turns.

Change: openings to listeners with requirements take turns (stride scheduling) by shares that fill the gaps which the figures show, discounted by the flows that end and the openings that arrive meanwhile (Dahlin, 2000). Weights follow the service times relative to the median of the service, bounded by the utilization law, with hysteresis, a floor and recovery without answers. room_of gives the room of a service by the same figures. Without current figures, requirements or the setting, the choice is the one by own flows.

--- a/src/wasabigw/core/tags/balancing.py
+++ b/src/wasabigw/core/tags/balancing.py
@@ -12,7 +12,12 @@
 from wasabigw.core.load.figures import REPORT_INTERVAL, ServerFigures
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.tags.decisions import ChoiceReason
-from wasabigw.core.tags.estimates import Activity, ServerLoad, opening_shares
+from wasabigw.core.tags.estimates import (
+    Activity,
+    FlowAges,
+    ServerLoad,
+    opening_shares,
+)
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.locality import eligible_slots, traffic_shares
 from wasabigw.core.tags.plans import Room, ServicePlan
@@ -20,6 +25,7 @@
 from wasabigw.core.tags.turns import Turns, make_turns, phases_of, take_turn
 from wasabigw.core.tags.weights import (
     Speed,
+    expected_capacity,
     record_figures,
     typical_service_time,
     update_weights,
@@ -97,7 +103,16 @@
     figures = known.servers.get(server.registration.tag)
     if figures is None:
         return None
-    return figures._replace(flows=figures.flows + server.open_flows)
+    counts = server.counts
+    answer_time = counts.answer_time + counts.previous_answer_time
+    return ServerFigures(
+        figures.tag,
+        figures.flows + server.open_flows,
+        figures.in_flight + counts.in_flight,
+        figures.openings + counts.openings + counts.previous_openings,
+        figures.answers + counts.answers + counts.previous_answers,
+        Seconds(figures.answer_time + answer_time),
+    )
 
 
 def _update_plan(
@@ -141,11 +156,14 @@
     known = state.known_load
     loads, activity = _expected_loads(servers, plan, known)
     plan.loads.update(loads)
+    own = sum(server.open_flows for server in servers)
+    opened_at = sum(server.opened_at_sum for server in servers)
+    ages = FlowAges(own, own * now - opened_at)
     horizon = Seconds(now - known.measured_at + REPORT_INTERVAL)
     phases = {s.registration.tag: s.rank / MAX_RANK for s in servers}
     if previous is not None:
         phases |= phases_of(previous)
-    return make_turns(opening_shares(loads, activity, horizon), phases)
+    return make_turns(opening_shares(loads, activity, ages, horizon), phases)
 
 
 def _expected_loads(
@@ -159,9 +177,9 @@
         tag = server.registration.tag
         figures = combined_figures(server, known)
         flows = figures.flows if figures is not None else mean_flows
-        speed = plan.speeds.get(tag)
-        weight = speed.weight if speed is not None else 1.0
-        loads[tag] = ServerLoad(server.slots * weight, max(flows, 0.0))
+        in_flight = figures.in_flight if figures is not None else 0
+        capacity = expected_capacity(_weight(tag, plan), in_flight, server.slots)
+        loads[tag] = ServerLoad(capacity, max(flows, 0.0))
     activity = Activity(
         sum(f.flows for f in named),
         sum(f.openings for f in named),
@@ -213,7 +231,7 @@
     for domain, turns in plan.servers.items():
         for tag, share in turns.shares.items():
             own_slots = state.servers[tag].slots
-            weight = plan.loads[tag].capacity / own_slots
+            weight = _weight(tag, plan)
             slots += own_slots
             free_slots += max(own_slots - in_flight[tag], 0.0) * weight
             service_rate += own_slots * weight / typical
@@ -236,6 +254,11 @@
     return {tag: found.get(tag, mean) for tag in plan.loads}
 
 
+def _weight(tag: Tag, plan: ServicePlan) -> float:
+    speed = plan.speeds.get(tag)
+    return speed.weight if speed is not None else 1.0
+
+
 def _is_usable(server: Server, now: Seconds) -> bool:
     """Whether a backend server is warm and is not known to be failing."""
     is_silent = health_of(server.breaker, now) is Health.SILENT
--- a/src/wasabigw/core/tags/estimates.py
+++ b/src/wasabigw/core/tags/estimates.py
@@ -19,7 +19,12 @@
 PROBE_SHARE = 0.1
 """Part of the new flows that is distributed by capacity alone.
 
-It bounds the effect of wrong figures, and keeps some flows on each backend server.
+It keeps some flows on each backend server, so that its state shows.
+"""
+MAX_GAIN = 2.0
+"""Factor by which a gap may raise the share above the one by capacity.
+
+It bounds the effect of wrong figures, and lets one that has just joined fill gradually.
 """
 MIN_OWN_FLOWS = 4
 """Own open flows from which their age counts more than the mean time of all flows."""
@@ -79,7 +84,7 @@
     expected = answers * total_flows
     remaining = {tag: persistent * load.flows for tag, load in loads.items()}
     gaps = _gaps(loads, remaining, expected)
-    return _with_probes(loads, gaps)
+    return _bounded_shares(loads, gaps)
 
 
 def _remaining_time(mean_time: float, own: FlowAges) -> float:
@@ -116,15 +121,18 @@
     }
 
 
-def _with_probes(
+def _bounded_shares(
     loads: Mapping[Tag, ServerLoad], gaps: Mapping[Tag, float]
 ) -> dict[Tag, float]:
+    """Shares by gaps within bounds; what is left is distributed by capacity."""
     by_gap = _normalized(gaps)
     by_capacity = _normalized({tag: load.capacity for tag, load in loads.items()})
-    return {
-        tag: (1 - PROBE_SHARE) * by_gap[tag] + PROBE_SHARE * by_capacity[tag]
+    bounded = {
+        tag: (1 - PROBE_SHARE) * min(by_gap[tag], MAX_GAIN * by_capacity[tag])
         for tag in loads
     }
+    rest = 1 - sum(bounded.values())
+    return {tag: bounded[tag] + rest * by_capacity[tag] for tag in loads}
 
 
 def _normalized(parts: Mapping[Tag, float]) -> dict[Tag, float]:
--- a/src/wasabigw/core/tags/flow_table.py
+++ b/src/wasabigw/core/tags/flow_table.py
@@ -19,6 +19,7 @@
     flow = Flow(server, now, now, packet.sequence, sent_until=packet.sequence)
     state.flows[packet.flow] = flow
     server.open_flows += 1
+    server.opened_at_sum += now
     return flow
 
 
@@ -27,12 +28,30 @@
     known = state.flows.pop(flow, None)
     if known is None:
         return
-    if known.state is not FlowState.CLOSED:
-        known.server.open_flows -= 1
+    close_flow(known)
     end_request(known)
     discard_opening(flow, state)
 
 
+def close_flow(flow: Flow) -> None:
+    """Stop counting a flow as open, if it still is."""
+    if flow.state is FlowState.CLOSED:
+        return
+    flow.state = FlowState.CLOSED
+    server = flow.server
+    server.open_flows -= 1
+    server.opened_at_sum -= flow.opened_at
+    if server.open_flows == 0:
+        # Rounding errors would add up over months.
+        server.opened_at_sum = 0.0
+
+
+def restart_flow(flow: Flow, now: Seconds) -> None:
+    """Let a flow count as opened now, as its opening has waited until now."""
+    flow.server.opened_at_sum += now - flow.opened_at
+    flow.opened_at = now
+
+
 def expire_flows(state: TagState, now: Seconds) -> None:
     """Remove flows that have reached the idle timeout."""
     ended = [
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -43,6 +43,7 @@
     :param rank: breaks ties between equally loaded boots.
     :param cold_until: until when it gets no new flows while a warm one is available.
     :param open_flows: flows to it that pass this balancer and have not closed.
+    :param opened_at_sum: sum of the times at which these were opened.
     :param receiver: which backend server at its endpoint takes packets of open flows.
     :param counts: requests, openings and answers that pass this balancer.
     """
@@ -51,6 +52,7 @@
     cold_until: Seconds
     rank: int = 0
     open_flows: int = 0
+    opened_at_sum: float = 0.0
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
     receiver: Receiver = Receiver.NAMED
     counts: ServerCounts = field(default_factory=ServerCounts)
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -28,7 +28,12 @@
     Refuse,
 )
 from wasabigw.core.tags.egress import is_waiting
-from wasabigw.core.tags.flow_table import add_flow, remove_flow
+from wasabigw.core.tags.flow_table import (
+    add_flow,
+    close_flow,
+    remove_flow,
+    restart_flow,
+)
 from wasabigw.core.tags.health import (
     FailureSignal,
     is_unreachable,
@@ -289,7 +294,7 @@
         return
     if packet.is_opening:
         if flow.state is FlowState.OPENING:
-            flow.opened_at = now
+            restart_flow(flow, now)
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
     elif packet.length and packet.sequence == flow.pending_sequence:
@@ -359,9 +364,7 @@
     if known is None:
         return
     discard_opening(packet.flow, state)
-    if known.state is not FlowState.CLOSED:
-        known.state = FlowState.CLOSED
-        server.open_flows -= 1
+    close_flow(known)
     count_acknowledgement(packet, known, now)
     end_request(known)
     known.last_seen = now
--- a/src/wasabigw/core/tags/weights.py
+++ b/src/wasabigw/core/tags/weights.py
@@ -33,6 +33,13 @@
 """Weight above which a slow one is reported as recovered."""
 
 
+QUEUE_FACTOR = 2.0
+"""Requests in flight for each slot above which a backend server gets fewer flows.
+
+A queue of this length is gone before its figures arrive, unless the cause persists.
+"""
+
+
 @dataclass(slots=True)
 class Speed:
     """Recent answers of a backend server, and the weight that follows from them.
@@ -82,6 +89,12 @@
         speed.busy_time += figures.in_flight * COUNT_WINDOW
 
 
+def expected_capacity(weight: float, in_flight: float, slots: int) -> float:
+    """Slots weighted by speed, less if many requests were in flight."""
+    by_queue = min(1.0, QUEUE_FACTOR * slots / (max(in_flight, 0) + 1))
+    return slots * max(weight * by_queue, MIN_WEIGHT)
+
+
 def update_weights(speeds: Mapping[Tag, Speed], elapsed: Seconds) -> list[Tag]:
     """Update the weights of the backend servers of a service.
 
--- a/src/wasabigw_measure/compare_choices.py
+++ b/src/wasabigw_measure/compare_choices.py
@@ -16,7 +16,12 @@
 from wasabigw.core.tags.estimates import Activity, FlowAges, ServerLoad, opening_shares
 from wasabigw.core.tags.selection import rank_of
 from wasabigw.core.tags.turns import Turns, make_turns, phases_of, take_turn
-from wasabigw.core.tags.weights import Speed, record_figures, update_weights
+from wasabigw.core.tags.weights import (
+    Speed,
+    expected_capacity,
+    record_figures,
+    update_weights,
+)
 from wasabigw_measure._choices_world import (
     HORIZON,
     SERVERS,
@@ -215,8 +220,10 @@
     ) -> dict[Tag, float]:
         weights = self._weights_at(number, world)
         loads = {
-            figures.tag: ServerLoad(SLOTS * weights[figures.tag], figures.flows)
-            for figures in servers
+            f.tag: ServerLoad(
+                expected_capacity(weights[f.tag], f.in_flight, SLOTS), f.flows
+            )
+            for f in servers
         }
         activity = Activity(
             sum(f.flows for f in servers),
--- /dev/null
+++ b/tests/test_shared_load.py
@@ -0,0 +1,269 @@
+"""Choice of backend servers by load figures of other balancers."""
+
+import unittest
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+from tests.test_tag_steering import (
+    FORTALEZA,
+    RECIFE,
+    SEATS,
+    SteeringCase,
+    boot,
+    opening,
+)
+from wasabigw.core.ids import NodeId, RegionId, Seconds, Tag
+from wasabigw.core.load.figures import FIGURES_TTL, ServerFigures, ServiceFigures
+from wasabigw.core.load.known import KnownLoad
+from wasabigw.core.requirements import Priority, Requirements
+from wasabigw.core.tags.balancing import current_plan
+from wasabigw.core.tags.decisions import ChoiceReason, Deliver
+from wasabigw.core.tags.features import Features
+from wasabigw.core.tags.health import record_failure
+from wasabigw.core.tags.room import room_of
+from wasabigw.core.tags.state import TagState
+from wasabigw.core.tags.weights import MIN_WEIGHT
+
+SERVERS = 12
+SLOTS = 4
+REQUEST_TIME = 0.04
+REQUIREMENTS = Requirements(Priority(1), Seconds(0.2))
+
+
+def figures(
+    tag: int, flows: int = 20, speed: float = 1.0, in_flight: int = 1, answers: int = 80
+) -> ServerFigures:
+    """Figures of a backend server with mostly long flows."""
+    time = Seconds(answers * REQUEST_TIME / speed)
+    return ServerFigures(Tag(tag), flows, in_flight, 4, answers, time)
+
+
+class SharedLoadCase(SteeringCase):
+    """A balancer that knows the load of the backend servers of a service."""
+
+    def prepare(self) -> None:
+        super().prepare()
+        [(key, listener)] = self.state.listeners.items()
+        self.state.listeners[key] = replace(listener, requirements=REQUIREMENTS)
+        self.register(*(boot(tag) for tag in range(1, SERVERS + 1)))
+        self.know(*map(figures, range(1, SERVERS + 1)))
+
+    def know(self, *servers: ServerFigures, at: float = 0.0) -> None:
+        """Let the balancer receive figures."""
+        flows = sum(f.flows for f in servers)
+        service = ServiceFigures(SEATS, RECIFE, flows, 0, 0)
+        self.state.known_load = KnownLoad(
+            Seconds(at), 79, {f.tag: f for f in servers}, {(SEATS, RECIFE): service}
+        )
+
+    def know_repeatedly(
+        self, make: Callable[[int], ServerFigures], first: int, last: int
+    ) -> None:
+        """Let the balancer receive figures each second, and use them."""
+        for second in range(first, last):
+            self.know(*map(make, range(1, SERVERS + 1)), at=second)
+            current_plan(SEATS, self.state, Seconds(second))
+
+    def counts(self, flows: int, now: float = 0.5) -> Counter[int]:
+        """Open flows and count them by backend server."""
+        return Counter(self.tag_of(opening(port), now) for port in range(flows))
+
+    def weights(self) -> list[float]:
+        speeds = self.state.plans[SEATS].speeds
+        return [speeds[Tag(tag)].weight for tag in range(1, SERVERS + 1)]
+
+    def reason(self, now: float = 0.5) -> ChoiceReason | None:
+        decision = self.decide(opening(60_000), now)
+        assert isinstance(decision, Deliver)
+        return decision.choice
+
+
+class OldFigures(SharedLoadCase):
+    """Guards against a herd: all balancers send to the one that was least loaded."""
+
+    def test_balancers_with_the_same_figures_choose_different_servers(self) -> None:
+        loads = [figures(1, flows=10), *map(figures, range(2, SERVERS + 1))]
+        chosen: Counter[int] = Counter()
+        for number in range(80):
+            self.state = TagState(NodeId(f"balancer-{number}"), RECIFE)
+            self.prepare()
+            self.know(*loads)
+            chosen += self.counts(1, now=2.0)
+        fair = 80 / SERVERS
+        self.assertGreater(chosen[1], 1.5 * fair)
+        self.assertLess(chosen[1], 4 * fair)
+        self.assertGreaterEqual(len(chosen), SERVERS - 1)
+
+    def test_shares_approach_the_capacities_as_figures_age(self) -> None:
+        self.know(figures(1, flows=10), *map(figures, range(2, SERVERS + 1)))
+        shares = []
+        for now in (0.1, 1.5, 3.0):
+            plan = current_plan(SEATS, self.state, Seconds(now))
+            shares.append(plan.servers[RECIFE].shares[Tag(1)])
+        self.assertEqual(shares, sorted(shares, reverse=True))
+
+    def test_one_balancer_spreads_equal_shares_without_repetition(self) -> None:
+        self.assertEqual(len(self.counts(SERVERS)), SERVERS)
+
+
+class NoUsableFigures(SharedLoadCase):
+    """Guards against decisions by figures that are missing, old, partial or absurd."""
+
+    def test_without_current_figures_own_flows_decide(self) -> None:
+        own = ChoiceReason.LEAST_USED_HERE
+        self.assertIs(self.reason(), ChoiceReason.LOAD_SHARE_HERE)
+        self.assertIs(self.reason(now=FIGURES_TTL), own)
+        self.state.known_load = KnownLoad()
+        self.assertIs(self.reason(), own)
+        self.assertIsNone(room_of(SEATS, self.state, Seconds(0.5)))
+
+    def test_only_listeners_with_requirements_use_figures(self) -> None:
+        [(key, listener)] = self.state.listeners.items()
+        self.state.listeners[key] = replace(listener, requirements=None)
+        self.assertIs(self.reason(), ChoiceReason.LEAST_USED_HERE)
+
+    def test_operators_can_switch_it_off(self) -> None:
+        self.state.features = Features(load_sharing=False)
+        self.assertIs(self.reason(), ChoiceReason.LEAST_USED_HERE)
+
+    def test_servers_without_figures_count_as_the_mean(self) -> None:
+        self.know(*map(figures, range(2, SERVERS + 1)))
+        total = self.state.known_load.services[SEATS, RECIFE]
+        self.state.known_load.services = {
+            (SEATS, RECIFE): total._replace(flows=20 * SERVERS)
+        }
+        chosen = self.counts(10 * SERVERS)
+        self.assertTrue(8 <= chosen[1] <= 12, chosen)
+
+    def test_absurd_figures_of_a_server_leave_the_others_their_shares(self) -> None:
+        for absurd in (
+            figures(1, flows=10**9, in_flight=10**9),
+            figures(1, flows=0, answers=10**9, speed=10**9),
+            figures(1, flows=-5, in_flight=0, answers=0),
+        ):
+            self.setUp()
+            self.know(absurd, *map(figures, range(2, SERVERS + 1)))
+            chosen = self.counts(20 * SERVERS)
+            self.assertLess(chosen[1], 6 * 20)
+            self.assertGreater(min(chosen[tag] for tag in range(2, SERVERS + 1)), 9)
+
+    def test_new_flows_without_any_known_flow_follow_the_slots(self) -> None:
+        self.know(*(ServerFigures(Tag(t), 0, 0, 0, 0, Seconds(0)) for t in (1, 2)))
+        chosen = self.counts(10 * SERVERS)
+        self.assertEqual(set(chosen.values()), {10})
+
+
+class Order(SharedLoadCase):
+    """Guards against figures that override health, cold starts or failure domains."""
+
+    def test_silent_and_cold_servers_get_nothing(self) -> None:
+        record_failure(self.state.servers[Tag(1)].breaker, Seconds(0.4), Seconds(0.4))
+        self.state.servers[Tag(2)].cold_until = Seconds(9.0)
+        self.assertEqual(self.counts(40).keys() & {1, 2}, set())
+
+    def test_a_server_that_fails_after_the_shares_were_computed_is_passed_over(
+        self,
+    ) -> None:
+        self.counts(1)
+        record_failure(self.state.servers[Tag(1)].breaker, Seconds(0.5), Seconds(0.5))
+        self.assertNotIn(1, self.counts(40, now=0.55))
+
+    def test_flows_stay_in_the_own_failure_domain_if_it_has_slots(self) -> None:
+        self.use_two_domains(6)
+        self.assertLessEqual(self.counts(40).keys(), set(range(1, 7)))
+
+    def test_flows_leave_the_own_failure_domain_once_it_fails(self) -> None:
+        self.use_two_domains(6)
+        self.counts(1)
+        for tag in range(1, 7):
+            breaker = self.state.servers[Tag(tag)].breaker
+            record_failure(breaker, Seconds(0.5), Seconds(0.5))
+        self.assertIs(self.reason(0.55), ChoiceReason.LEAST_USED_ELSEWHERE)
+        self.assertIs(self.reason(0.55), ChoiceReason.LOAD_SHARE_ELSEWHERE)
+        self.assertLessEqual(self.counts(40, now=0.55).keys(), set(range(7, 13)))
+
+    def use_two_domains(self, own: int) -> None:
+        north = RegionId("north")
+        self.state.regions = {RECIFE: north, FORTALEZA: north}
+        domains = [RECIFE] * own + [FORTALEZA] * (SERVERS - own)
+        self.register(*(boot(n + 1, domain) for n, domain in enumerate(domains)))
+
+
+class Weights(SharedLoadCase):
+    """Guards against equal shares for backend servers of different speed."""
+
+    def speeds(self, speeds: Sequence[float]) -> Callable[[int], ServerFigures]:
+        def make(tag: int) -> ServerFigures:
+            speed = speeds[tag % len(speeds)]
+            answers = round(80 * speed)
+            return figures(tag, round(20 * speed), speed, answers=answers)
+
+        return make
+
+    def test_flows_follow_the_speeds(self) -> None:
+        self.know_repeatedly(self.speeds([0.7, 0.7, 1.7]), 0, 4)
+        chosen = self.counts(40 * SERVERS, now=3.5)
+        slow = sum(n for tag, n in chosen.items() if tag % 3 < 2)
+        self.assertAlmostEqual(
+            (sum(chosen.values()) - slow) / slow * 2, 2.43, delta=0.4
+        )
+
+    def test_slow_servers_get_less_until_they_recover(self) -> None:
+        slowed = self.speeds([0.2, 1.0, 1.0])
+        self.know_repeatedly(self.speeds([1.0]), 0, 4)
+        self.know_repeatedly(slowed, 4, 7)
+        self.assertEqual(sum(weight < 0.4 for weight in self.weights()), SERVERS / 3)
+        changes = self.state.weight_changes
+        self.assertEqual([c.is_slow for c in changes], [True] * (SERVERS // 3))
+        changes.clear()
+        self.assertEqual(len(self.counts(60 * SERVERS, now=6.5)), SERVERS)
+        self.know_repeatedly(self.speeds([1.0]), 7, 10)
+        self.assertGreater(min(self.weights()), 0.8)
+        self.assertEqual([c.is_slow for c in changes], [False] * (SERVERS // 3))
+
+    def test_a_server_that_answers_nothing_loses_its_weight(self) -> None:
+        def make(tag: int) -> ServerFigures:
+            return figures(tag) if tag > 1 else figures(1, in_flight=10, answers=0)
+
+        self.know_repeatedly(make, 0, 3)
+        self.assertEqual(self.weights()[0], MIN_WEIGHT)
+        self.assertEqual(set(self.weights()[1:]), {1.0})
+
+    def test_all_slow_servers_keep_their_weights(self) -> None:
+        self.know_repeatedly(self.speeds([1.0]), 0, 4)
+        self.know_repeatedly(self.speeds([0.2]), 4, 8)
+        self.assertEqual(set(self.weights()), {1.0})
+
+    def test_most_servers_keep_flows_if_most_are_slow(self) -> None:
+        self.know_repeatedly(self.speeds([0.2, 0.2, 0.2, 1.0]), 0, 4)
+        self.assertGreaterEqual(sum(weight >= 1 for weight in self.weights()), 9)
+
+    def test_a_low_weight_recovers_without_answers(self) -> None:
+        self.know_repeatedly(self.speeds([0.2, 1.0, 1.0]), 0, 4)
+        for second in range(4, 40):
+            self.know(at=second)
+            current_plan(SEATS, self.state, Seconds(second))
+        self.assertEqual(set(self.weights()), {1.0})
+
+    def test_few_answers_change_no_weight(self) -> None:
+        self.know_repeatedly(lambda t: figures(t, speed=t, answers=1), 0, 4)
+        self.assertEqual(set(self.weights()), {1.0})
+
+
+class RoomOfService(SharedLoadCase):
+    """Guards against admission by a wrong room."""
+
+    def test_room_follows_the_requests_in_flight(self) -> None:
+        for in_flight, wait in ((1, 0.0), (SLOTS + 8, 9 * REQUEST_TIME / SLOTS)):
+            self.know_repeatedly(lambda t: figures(t, in_flight=in_flight), 0, 2)  # noqa: B023
+            room = room_of(SEATS, self.state, Seconds(1.5))
+            assert room is not None
+            self.assertAlmostEqual(room.utilization, in_flight / SLOTS)
+            self.assertAlmostEqual(room.wait, wait)
+            self.assertAlmostEqual(room.free_slots, max(SLOTS - in_flight, 0) * SERVERS)
+            self.assertAlmostEqual(room.service_rate, SERVERS * SLOTS / REQUEST_TIME)
+
+
+if __name__ == "__main__":
+    unittest.main()
