--- a/src/wasabigw/core/declaration.py
+++ b/src/wasabigw/core/declaration.py
@@ -5,13 +5,14 @@
 can be returned unchanged; a front end parses it into a :class:`Declaration`.
 """
 
+import math
 from collections import Counter
 from dataclasses import dataclass
 
 from wasabigw.core.endpoint import Endpoint, endpoint_key, endpoint_problem
 from wasabigw.core.ids import Seconds, ServiceId
 from wasabigw.core.numbers import MAX_EXACT_INTEGER
-from wasabigw.core.requirements import Requirements
+from wasabigw.core.requirements import MAX_PRIORITY, Requirements
 
 DEFAULT_IDLE_TIMEOUT = Seconds(15.0)
 """Idle time after which a flow may be dropped, unless the document sets another."""
@@ -119,4 +120,19 @@
         problems.append(f"{where} sends its flows to no service; set a weight above 0")
     if listener.request_timeout <= 0:
         problems.append(f"{where} needs a request timeout above 0 s")
+    if listener.requirements is not None:
+        problems.extend(_requirement_problems(where, listener.requirements))
+    return problems
+
+
+def _requirement_problems(where: str, requirements: Requirements) -> list[str]:
+    problems = []
+    if not 0 <= requirements.priority <= MAX_PRIORITY:
+        problems.append(
+            f"{where} has priority {requirements.priority}; use 0 to {MAX_PRIORITY}"
+        )
+    if not 0 < requirements.latency_objective < math.inf:
+        problems.append(
+            f"{where} needs a latency objective above 0 s that is not infinite"
+        )
     return problems
--- a/tests/test_declaration.py
+++ b/tests/test_declaration.py
@@ -1,5 +1,6 @@
 """Declared configurations: validation, and which one is in force."""
 
+import math
 import unittest
 
 from returns.result import Success
@@ -35,6 +36,7 @@
     ServiceId,
 )
 from wasabigw.core.orders import is_in_effect
+from wasabigw.core.requirements import Priority, Requirements
 
 SEATS = ServiceId("seats")
 RECIFE = FailureDomainId("recife")
@@ -46,10 +48,16 @@
     weight: int = 1,
     timeout: float = 3.0,
     address: str = "198.18.0.1",
+    requirements: Requirements | None = None,
 ) -> Listener:
     """A listener that sends its flows to one service."""
     shares = (ServiceShare(service, weight),)
-    return Listener(Endpoint(address, port), shares, Seconds(timeout))
+    return Listener(Endpoint(address, port), shares, Seconds(timeout), requirements)
+
+
+def needs(priority: int, objective: float) -> Requirements:
+    """Requirements of callers."""
+    return Requirements(Priority(priority), Seconds(objective))
 
 
 def declaration(*listeners: Listener, version: int = 1) -> Declaration:
@@ -73,6 +81,10 @@
             "no service": declaration(listener(weight=0)),
             "not an IPv4 address": declaration(listener(address="example")),
             "version -1": declaration(version=-1),
+            "has priority 10": declaration(listener(requirements=needs(10, 0.2))),
+            "has priority -1": declaration(listener(requirements=needs(-1, 0.2))),
+            "objective above 0 s": declaration(listener(requirements=needs(0, 0.0))),
+            "not infinite": declaration(listener(requirements=needs(0, math.inf))),
         }
         for text, wrong in cases.items():
             with self.subTest(text=text):
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -10,6 +10,7 @@
 from wasabigw.core.declaration import Listener, ServiceShare
 from wasabigw.core.ids import BackendServerId, FailureDomainId, Seconds, ServiceId
 from wasabigw.core.log_messages import BootAnnouncement
+from wasabigw.core.requirements import Priority, Requirements
 from wasabigw_platform.announcements import read_announcement
 from wasabigw_platform.documents import (
     decode_document,
@@ -222,6 +223,40 @@
                 assert isinstance(wrong, Failure)
                 self.assertIn(text, wrong.failure())
 
+    def requirements(self, **fields: Any) -> Requirements | None:
+        """Requirements of a route with further fields."""
+        renamed = {name.replace("_", "-"): value for name, value in fields.items()}
+        text = json.dumps(DOCUMENT | {"routes": [DOCUMENT["routes"][0] | renamed]})
+        accepted = read_document(text.encode()).unwrap()
+        return decode_document(accepted).unwrap().listeners[0].requirements
+
+    def test_requirements_of_callers_reach_the_listener(self) -> None:
+        found = self.requirements(priority=2, target_latency_ms=250)
+        self.assertEqual(found, Requirements(Priority(2), Seconds(0.25)))
+
+    def test_requirements_that_are_out_of_bounds_leave_a_document_valid(self) -> None:
+        # Guards against a configuration that is refused for a field that earlier
+        # versions ignored.
+        odd: tuple[Any, ...] = (-1, 10, 1.5, "2", True, None, [], {}, float("1e300"))
+        for value in odd:
+            with self.subTest(priority=value):
+                self.assertIsNone(
+                    self.requirements(priority=value, target_latency_ms=250)
+                )
+        for value in (0, -5, "250", False, None, [250], 5e-324):
+            with self.subTest(objective=value):
+                self.assertIsNone(
+                    self.requirements(priority=1, target_latency_ms=value)
+                )
+        self.assertIsNone(self.requirements(priority=1))
+        self.assertIsNone(self.requirements(target_latency_ms=250))
+
+    def test_a_number_beyond_any_range_leaves_a_document_valid(self) -> None:
+        route = DOCUMENT["routes"][0] | {"priority": 1, "target-latency-ms": "huge"}
+        text = json.dumps(DOCUMENT | {"routes": [route]}).replace('"huge"', "1e999")
+        declaration = decode_document(read_document(text.encode()).unwrap()).unwrap()
+        self.assertIsNone(declaration.listeners[0].requirements)
+
     def test_truncated_text_is_an_error(self) -> None:
         text = json.dumps(DOCUMENT).encode()
         for length in (0, 1, len(text) // 2, len(text) - 1):
