--- /dev/null
+++ b/src/wasabigw/core/tags/capacity_share.py
@@ -0,0 +1,71 @@
+"""Share of the work of a service's backend servers that one balancer may send."""
+
+from collections import Counter
+from collections.abc import Set
+
+from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
+from wasabigw.core.load.figures import COUNT_WINDOW
+from wasabigw.core.rates import recent_rate
+from wasabigw.core.tags.admission_state import ServiceAdmission
+from wasabigw.core.tags.health import Health, health_of
+from wasabigw.core.tags.locality import eligible_slots, traffic_shares
+from wasabigw.core.tags.state import Server, TagState
+
+
+def capacity_of(
+    service: ServiceId,
+    service_rate: float,
+    control: ServiceAdmission,
+    state: TagState,
+    now: Seconds,
+) -> float:
+    """Requests a second that this balancer may send, so that all send what fits.
+
+    :param service_rate: requests a second that the backend servers can answer to which
+        this balancer sends.
+    """
+    home = state.failure_domain
+    slots: Counter[FailureDomainId] = Counter()
+    for server in usable_servers(service, state, now):
+        slots[server.registration.failure_domain] += max(server.registration.slots, 1)
+    usable = eligible_slots(home, slots, state.regions)
+    receiving = traffic_shares(home, usable, state.regions) if usable else {}
+    if receiving.keys() <= {home}:
+        # Other failure domains send nothing here while they have backend servers.
+        return service_rate * _share(service, {home}, control, state, now)
+    rate = service_rate * sum(usable.values()) / sum(usable[d] for d in receiving)
+    return rate * _share(service, usable.keys() | {home}, control, state, now)
+
+
+def usable_servers(service: ServiceId, state: TagState, now: Seconds) -> list[Server]:
+    """Warm backend servers of a service that answer."""
+    return [
+        server
+        for server in state.pools.get(service, ())
+        if server.cold_until <= now
+        and health_of(server.breaker, now) is not Health.SILENT
+    ]
+
+
+def _share(
+    service: ServiceId,
+    domains: Set[FailureDomainId],
+    control: ServiceAdmission,
+    state: TagState,
+    now: Seconds,
+) -> float:
+    """Share of this balancer in the arrivals at all balancers of failure domains.
+
+    One arrival is added for each balancer, so that one keeps a share when its arrivals
+    stop for a moment; the shares of all balancers add up to 1.
+    """
+    known = state.known_load
+    others = sum(
+        figures.arrivals
+        for (name, domain), figures in known.services.items()
+        if name == service and domain in domains
+    )
+    all_domains = state.regions.keys() | domains
+    balancers = 1 + known.balancers * len(domains) / len(all_domains)
+    own = COUNT_WINDOW * sum(recent_rate(a, now) for a in control.arrivals.values())
+    return (own + 1) / (own + others + balancers)
--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from wasabigw.core.registration import Registration
+from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.packets import FlowPacket
 
 
@@ -13,6 +14,7 @@
     NO_LISTENER = "no-listener"
     NO_SERVER = "no-server"
     SERVER_LOST = "server-lost"
+    NO_ROOM = "no-room"
 
 
 class ChoiceReason(Enum):
@@ -37,6 +39,9 @@
     MAY_BE_OPEN = "may-be-open"
     LINK_FULL = "link-full"
     OPENING_EXPIRED = "opening-expired"
+    NO_ROOM = "no-room"
+    HELD_ALREADY = "held-already"
+    HELD_TOO_LONG = "held-too-long"
 
 
 class Receiver(Enum):
@@ -77,4 +82,11 @@
     reason: DropReason
 
 
-PacketDecision = Deliver | Refuse | Drop
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Keep an opening until its service has room, or until its deadline."""
+
+    opening: HeldOpening
+
+
+PacketDecision = Deliver | Refuse | Drop | Hold
--- /dev/null
+++ b/src/wasabigw/core/tags/rejections.py
@@ -0,0 +1,88 @@
+"""Rejections by full backend servers, and the further tries that follow them.
+
+Answers bypass the balancer, which sees how many bytes of them callers acknowledge. A
+rejection has a head only, so it is short. Other answers of a service may be as short;
+only what exceeds their usual share counts as rejected.
+"""
+
+from wasabigw.core.ids import Seconds
+from wasabigw.core.rates import add_recent, recent_sum
+from wasabigw.core.tags.admission_state import AnswerCounts, CallerKey
+from wasabigw.core.tags.packets import FlowId, FlowPacket, sequence_distance
+from wasabigw.core.tags.state import Flow, TagState
+
+MAX_REJECTION_BYTES = 384
+"""Size up to which an answer may be a rejection: a status line and some fields."""
+FURTHER_TRY_WINDOW = Seconds(0.05)
+"""Time from a rejection to an opening of the same caller that is a further try.
+
+Callers try again within milliseconds; the acknowledgement of a rejection and the next
+opening may pass this balancer in either order of their queues.
+"""
+MAX_REJECTED_CALLERS = 4096
+"""Maximum number of callers that are remembered as rejected."""
+MAX_REJECTED_SHARE = 0.9
+"""Largest share that is assumed, so that the expected delay stays finite."""
+MIN_ANSWERS = 5.0
+"""Answers, of which older ones count less, from which their kinds are compared."""
+
+
+def record_answer(
+    packet: FlowPacket, flow: Flow, state: TagState, now: Seconds
+) -> None:
+    """Record the answer that a caller acknowledges, if it waits for one."""
+    control = state.admission.services.get(flow.server.registration.service)
+    if control is None or flow.pending_sequence is None:
+        return
+    size = sequence_distance(flow.acknowledged, packet.acknowledged)
+    if size <= 0:
+        return
+    add_recent(control.answers.all, now)
+    if size > MAX_REJECTION_BYTES:
+        return
+    add_recent(control.answers.short, now)
+    add_recent(control.answers.short_time, now, now - flow.pending_since)
+    record_rejected_caller(packet.flow, state, now)
+
+
+def record_rejected_caller(flow: FlowId, state: TagState, now: Seconds) -> None:
+    """Remember a caller, whose next opening is a further try."""
+    callers = state.admission.rejected_callers
+    key = _key_of(flow)
+    callers.pop(key, None)
+    if len(callers) >= MAX_REJECTED_CALLERS:
+        callers.popitem(last=False)
+    callers[key] = now
+
+
+def take_further_try(flow: FlowId, state: TagState, now: Seconds) -> bool:
+    """Whether an opening follows a rejection; each rejection explains one opening."""
+    rejected_at = state.admission.rejected_callers.pop(_key_of(flow), None)
+    return rejected_at is not None and now - rejected_at <= FURTHER_TRY_WINDOW
+
+
+def learn_usual_share(answers: AnswerCounts, now: Seconds) -> None:
+    """Learn how many answers are short while the service has room."""
+    count = recent_sum(answers.all, now)
+    if count >= MIN_ANSWERS:
+        answers.usual_share = recent_sum(answers.short, now) / count
+
+
+def rejected_share(answers: AnswerCounts, now: Seconds) -> float:
+    """Share of the requests of a service without room that are rejected."""
+    count = recent_sum(answers.all, now)
+    if count < MIN_ANSWERS:
+        return 0.0
+    share = recent_sum(answers.short, now) / count
+    usual = min(answers.usual_share, MAX_REJECTED_SHARE)
+    return min(max((share - usual) / (1.0 - usual), 0.0), MAX_REJECTED_SHARE)
+
+
+def rejection_time(answers: AnswerCounts, now: Seconds) -> float:
+    """Mean time in seconds from a request to its rejection."""
+    count = recent_sum(answers.short, now)
+    return recent_sum(answers.short_time, now) / count if count > 0 else 0.0
+
+
+def _key_of(flow: FlowId) -> CallerKey:
+    return CallerKey(flow.caller, flow.listener, flow.listener_port)
--- /dev/null
+++ b/src/wasabigw/core/tags/shortage.py
@@ -0,0 +1,184 @@
+"""Whether a service is short of room, by what its callers need.
+
+The expected delay of an opening has two parts: the time in the queue of a backend
+server, and the time that rejections by full ones cost before one has a place. A service
+is short when this delay exceeds a part of the latency objective of its callers. It is
+no longer short when the delay has been far below that for a while.
+"""
+
+from wasabigw.core.declaration import Listener
+from wasabigw.core.ids import Seconds, ServiceId
+from wasabigw.core.load.figures import (
+    MAX_REPORTED_SERVERS,
+    REPORT_INTERVAL,
+)
+from wasabigw.core.requirements import Priority
+from wasabigw.core.tags.admission_state import (
+    ServiceAdmission,
+    ShortageCause,
+    ShortageChange,
+)
+from wasabigw.core.tags.capacity_share import capacity_of, usable_servers
+from wasabigw.core.tags.rejections import (
+    learn_usual_share,
+    rejected_share,
+    rejection_time,
+)
+from wasabigw.core.tags.room import Room, room_of
+from wasabigw.core.tags.state import TagState
+
+DELAY_SHARE = 0.25
+"""Share of the latency objective that an opening may wait for its request to start.
+
+The rest is for the request itself, and for a second try if the first one is rejected.
+"""
+ROOM_SHARE = 0.5
+"""Share of the tolerable delay below which a short service has room again."""
+ROOM_TIME = REPORT_INTERVAL
+"""Time for which a short service must have room, so that newer figures confirm it."""
+UPDATE_INTERVAL = Seconds(0.1)
+"""Time between two updates of a service."""
+LISTENER_TTL = Seconds(30.0)
+"""Time after the latest opening at a listener for which its callers count.
+
+Requirements of listeners that nobody uses must not make a service short.
+"""
+
+
+def update_shortage(
+    service: ServiceId, control: ServiceAdmission, state: TagState, now: Seconds
+) -> None:
+    """Update whether a service is short, unless that was done just before."""
+    if now - control.updated_at < UPDATE_INTERVAL:
+        return
+    control.updated_at = now
+    room = room_of(service, state, now)
+    tolerable = _tolerable_delay(control, state, now)
+    if room is None or tolerable is None:
+        cause = ShortageCause.NO_FIGURES if room is None else ShortageCause.NO_CALLERS
+        _end_shortage(service, control, cause, room, state, now)
+        return
+    has_queues = room.utilization > 1.0
+    if not has_queues:
+        learn_usual_share(control.answers, now)
+    rejected = rejected_share(control.answers, now) if has_queues else 0.0
+    by_rejections = rejected / (1.0 - rejected) * rejection_time(control.answers, now)
+    control.delay = Seconds(room.wait + by_rejections)
+    control.tolerable = tolerable
+    # Rejections are answers as well, so that figures with them show too high a rate.
+    rate = room.service_rate * (1.0 - rejected)
+    control.capacity = capacity_of(service, rate, control, state, now)
+    if control.delay > tolerable and has_queues:
+        control.room_since = None
+        if control.short_since is None:
+            cause = (
+                ShortageCause.REJECTIONS
+                if by_rejections > room.wait
+                else ShortageCause.QUEUES
+            )
+            control.short_since = now
+            _record_change(service, control, cause, room, state, now)
+    elif control.short_since is not None:
+        _check_room(service, control, room, state, now)
+    is_short = control.short_since is not None
+    control.has_idle_server = is_short and _has_idle_server(service, state, now)
+
+
+def priorities_of(
+    control: ServiceAdmission, state: TagState, now: Seconds
+) -> list[Priority]:
+    """Priorities of the callers of a service, the most urgent first."""
+    found = {
+        listener.requirements.priority
+        for listener in _used(control, state, now)
+        if listener.requirements is not None
+    }
+    return sorted(found)
+
+
+def _check_room(
+    service: ServiceId,
+    control: ServiceAdmission,
+    room: Room,
+    state: TagState,
+    now: Seconds,
+) -> None:
+    if control.delay >= ROOM_SHARE * control.tolerable:
+        control.room_since = None
+    elif control.room_since is None:
+        control.room_since = now
+    elif now - control.room_since >= ROOM_TIME:
+        _end_shortage(service, control, ShortageCause.ROOM, room, state, now)
+
+
+def _end_shortage(
+    service: ServiceId,
+    control: ServiceAdmission,
+    cause: ShortageCause,
+    room: Room | None,
+    state: TagState,
+    now: Seconds,
+) -> None:
+    if control.short_since is not None:
+        _record_change(service, control, cause, room, state, now)
+    control.short_since = control.room_since = None
+
+
+def _record_change(
+    service: ServiceId,
+    control: ServiceAdmission,
+    cause: ShortageCause,
+    room: Room | None,
+    state: TagState,
+    now: Seconds,
+) -> None:
+    since = control.short_since
+    state.admission.changes.append(
+        ShortageChange(
+            service,
+            cause in (ShortageCause.QUEUES, ShortageCause.REJECTIONS),
+            cause,
+            control.delay,
+            control.tolerable,
+            room.utilization if room is not None else 0.0,
+            rejected_share(control.answers, now),
+            Seconds(now - state.known_load.measured_at),
+            Seconds(now - since if since is not None else 0.0),
+        )
+    )
+
+
+def _used(control: ServiceAdmission, state: TagState, now: Seconds) -> list[Listener]:
+    """Listeners of a service at which callers opened flows recently."""
+    for key, opened_at in list(control.listeners.items()):
+        if now - opened_at >= LISTENER_TTL or key not in state.listeners:
+            del control.listeners[key]
+    return [state.listeners[key] for key in control.listeners]
+
+
+def _tolerable_delay(
+    control: ServiceAdmission, state: TagState, now: Seconds
+) -> Seconds | None:
+    """Shortest delay that any callers of a service can bear; ``None`` without any."""
+    delays = [
+        DELAY_SHARE
+        * min(listener.requirements.latency_objective, listener.request_timeout)
+        for listener in _used(control, state, now)
+        if listener.requirements is not None
+    ]
+    return Seconds(min(delays)) if delays else None
+
+
+def _has_idle_server(service: ServiceId, state: TagState, now: Seconds) -> bool:
+    """Whether a backend server that gets new flows is known to have no request.
+
+    Figures name no backend server without load. If they are limited to a part of the
+    others, one that they don't name has about the mean load.
+    """
+    known = state.known_load
+    are_complete = len(known.servers) < MAX_REPORTED_SERVERS
+    for server in usable_servers(service, state, now):
+        figures = known.servers.get(server.registration.tag)
+        if are_complete if figures is None else figures.in_flight == 0:
+            return True
+    return False
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -20,6 +20,7 @@
 )
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.registration import Registration
+from wasabigw.core.tags.admission_state import AdmissionState
 from wasabigw.core.tags.caller_diversion import Diversion
 from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.egress import EgressQueue
@@ -126,6 +127,7 @@
         removes them.
     :param features: parts that operators have left switched on.
     :param known_load: load of backend servers from other balancers.
+    :param admission: openings that are limited while services are short of room.
     """
 
     node: NodeId
@@ -149,6 +151,7 @@
     health_changes: list[HealthChange] = field(default_factory=list)
     features: Features = field(default_factory=Features)
     known_load: KnownLoad = field(default_factory=KnownLoad)
+    admission: AdmissionState = field(default_factory=AdmissionState)
 
     @property
     def has_view(self) -> bool:
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -6,14 +6,24 @@
 
 from collections.abc import Sequence
 
+from wasabigw.core.declaration import Listener
 from wasabigw.core.durations import Durations, record_duration
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import Seconds, ServiceId
 from wasabigw.core.tags import caller_diversion
+from wasabigw.core.tags.admission_control import (
+    AdmissionOutcome,
+    abandon_opening,
+    admit,
+    is_held,
+    make_held_opening,
+    record_request,
+)
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
     Deliver,
     Drop,
     DropReason,
+    Hold,
     PacketDecision,
     RefusalReason,
     Refuse,
@@ -27,6 +37,7 @@
     record_probe,
     record_response,
 )
+from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.openings import (
     discard_opening,
     pop_overdue,
@@ -39,6 +50,7 @@
     FlowPacket,
     sequence_distance,
 )
+from wasabigw.core.tags.rejections import record_answer
 from wasabigw.core.tags.selection import choose_server, service_of
 from wasabigw.core.tags.state import (
     Flow,
@@ -101,6 +113,62 @@
         reason = RefusalReason.NO_LISTENER
         return _reject_opening(packet, reason, state, now, waited)
     service = service_of(listener, flow)
+    limited = _limit_opening(packet, listener, service, state, now, waited)
+    if limited is not None:
+        return limited
+    return _open_flow(packet, service, state, now, waited)
+
+
+def decide_released(
+    opening: HeldOpening, state: TagState, now: Seconds
+) -> PacketDecision:
+    """Decide on a held opening that is released now."""
+    packet, flow = opening.packet, opening.packet.flow
+    waited = Seconds(opening.waited + now - opening.held_at)
+    if (flow.listener, flow.listener_port) not in state.listeners:
+        reason = RefusalReason.NO_LISTENER
+        return _reject_opening(packet, reason, state, now, waited)
+    return _open_flow(packet, opening.service, state, now, waited)
+
+
+def _limit_opening(
+    packet: FlowPacket,
+    listener: Listener,
+    service: ServiceId,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds,
+) -> PacketDecision | None:
+    """Decide on an opening that is not sent to a backend server now."""
+    known = state.flows.get(packet.flow)
+    if known is not None and (
+        known.state is FlowState.OPENING or _is_copy_of_opening(packet, known, now)
+    ):
+        return None
+    if is_held(packet.flow, state):
+        return Drop(DropReason.HELD_ALREADY)
+    may_refuse = (
+        state.is_fresh(now) and packet.repeat == 0 and waited < MAX_WAIT_TO_REFUSE
+    )
+    outcome = admit(packet, listener, service, state, now, waited, may_refuse)
+    if outcome is AdmissionOutcome.ADMIT:
+        return None
+    if outcome is AdmissionOutcome.HOLD:
+        return Hold(make_held_opening(packet, listener, service, waited, now))
+    if outcome is AdmissionOutcome.REFUSE:
+        return Refuse(packet, RefusalReason.NO_ROOM)
+    return Drop(DropReason.NO_ROOM)
+
+
+def _open_flow(
+    packet: FlowPacket,
+    service: ServiceId,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds,
+) -> PacketDecision:
+    """Decide on an opening that is sent to a backend server, if there is one."""
+    flow = packet.flow
     pool = state.pools.get(service, ())
     avoided = tried_servers(flow.caller, state, now)
     known = state.flows.get(flow)
@@ -190,6 +258,8 @@
 def _decide_open_flow(
     packet: FlowPacket, state: TagState, now: Seconds
 ) -> PacketDecision:
+    if packet.is_reset:
+        abandon_opening(packet.flow, state)
     if packet.tag == NO_TAG:
         return Drop(DropReason.NO_TAG)
     server = state.servers.get(packet.tag)
@@ -233,6 +303,7 @@
         # The backend server has not been sent the first copy yet.
         return False
     if flow.pending_sequence is None:
+        record_request(flow, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif _shows_progress(packet, flow.pending_sequence):
         _record_response(flow.server, state, now)
@@ -316,6 +387,7 @@
     if was_opening:
         known.state = FlowState.OPEN
     if was_opening or known.acknowledged != packet.acknowledged:
+        record_answer(packet, known, state, now)
         known.acknowledged = packet.acknowledged
         if known.pending_sequence is not None:
             known.pending_sequence = None
@@ -346,6 +418,7 @@
     if known.state is not FlowState.CLOSED:
         known.state = FlowState.CLOSED
         server.open_flows -= 1
+    record_answer(packet, known, state, now)
     known.last_seen = now
     known.acknowledged = packet.acknowledged
     known.pending_sequence = None
--- a/src/wasabigw/tasks/decision_log.py
+++ b/src/wasabigw/tasks/decision_log.py
@@ -8,7 +8,7 @@
 from wasabigw.core.endpoint import address_text
 from wasabigw.core.ids import Seconds
 from wasabigw.core.registration import Registration
-from wasabigw.core.tags.decisions import Deliver, Drop, PacketDecision, Refuse
+from wasabigw.core.tags.decisions import Deliver, Drop, Hold, PacketDecision, Refuse
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import HealthChange, TagState
 from wasabigw.tasks.tag_metrics import DecisionKey
@@ -116,6 +116,11 @@
             FlowEvent.DROPPED, "dropped", decision.reason.value, packet, now
         )
 
+    @_log_by_type.register
+    def _(self, decision: Hold, packet: FlowPacket, now: Seconds) -> None:
+        """Count only: what becomes of a held opening is logged when it is released."""
+        self.decisions[DecisionKey("held", decision.opening.service, "", "")] += 1
+
     def _log_rejection(
         self,
         event: FlowEvent,
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -9,6 +9,7 @@
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.state import TagState
+from wasabigw.tasks.admission_metrics import admission_families
 from wasabigw.telemetry.exposition import (
     Family,
     MetricKind,
@@ -124,6 +125,7 @@
             receive_wait,
         ),
         gauge("wasabigw_log_lines_left_out", "Lines beyond the budget", suppressed),
+        *admission_families(state, now),
     ]
 
 
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -11,8 +11,15 @@
 
 from wasabigw.core.endpoint import Endpoint, endpoint_key
 from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Revision, Seconds
+from wasabigw.core.tags.admission_control import (
+    expire_openings,
+    hold_opening,
+    release_openings,
+    time_to_release_held,
+    update_services,
+)
 from wasabigw.core.tags.caller_diversion import decay_counts, should_divert
-from wasabigw.core.tags.decisions import Deliver, Drop, DropReason, Refuse
+from wasabigw.core.tags.decisions import Deliver, Drop, DropReason, Hold, Refuse
 from wasabigw.core.tags.egress import (
     Admission,
     Datagram,
@@ -24,16 +31,23 @@
     time_to_release,
 )
 from wasabigw.core.tags.flow_table import expire_flows
+from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.host_checks import HostChecked
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.steering import decide, record_loss, record_release
+from wasabigw.core.tags.steering import (
+    decide,
+    decide_released,
+    record_loss,
+    record_release,
+)
 from wasabigw.core.tags.unreachable_hosts import record_check
 from wasabigw.core.tags.updates import apply_declaration, apply_view_update
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.selector_task import SelectorTask
 from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import Tick, monotonic
+from wasabigw.tasks.admission_log import log_shortage_changes
 from wasabigw.tasks.decision_log import DecisionLog, rounded_or_none
 from wasabigw.tasks.host_checker import make_host_checker
 from wasabigw.tasks.light_http import LightRequest, LightServer
@@ -182,6 +196,8 @@
         self._decision_log.log_decision(packet, decision, now)
         if self._state.health_changes:
             self._decision_log.log_health_changes(now)
+        if self._state.admission.changes:
+            log_shortage_changes(self._state)
         self._request_host_checks()
         _execute(decision, received.data, now, self)
 
@@ -204,6 +220,34 @@
         for evicted in take_evicted(egress):
             self._drop_from_link(evicted.packet, DropReason.LINK_FULL, now)
 
+    def hold(self, opening: HeldOpening) -> None:
+        """Keep an opening until its service has room."""
+        dropped = hold_opening(opening, self._state)
+        self.count("held")
+        if dropped is not None:
+            self._drop_held(dropped, monotonic())
+
+    def _drop_held(self, opening: HeldOpening, now: Seconds) -> None:
+        drop = Drop(DropReason.HELD_TOO_LONG)
+        self._decision_log.log_decision(opening.packet, drop, now)
+        _execute(drop, opening.datagram, now, self)
+
+    def _handle_held(self) -> None:
+        """Release held openings; the ones that waited for too long come first.
+
+        A balancer that was suspended must not open a flow by a decision from before.
+        """
+        if not self._state.admission.held.flows:
+            return
+        now = monotonic()
+        for opening in expire_openings(self._state, now):
+            self._drop_held(opening, now)
+        for opening in release_openings(self._state, now):
+            decision = decide_released(opening, self._state, now)
+            self._decision_log.log_decision(opening.packet, decision, now)
+            _execute(decision, opening.datagram, now, self)
+            self._last_packet = now
+
     def _drop_from_link(
         self, packet: FlowPacket, reason: DropReason, now: Seconds
     ) -> None:
@@ -213,11 +257,17 @@
         self.count(f"dropped-{drop.reason.value}")
 
     def _time_to_next(self) -> Seconds | None:
-        if self._state.egress.is_empty:
+        if self._state.egress.is_empty and not self._state.admission.held.flows:
             return None
-        return time_to_release(self._state.egress, monotonic())
+        now = monotonic()
+        times = (
+            time_to_release(self._state.egress, now),
+            time_to_release_held(self._state, now),
+        )
+        return min((time for time in times if time is not None), default=None)
 
     def _handle_due(self) -> None:
+        self._handle_held()
         if self._state.egress.is_empty:
             return
         now = monotonic()
@@ -289,11 +339,15 @@
     @receive.register
     def _(self, message: BeginTagDrain) -> None:
         self._draining = True
+        self._state.admission.is_draining = True
+        self._handle_held()
 
     @receive.register
     def _(self, message: Tick) -> None:
         expire_flows(self._state, message.now)
         decay_counts(self._state.diversion)
+        update_services(self._state, message.now)
+        log_shortage_changes(self._state)
         self._decision_log.reset_budget()
         self._log_freshness_change(message.now)
         self._log_queue_change()
@@ -465,6 +519,11 @@
     task.count(f"dropped-{decision.reason.value}")
 
 
+@_execute.register
+def _(decision: Hold, datagram: bytes, now: Seconds, task: TagPacketTask) -> None:
+    task.hold(decision.opening._replace(datagram=datagram))
+
+
 def make_tag_packet_task(settings: TagPacketSettings) -> TagPacketTask:
     """Create the packet task of a balancer; entering its context binds the socket."""
     return TagPacketTask(settings, SelectableMailbox("packets"))
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -200,3 +200,20 @@
         "balancer {node} has caught up with its receive buffer",
         "None needed.",
     )
+    SERVICE_SHORT = EventDefinition(
+        2040,
+        Severity.WARNING,
+        "{service} is short of room by what balancer {node} knows: {cause}; an opening "
+        "waits {delay} s for its request to start, its callers can bear {tolerable} s; "
+        "utilization {utilization}, rejected {rejected}, figures {age} s old",
+        "Less urgent openings are limited until there is room; add backend servers, or "
+        "find out which of them are slow (docs/operations/overload.md).",
+    )
+    SERVICE_HAS_ROOM = EventDefinition(
+        2041,
+        Severity.INFO,
+        "{service} is no longer short of room by what balancer {node} knows: {cause}; "
+        "it was short for {lasted} s, an opening waits {delay} s, utilization "
+        "{utilization}, figures {age} s old",
+        "None needed; without current figures all openings are admitted.",
+    )
