--- a/src/wasabigw/core/tags/admission_control.py
+++ b/src/wasabigw/core/tags/admission_control.py
@@ -46,7 +46,7 @@
     remove_held,
 )
 from wasabigw.core.tags.packets import FlowId, FlowPacket
-from wasabigw.core.tags.rejections import take_further_try
+from wasabigw.core.tags.rejections import record_rejected_caller, take_further_try
 from wasabigw.core.tags.shortage import DELAY_SHARE, priorities_of, update_shortage
 from wasabigw.core.tags.state import Flow, TagState
 
@@ -103,6 +103,8 @@
         outcome = _limit(opening, listener, control, state, now, is_further_try)
         if outcome is AdmissionOutcome.REFUSE and not may_refuse:
             outcome = AdmissionOutcome.UNANSWERED
+    if outcome is AdmissionOutcome.REFUSE:
+        record_rejected_caller(packet.flow, state, now)
     _count_outcome(outcome, service, requirements.priority, control, state, now)
     return outcome
 
--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission_state.py
@@ -87,13 +87,14 @@
 
     :param short: answers that are as short as a rejection.
     :param short_time: sum of the times to these.
-    :param usual_share: share of short answers while the service has room.
+    :param usual_share: share of short answers while the service has room; ``None`` if
+        it is not known yet.
     """
 
     all: RecentSum = field(default_factory=RecentSum)
     short: RecentSum = field(default_factory=RecentSum)
     short_time: RecentSum = field(default_factory=RecentSum)
-    usual_share: float = 0.0
+    usual_share: float | None = None
 
 
 @dataclass(slots=True)
--- a/src/wasabigw/core/tags/rejections.py
+++ b/src/wasabigw/core/tags/rejections.py
@@ -23,6 +23,8 @@
 """Maximum number of callers that are remembered as rejected."""
 MAX_REJECTED_SHARE = 0.9
 """Largest share that is assumed, so that the expected delay stays finite."""
+LEARNING_TIME = Seconds(30.0)
+"""Time in which the usual share of short answers follows a higher one."""
 MIN_ANSWERS = 5.0
 """Answers, of which older ones count less, from which their kinds are compared."""
 
@@ -61,19 +63,33 @@
     return rejected_at is not None and now - rejected_at <= FURTHER_TRY_WINDOW
 
 
-def learn_usual_share(answers: AnswerCounts, now: Seconds) -> None:
-    """Learn how many answers are short while the service has room."""
-    count = recent_sum(answers.all, now)
-    if count >= MIN_ANSWERS:
-        answers.usual_share = recent_sum(answers.short, now) / count
+def learn_usual_share(answers: AnswerCounts, elapsed: Seconds, now: Seconds) -> None:
+    """Learn how many answers are short while the service has room.
+
+    The share rises slowly: figures show a surge a second or two after the rejections
+    that it causes, which must not become usual meanwhile.
+
+    :param elapsed: time since the last call.
+    """
+    share = _short_share(answers, now)
+    if share is None:
+        return
+    usual = answers.usual_share
+    if usual is None:
+        answers.usual_share = share
+        return
+    risen = usual + (share - usual) * min(elapsed / LEARNING_TIME, 1.0)
+    answers.usual_share = min(share, risen)
 
 
 def rejected_share(answers: AnswerCounts, now: Seconds) -> float:
-    """Share of the requests of a service without room that are rejected."""
-    count = recent_sum(answers.all, now)
-    if count < MIN_ANSWERS:
+    """Share of the requests of a service without room that are rejected.
+
+    :returns: 0 as long as the usual share of short answers is not known.
+    """
+    share = _short_share(answers, now)
+    if share is None or answers.usual_share is None:
         return 0.0
-    share = recent_sum(answers.short, now) / count
     usual = min(answers.usual_share, MAX_REJECTED_SHARE)
     return min(max((share - usual) / (1.0 - usual), 0.0), MAX_REJECTED_SHARE)
 
@@ -84,5 +100,12 @@
     return recent_sum(answers.short_time, now) / count if count > 0 else 0.0
 
 
+def _short_share(answers: AnswerCounts, now: Seconds) -> float | None:
+    count = recent_sum(answers.all, now)
+    if count < MIN_ANSWERS:
+        return None
+    return recent_sum(answers.short, now) / count
+
+
 def _key_of(flow: FlowId) -> CallerKey:
     return CallerKey(flow.caller, flow.listener, flow.listener_port)
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -49,7 +49,8 @@
     service: ServiceId, control: ServiceAdmission, state: TagState, now: Seconds
 ) -> None:
     """Update whether a service is short, unless that was done just before."""
-    if now - control.updated_at < UPDATE_INTERVAL:
+    elapsed = Seconds(now - control.updated_at)
+    if elapsed < UPDATE_INTERVAL:
         return
     control.updated_at = now
     room = room_of(service, state, now)
@@ -60,7 +61,7 @@
         return
     has_queues = room.utilization > 1.0
     if not has_queues:
-        learn_usual_share(control.answers, now)
+        learn_usual_share(control.answers, elapsed, now)
     rejected = rejected_share(control.answers, now) if has_queues else 0.0
     by_rejections = rejected / (1.0 - rejected) * rejection_time(control.answers, now)
     control.delay = Seconds(room.wait + by_rejections)
@@ -103,7 +104,8 @@
     state: TagState,
     now: Seconds,
 ) -> None:
-    if control.delay >= ROOM_SHARE * control.tolerable:
+    has_room = control.delay < ROOM_SHARE * control.tolerable
+    if not has_room and room.utilization > 1.0:
         control.room_since = None
     elif control.room_since is None:
         control.room_since = now
