--- a/src/wasabigw/core/tags/admission_control.py
+++ b/src/wasabigw/core/tags/admission_control.py
@@ -19,10 +19,7 @@
 from wasabigw.core.ids import Seconds, ServiceId
 from wasabigw.core.rates import (
     RecentSum,
-    TokenBucket,
     add_recent,
-    recent_rate,
-    refill,
     take_token,
     time_to_tokens,
 )
@@ -45,15 +42,14 @@
     ranks_of,
     remove_held,
 )
+from wasabigw.core.tags.pacing import fits, refilled_bucket
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.rejections import record_rejected_caller, take_further_try
-from wasabigw.core.tags.shortage import DELAY_SHARE, priorities_of, update_shortage
+from wasabigw.core.tags.shortage import DELAY_SHARE, update_shortage
 from wasabigw.core.tags.state import Flow, TagState
 
 MAX_HOLD_TIME = Seconds(0.12)
 """Longest time for which an opening is held; callers send a copy after 0.2 s."""
-GUARANTEED_SHARE = 0.1
-"""Share of the capacity that each less urgent priority keeps at least."""
 REFUSE_AFTER = 0.5
 """Part of the request timeout after which a shortage causes refusals.
 
@@ -93,9 +89,9 @@
     requirements = listener.requirements
     if requirements is None or not state.features.admission_control:
         return AdmissionOutcome.ADMIT
-    control = state.admission.services.setdefault(service, ServiceAdmission())
+    control = state.admission.services.setdefault(service, ServiceAdmission(service))
     is_further_try = _record_arrival(packet, requirements.priority, control, state, now)
-    update_shortage(service, control, state, now)
+    update_shortage(control, state, now)
     if not _is_limited(control, state):
         outcome = AdmissionOutcome.ADMIT
     else:
@@ -149,9 +145,9 @@
     released: list[HeldOpening] = []
     for service in list(held.queues):
         control = state.admission.services[service]
-        update_shortage(service, control, state, now)
+        update_shortage(control, state, now)
         for rank in ranks_of(held, service):
-            while rank in held.queues.get(service, ()) and _has_turn(
+            while rank in held.queues.get(service, ()) and _may_leave(
                 rank.priority, control, state, now
             ):
                 released.append(pop_held(held, service, rank))
@@ -204,7 +200,7 @@
     """Update which services are short, and remove those that no callers use."""
     services, held = state.admission.services, state.admission.held
     for service, control in list(services.items()):
-        update_shortage(service, control, state, now)
+        update_shortage(control, state, now)
         if not control.listeners and service not in held.queues:
             del services[service]
 
@@ -240,6 +236,15 @@
     )
 
 
+def _may_leave(
+    priority: Priority, control: ServiceAdmission, state: TagState, now: Seconds
+) -> bool:
+    """Whether a held opening of a priority leaves now; takes its token if so."""
+    if not _is_limited(control, state) or fits(priority, control, state, now):
+        return True
+    return take_token(refilled_bucket(priority, control, state, now))
+
+
 def _limit(
     opening: HeldOpening,
     listener: Listener,
@@ -250,7 +255,7 @@
 ) -> AdmissionOutcome:
     """Decide on an opening while its service is short."""
     service, rank = opening.service, opening.rank
-    if _fits(rank.priority, control, state, now):
+    if fits(rank.priority, control, state, now):
         return AdmissionOutcome.ADMIT
     if is_further_try:
         _count(opening, AdmissionCount.FURTHER_TRY, state)
@@ -259,7 +264,7 @@
             return _reject(listener, control, now)
     held = state.admission.held
     before = held_before(held, service, rank, opening.packet.flow.caller)
-    bucket = _refilled_bucket(rank.priority, control, state, now)
+    bucket = refilled_bucket(rank.priority, control, state, now)
     if before == 0 and take_token(bucket):
         return AdmissionOutcome.ADMIT
     if now + time_to_tokens(bucket, before + 1.0) <= opening.deadline:
@@ -276,55 +281,6 @@
     return AdmissionOutcome.UNANSWERED
 
 
-def _fits(
-    priority: Priority, control: ServiceAdmission, state: TagState, now: Seconds
-) -> bool:
-    """Whether openings are of the most urgent priority, whose demand alone fits."""
-    if priority > min(priorities_of(control, state, now), default=priority):
-        return False
-    arrivals = control.arrivals.get(priority)
-    return arrivals is None or recent_rate(arrivals, now) <= control.capacity
-
-
-def _has_turn(
-    priority: Priority, control: ServiceAdmission, state: TagState, now: Seconds
-) -> bool:
-    """Whether a held opening of a priority may leave now; takes its token if so."""
-    if not _is_limited(control, state) or _fits(priority, control, state, now):
-        return True
-    return take_token(_refilled_bucket(priority, control, state, now))
-
-
-def _refilled_bucket(
-    priority: Priority, control: ServiceAdmission, state: TagState, now: Seconds
-) -> TokenBucket:
-    bucket = control.buckets.setdefault(priority, TokenBucket())
-    refill(bucket, _rate(priority, control, state, now), now)
-    return bucket
-
-
-def _rate(
-    priority: Priority, control: ServiceAdmission, state: TagState, now: Seconds
-) -> float:
-    """Openings a second of a priority that are admitted while its service is short.
-
-    The most urgent have all of the capacity. The others have what more urgent openings
-    and the requests on open flows leave, which can't be held back.
-    """
-    if priority <= min(priorities_of(control, state, now), default=priority):
-        return control.capacity
-    more_urgent = sum(
-        recent_rate(arrivals, now)
-        for other, arrivals in control.arrivals.items()
-        if other < priority
-    )
-    on_open_flows = max(
-        recent_rate(control.requests, now) - recent_rate(control.admitted, now), 0.0
-    )
-    left = control.capacity - more_urgent - on_open_flows
-    return max(left, GUARANTEED_SHARE * control.capacity)
-
-
 def _hold_time(requirements: Requirements) -> Seconds:
     """Time for which an opening is held, so that its objective can still be met."""
     return Seconds(min(MAX_HOLD_TIME, DELAY_SHARE * requirements.latency_objective))
--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission_state.py
@@ -101,6 +101,7 @@
 class ServiceAdmission:
     """Admission control of one service.
 
+    :param id: the service.
     :param listeners: when callers of each listener last opened a flow.
     :param arrivals: first copies of openings.
     :param admitted: openings that were sent to backend servers.
@@ -114,6 +115,7 @@
         the service is short.
     """
 
+    id: ServiceId
     listeners: dict[ListenerAddress, Seconds] = field(default_factory=dict)
     arrivals: dict[Priority, RecentSum] = field(default_factory=dict)
     admitted: RecentSum = field(default_factory=RecentSum)
--- a/src/wasabigw/core/tags/capacity_share.py
+++ b/src/wasabigw/core/tags/capacity_share.py
@@ -13,11 +13,7 @@
 
 
 def capacity_of(
-    service: ServiceId,
-    service_rate: float,
-    control: ServiceAdmission,
-    state: TagState,
-    now: Seconds,
+    control: ServiceAdmission, service_rate: float, state: TagState, now: Seconds
 ) -> float:
     """Requests a second that this balancer may send, so that all send what fits.
 
@@ -26,15 +22,15 @@
     """
     home = state.failure_domain
     slots: Counter[FailureDomainId] = Counter()
-    for server in usable_servers(service, state, now):
+    for server in usable_servers(control.id, state, now):
         slots[server.registration.failure_domain] += max(server.registration.slots, 1)
     usable = eligible_slots(home, slots, state.regions)
     receiving = traffic_shares(home, usable, state.regions) if usable else {}
     if receiving.keys() <= {home}:
         # Other failure domains send nothing here while they have backend servers.
-        return service_rate * _share(service, {home}, control, state, now)
+        return service_rate * _share(control, {home}, state, now)
     rate = service_rate * sum(usable.values()) / sum(usable[d] for d in receiving)
-    return rate * _share(service, usable.keys() | {home}, control, state, now)
+    return rate * _share(control, usable.keys() | {home}, state, now)
 
 
 def usable_servers(service: ServiceId, state: TagState, now: Seconds) -> list[Server]:
@@ -48,9 +44,8 @@
 
 
 def _share(
-    service: ServiceId,
-    domains: Set[FailureDomainId],
     control: ServiceAdmission,
+    domains: Set[FailureDomainId],
     state: TagState,
     now: Seconds,
 ) -> float:
@@ -63,7 +58,7 @@
     others = sum(
         figures.arrivals
         for (name, domain), figures in known.services.items()
-        if name == service and domain in domains
+        if name == control.id and domain in domains
     )
     all_domains = state.regions.keys() | domains
     balancers = 1 + known.balancers * len(domains) / len(all_domains)
--- /dev/null
+++ b/src/wasabigw/core/tags/pacing.py
@@ -0,0 +1,52 @@
+"""Rates at which openings of each priority are admitted while a service is short."""
+
+from wasabigw.core.ids import Seconds
+from wasabigw.core.rates import TokenBucket, recent_rate, refill
+from wasabigw.core.requirements import Priority
+from wasabigw.core.tags.admission_state import ServiceAdmission
+from wasabigw.core.tags.shortage import priorities_of
+from wasabigw.core.tags.state import TagState
+
+GUARANTEED_SHARE = 0.1
+"""Share of the capacity that each less urgent priority keeps at least."""
+
+
+def fits(
+    priority: Priority, control: ServiceAdmission, state: TagState, now: Seconds
+) -> bool:
+    """Whether openings are of the most urgent priority, whose demand alone fits."""
+    if priority > min(priorities_of(control, state, now), default=priority):
+        return False
+    arrivals = control.arrivals.get(priority)
+    return arrivals is None or recent_rate(arrivals, now) <= control.capacity
+
+
+def refilled_bucket(
+    priority: Priority, control: ServiceAdmission, state: TagState, now: Seconds
+) -> TokenBucket:
+    """Token bucket of a priority, filled up to now."""
+    bucket = control.buckets.setdefault(priority, TokenBucket())
+    refill(bucket, _rate(priority, control, state, now), now)
+    return bucket
+
+
+def _rate(
+    priority: Priority, control: ServiceAdmission, state: TagState, now: Seconds
+) -> float:
+    """Openings a second of a priority that are admitted while its service is short.
+
+    The most urgent have all of the capacity. The others have what more urgent openings
+    and the requests on open flows leave, which can't be held back.
+    """
+    if priority <= min(priorities_of(control, state, now), default=priority):
+        return control.capacity
+    more_urgent = sum(
+        recent_rate(arrivals, now)
+        for other, arrivals in control.arrivals.items()
+        if other < priority
+    )
+    on_open_flows = max(
+        recent_rate(control.requests, now) - recent_rate(control.admitted, now), 0.0
+    )
+    left = control.capacity - more_urgent - on_open_flows
+    return max(left, GUARANTEED_SHARE * control.capacity)
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -45,44 +45,36 @@
 """
 
 
-def update_shortage(
-    service: ServiceId, control: ServiceAdmission, state: TagState, now: Seconds
-) -> None:
+def update_shortage(control: ServiceAdmission, state: TagState, now: Seconds) -> None:
     """Update whether a service is short, unless that was done just before."""
     elapsed = Seconds(now - control.updated_at)
     if elapsed < UPDATE_INTERVAL:
         return
     control.updated_at = now
-    room = room_of(service, state, now)
+    room = room_of(control.id, state, now)
     tolerable = _tolerable_delay(control, state, now)
     if room is None or tolerable is None:
         cause = ShortageCause.NO_FIGURES if room is None else ShortageCause.NO_CALLERS
-        _end_shortage(service, control, cause, room, state, now)
+        _end_shortage(control, cause, room, state, now)
         return
+    control.tolerable = tolerable
     has_queues = room.utilization > 1.0
     if not has_queues:
         learn_usual_share(control.answers, elapsed, now)
     rejected = rejected_share(control.answers, now) if has_queues else 0.0
     by_rejections = rejected / (1.0 - rejected) * rejection_time(control.answers, now)
     control.delay = Seconds(room.wait + by_rejections)
-    control.tolerable = tolerable
-    # Rejections are answers as well, so that figures with them show too high a rate.
-    rate = room.service_rate * (1.0 - rejected)
-    control.capacity = capacity_of(service, rate, control, state, now)
     if control.delay > tolerable and has_queues:
-        control.room_since = None
-        if control.short_since is None:
-            cause = (
-                ShortageCause.REJECTIONS
-                if by_rejections > room.wait
-                else ShortageCause.QUEUES
-            )
-            control.short_since = now
-            _record_change(service, control, cause, room, state, now)
+        is_rejecting = by_rejections > room.wait
+        cause = ShortageCause.REJECTIONS if is_rejecting else ShortageCause.QUEUES
+        _begin_shortage(control, cause, room, state, now)
     elif control.short_since is not None:
-        _check_room(service, control, room, state, now)
-    is_short = control.short_since is not None
-    control.has_idle_server = is_short and _has_idle_server(service, state, now)
+        _check_room(control, room, state, now)
+    if control.short_since is not None:
+        # Rejections are answers as well, so that figures show too high a rate.
+        rate = room.service_rate * (1.0 - rejected)
+        control.capacity = capacity_of(control, rate, state, now)
+        control.has_idle_server = _has_idle_server(control.id, state, now)
 
 
 def priorities_of(
@@ -97,12 +89,21 @@
     return sorted(found)
 
 
-def _check_room(
-    service: ServiceId,
+def _begin_shortage(
     control: ServiceAdmission,
+    cause: ShortageCause,
     room: Room,
     state: TagState,
     now: Seconds,
+) -> None:
+    control.room_since = None
+    if control.short_since is None:
+        control.short_since = now
+        _record_change(control, cause, room, state, now)
+
+
+def _check_room(
+    control: ServiceAdmission, room: Room, state: TagState, now: Seconds
 ) -> None:
     has_room = control.delay < ROOM_SHARE * control.tolerable
     if not has_room and room.utilization > 1.0:
@@ -110,11 +111,10 @@
     elif control.room_since is None:
         control.room_since = now
     elif now - control.room_since >= ROOM_TIME:
-        _end_shortage(service, control, ShortageCause.ROOM, room, state, now)
+        _end_shortage(control, ShortageCause.ROOM, room, state, now)
 
 
 def _end_shortage(
-    service: ServiceId,
     control: ServiceAdmission,
     cause: ShortageCause,
     room: Room | None,
@@ -122,12 +122,11 @@
     now: Seconds,
 ) -> None:
     if control.short_since is not None:
-        _record_change(service, control, cause, room, state, now)
+        _record_change(control, cause, room, state, now)
     control.short_since = control.room_since = None
 
 
 def _record_change(
-    service: ServiceId,
     control: ServiceAdmission,
     cause: ShortageCause,
     room: Room | None,
@@ -137,7 +136,7 @@
     since = control.short_since
     state.admission.changes.append(
         ShortageChange(
-            service,
+            control.id,
             cause in (ShortageCause.QUEUES, ShortageCause.REJECTIONS),
             cause,
             control.delay,
--- a/tests/test_held_openings.py
+++ b/tests/test_held_openings.py
@@ -65,7 +65,7 @@
             (shortage, "_has_idle_server", False),
             (admission_control, "_limit", AdmissionOutcome.HOLD),
             (admission_control, "take_token", False),
-            (admission_control, "_fits", False),
+            (admission_control, "fits", False),
         ):
             patched = mock.patch.object(module, name, return_value=value)
             patched.start()
