--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -116,7 +116,7 @@
     limited = _limit_opening(packet, listener, service, state, now, waited)
     if limited is not None:
         return limited
-    return _open_flow(packet, service, state, now, waited)
+    return _open_flow(packet, listener, service, state, now, waited)
 
 
 def decide_released(
@@ -125,10 +125,11 @@
     """Decide on a held opening that is released now."""
     packet, flow = opening.packet, opening.packet.flow
     waited = Seconds(opening.waited + now - opening.held_at)
-    if (flow.listener, flow.listener_port) not in state.listeners:
+    listener = state.listeners.get((flow.listener, flow.listener_port))
+    if listener is None:
         reason = RefusalReason.NO_LISTENER
         return _reject_opening(packet, reason, state, now, waited)
-    return _open_flow(packet, opening.service, state, now, waited)
+    return _open_flow(packet, listener, opening.service, state, now, waited)
 
 
 def _limit_opening(
@@ -162,6 +163,7 @@
 
 def _open_flow(
     packet: FlowPacket,
+    listener: Listener,
     service: ServiceId,
     state: TagState,
     now: Seconds,
