--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -22,6 +22,7 @@
 from wasabigw.core.load.counts import LoadCounts, ServerCounts
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.registration import Registration
+from wasabigw.core.tags.admission_state import AdmissionState
 from wasabigw.core.tags.caller_diversion import Diversion
 from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.egress import EgressQueue
@@ -159,6 +160,7 @@
     :param features: parts that operators have left switched on.
     :param load: counts for the next report, besides those of each backend server.
     :param known_load: load of backend servers from other balancers.
+    :param admission: openings that are limited while services are short of room.
     """
 
     node: NodeId
@@ -185,6 +187,7 @@
     features: Features = field(default_factory=Features)
     load: LoadCounts = field(default_factory=LoadCounts)
     known_load: KnownLoad = field(default_factory=KnownLoad)
+    admission: AdmissionState = field(default_factory=AdmissionState)
 
     @property
     def has_view(self) -> bool:
