tags: new flows avoid failure domains that stop answering

Cause: when all backend servers of a failure domain crash at once, hosts reset each opening, and callers use up three tries within milliseconds at other crashed backend servers of the same failure domain. Circuit breakers learn of one backend server at a time. A network that hashes ports sends each try to another balancer, so a caller's quick return is seldom seen by the balancer that sent the first opening.

Change: two openings of different callers to different backend servers that are unanswered after 0.05 s, with no answer from the failure domain since, put it under suspicion: new flows of listeners with requirements go to other failure domains with a warm, answering backend server, and one opening a second goes there as a probe. Any answer ends it; new boots are exempt. A caller that opens again avoids the failure domain of its silent try. tried_servers returns a set, since avoided backend servers may be many.

--- a/src/wasabigw/core/tags/openings.py
+++ b/src/wasabigw/core/tags/openings.py
@@ -48,13 +48,18 @@
     return [state.pending_openings.pop(flow) for flow in overdue]
 
 
-def tried_servers(caller: int, state: TagState, now: Seconds) -> list[Server]:
-    """Backend servers that may have refused earlier openings of a caller.
+def tried_openings(caller: int, state: TagState, now: Seconds) -> list[Opening]:
+    """Earlier openings of a caller that may have been refused.
 
     :param caller: address of the caller.
     """
     return [
-        opening.server
+        opening
         for flow, opening in state.pending_openings.items()
         if flow.caller == caller and now - opening.at >= MIN_RETRY_INTERVAL
     ]
+
+
+def tried_servers(caller: int, state: TagState, now: Seconds) -> set[Server]:
+    """Backend servers that may have refused earlier openings of a caller."""
+    return {opening.server for opening in tried_openings(caller, state, now)}
--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -1,7 +1,7 @@
 """Selection of a backend server for a new flow."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import xxhash
 
@@ -43,7 +43,7 @@
     service: ServiceId,
     state: TagState,
     now: Seconds,
-    avoided: Sequence[Server] = (),
+    avoided: Collection[Server] = (),
 ) -> tuple[Server, ChoiceReason] | None:
     """Choose the backend server with the fewest flows relative to its share.
 
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -18,7 +18,7 @@
     ServiceId,
     Tag,
 )
-from wasabigw.core.load.known import KnownLoad
+from wasabigw.core.load.known import KnownLoad, ServiceKey
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.caller_diversion import Diversion
 from wasabigw.core.tags.decisions import Receiver
@@ -27,6 +27,7 @@
 from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
 from wasabigw.core.tags.host_checks import HostCheck
 from wasabigw.core.tags.packets import FlowId
+from wasabigw.core.tags.suspicion import Suspicion
 from wasabigw.core.view_lease import NEVER
 
 ListenerKey = tuple[int, int]
@@ -103,6 +104,19 @@
     silent_for: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class SuspicionChange:
+    """A failure domain became suspected for a service, or is not any more.
+
+    :param lasted: how long it was suspected; ``None`` if the suspicion begins.
+    """
+
+    service: ServiceId
+    failure_domain: FailureDomainId
+    at: Seconds
+    lasted: Seconds | None = None
+
+
 @dataclass(slots=True)
 class TagState:
     """Complete state of a balancer.
@@ -124,6 +138,8 @@
     :param running_checks: tags of the boots whose hosts are being checked.
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
+    :param suspicions: evidence that a failure domain has failed for a service.
+    :param suspicion_changes: changes of suspicions that are not logged yet.
     :param features: parts that operators have left switched on.
     :param known_load: load of backend servers from other balancers.
     """
@@ -147,6 +163,8 @@
     host_checks: list[HostCheck] = field(default_factory=list)
     running_checks: set[Tag] = field(default_factory=set)
     health_changes: list[HealthChange] = field(default_factory=list)
+    suspicions: dict[ServiceKey, Suspicion] = field(default_factory=dict)
+    suspicion_changes: list[SuspicionChange] = field(default_factory=list)
     features: Features = field(default_factory=Features)
     known_load: KnownLoad = field(default_factory=KnownLoad)
 
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 
+from wasabigw.core.declaration import Listener
 from wasabigw.core.durations import Durations, record_duration
 from wasabigw.core.ids import Seconds
 from wasabigw.core.tags import caller_diversion
@@ -18,6 +19,12 @@
     RefusalReason,
     Refuse,
 )
+from wasabigw.core.tags.domain_suspicion import (
+    avoided_servers,
+    collect_evidence,
+    record_choice,
+    update_suspicions,
+)
 from wasabigw.core.tags.egress import is_waiting
 from wasabigw.core.tags.flow_table import add_flow, remove_flow
 from wasabigw.core.tags.health import (
@@ -109,8 +116,7 @@
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
         is_retransmission = known.state is FlowState.OPENING
         if is_retransmission and not is_waiting(state.egress, packet):
-            if known.server not in avoided:
-                avoided.append(known.server)
+            avoided.add(known.server)
             _record_unanswered(
                 known.server,
                 known.opened_at,
@@ -119,6 +125,10 @@
                 now,
             )
         remove_flow(packet.flow, state)
+    if _shares_load(listener, state):
+        collect_evidence(state, now)
+        update_suspicions(state, now)
+        avoided |= avoided_servers(service, flow.caller, state, now)
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
@@ -129,6 +139,7 @@
         return _reject_opening(packet, reason, state, now, waited)
     server, choice = chosen
     record_probe(server.breaker, now)
+    record_choice(server, state, now)
     caller_diversion.record_outcome(
         state.diversion, _counts_as_served(server, choice, pool, state)
     )
@@ -137,6 +148,11 @@
     return Deliver(packet, server.registration, choice)
 
 
+def _shares_load(listener: Listener, state: TagState) -> bool:
+    """Whether the choice for a listener uses what callers of others have met."""
+    return listener.requirements is not None and state.features.load_sharing
+
+
 def _reject_opening(
     packet: FlowPacket,
     reason: RefusalReason,
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -98,6 +98,11 @@
             "Backend servers that get no new flows but for probes",
             failing,
         ),
+        _by_service(
+            "wasabigw_failure_domains_suspected",
+            "Failure domains that get no new flows of a service but for probes",
+            {key: bool(s.suspected) for key, s in state.suspicions.items()},
+        ),
         out_of_service(state.view.out_of_service),
         gauge("wasabigw_view_revision", "Revision of the view", state.view.revision),
         view_age(state.view_age(now)),
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -13,6 +13,7 @@
 from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Revision, Seconds
 from wasabigw.core.tags.caller_diversion import decay_counts, should_divert
 from wasabigw.core.tags.decisions import Deliver, Drop, DropReason, Refuse
+from wasabigw.core.tags.domain_suspicion import update_suspicions
 from wasabigw.core.tags.egress import (
     Admission,
     Datagram,
@@ -298,6 +299,7 @@
         self._log_freshness_change(message.now)
         self._log_queue_change()
         self._log_backlog_change(monotonic())
+        self._log_suspicions(monotonic())
 
     def _respond_status(self, request: LightRequest) -> None:
         self._settings.respond_status(request, self._status())
@@ -429,6 +431,26 @@
             self._was_backlogged = False
             log(BalancerEvent.RECEIVE_CURRENT, node=node)
 
+    def _log_suspicions(self, now: Seconds) -> None:
+        """Log which failure domains became suspected since the last tick, or trusted.
+
+        Without openings nothing ends a suspicion, so the tick looks for those too.
+        """
+        state = self._state
+        update_suspicions(state, now)
+        for change in state.suspicion_changes:
+            log(
+                BalancerEvent.DOMAIN_SUSPECTED
+                if change.lasted is None
+                else BalancerEvent.DOMAIN_TRUSTED,
+                node=state.node,
+                service=change.service,
+                failure_domain=change.failure_domain,
+                ago=round(now - change.at, 3),
+                lasted=rounded_or_none(change.lasted or 0.0),
+            )
+        state.suspicion_changes.clear()
+
     def _log_freshness_change(self, now: Seconds) -> None:
         state = self._state
         fresh = state.is_fresh(now)
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -200,3 +200,20 @@
         "balancer {node} has caught up with its receive buffer",
         "None needed.",
     )
+    DOMAIN_SUSPECTED = EventDefinition(
+        2050,
+        Severity.WARNING,
+        "balancer {node}: no backend server of {service} in {failure_domain} answers "
+        "openings; for {ago} s, new flows go to other failure domains, apart from "
+        "probes",
+        "Check the backend servers of the service in that failure domain and the "
+        "network to it.",
+    )
+    DOMAIN_TRUSTED = EventDefinition(
+        2051,
+        Severity.INFO,
+        "balancer {node}: new flows go to the backend servers of {service} in "
+        "{failure_domain} again since {ago} s, after {lasted} s",
+        "None needed; if these lines repeat, a few callers may have lost their "
+        "network.",
+    )
