--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/selection.py
@@ -1,7 +1,7 @@
 """Selection of a backend server for a new flow."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import xxhash
 
@@ -44,7 +44,7 @@
     service: ServiceId,
     state: TagState,
     now: Seconds,
-    avoided: Sequence[Server] = (),
+    avoided: Collection[Server] = (),
 ) -> tuple[Server, ChoiceReason] | None:
     """Choose a backend server by load figures if possible, else by own flows.
 
@@ -61,7 +61,7 @@
     service: ServiceId,
     state: TagState,
     now: Seconds,
-    avoided: Sequence[Server] = (),
+    avoided: Collection[Server] = (),
 ) -> tuple[Server, ChoiceReason] | None:
     """Choose the backend server with the fewest flows relative to its share.
 
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -37,6 +37,12 @@
     RefusalReason,
     Refuse,
 )
+from wasabigw.core.tags.domain_suspicion import (
+    avoided_servers,
+    collect_evidence,
+    record_choice,
+    update_suspicions,
+)
 from wasabigw.core.tags.egress import is_waiting
 from wasabigw.core.tags.flow_table import (
     add_flow,
@@ -194,8 +200,7 @@
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
         is_retransmission = known.state is FlowState.OPENING
         if is_retransmission and not is_waiting(state.egress, packet):
-            if known.server not in avoided:
-                avoided.append(known.server)
+            avoided.add(known.server)
             _record_unanswered(
                 known.server,
                 known.opened_at,
@@ -204,6 +209,10 @@
                 now,
             )
         remove_flow(packet.flow, state)
+    if _shares_load(listener, state):
+        collect_evidence(state, now)
+        update_suspicions(state, now)
+        avoided |= avoided_servers(service, flow.caller, state, now)
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
@@ -214,6 +223,7 @@
         return _reject_opening(packet, reason, state, now, waited)
     server, choice = chosen
     record_probe(server.breaker, now)
+    record_choice(server, state, now)
     caller_diversion.record_outcome(
         state.diversion, _counts_as_served(server, choice, pool, state)
     )
@@ -223,6 +233,11 @@
     return Deliver(packet, server.registration, choice)
 
 
+def _shares_load(listener: Listener, state: TagState) -> bool:
+    """Whether the choice for a listener uses what callers of others have met."""
+    return listener.requirements is not None and state.features.load_sharing
+
+
 def _reject_opening(
     packet: FlowPacket,
     reason: RefusalReason,
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -249,3 +249,20 @@
         "{utilization}, figures {age} s old",
         "None needed; without current figures all openings are admitted.",
     )
+    DOMAIN_SUSPECTED = EventDefinition(
+        2050,
+        Severity.WARNING,
+        "balancer {node}: no backend server of {service} in {failure_domain} answers "
+        "openings; for {ago} s, new flows go to other failure domains, apart from "
+        "probes",
+        "Check the backend servers of the service in that failure domain and the "
+        "network to it.",
+    )
+    DOMAIN_TRUSTED = EventDefinition(
+        2051,
+        Severity.INFO,
+        "balancer {node}: new flows go to the backend servers of {service} in "
+        "{failure_domain} again since {ago} s, after {lasted} s",
+        "None needed; if these lines repeat, a few callers may have lost their "
+        "network.",
+    )
