--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from wasabigw.core.registration import Registration
+from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.packets import FlowPacket
 
 
@@ -13,6 +14,7 @@
     NO_LISTENER = "no-listener"
     NO_SERVER = "no-server"
     SERVER_LOST = "server-lost"
+    NO_ROOM = "no-room"
 
 
 class ChoiceReason(Enum):
@@ -20,6 +22,10 @@
 
     LEAST_USED_HERE = "least used in the own failure domain"
     LEAST_USED_ELSEWHERE = "least used, the own failure domain has too few"
+    LOAD_SHARE_HERE = "share by load figures, in the own failure domain"
+    LOAD_SHARE_ELSEWHERE = (
+        "share by load figures, the own failure domain has too little room"
+    )
     UNANSWERING = "none is known to answer"
     COLD = "only cold ones are left"
     REPEATED = "no other one is left for a repeated opening"
@@ -37,6 +43,9 @@
     MAY_BE_OPEN = "may-be-open"
     LINK_FULL = "link-full"
     OPENING_EXPIRED = "opening-expired"
+    NO_ROOM = "no-room"
+    HELD_ALREADY = "held-already"
+    HELD_TOO_LONG = "held-too-long"
 
 
 class Receiver(Enum):
@@ -77,4 +86,11 @@
     reason: DropReason
 
 
-PacketDecision = Deliver | Refuse | Drop
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Keep an opening until its service has room, or until its deadline."""
+
+    opening: HeldOpening
+
+
+PacketDecision = Deliver | Refuse | Drop | Hold
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from wasabigw.core.announcement_checks import MAX_SLOTS
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT, Declaration, Listener
 from wasabigw.core.delivery_view import DeliveryView
 from wasabigw.core.durations import Durations
@@ -18,8 +19,10 @@
     ServiceId,
     Tag,
 )
+from wasabigw.core.load.counts import LoadCounts, ServerCounts
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.registration import Registration
+from wasabigw.core.tags.admission_state import AdmissionState
 from wasabigw.core.tags.caller_diversion import Diversion
 from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.egress import EgressQueue
@@ -27,6 +30,7 @@
 from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
 from wasabigw.core.tags.host_checks import HostCheck
 from wasabigw.core.tags.packets import FlowId
+from wasabigw.core.tags.plans import ServicePlan
 from wasabigw.core.view_lease import NEVER
 
 ListenerKey = tuple[int, int]
@@ -40,15 +44,24 @@
     :param rank: breaks ties between equally loaded boots.
     :param cold_until: until when it gets no new flows while a warm one is available.
     :param open_flows: flows to it that pass this balancer and have not closed.
+    :param opened_at_sum: sum of the times at which these were opened.
     :param receiver: which backend server at its endpoint takes packets of open flows.
+    :param counts: requests, openings and answers that pass this balancer.
     """
 
     registration: Registration
     cold_until: Seconds
     rank: int = 0
     open_flows: int = 0
+    opened_at_sum: float = 0.0
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
     receiver: Receiver = Receiver.NAMED
+    counts: ServerCounts = field(default_factory=ServerCounts)
+
+    @property
+    def slots(self) -> int:
+        """Slots within the limits of today; an older version may have accepted more."""
+        return min(max(self.registration.slots, 1), MAX_SLOTS)
 
 
 class FlowState(Enum):
@@ -71,6 +84,10 @@
     :param acknowledged: latest acknowledgement of the caller.
     :param pending_sequence: sequence number of the data that waits for an answer.
     :param pending_since: when that data was first sent to the backend server.
+    :param is_in_flight: whether a request on it is counted as in flight.
+    :param is_upload: whether that request takes more than one burst of packets.
+    :param sent_until: sequence number after the latest data that was counted.
+    :param acknowledged_before: acknowledgement that the request in flight began with.
     """
 
     server: Server
@@ -81,6 +98,10 @@
     acknowledged: int = 0
     pending_sequence: int | None = None
     pending_since: Seconds = NEVER
+    is_in_flight: bool = False
+    is_upload: bool = False
+    sent_until: int = 0
+    acknowledged_before: int = 0
 
 
 class Opening(NamedTuple):
@@ -103,6 +124,15 @@
     silent_for: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class WeightChange:
+    """A backend server has become slow for its weight, or has recovered."""
+
+    server: Server
+    weight: float
+    is_slow: bool
+
+
 @dataclass(slots=True)
 class TagState:
     """Complete state of a balancer.
@@ -124,8 +154,13 @@
     :param running_checks: tags of the boots whose hosts are being checked.
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
+    :param weight_changes: backend servers that have become slow or recovered and are
+        not logged yet; the log removes them.
+    :param plans: shares of new flows by load figures, for each service that has any.
     :param features: parts that operators have left switched on.
+    :param load: counts for the next report, besides those of each backend server.
     :param known_load: load of backend servers from other balancers.
+    :param admission: openings that are limited while services are short of room.
     """
 
     node: NodeId
@@ -147,8 +182,12 @@
     host_checks: list[HostCheck] = field(default_factory=list)
     running_checks: set[Tag] = field(default_factory=set)
     health_changes: list[HealthChange] = field(default_factory=list)
+    weight_changes: list[WeightChange] = field(default_factory=list)
+    plans: dict[ServiceId, ServicePlan] = field(default_factory=dict)
     features: Features = field(default_factory=Features)
+    load: LoadCounts = field(default_factory=LoadCounts)
     known_load: KnownLoad = field(default_factory=KnownLoad)
+    admission: AdmissionState = field(default_factory=AdmissionState)
 
     @property
     def has_view(self) -> bool:
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -6,20 +6,44 @@
 
 from collections.abc import Sequence
 
+from wasabigw.core.declaration import Listener
 from wasabigw.core.durations import Durations, record_duration
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import Seconds, ServiceId
+from wasabigw.core.load.counting import (
+    count_acknowledgement,
+    count_arrival,
+    count_data,
+    count_opening,
+    discard_lost_data,
+    discard_lost_opening,
+    end_request,
+)
 from wasabigw.core.tags import caller_diversion
+from wasabigw.core.tags.admission_control import (
+    AdmissionOutcome,
+    abandon_opening,
+    admit,
+    is_held,
+    make_held_opening,
+    record_request,
+)
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
     Deliver,
     Drop,
     DropReason,
+    Hold,
     PacketDecision,
     RefusalReason,
     Refuse,
 )
 from wasabigw.core.tags.egress import is_waiting
-from wasabigw.core.tags.flow_table import add_flow, remove_flow
+from wasabigw.core.tags.flow_table import (
+    add_flow,
+    close_flow,
+    remove_flow,
+    restart_flow,
+)
 from wasabigw.core.tags.health import (
     FailureSignal,
     is_unreachable,
@@ -27,6 +51,7 @@
     record_probe,
     record_response,
 )
+from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.openings import (
     discard_opening,
     pop_overdue,
@@ -39,7 +64,8 @@
     FlowPacket,
     sequence_distance,
 )
-from wasabigw.core.tags.selection import choose_server, service_of
+from wasabigw.core.tags.rejections import record_answer
+from wasabigw.core.tags.selection import choose_server_for, service_of
 from wasabigw.core.tags.state import (
     Flow,
     FlowState,
@@ -101,6 +127,65 @@
         reason = RefusalReason.NO_LISTENER
         return _reject_opening(packet, reason, state, now, waited)
     service = service_of(listener, flow)
+    count_arrival(packet, service, state)
+    limited = _limit_opening(packet, listener, service, state, now, waited)
+    if limited is not None:
+        return limited
+    return _open_flow(packet, listener, service, state, now, waited)
+
+
+def decide_released(
+    opening: HeldOpening, state: TagState, now: Seconds
+) -> PacketDecision:
+    """Decide on a held opening that is released now."""
+    packet, flow = opening.packet, opening.packet.flow
+    waited = Seconds(opening.waited + now - opening.held_at)
+    listener = state.listeners.get((flow.listener, flow.listener_port))
+    if listener is None:
+        reason = RefusalReason.NO_LISTENER
+        return _reject_opening(packet, reason, state, now, waited)
+    return _open_flow(packet, listener, opening.service, state, now, waited)
+
+
+def _limit_opening(
+    packet: FlowPacket,
+    listener: Listener,
+    service: ServiceId,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds,
+) -> PacketDecision | None:
+    """Decide on an opening that is not sent to a backend server now."""
+    known = state.flows.get(packet.flow)
+    if known is not None and (
+        known.state is FlowState.OPENING or _is_copy_of_opening(packet, known, now)
+    ):
+        return None
+    if is_held(packet.flow, state):
+        return Drop(DropReason.HELD_ALREADY)
+    may_refuse = (
+        state.is_fresh(now) and packet.repeat == 0 and waited < MAX_WAIT_TO_REFUSE
+    )
+    outcome = admit(packet, listener, service, state, now, waited, may_refuse)
+    if outcome is AdmissionOutcome.ADMIT:
+        return None
+    if outcome is AdmissionOutcome.HOLD:
+        return Hold(make_held_opening(packet, listener, service, waited, now))
+    if outcome is AdmissionOutcome.REFUSE:
+        return Refuse(packet, RefusalReason.NO_ROOM)
+    return Drop(DropReason.NO_ROOM)
+
+
+def _open_flow(
+    packet: FlowPacket,
+    listener: Listener,
+    service: ServiceId,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds,
+) -> PacketDecision:
+    """Decide on an opening that is sent to a backend server, if there is one."""
+    flow = packet.flow
     pool = state.pools.get(service, ())
     avoided = tried_servers(flow.caller, state, now)
     known = state.flows.get(flow)
@@ -123,7 +208,7 @@
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
         )
-    chosen = choose_server(service, state, now, avoided)
+    chosen = choose_server_for(listener, service, state, now, avoided)
     if chosen is None:
         reason = RefusalReason.NO_SERVER
         return _reject_opening(packet, reason, state, now, waited)
@@ -132,6 +217,7 @@
     caller_diversion.record_outcome(
         state.diversion, _counts_as_served(server, choice, pool, state)
     )
+    count_opening(server)
     if add_flow(packet, server, state, now) is not None:
         record_opening(flow, server, state, now)
     return Deliver(packet, server.registration, choice)
@@ -190,6 +276,8 @@
 def _decide_open_flow(
     packet: FlowPacket, state: TagState, now: Seconds
 ) -> PacketDecision:
+    if packet.is_reset:
+        abandon_opening(packet.flow, state)
     if packet.tag == NO_TAG:
         return Drop(DropReason.NO_TAG)
     server = state.servers.get(packet.tag)
@@ -232,9 +320,12 @@
     if is_waiting(state.egress, packet):
         # The backend server has not been sent the first copy yet.
         return False
+    count_data(packet, flow)
     if flow.pending_sequence is None:
+        record_request(flow, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif _shows_progress(packet, flow.pending_sequence):
+        flow.is_upload = True
         _record_response(flow.server, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
@@ -276,7 +367,7 @@
         return
     if packet.is_opening:
         if flow.state is FlowState.OPENING:
-            flow.opened_at = now
+            restart_flow(flow, now)
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
     elif packet.length and packet.sequence == flow.pending_sequence:
@@ -293,9 +384,11 @@
         return
     if packet.is_opening:
         if flow.state is FlowState.OPENING:
+            discard_lost_opening(flow.server)
             remove_flow(packet.flow, state)
     elif packet.length and packet.sequence == flow.pending_sequence:
         flow.pending_sequence = None
+        discard_lost_data(packet, flow)
 
 
 def _record_use(
@@ -316,6 +409,8 @@
     if was_opening:
         known.state = FlowState.OPEN
     if was_opening or known.acknowledged != packet.acknowledged:
+        record_answer(packet, known, state, now)
+        count_acknowledgement(packet, known, now)
         known.acknowledged = packet.acknowledged
         if known.pending_sequence is not None:
             known.pending_sequence = None
@@ -343,9 +438,10 @@
     if known is None:
         return
     discard_opening(packet.flow, state)
-    if known.state is not FlowState.CLOSED:
-        known.state = FlowState.CLOSED
-        server.open_flows -= 1
+    record_answer(packet, known, state, now)
+    close_flow(known)
+    count_acknowledgement(packet, known, now)
+    end_request(known)
     known.last_seen = now
     known.acknowledged = packet.acknowledged
     known.pending_sequence = None
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -5,6 +5,7 @@
 from functools import singledispatchmethod
 from http import HTTPStatus
 from typing import Any, Self
+from urllib.parse import unquote
 
 from wasabigw.codec.views import encode_update
 from wasabigw.core.delivery_view import (
@@ -14,7 +15,13 @@
     update_since,
 )
 from wasabigw.core.endpoint import Endpoint, endpoint_key
-from wasabigw.core.ids import NO_REVISION, Revision, Seconds
+from wasabigw.core.ids import (
+    NO_REVISION,
+    FailureDomainId,
+    NodeId,
+    Revision,
+    Seconds,
+)
 from wasabigw.core.numbers import whole_number
 from wasabigw.core.view_lease import NEVER
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
@@ -23,9 +30,11 @@
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
+from wasabigw.tasks.load_messages import ExchangeLoadThrough, PeerAnswered
+from wasabigw.tasks.relay_load import RelayLoad
 from wasabigw.tasks.view_file import StoreView
 from wasabigw.tasks.view_follower import ViewReceived
-from wasabigw.tasks.view_names import VIEW_PATH
+from wasabigw.tasks.view_names import LOAD_PATH, VIEW_PATH
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.exposition import (
     Family,
@@ -37,8 +46,11 @@
 )
 from wasabigw.telemetry.log_events import log
 
+NO_FAILURE_DOMAIN = FailureDomainId("")
 MAX_WAIT = Seconds(2.0)
 """Maximum time for which a poll is held."""
+BINARY = "application/octet-stream"
+"""Content type of the sums for other relays."""
 RELAY_TICK = "relay"
 RELAY_PERIOD = Seconds(0.1)
 """Interval at which held polls are checked and a new view is stored."""
@@ -46,18 +58,28 @@
 
 @dataclass(frozen=True, slots=True)
 class _HeldPoll:
+    """A poll that waits for a change.
+
+    :param reporter: balancer whose load report came with it.
+    """
+
     request: LightRequest
     after: Revision
     received: Seconds
     until: Seconds
+    reporter: NodeId | None
 
 
-class RelayTask(SelectorTask[ViewReceived | Tick]):
+RelayMessage = ViewReceived | PeerAnswered | ExchangeLoadThrough | Tick
+
+
+class RelayTask(SelectorTask[RelayMessage]):
     """Owns the view, the HTTP server and the held polls.
 
     :param stored: view that an earlier process has stored, if any.
     :param file: mailbox of the task that stores the view.
     :param metrics: endpoint that serves metrics, if any.
+    :param failure_domain: failure domain of this relay.
     """
 
     def __init__(
@@ -65,8 +87,9 @@
         bind: Endpoint,
         stored: ViewUpdate | None,
         file: Mailbox[Any],
-        mailbox: SelectableMailbox[ViewReceived | Tick | Stop],
+        mailbox: SelectableMailbox[RelayMessage | Stop],
         metrics: Endpoint | None,
+        failure_domain: FailureDomainId,
     ) -> None:
         super().__init__("relay", mailbox)
         self._file = file
@@ -78,6 +101,7 @@
         self._confirmed_at = NEVER
         self._was_fresh = False
         self._held: list[_HeldPoll] = []
+        self._load = RelayLoad(bind, failure_domain)
         self._is_file_current = True
         self._is_from_file = stored is not None
         if stored is not None:
@@ -100,7 +124,7 @@
         return super().__enter__()
 
     @singledispatchmethod
-    def receive(self, message: ViewReceived | Tick) -> None:
+    def receive(self, message: RelayMessage) -> None:
         """Handle one message."""
         raise TypeError(f"unsupported message type: {type(message).__name__}")
 
@@ -121,9 +145,18 @@
         if self._version != before:
             self._log_version(before, message)
 
+    @receive.register
+    def _(self, message: PeerAnswered) -> None:
+        self._load.record_peer(message)
+
+    @receive.register
+    def _(self, message: ExchangeLoadThrough) -> None:
+        self._load.exchange = message.mailbox
+
     @receive.register
     def _(self, message: Tick) -> None:
         self._respond_to_due_polls(message.now)
+        self._load.tick(self._view.sources, message.now)
         self._log_stale(message.now)
         if not self._is_file_current:
             self._is_file_current = True
@@ -170,6 +203,9 @@
 
     def _handle(self, request: LightRequest) -> None:
         path, _, query = request.target.partition("?")
+        if request.method == "GET" and path == LOAD_PATH:
+            self._respond_load(request, query)
+            return
         if request.method != "GET" or path != VIEW_PATH:
             request.connection.respond(HTTPStatus.NOT_FOUND)
             return
@@ -179,12 +215,25 @@
             return
         now = monotonic()
         wait = min(Seconds(wait_ms / 1000), MAX_WAIT)
-        poll = _HeldPoll(request, Revision(after), now, Seconds(now + wait))
+        report = _query_text("load", query)
+        reporter = self._load.receive_report(report, now) if report else None
+        until = Seconds(now + wait)
+        poll = _HeldPoll(request, Revision(after), now, until, reporter)
         if self._is_due(poll, now):
             self._respond(poll, now)
         else:
             self._held.append(poll)
 
+    def _respond_load(self, request: LightRequest, query: str) -> None:
+        """Return the sums of the reports received here to another relay."""
+        domain = FailureDomainId(unquote(_query_text("failure_domain", query) or ""))
+        now = monotonic()
+        arrived = _query_text("arrived", query)
+        if arrived:
+            self._load.remove_departed(arrived, now)
+        body = self._load.direct_sums(domain, self._view, now)
+        request.connection.respond(HTTPStatus.OK, body, BINARY)
+
     def _respond_to_due_polls(self, now: Seconds) -> None:
         held, self._held = self._held, []
         for poll in held:
@@ -205,7 +254,10 @@
         is_fresh = now < self._fresh_until
         fresh_for = Seconds(self._fresh_until - poll.received if is_fresh else 0.0)
         update = update_since(self._view, poll.after, fresh_for)
-        poll.request.connection.respond(HTTPStatus.OK, encode_update(update))
+        response = encode_update(update)
+        if poll.reporter is not None:
+            response = self._load.add_sums(response, poll.reporter, self._view, now)
+        poll.request.connection.respond(HTTPStatus.OK, response)
 
     def _metric_families(self) -> list[Family]:
         now = monotonic()
@@ -238,15 +290,22 @@
                 self._is_from_file,
             ),
             declared_version(self._version),
+            *self._load.families(now),
         ]
 
 
 def _query_number(name: str, query: str) -> int | None:
     """Whole number of a query parameter; ``None`` if it is missing or malformed."""
+    text = _query_text(name, query)
+    return None if text is None else whole_number(text)
+
+
+def _query_text(name: str, query: str) -> str | None:
+    """Text of a query parameter; ``None`` if it is missing."""
     for part in query.split("&"):
         key, _, value = part.partition("=")
         if key == name:
-            return whole_number(value)
+            return value
     return None
 
 
@@ -255,11 +314,15 @@
     stored: ViewUpdate | None,
     file: Mailbox[Any],
     metrics: Endpoint | None = None,
+    failure_domain: FailureDomainId = NO_FAILURE_DOMAIN,
 ) -> RelayTask:
     """Create the task of a relay.
 
     :param metrics: endpoint that serves metrics, if any.
+    :param failure_domain: failure domain of the relay; relays of others get only the
+        load of their own backend servers.
 
     :raises OSError: if the endpoint can't be bound.
     """
-    return RelayTask(bind, stored, file, SelectableMailbox("relay"), metrics)
+    mailbox: SelectableMailbox[RelayMessage | Stop] = SelectableMailbox("relay")
+    return RelayTask(bind, stored, file, mailbox, metrics, failure_domain)
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -11,8 +11,15 @@
 
 from wasabigw.core.endpoint import Endpoint, endpoint_key
 from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Revision, Seconds
+from wasabigw.core.tags.admission_control import (
+    expire_openings,
+    hold_opening,
+    release_openings,
+    time_to_release_held,
+    update_services,
+)
 from wasabigw.core.tags.caller_diversion import decay_counts, should_divert
-from wasabigw.core.tags.decisions import Deliver, Drop, DropReason, Refuse
+from wasabigw.core.tags.decisions import Deliver, Drop, DropReason, Hold, Refuse
 from wasabigw.core.tags.egress import (
     Admission,
     Datagram,
@@ -23,21 +30,31 @@
     take_evicted,
     time_to_release,
 )
+from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.flow_table import expire_flows
+from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.host_checks import HostChecked
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.steering import decide, record_loss, record_release
+from wasabigw.core.tags.steering import (
+    decide,
+    decide_released,
+    record_loss,
+    record_release,
+)
 from wasabigw.core.tags.unreachable_hosts import record_check
 from wasabigw.core.tags.updates import apply_declaration, apply_view_update
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.selector_task import SelectorTask
 from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import Tick, monotonic
+from wasabigw.tasks.admission_log import log_shortage_changes
 from wasabigw.tasks.decision_log import DecisionLog, rounded_or_none
 from wasabigw.tasks.host_checker import make_host_checker
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
+from wasabigw.tasks.load_messages import ReportAnswered, ReportLoadTo
+from wasabigw.tasks.load_reporter import LoadReporter
 from wasabigw.tasks.packet_socket import Received, make_packet_socket
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
 from wasabigw.tasks.tag_messages import (
@@ -58,6 +75,8 @@
 """Responds to an HTTP request about the state of the balancer."""
 
 MAINTENANCE_TICK = "upkeep"
+REPORT_TICK = "report"
+"""Tick at which load is reported."""
 MAINTENANCE_PERIOD = Seconds(1.0)
 """Period of the tick that expires idle flows and resets the budget of log lines."""
 
@@ -77,6 +96,7 @@
     :param respond_status: responds to such a query.
     :param metrics: HTTP endpoint of the metrics; ``None`` if they are not served.
     :param link_megabits: capacity of the link in Mbit/s; ``None`` if it is not known.
+    :param features: parts that operators have left switched on.
     """
 
     node: NodeId
@@ -89,6 +109,7 @@
     respond_status: StatusResponder
     metrics: Endpoint | None = None
     link_megabits: float | None = None
+    features: Features = Features()  # noqa: RUF009 - a frozen dataclass
 
 
 class TagPacketTask(SelectorTask[TagTaskMessage]):
@@ -111,6 +132,7 @@
             settings.failure_domain,
             settings.regions,
             egress=make_egress_queue(settings.link_megabits),
+            features=settings.features,
         )
         self._was_fresh = False
         self._was_diverting = False
@@ -122,6 +144,7 @@
         self._last_packet = monotonic()
         self._draining = False
         self._control_traffic = 0
+        self._load = LoadReporter(self._state)
         self._server = LightServer(
             settings.status_endpoint, self._selector, self._respond_status
         )
@@ -182,6 +205,8 @@
         self._decision_log.log_decision(packet, decision, now)
         if self._state.health_changes:
             self._decision_log.log_health_changes(now)
+        if self._state.admission.changes:
+            log_shortage_changes(self._state)
         self._request_host_checks()
         _execute(decision, received.data, now, self)
 
@@ -204,6 +229,34 @@
         for evicted in take_evicted(egress):
             self._drop_from_link(evicted.packet, DropReason.LINK_FULL, now)
 
+    def hold(self, opening: HeldOpening) -> None:
+        """Keep an opening until its service has room."""
+        dropped = hold_opening(opening, self._state)
+        self.count("held")
+        if dropped is not None:
+            self._drop_held(dropped, monotonic())
+
+    def _drop_held(self, opening: HeldOpening, now: Seconds) -> None:
+        drop = Drop(DropReason.HELD_TOO_LONG)
+        self._decision_log.log_decision(opening.packet, drop, now)
+        _execute(drop, opening.datagram, now, self)
+
+    def _handle_held(self) -> None:
+        """Release held openings; the ones that waited for too long come first.
+
+        A balancer that was suspended must not open a flow by a decision from before.
+        """
+        if not self._state.admission.held.flows:
+            return
+        now = monotonic()
+        for opening in expire_openings(self._state, now):
+            self._drop_held(opening, now)
+        for opening in release_openings(self._state, now):
+            decision = decide_released(opening, self._state, now)
+            self._decision_log.log_decision(opening.packet, decision, now)
+            _execute(decision, opening.datagram, now, self)
+            self._last_packet = now
+
     def _drop_from_link(
         self, packet: FlowPacket, reason: DropReason, now: Seconds
     ) -> None:
@@ -213,11 +266,17 @@
         self.count(f"dropped-{drop.reason.value}")
 
     def _time_to_next(self) -> Seconds | None:
-        if self._state.egress.is_empty:
+        if self._state.egress.is_empty and not self._state.admission.held.flows:
             return None
-        return time_to_release(self._state.egress, monotonic())
+        now = monotonic()
+        times = (
+            time_to_release(self._state.egress, now),
+            time_to_release_held(self._state, now),
+        )
+        return min((time for time in times if time is not None), default=None)
 
     def _handle_due(self) -> None:
+        self._handle_held()
         if self._state.egress.is_empty:
             return
         now = monotonic()
@@ -289,11 +348,26 @@
     @receive.register
     def _(self, message: BeginTagDrain) -> None:
         self._draining = True
+        self._state.admission.is_draining = True
+        self._handle_held()
+
+    @receive.register
+    def _(self, message: ReportLoadTo) -> None:
+        self._load.receiver = message.mailbox
+
+    @receive.register
+    def _(self, message: ReportAnswered) -> None:
+        self._load.record_answer(message)
 
     @receive.register
     def _(self, message: Tick) -> None:
+        if message.token == REPORT_TICK:
+            self._load.report(message.now)
+            return
         expire_flows(self._state, message.now)
         decay_counts(self._state.diversion)
+        update_services(self._state, message.now)
+        log_shortage_changes(self._state)
         self._decision_log.reset_budget()
         self._log_freshness_change(message.now)
         self._log_queue_change()
@@ -312,7 +386,7 @@
             self._control_traffic,
             now,
             self._receive_wait(now),
-        )
+        ) + self._load.families(now)
 
     def _status(self) -> TagBalancerStatus:
         now = monotonic()
@@ -465,6 +539,11 @@
     task.count(f"dropped-{decision.reason.value}")
 
 
+@_execute.register
+def _(decision: Hold, datagram: bytes, now: Seconds, task: TagPacketTask) -> None:
+    task.hold(decision.opening._replace(datagram=datagram))
+
+
 def make_tag_packet_task(settings: TagPacketSettings) -> TagPacketTask:
     """Create the packet task of a balancer; entering its context binds the socket."""
     return TagPacketTask(settings, SelectableMailbox("packets"))
