--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -6,8 +6,9 @@
 
 from collections.abc import Sequence
 
+from wasabigw.core.declaration import Listener
 from wasabigw.core.durations import Durations, record_duration
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import Seconds, ServiceId
 from wasabigw.core.load.counting import (
     count_acknowledgement,
     count_arrival,
@@ -18,17 +19,37 @@
     end_request,
 )
 from wasabigw.core.tags import caller_diversion
+from wasabigw.core.tags.admission_control import (
+    AdmissionOutcome,
+    abandon_opening,
+    admit,
+    is_held,
+    make_held_opening,
+    record_request,
+)
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
     Deliver,
     Drop,
     DropReason,
+    Hold,
     PacketDecision,
     RefusalReason,
     Refuse,
 )
+from wasabigw.core.tags.domain_suspicion import (
+    avoided_servers,
+    collect_evidence,
+    record_choice,
+    update_suspicions,
+)
 from wasabigw.core.tags.egress import is_waiting
-from wasabigw.core.tags.flow_table import add_flow, remove_flow
+from wasabigw.core.tags.flow_table import (
+    add_flow,
+    close_flow,
+    remove_flow,
+    restart_flow,
+)
 from wasabigw.core.tags.health import (
     FailureSignal,
     is_unreachable,
@@ -36,6 +57,7 @@
     record_probe,
     record_response,
 )
+from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.openings import (
     discard_opening,
     pop_overdue,
@@ -48,7 +70,8 @@
     FlowPacket,
     sequence_distance,
 )
-from wasabigw.core.tags.selection import choose_server, service_of
+from wasabigw.core.tags.rejections import record_answer
+from wasabigw.core.tags.selection import choose_server_for, service_of
 from wasabigw.core.tags.state import (
     Flow,
     FlowState,
@@ -111,6 +134,64 @@
         return _reject_opening(packet, reason, state, now, waited)
     service = service_of(listener, flow)
     count_arrival(packet, service, state)
+    limited = _limit_opening(packet, listener, service, state, now, waited)
+    if limited is not None:
+        return limited
+    return _open_flow(packet, listener, service, state, now, waited)
+
+
+def decide_released(
+    opening: HeldOpening, state: TagState, now: Seconds
+) -> PacketDecision:
+    """Decide on a held opening that is released now."""
+    packet, flow = opening.packet, opening.packet.flow
+    waited = Seconds(opening.waited + now - opening.held_at)
+    listener = state.listeners.get((flow.listener, flow.listener_port))
+    if listener is None:
+        reason = RefusalReason.NO_LISTENER
+        return _reject_opening(packet, reason, state, now, waited)
+    return _open_flow(packet, listener, opening.service, state, now, waited)
+
+
+def _limit_opening(
+    packet: FlowPacket,
+    listener: Listener,
+    service: ServiceId,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds,
+) -> PacketDecision | None:
+    """Decide on an opening that is not sent to a backend server now."""
+    known = state.flows.get(packet.flow)
+    if known is not None and (
+        known.state is FlowState.OPENING or _is_copy_of_opening(packet, known, now)
+    ):
+        return None
+    if is_held(packet.flow, state):
+        return Drop(DropReason.HELD_ALREADY)
+    may_refuse = (
+        state.is_fresh(now) and packet.repeat == 0 and waited < MAX_WAIT_TO_REFUSE
+    )
+    outcome = admit(packet, listener, service, state, now, waited, may_refuse)
+    if outcome is AdmissionOutcome.ADMIT:
+        return None
+    if outcome is AdmissionOutcome.HOLD:
+        return Hold(make_held_opening(packet, listener, service, waited, now))
+    if outcome is AdmissionOutcome.REFUSE:
+        return Refuse(packet, RefusalReason.NO_ROOM)
+    return Drop(DropReason.NO_ROOM)
+
+
+def _open_flow(
+    packet: FlowPacket,
+    listener: Listener,
+    service: ServiceId,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds,
+) -> PacketDecision:
+    """Decide on an opening that is sent to a backend server, if there is one."""
+    flow = packet.flow
     pool = state.pools.get(service, ())
     avoided = tried_servers(flow.caller, state, now)
     known = state.flows.get(flow)
@@ -119,8 +200,7 @@
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
         is_retransmission = known.state is FlowState.OPENING
         if is_retransmission and not is_waiting(state.egress, packet):
-            if known.server not in avoided:
-                avoided.append(known.server)
+            avoided.add(known.server)
             _record_unanswered(
                 known.server,
                 known.opened_at,
@@ -129,16 +209,21 @@
                 now,
             )
         remove_flow(packet.flow, state)
+    if _shares_load(listener, state):
+        collect_evidence(state, now)
+        update_suspicions(state, now)
+        avoided |= avoided_servers(service, flow.caller, state, now)
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
         )
-    chosen = choose_server(service, state, now, avoided)
+    chosen = choose_server_for(listener, service, state, now, avoided)
     if chosen is None:
         reason = RefusalReason.NO_SERVER
         return _reject_opening(packet, reason, state, now, waited)
     server, choice = chosen
     record_probe(server.breaker, now)
+    record_choice(server, state, now)
     caller_diversion.record_outcome(
         state.diversion, _counts_as_served(server, choice, pool, state)
     )
@@ -148,6 +233,11 @@
     return Deliver(packet, server.registration, choice)
 
 
+def _shares_load(listener: Listener, state: TagState) -> bool:
+    """Whether the choice for a listener uses what callers of others have met."""
+    return listener.requirements is not None and state.features.load_sharing
+
+
 def _reject_opening(
     packet: FlowPacket,
     reason: RefusalReason,
@@ -201,6 +291,8 @@
 def _decide_open_flow(
     packet: FlowPacket, state: TagState, now: Seconds
 ) -> PacketDecision:
+    if packet.is_reset:
+        abandon_opening(packet.flow, state)
     if packet.tag == NO_TAG:
         return Drop(DropReason.NO_TAG)
     server = state.servers.get(packet.tag)
@@ -245,6 +337,7 @@
         return False
     count_data(packet, flow)
     if flow.pending_sequence is None:
+        record_request(flow, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif _shows_progress(packet, flow.pending_sequence):
         flow.is_upload = True
@@ -289,7 +382,7 @@
         return
     if packet.is_opening:
         if flow.state is FlowState.OPENING:
-            flow.opened_at = now
+            restart_flow(flow, now)
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
     elif packet.length and packet.sequence == flow.pending_sequence:
@@ -331,6 +424,7 @@
     if was_opening:
         known.state = FlowState.OPEN
     if was_opening or known.acknowledged != packet.acknowledged:
+        record_answer(packet, known, state, now)
         count_acknowledgement(packet, known, now)
         known.acknowledged = packet.acknowledged
         if known.pending_sequence is not None:
@@ -359,9 +453,8 @@
     if known is None:
         return
     discard_opening(packet.flow, state)
-    if known.state is not FlowState.CLOSED:
-        known.state = FlowState.CLOSED
-        server.open_flows -= 1
+    record_answer(packet, known, state, now)
+    close_flow(known)
     count_acknowledgement(packet, known, now)
     end_request(known)
     known.last_seen = now
