tags: a backend server may be silent for any time

Cause: the backoff of its circuit breaker is computed with 2**failures. After 1,024 failures in a row that exceeds the range of a float, and OverflowError ends the packet task. A service with a single backend server, to which openings go although it does not answer, gets there in minutes.

Change: the exponent is limited; the backoff was limited to 8 s already.

Result: the new test failed with OverflowError before, and passes.

--- a/src/wasabigw/core/tags/health.py
+++ b/src/wasabigw/core/tags/health.py
@@ -20,6 +20,8 @@
 INITIAL_BACKOFF = Seconds(1.0)
 MAX_BACKOFF = Seconds(8.0)
 """Backoff between probes; it doubles with each failure up to the maximum."""
+MAX_DOUBLINGS = 10
+"""Doublings beyond any maximum; more would exceed the range of a float."""
 UNREACHABLE_TTL = Seconds(1.5)
 """How long a host that was found unreachable causes open flows to be refused.
 
@@ -93,7 +95,7 @@
         # those sent since, such as a probe, are new evidence.
         return False
     breaker.opened_at = now
-    backoff = INITIAL_BACKOFF * 2**breaker.failures
+    backoff = INITIAL_BACKOFF * 2 ** min(breaker.failures, MAX_DOUBLINGS)
     breaker.failures += 1
     breaker.backoff_until = Seconds(now + min(backoff, MAX_BACKOFF))
     return True
--- a/tests/test_refused_openings.py
+++ b/tests/test_refused_openings.py
@@ -77,6 +77,14 @@
         tags = [self.tag_of(opening(SECOND_CALLER, p), now=later) for p in range(9)]
         self.assertNotIn(refusing, tags)
 
+    def test_an_only_server_may_be_silent_for_any_time(self) -> None:
+        # After 1,024 failures in a row the backoff exceeded the range of a float, and
+        # the exception ended the packet task.
+        self.register(boot(1))
+        for number in range(1100):
+            packet = opening(SECOND_CALLER, number)
+            self.assertEqual(self.tag_of(packet, now=number * 0.2), 1)
+
     def test_a_server_that_answered_an_opening_stays_in_use(self) -> None:
         tag = self.tag_of(opening(FIRST_CALLER, 1))
         self.answer(tag, 1, now=0.01)
