load: cheaper sums at relays, fewer bytes with many services

Cause: with 12,000 backend servers and 15 other relays, taking in the sums of a relay took 21 ms and encoding sums for one 15 ms, once a second for each; a report of 75 backend servers and 24 rows of services took 917 bytes, a response 1,222.

Change: sums over relays are computed for what responses name; the relays of a failure domain get the same encoded sums for 0.5 s, with their age. Figures of services take a byte. A report names 64 backend servers and a response 40. A balancer collects figures only of the servers that it reports.

--- a/src/wasabigw/codec/load.py
+++ b/src/wasabigw/codec/load.py
@@ -1,10 +1,10 @@
 """Compact encoding of load figures.
 
-Figures of backend servers are kept in columns of one byte, exact up to 24 and with a
-relative error of 2.2% above; answer times are means with that error. The columns and
-all names are MessagePack, compressed with DEFLATE. Tags are random and follow without
-compression. Reports travel in the query of a poll and sums in its JSON response, so
-both are text in URL-safe Base64.
+Figures are kept in columns of one byte, exact up to 24 and with a relative error of
+2.2% above; answer times are means with that error. The columns and all names are
+MessagePack, compressed with DEFLATE. Tags are random and follow without compression.
+Reports travel in the query of a poll and sums in its JSON response, so both are text in
+URL-safe Base64. The age of sums comes first, so that encoded sums can be sent later.
 """
 
 import base64
@@ -52,11 +52,12 @@
 MAX_EXACT = 24
 """Largest count that is encoded exactly."""
 TAG_BYTES = 4
+AGE_BYTES = 2
 
 _Name = Annotated[str, Meta(min_length=1, max_length=200)]
 _Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 _Age = Annotated[int, Meta(ge=0, le=MAX_AGE_MS)]
-_ServiceColumn = Annotated[list[_Count], Meta(max_length=MAX_SERVICES)]
+_Positions = Annotated[list[_Count], Meta(max_length=MAX_SERVICES)]
 _Names = Annotated[list[_Name], Meta(max_length=MAX_SERVICES)]
 
 
@@ -81,11 +82,11 @@
     """
 
     names: _Names
-    service: _ServiceColumn
-    domain: _ServiceColumn
-    flows: _ServiceColumn
-    in_flight: _ServiceColumn
-    arrivals: _ServiceColumn
+    service: _Positions
+    domain: _Positions
+    flows: bytes
+    in_flight: bytes
+    arrivals: bytes
 
 
 class _Report(Struct, array_like=True):
@@ -100,7 +101,6 @@
 
 
 class _Sums(Struct, array_like=True):
-    age_ms: _Age
     balancers: _Count
     servers: _Servers
     services: _Services
@@ -154,21 +154,29 @@
 def encode_sums(sums: LoadSums) -> bytes:
     """Encode sums for another relay."""
     message = _Sums(
-        _milliseconds(sums.age),
         min(sums.balancers, MAX_COUNT),
         _server_columns(sums.servers),
         _service_columns(sums.services),
     )
-    return _join(_encoder.encode(message), sums.servers)
+    return _age_of_sums(sums.age) + _join(_encoder.encode(message), sums.servers)
+
+
+def with_age(encoded: bytes, age: Seconds) -> bytes:
+    """Encoded sums with another age."""
+    return _age_of_sums(age) + encoded[AGE_BYTES:]
+
+
+def _age_of_sums(age: Seconds) -> bytes:
+    return _milliseconds(age).to_bytes(AGE_BYTES, "big")
 
 
 def decode_sums(data: bytes) -> Result[LoadSums, str]:
     """Decode sums, or return an error message."""
     try:
-        plain, tags = _split(data)
+        plain, tags = _split(data[AGE_BYTES:])
         message = _sums_decoder.decode(plain)
         sums = LoadSums(
-            Seconds(message.age_ms / 1000),
+            Seconds(int.from_bytes(data[:AGE_BYTES], "big") / 1000),
             message.balancers,
             _server_figures(tags, message.servers),
             _service_figures(message.services),
@@ -282,9 +290,9 @@
         names,
         [positions[f.service] for f in figures],
         [positions[f.failure_domain] for f in figures],
-        [min(f.flows, MAX_COUNT) for f in figures],
-        [min(f.in_flight, MAX_COUNT) for f in figures],
-        [min(f.arrivals, MAX_COUNT) for f in figures],
+        bytes(_count_code(f.flows) for f in figures),
+        bytes(_count_code(f.in_flight) for f in figures),
+        bytes(_count_code(f.arrivals) for f in figures),
     )
 
 
@@ -304,9 +312,9 @@
         ServiceFigures(
             ServiceId(names[service]),
             FailureDomainId(names[domain]),
-            flows,
-            in_flight,
-            arrivals,
+            _COUNTS[flows],
+            _COUNTS[in_flight],
+            _COUNTS[arrivals],
         )
         for service, domain, flows, in_flight, arrivals in rows
     )
@@ -322,7 +330,7 @@
 def _count_code(count: int) -> int:
     """Code of a count in one byte, in steps of equal ratio if it is large."""
     if count <= MAX_EXACT:
-        return count
+        return max(count, 0)
     return min(255, MAX_EXACT + round(STEPS * math.log2(count / MAX_EXACT)))
 
 
--- a/src/wasabigw/core/load/figures.py
+++ b/src/wasabigw/core/load/figures.py
@@ -22,12 +22,12 @@
 """Time over which openings and answers are counted."""
 FIGURES_TTL = Seconds(4.0)
 """Age from which figures are ignored, so that decisions fall back to own counts."""
-MAX_REPORTED_SERVERS = 75
+MAX_REPORTED_SERVERS = 64
 """Backend servers in one report; with more, the sums of a sample are less exact.
 
 A report and the response to it share the 1.5 KB/s that polls leave of 3 KB/s.
 """
-MAX_RETURNED_SERVERS = 50
+MAX_RETURNED_SERVERS = 40
 """Backend servers in one response; the others have about the mean of their service."""
 MAX_REPORTED_SERVICES = 24
 """Pairs of service and failure domain in one report or response."""
--- a/src/wasabigw/core/load/ranking.py
+++ b/src/wasabigw/core/load/ranking.py
@@ -1,4 +1,4 @@
-"""Selection of the backend servers that a response with load sums names.
+"""Selection of the backend servers and services that a response with sums names.
 
 A response names a limited number, and balancers take the others to have about the mean
 of their service. So those come first that differ most from it.
@@ -9,7 +9,12 @@
 
 from wasabigw.core.delivery_view import DeliveryView
 from wasabigw.core.ids import NO_REVISION, Revision, Seconds, ServiceId, Tag
-from wasabigw.core.load.figures import MAX_RETURNED_SERVERS, REPORT_INTERVAL
+from wasabigw.core.load.figures import (
+    MAX_REPORTED_SERVICES,
+    MAX_RETURNED_SERVERS,
+    REPORT_INTERVAL,
+)
+from wasabigw.core.load.known import ServiceKey
 from wasabigw.core.load.rows import (
     ANSWER_TIME,
     ANSWERS,
@@ -24,26 +29,33 @@
 
 @dataclass(slots=True)
 class Ranking:
-    """Backend servers in the order in which responses name them.
+    """What responses name.
 
-    :param ranked_at: when they were ranked, with the view at ``revision``.
+    :param ranked_at: when it was chosen, with the view at ``revision``.
     """
 
     tags: tuple[Tag, ...] = ()
+    services: tuple[ServiceKey, ...] = ()
     ranked_at: Seconds = NEVER
     revision: Revision = NO_REVISION
 
 
 def is_due(ranking: Ranking, view: DeliveryView, now: Seconds) -> bool:
-    """Whether the order should be renewed, at most once for each round of reports."""
+    """Whether the choice should be renewed, at most once for each round of reports."""
     is_old = now - ranking.ranked_at >= REPORT_INTERVAL
     return is_old or ranking.revision != view.revision
 
 
-def rank(
+def rank_services(ranking: Ranking, loads: Mapping[ServiceKey, Row]) -> None:
+    """Choose the services with the most load."""
+    order = sorted(loads, key=lambda key: (loads[key][IN_FLIGHT], loads[key]))
+    ranking.services = tuple(order[::-1][:MAX_REPORTED_SERVICES])
+
+
+def rank_servers(
     ranking: Ranking, view: DeliveryView, loads: Mapping[Tag, Row], now: Seconds
 ) -> None:
-    """Renew the order.
+    """Choose the backend servers that differ most from their service.
 
     :param loads: load of each backend server that may get new flows.
     """
--- a/src/wasabigw/core/load/reporting.py
+++ b/src/wasabigw/core/load/reporting.py
@@ -1,6 +1,6 @@
 """Reports of what a balancer has counted."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from wasabigw.core.ids import Incarnation, Seconds, ServiceId
 from wasabigw.core.load.figures import (
@@ -14,7 +14,7 @@
 from wasabigw.core.load.known import ServiceKey
 from wasabigw.core.tags.state import Server, TagState
 
-Sample = Callable[[Sequence[ServerFigures], int], Sequence[ServerFigures]]
+Sample = Callable[[Sequence[Server], int], Sequence[Server]]
 """Returns a random sample of a given size without repetition."""
 
 
@@ -27,32 +27,32 @@
     """
     load = state.load
     load.sequence += 1
+    # Corrects for periods that took longer, such as after a suspension.
     scale = min(1.0, COUNT_WINDOW / max(now - load.previous_began, 1e-3))
-    servers = _server_figures(state, scale)
-    services = _service_figures(state, scale)
+    loaded = [server for server in state.servers.values() if _has_load(server, scale)]
+    services = _service_figures(loaded, state, scale)
+    share = min(1.0, MAX_REPORTED_SERVERS / max(len(loaded), 1))
+    reported = loaded if share == 1.0 else sample(loaded, MAX_REPORTED_SERVERS)
+    servers = tuple(_figures_of(server, scale) for server in reported)
     _begin_period(state, now)
-    share = 1.0
-    if len(servers) > MAX_REPORTED_SERVERS:
-        share = MAX_REPORTED_SERVERS / len(servers)
-        servers = list(sample(servers, MAX_REPORTED_SERVERS))
     return LoadReport(
         state.node,
         incarnation,
         state.failure_domain,
         load.sequence,
         share,
-        tuple(servers),
+        servers,
         tuple(services),
     )
 
 
-def _server_figures(state: TagState, scale: float) -> list[ServerFigures]:
-    """Figures of the backend servers that have any load.
-
-    :param scale: corrects for periods that took longer, such as after a suspension.
-    """
-    figures = (_figures_of(server, scale) for server in state.servers.values())
-    return [f for f in figures if f.flows or f.in_flight or f.openings or f.answers]
+def _has_load(server: Server, scale: float) -> bool:
+    counts = server.counts
+    if server.open_flows or counts.in_flight:
+        return True
+    events = counts.openings + counts.previous_openings
+    events += counts.answers + counts.previous_answers
+    return events * scale > 0
 
 
 def _figures_of(server: Server, scale: float) -> ServerFigures:
@@ -67,16 +67,17 @@
     )
 
 
-def _service_figures(state: TagState, scale: float) -> list[ServiceFigures]:
+def _service_figures(
+    loaded: Iterable[Server], state: TagState, scale: float
+) -> list[ServiceFigures]:
     """Exact sums of each service, also if the report names only a sample of servers."""
     load, home = state.load, state.failure_domain
     flows: dict[ServiceKey, int] = {}
     in_flight: dict[ServiceKey, int] = {}
-    for server in state.servers.values():
-        if server.open_flows or server.counts.in_flight:
-            key = server.registration.service, server.registration.failure_domain
-            flows[key] = flows.get(key, 0) + server.open_flows
-            in_flight[key] = in_flight.get(key, 0) + server.counts.in_flight
+    for server in loaded:
+        key = server.registration.service, server.registration.failure_domain
+        flows[key] = flows.get(key, 0) + server.open_flows
+        in_flight[key] = in_flight.get(key, 0) + server.counts.in_flight
     arrivals = {
         service: round(scale * recent_arrivals(service, state))
         for service in {**load.previous_arrivals, **load.arrivals}
--- a/src/wasabigw/core/load/sums.py
+++ b/src/wasabigw/core/load/sums.py
@@ -15,7 +15,6 @@
 from wasabigw.core.load.bounds import limit_answer_times, limit_totals
 from wasabigw.core.load.figures import (
     FIGURES_TTL,
-    MAX_REPORTED_SERVICES,
     REPORT_INTERVAL,
     LoadReport,
     LoadSums,
@@ -23,13 +22,14 @@
     ServiceFigures,
 )
 from wasabigw.core.load.known import ServiceKey
-from wasabigw.core.load.ranking import Ranking, is_due, rank
+from wasabigw.core.load.ranking import Ranking, is_due, rank_servers, rank_services
 from wasabigw.core.load.rows import SERVER_WIDTH, SERVICE_WIDTH
 from wasabigw.core.load.totals import (
     Row,
     Totals,
     add,
     add_rows,
+    column_sums,
     remove_rows,
     subtract,
 )
@@ -117,6 +117,14 @@
     services: Totals[ServiceKey] = field(default_factory=lambda: Totals(SERVICE_WIDTH))
 
 
+@dataclass(slots=True)
+class _PeerSums:
+    """Sums over all relays that were needed since one of them answered."""
+
+    servers: dict[Tag, Row] = field(default_factory=dict)
+    services: dict[ServiceKey, Row] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class LoadTable:
     """Contributions that have not expired, and their sums.
@@ -125,8 +133,8 @@
     :param reports: latest report of each balancer that polls this relay.
     :param peers: what other relays have received directly.
     :param direct: sums of ``reports``.
-    :param indirect: sums of ``peers``.
-    :param ranking: backend servers to name first in responses.
+    :param indirect: sums of ``peers``, as far as they were needed.
+    :param ranking: what responses name first.
     :param first_report_at: when the first report came since there was none.
     """
 
@@ -134,7 +142,7 @@
     reports: dict[NodeId, _KeptReport] = field(default_factory=dict)
     peers: dict[Endpoint, _PeerAnswer] = field(default_factory=dict)
     direct: _Sums = field(default_factory=_Sums)
-    indirect: _Sums = field(default_factory=_Sums)
+    indirect: _PeerSums = field(default_factory=_PeerSums)
     ranking: Ranking = field(default_factory=Ranking)
     first_report_at: Seconds = NEVER
 
@@ -168,17 +176,14 @@
     table: LoadTable, peer: Endpoint, sums: LoadSums, received_at: Seconds
 ) -> None:
     """Replace the sums that another relay has received directly."""
-    known = table.peers.pop(peer, None)
-    if known is not None:
-        _remove(table.indirect, known.contribution)
     contribution = _Contribution(
         Seconds(received_at - sums.age),
         sums.balancers,
         {figures.tag: tuple(figures[1:]) for figures in sums.servers},
         {(f.service, f.failure_domain): tuple(f[2:]) for f in sums.services},
     )
-    _add(table.indirect, contribution)
     table.peers[peer] = _PeerAnswer(received_at, contribution)
+    table.indirect = _PeerSums()
 
 
 def expire_contributions(table: LoadTable, now: Seconds) -> None:
@@ -189,8 +194,8 @@
     for peer, answer in list(table.peers.items()):
         is_old = now - answer.contribution.measured_at >= FIGURES_TTL
         if is_old or now - answer.received_at >= PEER_TTL:
-            _remove(table.indirect, answer.contribution)
             del table.peers[peer]
+            table.indirect = _PeerSums()
 
 
 def arrived_balancers(table: LoadTable, now: Seconds) -> tuple[ArrivedBalancer, ...]:
@@ -204,15 +209,18 @@
 
 def remove_departed(
     table: LoadTable, arrived: Iterable[ArrivedBalancer], now: Seconds
-) -> None:
+) -> int:
     """Remove reports of balancers that have reported to another relay since.
 
     :param arrived: balancers that have begun to report to that relay.
+    :returns: number of removed reports.
     """
+    before = len(table.reports)
     for node, age in arrived:
         kept = table.reports.get(node)
         if kept is not None and kept.contribution.measured_at < now - age:
             _remove_report(table, node)
+    return before - len(table.reports)
 
 
 def _remove_report(table: LoadTable, node: NodeId) -> None:
@@ -240,16 +248,21 @@
     ]
     if not summed:
         return None
-    tags = _ranked_tags(table, view, now)
+    if is_due(table.ranking, view, now):
+        _rank(table, view, now)
     return LoadSums(
         _mean_age(summed, now),
         sum(contribution.balancers for contribution in summed),
         tuple(
             _server_figures(tag, _without(own_servers.get(tag), _load(table, tag)))
-            for tag in tags
-            if tag in view.boots
+            for tag in table.ranking.tags
+        ),
+        tuple(
+            _service_figures(
+                key, _without(own_services.get(key), _service_load(table, key))
+            )
+            for key in table.ranking.services
         ),
-        _service_sums(table, own_services),
     )
 
 
@@ -314,31 +327,51 @@
 
 
 def _load(table: LoadTable, tag: Tag) -> Row:
-    return add(table.direct.servers.of(tag), table.indirect.servers.of(tag))
+    others = table.indirect.servers.get(tag)
+    if others is None:
+        rows = (answer.contribution.servers.get(tag) for answer in table.peers.values())
+        others = table.indirect.servers[tag] = _total(rows, SERVER_WIDTH)
+    return add(table.direct.servers.of(tag), others)
+
+
+def _service_load(table: LoadTable, key: ServiceKey) -> Row:
+    others = table.indirect.services.get(key)
+    if others is None:
+        rows = (
+            answer.contribution.services.get(key) for answer in table.peers.values()
+        )
+        others = table.indirect.services[key] = _total(rows, SERVICE_WIDTH)
+    return add(table.direct.services.of(key), others)
+
+
+def _total(rows: Iterable[Row | None], width: int) -> Row:
+    return column_sums((row for row in rows if row is not None), width)
 
 
 def _without(own: Row | None, row: Row) -> Row:
     return row if own is None else subtract(row, own)
 
 
-def _ranked_tags(table: LoadTable, view: DeliveryView, now: Seconds) -> tuple[Tag, ...]:
-    """Backend servers of all services with figures, limited to those named first.
+def _rank(table: LoadTable, view: DeliveryView, now: Seconds) -> None:
+    """Choose what responses name.
 
-    Those of failure domains that have relays of their own are left to these: only they
-    get the figures of all balancers.
+    Backend servers of failure domains that have relays of their own are left to these:
+    only they get the figures of all balancers.
     """
-    if is_due(table.ranking, view, now):
-        services = {service for service, _ in _service_keys(table)}
-        domains = _domains_of_others(view, table.failure_domain)
-        loads = {
-            tag: _load(table, tag)
-            for tag, boot in view.boots.items()
-            if boot.service in services
-            and boot.failure_domain not in domains
-            and _accepts_new_flows(boot)
-        }
-        rank(table.ranking, view, loads, now)
-    return table.ranking.tags
+    keys = set(table.direct.services.sums)
+    for answer in table.peers.values():
+        keys.update(answer.contribution.services)
+    services = {service for service, _ in keys}
+    domains = _domains_of_others(view, table.failure_domain)
+    loads = {
+        tag: _load(table, tag)
+        for tag, boot in view.boots.items()
+        if boot.service in services
+        and boot.failure_domain not in domains
+        and _accepts_new_flows(boot)
+    }
+    rank_servers(table.ranking, view, loads, now)
+    rank_services(table.ranking, {key: _service_load(table, key) for key in keys})
 
 
 def _domains_of_others(
@@ -357,27 +390,6 @@
     return boot.state is RegistrationState.SERVING and not boot.silent
 
 
-def _service_keys(table: LoadTable) -> set[ServiceKey]:
-    return {*table.direct.services.sums, *table.indirect.services.sums}
-
-
-def _service_sums(
-    table: LoadTable, own: Mapping[ServiceKey, Row]
-) -> tuple[ServiceFigures, ...]:
-    sums = [
-        _service_figures(
-            key,
-            _without(
-                own.get(key),
-                add(table.direct.services.of(key), table.indirect.services.of(key)),
-            ),
-        )
-        for key in sorted(_service_keys(table))
-    ]
-    sums.sort(key=lambda f: (f.in_flight + f.arrivals, f.flows), reverse=True)
-    return tuple(sums[:MAX_REPORTED_SERVICES])
-
-
 def _server_figures(tag: Tag, row: Row) -> ServerFigures:
     flows, in_flight, openings, answers, answer_time = (max(0.0, f) for f in row)
     return ServerFigures(
--- a/src/wasabigw/tasks/relay_load.py
+++ b/src/wasabigw/tasks/relay_load.py
@@ -1,7 +1,7 @@
 """Part of the relay task that sums the load reports of balancers."""
 
 from collections import Counter
-from typing import Any
+from typing import Any, NamedTuple
 
 from returns.result import Success
 
@@ -10,6 +10,7 @@
     decode_arrived,
     decode_report,
     encode_sums,
+    with_age,
 )
 from wasabigw.core.delivery_view import DeliveryView, Source
 from wasabigw.core.endpoint import Endpoint
@@ -34,10 +35,20 @@
 from wasabigw.telemetry.exposition import Family, MetricKind, Sample, gauge
 from wasabigw.telemetry.log_events import log
 
+ENCODED_TTL = Seconds(0.5 * REPORT_INTERVAL)
+"""Time for which the relays of a failure domain get the same encoded sums."""
+MAX_ENCODED = 64
+"""Failure domains whose encoded sums are kept."""
 MALFORMED_LOG_INTERVAL = Seconds(1.0)
 """Minimum time between log lines on malformed reports."""
 
 
+class _EncodedSums(NamedTuple):
+    data: bytes
+    age: Seconds
+    encoded_at: Seconds
+
+
 class RelayLoad:
     """Load figures of a relay; owned by the relay task.
 
@@ -49,6 +60,7 @@
         self._bind = bind
         self._table = LoadTable(failure_domain)
         self._round_at = NEVER
+        self._encoded: dict[FailureDomainId, _EncodedSums] = {}
         self._outcomes: Counter[ReportOutcome] = Counter()
         self._bytes: Counter[str] = Counter()
         self._logged_at = NEVER
@@ -84,8 +96,19 @@
     def direct_sums(
         self, failure_domain: FailureDomainId, view: DeliveryView, now: Seconds
     ) -> bytes:
-        """Encoded sums for another relay, by its failure domain."""
-        encoded = encode_sums(direct_sums(self._table, view, failure_domain, now))
+        """Encoded sums for another relay, by its failure domain.
+
+        They are encoded again after :data:`ENCODED_TTL` only.
+        """
+        known = self._encoded.get(failure_domain)
+        if known is None or now - known.encoded_at >= ENCODED_TTL:
+            sums = direct_sums(self._table, view, failure_domain, now)
+            known = _EncodedSums(encode_sums(sums), sums.age, now)
+            if len(self._encoded) >= MAX_ENCODED:
+                self._encoded.clear()
+            self._encoded[failure_domain] = known
+        age = Seconds(known.age + now - known.encoded_at)
+        encoded = with_age(known.data, age)
         self._bytes["sent to relays"] += len(encoded)
         return encoded
 
@@ -93,7 +116,8 @@
         """Remove reports of balancers that another relay names as arrived there."""
         decoded = decode_arrived(text)
         if isinstance(decoded, Success):
-            remove_departed(self._table, decoded.unwrap(), now)
+            if remove_departed(self._table, decoded.unwrap(), now):
+                self._encoded.clear()
         else:
             self._log_malformed("a relay", decoded.failure(), now)
 
@@ -108,6 +132,8 @@
         Without reports of balancers nobody needs the sums, so nobody is asked.
         """
         expire_contributions(self._table, now)
+        if not self._table.reports:
+            self._encoded.clear()
         is_due = now - self._round_at >= REPORT_INTERVAL
         if self.exchange is None or not self._table.reports or not is_due:
             return
