--- a/src/wasabigw/core/load/figures.py
+++ b/src/wasabigw/core/load/figures.py
@@ -27,7 +27,7 @@
 
 A report and the response to it share the 1.5 KB/s that polls leave of 3 KB/s.
 """
-MAX_RETURNED_SERVERS = 40
+MAX_RETURNED_SERVERS = 64
 """Backend servers in one response; the others have about the mean of their service."""
 MAX_REPORTED_SERVICES = 24
 """Pairs of service and failure domain in one report or response."""
@@ -66,14 +66,27 @@
     arrivals: int
 
 
+class StratumSizes(NamedTuple):
+    """Number of backend servers with load at a balancer.
+
+    :param in_flight: those with requests in flight.
+    :param active: others with recent openings or answers.
+    :param idle: others with open flows.
+    """
+
+    in_flight: int
+    active: int
+    idle: int
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """What one balancer has counted; a later one replaces it.
 
     :param incarnation: of the balancer's process; sequences start again with it.
     :param sequence: increases with each report, so that a late one is ignored.
-    :param share: part of the known backend servers that the report names; the relay
-        divides by it, so that sums stay right when a report is limited to a sample.
+    :param sizes: how many backend servers the balancer has; the relay multiplies the
+        entries of a sample, so that sums stay right.
     :param age: time from its counts to when it was sent.
     """
 
@@ -81,7 +94,7 @@
     incarnation: Incarnation
     failure_domain: FailureDomainId
     sequence: int
-    share: float
+    sizes: StratumSizes
     servers: tuple[ServerFigures, ...]
     services: tuple[ServiceFigures, ...]
     age: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
--- a/src/wasabigw/core/load/reporting.py
+++ b/src/wasabigw/core/load/reporting.py
@@ -1,8 +1,10 @@
 """Reports of what a balancer has counted."""
 
 from collections.abc import Callable, Iterable, Sequence
+from itertools import chain
 
 from wasabigw.core.ids import Incarnation, Seconds, ServiceId
+from wasabigw.core.load.counts import ServerCounts
 from wasabigw.core.load.figures import (
     COUNT_WINDOW,
     MAX_REPORTED_SERVERS,
@@ -10,8 +12,10 @@
     LoadReport,
     ServerFigures,
     ServiceFigures,
+    StratumSizes,
 )
 from wasabigw.core.load.known import ServiceKey
+from wasabigw.core.load.sampling import quotas
 from wasabigw.core.tags.state import Server, TagState
 
 Sample = Callable[[Sequence[Server], int], Sequence[Server]]
@@ -29,30 +33,50 @@
     load.sequence += 1
     # Corrects for periods that took longer, such as after a suspension.
     scale = min(1.0, COUNT_WINDOW / max(now - load.previous_began, 1e-3))
-    loaded = [server for server in state.servers.values() if _has_load(server, scale)]
-    services = _service_figures(loaded, state, scale)
-    share = min(1.0, MAX_REPORTED_SERVERS / max(len(loaded), 1))
-    reported = loaded if share == 1.0 else sample(loaded, MAX_REPORTED_SERVERS)
-    servers = tuple(_figures_of(server, scale) for server in reported)
+    strata = _strata(state.servers.values(), scale)
+    services = _service_figures(chain(*strata), state, scale)
+    sizes = StratumSizes(*(len(stratum) for stratum in strata))
+    reported = [
+        sample(stratum, quota) if quota < len(stratum) else stratum
+        for stratum, quota in zip(
+            strata, quotas(sizes, MAX_REPORTED_SERVERS), strict=True
+        )
+    ]
+    servers = tuple(_figures_of(server, scale) for server in chain(*reported))
     _begin_period(state, now)
     return LoadReport(
         state.node,
         incarnation,
         state.failure_domain,
         load.sequence,
-        share,
+        sizes,
         servers,
         tuple(services),
     )
 
 
-def _has_load(server: Server, scale: float) -> bool:
-    counts = server.counts
-    if server.open_flows or counts.in_flight:
-        return True
-    events = counts.openings + counts.previous_openings
-    events += counts.answers + counts.previous_answers
-    return events * scale > 0
+def _strata(servers: Iterable[Server], scale: float) -> list[list[Server]]:
+    """Backend servers with load, by their stratum."""
+    in_flight: list[Server] = []
+    active: list[Server] = []
+    idle: list[Server] = []
+    for server in servers:
+        if server.counts.in_flight > 0:
+            in_flight.append(server)
+        elif _has_events(server.counts, scale):
+            active.append(server)
+        elif server.open_flows > 0:
+            idle.append(server)
+    return [in_flight, active, idle]
+
+
+def _has_events(counts: ServerCounts, scale: float) -> bool:
+    """Whether there are openings or answers to report."""
+    openings = counts.openings + counts.previous_openings
+    answers = counts.answers + counts.previous_answers
+    if openings == 0 and answers == 0:
+        return False
+    return round(openings * scale) > 0 or round(answers * scale) > 0
 
 
 def _figures_of(server: Server, scale: float) -> ServerFigures:
--- a/src/wasabigw/core/load/sums.py
+++ b/src/wasabigw/core/load/sums.py
@@ -1,232 +1,27 @@
-"""Sums of load reports at a relay.
+"""Sums of load reports that a relay returns to balancers and to other relays."""
 
-The relay keeps the latest report of each balancer and the sums that other relays have
-received directly. Both expire by their age.
-"""
-
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import NamedTuple
+from collections.abc import Iterable, Iterator
 
 from wasabigw.core.delivery_view import DeliveryView
-from wasabigw.core.endpoint import Endpoint
-from wasabigw.core.ids import FailureDomainId, Incarnation, NodeId, Seconds, Tag
-from wasabigw.core.load.bounds import limit_answer_times, limit_totals
+from wasabigw.core.ids import FailureDomainId, NodeId, Seconds, Tag
 from wasabigw.core.load.figures import (
-    FIGURES_TTL,
     REPORT_INTERVAL,
-    LoadReport,
     LoadSums,
     ServerFigures,
     ServiceFigures,
 )
 from wasabigw.core.load.known import ServiceKey
-from wasabigw.core.load.ranking import Ranking, is_due, rank_servers, rank_services
+from wasabigw.core.load.ranking import is_due, rank_servers, rank_services
 from wasabigw.core.load.rows import SERVER_WIDTH, SERVICE_WIDTH
-from wasabigw.core.load.totals import (
-    Row,
-    Totals,
-    add,
-    add_rows,
-    column_sums,
-    remove_rows,
-    subtract,
-)
+from wasabigw.core.load.table import Contribution, LoadTable, expire_contributions
+from wasabigw.core.load.totals import Row, add, column_sums, subtract
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
-from wasabigw.core.view_lease import NEVER
 
 FILL_TIME = Seconds(1.5 * REPORT_INTERVAL)
 """Time from the first report until all balancers of a relay have sent one."""
 
 
-NO_FAILURE_DOMAIN = FailureDomainId("")
-"""Failure domain of a relay that does not know its own."""
-PEER_TTL = Seconds(2.5 * REPORT_INTERVAL)
-"""Time without an answer after which the sums of a relay are removed.
-
-Shorter than :data:`FIGURES_TTL`: the balancers of a lost relay soon report to another
-one, and would count twice until then.
-"""
-ARRIVAL_PERIOD = Seconds(2.5 * REPORT_INTERVAL)
-"""Time for which other relays are told that a balancer reports to this one now."""
-
-
-class ArrivedBalancer(NamedTuple):
-    """A balancer that has begun to report to a relay.
-
-    :param age: age of its latest report.
-    """
-
-    node: NodeId
-    age: Seconds
-
-
-class ReportOutcome(Enum):
-    """What became of a report."""
-
-    ACCEPTED = "accepted"
-    LATE = "late"
-    """A later one of the same balancer was known."""
-    MALFORMED = "malformed"
-
-
-@dataclass(frozen=True, slots=True)
-class _Contribution:
-    """What a report, or the sums of a relay, add to the sums.
-
-    :param measured_at: mean time at which its figures were counted.
-    :param balancers: number of balancers that counted them.
-    """
-
-    measured_at: Seconds
-    balancers: int
-    servers: Mapping[Tag, Row]
-    services: Mapping[ServiceKey, Row]
-
-
-@dataclass(frozen=True, slots=True)
-class _KeptReport:
-    """Latest report of a balancer.
-
-    :param arrived_at: when its first report came since this relay had none.
-    :param replaced: incarnation before this one, whose late reports are ignored.
-    """
-
-    incarnation: Incarnation
-    sequence: int
-    replaced: Incarnation | None
-    arrived_at: Seconds
-    contribution: _Contribution
-
-
-@dataclass(frozen=True, slots=True)
-class _PeerAnswer:
-    """Latest sums of another relay."""
-
-    received_at: Seconds
-    contribution: _Contribution
-
-
-@dataclass(slots=True)
-class _Sums:
-    """Sums of several contributions."""
-
-    servers: Totals[Tag] = field(default_factory=lambda: Totals(SERVER_WIDTH))
-    services: Totals[ServiceKey] = field(default_factory=lambda: Totals(SERVICE_WIDTH))
-
-
-@dataclass(slots=True)
-class _PeerSums:
-    """Sums over all relays that were needed since one of them answered."""
-
-    servers: dict[Tag, Row] = field(default_factory=dict)
-    services: dict[ServiceKey, Row] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class LoadTable:
-    """Contributions that have not expired, and their sums.
-
-    :param failure_domain: that of the relay; empty if it is not known.
-    :param reports: latest report of each balancer that polls this relay.
-    :param peers: what other relays have received directly.
-    :param direct: sums of ``reports``.
-    :param indirect: sums of ``peers``, as far as they were needed.
-    :param ranking: what responses name first.
-    :param first_report_at: when the first report came since there was none.
-    """
-
-    failure_domain: FailureDomainId = NO_FAILURE_DOMAIN
-    reports: dict[NodeId, _KeptReport] = field(default_factory=dict)
-    peers: dict[Endpoint, _PeerAnswer] = field(default_factory=dict)
-    direct: _Sums = field(default_factory=_Sums)
-    indirect: _PeerSums = field(default_factory=_PeerSums)
-    ranking: Ranking = field(default_factory=Ranking)
-    first_report_at: Seconds = NEVER
-
-
-def record_report(table: LoadTable, report: LoadReport, now: Seconds) -> ReportOutcome:
-    """Replace the previous report of a balancer, unless this one is older."""
-    known = table.reports.get(report.node)
-    replaced, arrived_at = None, now
-    if known is not None:
-        if report.incarnation == known.incarnation:
-            if report.sequence <= known.sequence:
-                return ReportOutcome.LATE
-            replaced = known.replaced
-        elif report.incarnation == known.replaced:
-            return ReportOutcome.LATE
-        else:
-            replaced = known.incarnation
-        arrived_at = known.arrived_at
-        _remove_report(table, report.node)
-    elif not table.reports:
-        table.first_report_at = now
-    contribution = _contribution_of(report, table, now)
-    _add(table.direct, contribution)
-    table.reports[report.node] = _KeptReport(
-        report.incarnation, report.sequence, replaced, arrived_at, contribution
-    )
-    return ReportOutcome.ACCEPTED
-
-
-def record_peer(
-    table: LoadTable, peer: Endpoint, sums: LoadSums, received_at: Seconds
-) -> None:
-    """Replace the sums that another relay has received directly."""
-    contribution = _Contribution(
-        Seconds(received_at - sums.age),
-        sums.balancers,
-        {figures.tag: tuple(figures[1:]) for figures in sums.servers},
-        {(f.service, f.failure_domain): tuple(f[2:]) for f in sums.services},
-    )
-    table.peers[peer] = _PeerAnswer(received_at, contribution)
-    table.indirect = _PeerSums()
-
-
-def expire_contributions(table: LoadTable, now: Seconds) -> None:
-    """Remove reports and sums that have reached :data:`FIGURES_TTL`."""
-    for node, kept in list(table.reports.items()):
-        if now - kept.contribution.measured_at >= FIGURES_TTL:
-            _remove_report(table, node)
-    for peer, answer in list(table.peers.items()):
-        is_old = now - answer.contribution.measured_at >= FIGURES_TTL
-        if is_old or now - answer.received_at >= PEER_TTL:
-            del table.peers[peer]
-            table.indirect = _PeerSums()
-
-
-def arrived_balancers(table: LoadTable, now: Seconds) -> tuple[ArrivedBalancer, ...]:
-    """Balancers that have begun to report to this relay a short time ago."""
-    return tuple(
-        ArrivedBalancer(node, Seconds(now - kept.contribution.measured_at))
-        for node, kept in table.reports.items()
-        if now - kept.arrived_at < ARRIVAL_PERIOD
-    )
-
-
-def remove_departed(
-    table: LoadTable, arrived: Iterable[ArrivedBalancer], now: Seconds
-) -> int:
-    """Remove reports of balancers that have reported to another relay since.
-
-    :param arrived: balancers that have begun to report to that relay.
-    :returns: number of removed reports.
-    """
-    before = len(table.reports)
-    for node, age in arrived:
-        kept = table.reports.get(node)
-        if kept is not None and kept.contribution.measured_at < now - age:
-            _remove_report(table, node)
-    return before - len(table.reports)
-
-
-def _remove_report(table: LoadTable, node: NodeId) -> None:
-    _remove(table.direct, table.reports.pop(node).contribution)
-
-
 def sums_for(
     table: LoadTable, node: NodeId, view: DeliveryView, now: Seconds
 ) -> LoadSums | None:
@@ -291,37 +86,7 @@
     )
 
 
-def _contribution_of(
-    report: LoadReport, table: LoadTable, now: Seconds
-) -> _Contribution:
-    """Contribution of a report, bounded by those of the other balancers."""
-    servers: dict[Tag, Row] = {
-        figures.tag: tuple(value / report.share for value in figures[1:])
-        for figures in report.servers
-    }
-    services: dict[ServiceKey, Row] = {
-        (f.service, f.failure_domain): tuple(float(value) for value in f[2:])
-        for f in report.services
-    }
-    others = table.direct
-    count = len(table.reports)
-    servers = limit_answer_times(servers, others.servers)
-    servers = limit_totals(servers, others.servers.overall, count)
-    services = limit_totals(services, others.services.overall, count)
-    return _Contribution(Seconds(now - report.age), 1, servers, services)
-
-
-def _add(sums: _Sums, contribution: _Contribution) -> None:
-    add_rows(sums.servers, contribution.servers)
-    add_rows(sums.services, contribution.services)
-
-
-def _remove(sums: _Sums, contribution: _Contribution) -> None:
-    remove_rows(sums.servers, contribution.servers)
-    remove_rows(sums.services, contribution.services)
-
-
-def _contributions(table: LoadTable) -> Iterator[_Contribution]:
+def _contributions(table: LoadTable) -> Iterator[Contribution]:
     yield from (kept.contribution for kept in table.reports.values())
     yield from (answer.contribution for answer in table.peers.values())
 
@@ -407,7 +172,7 @@
     return ServiceFigures(*key, flows, in_flight, arrivals)
 
 
-def _mean_age(contributions: Iterable[_Contribution], now: Seconds) -> Seconds:
+def _mean_age(contributions: Iterable[Contribution], now: Seconds) -> Seconds:
     """Mean age of the reports in the contributions; 0 if there are none."""
     ages = [(c.balancers, now - c.measured_at) for c in contributions]
     balancers = sum(count for count, _ in ages)
--- a/src/wasabigw/tasks/load_messages.py
+++ b/src/wasabigw/tasks/load_messages.py
@@ -7,7 +7,7 @@
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.core.load.figures import LoadReport, LoadSums
-from wasabigw.core.load.sums import ArrivedBalancer
+from wasabigw.core.load.table import ArrivedBalancer
 from wasabigw.runtime.mailbox import Mailbox
 
 
--- a/src/wasabigw/tasks/relay_load.py
+++ b/src/wasabigw/tasks/relay_load.py
@@ -17,16 +17,15 @@
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
 from wasabigw.core.load.figures import REPORT_INTERVAL
 from wasabigw.core.load.peers import choose_peers
-from wasabigw.core.load.sums import (
+from wasabigw.core.load.sums import direct_sums, sums_for
+from wasabigw.core.load.table import (
     LoadTable,
     ReportOutcome,
     arrived_balancers,
-    direct_sums,
     expire_contributions,
     record_peer,
     record_report,
     remove_departed,
-    sums_for,
 )
 from wasabigw.core.view_lease import NEVER
 from wasabigw.runtime.mailbox import Mailbox
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -22,7 +22,7 @@
     Revision,
     Seconds,
 )
-from wasabigw.core.load.sums import NO_FAILURE_DOMAIN
+from wasabigw.core.load.table import NO_FAILURE_DOMAIN
 from wasabigw.core.numbers import whole_number
 from wasabigw.core.view_lease import NEVER
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
