tags: backend servers that figures don't name count as the mean of the others

Cause: a response names 48 backend servers; weights by those alone were relative to the slowest ones, which differ most. Change: own answers of all unnamed ones together judge these; flows and requests in flight are the rest of the sums of the service. Planning is a module of its own.

--- /dev/null
+++ b/src/wasabigw/core/tags/combined.py
@@ -0,0 +1,99 @@
+"""Figures of backend servers from all balancers: those of others and own counts."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from wasabigw.core.ids import Seconds
+from wasabigw.core.load.figures import ServerFigures
+from wasabigw.core.load.known import KnownLoad
+from wasabigw.core.tags.state import Server
+
+
+class MeanLoad(NamedTuple):
+    """Mean load of backend servers."""
+
+    flows: float
+    in_flight: float
+
+
+def own_figures(server: Server) -> ServerFigures:
+    """Load of a backend server that passes this balancer."""
+    counts = server.counts
+    return ServerFigures(
+        server.registration.tag,
+        server.open_flows,
+        counts.in_flight,
+        counts.openings + counts.previous_openings,
+        counts.answers + counts.previous_answers,
+        Seconds(counts.answer_time + counts.previous_answer_time),
+    )
+
+
+def combined_figures(server: Server, known: KnownLoad) -> ServerFigures | None:
+    """Load of a backend server from all balancers; ``None`` if others don't name it."""
+    others = known.servers.get(server.registration.tag)
+    return None if others is None else _sum(own_figures(server), others)
+
+
+def answers_of_unnamed(
+    servers: Sequence[Server], known: KnownLoad
+) -> tuple[ServerFigures | None, int]:
+    """Own answers of all backend servers that others don't name, and their slots.
+
+    These have about the mean load, and one balancer has too few answers of each.
+    """
+    total, slots = None, 0
+    for server in servers:
+        if server.registration.tag not in known.servers:
+            own = own_figures(server)
+            total = own if total is None else _sum(total, own)
+            slots += server.slots
+    return total, slots
+
+
+def mean_of_unnamed(servers: Sequence[Server], known: KnownLoad) -> MeanLoad:
+    """Mean load of the backend servers of a failure domain that others don't name.
+
+    :param servers: those of one service in one failure domain.
+    """
+    named = [f for s in servers if (f := combined_figures(s, known)) is not None]
+    own = [own_figures(server) for server in servers]
+    boot = servers[0].registration
+    total = known.services.get((boot.service, boot.failure_domain))
+    count = len(servers) - len(named)
+    if total is None or count == 0:
+        return MeanLoad(_mean([f.flows for f in named]), _mean(_in_flight(named)))
+    flows = total.flows + sum(f.flows for f in own)
+    in_flight = total.in_flight + sum(_in_flight(own))
+    return MeanLoad(
+        _mean_of_rest(flows, [f.flows for f in named], count),
+        _mean_of_rest(in_flight, _in_flight(named), count),
+    )
+
+
+def _in_flight(figures: Sequence[ServerFigures]) -> list[int]:
+    return [f.in_flight for f in figures]
+
+
+def _mean(values: Sequence[int]) -> float:
+    return sum(values) / max(len(values), 1)
+
+
+def _mean_of_rest(total: float, named: Sequence[int], count: int) -> float:
+    """Mean of the unnamed ones, which don't exceed the named ones.
+
+    The total includes boots that get no new flows, such as draining ones.
+    """
+    mean = max(total - sum(named), 0.0) / count
+    return min(mean, max(named, default=mean))
+
+
+def _sum(one: ServerFigures, other: ServerFigures) -> ServerFigures:
+    return ServerFigures(
+        one.tag,
+        one.flows + other.flows,
+        one.in_flight + other.in_flight,
+        one.openings + other.openings,
+        one.answers + other.answers,
+        Seconds(one.answer_time + other.answer_time),
+    )
--- a/src/wasabigw/core/tags/estimates.py
+++ b/src/wasabigw/core/tags/estimates.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from wasabigw.core.ids import Seconds, Tag
-from wasabigw.core.load.figures import COUNT_WINDOW
+from wasabigw.core.load.figures import COUNT_WINDOW, ServerFigures
 
 PROBE_SHARE = 0.1
 """Part of the new flows that is distributed by capacity alone.
@@ -35,11 +35,13 @@
 class ServerLoad(NamedTuple):
     """What is known of a backend server.
 
-    :param capacity: slots, weighted by speed.
+    :param capacity: slots, weighted by speed, less if requests queue.
+    :param in_flight: requests without an answer.
     :param flows: open flows of all balancers.
     """
 
     capacity: float
+    in_flight: float
     flows: float
 
 
@@ -54,6 +56,15 @@
     answers: float
 
 
+def add_activity(activity: Activity, figures: ServerFigures) -> Activity:
+    """Add the figures of a backend server."""
+    return Activity(
+        activity.flows + figures.flows,
+        activity.openings + figures.openings,
+        activity.answers + figures.answers,
+    )
+
+
 class FlowAges(NamedTuple):
     """Open flows of this balancer, and the sum of the times since they were opened."""
 
--- a/src/wasabigw/core/tags/plans.py
+++ b/src/wasabigw/core/tags/plans.py
@@ -42,7 +42,7 @@
     :param loads: expected load of each backend server that gets new flows.
     :param domains: turns of failure domains.
     :param servers: turns of the backend servers of each failure domain.
-    :param room: ``None`` if nothing is known of the speed of the backend servers.
+    :param room: ``None`` if it has not been computed yet.
     """
 
     pool: Sequence[object] = ()
@@ -53,3 +53,8 @@
     domains: Turns[FailureDomainId] = field(default_factory=lambda: Turns({}))
     servers: dict[FailureDomainId, Turns[Tag]] = field(default_factory=dict)
     room: Room | None = None
+
+    def weight(self, tag: Tag) -> float:
+        """Speed of a backend server relative to the others; 1 if it is not known."""
+        speed = self.speeds.get(tag)
+        return speed.weight if speed is not None else 1.0
--- a/src/wasabigw/core/tags/room.py
+++ b/src/wasabigw/core/tags/room.py
@@ -1,19 +1,41 @@
 """Room of a service: how many more requests its backend servers can take."""
 
 from wasabigw.core.ids import Seconds, ServiceId
-from wasabigw.core.tags.balancing import current_plan
-from wasabigw.core.tags.plans import Room
+from wasabigw.core.tags.planning import current_plan
+from wasabigw.core.tags.plans import Room, ServicePlan
 from wasabigw.core.tags.state import TagState
+from wasabigw.core.tags.weights import typical_service_time
 
 __all__ = ["Room", "room_of"]
 
 
 def room_of(service: ServiceId, state: TagState, now: Seconds) -> Room | None:
-    """Room of a service, computed once for each set of figures.
+    """Room of a service, computed once for each plan.
 
     :returns: ``None`` without current figures, so that all is admitted, and if no
-        backend server is warm and answering.
+        backend server is warm and answering or nothing is known of their speed.
     """
     if not state.known_load.is_current(now):
         return None
-    return current_plan(service, state, now).room
+    plan = current_plan(service, state, now)
+    if plan.room is None:
+        plan.room = _estimate(plan, state)
+    return plan.room
+
+
+def _estimate(plan: ServicePlan, state: TagState) -> Room | None:
+    typical = typical_service_time(plan.speeds)
+    if typical is None or typical <= 0 or not plan.loads:
+        return None
+    slots = in_flight = wait = free_slots = service_rate = 0.0
+    for domain, turns in plan.servers.items():
+        for tag, share in turns.shares.items():
+            own_slots, load = state.servers[tag].slots, plan.loads[tag]
+            rate = own_slots * plan.weight(tag) / typical
+            slots += own_slots
+            in_flight += load.in_flight
+            free_slots += max(own_slots - load.in_flight, 0.0) * plan.weight(tag)
+            service_rate += rate
+            queue = max(load.in_flight + 1 - own_slots, 0.0)
+            wait += plan.domains.shares[domain] * share * queue / rate
+    return Room(in_flight / slots, Seconds(wait), free_slots, service_rate)
--- a/src/wasabigw_measure/compare_choices.py
+++ b/src/wasabigw_measure/compare_choices.py
@@ -6,6 +6,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
+from functools import reduce
 from statistics import fmean, quantiles
 from typing import Annotated, NamedTuple
 
@@ -13,7 +14,13 @@
 
 from wasabigw.core.ids import NodeId, Seconds, Tag
 from wasabigw.core.load.figures import REPORT_INTERVAL, ServerFigures
-from wasabigw.core.tags.estimates import Activity, FlowAges, ServerLoad, opening_shares
+from wasabigw.core.tags.estimates import (
+    Activity,
+    FlowAges,
+    ServerLoad,
+    add_activity,
+    opening_shares,
+)
 from wasabigw.core.tags.selection import rank_of
 from wasabigw.core.tags.turns import Turns, make_turns, phases_of, take_turn
 from wasabigw.core.tags.weights import (
@@ -221,15 +228,13 @@
         weights = self._weights_at(number, world)
         loads = {
             f.tag: ServerLoad(
-                expected_capacity(weights[f.tag], f.in_flight, SLOTS), f.flows
+                expected_capacity(weights[f.tag], f.in_flight, SLOTS),
+                f.in_flight,
+                f.flows,
             )
             for f in servers
         }
-        activity = Activity(
-            sum(f.flows for f in servers),
-            sum(f.openings for f in servers),
-            sum(f.answers for f in servers),
-        )
+        activity = reduce(add_activity, servers, Activity(0, 0, 0))
         flows = world.ages[balancer]
         own = FlowAges(flows.count, flows.count * world.now - flows.opened_at)
         horizon = Seconds(world.age + REPORT_INTERVAL / 2)
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -17,10 +17,10 @@
 from wasabigw.core.load.figures import FIGURES_TTL, ServerFigures, ServiceFigures
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.requirements import Priority, Requirements
-from wasabigw.core.tags.balancing import current_plan
 from wasabigw.core.tags.decisions import ChoiceReason, Deliver
 from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.health import record_failure
+from wasabigw.core.tags.planning import current_plan
 from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.weights import MIN_WEIGHT
