load: relays name the backend servers of the balancer's failure domain first

Cause: with 150 backend servers in three failure domains, a response named about 16 of the own one, which gets most flows of a balancer. Change: of the named ones, those of the balancer's failure domain come first, then the order by differences as before.

--- a/src/wasabigw/core/load/ranking.py
+++ b/src/wasabigw/core/load/ranking.py
@@ -1,14 +1,22 @@
 """Selection of the backend servers that a response with load sums names.
 
 A response names a limited number, and balancers take the others to have about the mean
-of their service. So those come first that differ most from it.
+of their service. So those of the balancer's failure domain come first, which get most
+of its flows, and of these the ones that differ most from the mean.
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from wasabigw.core.delivery_view import DeliveryView
-from wasabigw.core.ids import NO_REVISION, Revision, Seconds, ServiceId, Tag
+from wasabigw.core.ids import (
+    NO_REVISION,
+    FailureDomainId,
+    Revision,
+    Seconds,
+    ServiceId,
+    Tag,
+)
 from wasabigw.core.load.figures import MAX_RETURNED_SERVERS, REPORT_INTERVAL
 from wasabigw.core.load.rows import (
     ANSWER_TIME,
@@ -26,10 +34,13 @@
 class Ranking:
     """Backend servers in the order in which responses name them.
 
+    :param tags: order of their differences.
+    :param named: those named to balancers of a failure domain.
     :param ranked_at: when they were ranked, with the view at ``revision``.
     """
 
     tags: tuple[Tag, ...] = ()
+    named: dict[FailureDomainId, tuple[Tag, ...]] = field(default_factory=dict)
     ranked_at: Seconds = NEVER
     revision: Revision = NO_REVISION
 
@@ -48,6 +59,7 @@
     :param loads: load of each backend server that may get new flows.
     """
     ranking.ranked_at, ranking.revision = now, view.revision
+    ranking.named.clear()
     if len(loads) <= MAX_RETURNED_SERVERS:
         ranking.tags = tuple(loads)
         return
@@ -57,7 +69,28 @@
         for tag, row in loads.items()
     }
     order = sorted(loads, key=lambda tag: differences[tag], reverse=True)
-    ranking.tags = tuple(order[:MAX_RETURNED_SERVERS])
+    ranking.tags = tuple(order)
+
+
+def named_tags(
+    ranking: Ranking, view: DeliveryView, failure_domain: FailureDomainId | None
+) -> tuple[Tag, ...]:
+    """Backend servers to name to a balancer.
+
+    :param failure_domain: of the balancer; ``None`` if it is not known.
+    """
+    if failure_domain is None:
+        return ranking.tags[:MAX_RETURNED_SERVERS]
+    named = ranking.named.get(failure_domain)
+    if named is None:
+        near: list[Tag] = []
+        far: list[Tag] = []
+        for tag in ranking.tags:
+            is_near = view.boots[tag].failure_domain == failure_domain
+            (near if is_near else far).append(tag)
+        named = tuple((near + far)[:MAX_RETURNED_SERVERS])
+        ranking.named[failure_domain] = named
+    return named
 
 
 def _means(view: DeliveryView, loads: Mapping[Tag, Row]) -> dict[ServiceId, Row]:
--- a/src/wasabigw/core/load/sums.py
+++ b/src/wasabigw/core/load/sums.py
@@ -22,7 +22,7 @@
     ServiceFigures,
 )
 from wasabigw.core.load.known import ServiceKey
-from wasabigw.core.load.ranking import Ranking, is_due, rank
+from wasabigw.core.load.ranking import Ranking, is_due, named_tags, rank
 from wasabigw.core.load.rows import SERVER_WIDTH, SERVICE_WIDTH
 from wasabigw.core.load.totals import (
     Row,
@@ -71,6 +71,7 @@
     """
 
     incarnation: Incarnation
+    failure_domain: FailureDomainId
     sequence: int
     replaced: Incarnation | None
     contribution: _Contribution
@@ -124,7 +125,11 @@
     contribution = _contribution_of(report, table, now)
     _add(table.direct, contribution)
     table.reports[report.node] = _KeptReport(
-        report.incarnation, report.sequence, replaced, contribution
+        report.incarnation,
+        report.failure_domain,
+        report.sequence,
+        replaced,
+        contribution,
     )
     return ReportOutcome.ACCEPTED
 
@@ -179,7 +184,8 @@
     ]
     if not summed:
         return None
-    tags = _ranked_tags(table, view, now)
+    domain = own.failure_domain if own is not None else None
+    tags = _named_tags(table, view, domain, now)
     return LoadSums(
         _mean_age(summed, now),
         sum(contribution.balancers for contribution in summed),
@@ -261,7 +267,12 @@
     return row if own is None else subtract(row, own)
 
 
-def _ranked_tags(table: LoadTable, view: DeliveryView, now: Seconds) -> tuple[Tag, ...]:
+def _named_tags(
+    table: LoadTable,
+    view: DeliveryView,
+    failure_domain: FailureDomainId | None,
+    now: Seconds,
+) -> tuple[Tag, ...]:
     """Backend servers of all services with figures, limited to those named first."""
     if is_due(table.ranking, view, now):
         services = {service for service, _ in _service_keys(table)}
@@ -271,7 +282,7 @@
             if boot.service in services and _accepts_new_flows(boot)
         }
         rank(table.ranking, view, loads, now)
-    return table.ranking.tags
+    return named_tags(table.ranking, view, failure_domain)
 
 
 def _accepts_new_flows(boot: Registration) -> bool:
--- a/tests/test_load_sums.py
+++ b/tests/test_load_sums.py
@@ -154,6 +154,17 @@
         self.assertEqual(len(sums.servers), MAX_RETURNED_SERVERS)
         self.assertLessEqual({7, 40}, {f.tag for f in sums.servers})
 
+    def test_servers_of_the_own_failure_domain_are_returned_first(self) -> None:
+        self.view = self.view_of(MAX_RETURNED_SERVERS + 30)
+        far = [tag for tag in self.view.boots if tag > 60]
+        for tag in far:
+            self.view.boots[tag] = boot(tag, SALVADOR)
+        loads = [figures(tag, 9 if tag in far else 3) for tag in self.view.boots]
+        self.record(report("b1", *loads), report("b2", *loads))
+        sums = sums_for(self.table, NodeId("b1"), self.view, FILLED)
+        assert sums is not None
+        self.assertEqual({f.tag for f in sums.servers} & set(far), set())
+
 
 class Liars(SumsCase):
     """Guards against one balancer that moves the load of all others."""
