--- a/src/wasabigw_measure/_choices_world.py
+++ b/src/wasabigw_measure/_choices_world.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from wasabigw.core.ids import Seconds, Tag
 from wasabigw.core.load.figures import COUNT_WINDOW, ServerFigures
@@ -30,6 +30,7 @@
 SNAPSHOT_INTERVAL = 0.1
 WARM_UP = 6.0
 HORIZON = 26.0
+Snapshot = list[ServerFigures]
 CHANGE = (10.0, 18.0)
 """Time during which backend servers have other speeds than before and after."""
 
@@ -48,31 +49,6 @@
     server: int | None = None
 
 
-@dataclass(slots=True)
-class FlowAges:
-    """Number of open flows of a balancer, and the sum of their opening times."""
-
-    count: int = 0
-    opened_at: float = 0.0
-
-    def open(self, at: float) -> None:
-        """Add a flow."""
-        self.count += 1
-        self.opened_at += at
-
-    def close(self, opened_at: float) -> None:
-        """Remove a flow."""
-        self.count -= 1
-        self.opened_at -= opened_at
-
-
-class Snapshot(NamedTuple):
-    """Figures of all backend servers at one time."""
-
-    measured_at: float
-    servers: tuple[ServerFigures, ...]
-
-
 class Speeds(NamedTuple):
     """Speed of each backend server, and during :data:`CHANGE`."""
 
@@ -80,11 +56,8 @@
     during_change: Sequence[float]
 
 
-class Way(Protocol):
-    """A way to choose a backend server."""
-
-    def choose(self, balancer: int, world: "World") -> int:
-        """Choose the backend server of a new flow."""
+Choose = Callable[[int, "World"], int]
+"""Chooses the backend server of a new flow at a balancer."""
 
 
 @dataclass(slots=True)
@@ -109,12 +82,15 @@
 
     :param age: mean age of the figures that a balancer uses.
     :ivar own_flows: open flows of each balancer at each backend server.
+    :ivar own_open: number of open flows of each balancer, and the sum of the times at
+        which they were opened.
+    :ivar snapshots: figures of all backend servers, one set for each interval.
     :ivar work: for each second and backend server, the work that it accepted relative
         to its capacity.
     """
 
     def __init__(
-        self, way: Way, speeds: Speeds, balancers: int, age: float, seed: int
+        self, choose: Choose, speeds: Speeds, balancers: int, age: float, seed: int
     ) -> None:
         self.now = 0.0
         self.balancers = balancers
@@ -122,13 +98,13 @@
         self.random = random.Random(f"{seed}:choices")
         self.waits: list[float] = []
         self.own_flows: Counter[tuple[int, int]] = Counter()
-        self.ages: defaultdict[int, FlowAges] = defaultdict(FlowAges)
+        self.own_open: defaultdict[int, tuple[int, float]] = defaultdict(lambda: (0, 0))
         self.work: defaultdict[tuple[int, int], float] = defaultdict(float)
         self.openings = self.rejected = self.lost = 0
-        self._way = way
+        self._choose = choose
         self.age = age
         self._interval = min(1.0, age)
-        self._snapshots: list[Snapshot] = []
+        self.snapshots: list[Snapshot] = []
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self._draw_flows(random.Random(f"{seed}:flows"), sum(speeds.during_change))
@@ -151,19 +127,13 @@
 
     def figures_at(self, balancer: int) -> tuple[int, Snapshot]:
         """Number of the latest snapshot that a balancer has received, and it."""
+        # Multiples of the golden ratio spread the refreshes of the balancers evenly.
         phase = balancer * 0.618 % 1.0 * self._interval
         refreshes = (self.now - phase) // self._interval
         received = refreshes * self._interval + phase
         measured = received - self.age + self._interval / 2
-        number = min(
-            max(int(measured / SNAPSHOT_INTERVAL), 0), len(self._snapshots) - 1
-        )
-        return number, self._snapshots[number]
-
-    @property
-    def snapshots(self) -> list[Snapshot]:
-        """All figures so far."""
-        return self._snapshots
+        number = min(max(int(measured / SNAPSHOT_INTERVAL), 0), len(self.snapshots) - 1)
+        return number, self.snapshots[number]
 
     def _draw_flows(self, draw: random.Random, speed: float) -> None:
         rate = UTILIZATION * SLOTS * speed / (sum(REQUEST_TIME) / 2)
@@ -191,12 +161,13 @@
             server.speed = speed
 
     def _open(self, flow: CallerFlow) -> None:
-        flow.server = chosen = self._way.choose(flow.balancer, self)
+        flow.server = chosen = self._choose(flow.balancer, self)
         server = self.servers[chosen]
         server.flows += 1
         flow.opened_at = self.now
         self.own_flows[flow.balancer, chosen] += 1
-        self.ages[flow.balancer].open(self.now)
+        count, opened_at = self.own_open[flow.balancer]
+        self.own_open[flow.balancer] = count + 1, opened_at + self.now
         server.openings.append(self.now)
         is_measured = self.now >= WARM_UP
         self.openings += is_measured
@@ -231,7 +202,8 @@
         assert flow.server is not None
         self.servers[flow.server].flows -= 1
         self.own_flows[flow.balancer, flow.server] -= 1
-        self.ages[flow.balancer].close(flow.opened_at)
+        count, opened_at = self.own_open[flow.balancer]
+        self.own_open[flow.balancer] = count - 1, opened_at - flow.opened_at
 
     def _start_next(self, server: ModelServer) -> None:
         while server.queue and server.busy < SLOTS:
@@ -272,4 +244,4 @@
                     Seconds(sum(took for _, took in server.answers)),
                 )
             )
-        self._snapshots.append(Snapshot(self.now, tuple(figures)))
+        self.snapshots.append(figures)
