--- a/src/wasabigw/core/tags/balancing.py
+++ b/src/wasabigw/core/tags/balancing.py
@@ -4,15 +4,14 @@
 weights, the shares of new flows and the room. A choice then only takes a turn.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
 from wasabigw.core.tags.decisions import ChoiceReason
-from wasabigw.core.tags.planning import current_plan, is_usable
+from wasabigw.core.tags.planning import current_plan, is_usable, renew_soon
 from wasabigw.core.tags.state import Server, TagState
 from wasabigw.core.tags.turns import take_turn
-from wasabigw.core.view_lease import NEVER
 
 
 def uses_load_figures(listener: Listener, state: TagState, now: Seconds) -> bool:
@@ -28,7 +27,7 @@
     service: ServiceId,
     state: TagState,
     now: Seconds,
-    avoided: Sequence[Server] = (),
+    avoided: Collection[Server] = (),
 ) -> tuple[Server, ChoiceReason] | None:
     """Choose a warm backend server that answers, by its share of the new flows.
 
@@ -55,5 +54,5 @@
             return state.servers[tag], reason
         tried.add(domain)
     # All of them may be failing, and other failure domains may have some that are not.
-    plan.made_at = NEVER
+    renew_soon(plan, now)
     return None
--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -32,6 +32,8 @@
 
 PLAN_TTL = Seconds(1.0)
 """Time after which shares are computed again, as backend servers may answer again."""
+MIN_PLAN_TIME = Seconds(0.1)
+"""Time after which shares are computed again if none of them could be used."""
 MAX_RANK = 2**32
 """Upper bound of the rank of a backend server, which is a hash of 32 bits."""
 
@@ -52,6 +54,11 @@
     return plan
 
 
+def renew_soon(plan: ServicePlan, now: Seconds) -> None:
+    """Let shares be computed again before their time, but not for each opening."""
+    plan.made_at = min(plan.made_at, Seconds(now - PLAN_TTL + MIN_PLAN_TIME))
+
+
 def _update_plan(
     plan: ServicePlan, pool: Sequence[Server], state: TagState, now: Seconds
 ) -> None:
--- a/src/wasabigw/core/tags/room.py
+++ b/src/wasabigw/core/tags/room.py
@@ -6,6 +6,9 @@
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.weights import typical_service_time
 
+MAX_REQUESTS_PER_SLOT = 10
+"""Requests in flight for each slot that count; a single figure can't fill a service."""
+
 __all__ = ["Room", "room_of"]
 
 
@@ -30,12 +33,13 @@
     slots = in_flight = wait = free_slots = service_rate = 0.0
     for domain, turns in plan.servers.items():
         for tag, share in turns.shares.items():
-            own_slots, load = state.servers[tag].slots, plan.loads[tag]
+            own_slots = state.servers[tag].slots
+            requests = min(plan.loads[tag].in_flight, own_slots * MAX_REQUESTS_PER_SLOT)
             rate = own_slots * plan.weight(tag) / typical
             slots += own_slots
-            in_flight += load.in_flight
-            free_slots += max(own_slots - load.in_flight, 0.0) * plan.weight(tag)
+            in_flight += requests
+            free_slots += max(own_slots - requests, 0.0) * plan.weight(tag)
             service_rate += rate
-            queue = max(load.in_flight + 1 - own_slots, 0.0)
+            queue = max(requests + 1 - own_slots, 0.0)
             wait += plan.domains.shares[domain] * share * queue / rate
     return Room(in_flight / slots, Seconds(wait), free_slots, service_rate)
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -6,8 +6,9 @@
 
 from collections.abc import Sequence
 
+from wasabigw.core.declaration import Listener
 from wasabigw.core.durations import Durations, record_duration
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import Seconds, ServiceId
 from wasabigw.core.load.counting import (
     count_acknowledgement,
     count_arrival,
@@ -18,15 +19,30 @@
     end_request,
 )
 from wasabigw.core.tags import caller_diversion
+from wasabigw.core.tags.admission_control import (
+    AdmissionOutcome,
+    abandon_opening,
+    admit,
+    is_held,
+    make_held_opening,
+    record_request,
+)
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
     Deliver,
     Drop,
     DropReason,
+    Hold,
     PacketDecision,
     RefusalReason,
     Refuse,
 )
+from wasabigw.core.tags.domain_suspicion import (
+    avoided_servers,
+    collect_evidence,
+    record_choice,
+    update_suspicions,
+)
 from wasabigw.core.tags.egress import is_waiting
 from wasabigw.core.tags.flow_table import (
     add_flow,
@@ -41,6 +57,7 @@
     record_probe,
     record_response,
 )
+from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.openings import (
     discard_opening,
     pop_overdue,
@@ -53,6 +70,7 @@
     FlowPacket,
     sequence_distance,
 )
+from wasabigw.core.tags.rejections import record_answer
 from wasabigw.core.tags.selection import choose_server_for, service_of
 from wasabigw.core.tags.state import (
     Flow,
@@ -116,6 +134,64 @@
         return _reject_opening(packet, reason, state, now, waited)
     service = service_of(listener, flow)
     count_arrival(packet, service, state)
+    limited = _limit_opening(packet, listener, service, state, now, waited)
+    if limited is not None:
+        return limited
+    return _open_flow(packet, listener, service, state, now, waited)
+
+
+def decide_released(
+    opening: HeldOpening, state: TagState, now: Seconds
+) -> PacketDecision:
+    """Decide on a held opening that is released now."""
+    packet, flow = opening.packet, opening.packet.flow
+    waited = Seconds(opening.waited + now - opening.held_at)
+    listener = state.listeners.get((flow.listener, flow.listener_port))
+    if listener is None:
+        reason = RefusalReason.NO_LISTENER
+        return _reject_opening(packet, reason, state, now, waited)
+    return _open_flow(packet, listener, opening.service, state, now, waited)
+
+
+def _limit_opening(
+    packet: FlowPacket,
+    listener: Listener,
+    service: ServiceId,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds,
+) -> PacketDecision | None:
+    """Decide on an opening that is not sent to a backend server now."""
+    known = state.flows.get(packet.flow)
+    if known is not None and (
+        known.state is FlowState.OPENING or _is_copy_of_opening(packet, known, now)
+    ):
+        return None
+    if is_held(packet.flow, state):
+        return Drop(DropReason.HELD_ALREADY)
+    may_refuse = (
+        state.is_fresh(now) and packet.repeat == 0 and waited < MAX_WAIT_TO_REFUSE
+    )
+    outcome = admit(packet, listener, service, state, now, waited, may_refuse)
+    if outcome is AdmissionOutcome.ADMIT:
+        return None
+    if outcome is AdmissionOutcome.HOLD:
+        return Hold(make_held_opening(packet, listener, service, waited, now))
+    if outcome is AdmissionOutcome.REFUSE:
+        return Refuse(packet, RefusalReason.NO_ROOM)
+    return Drop(DropReason.NO_ROOM)
+
+
+def _open_flow(
+    packet: FlowPacket,
+    listener: Listener,
+    service: ServiceId,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds,
+) -> PacketDecision:
+    """Decide on an opening that is sent to a backend server, if there is one."""
+    flow = packet.flow
     pool = state.pools.get(service, ())
     avoided = tried_servers(flow.caller, state, now)
     known = state.flows.get(flow)
@@ -124,8 +200,7 @@
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
         is_retransmission = known.state is FlowState.OPENING
         if is_retransmission and not is_waiting(state.egress, packet):
-            if known.server not in avoided:
-                avoided.append(known.server)
+            avoided.add(known.server)
             _record_unanswered(
                 known.server,
                 known.opened_at,
@@ -134,6 +209,10 @@
                 now,
             )
         remove_flow(packet.flow, state)
+    if _shares_load(listener, state):
+        collect_evidence(state, now)
+        update_suspicions(state, now)
+        avoided |= avoided_servers(service, flow.caller, state, now)
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
@@ -144,6 +223,7 @@
         return _reject_opening(packet, reason, state, now, waited)
     server, choice = chosen
     record_probe(server.breaker, now)
+    record_choice(server, state, now)
     caller_diversion.record_outcome(
         state.diversion, _counts_as_served(server, choice, pool, state)
     )
@@ -153,6 +233,11 @@
     return Deliver(packet, server.registration, choice)
 
 
+def _shares_load(listener: Listener, state: TagState) -> bool:
+    """Whether the choice for a listener uses what callers of others have met."""
+    return listener.requirements is not None and state.features.load_sharing
+
+
 def _reject_opening(
     packet: FlowPacket,
     reason: RefusalReason,
@@ -206,6 +291,8 @@
 def _decide_open_flow(
     packet: FlowPacket, state: TagState, now: Seconds
 ) -> PacketDecision:
+    if packet.is_reset:
+        abandon_opening(packet.flow, state)
     if packet.tag == NO_TAG:
         return Drop(DropReason.NO_TAG)
     server = state.servers.get(packet.tag)
@@ -250,6 +337,7 @@
         return False
     count_data(packet, flow)
     if flow.pending_sequence is None:
+        record_request(flow, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif _shows_progress(packet, flow.pending_sequence):
         flow.is_upload = True
@@ -336,6 +424,7 @@
     if was_opening:
         known.state = FlowState.OPEN
     if was_opening or known.acknowledged != packet.acknowledged:
+        record_answer(packet, known, state, now)
         count_acknowledgement(packet, known, now)
         known.acknowledged = packet.acknowledged
         if known.pending_sequence is not None:
@@ -364,6 +453,7 @@
     if known is None:
         return
     discard_opening(packet.flow, state)
+    record_answer(packet, known, state, now)
     close_flow(known)
     count_acknowledgement(packet, known, now)
     end_request(known)
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -9,6 +9,7 @@
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.state import TagState
+from wasabigw.tasks.admission_metrics import admission_families
 from wasabigw.telemetry.exposition import (
     Family,
     MetricKind,
@@ -98,6 +99,11 @@
             "Backend servers that get no new flows but for probes",
             failing,
         ),
+        _by_service(
+            "wasabigw_failure_domains_suspected",
+            "Failure domains that get no new flows of a service but for probes",
+            {key: bool(s.suspected) for key, s in state.suspicions.items()},
+        ),
         out_of_service(state.view.out_of_service),
         gauge("wasabigw_view_revision", "Revision of the view", state.view.revision),
         view_age(state.view_age(now)),
@@ -124,6 +130,7 @@
             receive_wait,
         ),
         gauge("wasabigw_log_lines_left_out", "Lines beyond the budget", suppressed),
+        *admission_families(state, now),
     ]
 
 
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -232,3 +232,37 @@
         "The load of its balancers is not counted until it answers; check its process "
         "and the network, and its version if the status is 404.",
     )
+    SERVICE_SHORT = EventDefinition(
+        2040,
+        Severity.WARNING,
+        "{service} is short of room by what balancer {node} knows: {cause}; an opening "
+        "waits {delay} s for its request to start, its callers can bear {tolerable} s; "
+        "utilization {utilization}, rejected {rejected}, figures {age} s old",
+        "Less urgent openings are limited until there is room; add backend servers, or "
+        "find out which of them are slow (docs/operations/overload.md).",
+    )
+    SERVICE_HAS_ROOM = EventDefinition(
+        2041,
+        Severity.INFO,
+        "{service} is no longer short of room by what balancer {node} knows: {cause}; "
+        "it was short for {lasted} s, an opening waits {delay} s, utilization "
+        "{utilization}, figures {age} s old",
+        "None needed; without current figures all openings are admitted.",
+    )
+    DOMAIN_SUSPECTED = EventDefinition(
+        2050,
+        Severity.WARNING,
+        "balancer {node}: no backend server of {service} in {failure_domain} answers "
+        "openings; for {ago} s, new flows go to other failure domains, apart from "
+        "probes",
+        "Check the backend servers of the service in that failure domain and the "
+        "network to it.",
+    )
+    DOMAIN_TRUSTED = EventDefinition(
+        2051,
+        Severity.INFO,
+        "balancer {node}: new flows go to the backend servers of {service} in "
+        "{failure_domain} again since {ago} s, after {lasted} s",
+        "None needed; if these lines repeat, a few callers may have lost their "
+        "network.",
+    )
