--- a/src/wasabigw/core/tags/combined.py
+++ b/src/wasabigw/core/tags/combined.py
@@ -57,14 +57,13 @@
     :param servers: those of one service in one failure domain.
     """
     named = [f for s in servers if (f := combined_figures(s, known)) is not None]
-    own = [own_figures(server) for server in servers]
     boot = servers[0].registration
     total = known.services.get((boot.service, boot.failure_domain))
     count = len(servers) - len(named)
     if total is None or count == 0:
         return MeanLoad(_mean([f.flows for f in named]), _mean(_in_flight(named)))
-    flows = total.flows + sum(f.flows for f in own)
-    in_flight = total.in_flight + sum(_in_flight(own))
+    flows = total.flows + sum(server.open_flows for server in servers)
+    in_flight = total.in_flight + sum(server.counts.in_flight for server in servers)
     return MeanLoad(
         _mean_of_rest(flows, [f.flows for f in named], count),
         _mean_of_rest(in_flight, _in_flight(named), count),
--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -30,8 +30,16 @@
     update_weights,
 )
 
-PLAN_TTL = Seconds(1.0)
-"""Time after which shares are computed again, as backend servers may answer again."""
+PLAN_TTL = Seconds(1.5)
+"""Time after which shares are computed again, as backend servers may answer again.
+
+Longer than the time between two sets of figures, which renew the shares as well.
+"""
+PLAN_TIME_PER_SERVER = Seconds(0.001)
+"""Minimum time between two plans of the same backend servers, for each of them.
+
+It limits the processor time that plans of large services take.
+"""
 MIN_PLAN_TIME = Seconds(0.1)
 """Time after which shares are computed again if none of them could be used."""
 MAX_RANK = 2**32
@@ -45,11 +53,9 @@
         plan = state.plans[service] = ServicePlan()
     pool = state.pools.get(service, [])
     known = state.known_load
-    if (
-        plan.pool is not pool
-        or plan.measured_at != known.measured_at
-        or now - plan.made_at >= PLAN_TTL
-    ):
+    age = now - plan.made_at
+    is_due = plan.measured_at != known.measured_at or age >= PLAN_TTL
+    if plan.pool is not pool or (is_due and age >= len(pool) * PLAN_TIME_PER_SERVER):
         _update_plan(plan, pool, state, now)
     return plan
 
@@ -118,15 +124,15 @@
     activity = Activity(0, 0, 0)
     loads = {}
     for server in servers:
-        tag = server.registration.tag
+        tag, slots = server.registration.tag, server.slots
         figures = combined_figures(server, known)
-        flows, in_flight = (
-            mean if figures is None else (figures.flows, figures.in_flight)
-        )
-        capacity = expected_capacity(plan.weight(tag), in_flight, server.slots)
-        loads[tag] = ServerLoad(capacity, in_flight, max(flows, 0))
-        if figures is not None:
+        if figures is None:
+            flows, in_flight = mean
+        else:
+            flows, in_flight = figures.flows, figures.in_flight
             activity = add_activity(activity, figures)
+        capacity = expected_capacity(plan.weight(tag), in_flight, slots)
+        loads[tag] = ServerLoad(capacity, in_flight, max(flows, 0))
     return loads, activity
 
 
@@ -149,7 +155,9 @@
         record_figures(speed, figures, slots, elapsed)
     for tag in update_weights(plan.speeds, elapsed):
         speed = plan.speeds[tag]
-        change = WeightChange(state.servers[tag], speed.weight, speed.is_slow)
+        time = Seconds(speed.service_time) if speed.is_judged else None
+        server = state.servers[tag]
+        change = WeightChange(server, speed.weight, speed.is_slow, time)
         state.weight_changes.append(change)
 
 
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -127,11 +127,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightChange:
-    """A backend server has become slow for its weight, or has recovered."""
+    """A backend server has become slow for its weight, or has recovered.
+
+    :param service_time: mean time of a request in a slot; ``None`` if it is not known.
+    """
 
     server: Server
     weight: float
     is_slow: bool
+    service_time: Seconds | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/tasks/decision_log.py
+++ b/src/wasabigw/tasks/decision_log.py
@@ -10,10 +10,11 @@
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.decisions import Deliver, Drop, Hold, PacketDecision, Refuse
 from wasabigw.core.tags.packets import FlowId, FlowPacket
-from wasabigw.core.tags.state import HealthChange, TagState
+from wasabigw.core.tags.state import HealthChange, TagState, WeightChange
 from wasabigw.tasks.tag_metrics import DecisionKey
+from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.events_flow import FlowEvent
-from wasabigw.telemetry.log_events import log
+from wasabigw.telemetry.log_events import LogEvent, log
 
 LINES_PER_SECOND = 100
 """Maximum number of lines for each event; further ones are only counted."""
@@ -29,8 +30,8 @@
 
     def __init__(self, state: TagState) -> None:
         self._state = state
-        self._lines: Counter[FlowEvent] = Counter()
-        self._suppressed: Counter[FlowEvent] = Counter()
+        self._lines: Counter[LogEvent] = Counter()
+        self._suppressed: Counter[LogEvent] = Counter()
         self.decisions: Counter[DecisionKey] = Counter()
         self.suppressed = 0
 
@@ -56,6 +57,18 @@
                 self._log_health(event, change, now)
         changes.clear()
 
+    def log_weight_changes(self) -> None:
+        """Log which backend servers have become slow or recovered, and remove them."""
+        changes = self._state.weight_changes
+        for change in changes:
+            is_slow = change.is_slow
+            event = (
+                BalancerEvent.SERVER_SLOW if is_slow else BalancerEvent.SERVER_RECOVERED
+            )
+            if self._has_budget(event):
+                _log_weight(event, change)
+        changes.clear()
+
     def _log_health(self, event: FlowEvent, change: HealthChange, now: Seconds) -> None:
         boot, breaker = change.server.registration, change.server.breaker
         pause = max(0.0, breaker.backoff_until - now)
@@ -161,7 +174,7 @@
             "version": state.declared_version,
         }
 
-    def _has_budget(self, event: FlowEvent) -> bool:
+    def _has_budget(self, event: LogEvent) -> bool:
         if self._lines[event] >= LINES_PER_SECOND:
             self._suppressed[event] += 1
             return False
@@ -169,6 +182,20 @@
         return True
 
 
+def _log_weight(event: BalancerEvent, change: WeightChange) -> None:
+    boot = change.server.registration
+    time = change.service_time
+    log(
+        event,
+        server=boot.id,
+        service=boot.service,
+        failure_domain=boot.failure_domain,
+        tag=boot.tag,
+        weight=round(change.weight, 3),
+        service_time=round(time, 4) if time is not None else None,
+    )
+
+
 def rounded_or_none(seconds: float) -> float | None:
     """Rounded duration; ``None`` if infinite, because the event never happened."""
     return round(seconds, 3) if seconds < math.inf else None
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -57,6 +57,7 @@
 from wasabigw.tasks.load_messages import ReportAnswered, ReportLoadTo
 from wasabigw.tasks.load_reporter import LoadReporter
 from wasabigw.tasks.packet_socket import Received, make_packet_socket
+from wasabigw.tasks.share_metrics import share_families
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
 from wasabigw.tasks.tag_messages import (
     BeginTagDrain,
@@ -206,6 +207,8 @@
         self._decision_log.log_decision(packet, decision, now)
         if self._state.health_changes:
             self._decision_log.log_health_changes(now)
+        if self._state.weight_changes:
+            self._decision_log.log_weight_changes()
         if self._state.admission.changes:
             log_shortage_changes(self._state)
         self._request_host_checks()
@@ -380,15 +383,19 @@
 
     def _metric_families(self) -> list[Family]:
         now = monotonic()
-        return families_of(
-            self._state,
-            self._decision_log.decisions,
-            self._counts,
-            self._decision_log.suppressed,
-            self._control_traffic,
-            now,
-            self._receive_wait(now),
-        ) + self._load.families(now)
+        return [
+            *families_of(
+                self._state,
+                self._decision_log.decisions,
+                self._counts,
+                self._decision_log.suppressed,
+                self._control_traffic,
+                now,
+                self._receive_wait(now),
+            ),
+            *self._load.families(now),
+            *share_families(self._state, now),
+        ]
 
     def _status(self) -> TagBalancerStatus:
         now = monotonic()
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -266,3 +266,18 @@
         "None needed; if these lines repeat, a few callers may have lost their "
         "network.",
     )
+    SERVER_SLOW = EventDefinition(
+        2035,
+        Severity.WARNING,
+        "backend server {server} of {service} in {failure_domain}, tag {tag}, is slow: "
+        "weight {weight} of its slots, mean time of a request {service_time} s",
+        "It gets fewer new flows until it answers like the others; check its VM.",
+    )
+    SERVER_RECOVERED = EventDefinition(
+        2036,
+        Severity.INFO,
+        "backend server {server} of {service} in {failure_domain}, tag {tag}, is no "
+        "longer slow: weight {weight} of its slots, mean time of a request "
+        "{service_time} s",
+        "None needed.",
+    )
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from unittest import mock
 
 from tests.test_tag_steering import (
     FORTALEZA,
@@ -24,6 +25,10 @@
 from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.weights import MIN_WEIGHT
+from wasabigw.tasks.decision_log import DecisionLog
+from wasabigw.tasks.share_metrics import share_families
+from wasabigw.telemetry.events_balancer import BalancerEvent
+from wasabigw.telemetry.exposition import render
 
 SERVERS = 12
 SLOTS = 4
@@ -251,12 +256,29 @@
         self.know_repeatedly(lambda t: figures(t, speed=t, answers=1), 0, 4)
         self.assertEqual(set(self.weights()), {1.0})
 
+    def test_lines_and_metrics_show_slow_servers_once(self) -> None:
+        self.know_repeatedly(self.speeds([1.0]), 0, 4)
+        self.know_repeatedly(self.speeds([0.2, 1.0, 1.0, 1.0]), 4, 9)
+        with mock.patch("wasabigw.tasks.decision_log.log") as written:
+            DecisionLog(self.state).log_weight_changes()
+            DecisionLog(self.state).log_weight_changes()
+        lines = [call.args[0] for call in written.call_args_list]
+        self.assertEqual(lines, [BalancerEvent.SERVER_SLOW] * 3)
+        text = render(share_families(self.state, Seconds(8.5))).decode()
+        labels = '{service="seats",failure_domain="recife"}'
+        self.assertIn(f"wasabigw_servers_slow{labels} 3", text)
+        self.assertIn(f"wasabigw_flows_busiest_over_mean{labels} 1", text)
+        self.assertNotIn(
+            labels, render(share_families(self.state, Seconds(99))).decode()
+        )
+
 
 class RoomOfService(SharedLoadCase):
     """Guards against admission by a wrong room."""
 
     def test_room_follows_the_requests_in_flight(self) -> None:
         for in_flight, wait in ((1, 0.0), (SLOTS + 8, 9 * REQUEST_TIME / SLOTS)):
+            self.setUp()
             self.know_repeatedly(lambda t: figures(t, in_flight=in_flight), 0, 2)  # noqa: B023
             room = room_of(SEATS, self.state, Seconds(1.5))
             assert room is not None
