--- a/src/wasabigw/core/tags/admission_control.py
+++ b/src/wasabigw/core/tags/admission_control.py
@@ -231,7 +231,7 @@
     return (
         state.features.admission_control
         and control.short_since is not None
-        and not control.has_idle_server
+        and not control.idle
         and not state.admission.is_draining
     )
 
--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission_state.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-from wasabigw.core.ids import Seconds, ServiceId
+from wasabigw.core.ids import Seconds, ServiceId, Tag
 from wasabigw.core.rates import RecentSum, TokenBucket
 from wasabigw.core.requirements import Priority
 from wasabigw.core.retry_budget import RetryBudget
@@ -111,8 +111,9 @@
     :param room_since: since when a short service has had room; ``None`` if it has none.
     :param tolerable: longest delay that the callers can bear.
     :param capacity: requests a second that this balancer may send.
-    :param has_idle_server: whether a backend server is known to have no request while
-        the service is short.
+    :param idle: backend servers without a request while the service is short.
+    :param idle_bucket: tokens for openings to these.
+    :param idle_capacity: requests a second that this balancer may send to these.
     """
 
     id: ServiceId
@@ -129,7 +130,9 @@
     delay: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
     tolerable: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
     capacity: float = 0.0
-    has_idle_server: bool = False
+    idle: frozenset[Tag] = frozenset()
+    idle_bucket: TokenBucket = field(default_factory=TokenBucket)
+    idle_capacity: float = 0.0
 
 
 @dataclass(slots=True)
--- a/src/wasabigw/core/tags/capacity_share.py
+++ b/src/wasabigw/core/tags/capacity_share.py
@@ -1,7 +1,7 @@
 """Share of the work of a service's backend servers that one balancer may send."""
 
 from collections import Counter
-from collections.abc import Set
+from collections.abc import Mapping, Set
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.load.figures import COUNT_WINDOW
@@ -21,18 +21,49 @@
         this balancer sends.
     """
     home = state.failure_domain
-    slots: Counter[FailureDomainId] = Counter()
-    for server in usable_servers(control.id, state, now):
-        slots[server.registration.failure_domain] += max(server.registration.slots, 1)
-    usable = eligible_slots(home, slots, state.regions)
-    receiving = traffic_shares(home, usable, state.regions) if usable else {}
-    if receiving.keys() <= {home}:
+    usable, receiving = _slots(control.id, state, now)
+    if receiving <= {home}:
         # Other failure domains send nothing here while they have backend servers.
         return service_rate * _share(control, {home}, state, now)
     rate = service_rate * sum(usable.values()) / sum(usable[d] for d in receiving)
     return rate * _share(control, usable.keys() | {home}, state, now)
 
 
+def idle_capacity_of(
+    control: ServiceAdmission,
+    service_rate: float,
+    idle_slots: float,
+    state: TagState,
+    now: Seconds,
+) -> float:
+    """Requests a second that this balancer may send to idle backend servers.
+
+    :param service_rate: as for :func:`capacity_of`.
+    :param idle_slots: slots of the idle ones in all failure domains.
+    """
+    usable, receiving = _slots(control.id, state, now)
+    slots = sum(usable[domain] for domain in receiving)
+    if slots == 0:
+        return 0.0
+    domains = usable.keys() | {state.failure_domain}
+    share = _share(control, domains, state, now)
+    return service_rate * idle_slots / slots * share
+
+
+def _slots(
+    service: ServiceId, state: TagState, now: Seconds
+) -> tuple[Mapping[FailureDomainId, int], Set[FailureDomainId]]:
+    """Slots by failure domain, and the ones to which this balancer sends."""
+    home = state.failure_domain
+    slots: Counter[FailureDomainId] = Counter()
+    for server in usable_servers(service, state, now):
+        slots[server.registration.failure_domain] += server.slots
+    usable = eligible_slots(home, slots, state.regions)
+    if not usable:
+        return {}, set()
+    return usable, traffic_shares(home, usable, state.regions).keys()
+
+
 def usable_servers(service: ServiceId, state: TagState, now: Seconds) -> list[Server]:
     """Warm backend servers of a service that answer."""
     return [
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -7,9 +7,8 @@
 """
 
 from wasabigw.core.declaration import Listener
-from wasabigw.core.ids import Seconds, ServiceId
+from wasabigw.core.ids import Seconds
 from wasabigw.core.load.figures import (
-    MAX_REPORTED_SERVERS,
     REPORT_INTERVAL,
 )
 from wasabigw.core.requirements import Priority
@@ -18,7 +17,8 @@
     ShortageCause,
     ShortageChange,
 )
-from wasabigw.core.tags.capacity_share import capacity_of, usable_servers
+from wasabigw.core.tags.capacity_share import capacity_of
+from wasabigw.core.tags.idle_servers import update_idle_servers
 from wasabigw.core.tags.rejections import (
     learn_usual_share,
     rejected_share,
@@ -74,7 +74,7 @@
         # Rejections are answers as well, so that figures show too high a rate.
         rate = room.service_rate * (1.0 - rejected)
         control.capacity = capacity_of(control, rate, state, now)
-        control.has_idle_server = _has_idle_server(control.id, state, now)
+        update_idle_servers(control, rate, state, now)
 
 
 def priorities_of(
@@ -168,18 +168,3 @@
         if listener.requirements is not None
     ]
     return Seconds(min(delays)) if delays else None
-
-
-def _has_idle_server(service: ServiceId, state: TagState, now: Seconds) -> bool:
-    """Whether a backend server that gets new flows is known to have no request.
-
-    Figures name no backend server without load. If they are limited to a part of the
-    others, one that they don't name has about the mean load.
-    """
-    known = state.known_load
-    are_complete = len(known.servers) < MAX_REPORTED_SERVERS
-    for server in usable_servers(service, state, now):
-        figures = known.servers.get(server.registration.tag)
-        if are_complete if figures is None else figures.in_flight == 0:
-            return True
-    return False
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -58,6 +58,7 @@
     record_response,
 )
 from wasabigw.core.tags.held_openings import HeldOpening
+from wasabigw.core.tags.idle_servers import busy_servers
 from wasabigw.core.tags.openings import (
     discard_opening,
     pop_overdue,
@@ -213,6 +214,8 @@
         collect_evidence(state, now)
         update_suspicions(state, now)
         avoided |= avoided_servers(service, flow.caller, state, now)
+    if _is_limited_by_room(listener, state):
+        avoided |= busy_servers(service, avoided, state, now)
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
@@ -233,6 +236,11 @@
     return Deliver(packet, server.registration, choice)
 
 
+def _is_limited_by_room(listener: Listener, state: TagState) -> bool:
+    """Whether openings of a listener depend on the room of its service."""
+    return listener.requirements is not None and state.features.admission_control
+
+
 def _shares_load(listener: Listener, state: TagState) -> bool:
     """Whether the choice for a listener uses what callers of others have met."""
     return listener.requirements is not None and state.features.load_sharing
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -99,22 +99,31 @@
         apply_declaration(Declaration(version, listeners, services), self.state)
 
     def open(
-        self, port: int, now: float, caller: int = 7, packet: FlowPacket | None = None
+        self,
+        port: int,
+        now: float,
+        caller: int = 7,
+        packet: FlowPacket | None = None,
+        size: int = 2000,
     ) -> object:
-        """Decide on an opening, which is held if that is the decision."""
+        """Decide on an opening, which is held or answered by that decision."""
         if packet is None:
             packet = opening(port, next(self.numbers), caller)
         decision = decide(packet, self.state, Seconds(now))
         if isinstance(decision, Hold):
             hold_opening(decision.opening, self.state)
         elif isinstance(decision, Deliver):
-            self.answer(packet, decision, now)
+            self.answer(packet, decision, now, size)
         return decision
 
-    def answer(self, packet: FlowPacket, opened: Deliver, now: float) -> None:
-        """Let the caller of an opening acknowledge the answer and send a request."""
+    def answer(
+        self, packet: FlowPacket, opened: Deliver, now: float, size: int = 2000
+    ) -> None:
+        """Let a caller acknowledge the answer to its opening and to a request."""
         sent = data(opened.server.tag)._replace(flow=packet.flow)
+        acknowledged = sent._replace(acknowledged=555 + size, length=0)
         decide(sent, self.state, Seconds(now))
+        decide(acknowledged, self.state, Seconds(now + 0.15))
 
     def release(self, now: float) -> list[FlowId]:
         """Release what is due; returns the flows that were delivered."""
@@ -226,13 +235,7 @@
         """Let callers acknowledge answers of given sizes after 0.15 s for a while."""
         for step in range(30):
             now = start + step * 0.05
-            packet = opening(URGENT, next(self.numbers))
-            decision = self.open(URGENT, now, packet=packet)
-            assert isinstance(decision, Deliver), decision
-            acknowledged = 555 + sizes[step % len(sizes)]
-            answered = data(decision.server.tag, acknowledged=acknowledged)
-            answered = answered._replace(flow=packet.flow, length=0)
-            decide(answered, self.state, Seconds(now + 0.15))
+            self.open(URGENT, now, size=sizes[step % len(sizes)])
 
     def test_short_answers_that_are_usual_are_no_rejections(self) -> None:
         self.room = WITH_ROOM
@@ -331,6 +334,57 @@
         self.assertGreater(found[OTHER, "Deliver"], 2 * found[URGENT, "Deliver"])
 
 
+class IdleServers(AdmissionCase):
+    """Guards against full backend servers that get flows while others are idle.
+
+    The load: waves of demand that pass through the failure domains in turn.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state.regions = dict.fromkeys((RECIFE, SALVADOR), NORTH)
+        boots = (boot(1), boot(2), boot(3, SALVADOR), boot(4, SALVADOR))
+        self.state.view.boots = {b.tag: b for b in boots}
+        rebuild_pools(self.state, Seconds(0.0))
+        self.set_in_flight(1, 2, 3)
+        # Figures of other balancers, which share the room.
+        self.state.known_load.balancers = 1
+
+    def tags(self, seconds: float, rate: float) -> Counter[int]:
+        found: Counter[int] = Counter()
+        for step in range(round(seconds * rate)):
+            decision = self.open(URGENT, step / rate, caller=step)
+            assert isinstance(decision, Deliver), decision
+            found[decision.server.tag] += 1
+        return found
+
+    def test_they_get_what_they_can_answer(self) -> None:
+        found = self.tags(4.0, 20.0)
+        # Two of the four backend servers answer 40 requests a second.
+        self.assertAlmostEqual(found[4] / 4.0, 20.0 * 0.9, delta=4.0)
+        self.assertEqual(found[3], 0)
+
+    def test_the_share_of_other_balancers_is_left(self) -> None:
+        elsewhere = ServiceFigures(SEATS, SALVADOR, 27, 27, arrivals=360)
+        self.state.known_load.services = {(SEATS, SALVADOR): elsewhere}
+        self.set_in_flight(1, 2)
+        found = self.tags(4.0, 20.0)
+        self.assertLess(found[4] / 4.0, 5.0)
+
+    def test_a_mean_below_one_shows_that_some_are_idle(self) -> None:
+        self.set_in_flight(1, 2)
+        elsewhere = ServiceFigures(SEATS, SALVADOR, 1, 1, arrivals=0)
+        self.state.known_load.services = {(SEATS, SALVADOR): elsewhere}
+        found = self.tags(1.0, 20.0)
+        self.assertGreater(found[3], 0)
+        self.assertGreater(found[4], 0)
+
+    def test_openings_stay_in_place_while_the_service_is_not_short(self) -> None:
+        self.room = WITH_ROOM
+        found = self.tags(1.0, 20.0)
+        self.assertEqual(set(found), {1, 2})
+
+
 class Holding(AdmissionCase):
     """Guards against held openings that are lost, sent twice or kept for too long."""
 
@@ -495,15 +549,10 @@
 
     def reject(self, caller: int, now: float) -> None:
         """Let a caller get an answer that is as short as a rejection."""
-        packet = opening(OTHER, next(self.numbers), caller)
         room, self.room = self.room, WITH_ROOM
-        decision = decide(packet, self.state, Seconds(now))
+        decision = self.open(OTHER, now, caller, size=120)
         self.room = room
         assert isinstance(decision, Deliver), decision
-        self.answer(packet, decision, now)
-        short = data(decision.server.tag, acknowledged=555 + 120, closing=True)
-        closing = short._replace(flow=packet.flow, length=0)
-        decide(closing, self.state, Seconds(now + 0.15))
 
     def test_they_have_a_budget_while_the_service_is_short(self) -> None:
         self.room = WITH_ROOM
--- a/tests/test_held_openings.py
+++ b/tests/test_held_openings.py
@@ -62,7 +62,7 @@
         self.addCleanup(document.stop)
         for module, name, value in (
             (shortage, "room_of", FULL),
-            (shortage, "_has_idle_server", False),
+            (shortage, "update_idle_servers", None),
             (admission_control, "_limit", AdmissionOutcome.HOLD),
             (admission_control, "take_token", False),
             (admission_control, "fits", False),
