--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -13,6 +13,7 @@
     NO_LISTENER = "no-listener"
     NO_SERVER = "no-server"
     SERVER_LOST = "server-lost"
+    NO_LINK_ROOM = "no-link-room"
 
 
 class ChoiceReason(Enum):
@@ -37,6 +38,7 @@
     MAY_BE_OPEN = "may-be-open"
     LINK_FULL = "link-full"
     OPENING_EXPIRED = "opening-expired"
+    NO_LINK_ROOM = "no-link-room"
 
 
 class Receiver(Enum):
--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -1,24 +1,37 @@
-"""Fair queue of the packets that leave through the link of a balancer.
+"""Queue of the packets that leave through the link of a balancer.
 
 A link that is full drops packets, and a caller notices a lost packet only after its
 retransmission timeout. Packets are therefore sent no faster than the link carries
-them, and wait here meanwhile. Flows take turns by deficit round robin (Shreedhar and
-Varghese, 1995). A flow that has no packets waiting goes first, as in FQ-CoDel
-(RFC 8290), so that openings, acknowledgements and short requests do not wait for
-uploads.
+them, and wait here meanwhile. Each class of traffic has a fair queue
+(:mod:`wasabigw.core.tags.fair_queue`) and a guaranteed share of the link. Classes take
+turns by start-time fair queueing (Goyal, Vin and Cheng, 1996): what one leaves unused
+goes to the others, and one that uses less than its share waits for one packet of each
+other class at most.
 
 A packet of data that a caller retransmits while the first copy still waits replaces
 that copy, because sending both would only add to the delay.
 """
 
-from collections import OrderedDict
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
-from itertools import chain
-from typing import NamedTuple
 
 from wasabigw.core.ids import Seconds
+from wasabigw.core.tags.fair_queue import (
+    Backlog,
+    Datagram,
+    FairQueue,
+    Waiting,
+    backlog_of,
+    drop_newest,
+    key_of,
+    move,
+    packet_count,
+    pop_next,
+    push,
+    replace_copy,
+)
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.view_lease import NEVER
 
@@ -39,57 +52,70 @@
 A balancer that was suspended must not open a flow by a decision from before. Callers
 retransmit openings within this time.
 """
-QUANTUM_BYTES = 1300
-"""Bytes that a flow may send in its turn; at least the size of a packet."""
 
 
-class Admission(Enum):
-    """What becomes of a packet that is given to the queue."""
+RATE_TIME = Seconds(1.0)
+"""Time over which the rate of a class is averaged."""
 
-    SEND = "send at once"
-    QUEUED = "queued"
-    REPLACED = "replaces a copy that waits"
-    REJECTED = "the queue is full"
 
+class LinkClass(Enum):
+    """Class of traffic on the link, most urgent first."""
 
-class Datagram(NamedTuple):
-    """An encoded packet, and the address and port that it is sent to."""
+    URGENT = "urgent"
+    NORMAL = "normal"
+    BULK = "bulk"
+    LATE = "late"
+    """Bulk that can't be carried in time any more, or could not from the beginning."""
 
-    data: bytes
-    address: tuple[str, int]
 
+LINK_SHARES = {
+    LinkClass.URGENT: 0.45,
+    LinkClass.NORMAL: 0.3,
+    LinkClass.BULK: 0.2,
+    LinkClass.LATE: 0.05,
+}
+"""Guaranteed share of the link of each class.
 
-class Waiting(NamedTuple):
-    """A packet that waits for the link.
-
-    :param size: bytes that it takes on the link.
-    :param queued_at: when it was given to the queue, or its latest copy.
-    """
+Small requests seldom use up theirs, so that in practice bulk gets what they leave.
+"""
 
-    packet: FlowPacket
-    datagram: Datagram
-    size: int
-    queued_at: Seconds
 
+class Admission(Enum):
+    """What becomes of a packet that is given to the queue."""
 
-_Key = tuple[int, int]
-"""Sequence number and length of data; other packets have a key of their own."""
+    SEND = "send at once"
+    QUEUED = "queued"
+    REPLACED = "replaces a copy that waits"
+    REJECTED = "the queue is full"
 
 
 @dataclass(slots=True)
-class _Backlog:
-    """Waiting packets of a flow, oldest first.
-
-    :param size: bytes that they take on the link.
-    :param deficit: bytes that the flow may still send in its turn.
-    :param unkeyed: packets without data so far.
+class ClassQueue:
+    """Packets of one class.
+
+    :param share: guaranteed share of the link.
+    :param start: virtual time from which the next packet of the class is due.
+    :param finish: virtual time at which its latest packet was served.
+    :param recent: bytes that were given to it, each with a weight that decays with
+        :data:`RATE_TIME`.
+    :param counted_at: time for which these were computed.
+    :param total: bytes that were given to it since the start.
     """
 
-    flow: FlowId
-    packets: dict[_Key, Waiting] = field(default_factory=dict)
-    size: int = 0
-    deficit: int = QUANTUM_BYTES
-    unkeyed: int = 0
+    share: float
+    packets: FairQueue = field(default_factory=FairQueue)
+    start: float = 0.0
+    finish: float = 0.0
+    recent: float = 0.0
+    counted_at: Seconds = NEVER
+    total: int = 0
+
+
+def _make_classes() -> dict[LinkClass, ClassQueue]:
+    classes = {name: ClassQueue(share) for name, share in LINK_SHARES.items()}
+    # By turns all of them would take as long as the last one.
+    classes[LinkClass.LATE].packets.in_order = True
+    return classes
 
 
 @dataclass(slots=True)
@@ -101,8 +127,8 @@
         larger than the credit before it.
     :param updated_at: time for which the credit was computed.
     :param size: bytes that all waiting packets take on the link.
-    :param sparse: flows that had nothing waiting when their first packet came.
-    :param backlogged: flows that have used up a turn.
+    :param classes: waiting packets by class, most urgent first.
+    :param virtual_time: start of the packet that was served last.
     :param evicted: packets that were dropped since :func:`take_evicted` was called.
     """
 
@@ -110,8 +136,8 @@
     credit: float = 0.0
     updated_at: Seconds = NEVER
     size: int = 0
-    sparse: OrderedDict[FlowId, _Backlog] = field(default_factory=OrderedDict)
-    backlogged: OrderedDict[FlowId, _Backlog] = field(default_factory=OrderedDict)
+    classes: dict[LinkClass, ClassQueue] = field(default_factory=_make_classes)
+    virtual_time: float = 0.0
     evicted: list[Waiting] = field(default_factory=list)
 
     @property
@@ -119,6 +145,11 @@
         """Whether no packet waits."""
         return self.size == 0
 
+    @property
+    def packet_count(self) -> int:
+        """Number of packets that wait."""
+        return sum(packet_count(c.packets) for c in self.classes.values())
+
 
 def make_egress_queue(link_megabits: float | None) -> EgressQueue:
     """Create an empty queue.
@@ -136,33 +167,51 @@
     packet: FlowPacket,
     datagram: Datagram,
     now: Seconds,
+    link_class: LinkClass = LinkClass.NORMAL,
 ) -> Admission:
     """Give a packet to the queue, which may be sent at once."""
     rate = queue.rate
     if rate is None:
         return Admission.SEND
-    size = len(datagram.data) + HEADER_BYTES
+    size = size_on_link(datagram)
     _update_credit(queue, rate, now)
     if queue.size == 0 and queue.credit > 0:
         queue.credit -= size
+        _count(queue.classes[link_class], size, now)
         return Admission.SEND
-    backlog = _backlog_of(queue, packet.flow)
+    found = _find_backlog(queue, packet.flow)
     waiting = Waiting(packet, datagram, size, now)
-    if backlog is not None and _replace_copy(backlog, waiting):
+    if found is not None and replace_copy(found[1], waiting):
         return Admission.REPLACED
     if queue.size + size > rate * MAX_QUEUE_TIME and not _make_room(
         queue, packet.flow, size
     ):
         return Admission.REJECTED
-    if backlog is None:
-        backlog = queue.sparse[packet.flow] = _Backlog(packet.flow)
-    key = _key_of(packet) or _own_key(backlog)
-    backlog.packets[key] = waiting
-    backlog.size += size
+    # Making room may have removed the backlog of this flow.
+    found = _find_backlog(queue, packet.flow) if found is not None else None
+    if found is not None and found[0] is not link_class:
+        if packet.length == 0:
+            link_class = found[0]
+        else:
+            _move_backlog(queue, found[1], found[0], link_class)
+    members = queue.classes[link_class]
+    _activate(queue, members)
+    _count(members, size, now)
+    push(members.packets, waiting)
     queue.size += size
     return Admission.QUEUED
 
 
+def recent_rate(members: ClassQueue, now: Seconds) -> float:
+    """Bytes a second that were given to a class lately."""
+    return members.recent * math.exp((members.counted_at - now) / RATE_TIME) / RATE_TIME
+
+
+def size_on_link(datagram: Datagram) -> int:
+    """Bytes that a datagram takes on the link."""
+    return len(datagram.data) + HEADER_BYTES
+
+
 def release(queue: EgressQueue, now: Seconds) -> Iterator[Waiting]:
     """Remove and yield the packets that the link can take now."""
     if queue.rate is None:
@@ -195,17 +244,17 @@
     """Whether a copy of a packet still waits to be sent."""
     if queue.size == 0:
         return False
-    backlog = _backlog_of(queue, packet.flow)
-    return backlog is not None and _key_of(packet) in backlog.packets
+    found = _find_backlog(queue, packet.flow)
+    return found is not None and key_of(packet) in found[1].packets
 
 
 def is_opening_waiting(queue: EgressQueue, flow: FlowId) -> bool:
     """Whether the opening packet of a flow still waits to be sent."""
     if queue.size == 0:
         return False
-    backlog = _backlog_of(queue, flow)
-    return backlog is not None and any(
-        waiting.packet.is_opening for waiting in backlog.packets.values()
+    found = _find_backlog(queue, flow)
+    return found is not None and any(
+        waiting.packet.is_opening for waiting in found[1].packets.values()
     )
 
 
@@ -214,39 +263,25 @@
     return Seconds(queue.size / queue.rate if queue.rate else 0.0)
 
 
-def _key_of(packet: FlowPacket) -> _Key | None:
-    """Key that the copies of a packet share; ``None`` if each of them counts.
-
-    Repeated acknowledgements tell the receiver that a packet is missing.
-    """
-    if packet.length or packet.is_opening:
-        return packet.sequence, packet.length
-    return None
+def _count(members: ClassQueue, size: int, now: Seconds) -> None:
+    members.recent = recent_rate(members, now) * RATE_TIME + size
+    members.counted_at = now
+    members.total += size
 
 
 def _has_expired(waiting: Waiting, now: Seconds) -> bool:
     return waiting.packet.is_opening and now - waiting.queued_at > MAX_OPENING_WAIT
 
 
-def _replace_copy(backlog: _Backlog, waiting: Waiting) -> bool:
-    """Replace a waiting copy of a packet, which keeps its place; ``False`` if none.
-
-    The later copy has the newer acknowledgement and tag.
-    """
-    key = _key_of(waiting.packet)
-    if key is None or key not in backlog.packets:
-        return False
-    backlog.packets[key] = waiting
-    return True
-
-
-def _own_key(backlog: _Backlog) -> _Key:
-    backlog.unkeyed += 1
-    return -backlog.unkeyed, 0
-
-
-def _backlog_of(queue: EgressQueue, flow: FlowId) -> _Backlog | None:
-    return queue.sparse.get(flow) or queue.backlogged.get(flow)
+def _find_backlog(queue: EgressQueue, flow: FlowId) -> tuple[LinkClass, Backlog] | None:
+    """Class and waiting packets of a flow; all of them are in one class."""
+    for link_class, members in queue.classes.items():
+        if members.packets.size == 0:
+            continue
+        backlog = backlog_of(members.packets, flow)
+        if backlog is not None:
+            return link_class, backlog
+    return None
 
 
 def _update_credit(queue: EgressQueue, rate: float, now: Seconds) -> None:
@@ -256,42 +291,43 @@
         queue.updated_at = now
 
 
+def _activate(queue: EgressQueue, members: ClassQueue) -> None:
+    """Put a class that had no packets in line; it can't save up unused time."""
+    if members.packets.size == 0:
+        members.start = max(queue.virtual_time, members.finish)
+
+
+def _move_backlog(
+    queue: EgressQueue, backlog: Backlog, source: LinkClass, target: LinkClass
+) -> None:
+    _activate(queue, queue.classes[target])
+    move(backlog, queue.classes[source].packets, queue.classes[target].packets)
+
+
 def _pop_next(queue: EgressQueue) -> Waiting:
-    """Remove the next packet, of the flow whose turn it is."""
-    while True:
-        flows = queue.sparse or queue.backlogged
-        flow, backlog = next(iter(flows.items()))
-        key, waiting = next(iter(backlog.packets.items()))
-        if backlog.deficit < waiting.size:
-            backlog.deficit += QUANTUM_BYTES
-            del flows[flow]
-            queue.backlogged[flow] = backlog
-            continue
-        del backlog.packets[key]
-        backlog.deficit -= waiting.size
-        backlog.size -= waiting.size
-        queue.size -= waiting.size
-        if not backlog.packets:
-            del flows[flow]
-        return waiting
+    """Remove the next packet, of the class whose turn it is."""
+    waiting_classes = (c for c in queue.classes.values() if c.packets.size > 0)
+    members = min(waiting_classes, key=lambda members: members.start)
+    waiting = pop_next(members.packets)
+    queue.size -= waiting.size
+    queue.virtual_time = members.start
+    members.finish = members.start + waiting.size / members.share
+    members.start = members.finish
+    return waiting
 
 
 def _make_room(queue: EgressQueue, flow: FlowId, size: int) -> bool:
-    """Drop the newest packets of the longest backlog until a packet fits.
+    """Drop packets of the class that has the most for its share until a packet fits.
 
-    :returns: whether it fits; it does not if its own flow has the longest backlog.
+    :returns: whether it fits; it does not if its own flow has the longest backlog of
+        that class.
     """
     assert queue.rate is not None
     while 0 < queue.size > queue.rate * MAX_QUEUE_TIME - size:
-        backlogs = chain(queue.sparse.values(), queue.backlogged.values())
-        longest = max(backlogs, key=lambda backlog: backlog.size)
-        if longest.flow == flow:
+        largest = max(queue.classes.values(), key=lambda c: c.packets.size / c.share)
+        dropped = drop_newest(largest.packets, spared=flow)
+        if dropped is None:
             return False
-        _, dropped = longest.packets.popitem()
-        longest.size -= dropped.size
         queue.size -= dropped.size
         queue.evicted.append(dropped)
-        if not longest.packets:
-            queue.sparse.pop(longest.flow, None)
-            queue.backlogged.pop(longest.flow, None)
     return True
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -20,6 +20,7 @@
 )
 from wasabigw.core.load.known import KnownLoad, ServiceKey
 from wasabigw.core.registration import Registration
+from wasabigw.core.requirements import Priority
 from wasabigw.core.tags.caller_diversion import Diversion
 from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.egress import EgressQueue
@@ -72,6 +73,10 @@
     :param acknowledged: latest acknowledgement of the caller.
     :param pending_sequence: sequence number of the data that waits for an answer.
     :param pending_since: when that data was first sent to the backend server.
+    :param request_start: sequence number of the first data since the latest answer;
+        ``None`` if none was sent.
+    :param request_bytes: bytes that were sent from there on.
+    :param request_since: when that data was received.
     """
 
     server: Server
@@ -82,6 +87,20 @@
     acknowledged: int = 0
     pending_sequence: int | None = None
     pending_since: Seconds = NEVER
+    request_start: int | None = None
+    request_bytes: int = 0
+    request_since: Seconds = NEVER
+
+
+class RequestSize(NamedTuple):
+    """Usual size of the requests at a listener.
+
+    :param mean: bytes, where the latest requests weigh most.
+    :param requests: number of requests in it.
+    """
+
+    mean: float
+    requests: int
 
 
 class Opening(NamedTuple):
@@ -138,6 +157,10 @@
     :param running_checks: tags of the boots whose hosts are being checked.
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
+    :param highest_priority: highest declared priority; ``None`` if none is declared.
+    :param request_sizes: usual size of the requests at each listener.
+    :param uploads: admitted flows that upload, or are about to.
+    :param late_uploads: those of them that can't be carried in time.
     :param suspicions: evidence that a failure domain has failed for a service.
     :param suspicion_changes: changes of suspicions that are not logged yet.
     :param features: parts that operators have left switched on.
@@ -163,6 +186,10 @@
     host_checks: list[HostCheck] = field(default_factory=list)
     running_checks: set[Tag] = field(default_factory=set)
     health_changes: list[HealthChange] = field(default_factory=list)
+    highest_priority: Priority | None = None
+    request_sizes: dict[ListenerKey, RequestSize] = field(default_factory=dict)
+    uploads: dict[FlowId, Flow] = field(default_factory=dict)
+    late_uploads: set[FlowId] = field(default_factory=set)
     suspicions: dict[ServiceKey, Suspicion] = field(default_factory=dict)
     suspicion_changes: list[SuspicionChange] = field(default_factory=list)
     features: Features = field(default_factory=Features)
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -34,6 +34,7 @@
     record_probe,
     record_response,
 )
+from wasabigw.core.tags.link_classes import record_request_data, record_request_end
 from wasabigw.core.tags.openings import (
     discard_opening,
     pop_overdue,
@@ -55,6 +56,11 @@
     TagState,
 )
 from wasabigw.core.tags.unreachable_hosts import request_check
+from wasabigw.core.tags.upload_admission import (
+    UploadOutcome,
+    admit_upload,
+    record_upload,
+)
 
 NO_WAIT = Seconds(0.0)
 SUSPECT_AFTER = Seconds(0.15)
@@ -78,6 +84,7 @@
 _REASONS_IF_STALE = {
     RefusalReason.NO_LISTENER: DropReason.UNSURE_OF_LISTENER,
     RefusalReason.NO_SERVER: DropReason.UNSURE_OF_SERVERS,
+    RefusalReason.NO_LINK_ROOM: DropReason.NO_LINK_ROOM,
 }
 """Why an opening is dropped rather than refused if the view may not be current."""
 
@@ -129,6 +136,11 @@
         collect_evidence(state, now)
         update_suspicions(state, now)
         avoided |= avoided_servers(service, flow.caller, state, now)
+    outcome = UploadOutcome.ADMIT
+    if known is None:
+        outcome = admit_upload(packet, state, now)
+        if outcome in (UploadOutcome.DROP, UploadOutcome.REFUSE):
+            return _keep_out_upload(packet, outcome, state, now, waited)
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
@@ -143,8 +155,10 @@
     caller_diversion.record_outcome(
         state.diversion, _counts_as_served(server, choice, pool, state)
     )
-    if add_flow(packet, server, state, now) is not None:
+    added = add_flow(packet, server, state, now)
+    if added is not None:
         record_opening(flow, server, state, now)
+        record_upload(flow, added, outcome, state)
     return Deliver(packet, server.registration, choice)
 
 
@@ -153,6 +167,18 @@
     return listener.requirements is not None and state.features.load_sharing
 
 
+def _keep_out_upload(
+    packet: FlowPacket,
+    outcome: UploadOutcome,
+    state: TagState,
+    now: Seconds,
+    waited: Seconds,
+) -> PacketDecision:
+    if outcome is UploadOutcome.DROP:
+        return Drop(DropReason.NO_LINK_ROOM)
+    return _reject_opening(packet, RefusalReason.NO_LINK_ROOM, state, now, waited)
+
+
 def _reject_opening(
     packet: FlowPacket,
     reason: RefusalReason,
@@ -245,6 +271,7 @@
     """Record data of an open flow; ``True`` if its backend server is unreachable."""
     if packet.length == 0:
         return False
+    record_request_data(packet, flow, now)
     if is_waiting(state.egress, packet):
         # The backend server has not been sent the first copy yet.
         return False
@@ -333,6 +360,7 @@
         known.state = FlowState.OPEN
     if was_opening or known.acknowledged != packet.acknowledged:
         known.acknowledged = packet.acknowledged
+        record_request_end(packet.flow, known, state)
         if known.pending_sequence is not None:
             known.pending_sequence = None
             service = server.registration.service
@@ -365,6 +393,7 @@
     known.last_seen = now
     known.acknowledged = packet.acknowledged
     known.pending_sequence = None
+    record_request_end(packet.flow, known, state)
 
 
 def _record_response(server: Server, state: TagState, now: Seconds) -> None:
--- a/src/wasabigw/core/tags/updates.py
+++ b/src/wasabigw/core/tags/updates.py
@@ -40,6 +40,12 @@
     state.declared_version = declaration.version
     state.listeners = listeners_of(declaration)
     state.idle_timeout = declaration.idle_timeout
+    priorities = (
+        listener.requirements.priority
+        for listener in declaration.listeners
+        if listener.requirements is not None
+    )
+    state.highest_priority = min(priorities, default=None)
 
 
 def rebuild_pools(state: TagState, now: Seconds) -> None:
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -123,6 +123,7 @@
             "Bytes of packets that wait for the link of this balancer",
             state.egress.size,
         ),
+        *_link_families(state),
         gauge(
             "wasabigw_receive_wait_seconds",
             "Time for which the receive buffer has not been empty",
@@ -132,6 +133,39 @@
     ]
 
 
+def _link_families(state: TagState) -> list[Family]:
+    """Metrics of the classes on the link and of uploads."""
+    classes = state.egress.classes
+    late = len(state.late_uploads)
+    uploads = {"in time": len(state.uploads) - late, "late": late}
+    return [
+        Family(
+            "wasabigw_link_class_queue_bytes",
+            MetricKind.GAUGE,
+            "Bytes of packets that wait for the link of this balancer",
+            tuple(
+                Sample(members.packets.size, {"class": name.value})
+                for name, members in classes.items()
+            ),
+        ),
+        Family(
+            "wasabigw_link_class_bytes_total",
+            MetricKind.COUNTER,
+            "Bytes that were given to the link of this balancer",
+            tuple(
+                Sample(members.total, {"class": name.value})
+                for name, members in classes.items()
+            ),
+        ),
+        Family(
+            "wasabigw_uploads",
+            MetricKind.GAUGE,
+            "Admitted uploads, by whether the link can carry them in time",
+            tuple(Sample(n, {"state": name}) for name, n in uploads.items()),
+        ),
+    ]
+
+
 def _by_service(
     name: str, text: str, counts: Mapping[tuple[ServiceId, FailureDomainId], int]
 ) -> Family:
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -13,10 +13,8 @@
 from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Revision, Seconds
 from wasabigw.core.tags.caller_diversion import decay_counts, should_divert
 from wasabigw.core.tags.decisions import Deliver, Drop, DropReason, Refuse
-from wasabigw.core.tags.domain_suspicion import update_suspicions
 from wasabigw.core.tags.egress import (
     Admission,
-    Datagram,
     make_egress_queue,
     queue_time,
     release,
@@ -24,9 +22,11 @@
     take_evicted,
     time_to_release,
 )
+from wasabigw.core.tags.fair_queue import Datagram
 from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.flow_table import expire_flows
 from wasabigw.core.tags.host_checks import HostChecked
+from wasabigw.core.tags.link_classes import link_class_of
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import decide, record_loss, record_release
@@ -40,6 +40,7 @@
 from wasabigw.tasks.host_checker import make_host_checker
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
+from wasabigw.tasks.load_log import LoadLog
 from wasabigw.tasks.packet_socket import Received, make_packet_socket
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
 from wasabigw.tasks.tag_messages import (
@@ -123,6 +124,7 @@
         self._was_backlogged = False
         self._backlogged_since: Seconds | None = None
         self._decision_log = DecisionLog(self._state)
+        self._load_log = LoadLog(self._state)
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
         self._draining = False
@@ -199,7 +201,8 @@
     def deliver(self, packet: FlowPacket, datagram: Datagram, now: Seconds) -> None:
         """Send a packet to its backend server as soon as the link can take it."""
         egress = self._state.egress
-        admission = submit(egress, packet, datagram, now)
+        link_class = link_class_of(packet, self._state, now)
+        admission = submit(egress, packet, datagram, now, link_class)
         if admission is Admission.SEND:
             self._send_to_server(packet, datagram)
         elif admission is Admission.REJECTED:
@@ -303,7 +306,7 @@
         self._log_freshness_change(message.now)
         self._log_queue_change()
         self._log_backlog_change(monotonic())
-        self._log_suspicions(monotonic())
+        self._load_log.log_changes(monotonic())
 
     def _respond_status(self, request: LightRequest) -> None:
         self._settings.respond_status(request, self._status())
@@ -435,26 +438,6 @@
             self._was_backlogged = False
             log(BalancerEvent.RECEIVE_CURRENT, node=node)
 
-    def _log_suspicions(self, now: Seconds) -> None:
-        """Log which failure domains became suspected since the last tick, or trusted.
-
-        Without openings nothing ends a suspicion, so the tick looks for those too.
-        """
-        state = self._state
-        update_suspicions(state, now)
-        for change in state.suspicion_changes:
-            log(
-                BalancerEvent.DOMAIN_SUSPECTED
-                if change.lasted is None
-                else BalancerEvent.DOMAIN_TRUSTED,
-                node=state.node,
-                service=change.service,
-                failure_domain=change.failure_domain,
-                ago=round(now - change.at, 3),
-                lasted=rounded_or_none(change.lasted or 0.0),
-            )
-        state.suspicion_changes.clear()
-
     def _log_freshness_change(self, now: Seconds) -> None:
         state = self._state
         fresh = state.is_fresh(now)
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -217,3 +217,17 @@
         "None needed; if these lines repeat, a few callers may have lost their "
         "network.",
     )
+    UPLOADS_LATE = EventDefinition(
+        2052,
+        Severity.WARNING,
+        "the link of balancer {node} can't carry all uploads in time: {late} of "
+        "{uploads} are late and need {wait} s of the link",
+        "Callers upload more than the link carries; add balancers to the failure "
+        "domain, or give this one a faster link.",
+    )
+    UPLOADS_IN_TIME = EventDefinition(
+        2053,
+        Severity.INFO,
+        "the link of balancer {node} carries all uploads in time again",
+        "None needed.",
+    )
--- a/src/wasabigw_verify/evidence_model/balancers.py
+++ b/src/wasabigw_verify/evidence_model/balancers.py
@@ -17,13 +17,13 @@
 from wasabigw.core.tags.decisions import Deliver, Receiver, Refuse
 from wasabigw.core.tags.egress import (
     Admission,
-    Datagram,
     make_egress_queue,
     release,
     submit,
     take_evicted,
     time_to_release,
 )
+from wasabigw.core.tags.fair_queue import Datagram
 from wasabigw.core.tags.flow_table import expire_flows
 from wasabigw.core.tags.host_checks import UNUSED_PORT, HostCheck, HostChecked
 from wasabigw.core.tags.packets import FlowPacket
@@ -201,11 +201,8 @@
 
     def exit(self) -> None:
         """End the process; what it has taken and not sent is lost."""
-        egress = self._state.egress
-        waiting = [*egress.sparse.values(), *egress.backlogged.values()]
-        self.dropped_at_stop = len(self._received) + sum(
-            len(backlog.packets) for backlog in waiting
-        )
+        waiting = self._state.egress.packet_count
+        self.dropped_at_stop = len(self._received) + waiting
         self.phase = Phase.STOPPED
 
     def _schedule_work(self, delay: float) -> None:
--- a/tests/test_domain_suspicion.py
+++ b/tests/test_domain_suspicion.py
@@ -27,7 +27,8 @@
 from wasabigw.core.requirements import Priority, Requirements
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.domain_suspicion import LOCAL_OPENING_TIMEOUT
-from wasabigw.core.tags.egress import Datagram, make_egress_queue, submit
+from wasabigw.core.tags.egress import make_egress_queue, submit
+from wasabigw.core.tags.fair_queue import Datagram
 from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
@@ -48,6 +49,13 @@
 CRASH, RESTART, END = 1.0, 3.0, 5.0
 
 
+def listener_on(port: int, requirements: Requirements | None) -> Listener:
+    """A listener of the service ``seats``."""
+    endpoint = Endpoint("198.18.0.1", port)
+    shares = (ServiceShare(SEATS, 1),)
+    return Listener(endpoint, shares, Seconds(10.0), requirements)
+
+
 class DomainCase(SteeringCase):
     """Balancers of a failure domain, with backend servers in three of one region."""
 
@@ -58,12 +66,7 @@
         self.state = TagState(NodeId(f"balancer-{number}"), RECIFE, regions)
         self.prepare()
         requirements = Requirements(Priority(1), Seconds(0.25))
-        listener = Listener(
-            Endpoint("198.18.0.1", 443),
-            (ServiceShare(SEATS, 1),),
-            Seconds(3.0),
-            requirements if self.with_requirements else None,
-        )
+        listener = listener_on(443, requirements if self.with_requirements else None)
         declaration = Declaration(2, (listener,), (DeclaredService(SEATS),))
         apply_declaration(declaration, self.state)
         tags = range(len(DOMAINS) * PER_DOMAIN)
--- a/tests/test_egress_queue.py
+++ b/tests/test_egress_queue.py
@@ -13,7 +13,6 @@
     HEADER_BYTES,
     MAX_QUEUE_TIME,
     Admission,
-    Datagram,
     EgressQueue,
     is_waiting,
     make_egress_queue,
@@ -22,6 +21,7 @@
     submit,
     time_to_release,
 )
+from wasabigw.core.tags.fair_queue import Datagram
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 
 LINK_MEGABITS = 2.0
--- a/tests/test_live_servers.py
+++ b/tests/test_live_servers.py
@@ -19,12 +19,12 @@
 )
 from wasabigw.core.tags.egress import (
     Admission,
-    Datagram,
     make_egress_queue,
     release,
     submit,
     take_evicted,
 )
+from wasabigw.core.tags.fair_queue import Datagram
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.steering import decide, record_loss, record_release
