--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from wasabigw.core.announcement_checks import MAX_SLOTS
 from wasabigw.core.declaration import DEFAULT_IDLE_TIMEOUT, Declaration, Listener
 from wasabigw.core.delivery_view import DeliveryView
 from wasabigw.core.durations import Durations
@@ -18,9 +19,11 @@
     ServiceId,
     Tag,
 )
+from wasabigw.core.load.counts import LoadCounts, ServerCounts
 from wasabigw.core.load.known import KnownLoad, ServiceKey
 from wasabigw.core.registration import Registration
 from wasabigw.core.requirements import Priority
+from wasabigw.core.tags.admission_state import AdmissionState
 from wasabigw.core.tags.caller_diversion import Diversion
 from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.egress import EgressQueue
@@ -28,6 +31,7 @@
 from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
 from wasabigw.core.tags.host_checks import HostCheck
 from wasabigw.core.tags.packets import FlowId
+from wasabigw.core.tags.plans import ServicePlan
 from wasabigw.core.tags.suspicion import Suspicion
 from wasabigw.core.view_lease import NEVER
 
@@ -42,15 +46,24 @@
     :param rank: breaks ties between equally loaded boots.
     :param cold_until: until when it gets no new flows while a warm one is available.
     :param open_flows: flows to it that pass this balancer and have not closed.
+    :param opened_at_sum: sum of the times at which these were opened.
     :param receiver: which backend server at its endpoint takes packets of open flows.
+    :param counts: requests, openings and answers that pass this balancer.
     """
 
     registration: Registration
     cold_until: Seconds
     rank: int = 0
     open_flows: int = 0
+    opened_at_sum: float = 0.0
     breaker: CircuitBreaker = field(default_factory=CircuitBreaker)
     receiver: Receiver = Receiver.NAMED
+    counts: ServerCounts = field(default_factory=ServerCounts)
+
+    @property
+    def slots(self) -> int:
+        """Slots within the limits of today; an older version may have accepted more."""
+        return min(max(self.registration.slots, 1), MAX_SLOTS)
 
 
 class FlowState(Enum):
@@ -77,6 +90,10 @@
         ``None`` if none was sent.
     :param request_bytes: bytes that were sent from there on.
     :param request_since: when that data was received.
+    :param is_in_flight: whether a request on it is counted as in flight.
+    :param is_upload: whether that request takes more than one burst of packets.
+    :param sent_until: sequence number after the latest data that was counted.
+    :param acknowledged_before: acknowledgement that the request in flight began with.
     """
 
     server: Server
@@ -90,6 +107,10 @@
     request_start: int | None = None
     request_bytes: int = 0
     request_since: Seconds = NEVER
+    is_in_flight: bool = False
+    is_upload: bool = False
+    sent_until: int = 0
+    acknowledged_before: int = 0
 
 
 class RequestSize(NamedTuple):
@@ -123,6 +144,15 @@
     silent_for: Seconds
 
 
+@dataclass(frozen=True, slots=True)
+class WeightChange:
+    """A backend server has become slow for its weight, or has recovered."""
+
+    server: Server
+    weight: float
+    is_slow: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SuspicionChange:
     """A failure domain became suspected for a service, or is not any more.
@@ -161,10 +191,15 @@
     :param request_sizes: usual size of the requests at each listener.
     :param uploads: admitted flows that upload, or are about to.
     :param late_uploads: those of them that can't be carried in time.
+    :param weight_changes: backend servers that have become slow or recovered and are
+        not logged yet; the log removes them.
+    :param plans: shares of new flows by load figures, for each service that has any.
     :param suspicions: evidence that a failure domain has failed for a service.
     :param suspicion_changes: changes of suspicions that are not logged yet.
     :param features: parts that operators have left switched on.
+    :param load: counts for the next report, besides those of each backend server.
     :param known_load: load of backend servers from other balancers.
+    :param admission: openings that are limited while services are short of room.
     """
 
     node: NodeId
@@ -190,10 +225,14 @@
     request_sizes: dict[ListenerKey, RequestSize] = field(default_factory=dict)
     uploads: dict[FlowId, Flow] = field(default_factory=dict)
     late_uploads: set[FlowId] = field(default_factory=set)
+    weight_changes: list[WeightChange] = field(default_factory=list)
+    plans: dict[ServiceId, ServicePlan] = field(default_factory=dict)
     suspicions: dict[ServiceKey, Suspicion] = field(default_factory=dict)
     suspicion_changes: list[SuspicionChange] = field(default_factory=list)
     features: Features = field(default_factory=Features)
+    load: LoadCounts = field(default_factory=LoadCounts)
     known_load: KnownLoad = field(default_factory=KnownLoad)
+    admission: AdmissionState = field(default_factory=AdmissionState)
 
     @property
     def has_view(self) -> bool:
--- a/src/wasabigw/core/tags/upload_admission.py
+++ b/src/wasabigw/core/tags/upload_admission.py
@@ -45,8 +45,13 @@
     """The caller sends a copy of the opening, when there may be room."""
 
 
-def admit_upload(packet: FlowPacket, state: TagState, now: Seconds) -> UploadOutcome:
-    """Decide on an opening; those of small requests are admitted."""
+def admit_upload(
+    packet: FlowPacket, state: TagState, now: Seconds, may_refuse: bool
+) -> UploadOutcome:
+    """Decide on an opening; those of small requests are admitted.
+
+    :param may_refuse: whether no copy of the opening can have opened the flow.
+    """
     listener = classed_listener(packet.flow, state)
     if listener is None or listener.requirements is None:
         return UploadOutcome.ADMIT
@@ -59,7 +64,7 @@
     pending = pending_bytes(state, LinkClass.BULK)
     if pending == 0 or (packet.repeat == 0 and pending + size <= in_time):
         return UploadOutcome.ADMIT
-    if packet.repeat == 0 and _tries_elsewhere(packet.flow):
+    if may_refuse and _tries_elsewhere(packet.flow):
         return UploadOutcome.REFUSE
     pending += pending_bytes(state, LinkClass.LATE)
     if pending + size <= listener.request_timeout * LATE_SHARE * rate:
