tags: what waits at the own link is no evidence against backend servers

A backend server acknowledges every second packet. If the first packet of an upload leaves and the second waits for the link or is dropped, the caller sends the first again, which counted as a failure. So did the copy of an opening that had waited until just before.

--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -248,6 +248,11 @@
     return found is not None and key_of(packet) in found[1].packets
 
 
+def has_waiting(queue: EgressQueue, flow: FlowId) -> bool:
+    """Whether any packet of a flow still waits to be sent."""
+    return queue.size > 0 and _find_backlog(queue, flow) is not None
+
+
 def is_opening_waiting(queue: EgressQueue, flow: FlowId) -> bool:
     """Whether the opening packet of a flow still waits to be sent."""
     if queue.size == 0:
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -43,7 +43,7 @@
     record_choice,
     update_suspicions,
 )
-from wasabigw.core.tags.egress import is_waiting
+from wasabigw.core.tags.egress import has_waiting, is_waiting
 from wasabigw.core.tags.flow_table import (
     add_flow,
     close_flow,
@@ -60,6 +60,7 @@
 from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.link_classes import record_request_data, record_request_end
 from wasabigw.core.tags.openings import (
+    OPENING_TIMEOUT,
     discard_opening,
     pop_overdue,
     record_opening,
@@ -68,6 +69,7 @@
 from wasabigw.core.tags.packets import (
     MAX_UNACKNOWLEDGED_BYTES,
     NO_TAG,
+    FlowId,
     FlowPacket,
     sequence_distance,
 )
@@ -202,8 +204,7 @@
     if known is not None:
         if _is_copy_of_opening(packet, known, now):
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
-        is_retransmission = known.state is FlowState.OPENING
-        if is_retransmission and not is_waiting(state.egress, packet):
+        if _is_unanswered(known, now) and not is_waiting(state.egress, packet):
             avoided.add(known.server)
             _record_unanswered(
                 known.server,
@@ -247,6 +248,15 @@
     return Deliver(packet, server.registration, choice)
 
 
+def _is_unanswered(known: Flow, now: Seconds) -> bool:
+    """Whether an opening has left long enough ago to have been answered.
+
+    It may have waited for the link until just before its copy came.
+    """
+    is_opening = known.state is FlowState.OPENING
+    return is_opening and now - known.opened_at >= OPENING_TIMEOUT
+
+
 def _shares_load(listener: Listener, state: TagState) -> bool:
     """Whether the choice for a listener uses what callers of others have met."""
     return listener.requirements is not None and state.features.load_sharing
@@ -367,13 +377,18 @@
         _record_response(flow.server, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
-        _record_retransmission(flow, state, now)
+        _record_retransmission(packet.flow, flow, state, now)
     return is_unreachable(flow.server.breaker, now)
 
 
-def _record_retransmission(flow: Flow, state: TagState, now: Seconds) -> None:
+def _record_retransmission(
+    flow_id: FlowId, flow: Flow, state: TagState, now: Seconds
+) -> None:
     if now - flow.pending_since < SUSPECT_AFTER:
         return
+    if has_waiting(state.egress, flow_id):
+        # Backend servers acknowledge every second packet, and this may be the first.
+        return
     signal = FailureSignal.DATA_RETRANSMITTED
     _record_unanswered(flow.server, flow.pending_since, signal, state, now)
     if flow.server.breaker.failures > 0:
@@ -408,8 +423,8 @@
             restart_flow(flow, now)
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
-    elif packet.length and packet.sequence == flow.pending_sequence:
-        _expect_answer(flow, packet.sequence, now)
+    elif packet.length and flow.pending_sequence is not None:
+        flow.pending_since = now
 
 
 def record_loss(packet: FlowPacket, state: TagState) -> None:
@@ -424,7 +439,7 @@
         if flow.state is FlowState.OPENING:
             discard_lost_opening(flow.server)
             remove_flow(packet.flow, state)
-    elif packet.length and packet.sequence == flow.pending_sequence:
+    elif packet.length:
         flow.pending_sequence = None
         discard_lost_data(packet, flow)
 
