--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -22,6 +22,7 @@
 from wasabigw.core.load.counts import LoadCounts, ServerCounts
 from wasabigw.core.load.known import KnownLoad, ServiceKey
 from wasabigw.core.registration import Registration
+from wasabigw.core.requirements import Priority
 from wasabigw.core.tags.admission_state import AdmissionState
 from wasabigw.core.tags.caller_diversion import Diversion
 from wasabigw.core.tags.decisions import Receiver
@@ -85,6 +86,10 @@
     :param acknowledged: latest acknowledgement of the caller.
     :param pending_sequence: sequence number of the data that waits for an answer.
     :param pending_since: when that data was first sent to the backend server.
+    :param request_start: sequence number of the first data since the latest answer;
+        ``None`` if none was sent.
+    :param request_bytes: bytes that were sent from there on.
+    :param request_since: when that data was received.
     :param is_in_flight: whether a request on it is counted as in flight.
     :param is_upload: whether that request takes more than one burst of packets.
     :param sent_until: sequence number after the latest data that was counted.
@@ -99,12 +104,26 @@
     acknowledged: int = 0
     pending_sequence: int | None = None
     pending_since: Seconds = NEVER
+    request_start: int | None = None
+    request_bytes: int = 0
+    request_since: Seconds = NEVER
     is_in_flight: bool = False
     is_upload: bool = False
     sent_until: int = 0
     acknowledged_before: int = 0
 
 
+class RequestSize(NamedTuple):
+    """Usual size of the requests at a listener.
+
+    :param mean: bytes, where the latest requests weigh most.
+    :param requests: number of requests in it.
+    """
+
+    mean: float
+    requests: int
+
+
 class Opening(NamedTuple):
     """An opening that was sent to a backend server, and when."""
 
@@ -172,6 +191,10 @@
     :param running_checks: tags of the boots whose hosts are being checked.
     :param health_changes: changes of circuit breakers that are not logged yet; the log
         removes them.
+    :param highest_priority: highest declared priority; ``None`` if none is declared.
+    :param request_sizes: usual size of the requests at each listener.
+    :param uploads: admitted flows that upload, or are about to.
+    :param late_uploads: those of them that can't be carried in time.
     :param weight_changes: backend servers that have become slow or recovered and are
         not logged yet; the log removes them.
     :param plans: shares of new flows by load figures, for each service that has any.
@@ -202,6 +225,10 @@
     host_checks: list[HostCheck] = field(default_factory=list)
     running_checks: set[Tag] = field(default_factory=set)
     health_changes: list[HealthChange] = field(default_factory=list)
+    highest_priority: Priority | None = None
+    request_sizes: dict[ListenerKey, RequestSize] = field(default_factory=dict)
+    uploads: dict[FlowId, Flow] = field(default_factory=dict)
+    late_uploads: set[FlowId] = field(default_factory=set)
     weight_changes: list[WeightChange] = field(default_factory=list)
     plans: dict[ServiceId, ServicePlan] = field(default_factory=dict)
     suspicions: dict[ServiceKey, Suspicion] = field(default_factory=dict)
