--- a/src/wasabigw/core/tags/balancing.py
+++ b/src/wasabigw/core/tags/balancing.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
@@ -51,7 +51,7 @@
     service: ServiceId,
     state: TagState,
     now: Seconds,
-    avoided: Sequence[Server] = (),
+    avoided: Collection[Server] = (),
 ) -> tuple[Server, ChoiceReason] | None:
     """Choose a warm backend server that answers, by its share of the new flows.
 
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -20,7 +20,7 @@
     Tag,
 )
 from wasabigw.core.load.counts import LoadCounts, ServerCounts
-from wasabigw.core.load.known import KnownLoad
+from wasabigw.core.load.known import KnownLoad, ServiceKey
 from wasabigw.core.registration import Registration
 from wasabigw.core.tags.admission_state import AdmissionState
 from wasabigw.core.tags.caller_diversion import Diversion
@@ -31,6 +31,7 @@
 from wasabigw.core.tags.host_checks import HostCheck
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.plans import ServicePlan
+from wasabigw.core.tags.suspicion import Suspicion
 from wasabigw.core.view_lease import NEVER
 
 ListenerKey = tuple[int, int]
@@ -133,6 +134,19 @@
     is_slow: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SuspicionChange:
+    """A failure domain became suspected for a service, or is not any more.
+
+    :param lasted: how long it was suspected; ``None`` if the suspicion begins.
+    """
+
+    service: ServiceId
+    failure_domain: FailureDomainId
+    at: Seconds
+    lasted: Seconds | None = None
+
+
 @dataclass(slots=True)
 class TagState:
     """Complete state of a balancer.
@@ -157,6 +171,8 @@
     :param weight_changes: backend servers that have become slow or recovered and are
         not logged yet; the log removes them.
     :param plans: shares of new flows by load figures, for each service that has any.
+    :param suspicions: evidence that a failure domain has failed for a service.
+    :param suspicion_changes: changes of suspicions that are not logged yet.
     :param features: parts that operators have left switched on.
     :param load: counts for the next report, besides those of each backend server.
     :param known_load: load of backend servers from other balancers.
@@ -184,6 +200,8 @@
     health_changes: list[HealthChange] = field(default_factory=list)
     weight_changes: list[WeightChange] = field(default_factory=list)
     plans: dict[ServiceId, ServicePlan] = field(default_factory=dict)
+    suspicions: dict[ServiceKey, Suspicion] = field(default_factory=dict)
+    suspicion_changes: list[SuspicionChange] = field(default_factory=list)
     features: Features = field(default_factory=Features)
     load: LoadCounts = field(default_factory=LoadCounts)
     known_load: KnownLoad = field(default_factory=KnownLoad)
