tags: copies of an opening read at the same moment reach one backend server

A balancer that was suspended reads both at the same moment, two backend servers answer, and a caller that returns the latest tag is reset. Change: such a copy goes to the backend server of the opening.

--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -304,7 +304,10 @@
     have ended though it seems open.
     """
     if known.state is FlowState.OPENING:
-        return False
+        # Copies that a balancer reads at the same moment, as it was suspended, must not
+        # open two flows. Later ones show that the first copy was not answered.
+        is_same = packet.sequence == known.first_sequence and packet.repeat > 0
+        return is_same and now - known.opened_at < OPENING_TIMEOUT
     if known.state is FlowState.OPEN and packet.sequence == known.first_sequence:
         return True
     if now - known.opened_at >= MAX_COPY_AGE:
--- a/src/wasabigw_verify/evidence_model/faults.py
+++ b/src/wasabigw_verify/evidence_model/faults.py
@@ -47,8 +47,8 @@
     PlantedFault(
         "opening that waits for the link counts as unanswered",
         _STEERING,
-        "if is_retransmission and not is_waiting(state.egress, packet):",
-        "if is_retransmission:",
+        "if _is_unanswered(known, now) and not is_waiting(state.egress, packet):",
+        "if _is_unanswered(known, now):",
     ),
     PlantedFault(
         "packets are decided on without a view",
@@ -75,34 +75,34 @@
         _STEERING,
         "    if is_waiting(state.egress, packet):\n",
         "    if False:\n",
+        others=(("    if has_waiting(state.egress, flow_id):\n", "    if False:\n"),),
     ),
     PlantedFault(
         "wait for the link counts as silence",
         _STEERING,
-        "elif packet.length and packet.sequence == flow.pending_sequence:\n"
-        "        _expect_answer(flow, packet.sequence, now)",
-        "elif False:\n        _expect_answer(flow, packet.sequence, now)",
+        "elif packet.length and flow.pending_sequence is not None:\n"
+        "        flow.pending_since = now",
+        "elif False:\n        flow.pending_since = now",
     ),
     PlantedFault(
         "packet that was not sent counts as unanswered",
         _STEERING,
-        "elif packet.length and packet.sequence == flow.pending_sequence:\n"
-        "        flow.pending_sequence = None",
-        "elif False:\n        flow.pending_sequence = None",
+        "    elif packet.length:\n        flow.pending_sequence = None",
+        "    elif False:\n        flow.pending_sequence = None",
     ),
     PlantedFault(
         "opening that was not sent counts as unanswered",
         _STEERING,
         "        if flow.state is FlowState.OPENING:\n"
-        "            remove_flow(packet.flow, state)",
-        "        if False:\n            remove_flow(packet.flow, state)",
+        "            discard_lost_opening(flow.server)\n",
+        "        if False:\n            discard_lost_opening(flow.server)\n",
     ),
     PlantedFault(
         "progress of an upload does not count as a response",
         _STEERING,
-        "    elif _shows_progress(packet, flow.pending_sequence):\n"
+        "        flow.is_upload = True\n"
         "        _record_response(flow.server, state, now)\n",
-        "    elif _shows_progress(packet, flow.pending_sequence):\n",
+        "        flow.is_upload = True\n",
     ),
     PlantedFault(
         "check without a failure",
--- a/src/wasabigw_verify/evidence_model/opening_cases.py
+++ b/src/wasabigw_verify/evidence_model/opening_cases.py
@@ -44,10 +44,16 @@
 """A copy of an opening arrives late, and its caller returns the latest tag."""
 
 
+QUICKLY_CHANGING_LOAD = tuple(
+    caller(0.1 + n / 20, flows=12, requests=2, pause=0.02) for n in range(10)
+)
+
+
 LATE_COPY_AFTER_PAUSE = replace(
     LATE_COPY,
-    disturbances=(Disturbance(1.3, Trouble.SUSPEND_BALANCER, 0, 2.5),),
-    seed=6,
+    callers=(*(latest(0.9 + n / 100) for n in range(12)), *QUICKLY_CHANGING_LOAD),
+    disturbances=(Disturbance(1.2, Trouble.SUSPEND_BALANCER, 0, 2.5),),
+    seed=46,
 )
 
 
--- a/src/wasabigw_verify/planted_faults.py
+++ b/src/wasabigw_verify/planted_faults.py
@@ -23,12 +23,15 @@
 
     :param module: name of the module.
     :param condition: source text, which must occur once in the module.
+    :param others: further conditions of the module and their replacements, where
+        several guard against the same fault.
     """
 
     name: str
     module: str
     condition: str
     replacement: str
+    others: tuple[tuple[str, str], ...] = ()
 
 
 @contextmanager
@@ -55,14 +58,18 @@
 def _changed_functions(
     module: ModuleType, fault: PlantedFault
 ) -> list[tuple[FunctionType, CodeType]]:
-    source = inspect.getsource(module)
-    occurrences = source.count(fault.condition)
-    if occurrences != 1:
-        raise PlantingError(
-            f"{fault.name}: {fault.module} has {occurrences} places with "
-            f"{fault.condition!r}, not 1"
-        )
-    changed = source.replace(fault.condition, fault.replacement)
+    source = changed = inspect.getsource(module)
+    for condition, replacement in (
+        (fault.condition, fault.replacement),
+        *fault.others,
+    ):
+        occurrences = source.count(condition)
+        if occurrences != 1:
+            raise PlantingError(
+                f"{fault.name}: {fault.module} has {occurrences} places with "
+                f"{condition!r}, not 1"
+            )
+        changed = changed.replace(condition, replacement)
     name = str(module.__file__)
     before = _codes(compile(source, name, "exec", dont_inherit=True))
     after = _codes(compile(changed, name, "exec", dont_inherit=True))
--- a/tests/test_tag_steering.py
+++ b/tests/test_tag_steering.py
@@ -293,6 +293,15 @@
         first = self.tag_of(opening())
         self.assertNotEqual(self.tag_of(opening(repeat=1), now=0.2), first)
 
+    def test_copies_read_at_the_same_moment_reach_one_server(self) -> None:
+        # A balancer that was suspended reads the opening and its copies together, and
+        # two backend servers would both answer.
+        self.register(boot(1), boot(2))
+        first = self.tag_of(opening(), now=1.0)
+        self.decide(data(first, port=2), now=1.001)
+        self.assertEqual(self.tag_of(opening(repeat=1), now=1.002), first)
+        self.assertEqual(self.tag_of(opening(repeat=2), now=1.003), first)
+
     def test_a_retransmitted_opening_of_an_open_flow_keeps_its_server(self) -> None:
         self.register(boot(1), boot(2))
         first = self.tag_of(opening())
