--- a/tests/test_load_sums.py
+++ b/tests/test_load_sums.py
@@ -31,14 +31,18 @@
     StratumSizes,
 )
 from wasabigw.core.load.known import KnownLoad, record_sums
+from wasabigw.core.load.rows import SERVER_WIDTH
 from wasabigw.core.load.sampling import entries_of
 from wasabigw.core.load.sums import FILL_TIME, sums_for
 from wasabigw.core.load.table import (
+    ArrivedBalancer,
     LoadTable,
     ReportOutcome,
     expire_contributions,
     record_report,
+    remove_departed,
 )
+from wasabigw.core.load.totals import column_sums
 
 NO_AGE = Seconds(0.0)
 NO_DOMAIN = FailureDomainId("")
@@ -171,6 +175,43 @@
         self.assertLessEqual({7, 40}, {f.tag for f in sums.servers})
 
 
+class RunningSums(unittest.TestCase):
+    """Guards against sums that drift from the reports that are kept."""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["b1", "b2", "b3"]),
+                st.integers(0, 3),
+                st.integers(0, 50),
+                st.floats(0.0, 5.0),
+            ),
+            max_size=30,
+        )
+    )
+    @settings(max_examples=100, deadline=None)
+    def test_sums_equal_the_kept_reports(
+        self, events: list[tuple[str, int, int, float]]
+    ) -> None:
+        table, now = LoadTable(), 0.0
+        for number, (node, tag, in_flight, pause) in enumerate(events):
+            now += pause
+            sent = report(node, figures(tag, in_flight, 0.1), sequence=number)
+            record_report(table, sent, Seconds(now))
+            if tag == 0:
+                arrived = ArrivedBalancer(NodeId("b2"), Seconds(0.5))
+                remove_departed(table, (arrived,), Seconds(now))
+            expire_contributions(table, Seconds(now))
+            kept = [r.contribution.servers for r in table.reports.values()]
+            self.assertEqual(set(table.direct.servers.sums), set().union(*kept))
+            for key in table.direct.servers.sums:
+                row = column_sums((k[key] for k in kept if key in k), SERVER_WIDTH)
+                for value, expected in zip(
+                    table.direct.servers.of(key), row, strict=True
+                ):
+                    self.assertAlmostEqual(value, expected)
+
+
 class Liars(SumsCase):
     """Guards against one balancer that moves the load of all others."""
 
