load: relays with fewer backend servers ask each other twice a second

Cause: sums of other relays were up to 1.5 s old when a balancer got them.

Change: with fewer than 1,000 backend servers a round begins each 0.5 s; sums are encoded again after half of the time between rounds.

--- a/src/wasabigw/core/load/peers.py
+++ b/src/wasabigw/core/load/peers.py
@@ -6,9 +6,12 @@
 from wasabigw.core.delivery_view import Source
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, Seconds
+from wasabigw.core.load.figures import REPORT_INTERVAL
 
 MAX_PEERS = 15
 """Most relays that a relay asks."""
+LARGE_VIEW = 1000
+"""Backend servers from which relays ask each other less often, to save processor."""
 FIRST_BACKOFF = Seconds(1.0)
 MAX_BACKOFF = Seconds(8.0)
 
@@ -41,6 +44,15 @@
     return tuple(Endpoint(s.api.address, port) for s in others[:MAX_PEERS])
 
 
+def exchange_interval(backend_servers: int) -> Seconds:
+    """Time between two rounds in which a relay asks others.
+
+    :param backend_servers: number of those in the view.
+    """
+    is_large = backend_servers >= LARGE_VIEW
+    return REPORT_INTERVAL if is_large else Seconds(0.5 * REPORT_INTERVAL)
+
+
 def peers_to_poll(
     state: PeerState, peers: Iterable[Endpoint], now: Seconds
 ) -> list[Endpoint]:
--- a/src/wasabigw/tasks/relay_load.py
+++ b/src/wasabigw/tasks/relay_load.py
@@ -12,11 +12,10 @@
     encode_sums,
     with_age,
 )
-from wasabigw.core.delivery_view import DeliveryView, Source
+from wasabigw.core.delivery_view import DeliveryView
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds
-from wasabigw.core.load.figures import REPORT_INTERVAL
-from wasabigw.core.load.peers import choose_peers
+from wasabigw.core.load.peers import choose_peers, exchange_interval
 from wasabigw.core.load.sums import direct_sums, sums_for
 from wasabigw.core.load.table import (
     LoadTable,
@@ -34,8 +33,8 @@
 from wasabigw.telemetry.exposition import Family, MetricKind, Sample, gauge
 from wasabigw.telemetry.log_events import log
 
-ENCODED_TTL = Seconds(0.5 * REPORT_INTERVAL)
-"""Time for which the relays of a failure domain get the same encoded sums."""
+ENCODED_SHARE = 0.5
+"""Part of the time between two rounds for which relays get the same encoded sums."""
 MAX_ENCODED = 64
 """Failure domains whose encoded sums are kept."""
 MALFORMED_LOG_INTERVAL = Seconds(1.0)
@@ -97,10 +96,11 @@
     ) -> bytes:
         """Encoded sums for another relay, by its failure domain.
 
-        They are encoded again after :data:`ENCODED_TTL` only.
+        They are encoded again after a part of the time between two rounds only.
         """
         known = self._encoded.get(failure_domain)
-        if known is None or now - known.encoded_at >= ENCODED_TTL:
+        ttl = ENCODED_SHARE * exchange_interval(len(view.boots))
+        if known is None or now - known.encoded_at >= ttl:
             sums = direct_sums(self._table, view, failure_domain, now)
             known = _EncodedSums(encode_sums(sums), sums.age, now)
             if len(self._encoded) >= MAX_ENCODED:
@@ -125,7 +125,7 @@
         self._bytes["polls of relays"] += answer.size
         record_peer(self._table, answer.peer, answer.sums, answer.received_at)
 
-    def tick(self, sources: tuple[Source, ...], now: Seconds) -> None:
+    def tick(self, view: DeliveryView, now: Seconds) -> None:
         """Remove figures that are too old, and ask other relays for theirs.
 
         Without reports of balancers nobody needs the sums, so nobody is asked.
@@ -133,12 +133,15 @@
         expire_contributions(self._table, now)
         if not self._table.reports:
             self._encoded.clear()
-        is_due = now - self._round_at >= REPORT_INTERVAL
+        is_due = now - self._round_at >= exchange_interval(len(view.boots))
         if self.exchange is None or not self._table.reports or not is_due:
             return
         self._round_at = now
         peers = choose_peers(
-            sources, self._table.failure_domain, self._bind.address, self._bind.port
+            view.sources,
+            self._table.failure_domain,
+            self._bind.address,
+            self._bind.port,
         )
         if peers:
             arrived = arrived_balancers(self._table, now)
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -156,7 +156,7 @@
     @receive.register
     def _(self, message: Tick) -> None:
         self._respond_to_due_polls(message.now)
-        self._load.tick(self._view.sources, message.now)
+        self._load.tick(self._view, message.now)
         self._log_stale(message.now)
         if not self._is_file_current:
             self._is_file_current = True
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -206,16 +206,17 @@
         self.assertEqual(self.ask("recife", later).balancers, 0)
 
     def test_without_reports_no_relay_is_asked(self) -> None:
-        sources = (source(1), source(2))
-        self.relay._load.tick(sources, Seconds(1.0))
+        view = self.relay._view
+        view.sources = (source(1), source(2))
+        self.relay._load.tick(view, Seconds(1.0))
         self.assertEqual(list(self.rounds.drain()), [])
         self.send(report("b1", figures(1, 2)))
-        for at in (1.0, 1.1, 1.9, 2.0):
-            self.relay._load.tick(sources, Seconds(at))
+        for at in (1.0, 1.1, 1.4, 1.5):
+            self.relay._load.tick(view, Seconds(at))
         first, second = self.rounds.drain()
         arrived = (ArrivedBalancer(NodeId("b1"), Seconds(1.0)),)
         self.assertEqual(first, PollPeers((relay_at(2),), Seconds(1.0), arrived))
-        self.assertEqual(second.at, 2.0)
+        self.assertEqual(second.at, 1.5)
 
     def test_a_balancer_gets_the_sums_of_both_relays(self) -> None:
         self.send(report("b1", figures(1, 2)))
