--- a/tests/test_load_sums.py
+++ b/tests/test_load_sums.py
@@ -11,7 +11,8 @@
 from tests.test_tag_steering import RECIFE, SALVADOR, SEATS, boot
 from wasabigw.codec import load_columns as columns
 from wasabigw.codec.load import decode_report, encode_report
-from wasabigw.core.delivery_view import DeliveryView
+from wasabigw.core.delivery_view import DeliveryView, Source
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import (
     FailureDomainId,
     Incarnation,
@@ -174,6 +175,22 @@
         self.assertEqual(len(sums.servers), MAX_RETURNED_SERVERS)
         self.assertLessEqual({7, 40}, {f.tag for f in sums.servers})
 
+    def test_servers_of_the_own_failure_domain_are_returned_first(self) -> None:
+        self.view = self.view_of(MAX_RETURNED_SERVERS + 30)
+        far = [tag for tag in self.view.boots if tag > 60]
+        for tag in far:
+            self.view.boots[tag] = boot(tag, SALVADOR)
+        self.view.sources = tuple(
+            Source(Endpoint("10.0.0.9", port), domain)
+            for port, domain in enumerate((RECIFE, SALVADOR), 1)
+        )
+        self.table = LoadTable(RECIFE)
+        loads = [figures(tag, 9 if tag in far else 3) for tag in self.view.boots]
+        self.record(report("b1", *loads), report("b2", *loads))
+        sums = sums_for(self.table, NodeId("b1"), self.view, FILLED)
+        assert sums is not None
+        self.assertEqual({f.tag for f in sums.servers} & set(far), set())
+
 
 class RunningSums(unittest.TestCase):
     """Guards against sums that drift from the reports that are kept."""
