--- a/src/wasabigw/tasks/load_exchange.py
+++ b/src/wasabigw/tasks/load_exchange.py
@@ -36,6 +36,8 @@
 """Maximum duration of a poll whose response arrives slowly."""
 MAX_ROUND_DELAY = Seconds(0.5 * REPORT_INTERVAL)
 """Age from which a request for a round is skipped, as the next one follows soon."""
+ROUND_TIMEOUT = Seconds(1.0)
+"""Time after which a round ends, so that the task can be stopped meanwhile."""
 MAX_WAITING_ROUNDS = 4
 
 
@@ -67,6 +69,9 @@
         if message.arrived:
             target += f"&arrived={encode_arrived(message.arrived)}"
         for peer in peers_to_poll(self._state, message.peers, message.at):
+            if monotonic() - message.at >= ROUND_TIMEOUT:
+                # Those that have failed are in backoff, so the others come next time.
+                return
             self._poll(peer, target)
 
     def _close_others(self, peers: tuple[Endpoint, ...]) -> None:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -235,6 +235,7 @@
         self.received: Mailbox[Any] = Mailbox("received")
         self.exchange = make_load_exchange(FailureDomainId("a/b"), self.received)
         self.now = Seconds(10.0)
+        self.duration = 0.0
         self.polled: list[tuple[Endpoint, str]] = []
         self.responses: dict[Endpoint, Result[bytes, str]] = {}
         self.enterContext(mock.patch.object(LightClient, "get", self.get))
@@ -247,6 +248,7 @@
 
     def get(self, peer: Endpoint, target: str, *_: Seconds) -> Result[bytes, str]:
         self.polled.append((peer, target))
+        self.now = Seconds(self.now + self.duration)
         return self.responses.get(peer, Failure("status 404"))
 
     def round(self, *peers: Endpoint) -> list[Any]:
@@ -273,6 +275,15 @@
         event = self.log.call_args.args[0]
         self.assertIs(event, BalancerEvent.LOAD_PEER_LOST)
 
+    def test_a_round_ends_when_many_relays_do_not_answer(self) -> None:
+        peers = [relay_at(n) for n in range(6)]
+        self.duration = 0.4
+        polled = []
+        for _ in range(2):
+            self.round(*peers)
+            polled.append({peer for peer, _ in self.polled})
+        self.assertEqual([len(found) for found in polled], [3, 6])
+
     def test_rounds_that_queued_up_are_skipped(self) -> None:
         late = PollPeers((relay_at(1),), Seconds(self.now - MAX_ROUND_DELAY))
         self.exchange.receive(late)
