tags: backend servers that figures don't name share one speed

Cause: with 4,000 backend servers of a service, a renewal of the shares after new figures took 59 ms of a core. Change: only named backend servers have a speed of their own; services with few openings renew their shares every 2 s instead of with each set of figures.

--- a/src/wasabigw/core/tags/combined.py
+++ b/src/wasabigw/core/tags/combined.py
@@ -42,13 +42,19 @@
 
     These have about the mean load, and one balancer has too few answers of each.
     """
-    total, slots = None, 0
-    for server in servers:
-        if server.registration.tag not in known.servers:
-            own = own_figures(server)
-            total = own if total is None else _sum(total, own)
-            slots += server.slots
-    return total, slots
+    unnamed = [s for s in servers if s.registration.tag not in known.servers]
+    if not unnamed:
+        return None, 0
+    counts = [server.counts for server in unnamed]
+    figures = ServerFigures(
+        unnamed[0].registration.tag,
+        sum(server.open_flows for server in unnamed),
+        sum(c.in_flight for c in counts),
+        sum(c.openings + c.previous_openings for c in counts),
+        sum(c.answers + c.previous_answers for c in counts),
+        Seconds(sum(c.answer_time + c.previous_answer_time for c in counts)),
+    )
+    return figures, sum(server.slots for server in unnamed)
 
 
 def mean_of_unnamed(servers: Sequence[Server], known: KnownLoad) -> MeanLoad:
--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -26,15 +26,15 @@
 from wasabigw.core.tags.weights import (
     Speed,
     expected_capacity,
+    is_alike,
     record_figures,
     update_weights,
 )
 
-PLAN_TTL = Seconds(1.5)
-"""Time after which shares are computed again, as backend servers may answer again.
-
-Longer than the time between two sets of figures, which renew the shares as well.
-"""
+PLAN_TTL = Seconds(2.0)
+"""Time after which shares are computed again, as backend servers may answer again."""
+MIN_PLAN_USES = 4
+"""Uses of a plan after which newer figures replace it."""
 PLAN_TIME_PER_SERVER = Seconds(0.001)
 """Minimum time between two plans of the same backend servers, for each of them.
 
@@ -54,7 +54,9 @@
     pool = state.pools.get(service, [])
     known = state.known_load
     age = now - plan.made_at
-    is_due = plan.measured_at != known.measured_at or age >= PLAN_TTL
+    plan.uses += 1
+    has_new_figures = plan.measured_at != known.measured_at
+    is_due = age >= PLAN_TTL or (has_new_figures and plan.uses >= MIN_PLAN_USES)
     if plan.pool is not pool or (is_due and age >= len(pool) * PLAN_TIME_PER_SERVER):
         _update_plan(plan, pool, state, now)
     return plan
@@ -73,6 +75,7 @@
     plan.pool = pool
     plan.measured_at = state.known_load.measured_at
     plan.made_at = now
+    plan.uses = 0
     usable = [server for server in pool if is_usable(server, now)]
     groups: dict[FailureDomainId, list[Server]] = {}
     for server in usable:
@@ -141,24 +144,31 @@
 ) -> None:
     known = state.known_load
     elapsed = Seconds(known.measured_at - plan.measured_at)
+    others, other_slots = answers_of_unnamed(pool, known)
+    record_figures(plan.others, others, other_slots, elapsed)
     before, plan.speeds = plan.speeds, {}
-    unnamed, unnamed_slots = answers_of_unnamed(pool, known)
     for server in pool:
         tag = server.registration.tag
-        speed = plan.speeds[tag] = before.get(tag) or Speed()
-        figures, slots = combined_figures(server, known), server.slots
-        if figures is None:
-            figures, slots = unnamed, unnamed_slots
-        if server.cold_until > now:
+        speed = before.get(tag, plan.others)
+        if tag in known.servers:
+            speed = Speed() if speed is plan.others else speed
             # The times of a cold one say nothing about it once it is warm.
-            figures = None
-        record_figures(speed, figures, slots, elapsed)
+            is_warm = server.cold_until <= now
+            figures = combined_figures(server, known) if is_warm else None
+            record_figures(speed, figures, server.slots, elapsed)
+        elif speed is not plan.others:
+            record_figures(speed, others, other_slots, elapsed)
+            speed = plan.others if is_alike(speed, plan.others) else speed
+        plan.speeds[tag] = speed
     for tag in update_weights(plan.speeds, elapsed):
         speed = plan.speeds[tag]
-        time = Seconds(speed.service_time) if speed.is_judged else None
-        server = state.servers[tag]
-        change = WeightChange(server, speed.weight, speed.is_slow, time)
-        state.weight_changes.append(change)
+        if speed is not plan.others:
+            state.weight_changes.append(_change_of(state.servers[tag], speed))
+
+
+def _change_of(server: Server, speed: Speed) -> WeightChange:
+    time = Seconds(speed.service_time) if speed.is_judged else None
+    return WeightChange(server, speed.weight, speed.is_slow, time)
 
 
 def is_usable(server: Server, now: Seconds) -> bool:
--- a/src/wasabigw/core/tags/plans.py
+++ b/src/wasabigw/core/tags/plans.py
@@ -39,6 +39,9 @@
 
     :param pool: backend servers from which it was made.
     :param measured_at: time of the figures from which it was made.
+    :param uses: choices and questions for the room since it was made.
+    :param others: speed of the backend servers that the figures don't name.
+    :param speeds: speed of each backend server; ``others`` for most of the unnamed.
     :param loads: expected load of each backend server that gets new flows.
     :param domains: turns of failure domains.
     :param servers: turns of the backend servers of each failure domain.
@@ -48,6 +51,8 @@
     pool: Sequence[object] = ()
     measured_at: Seconds = NEVER
     made_at: Seconds = NEVER
+    uses: int = 0
+    others: Speed = field(default_factory=Speed)
     speeds: dict[Tag, Speed] = field(default_factory=dict)
     loads: dict[Tag, ServerLoad] = field(default_factory=dict)
     domains: Turns[FailureDomainId] = field(default_factory=lambda: Turns({}))
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -62,7 +62,8 @@
     @property
     def slots(self) -> int:
         """Slots within the limits of today; an older version may have accepted more."""
-        return min(max(self.registration.slots, 1), MAX_SLOTS)
+        slots = self.registration.slots
+        return slots if 1 <= slots <= MAX_SLOTS else min(max(slots, 1), MAX_SLOTS)
 
 
 class FlowState(Enum):
--- a/src/wasabigw/core/tags/weights.py
+++ b/src/wasabigw/core/tags/weights.py
@@ -89,6 +89,12 @@
         speed.busy_time += figures.in_flight * COUNT_WINDOW
 
 
+def is_alike(speed: Speed, other: Speed) -> bool:
+    """Whether a backend server needs no speed of its own beside a common one."""
+    is_close = 1 / HYSTERESIS < speed.weight / other.weight < HYSTERESIS
+    return is_close and not speed.is_slow
+
+
 def expected_capacity(weight: float, in_flight: float, slots: int) -> float:
     """Slots weighted by speed, less if many requests were in flight."""
     by_queue = min(1.0, QUEUE_FACTOR * slots / (max(in_flight, 0) + 1))
@@ -102,7 +108,9 @@
     """
     typical = typical_service_time(speeds)
     changed = []
-    for tag, speed in speeds.items():
+    # Several backend servers may share one speed.
+    distinct = {id(speed): (tag, speed) for tag, speed in speeds.items()}
+    for tag, speed in distinct.values():
         _update_weight(speed, typical, elapsed)
         is_slow = speed.weight < (RECOVERED_WEIGHT if speed.is_slow else SLOW_WEIGHT)
         if is_slow is not speed.is_slow:
--- a/src/wasabigw_measure/choice_cost.py
+++ b/src/wasabigw_measure/choice_cost.py
@@ -25,7 +25,7 @@
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.updates import rebuild_pools
 
-SIZES = (20, 200, 4000)
+SIZES = (4, 20, 200, 4000)
 ROUNDS = 5
 NOW = Seconds(1.0)
 SERVICE = ServiceId("service")
@@ -67,7 +67,9 @@
 
 
 def _renew(state: TagState) -> None:
-    state.plans[SERVICE].made_at = Seconds(-1.0)
+    """Make the plan of a service as after new figures."""
+    state.plans[SERVICE].made_at = Seconds(-9.0)
+    state.known_load.measured_at = Seconds(state.known_load.measured_at + 1e-6)
     current_plan(SERVICE, state, NOW)
 
 
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -252,6 +252,16 @@
             current_plan(SEATS, self.state, Seconds(second))
         self.assertEqual(set(self.weights()), {1.0})
 
+    def test_unnamed_servers_are_judged_by_their_own_answers_together(self) -> None:
+        for tag in range(4, SERVERS + 1):
+            counts = self.state.servers[Tag(tag)].counts
+            counts.answers, counts.answer_time = 1, REQUEST_TIME
+        for second in range(4):
+            slow = (figures(t, speed=0.2, answers=16) for t in (1, 2, 3))
+            self.know(*slow, at=second)
+            current_plan(SEATS, self.state, Seconds(second))
+        self.assertEqual(self.weights(), [0.2] * 3 + [1.0] * (SERVERS - 3))
+
     def test_few_answers_change_no_weight(self) -> None:
         self.know_repeatedly(lambda t: figures(t, speed=t, answers=1), 0, 4)
         self.assertEqual(set(self.weights()), {1.0})
