--- a/src/wasabigw/core/load/ranking.py
+++ b/src/wasabigw/core/load/ranking.py
@@ -1,23 +1,20 @@
-"""Selection of the backend servers that a response with load sums names.
+"""Selection of the backend servers and services that a response with sums names.
 
 A response names a limited number, and balancers take the others to have about the mean
-of their service. So those of the balancer's failure domain come first, which get most
-of its flows, and of these the ones that differ most from the mean.
+of their service. So those come first that differ most from it.
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from wasabigw.core.delivery_view import DeliveryView
-from wasabigw.core.ids import (
-    NO_REVISION,
-    FailureDomainId,
-    Revision,
-    Seconds,
-    ServiceId,
-    Tag,
+from wasabigw.core.ids import NO_REVISION, Revision, Seconds, ServiceId, Tag
+from wasabigw.core.load.figures import (
+    MAX_REPORTED_SERVICES,
+    MAX_RETURNED_SERVERS,
+    REPORT_INTERVAL,
 )
-from wasabigw.core.load.figures import MAX_RETURNED_SERVERS, REPORT_INTERVAL
+from wasabigw.core.load.known import ServiceKey
 from wasabigw.core.load.rows import (
     ANSWER_TIME,
     ANSWERS,
@@ -32,34 +29,37 @@
 
 @dataclass(slots=True)
 class Ranking:
-    """Backend servers in the order in which responses name them.
+    """What responses name.
 
-    :param tags: order of their differences.
-    :param named: those named to balancers of a failure domain.
-    :param ranked_at: when they were ranked, with the view at ``revision``.
+    :param ranked_at: when it was chosen, with the view at ``revision``.
     """
 
     tags: tuple[Tag, ...] = ()
-    named: dict[FailureDomainId, tuple[Tag, ...]] = field(default_factory=dict)
+    services: tuple[ServiceKey, ...] = ()
     ranked_at: Seconds = NEVER
     revision: Revision = NO_REVISION
 
 
 def is_due(ranking: Ranking, view: DeliveryView, now: Seconds) -> bool:
-    """Whether the order should be renewed, at most once for each round of reports."""
+    """Whether the choice should be renewed, at most once for each round of reports."""
     is_old = now - ranking.ranked_at >= REPORT_INTERVAL
     return is_old or ranking.revision != view.revision
 
 
-def rank(
+def rank_services(ranking: Ranking, loads: Mapping[ServiceKey, Row]) -> None:
+    """Choose the services with the most load."""
+    order = sorted(loads, key=lambda key: (loads[key][IN_FLIGHT], loads[key]))
+    ranking.services = tuple(order[::-1][:MAX_REPORTED_SERVICES])
+
+
+def rank_servers(
     ranking: Ranking, view: DeliveryView, loads: Mapping[Tag, Row], now: Seconds
 ) -> None:
-    """Renew the order.
+    """Choose the backend servers that differ most from their service.
 
     :param loads: load of each backend server that may get new flows.
     """
     ranking.ranked_at, ranking.revision = now, view.revision
-    ranking.named.clear()
     if len(loads) <= MAX_RETURNED_SERVERS:
         ranking.tags = tuple(loads)
         return
@@ -69,28 +69,7 @@
         for tag, row in loads.items()
     }
     order = sorted(loads, key=lambda tag: differences[tag], reverse=True)
-    ranking.tags = tuple(order)
-
-
-def named_tags(
-    ranking: Ranking, view: DeliveryView, failure_domain: FailureDomainId | None
-) -> tuple[Tag, ...]:
-    """Backend servers to name to a balancer.
-
-    :param failure_domain: of the balancer; ``None`` if it is not known.
-    """
-    if failure_domain is None:
-        return ranking.tags[:MAX_RETURNED_SERVERS]
-    named = ranking.named.get(failure_domain)
-    if named is None:
-        near: list[Tag] = []
-        far: list[Tag] = []
-        for tag in ranking.tags:
-            is_near = view.boots[tag].failure_domain == failure_domain
-            (near if is_near else far).append(tag)
-        named = tuple((near + far)[:MAX_RETURNED_SERVERS])
-        ranking.named[failure_domain] = named
-    return named
+    ranking.tags = tuple(order[:MAX_RETURNED_SERVERS])
 
 
 def _means(view: DeliveryView, loads: Mapping[Tag, Row]) -> dict[ServiceId, Row]:
