tags: weights survive hours without figures

Cause: the time since the last figures was an exponent without bound; a service without openings for 70 minutes stopped the packet task with an OverflowError. Change: after 60 s, earlier figures are forgotten. Result: the new test of test_shared_load failed before and passes.

--- a/src/wasabigw/core/tags/weights.py
+++ b/src/wasabigw/core/tags/weights.py
@@ -27,12 +27,12 @@
 """Factor by which the speed must differ from the weight to change it."""
 RECOVERY_TIME = Seconds(4.0)
 """Time in which a low weight doubles while there are too few answers to judge."""
+MAX_ELAPSED = Seconds(60.0)
+"""Time without figures after which all earlier ones are forgotten."""
 SLOW_WEIGHT = 0.5
 """Weight below which a backend server is reported as slow."""
 RECOVERED_WEIGHT = 0.8
 """Weight above which a slow one is reported as recovered."""
-
-
 QUEUE_FACTOR = 2.0
 """Requests in flight for each slot above which a backend server gets fewer flows.
 
@@ -127,7 +127,7 @@
 
 def _update_weight(speed: Speed, typical: float | None, elapsed: Seconds) -> None:
     if typical is None or not speed.is_judged:
-        recovered = speed.weight * 2 ** (elapsed / RECOVERY_TIME)
+        recovered = speed.weight * 2 ** (min(elapsed, MAX_ELAPSED) / RECOVERY_TIME)
         speed.weight = min(recovered, 1.0)
         return
     if speed.service_time <= 0 or typical <= 0:
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -262,6 +262,12 @@
             current_plan(SEATS, self.state, Seconds(second))
         self.assertEqual(self.weights(), [0.2] * 3 + [1.0] * (SERVERS - 3))
 
+    def test_figures_after_hours_without_any_forget_the_weights(self) -> None:
+        self.know_repeatedly(self.speeds([0.2, 1.0, 1.0]), 0, 4)
+        self.know(*map(figures, range(1, SERVERS)), at=50_000.0)
+        current_plan(SEATS, self.state, Seconds(50_000.0))
+        self.assertEqual(set(self.weights()), {1.0})
+
     def test_few_answers_change_no_weight(self) -> None:
         self.know_repeatedly(lambda t: figures(t, speed=t, answers=1), 0, 4)
         self.assertEqual(set(self.weights()), {1.0})
