tags: openings that leave their failure domain are spread by figures too

Cause: when no backend server of the own failure domain could take an opening (crash, shortage with idle ones elsewhere), the choice elsewhere was by own flows. Change: the plan makes turns of the other failure domains when they are needed. Result: test_shared_load, test_domain_suspicion and test_admission_control pass.

--- a/src/wasabigw/core/tags/balancing.py
+++ b/src/wasabigw/core/tags/balancing.py
@@ -4,12 +4,18 @@
 weights, the shares of new flows and the room. A choice then only takes a turn.
 """
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
 from wasabigw.core.tags.decisions import ChoiceReason
-from wasabigw.core.tags.planning import current_plan, is_usable, renew_soon
+from wasabigw.core.tags.planning import (
+    current_plan,
+    far_turns,
+    is_usable,
+    renew_soon,
+)
+from wasabigw.core.tags.plans import DomainTurns
 from wasabigw.core.tags.state import Server, TagState
 from wasabigw.core.tags.turns import take_turn
 
@@ -40,19 +46,27 @@
         server = state.servers[tag]
         return server not in avoided and is_usable(server, now)
 
+    tag = _take_turn(plan.turns, is_allowed)
+    if tag is None:
+        # All of them may be failing, so that others should get the next openings.
+        renew_soon(plan, now)
+        tag = _take_turn(far_turns(service, plan, state, now), is_allowed)
+    if tag is None:
+        return None
+    server = state.servers[tag]
+    if server.registration.failure_domain == state.failure_domain:
+        return server, ChoiceReason.LOAD_SHARE_HERE
+    return server, ChoiceReason.LOAD_SHARE_ELSEWHERE
+
+
+def _take_turn(turns: DomainTurns, is_allowed: Callable[[Tag], bool]) -> Tag | None:
+    """Take a turn of a failure domain, and of one of its backend servers."""
     tried: set[FailureDomainId] = set()
-    while len(tried) < len(plan.servers):
-        domain = take_turn(plan.domains, lambda name: name not in tried)
+    while len(tried) < len(turns.servers):
+        domain = take_turn(turns.domains, lambda name: name not in tried)
         assert domain is not None
-        tag = take_turn(plan.servers[domain], is_allowed)
+        tag = take_turn(turns.servers[domain], is_allowed)
         if tag is not None:
-            reason = (
-                ChoiceReason.LOAD_SHARE_HERE
-                if domain == state.failure_domain
-                else ChoiceReason.LOAD_SHARE_ELSEWHERE
-            )
-            return state.servers[tag], reason
+            return tag
         tried.add(domain)
-    # All of them may be failing, and other failure domains may have some that are not.
-    renew_soon(plan, now)
     return None
--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -1,7 +1,6 @@
 """Plans of services: shares of new flows and weights by the latest figures."""
 
-from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
 from wasabigw.core.load.figures import REPORT_INTERVAL
@@ -20,7 +19,7 @@
 )
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.locality import eligible_slots, traffic_shares
-from wasabigw.core.tags.plans import ServicePlan
+from wasabigw.core.tags.plans import DomainTurns, ServicePlan
 from wasabigw.core.tags.state import Server, TagState, WeightChange
 from wasabigw.core.tags.turns import Turns, make_turns, phases_of
 from wasabigw.core.tags.weights import (
@@ -76,26 +75,56 @@
     plan.measured_at = state.known_load.measured_at
     plan.made_at = now
     plan.uses = 0
-    usable = [server for server in pool if is_usable(server, now)]
-    groups: dict[FailureDomainId, list[Server]] = {}
-    for server in usable:
-        groups.setdefault(server.registration.failure_domain, []).append(server)
+    groups = _usable_groups(pool, state, now)
     home = state.failure_domain
-    slots = Counter({name: _slots(group) for name, group in groups.items()})
-    shares = (
-        traffic_shares(home, eligible_slots(home, slots, state.regions), state.regions)
-        if slots
-        else {}
-    )
+    slots = {name: _slots(group) for name, group in groups.items()}
+    shares = traffic_shares(home, slots, state.regions) if slots else {}
     plan.loads = {}
-    previous, plan.servers = plan.servers, {}
-    for domain in shares:
-        plan.servers[domain] = _domain_turns(
-            groups[domain], previous.get(domain), plan, state, now
-        )
-    phases = dict.fromkeys(shares, 0.5) | phases_of(plan.domains)
-    plan.domains = make_turns(shares, phases)
-    plan.room = None
+    near = {name: groups[name] for name in shares}
+    plan.turns = _make_turns(near, shares, plan, state, now)
+    plan.far = plan.room = None
+
+
+def far_turns(
+    service: ServiceId, plan: ServicePlan, state: TagState, now: Seconds
+) -> DomainTurns:
+    """Turns of the failure domains that get no new flows while others can take them."""
+    if plan.far is None:
+        groups = _usable_groups(state.pools.get(service, ()), state, now)
+        far = {n: g for n, g in groups.items() if n not in plan.turns.servers}
+        slots = {name: float(_slots(group)) for name, group in far.items()}
+        plan.far = _make_turns(far, slots, plan, state, now)
+    return plan.far
+
+
+def _usable_groups(
+    pool: Sequence[Server], state: TagState, now: Seconds
+) -> dict[FailureDomainId, list[Server]]:
+    """Usable backend servers by failure domain, of the own region if it has any."""
+    groups: dict[FailureDomainId, list[Server]] = {}
+    for server in pool:
+        if is_usable(server, now):
+            groups.setdefault(server.registration.failure_domain, []).append(server)
+    slots = {name: _slots(group) for name, group in groups.items()}
+    eligible = eligible_slots(state.failure_domain, slots, state.regions)
+    return {name: group for name, group in groups.items() if name in eligible}
+
+
+def _make_turns(
+    groups: Mapping[FailureDomainId, Sequence[Server]],
+    shares: Mapping[FailureDomainId, float],
+    plan: ServicePlan,
+    state: TagState,
+    now: Seconds,
+) -> DomainTurns:
+    """Turns by shares of failure domains, at the phases of the ones before."""
+    before = plan.turns
+    servers = {
+        name: _domain_turns(group, before.servers.get(name), plan, state, now)
+        for name, group in groups.items()
+    }
+    phases = dict.fromkeys(shares, 0.5) | phases_of(before.domains)
+    return DomainTurns(make_turns(shares, phases), servers)
 
 
 def _domain_turns(
--- a/src/wasabigw/core/tags/plans.py
+++ b/src/wasabigw/core/tags/plans.py
@@ -33,6 +33,14 @@
     service_rate: float
 
 
+@dataclass(slots=True)
+class DomainTurns:
+    """Turns of failure domains, and of the backend servers of each of them."""
+
+    domains: Turns[FailureDomainId] = field(default_factory=lambda: Turns({}))
+    servers: dict[FailureDomainId, Turns[Tag]] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class ServicePlan:
     """Shares of the new flows of a service at this balancer.
@@ -43,8 +51,9 @@
     :param others: speed of the backend servers that the figures don't name.
     :param speeds: speed of each backend server; ``others`` for most of the unnamed.
     :param loads: expected load of each backend server that gets new flows.
-    :param domains: turns of failure domains.
-    :param servers: turns of the backend servers of each failure domain.
+    :param turns: those of failure domains that get new flows.
+    :param far: those of other failure domains, for openings that have tried all of
+        these; ``None`` if they have not been needed yet.
     :param room: ``None`` if it has not been computed yet.
     """
 
@@ -55,8 +64,8 @@
     others: Speed = field(default_factory=Speed)
     speeds: dict[Tag, Speed] = field(default_factory=dict)
     loads: dict[Tag, ServerLoad] = field(default_factory=dict)
-    domains: Turns[FailureDomainId] = field(default_factory=lambda: Turns({}))
-    servers: dict[FailureDomainId, Turns[Tag]] = field(default_factory=dict)
+    turns: DomainTurns = field(default_factory=DomainTurns)
+    far: DomainTurns | None = None
     room: Room | None = None
 
     def weight(self, tag: Tag) -> float:
--- a/src/wasabigw/core/tags/room.py
+++ b/src/wasabigw/core/tags/room.py
@@ -31,7 +31,7 @@
     if typical is None or typical <= 0 or not plan.loads:
         return None
     slots = in_flight = wait = free_slots = service_rate = 0.0
-    for domain, turns in plan.servers.items():
+    for domain, turns in plan.turns.servers.items():
         for tag, share in turns.shares.items():
             own_slots = state.servers[tag].slots
             requests = min(plan.loads[tag].in_flight, own_slots * MAX_REQUESTS_PER_SLOT)
@@ -41,5 +41,5 @@
             free_slots += max(own_slots - requests, 0.0) * plan.weight(tag)
             service_rate += rate
             queue = max(requests + 1 - own_slots, 0.0)
-            wait += plan.domains.shares[domain] * share * queue / rate
+            wait += plan.turns.domains.shares[domain] * share * queue / rate
     return Room(in_flight / slots, Seconds(wait), free_slots, service_rate)
--- a/src/wasabigw/tasks/share_metrics.py
+++ b/src/wasabigw/tasks/share_metrics.py
@@ -60,7 +60,7 @@
 
 def _balances(state: TagState) -> Iterator[Balance]:
     for service, plan in state.plans.items():
-        for domain, turns in plan.servers.items():
+        for domain, turns in plan.turns.servers.items():
             tags = [tag for tag in turns.shares if tag in state.servers]
             if tags:
                 yield _balance_of(service, domain, tags, plan, state)
