--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -43,7 +43,7 @@
     record_choice,
     update_suspicions,
 )
-from wasabigw.core.tags.egress import is_waiting
+from wasabigw.core.tags.egress import has_waiting, is_waiting
 from wasabigw.core.tags.flow_table import (
     add_flow,
     close_flow,
@@ -59,7 +59,9 @@
 )
 from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.idle_servers import busy_servers
+from wasabigw.core.tags.link_classes import record_request_data, record_request_end
 from wasabigw.core.tags.openings import (
+    OPENING_TIMEOUT,
     discard_opening,
     pop_overdue,
     record_opening,
@@ -68,6 +70,7 @@
 from wasabigw.core.tags.packets import (
     MAX_UNACKNOWLEDGED_BYTES,
     NO_TAG,
+    FlowId,
     FlowPacket,
     sequence_distance,
 )
@@ -81,6 +84,11 @@
     TagState,
 )
 from wasabigw.core.tags.unreachable_hosts import request_check
+from wasabigw.core.tags.upload_admission import (
+    UploadOutcome,
+    admit_upload,
+    record_upload,
+)
 
 NO_WAIT = Seconds(0.0)
 SUSPECT_AFTER = Seconds(0.15)
@@ -170,9 +178,7 @@
         return None
     if is_held(packet.flow, state):
         return Drop(DropReason.HELD_ALREADY)
-    may_refuse = (
-        state.is_fresh(now) and packet.repeat == 0 and waited < MAX_WAIT_TO_REFUSE
-    )
+    may_refuse = _may_refuse(packet, state, now, waited)
     outcome = admit(packet, listener, service, state, now, waited, may_refuse)
     if outcome is AdmissionOutcome.ADMIT:
         return None
@@ -199,8 +205,7 @@
     if known is not None:
         if _is_copy_of_opening(packet, known, now):
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
-        is_retransmission = known.state is FlowState.OPENING
-        if is_retransmission and not is_waiting(state.egress, packet):
+        if _is_unanswered(known, now) and not is_waiting(state.egress, packet):
             avoided.add(known.server)
             _record_unanswered(
                 known.server,
@@ -214,6 +219,14 @@
         collect_evidence(state, now)
         update_suspicions(state, now)
         avoided |= avoided_servers(service, flow.caller, state, now)
+    outcome = UploadOutcome.ADMIT
+    if known is None:
+        may_refuse = _may_refuse(packet, state, now, waited)
+        outcome = admit_upload(packet, state, now, may_refuse)
+        if outcome is UploadOutcome.REFUSE:
+            return Refuse(packet, RefusalReason.NO_LINK_ROOM)
+        if outcome is UploadOutcome.DROP:
+            return Drop(DropReason.NO_LINK_ROOM)
     if _is_limited_by_room(listener, state):
         avoided |= busy_servers(service, avoided, state, now)
     for overdue in pop_overdue(state, now):
@@ -231,8 +244,10 @@
         state.diversion, _counts_as_served(server, choice, pool, state)
     )
     count_opening(server)
-    if add_flow(packet, server, state, now) is not None:
+    added = add_flow(packet, server, state, now)
+    if added is not None:
         record_opening(flow, server, state, now)
+        record_upload(flow, added, outcome, state)
     return Deliver(packet, server.registration, choice)
 
 
@@ -241,11 +256,28 @@
     return listener.requirements is not None and state.features.admission_control
 
 
+def _is_unanswered(known: Flow, now: Seconds) -> bool:
+    """Whether an opening has left long enough ago to have been answered.
+
+    It may have waited for the link until just before its copy came.
+    """
+    is_opening = known.state is FlowState.OPENING
+    return is_opening and now - known.opened_at >= OPENING_TIMEOUT
+
+
 def _shares_load(listener: Listener, state: TagState) -> bool:
     """Whether the choice for a listener uses what callers of others have met."""
     return listener.requirements is not None and state.features.load_sharing
 
 
+def _may_refuse(
+    packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
+) -> bool:
+    """Whether a reset can't end a flow that another copy of the opening has opened."""
+    is_first = packet.repeat == 0 and waited < MAX_WAIT_TO_REFUSE
+    return is_first and state.is_fresh(now)
+
+
 def _reject_opening(
     packet: FlowPacket,
     reason: RefusalReason,
@@ -340,6 +372,7 @@
     """Record data of an open flow; ``True`` if its backend server is unreachable."""
     if packet.length == 0:
         return False
+    record_request_data(packet, flow, now)
     if is_waiting(state.egress, packet):
         # The backend server has not been sent the first copy yet.
         return False
@@ -352,13 +385,18 @@
         _record_response(flow.server, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
-        _record_retransmission(flow, state, now)
+        _record_retransmission(packet.flow, flow, state, now)
     return is_unreachable(flow.server.breaker, now)
 
 
-def _record_retransmission(flow: Flow, state: TagState, now: Seconds) -> None:
+def _record_retransmission(
+    flow_id: FlowId, flow: Flow, state: TagState, now: Seconds
+) -> None:
     if now - flow.pending_since < SUSPECT_AFTER:
         return
+    if has_waiting(state.egress, flow_id):
+        # Backend servers acknowledge every second packet, and this may be the first.
+        return
     signal = FailureSignal.DATA_RETRANSMITTED
     _record_unanswered(flow.server, flow.pending_since, signal, state, now)
     if flow.server.breaker.failures > 0:
@@ -393,8 +431,8 @@
             restart_flow(flow, now)
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
-    elif packet.length and packet.sequence == flow.pending_sequence:
-        _expect_answer(flow, packet.sequence, now)
+    elif packet.length and flow.pending_sequence is not None:
+        flow.pending_since = now
 
 
 def record_loss(packet: FlowPacket, state: TagState) -> None:
@@ -409,7 +447,7 @@
         if flow.state is FlowState.OPENING:
             discard_lost_opening(flow.server)
             remove_flow(packet.flow, state)
-    elif packet.length and packet.sequence == flow.pending_sequence:
+    elif packet.length:
         flow.pending_sequence = None
         discard_lost_data(packet, flow)
 
@@ -435,6 +473,7 @@
         record_answer(packet, known, state, now)
         count_acknowledgement(packet, known, now)
         known.acknowledged = packet.acknowledged
+        record_request_end(packet.flow, known, state)
         if known.pending_sequence is not None:
             known.pending_sequence = None
             service = server.registration.service
@@ -468,6 +507,7 @@
     known.last_seen = now
     known.acknowledged = packet.acknowledged
     known.pending_sequence = None
+    record_request_end(packet.flow, known, state)
 
 
 def _record_response(server: Server, state: TagState, now: Seconds) -> None:
