--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -154,20 +154,32 @@
     """Load of each backend server; those without figures count as the mean."""
     mean = mean_of_unnamed(servers, known)
     activity = Activity(0, 0, 0)
-    loads = {}
+    loads: dict[Tag, ServerLoad] = {}
+    # Most backend servers of a large service are unnamed and alike.
+    unnamed: dict[tuple[int, float], ServerLoad] = {}
     for server in servers:
         tag, slots = server.registration.tag, server.slots
-        figures = combined_figures(server, known)
-        if figures is None:
-            flows, in_flight = mean
-        else:
-            flows, in_flight = figures.flows, figures.in_flight
+        weight = plan.weight(tag)
+        if tag in known.servers:
+            figures = combined_figures(server, known)
+            assert figures is not None
             activity = add_activity(activity, figures)
-        capacity = expected_capacity(plan.weight(tag), in_flight, slots)
-        loads[tag] = ServerLoad(capacity, in_flight, max(flows, 0))
+            loads[tag] = _server_load(figures.flows, figures.in_flight, weight, slots)
+            continue
+        load = unnamed.get((slots, weight))
+        if load is None:
+            load = unnamed[slots, weight] = _server_load(*mean, weight, slots)
+        loads[tag] = load
     return loads, activity
 
 
+def _server_load(
+    flows: float, in_flight: float, weight: float, slots: int
+) -> ServerLoad:
+    capacity = expected_capacity(weight, in_flight, slots)
+    return ServerLoad(capacity, in_flight, max(flows, 0))
+
+
 def _update_speeds(
     plan: ServicePlan, pool: Sequence[Server], state: TagState, now: Seconds
 ) -> None:
