--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -24,6 +24,7 @@
 from wasabigw.core.tags.planning import current_plan
 from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.state import TagState
+from wasabigw.core.tags.turns import make_turns, phases_of, take_turn
 from wasabigw.core.tags.weights import MIN_WEIGHT
 from wasabigw.tasks.decision_log import DecisionLog
 from wasabigw.tasks.share_metrics import share_families
@@ -195,6 +196,23 @@
         self.register(*(boot(n + 1, domain) for n, domain in enumerate(domains)))
 
 
+class PassedOver(unittest.TestCase):
+    """Guards against a burst of flows to a backend server that answers again."""
+
+    def test_one_that_was_passed_over_gets_no_missed_turns(self) -> None:
+        turns = make_turns({"a": 0.5, "b": 0.5}, {"a": 0.1, "b": 0.2})
+        self.assertEqual([take_turn(turns, "b".__eq__) for _ in range(50)], ["b"] * 50)
+        taken = Counter(take_turn(turns, lambda _: True) for _ in range(10))
+        # One turn at once, then every other one.
+        self.assertEqual(taken["a"], 6)
+
+    def test_renewed_shares_keep_the_order(self) -> None:
+        turns = make_turns({"a": 0.5, "b": 0.5}, {"a": 0.1, "b": 0.2})
+        self.assertEqual(take_turn(turns, lambda _: True), "a")
+        renewed = make_turns({"a": 0.5, "b": 0.5}, phases_of(turns))
+        self.assertEqual(take_turn(renewed, lambda _: True), "b")
+
+
 class Weights(SharedLoadCase):
     """Guards against equal shares for backend servers of different speed."""
 
