--- a/src/wasabigw/core/tags/pacing.py
+++ b/src/wasabigw/core/tags/pacing.py
@@ -4,7 +4,7 @@
 from wasabigw.core.rates import TokenBucket, recent_rate, refill
 from wasabigw.core.requirements import Priority
 from wasabigw.core.tags.admission_state import ServiceAdmission
-from wasabigw.core.tags.shortage import priorities_of
+from wasabigw.core.tags.shortage import priorities_of, rate_on_open_flows
 from wasabigw.core.tags.state import TagState
 
 GUARANTEED_SHARE = 0.1
@@ -45,8 +45,5 @@
         for other, arrivals in control.arrivals.items()
         if other < priority
     )
-    on_open_flows = max(
-        recent_rate(control.requests, now) - recent_rate(control.admitted, now), 0.0
-    )
-    left = control.capacity - more_urgent - on_open_flows
+    left = control.capacity - more_urgent - rate_on_open_flows(control, now)
     return max(left, GUARANTEED_SHARE * control.capacity)
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -2,8 +2,12 @@
 
 The expected delay of an opening has two parts: the time in the queue of a backend
 server, and the time that rejections by full ones cost before one has a place. A service
-is short when this delay exceeds a part of the latency objective of its callers. It is
-no longer short when the delay has been far below that for a while.
+is short when this delay exceeds a part of the latency objective of its callers and
+backend servers reject requests. Queues alone are no evidence: requests that are on
+their way over a slow link count as in flight, so that the queues seem long then.
+
+A service is no longer short when the delay has been far below that for a while and the
+demand fits. Without the second condition, limits that work would end themselves.
 """
 
 from wasabigw.core.declaration import Listener
@@ -11,6 +15,7 @@
 from wasabigw.core.load.figures import (
     REPORT_INTERVAL,
 )
+from wasabigw.core.rates import recent_rate
 from wasabigw.core.requirements import Priority
 from wasabigw.core.tags.admission_state import (
     ServiceAdmission,
@@ -36,6 +41,13 @@
 """Share of the tolerable delay below which a short service has room again."""
 ROOM_TIME = REPORT_INTERVAL
 """Time for which a short service must have room, so that newer figures confirm it."""
+MAX_ROOM_TIME = Seconds(5.0)
+"""Time with room after which a shortage ends even if the demand seems not to fit.
+
+The capacity is an estimate, and may be too low.
+"""
+MIN_REJECTED_SHARE = 0.15
+"""Share of rejected requests from which backend servers are full."""
 UPDATE_INTERVAL = Seconds(0.1)
 """Time between two updates of a service."""
 LISTENER_TTL = Seconds(30.0)
@@ -58,23 +70,25 @@
         _end_shortage(control, cause, room, state, now)
         return
     control.tolerable = tolerable
-    has_queues = room.utilization > 1.0
-    if not has_queues:
+    if room.utilization <= 1.0:
         learn_usual_share(control.answers, elapsed, now)
-    rejected = rejected_share(control.answers, now) if has_queues else 0.0
+    rejected = rejected_share(control.answers, now)
     by_rejections = rejected / (1.0 - rejected) * rejection_time(control.answers, now)
-    control.delay = Seconds(room.wait + by_rejections)
-    if control.delay > tolerable and has_queues:
-        is_rejecting = by_rejections > room.wait
+    # One slow backend server makes the mean wait long while the others have room.
+    by_queues = room.wait if room.utilization > 1.0 else 0.0
+    control.delay = Seconds(by_queues + by_rejections)
+    is_short = control.short_since is not None
+    if not is_short and control.delay > tolerable and rejected >= MIN_REJECTED_SHARE:
+        is_rejecting = by_rejections > by_queues
         cause = ShortageCause.REJECTIONS if is_rejecting else ShortageCause.QUEUES
-        _begin_shortage(control, cause, room, state, now)
-    elif control.short_since is not None:
-        _check_room(control, room, state, now)
+        control.short_since = now
+        _record_change(control, cause, room, state, now)
     if control.short_since is not None:
         # Rejections are answers as well, so that figures show too high a rate.
         rate = room.service_rate * (1.0 - rejected)
         control.capacity = capacity_of(control, rate, state, now)
         update_idle_servers(control, rate, state, now)
+        _check_room(control, rejected, room, state, now)
 
 
 def priorities_of(
@@ -89,31 +103,38 @@
     return sorted(found)
 
 
-def _begin_shortage(
+def rate_on_open_flows(control: ServiceAdmission, now: Seconds) -> float:
+    """Requests a second on open flows, which can't be held back."""
+    rate = recent_rate(control.requests, now) - recent_rate(control.admitted, now)
+    return max(rate, 0.0)
+
+
+def _check_room(
     control: ServiceAdmission,
-    cause: ShortageCause,
+    rejected: float,
     room: Room,
     state: TagState,
     now: Seconds,
 ) -> None:
-    control.room_since = None
-    if control.short_since is None:
-        control.short_since = now
-        _record_change(control, cause, room, state, now)
-
-
-def _check_room(
-    control: ServiceAdmission, room: Room, state: TagState, now: Seconds
-) -> None:
-    has_room = control.delay < ROOM_SHARE * control.tolerable
-    if not has_room and room.utilization > 1.0:
+    has_room = (
+        control.delay < ROOM_SHARE * control.tolerable
+        or rejected < ROOM_SHARE * MIN_REJECTED_SHARE
+    )
+    if not has_room:
         control.room_since = None
-    elif control.room_since is None:
+        return
+    if control.room_since is None:
         control.room_since = now
-    elif now - control.room_since >= ROOM_TIME:
+    needed = ROOM_TIME if _demand_fits(control, now) else MAX_ROOM_TIME
+    if now - control.room_since >= needed:
         _end_shortage(control, ShortageCause.ROOM, room, state, now)
 
 
+def _demand_fits(control: ServiceAdmission, now: Seconds) -> bool:
+    openings = sum(recent_rate(a, now) for a in control.arrivals.values())
+    return openings + rate_on_open_flows(control, now) <= control.capacity
+
+
 def _end_shortage(
     control: ServiceAdmission,
     cause: ShortageCause,
@@ -124,6 +145,7 @@
     if control.short_since is not None:
         _record_change(control, cause, room, state, now)
     control.short_since = control.room_since = None
+    control.idle = frozenset()
 
 
 def _record_change(
