--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -14,6 +14,7 @@
     NO_LISTENER = "no-listener"
     NO_SERVER = "no-server"
     SERVER_LOST = "server-lost"
+    NO_LINK_ROOM = "no-link-room"
     NO_ROOM = "no-room"
 
 
@@ -43,6 +44,7 @@
     MAY_BE_OPEN = "may-be-open"
     LINK_FULL = "link-full"
     OPENING_EXPIRED = "opening-expired"
+    NO_LINK_ROOM = "no-link-room"
     NO_ROOM = "no-room"
     HELD_ALREADY = "held-already"
     HELD_TOO_LONG = "held-too-long"
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -266,3 +266,32 @@
         "None needed; if these lines repeat, a few callers may have lost their "
         "network.",
     )
+    SERVER_SLOW = EventDefinition(
+        2035,
+        Severity.WARNING,
+        "backend server {server} of {service} in {failure_domain}, tag {tag}, is slow: "
+        "weight {weight} of its slots, mean time of a request {service_time} s",
+        "It gets fewer new flows until it answers like the others; check its VM.",
+    )
+    SERVER_RECOVERED = EventDefinition(
+        2036,
+        Severity.INFO,
+        "backend server {server} of {service} in {failure_domain}, tag {tag}, is no "
+        "longer slow: weight {weight} of its slots, mean time of a request "
+        "{service_time} s",
+        "None needed.",
+    )
+    UPLOADS_LATE = EventDefinition(
+        2052,
+        Severity.WARNING,
+        "the link of balancer {node} can't carry all uploads in time: {late} of "
+        "{uploads} are late and need {wait} s of the link",
+        "Callers upload more than the link carries; add balancers to the failure "
+        "domain, or give this one a faster link.",
+    )
+    UPLOADS_IN_TIME = EventDefinition(
+        2053,
+        Severity.INFO,
+        "the link of balancer {node} carries all uploads in time again",
+        "None needed.",
+    )
