--- a/src/wasabigw/core/tags/balancing.py
+++ b/src/wasabigw/core/tags/balancing.py
@@ -5,13 +5,14 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
 from wasabigw.core.load.figures import REPORT_INTERVAL, ServerFigures
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.tags.decisions import ChoiceReason
+from wasabigw.core.tags.demand import demand_shares
 from wasabigw.core.tags.estimates import (
     Activity,
     FlowAges,
@@ -19,7 +20,7 @@
     opening_shares,
 )
 from wasabigw.core.tags.health import Health, health_of
-from wasabigw.core.tags.locality import eligible_slots, traffic_shares
+from wasabigw.core.tags.locality import Shares, eligible_slots, traffic_shares
 from wasabigw.core.tags.plans import Room, ServicePlan
 from wasabigw.core.tags.state import Server, TagState, WeightChange
 from wasabigw.core.tags.turns import Turns, make_turns, phases_of, take_turn
@@ -120,6 +121,7 @@
 ) -> None:
     if plan.measured_at != state.known_load.measured_at:
         _update_speeds(plan, pool, state, now)
+    elapsed = Seconds(now - plan.made_at)
     plan.pool = pool
     plan.measured_at = state.known_load.measured_at
     plan.made_at = now
@@ -127,13 +129,7 @@
     groups: dict[FailureDomainId, list[Server]] = {}
     for server in usable:
         groups.setdefault(server.registration.failure_domain, []).append(server)
-    home = state.failure_domain
-    slots = Counter({name: _slots(group) for name, group in groups.items()})
-    shares = (
-        traffic_shares(home, eligible_slots(home, slots, state.regions), state.regions)
-        if slots
-        else {}
-    )
+    shares = _domain_shares(groups, plan, state, elapsed) if groups else {}
     plan.loads = {}
     previous, plan.servers = plan.servers, {}
     for domain in shares:
@@ -145,6 +141,26 @@
     plan.room = _room(plan, state)
 
 
+def _domain_shares(
+    groups: Mapping[FailureDomainId, Sequence[Server]],
+    plan: ServicePlan,
+    state: TagState,
+    elapsed: Seconds,
+) -> Shares:
+    """Shares of failure domains by slots, and by demand if they are busy."""
+    home = state.failure_domain
+    slots = Counter({name: _slots(group) for name, group in groups.items()})
+    usable = eligible_slots(home, slots, state.regions)
+    base = traffic_shares(home, usable, state.regions)
+    capacities = {
+        name: sum(_weight(s.registration.tag, plan) * s.slots for s in groups[name])
+        for name in usable
+    }
+    [service] = {s.registration.service for group in groups.values() for s in group}
+    previous = plan.domains.shares
+    return demand_shares(service, base, previous, capacities, state, elapsed)
+
+
 def _domain_turns(
     servers: Sequence[Server],
     previous: Turns[Tag] | None,
