--- a/src/wasabigw/core/load/reporting.py
+++ b/src/wasabigw/core/load/reporting.py
@@ -1,8 +1,10 @@
 """Reports of what a balancer has counted."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from itertools import chain
 
 from wasabigw.core.ids import Incarnation, Seconds, ServiceId
+from wasabigw.core.load.counts import ServerCounts
 from wasabigw.core.load.figures import (
     COUNT_WINDOW,
     MAX_REPORTED_SERVERS,
@@ -10,11 +12,13 @@
     LoadReport,
     ServerFigures,
     ServiceFigures,
+    StratumSizes,
 )
 from wasabigw.core.load.known import ServiceKey
+from wasabigw.core.load.sampling import quotas
 from wasabigw.core.tags.state import Server, TagState
 
-Sample = Callable[[Sequence[ServerFigures], int], Sequence[ServerFigures]]
+Sample = Callable[[Sequence[Server], int], Sequence[Server]]
 """Returns a random sample of a given size without repetition."""
 
 
@@ -27,32 +31,52 @@
     """
     load = state.load
     load.sequence += 1
+    # Corrects for periods that took longer, such as after a suspension.
     scale = min(1.0, COUNT_WINDOW / max(now - load.previous_began, 1e-3))
-    servers = _server_figures(state, scale)
-    services = _service_figures(state, scale)
+    strata = _strata(state.servers.values(), scale)
+    services = _service_figures(chain(*strata), state, scale)
+    sizes = StratumSizes(*(len(stratum) for stratum in strata))
+    reported = [
+        sample(stratum, quota) if quota < len(stratum) else stratum
+        for stratum, quota in zip(
+            strata, quotas(sizes, MAX_REPORTED_SERVERS), strict=True
+        )
+    ]
+    servers = tuple(_figures_of(server, scale) for server in chain(*reported))
     _begin_period(state, now)
-    share = 1.0
-    if len(servers) > MAX_REPORTED_SERVERS:
-        share = MAX_REPORTED_SERVERS / len(servers)
-        servers = list(sample(servers, MAX_REPORTED_SERVERS))
     return LoadReport(
         state.node,
         incarnation,
         state.failure_domain,
         load.sequence,
-        share,
-        tuple(servers),
+        sizes,
+        servers,
         tuple(services),
     )
 
 
-def _server_figures(state: TagState, scale: float) -> list[ServerFigures]:
-    """Figures of the backend servers that have any load.
+def _strata(servers: Iterable[Server], scale: float) -> list[list[Server]]:
+    """Backend servers with load, by their stratum."""
+    in_flight: list[Server] = []
+    active: list[Server] = []
+    idle: list[Server] = []
+    for server in servers:
+        if server.counts.in_flight > 0:
+            in_flight.append(server)
+        elif _has_events(server.counts, scale):
+            active.append(server)
+        elif server.open_flows > 0:
+            idle.append(server)
+    return [in_flight, active, idle]
 
-    :param scale: corrects for periods that took longer, such as after a suspension.
-    """
-    figures = (_figures_of(server, scale) for server in state.servers.values())
-    return [f for f in figures if f.flows or f.in_flight or f.openings or f.answers]
+
+def _has_events(counts: ServerCounts, scale: float) -> bool:
+    """Whether there are openings or answers to report."""
+    openings = counts.openings + counts.previous_openings
+    answers = counts.answers + counts.previous_answers
+    if openings == 0 and answers == 0:
+        return False
+    return round(openings * scale) > 0 or round(answers * scale) > 0
 
 
 def _figures_of(server: Server, scale: float) -> ServerFigures:
@@ -67,16 +91,17 @@
     )
 
 
-def _service_figures(state: TagState, scale: float) -> list[ServiceFigures]:
+def _service_figures(
+    loaded: Iterable[Server], state: TagState, scale: float
+) -> list[ServiceFigures]:
     """Exact sums of each service, also if the report names only a sample of servers."""
     load, home = state.load, state.failure_domain
     flows: dict[ServiceKey, int] = {}
     in_flight: dict[ServiceKey, int] = {}
-    for server in state.servers.values():
-        if server.open_flows or server.counts.in_flight:
-            key = server.registration.service, server.registration.failure_domain
-            flows[key] = flows.get(key, 0) + server.open_flows
-            in_flight[key] = in_flight.get(key, 0) + server.counts.in_flight
+    for server in loaded:
+        key = server.registration.service, server.registration.failure_domain
+        flows[key] = flows.get(key, 0) + server.open_flows
+        in_flight[key] = in_flight.get(key, 0) + server.counts.in_flight
     arrivals = {
         service: round(scale * recent_arrivals(service, state))
         for service in {**load.previous_arrivals, **load.arrivals}
--- a/src/wasabigw/core/tags/crossing.py
+++ b/src/wasabigw/core/tags/crossing.py
@@ -41,6 +41,30 @@
     arrivals: float
 
 
+def demand_shares(
+    home: FailureDomainId,
+    by_slots: Shares,
+    previous: Shares,
+    loads: Mapping[FailureDomainId, DomainLoad],
+    elapsed: Seconds,
+) -> Shares:
+    """Shares of the new flows of ``home`` by slots, or by demand if fewer stay then.
+
+    :param by_slots: shares by :mod:`wasabigw.core.tags.locality`.
+    :param previous: shares until now; empty if there were none.
+    :param loads: as in :func:`crossing_shares`; without ``home`` if it has no backend
+        server.
+    :param elapsed: time since the previous shares were computed.
+    """
+    if home not in loads:
+        return by_slots
+    wanted = crossing_shares(home, loads, previous.get(home, 1.0) < 1.0)
+    if by_slots.get(home, 0.0) < wanted[home]:
+        return by_slots
+    usable = {name: share for name, share in previous.items() if name in loads}
+    return damped_shares(usable or {home: 1.0}, wanted, elapsed)
+
+
 def crossing_shares(
     home: FailureDomainId,
     loads: Mapping[FailureDomainId, DomainLoad],
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -58,6 +58,7 @@
     record_response,
 )
 from wasabigw.core.tags.held_openings import HeldOpening
+from wasabigw.core.tags.idle_servers import busy_servers
 from wasabigw.core.tags.link_classes import record_request_data, record_request_end
 from wasabigw.core.tags.openings import (
     OPENING_TIMEOUT,
@@ -226,6 +227,8 @@
             return Refuse(packet, RefusalReason.NO_LINK_ROOM)
         if outcome is UploadOutcome.DROP:
             return Drop(DropReason.NO_LINK_ROOM)
+    if _is_limited_by_room(listener, state):
+        avoided |= busy_servers(service, avoided, state, now)
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
@@ -248,6 +251,11 @@
     return Deliver(packet, server.registration, choice)
 
 
+def _is_limited_by_room(listener: Listener, state: TagState) -> bool:
+    """Whether openings of a listener depend on the room of its service."""
+    return listener.requirements is not None and state.features.admission_control
+
+
 def _is_unanswered(known: Flow, now: Seconds) -> bool:
     """Whether an opening has left long enough ago to have been answered.
 
--- a/src/wasabigw/tasks/load_log.py
+++ b/src/wasabigw/tasks/load_log.py
@@ -1,6 +1,7 @@
-"""Log lines on failure domains under suspicion and on uploads that are late."""
+"""Log lines on failure domains that new flows avoid or leave, and on late uploads."""
 
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import Seconds, ServiceId
+from wasabigw.core.tags.demand import domain_loads, shares_in_force
 from wasabigw.core.tags.domain_suspicion import update_suspicions
 from wasabigw.core.tags.egress import LinkClass
 from wasabigw.core.tags.state import TagState
@@ -22,6 +23,7 @@
     def __init__(self, state: TagState) -> None:
         self._state = state
         self._were_uploads_late = False
+        self._crossing: set[ServiceId] = set()
 
     def log_changes(self, now: Seconds) -> None:
         """Log the changes since the last call.
@@ -32,6 +34,7 @@
         remove_ended(self._state, now)
         self._log_suspicions(now)
         self._log_uploads(now)
+        self._log_crossing(now)
 
     def _log_suspicions(self, now: Seconds) -> None:
         state = self._state
@@ -65,3 +68,27 @@
             uploads=len(state.uploads),
             wait=round(pending / bulk_rate(state.egress, now), 3),
         )
+
+    def _log_crossing(self, now: Seconds) -> None:
+        """Log which services begin or cease to send flows away from a busy home."""
+        state, home = self._state, self._state.failure_domain
+        shares = shares_in_force(state, now)
+        crossing = {name for name, s in shares.items() if 0 < s.get(home, 0.0) < 1}
+        for service in sorted(crossing - self._crossing):
+            load = domain_loads(service, {home: 0.0}, state)[home]
+            slots = sum(
+                server.slots
+                for server in state.pools.get(service, ())
+                if server.registration.failure_domain == home
+            )
+            log(
+                BalancerEvent.FLOWS_CROSS,
+                node=state.node,
+                service=service,
+                share=round(1 - shares[service][home], 2),
+                in_flight=load.in_flight,
+                slots=slots,
+            )
+        for service in sorted(self._crossing - crossing):
+            log(BalancerEvent.FLOWS_STAY, node=state.node, service=service)
+        self._crossing = crossing
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -7,6 +7,7 @@
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.demand import shares_in_force
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.tasks.admission_metrics import admission_families
@@ -124,6 +125,15 @@
             "Bytes of packets that wait for the link of this balancer",
             state.egress.size,
         ),
+        _by_service(
+            "wasabigw_new_flow_share",
+            "Part of the new flows here that goes to a failure domain by load figures",
+            {
+                (service, domain): share
+                for service, shares in shares_in_force(state, now).items()
+                for domain, share in shares.items()
+            },
+        ),
         *_link_families(state),
         gauge(
             "wasabigw_receive_wait_seconds",
@@ -169,7 +179,7 @@
 
 
 def _by_service(
-    name: str, text: str, counts: Mapping[tuple[ServiceId, FailureDomainId], int]
+    name: str, text: str, counts: Mapping[tuple[ServiceId, FailureDomainId], float]
 ) -> Family:
     """Gauge with a sample for each service and failure domain."""
     samples = tuple(
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -266,6 +266,21 @@
         "None needed; if these lines repeat, a few callers may have lost their "
         "network.",
     )
+    SERVER_SLOW = EventDefinition(
+        2035,
+        Severity.WARNING,
+        "backend server {server} of {service} in {failure_domain}, tag {tag}, is slow: "
+        "weight {weight} of its slots, mean time of a request {service_time} s",
+        "It gets fewer new flows until it answers like the others; check its VM.",
+    )
+    SERVER_RECOVERED = EventDefinition(
+        2036,
+        Severity.INFO,
+        "backend server {server} of {service} in {failure_domain}, tag {tag}, is no "
+        "longer slow: weight {weight} of its slots, mean time of a request "
+        "{service_time} s",
+        "None needed.",
+    )
     UPLOADS_LATE = EventDefinition(
         2052,
         Severity.WARNING,
@@ -280,3 +295,18 @@
         "the link of balancer {node} carries all uploads in time again",
         "None needed.",
     )
+    FLOWS_CROSS = EventDefinition(
+        2054,
+        Severity.INFO,
+        "balancer {node} sends {share} of the new flows of {service} to other failure "
+        "domains: {in_flight} requests are in flight in its own one with {slots} slots",
+        "None needed for a short time; otherwise add backend servers of the service to "
+        "this failure domain.",
+    )
+    FLOWS_STAY = EventDefinition(
+        2055,
+        Severity.INFO,
+        "balancer {node} keeps the new flows of {service} in its own failure domain "
+        "again",
+        "None needed.",
+    )
