--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -10,6 +10,8 @@
     combined_figures,
     mean_of_unnamed,
 )
+from wasabigw.core.tags.crossing import demand_shares
+from wasabigw.core.tags.demand import domain_loads
 from wasabigw.core.tags.estimates import (
     Activity,
     FlowAges,
@@ -18,7 +20,7 @@
     opening_shares,
 )
 from wasabigw.core.tags.health import Health, health_of
-from wasabigw.core.tags.locality import eligible_slots, traffic_shares
+from wasabigw.core.tags.locality import Shares, eligible_slots, traffic_shares
 from wasabigw.core.tags.plans import DomainTurns, ServicePlan
 from wasabigw.core.tags.state import Server, TagState, WeightChange
 from wasabigw.core.tags.turns import Turns, make_turns, phases_of
@@ -71,14 +73,13 @@
 ) -> None:
     if plan.measured_at != state.known_load.measured_at:
         _update_speeds(plan, pool, state, now)
+    elapsed = Seconds(now - plan.made_at)
     plan.pool = pool
     plan.measured_at = state.known_load.measured_at
     plan.made_at = now
     plan.uses = 0
     groups = _usable_groups(pool, state, now)
-    home = state.failure_domain
-    slots = {name: _slots(group) for name, group in groups.items()}
-    shares = traffic_shares(home, slots, state.regions) if slots else {}
+    shares = _domain_shares(groups, plan, state, elapsed) if groups else {}
     plan.loads = {}
     near = {name: groups[name] for name in shares}
     plan.turns = _make_turns(near, shares, plan, state, now)
@@ -127,6 +128,26 @@
     return DomainTurns(make_turns(shares, phases), servers)
 
 
+def _domain_shares(
+    groups: Mapping[FailureDomainId, Sequence[Server]],
+    plan: ServicePlan,
+    state: TagState,
+    elapsed: Seconds,
+) -> Shares:
+    """Shares of failure domains by slots, and by demand if the own one is busy."""
+    home = state.failure_domain
+    slots = {name: _slots(group) for name, group in groups.items()}
+    by_slots = traffic_shares(home, slots, state.regions)
+    capacities = {
+        name: sum(plan.weight(s.registration.tag) * s.slots for s in group)
+        for name, group in groups.items()
+    }
+    first = next(iter(groups.values()))[0]
+    loads = domain_loads(first.registration.service, capacities, state)
+    previous = plan.turns.domains.shares
+    return demand_shares(home, by_slots, previous, loads, elapsed)
+
+
 def _domain_turns(
     servers: Sequence[Server],
     previous: Turns[Tag] | None,
