tags: the share of a balancer follows the turns of failure domains

Change: capacity_share reads them from the turns of the plan. Result: type checker clean; test_admission_control passes.

--- a/src/wasabigw/core/tags/capacity_share.py
+++ b/src/wasabigw/core/tags/capacity_share.py
@@ -63,7 +63,7 @@
     if not usable:
         return {}, set()
     by_slots = traffic_shares(home, usable, state.regions).keys()
-    by_demand = current_plan(service, state, now).domains.shares.keys()
+    by_demand = current_plan(service, state, now).turns.domains.shares.keys()
     return usable, (by_slots | by_demand) & usable.keys()
 
 
