--- a/src/wasabigw/core/tags/admission_control.py
+++ b/src/wasabigw/core/tags/admission_control.py
@@ -9,8 +9,10 @@
 
 A refusal costs a caller one of its few tries within a millisecond, so that all of them
 may be lost before there is room. An opening without an answer is sent again by the
-caller, which is another chance. Refusals are therefore for shortages that have lasted
-so long that they are expected to outlast the request.
+caller, which is another chance, but its request may become late, and callers that wait
+keep the service short. A shortage is expected to last as long again as it has lasted.
+While that is less than the latency objective, openings that can't be held get no
+answer; afterwards they are refused, so that their callers know at once.
 """
 
 from enum import Enum
@@ -50,12 +52,6 @@
 
 MAX_HOLD_TIME = Seconds(0.12)
 """Longest time for which an opening is held; callers send a copy after 0.2 s."""
-REFUSE_AFTER = 0.5
-"""Part of the request timeout after which a shortage causes refusals.
-
-A shortage is expected to last as long again as it has lasted. What is left of the
-timeout after that would not do for a further try.
-"""
 COPY_AGES = (Seconds(0.0), Seconds(0.2), Seconds(0.6))
 """Time from the first copy of an opening to each copy."""
 RELEASE_INTERVAL = Seconds(0.005)
@@ -276,7 +272,9 @@
     listener: Listener, control: ServiceAdmission, now: Seconds
 ) -> AdmissionOutcome:
     assert control.short_since is not None
-    if now - control.short_since >= REFUSE_AFTER * listener.request_timeout:
+    requirements = listener.requirements
+    assert requirements is not None
+    if now - control.short_since >= requirements.latency_objective:
         return AdmissionOutcome.REFUSE
     return AdmissionOutcome.UNANSWERED
 
--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission_state.py
@@ -110,6 +110,7 @@
     :param short_since: since when the service is short; ``None`` if it is not.
     :param room_since: since when a short service has had room; ``None`` if it has none.
     :param tolerable: longest delay that the callers can bear.
+    :param rejected: share of the requests that backend servers reject.
     :param capacity: requests a second that this balancer may send.
     :param idle: backend servers without a request while the service is short.
     :param idle_bucket: tokens for openings to these.
@@ -129,6 +130,7 @@
     room_since: Seconds | None = None
     delay: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
     tolerable: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
+    rejected: float = 0.0
     capacity: float = 0.0
     idle: frozenset[Tag] = frozenset()
     idle_bucket: TokenBucket = field(default_factory=TokenBucket)
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -48,6 +48,14 @@
 """
 MIN_REJECTED_SHARE = 0.15
 """Share of rejected requests from which backend servers are full."""
+PROBE_FACTOR = 1.25
+"""Requests that are sent for each one that is answered while a service is short.
+
+What exceeds 1 fills the room that becomes free. A fifth is rejected then, which costs
+an urgent caller with three tries less than one request in a hundred.
+"""
+MIN_CAPACITY_SHARE = 0.5
+"""Share of the capacity by figures that is used at least; these are old estimates."""
 UPDATE_INTERVAL = Seconds(0.1)
 """Time between two updates of a service."""
 LISTENER_TTL = Seconds(30.0)
@@ -72,7 +80,7 @@
     control.tolerable = tolerable
     if room.utilization <= 1.0:
         learn_usual_share(control.answers, elapsed, now)
-    rejected = rejected_share(control.answers, now)
+    rejected = control.rejected = rejected_share(control.answers, now)
     by_rejections = rejected / (1.0 - rejected) * rejection_time(control.answers, now)
     # One slow backend server makes the mean wait long while the others have room.
     by_queues = room.wait if room.utilization > 1.0 else 0.0
@@ -86,9 +94,12 @@
     if control.short_since is not None:
         # Rejections are answers as well, so that figures show too high a rate.
         rate = room.service_rate * (1.0 - rejected)
-        control.capacity = capacity_of(control, rate, state, now)
+        by_figures = capacity_of(control, rate, state, now)
+        answered = recent_rate(control.answers.all, now) * (1.0 - rejected)
+        by_answers = PROBE_FACTOR * answered
+        control.capacity = max(by_answers, MIN_CAPACITY_SHARE * by_figures)
         update_idle_servers(control, rate, state, now)
-        _check_room(control, rejected, room, state, now)
+        _check_room(control, room, state, now)
 
 
 def priorities_of(
@@ -104,21 +115,23 @@
 
 
 def rate_on_open_flows(control: ServiceAdmission, now: Seconds) -> float:
-    """Requests a second on open flows, which can't be held back."""
+    """Requests a second on open flows, which can't be held back.
+
+    Those that are rejected take no capacity.
+    """
     rate = recent_rate(control.requests, now) - recent_rate(control.admitted, now)
-    return max(rate, 0.0)
+    return max(rate, 0.0) * (1.0 - control.rejected)
 
 
 def _check_room(
     control: ServiceAdmission,
-    rejected: float,
     room: Room,
     state: TagState,
     now: Seconds,
 ) -> None:
     has_room = (
         control.delay < ROOM_SHARE * control.tolerable
-        or rejected < ROOM_SHARE * MIN_REJECTED_SHARE
+        or control.rejected < ROOM_SHARE * MIN_REJECTED_SHARE
     )
     if not has_room:
         control.room_since = None
@@ -164,7 +177,7 @@
             control.delay,
             control.tolerable,
             room.utilization if room is not None else 0.0,
-            rejected_share(control.answers, now),
+            control.rejected,
             Seconds(now - state.known_load.measured_at),
             Seconds(now - since if since is not None else 0.0),
         )
