--- a/src/wasabigw/core/tags/domain_suspicion.py
+++ b/src/wasabigw/core/tags/domain_suspicion.py
@@ -10,8 +10,9 @@
 from collections.abc import Sequence
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
-from wasabigw.core.tags.egress import is_opening_waiting
-from wasabigw.core.tags.health import Health, health_of
+from wasabigw.core.load.known import ServiceKey
+from wasabigw.core.tags.egress import is_congested, is_opening_waiting
+from wasabigw.core.tags.health import DOUBT_TIME, Health, health_of
 from wasabigw.core.tags.openings import OPENING_TIMEOUT, tried_openings
 from wasabigw.core.tags.state import Server, SuspicionChange, TagState
 from wasabigw.core.tags.suspicion import (
@@ -32,6 +33,11 @@
 Longer than a round trip in a region. The evidence may be weaker than for a circuit
 breaker, because a single answer from the failure domain refutes it.
 """
+COINCIDENCE_TIME = Seconds(0.1)
+"""Time within which several failure domains seem to fail together.
+
+The cause is nearer to the balancer then, and other failure domains are no better.
+"""
 
 
 def collect_evidence(state: TagState, now: Seconds) -> None:
@@ -54,21 +60,50 @@
 def update_suspicions(state: TagState, now: Seconds) -> None:
     """Begin and end suspicions by the evidence and the answers since."""
     for key, suspicion in list(state.suspicions.items()):
-        service, domain = key
-        servers = _servers_of(service, domain, state)
-        last_answer_at = _last_answer_at(servers)
+        last_answer_at = _last_answer_at(_servers_of(key, state))
         remove_outdated(suspicion, last_answer_at, now)
-        if suspicion.suspected:
-            if has_ended(suspicion, last_answer_at, now):
-                lasted = Seconds(now - suspicion.since)
-                suspicion.suspected = frozenset()
-                change = SuspicionChange(service, domain, now, lasted)
-                state.suspicion_changes.append(change)
-        elif is_sufficient(suspicion):
-            begin(suspicion, (s.registration.tag for s in servers), now)
-            state.suspicion_changes.append(SuspicionChange(service, domain, now))
+        if suspicion.suspected and has_ended(suspicion, last_answer_at, now):
+            _end(key, suspicion, state, now)
         if not suspicion.evidence and not suspicion.suspected:
             del state.suspicions[key]
+    _begin_suspicions(state, now)
+
+
+def _begin_suspicions(state: TagState, now: Seconds) -> None:
+    """Begin the suspicions with enough evidence, unless domains fail together."""
+    congested = is_congested(state.egress, now)
+    due = [
+        (key, suspicion)
+        for key, suspicion in state.suspicions.items()
+        if not suspicion.suspected and _is_due(suspicion, congested, now)
+    ]
+    if not due:
+        return
+    recent = [
+        (key, suspicion)
+        for key, suspicion in state.suspicions.items()
+        if suspicion.suspected and now - suspicion.since < COINCIDENCE_TIME
+    ]
+    if len({domain for (_, domain), _ in due + recent}) > 1:
+        for key, suspicion in recent:
+            _end(key, suspicion, state, now)
+        return
+    for key, suspicion in due:
+        begin(suspicion, (s.registration.tag for s in _servers_of(key, state)), now)
+        state.suspicion_changes.append(SuspicionChange(*key, now))
+
+
+def _is_due(suspicion: Suspicion, congested: bool, now: Seconds) -> bool:
+    """Whether the evidence is enough; it takes longer while the link is congested."""
+    if congested and now - suspicion.unanswered_since < DOUBT_TIME:
+        return False
+    return is_sufficient(suspicion)
+
+
+def _end(key: ServiceKey, suspicion: Suspicion, state: TagState, now: Seconds) -> None:
+    lasted = Seconds(now - suspicion.since)
+    suspicion.suspected = frozenset()
+    state.suspicion_changes.append(SuspicionChange(*key, now, lasted))
 
 
 def avoided_servers(
@@ -140,9 +175,8 @@
     return LOCAL_OPENING_TIMEOUT if is_local else OPENING_TIMEOUT
 
 
-def _servers_of(
-    service: ServiceId, domain: FailureDomainId, state: TagState
-) -> list[Server]:
+def _servers_of(key: ServiceKey, state: TagState) -> list[Server]:
+    service, domain = key
     pool = state.pools.get(service, ())
     return [server for server in pool if _domain_of(server) == domain]
 
--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -52,8 +52,16 @@
 A balancer that was suspended must not open a flow by a decision from before. Callers
 retransmit openings within this time.
 """
+CONGESTION_TIME = Seconds(0.03)
+"""Time of sending without a pause from which callers' packets may wait as well.
 
-
+Callers and backend servers share the link, so that packets to a balancer may wait
+before it even if none waits here.
+"""
+OVERLOAD_TIME = Seconds(0.15)
+"""Time of sending without a pause from which callers may have sent copies in vain."""
+RECOVERY_TIME = Seconds(1.0)
+"""Time after an overload in which packets that were lost in it are sent again."""
 RATE_TIME = Seconds(1.0)
 """Time over which the rate of a class is averaged."""
 
@@ -129,6 +137,8 @@
     :param size: bytes that all waiting packets take on the link.
     :param classes: waiting packets by class, most urgent first.
     :param virtual_time: start of the packet that was served last.
+    :param busy_since: when the link last began to be busy without a pause.
+    :param overloaded_until: when it last ended to be busy for :data:`OVERLOAD_TIME`.
     :param evicted: packets that were dropped since :func:`take_evicted` was called.
     """
 
@@ -138,6 +148,8 @@
     size: int = 0
     classes: dict[LinkClass, ClassQueue] = field(default_factory=_make_classes)
     virtual_time: float = 0.0
+    busy_since: Seconds = NEVER
+    overloaded_until: Seconds = NEVER
     evicted: list[Waiting] = field(default_factory=list)
 
     @property
@@ -268,6 +280,29 @@
     return Seconds(queue.size / queue.rate if queue.rate else 0.0)
 
 
+def is_congested(queue: EgressQueue, now: Seconds) -> bool:
+    """Whether packets of callers may have waited for the link of this balancer.
+
+    That callers seem to have no answer then says little about backend servers.
+    """
+    rate = queue.rate
+    if rate is None:
+        return False
+    if now - queue.overloaded_until < RECOVERY_TIME:
+        return True
+    idle_since = _idle_since(queue, rate)
+    if queue.size > 0 or now < idle_since:
+        return now - queue.busy_since >= CONGESTION_TIME
+    was_overloaded = idle_since - queue.busy_since >= OVERLOAD_TIME
+    return was_overloaded and now - idle_since < RECOVERY_TIME
+
+
+def _idle_since(queue: EgressQueue, rate: float) -> Seconds:
+    """When the link becomes idle, unless further packets follow."""
+    missing = rate * BURST_TIME - queue.credit
+    return Seconds(queue.updated_at + missing / rate)
+
+
 def _count(members: ClassQueue, size: int, now: Seconds) -> None:
     members.recent = recent_rate(members, now) * RATE_TIME + size
     members.counted_at = now
@@ -290,6 +325,11 @@
 
 
 def _update_credit(queue: EgressQueue, rate: float, now: Seconds) -> None:
+    idle_since = _idle_since(queue, rate)
+    if queue.size == 0 and now >= idle_since:
+        if idle_since - queue.busy_since >= OVERLOAD_TIME:
+            queue.overloaded_until = idle_since
+        queue.busy_since = now
     if now > queue.updated_at:
         gained = (now - queue.updated_at) * rate
         queue.credit = min(queue.credit + gained, rate * BURST_TIME)
--- a/src/wasabigw/core/tags/health.py
+++ b/src/wasabigw/core/tags/health.py
@@ -31,6 +31,14 @@
 PROBE_TIMEOUT = Seconds(0.5)
 """Time for the answer to a probe; its caller retransmits the opening before that."""
 
+DOUBT_TIME = Seconds(1.0)
+"""Time without any answer from which packets count while the own link is congested.
+
+Packets of callers wait that long at most before a balancer.
+"""
+DOUBT_TTL = Seconds(4.0)
+"""Time after which an earlier doubt is not related to a new one any more."""
+
 
 class FailureSignal(Enum):
     """Evidence that a backend server does not answer."""
@@ -59,6 +67,8 @@
     :param backoff_until: until when the backend server gets no new flows.
     :param checked_at: when the latest check of its host was requested.
     :param unreachable_at: when its host was last found unreachable.
+    :param doubted_since: when the first packet was sent that was not answered while
+        the link of this balancer was congested.
     """
 
     last_response_at: Seconds = NEVER
@@ -67,6 +77,7 @@
     backoff_until: Seconds = NEVER
     checked_at: Seconds = NEVER
     unreachable_at: Seconds = NEVER
+    doubted_since: Seconds = NEVER
 
 
 def record_response(breaker: CircuitBreaker, now: Seconds) -> bool:
@@ -101,6 +112,17 @@
     return True
 
 
+def confirm_doubt(breaker: CircuitBreaker, sent_at: Seconds, now: Seconds) -> bool:
+    """Record a sign of a failure that may be due to the link of the balancer.
+
+    :returns: whether nobody was answered for so long that it counts as a failure.
+    """
+    is_refuted = breaker.doubted_since <= breaker.last_response_at
+    if is_refuted or now - breaker.doubted_since > DOUBT_TTL:
+        breaker.doubted_since = sent_at
+    return now - breaker.doubted_since >= DOUBT_TIME
+
+
 def record_probe(breaker: CircuitBreaker, now: Seconds) -> None:
     """Record a new flow; if the breaker is not closed, the flow is a probe."""
     if breaker.failures > 0:
--- a/src/wasabigw/core/tags/openings.py
+++ b/src/wasabigw/core/tags/openings.py
@@ -7,7 +7,8 @@
 """
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.egress import is_opening_waiting
+from wasabigw.core.tags.egress import is_congested, is_opening_waiting
+from wasabigw.core.tags.health import DOUBT_TIME
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.state import Opening, Server, TagState
 
@@ -37,11 +38,14 @@
 def pop_overdue(state: TagState, now: Seconds) -> list[Opening]:
     """Remove and return the pending openings that have reached the timeout.
 
-    One that still waits for the link has not been sent yet and stays pending.
+    One that still waits for the link has not been sent yet and stays pending. While the
+    link is congested, the next packets of callers may wait as well.
     """
+    congested = is_congested(state.egress, now)
+    timeout = DOUBT_TIME if congested else OPENING_TIMEOUT
     overdue = []
     for flow, opening in state.pending_openings.items():
-        if now - opening.at < OPENING_TIMEOUT:
+        if now - opening.at < timeout:
             break
         if not is_opening_waiting(state.egress, flow):
             overdue.append(flow)
@@ -56,7 +60,9 @@
     return [
         opening
         for flow, opening in state.pending_openings.items()
-        if flow.caller == caller and now - opening.at >= MIN_RETRY_INTERVAL
+        if flow.caller == caller
+        and now - opening.at >= MIN_RETRY_INTERVAL
+        and not is_opening_waiting(state.egress, flow)
     ]
 
 
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -43,7 +43,7 @@
     record_choice,
     update_suspicions,
 )
-from wasabigw.core.tags.egress import has_waiting, is_waiting
+from wasabigw.core.tags.egress import has_waiting, is_congested, is_waiting
 from wasabigw.core.tags.flow_table import (
     add_flow,
     close_flow,
@@ -52,6 +52,7 @@
 )
 from wasabigw.core.tags.health import (
     FailureSignal,
+    confirm_doubt,
     is_unreachable,
     record_failure,
     record_probe,
@@ -363,6 +364,9 @@
     state: TagState,
     now: Seconds,
 ) -> None:
+    congested = is_congested(state.egress, now)
+    if congested and not confirm_doubt(server.breaker, sent_at, now):
+        return
     silent_for = Seconds(now - server.breaker.last_response_at)
     if record_failure(server.breaker, sent_at, now):
         state.health_changes.append(HealthChange(server, failure, silent_for))
--- a/src/wasabigw/core/tags/suspicion.py
+++ b/src/wasabigw/core/tags/suspicion.py
@@ -5,6 +5,7 @@
 new from the failure domain, say that the failure domain has failed as a whole.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -28,6 +29,8 @@
 
 A probe may cost its caller one of few tries.
 """
+NO_OPENING = Seconds(math.inf)
+"""Time of the first unanswered opening if there is none."""
 
 
 class UnansweredOpening(NamedTuple):
@@ -42,6 +45,8 @@
     """Evidence against the backend servers of a service in one failure domain.
 
     :param evidence: latest unanswered opening of each boot.
+    :param unanswered_since: when the first opening was sent that was not answered, if
+        nobody was answered since.
     :param suspected: boots that are avoided; empty while the evidence is too little.
         Boots that appear later are not under suspicion.
     :param since: when the suspicion began.
@@ -50,6 +55,7 @@
     """
 
     evidence: dict[Tag, UnansweredOpening] = field(default_factory=dict)
+    unanswered_since: Seconds = NO_OPENING
     suspected: frozenset[Tag] = frozenset()
     since: Seconds = NEVER
     until: Seconds = NEVER
@@ -63,6 +69,7 @@
     if suspicion.evidence.get(tag) == opening:
         return
     suspicion.evidence[tag] = opening
+    suspicion.unanswered_since = min(suspicion.unanswered_since, opening.sent_at)
     if suspicion.suspected:
         suspicion.until = Seconds(now + SUSPICION_TTL)
 
@@ -80,6 +87,9 @@
         for tag, opening in suspicion.evidence.items()
         if opening.sent_at > oldest
     }
+    if suspicion.unanswered_since <= last_answer_at:
+        sent = (opening.sent_at for opening in suspicion.evidence.values())
+        suspicion.unanswered_since = min(sent, default=NO_OPENING)
 
 
 def has_ended(suspicion: Suspicion, last_answer_at: Seconds, now: Seconds) -> bool:
--- a/tests/test_domain_suspicion.py
+++ b/tests/test_domain_suspicion.py
@@ -27,9 +27,10 @@
 from wasabigw.core.requirements import Priority, Requirements
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.domain_suspicion import LOCAL_OPENING_TIMEOUT
-from wasabigw.core.tags.egress import make_egress_queue, submit
+from wasabigw.core.tags.egress import make_egress_queue, release, submit
 from wasabigw.core.tags.fair_queue import Datagram
 from wasabigw.core.tags.features import Features
+from wasabigw.core.tags.openings import record_opening
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.suspicion import PROBE_INTERVAL
@@ -170,6 +171,48 @@
         self.state.pending_openings.pop(opening(1, 1).flow)
         self.assertEqual(self.open_domain(100, 0.06), RECIFE)
 
+    def test_openings_are_no_evidence_while_the_own_link_is_busy(self) -> None:
+        # The next packets of callers wait on their way to the balancer.
+        self.use_link(-0.1, 0.0)
+        self.fail_openings(0.0)
+        self.use_link(0.0, 0.08)
+        self.assertEqual(self.open_domain(100, 0.08), RECIFE)
+
+    def test_a_failure_is_found_while_the_own_link_is_busy(self) -> None:
+        self.use_link(-0.2, 0.0)
+        for now in (0.0, 0.4, 0.8):
+            self.fail_openings(now)
+            self.use_link(now, now + 0.4)
+        self.assertNotEqual(self.open_domain(100, 1.2), RECIFE)
+
+    def test_a_failure_is_found_when_the_own_link_was_idle(self) -> None:
+        self.use_link(-0.1, 0.0)
+        self.fail_openings(0.0)
+        self.assertNotEqual(self.open_domain(100, 0.06), RECIFE)
+
+    def test_failure_domains_that_seem_to_fail_together_are_not_suspected(self) -> None:
+        for pause in (0.0, 0.05):
+            with self.subTest(pause=pause):
+                self.make_state()
+                for tag, at in ((1, 0.0), (2, 0.0), (21, pause), (22, pause)):
+                    server = self.state.servers[Tag(tag)]
+                    flow = opening(1000 + tag, 1).flow
+                    record_opening(flow, server, self.state, Seconds(at))
+                after = LOCAL_OPENING_TIMEOUT + 0.001
+                self.open_domain(100, after)
+                self.assertEqual(self.open_domain(101, after + pause), RECIFE)
+
+    def use_link(self, start: float, end: float) -> None:
+        """Send packets of other flows, as fast as the link of 2 Mbit/s brings them."""
+        if self.state.egress.rate is None:
+            self.state.egress = make_egress_queue(2.0)
+        datagram = Datagram(bytes(1200), ("10.0.0.2", 1))
+        while start < end:
+            for _ in release(self.state.egress, Seconds(start)):
+                pass
+            submit(self.state.egress, data(99), datagram, Seconds(start))
+            start += 0.005
+
     def test_an_opening_always_gets_a_backend_server(self) -> None:
         self.register(*(boot(t) for t in HOME))
         self.fail_openings(0.0)
