--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -1,7 +1,6 @@
 """Plans of services: shares of new flows and weights by the latest figures."""
 
-from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
 from wasabigw.core.load.figures import REPORT_INTERVAL
@@ -11,6 +10,8 @@
     combined_figures,
     mean_of_unnamed,
 )
+from wasabigw.core.tags.crossing import demand_shares
+from wasabigw.core.tags.demand import domain_loads
 from wasabigw.core.tags.estimates import (
     Activity,
     FlowAges,
@@ -19,22 +20,22 @@
     opening_shares,
 )
 from wasabigw.core.tags.health import Health, health_of
-from wasabigw.core.tags.locality import eligible_slots, traffic_shares
-from wasabigw.core.tags.plans import ServicePlan
+from wasabigw.core.tags.locality import Shares, eligible_slots, traffic_shares
+from wasabigw.core.tags.plans import DomainTurns, ServicePlan
 from wasabigw.core.tags.state import Server, TagState, WeightChange
 from wasabigw.core.tags.turns import Turns, make_turns, phases_of
 from wasabigw.core.tags.weights import (
     Speed,
     expected_capacity,
+    is_alike,
     record_figures,
     update_weights,
 )
 
-PLAN_TTL = Seconds(1.5)
-"""Time after which shares are computed again, as backend servers may answer again.
-
-Longer than the time between two sets of figures, which renew the shares as well.
-"""
+PLAN_TTL = Seconds(2.0)
+"""Time after which shares are computed again, as backend servers may answer again."""
+MIN_PLAN_USES = 4
+"""Uses of a plan after which newer figures replace it."""
 PLAN_TIME_PER_SERVER = Seconds(0.001)
 """Minimum time between two plans of the same backend servers, for each of them.
 
@@ -54,7 +55,9 @@
     pool = state.pools.get(service, [])
     known = state.known_load
     age = now - plan.made_at
-    is_due = plan.measured_at != known.measured_at or age >= PLAN_TTL
+    plan.uses += 1
+    has_new_figures = plan.measured_at != known.measured_at
+    is_due = age >= PLAN_TTL or (has_new_figures and plan.uses >= MIN_PLAN_USES)
     if plan.pool is not pool or (is_due and age >= len(pool) * PLAN_TIME_PER_SERVER):
         _update_plan(plan, pool, state, now)
     return plan
@@ -70,29 +73,79 @@
 ) -> None:
     if plan.measured_at != state.known_load.measured_at:
         _update_speeds(plan, pool, state, now)
+    elapsed = Seconds(now - plan.made_at)
     plan.pool = pool
     plan.measured_at = state.known_load.measured_at
     plan.made_at = now
-    usable = [server for server in pool if is_usable(server, now)]
+    plan.uses = 0
+    groups = _usable_groups(pool, state, now)
+    shares = _domain_shares(groups, plan, state, elapsed) if groups else {}
+    plan.loads = {}
+    near = {name: groups[name] for name in shares}
+    plan.turns = _make_turns(near, shares, plan, state, now)
+    plan.far = plan.room = None
+
+
+def far_turns(
+    service: ServiceId, plan: ServicePlan, state: TagState, now: Seconds
+) -> DomainTurns:
+    """Turns of the failure domains that get no new flows while others can take them."""
+    if plan.far is None:
+        groups = _usable_groups(state.pools.get(service, ()), state, now)
+        far = {n: g for n, g in groups.items() if n not in plan.turns.servers}
+        slots = {name: float(_slots(group)) for name, group in far.items()}
+        plan.far = _make_turns(far, slots, plan, state, now)
+    return plan.far
+
+
+def _usable_groups(
+    pool: Sequence[Server], state: TagState, now: Seconds
+) -> dict[FailureDomainId, list[Server]]:
+    """Usable backend servers by failure domain, of the own region if it has any."""
     groups: dict[FailureDomainId, list[Server]] = {}
-    for server in usable:
-        groups.setdefault(server.registration.failure_domain, []).append(server)
+    for server in pool:
+        if is_usable(server, now):
+            groups.setdefault(server.registration.failure_domain, []).append(server)
+    slots = {name: _slots(group) for name, group in groups.items()}
+    eligible = eligible_slots(state.failure_domain, slots, state.regions)
+    return {name: group for name, group in groups.items() if name in eligible}
+
+
+def _make_turns(
+    groups: Mapping[FailureDomainId, Sequence[Server]],
+    shares: Mapping[FailureDomainId, float],
+    plan: ServicePlan,
+    state: TagState,
+    now: Seconds,
+) -> DomainTurns:
+    """Turns by shares of failure domains, at the phases of the ones before."""
+    before = plan.turns
+    servers = {
+        name: _domain_turns(group, before.servers.get(name), plan, state, now)
+        for name, group in groups.items()
+    }
+    phases = dict.fromkeys(shares, 0.5) | phases_of(before.domains)
+    return DomainTurns(make_turns(shares, phases), servers)
+
+
+def _domain_shares(
+    groups: Mapping[FailureDomainId, Sequence[Server]],
+    plan: ServicePlan,
+    state: TagState,
+    elapsed: Seconds,
+) -> Shares:
+    """Shares of failure domains by slots, and by demand if the own one is busy."""
     home = state.failure_domain
-    slots = Counter({name: _slots(group) for name, group in groups.items()})
-    shares = (
-        traffic_shares(home, eligible_slots(home, slots, state.regions), state.regions)
-        if slots
-        else {}
-    )
-    plan.loads = {}
-    previous, plan.servers = plan.servers, {}
-    for domain in shares:
-        plan.servers[domain] = _domain_turns(
-            groups[domain], previous.get(domain), plan, state, now
-        )
-    phases = dict.fromkeys(shares, 0.5) | phases_of(plan.domains)
-    plan.domains = make_turns(shares, phases)
-    plan.room = None
+    slots = {name: _slots(group) for name, group in groups.items()}
+    by_slots = traffic_shares(home, slots, state.regions)
+    capacities = {
+        name: sum(plan.weight(s.registration.tag) * s.slots for s in group)
+        for name, group in groups.items()
+    }
+    first = next(iter(groups.values()))[0]
+    loads = domain_loads(first.registration.service, capacities, state)
+    previous = plan.turns.domains.shares
+    return demand_shares(home, by_slots, previous, loads, elapsed)
 
 
 def _domain_turns(
@@ -122,43 +175,62 @@
     """Load of each backend server; those without figures count as the mean."""
     mean = mean_of_unnamed(servers, known)
     activity = Activity(0, 0, 0)
-    loads = {}
+    loads: dict[Tag, ServerLoad] = {}
+    # Most backend servers of a large service are unnamed and alike.
+    unnamed: dict[tuple[int, float], ServerLoad] = {}
     for server in servers:
         tag, slots = server.registration.tag, server.slots
-        figures = combined_figures(server, known)
-        if figures is None:
-            flows, in_flight = mean
-        else:
-            flows, in_flight = figures.flows, figures.in_flight
+        weight = plan.weight(tag)
+        if tag in known.servers:
+            figures = combined_figures(server, known)
+            assert figures is not None
             activity = add_activity(activity, figures)
-        capacity = expected_capacity(plan.weight(tag), in_flight, slots)
-        loads[tag] = ServerLoad(capacity, in_flight, max(flows, 0))
+            loads[tag] = _server_load(figures.flows, figures.in_flight, weight, slots)
+            continue
+        load = unnamed.get((slots, weight))
+        if load is None:
+            load = unnamed[slots, weight] = _server_load(*mean, weight, slots)
+        loads[tag] = load
     return loads, activity
 
 
+def _server_load(
+    flows: float, in_flight: float, weight: float, slots: int
+) -> ServerLoad:
+    capacity = expected_capacity(weight, in_flight, slots)
+    return ServerLoad(capacity, in_flight, max(flows, 0))
+
+
 def _update_speeds(
     plan: ServicePlan, pool: Sequence[Server], state: TagState, now: Seconds
 ) -> None:
     known = state.known_load
     elapsed = Seconds(known.measured_at - plan.measured_at)
+    others, other_slots = answers_of_unnamed(pool, known)
+    record_figures(plan.others, others, other_slots, elapsed)
     before, plan.speeds = plan.speeds, {}
-    unnamed, unnamed_slots = answers_of_unnamed(pool, known)
     for server in pool:
         tag = server.registration.tag
-        speed = plan.speeds[tag] = before.get(tag) or Speed()
-        figures, slots = combined_figures(server, known), server.slots
-        if figures is None:
-            figures, slots = unnamed, unnamed_slots
-        if server.cold_until > now:
+        speed = before.get(tag, plan.others)
+        if tag in known.servers:
+            speed = Speed() if speed is plan.others else speed
             # The times of a cold one say nothing about it once it is warm.
-            figures = None
-        record_figures(speed, figures, slots, elapsed)
+            is_warm = server.cold_until <= now
+            figures = combined_figures(server, known) if is_warm else None
+            record_figures(speed, figures, server.slots, elapsed)
+        elif speed is not plan.others:
+            record_figures(speed, others, other_slots, elapsed)
+            speed = plan.others if is_alike(speed, plan.others) else speed
+        plan.speeds[tag] = speed
     for tag in update_weights(plan.speeds, elapsed):
         speed = plan.speeds[tag]
-        time = Seconds(speed.service_time) if speed.is_judged else None
-        server = state.servers[tag]
-        change = WeightChange(server, speed.weight, speed.is_slow, time)
-        state.weight_changes.append(change)
+        if speed is not plan.others:
+            state.weight_changes.append(_change_of(state.servers[tag], speed))
+
+
+def _change_of(server: Server, speed: Speed) -> WeightChange:
+    time = Seconds(speed.service_time) if speed.is_judged else None
+    return WeightChange(server, speed.weight, speed.is_slow, time)
 
 
 def is_usable(server: Server, now: Seconds) -> bool:
--- a/src/wasabigw/core/tags/weights.py
+++ b/src/wasabigw/core/tags/weights.py
@@ -27,12 +27,12 @@
 """Factor by which the speed must differ from the weight to change it."""
 RECOVERY_TIME = Seconds(4.0)
 """Time in which a low weight doubles while there are too few answers to judge."""
+MAX_ELAPSED = Seconds(60.0)
+"""Time without figures after which all earlier ones are forgotten."""
 SLOW_WEIGHT = 0.5
 """Weight below which a backend server is reported as slow."""
 RECOVERED_WEIGHT = 0.8
 """Weight above which a slow one is reported as recovered."""
-
-
 QUEUE_FACTOR = 2.0
 """Requests in flight for each slot above which a backend server gets fewer flows.
 
@@ -89,6 +89,12 @@
         speed.busy_time += figures.in_flight * COUNT_WINDOW
 
 
+def is_alike(speed: Speed, other: Speed) -> bool:
+    """Whether a backend server needs no speed of its own beside a common one."""
+    is_close = 1 / HYSTERESIS < speed.weight / other.weight < HYSTERESIS
+    return is_close and not speed.is_slow
+
+
 def expected_capacity(weight: float, in_flight: float, slots: int) -> float:
     """Slots weighted by speed, less if many requests were in flight."""
     by_queue = min(1.0, QUEUE_FACTOR * slots / (max(in_flight, 0) + 1))
@@ -102,7 +108,9 @@
     """
     typical = typical_service_time(speeds)
     changed = []
-    for tag, speed in speeds.items():
+    # Several backend servers may share one speed.
+    distinct = {id(speed): (tag, speed) for tag, speed in speeds.items()}
+    for tag, speed in distinct.values():
         _update_weight(speed, typical, elapsed)
         is_slow = speed.weight < (RECOVERED_WEIGHT if speed.is_slow else SLOW_WEIGHT)
         if is_slow is not speed.is_slow:
@@ -119,7 +127,7 @@
 
 def _update_weight(speed: Speed, typical: float | None, elapsed: Seconds) -> None:
     if typical is None or not speed.is_judged:
-        recovered = speed.weight * 2 ** (elapsed / RECOVERY_TIME)
+        recovered = speed.weight * 2 ** (min(elapsed, MAX_ELAPSED) / RECOVERY_TIME)
         speed.weight = min(recovered, 1.0)
         return
     if speed.service_time <= 0 or typical <= 0:
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -206,16 +206,17 @@
         self.assertEqual(self.ask("recife", later).balancers, 0)
 
     def test_without_reports_no_relay_is_asked(self) -> None:
-        sources = (source(1), source(2))
-        self.relay._load.tick(sources, Seconds(1.0))
+        view = self.relay._view
+        view.sources = (source(1), source(2))
+        self.relay._load.tick(view, Seconds(1.0))
         self.assertEqual(list(self.rounds.drain()), [])
         self.send(report("b1", figures(1, 2)))
-        for at in (1.0, 1.1, 1.9, 2.0):
-            self.relay._load.tick(sources, Seconds(at))
+        for at in (1.0, 1.1, 1.4, 1.5):
+            self.relay._load.tick(view, Seconds(at))
         first, second = self.rounds.drain()
         arrived = (ArrivedBalancer(NodeId("b1"), Seconds(1.0)),)
         self.assertEqual(first, PollPeers((relay_at(2),), Seconds(1.0), arrived))
-        self.assertEqual(second.at, 2.0)
+        self.assertEqual(second.at, 1.5)
 
     def test_a_balancer_gets_the_sums_of_both_relays(self) -> None:
         self.send(report("b1", figures(1, 2)))
@@ -234,6 +235,7 @@
         self.received: Mailbox[Any] = Mailbox("received")
         self.exchange = make_load_exchange(FailureDomainId("a/b"), self.received)
         self.now = Seconds(10.0)
+        self.duration = 0.0
         self.polled: list[tuple[Endpoint, str]] = []
         self.responses: dict[Endpoint, Result[bytes, str]] = {}
         self.enterContext(mock.patch.object(LightClient, "get", self.get))
@@ -246,6 +248,7 @@
 
     def get(self, peer: Endpoint, target: str, *_: Seconds) -> Result[bytes, str]:
         self.polled.append((peer, target))
+        self.now = Seconds(self.now + self.duration)
         return self.responses.get(peer, Failure("status 404"))
 
     def round(self, *peers: Endpoint) -> list[Any]:
@@ -272,6 +275,15 @@
         event = self.log.call_args.args[0]
         self.assertIs(event, BalancerEvent.LOAD_PEER_LOST)
 
+    def test_a_round_ends_when_many_relays_do_not_answer(self) -> None:
+        peers = [relay_at(n) for n in range(6)]
+        self.duration = 0.4
+        polled = []
+        for _ in range(2):
+            self.round(*peers)
+            polled.append({peer for peer, _ in self.polled})
+        self.assertEqual([len(found) for found in polled], [3, 6])
+
     def test_rounds_that_queued_up_are_skipped(self) -> None:
         late = PollPeers((relay_at(1),), Seconds(self.now - MAX_ROUND_DELAY))
         self.exchange.receive(late)
