tags: short answers that are usual are never taken for rejections

Cause: the usual share of short answers was cut to 0.9 before it was compared. A service whose answers all fit into 384 bytes showed 90 % rejections from 20 recent answers on, so that its delay counted as nine times its answer time. It was found short without overload, admitted a tenth of its capacity, and nothing ended that.

Change: if the usual share is 0.9 or more, rejections can't be told from usual answers, and none are assumed.

--- a/src/wasabigw/core/tags/rejections.py
+++ b/src/wasabigw/core/tags/rejections.py
@@ -23,6 +23,8 @@
 """Maximum number of callers that are remembered as rejected."""
 MAX_REJECTED_SHARE = 0.9
 """Largest share that is assumed, so that the expected delay stays finite."""
+MAX_USUAL_SHARE = 0.9
+"""Usual share of short answers from which rejections can't be told from them."""
 MIN_REJECTIONS = 2.0
 """Rejections, of which older ones count less, that are no coincidence."""
 LEARNING_TIME = Seconds(30.0)
@@ -87,13 +89,15 @@
 def rejected_share(answers: AnswerCounts, now: Seconds) -> float:
     """Share of the requests of a service that backend servers reject.
 
-    :returns: 0 as long as the usual share of short answers is not known, and while
-        there are too few of them to tell.
+    :returns: 0 as long as the usual share of short answers is not known, if nearly all
+        answers are short, and while there are too few of them to tell.
     """
     share = _short_share(answers, now)
     if share is None or answers.usual_share is None:
         return 0.0
-    usual = min(answers.usual_share, MAX_REJECTED_SHARE)
+    usual = answers.usual_share
+    if usual >= MAX_USUAL_SHARE:
+        return 0.0
     if (share - usual) * recent_sum(answers.all, now) < MIN_REJECTIONS:
         return 0.0
     return min((share - usual) / (1.0 - usual), MAX_REJECTED_SHARE)
