tags: chance in the sizes of answers is not taken for rejections

Cause: the usual share of short answers fell at once to the lowest share seen and rose over 30 s, so that it followed the minimum of a random share. With half of the answers short and 40 answers a second, 15 % or more seemed to be rejected in 56 % of the time, without any rejection.

Change: the usual share falls over 3 s, and what exceeds it must be three standard deviations of the share.

With few usual short answers the bound of two rejections decides as before.

--- a/src/wasabigw/core/tags/rejections.py
+++ b/src/wasabigw/core/tags/rejections.py
@@ -5,6 +5,8 @@
 only what exceeds their usual share counts as rejected.
 """
 
+from math import sqrt
+
 from wasabigw.core.ids import Seconds
 from wasabigw.core.rates import add_recent, recent_sum
 from wasabigw.core.tags.admission_state import AnswerCounts, CallerKey
@@ -27,8 +29,15 @@
 """Usual share of short answers from which rejections can't be told from them."""
 MIN_REJECTIONS = 2.0
 """Rejections, of which older ones count less, that are no coincidence."""
+MIN_DEVIATIONS = 3.0
+"""Standard deviations of the share of short answers that are no coincidence."""
 LEARNING_TIME = Seconds(30.0)
 """Time in which the usual share of short answers follows a higher one."""
+UNLEARNING_TIME = Seconds(3.0)
+"""Time in which it follows a lower one.
+
+Longer than the time constant of the counts, so that it doesn't follow their minimum.
+"""
 MIN_ANSWERS = 5.0
 """Answers, of which older ones count less, from which their kinds are compared."""
 
@@ -82,8 +91,8 @@
     if usual is None:
         answers.usual_share = share
         return
-    risen = usual + (share - usual) * min(elapsed / LEARNING_TIME, 1.0)
-    answers.usual_share = min(share, risen)
+    time = LEARNING_TIME if share > usual else UNLEARNING_TIME
+    answers.usual_share = usual + (share - usual) * min(elapsed / time, 1.0)
 
 
 def rejected_share(answers: AnswerCounts, now: Seconds) -> float:
@@ -98,7 +107,10 @@
     usual = answers.usual_share
     if usual >= MAX_USUAL_SHARE:
         return 0.0
-    if (share - usual) * recent_sum(answers.all, now) < MIN_REJECTIONS:
+    count = recent_sum(answers.all, now)
+    # Answers that count less and less vary as half as many that count in full.
+    deviation = sqrt(count * usual * (1.0 - usual) / 2)
+    if (share - usual) * count < max(MIN_REJECTIONS, MIN_DEVIATIONS * deviation):
         return 0.0
     return min((share - usual) / (1.0 - usual), MAX_REJECTED_SHARE)
 
