verify: faults of single packets are planted without the guard of the link

Cause: a congested link is no evidence any more, so three planted faults of packets that wait for the link no longer showed in their cases. Change: these faults are planted together with a link that never counts as congested. Result: test_planted_faults: 12 passed; 3 failed before.

--- a/src/wasabigw_verify/evidence_model/faults.py
+++ b/src/wasabigw_verify/evidence_model/faults.py
@@ -3,6 +3,10 @@
 from wasabigw_verify.planted_faults import PlantedFault
 
 _STEERING = "wasabigw.core.tags.steering"
+_NEVER_CONGESTED = (
+    ("congested = is_congested(state.egress, now)", "congested = False"),
+)
+"""Removes the guard of a congested link, which hides faults of single packets."""
 _HEALTH = "wasabigw.core.tags.health"
 _CHECKS = "wasabigw.core.tags.host_checks"
 _HOSTS = "wasabigw.core.tags.unreachable_hosts"
@@ -49,6 +53,7 @@
         _STEERING,
         "if _is_unanswered(known, now) and not is_waiting(state.egress, packet):",
         "if _is_unanswered(known, now):",
+        others=_NEVER_CONGESTED,
     ),
     PlantedFault(
         "packets are decided on without a view",
@@ -75,7 +80,10 @@
         _STEERING,
         "    if is_waiting(state.egress, packet):\n",
         "    if False:\n",
-        others=(("    if has_waiting(state.egress, flow_id):\n", "    if False:\n"),),
+        others=(
+            ("    if has_waiting(state.egress, flow_id):\n", "    if False:\n"),
+            *_NEVER_CONGESTED,
+        ),
     ),
     PlantedFault(
         "wait for the link counts as silence",
@@ -83,6 +91,7 @@
         "elif packet.length and flow.pending_sequence is not None:\n"
         "        flow.pending_since = now",
         "elif False:\n        flow.pending_since = now",
+        others=_NEVER_CONGESTED,
     ),
     PlantedFault(
         "packet that was not sent counts as unanswered",
