ctl: show where an opening would go now, and why

Change: a balancer answers /route at its metrics endpoint with the decision on a copy of its state; wasabigwctl route shows it as text or JSON, with an error for an unknown address, an unreachable balancer and a stale view.

--- a/src/wasabigw/ctl/main.py
+++ b/src/wasabigw/ctl/main.py
@@ -18,6 +18,7 @@
     generate_command,
     questionnaire,
 )
+from wasabigw.ctl.route_command import route
 from wasabigw.ctl.service_commands import service_app
 from wasabigw.ctl.view_commands import flow, in_force, state
 
@@ -43,6 +44,7 @@
 app.command("generate")(generate_command)
 app.command()(apply)
 app.command()(explain)
+app.command()(route)
 
 
 def _print_version(requested: bool) -> None:
--- a/src/wasabigw/tasks/light_metrics.py
+++ b/src/wasabigw/tasks/light_metrics.py
@@ -1,13 +1,13 @@
 """Metrics endpoint on the light HTTP server."""
 
 import selectors
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from contextlib import ExitStack
 from http import HTTPStatus
 
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.runtime.composite import CompositeContext
-from wasabigw.tasks.light_http import LightRequest, LightServer
+from wasabigw.tasks.light_http import LightRequest, LightServer, RequestHandler
 from wasabigw.telemetry.events_http import HttpEvent
 from wasabigw.telemetry.exposition import CONTENT_TYPE, Family, render
 from wasabigw.telemetry.log_events import log
@@ -23,6 +23,7 @@
 
     :param bind: endpoint of the server; ``None`` to start none.
     :param families: returns the current metrics.
+    :param pages: handlers of other paths.
     """
 
     def __init__(
@@ -30,8 +31,10 @@
         bind: Endpoint | None,
         selector: selectors.BaseSelector,
         families: Callable[[], Iterable[Family]],
+        pages: Mapping[str, RequestHandler] | None = None,
     ) -> None:
         super().__init__()
+        self._pages = pages or {}
         self._bind = bind
         self._selector = selector
         self._families = families
@@ -46,6 +49,11 @@
             log(HttpEvent.NO_METRICS, port=self._bind.port, reason=str(error))
 
     def _handle(self, request: LightRequest) -> None:
+        path, _, _ = request.target.partition("?")
+        page = self._pages.get(path) if request.method == "GET" else None
+        if page is not None:
+            page(request)
+            return
         respond_with_metrics(request, self._families())
 
 
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -58,6 +58,7 @@
 from wasabigw.tasks.load_messages import ReportAnswered, ReportLoadTo
 from wasabigw.tasks.load_reporter import LoadReporter
 from wasabigw.tasks.packet_socket import Received, make_packet_socket
+from wasabigw.tasks.route_page import ROUTE_PATH, respond_with_route
 from wasabigw.tasks.share_metrics import share_families
 from wasabigw.tasks.tag_codec import Address, DocumentDecoder, FlowPacketCodec
 from wasabigw.tasks.tag_messages import (
@@ -154,7 +155,10 @@
         )
         self._checker = make_host_checker(self.mailbox)
         self._metrics = LightMetrics(
-            settings.metrics, self._selector, self._metric_families
+            settings.metrics,
+            self._selector,
+            self._metric_families,
+            {ROUTE_PATH: self._respond_route},
         )
 
     @property
@@ -384,6 +388,9 @@
     def _respond_status(self, request: LightRequest) -> None:
         self._settings.respond_status(request, self._status())
 
+    def _respond_route(self, request: LightRequest) -> None:
+        respond_with_route(request, self._state, monotonic())
+
     def _metric_families(self) -> list[Family]:
         now = monotonic()
         return [
