tags: ages of own open flows are remembered between plans

Cause: a balancer with half an open flow at a time took all flows for short, so that shares followed the capacities only. Change: ages of earlier plans count in part, with a half-life of 15 s.

--- a/src/wasabigw/core/tags/estimates.py
+++ b/src/wasabigw/core/tags/estimates.py
@@ -28,6 +28,8 @@
 """
 MIN_OWN_FLOWS = 4
 """Own open flows from which their age counts more than the mean time of all flows."""
+AGES_HALF_LIFE = Seconds(15.0)
+"""Time after which the ages of open flows count half."""
 MIN_OPENINGS = 1.0
 """Fewest openings within the window that are assumed, so that shares are defined."""
 
@@ -66,12 +68,29 @@
 
 
 class FlowAges(NamedTuple):
-    """Open flows of this balancer, and the sum of the times since they were opened."""
+    """Open flows of this balancer, and the sum of the times since they were opened.
 
-    flows: int
+    Both include earlier ones in part, as a balancer may have few flows at a time.
+    """
+
+    flows: float
     total_age: float
 
 
+NO_AGES = FlowAges(0.0, 0.0)
+
+
+def add_ages(before: FlowAges, current: FlowAges, elapsed: Seconds) -> FlowAges:
+    """Add open flows to those of earlier plans, which count less with time.
+
+    :param elapsed: time since the plan before.
+    """
+    kept = 0.5 ** (elapsed / AGES_HALF_LIFE)
+    return FlowAges(
+        before.flows * kept + current.flows, before.total_age * kept + current.total_age
+    )
+
+
 def opening_shares(
     loads: Mapping[Tag, ServerLoad],
     activity: Activity,
@@ -81,7 +100,7 @@
     """Share of the new flows for each backend server; the sum is 1.
 
     :param loads: all backend servers that may get the new flows.
-    :param own: open flows of this balancer.
+    :param own: open flows of this balancer, with earlier ones.
     :param horizon: time from the measurement of the figures to their replacement.
     """
     total_flows = sum(load.flows for load in loads.values())
--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -15,6 +15,7 @@
     FlowAges,
     ServerLoad,
     add_activity,
+    add_ages,
     opening_shares,
 )
 from wasabigw.core.tags.health import Health, health_of
@@ -71,6 +72,8 @@
 ) -> None:
     if plan.measured_at != state.known_load.measured_at:
         _update_speeds(plan, pool, state, now)
+    elapsed = Seconds(now - plan.made_at)
+    plan.ages = add_ages(plan.ages, _own_ages(pool, now), elapsed)
     plan.pool = pool
     plan.measured_at = state.known_load.measured_at
     plan.made_at = now
@@ -127,6 +130,12 @@
     return DomainTurns(make_turns(shares, phases), servers)
 
 
+def _own_ages(servers: Sequence[Server], now: Seconds) -> FlowAges:
+    flows = sum(server.open_flows for server in servers)
+    opened_at = sum(server.opened_at_sum for server in servers)
+    return FlowAges(flows, flows * now - opened_at)
+
+
 def _domain_turns(
     servers: Sequence[Server],
     previous: Turns[Tag] | None,
@@ -138,14 +147,11 @@
     known = state.known_load
     loads, activity = _expected_loads(servers, plan, known)
     plan.loads.update(loads)
-    own = sum(server.open_flows for server in servers)
-    opened_at = sum(server.opened_at_sum for server in servers)
-    ages = FlowAges(own, own * now - opened_at)
     horizon = Seconds(now - known.measured_at + REPORT_INTERVAL)
     phases = {s.registration.tag: s.rank / MAX_RANK for s in servers}
     if previous is not None:
         phases |= phases_of(previous)
-    return make_turns(opening_shares(loads, activity, ages, horizon), phases)
+    return make_turns(opening_shares(loads, activity, plan.ages, horizon), phases)
 
 
 def _expected_loads(
--- a/src/wasabigw/core/tags/plans.py
+++ b/src/wasabigw/core/tags/plans.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from wasabigw.core.ids import FailureDomainId, Seconds, Tag
-from wasabigw.core.tags.estimates import ServerLoad
+from wasabigw.core.tags.estimates import NO_AGES, FlowAges, ServerLoad
 from wasabigw.core.tags.turns import Turns
 from wasabigw.core.tags.weights import Speed
 from wasabigw.core.view_lease import NEVER
@@ -51,6 +51,7 @@
     :param others: speed of the backend servers that the figures don't name.
     :param speeds: speed of each backend server; ``others`` for most of the unnamed.
     :param loads: expected load of each backend server that gets new flows.
+    :param ages: ages of own open flows.
     :param turns: those of failure domains that get new flows.
     :param far: those of other failure domains, for openings that have tried all of
         these; ``None`` if they have not been needed yet.
@@ -64,6 +65,7 @@
     others: Speed = field(default_factory=Speed)
     speeds: dict[Tag, Speed] = field(default_factory=dict)
     loads: dict[Tag, ServerLoad] = field(default_factory=dict)
+    ages: FlowAges = NO_AGES
     turns: DomainTurns = field(default_factory=DomainTurns)
     far: DomainTurns | None = None
     room: Room | None = None
--- a/src/wasabigw_measure/compare_choices.py
+++ b/src/wasabigw_measure/compare_choices.py
@@ -159,6 +159,7 @@
     speeds = {Tag(n): weights.Speed() for n in range(SERVERS)}
     known_weights: list[list[float]] = []
     turns: dict[int, tuple[int, Turns[Tag]]] = {}
+    ages: dict[int, tuple[estimates.FlowAges, float]] = {}
 
     def weights_at(number: int, world: World) -> list[float]:
         seconds = int(number * SNAPSHOT_INTERVAL / REPORT_INTERVAL)
@@ -180,7 +181,10 @@
         none = estimates.Activity(0, 0, 0)
         activity = reduce(estimates.add_activity, servers, none)
         flows, opened_at = world.own_open[balancer]
-        own = estimates.FlowAges(flows, flows * world.now - opened_at)
+        before, seen_at = ages.get(balancer, (estimates.NO_AGES, 0.0))
+        current = estimates.FlowAges(flows, flows * world.now - opened_at)
+        own = estimates.add_ages(before, current, Seconds(world.now - seen_at))
+        ages[balancer] = own, world.now
         horizon = Seconds(world.age + REPORT_INTERVAL / 2)
         return estimates.opening_shares(loads, activity, own, horizon)
 
