--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -52,14 +52,16 @@
 A balancer that was suspended must not open a flow by a decision from before. Callers
 retransmit openings within this time.
 """
-CONGESTION_TIME = Seconds(0.03)
-"""Time of sending without a pause from which callers' packets may wait as well.
+BUSY_SHARE = 0.8
+"""Share of the rate at which the link counts as busy.
 
-Callers and backend servers share the link, so that packets to a balancer may wait
-before it even if none waits here.
+Packets to the balancer take the same link and may wait before it while none waits here,
+because other traffic and copies that are not sent on take a part of it.
 """
-OVERLOAD_TIME = Seconds(0.15)
-"""Time of sending without a pause from which callers may have sent copies in vain."""
+CONGESTION_TIME = Seconds(0.03)
+"""Busy time from which packets of callers may have waited before the balancer."""
+OVERLOAD_TIME = Seconds(0.2)
+"""Busy time from which callers may have sent copies, and packets may be lost."""
 RECOVERY_TIME = Seconds(1.0)
 """Time after an overload in which packets that were lost in it are sent again."""
 RATE_TIME = Seconds(1.0)
@@ -138,6 +140,7 @@
     :param classes: waiting packets by class, most urgent first.
     :param virtual_time: start of the packet that was served last.
     :param busy_since: when the link last began to be busy without a pause.
+    :param busy_until: until when it is busy if no packet follows.
     :param overloaded_until: when it last ended to be busy for :data:`OVERLOAD_TIME`.
     :param evicted: packets that were dropped since :func:`take_evicted` was called.
     """
@@ -149,6 +152,7 @@
     classes: dict[LinkClass, ClassQueue] = field(default_factory=_make_classes)
     virtual_time: float = 0.0
     busy_since: Seconds = NEVER
+    busy_until: Seconds = NEVER
     overloaded_until: Seconds = NEVER
     evicted: list[Waiting] = field(default_factory=list)
 
@@ -189,6 +193,7 @@
     _update_credit(queue, rate, now)
     if queue.size == 0 and queue.credit > 0:
         queue.credit -= size
+        _record_use(queue, size, rate, now)
         _count(queue.classes[link_class], size, now)
         return Admission.SEND
     found = _find_backlog(queue, packet.flow)
@@ -208,6 +213,7 @@
             _move_backlog(queue, found[1], found[0], link_class)
     members = queue.classes[link_class]
     _activate(queue, members)
+    _record_use(queue, size, rate, now)
     _count(members, size, now)
     push(members.packets, waiting)
     queue.size += size
@@ -229,6 +235,8 @@
     if queue.rate is None:
         return
     _update_credit(queue, queue.rate, now)
+    if queue.size > 0:
+        queue.busy_until = max(queue.busy_until, now)
     while queue.size > 0 and queue.credit > 0:
         waiting = _pop_next(queue)
         if _has_expired(waiting, now):
@@ -285,22 +293,22 @@
 
     That callers seem to have no answer then says little about backend servers.
     """
-    rate = queue.rate
-    if rate is None:
-        return False
     if now - queue.overloaded_until < RECOVERY_TIME:
         return True
-    idle_since = _idle_since(queue, rate)
-    if queue.size > 0 or now < idle_since:
+    if queue.size > 0 or now < queue.busy_until:
         return now - queue.busy_since >= CONGESTION_TIME
-    was_overloaded = idle_since - queue.busy_since >= OVERLOAD_TIME
-    return was_overloaded and now - idle_since < RECOVERY_TIME
+    was_overloaded = queue.busy_until - queue.busy_since >= OVERLOAD_TIME
+    return was_overloaded and now - queue.busy_until < RECOVERY_TIME
 
 
-def _idle_since(queue: EgressQueue, rate: float) -> Seconds:
-    """When the link becomes idle, unless further packets follow."""
-    missing = rate * BURST_TIME - queue.credit
-    return Seconds(queue.updated_at + missing / rate)
+def _record_use(queue: EgressQueue, size: int, rate: float, now: Seconds) -> None:
+    """Record a packet that the link carries."""
+    if queue.size == 0 and now > queue.busy_until:
+        if queue.busy_until - queue.busy_since >= OVERLOAD_TIME:
+            queue.overloaded_until = queue.busy_until
+        queue.busy_since = queue.busy_until = now
+    used_until = max(queue.busy_until, now) + size / (rate * BUSY_SHARE)
+    queue.busy_until = Seconds(min(used_until, now + OVERLOAD_TIME))
 
 
 def _count(members: ClassQueue, size: int, now: Seconds) -> None:
@@ -325,11 +333,6 @@
 
 
 def _update_credit(queue: EgressQueue, rate: float, now: Seconds) -> None:
-    idle_since = _idle_since(queue, rate)
-    if queue.size == 0 and now >= idle_since:
-        if idle_since - queue.busy_since >= OVERLOAD_TIME:
-            queue.overloaded_until = idle_since
-        queue.busy_since = now
     if now > queue.updated_at:
         gained = (now - queue.updated_at) * rate
         queue.credit = min(queue.credit + gained, rate * BURST_TIME)
