--- a/src/wasabigw/core/load/reporting.py
+++ b/src/wasabigw/core/load/reporting.py
@@ -4,6 +4,7 @@
 from itertools import chain
 
 from wasabigw.core.ids import Incarnation, Seconds, ServiceId
+from wasabigw.core.load.counting import update_requests
 from wasabigw.core.load.counts import ServerCounts
 from wasabigw.core.load.figures import (
     COUNT_WINDOW,
@@ -29,6 +30,7 @@
 
     :param sample: selects the backend servers if there are too many for one report.
     """
+    update_requests(state, now)
     load = state.load
     load.sequence += 1
     # Corrects for periods that took longer, such as after a suspension.
--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
+from wasabigw.core.load.counting import update_requests
 from wasabigw.core.load.figures import REPORT_INTERVAL
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.tags.combined import (
@@ -73,6 +74,7 @@
 ) -> None:
     if plan.measured_at != state.known_load.measured_at:
         _update_speeds(plan, pool, state, now)
+    update_requests(state, now)
     elapsed = Seconds(now - plan.made_at)
     plan.pool = pool
     plan.measured_at = state.known_load.measured_at
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -92,7 +92,8 @@
     :param request_bytes: bytes that were sent from there on.
     :param request_since: when that data was received.
     :param is_in_flight: whether a request on it is counted as in flight.
-    :param is_upload: whether that request takes more than one burst of packets.
+    :param is_sending: whether the caller still sends a request, as far as can be seen.
+    :param data_at: when the latest new data was sent to the backend server.
     :param sent_until: sequence number after the latest data that was counted.
     :param acknowledged_before: acknowledgement that the request in flight began with.
     """
@@ -109,7 +110,8 @@
     request_bytes: int = 0
     request_since: Seconds = NEVER
     is_in_flight: bool = False
-    is_upload: bool = False
+    is_sending: bool = False
+    data_at: Seconds = NEVER
     sent_until: int = 0
     acknowledged_before: int = 0
 
@@ -195,6 +197,7 @@
     :param highest_priority: highest declared priority; ``None`` if none is declared.
     :param request_sizes: usual size of the requests at each listener.
     :param uploads: admitted flows that upload, or are about to.
+    :param sending: flows whose callers send requests, and some that have ended since.
     :param late_uploads: those of them that can't be carried in time.
     :param weight_changes: backend servers that have become slow or recovered and are
         not logged yet; the log removes them.
@@ -229,6 +232,7 @@
     highest_priority: Priority | None = None
     request_sizes: dict[ListenerKey, RequestSize] = field(default_factory=dict)
     uploads: dict[FlowId, Flow] = field(default_factory=dict)
+    sending: dict[FlowId, Flow] = field(default_factory=dict)
     late_uploads: set[FlowId] = field(default_factory=set)
     weight_changes: list[WeightChange] = field(default_factory=list)
     plans: dict[ServiceId, ServicePlan] = field(default_factory=dict)
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -14,6 +14,7 @@
     count_arrival,
     count_data,
     count_opening,
+    count_release,
     discard_lost_data,
     discard_lost_opening,
     end_request,
@@ -389,12 +390,11 @@
     if is_waiting(state.egress, packet):
         # The backend server has not been sent the first copy yet.
         return False
-    count_data(packet, flow)
+    count_data(packet, flow, state, now)
     if flow.pending_sequence is None:
         record_request(flow, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif _shows_progress(packet, flow.pending_sequence):
-        flow.is_upload = True
         _record_response(flow.server, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
@@ -444,8 +444,10 @@
             restart_flow(flow, now)
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
-    elif packet.length and flow.pending_sequence is not None:
-        flow.pending_since = now
+    elif packet.length:
+        count_release(flow, now)
+        if flow.pending_sequence is not None:
+            flow.pending_since = now
 
 
 def record_loss(packet: FlowPacket, state: TagState) -> None:
@@ -484,7 +486,7 @@
         known.state = FlowState.OPEN
     if was_opening or known.acknowledged != packet.acknowledged:
         record_answer(packet, known, state, now)
-        count_acknowledgement(packet, known, now)
+        count_acknowledgement(packet, known, state, now)
         known.acknowledged = packet.acknowledged
         record_request_end(packet.flow, known, state)
         if known.pending_sequence is not None:
@@ -515,7 +517,7 @@
     discard_opening(packet.flow, state)
     record_answer(packet, known, state, now)
     close_flow(known)
-    count_acknowledgement(packet, known, now)
+    count_acknowledgement(packet, known, state, now)
     end_request(known)
     known.last_seen = now
     known.acknowledged = packet.acknowledged
