--- a/src/wasabigw_verify/evidence_model/faults.py
+++ b/src/wasabigw_verify/evidence_model/faults.py
@@ -3,14 +3,13 @@
 from wasabigw_verify.planted_faults import PlantedFault
 
 _STEERING = "wasabigw.core.tags.steering"
+_NEVER_CONGESTED = (
+    ("congested = is_congested(state.egress, now)", "congested = False"),
+)
+"""Removes the guard of a congested link, which hides faults of single packets."""
 _HEALTH = "wasabigw.core.tags.health"
 _CHECKS = "wasabigw.core.tags.host_checks"
 _HOSTS = "wasabigw.core.tags.unreachable_hosts"
-_CONGESTED = (
-    "if congested and not confirm_doubt(server.breaker, sent_at, now):",
-    "if False:",
-)
-"""Protects what waits for the link as well."""
 
 OPENINGS = (
     PlantedFault(
@@ -54,7 +53,7 @@
         _STEERING,
         "if _is_unanswered(known, now) and not is_waiting(state.egress, packet):",
         "if _is_unanswered(known, now):",
-        others=(_CONGESTED,),
+        others=_NEVER_CONGESTED,
     ),
     PlantedFault(
         "packets are decided on without a view",
@@ -83,7 +82,7 @@
         "    if False:\n",
         others=(
             ("    if has_waiting(state.egress, flow_id):\n", "    if False:\n"),
-            _CONGESTED,
+            *_NEVER_CONGESTED,
         ),
     ),
     PlantedFault(
@@ -92,7 +91,7 @@
         "        if flow.pending_sequence is not None:\n"
         "            flow.pending_since = now",
         "        if False:\n            flow.pending_since = now",
-        others=(_CONGESTED,),
+        others=_NEVER_CONGESTED,
     ),
     PlantedFault(
         "packet that was not sent counts as unanswered",
