--- a/src/wasabigw_verify/evidence_model/faults.py
+++ b/src/wasabigw_verify/evidence_model/faults.py
@@ -88,9 +88,9 @@
     PlantedFault(
         "wait for the link counts as silence",
         _STEERING,
-        "elif packet.length and flow.pending_sequence is not None:\n"
-        "        flow.pending_since = now",
-        "elif False:\n        flow.pending_since = now",
+        "        if flow.pending_sequence is not None:\n"
+        "            flow.pending_since = now",
+        "        if False:\n            flow.pending_since = now",
         others=_NEVER_CONGESTED,
     ),
     PlantedFault(
@@ -109,9 +109,8 @@
     PlantedFault(
         "progress of an upload does not count as a response",
         _STEERING,
-        "        flow.is_upload = True\n"
-        "        _record_response(flow.server, state, now)\n",
-        "        flow.is_upload = True\n",
+        "        _record_response(flow.server, state, now)\n        _expect_answer(",
+        "        _expect_answer(",
     ),
     PlantedFault(
         "check without a failure",
