tags: no room is computed without turns

Cause: a plan that was made while no backend server of a service could be used has no turns. When one answers again, the first opening adds loads to that plan, and the room was divided by 0 slots, which ended the process. Change: without turns there is no room, as without loads. Result: AllServersSilent raised ZeroDivisionError before and passes now, as do the 26 tests of test_shared_load.

--- a/src/wasabigw/core/tags/room.py
+++ b/src/wasabigw/core/tags/room.py
@@ -28,7 +28,8 @@
 
 def _estimate(plan: ServicePlan, state: TagState) -> Room | None:
     typical = typical_service_time(plan.speeds)
-    if typical is None or typical <= 0 or not plan.loads:
+    # There may be loads without turns, of backend servers that answer again.
+    if typical is None or typical <= 0 or not plan.turns.servers:
         return None
     slots = in_flight = wait = free_slots = service_rate = 0.0
     for domain, turns in plan.turns.servers.items():
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -6,12 +6,17 @@
 from tests.test_admission_control import URGENT, WITH_ROOM, AdmissionCase
 from tests.test_domain_suspicion import HOME, DomainCase
 from tests.test_refused_openings import opening
+from tests.test_shared_load import SharedLoadCase
+from tests.test_tag_steering import SEATS
 from wasabigw.core.ids import Seconds
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
 from wasabigw.core.tags.admission_state import AnswerCounts
+from wasabigw.core.tags.health import record_failure
 from wasabigw.core.tags.packets import FlowPacket
+from wasabigw.core.tags.planning import current_plan
 from wasabigw.core.tags.rejections import learn_usual_share, rejected_share
+from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.shortage import MIN_REJECTED_SHARE
 
 
@@ -86,3 +91,17 @@
             away += tag not in HOME
             unanswered.append((now + 0.02, tag, sent))
         self.assertLess(away, 30)
+
+
+class AllServersSilent(SharedLoadCase):
+    """Guards against a division by zero while backend servers come back at once."""
+
+    def test_room_is_unknown_until_the_plan_knows_them(self) -> None:
+        current_plan(SEATS, self.state, Seconds(0.1))
+        for server in self.state.servers.values():
+            record_failure(server.breaker, Seconds(0.2), Seconds(0.2))
+        self.state.known_load.measured_at = Seconds(0.5)
+        for _ in range(4):
+            current_plan(SEATS, self.state, Seconds(1.15))
+        self.tag_of(opening(1, 1), now=1.25)
+        self.assertIsNone(room_of(SEATS, self.state, Seconds(1.3)))
