load: a relay ranks many backend servers at most once a second

Cause: a relay chose what responses name again for each revision of its view. With 12,000 backend servers a choice takes 0.10 to 0.14 s, and views may change 20 times a second while backend servers are replaced, so that the task of the relay had no time left for polls.

Change: between choices by different views pass 0.1 ms for each backend server, and a second at most.

--- a/src/wasabigw/core/load/ranking.py
+++ b/src/wasabigw/core/load/ranking.py
@@ -26,6 +26,12 @@
 from wasabigw.core.load.totals import Row, Totals, add_rows
 from wasabigw.core.view_lease import NEVER
 
+RANKING_TIME_PER_SERVER = Seconds(0.0001)
+"""Minimum time between two choices by different views, for each backend server.
+
+It limits the processor time that they take while a large view changes all the time.
+"""
+
 
 @dataclass(slots=True)
 class Ranking:
@@ -42,8 +48,10 @@
 
 def is_due(ranking: Ranking, view: DeliveryView, now: Seconds) -> bool:
     """Whether the choice should be renewed, at most once for each round of reports."""
-    is_old = now - ranking.ranked_at >= REPORT_INTERVAL
-    return is_old or ranking.revision != view.revision
+    age = now - ranking.ranked_at
+    if ranking.revision == view.revision:
+        return age >= REPORT_INTERVAL
+    return age >= min(REPORT_INTERVAL, len(view.boots) * RANKING_TIME_PER_SERVER)
 
 
 def rank_services(ranking: Ranking, loads: Mapping[ServiceKey, Row]) -> None:
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -5,10 +5,11 @@
 
 from tests.test_admission_control import URGENT, WITH_ROOM, AdmissionCase
 from tests.test_domain_suspicion import HOME, DomainCase
+from tests.test_load_sums import FILLED, SumsCase, figures, report
 from tests.test_refused_openings import opening
 from tests.test_shared_load import SharedLoadCase
 from tests.test_tag_steering import SEATS
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import Revision, Seconds
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
 from wasabigw.core.tags.admission_state import AnswerCounts
@@ -105,3 +106,20 @@
             current_plan(SEATS, self.state, Seconds(1.15))
         self.tag_of(opening(1, 1), now=1.25)
         self.assertIsNone(room_of(SEATS, self.state, Seconds(1.3)))
+
+
+class ChangingView(SumsCase):
+    """Guards against a relay that ranks all backend servers for each view.
+
+    The load: 12,000 backend servers, of which one starts or ends each 0.05 s.
+    """
+
+    def test_backend_servers_are_ranked_about_once_a_second(self) -> None:
+        self.view = self.view_of(12_000)
+        self.record(*(report(f"b-{n}", figures(n, 3)) for n in range(1, 4)))
+        ranked_at = set()
+        for step in range(30):
+            self.view.revision = Revision(step)
+            self.in_flight(at=FILLED + step * 0.05)
+            ranked_at.add(self.table.ranking.ranked_at)
+        self.assertEqual(len(ranked_at), 2)
