runtime: a task that fails closes its sockets

Change: a selector task that ends by an error closes its sockets in its own thread, so that routers and callers are refused at once. Result: test_sockets_of_a_task_that_failed_are_closed failed before; 6 passed.

--- a/src/wasabigw/runtime/selector_task.py
+++ b/src/wasabigw/runtime/selector_task.py
@@ -34,7 +34,18 @@
         self._selectable.__exit__(exc_type, exc_value, traceback)
 
     def run(self) -> None:
-        """Wait for sockets and messages until :class:`Stop` arrives."""
+        """Wait for sockets and messages until :class:`Stop` arrives.
+
+        An error that ends the task closes its sockets: routers and callers would wait
+        for answers at sockets that nobody reads, and take the process to be ready.
+        """
+        try:
+            self._run_until_stop()
+        except BaseException:
+            self._resources.close()
+            raise
+
+    def _run_until_stop(self) -> None:
         self._selector.register(self._selectable, selectors.EVENT_READ, None)
         while True:
             for key, events in self._selector.select(self._time_to_next()):
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -2,15 +2,20 @@
 
 import os
 import signal
+import socket
 import threading
 import unittest
 from unittest import mock
 
 from returns.result import Failure, Result, Success
 
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
 from wasabigw.runtime import supervision
+from wasabigw.runtime.mailbox import SelectableMailbox
+from wasabigw.runtime.selector_task import SelectorTask
 from wasabigw.runtime.supervision import ProcessRequest, ProcessRequests, supervise
+from wasabigw.tasks.light_http import LightServer
 from wasabigw.telemetry.events_daemon import DaemonEvent
 
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -79,5 +84,32 @@
         self.assertIs(self.requests.next(TIMEOUT), ProcessRequest.RELOAD)
 
 
+class _FailingTask(SelectorTask[str]):
+    """A task with an HTTP server that fails at its first message."""
+
+    def __init__(self) -> None:
+        super().__init__("failing", SelectableMailbox("failing"))
+        self.server = LightServer(Endpoint("127.0.0.1", 0), self._selector, print)
+        self._resources.enter_context(self.server)
+
+    def receive(self, message: str) -> None:
+        raise ValueError(message)
+
+
+class FailedTasks(unittest.TestCase):
+    """Guards against a process that seems ready although its task has ended."""
+
+    def test_sockets_of_a_task_that_failed_are_closed(self) -> None:
+        failed = threading.Event()
+        hook = self.enterContext(mock.patch.object(threading, "excepthook"))
+        hook.side_effect = lambda _: failed.set()
+        with _FailingTask() as task:
+            address = task.server.endpoint.address, task.server.endpoint.port
+            task.mailbox.post("unexpected")
+            self.assertTrue(failed.wait(10.0))
+            with self.assertRaises(ConnectionRefusedError):
+                socket.create_connection(address, timeout=10.0)
+
+
 if __name__ == "__main__":
     unittest.main()
