--- a/src/wasabigw/core/tags/capacity_share.py
+++ b/src/wasabigw/core/tags/capacity_share.py
@@ -9,6 +9,7 @@
 from wasabigw.core.tags.admission_state import ServiceAdmission
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.locality import eligible_slots, traffic_shares
+from wasabigw.core.tags.planning import current_plan
 from wasabigw.core.tags.state import Server, TagState
 
 
@@ -61,7 +62,9 @@
     usable = eligible_slots(home, slots, state.regions)
     if not usable:
         return {}, set()
-    return usable, traffic_shares(home, usable, state.regions).keys()
+    by_slots = traffic_shares(home, usable, state.regions).keys()
+    by_demand = current_plan(service, state, now).turns.domains.shares.keys()
+    return usable, (by_slots | by_demand) & usable.keys()
 
 
 def usable_servers(service: ServiceId, state: TagState, now: Seconds) -> list[Server]:
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -14,6 +14,7 @@
     count_arrival,
     count_data,
     count_opening,
+    count_release,
     discard_lost_data,
     discard_lost_opening,
     end_request,
@@ -43,7 +44,7 @@
     record_choice,
     update_suspicions,
 )
-from wasabigw.core.tags.egress import has_waiting, is_waiting
+from wasabigw.core.tags.egress import has_waiting, is_congested, is_waiting
 from wasabigw.core.tags.flow_table import (
     add_flow,
     close_flow,
@@ -52,6 +53,7 @@
 )
 from wasabigw.core.tags.health import (
     FailureSignal,
+    confirm_doubt,
     is_unreachable,
     record_failure,
     record_probe,
@@ -109,6 +111,8 @@
 """
 MAX_BYTES_BEFORE_COPY = 2**20
 """Most bytes that a caller sends on a flow before a copy of its opening arrives."""
+_LAST_RESORTS = {ChoiceReason.UNANSWERING, ChoiceReason.COLD, ChoiceReason.REPEATED}
+"""Reasons of choices among backend servers that had better not get an opening."""
 _REASONS_IF_STALE = {
     RefusalReason.NO_LISTENER: DropReason.UNSURE_OF_LISTENER,
     RefusalReason.NO_SERVER: DropReason.UNSURE_OF_SERVERS,
@@ -227,8 +231,10 @@
             return Refuse(packet, RefusalReason.NO_LINK_ROOM)
         if outcome is UploadOutcome.DROP:
             return Drop(DropReason.NO_LINK_ROOM)
+    busy: set[Server] = set()
     if _is_limited_by_room(listener, state):
-        avoided |= busy_servers(service, avoided, state, now)
+        busy = busy_servers(service, avoided, state, now)
+        avoided |= busy
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
@@ -238,6 +244,8 @@
         reason = RefusalReason.NO_SERVER
         return _reject_opening(packet, reason, state, now, waited)
     server, choice = chosen
+    if busy and choice not in _LAST_RESORTS:
+        choice = ChoiceReason.IDLE
     record_probe(server.breaker, now)
     record_choice(server, state, now)
     caller_diversion.record_outcome(
@@ -304,7 +312,10 @@
     have ended though it seems open.
     """
     if known.state is FlowState.OPENING:
-        return False
+        # Copies that a balancer reads at the same moment, as it was suspended, must not
+        # open two flows. Later ones show that the first copy was not answered.
+        is_same = packet.sequence == known.first_sequence and packet.repeat > 0
+        return is_same and now - known.opened_at < OPENING_TIMEOUT
     if known.state is FlowState.OPEN and packet.sequence == known.first_sequence:
         return True
     if now - known.opened_at >= MAX_COPY_AGE:
@@ -363,6 +374,9 @@
     state: TagState,
     now: Seconds,
 ) -> None:
+    congested = is_congested(state.egress, now)
+    if congested and not confirm_doubt(server.breaker, sent_at, now):
+        return
     silent_for = Seconds(now - server.breaker.last_response_at)
     if record_failure(server.breaker, sent_at, now):
         state.health_changes.append(HealthChange(server, failure, silent_for))
@@ -376,12 +390,11 @@
     if is_waiting(state.egress, packet):
         # The backend server has not been sent the first copy yet.
         return False
-    count_data(packet, flow)
+    count_data(packet, flow, state, now)
     if flow.pending_sequence is None:
         record_request(flow, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif _shows_progress(packet, flow.pending_sequence):
-        flow.is_upload = True
         _record_response(flow.server, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
@@ -431,8 +444,10 @@
             restart_flow(flow, now)
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
-    elif packet.length and flow.pending_sequence is not None:
-        flow.pending_since = now
+    elif packet.length:
+        count_release(flow, now)
+        if flow.pending_sequence is not None:
+            flow.pending_since = now
 
 
 def record_loss(packet: FlowPacket, state: TagState) -> None:
@@ -471,7 +486,7 @@
         known.state = FlowState.OPEN
     if was_opening or known.acknowledged != packet.acknowledged:
         record_answer(packet, known, state, now)
-        count_acknowledgement(packet, known, now)
+        count_acknowledgement(packet, known, state, now)
         known.acknowledged = packet.acknowledged
         record_request_end(packet.flow, known, state)
         if known.pending_sequence is not None:
@@ -502,7 +517,7 @@
     discard_opening(packet.flow, state)
     record_answer(packet, known, state, now)
     close_flow(known)
-    count_acknowledgement(packet, known, now)
+    count_acknowledgement(packet, known, state, now)
     end_request(known)
     known.last_seen = now
     known.acknowledged = packet.acknowledged
--- a/src/wasabigw/telemetry/events_balancer.py
+++ b/src/wasabigw/telemetry/events_balancer.py
@@ -295,3 +295,18 @@
         "the link of balancer {node} carries all uploads in time again",
         "None needed.",
     )
+    FLOWS_CROSS = EventDefinition(
+        2054,
+        Severity.INFO,
+        "balancer {node} sends {share} of the new flows of {service} to other failure "
+        "domains: {in_flight} requests are in flight in its own one with {slots} slots",
+        "None needed for a short time; otherwise add backend servers of the service to "
+        "this failure domain.",
+    )
+    FLOWS_STAY = EventDefinition(
+        2055,
+        Severity.INFO,
+        "balancer {node} keeps the new flows of {service} in its own failure domain "
+        "again",
+        "None needed.",
+    )
