--- a/src/wasabigw/core/tags/admission_control.py
+++ b/src/wasabigw/core/tags/admission_control.py
@@ -48,6 +48,7 @@
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.rejections import record_rejected_caller, take_further_try
 from wasabigw.core.tags.shortage import DELAY_SHARE, update_shortage
+from wasabigw.core.tags.spare_servers import has_spare_room
 from wasabigw.core.tags.state import Flow, TagState
 
 MAX_HOLD_TIME = Seconds(0.12)
@@ -227,7 +228,7 @@
     return (
         state.features.admission_control
         and control.short_since is not None
-        and not control.idle
+        and not control.has_idle_server
         and not state.admission.is_draining
     )
 
@@ -251,7 +252,7 @@
 ) -> AdmissionOutcome:
     """Decide on an opening while its service is short."""
     service, rank = opening.service, opening.rank
-    if fits(rank.priority, control, state, now):
+    if fits(rank.priority, control, state, now) or has_spare_room(control, now):
         return AdmissionOutcome.ADMIT
     if is_further_try:
         _count(opening, AdmissionCount.FURTHER_TRY, state)
--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission_state.py
@@ -112,9 +112,10 @@
     :param tolerable: longest delay that the callers can bear.
     :param rejected: share of the requests that backend servers reject.
     :param capacity: requests a second that this balancer may send.
-    :param idle: backend servers without a request while the service is short.
-    :param idle_bucket: tokens for openings to these.
-    :param idle_capacity: requests a second that this balancer may send to these.
+    :param has_idle_server: whether a backend server is known to have no request while
+        the service is short.
+    :param spare: backend servers with free slots while the service is short.
+    :param spare_bucket: tokens for openings to these.
     """
 
     id: ServiceId
@@ -132,9 +133,9 @@
     tolerable: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
     rejected: float = 0.0
     capacity: float = 0.0
-    idle: frozenset[Tag] = frozenset()
-    idle_bucket: TokenBucket = field(default_factory=TokenBucket)
-    idle_capacity: float = 0.0
+    has_idle_server: bool = False
+    spare: frozenset[Tag] = frozenset()
+    spare_bucket: TokenBucket = field(default_factory=TokenBucket)
 
 
 @dataclass(slots=True)
--- a/src/wasabigw/core/tags/capacity_share.py
+++ b/src/wasabigw/core/tags/capacity_share.py
@@ -30,17 +30,17 @@
     return rate * _share(control, usable.keys() | {home}, state, now)
 
 
-def idle_capacity_of(
+def spare_capacity_of(
     control: ServiceAdmission,
     service_rate: float,
-    idle_slots: float,
+    free_slots: float,
     state: TagState,
     now: Seconds,
 ) -> float:
-    """Requests a second that this balancer may send to idle backend servers.
+    """Requests a second that this balancer may send to free slots.
 
     :param service_rate: as for :func:`capacity_of`.
-    :param idle_slots: slots of the idle ones in all failure domains.
+    :param free_slots: those in all failure domains.
     """
     usable, receiving = _slots(control.id, state, now)
     slots = sum(usable[domain] for domain in receiving)
@@ -48,7 +48,7 @@
         return 0.0
     domains = usable.keys() | {state.failure_domain}
     share = _share(control, domains, state, now)
-    return service_rate * idle_slots / slots * share
+    return service_rate * free_slots / slots * share
 
 
 def _slots(
--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -27,7 +27,7 @@
     LOAD_SHARE_ELSEWHERE = (
         "share by load figures, the own failure domain has too little room"
     )
-    IDLE = "no request by load figures, while the service is short of room"
+    FREE_SLOTS = "free slots by load figures, while the service is short of room"
     UNANSWERING = "none is known to answer"
     COLD = "only cold ones are left"
     REPEATED = "no other one is left for a repeated opening"
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -23,13 +23,13 @@
     ShortageChange,
 )
 from wasabigw.core.tags.capacity_share import capacity_of
-from wasabigw.core.tags.idle_servers import update_idle_servers
 from wasabigw.core.tags.rejections import (
     learn_usual_share,
     rejected_share,
     rejection_time,
 )
 from wasabigw.core.tags.room import Room, room_of
+from wasabigw.core.tags.spare_servers import update_spare_servers
 from wasabigw.core.tags.state import TagState
 
 DELAY_SHARE = 0.25
@@ -98,7 +98,7 @@
         answered = recent_rate(control.answers.all, now) * (1.0 - rejected)
         by_answers = PROBE_FACTOR * answered
         control.capacity = max(by_answers, MIN_CAPACITY_SHARE * by_figures)
-        update_idle_servers(control, rate, state, now)
+        update_spare_servers(control, rate, state, now)
         _check_room(control, room, state, now)
 
 
@@ -158,7 +158,8 @@
     if control.short_since is not None:
         _record_change(control, cause, room, state, now)
     control.short_since = control.room_since = None
-    control.idle = frozenset()
+    control.spare = frozenset()
+    control.has_idle_server = False
 
 
 def _record_change(
--- a/src/wasabigw/core/tags/idle_servers.py
+++ b/src/wasabigw/core/tags/spare_servers.py
@@ -1,9 +1,9 @@
-"""Idle backend servers of a service that is short of room.
+"""Backend servers with free slots while their service is short of room.
 
-Where openings go follows from shares that are made for usual demand. If the backend
-servers of a failure domain are full, others may have no request at all; openings go to
-these first, as many as they can answer. All balancers see the same ones by figures of
-the same age, so each sends its share only.
+Openings follow the shares of failure domains, which a wave of demand outruns. If the
+backend servers of a failure domain are full, others may have free slots, and openings
+go to these first, as many as they can answer. All balancers see the same ones by
+figures of the same age, so each sends its share only.
 """
 
 from collections import defaultdict
@@ -12,54 +12,65 @@
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.rates import refill, take_token
 from wasabigw.core.tags.admission_state import ServiceAdmission
-from wasabigw.core.tags.capacity_share import idle_capacity_of, usable_servers
+from wasabigw.core.tags.capacity_share import spare_capacity_of, usable_servers
 from wasabigw.core.tags.state import Server, TagState
 
 
-def update_idle_servers(
+def update_spare_servers(
     control: ServiceAdmission, service_rate: float, state: TagState, now: Seconds
 ) -> None:
-    """Update which backend servers of a service have no request by the figures.
+    """Update which backend servers of a service have free slots by the figures.
 
     :param service_rate: requests a second that the backend servers can answer to which
         this balancer sends.
     """
     unnamed: dict[FailureDomainId, list[Server]] = defaultdict(list)
-    idle: set[Server] = set()
+    spare: set[Server] = set()
+    free_slots, control.has_idle_server = 0.0, False
     for server in usable_servers(control.id, state, now):
         figures = state.known_load.servers.get(server.registration.tag)
         if figures is None:
             unnamed[server.registration.failure_domain].append(server)
-        elif figures.in_flight == 0 and server.counts.in_flight < server.slots:
-            # Requests of this balancer are newer than the figures, and limited here.
-            idle.add(server)
-    slots = float(sum(server.slots for server in idle))
+        elif figures.in_flight + server.counts.in_flight < server.slots:
+            spare.add(server)
+            free_slots += server.slots - figures.in_flight
+            control.has_idle_server |= figures.in_flight == 0
     for domain, servers in unnamed.items():
-        idle_share = 1.0 - _mean_in_flight(control.id, domain, servers, state)
-        if idle_share > 0:
-            idle.update(servers)
-            slots += idle_share * sum(server.slots for server in servers)
-    control.idle = frozenset(server.registration.tag for server in idle)
-    control.idle_capacity = idle_capacity_of(control, service_rate, slots, state, now)
+        mean = _mean_in_flight(control.id, domain, servers, state)
+        free = sum(max(server.slots - mean, 0.0) for server in servers)
+        if free > 0:
+            spare.update(servers)
+            free_slots += free
+        # If the mean is below 1, at least one of them has no request.
+        control.has_idle_server |= mean < 1
+    control.spare = frozenset(server.registration.tag for server in spare)
+    capacity = spare_capacity_of(control, service_rate, free_slots, state, now)
+    refill(control.spare_bucket, capacity, now)
+
+
+def has_spare_room(control: ServiceAdmission, now: Seconds) -> bool:
+    """Whether this balancer has not used up its share of the free slots."""
+    refill(control.spare_bucket, control.spare_bucket.rate, now)
+    return bool(control.spare) and control.spare_bucket.tokens >= 1.0
 
 
 def busy_servers(
     service: ServiceId, avoided: Collection[Server], state: TagState, now: Seconds
 ) -> set[Server]:
-    """Backend servers that an opening passes over for idle ones.
+    """Backend servers that an opening passes over for those with free slots.
 
     :param avoided: those that it should not go to for other reasons.
-    :returns: an empty set if there is no idle one, or if these get enough already.
+    :returns: an empty set if there are no free slots, or these get enough already.
     """
     control = state.admission.services.get(service)
-    if control is None or control.short_since is None or not control.idle:
+    if control is None or control.short_since is None or not control.spare:
         return set()
     pool = state.pools.get(service, ())
-    busy = {server for server in pool if server.registration.tag not in control.idle}
+    busy = {server for server in pool if server.registration.tag not in control.spare}
     if all(server in avoided or server in busy for server in pool):
         return set()
-    refill(control.idle_bucket, control.idle_capacity, now)
-    return busy if take_token(control.idle_bucket) else set()
+    refill(control.spare_bucket, control.spare_bucket.rate, now)
+    return busy if take_token(control.spare_bucket) else set()
 
 
 def _mean_in_flight(
@@ -68,10 +79,7 @@
     servers: Sequence[Server],
     state: TagState,
 ) -> float:
-    """Mean number of requests at the backend servers that the figures don't name.
-
-    If it is below 1, at least one of them has none.
-    """
+    """Mean number of requests at the backend servers that the figures don't name."""
     known = state.known_load
     total = known.services.get((service, domain))
     if total is None:
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -60,7 +60,6 @@
     record_response,
 )
 from wasabigw.core.tags.held_openings import HeldOpening
-from wasabigw.core.tags.idle_servers import busy_servers
 from wasabigw.core.tags.link_classes import record_request_data, record_request_end
 from wasabigw.core.tags.openings import (
     OPENING_TIMEOUT,
@@ -78,6 +77,7 @@
 )
 from wasabigw.core.tags.rejections import record_answer
 from wasabigw.core.tags.selection import choose_server_for, service_of
+from wasabigw.core.tags.spare_servers import busy_servers
 from wasabigw.core.tags.state import (
     Flow,
     FlowState,
@@ -245,7 +245,7 @@
         return _reject_opening(packet, reason, state, now, waited)
     server, choice = chosen
     if busy and choice not in _LAST_RESORTS:
-        choice = ChoiceReason.IDLE
+        choice = ChoiceReason.FREE_SLOTS
     record_probe(server.breaker, now)
     record_choice(server, state, now)
     caller_diversion.record_outcome(
