tags: uploads begin in turns

Cause: a caller sends a window of 16 packets as soon as its flow is open, 80 ms of a link of 2 Mbit/s. Uploads that begin together overflow the link into a balancer, which keeps 0.1 s of packets, and all callers lose some. The classes of the queue outwards can't order what has not arrived.

Change: the opening of an upload waits until the uploads that have begun are expected to send no more than the link carries in 0.025 s, and for 0.5 s at most. A silent caller holds up others for 0.3 s. On fast links many begin at once. Only for listeners with requirements, with egress_classes on.

--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -13,6 +13,7 @@
 """
 
 import math
+from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -129,6 +130,8 @@
     :param size: bytes that all waiting packets take on the link.
     :param classes: waiting packets by class, most urgent first.
     :param virtual_time: start of the packet that was served last.
+    :param turns: openings of uploads that wait until earlier ones have sent
+        (:mod:`wasabigw.core.tags.upload_turns`), oldest first.
     :param evicted: packets that were dropped since :func:`take_evicted` was called.
     """
 
@@ -138,17 +141,19 @@
     size: int = 0
     classes: dict[LinkClass, ClassQueue] = field(default_factory=_make_classes)
     virtual_time: float = 0.0
+    turns: OrderedDict[FlowId, Waiting] = field(default_factory=OrderedDict)
     evicted: list[Waiting] = field(default_factory=list)
 
     @property
     def is_empty(self) -> bool:
         """Whether no packet waits."""
-        return self.size == 0
+        return self.size == 0 and not self.turns
 
     @property
     def packet_count(self) -> int:
         """Number of packets that wait."""
-        return sum(packet_count(c.packets) for c in self.classes.values())
+        queued = sum(packet_count(c.packets) for c in self.classes.values())
+        return queued + len(self.turns)
 
 
 def make_egress_queue(link_megabits: float | None) -> EgressQueue:
@@ -242,6 +247,8 @@
 
 def is_waiting(queue: EgressQueue, packet: FlowPacket) -> bool:
     """Whether a copy of a packet still waits to be sent."""
+    if packet.is_opening and packet.flow in queue.turns:
+        return True
     if queue.size == 0:
         return False
     found = _find_backlog(queue, packet.flow)
@@ -255,6 +262,8 @@
 
 def is_opening_waiting(queue: EgressQueue, flow: FlowId) -> bool:
     """Whether the opening packet of a flow still waits to be sent."""
+    if flow in queue.turns:
+        return True
     if queue.size == 0:
         return False
     found = _find_backlog(queue, flow)
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -196,6 +196,8 @@
     :param request_sizes: usual size of the requests at each listener.
     :param uploads: admitted flows that upload, or are about to.
     :param late_uploads: those of them that can't be carried in time.
+    :param begun_uploads: those whose openings were sent and that are expected to send
+        more, with the time of the opening.
     :param weight_changes: backend servers that have become slow or recovered and are
         not logged yet; the log removes them.
     :param plans: shares of new flows by load figures, for each service that has any.
@@ -230,6 +232,7 @@
     request_sizes: dict[ListenerKey, RequestSize] = field(default_factory=dict)
     uploads: dict[FlowId, Flow] = field(default_factory=dict)
     late_uploads: set[FlowId] = field(default_factory=set)
+    begun_uploads: dict[FlowId, Seconds] = field(default_factory=dict)
     weight_changes: list[WeightChange] = field(default_factory=list)
     plans: dict[ServiceId, ServicePlan] = field(default_factory=dict)
     suspicions: dict[ServiceKey, Suspicion] = field(default_factory=dict)
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -150,6 +150,7 @@
     classes = state.egress.classes
     late = len(state.late_uploads)
     uploads = {"in time": len(state.uploads) - late, "late": late}
+    uploads["waiting for a turn"] = len(state.egress.turns)
     return [
         Family(
             "wasabigw_link_class_queue_bytes",
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -45,6 +45,13 @@
 )
 from wasabigw.core.tags.unreachable_hosts import record_check
 from wasabigw.core.tags.updates import apply_declaration, apply_view_update
+from wasabigw.core.tags.upload_turns import (
+    expire_turns,
+    needs_turn,
+    take_turns,
+    time_to_turn,
+    wait_for_turn,
+)
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.selector_task import SelectorTask
 from wasabigw.runtime.task import Stop
@@ -224,6 +231,21 @@
 
     def deliver(self, packet: FlowPacket, datagram: Datagram, now: Seconds) -> None:
         """Send a packet to its backend server as soon as the link can take it."""
+        if needs_turn(packet, self._state):
+            wait_for_turn(packet, datagram, self._state, now)
+            self._begin_uploads(now)
+        else:
+            self._submit(packet, datagram, now)
+
+    def _begin_uploads(self, now: Seconds) -> None:
+        """Send the openings of uploads whose turn it is."""
+        for expired in expire_turns(self._state, now):
+            self._drop_from_link(expired.packet, DropReason.OPENING_EXPIRED, now)
+        for waiting in take_turns(self._state, now):
+            record_release(waiting.packet, self._state, now)
+            self._submit(waiting.packet, waiting.datagram, now)
+
+    def _submit(self, packet: FlowPacket, datagram: Datagram, now: Seconds) -> None:
         egress = self._state.egress
         link_class = link_class_of(packet, self._state, now)
         admission = submit(egress, packet, datagram, now, link_class)
@@ -279,6 +301,7 @@
         times = (
             time_to_release(self._state.egress, now),
             time_to_release_held(self._state, now),
+            time_to_turn(self._state),
         )
         return min((time for time in times if time is not None), default=None)
 
@@ -287,6 +310,7 @@
         if self._state.egress.is_empty:
             return
         now = monotonic()
+        self._begin_uploads(now)
         for waiting in release(self._state.egress, now):
             record_release(waiting.packet, self._state, now)
             self._send_to_server(waiting.packet, waiting.datagram)
