--- a/src/wasabigw/core/load/counting.py
+++ b/src/wasabigw/core/load/counting.py
@@ -13,6 +13,7 @@
 from wasabigw.core.ids import Seconds, ServiceId
 from wasabigw.core.tags.egress import has_waiting, is_congested
 from wasabigw.core.tags.packets import SEQUENCE_NUMBERS, FlowPacket
+from wasabigw.core.tags.rejections import seems_rejection
 from wasabigw.core.tags.state import Flow, FlowState, Server, TagState
 
 _HALF = SEQUENCE_NUMBERS // 2
@@ -81,13 +82,16 @@
 def count_acknowledgement(
     packet: FlowPacket, flow: Flow, state: TagState, now: Seconds
 ) -> None:
-    """Count the first answer to the request of a flow, if the packet shows it."""
+    """Count the first answer to the request of a flow, if the packet shows it.
+
+    Answers that seem to be rejections end a request, but don't count.
+    """
     if not flow.is_in_flight and not flow.is_sending:
         return
     ahead = (packet.acknowledged - flow.acknowledged_before) % SEQUENCE_NUMBERS
     if not 0 < ahead < _HALF:
         return
-    if not is_congested(state.egress, now):
+    if not is_congested(state.egress, now) and not seems_rejection(packet, flow, state):
         counts = flow.server.counts
         counts.answers += 1
         counts.answer_time += now - flow.data_at
--- a/src/wasabigw/core/load/figures.py
+++ b/src/wasabigw/core/load/figures.py
@@ -39,7 +39,8 @@
     :param flows: open flows.
     :param in_flight: requests that were sent to it and have no answer yet.
     :param openings: openings sent to it within :data:`COUNT_WINDOW`.
-    :param answers: first answers that callers acknowledged within that time.
+    :param answers: first answers that callers acknowledged within that time, without
+        those that seem to be rejections.
     :param answer_time: sum of the times from a request to its first answer.
     """
 
--- a/src/wasabigw/core/tags/rejections.py
+++ b/src/wasabigw/core/tags/rejections.py
@@ -27,6 +27,11 @@
 """Largest share that is assumed, so that the expected delay stays finite."""
 MAX_USUAL_SHARE = 0.9
 """Usual share of short answers from which rejections can't be told from them."""
+MAX_UNUSUAL_SHARE = 0.5
+"""Usual share of short answers below which these say nothing about the speed.
+
+If more are short, the speed can't be told without them.
+"""
 MIN_REJECTIONS = 2.0
 """Rejections, of which older ones count less, that are no coincidence."""
 MIN_DEVIATIONS = 3.0
@@ -60,6 +65,25 @@
     record_rejected_caller(packet.flow, state, now)
 
 
+def seems_rejection(packet: FlowPacket, flow: Flow, state: TagState) -> bool:
+    """Whether an answer that a caller acknowledges is short where most are not.
+
+    Its time says nothing about the speed of the backend server: one that rejects or
+    fails at once would seem fast, and get more and more requests.
+    """
+    control = state.admission.services.get(flow.server.registration.service)
+    if control is None or not are_short_answers_unusual(control.answers):
+        return False
+    size = sequence_distance(flow.acknowledged, packet.acknowledged)
+    return size <= MAX_REJECTION_BYTES
+
+
+def are_short_answers_unusual(answers: AnswerCounts) -> bool:
+    """Whether most answers of a service are known to be longer than rejections."""
+    usual = answers.usual_share
+    return usual is not None and usual < MAX_UNUSUAL_SHARE
+
+
 def record_rejected_caller(flow: FlowId, state: TagState, now: Seconds) -> None:
     """Remember a caller, whose next opening is a further try."""
     callers = state.admission.rejected_callers
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -25,6 +25,7 @@
 from wasabigw.core.tags.capacity_share import capacity_of
 from wasabigw.core.tags.idle_servers import update_idle_servers
 from wasabigw.core.tags.rejections import (
+    are_short_answers_unusual,
     learn_usual_share,
     rejected_share,
     rejection_time,
@@ -92,8 +93,10 @@
         control.short_since = now
         _record_change(control, cause, room, state, now)
     if control.short_since is not None:
-        # Rejections are answers as well, so that figures show too high a rate.
-        rate = room.service_rate * (1.0 - rejected)
+        rate = room.service_rate
+        if not are_short_answers_unusual(control.answers):
+            # Rejections count as answers then, so that figures show too high a rate.
+            rate *= 1.0 - rejected
         by_figures = capacity_of(control, rate, state, now)
         answered = recent_rate(control.answers.all, now) * (1.0 - rejected)
         by_answers = PROBE_FACTOR * answered
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from random import Random
 from unittest import mock
 
 from tests.test_tag_steering import (
@@ -12,15 +13,18 @@
     SEATS,
     SteeringCase,
     boot,
+    data,
     opening,
 )
-from wasabigw.core.ids import NodeId, RegionId, Seconds, Tag
+from wasabigw.core.ids import Incarnation, NodeId, RegionId, Seconds, Tag
 from wasabigw.core.load.figures import FIGURES_TTL, ServerFigures, ServiceFigures
 from wasabigw.core.load.known import KnownLoad
+from wasabigw.core.load.reporting import make_report
 from wasabigw.core.requirements import Priority, Requirements
 from wasabigw.core.tags.decisions import ChoiceReason, Deliver
 from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.health import record_failure
+from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.planning import current_plan
 from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.state import TagState
@@ -306,6 +310,70 @@
         )
 
 
+class FailsAtOnce(SharedLoadCase):
+    """Guards against a backend server that gets more flows because it fails at once.
+
+    One of 20 answers with a short error after 2 ms, the others after 40 ms. There are
+    100 requests a second on flows of their own, and nine more balancers like this one.
+    """
+
+    COUNT = 20
+    BALANCERS = 10
+
+    def use(self, seconds: int, flaw: Callable[[int], tuple[float, int]]) -> float:
+        """Share of the first backend server in the last half of some time.
+
+        :param flaw: time and size of the answers of a backend server.
+        """
+        self.register(*(boot(tag) for tag in range(1, self.COUNT + 1)))
+        ended: list[tuple[float, FlowPacket]] = []
+        chosen: Counter[int] = Counter()
+        for number in range(seconds * 100):
+            now = number / 100
+            if number % 100 == 0:
+                self.exchange(now)
+            for at, packet in [entry for entry in ended if entry[0] <= now]:
+                self.decide(packet, at)
+                ended.remove((at, packet))
+            sent = opening(number % 60_000)
+            sent = sent._replace(flow=sent.flow._replace(caller=number))
+            tag = self.tag_of(sent, now)
+            chosen[tag] += number >= seconds * 50
+            self.decide(data(tag)._replace(flow=sent.flow, length=0), now)
+            self.decide(data(tag)._replace(flow=sent.flow), now)
+            time, size = flaw(tag)
+            end = data(tag, closing=True, sequence=111, acknowledged=555 + size)
+            ended.append((now + time, end._replace(flow=sent.flow, length=0)))
+        return chosen[1] / sum(chosen.values())
+
+    def exchange(self, now: float) -> None:
+        """Let the balancer learn that the others have counted the same."""
+        make_report(self.state, Incarnation("a"), Seconds(now), Random(1).sample)
+        times = self.BALANCERS - 1
+        servers = [
+            ServerFigures(
+                tag,
+                times * server.open_flows,
+                times * server.counts.in_flight,
+                times * server.counts.previous_openings,
+                times * server.counts.previous_answers,
+                Seconds(times * server.counts.previous_answer_time),
+            )
+            for tag, server in self.state.servers.items()
+        ]
+        self.know(*servers, at=now)
+
+    def test_short_errors_raise_no_weight(self) -> None:
+        share = self.use(20, lambda tag: (0.002, 150) if tag == 1 else (0.04, 2000))
+        self.assertLessEqual(share, 1.1 / self.COUNT)
+
+    def test_a_fast_one_gets_more_whatever_the_usual_size(self) -> None:
+        for size in (150, 2000):
+            self.setUp()
+            share = self.use(20, lambda tag: (0.02 if tag == 1 else 0.04, size))  # noqa: B023
+            self.assertGreater(share, 1.5 / self.COUNT)
+
+
 class RoomOfService(SharedLoadCase):
     """Guards against admission by a wrong room."""
 
