--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -4,11 +4,20 @@
 import unittest
 
 from tests.test_admission_control import URGENT, WITH_ROOM, AdmissionCase
-from wasabigw.core.ids import Seconds
+from tests.test_domain_suspicion import HOME, DomainCase
+from tests.test_load_sums import FILLED, SumsCase, figures, report
+from tests.test_refused_openings import opening
+from tests.test_shared_load import SharedLoadCase
+from tests.test_tag_steering import SEATS
+from wasabigw.core.ids import Revision, Seconds
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
 from wasabigw.core.tags.admission_state import AnswerCounts
+from wasabigw.core.tags.health import record_failure
+from wasabigw.core.tags.packets import FlowPacket
+from wasabigw.core.tags.planning import current_plan
 from wasabigw.core.tags.rejections import learn_usual_share, rejected_share
+from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.shortage import MIN_REJECTED_SHARE
 
 
@@ -60,3 +69,57 @@
     def test_a_surge_of_rejections_shows_within_two_seconds(self) -> None:
         found = self.rejected(2.0, 0.85)
         self.assertGreater(found[-1], MIN_REJECTED_SHARE)
+
+
+class FlowsInParallel(DomainCase):
+    """Guards against flows of one busy address that leave a sound failure domain.
+
+    The load: 100 openings a second of one address, such as a gateway of callers, each
+    answered after 0.02 s.
+    """
+
+    def test_they_stay_in_the_own_failure_domain(self) -> None:
+        draw = random.Random(1)
+        unanswered: list[tuple[float, int, FlowPacket]] = []
+        now, away = 0.0, 0
+        for port in range(1, 1001):
+            now += draw.expovariate(100.0)
+            while unanswered and unanswered[0][0] <= now:
+                at, tag, sent = unanswered.pop(0)
+                self.answer(tag, sent, at)
+            sent = opening(1, port)
+            tag = self.tag_of(sent, now)
+            away += tag not in HOME
+            unanswered.append((now + 0.02, tag, sent))
+        self.assertLess(away, 30)
+
+
+class AllServersSilent(SharedLoadCase):
+    """Guards against a division by zero while backend servers come back at once."""
+
+    def test_room_is_unknown_until_the_plan_knows_them(self) -> None:
+        current_plan(SEATS, self.state, Seconds(0.1))
+        for server in self.state.servers.values():
+            record_failure(server.breaker, Seconds(0.2), Seconds(0.2))
+        self.state.known_load.measured_at = Seconds(0.5)
+        for _ in range(4):
+            current_plan(SEATS, self.state, Seconds(1.15))
+        self.tag_of(opening(1, 1), now=1.25)
+        self.assertIsNone(room_of(SEATS, self.state, Seconds(1.3)))
+
+
+class ChangingView(SumsCase):
+    """Guards against a relay that ranks all backend servers for each view.
+
+    The load: 12,000 backend servers, of which one starts or ends each 0.05 s.
+    """
+
+    def test_backend_servers_are_ranked_about_once_a_second(self) -> None:
+        self.view = self.view_of(12_000)
+        self.record(*(report(f"b-{n}", figures(n, 3)) for n in range(1, 4)))
+        ranked_at = set()
+        for step in range(30):
+            self.view.revision = Revision(step)
+            self.in_flight(at=FILLED + step * 0.05)
+            ranked_at.add(self.table.ranking.ranked_at)
+        self.assertEqual(len(ranked_at), 2)
