--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -388,6 +388,24 @@
             self.assertAlmostEqual(room.free_slots, max(SLOTS - in_flight, 0) * SERVERS)
             self.assertAlmostEqual(room.service_rate, SERVERS * SLOTS / REQUEST_TIME)
 
+    def test_one_absurd_figure_fills_no_service(self) -> None:
+        for count in (2, SERVERS):
+            self.setUp()
+            self.register(*(boot(tag) for tag in range(1, count + 1)))
+            absurd = figures(1, in_flight=10**6)
+            self.know_repeatedly(lambda t: absurd if t == 1 else figures(t), 0, 2)  # noqa: B023
+            room = room_of(SEATS, self.state, Seconds(1.5))
+            assert room is not None
+            self.assertLess(room.utilization, 1.0)
+            self.assertLess(room.wait, REQUEST_TIME)
+            self.assertGreaterEqual(room.free_slots, (count - 1) * (SLOTS - 1))
+
+    def test_queues_at_half_of_the_servers_count(self) -> None:
+        self.know_repeatedly(lambda t: figures(t, in_flight=t % 2 * 8 * SLOTS), 0, 2)
+        room = room_of(SEATS, self.state, Seconds(1.5))
+        assert room is not None
+        self.assertGreater(room.utilization, 3.5)
+
 
 if __name__ == "__main__":
     unittest.main()
