tags: plans of services outlast changes of other services

Cause: each change of the view made new lists of the backend servers of all services, and a plan is computed again if its list is another one. Change: a list with the same backend servers is kept. Result: ChangesOfOtherServices failed before and passes now, as do the tests of test_shared_load, test_demand, test_tag_steering and test_steering_properties.

--- a/src/wasabigw/core/tags/updates.py
+++ b/src/wasabigw/core/tags/updates.py
@@ -57,6 +57,10 @@
         server.receiver = _receiver(server.registration, in_use)
         if _accepts_new_flows(server.registration, state):
             pools.setdefault(server.registration.service, []).append(server)
+    for service, pool in pools.items():
+        # Lists are equal if they hold the same objects; plans remain those of the list.
+        if state.pools.get(service) == pool:
+            pools[service] = state.pools[service]
     state.pools = pools
     for service in state.plans.keys() - pools.keys():
         del state.plans[service]
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -2,13 +2,14 @@
 
 import random
 import unittest
+from dataclasses import replace
 
 from tests.test_admission_control import URGENT, WITH_ROOM, AdmissionCase
 from tests.test_domain_suspicion import HOME, DomainCase
 from tests.test_load_sums import FILLED, SumsCase, figures, report
 from tests.test_refused_openings import opening
 from tests.test_shared_load import SharedLoadCase
-from tests.test_tag_steering import SEATS
+from tests.test_tag_steering import DOCUMENTS, SEATS, boot
 from wasabigw.core.ids import Revision, Seconds
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
@@ -123,3 +124,20 @@
             self.in_flight(at=FILLED + step * 0.05)
             ranked_at.add(self.table.ranking.ranked_at)
         self.assertEqual(len(ranked_at), 2)
+
+
+class ChangesOfOtherServices(SharedLoadCase):
+    """Guards against shares that are computed for each change of any other service.
+
+    The load: many services, of which one gets a new boot at each change of the view.
+    """
+
+    def test_shares_of_a_service_that_has_not_changed_are_kept(self) -> None:
+        plan = current_plan(SEATS, self.state, Seconds(0.1))
+        boots = self.state.view.boots.values()
+        self.register(*boots, replace(boot(99), service=DOCUMENTS))
+        current_plan(SEATS, self.state, Seconds(0.2))
+        self.assertEqual(plan.made_at, Seconds(0.1))
+        self.register(*boots, boot(98))
+        current_plan(SEATS, self.state, Seconds(0.3))
+        self.assertEqual(plan.made_at, Seconds(0.3))
