tags: shares are soon computed again if some backend servers could not be used

Cause: a plan made while most backend servers were silent or cold stayed in force until it was 2 s old or newer figures had come. Change: such a plan is renewed after 0.1 s, or 1 ms for each backend server if that is longer. Tests of test_shared_load, test_demand, test_admission_control, test_domain_suspicion and test_compare_choices pass.

--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -42,7 +42,11 @@
 It limits the processor time that plans of large services take.
 """
 MIN_PLAN_TIME = Seconds(0.1)
-"""Time after which shares are computed again if none of them could be used."""
+"""Time after which shares are computed again if none of them could be used.
+
+Also if some backend servers were left out as silent or cold: after a failure of many,
+the few others would get all flows.
+"""
 MAX_RANK = 2**32
 """Upper bound of the rank of a backend server, which is a hash of 32 bits."""
 
@@ -57,7 +61,9 @@
     age = now - plan.made_at
     plan.uses += 1
     has_new_figures = plan.measured_at != known.measured_at
-    is_due = age >= PLAN_TTL or (has_new_figures and plan.uses >= MIN_PLAN_USES)
+    is_due = age >= (MIN_PLAN_TIME if plan.is_partial else PLAN_TTL) or (
+        has_new_figures and plan.uses >= MIN_PLAN_USES
+    )
     if plan.pool is not pool or (is_due and age >= len(pool) * PLAN_TIME_PER_SERVER):
         _update_plan(plan, pool, state, now)
     return plan
@@ -78,6 +84,7 @@
     plan.measured_at = state.known_load.measured_at
     plan.made_at = now
     plan.uses = 0
+    plan.is_partial = not all(is_usable(server, now) for server in pool)
     groups = _usable_groups(pool, state, now)
     shares = _domain_shares(groups, plan, state, elapsed) if groups else {}
     plan.loads = {}
--- a/src/wasabigw/core/tags/plans.py
+++ b/src/wasabigw/core/tags/plans.py
@@ -48,6 +48,7 @@
     :param pool: backend servers from which it was made.
     :param measured_at: time of the figures from which it was made.
     :param uses: choices and questions for the room since it was made.
+    :param is_partial: whether some of ``pool`` were silent or cold then.
     :param others: speed of the backend servers that the figures don't name.
     :param speeds: speed of each backend server; ``others`` for most of the unnamed.
     :param loads: expected load of each backend server that gets new flows.
@@ -61,6 +62,7 @@
     measured_at: Seconds = NEVER
     made_at: Seconds = NEVER
     uses: int = 0
+    is_partial: bool = False
     others: Speed = field(default_factory=Speed)
     speeds: dict[Tag, Speed] = field(default_factory=dict)
     loads: dict[Tag, ServerLoad] = field(default_factory=dict)
