--- a/src/wasabigw/core/tags/balancing.py
+++ b/src/wasabigw/core/tags/balancing.py
@@ -49,7 +49,7 @@
     tag = _take_turn(plan.turns, is_allowed)
     if tag is None:
         # All of them may be failing, so that others should get the next openings.
-        renew_soon(plan, now)
+        renew_soon(plan)
         tag = _take_turn(far_turns(service, plan, state, now), is_allowed)
     if tag is None:
         return None
--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -69,9 +69,9 @@
     return plan
 
 
-def renew_soon(plan: ServicePlan, now: Seconds) -> None:
+def renew_soon(plan: ServicePlan) -> None:
     """Let shares be computed again before their time, but not for each opening."""
-    plan.made_at = min(plan.made_at, Seconds(now - PLAN_TTL + MIN_PLAN_TIME))
+    plan.is_partial = True
 
 
 def _update_plan(
--- a/src/wasabigw/core/tags/plans.py
+++ b/src/wasabigw/core/tags/plans.py
@@ -48,7 +48,7 @@
     :param pool: backend servers from which it was made.
     :param measured_at: time of the figures from which it was made.
     :param uses: choices and questions for the room since it was made.
-    :param is_partial: whether some of ``pool`` were silent or cold then.
+    :param is_partial: whether some of ``pool`` could not be used then, or none since.
     :param others: speed of the backend servers that the figures don't name.
     :param speeds: speed of each backend server; ``others`` for most of the unnamed.
     :param loads: expected load of each backend server that gets new flows.
