--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -14,6 +14,7 @@
     NO_LISTENER = "no-listener"
     NO_SERVER = "no-server"
     SERVER_LOST = "server-lost"
+    NO_LINK_ROOM = "no-link-room"
     NO_ROOM = "no-room"
 
 
@@ -26,6 +27,7 @@
     LOAD_SHARE_ELSEWHERE = (
         "share by load figures, the own failure domain has too little room"
     )
+    IDLE = "no request by load figures, while the service is short of room"
     UNANSWERING = "none is known to answer"
     COLD = "only cold ones are left"
     REPEATED = "no other one is left for a repeated opening"
@@ -43,6 +45,7 @@
     MAY_BE_OPEN = "may-be-open"
     LINK_FULL = "link-full"
     OPENING_EXPIRED = "opening-expired"
+    NO_LINK_ROOM = "no-link-room"
     NO_ROOM = "no-room"
     HELD_ALREADY = "held-already"
     HELD_TOO_LONG = "held-too-long"
--- a/src/wasabigw/core/tags/plans.py
+++ b/src/wasabigw/core/tags/plans.py
@@ -33,23 +33,42 @@
     service_rate: float
 
 
+@dataclass(slots=True)
+class DomainTurns:
+    """Turns of failure domains, and of the backend servers of each of them."""
+
+    domains: Turns[FailureDomainId] = field(default_factory=lambda: Turns({}))
+    servers: dict[FailureDomainId, Turns[Tag]] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class ServicePlan:
     """Shares of the new flows of a service at this balancer.
 
     :param pool: backend servers from which it was made.
     :param measured_at: time of the figures from which it was made.
+    :param uses: choices and questions for the room since it was made.
+    :param others: speed of the backend servers that the figures don't name.
+    :param speeds: speed of each backend server; ``others`` for most of the unnamed.
     :param loads: expected load of each backend server that gets new flows.
-    :param domains: turns of failure domains.
-    :param servers: turns of the backend servers of each failure domain.
-    :param room: ``None`` if nothing is known of the speed of the backend servers.
+    :param turns: those of failure domains that get new flows.
+    :param far: those of other failure domains, for openings that have tried all of
+        these; ``None`` if they have not been needed yet.
+    :param room: ``None`` if it has not been computed yet.
     """
 
     pool: Sequence[object] = ()
     measured_at: Seconds = NEVER
     made_at: Seconds = NEVER
+    uses: int = 0
+    others: Speed = field(default_factory=Speed)
     speeds: dict[Tag, Speed] = field(default_factory=dict)
     loads: dict[Tag, ServerLoad] = field(default_factory=dict)
-    domains: Turns[FailureDomainId] = field(default_factory=lambda: Turns({}))
-    servers: dict[FailureDomainId, Turns[Tag]] = field(default_factory=dict)
+    turns: DomainTurns = field(default_factory=DomainTurns)
+    far: DomainTurns | None = None
     room: Room | None = None
+
+    def weight(self, tag: Tag) -> float:
+        """Speed of a backend server relative to the others; 1 if it is not known."""
+        speed = self.speeds.get(tag)
+        return speed.weight if speed is not None else 1.0
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -43,7 +43,7 @@
     record_choice,
     update_suspicions,
 )
-from wasabigw.core.tags.egress import is_waiting
+from wasabigw.core.tags.egress import has_waiting, is_congested, is_waiting
 from wasabigw.core.tags.flow_table import (
     add_flow,
     close_flow,
@@ -52,13 +52,17 @@
 )
 from wasabigw.core.tags.health import (
     FailureSignal,
+    confirm_doubt,
     is_unreachable,
     record_failure,
     record_probe,
     record_response,
 )
 from wasabigw.core.tags.held_openings import HeldOpening
+from wasabigw.core.tags.idle_servers import busy_servers
+from wasabigw.core.tags.link_classes import record_request_data, record_request_end
 from wasabigw.core.tags.openings import (
+    OPENING_TIMEOUT,
     discard_opening,
     pop_overdue,
     record_opening,
@@ -67,6 +71,7 @@
 from wasabigw.core.tags.packets import (
     MAX_UNACKNOWLEDGED_BYTES,
     NO_TAG,
+    FlowId,
     FlowPacket,
     sequence_distance,
 )
@@ -80,6 +85,11 @@
     TagState,
 )
 from wasabigw.core.tags.unreachable_hosts import request_check
+from wasabigw.core.tags.upload_admission import (
+    UploadOutcome,
+    admit_upload,
+    record_upload,
+)
 
 NO_WAIT = Seconds(0.0)
 SUSPECT_AFTER = Seconds(0.15)
@@ -100,6 +110,8 @@
 """
 MAX_BYTES_BEFORE_COPY = 2**20
 """Most bytes that a caller sends on a flow before a copy of its opening arrives."""
+_LAST_RESORTS = {ChoiceReason.UNANSWERING, ChoiceReason.COLD, ChoiceReason.REPEATED}
+"""Reasons of choices among backend servers that had better not get an opening."""
 _REASONS_IF_STALE = {
     RefusalReason.NO_LISTENER: DropReason.UNSURE_OF_LISTENER,
     RefusalReason.NO_SERVER: DropReason.UNSURE_OF_SERVERS,
@@ -169,9 +181,7 @@
         return None
     if is_held(packet.flow, state):
         return Drop(DropReason.HELD_ALREADY)
-    may_refuse = (
-        state.is_fresh(now) and packet.repeat == 0 and waited < MAX_WAIT_TO_REFUSE
-    )
+    may_refuse = _may_refuse(packet, state, now, waited)
     outcome = admit(packet, listener, service, state, now, waited, may_refuse)
     if outcome is AdmissionOutcome.ADMIT:
         return None
@@ -198,8 +208,7 @@
     if known is not None:
         if _is_copy_of_opening(packet, known, now):
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
-        is_retransmission = known.state is FlowState.OPENING
-        if is_retransmission and not is_waiting(state.egress, packet):
+        if _is_unanswered(known, now) and not is_waiting(state.egress, packet):
             avoided.add(known.server)
             _record_unanswered(
                 known.server,
@@ -213,6 +222,18 @@
         collect_evidence(state, now)
         update_suspicions(state, now)
         avoided |= avoided_servers(service, flow.caller, state, now)
+    outcome = UploadOutcome.ADMIT
+    if known is None:
+        may_refuse = _may_refuse(packet, state, now, waited)
+        outcome = admit_upload(packet, state, now, may_refuse)
+        if outcome is UploadOutcome.REFUSE:
+            return Refuse(packet, RefusalReason.NO_LINK_ROOM)
+        if outcome is UploadOutcome.DROP:
+            return Drop(DropReason.NO_LINK_ROOM)
+    busy: set[Server] = set()
+    if _is_limited_by_room(listener, state):
+        busy = busy_servers(service, avoided, state, now)
+        avoided |= busy
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
@@ -222,22 +243,48 @@
         reason = RefusalReason.NO_SERVER
         return _reject_opening(packet, reason, state, now, waited)
     server, choice = chosen
+    if busy and choice not in _LAST_RESORTS:
+        choice = ChoiceReason.IDLE
     record_probe(server.breaker, now)
     record_choice(server, state, now)
     caller_diversion.record_outcome(
         state.diversion, _counts_as_served(server, choice, pool, state)
     )
     count_opening(server)
-    if add_flow(packet, server, state, now) is not None:
+    added = add_flow(packet, server, state, now)
+    if added is not None:
         record_opening(flow, server, state, now)
+        record_upload(flow, added, outcome, state)
     return Deliver(packet, server.registration, choice)
 
 
+def _is_limited_by_room(listener: Listener, state: TagState) -> bool:
+    """Whether openings of a listener depend on the room of its service."""
+    return listener.requirements is not None and state.features.admission_control
+
+
+def _is_unanswered(known: Flow, now: Seconds) -> bool:
+    """Whether an opening has left long enough ago to have been answered.
+
+    It may have waited for the link until just before its copy came.
+    """
+    is_opening = known.state is FlowState.OPENING
+    return is_opening and now - known.opened_at >= OPENING_TIMEOUT
+
+
 def _shares_load(listener: Listener, state: TagState) -> bool:
     """Whether the choice for a listener uses what callers of others have met."""
     return listener.requirements is not None and state.features.load_sharing
 
 
+def _may_refuse(
+    packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
+) -> bool:
+    """Whether a reset can't end a flow that another copy of the opening has opened."""
+    is_first = packet.repeat == 0 and waited < MAX_WAIT_TO_REFUSE
+    return is_first and state.is_fresh(now)
+
+
 def _reject_opening(
     packet: FlowPacket,
     reason: RefusalReason,
@@ -264,7 +311,10 @@
     have ended though it seems open.
     """
     if known.state is FlowState.OPENING:
-        return False
+        # Copies that a balancer reads at the same moment, as it was suspended, must not
+        # open two flows. Later ones show that the first copy was not answered.
+        is_same = packet.sequence == known.first_sequence and packet.repeat > 0
+        return is_same and now - known.opened_at < OPENING_TIMEOUT
     if known.state is FlowState.OPEN and packet.sequence == known.first_sequence:
         return True
     if now - known.opened_at >= MAX_COPY_AGE:
@@ -323,6 +373,9 @@
     state: TagState,
     now: Seconds,
 ) -> None:
+    congested = is_congested(state.egress, now)
+    if congested and not confirm_doubt(server.breaker, sent_at, now):
+        return
     silent_for = Seconds(now - server.breaker.last_response_at)
     if record_failure(server.breaker, sent_at, now):
         state.health_changes.append(HealthChange(server, failure, silent_for))
@@ -332,6 +385,7 @@
     """Record data of an open flow; ``True`` if its backend server is unreachable."""
     if packet.length == 0:
         return False
+    record_request_data(packet, flow, now)
     if is_waiting(state.egress, packet):
         # The backend server has not been sent the first copy yet.
         return False
@@ -344,13 +398,18 @@
         _record_response(flow.server, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
-        _record_retransmission(flow, state, now)
+        _record_retransmission(packet.flow, flow, state, now)
     return is_unreachable(flow.server.breaker, now)
 
 
-def _record_retransmission(flow: Flow, state: TagState, now: Seconds) -> None:
+def _record_retransmission(
+    flow_id: FlowId, flow: Flow, state: TagState, now: Seconds
+) -> None:
     if now - flow.pending_since < SUSPECT_AFTER:
         return
+    if has_waiting(state.egress, flow_id):
+        # Backend servers acknowledge every second packet, and this may be the first.
+        return
     signal = FailureSignal.DATA_RETRANSMITTED
     _record_unanswered(flow.server, flow.pending_since, signal, state, now)
     if flow.server.breaker.failures > 0:
@@ -385,8 +444,8 @@
             restart_flow(flow, now)
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
-    elif packet.length and packet.sequence == flow.pending_sequence:
-        _expect_answer(flow, packet.sequence, now)
+    elif packet.length and flow.pending_sequence is not None:
+        flow.pending_since = now
 
 
 def record_loss(packet: FlowPacket, state: TagState) -> None:
@@ -401,7 +460,7 @@
         if flow.state is FlowState.OPENING:
             discard_lost_opening(flow.server)
             remove_flow(packet.flow, state)
-    elif packet.length and packet.sequence == flow.pending_sequence:
+    elif packet.length:
         flow.pending_sequence = None
         discard_lost_data(packet, flow)
 
@@ -427,6 +486,7 @@
         record_answer(packet, known, state, now)
         count_acknowledgement(packet, known, now)
         known.acknowledged = packet.acknowledged
+        record_request_end(packet.flow, known, state)
         if known.pending_sequence is not None:
             known.pending_sequence = None
             service = server.registration.service
@@ -460,6 +520,7 @@
     known.last_seen = now
     known.acknowledged = packet.acknowledged
     known.pending_sequence = None
+    record_request_end(packet.flow, known, state)
 
 
 def _record_response(server: Server, state: TagState, now: Seconds) -> None:
--- a/src/wasabigw/tasks/relay_task.py
+++ b/src/wasabigw/tasks/relay_task.py
@@ -22,6 +22,7 @@
     Revision,
     Seconds,
 )
+from wasabigw.core.load.table import NO_FAILURE_DOMAIN
 from wasabigw.core.numbers import whole_number
 from wasabigw.core.view_lease import NEVER
 from wasabigw.runtime.mailbox import Mailbox, SelectableMailbox
@@ -46,7 +47,6 @@
 )
 from wasabigw.telemetry.log_events import log
 
-NO_FAILURE_DOMAIN = FailureDomainId("")
 MAX_WAIT = Seconds(2.0)
 """Maximum time for which a poll is held."""
 BINARY = "application/octet-stream"
@@ -156,7 +156,7 @@
     @receive.register
     def _(self, message: Tick) -> None:
         self._respond_to_due_polls(message.now)
-        self._load.tick(self._view.sources, message.now)
+        self._load.tick(self._view, message.now)
         self._log_stale(message.now)
         if not self._is_file_current:
             self._is_file_current = True
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -7,6 +7,7 @@
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.demand import shares_in_force
 from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.tasks.admission_metrics import admission_families
@@ -124,6 +125,16 @@
             "Bytes of packets that wait for the link of this balancer",
             state.egress.size,
         ),
+        _by_service(
+            "wasabigw_new_flow_share",
+            "Part of the new flows here that goes to a failure domain by load figures",
+            {
+                (service, domain): share
+                for service, shares in shares_in_force(state, now).items()
+                for domain, share in shares.items()
+            },
+        ),
+        *_link_families(state),
         gauge(
             "wasabigw_receive_wait_seconds",
             "Time for which the receive buffer has not been empty",
@@ -134,8 +145,41 @@
     ]
 
 
+def _link_families(state: TagState) -> list[Family]:
+    """Metrics of the classes on the link and of uploads."""
+    classes = state.egress.classes
+    late = len(state.late_uploads)
+    uploads = {"in time": len(state.uploads) - late, "late": late}
+    return [
+        Family(
+            "wasabigw_link_class_queue_bytes",
+            MetricKind.GAUGE,
+            "Bytes of packets that wait for the link of this balancer",
+            tuple(
+                Sample(members.packets.size, {"class": name.value})
+                for name, members in classes.items()
+            ),
+        ),
+        Family(
+            "wasabigw_link_class_bytes_total",
+            MetricKind.COUNTER,
+            "Bytes that were given to the link of this balancer",
+            tuple(
+                Sample(members.total, {"class": name.value})
+                for name, members in classes.items()
+            ),
+        ),
+        Family(
+            "wasabigw_uploads",
+            MetricKind.GAUGE,
+            "Admitted uploads, by whether the link can carry them in time",
+            tuple(Sample(n, {"state": name}) for name, n in uploads.items()),
+        ),
+    ]
+
+
 def _by_service(
-    name: str, text: str, counts: Mapping[tuple[ServiceId, FailureDomainId], int]
+    name: str, text: str, counts: Mapping[tuple[ServiceId, FailureDomainId], float]
 ) -> Family:
     """Gauge with a sample for each service and failure domain."""
     samples = tuple(
--- a/tests/test_load_exchange.py
+++ b/tests/test_load_exchange.py
@@ -8,7 +8,7 @@
 
 from tests.test_load_sums import figures, report
 from tests.test_load_transport import NO_AGE, SETTLED, RelayCase
-from tests.test_tag_steering import RECIFE, SALVADOR, boot
+from tests.test_tag_steering import FORTALEZA, RECIFE, SALVADOR, boot
 from wasabigw.codec.load import decode_sums, encode_arrived, encode_report
 from wasabigw.core.delivery_view import DeliveryView, Source
 from wasabigw.core.endpoint import Endpoint
@@ -24,7 +24,8 @@
     record_answer,
     record_failure,
 )
-from wasabigw.core.load.sums import (
+from wasabigw.core.load.sums import sums_for
+from wasabigw.core.load.table import (
     ARRIVAL_PERIOD,
     PEER_TTL,
     ArrivedBalancer,
@@ -33,7 +34,6 @@
     record_peer,
     record_report,
     remove_departed,
-    sums_for,
 )
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.tasks import load_exchange
@@ -165,14 +165,31 @@
         self.relay._handle(LightRequest(connection, "GET", target))
         return decode_sums(connection.respond.call_args.args[1]).unwrap()
 
-    def test_only_relays_of_the_failure_domain_get_all_backend_servers(self) -> None:
+    def test_each_relay_gets_the_backend_servers_of_its_failure_domain(self) -> None:
         self.send(report("b1", figures(1, 2), figures(2, 1), figures(77, 1)))
-        for domain, tags in (("recife", [1, 2]), ("salvador", [2]), ("%00", [])):
+        self.relay._view.sources = (source(1), source(2, SALVADOR))
+        for domain, tags in (("recife", [1]), ("salvador", [2]), ("%00", [])):
             with self.subTest(domain=domain):
                 sums = self.ask(domain)
                 self.assertEqual([f.tag for f in sums.servers], tags)
                 self.assertEqual((sums.balancers, len(sums.services)), (1, 1))
 
+    def test_servers_of_a_failure_domain_without_relays_go_to_all(self) -> None:
+        self.send(report("b1", figures(1, 2), figures(2, 1)))
+        self.relay._view.sources = (source(1), source(2, FORTALEZA))
+        for domain, tags in (("recife", [1, 2]), ("fortaleza", [2])):
+            self.assertEqual([f.tag for f in self.ask(domain).servers], tags)
+
+    def test_a_balancer_gets_only_servers_of_which_all_balancers_are_known(
+        self,
+    ) -> None:
+        self.relay._view.sources = (source(1), source(2, SALVADOR))
+        self.send(report("b1", figures(1, 2), figures(2, 1)))
+        self.now = Seconds(SETTLED)
+        found = self.sums(self.send(report("b2")))
+        assert found is not None
+        self.assertEqual(found.servers, (figures(1, 2),))
+
     def test_sums_of_other_relays_are_not_passed_on(self) -> None:
         self.send(report("b1", figures(1, 2)))
         sums = LoadSums(NO_AGE, 10, (figures(1, 30),), ())
@@ -189,16 +206,17 @@
         self.assertEqual(self.ask("recife", later).balancers, 0)
 
     def test_without_reports_no_relay_is_asked(self) -> None:
-        sources = (source(1), source(2))
-        self.relay._load.tick(sources, Seconds(1.0))
+        view = self.relay._view
+        view.sources = (source(1), source(2))
+        self.relay._load.tick(view, Seconds(1.0))
         self.assertEqual(list(self.rounds.drain()), [])
         self.send(report("b1", figures(1, 2)))
-        for at in (1.0, 1.1, 1.9, 2.0):
-            self.relay._load.tick(sources, Seconds(at))
+        for at in (1.0, 1.1, 1.4, 1.5):
+            self.relay._load.tick(view, Seconds(at))
         first, second = self.rounds.drain()
         arrived = (ArrivedBalancer(NodeId("b1"), Seconds(1.0)),)
         self.assertEqual(first, PollPeers((relay_at(2),), Seconds(1.0), arrived))
-        self.assertEqual(second.at, 2.0)
+        self.assertEqual(second.at, 1.5)
 
     def test_a_balancer_gets_the_sums_of_both_relays(self) -> None:
         self.send(report("b1", figures(1, 2)))
@@ -217,6 +235,7 @@
         self.received: Mailbox[Any] = Mailbox("received")
         self.exchange = make_load_exchange(FailureDomainId("a/b"), self.received)
         self.now = Seconds(10.0)
+        self.duration = 0.0
         self.polled: list[tuple[Endpoint, str]] = []
         self.responses: dict[Endpoint, Result[bytes, str]] = {}
         self.enterContext(mock.patch.object(LightClient, "get", self.get))
@@ -229,6 +248,7 @@
 
     def get(self, peer: Endpoint, target: str, *_: Seconds) -> Result[bytes, str]:
         self.polled.append((peer, target))
+        self.now = Seconds(self.now + self.duration)
         return self.responses.get(peer, Failure("status 404"))
 
     def round(self, *peers: Endpoint) -> list[Any]:
@@ -255,6 +275,15 @@
         event = self.log.call_args.args[0]
         self.assertIs(event, BalancerEvent.LOAD_PEER_LOST)
 
+    def test_a_round_ends_when_many_relays_do_not_answer(self) -> None:
+        peers = [relay_at(n) for n in range(6)]
+        self.duration = 0.4
+        polled = []
+        for _ in range(2):
+            self.round(*peers)
+            polled.append({peer for peer, _ in self.polled})
+        self.assertEqual([len(found) for found in polled], [3, 6])
+
     def test_rounds_that_queued_up_are_skipped(self) -> None:
         late = PollPeers((relay_at(1),), Seconds(self.now - MAX_ROUND_DELAY))
         self.exchange.receive(late)
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from unittest import mock
 
 from tests.test_tag_steering import (
     FORTALEZA,
@@ -17,13 +18,18 @@
 from wasabigw.core.load.figures import FIGURES_TTL, ServerFigures, ServiceFigures
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.requirements import Priority, Requirements
-from wasabigw.core.tags.balancing import current_plan
 from wasabigw.core.tags.decisions import ChoiceReason, Deliver
 from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.health import record_failure
+from wasabigw.core.tags.planning import current_plan
 from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.state import TagState
+from wasabigw.core.tags.turns import make_turns, phases_of, take_turn
 from wasabigw.core.tags.weights import MIN_WEIGHT
+from wasabigw.tasks.decision_log import DecisionLog
+from wasabigw.tasks.share_metrics import share_families
+from wasabigw.telemetry.events_balancer import BalancerEvent
+from wasabigw.telemetry.exposition import render
 
 SERVERS = 12
 SLOTS = 4
@@ -100,7 +106,7 @@
         shares = []
         for now in (0.1, 1.5, 3.0):
             plan = current_plan(SEATS, self.state, Seconds(now))
-            shares.append(plan.servers[RECIFE].shares[Tag(1)])
+            shares.append(plan.turns.servers[RECIFE].shares[Tag(1)])
         self.assertEqual(shares, sorted(shares, reverse=True))
 
     def test_one_balancer_spreads_equal_shares_without_repetition(self) -> None:
@@ -143,6 +149,7 @@
             figures(1, flows=-5, in_flight=0, answers=0),
         ):
             self.setUp()
+            self.state.features = Features(admission_control=False)
             self.know(absurd, *map(figures, range(2, SERVERS + 1)))
             chosen = self.counts(20 * SERVERS)
             self.assertLess(chosen[1], 6 * 20)
@@ -179,7 +186,6 @@
         for tag in range(1, 7):
             breaker = self.state.servers[Tag(tag)].breaker
             record_failure(breaker, Seconds(0.5), Seconds(0.5))
-        self.assertIs(self.reason(0.55), ChoiceReason.LEAST_USED_ELSEWHERE)
         self.assertIs(self.reason(0.55), ChoiceReason.LOAD_SHARE_ELSEWHERE)
         self.assertLessEqual(self.counts(40, now=0.55).keys(), set(range(7, 13)))
 
@@ -190,6 +196,23 @@
         self.register(*(boot(n + 1, domain) for n, domain in enumerate(domains)))
 
 
+class PassedOver(unittest.TestCase):
+    """Guards against a burst of flows to a backend server that answers again."""
+
+    def test_one_that_was_passed_over_gets_no_missed_turns(self) -> None:
+        turns = make_turns({"a": 0.5, "b": 0.5}, {"a": 0.1, "b": 0.2})
+        self.assertEqual([take_turn(turns, "b".__eq__) for _ in range(50)], ["b"] * 50)
+        taken = Counter(take_turn(turns, lambda _: True) for _ in range(10))
+        # One turn at once, then every other one.
+        self.assertEqual(taken["a"], 6)
+
+    def test_renewed_shares_keep_the_order(self) -> None:
+        turns = make_turns({"a": 0.5, "b": 0.5}, {"a": 0.1, "b": 0.2})
+        self.assertEqual(take_turn(turns, lambda _: True), "a")
+        renewed = make_turns({"a": 0.5, "b": 0.5}, phases_of(turns))
+        self.assertEqual(take_turn(renewed, lambda _: True), "b")
+
+
 class Weights(SharedLoadCase):
     """Guards against equal shares for backend servers of different speed."""
 
@@ -246,16 +269,49 @@
             current_plan(SEATS, self.state, Seconds(second))
         self.assertEqual(set(self.weights()), {1.0})
 
+    def test_unnamed_servers_are_judged_by_their_own_answers_together(self) -> None:
+        for tag in range(4, SERVERS + 1):
+            counts = self.state.servers[Tag(tag)].counts
+            counts.answers, counts.answer_time = 1, REQUEST_TIME
+        for second in range(4):
+            slow = (figures(t, speed=0.2, answers=16) for t in (1, 2, 3))
+            self.know(*slow, at=second)
+            current_plan(SEATS, self.state, Seconds(second))
+        self.assertEqual(self.weights(), [0.2] * 3 + [1.0] * (SERVERS - 3))
+
+    def test_figures_after_hours_without_any_forget_the_weights(self) -> None:
+        self.know_repeatedly(self.speeds([0.2, 1.0, 1.0]), 0, 4)
+        self.know(*map(figures, range(1, SERVERS)), at=50_000.0)
+        current_plan(SEATS, self.state, Seconds(50_000.0))
+        self.assertEqual(set(self.weights()), {1.0})
+
     def test_few_answers_change_no_weight(self) -> None:
         self.know_repeatedly(lambda t: figures(t, speed=t, answers=1), 0, 4)
         self.assertEqual(set(self.weights()), {1.0})
 
+    def test_lines_and_metrics_show_slow_servers_once(self) -> None:
+        self.know_repeatedly(self.speeds([1.0]), 0, 4)
+        self.know_repeatedly(self.speeds([0.2, 1.0, 1.0, 1.0]), 4, 9)
+        with mock.patch("wasabigw.tasks.decision_log.log") as written:
+            DecisionLog(self.state).log_weight_changes()
+            DecisionLog(self.state).log_weight_changes()
+        lines = [call.args[0] for call in written.call_args_list]
+        self.assertEqual(lines, [BalancerEvent.SERVER_SLOW] * 3)
+        text = render(share_families(self.state, Seconds(8.5))).decode()
+        labels = '{service="seats",failure_domain="recife"}'
+        self.assertIn(f"wasabigw_servers_slow{labels} 3", text)
+        self.assertIn(f"wasabigw_flows_busiest_over_mean{labels} 1", text)
+        self.assertNotIn(
+            labels, render(share_families(self.state, Seconds(99))).decode()
+        )
+
 
 class RoomOfService(SharedLoadCase):
     """Guards against admission by a wrong room."""
 
     def test_room_follows_the_requests_in_flight(self) -> None:
         for in_flight, wait in ((1, 0.0), (SLOTS + 8, 9 * REQUEST_TIME / SLOTS)):
+            self.setUp()
             self.know_repeatedly(lambda t: figures(t, in_flight=in_flight), 0, 2)  # noqa: B023
             room = room_of(SEATS, self.state, Seconds(1.5))
             assert room is not None
