--- a/src/wasabigw/core/tags/admission_control.py
+++ b/src/wasabigw/core/tags/admission_control.py
@@ -252,7 +252,9 @@
 ) -> AdmissionOutcome:
     """Decide on an opening while its service is short."""
     service, rank = opening.service, opening.rank
-    if fits(rank.priority, control, state, now) or has_spare_room(control, now):
+    if fits(rank.priority, control, state, now):
+        return AdmissionOutcome.ADMIT
+    if has_spare_room(control, rank.priority, now):
         return AdmissionOutcome.ADMIT
     if is_further_try:
         _count(opening, AdmissionCount.FURTHER_TRY, state)
--- a/src/wasabigw/core/tags/spare_servers.py
+++ b/src/wasabigw/core/tags/spare_servers.py
@@ -10,7 +10,8 @@
 from collections.abc import Collection, Sequence
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
-from wasabigw.core.rates import refill, take_token
+from wasabigw.core.rates import recent_rate, refill, take_token
+from wasabigw.core.requirements import Priority
 from wasabigw.core.tags.admission_state import ServiceAdmission
 from wasabigw.core.tags.capacity_share import spare_capacity_of, usable_servers
 from wasabigw.core.tags.state import Server, TagState
@@ -48,29 +49,44 @@
     refill(control.spare_bucket, capacity, now)
 
 
-def has_spare_room(control: ServiceAdmission, now: Seconds) -> bool:
-    """Whether this balancer has not used up its share of the free slots."""
-    refill(control.spare_bucket, control.spare_bucket.rate, now)
-    return bool(control.spare) and control.spare_bucket.tokens >= 1.0
+def has_spare_room(control: ServiceAdmission, priority: Priority, now: Seconds) -> bool:
+    """Whether this balancer has free slots for openings of a priority.
+
+    It has none if more urgent ones need all of its share, or if that is used up.
+    """
+    bucket = control.spare_bucket
+    refill(bucket, bucket.rate, now)
+    more_urgent = sum(
+        recent_rate(arrivals, now)
+        for other, arrivals in control.arrivals.items()
+        if other < priority
+    )
+    return bool(control.spare) and bucket.tokens >= 1.0 and bucket.rate > more_urgent
 
 
 def busy_servers(
-    service: ServiceId, avoided: Collection[Server], state: TagState, now: Seconds
+    service: ServiceId,
+    priority: Priority,
+    avoided: Collection[Server],
+    state: TagState,
+    now: Seconds,
 ) -> set[Server]:
     """Backend servers that an opening passes over for those with free slots.
 
     :param avoided: those that it should not go to for other reasons.
-    :returns: an empty set if there are no free slots, or these get enough already.
+    :returns: an empty set if there are no free slots for it.
     """
     control = state.admission.services.get(service)
-    if control is None or control.short_since is None or not control.spare:
+    if control is None or control.short_since is None:
+        return set()
+    if not has_spare_room(control, priority, now):
         return set()
     pool = state.pools.get(service, ())
     busy = {server for server in pool if server.registration.tag not in control.spare}
     if all(server in avoided or server in busy for server in pool):
         return set()
-    refill(control.spare_bucket, control.spare_bucket.rate, now)
-    return busy if take_token(control.spare_bucket) else set()
+    take_token(control.spare_bucket)
+    return busy
 
 
 def _mean_in_flight(
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -232,8 +232,9 @@
         if outcome is UploadOutcome.DROP:
             return Drop(DropReason.NO_LINK_ROOM)
     busy: set[Server] = set()
-    if _is_limited_by_room(listener, state):
-        busy = busy_servers(service, avoided, state, now)
+    requirements = listener.requirements
+    if requirements is not None and state.features.admission_control:
+        busy = busy_servers(service, requirements.priority, avoided, state, now)
         avoided |= busy
     for overdue in pop_overdue(state, now):
         _record_unanswered(
@@ -259,11 +260,6 @@
     return Deliver(packet, server.registration, choice)
 
 
-def _is_limited_by_room(listener: Listener, state: TagState) -> bool:
-    """Whether openings of a listener depend on the room of its service."""
-    return listener.requirements is not None and state.features.admission_control
-
-
 def _is_unanswered(known: Flow, now: Seconds) -> bool:
     """Whether an opening has left long enough ago to have been answered.
 
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -468,6 +468,15 @@
         self.assertAlmostEqual(found[4] / 4.0, 40.0 / 8, delta=1.5)
         self.assertEqual(found[3], 0)
 
+    def test_urgent_openings_get_them_first(self) -> None:
+        found: Counter[tuple[int, bool]] = Counter()
+        for step in range(120):
+            for port, caller in ((OTHER, step), (URGENT, 1000 + step)):
+                decision = self.open(port, step / 30, caller)
+                assert isinstance(decision, Deliver), decision
+                found[port, decision.server.tag == 4] += 1
+        self.assertGreater(found[URGENT, True], 5 * found[OTHER, True])
+
     def test_openings_stay_in_place_while_the_service_is_not_short(self) -> None:
         self.room = WITH_ROOM
         found = self.tags(1.0, 20.0)
