--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -3,8 +3,9 @@
 The expected delay of an opening has two parts: the time in the queue of a backend
 server, and the time that rejections by full ones cost before one has a place. A service
 is short when this delay exceeds a part of the latency objective of its callers and
-backend servers reject requests. Queues alone are no evidence: requests that are on
-their way over a slow link count as in flight, so that the queues seem long then.
+backend servers reject requests, or reject so many that callers run out of tries. Queues
+alone are no evidence: requests that are on their way over a slow link count as in
+flight, so that the queues seem long then.
 
 A service is no longer short when the delay has been far below that for a while and the
 demand fits. Without the second condition, limits that work would end themselves.
@@ -56,6 +57,13 @@
 """
 MIN_CAPACITY_SHARE = 0.5
 """Share of the capacity by figures that is used at least; these are old estimates."""
+LOSING_REJECTED_SHARE = 0.25
+"""Share of rejected requests from which further tries no longer make up for them.
+
+One in four rejections costs a caller with three tries more than one request in a
+hundred, which never gets an answer. Rejections are known at once, and the queues that
+cause them only with the next figures.
+"""
 UPDATE_INTERVAL = Seconds(0.1)
 """Time between two updates of a service."""
 LISTENER_TTL = Seconds(30.0)
@@ -86,8 +94,9 @@
     by_queues = room.wait if room.utilization > 1.0 else 0.0
     control.delay = Seconds(by_queues + by_rejections)
     is_short = control.short_since is not None
-    if not is_short and control.delay > tolerable and rejected >= MIN_REJECTED_SHARE:
-        is_rejecting = by_rejections > by_queues
+    is_slow = control.delay > tolerable and rejected >= MIN_REJECTED_SHARE
+    if not is_short and (is_slow or rejected >= LOSING_REJECTED_SHARE):
+        is_rejecting = by_rejections >= by_queues
         cause = ShortageCause.REJECTIONS if is_rejecting else ShortageCause.QUEUES
         control.short_since = now
         _record_change(control, cause, room, state, now)
@@ -131,8 +140,8 @@
 ) -> None:
     has_room = (
         control.delay < ROOM_SHARE * control.tolerable
-        or control.rejected < ROOM_SHARE * MIN_REJECTED_SHARE
-    )
+        and control.rejected < MIN_REJECTED_SHARE
+    ) or control.rejected < ROOM_SHARE * MIN_REJECTED_SHARE
     if not has_room:
         control.room_since = None
         return
