--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import singledispatch, singledispatchmethod
+from http import HTTPStatus
 from typing import Self
 
 from returns.result import Success
@@ -45,6 +46,14 @@
 )
 from wasabigw.core.tags.unreachable_hosts import record_check
 from wasabigw.core.tags.updates import apply_declaration, apply_view_update
+from wasabigw.core.tags.upload_turns import (
+    expire_turns,
+    needs_turn,
+    take_turns,
+    time_to_turn,
+    wait_for_turn,
+)
+from wasabigw.core.view_lease import NEVER
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.selector_task import SelectorTask
 from wasabigw.runtime.task import Stop
@@ -84,6 +93,10 @@
 MAINTENANCE_PERIOD = Seconds(1.0)
 """Period of the tick that expires idle flows and resets the budget of log lines."""
 
+MIN_PREVIEW_INTERVAL = Seconds(0.5)
+"""Minimum time between two previews of a route, which take 0.1 ms for each backend
+server of the service."""
+
 LONG_QUEUE_TIME = Seconds(0.2)
 """Queue time that is logged; callers begin to retransmit data that waits longer."""
 
@@ -148,6 +161,7 @@
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
         self._draining = False
+        self._previewed_at = NEVER
         self._control_traffic = 0
         self._load = LoadReporter(self._state)
         self._server = LightServer(
@@ -228,6 +242,21 @@
 
     def deliver(self, packet: FlowPacket, datagram: Datagram, now: Seconds) -> None:
         """Send a packet to its backend server as soon as the link can take it."""
+        if needs_turn(packet, self._state):
+            wait_for_turn(packet, datagram, self._state, now)
+            self._begin_uploads(now)
+        else:
+            self._submit(packet, datagram, now)
+
+    def _begin_uploads(self, now: Seconds) -> None:
+        """Send the openings of uploads whose turn it is."""
+        for expired in expire_turns(self._state, now):
+            self._drop_from_link(expired.packet, DropReason.OPENING_EXPIRED, now)
+        for waiting in take_turns(self._state, now):
+            record_release(waiting.packet, self._state, now)
+            self._submit(waiting.packet, waiting.datagram, now)
+
+    def _submit(self, packet: FlowPacket, datagram: Datagram, now: Seconds) -> None:
         egress = self._state.egress
         link_class = link_class_of(packet, self._state, now)
         admission = submit(egress, packet, datagram, now, link_class)
@@ -283,6 +312,7 @@
         times = (
             time_to_release(self._state.egress, now),
             time_to_release_held(self._state, now),
+            time_to_turn(self._state),
         )
         return min((time for time in times if time is not None), default=None)
 
@@ -291,6 +321,7 @@
         if self._state.egress.is_empty:
             return
         now = monotonic()
+        self._begin_uploads(now)
         for waiting in release(self._state.egress, now):
             record_release(waiting.packet, self._state, now)
             self._send_to_server(waiting.packet, waiting.datagram)
@@ -389,7 +420,12 @@
         self._settings.respond_status(request, self._status())
 
     def _respond_route(self, request: LightRequest) -> None:
-        respond_with_route(request, self._state, monotonic())
+        now = monotonic()
+        if now - self._previewed_at < MIN_PREVIEW_INTERVAL:
+            request.connection.respond(HTTPStatus.TOO_MANY_REQUESTS)
+            return
+        self._previewed_at = now
+        respond_with_route(request, self._state, now)
 
     def _metric_families(self) -> list[Family]:
         now = monotonic()
