--- a/src/wasabigw/core/load/bounds.py
+++ b/src/wasabigw/core/load/bounds.py
@@ -14,6 +14,11 @@
 """How many times the mean of the other reports one report counts at most."""
 SLACK = 4.0
 """What a report may contribute in total while the others report nothing."""
+MIN_ANSWERS = 0.5
+"""Fewest answers of the others by which times are limited.
+
+Sums from which rows were taken out keep rounding errors of either sign.
+"""
 
 
 def limit_totals(rows: Mapping[Key, Row], others: Row, count: int) -> dict[Key, Row]:
@@ -38,7 +43,7 @@
 
 
 def _factor(own: float, mean: float) -> float:
-    limit = MAX_TIMES_MEAN * mean + SLACK
+    limit = MAX_TIMES_MEAN * max(mean, 0.0) + SLACK
     return limit / own if own > limit else 1.0
 
 
@@ -51,8 +56,8 @@
 
 
 def _with_limited_time(row: Row, others: Row) -> Row:
-    if row[ANSWERS] <= 0 or others[ANSWERS] <= 0:
+    if row[ANSWERS] <= 0 or others[ANSWERS] < MIN_ANSWERS:
         return row
-    mean = others[ANSWER_TIME] / others[ANSWERS]
+    mean = max(others[ANSWER_TIME], 0.0) / others[ANSWERS]
     limit = MAX_TIMES_MEAN * mean * row[ANSWERS]
     return row if row[ANSWER_TIME] <= limit else (*row[:ANSWER_TIME], limit)
