link: an upload that becomes late does not wait for later ones

Cause: the queue of late uploads sends flows in the order of their first packet, but flows that were moved into it went into another list, which is served only when no flow that came to it directly has packets. While late uploads kept coming, one that had missed its objective got nothing. Change: such a queue keeps all flows in one list.

--- a/src/wasabigw/core/tags/fair_queue.py
+++ b/src/wasabigw/core/tags/fair_queue.py
@@ -63,7 +63,7 @@
 
     :param size: bytes that all of them take on the link.
     :param sparse: flows that had nothing waiting when their first packet came.
-    :param backlogged: flows that have used up a turn.
+    :param backlogged: flows that have used up a turn; all of them if ``in_order``.
     :param in_order: whether the flow that has waited longest sends all that it has,
         rather than take turns.
     """
@@ -112,7 +112,9 @@
     flow = waiting.packet.flow
     backlog = backlog_of(queue, flow)
     if backlog is None:
-        backlog = queue.sparse[flow] = Backlog(flow)
+        # In order, those that were moved here must not wait for all that come later.
+        flows = queue.backlogged if queue.in_order else queue.sparse
+        backlog = flows[flow] = Backlog(flow)
     key = key_of(waiting.packet) or _own_key(backlog)
     backlog.packets[key] = waiting
     backlog.size += waiting.size
@@ -172,7 +174,7 @@
 
 
 def _last(queue: FairQueue) -> Backlog:
-    return next(reversed((queue.backlogged or queue.sparse).values()))
+    return next(reversed(queue.backlogged.values()))
 
 
 def _own_key(backlog: Backlog) -> PacketKey:
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -15,6 +15,14 @@
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
 from wasabigw.core.tags.admission_state import AnswerCounts
+from wasabigw.core.tags.fair_queue import (
+    Datagram,
+    FairQueue,
+    Waiting,
+    move,
+    pop_next,
+    push,
+)
 from wasabigw.core.tags.health import record_failure
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.planning import current_plan
@@ -164,3 +172,29 @@
             self.decide(answer, now + 0.004)
             first += tag == 1 and now > 3.3
         self.assertLess(first, 10)
+
+
+class LateUploads(unittest.TestCase):
+    """Guards against an upload that waits for all late ones that come after it.
+
+    The load: late uploads that always have packets waiting, as each second a new one
+    comes.
+    """
+
+    def waiting(self, port: int) -> Waiting:
+        packet = data(1, port, sequence=self.sequence)
+        self.sequence += 1
+        datagram = Datagram(bytes(10), ("10.0.0.1", 1))
+        return Waiting(packet, datagram, 1000, Seconds(0.0))
+
+    def test_one_that_becomes_late_keeps_its_place(self) -> None:
+        self.sequence = 1
+        bulk, late = FairQueue(), FairQueue(in_order=True)
+        push(late, self.waiting(1))
+        push(bulk, self.waiting(2))
+        move(next(iter(bulk.sparse.values())), bulk, late)
+        ports = []
+        for port in range(3, 6):
+            push(late, self.waiting(port))
+            ports.append(pop_next(late).packet.flow.caller_port)
+        self.assertEqual(ports, [1, 2, 3])
