link: sizes of requests are kept for declared listeners only

Cause: the usual size of the requests at a listener was kept for ever, also for flows of listeners that are not declared, so that memory grew with each address and port. Change: only declared listeners have one; a new declaration removes the others. Result: RemovedListeners failed before and passes now, as do the tests of test_link_classes and test_uploads.

--- a/src/wasabigw/core/tags/link_classes.py
+++ b/src/wasabigw/core/tags/link_classes.py
@@ -84,6 +84,8 @@
     size = flow.request_bytes
     flow.request_start, flow.request_bytes = None, 0
     key = flow_id.listener, flow_id.listener_port
+    if key not in state.listeners:
+        return
     mean, count = state.request_sizes.get(key, _NO_SIZE)
     weight = max(1 / (count + 1), SIZE_WEIGHT)
     state.request_sizes[key] = RequestSize(mean + weight * (size - mean), count + 1)
--- a/src/wasabigw/core/tags/updates.py
+++ b/src/wasabigw/core/tags/updates.py
@@ -40,6 +40,8 @@
     state.declared_version = declaration.version
     state.listeners = listeners_of(declaration)
     state.idle_timeout = declaration.idle_timeout
+    for key in state.request_sizes.keys() - state.listeners.keys():
+        del state.request_sizes[key]
     priorities = (
         listener.requirements.priority
         for listener in declaration.listeners
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -11,6 +11,8 @@
 from tests.test_shared_load import SERVERS, SharedLoadCase
 from tests.test_shared_load import figures as figures_of_flows
 from tests.test_tag_steering import DOCUMENTS, SEATS, boot, data
+from wasabigw.core.declaration import Declaration, DeclaredService
+from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Revision, Seconds
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
@@ -29,6 +31,10 @@
 from wasabigw.core.tags.rejections import learn_usual_share, rejected_share
 from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.shortage import MIN_REJECTED_SHARE
+from wasabigw.core.tags.state import RequestSize
+from wasabigw.core.tags.updates import apply_declaration
+
+OTHER_ENDPOINT = Endpoint("198.18.0.9", 80)
 
 
 class ShortAnswers(AdmissionCase):
@@ -198,3 +204,22 @@
             push(late, self.waiting(port))
             ports.append(pop_next(late).packet.flow.caller_port)
         self.assertEqual(ports, [1, 2, 3])
+
+
+class RemovedListeners(SharedLoadCase):
+    """Guards against memory that grows with each listener that was ever declared.
+
+    The load: operators replace the only listener again and again.
+    """
+
+    def test_their_request_sizes_are_forgotten(self) -> None:
+        [(address, port)] = self.state.listeners
+        self.state.request_sizes[address, port] = RequestSize(900.0, 5)
+        listener = replace(self.state.listeners[address, port], endpoint=OTHER_ENDPOINT)
+        services = (DeclaredService(SEATS),)
+        apply_declaration(Declaration(2, (listener,), services), self.state)
+        # A late answer on a flow of the removed listener.
+        sent = data(1, 7)
+        self.decide(sent, 0.1)
+        self.decide(sent._replace(length=0, acknowledged=999), 0.2)
+        self.assertEqual(self.state.request_sizes, {})
