tags: a usual short answer does not make the next request a further try

Cause: each answer of 384 bytes or less marked its caller as rejected, so that the next opening of that address within 0.05 s needed the retry budget while the service was short. Where usual answers are short, callers that were answered lost their requests. Change: a caller is marked only while most of the short answers exceed the usual share.

--- a/src/wasabigw/core/tags/rejections.py
+++ b/src/wasabigw/core/tags/rejections.py
@@ -57,7 +57,8 @@
         return
     add_recent(control.answers.short, now)
     add_recent(control.answers.short_time, now, now - flow.pending_since)
-    record_rejected_caller(packet.flow, state, now)
+    if _are_mostly_rejections(control.answers, now):
+        record_rejected_caller(packet.flow, state, now)
 
 
 def record_rejected_caller(flow: FlowId, state: TagState, now: Seconds) -> None:
@@ -128,5 +129,11 @@
     return recent_sum(answers.short, now) / count
 
 
+def _are_mostly_rejections(answers: AnswerCounts, now: Seconds) -> bool:
+    """Whether fewer of the recent short answers are usual than rejections."""
+    share, usual = _short_share(answers, now), answers.usual_share
+    return share is None or usual is None or usual < share / 2
+
+
 def _key_of(flow: FlowId) -> CallerKey:
     return CallerKey(flow.caller, flow.listener, flow.listener_port)
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -4,7 +4,7 @@
 import unittest
 from dataclasses import replace
 
-from tests.test_admission_control import URGENT, WITH_ROOM, AdmissionCase
+from tests.test_admission_control import FULL, URGENT, WITH_ROOM, AdmissionCase
 from tests.test_domain_suspicion import HOME, DomainCase
 from tests.test_load_sums import FILLED, SumsCase, figures, report
 from tests.test_refused_openings import opening
@@ -16,7 +16,7 @@
 from wasabigw.core.ids import Revision, Seconds
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
-from wasabigw.core.tags.admission_state import AnswerCounts
+from wasabigw.core.tags.admission_state import AdmissionCount, AnswerCounts
 from wasabigw.core.tags.fair_queue import (
     Datagram,
     FairQueue,
@@ -51,6 +51,18 @@
         update_services(self.state, Seconds(4.0))
         self.assertEqual(self.state.admission.changes, [])
 
+    def test_the_next_request_of_an_address_is_no_further_try(self) -> None:
+        # Guards against a retry budget for callers that were answered.
+        draw = random.Random(1)
+        self.rejected, self.room = None, WITH_ROOM
+        for step in range(200):
+            self.open(URGENT, step * 0.02, size=draw.choice((200, 2000)))
+        self.rejected, self.room = 0.2, FULL
+        # Shorter than the time after which openings are refused.
+        for step in range(100):
+            self.open(URGENT, 4.0 + step * 0.0125, size=draw.choice((200, 2000)))
+        self.assertEqual(self.count(AdmissionCount.FURTHER_TRY), 0)
+
 
 class MixedAnswers(unittest.TestCase):
     """Guards against chance in the sizes of answers that is taken for rejections.
