tags: suspected backend servers do not count as idle

Cause: a crashed backend server has no request in flight, so that a failure domain that crashed in a surge seemed idle, and nothing was limited until circuit breakers or leases had taken out each of its backend servers. Openings avoid them meanwhile, so that all went to the full ones. Change: those under suspicion are not idle.

--- a/src/wasabigw/core/tags/idle_servers.py
+++ b/src/wasabigw/core/tags/idle_servers.py
@@ -27,6 +27,9 @@
     unnamed: dict[FailureDomainId, list[Server]] = defaultdict(list)
     idle: set[Server] = set()
     for server in usable_servers(control.id, state, now):
+        if _is_suspected(server, state):
+            # It answers nothing, so that it seems idle.
+            continue
         figures = state.known_load.servers.get(server.registration.tag)
         if figures is None:
             unnamed[server.registration.failure_domain].append(server)
@@ -62,6 +65,13 @@
     return busy if take_token(control.idle_bucket) else set()
 
 
+def _is_suspected(server: Server, state: TagState) -> bool:
+    """Whether all backend servers of its failure domain seem to have failed."""
+    boot = server.registration
+    suspicion = state.suspicions.get((boot.service, boot.failure_domain))
+    return suspicion is not None and boot.tag in suspicion.suspected
+
+
 def _mean_in_flight(
     service: ServiceId,
     domain: FailureDomainId,
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -10,10 +10,10 @@
 from tests.test_refused_openings import opening
 from tests.test_shared_load import SERVERS, SharedLoadCase
 from tests.test_shared_load import figures as figures_of_flows
-from tests.test_tag_steering import DOCUMENTS, SEATS, boot, data
+from tests.test_tag_steering import DOCUMENTS, SALVADOR, SEATS, boot, data
 from wasabigw.core.declaration import Declaration, DeclaredService
 from wasabigw.core.endpoint import Endpoint
-from wasabigw.core.ids import Revision, Seconds
+from wasabigw.core.ids import Revision, Seconds, Tag
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
 from wasabigw.core.tags.admission_state import AdmissionCount, AnswerCounts
@@ -32,7 +32,8 @@
 from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.shortage import MIN_REJECTED_SHARE
 from wasabigw.core.tags.state import RequestSize
-from wasabigw.core.tags.updates import apply_declaration
+from wasabigw.core.tags.suspicion import Suspicion, begin
+from wasabigw.core.tags.updates import apply_declaration, rebuild_pools
 
 OTHER_ENDPOINT = Endpoint("198.18.0.9", 80)
 
@@ -235,3 +236,21 @@
         self.decide(sent, 0.1)
         self.decide(sent._replace(length=0, acknowledged=999), 0.2)
         self.assertEqual(self.state.request_sizes, {})
+
+
+class CrashInASurge(AdmissionCase):
+    """Guards against limits that end because crashed backend servers seem idle.
+
+    The load: a failure domain crashes while the demand is five times what the other one
+    can answer; a crashed backend server has no requests in flight.
+    """
+
+    def test_suspected_backend_servers_are_not_idle(self) -> None:
+        self.state.view.boots = {Tag(1): boot(1), Tag(2): boot(2, SALVADOR)}
+        rebuild_pools(self.state, Seconds(0.0))
+        self.set_in_flight(1)
+        suspicion = Suspicion()
+        begin(suspicion, (Tag(2),), Seconds(0.0))
+        self.state.suspicions[SEATS, SALVADOR] = suspicion
+        found = self.demand({URGENT: 200}, 0.0, 1.0)
+        self.assertLess(found[URGENT, "Deliver"], 80)
