tags: openings without requirements count in the share of a balancer

Cause: the share of a balancer compared its openings at listeners with requirements with all openings at the others. Requests on flows without requirements were subtracted from the capacity as well, so that they counted twice. With two fifths of the openings without requirements, the least urgent kept the guaranteed tenth only. Change: openings without requirements count in the share; they are never limited.

--- a/src/wasabigw/core/tags/admission_control.py
+++ b/src/wasabigw/core/tags/admission_control.py
@@ -88,6 +88,7 @@
     """
     requirements = listener.requirements
     if requirements is None or not state.features.admission_control:
+        _record_other_arrival(packet, service, state, now)
         return AdmissionOutcome.ADMIT
     control = state.admission.services.setdefault(service, ServiceAdmission(service))
     is_further_try = _record_arrival(packet, requirements.priority, control, state, now)
@@ -227,6 +228,15 @@
     return False
 
 
+def _record_other_arrival(
+    packet: FlowPacket, service: ServiceId, state: TagState, now: Seconds
+) -> None:
+    """Count an opening that is not limited, but is part of the demand."""
+    control = state.admission.services.get(service)
+    if control is not None and packet.repeat == 0:
+        add_recent(control.other_arrivals, now)
+
+
 def _is_limited(control: ServiceAdmission, state: TagState) -> bool:
     return (
         state.features.admission_control
--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission_state.py
@@ -104,6 +104,7 @@
     :param id: the service.
     :param listeners: when callers of each listener last opened a flow.
     :param arrivals: first copies of openings.
+    :param other_arrivals: those at listeners without requirements.
     :param admitted: openings that were sent to backend servers.
     :param requests: requests that began, on new flows and on open ones.
     :param retries: budget of the further tries of rejected callers.
@@ -119,6 +120,7 @@
     id: ServiceId
     listeners: dict[ListenerAddress, Seconds] = field(default_factory=dict)
     arrivals: dict[Priority, RecentSum] = field(default_factory=dict)
+    other_arrivals: RecentSum = field(default_factory=RecentSum)
     admitted: RecentSum = field(default_factory=RecentSum)
     requests: RecentSum = field(default_factory=RecentSum)
     answers: AnswerCounts = field(default_factory=AnswerCounts)
--- a/src/wasabigw/core/tags/capacity_share.py
+++ b/src/wasabigw/core/tags/capacity_share.py
@@ -96,5 +96,6 @@
     )
     all_domains = state.regions.keys() | domains
     balancers = 1 + known.balancers * len(domains) / len(all_domains)
-    own = COUNT_WINDOW * sum(recent_rate(a, now) for a in control.arrivals.values())
+    arrivals = (*control.arrivals.values(), control.other_arrivals)
+    own = COUNT_WINDOW * sum(recent_rate(a, now) for a in arrivals)
     return (own + 1) / (own + others + balancers)
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -4,16 +4,25 @@
 import unittest
 from dataclasses import replace
 
-from tests.test_admission_control import FULL, URGENT, WITH_ROOM, AdmissionCase
+from tests.test_admission_control import (
+    FULL,
+    OTHER,
+    URGENT,
+    WITH_ROOM,
+    AdmissionCase,
+    full,
+    listener,
+)
 from tests.test_domain_suspicion import HOME, DomainCase
 from tests.test_load_sums import FILLED, SumsCase, figures, report
 from tests.test_refused_openings import opening
 from tests.test_shared_load import SERVERS, SharedLoadCase
 from tests.test_shared_load import figures as figures_of_flows
-from tests.test_tag_steering import DOCUMENTS, SALVADOR, SEATS, boot, data
+from tests.test_tag_steering import DOCUMENTS, RECIFE, SALVADOR, SEATS, boot, data
 from wasabigw.core.declaration import Declaration, DeclaredService
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Revision, Seconds, Tag
+from wasabigw.core.load.figures import ServiceFigures
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
 from wasabigw.core.tags.admission_state import AdmissionCount, AnswerCounts
@@ -228,9 +237,10 @@
     def test_their_request_sizes_are_forgotten(self) -> None:
         [(address, port)] = self.state.listeners
         self.state.request_sizes[address, port] = RequestSize(900.0, 5)
-        listener = replace(self.state.listeners[address, port], endpoint=OTHER_ENDPOINT)
+        known = self.state.listeners[address, port]
+        replaced = replace(known, endpoint=OTHER_ENDPOINT)
         services = (DeclaredService(SEATS),)
-        apply_declaration(Declaration(2, (listener,), services), self.state)
+        apply_declaration(Declaration(2, (replaced,), services), self.state)
         # A late answer on a flow of the removed listener.
         sent = data(1, 7)
         self.decide(sent, 0.1)
@@ -254,3 +264,25 @@
         self.state.suspicions[SEATS, SALVADOR] = suspicion
         found = self.demand({URGENT: 200}, 0.0, 1.0)
         self.assertLess(found[URGENT, "Deliver"], 80)
+
+
+class ListenersWithoutRequirements(AdmissionCase):
+    """Guards against limits that count openings without requirements twice.
+
+    The load: four balancers with 50 openings a second each, of which 20 are at a
+    listener without requirements, while the service answers 160 a second.
+    """
+
+    def test_what_they_leave_is_admitted(self) -> None:
+        plain = 8080
+        self.declare(2, listener(URGENT, 0), listener(OTHER, 1), listener(plain, None))
+        known = self.state.known_load
+        known.balancers = 3
+        here = ServiceFigures(SEATS, RECIFE, 0, 0, arrivals=300)
+        known.services = {(SEATS, RECIFE): here}
+        self.room = full(160.0)
+        rates = {URGENT: 10.0, OTHER: 20.0, plain: 20.0}
+        self.demand(rates, 0.0, 3.0)
+        found = self.demand(rates, 3.0, 5.0)
+        self.assertEqual(found[plain, "Deliver"], 100)
+        self.assertAlmostEqual(found[OTHER, "Deliver"] / 5.0, 10.0, delta=3.0)
