tags: an idle backend server that is silent gets no opening before full ones

Cause: which backend servers are idle is updated each 0.1 s. One whose circuit breaker opened since was the only one that an opening was not to pass over, so it was chosen as a last resort although others answered. Change: if no idle one answers, the choice is made among all.

--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -232,17 +232,20 @@
     busy: set[Server] = set()
     if _is_limited_by_room(listener, state):
         busy = busy_servers(service, avoided, state, now)
-        avoided |= busy
     for overdue in pop_overdue(state, now):
         _record_unanswered(
             overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
         )
-    chosen = choose_server_for(listener, service, state, now, avoided)
+    chosen = choose_server_for(listener, service, state, now, avoided | busy)
+    if busy and (chosen is None or chosen[1] in _LAST_RESORTS):
+        # The idle ones have stopped answering since.
+        busy = set()
+        chosen = choose_server_for(listener, service, state, now, avoided)
     if chosen is None:
         reason = RefusalReason.NO_SERVER
         return _reject_opening(packet, reason, state, now, waited)
     server, choice = chosen
-    if busy and choice not in _LAST_RESORTS:
+    if busy:
         choice = ChoiceReason.IDLE
     record_probe(server.breaker, now)
     record_choice(server, state, now)
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -26,6 +26,7 @@
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
 from wasabigw.core.tags.admission_state import AdmissionCount, AnswerCounts
+from wasabigw.core.tags.decisions import Deliver
 from wasabigw.core.tags.fair_queue import (
     Datagram,
     FairQueue,
@@ -286,3 +287,16 @@
         found = self.demand(rates, 3.0, 5.0)
         self.assertEqual(found[plain, "Deliver"], 100)
         self.assertAlmostEqual(found[OTHER, "Deliver"] / 5.0, 10.0, delta=3.0)
+
+
+class IdleServerThatCrashes(AdmissionCase):
+    """Guards against openings to a backend server that seems idle and is silent."""
+
+    def test_full_ones_that_answer_come_first(self) -> None:
+        self.set_in_flight(1)
+        self.open(URGENT, 0.0)
+        update_services(self.state, Seconds(0.4))
+        record_failure(self.state.servers[Tag(2)].breaker, Seconds(0.41), Seconds(0.45))
+        opened = self.open(URGENT, 0.46)
+        assert isinstance(opened, Deliver)
+        self.assertEqual(opened.server.tag, 1)
