--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -14,6 +14,7 @@
     count_arrival,
     count_data,
     count_opening,
+    count_release,
     discard_lost_data,
     discard_lost_opening,
     end_request,
@@ -43,7 +44,7 @@
     record_choice,
     update_suspicions,
 )
-from wasabigw.core.tags.egress import has_waiting, is_waiting
+from wasabigw.core.tags.egress import has_waiting, is_congested, is_waiting
 from wasabigw.core.tags.flow_table import (
     add_flow,
     close_flow,
@@ -52,13 +53,13 @@
 )
 from wasabigw.core.tags.health import (
     FailureSignal,
+    confirm_doubt,
     is_unreachable,
     record_failure,
     record_probe,
     record_response,
 )
 from wasabigw.core.tags.held_openings import HeldOpening
-from wasabigw.core.tags.idle_servers import busy_servers
 from wasabigw.core.tags.link_classes import record_request_data, record_request_end
 from wasabigw.core.tags.openings import (
     OPENING_TIMEOUT,
@@ -76,6 +77,7 @@
 )
 from wasabigw.core.tags.rejections import record_answer
 from wasabigw.core.tags.selection import choose_server_for, service_of
+from wasabigw.core.tags.spare_servers import busy_servers
 from wasabigw.core.tags.state import (
     Flow,
     FlowState,
@@ -246,7 +248,7 @@
         return _reject_opening(packet, reason, state, now, waited)
     server, choice = chosen
     if busy:
-        choice = ChoiceReason.IDLE
+        choice = ChoiceReason.FREE_SLOTS
     record_probe(server.breaker, now)
     record_choice(server, state, now)
     caller_diversion.record_outcome(
@@ -375,6 +377,9 @@
     state: TagState,
     now: Seconds,
 ) -> None:
+    congested = is_congested(state.egress, now)
+    if congested and not confirm_doubt(server.breaker, sent_at, now):
+        return
     silent_for = Seconds(now - server.breaker.last_response_at)
     if record_failure(server.breaker, sent_at, now):
         state.health_changes.append(HealthChange(server, failure, silent_for))
@@ -388,12 +393,11 @@
     if is_waiting(state.egress, packet):
         # The backend server has not been sent the first copy yet.
         return False
-    count_data(packet, flow)
+    count_data(packet, flow, state, now)
     if flow.pending_sequence is None:
         record_request(flow, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif _shows_progress(packet, flow.pending_sequence):
-        flow.is_upload = True
         _record_response(flow.server, state, now)
         _expect_answer(flow, packet.sequence, now)
     elif packet.sequence == flow.pending_sequence:
@@ -443,8 +447,10 @@
             restart_flow(flow, now)
             discard_opening(packet.flow, state)
             record_opening(packet.flow, flow.server, state, now)
-    elif packet.length and flow.pending_sequence is not None:
-        flow.pending_since = now
+    elif packet.length:
+        count_release(flow, now)
+        if flow.pending_sequence is not None:
+            flow.pending_since = now
 
 
 def record_loss(packet: FlowPacket, state: TagState) -> None:
@@ -483,7 +489,7 @@
         known.state = FlowState.OPEN
     if was_opening or known.acknowledged != packet.acknowledged:
         record_answer(packet, known, state, now)
-        count_acknowledgement(packet, known, now)
+        count_acknowledgement(packet, known, state, now)
         known.acknowledged = packet.acknowledged
         record_request_end(packet.flow, known, state)
         if known.pending_sequence is not None:
@@ -514,7 +520,7 @@
     discard_opening(packet.flow, state)
     record_answer(packet, known, state, now)
     close_flow(known)
-    count_acknowledgement(packet, known, now)
+    count_acknowledgement(packet, known, state, now)
     end_request(known)
     known.last_seen = now
     known.acknowledged = packet.acknowledged
