--- a/src/wasabigw/core/tags/spare_servers.py
+++ b/src/wasabigw/core/tags/spare_servers.py
@@ -29,6 +29,9 @@
     spare: set[Server] = set()
     free_slots, control.has_idle_server = 0.0, False
     for server in usable_servers(control.id, state, now):
+        if _is_suspected(server, state):
+            # It answers nothing, so that it seems idle.
+            continue
         figures = state.known_load.servers.get(server.registration.tag)
         if figures is None:
             unnamed[server.registration.failure_domain].append(server)
@@ -89,6 +92,13 @@
     return busy
 
 
+def _is_suspected(server: Server, state: TagState) -> bool:
+    """Whether all backend servers of its failure domain seem to have failed."""
+    boot = server.registration
+    suspicion = state.suspicions.get((boot.service, boot.failure_domain))
+    return suspicion is not None and boot.tag in suspicion.suspected
+
+
 def _mean_in_flight(
     service: ServiceId,
     domain: FailureDomainId,
