tasks: log lines on conditions of a balancer in a module of their own

Change: changes of view, freshness, diversion, link queue and receive buffer are logged by ConditionLog; texts, numbers and moments are as before.

--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -10,8 +10,8 @@
 
 from returns.result import Success
 
-from wasabigw.core.endpoint import Endpoint, endpoint_key
-from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Revision, Seconds
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Seconds
 from wasabigw.core.tags.admission_control import (
     expire_openings,
     hold_opening,
@@ -24,7 +24,6 @@
 from wasabigw.core.tags.egress import (
     Admission,
     make_egress_queue,
-    queue_time,
     release,
     submit,
     take_evicted,
@@ -59,7 +58,8 @@
 from wasabigw.runtime.task import Stop
 from wasabigw.runtime.timer import Tick, monotonic
 from wasabigw.tasks.admission_log import log_shortage_changes
-from wasabigw.tasks.decision_log import DecisionLog, rounded_or_none
+from wasabigw.tasks.condition_log import ConditionLog
+from wasabigw.tasks.decision_log import DecisionLog
 from wasabigw.tasks.host_checker import make_host_checker
 from wasabigw.tasks.light_http import LightRequest, LightServer
 from wasabigw.tasks.light_metrics import LightMetrics
@@ -76,7 +76,7 @@
     TagStatusRequest,
     TagTaskMessage,
 )
-from wasabigw.tasks.tag_metrics import boot_state, families_of
+from wasabigw.tasks.tag_metrics import families_of
 from wasabigw.tasks.view_follower import ViewReceived
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.exposition import Family
@@ -97,12 +97,6 @@
 """Minimum time between two previews of a route, which take 0.1 ms for each backend
 server of the service."""
 
-LONG_QUEUE_TIME = Seconds(0.2)
-"""Queue time that is logged; callers begin to retransmit data that waits longer."""
-
-MAX_LOGGED_BOOTS = 20
-"""Maximum number of boots named in the log line of a view change."""
-
 
 @dataclass(frozen=True, slots=True)
 class TagPacketSettings:
@@ -151,13 +145,10 @@
             egress=make_egress_queue(settings.link_megabits),
             features=settings.features,
         )
-        self._was_fresh = False
-        self._was_diverting = False
-        self._was_queueing = False
-        self._was_backlogged = False
         self._backlogged_since: Seconds | None = None
         self._decision_log = DecisionLog(self._state)
         self._load_log = LoadLog(self._state)
+        self._conditions = ConditionLog(self._state)
         self._counts: Counter[str] = Counter()
         self._last_packet = monotonic()
         self._draining = False
@@ -368,13 +359,13 @@
         before = state.view.revision
         if apply_view_update(message.update, message.sent_at, state, now):
             self._apply_document()
-            self._log_view_change(before, message)
+            self._conditions.log_view_change(before, message)
         if is_first and state.has_view:
             log(BalancerEvent.FIRST_VIEW, node=state.node, revision=state.view.revision)
             self._selector.register(
                 self._socket, selectors.EVENT_READ, self._receive_packets
             )
-        self._log_freshness_change(now)
+        self._conditions.log_freshness(now)
 
     @receive.register
     def _(self, message: HostChecked) -> None:
@@ -411,9 +402,9 @@
         update_services(self._state, message.now)
         log_shortage_changes(self._state)
         self._decision_log.reset_budget()
-        self._log_freshness_change(message.now)
-        self._log_queue_change()
-        self._log_backlog_change(monotonic())
+        self._conditions.log_freshness(message.now)
+        self._conditions.log_link_queue(self._counts["replaced"])
+        self._conditions.log_receive_wait(self._receive_wait(monotonic()))
         self._load_log.log_changes(monotonic())
 
     def _respond_status(self, request: LightRequest) -> None:
@@ -484,56 +475,13 @@
             reason=decoded.failure(),
         )
 
-    def _log_view_change(self, before: Revision, message: ViewReceived) -> None:
-        state, update = self._state, message.update
-        changed = [f"{b.id} {boot_state(b)}" for b in update.boots[:MAX_LOGGED_BOOTS]]
-        if len(update.boots) > MAX_LOGGED_BOOTS:
-            changed.append(f"and {len(update.boots) - MAX_LOGGED_BOOTS} more")
-        log(
-            BalancerEvent.VIEW_CHANGED,
-            before=before,
-            revision=state.view.revision,
-            boots=", ".join(changed),
-            version=state.declared_version,
-            out_of_service=", ".join(state.view.out_of_service),
-            source=endpoint_key(message.source),
-            fresh_for=round(update.fresh_for, 3),
-        )
-
     def _check_diversion(self, now: Seconds) -> bool:
         """Whether callers are diverted to other failure domains; logs each change."""
         state = self._state
         diverts = should_divert(state.diversion, state.is_fresh(now), now)
-        if diverts != self._was_diverting:
-            self._was_diverting = diverts
-            event = (
-                BalancerEvent.CALLERS_AWAY if diverts else BalancerEvent.CALLERS_BACK
-            )
-            log(
-                event,
-                node=state.node,
-                failure_domain=state.failure_domain,
-                age=rounded_or_none(state.view_age(now)),
-            )
+        self._conditions.log_diversion(diverts, now)
         return diverts
 
-    def _log_queue_change(self) -> None:
-        """Log when packets begin to wait long for the link, and when none waits."""
-        egress, node = self._state.egress, self._state.node
-        wait = queue_time(egress)
-        if not self._was_queueing and wait >= LONG_QUEUE_TIME:
-            self._was_queueing = True
-            log(
-                BalancerEvent.LINK_QUEUE,
-                node=node,
-                wait=round(wait, 3),
-                bytes=egress.size,
-                replaced=self._counts["replaced"],
-            )
-        elif self._was_queueing and egress.is_empty:
-            self._was_queueing = False
-            log(BalancerEvent.LINK_IDLE, node=node)
-
     def _receive_wait(self, now: Seconds) -> Seconds:
         """Longest time that a packet may have waited in the receive buffer so far."""
         if self._backlogged_since is not None and self._is_receive_buffer_empty():
@@ -548,25 +496,6 @@
             self._counts["receive-failed"] += 1
         return False
 
-    def _log_backlog_change(self, now: Seconds) -> None:
-        """Log when packets begin to wait long to be read, and when none waits."""
-        wait, node = self._receive_wait(now), self._state.node
-        if not self._was_backlogged and wait >= LONG_QUEUE_TIME:
-            self._was_backlogged = True
-            log(BalancerEvent.RECEIVE_BACKLOG, node=node, wait=round(wait, 3))
-        elif self._was_backlogged and wait < LONG_QUEUE_TIME:
-            self._was_backlogged = False
-            log(BalancerEvent.RECEIVE_CURRENT, node=node)
-
-    def _log_freshness_change(self, now: Seconds) -> None:
-        state = self._state
-        fresh = state.is_fresh(now)
-        if fresh == self._was_fresh:
-            return
-        self._was_fresh = fresh
-        event = BalancerEvent.VIEW_FRESH if fresh else BalancerEvent.VIEW_STALE
-        log(event, node=state.node, revision=state.view.revision)
-
 
 @singledispatch
 def _execute(
--- a/tests/test_receive_backlog.py
+++ b/tests/test_receive_backlog.py
@@ -11,7 +11,8 @@
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import decide
 from wasabigw.runtime.timer import Tick, monotonic
-from wasabigw.tasks import tag_packet_task
+from wasabigw.tasks import condition_log, tag_packet_task
+from wasabigw.tasks.condition_log import LONG_QUEUE_TIME
 from wasabigw.tasks.tag_packet_task import MAINTENANCE_TICK
 from wasabigw.telemetry.events_balancer import BalancerEvent
 
@@ -28,7 +29,7 @@
 
     def setUp(self) -> None:
         self.events: list[object] = []
-        patch = mock.patch.object(tag_packet_task, "log", self._record)
+        patch = mock.patch.object(condition_log, "log", self._record)
         patch.start()
         self.addCleanup(patch.stop)
         super().setUp()
@@ -45,7 +46,7 @@
 
     def test_a_backlog_and_its_end_are_logged(self) -> None:
         # Each packet of the window takes longer than the time that is logged.
-        slow = Seconds(tag_packet_task.LONG_QUEUE_TIME * 1.5)
+        slow = Seconds(LONG_QUEUE_TIME * 1.5)
 
         def decide_slowly(
             packet: FlowPacket, state: TagState, now: Seconds, waited: Seconds
@@ -65,7 +66,7 @@
         # The last read before the limit of a wake-up does not show that none is left.
         with mock.patch.object(tag_packet_task, "PACKETS_PER_WAKE_UP", 1):
             self.send_window()
-            time.sleep(tag_packet_task.LONG_QUEUE_TIME * 1.5)
+            time.sleep(LONG_QUEUE_TIME * 1.5)
             self.events.clear()
             self.balancer.mailbox.post(Tick(MAINTENANCE_TICK, monotonic()))
             time.sleep(0.1)
