--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -2,25 +2,54 @@
 
 import random
 import unittest
+from collections.abc import Sequence
+from copy import deepcopy
 from dataclasses import replace
 
-from tests.test_admission_control import URGENT, WITH_ROOM, AdmissionCase
+from tests.test_admission_control import (
+    FULL,
+    OTHER,
+    URGENT,
+    WITH_ROOM,
+    AdmissionCase,
+    full,
+    listener,
+)
 from tests.test_domain_suspicion import HOME, DomainCase
 from tests.test_load_sums import FILLED, SumsCase, figures, report
 from tests.test_refused_openings import opening
 from tests.test_shared_load import SERVERS, SharedLoadCase
 from tests.test_shared_load import figures as figures_of_flows
-from tests.test_tag_steering import DOCUMENTS, SEATS, boot, data
-from wasabigw.core.ids import Revision, Seconds
+from tests.test_tag_steering import DOCUMENTS, RECIFE, SALVADOR, SEATS, boot, data
+from wasabigw.core.declaration import Declaration, DeclaredService
+from wasabigw.core.endpoint import Endpoint
+from wasabigw.core.ids import Revision, Seconds, Tag
+from wasabigw.core.load.figures import ServiceFigures
 from wasabigw.core.rates import add_recent
 from wasabigw.core.tags.admission_control import update_services
-from wasabigw.core.tags.admission_state import AnswerCounts
+from wasabigw.core.tags.admission_state import AdmissionCount, AnswerCounts
+from wasabigw.core.tags.capacity_share import capacity_of
+from wasabigw.core.tags.decisions import Deliver
+from wasabigw.core.tags.fair_queue import (
+    Datagram,
+    FairQueue,
+    Waiting,
+    move,
+    pop_next,
+    push,
+)
 from wasabigw.core.tags.health import record_failure
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.planning import current_plan
 from wasabigw.core.tags.rejections import learn_usual_share, rejected_share
 from wasabigw.core.tags.room import room_of
+from wasabigw.core.tags.route_preview import preview_opening
 from wasabigw.core.tags.shortage import MIN_REJECTED_SHARE
+from wasabigw.core.tags.state import Flow, RequestSize, TagState
+from wasabigw.core.tags.suspicion import Suspicion, begin
+from wasabigw.core.tags.updates import apply_declaration, rebuild_pools
+
+OTHER_ENDPOINT = Endpoint("198.18.0.9", 80)
 
 
 class ShortAnswers(AdmissionCase):
@@ -37,6 +66,18 @@
         update_services(self.state, Seconds(4.0))
         self.assertEqual(self.state.admission.changes, [])
 
+    def test_the_next_request_of_an_address_is_no_further_try(self) -> None:
+        # Guards against a retry budget for callers that were answered.
+        draw = random.Random(1)
+        self.rejected, self.room = None, WITH_ROOM
+        for step in range(200):
+            self.open(URGENT, step * 0.02, size=draw.choice((200, 2000)))
+        self.rejected, self.room = 0.2, FULL
+        # Shorter than the time after which openings are refused.
+        for step in range(40):
+            self.open(URGENT, 4.0 + step * 0.0125, size=draw.choice((200, 2000)))
+        self.assertEqual(self.count(AdmissionCount.FURTHER_TRY), 0)
+
 
 class MixedAnswers(unittest.TestCase):
     """Guards against chance in the sizes of answers that is taken for rejections.
@@ -164,3 +205,128 @@
             self.decide(answer, now + 0.004)
             first += tag == 1 and now > 3.3
         self.assertLess(first, 10)
+
+
+class LateUploads(unittest.TestCase):
+    """Guards against an upload that waits for all late ones that come after it.
+
+    The load: late uploads that always have packets waiting, as each second a new one
+    comes.
+    """
+
+    def waiting(self, port: int) -> Waiting:
+        packet = data(1, port, sequence=self.sequence)
+        self.sequence += 1
+        datagram = Datagram(bytes(10), ("10.0.0.1", 1))
+        return Waiting(packet, datagram, 1000, Seconds(0.0))
+
+    def test_one_that_becomes_late_keeps_its_place(self) -> None:
+        self.sequence = 1
+        bulk, late = FairQueue(), FairQueue(in_order=True)
+        push(late, self.waiting(1))
+        push(bulk, self.waiting(2))
+        move(next(iter(bulk.sparse.values())), bulk, late)
+        ports = []
+        for port in range(3, 6):
+            push(late, self.waiting(port))
+            ports.append(pop_next(late).packet.flow.caller_port)
+        self.assertEqual(ports, [1, 2, 3])
+
+
+class RemovedListeners(SharedLoadCase):
+    """Guards against memory that grows with each listener that was ever declared.
+
+    The load: operators replace the only listener again and again.
+    """
+
+    def test_their_request_sizes_are_forgotten(self) -> None:
+        [(address, port)] = self.state.listeners
+        self.state.request_sizes[address, port] = RequestSize(900.0, 5)
+        known = self.state.listeners[address, port]
+        replaced = replace(known, endpoint=OTHER_ENDPOINT)
+        services = (DeclaredService(SEATS),)
+        apply_declaration(Declaration(2, (replaced,), services), self.state)
+        # A late answer on a flow of the removed listener.
+        sent = data(1, 7)
+        self.decide(sent, 0.1)
+        self.decide(sent._replace(length=0, acknowledged=999), 0.2)
+        self.assertEqual(self.state.request_sizes, {})
+
+
+class CrashInASurge(AdmissionCase):
+    """Guards against limits that end because crashed backend servers seem idle.
+
+    The load: a failure domain crashes while the demand is five times what the other one
+    can answer; a crashed backend server has no requests in flight.
+    """
+
+    def test_suspected_backend_servers_are_not_idle(self) -> None:
+        self.state.view.boots = {Tag(1): boot(1), Tag(2): boot(2, SALVADOR)}
+        rebuild_pools(self.state, Seconds(0.0))
+        self.set_in_flight(1)
+        suspicion = Suspicion()
+        begin(suspicion, (Tag(2),), Seconds(0.0))
+        self.state.suspicions[SEATS, SALVADOR] = suspicion
+        found = self.demand({URGENT: 200}, 0.0, 1.0)
+        self.assertLess(found[URGENT, "Deliver"], 80)
+
+
+class ListenersWithoutRequirements(AdmissionCase):
+    """Guards against a share that leaves out openings without requirements.
+
+    The load: four balancers with 50 openings a second each, of which 20 are at a
+    listener without requirements, while the service answers 160 a second.
+    """
+
+    def test_a_balancer_has_its_whole_share(self) -> None:
+        plain = 8080
+        self.declare(2, listener(URGENT, 0), listener(OTHER, 1), listener(plain, None))
+        known = self.state.known_load
+        known.balancers = 3
+        here = ServiceFigures(SEATS, RECIFE, 0, 0, arrivals=300)
+        known.services = {(SEATS, RECIFE): here}
+        self.room = full(160.0)
+        rates = {URGENT: 10.0, OTHER: 20.0, plain: 20.0}
+        found = self.demand(rates, 0.0, 4.0)
+        self.assertEqual(found[plain, "Deliver"], 80)
+        control = self.state.admission.services[SEATS]
+        capacity = capacity_of(control, 160.0, self.state, Seconds(4.0))
+        self.assertAlmostEqual(capacity, 160.0 / 4, delta=4.0)
+
+
+class IdleServerThatCrashes(AdmissionCase):
+    """Guards against openings to a backend server that seems idle and is silent."""
+
+    def test_full_ones_that_answer_come_first(self) -> None:
+        self.set_in_flight(1)
+        self.open(URGENT, 0.0)
+        update_services(self.state, Seconds(0.4))
+        record_failure(self.state.servers[Tag(2)].breaker, Seconds(0.41), Seconds(0.45))
+        opened = self.open(URGENT, 0.46)
+        assert isinstance(opened, Deliver)
+        self.assertEqual(opened.server.tag, 1)
+
+
+class PreviewOfAFullLink(SharedLoadCase):
+    """Guards against a preview that copies all packets that wait for the link.
+
+    The load: a second of packets of 100 Mbit/s, and 50,000 flows that send requests.
+    """
+
+    def test_packets_and_flows_of_others_are_not_copied(self) -> None:
+        [listener] = self.state.listeners.values()
+        server, start = self.state.servers[Tag(1)], Seconds(0.0)
+        sender = Flow(server, start, start, 1)
+        self.state.sending = {opening(2, 1).flow: sender}
+        copied: list[TagState] = []
+        shared: list[object] = []
+
+        def copy_state(state: TagState, objects: Sequence[object]) -> TagState:
+            copied.append(state)
+            shared.extend(objects)
+            return deepcopy(state, {id(value): value for value in objects})
+
+        flow = opening(1, 1).flow
+        preview_opening(flow, listener, self.state, Seconds(0.5), copy_state)
+        self.assertTrue(any(value is self.state.egress for value in shared))
+        self.assertEqual(copied[0].sending, {})
