tags: decisions on openings in a module of their own

Change: opening_steering.py decides on openings, steering.py on packets of open flows, evidence.py records what shows that a backend server answers; the planted faults follow.

--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -35,14 +35,10 @@
 from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.host_checks import HostChecked
 from wasabigw.core.tags.link_classes import link_class_of
+from wasabigw.core.tags.opening_steering import decide_released
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.steering import (
-    decide,
-    decide_released,
-    record_loss,
-    record_release,
-)
+from wasabigw.core.tags.steering import decide, record_loss, record_release
 from wasabigw.core.tags.unreachable_hosts import record_check
 from wasabigw.core.tags.updates import apply_declaration, apply_view_update
 from wasabigw.core.tags.upload_turns import (
--- a/src/wasabigw_verify/evidence_model/faults.py
+++ b/src/wasabigw_verify/evidence_model/faults.py
@@ -3,57 +3,69 @@
 from wasabigw_verify.planted_faults import PlantedFault
 
 _STEERING = "wasabigw.core.tags.steering"
-_NEVER_CONGESTED = (
-    ("congested = is_congested(state.egress, now)", "congested = False"),
-)
-"""Removes the guard of a congested link, which hides faults of single packets."""
+_OPENING_STEERING = "wasabigw.core.tags.opening_steering"
+_EVIDENCE = "wasabigw.core.tags.evidence"
 _HEALTH = "wasabigw.core.tags.health"
 _CHECKS = "wasabigw.core.tags.host_checks"
 _HOSTS = "wasabigw.core.tags.unreachable_hosts"
 
+_NEVER_CONGESTED = PlantedFault(
+    "link never counts as congested",
+    _EVIDENCE,
+    "congested = is_congested(state.egress, now)",
+    "congested = False",
+)
+"""Removes the guard of a congested link, which hides faults of single packets."""
+_COPY_OF_WAITING_FLOW_COUNTS = PlantedFault(
+    "copy of data counts while packets of its flow wait",
+    _STEERING,
+    "    if has_waiting(state.egress, flow_id):\n",
+    "    if False:\n",
+)
+
 OPENINGS = (
     PlantedFault(
         "copy of an opening is steered as new",
-        _STEERING,
+        _OPENING_STEERING,
         "if _is_copy_of_opening(packet, known, now):",
         "if False:",
     ),
     PlantedFault(
         "copy of an opening counts for 2 s only",
-        _STEERING,
+        _OPENING_STEERING,
         "if known.state is FlowState.OPEN and packet.sequence == known.first_sequence:",
         "if False:",
     ),
     PlantedFault(
         "copy of an opening after other packets is steered as new",
-        _STEERING,
+        _OPENING_STEERING,
         "return 0 <= ahead <= MAX_BYTES_BEFORE_COPY",
         "return False",
     ),
     PlantedFault(
         "later copy of an opening is refused",
-        _STEERING,
+        _OPENING_STEERING,
         "if packet.repeat > 0 or waited >= MAX_WAIT_TO_REFUSE:",
         "if waited >= MAX_WAIT_TO_REFUSE:",
     ),
     PlantedFault(
         "opening that waited to be read is refused",
-        _STEERING,
+        _OPENING_STEERING,
         "if packet.repeat > 0 or waited >= MAX_WAIT_TO_REFUSE:",
         "if packet.repeat > 0:",
     ),
     PlantedFault(
         "opening is refused by an old view",
-        _STEERING,
+        _OPENING_STEERING,
         "if not state.is_fresh(now):",
         "if False:",
     ),
     PlantedFault(
         "opening that waits for the link counts as unanswered",
-        _STEERING,
+        _OPENING_STEERING,
         "if _is_unanswered(known, now) and not is_waiting(state.egress, packet):",
         "if _is_unanswered(known, now):",
-        others=_NEVER_CONGESTED,
+        others=(_NEVER_CONGESTED,),
     ),
     PlantedFault(
         "packets are decided on without a view",
@@ -80,10 +92,7 @@
         _STEERING,
         "    if is_waiting(state.egress, packet):\n",
         "    if False:\n",
-        others=(
-            ("    if has_waiting(state.egress, flow_id):\n", "    if False:\n"),
-            *_NEVER_CONGESTED,
-        ),
+        others=(_COPY_OF_WAITING_FLOW_COUNTS, _NEVER_CONGESTED),
     ),
     PlantedFault(
         "wait for the link counts as silence",
@@ -91,7 +100,7 @@
         "        if flow.pending_sequence is not None:\n"
         "            flow.pending_since = now",
         "        if False:\n            flow.pending_since = now",
-        others=_NEVER_CONGESTED,
+        others=(_NEVER_CONGESTED,),
     ),
     PlantedFault(
         "packet that was not sent counts as unanswered",
@@ -109,7 +118,8 @@
     PlantedFault(
         "progress of an upload does not count as a response",
         _STEERING,
-        "        _record_response(flow.server, state, now)\n        _expect_answer(",
+        "        record_server_response(flow.server, state, now)\n"
+        "        _expect_answer(",
         "        _expect_answer(",
     ),
     PlantedFault(
@@ -129,7 +139,7 @@
         _STEERING,
         "            known.acknowledged = packet.acknowledged\n        return known",
         "            known.acknowledged = packet.acknowledged\n"
-        "            _record_response(server, state, now)\n        return known",
+        "            record_server_response(server, state, now)\n        return known",
     ),
     PlantedFault(
         "response since the data was sent does not count",
--- a/src/wasabigw_verify/planted_faults.py
+++ b/src/wasabigw_verify/planted_faults.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
-from types import CodeType, FunctionType, ModuleType
+from types import CodeType, FunctionType
 
 
 class PlantingError(Exception):
@@ -23,57 +23,51 @@
 
     :param module: name of the module.
     :param condition: source text, which must occur once in the module.
-    :param others: further conditions of the module and their replacements, where
-        several guard against the same fault.
+    :param others: conditions in other functions that guard against the same fault.
     """
 
     name: str
     module: str
     condition: str
     replacement: str
-    others: tuple[tuple[str, str], ...] = ()
+    others: tuple["PlantedFault", ...] = ()
 
 
 @contextmanager
 def planted(fault: PlantedFault) -> Iterator[None]:
     """Plant a fault for some time.
 
-    :raises PlantingError: if the condition is not there, or the fault has no effect on
+    :raises PlantingError: if a condition is not there, or the fault has no effect on
         the code of a function.
     """
-    module = importlib.import_module(fault.module)
-    changed = _changed_functions(module, fault)
-    if not changed:
-        raise PlantingError(f"{fault.name}: no function of {fault.module} changes")
-    original = {function: function.__code__ for function, _ in changed}
+    original: dict[FunctionType, CodeType] = {}
     try:
-        for function, code in changed:
-            function.__code__ = code
+        for part in (fault, *fault.others):
+            for function, code in _changed_functions(part):
+                if function in original:
+                    raise PlantingError(f"{fault.name}: {function} changes twice")
+                original[function] = function.__code__
+                function.__code__ = code
         yield
     finally:
         for function, known in original.items():
             function.__code__ = known
 
 
-def _changed_functions(
-    module: ModuleType, fault: PlantedFault
-) -> list[tuple[FunctionType, CodeType]]:
-    source = changed = inspect.getsource(module)
-    for condition, replacement in (
-        (fault.condition, fault.replacement),
-        *fault.others,
-    ):
-        occurrences = source.count(condition)
-        if occurrences != 1:
-            raise PlantingError(
-                f"{fault.name}: {fault.module} has {occurrences} places with "
-                f"{condition!r}, not 1"
-            )
-        changed = changed.replace(condition, replacement)
+def _changed_functions(fault: PlantedFault) -> list[tuple[FunctionType, CodeType]]:
+    module = importlib.import_module(fault.module)
+    source = inspect.getsource(module)
+    occurrences = source.count(fault.condition)
+    if occurrences != 1:
+        raise PlantingError(
+            f"{fault.name}: {fault.module} has {occurrences} places with "
+            f"{fault.condition!r}, not 1"
+        )
+    changed = source.replace(fault.condition, fault.replacement)
     name = str(module.__file__)
     before = _codes(compile(source, name, "exec", dont_inherit=True))
     after = _codes(compile(changed, name, "exec", dont_inherit=True))
-    return [
+    found = [
         (function, after[function.__name__])
         for function in vars(module).values()
         if isinstance(function, FunctionType)
@@ -81,6 +75,9 @@
         and function.__name__ in after
         and _effect(after[function.__name__]) != _effect(before[function.__name__])
     ]
+    if not found:
+        raise PlantingError(f"{fault.name}: no function of {fault.module} changes")
+    return found
 
 
 def _effect(code: CodeType) -> tuple[object, ...]:
