tags: the most urgent priority is computed once in 0.1 s, not for each opening

Cause: while a service is short, each opening looked at all listeners of the service that were used in the last 30 s, up to twice. Change: the priority is computed when the shortage is updated.

--- a/src/wasabigw/core/tags/admission_control.py
+++ b/src/wasabigw/core/tags/admission_control.py
@@ -247,9 +247,9 @@
     priority: Priority, control: ServiceAdmission, state: TagState, now: Seconds
 ) -> bool:
     """Whether a held opening of a priority leaves now; takes its token if so."""
-    if not _is_limited(control, state) or fits(priority, control, state, now):
+    if not _is_limited(control, state) or fits(priority, control, now):
         return True
-    return take_token(refilled_bucket(priority, control, state, now))
+    return take_token(refilled_bucket(priority, control, now))
 
 
 def _limit(
@@ -262,7 +262,7 @@
 ) -> AdmissionOutcome:
     """Decide on an opening while its service is short."""
     service, rank = opening.service, opening.rank
-    if fits(rank.priority, control, state, now) or has_spare_room(control, now):
+    if fits(rank.priority, control, now) or has_spare_room(control, now):
         return AdmissionOutcome.ADMIT
     if is_further_try:
         _count(opening, AdmissionCount.FURTHER_TRY, state)
@@ -271,7 +271,7 @@
             return _reject(listener, control, now)
     held = state.admission.held
     before = held_before(held, service, rank, opening.packet.flow.caller)
-    bucket = refilled_bucket(rank.priority, control, state, now)
+    bucket = refilled_bucket(rank.priority, control, now)
     if before == 0 and take_token(bucket):
         return AdmissionOutcome.ADMIT
     if now + time_to_tokens(bucket, before + 1.0) <= opening.deadline:
--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission_state.py
@@ -7,7 +7,7 @@
 
 from wasabigw.core.ids import Seconds, ServiceId, Tag
 from wasabigw.core.rates import RecentSum, TokenBucket
-from wasabigw.core.requirements import Priority
+from wasabigw.core.requirements import MAX_PRIORITY, Priority
 from wasabigw.core.retry_budget import RetryBudget
 from wasabigw.core.tags.held_openings import HeldOpenings
 from wasabigw.core.view_lease import NEVER
@@ -111,6 +111,7 @@
     :param short_since: since when the service is short; ``None`` if it is not.
     :param room_since: since when a short service has had room; ``None`` if it has none.
     :param tolerable: longest delay that the callers can bear.
+    :param most_urgent: most urgent priority of the callers at the latest update.
     :param rejected: share of the requests that backend servers reject.
     :param capacity: requests a second that this balancer may send.
     :param has_idle_server: whether a backend server is known to have no request while
@@ -133,6 +134,7 @@
     room_since: Seconds | None = None
     delay: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
     tolerable: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
+    most_urgent: Priority = MAX_PRIORITY
     rejected: float = 0.0
     capacity: float = 0.0
     has_idle_server: bool = False
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -16,7 +16,7 @@
     REPORT_INTERVAL,
 )
 from wasabigw.core.rates import recent_rate
-from wasabigw.core.requirements import Priority
+from wasabigw.core.requirements import MAX_PRIORITY, Priority
 from wasabigw.core.tags.admission_state import (
     ServiceAdmission,
     ShortageCause,
@@ -79,6 +79,7 @@
         _end_shortage(control, cause, room, state, now)
         return
     control.tolerable = tolerable
+    control.most_urgent = min(_priorities(control, state, now), default=MAX_PRIORITY)
     if room.utilization <= 1.0:
         learn_usual_share(control.answers, elapsed, now)
     rejected = control.rejected = rejected_share(control.answers, now)
@@ -105,18 +106,6 @@
         _check_room(control, room, state, now)
 
 
-def priorities_of(
-    control: ServiceAdmission, state: TagState, now: Seconds
-) -> list[Priority]:
-    """Priorities of the callers of a service, the most urgent first."""
-    found = {
-        listener.requirements.priority
-        for listener in _used(control, state, now)
-        if listener.requirements is not None
-    }
-    return sorted(found)
-
-
 def rate_on_open_flows(control: ServiceAdmission, now: Seconds) -> float:
     """Requests a second on open flows, which can't be held back.
 
@@ -196,6 +185,17 @@
     return [state.listeners[key] for key in control.listeners]
 
 
+def _priorities(
+    control: ServiceAdmission, state: TagState, now: Seconds
+) -> set[Priority]:
+    """Priorities of the callers of a service."""
+    return {
+        listener.requirements.priority
+        for listener in _used(control, state, now)
+        if listener.requirements is not None
+    }
+
+
 def _tolerable_delay(
     control: ServiceAdmission, state: TagState, now: Seconds
 ) -> Seconds | None:
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_review_of_hard_load.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from copy import deepcopy
 from dataclasses import replace
+from unittest import mock
 
 from tests.test_admission_control import (
     FULL,
@@ -26,6 +27,7 @@
 from wasabigw.core.ids import Revision, Seconds, Tag
 from wasabigw.core.load.figures import ServiceFigures
 from wasabigw.core.rates import add_recent
+from wasabigw.core.tags import shortage
 from wasabigw.core.tags.admission_control import update_services
 from wasabigw.core.tags.admission_state import AdmissionCount, AnswerCounts
 from wasabigw.core.tags.capacity_share import capacity_of
@@ -330,3 +332,17 @@
         preview_opening(flow, listener, self.state, Seconds(0.5), copy_state)
         self.assertTrue(any(value is self.state.egress for value in shared))
         self.assertEqual(copied[0].sending, {})
+
+
+class ManyListeners(AdmissionCase):
+    """Guards against work for each listener of a short service at each opening.
+
+    The load: thousands of listeners of one service, all of them in use.
+    """
+
+    def test_listeners_are_looked_at_once_in_a_tenth_of_a_second(self) -> None:
+        self.open(OTHER, 0.0)
+        with mock.patch.object(shortage, "_used", wraps=shortage._used) as used:
+            for step in range(90):
+                self.open(OTHER, 0.001 * (step + 1))
+        used.assert_not_called()
