tags: free slots in another region don't count while the own one answers

Cause: a service that spans regions was hardly ever limited and sent flows to free slots of other regions, against docs/design/admission.md (found by the review); and a preview holds up packets for 0.1 ms for each backend server, without a bound. Change: free slots are those of the region, or of all if it has no backend server; a preview of a service with more than 1,000 backend servers is refused with an error.

--- a/src/wasabigw/core/tags/capacity_share.py
+++ b/src/wasabigw/core/tags/capacity_share.py
@@ -1,7 +1,7 @@
 """Share of the work of a service's backend servers that one balancer may send."""
 
 from collections import Counter
-from collections.abc import Mapping, Set
+from collections.abc import Iterable, Mapping, Set
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.load.figures import COUNT_WINDOW
@@ -56,10 +56,7 @@
 ) -> tuple[Mapping[FailureDomainId, int], Set[FailureDomainId]]:
     """Slots by failure domain, and the ones to which this balancer sends."""
     home = state.failure_domain
-    slots: Counter[FailureDomainId] = Counter()
-    for server in usable_servers(service, state, now):
-        slots[server.registration.failure_domain] += server.slots
-    usable = eligible_slots(home, slots, state.regions)
+    usable = _eligible_slots(usable_servers(service, state, now), state)
     if not usable:
         return {}, set()
     by_slots = traffic_shares(home, usable, state.regions).keys()
@@ -67,6 +64,22 @@
     return usable, (by_slots | by_demand) & usable.keys()
 
 
+def eligible_servers(service: ServiceId, state: TagState, now: Seconds) -> list[Server]:
+    """Usable backend servers of the own region, or of all if it has none."""
+    servers = usable_servers(service, state, now)
+    domains = _eligible_slots(servers, state)
+    return [s for s in servers if s.registration.failure_domain in domains]
+
+
+def _eligible_slots(
+    servers: Iterable[Server], state: TagState
+) -> Mapping[FailureDomainId, int]:
+    slots: Counter[FailureDomainId] = Counter()
+    for server in servers:
+        slots[server.registration.failure_domain] += server.slots
+    return eligible_slots(state.failure_domain, slots, state.regions)
+
+
 def usable_servers(service: ServiceId, state: TagState, now: Seconds) -> list[Server]:
     """Warm backend servers of a service that answer."""
     return [
--- a/src/wasabigw/core/tags/spare_servers.py
+++ b/src/wasabigw/core/tags/spare_servers.py
@@ -13,7 +13,7 @@
 from wasabigw.core.rates import recent_rate, refill, take_token
 from wasabigw.core.requirements import Priority
 from wasabigw.core.tags.admission_state import ServiceAdmission
-from wasabigw.core.tags.capacity_share import spare_capacity_of, usable_servers
+from wasabigw.core.tags.capacity_share import eligible_servers, spare_capacity_of
 from wasabigw.core.tags.state import Server, TagState
 
 
@@ -28,7 +28,7 @@
     unnamed: dict[FailureDomainId, list[Server]] = defaultdict(list)
     spare: set[Server] = set()
     free_slots, control.has_idle_server = 0.0, False
-    for server in usable_servers(control.id, state, now):
+    for server in eligible_servers(control.id, state, now):
         if _is_suspected(server, state):
             # It answers nothing, so that it seems idle.
             continue
--- a/src/wasabigw/tasks/route_page.py
+++ b/src/wasabigw/tasks/route_page.py
@@ -12,10 +12,16 @@
 from wasabigw.core.ids import Seconds
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.route_preview import preview_opening
+from wasabigw.core.tags.selection import service_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.tasks.light_http import LightRequest
 
 ROUTE_PATH = "/route"
+MAX_SERVERS = 1000
+"""Backend servers of a service up to which a preview is made.
+
+Each takes 0.1 ms, for which packets wait.
+"""
 
 
 def respond_with_route(request: LightRequest, state: TagState, now: Seconds) -> None:
@@ -53,6 +59,11 @@
         text = f"configuration {state.declared_version} has no such listener"
         _fail(request, HTTPStatus.NOT_FOUND, text)
         return
+    servers = len(state.pools.get(service_of(listener, flow), ()))
+    if servers > MAX_SERVERS:
+        text = f"{servers} backend servers are too many for a preview"
+        _fail(request, HTTPStatus.SERVICE_UNAVAILABLE, text)
+        return
     preview = preview_opening(flow, listener, state, now, copy_state)
     request.connection.respond(HTTPStatus.OK, msgspec.json.encode(preview))
 
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -6,7 +6,16 @@
 from dataclasses import replace
 from unittest import mock
 
-from tests.test_tag_steering import LISTENER, NORTH, RECIFE, SALVADOR, SEATS, boot, data
+from tests.test_tag_steering import (
+    LISTENER,
+    NORTH,
+    RECIFE,
+    SALVADOR,
+    SEATS,
+    SOUTH,
+    boot,
+    data,
+)
 from wasabigw.core.declaration import (
     Declaration,
     DeclaredService,
@@ -455,6 +464,13 @@
         self.assertAlmostEqual(found[4] / 4.0, 20.0 * 0.9, delta=4.0)
         self.assertEqual(found[3], 0)
 
+    def test_other_regions_get_nothing_while_the_own_one_answers(self) -> None:
+        self.state.regions = {RECIFE: NORTH, SALVADOR: SOUTH}
+        opened = (self.open(URGENT, step / 20, caller=step) for step in range(80))
+        delivered = [d.server.tag for d in opened if isinstance(d, Deliver)]
+        self.assertLessEqual(set(delivered), {1, 2})
+        self.assertGreater(len(delivered), 40)
+
     def test_the_share_of_other_balancers_is_left(self) -> None:
         elsewhere = ServiceFigures(SEATS, SALVADOR, 9, 9, arrivals=360)
         self.state.known_load.services = {(SEATS, SALVADOR): elsewhere}
