--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission_state.py
@@ -7,7 +7,7 @@
 
 from wasabigw.core.ids import Seconds, ServiceId, Tag
 from wasabigw.core.rates import RecentSum, TokenBucket
-from wasabigw.core.requirements import Priority
+from wasabigw.core.requirements import MAX_PRIORITY, Priority
 from wasabigw.core.retry_budget import RetryBudget
 from wasabigw.core.tags.held_openings import HeldOpenings
 from wasabigw.core.view_lease import NEVER
@@ -104,12 +104,14 @@
     :param id: the service.
     :param listeners: when callers of each listener last opened a flow.
     :param arrivals: first copies of openings.
+    :param other_arrivals: those at listeners without requirements.
     :param admitted: openings that were sent to backend servers.
     :param requests: requests that began, on new flows and on open ones.
     :param retries: budget of the further tries of rejected callers.
     :param short_since: since when the service is short; ``None`` if it is not.
     :param room_since: since when a short service has had room; ``None`` if it has none.
     :param tolerable: longest delay that the callers can bear.
+    :param most_urgent: most urgent priority of the callers at the latest update.
     :param rejected: share of the requests that backend servers reject.
     :param capacity: requests a second that this balancer may send.
     :param has_idle_server: whether a backend server is known to have no request while
@@ -121,6 +123,7 @@
     id: ServiceId
     listeners: dict[ListenerAddress, Seconds] = field(default_factory=dict)
     arrivals: dict[Priority, RecentSum] = field(default_factory=dict)
+    other_arrivals: RecentSum = field(default_factory=RecentSum)
     admitted: RecentSum = field(default_factory=RecentSum)
     requests: RecentSum = field(default_factory=RecentSum)
     answers: AnswerCounts = field(default_factory=AnswerCounts)
@@ -131,6 +134,7 @@
     room_since: Seconds | None = None
     delay: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
     tolerable: Seconds = Seconds(0.0)  # noqa: RUF009 - a NewType of float
+    most_urgent: Priority = MAX_PRIORITY
     rejected: float = 0.0
     capacity: float = 0.0
     has_idle_server: bool = False
--- a/src/wasabigw/core/tags/spare_servers.py
+++ b/src/wasabigw/core/tags/spare_servers.py
@@ -13,7 +13,7 @@
 from wasabigw.core.rates import recent_rate, refill, take_token
 from wasabigw.core.requirements import Priority
 from wasabigw.core.tags.admission_state import ServiceAdmission
-from wasabigw.core.tags.capacity_share import spare_capacity_of, usable_servers
+from wasabigw.core.tags.capacity_share import eligible_servers, spare_capacity_of
 from wasabigw.core.tags.state import Server, TagState
 
 
@@ -28,7 +28,10 @@
     unnamed: dict[FailureDomainId, list[Server]] = defaultdict(list)
     spare: set[Server] = set()
     free_slots, control.has_idle_server = 0.0, False
-    for server in usable_servers(control.id, state, now):
+    for server in eligible_servers(control.id, state, now):
+        if _is_suspected(server, state):
+            # It answers nothing, so that it seems idle.
+            continue
         figures = state.known_load.servers.get(server.registration.tag)
         if figures is None:
             unnamed[server.registration.failure_domain].append(server)
@@ -89,6 +92,13 @@
     return busy
 
 
+def _is_suspected(server: Server, state: TagState) -> bool:
+    """Whether all backend servers of its failure domain seem to have failed."""
+    boot = server.registration
+    suspicion = state.suspicions.get((boot.service, boot.failure_domain))
+    return suspicion is not None and boot.tag in suspicion.suspected
+
+
 def _mean_in_flight(
     service: ServiceId,
     domain: FailureDomainId,
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -6,7 +6,16 @@
 from dataclasses import replace
 from unittest import mock
 
-from tests.test_tag_steering import LISTENER, NORTH, RECIFE, SALVADOR, SEATS, boot, data
+from tests.test_tag_steering import (
+    LISTENER,
+    NORTH,
+    RECIFE,
+    SALVADOR,
+    SEATS,
+    SOUTH,
+    boot,
+    data,
+)
 from wasabigw.core.declaration import (
     Declaration,
     DeclaredService,
@@ -47,11 +56,12 @@
 )
 from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.held_openings import MAX_HELD
+from wasabigw.core.tags.opening_steering import decide_released
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.rejections import rejected_share
 from wasabigw.core.tags.room import Room, room_of
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.steering import decide, decide_released
+from wasabigw.core.tags.steering import decide
 from wasabigw.core.tags.updates import apply_declaration, rebuild_pools
 from wasabigw.tasks.admission_log import log_shortage_changes
 from wasabigw.tasks.tag_metrics import families_of
@@ -454,6 +464,13 @@
         self.assertAlmostEqual(found[4] / 4.0, 20.0 * 0.9, delta=4.0)
         self.assertEqual(found[3], 0)
 
+    def test_other_regions_get_nothing_while_the_own_one_answers(self) -> None:
+        self.state.regions = {RECIFE: NORTH, SALVADOR: SOUTH}
+        opened = (self.open(URGENT, step / 20, caller=step) for step in range(80))
+        delivered = [d.server.tag for d in opened if isinstance(d, Deliver)]
+        self.assertLessEqual(set(delivered), {1, 2})
+        self.assertGreater(len(delivered), 40)
+
     def test_the_share_of_other_balancers_is_left(self) -> None:
         elsewhere = ServiceFigures(SEATS, SALVADOR, 9, 9, arrivals=360)
         self.state.known_load.services = {(SEATS, SALVADOR): elsewhere}
