ctl: decode previews of routes as the type that balancers encode

Cause: the tool declared the fields of a preview a second time. Change: it decodes RoutePreview; the age of a view that was never current is None.

--- a/src/wasabigw/core/tags/route_preview.py
+++ b/src/wasabigw/core/tags/route_preview.py
@@ -18,6 +18,7 @@
 from wasabigw.core.tags.selection import service_of
 from wasabigw.core.tags.state import Server, TagState
 from wasabigw.core.tags.steering import decide
+from wasabigw.core.view_lease import NEVER
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +54,8 @@
     :param outcome: delivered, held, refused or dropped.
     :param server: backend server that would get it, if any.
     :param priority: declared priority of the listener, if any.
-    :param view_age: time since the view was known to be current.
+    :param view_age: time since the view was known to be current; ``None`` if it never
+        was.
     :param figures_age: age of the load figures of other balancers; ``None`` without
         current ones.
     """
@@ -65,7 +67,7 @@
     priority: int | None
     revision: int
     version: int | None
-    view_age: Seconds
+    view_age: Seconds | None
     figures_age: Seconds | None
     balancers: int
     candidates: tuple[Candidate, ...]
@@ -105,7 +107,7 @@
         requirements.priority if requirements is not None else None,
         copy.view.revision,
         copy.declared_version,
-        copy.view_age(now),
+        copy.view_age(now) if copy.confirmed_at > NEVER else None,
         Seconds(now - known.measured_at) if known.is_current(now) else None,
         known.balancers if known.is_current(now) else 0,
         tuple(
--- a/src/wasabigw/ctl/route_command.py
+++ b/src/wasabigw/ctl/route_command.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from wasabigw.core.endpoint import Endpoint, endpoint_key
+from wasabigw.core.tags.route_preview import Candidate, RoutePreview
 from wasabigw.ctl.console import Output, exit_with_error, show_result
 from wasabigw.ctl.errors import CtlError, Unavailable, UnexpectedAnswer, wrong_input
 from wasabigw.ctl.options import OutputOption
@@ -20,33 +21,6 @@
 """Backend servers that the text shows; the JSON has all of them."""
 
 
-class _Candidate(msgspec.Struct, frozen=True):
-    server: str
-    failure_domain: str
-    health: str
-    is_cold: bool
-    slots: int
-    flows: int
-    in_flight: int
-    has_figures: bool
-    weight: float
-    share: float | None = None
-
-
-class _Preview(msgspec.Struct, frozen=True):
-    service: str
-    outcome: str
-    reason: str
-    revision: int
-    balancers: int
-    candidates: tuple[_Candidate, ...]
-    server: str | None = None
-    priority: int | None = None
-    version: int | None = None
-    view_age: float | None = None
-    figures_age: float | None = None
-
-
 def route(
     caller: Annotated[str, typer.Argument(help="Caller (address:port).")],
     listener: Annotated[
@@ -70,7 +44,7 @@
     outcome = _ask(parsed["--balancer"], caller, listener, stale)
     if not isinstance(outcome, Success):
         exit_with_error(output, outcome.failure())
-    preview: _Preview = outcome.unwrap()
+    preview: RoutePreview = outcome.unwrap()
     show_result(output, _lines(preview), msgspec.to_builtins(preview))
 
 
@@ -83,7 +57,7 @@
 
 def _ask(
     balancer: Endpoint, caller: str, listener: str, stale: bool
-) -> Result[_Preview, CtlError]:
+) -> Result[RoutePreview, CtlError]:
     where = endpoint_key(balancer)
     query = {"caller": caller, "listener": listener, "stale": str(int(stale))}
     try:
@@ -99,9 +73,9 @@
     return Failure(_error_of(response, where, listener))
 
 
-def _decode(response: requests.Response) -> Result[_Preview, CtlError]:
+def _decode(response: requests.Response) -> Result[RoutePreview, CtlError]:
     try:
-        return Success(msgspec.json.decode(response.content, type=_Preview))
+        return Success(msgspec.json.decode(response.content, type=RoutePreview))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return Failure(UnexpectedAnswer(response.status_code, str(error)))
 
@@ -122,7 +96,7 @@
     return UnexpectedAnswer(response.status_code, reason)
 
 
-def _lines(preview: _Preview) -> list[str]:
+def _lines(preview: RoutePreview) -> list[str]:
     target = f" to {preview.server}" if preview.server is not None else ""
     lines = [f"{preview.outcome}{target}: {preview.reason}"]
     priority = "none" if preview.priority is None else str(preview.priority)
@@ -142,7 +116,7 @@
     return lines + _candidate_lines(preview)
 
 
-def _candidate_lines(preview: _Preview) -> list[str]:
+def _candidate_lines(preview: RoutePreview) -> list[str]:
     ranked = sorted(preview.candidates, key=lambda c: c.share or 0.0, reverse=True)
     # The chosen one is always shown.
     ranked.sort(key=lambda c: c.server != preview.server)
@@ -153,7 +127,7 @@
     return lines
 
 
-def _candidate_line(candidate: _Candidate) -> str:
+def _candidate_line(candidate: Candidate) -> str:
     health = f"{candidate.health}, cold" if candidate.is_cold else candidate.health
     scope = "all balancers" if candidate.has_figures else "this balancer only"
     share = "" if candidate.share is None else f", share {candidate.share:.1%}"
