tags: import Room from where it is defined; short imports on one line

Cause: room.py exported Room a second time by __all__, and seven imports of one or two names stood in parentheses though they fit on a line. Change: Room is imported from plans.py; the seven imports are on one line.

--- a/src/wasabigw/core/tags/opening_steering.py
+++ b/src/wasabigw/core/tags/opening_steering.py
@@ -2,10 +2,7 @@
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import Seconds, ServiceId
-from wasabigw.core.load.counting import (
-    count_arrival,
-    count_opening,
-)
+from wasabigw.core.load.counting import count_arrival, count_opening
 from wasabigw.core.tags import caller_diversion
 from wasabigw.core.tags.admission_control import (
     AdmissionOutcome,
@@ -31,14 +28,8 @@
 )
 from wasabigw.core.tags.egress import is_waiting
 from wasabigw.core.tags.evidence import record_unanswered
-from wasabigw.core.tags.flow_table import (
-    add_flow,
-    remove_flow,
-)
-from wasabigw.core.tags.health import (
-    FailureSignal,
-    record_probe,
-)
+from wasabigw.core.tags.flow_table import add_flow, remove_flow
+from wasabigw.core.tags.health import FailureSignal, record_probe
 from wasabigw.core.tags.held_openings import HeldOpening
 from wasabigw.core.tags.openings import (
     OPENING_TIMEOUT,
--- a/src/wasabigw/core/tags/room.py
+++ b/src/wasabigw/core/tags/room.py
@@ -17,8 +17,6 @@
 be wrong, while the others have room.
 """
 
-__all__ = ["Room", "room_of"]
-
 
 def room_of(service: ServiceId, state: TagState, now: Seconds) -> Room | None:
     """Room of a service, computed once for each plan.
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -13,9 +13,7 @@
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import Seconds
-from wasabigw.core.load.figures import (
-    REPORT_INTERVAL,
-)
+from wasabigw.core.load.figures import REPORT_INTERVAL
 from wasabigw.core.rates import recent_rate
 from wasabigw.core.requirements import MAX_PRIORITY, Priority
 from wasabigw.core.tags.admission_state import (
@@ -24,13 +22,14 @@
     ShortageChange,
 )
 from wasabigw.core.tags.capacity_share import capacity_of
+from wasabigw.core.tags.plans import Room
 from wasabigw.core.tags.rejections import (
     are_short_answers_unusual,
     learn_usual_share,
     rejected_share,
     rejection_time,
 )
-from wasabigw.core.tags.room import Room, room_of
+from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.spare_servers import update_spare_servers
 from wasabigw.core.tags.state import TagState
 
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -14,10 +14,7 @@
     discard_lost_opening,
     end_request,
 )
-from wasabigw.core.tags.admission_control import (
-    abandon_opening,
-    record_request,
-)
+from wasabigw.core.tags.admission_control import abandon_opening, record_request
 from wasabigw.core.tags.decisions import (
     Deliver,
     Drop,
@@ -34,16 +31,10 @@
     remove_flow,
     restart_flow,
 )
-from wasabigw.core.tags.health import (
-    FailureSignal,
-    is_unreachable,
-)
+from wasabigw.core.tags.health import FailureSignal, is_unreachable
 from wasabigw.core.tags.link_classes import record_request_data, record_request_end
 from wasabigw.core.tags.opening_steering import decide_opening
-from wasabigw.core.tags.openings import (
-    discard_opening,
-    record_opening,
-)
+from wasabigw.core.tags.openings import discard_opening, record_opening
 from wasabigw.core.tags.packets import (
     MAX_UNACKNOWLEDGED_BYTES,
     NO_TAG,
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -49,8 +49,9 @@
 from wasabigw.core.tags.held_openings import MAX_HELD
 from wasabigw.core.tags.opening_steering import decide_released
 from wasabigw.core.tags.packets import FlowId, FlowPacket
+from wasabigw.core.tags.plans import Room
 from wasabigw.core.tags.rejections import rejected_share
-from wasabigw.core.tags.room import Room, room_of
+from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import decide
 from wasabigw.core.tags.updates import apply_declaration, rebuild_pools
