tags: one check of whether a backend server is usable

Cause: planning, domain_suspicion and capacity_share each had a check of their own for "warm and not silent", two of them under the name is_usable. Change: Server.is_usable replaces the three.

--- a/src/wasabigw/core/tags/balancing.py
+++ b/src/wasabigw/core/tags/balancing.py
@@ -9,12 +9,7 @@
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
 from wasabigw.core.tags.decisions import ChoiceReason
-from wasabigw.core.tags.planning import (
-    current_plan,
-    far_turns,
-    is_usable,
-    renew_soon,
-)
+from wasabigw.core.tags.planning import current_plan, far_turns, renew_soon
 from wasabigw.core.tags.plans import DomainTurns
 from wasabigw.core.tags.state import Server, TagState
 from wasabigw.core.tags.turns import take_turn
@@ -44,7 +39,7 @@
 
     def is_allowed(tag: Tag) -> bool:
         server = state.servers[tag]
-        return server not in avoided and is_usable(server, now)
+        return server not in avoided and server.is_usable(now)
 
     tag = _take_turn(plan.turns, is_allowed)
     if tag is None:
--- a/src/wasabigw/core/tags/capacity_share.py
+++ b/src/wasabigw/core/tags/capacity_share.py
@@ -7,7 +7,6 @@
 from wasabigw.core.load.figures import COUNT_WINDOW
 from wasabigw.core.rates import recent_rate
 from wasabigw.core.tags.admission_state import ServiceAdmission
-from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.locality import eligible_slots, traffic_shares
 from wasabigw.core.tags.planning import current_plan
 from wasabigw.core.tags.state import Server, TagState
@@ -69,12 +68,8 @@
 
 def usable_servers(service: ServiceId, state: TagState, now: Seconds) -> list[Server]:
     """Warm backend servers of a service that answer."""
-    return [
-        server
-        for server in state.pools.get(service, ())
-        if server.cold_until <= now
-        and health_of(server.breaker, now) is not Health.SILENT
-    ]
+    pool = state.pools.get(service, ())
+    return [server for server in pool if server.is_usable(now)]
 
 
 def _share(
--- a/src/wasabigw/core/tags/domain_suspicion.py
+++ b/src/wasabigw/core/tags/domain_suspicion.py
@@ -12,7 +12,7 @@
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.load.known import ServiceKey
 from wasabigw.core.tags.egress import is_congested, is_opening_waiting
-from wasabigw.core.tags.health import DOUBT_TIME, Health, health_of
+from wasabigw.core.tags.health import DOUBT_TIME
 from wasabigw.core.tags.openings import OPENING_TIMEOUT, tried_openings
 from wasabigw.core.tags.state import Server, SuspicionChange, TagState
 from wasabigw.core.tags.suspicion import (
@@ -123,7 +123,7 @@
         if server.registration.failure_domain in domains
         or _is_suspected(server, state, now)
     }
-    if any(_is_usable(s, now) for s in pool if s not in avoided):
+    if any(s.is_usable(now) for s in pool if s not in avoided):
         return avoided
     return set()
 
@@ -166,11 +166,6 @@
     return not is_probe_due(suspicion, now)
 
 
-def _is_usable(server: Server, now: Seconds) -> bool:
-    is_silent = health_of(server.breaker, now) is Health.SILENT
-    return not is_silent and server.cold_until <= now
-
-
 def _opening_timeout(server: Server, state: TagState) -> Seconds:
     region = state.regions.get(server.registration.failure_domain)
     is_local = region == state.regions.get(state.failure_domain)
--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/planning.py
@@ -21,7 +21,6 @@
     add_ages,
     opening_shares,
 )
-from wasabigw.core.tags.health import Health, health_of
 from wasabigw.core.tags.locality import Shares, eligible_slots, traffic_shares
 from wasabigw.core.tags.plans import DomainTurns, ServicePlan
 from wasabigw.core.tags.state import Server, TagState, WeightChange
@@ -88,7 +87,7 @@
     plan.measured_at = state.known_load.measured_at
     plan.made_at = now
     plan.uses = 0
-    plan.is_partial = not all(is_usable(server, now) for server in pool)
+    plan.is_partial = not all(server.is_usable(now) for server in pool)
     groups = _usable_groups(pool, state, now)
     shares = _domain_shares(groups, plan, state, elapsed) if groups else {}
     plan.loads = {}
@@ -115,7 +114,7 @@
     """Usable backend servers by failure domain, of the own region if it has any."""
     groups: dict[FailureDomainId, list[Server]] = {}
     for server in pool:
-        if is_usable(server, now):
+        if server.is_usable(now):
             groups.setdefault(server.registration.failure_domain, []).append(server)
     slots = {name: _slots(group) for name, group in groups.items()}
     eligible = eligible_slots(state.failure_domain, slots, state.regions)
@@ -247,11 +246,5 @@
     return WeightChange(server, speed.weight, speed.is_slow, time)
 
 
-def is_usable(server: Server, now: Seconds) -> bool:
-    """Whether a backend server is warm and is not known to be failing."""
-    is_silent = health_of(server.breaker, now) is Health.SILENT
-    return not is_silent and server.cold_until <= now
-
-
 def _slots(servers: Sequence[Server]) -> int:
     return sum(server.slots for server in servers)
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -28,7 +28,12 @@
 from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.egress import EgressQueue
 from wasabigw.core.tags.features import Features
-from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
+from wasabigw.core.tags.health import (
+    CircuitBreaker,
+    FailureSignal,
+    Health,
+    health_of,
+)
 from wasabigw.core.tags.host_checks import HostCheck
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.plans import ServicePlan
@@ -66,6 +71,11 @@
         slots = self.registration.slots
         return slots if 1 <= slots <= MAX_SLOTS else min(max(slots, 1), MAX_SLOTS)
 
+    def is_usable(self, now: Seconds) -> bool:
+        """Whether it is warm and not known to be failing."""
+        is_silent = health_of(self.breaker, now) is Health.SILENT
+        return not is_silent and self.cold_until <= now
+
 
 class FlowState(Enum):
     """State of a flow as its caller's packets show it."""
