tags: share the look-up of a suspicion and the rate of urgent openings

Cause: two functions named _is_suspected meant different things (one of them also whether a probe is due), the look-up of a suspicion was written three times, and the sum of the more urgent arrivals twice. Change: suspicion_against and ServiceAdmission.more_urgent_rate replace the copies; the function of domain_suspicion is named _is_avoided.

--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission_state.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from wasabigw.core.ids import Seconds, ServiceId, Tag
-from wasabigw.core.rates import RecentSum, TokenBucket
+from wasabigw.core.rates import RecentSum, TokenBucket, recent_rate
 from wasabigw.core.requirements import MAX_PRIORITY, Priority
 from wasabigw.core.retry_budget import RetryBudget
 from wasabigw.core.tags.held_openings import HeldOpenings
@@ -141,6 +141,14 @@
     spare: frozenset[Tag] = frozenset()
     spare_bucket: TokenBucket = field(default_factory=TokenBucket)
 
+    def more_urgent_rate(self, priority: Priority, now: Seconds) -> float:
+        """Openings a second that are more urgent than a priority."""
+        return sum(
+            recent_rate(arrivals, now)
+            for other, arrivals in self.arrivals.items()
+            if other < priority
+        )
+
 
 @dataclass(slots=True)
 class AdmissionState:
--- a/src/wasabigw/core/tags/domain_suspicion.py
+++ b/src/wasabigw/core/tags/domain_suspicion.py
@@ -121,7 +121,7 @@
         server
         for server in pool
         if server.registration.failure_domain in domains
-        or _is_suspected(server, state, now)
+        or _is_avoided(server, state, now)
     }
     if any(s.is_usable(now) for s in pool if s not in avoided):
         return avoided
@@ -130,10 +130,18 @@
 
 def record_choice(server: Server, state: TagState, now: Seconds) -> None:
     """Record an opening to a backend server; if it is suspected, as a probe."""
+    suspicion = suspicion_against(server, state)
+    if suspicion is not None:
+        suspicion.probed_at = now
+
+
+def suspicion_against(server: Server, state: TagState) -> Suspicion | None:
+    """Suspicion that a backend server is under; ``None`` if there is none."""
     boot = server.registration
     suspicion = state.suspicions.get((boot.service, boot.failure_domain))
-    if suspicion is not None and boot.tag in suspicion.suspected:
-        suspicion.probed_at = now
+    if suspicion is None or boot.tag not in suspicion.suspected:
+        return None
+    return suspicion
 
 
 def _unanswering_domains(
@@ -157,13 +165,10 @@
     return domains
 
 
-def _is_suspected(server: Server, state: TagState, now: Seconds) -> bool:
+def _is_avoided(server: Server, state: TagState, now: Seconds) -> bool:
     """Whether a backend server is suspected and its failure domain needs no probe."""
-    boot = server.registration
-    suspicion = state.suspicions.get((boot.service, boot.failure_domain))
-    if suspicion is None or boot.tag not in suspicion.suspected:
-        return False
-    return not is_probe_due(suspicion, now)
+    suspicion = suspicion_against(server, state)
+    return suspicion is not None and not is_probe_due(suspicion, now)
 
 
 def _opening_timeout(server: Server, state: TagState) -> Seconds:
--- a/src/wasabigw/core/tags/pacing.py
+++ b/src/wasabigw/core/tags/pacing.py
@@ -35,10 +35,6 @@
     """
     if priority <= control.most_urgent:
         return control.capacity
-    more_urgent = sum(
-        recent_rate(arrivals, now)
-        for other, arrivals in control.arrivals.items()
-        if other < priority
-    )
+    more_urgent = control.more_urgent_rate(priority, now)
     left = control.capacity - more_urgent - rate_on_open_flows(control, now)
     return max(left, GUARANTEED_SHARE * control.capacity)
--- a/src/wasabigw/core/tags/spare_servers.py
+++ b/src/wasabigw/core/tags/spare_servers.py
@@ -10,10 +10,11 @@
 from collections.abc import Collection, Sequence
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
-from wasabigw.core.rates import recent_rate, refill, take_token
+from wasabigw.core.rates import refill, take_token
 from wasabigw.core.requirements import Priority
 from wasabigw.core.tags.admission_state import ServiceAdmission
 from wasabigw.core.tags.capacity_share import spare_capacity_of, usable_servers
+from wasabigw.core.tags.domain_suspicion import suspicion_against
 from wasabigw.core.tags.state import Server, TagState
 
 
@@ -29,7 +30,7 @@
     spare: set[Server] = set()
     free_slots, control.has_idle_server = 0.0, False
     for server in usable_servers(control.id, state, now):
-        if _is_suspected(server, state):
+        if suspicion_against(server, state) is not None:
             # It answers nothing, so that it seems idle.
             continue
         figures = state.known_load.servers.get(server.registration.tag)
@@ -59,11 +60,7 @@
     """
     bucket = control.spare_bucket
     refill(bucket, bucket.rate, now)
-    more_urgent = sum(
-        recent_rate(arrivals, now)
-        for other, arrivals in control.arrivals.items()
-        if other < priority
-    )
+    more_urgent = control.more_urgent_rate(priority, now)
     return bool(control.spare) and bucket.tokens >= 1.0 and bucket.rate > more_urgent
 
 
@@ -92,13 +89,6 @@
     return busy
 
 
-def _is_suspected(server: Server, state: TagState) -> bool:
-    """Whether all backend servers of its failure domain seem to have failed."""
-    boot = server.registration
-    suspicion = state.suspicions.get((boot.service, boot.failure_domain))
-    return suspicion is not None and boot.tag in suspicion.suspected
-
-
 def _mean_in_flight(
     service: ServiceId,
     domain: FailureDomainId,
