tasks: split the metrics of a balancer by subject

Change: metrics of packets, of backend servers and of the view have functions of their own; order and texts are the same.

--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -54,15 +54,45 @@
     :param control_traffic: bytes of view polls and their responses since the start.
     :param receive_wait: longest time that a packet may have waited to be read.
     """
-    flows: Counter[tuple[ServiceId, FailureDomainId]] = Counter()
-    boots: Counter[tuple[ServiceId, FailureDomainId, str]] = Counter()
-    failing: Counter[tuple[ServiceId, FailureDomainId]] = Counter()
-    for server in state.servers.values():
-        boot = server.registration
-        boots[boot.service, boot.failure_domain, boot_state(boot)] += 1
-        flows[boot.service, boot.failure_domain] += server.open_flows
-        is_failing = health_of(server.breaker, now) is not Health.ANSWERING
-        failing[boot.service, boot.failure_domain] += is_failing
+    return [
+        *_packet_families(decisions, packets),
+        *_server_families(state, now),
+        *_view_families(state, now),
+        Family(
+            "wasabigw_control_bytes_total",
+            MetricKind.COUNTER,
+            "Bytes of polls for views and of their answers",
+            (Sample(control_traffic),),
+        ),
+        gauge(
+            "wasabigw_link_queue_bytes",
+            "Bytes of packets that wait for the link of this balancer",
+            state.egress.size,
+        ),
+        _by_service(
+            "wasabigw_new_flow_share",
+            "Part of the new flows here that goes to a failure domain by load figures",
+            {
+                (service, domain): share
+                for service, shares in shares_in_force(state, now).items()
+                for domain, share in shares.items()
+            },
+        ),
+        *_link_families(state),
+        gauge(
+            "wasabigw_receive_wait_seconds",
+            "Time for which the receive buffer has not been empty",
+            receive_wait,
+        ),
+        gauge("wasabigw_log_lines_left_out", "Lines beyond the budget", suppressed),
+        *admission_families(state, now),
+    ]
+
+
+def _packet_families(
+    decisions: Mapping[DecisionKey, int], packets: Mapping[str, int]
+) -> list[Family]:
+    """Metrics of decisions and packets."""
     return [
         Family(
             "wasabigw_decisions_total",
@@ -76,6 +106,21 @@
             "Packets by what became of them",
             tuple(Sample(n, {"outcome": key}) for key, n in sorted(packets.items())),
         ),
+    ]
+
+
+def _server_families(state: TagState, now: Seconds) -> list[Family]:
+    """Metrics of backend servers and their flows, by service."""
+    flows: Counter[tuple[ServiceId, FailureDomainId]] = Counter()
+    boots: Counter[tuple[ServiceId, FailureDomainId, str]] = Counter()
+    failing: Counter[tuple[ServiceId, FailureDomainId]] = Counter()
+    for server in state.servers.values():
+        boot = server.registration
+        boots[boot.service, boot.failure_domain, boot_state(boot)] += 1
+        flows[boot.service, boot.failure_domain] += server.open_flows
+        is_failing = health_of(server.breaker, now) is not Health.ANSWERING
+        failing[boot.service, boot.failure_domain] += is_failing
+    return [
         Family(
             "wasabigw_answer_seconds",
             MetricKind.HISTOGRAM,
@@ -105,6 +150,12 @@
             "Failure domains that get no new flows of a service but for probes",
             {key: bool(s.suspected) for key, s in state.suspicions.items()},
         ),
+    ]
+
+
+def _view_families(state: TagState, now: Seconds) -> list[Family]:
+    """Metrics of the view and of the configuration in force."""
+    return [
         out_of_service(state.view.out_of_service),
         gauge("wasabigw_view_revision", "Revision of the view", state.view.revision),
         view_age(state.view_age(now)),
@@ -114,34 +165,6 @@
             state.is_fresh(now),
         ),
         declared_version(state.declared_version),
-        Family(
-            "wasabigw_control_bytes_total",
-            MetricKind.COUNTER,
-            "Bytes of polls for views and of their answers",
-            (Sample(control_traffic),),
-        ),
-        gauge(
-            "wasabigw_link_queue_bytes",
-            "Bytes of packets that wait for the link of this balancer",
-            state.egress.size,
-        ),
-        _by_service(
-            "wasabigw_new_flow_share",
-            "Part of the new flows here that goes to a failure domain by load figures",
-            {
-                (service, domain): share
-                for service, shares in shares_in_force(state, now).items()
-                for domain, share in shares.items()
-            },
-        ),
-        *_link_families(state),
-        gauge(
-            "wasabigw_receive_wait_seconds",
-            "Time for which the receive buffer has not been empty",
-            receive_wait,
-        ),
-        gauge("wasabigw_log_lines_left_out", "Lines beyond the budget", suppressed),
-        *admission_families(state, now),
     ]
 
 
