tags: split the update of a shortage; rate of a link class has its own name

Cause: update_shortage did three things in one function, and recent_rate was the name of two different functions, in core/rates and in egress. Change: _update_capacity is a function of its own; the one in egress is named class_rate.

--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/egress.py
@@ -225,7 +225,7 @@
     return Admission.QUEUED
 
 
-def recent_rate(members: ClassQueue, now: Seconds) -> float:
+def class_rate(members: ClassQueue, now: Seconds) -> float:
     """Bytes a second that were given to a class lately."""
     return members.recent * math.exp((members.counted_at - now) / RATE_TIME) / RATE_TIME
 
@@ -321,7 +321,7 @@
 
 
 def _count(members: ClassQueue, size: int, now: Seconds) -> None:
-    members.recent = recent_rate(members, now) * RATE_TIME + size
+    members.recent = class_rate(members, now) * RATE_TIME + size
     members.counted_at = now
     members.total += size
 
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/shortage.py
@@ -102,15 +102,7 @@
         control.short_since = now
         _record_change(control, cause, room, state, now)
     if control.short_since is not None:
-        rate = room.service_rate
-        if not are_short_answers_unusual(control.answers):
-            # Rejections count as answers then, so that figures show too high a rate.
-            rate *= 1.0 - rejected
-        by_figures = capacity_of(control, rate, state, now)
-        answered = recent_rate(control.answers.all, now) * (1.0 - rejected)
-        by_answers = PROBE_FACTOR * answered
-        control.capacity = max(by_answers, MIN_CAPACITY_SHARE * by_figures)
-        update_spare_servers(control, rate, state, now)
+        _update_capacity(control, room, state, now)
         _check_room(control, room, state, now)
 
 
@@ -123,12 +115,24 @@
     return max(rate, 0.0) * (1.0 - control.rejected)
 
 
+def _update_capacity(
+    control: ServiceAdmission, room: Room, state: TagState, now: Seconds
+) -> None:
+    """Update what this balancer may send to a short service."""
+    rate, accepted = room.service_rate, 1.0 - control.rejected
+    if not are_short_answers_unusual(control.answers):
+        # Rejections count as answers then, so that figures show too high a rate.
+        rate *= accepted
+    by_figures = capacity_of(control, rate, state, now)
+    by_answers = PROBE_FACTOR * (recent_rate(control.answers.all, now) * accepted)
+    control.capacity = max(by_answers, MIN_CAPACITY_SHARE * by_figures)
+    update_spare_servers(control, rate, state, now)
+
+
 def _check_room(
-    control: ServiceAdmission,
-    room: Room,
-    state: TagState,
-    now: Seconds,
+    control: ServiceAdmission, room: Room, state: TagState, now: Seconds
 ) -> None:
+    """End a shortage if the service has had room for long enough."""
     has_room = (
         control.delay < ROOM_SHARE * control.tolerable
         and control.rejected < MIN_REJECTED_SHARE
--- a/src/wasabigw/core/tags/upload_admission.py
+++ b/src/wasabigw/core/tags/upload_admission.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.egress import EgressQueue, LinkClass, recent_rate
+from wasabigw.core.tags.egress import EgressQueue, LinkClass, class_rate
 from wasabigw.core.tags.link_classes import BULK_BYTES, classed_listener, usual_bytes
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import Flow, FlowState, TagState
@@ -31,7 +31,7 @@
 Longer than the pauses between retransmissions of callers.
 """
 REFUSED_PART = 3
-"""One in so many callers that are not in time here is refused."""
+"""One in this many callers whose uploads would not be in time is refused."""
 
 
 class UploadOutcome(Enum):
@@ -92,7 +92,7 @@
     assert queue.rate is not None
     bulk, late = queue.classes[LinkClass.BULK], queue.classes[LinkClass.LATE]
     urgent = (c for c in queue.classes.values() if c is not bulk and c is not late)
-    used = sum(recent_rate(members, now) for members in urgent)
+    used = sum(class_rate(members, now) for members in urgent)
     left = max(queue.rate - used, queue.rate * (bulk.share + late.share))
     return left * bulk.share / (bulk.share + late.share)
 
