--- a/src/wasabigw/core/load/sampling.py
+++ b/src/wasabigw/core/load/sampling.py
@@ -1,11 +1,11 @@
 """Samples of the backend servers of a balancer that has too many for one report.
 
-A balancer before many backend servers has a request in flight at few of them, open
-flows without any at most. Samples are therefore stratified: nearly all of those with
+A balancer with many backend servers has requests in flight at few of them; most have
+open flows only. Samples are therefore stratified: nearly all of those with
 requests in flight are reported, so that their sums are about exact, and the remaining
 entries are shared between the others. The sum of a stratum stays unbiased if each
-figure is multiplied by the size of the stratum over the entries of it (Horvitz and
-Thompson, 1952).
+figure is multiplied by the size of the stratum and divided by the number of its entries
+(Horvitz and Thompson, 1952).
 """
 
 from collections.abc import Iterable, Sequence
--- a/src/wasabigw/core/load/table.py
+++ b/src/wasabigw/core/load/table.py
@@ -79,7 +79,7 @@
 class KeptReport:
     """Latest report of a balancer.
 
-    :param arrived_at: when its first report came since this relay had none.
+    :param arrived_at: when the balancer began to report to this relay.
     :param replaced: incarnation before this one, whose late reports are ignored.
     """
 
@@ -124,7 +124,7 @@
     :param direct: sums of ``reports``.
     :param indirect: sums of ``peers``, as far as they were needed.
     :param ranking: what responses name first.
-    :param first_report_at: when the first report came since there was none.
+    :param first_report_at: when the first report came after a time without any.
     """
 
     failure_domain: FailureDomainId = NO_FAILURE_DOMAIN
--- a/src/wasabigw/core/tags/crossing.py
+++ b/src/wasabigw/core/tags/crossing.py
@@ -126,7 +126,7 @@
 
 
 def _is_busier(load: DomainLoad, own: DomainLoad, level: float) -> bool:
-    """Whether a failure domain is busier than the own one and than its arrivals say."""
+    """Whether a failure domain is busier than the own one and than arrivals explain."""
     utilization = load.in_flight / load.capacity
     return utilization > max(own.in_flight / own.capacity, MAX_EXCESS * level)
 
--- a/src/wasabigw/core/tags/held_openings.py
+++ b/src/wasabigw/core/tags/held_openings.py
@@ -32,7 +32,7 @@
 
     :param datagram: the packet as it was received.
     :param waited: time that it spent in the receive buffer.
-    :param deadline: when it stops to wait.
+    :param deadline: when it stops waiting.
     """
 
     packet: FlowPacket
@@ -152,7 +152,7 @@
 
 
 def _least_entitled(held: HeldOpenings, opening: HeldOpening) -> HeldOpening:
-    """The newest opening of the caller with the most of the last rank."""
+    """The newest opening of the caller with the most openings of the last rank."""
     last = max(rank for ranks in held.queues.values() for rank in ranks)
     if opening.rank > last:
         return opening
--- a/src/wasabigw/core/tags/plans.py
+++ b/src/wasabigw/core/tags/plans.py
@@ -15,16 +15,17 @@
     """Room of the backend servers to which a balancer sends new flows of a service.
 
     The figures apply to the time at which other balancers counted, some tenths of a
-    second to 4 s ago. In a surge, they are too good by what has arrived since then.
+    second to 4 s ago. In a surge, they show more room than there is, because more
+    requests have arrived since.
 
     :param utilization: requests in flight for each slot; above 1 requests queue. It
         varies as the number of requests in flight does, by its square root.
     :param wait: expected time from an opening to the start of its request, by the
-        requests in flight at each backend server; it has the error of `utilization`.
+        requests in flight at each backend server; it varies as ``utilization`` does.
     :param free_slots: slots without a request, weighted by speed.
     :param service_rate: requests a second that the backend servers can answer, by the
-        times of the last seconds; too low by up to a third at a moderate load, because
-        these times include some of the time in queues.
+        times of the last seconds; too low, because these times include some of the time
+        in queues.
     """
 
     utilization: float
--- a/src/wasabigw/core/tags/rejections.py
+++ b/src/wasabigw/core/tags/rejections.py
@@ -26,7 +26,7 @@
 MAX_REJECTED_SHARE = 0.9
 """Largest share that is assumed, so that the expected delay stays finite."""
 MAX_USUAL_SHARE = 0.9
-"""Usual share of short answers from which rejections can't be told from them."""
+"""Usual share of short answers from which on rejections can't be told from these."""
 MAX_UNUSUAL_SHARE = 0.5
 """Usual share of short answers below which these say nothing about the speed.
 
@@ -154,7 +154,7 @@
 
 
 def _are_mostly_rejections(answers: AnswerCounts, now: Seconds) -> bool:
-    """Whether fewer of the recent short answers are usual than rejections."""
+    """Whether most of the recent short answers are rejections; assumed if unknown."""
     share, usual = _short_share(answers, now), answers.usual_share
     return share is None or usual is None or usual < share / 2
 
--- a/src/wasabigw/core/tags/spare_servers.py
+++ b/src/wasabigw/core/tags/spare_servers.py
@@ -1,6 +1,6 @@
 """Backend servers with free slots while their service is short of room.
 
-Openings follow the shares of failure domains, which a wave of demand outruns. If the
+Openings follow the shares of failure domains, which adapt to a surge too late. If the
 backend servers of a failure domain are full, others may have free slots, and openings
 go to these first, as many as they can answer. All balancers see the same ones by
 figures of the same age, so each sends its share only.
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -206,16 +206,17 @@
         removes them.
     :param highest_priority: highest declared priority; ``None`` if none is declared.
     :param request_sizes: usual size of the requests at each listener.
-    :param uploads: admitted flows that upload, or are about to.
     :param sending: flows whose callers send requests, and some that have ended since.
-    :param late_uploads: those of them that can't be carried in time.
-    :param begun_uploads: those whose openings were sent and that are expected to send
+    :param uploads: admitted flows that upload, or are about to.
+    :param late_uploads: uploads that can't be carried in time.
+    :param begun_uploads: uploads whose openings were sent and that are expected to send
         more, with the time of the opening.
     :param weight_changes: backend servers that have become slow or recovered and are
         not logged yet; the log removes them.
     :param plans: shares of new flows by load figures, for each service that has any.
     :param suspicions: evidence that a failure domain has failed for a service.
-    :param suspicion_changes: changes of suspicions that are not logged yet.
+    :param suspicion_changes: changes of suspicions that are not logged yet; the log
+        removes them.
     :param features: parts that operators have left switched on.
     :param load: counts for the next report, besides those of each backend server.
     :param known_load: load of backend servers from other balancers.
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -1,7 +1,8 @@
 """Decides what to do with each packet from a caller.
 
 The tag in a packet of an open flow names the backend server, so that any balancer can
-deliver it without a flow table. Only an opening packet needs a backend server chosen.
+deliver it without a flow table. Only an opening packet needs a backend server chosen
+(:mod:`wasabigw.core.tags.opening_steering`).
 """
 
 from wasabigw.core.durations import Durations, record_duration
@@ -66,7 +67,7 @@
     now: Seconds,
     waited: Seconds = NO_WAIT,
 ) -> PacketDecision:
-    """Decide whether to deliver, refuse or drop a packet from a caller.
+    """Decide whether to deliver, hold, refuse or drop a packet from a caller.
 
     :param waited: time that the packet spent in the receive buffer.
     """
--- a/src/wasabigw/tasks/decision_log.py
+++ b/src/wasabigw/tasks/decision_log.py
@@ -21,10 +21,12 @@
 
 
 class DecisionLog:
-    """Logs each opening, refusal and drop, and the changes of circuit breakers.
+    """Logs each opening, refusal and drop, and changes of backend servers.
 
-    :param state: only read, except that logged health changes are removed from it.
-    :ivar decisions: number of openings, refusals and drops, whether logged or not.
+    :param state: only read, except that logged changes of health and of weights are
+        removed from it.
+    :ivar decisions: number of openings, refusals, drops and held openings, whether
+        logged or not.
     :ivar suppressed: number of suppressed lines, updated once a second.
     """
 
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -27,7 +27,7 @@
 class DecisionKey(NamedTuple):
     """Labels by which decisions are counted.
 
-    :param outcome: opened, refused or dropped.
+    :param outcome: opened, held, refused or dropped.
     :param service: service of the backend server; empty if there is none.
     :param failure_domain: failure domain of the backend server; empty if there is none.
     """
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -90,8 +90,10 @@
 """Period of the tick that expires idle flows and resets the budget of log lines."""
 
 MIN_PREVIEW_INTERVAL = Seconds(0.5)
-"""Minimum time between two previews of a route, which take 0.1 ms for each backend
-server of the service."""
+"""Minimum time between two previews of a route.
+
+A preview takes time for each backend server of the service, while packets wait.
+"""
 
 
 @dataclass(frozen=True, slots=True)
