--- a/src/wasabigw/core/tags/route_preview.py
+++ b/src/wasabigw/core/tags/route_preview.py
@@ -108,11 +108,8 @@
         copy.view_age(now),
         Seconds(now - known.measured_at) if known.is_current(now) else None,
         known.balancers if known.is_current(now) else 0,
-        tuple(
-            _candidate(server, copy, now)
-            # The copy after the decision would count the previewed flow.
-            for server in state.pools.get(service, ())
-        ),
+        # Those of the copy count the previewed flow.
+        tuple(_candidate(s, copy, now) for s in state.pools.get(service, ())),
     )
 
 
