--- a/src/wasabigw/core/tags/domain_suspicion.py
+++ b/src/wasabigw/core/tags/domain_suspicion.py
@@ -12,7 +12,7 @@
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.load.known import ServiceKey
 from wasabigw.core.tags.egress import is_congested, is_opening_waiting
-from wasabigw.core.tags.health import DOUBT_TIME, Health, health_of
+from wasabigw.core.tags.health import DOUBT_TIME
 from wasabigw.core.tags.openings import OPENING_TIMEOUT, tried_openings
 from wasabigw.core.tags.state import Server, SuspicionChange, TagState
 from wasabigw.core.tags.suspicion import (
@@ -121,19 +121,27 @@
         server
         for server in pool
         if server.registration.failure_domain in domains
-        or _is_suspected(server, state, now)
+        or _is_avoided(server, state, now)
     }
-    if any(_is_usable(s, now) for s in pool if s not in avoided):
+    if any(s.is_usable(now) for s in pool if s not in avoided):
         return avoided
     return set()
 
 
 def record_choice(server: Server, state: TagState, now: Seconds) -> None:
     """Record an opening to a backend server; if it is suspected, as a probe."""
+    suspicion = suspicion_against(server, state)
+    if suspicion is not None:
+        suspicion.probed_at = now
+
+
+def suspicion_against(server: Server, state: TagState) -> Suspicion | None:
+    """Suspicion that a backend server is under; ``None`` if there is none."""
     boot = server.registration
     suspicion = state.suspicions.get((boot.service, boot.failure_domain))
-    if suspicion is not None and boot.tag in suspicion.suspected:
-        suspicion.probed_at = now
+    if suspicion is None or boot.tag not in suspicion.suspected:
+        return None
+    return suspicion
 
 
 def _unanswering_domains(
@@ -157,18 +165,10 @@
     return domains
 
 
-def _is_suspected(server: Server, state: TagState, now: Seconds) -> bool:
+def _is_avoided(server: Server, state: TagState, now: Seconds) -> bool:
     """Whether a backend server is suspected and its failure domain needs no probe."""
-    boot = server.registration
-    suspicion = state.suspicions.get((boot.service, boot.failure_domain))
-    if suspicion is None or boot.tag not in suspicion.suspected:
-        return False
-    return not is_probe_due(suspicion, now)
-
-
-def _is_usable(server: Server, now: Seconds) -> bool:
-    is_silent = health_of(server.breaker, now) is Health.SILENT
-    return not is_silent and server.cold_until <= now
+    suspicion = suspicion_against(server, state)
+    return suspicion is not None and not is_probe_due(suspicion, now)
 
 
 def _opening_timeout(server: Server, state: TagState) -> Seconds:
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -28,7 +28,12 @@
 from wasabigw.core.tags.decisions import Receiver
 from wasabigw.core.tags.egress import EgressQueue
 from wasabigw.core.tags.features import Features
-from wasabigw.core.tags.health import CircuitBreaker, FailureSignal
+from wasabigw.core.tags.health import (
+    CircuitBreaker,
+    FailureSignal,
+    Health,
+    health_of,
+)
 from wasabigw.core.tags.host_checks import HostCheck
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.plans import ServicePlan
@@ -66,6 +71,11 @@
         slots = self.registration.slots
         return slots if 1 <= slots <= MAX_SLOTS else min(max(slots, 1), MAX_SLOTS)
 
+    def is_usable(self, now: Seconds) -> bool:
+        """Whether it is warm and not known to be failing."""
+        is_silent = health_of(self.breaker, now) is Health.SILENT
+        return not is_silent and self.cold_until <= now
+
 
 class FlowState(Enum):
     """State of a flow as its caller's packets show it."""
@@ -196,16 +206,17 @@
         removes them.
     :param highest_priority: highest declared priority; ``None`` if none is declared.
     :param request_sizes: usual size of the requests at each listener.
-    :param uploads: admitted flows that upload, or are about to.
     :param sending: flows whose callers send requests, and some that have ended since.
-    :param late_uploads: those of them that can't be carried in time.
-    :param begun_uploads: those whose openings were sent and that are expected to send
+    :param uploads: admitted flows that upload, or are about to.
+    :param late_uploads: uploads that can't be carried in time.
+    :param begun_uploads: uploads whose openings were sent and that are expected to send
         more, with the time of the opening.
     :param weight_changes: backend servers that have become slow or recovered and are
         not logged yet; the log removes them.
     :param plans: shares of new flows by load figures, for each service that has any.
     :param suspicions: evidence that a failure domain has failed for a service.
-    :param suspicion_changes: changes of suspicions that are not logged yet.
+    :param suspicion_changes: changes of suspicions that are not logged yet; the log
+        removes them.
     :param features: parts that operators have left switched on.
     :param load: counts for the next report, besides those of each backend server.
     :param known_load: load of backend servers from other balancers.
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -1,7 +1,8 @@
 """Decides what to do with each packet from a caller.
 
 The tag in a packet of an open flow names the backend server, so that any balancer can
-deliver it without a flow table. Only an opening packet needs a backend server chosen.
+deliver it without a flow table. Only an opening packet needs a backend server chosen
+(:mod:`wasabigw.core.tags.opening_steering`).
 """
 
 from wasabigw.core.durations import Durations, record_duration
@@ -14,10 +15,7 @@
     discard_lost_opening,
     end_request,
 )
-from wasabigw.core.tags.admission_control import (
-    abandon_opening,
-    record_request,
-)
+from wasabigw.core.tags.admission_control import abandon_opening, record_request
 from wasabigw.core.tags.decisions import (
     Deliver,
     Drop,
@@ -34,16 +32,10 @@
     remove_flow,
     restart_flow,
 )
-from wasabigw.core.tags.health import (
-    FailureSignal,
-    is_unreachable,
-)
+from wasabigw.core.tags.health import FailureSignal, is_unreachable
 from wasabigw.core.tags.link_classes import record_request_data, record_request_end
 from wasabigw.core.tags.opening_steering import decide_opening
-from wasabigw.core.tags.openings import (
-    discard_opening,
-    record_opening,
-)
+from wasabigw.core.tags.openings import discard_opening, record_opening
 from wasabigw.core.tags.packets import (
     MAX_UNACKNOWLEDGED_BYTES,
     NO_TAG,
@@ -75,7 +67,7 @@
     now: Seconds,
     waited: Seconds = NO_WAIT,
 ) -> PacketDecision:
-    """Decide whether to deliver, refuse or drop a packet from a caller.
+    """Decide whether to deliver, hold, refuse or drop a packet from a caller.
 
     :param waited: time that the packet spent in the receive buffer.
     """
--- a/tests/test_review_of_hard_load.py
+++ b/tests/test_load_edge_cases.py
@@ -1,4 +1,4 @@
-"""Faults that a review of the parts for load and overload has found."""
+"""Load figures, choice and admission in unusual deployments and failures."""
 
 import random
 import unittest
