tags: copies of an opening stay at one backend server, and late tags move no flow

Cause: the code assumed that callers return the tag of the answer that they took. So a copy went elsewhere on purpose, and a tag was taken for proof of where the flow is open.

Change: another backend server gets a copy only on evidence that the first one can't answer (opening_copies.py). A balancer that knows a flow keeps to the backend server of the first packet after the opening, as long as the sequence numbers are those of the flow (server_of_flow).

--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -30,6 +30,7 @@
     FREE_SLOTS = "free slots by load figures, while the service is short of room"
     UNANSWERING = "none is known to answer"
     COLD = "only cold ones are left"
+    AGAIN = "it got an earlier copy of the opening"
     REPEATED = "no other one is left for a repeated opening"
     OPEN = "the flow is open there"
 
--- a/src/wasabigw/core/tags/evidence.py
+++ b/src/wasabigw/core/tags/evidence.py
@@ -7,7 +7,9 @@
     confirm_doubt,
     record_failure,
     record_response,
+    record_silence,
 )
+from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.state import (
     HealthChange,
     Server,
@@ -17,6 +19,7 @@
 
 def record_unanswered(
     server: Server,
+    flow: FlowId,
     sent_at: Seconds,
     failure: FailureSignal,
     state: TagState,
@@ -26,6 +29,7 @@
     congested = is_congested(state.egress, now)
     if congested and not confirm_doubt(server.breaker, sent_at, now):
         return
+    record_silence(server.breaker, flow, sent_at)
     silent_for = Seconds(now - server.breaker.last_response_at)
     if record_failure(server.breaker, sent_at, now):
         state.health_changes.append(HealthChange(server, failure, silent_for))
--- a/src/wasabigw/core/tags/health.py
+++ b/src/wasabigw/core/tags/health.py
@@ -11,10 +11,11 @@
 the host unreachable.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from wasabigw.core.ids import Seconds
+from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.view_lease import NEVER
 
 INITIAL_BACKOFF = Seconds(1.0)
@@ -40,6 +41,10 @@
 """Time after which an earlier doubt is not related to a new one any more."""
 
 
+MAX_UNANSWERED = 2
+"""Unanswered flows that are remembered: one, and another one that confirms it."""
+
+
 class FailureSignal(Enum):
     """Evidence that a backend server does not answer."""
 
@@ -69,6 +74,8 @@
     :param unreachable_at: when its host was last found unreachable.
     :param doubted_since: when the first packet was sent that was not answered while
         the link of this balancer was congested.
+    :param unanswered: flows that have had no answer since the last response to any; at
+        most :data:`MAX_UNANSWERED` of them.
     """
 
     last_response_at: Seconds = NEVER
@@ -78,6 +85,7 @@
     checked_at: Seconds = NEVER
     unreachable_at: Seconds = NEVER
     doubted_since: Seconds = NEVER
+    unanswered: set[FlowId] = field(default_factory=set)
 
 
 def record_response(breaker: CircuitBreaker, now: Seconds) -> bool:
@@ -90,6 +98,7 @@
     breaker.failures = 0
     breaker.backoff_until = NEVER
     breaker.unreachable_at = NEVER
+    breaker.unanswered.clear()
     return was_open
 
 
@@ -123,6 +132,18 @@
     return now - breaker.doubted_since >= DOUBT_TIME
 
 
+def record_silence(breaker: CircuitBreaker, flow: FlowId, sent_at: Seconds) -> None:
+    """Record which flow has had no answer, unless there was a response since."""
+    is_full = len(breaker.unanswered) >= MAX_UNANSWERED
+    if not is_full and breaker.last_response_at <= sent_at:
+        breaker.unanswered.add(flow)
+
+
+def is_silent_to_others(breaker: CircuitBreaker, flow: FlowId) -> bool:
+    """Whether a flow other than the given one has had no answer since the last one."""
+    return any(unanswered != flow for unanswered in breaker.unanswered)
+
+
 def record_probe(breaker: CircuitBreaker, now: Seconds) -> None:
     """Record a new flow; if the breaker is not closed, the flow is a probe."""
     if breaker.failures > 0:
--- a/src/wasabigw/core/tags/opening_steering.py
+++ b/src/wasabigw/core/tags/opening_steering.py
@@ -26,44 +26,30 @@
     record_choice,
     update_suspicions,
 )
-from wasabigw.core.tags.egress import is_waiting
-from wasabigw.core.tags.evidence import record_unanswered
 from wasabigw.core.tags.flow_table import add_flow, remove_flow
-from wasabigw.core.tags.health import FailureSignal, record_probe
+from wasabigw.core.tags.health import record_probe
 from wasabigw.core.tags.held_openings import HeldOpening
-from wasabigw.core.tags.openings import (
-    OPENING_TIMEOUT,
-    pop_overdue,
-    record_opening,
-    tried_servers,
+from wasabigw.core.tags.opening_copies import (
+    is_copy_of_opening,
+    keeps_server,
+    record_overdue,
 )
-from wasabigw.core.tags.packets import FlowId, FlowPacket, sequence_distance
+from wasabigw.core.tags.openings import record_opening, tried_servers
+from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.selection import choose_server_for, service_of
 from wasabigw.core.tags.spare_servers import busy_servers
-from wasabigw.core.tags.state import (
-    Flow,
-    FlowState,
-    Server,
-    TagState,
-)
+from wasabigw.core.tags.state import FlowState, Server, TagState
 from wasabigw.core.tags.upload_admission import (
     UploadOutcome,
     admit_upload,
     record_upload,
 )
 
-MAX_COPY_AGE = Seconds(2.0)
-"""Time after the first packet of a flow during which copies of its opening arrive.
-
-Callers send the last copy 0.6 s after the opening, and it may wait in queues.
-"""
 MAX_WAIT_TO_REFUSE = Seconds(0.15)
 """Time in the receive buffer after which another copy of an opening may be delivered.
 
 Callers send an opening again after 0.2 s.
 """
-MAX_BYTES_BEFORE_COPY = 2**20
-"""Most bytes that a caller sends on a flow before a copy of its opening arrives."""
 _LAST_RESORTS = {ChoiceReason.UNANSWERING, ChoiceReason.COLD, ChoiceReason.REPEATED}
 """Reasons of choices among backend servers that had better not get an opening."""
 _REASONS_IF_STALE = {
@@ -117,7 +103,7 @@
     """Decide on an opening that is not sent to a backend server now."""
     known = state.flows.get(packet.flow)
     if known is not None and (
-        known.state is FlowState.OPENING or _is_copy_of_opening(packet, known, now)
+        known.state is FlowState.OPENING or is_copy_of_opening(packet, known, now)
     ):
         return None
     if is_held(packet.flow, state):
@@ -146,11 +132,12 @@
     avoided = tried_servers(flow.caller, state, now)
     known = state.flows.get(flow)
     if known is not None:
-        if _is_copy_of_opening(packet, known, now):
+        if is_copy_of_opening(packet, known, now):
             return Deliver(packet, known.server.registration, ChoiceReason.OPEN)
-        if _is_unanswered(known, now) and not is_waiting(state.egress, packet):
+        if known.state is FlowState.OPENING:
+            if keeps_server(packet, known, state, now):
+                return Deliver(packet, known.server.registration, ChoiceReason.AGAIN)
             avoided.add(known.server)
-            _record_unanswered_opening(known, state, now)
         remove_flow(flow, state)
     upload = UploadOutcome.ADMIT
     if known is None:
@@ -198,10 +185,7 @@
     requirements = listener.requirements
     if requirements is not None and state.features.admission_control:
         busy = busy_servers(service, requirements.priority, avoided, state, now)
-    for overdue in pop_overdue(state, now):
-        record_unanswered(
-            overdue.server, overdue.at, FailureSignal.OPENING_OVERDUE, state, now
-        )
+    record_overdue(state, now)
     chosen = choose_server_for(listener, service, state, now, avoided | busy)
     if not busy:
         return chosen
@@ -211,20 +195,6 @@
     return chosen[0], ChoiceReason.FREE_SLOTS
 
 
-def _record_unanswered_opening(known: Flow, state: TagState, now: Seconds) -> None:
-    signal = FailureSignal.OPENING_RETRANSMITTED
-    record_unanswered(known.server, known.opened_at, signal, state, now)
-
-
-def _is_unanswered(known: Flow, now: Seconds) -> bool:
-    """Whether an opening has left long enough ago to have been answered.
-
-    It may have waited for the link until just before its copy came.
-    """
-    is_opening = known.state is FlowState.OPENING
-    return is_opening and now - known.opened_at >= OPENING_TIMEOUT
-
-
 def _shares_load(listener: Listener, state: TagState) -> bool:
     """Whether the choice for a listener uses what callers of others have met."""
     return listener.requirements is not None and state.features.load_sharing
@@ -255,27 +225,6 @@
     return Refuse(packet, reason)
 
 
-def _is_copy_of_opening(packet: FlowPacket, known: Flow, now: Seconds) -> bool:
-    """Whether an opening packet is a late copy of the opening of a known flow.
-
-    A copy has to reach the same backend server: the caller puts the tag of the latest
-    answer into its packets. Otherwise the caller uses the port of an ended flow again,
-    for a flow of its own. Packets of backend servers bypass the balancer, so a flow may
-    have ended though it seems open.
-    """
-    if known.state is FlowState.OPENING:
-        # Copies that a balancer reads at the same moment, as it was suspended, must not
-        # open two flows. Later ones show that the first copy was not answered.
-        is_same = packet.sequence == known.first_sequence and packet.repeat > 0
-        return is_same and now - known.opened_at < OPENING_TIMEOUT
-    if known.state is FlowState.OPEN and packet.sequence == known.first_sequence:
-        return True
-    if now - known.opened_at >= MAX_COPY_AGE:
-        return False
-    ahead = sequence_distance(packet.sequence, known.first_sequence)
-    return 0 <= ahead <= MAX_BYTES_BEFORE_COPY
-
-
 def _counts_as_served(
     server: Server, reason: ChoiceReason, service: ServiceId, state: TagState
 ) -> bool:
--- a/src/wasabigw/core/tags/openings.py
+++ b/src/wasabigw/core/tags/openings.py
@@ -27,7 +27,7 @@
 
 def record_opening(flow: FlowId, server: Server, state: TagState, now: Seconds) -> None:
     """Record that an opening was sent to a backend server."""
-    state.pending_openings[flow] = Opening(server, now)
+    state.pending_openings[flow] = Opening(flow, server, now)
 
 
 def discard_opening(flow: FlowId, state: TagState) -> None:
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -140,6 +140,7 @@
 class Opening(NamedTuple):
     """An opening that was sent to a backend server, and when."""
 
+    flow: FlowId
     server: Server
     at: Seconds
 
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -1,8 +1,10 @@
 """Decides what to do with each packet from a caller.
 
 The tag in a packet of an open flow names the backend server, so that any balancer can
-deliver it without a flow table. Only an opening packet needs a backend server chosen
-(:mod:`wasabigw.core.tags.opening_steering`).
+deliver it without a flow table. A balancer that has seen the flow before keeps to the
+backend server of its first packet, because a late answer to a copy of the opening
+changes the tag (:func:`~wasabigw.core.tags.flow_table.server_of_flow`). Only an opening
+packet needs a backend server chosen (:mod:`wasabigw.core.tags.opening_steering`).
 """
 
 from wasabigw.core.durations import Durations, record_duration
@@ -31,6 +33,7 @@
     close_flow,
     remove_flow,
     restart_flow,
+    server_of_flow,
 )
 from wasabigw.core.tags.health import FailureSignal, is_unreachable
 from wasabigw.core.tags.link_classes import record_request_data, record_request_end
@@ -85,7 +88,7 @@
         abandon_opening(packet.flow, state)
     if packet.tag == NO_TAG:
         return Drop(DropReason.NO_TAG)
-    server = state.servers.get(packet.tag)
+    server = server_of_flow(packet, state, now)
     if server is None:
         return Drop(DropReason.UNKNOWN_TAG)
     if packet.is_reset:
@@ -135,7 +138,7 @@
         # Backend servers acknowledge every second packet, and this may be the first.
         return
     signal = FailureSignal.DATA_RETRANSMITTED
-    record_unanswered(flow.server, flow.pending_since, signal, state, now)
+    record_unanswered(flow.server, flow_id, flow.pending_since, signal, state, now)
     if flow.server.breaker.failures > 0:
         request_check(flow.server, flow.pending_since, state, now)
 
--- a/src/wasabigw_verify/evidence_model/fault_cases.py
+++ b/src/wasabigw_verify/evidence_model/fault_cases.py
@@ -12,6 +12,8 @@
     "copy of an opening after other packets is steered as new": (
         openings.LATE_COPY_AT_OTHER_BALANCER
     ),
+    "second copy of an unanswered opening is steered as new": openings.ANSWERS_LOST,
+    "tag of a late answer moves an open flow": openings.SERVER_ANSWERS_LATE,
     "later copy of an opening is refused": openings.COPY_WHILE_POOL_IS_EMPTY,
     "opening that waited to be read is refused": openings.READ_LATE_WITHOUT_LISTENER,
     "opening is refused by an old view": openings.OLD_VIEW,
--- a/src/wasabigw_verify/evidence_model/faults.py
+++ b/src/wasabigw_verify/evidence_model/faults.py
@@ -4,6 +4,8 @@
 
 _STEERING = "wasabigw.core.tags.steering"
 _OPENING_STEERING = "wasabigw.core.tags.opening_steering"
+_OPENING_COPIES = "wasabigw.core.tags.opening_copies"
+_FLOW_TABLE = "wasabigw.core.tags.flow_table"
 _EVIDENCE = "wasabigw.core.tags.evidence"
 _HEALTH = "wasabigw.core.tags.health"
 _CHECKS = "wasabigw.core.tags.host_checks"
@@ -27,21 +29,33 @@
     PlantedFault(
         "copy of an opening is steered as new",
         _OPENING_STEERING,
-        "if _is_copy_of_opening(packet, known, now):",
-        "if False:",
+        "        if is_copy_of_opening(packet, known, now):",
+        "        if False:",
     ),
     PlantedFault(
         "copy of an opening counts for 2 s only",
-        _OPENING_STEERING,
+        _OPENING_COPIES,
         "if known.state is FlowState.OPEN and packet.sequence == known.first_sequence:",
         "if False:",
     ),
     PlantedFault(
         "copy of an opening after other packets is steered as new",
-        _OPENING_STEERING,
+        _OPENING_COPIES,
         "return 0 <= ahead <= MAX_BYTES_BEFORE_COPY",
         "return False",
     ),
+    PlantedFault(
+        "second copy of an unanswered opening is steered as new",
+        _OPENING_COPIES,
+        "        if _has_failed(packet, known, now):\n",
+        "        if True:\n",
+    ),
+    PlantedFault(
+        "tag of a late answer moves an open flow",
+        _FLOW_TABLE,
+        "    if not _is_of_flow(packet, known) or",
+        "    if True or",
+    ),
     PlantedFault(
         "later copy of an opening is refused",
         _OPENING_STEERING,
@@ -62,9 +76,9 @@
     ),
     PlantedFault(
         "opening that waits for the link counts as unanswered",
-        _OPENING_STEERING,
-        "if _is_unanswered(known, now) and not is_waiting(state.egress, packet):",
-        "if _is_unanswered(known, now):",
+        _OPENING_COPIES,
+        "if not is_recent and not is_waiting(state.egress, packet):",
+        "if not is_recent:",
         others=(_NEVER_CONGESTED,),
     ),
     PlantedFault(
--- a/src/wasabigw_verify/evidence_model/hosts.py
+++ b/src/wasabigw_verify/evidence_model/hosts.py
@@ -19,7 +19,13 @@
 )
 from wasabigw_verify.evidence_model.clock import Callback, Clock
 from wasabigw_verify.evidence_model.judge import Judge
-from wasabigw_verify.evidence_model.transport import Receiver, Segment, Sender
+from wasabigw_verify.evidence_model.transport import (
+    FIRST_RETRANSMISSION,
+    LONGEST_INTERVAL,
+    Receiver,
+    Segment,
+    Sender,
+)
 from wasabigw_verify.evidence_model.wire import Kind, ServerPacket
 
 MOST_RETRANSMISSIONS = 8
@@ -236,8 +242,26 @@
             if known is not None:
                 known.sender.stop()
             known = boot.flows[packet.flow] = self._make_flow(boot, packet)
+            self._accept_again(boot, known, FIRST_RETRANSMISSION, MOST_RETRANSMISSIONS)
         known.tag = packet.tag
-        self._send(boot, known, Kind.ACCEPT, known.own_sequence, 0, False)
+        self._accept(boot, known)
+
+    def _accept(self, boot: Boot, flow: ServerFlow) -> None:
+        self._send(boot, flow, Kind.ACCEPT, flow.own_sequence, 0, False)
+
+    def _accept_again(
+        self, boot: Boot, flow: ServerFlow, delay: float, left: int
+    ) -> None:
+        """Send the answer to an opening again until the handshake ends."""
+
+        def due() -> None:
+            is_current = boot.flows.get(flow.flow) is flow
+            if is_current and flow.phase is FlowPhase.HALF_OPEN and left > 0:
+                self._accept(boot, flow)
+                following = min(2 * delay, LONGEST_INTERVAL)
+                self._accept_again(boot, flow, following, left - 1)
+
+        self._after(boot, delay, due)
 
     def _make_flow(self, boot: Boot, packet: FlowPacket) -> ServerFlow:
         # The sequence numbers of two boots differ, as the callers tell them by these.
--- a/tests/test_evidence_model.py
+++ b/tests/test_evidence_model.py
@@ -26,11 +26,12 @@
     reference_cases,
     troubles,
 )
+from wasabigw_verify.evidence_model.callers import TagTaken
 from wasabigw_verify.evidence_model.judge import Contact, Fault, Finding, Judge
 from wasabigw_verify.evidence_model.large_worlds import large_scenarios
 from wasabigw_verify.evidence_model.registry import Registrations
 from wasabigw_verify.evidence_model.runs import run
-from wasabigw_verify.evidence_model.scenario import Scenario
+from wasabigw_verify.evidence_model.scenario import Scenario, with_tags
 from wasabigw_verify.evidence_model.strategies import scenarios
 
 Decide = Callable[[FlowPacket, TagState, Seconds, Seconds], PacketDecision]
@@ -75,6 +76,14 @@
     def test_larger_worlds(self, scenario: Scenario) -> None:
         self.assertEqual(findings(scenario), [])
 
+    @any_scenario
+    @given(scenarios)
+    def test_a_late_answer_moves_no_flow(self, drawn: Scenario) -> None:
+        # Guards against two servers that answer copies of one opening (review/11).
+        scenario = with_tags(drawn, TagTaken.LATEST)
+        found = findings(scenario, Fault.STEERED, Fault.FOREIGN_RESET)
+        self.assertEqual(found, [])
+
     @any_scenario
     @given(scenarios)
     def test_no_planned_stop_loses_packets(self, scenario: Scenario) -> None:
