consensus: an added control VM takes the place of the voter of its failure domain

Cause: the successor got its vote only after its predecessor had been silent for 1.5 s. Until then two of three voters were gone.

Change: the vote is handed over when the successor is ready. A control VM whose data directory was made for a running cluster takes the place of a voter of its failure domain, once, while all voters answer. Majorities, votes and leases follow the same rules as before. The search claims a leader after the end of a VM that a successor in its failure domain has replaced. AdmissionRequest and VoteRecord have a new field with a default; earlier versions ignore it.

--- a/src/wasabigw/core/consensus/commit.py
+++ b/src/wasabigw/core/consensus/commit.py
@@ -2,13 +2,14 @@
 
 from dataclasses import replace
 
+from wasabigw.core.commands import VoterRemoved
 from wasabigw.core.consensus.effects import ApplyEntries, Effect
 from wasabigw.core.consensus.lease import counted_voters
 from wasabigw.core.consensus.state import VoterState
 from wasabigw.core.consensus.voters import implied_commit, voter_reports
 from wasabigw.core.ids import Revision
 from wasabigw.core.states import VoterRole
-from wasabigw.core.voter_reports import apply_voter_report
+from wasabigw.core.voter_reports import VoterReport, apply_voter_report
 
 
 def commit_by_majority(state: VoterState) -> list[Effect]:
@@ -26,10 +27,25 @@
     if not entries:
         return []
     state.committed = entries[-1].revision
+    effects: list[Effect] = [ApplyEntries(entries)]
     for entry in entries:
         for report in voter_reports(entry.command):
+            if _makes_room(report, state):
+                record = replace(state.record, is_successor=False)
+                effects.extend(state.save(record))
             apply_voter_report(report, state.members, state.places)
-    return [ApplyEntries(entries), *update_admission(state)]
+    return [*effects, *update_admission(state)]
+
+
+def _makes_room(report: VoterReport, state: VoterState) -> bool:
+    """Whether a voter is removed whose place this one has taken.
+
+    Until then an added control VM asks for a place again, also if the leader that
+    admitted it has ended and the next one has removed it as the surplus voter.
+    """
+    is_voter = state.members.get(state.node) == state.incarnation
+    is_removal = isinstance(report, VoterRemoved) and report.voter != state.node
+    return is_voter and is_removal
 
 
 def commit_implied(state: VoterState) -> list[Effect]:
--- a/src/wasabigw/core/consensus/effects.py
+++ b/src/wasabigw/core/consensus/effects.py
@@ -19,12 +19,15 @@
     :param candidate: candidate that got the vote in ``term``.
     :param candidate_incarnation: incarnation of that candidate.
     :param admitted: whether the admission of this voter is known to be committed.
+    :param is_successor: whether this control VM was added to a running cluster and has
+        not taken the place of a voter yet.
     """
 
     term: Term = NO_TERM
     candidate: NodeId | None = None
     candidate_incarnation: Incarnation | None = None
     admitted: bool = False
+    is_successor: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/consensus/election.py
+++ b/src/wasabigw/core/consensus/election.py
@@ -9,7 +9,6 @@
     ElectionFailed,
     MissingVote,
     SendMessage,
-    VoteRecord,
 )
 from wasabigw.core.consensus.messages import (
     Envelope,
@@ -32,7 +31,9 @@
 def adopt_term(state: VoterState, term: Term) -> list[Effect]:
     """Change to a higher term, in which this voter has not voted yet."""
     effects: list[Effect] = []
-    record = VoteRecord(term, admitted=state.record.admitted)
+    record = replace(
+        state.record, term=term, candidate=None, candidate_incarnation=None
+    )
     effects.extend(state.save(record))
     effects.extend(step_down(state))
     return effects
@@ -190,7 +191,12 @@
     state.reset_election_timer(now, jitter)
     _reset_votes(state)
     term = Term(state.term + 1)
-    record = VoteRecord(term, state.node, state.incarnation, state.record.admitted)
+    record = replace(
+        state.record,
+        term=term,
+        candidate=state.node,
+        candidate_incarnation=state.incarnation,
+    )
     effects: list[Effect] = [*state.save(record)]
     effects.extend(state.change_role(VoterRole.CANDIDATE, None))
     if _has_won(state):
--- a/src/wasabigw/core/consensus/messages.py
+++ b/src/wasabigw/core/consensus/messages.py
@@ -130,10 +130,13 @@
 
     :param committed: revision up to which it holds the committed log.
     :param place: place of the voter; ``None`` if the settings of all voters name it.
+    :param is_successor: whether it was added to a running cluster and has not taken the
+        place of a voter yet.
     """
 
     committed: Revision
     place: VoterPlace | None = None
+    is_successor: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wasabigw/core/consensus/reconfiguration.py
+++ b/src/wasabigw/core/consensus/reconfiguration.py
@@ -7,6 +7,11 @@
 
 A voter that announces its stop is replaced before its process ends, if a standby is
 ready: until the standby has a vote, the loss of another disk leaves no majority.
+
+An end without a notice gives no time for that. Operators add a control VM before they
+take away the one that it replaces, so a control VM that was added to the failure domain
+of a voter takes the place of this voter at once. The other one becomes a standby, whose
+end costs no vote.
 """
 
 from collections import Counter
@@ -148,13 +153,24 @@
         return False
     if len(state.members) < state.target_voters or _lost_voters(state, now):
         return True
-    if _stopping_voters(state, now):
+    if _stopping_voters(state, now) or _may_succeed(name, state, now):
         return True
     # Voters in the same failure domain may fail together, so spread them evenly.
     most = max(_voters_by_domain(state.members, state).values())
     return most - _domain_size(name, state) >= 2
 
 
+def _may_succeed(name: NodeId, state: VoterState, now: Seconds) -> bool:
+    """Whether an added control VM takes the place of a voter of its failure domain.
+
+    All voters have to answer: the change must not cost the majority.
+    """
+    is_added = state.progress[name].is_successor
+    has_domain = _known_domain(name, state) is not None
+    has_voter = _domain_size(name, state) > 0
+    return is_added and has_domain and has_voter and not silent_voters(state, now)
+
+
 def _standbys(state: VoterState) -> list[NodeId]:
     return [name for name in state.progress if name not in state.members]
 
@@ -218,7 +234,7 @@
 
 
 def _removal(state: VoterState, now: Seconds) -> VoterRemoved | None:
-    """Removal of a lost voter, of one that stops, or of one in the largest domain."""
+    """Removal of a lost voter, of one that stops, or of a surplus one."""
     others = [name for name in state.members if name != state.node]
     lost = _lost_voters(state, now)
     stopping = _stopping_voters(state, now)
@@ -230,10 +246,27 @@
         # It may be lost; without one that is up, fewer losses could be tolerated.
         return None
     else:
-        name = max(others, key=lambda n: (_domain_size(n, state), n))
+        name = _surplus_voter(state)
     return VoterRemoved(name, state.members[name])
 
 
+def _surplus_voter(state: VoterState) -> NodeId:
+    """Voter that another one can do without.
+
+    It is the one whose place an added voter takes, or else one of the largest failure
+    domain. This leader passes its leadership on only if it has to.
+    """
+    others = [name for name in state.members if name != state.node]
+    for added in others:
+        if state.progress[added].is_successor:
+            domain = _domain(added, state)
+            earlier = [n for n in (*others, state.node) if _domain(n, state) == domain]
+            earlier.remove(added)
+            if earlier:
+                return earlier[0]
+    return max(others, key=lambda name: (_domain_size(name, state), name))
+
+
 def _lost_voters(state: VoterState, now: Seconds) -> list[NodeId]:
     """Voters that have not answered for :data:`REPLACE_AFTER`.
 
@@ -276,15 +309,17 @@
 
 def _domain(name: NodeId, state: VoterState) -> FailureDomainId | NodeId:
     """Failure domain of a control VM; the name of the VM stands for an unknown one."""
+    return _known_domain(name, state) or name
+
+
+def _known_domain(name: NodeId, state: VoterState) -> FailureDomainId | None:
     if name == state.node:
         place = state.place
     else:
         progress = state.progress.get(name)
         announced = progress.place if progress is not None else None
         place = announced or state.places.get(name)
-    if place is None or place.failure_domain is None:
-        return name
-    return place.failure_domain
+    return place.failure_domain if place is not None else None
 
 
 def _drop_silent_standbys(state: VoterState, now: Seconds) -> None:
--- a/src/wasabigw/core/consensus/replication.py
+++ b/src/wasabigw/core/consensus/replication.py
@@ -235,6 +235,7 @@
     progress = track(state, envelope, request.committed, request.place)
     progress.asked_at = now
     progress.stop_noticed_at = NEVER
+    progress.is_successor = request.is_successor
 
 
 def _remember_standby(
@@ -245,7 +246,10 @@
     if len(state.standbys) >= MAX_STANDBYS:
         del state.standbys[next(iter(state.standbys))]
     state.standbys[envelope.sender] = Progress(
-        next_after=request.committed, asked_at=now, place=request.place
+        next_after=request.committed,
+        asked_at=now,
+        place=request.place,
+        is_successor=request.is_successor,
     )
 
 
@@ -320,6 +324,7 @@
         progress.awaiting_since = None
         progress.mark = None
         progress.stop_noticed_at = NEVER
+        progress.is_successor = False
     return progress
 
 
--- a/src/wasabigw/core/consensus/state.py
+++ b/src/wasabigw/core/consensus/state.py
@@ -39,6 +39,8 @@
     :param heard_before: when it was last heard of before this leadership; the begin of
         the leadership if that is not known.
     :param stop_noticed_at: when it last announced that its process will stop.
+    :param is_successor: whether it was added to a running cluster, to take the place of
+        a voter of its failure domain.
     """
 
     next_after: Revision
@@ -52,6 +54,7 @@
     place: VoterPlace | None = None
     heard_before: Seconds = NEVER
     stop_noticed_at: Seconds = NEVER
+    is_successor: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -201,9 +204,14 @@
 
     @property
     def accepts_commands(self) -> bool:
-        """Whether this voter leads and appends the commands that are proposed."""
+        """Whether this voter leads and appends the commands that are proposed.
+
+        One that is being removed passes its leadership on once its log is committed.
+        """
         if self.role is not VoterRole.LEADER:
             return False
+        if self.node not in self.latest_voters().members:
+            return False
         stop = self.stop
         return stop is None or not stop.is_passing or stop.outcome is not None
 
--- a/src/wasabigw/core/consensus/voter.py
+++ b/src/wasabigw/core/consensus/voter.py
@@ -29,6 +29,7 @@
     SnapshotTaken,
     StopRequested,
 )
+from wasabigw.core.consensus.leadership_transfer import leave_leadership
 from wasabigw.core.consensus.lease import majority_contact
 from wasabigw.core.consensus.messages import (
     AdmissionRequest,
@@ -255,8 +256,11 @@
 
 def _tick_as_leader(state: VoterState, event: ClockTick) -> list[Effect]:
     now = event.now
-    if state.is_removed and state.stop is None:
-        return step_down(state)
+    is_leaving = state.is_removed and state.stop is None
+    if is_leaving:
+        effects = leave_leadership(state, now, event.jitter)
+        if effects:
+            return effects
     # A new voter counts only once it has learned of its admission, so a majority gets
     # the full timeout after each change.
     earliest = max(state.leader_since, state.voters_changed_at)
@@ -264,7 +268,7 @@
     if now - last_contact >= ELECTION_TIMEOUT_MIN:
         state.reset_election_timer(now, event.jitter)
         return step_down(state)
-    effects = reconfigure(state, now)
+    effects = [] if is_leaving else reconfigure(state, now)
     if now >= state.heartbeat_at:
         effects.extend(send_heartbeats(state, now))
     return effects
@@ -275,5 +279,7 @@
     if now < state.admission_at or state.stop is not None:
         return []
     state.admission_at = Seconds(now + ADMISSION_RETRY_DELAY)
-    envelope = state.envelope(AdmissionRequest(state.committed, state.place))
+    is_successor = state.record.is_successor
+    request = AdmissionRequest(state.committed, state.place, is_successor)
+    envelope = state.envelope(request)
     return [SendMessage(peer, envelope) for peer in state.peers]
--- a/src/wasabigw/tasks/storage.py
+++ b/src/wasabigw/tasks/storage.py
@@ -219,15 +219,20 @@
 
 
 def create_data_directory(
-    directory: Path, identity: Identity, initial_state: ClusterState | None
+    directory: Path,
+    identity: Identity,
+    initial_state: ClusterState | None,
+    is_successor: bool = False,
 ) -> Result[Identity, StorageError]:
     """Create the data directory of a voter.
 
     :param initial_state: initial state of a new cluster, identical on each of its first
         voters; ``None`` for a voter that the leader has to admit.
+    :param is_successor: whether the control VM is added to a running cluster.
     """
+    vote = VoteRecord(is_successor=is_successor)
     try:
-        return Success(_create_data_directory(directory, identity, initial_state))
+        return Success(_create_data_directory(directory, identity, initial_state, vote))
     except StorageFailure as failure:
         return Failure(failure.error)
     except OSError as error:
@@ -267,7 +272,10 @@
 
 
 def _create_data_directory(
-    directory: Path, identity: Identity, initial_state: ClusterState | None
+    directory: Path,
+    identity: Identity,
+    initial_state: ClusterState | None,
+    vote: VoteRecord,
 ) -> Identity:
     created = not directory.exists()
     directory.mkdir(parents=True, exist_ok=True)
@@ -285,7 +293,6 @@
                 "Start the voter with it, or choose an empty directory.",
             )
         )
-    vote = VoteRecord()
     acknowledged = Acknowledged()
     if initial_state is not None:
         state = replace(initial_state, revision=FIRST_REVISION)
--- a/src/wasabigw_verify/log_check/disk.py
+++ b/src/wasabigw_verify/log_check/disk.py
@@ -48,10 +48,13 @@
         return replace(self, snapshot=snapshot, entries=())
 
 
-def make_empty_disk(incarnation: Incarnation) -> Disk:
-    """Disk of a control VM that has never been admitted."""
+def make_empty_disk(incarnation: Incarnation, is_successor: bool) -> Disk:
+    """Disk of a control VM that has never been admitted.
+
+    :param is_successor: whether the control VM was added to a running cluster.
+    """
     empty = Snapshot(Revision(0), NO_TERM, ClusterState())
-    return Disk(incarnation, VoteRecord(), empty)
+    return Disk(incarnation, VoteRecord(is_successor=is_successor), empty)
 
 
 def make_founder_disk(
--- a/src/wasabigw_verify/log_check/fingerprint.py
+++ b/src/wasabigw_verify/log_check/fingerprint.py
@@ -140,6 +140,7 @@
         vote.candidate,
         vote.candidate_incarnation,
         vote.admitted,
+        vote.is_successor,
         _snapshot_key(disk.snapshot),
         _entries_key(disk.entries),
     )
@@ -221,6 +222,7 @@
         -1 if awaiting is None else _age(awaiting, now, RESEND_AFTER),
         _age(progress.asked_at, now, STANDBY_TIMEOUT),
         progress.place is not None,
+        progress.is_successor,
         _age(progress.heard_before, now, REPLACE_AFTER),
         _age(progress.stop_noticed_at, now, STOP_NOTICE_LIFETIME),
     )
@@ -288,7 +290,7 @@
 
 @_body_key.register
 def _(body: AdmissionRequest, now: Seconds) -> Key:
-    return ("admission", body.committed, body.place is not None)
+    return ("admission", body.committed, body.place is not None, body.is_successor)
 
 
 @_body_key.register
--- a/src/wasabigw_verify/log_check/scenario.py
+++ b/src/wasabigw_verify/log_check/scenario.py
@@ -56,7 +56,7 @@
         disk = (
             make_founder_disk(node, voters, known)
             if node in scenario.seeds
-            else make_empty_disk(first_incarnation(node))
+            else make_empty_disk(first_incarnation(node), node not in scenario.started)
         )
         world.vms[node] = Vm(disk)
     founder = VmHistory(was_filled=True, filled_at=0)
--- a/src/wasabigw_verify/log_check/scenarios.py
+++ b/src/wasabigw_verify/log_check/scenarios.py
@@ -115,6 +115,15 @@
     (_STOPPED_AT, Stop(A)),
     (_STOPPED_AT + CATCH_UP_TICKS, ReplaceDisk(B)),
 )
+_AT_ONCE = 4
+"""Ticks (1 s) after an end in which the others have not noticed it."""
+ENDED_PREDECESSOR = _three_voters(
+    "a voter that a successor has replaced ends, and then another one loses its disk",
+    (_CHANGE_AT, Propose()),
+    (_CHANGE_AT, Start(D)),
+    (_STOPPED_AT, Stop(A)),
+    (_STOPPED_AT + _AT_ONCE, ReplaceDisk(B)),
+)
 DISTURBED_STOP = _three_voters(
     "a planned stop is disturbed, and later another voter loses its disk",
     (_CHANGE_AT, Propose()),
@@ -138,7 +147,14 @@
     REPLACED_DISK,
     POWER_LOSS,
     *map(
-        _with_lost_message, (STOPPED_LEADER, STOPPED_FOLLOWER, TWO_STOPS, SUDDEN_STOP)
+        _with_lost_message,
+        (
+            STOPPED_LEADER,
+            STOPPED_FOLLOWER,
+            TWO_STOPS,
+            SUDDEN_STOP,
+            ENDED_PREDECESSOR,
+        ),
     ),
 )
 """Explored in CI."""
@@ -177,6 +193,7 @@
     replace(POWER_LOSS, budget=Budget(outages=2)),
     TWO_REPLACEMENTS,
     *map(_all_orders, (STOPPED_LEADER, STOPPED_FOLLOWER, DISTURBED_STOP)),
+    _all_orders(ENDED_PREDECESSOR),
     TWO_STOPS,
 )
 """Explored by hand."""
--- a/src/wasabigw_verify/log_check/transitions.py
+++ b/src/wasabigw_verify/log_check/transitions.py
@@ -240,6 +240,6 @@
 
 def _empty_disk(world: World, node: NodeId) -> None:
     vm = world.vms[node]
-    disk = make_empty_disk(next_incarnation(vm.disk.incarnation))
+    disk = make_empty_disk(next_incarnation(vm.disk.incarnation), is_successor=True)
     world.vms[node] = replace(vm, disk=disk)
     record_empty_disk(world, node)
--- a/src/wasabigw_verify/log_check/world.py
+++ b/src/wasabigw_verify/log_check/world.py
@@ -117,6 +117,7 @@
         ``None`` without a planned stop.
     :param returned_until: tick until which it has just returned, so that a planned stop
         is not undisturbed.
+    :param started_at: tick of its first start.
     """
 
     was_filled: bool
@@ -125,6 +126,7 @@
     counts_until: int = 0
     is_undisturbed: bool | None = None
     returned_until: int = 0
+    started_at: int = 0
 
 
 @dataclass(slots=True)
