--- a/src/wasabigw/core/load/counting.py
+++ b/src/wasabigw/core/load/counting.py
@@ -11,9 +11,9 @@
 """
 
 from wasabigw.core.ids import Seconds, ServiceId
-from wasabigw.core.tags.egress import has_waiting, is_congested
+from wasabigw.core.tags.admission.rejections import seems_rejection
+from wasabigw.core.tags.link.egress import has_waiting, is_congested
 from wasabigw.core.tags.packets import SEQUENCE_NUMBERS, FlowPacket
-from wasabigw.core.tags.rejections import seems_rejection
 from wasabigw.core.tags.state import Flow, FlowState, Server, TagState
 
 _HALF = SEQUENCE_NUMBERS // 2
--- /dev/null
+++ b/src/wasabigw/core/tags/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Whether an opening may come in while its service is short of room."""
--- a/src/wasabigw/core/tags/admission_control.py
+++ b/src/wasabigw/core/tags/admission/admission_control.py
@@ -1,9 +1,9 @@
 """Admission of openings by what the backend servers can serve in time.
 
-While a service is short of room (:mod:`wasabigw.core.tags.shortage`), openings of less
-urgent listeners are limited to what urgent demand and the requests on open flows leave,
-and to a guaranteed share at least. Openings wait for that for a short time, in which
-callers neither notice nor send a copy. Priorities at the entry are those of DAGOR (Zhou
+While a service is short of room (:mod:`wasabigw.core.tags.admission.shortage`),
+openings of less urgent listeners are limited to what urgent demand and the requests on
+open flows leave, and to a guaranteed share at least. Openings wait for that for a short
+time, in which callers neither notice nor send a copy. Priorities at the entry are those of DAGOR (Zhou
 and others, "Overload control for scaling WeChat microservices", 2018); the limit by the
 room that backend servers have is that of Breakwater (Cho and others, 2020).
 
@@ -27,13 +27,13 @@
 )
 from wasabigw.core.requirements import Priority, Requirements
 from wasabigw.core.retry_budget import count_request, take_retry
-from wasabigw.core.tags.admission_state import (
+from wasabigw.core.tags.admission.admission_state import (
     AdmissionCount,
     AdmissionKey,
     ListenerAddress,
     ServiceAdmission,
 )
-from wasabigw.core.tags.held_openings import (
+from wasabigw.core.tags.admission.held_openings import (
     HeldOpening,
     Rank,
     add_held,
@@ -44,11 +44,14 @@
     ranks_of,
     remove_held,
 )
-from wasabigw.core.tags.pacing import fits, refilled_bucket
+from wasabigw.core.tags.admission.pacing import fits, refilled_bucket
+from wasabigw.core.tags.admission.rejections import (
+    record_rejected_caller,
+    take_further_try,
+)
+from wasabigw.core.tags.admission.shortage import DELAY_SHARE, update_shortage
+from wasabigw.core.tags.choice.spare_servers import has_spare_room
 from wasabigw.core.tags.packets import FlowId, FlowPacket
-from wasabigw.core.tags.rejections import record_rejected_caller, take_further_try
-from wasabigw.core.tags.shortage import DELAY_SHARE, update_shortage
-from wasabigw.core.tags.spare_servers import has_spare_room
 from wasabigw.core.tags.state import Flow, TagState
 
 MAX_HOLD_TIME = Seconds(0.12)
--- a/src/wasabigw/core/tags/admission_state.py
+++ b/src/wasabigw/core/tags/admission/admission_state.py
@@ -9,7 +9,7 @@
 from wasabigw.core.rates import RecentSum, TokenBucket, recent_rate
 from wasabigw.core.requirements import MAX_PRIORITY, Priority
 from wasabigw.core.retry_budget import RetryBudget
-from wasabigw.core.tags.held_openings import HeldOpenings
+from wasabigw.core.tags.admission.held_openings import HeldOpenings
 from wasabigw.core.view_lease import NEVER
 
 
--- a/src/wasabigw/core/tags/capacity_share.py
+++ b/src/wasabigw/core/tags/admission/capacity_share.py
@@ -6,9 +6,9 @@
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.load.figures import COUNT_WINDOW
 from wasabigw.core.rates import recent_rate
-from wasabigw.core.tags.admission_state import ServiceAdmission
-from wasabigw.core.tags.locality import eligible_slots, traffic_shares
-from wasabigw.core.tags.planning import current_plan
+from wasabigw.core.tags.admission.admission_state import ServiceAdmission
+from wasabigw.core.tags.choice.locality import eligible_slots, traffic_shares
+from wasabigw.core.tags.choice.planning import current_plan
 from wasabigw.core.tags.state import Server, TagState
 
 
--- a/src/wasabigw/core/tags/pacing.py
+++ b/src/wasabigw/core/tags/admission/pacing.py
@@ -3,8 +3,8 @@
 from wasabigw.core.ids import Seconds
 from wasabigw.core.rates import TokenBucket, recent_rate, refill
 from wasabigw.core.requirements import Priority
-from wasabigw.core.tags.admission_state import ServiceAdmission
-from wasabigw.core.tags.shortage import rate_on_open_flows
+from wasabigw.core.tags.admission.admission_state import ServiceAdmission
+from wasabigw.core.tags.admission.shortage import rate_on_open_flows
 
 GUARANTEED_SHARE = 0.1
 """Share of the capacity that each less urgent priority keeps at least."""
--- a/src/wasabigw/core/tags/rejections.py
+++ b/src/wasabigw/core/tags/admission/rejections.py
@@ -9,7 +9,7 @@
 
 from wasabigw.core.ids import Seconds
 from wasabigw.core.rates import add_recent, recent_sum
-from wasabigw.core.tags.admission_state import AnswerCounts, CallerKey
+from wasabigw.core.tags.admission.admission_state import AnswerCounts, CallerKey
 from wasabigw.core.tags.packets import FlowId, FlowPacket, sequence_distance
 from wasabigw.core.tags.state import Flow, TagState
 
--- a/src/wasabigw/core/tags/room.py
+++ b/src/wasabigw/core/tags/admission/room.py
@@ -3,10 +3,10 @@
 from collections.abc import Mapping
 
 from wasabigw.core.ids import Seconds, ServiceId, Tag
-from wasabigw.core.tags.planning import current_plan
-from wasabigw.core.tags.plans import Room, ServicePlan
+from wasabigw.core.tags.choice.planning import current_plan
+from wasabigw.core.tags.choice.plans import Room, ServicePlan
+from wasabigw.core.tags.choice.weights import typical_service_time
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.weights import typical_service_time
 
 MAX_REQUESTS_PER_SLOT = 10
 """Requests in flight for each slot that count at most."""
--- a/src/wasabigw/core/tags/shortage.py
+++ b/src/wasabigw/core/tags/admission/shortage.py
@@ -16,21 +16,21 @@
 from wasabigw.core.load.figures import REPORT_INTERVAL
 from wasabigw.core.rates import recent_rate
 from wasabigw.core.requirements import MAX_PRIORITY, Priority
-from wasabigw.core.tags.admission_state import (
+from wasabigw.core.tags.admission.admission_state import (
     ServiceAdmission,
     ShortageCause,
     ShortageChange,
 )
-from wasabigw.core.tags.capacity_share import capacity_of
-from wasabigw.core.tags.plans import Room
-from wasabigw.core.tags.rejections import (
+from wasabigw.core.tags.admission.capacity_share import capacity_of
+from wasabigw.core.tags.admission.rejections import (
     are_short_answers_unusual,
     learn_usual_share,
     rejected_share,
     rejection_time,
 )
-from wasabigw.core.tags.room import room_of
-from wasabigw.core.tags.spare_servers import update_spare_servers
+from wasabigw.core.tags.admission.room import room_of
+from wasabigw.core.tags.choice.plans import Room
+from wasabigw.core.tags.choice.spare_servers import update_spare_servers
 from wasabigw.core.tags.state import TagState
 
 DELAY_SHARE = 0.25
--- a/src/wasabigw/core/tags/balancing.py
+++ b/src/wasabigw/core/tags/choice/balancing.py
@@ -8,11 +8,11 @@
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
+from wasabigw.core.tags.choice.planning import current_plan, far_turns, renew_soon
+from wasabigw.core.tags.choice.plans import DomainTurns
+from wasabigw.core.tags.choice.turns import take_turn
 from wasabigw.core.tags.decisions import ChoiceReason
-from wasabigw.core.tags.planning import current_plan, far_turns, renew_soon
-from wasabigw.core.tags.plans import DomainTurns
 from wasabigw.core.tags.state import Server, TagState
-from wasabigw.core.tags.turns import take_turn
 
 
 def uses_load_figures(listener: Listener, state: TagState, now: Seconds) -> bool:
@@ -32,7 +32,7 @@
 ) -> tuple[Server, ChoiceReason] | None:
     """Choose a warm backend server that answers, by its share of the new flows.
 
-    :param avoided: as in :func:`wasabigw.core.tags.selection.choose_server`.
+    :param avoided: as in :func:`wasabigw.core.tags.choice.selection.choose_server`.
     :returns: ``None`` if there is no such backend server.
     """
     plan = current_plan(service, state, now)
--- a/src/wasabigw/core/tags/crossing.py
+++ b/src/wasabigw/core/tags/choice/crossing.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from wasabigw.core.ids import FailureDomainId, Seconds
-from wasabigw.core.tags.locality import Shares
+from wasabigw.core.tags.choice.locality import Shares
 
 WAIT_UTILIZATION = 0.8
 """Requests in flight for each slot from which callers wait noticeably."""
@@ -50,7 +50,7 @@
 ) -> Shares:
     """Shares of the new flows of ``home`` by slots, or by demand if fewer stay then.
 
-    :param by_slots: shares by :mod:`wasabigw.core.tags.locality`.
+    :param by_slots: shares by :mod:`wasabigw.core.tags.choice.locality`.
     :param previous: shares until now; empty if there were none.
     :param loads: as in :func:`crossing_shares`; without ``home`` if it has no backend
         server.
--- a/src/wasabigw/core/tags/demand.py
+++ b/src/wasabigw/core/tags/choice/demand.py
@@ -5,8 +5,8 @@
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.load.figures import ServiceFigures
 from wasabigw.core.load.reporting import recent_arrivals
-from wasabigw.core.tags.crossing import DomainLoad
-from wasabigw.core.tags.locality import Shares
+from wasabigw.core.tags.choice.crossing import DomainLoad
+from wasabigw.core.tags.choice.locality import Shares
 from wasabigw.core.tags.state import TagState
 
 
--- a/src/wasabigw/core/tags/planning.py
+++ b/src/wasabigw/core/tags/choice/planning.py
@@ -6,14 +6,14 @@
 from wasabigw.core.load.counting import update_requests
 from wasabigw.core.load.figures import REPORT_INTERVAL
 from wasabigw.core.load.known import KnownLoad
-from wasabigw.core.tags.combined import (
+from wasabigw.core.tags.choice.combined import (
     answers_of_unnamed,
     combined_figures,
     mean_of_unnamed,
 )
-from wasabigw.core.tags.crossing import demand_shares
-from wasabigw.core.tags.demand import domain_loads
-from wasabigw.core.tags.estimates import (
+from wasabigw.core.tags.choice.crossing import demand_shares
+from wasabigw.core.tags.choice.demand import domain_loads
+from wasabigw.core.tags.choice.estimates import (
     Activity,
     FlowAges,
     ServerLoad,
@@ -21,17 +21,17 @@
     add_ages,
     opening_shares,
 )
-from wasabigw.core.tags.locality import Shares, eligible_slots, traffic_shares
-from wasabigw.core.tags.plans import DomainTurns, ServicePlan
-from wasabigw.core.tags.state import Server, TagState, WeightChange
-from wasabigw.core.tags.turns import Turns, make_turns, phases_of
-from wasabigw.core.tags.weights import (
+from wasabigw.core.tags.choice.locality import Shares, eligible_slots, traffic_shares
+from wasabigw.core.tags.choice.plans import DomainTurns, ServicePlan
+from wasabigw.core.tags.choice.turns import Turns, make_turns, phases_of
+from wasabigw.core.tags.choice.weights import (
     Speed,
     expected_capacity,
     is_alike,
     record_figures,
     update_weights,
 )
+from wasabigw.core.tags.state import Server, TagState, WeightChange
 
 PLAN_TTL = Seconds(2.0)
 """Time after which shares are computed again, as backend servers may answer again."""
--- a/src/wasabigw/core/tags/plans.py
+++ b/src/wasabigw/core/tags/choice/plans.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 
 from wasabigw.core.ids import FailureDomainId, Seconds, Tag
-from wasabigw.core.tags.estimates import NO_AGES, FlowAges, ServerLoad
-from wasabigw.core.tags.turns import Turns
-from wasabigw.core.tags.weights import Speed
+from wasabigw.core.tags.choice.estimates import NO_AGES, FlowAges, ServerLoad
+from wasabigw.core.tags.choice.turns import Turns
+from wasabigw.core.tags.choice.weights import Speed
 from wasabigw.core.view_lease import NEVER
 
 
--- a/src/wasabigw/core/tags/selection.py
+++ b/src/wasabigw/core/tags/choice/selection.py
@@ -7,10 +7,10 @@
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds, ServiceId, Tag
-from wasabigw.core.tags.balancing import choose_by_load, uses_load_figures
+from wasabigw.core.tags.choice.balancing import choose_by_load, uses_load_figures
+from wasabigw.core.tags.choice.locality import eligible_slots, traffic_shares
 from wasabigw.core.tags.decisions import ChoiceReason
-from wasabigw.core.tags.health import Health, health_of
-from wasabigw.core.tags.locality import eligible_slots, traffic_shares
+from wasabigw.core.tags.liveness.health import Health, health_of
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.state import Server, TagState
 
--- a/src/wasabigw/core/tags/spare_servers.py
+++ b/src/wasabigw/core/tags/choice/spare_servers.py
@@ -12,9 +12,12 @@
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.rates import refill, take_token
 from wasabigw.core.requirements import Priority
-from wasabigw.core.tags.admission_state import ServiceAdmission
-from wasabigw.core.tags.capacity_share import eligible_servers, spare_capacity_of
-from wasabigw.core.tags.domain_suspicion import suspicion_against
+from wasabigw.core.tags.admission.admission_state import ServiceAdmission
+from wasabigw.core.tags.admission.capacity_share import (
+    eligible_servers,
+    spare_capacity_of,
+)
+from wasabigw.core.tags.liveness.domain_suspicion import suspicion_against
 from wasabigw.core.tags.state import Server, TagState
 
 
--- a/src/wasabigw/core/tags/decisions.py
+++ b/src/wasabigw/core/tags/decisions.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from wasabigw.core.registration import Registration
-from wasabigw.core.tags.held_openings import HeldOpening
+from wasabigw.core.tags.admission.held_openings import HeldOpening
 from wasabigw.core.tags.packets import FlowPacket
 
 
--- a/src/wasabigw/core/tags/flow_table.py
+++ b/src/wasabigw/core/tags/flow_table.py
@@ -2,7 +2,7 @@
 
 from wasabigw.core.ids import Seconds
 from wasabigw.core.load.counting import end_request
-from wasabigw.core.tags.health import is_unreachable
+from wasabigw.core.tags.liveness.health import is_unreachable
 from wasabigw.core.tags.openings import discard_opening
 from wasabigw.core.tags.packets import FlowId, FlowPacket, sequence_distance
 from wasabigw.core.tags.state import Flow, FlowState, Server, TagState
--- /dev/null
+++ b/src/wasabigw/core/tags/link/__init__.py
@@ -0,0 +1,1 @@
+"""Whether the link of the balancer carries a packet, and in which order."""
--- a/src/wasabigw/core/tags/egress.py
+++ b/src/wasabigw/core/tags/link/egress.py
@@ -3,10 +3,10 @@
 A link that is full drops packets, and a caller notices a lost packet only after its
 retransmission timeout. Packets are therefore sent no faster than the link carries
 them, and wait here meanwhile. Each class of traffic has a fair queue
-(:mod:`wasabigw.core.tags.fair_queue`) and a guaranteed share of the link. Classes take
-turns by start-time fair queueing (Goyal, Vin and Cheng, 1996): what one leaves unused
-goes to the others, and one that uses less than its share waits for one packet of each
-other class at most.
+(:mod:`wasabigw.core.tags.admission.fair_queue`) and a guaranteed share of the link.
+Classes take turns by start-time fair queueing (Goyal, Vin and Cheng, 1996): what one
+leaves unused goes to the others, and one that uses less than its share waits for one
+packet of each other class at most.
 
 A packet of data that a caller retransmits while the first copy still waits replaces
 that copy, because sending both would only add to the delay.
@@ -19,7 +19,7 @@
 from enum import Enum
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.fair_queue import (
+from wasabigw.core.tags.admission.fair_queue import (
     Backlog,
     Datagram,
     FairQueue,
@@ -141,7 +141,7 @@
     :param classes: waiting packets by class, most urgent first.
     :param virtual_time: start of the packet that was served last.
     :param turns: openings of uploads that wait until earlier ones have sent
-        (:mod:`wasabigw.core.tags.upload_turns`), oldest first.
+        (:mod:`wasabigw.core.tags.link.upload_turns`), oldest first.
     :param busy_since: when the link last began to be busy without a pause.
     :param busy_until: until when it is busy if no packet follows.
     :param overloaded_until: when it last ended to be busy for :data:`OVERLOAD_TIME`.
--- a/src/wasabigw/core/tags/link_classes.py
+++ b/src/wasabigw/core/tags/link/link_classes.py
@@ -7,7 +7,7 @@
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.egress import LinkClass
+from wasabigw.core.tags.link.egress import LinkClass
 from wasabigw.core.tags.packets import (
     MAX_UNACKNOWLEDGED_BYTES,
     FlowId,
--- a/src/wasabigw/core/tags/upload_admission.py
+++ b/src/wasabigw/core/tags/link/upload_admission.py
@@ -12,8 +12,12 @@
 import xxhash
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.egress import EgressQueue, LinkClass, class_rate
-from wasabigw.core.tags.link_classes import BULK_BYTES, classed_listener, usual_bytes
+from wasabigw.core.tags.link.egress import EgressQueue, LinkClass, class_rate
+from wasabigw.core.tags.link.link_classes import (
+    BULK_BYTES,
+    classed_listener,
+    usual_bytes,
+)
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import Flow, FlowState, TagState
 from wasabigw.core.view_lease import NEVER
--- a/src/wasabigw/core/tags/upload_turns.py
+++ b/src/wasabigw/core/tags/link/upload_turns.py
@@ -10,9 +10,13 @@
 from collections.abc import Iterator
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.egress import MAX_OPENING_WAIT
-from wasabigw.core.tags.fair_queue import Datagram, Waiting
-from wasabigw.core.tags.link_classes import BULK_BYTES, classed_listener, usual_bytes
+from wasabigw.core.tags.admission.fair_queue import Datagram, Waiting
+from wasabigw.core.tags.link.egress import MAX_OPENING_WAIT
+from wasabigw.core.tags.link.link_classes import (
+    BULK_BYTES,
+    classed_listener,
+    usual_bytes,
+)
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import Flow, FlowState, TagState
 from wasabigw.core.view_lease import NEVER
--- /dev/null
+++ b/src/wasabigw/core/tags/liveness/__init__.py
@@ -0,0 +1,1 @@
+"""Whether backend servers, their hosts and failure domains are alive."""
--- a/src/wasabigw/core/tags/domain_suspicion.py
+++ b/src/wasabigw/core/tags/liveness/domain_suspicion.py
@@ -3,19 +3,17 @@
 If all processes of a failure domain crash at once, their hosts reset openings, which
 the balancer does not see, and callers use up their tries within milliseconds. Circuit
 breakers learn of one backend server at a time. Here unanswered openings count against
-the failure domain (:mod:`wasabigw.core.tags.suspicion`), and a caller that returns
-avoids the failure domain that it was sent to. Only new flows are affected.
+the failure domain (:mod:`wasabigw.core.tags.liveness.suspicion`), and a caller that
+returns avoids the failure domain that it was sent to. Only new flows are affected.
 """
 
 from collections.abc import Sequence
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.load.known import ServiceKey
-from wasabigw.core.tags.egress import is_congested, is_opening_waiting
-from wasabigw.core.tags.health import DOUBT_TIME
-from wasabigw.core.tags.openings import OPENING_TIMEOUT, tried_openings
-from wasabigw.core.tags.state import Server, SuspicionChange, TagState
-from wasabigw.core.tags.suspicion import (
+from wasabigw.core.tags.link.egress import is_congested, is_opening_waiting
+from wasabigw.core.tags.liveness.health import DOUBT_TIME
+from wasabigw.core.tags.liveness.suspicion import (
     Suspicion,
     UnansweredOpening,
     add_evidence,
@@ -25,6 +23,8 @@
     is_sufficient,
     remove_outdated,
 )
+from wasabigw.core.tags.openings import OPENING_TIMEOUT, tried_openings
+from wasabigw.core.tags.state import Server, SuspicionChange, TagState
 from wasabigw.core.view_lease import NEVER
 
 LOCAL_OPENING_TIMEOUT = Seconds(0.05)
--- a/src/wasabigw/core/tags/evidence.py
+++ b/src/wasabigw/core/tags/liveness/evidence.py
@@ -1,8 +1,8 @@
 """Evidence on backend servers from the packets of callers, noted for the log."""
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.egress import is_congested
-from wasabigw.core.tags.health import (
+from wasabigw.core.tags.link.egress import is_congested
+from wasabigw.core.tags.liveness.health import (
     FailureSignal,
     confirm_doubt,
     record_failure,
--- a/src/wasabigw/core/tags/health.py
+++ b/src/wasabigw/core/tags/liveness/health.py
@@ -7,8 +7,8 @@
 
 Retransmitted data of an open flow opens the breaker as well. A breaker only decides
 where new flows go, and whether the host of the backend server is checked
-(:mod:`wasabigw.core.tags.host_checks`). Open flows are reset only if such a check found
-the host unreachable.
+(:mod:`wasabigw.core.tags.liveness.host_checks`). Open flows are reset only if such a
+check found the host unreachable.
 """
 
 from dataclasses import dataclass, field
--- a/src/wasabigw/core/tags/unreachable_hosts.py
+++ b/src/wasabigw/core/tags/liveness/unreachable_hosts.py
@@ -7,7 +7,7 @@
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import RefusalReason, Refuse
 from wasabigw.core.tags.flow_table import remove_flow
-from wasabigw.core.tags.host_checks import (
+from wasabigw.core.tags.liveness.host_checks import (
     MAX_LATENESS,
     HostCheck,
     HostChecked,
--- a/src/wasabigw/core/tags/opening_copies.py
+++ b/src/wasabigw/core/tags/opening_copies.py
@@ -7,9 +7,9 @@
 """
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.egress import is_waiting
-from wasabigw.core.tags.evidence import record_unanswered
-from wasabigw.core.tags.health import (
+from wasabigw.core.tags.link.egress import is_waiting
+from wasabigw.core.tags.liveness.evidence import record_unanswered
+from wasabigw.core.tags.liveness.health import (
     FailureSignal,
     is_silent_to_others,
     is_unreachable,
--- a/src/wasabigw/core/tags/opening_steering.py
+++ b/src/wasabigw/core/tags/opening_steering.py
@@ -3,13 +3,15 @@
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import Seconds, ServiceId
 from wasabigw.core.load.counting import count_arrival, count_opening
-from wasabigw.core.tags import caller_diversion
-from wasabigw.core.tags.admission_control import (
+from wasabigw.core.tags.admission.admission_control import (
     AdmissionOutcome,
     admit,
     is_held,
     make_held_opening,
 )
+from wasabigw.core.tags.admission.held_openings import HeldOpening
+from wasabigw.core.tags.choice.selection import choose_server_for, service_of
+from wasabigw.core.tags.choice.spare_servers import busy_servers
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
     Deliver,
@@ -20,15 +22,20 @@
     RefusalReason,
     Refuse,
 )
-from wasabigw.core.tags.domain_suspicion import (
+from wasabigw.core.tags.flow_table import add_flow, remove_flow
+from wasabigw.core.tags.link.upload_admission import (
+    UploadOutcome,
+    admit_upload,
+    record_upload,
+)
+from wasabigw.core.tags.liveness import caller_diversion
+from wasabigw.core.tags.liveness.domain_suspicion import (
     avoided_servers,
     collect_evidence,
     record_choice,
     update_suspicions,
 )
-from wasabigw.core.tags.flow_table import add_flow, remove_flow
-from wasabigw.core.tags.health import record_probe
-from wasabigw.core.tags.held_openings import HeldOpening
+from wasabigw.core.tags.liveness.health import record_probe
 from wasabigw.core.tags.opening_copies import (
     is_copy_of_opening,
     keeps_server,
@@ -36,14 +43,7 @@
 )
 from wasabigw.core.tags.openings import record_opening, tried_servers
 from wasabigw.core.tags.packets import FlowId, FlowPacket
-from wasabigw.core.tags.selection import choose_server_for, service_of
-from wasabigw.core.tags.spare_servers import busy_servers
 from wasabigw.core.tags.state import FlowState, Server, TagState
-from wasabigw.core.tags.upload_admission import (
-    UploadOutcome,
-    admit_upload,
-    record_upload,
-)
 
 MAX_WAIT_TO_REFUSE = Seconds(0.15)
 """Time in the receive buffer after which another copy of an opening may be delivered.
--- a/src/wasabigw/core/tags/openings.py
+++ b/src/wasabigw/core/tags/openings.py
@@ -7,8 +7,8 @@
 """
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.egress import is_congested, is_opening_waiting
-from wasabigw.core.tags.health import DOUBT_TIME
+from wasabigw.core.tags.link.egress import is_congested, is_opening_waiting
+from wasabigw.core.tags.liveness.health import DOUBT_TIME
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.state import Opening, Server, TagState
 
--- a/src/wasabigw/core/tags/route_preview.py
+++ b/src/wasabigw/core/tags/route_preview.py
@@ -10,12 +10,12 @@
 
 from wasabigw.core.declaration import Listener
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
-from wasabigw.core.tags.combined import combined_figures
+from wasabigw.core.tags.choice.combined import combined_figures
+from wasabigw.core.tags.choice.plans import ServicePlan
+from wasabigw.core.tags.choice.selection import service_of
 from wasabigw.core.tags.decisions import Deliver, Drop, Hold, Refuse
-from wasabigw.core.tags.health import health_of
+from wasabigw.core.tags.liveness.health import health_of
 from wasabigw.core.tags.packets import NO_TAG, FlowId, FlowPacket
-from wasabigw.core.tags.plans import ServicePlan
-from wasabigw.core.tags.selection import service_of
 from wasabigw.core.tags.state import Server, TagState
 from wasabigw.core.tags.steering import decide
 from wasabigw.core.view_lease import NEVER
--- a/src/wasabigw/core/tags/state.py
+++ b/src/wasabigw/core/tags/state.py
@@ -23,21 +23,21 @@
 from wasabigw.core.load.known import KnownLoad, ServiceKey
 from wasabigw.core.registration import Registration
 from wasabigw.core.requirements import Priority
-from wasabigw.core.tags.admission_state import AdmissionState
-from wasabigw.core.tags.caller_diversion import Diversion
+from wasabigw.core.tags.admission.admission_state import AdmissionState
+from wasabigw.core.tags.choice.plans import ServicePlan
 from wasabigw.core.tags.decisions import Receiver
-from wasabigw.core.tags.egress import EgressQueue
 from wasabigw.core.tags.features import Features
-from wasabigw.core.tags.health import (
+from wasabigw.core.tags.link.egress import EgressQueue
+from wasabigw.core.tags.liveness.caller_diversion import Diversion
+from wasabigw.core.tags.liveness.health import (
     CircuitBreaker,
     FailureSignal,
     Health,
     health_of,
 )
-from wasabigw.core.tags.host_checks import HostCheck
+from wasabigw.core.tags.liveness.host_checks import HostCheck
+from wasabigw.core.tags.liveness.suspicion import Suspicion
 from wasabigw.core.tags.packets import FlowId
-from wasabigw.core.tags.plans import ServicePlan
-from wasabigw.core.tags.suspicion import Suspicion
 from wasabigw.core.view_lease import NEVER
 
 ListenerKey = tuple[int, int]
--- a/src/wasabigw/core/tags/steering.py
+++ b/src/wasabigw/core/tags/steering.py
@@ -17,7 +17,11 @@
     discard_lost_opening,
     end_request,
 )
-from wasabigw.core.tags.admission_control import abandon_opening, record_request
+from wasabigw.core.tags.admission.admission_control import (
+    abandon_opening,
+    record_request,
+)
+from wasabigw.core.tags.admission.rejections import record_answer
 from wasabigw.core.tags.decisions import (
     Deliver,
     Drop,
@@ -26,8 +30,6 @@
     RefusalReason,
     Refuse,
 )
-from wasabigw.core.tags.egress import has_waiting, is_waiting
-from wasabigw.core.tags.evidence import record_server_response, record_unanswered
 from wasabigw.core.tags.flow_table import (
     add_flow,
     close_flow,
@@ -35,8 +37,14 @@
     restart_flow,
     server_of_flow,
 )
-from wasabigw.core.tags.health import FailureSignal, is_unreachable
-from wasabigw.core.tags.link_classes import record_request_data, record_request_end
+from wasabigw.core.tags.link.egress import has_waiting, is_waiting
+from wasabigw.core.tags.link.link_classes import record_request_data, record_request_end
+from wasabigw.core.tags.liveness.evidence import (
+    record_server_response,
+    record_unanswered,
+)
+from wasabigw.core.tags.liveness.health import FailureSignal, is_unreachable
+from wasabigw.core.tags.liveness.unreachable_hosts import request_check
 from wasabigw.core.tags.opening_steering import decide_opening
 from wasabigw.core.tags.openings import discard_opening, record_opening
 from wasabigw.core.tags.packets import (
@@ -46,14 +54,12 @@
     FlowPacket,
     sequence_distance,
 )
-from wasabigw.core.tags.rejections import record_answer
 from wasabigw.core.tags.state import (
     Flow,
     FlowState,
     Server,
     TagState,
 )
-from wasabigw.core.tags.unreachable_hosts import request_check
 
 NO_WAIT = Seconds(0.0)
 SUSPECT_AFTER = Seconds(0.15)
--- a/src/wasabigw/core/tags/updates.py
+++ b/src/wasabigw/core/tags/updates.py
@@ -8,8 +8,8 @@
 from wasabigw.core.ids import Seconds, ServiceId, Tag
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.choice.selection import rank_of
 from wasabigw.core.tags.decisions import Receiver
-from wasabigw.core.tags.selection import rank_of
 from wasabigw.core.tags.state import Server, TagState, listeners_of
 
 
--- a/src/wasabigw/tasks/admission_metrics.py
+++ b/src/wasabigw/tasks/admission_metrics.py
@@ -1,9 +1,9 @@
 """Metrics of the admission control of a balancer."""
 
 from wasabigw.core.ids import Seconds, ServiceId
-from wasabigw.core.tags.held_openings import held_by_service
-from wasabigw.core.tags.plans import Room
-from wasabigw.core.tags.room import room_of
+from wasabigw.core.tags.admission.held_openings import held_by_service
+from wasabigw.core.tags.admission.room import room_of
+from wasabigw.core.tags.choice.plans import Room
 from wasabigw.core.tags.state import TagState
 from wasabigw.telemetry.exposition import Family, MetricKind, Sample
 
--- a/src/wasabigw/tasks/condition_log.py
+++ b/src/wasabigw/tasks/condition_log.py
@@ -2,7 +2,7 @@
 
 from wasabigw.core.endpoint import endpoint_key
 from wasabigw.core.ids import Revision, Seconds
-from wasabigw.core.tags.egress import queue_time
+from wasabigw.core.tags.link.egress import queue_time
 from wasabigw.core.tags.state import TagState
 from wasabigw.tasks.decision_log import rounded_or_none
 from wasabigw.tasks.tag_metrics import boot_state
--- a/src/wasabigw/tasks/host_checker.py
+++ b/src/wasabigw/tasks/host_checker.py
@@ -11,7 +11,7 @@
 
 from wasabigw.core.endpoint import Endpoint, endpoint_key
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.host_checks import (
+from wasabigw.core.tags.liveness.host_checks import (
     ATTEMPT_INTERVAL,
     ATTEMPTS,
     RESPONSE_TIME,
--- a/src/wasabigw/tasks/load_log.py
+++ b/src/wasabigw/tasks/load_log.py
@@ -1,15 +1,15 @@
 """Log lines on failure domains that new flows avoid or leave, and on late uploads."""
 
 from wasabigw.core.ids import Seconds, ServiceId
-from wasabigw.core.tags.demand import domain_loads, shares_in_force
-from wasabigw.core.tags.domain_suspicion import update_suspicions
-from wasabigw.core.tags.egress import LinkClass
-from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.upload_admission import (
+from wasabigw.core.tags.choice.demand import domain_loads, shares_in_force
+from wasabigw.core.tags.link.egress import LinkClass
+from wasabigw.core.tags.link.upload_admission import (
     bulk_rate,
     pending_bytes,
     remove_ended,
 )
+from wasabigw.core.tags.liveness.domain_suspicion import update_suspicions
+from wasabigw.core.tags.state import TagState
 from wasabigw.telemetry.events_balancer import BalancerEvent
 from wasabigw.telemetry.log_events import log
 
--- a/src/wasabigw/tasks/route_page.py
+++ b/src/wasabigw/tasks/route_page.py
@@ -10,9 +10,9 @@
 
 from wasabigw.core.endpoint import Endpoint, address_number, parse_endpoint
 from wasabigw.core.ids import Seconds
+from wasabigw.core.tags.choice.selection import service_of
 from wasabigw.core.tags.packets import FlowId
 from wasabigw.core.tags.route_preview import preview_opening
-from wasabigw.core.tags.selection import service_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.tasks.light_http import LightRequest
 
--- a/src/wasabigw/tasks/share_metrics.py
+++ b/src/wasabigw/tasks/share_metrics.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId, Tag
-from wasabigw.core.tags.plans import ServicePlan
+from wasabigw.core.tags.choice.plans import ServicePlan
 from wasabigw.core.tags.state import TagState
 from wasabigw.telemetry.exposition import Family, MetricKind, Sample
 
--- a/src/wasabigw/tasks/tag_messages.py
+++ b/src/wasabigw/tasks/tag_messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from wasabigw.core.ids import NodeId, Revision, Seconds
-from wasabigw.core.tags.host_checks import HostChecked
+from wasabigw.core.tags.liveness.host_checks import HostChecked
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import Tick
 from wasabigw.tasks.load_messages import ReportAnswered, ReportLoadTo
--- a/src/wasabigw/tasks/tag_metrics.py
+++ b/src/wasabigw/tasks/tag_metrics.py
@@ -7,8 +7,8 @@
 from wasabigw.core.ids import FailureDomainId, Seconds, ServiceId
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
-from wasabigw.core.tags.demand import shares_in_force
-from wasabigw.core.tags.health import Health, health_of
+from wasabigw.core.tags.choice.demand import shares_in_force
+from wasabigw.core.tags.liveness.health import Health, health_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.tasks.admission_metrics import admission_families
 from wasabigw.telemetry.exposition import (
--- a/src/wasabigw/tasks/tag_packet_task.py
+++ b/src/wasabigw/tasks/tag_packet_task.py
@@ -12,16 +12,19 @@
 
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, NodeId, RegionId, Seconds
-from wasabigw.core.tags.admission_control import (
+from wasabigw.core.tags.admission.admission_control import (
     expire_openings,
     hold_opening,
     release_openings,
     time_to_release_held,
     update_services,
 )
-from wasabigw.core.tags.caller_diversion import decay_counts, should_divert
+from wasabigw.core.tags.admission.fair_queue import Datagram
+from wasabigw.core.tags.admission.held_openings import HeldOpening
 from wasabigw.core.tags.decisions import Deliver, Drop, DropReason, Hold, Refuse
-from wasabigw.core.tags.egress import (
+from wasabigw.core.tags.features import Features
+from wasabigw.core.tags.flow_table import expire_flows
+from wasabigw.core.tags.link.egress import (
     Admission,
     make_egress_queue,
     release,
@@ -29,25 +32,22 @@
     take_evicted,
     time_to_release,
 )
-from wasabigw.core.tags.fair_queue import Datagram
-from wasabigw.core.tags.features import Features
-from wasabigw.core.tags.flow_table import expire_flows
-from wasabigw.core.tags.held_openings import HeldOpening
-from wasabigw.core.tags.host_checks import HostChecked
-from wasabigw.core.tags.link_classes import link_class_of
-from wasabigw.core.tags.opening_steering import decide_released
-from wasabigw.core.tags.packets import FlowPacket
-from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.steering import decide, record_loss, record_release
-from wasabigw.core.tags.unreachable_hosts import record_check
-from wasabigw.core.tags.updates import apply_declaration, apply_view_update
-from wasabigw.core.tags.upload_turns import (
+from wasabigw.core.tags.link.link_classes import link_class_of
+from wasabigw.core.tags.link.upload_turns import (
     expire_turns,
     needs_turn,
     take_turns,
     time_to_turn,
     wait_for_turn,
 )
+from wasabigw.core.tags.liveness.caller_diversion import decay_counts, should_divert
+from wasabigw.core.tags.liveness.host_checks import HostChecked
+from wasabigw.core.tags.liveness.unreachable_hosts import record_check
+from wasabigw.core.tags.opening_steering import decide_released
+from wasabigw.core.tags.packets import FlowPacket
+from wasabigw.core.tags.state import TagState
+from wasabigw.core.tags.steering import decide, record_loss, record_release
+from wasabigw.core.tags.updates import apply_declaration, apply_view_update
 from wasabigw.core.view_lease import NEVER
 from wasabigw.runtime.mailbox import SelectableMailbox
 from wasabigw.runtime.selector_task import SelectorTask
--- a/src/wasabigw_measure/choice_cost.py
+++ b/src/wasabigw_measure/choice_cost.py
@@ -19,9 +19,9 @@
 from wasabigw.core.load.figures import MAX_RETURNED_SERVERS, ServerFigures
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.registration import Registration
-from wasabigw.core.tags.balancing import choose_by_load
-from wasabigw.core.tags.planning import current_plan
-from wasabigw.core.tags.selection import choose_server
+from wasabigw.core.tags.choice.balancing import choose_by_load
+from wasabigw.core.tags.choice.planning import current_plan
+from wasabigw.core.tags.choice.selection import choose_server
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.updates import rebuild_pools
 
--- a/src/wasabigw_measure/compare_choices.py
+++ b/src/wasabigw_measure/compare_choices.py
@@ -14,9 +14,9 @@
 
 from wasabigw.core.ids import NodeId, Seconds, Tag
 from wasabigw.core.load.figures import REPORT_INTERVAL, ServerFigures
-from wasabigw.core.tags import estimates, weights
-from wasabigw.core.tags.selection import rank_of
-from wasabigw.core.tags.turns import Turns, make_turns, phases_of, take_turn
+from wasabigw.core.tags.choice import estimates, weights
+from wasabigw.core.tags.choice.selection import rank_of
+from wasabigw.core.tags.choice.turns import Turns, make_turns, phases_of, take_turn
 from wasabigw_measure._choices_world import (
     HORIZON,
     SERVERS,
--- a/src/wasabigw_verify/evidence_model/balancers.py
+++ b/src/wasabigw_verify/evidence_model/balancers.py
@@ -14,8 +14,10 @@
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, NodeId, Seconds, Tag
 from wasabigw.core.registration import Registration
+from wasabigw.core.tags.admission.fair_queue import Datagram
 from wasabigw.core.tags.decisions import Deliver, Receiver, Refuse
-from wasabigw.core.tags.egress import (
+from wasabigw.core.tags.flow_table import expire_flows
+from wasabigw.core.tags.link.egress import (
     Admission,
     make_egress_queue,
     release,
@@ -23,13 +25,11 @@
     take_evicted,
     time_to_release,
 )
-from wasabigw.core.tags.fair_queue import Datagram
-from wasabigw.core.tags.flow_table import expire_flows
-from wasabigw.core.tags.host_checks import UNUSED_PORT, HostCheck, HostChecked
+from wasabigw.core.tags.liveness.host_checks import UNUSED_PORT, HostCheck, HostChecked
+from wasabigw.core.tags.liveness.unreachable_hosts import record_check
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.state import TagState, listeners_of
 from wasabigw.core.tags.steering import decide, record_loss, record_release
-from wasabigw.core.tags.unreachable_hosts import record_check
 from wasabigw.core.tags.updates import apply_declaration, apply_view_update
 from wasabigw_verify.evidence_model.clock import Callback, Clock
 from wasabigw_verify.evidence_model.deployment import DOMAINS, declaration
--- a/src/wasabigw_verify/evidence_model/faults.py
+++ b/src/wasabigw_verify/evidence_model/faults.py
@@ -6,10 +6,10 @@
 _OPENING_STEERING = "wasabigw.core.tags.opening_steering"
 _OPENING_COPIES = "wasabigw.core.tags.opening_copies"
 _FLOW_TABLE = "wasabigw.core.tags.flow_table"
-_EVIDENCE = "wasabigw.core.tags.evidence"
-_HEALTH = "wasabigw.core.tags.health"
-_CHECKS = "wasabigw.core.tags.host_checks"
-_HOSTS = "wasabigw.core.tags.unreachable_hosts"
+_EVIDENCE = "wasabigw.core.tags.liveness.evidence"
+_HEALTH = "wasabigw.core.tags.liveness.health"
+_CHECKS = "wasabigw.core.tags.liveness.host_checks"
+_HOSTS = "wasabigw.core.tags.liveness.unreachable_hosts"
 
 _NEVER_CONGESTED = PlantedFault(
     "link never counts as congested",
--- a/src/wasabigw_verify/evidence_model/host_checker.py
+++ b/src/wasabigw_verify/evidence_model/host_checker.py
@@ -5,7 +5,7 @@
 
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.host_checks import (
+from wasabigw.core.tags.liveness.host_checks import (
     ATTEMPT_INTERVAL,
     ATTEMPTS,
     RESPONSE_TIME,
--- a/src/wasabigw_verify/evidence_model/hosts.py
+++ b/src/wasabigw_verify/evidence_model/hosts.py
@@ -7,7 +7,7 @@
 from wasabigw.core.commands import BootAnnounced
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import BackendServerId, Seconds
-from wasabigw.core.tags.host_checks import Attempt
+from wasabigw.core.tags.liveness.host_checks import Attempt
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw_verify.evidence_model.boots import (
     LONG_AGO,
--- a/tests/test_admission_control.py
+++ b/tests/test_admission_control.py
@@ -28,8 +28,8 @@
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.rates import RecentSum, TokenBucket, refill, take_token
 from wasabigw.core.requirements import Priority, Requirements
-from wasabigw.core.tags import shortage
-from wasabigw.core.tags.admission_control import (
+from wasabigw.core.tags.admission import shortage
+from wasabigw.core.tags.admission.admission_control import (
     MAX_HOLD_TIME,
     expire_openings,
     hold_opening,
@@ -38,13 +38,17 @@
     time_to_release_held,
     update_services,
 )
-from wasabigw.core.tags.admission_state import (
+from wasabigw.core.tags.admission.admission_state import (
     AdmissionCount,
     AnswerCounts,
     ServiceAdmission,
     ShortageCause,
 )
-from wasabigw.core.tags.capacity_share import capacity_of
+from wasabigw.core.tags.admission.capacity_share import capacity_of
+from wasabigw.core.tags.admission.held_openings import MAX_HELD
+from wasabigw.core.tags.admission.rejections import rejected_share
+from wasabigw.core.tags.admission.room import room_of
+from wasabigw.core.tags.choice.plans import Room
 from wasabigw.core.tags.decisions import (
     ChoiceReason,
     Deliver,
@@ -55,12 +59,8 @@
     Refuse,
 )
 from wasabigw.core.tags.features import Features
-from wasabigw.core.tags.held_openings import MAX_HELD
 from wasabigw.core.tags.opening_steering import decide_released
 from wasabigw.core.tags.packets import FlowId, FlowPacket
-from wasabigw.core.tags.plans import Room
-from wasabigw.core.tags.rejections import rejected_share
-from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import decide
 from wasabigw.core.tags.updates import apply_declaration, rebuild_pools
@@ -243,7 +243,7 @@
     def test_a_balancer_that_has_just_started(self) -> None:
         # Also one behind a cut: its figures have expired.
         self.state.known_load = KnownLoad()
-        with mock.patch("wasabigw.core.tags.shortage.room_of", room_of):
+        with mock.patch("wasabigw.core.tags.admission.shortage.room_of", room_of):
             self.assert_all_admitted()
 
     def test_no_requirements(self) -> None:
--- a/tests/test_check_evidence.py
+++ b/tests/test_check_evidence.py
@@ -23,7 +23,7 @@
 from wasabigw.core.ids import Seconds, Tag
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import Drop, DropReason
-from wasabigw.core.tags.host_checks import (
+from wasabigw.core.tags.liveness.host_checks import (
     ATTEMPT_INTERVAL,
     Attempt,
     CheckAttempts,
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -11,7 +11,7 @@
 from wasabigw.core.ids import FailureDomainId, Seconds
 from wasabigw.core.load.figures import FIGURES_TTL, ServiceFigures
 from wasabigw.core.load.known import KnownLoad
-from wasabigw.core.tags.crossing import (
+from wasabigw.core.tags.choice.crossing import (
     STAY_UTILIZATION,
     WAIT_UTILIZATION,
     DomainLoad,
@@ -19,8 +19,8 @@
     damped_shares,
     demand_shares,
 )
+from wasabigw.core.tags.choice.locality import Shares
 from wasabigw.core.tags.features import Features
-from wasabigw.core.tags.locality import Shares
 from wasabigw.tasks.load_log import LoadLog
 from wasabigw.tasks.tag_metrics import families_of
 from wasabigw.telemetry.events_balancer import BalancerEvent
--- a/tests/test_domain_suspicion.py
+++ b/tests/test_domain_suspicion.py
@@ -26,14 +26,14 @@
 from wasabigw.core.ids import NodeId, RegionId, Seconds, Tag
 from wasabigw.core.requirements import Priority, Requirements
 from wasabigw.core.states import RegistrationState
-from wasabigw.core.tags.domain_suspicion import LOCAL_OPENING_TIMEOUT
-from wasabigw.core.tags.egress import make_egress_queue, release, submit
-from wasabigw.core.tags.fair_queue import Datagram
+from wasabigw.core.tags.admission.fair_queue import Datagram
 from wasabigw.core.tags.features import Features
+from wasabigw.core.tags.link.egress import make_egress_queue, release, submit
+from wasabigw.core.tags.liveness.domain_suspicion import LOCAL_OPENING_TIMEOUT
+from wasabigw.core.tags.liveness.suspicion import PROBE_INTERVAL
 from wasabigw.core.tags.openings import record_opening
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.suspicion import PROBE_INTERVAL
 from wasabigw.core.tags.updates import apply_declaration
 from wasabigw.tasks.tag_metrics import families_of
 from wasabigw.telemetry.exposition import render
--- a/tests/test_egress_queue.py
+++ b/tests/test_egress_queue.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from wasabigw.core.ids import Seconds, Tag
-from wasabigw.core.tags.egress import (
+from wasabigw.core.tags.admission.fair_queue import Datagram
+from wasabigw.core.tags.link.egress import (
     BURST_TIME,
     HEADER_BYTES,
     MAX_QUEUE_TIME,
@@ -21,7 +22,6 @@
     submit,
     time_to_release,
 )
-from wasabigw.core.tags.fair_queue import Datagram
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 
 LINK_MEGABITS = 2.0
--- a/tests/test_held_openings.py
+++ b/tests/test_held_openings.py
@@ -27,9 +27,9 @@
 )
 from wasabigw.core.registration import DeclaredDocument
 from wasabigw.core.requirements import Priority, Requirements
-from wasabigw.core.tags import admission_control, shortage
-from wasabigw.core.tags.admission_control import AdmissionOutcome
-from wasabigw.core.tags.plans import Room
+from wasabigw.core.tags.admission import admission_control, shortage
+from wasabigw.core.tags.admission.admission_control import AdmissionOutcome
+from wasabigw.core.tags.choice.plans import Room
 from wasabigw.runtime.mailbox import Mailbox
 from wasabigw.runtime.timer import monotonic
 from wasabigw.tasks.tag_messages import (
--- a/tests/test_host_checker.py
+++ b/tests/test_host_checker.py
@@ -10,7 +10,7 @@
 
 from wasabigw.core.endpoint import Endpoint
 from wasabigw.core.ids import FailureDomainId, Seconds, Tag
-from wasabigw.core.tags.host_checks import (
+from wasabigw.core.tags.liveness.host_checks import (
     HostCheck,
     HostChecked,
     HostStatus,
@@ -58,7 +58,7 @@
 
     def use_unused_port(self, endpoint: Endpoint) -> None:
         """Let checks take the port of an endpoint as the unused port of all hosts."""
-        path = "wasabigw.core.tags.host_checks.UNUSED_PORT"
+        path = "wasabigw.core.tags.liveness.host_checks.UNUSED_PORT"
         self.enterContext(mock.patch(path, endpoint.port))
 
     def listen(self, backlog: int = 16) -> Endpoint:
@@ -175,7 +175,7 @@
         super().setUp()
         self.use_unused_port(self.closed())
         # On a busy machine, results are late and would be unknown for that reason.
-        module = "wasabigw.core.tags.host_checks"
+        module = "wasabigw.core.tags.liveness.host_checks"
         self.enterContext(mock.patch(f"{module}.MAX_LATENESS", Seconds(60.0)))
 
     def test_balancers_that_check_a_host_at_once_do_not_find_it_lost(self) -> None:
--- a/tests/test_link_classes.py
+++ b/tests/test_link_classes.py
@@ -21,19 +21,19 @@
     RefusalReason,
     Refuse,
 )
-from wasabigw.core.tags.egress import (
+from wasabigw.core.tags.features import Features
+from wasabigw.core.tags.link.egress import (
     Admission,
     LinkClass,
     make_egress_queue,
     release,
     submit,
 )
-from wasabigw.core.tags.features import Features
-from wasabigw.core.tags.link_classes import link_class_of
+from wasabigw.core.tags.link.link_classes import link_class_of
+from wasabigw.core.tags.link.upload_admission import UploadOutcome, admit_upload
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import RequestSize, TagState
 from wasabigw.core.tags.updates import apply_declaration
-from wasabigw.core.tags.upload_admission import UploadOutcome, admit_upload
 from wasabigw.tasks.load_log import LoadLog
 from wasabigw.tasks.tag_metrics import families_of
 from wasabigw.telemetry.events_balancer import BalancerEvent
--- a/tests/test_live_servers.py
+++ b/tests/test_live_servers.py
@@ -10,6 +10,7 @@
 from tests.test_tag_steering import SteeringCase, boot, data, opening
 from wasabigw.core.ids import Seconds, Tag
 from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.admission.fair_queue import Datagram
 from wasabigw.core.tags.decisions import (
     Deliver,
     Drop,
@@ -17,15 +18,14 @@
     RefusalReason,
     Refuse,
 )
-from wasabigw.core.tags.egress import (
+from wasabigw.core.tags.link.egress import (
     Admission,
     make_egress_queue,
     release,
     submit,
     take_evicted,
 )
-from wasabigw.core.tags.fair_queue import Datagram
-from wasabigw.core.tags.health import Health, health_of
+from wasabigw.core.tags.liveness.health import Health, health_of
 from wasabigw.core.tags.packets import FlowPacket
 from wasabigw.core.tags.steering import decide, record_loss, record_release
 
--- a/tests/test_load_counting.py
+++ b/tests/test_load_counting.py
@@ -35,13 +35,13 @@
 from wasabigw.core.load.reporting import make_report
 from wasabigw.core.load.sampling import quotas, stratum_of, weights_of
 from wasabigw.core.requirements import Priority, Requirements
+from wasabigw.core.tags.admission.fair_queue import Datagram
+from wasabigw.core.tags.admission.room import room_of
 from wasabigw.core.tags.decisions import ChoiceReason, Deliver
-from wasabigw.core.tags.egress import Admission, make_egress_queue, release, submit
-from wasabigw.core.tags.fair_queue import Datagram
 from wasabigw.core.tags.features import Features
 from wasabigw.core.tags.flow_table import expire_flows
+from wasabigw.core.tags.link.egress import Admission, make_egress_queue, release, submit
 from wasabigw.core.tags.packets import FlowId, FlowPacket
-from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import record_loss, record_release
 
--- a/tests/test_load_edge_cases.py
+++ b/tests/test_load_edge_cases.py
@@ -27,12 +27,11 @@
 from wasabigw.core.ids import Revision, Seconds, Tag
 from wasabigw.core.load.figures import ServiceFigures
 from wasabigw.core.rates import add_recent
-from wasabigw.core.tags import shortage
-from wasabigw.core.tags.admission_control import update_services
-from wasabigw.core.tags.admission_state import AdmissionCount, AnswerCounts
-from wasabigw.core.tags.capacity_share import capacity_of
-from wasabigw.core.tags.decisions import Deliver
-from wasabigw.core.tags.fair_queue import (
+from wasabigw.core.tags.admission import shortage
+from wasabigw.core.tags.admission.admission_control import update_services
+from wasabigw.core.tags.admission.admission_state import AdmissionCount, AnswerCounts
+from wasabigw.core.tags.admission.capacity_share import capacity_of
+from wasabigw.core.tags.admission.fair_queue import (
     Datagram,
     FairQueue,
     Waiting,
@@ -40,15 +39,16 @@
     pop_next,
     push,
 )
-from wasabigw.core.tags.health import record_failure
+from wasabigw.core.tags.admission.rejections import learn_usual_share, rejected_share
+from wasabigw.core.tags.admission.room import room_of
+from wasabigw.core.tags.admission.shortage import MIN_REJECTED_SHARE
+from wasabigw.core.tags.choice.planning import current_plan
+from wasabigw.core.tags.decisions import Deliver
+from wasabigw.core.tags.liveness.health import record_failure
+from wasabigw.core.tags.liveness.suspicion import Suspicion, begin
 from wasabigw.core.tags.packets import FlowPacket
-from wasabigw.core.tags.planning import current_plan
-from wasabigw.core.tags.rejections import learn_usual_share, rejected_share
-from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.route_preview import preview_opening
-from wasabigw.core.tags.shortage import MIN_REJECTED_SHARE
 from wasabigw.core.tags.state import Flow, RequestSize, TagState
-from wasabigw.core.tags.suspicion import Suspicion, begin
 from wasabigw.core.tags.updates import apply_declaration, rebuild_pools
 
 OTHER_ENDPOINT = Endpoint("198.18.0.9", 80)
--- a/tests/test_lost_servers.py
+++ b/tests/test_lost_servers.py
@@ -19,7 +19,7 @@
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
 from wasabigw.core.tags.decisions import Deliver, RefusalReason, Refuse
-from wasabigw.core.tags.host_checks import (
+from wasabigw.core.tags.liveness.host_checks import (
     ATTEMPTS,
     CHECK_DURATION,
     FIRST_UNUSED_ROUND,
@@ -35,7 +35,7 @@
     attempts_by_group,
     status_of,
 )
-from wasabigw.core.tags.unreachable_hosts import (
+from wasabigw.core.tags.liveness.unreachable_hosts import (
     CHECK_INTERVAL,
     MAX_RUNNING_CHECKS,
     REFERENCE_HOSTS,
--- a/tests/test_planted_faults.py
+++ b/tests/test_planted_faults.py
@@ -3,7 +3,8 @@
 import unittest
 
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags import health, steering
+from wasabigw.core.tags import steering
+from wasabigw.core.tags.liveness import health
 from wasabigw_verify.evidence_model.fault_cases import NOT_FOUND, SCENARIOS
 from wasabigw_verify.evidence_model.faults import FAULTS
 from wasabigw_verify.evidence_model.runs import run
@@ -14,7 +15,7 @@
 
 TTL = PlantedFault(
     "host stays unreachable for a minute",
-    "wasabigw.core.tags.health",
+    "wasabigw.core.tags.liveness.health",
     "now - breaker.unreachable_at < UNREACHABLE_TTL",
     "now - breaker.unreachable_at < 60.0",
 )
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -12,7 +12,7 @@
 )
 from wasabigw.core.ids import Seconds, Tag
 from wasabigw.core.registration import Registration
-from wasabigw.core.tags.caller_diversion import (
+from wasabigw.core.tags.liveness.caller_diversion import (
     DIVERSION_TIME,
     MIN_UNSERVED_OPENINGS,
     decay_counts,
--- a/tests/test_refused_openings.py
+++ b/tests/test_refused_openings.py
@@ -28,7 +28,7 @@
     RefusalReason,
     Refuse,
 )
-from wasabigw.core.tags.health import FailureSignal
+from wasabigw.core.tags.liveness.health import FailureSignal
 from wasabigw.core.tags.openings import OPENING_TIMEOUT
 from wasabigw.core.tags.packets import FlowId, FlowPacket
 from wasabigw.core.tags.state import TagState
--- a/tests/test_shared_load.py
+++ b/tests/test_shared_load.py
@@ -21,15 +21,15 @@
 from wasabigw.core.load.known import KnownLoad
 from wasabigw.core.load.reporting import make_report
 from wasabigw.core.requirements import Priority, Requirements
+from wasabigw.core.tags.admission.room import room_of
+from wasabigw.core.tags.choice.planning import current_plan
+from wasabigw.core.tags.choice.turns import make_turns, phases_of, take_turn
+from wasabigw.core.tags.choice.weights import MIN_WEIGHT
 from wasabigw.core.tags.decisions import ChoiceReason, Deliver
 from wasabigw.core.tags.features import Features
-from wasabigw.core.tags.health import record_failure
+from wasabigw.core.tags.liveness.health import record_failure
 from wasabigw.core.tags.packets import FlowPacket
-from wasabigw.core.tags.planning import current_plan
-from wasabigw.core.tags.room import room_of
 from wasabigw.core.tags.state import TagState
-from wasabigw.core.tags.turns import make_turns, phases_of, take_turn
-from wasabigw.core.tags.weights import MIN_WEIGHT
 from wasabigw.tasks.decision_log import DecisionLog
 from wasabigw.tasks.share_metrics import share_families
 from wasabigw.telemetry.events_balancer import BalancerEvent
--- a/tests/test_tag_balancer.py
+++ b/tests/test_tag_balancer.py
@@ -27,7 +27,7 @@
 )
 from wasabigw.core.registration import DeclaredDocument, Registration
 from wasabigw.core.sources import SourceState
-from wasabigw.core.tags import egress
+from wasabigw.core.tags.link import egress
 from wasabigw.runtime.mailbox import Mailbox, MailboxFull
 from wasabigw.runtime.timer import monotonic
 from wasabigw.tasks.light_http import LightRequest
--- a/tests/test_tag_steering.py
+++ b/tests/test_tag_steering.py
@@ -24,6 +24,7 @@
 )
 from wasabigw.core.registration import Registration
 from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.choice.selection import service_of
 from wasabigw.core.tags.decisions import (
     Deliver,
     Drop,
@@ -33,9 +34,8 @@
     Refuse,
 )
 from wasabigw.core.tags.flow_table import expire_flows
-from wasabigw.core.tags.health import record_failure
+from wasabigw.core.tags.liveness.health import record_failure
 from wasabigw.core.tags.packets import FlowId, FlowPacket
-from wasabigw.core.tags.selection import service_of
 from wasabigw.core.tags.state import TagState
 from wasabigw.core.tags.steering import decide
 from wasabigw.core.tags.updates import apply_declaration, rebuild_pools
--- a/tests/test_upload_turns.py
+++ b/tests/test_upload_turns.py
@@ -3,20 +3,20 @@
 from tests.test_link_classes import LinkCase, data, opening
 from tests.test_tag_steering import LISTENER
 from wasabigw.core.ids import Seconds
-from wasabigw.core.tags.domain_suspicion import collect_evidence
-from wasabigw.core.tags.egress import MAX_OPENING_WAIT, make_egress_queue
-from wasabigw.core.tags.fair_queue import Datagram
+from wasabigw.core.tags.admission.fair_queue import Datagram
 from wasabigw.core.tags.features import Features
-from wasabigw.core.tags.openings import pop_overdue
-from wasabigw.core.tags.state import RequestSize
-from wasabigw.core.tags.steering import record_release
-from wasabigw.core.tags.upload_turns import (
+from wasabigw.core.tags.link.egress import MAX_OPENING_WAIT, make_egress_queue
+from wasabigw.core.tags.link.upload_turns import (
     SILENCE_TIME,
     expire_turns,
     needs_turn,
     take_turns,
     wait_for_turn,
 )
+from wasabigw.core.tags.liveness.domain_suspicion import collect_evidence
+from wasabigw.core.tags.openings import pop_overdue
+from wasabigw.core.tags.state import RequestSize
+from wasabigw.core.tags.steering import record_release
 
 PACKETS = 17
 """Packets of a usual upload of 20,000 bytes."""
--- a/tests/test_uploads.py
+++ b/tests/test_uploads.py
@@ -5,10 +5,10 @@
 from tests.test_tag_steering import LISTENER, SteeringCase, boot
 from wasabigw.core.ids import Seconds, Tag
 from wasabigw.core.states import RegistrationState
+from wasabigw.core.tags.admission.fair_queue import Datagram
 from wasabigw.core.tags.decisions import Deliver
-from wasabigw.core.tags.egress import Admission, make_egress_queue, release, submit
-from wasabigw.core.tags.fair_queue import Datagram
-from wasabigw.core.tags.health import Health, health_of
+from wasabigw.core.tags.link.egress import Admission, make_egress_queue, release, submit
+from wasabigw.core.tags.liveness.health import Health, health_of
 from wasabigw.core.tags.packets import FlowId, FlowPacket, sequence_distance
 from wasabigw.core.tags.steering import record_loss, record_release
 
