--- a/src/wasabigw/core/tags/admission/admission_control.py
+++ b/src/wasabigw/core/tags/admission/admission_control.py
@@ -3,9 +3,10 @@
 While a service is short of room (:mod:`wasabigw.core.tags.admission.shortage`),
 openings of less urgent listeners are limited to what urgent demand and the requests on
 open flows leave, and to a guaranteed share at least. Openings wait for that for a short
-time, in which callers neither notice nor send a copy. Priorities at the entry are those of DAGOR (Zhou
-and others, "Overload control for scaling WeChat microservices", 2018); the limit by the
-room that backend servers have is that of Breakwater (Cho and others, 2020).
+time, in which callers neither notice nor send a copy. Priorities at the entry are those
+of DAGOR (Zhou and others, "Overload control for scaling WeChat microservices", 2018);
+the limit by the room that backend servers have is that of Breakwater (Cho and others,
+2020).
 
 A refusal costs a caller one of its few tries within a millisecond, so that all of them
 may be lost before there is room. An opening without an answer is sent again by the
