consensus: a voter that returns with an empty disk takes the place of no other

Cause, found by reading the diff: an admission request of a voter whose disk was lost says that it was added to a running cluster, as its data directory was. The leader kept that for as long as it led. With two voters in that failure domain (five voters, for example), the next control VM that was added made the leader remove one of them, and not the voter whose place was to be taken.

Change: a voter of the log is never marked as a successor at the leader. Tests that the mark survives a restart, and that a vote record of an earlier version is read.

--- a/src/wasabigw/core/consensus/replication.py
+++ b/src/wasabigw/core/consensus/replication.py
@@ -235,7 +235,9 @@
     progress = track(state, envelope, request.committed, request.place)
     progress.asked_at = now
     progress.stop_noticed_at = NEVER
-    progress.is_successor = request.is_successor
+    # A voter with an empty disk keeps its place and takes none.
+    is_voter = envelope.sender in state.members
+    progress.is_successor = request.is_successor and not is_voter
 
 
 def _remember_standby(
--- a/tests/test_added_voters.py
+++ b/tests/test_added_voters.py
@@ -102,6 +102,18 @@
             run.run(1.0)
             self.assertEqual(run.voters(), {A, B, E})
 
+    def test_a_voter_that_lost_its_disk_before_takes_no_place(self) -> None:
+        # Guards against the removal of a voter in another failure domain: with five
+        # voters, two share the one of the voter that was admitted again.
+        domains = {A: "recife", B: "fortaleza", C: "fortaleza", D: "recife"}
+        run = running(domains={**domains, E: "salvador"})
+        lost = next(name for name in (B, C) if name != leader(run))
+        add(run, lost)
+        run.run(CATCH_UP)
+        add(run, D)
+        run.run(CATCH_UP)
+        self.assertEqual(run.voters(), {B, C, D})
+
     def test_a_standby_from_the_first_start_waits(self) -> None:
         run = running()
         run.restart([D])
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -5,6 +5,7 @@
 import tempfile
 import unittest
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from unittest import mock
@@ -14,6 +15,7 @@
 from returns.result import Failure, Success
 
 from tests.voter_network import change
+from wasabigw.codec.messages import decode, encode
 from wasabigw.core.cluster import ClusterState
 from wasabigw.core.consensus.effects import VoteRecord
 from wasabigw.core.consensus.messages import Snapshot
@@ -24,9 +26,11 @@
 from wasabigw.tasks.storage import (
     ACKNOWLEDGED_FILE,
     VOTE_FILE,
+    Identity,
     Recovered,
     Storage,
     bootstrap,
+    create_data_directory,
     open_storage,
 )
 from wasabigw.tasks.storage_errors import StorageError, StorageProblem
@@ -149,6 +153,27 @@
         self.assertEqual(list(found.entries), entries(51, 52, term=4))
 
 
+class AddedVoters(StorageCase):
+    """Guards against a control VM that forgets that it was added to a cluster."""
+
+    def test_the_mark_survives_a_restart_and_later_votes(self) -> None:
+        added = self._base / "added"
+        identity = Identity(NODE, Incarnation("a2"))
+        create_data_directory(added, identity, None, is_successor=True).unwrap()
+        with self.open(added) as storage:
+            vote = storage.recovered.vote
+            self.assertTrue(vote.is_successor)
+            storage.save_vote(replace(vote, term=Term(4))).unwrap()
+        with self.open(added) as storage:
+            self.assertTrue(storage.recovered.vote.is_successor)
+
+    def test_a_vote_of_an_earlier_version_is_read(self) -> None:
+        field = b',"is_successor":false'
+        self.assertIn(field, encode(VOTE))
+        decoded = decode(encode(VOTE).replace(field, b""), VoteRecord)
+        self.assertEqual(decoded.unwrap(), VOTE)
+
+
 class Damage(StorageCase):
     """Guards against a damaged file that is accepted as valid."""
 
