consensus: a leader whose place an added control VM has taken leads on without a vote

Cause: the leader passed its leadership on when an added control VM took its place.

Change: the leader goes on as one that is not counted. It admits itself in the place of a voter that is gone, after the removal of that one, and the others remember where it is, so that they can redirect to it. leadership_transfer.py serves planned stops only.

--- a/src/wasabigw/core/consensus/commit.py
+++ b/src/wasabigw/core/consensus/commit.py
@@ -33,6 +33,7 @@
             if _makes_room(report, state):
                 record = replace(state.record, is_successor=False)
                 effects.extend(state.save(record))
+            _keep_place(report, state)
             apply_voter_report(report, state.members, state.places)
     return [*effects, *update_admission(state)]
 
@@ -48,6 +49,13 @@
     return is_voter and is_removal
 
 
+def _keep_place(report: VoterReport, state: VoterState) -> None:
+    """Remember where a removed voter is: it may lead on without a vote."""
+    place = state.places.get(report.voter)
+    if isinstance(report, VoterRemoved) and place is not None:
+        state.discovered_places = {**state.discovered_places, report.voter: place}
+
+
 def commit_implied(state: VoterState) -> list[Effect]:
     """Commit what the latest change of the voters in the log shows to be committed.
 
--- a/src/wasabigw/core/consensus/leadership_transfer.py
+++ b/src/wasabigw/core/consensus/leadership_transfer.py
@@ -1,7 +1,7 @@
 """Leadership transfer, as in Raft (Ongaro, dissertation, section 3.10).
 
-A leader that is to stop, or that was removed from the voters, asks another voter to
-stand for election at once, so that the others need not wait for an election timeout.
+A leader that is to stop asks another voter to stand for election at once, so that the
+others need not wait for an election timeout.
 """
 
 from wasabigw.core.consensus.effects import Effect, SendMessage
@@ -11,22 +11,6 @@
 from wasabigw.core.consensus.reconfiguration import is_in_contact, is_stopping
 from wasabigw.core.consensus.state import VoterState
 from wasabigw.core.ids import NodeId, Seconds
-from wasabigw.core.timing import ELECTION_TIMEOUT_MIN
-
-
-def leave_leadership(state: VoterState, now: Seconds, jitter: float) -> list[Effect]:
-    """Pass the leadership on after the removal of this leader from the voters.
-
-    :returns: no effect while it waits for a voter that holds the whole log; it steps
-        down all the same if none does in time.
-    """
-    if state.committed == state.log.last_revision:
-        effects = pass_leadership(state, now, jitter)
-        if effects:
-            return effects
-    if now - state.voters_changed_at < ELECTION_TIMEOUT_MIN:
-        return []
-    return step_down(state)
 
 
 def pass_leadership(state: VoterState, now: Seconds, jitter: float) -> list[Effect]:
--- a/src/wasabigw/core/consensus/reconfiguration.py
+++ b/src/wasabigw/core/consensus/reconfiguration.py
@@ -11,7 +11,8 @@
 An end without a notice gives no time for that. Operators add a control VM before they
 take away the one that it replaces, so a control VM that was added to the failure domain
 of a voter takes the place of this voter at once. The other one becomes a standby, whose
-end costs no vote.
+end costs no vote. If it leads, it goes on without a vote: no change needs its own
+acknowledgement, and its end is noticed by all voters.
 """
 
 from collections import Counter
@@ -75,16 +76,35 @@
     if replaced is not None or state.target_voters is None:
         return replaced
     _drop_silent_standbys(state, now)
-    if len(state.members) > state.target_voters:
+    if len(state.members) > state.target_voters or _removes_first(state, now):
         return _removal(state, now)
     needed = [name for name in _standbys(state) if _is_needed(name, state, now)]
     if not needed:
-        return None
+        return _own_admission(state, now)
     return admission_of(
         min(needed, key=lambda name: _domain_size(name, state)), state, now
     )
 
 
+def _removes_first(state: VoterState, now: Seconds) -> bool:
+    """Whether a lost voter is removed before this leader, without a vote, replaces it.
+
+    With this leader as an additional voter, the others would need its disk as well.
+    """
+    return state.node not in state.members and bool(_lost_voters(state, now))
+
+
+def _own_admission(state: VoterState, now: Seconds) -> VoterAdmitted | None:
+    """Admission of a leader without a vote in the place of a voter that is gone."""
+    assert state.target_voters is not None
+    if state.node in state.members or state.stop is not None:
+        return None
+    is_missing = len(state.members) < state.target_voters
+    if is_missing or _stopping_voters(state, now):
+        return VoterAdmitted(state.node, state.incarnation, state.place)
+    return None
+
+
 def replacement_status(
     name: NodeId, state: VoterState, now: Seconds
 ) -> ReplacementStatus:
@@ -254,7 +274,7 @@
     """Voter that another one can do without.
 
     It is the one whose place an added voter takes, or else one of the largest failure
-    domain. This leader passes its leadership on only if it has to.
+    domain. This leader gives up its vote only for an added voter.
     """
     others = [name for name in state.members if name != state.node]
     for added in others:
--- a/src/wasabigw/core/consensus/replication.py
+++ b/src/wasabigw/core/consensus/replication.py
@@ -226,6 +226,10 @@
     The majority after the change may need a voter whose newest answer is old.
     """
     state.voters_changed_at = now
+    if isinstance(change, VoterRemoved):
+        # The added voters have taken a place now.
+        for name in state.members.keys() & state.progress.keys():
+            state.progress[name].is_successor = False
     return append_commands(state, (ReportBatch((change,)),), now)
 
 
--- a/src/wasabigw/core/consensus/state.py
+++ b/src/wasabigw/core/consensus/state.py
@@ -204,14 +204,9 @@
 
     @property
     def accepts_commands(self) -> bool:
-        """Whether this voter leads and appends the commands that are proposed.
-
-        One that is being removed passes its leadership on once its log is committed.
-        """
+        """Whether this voter leads and appends the commands that are proposed."""
         if self.role is not VoterRole.LEADER:
             return False
-        if self.node not in self.latest_voters().members:
-            return False
         stop = self.stop
         return stop is None or not stop.is_passing or stop.outcome is not None
 
--- a/src/wasabigw/core/consensus/voter.py
+++ b/src/wasabigw/core/consensus/voter.py
@@ -29,7 +29,6 @@
     SnapshotTaken,
     StopRequested,
 )
-from wasabigw.core.consensus.leadership_transfer import leave_leadership
 from wasabigw.core.consensus.lease import majority_contact
 from wasabigw.core.consensus.messages import (
     AdmissionRequest,
@@ -256,11 +255,6 @@
 
 def _tick_as_leader(state: VoterState, event: ClockTick) -> list[Effect]:
     now = event.now
-    is_leaving = state.is_removed and state.stop is None
-    if is_leaving:
-        effects = leave_leadership(state, now, event.jitter)
-        if effects:
-            return effects
     # A new voter counts only once it has learned of its admission, so a majority gets
     # the full timeout after each change.
     earliest = max(state.leader_since, state.voters_changed_at)
@@ -268,7 +262,7 @@
     if now - last_contact >= ELECTION_TIMEOUT_MIN:
         state.reset_election_timer(now, event.jitter)
         return step_down(state)
-    effects = [] if is_leaving else reconfigure(state, now)
+    effects = reconfigure(state, now)
     if now >= state.heartbeat_at:
         effects.extend(send_heartbeats(state, now))
     return effects
