consensus: voters remember the place of a removed control VM only if it leads

Cause, found by reading the diff: each removed voter stayed among the peers of the others until they restarted, so that candidates would have asked control VMs that were taken away long ago.

Change: only the place of a leader that goes on without a vote is kept, one at a time.

--- a/src/wasabigw/core/consensus/commit.py
+++ b/src/wasabigw/core/consensus/commit.py
@@ -50,10 +50,14 @@
 
 
 def _keep_place(report: VoterReport, state: VoterState) -> None:
-    """Remember where a removed voter is: it may lead on without a vote."""
+    """Remember where the leader is if it leads on without a vote.
+
+    Places of earlier ones are forgotten, as their control VMs may be gone.
+    """
     place = state.places.get(report.voter)
-    if isinstance(report, VoterRemoved) and place is not None:
-        state.discovered_places = {**state.discovered_places, report.voter: place}
+    is_leader = report.voter == state.leader
+    if isinstance(report, VoterRemoved) and is_leader and place is not None:
+        state.discovered_places = {report.voter: place}
 
 
 def commit_implied(state: VoterState) -> list[Effect]:
--- a/tests/test_added_voters.py
+++ b/tests/test_added_voters.py
@@ -99,6 +99,17 @@
                 self.assertEqual(state.committed, state.log.last_revision)
                 self.assertIsNotNone(state.place_of(led_by))
 
+    def test_voters_forget_the_place_of_a_removed_follower(self) -> None:
+        # Guards against requests to control VMs that were taken away long ago.
+        run = running()
+        removed = followers(run)[0]
+        run = running(domains={**DOMAINS, D: DOMAINS[removed]})
+        add(run, D)
+        run.run(CATCH_UP)
+        self.assertNotIn(removed, run.voters())
+        for name in run.voters() - {D}:
+            self.assertNotIn(removed, run.members[name].state.discovered_places)
+
     def test_a_leader_without_a_vote_takes_the_place_of_a_lost_voter(self) -> None:
         for seed in range(8):
             with self.subTest(seed=seed):
