consensus: the leadership transfer is back in the module that uses it

Cause, found by reading the change again: the transfer was moved to a module of its own when a removed leader passed its leadership on as well. Since such a leader goes on without a vote, so planned_stop.py is the only caller, and the split served nothing.

Change: planned_stop.py is as it was before, and leadership_transfer.py is gone. The same functions run in the same order.

--- a/src/wasabigw/core/consensus/planned_stop.py
+++ b/src/wasabigw/core/consensus/planned_stop.py
@@ -16,16 +16,18 @@
     StopReady,
     StopWithoutStandby,
 )
-from wasabigw.core.consensus.leadership_transfer import pass_leadership
+from wasabigw.core.consensus.election import step_down
+from wasabigw.core.consensus.lease import counted_voters
 from wasabigw.core.consensus.messages import (
     Envelope,
     StopNotice,
     StopNoticeResponse,
+    TransferRequest,
     TransferResponse,
 )
 from wasabigw.core.consensus.replication import reconfigure, send_next, track
 from wasabigw.core.consensus.state import PlannedStop, VoterState
-from wasabigw.core.ids import Seconds
+from wasabigw.core.ids import NodeId, Seconds
 from wasabigw.core.states import ReplacementStatus, StopOutcome, VoterRole
 from wasabigw.core.timing import ELECTION_TIMEOUT_MIN, HEARTBEAT_INTERVAL
 
@@ -164,9 +166,28 @@
     if state.committed < state.log.last_revision:
         # The callers of the last changes get their answers first.
         return []
-    effects = pass_leadership(state, now, jitter)
-    if not effects:
-        # Without a successor, the others elect a leader once this process has ended.
+    successor = _successor(state, now)
+    if successor is None:
+        # Without one, the others elect a leader once this process has ended.
         return [] if state.is_removed else _finish(state, StopOutcome.NO_STANDBY)
     state.stop = replace(state.stop, passed_at=now)
-    return effects
+    request = SendMessage(successor, state.envelope(TransferRequest()))
+    state.reset_election_timer(now, jitter)
+    return [request, *step_down(state)]
+
+
+def _successor(state: VoterState, now: Seconds) -> NodeId | None:
+    """Voter that holds the whole log and answers, to lead next."""
+    ready = counted_voters(state, state.log.last_revision) - {state.node}
+    candidates = [
+        name
+        for name in ready
+        if state.progress[name].admitted
+        and reconfiguration.is_in_contact(name, state, now)
+        and not reconfiguration.is_stopping(state.progress[name], now)
+    ]
+    return max(
+        candidates,
+        key=lambda name: (state.progress[name].last_contact, name),
+        default=None,
+    )
